--- /dev/null
+++ b/cmd/mastictray/main.go
@@ -0,0 +1,4 @@
+// Command mastictray is the operators' command line.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/wire/frame.go
@@ -0,0 +1,89 @@
+package wire
+
+import (
+	"encoding/binary"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// MaxFrameBytes bounds one frame. A peer that announces more is cut off
+// before anything is allocated for it.
+const MaxFrameBytes = 4 << 20
+
+const headerBytes = 4
+
+// Errors of the frame reader.
+var (
+	// ErrFrameTooLarge: the length in the header is over MaxFrameBytes.
+	ErrFrameTooLarge = errors.New("wire: frame too large")
+	// ErrFrameMalformed: the bytes are no frame.
+	ErrFrameMalformed = errors.New("wire: frame malformed")
+)
+
+// Kind names a message, such as "hello" or "rate.ask".
+type Kind string
+
+// Frame is one message on a peer connection.
+type Frame struct {
+	// ID pairs an answer with its call; 0 for a one-way message.
+	ID uint64 `msgpack:"i"`
+	// Answer is set on the reply to the call with the same ID.
+	Answer bool `msgpack:"a,omitempty"`
+	Kind   Kind `msgpack:"k"`
+	// Err is the peer's refusal, on an answer only.
+	Err  string             `msgpack:"e,omitempty"`
+	Body msgpack.RawMessage `msgpack:"b,omitempty"`
+}
+
+// NewFrame builds a frame with an encoded body.
+func NewFrame(id uint64, kind Kind, body any) (Frame, error) {
+	raw, err := msgpack.Marshal(body)
+	if err != nil {
+		return Frame{}, errors.Wrapf(err, "encode body kind=%s", kind)
+	}
+	return Frame{ID: id, Kind: kind, Body: raw}, nil
+}
+
+// Into decodes the body.
+func (f Frame) Into(body any) error {
+	if err := msgpack.Unmarshal(f.Body, body); err != nil {
+		return errors.Mark(errors.Wrapf(err, "decode body kind=%s", f.Kind), ErrFrameMalformed)
+	}
+	return nil
+}
+
+// Append encodes the frame behind its 4-byte big-endian length.
+func Append(dst []byte, f Frame) ([]byte, error) {
+	raw, err := msgpack.Marshal(&f)
+	if err != nil {
+		return dst, errors.Wrapf(err, "encode frame kind=%s", f.Kind)
+	}
+	if len(raw) > MaxFrameBytes {
+		return dst, errors.Wrapf(ErrFrameTooLarge, "kind=%s bytes=%d", f.Kind, len(raw))
+	}
+	dst = binary.BigEndian.AppendUint32(dst, uint32(len(raw)))
+	return append(dst, raw...), nil
+}
+
+// Read reads one frame. io.EOF means that the peer closed between frames.
+func Read(r io.Reader) (Frame, error) {
+	var f Frame
+	var head [headerBytes]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return f, err
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n > MaxFrameBytes {
+		return f, errors.Wrapf(ErrFrameTooLarge, "bytes=%d", n)
+	}
+	raw := make([]byte, n)
+	if _, err := io.ReadFull(r, raw); err != nil {
+		return f, errors.Wrap(err, "read frame body")
+	}
+	if err := msgpack.Unmarshal(raw, &f); err != nil {
+		return f, errors.Mark(errors.Wrap(err, "decode frame"), ErrFrameMalformed)
+	}
+	return f, nil
+}
