lease: hold resources through the log, extend them by promises

Cause: slots of the fleet rate and control duties need one holder at a time, and there is no coordinator to ask.

Ruled out: wall clocks in records (two clocks would have to agree); a holder list from membership (it lags, and a frozen instance is still on it).

While the log is out of reach, promises of all members of the domain extend a lease.

--- /dev/null
+++ b/internal/wire/lease.go
@@ -0,0 +1,32 @@
+package wire
+
+// KindLeasePromise is a call: a lease holder that cannot reach the log asks
+// the other members of its domain not to take its leases over for a while.
+const KindLeasePromise Kind = "lease.promise"
+
+// LeasePromiseAsk asks for a promise about leases of the asker.
+type LeasePromiseAsk struct {
+	// Holder is the asking incarnation.
+	Holder string `msgpack:"h"`
+	// Member is the incarnation that the holder believes at this address.
+	Member string `msgpack:"m"`
+	// ForMillis is how long the promise is to last from when it is given.
+	ForMillis int64       `msgpack:"d"`
+	Leases    []LeaseName `msgpack:"l"`
+}
+
+// LeaseName names one lease: a resource and its fencing token.
+type LeaseName struct {
+	Resource string `msgpack:"r"`
+	Token    int64  `msgpack:"t"`
+}
+
+// LeasePromiseAnswer lists the leases for which the promise is given: until
+// the time is over, the answering process appends no acquire for them.
+type LeasePromiseAnswer struct {
+	// By is the answering incarnation.
+	By string `msgpack:"b"`
+	// Address is the peer address that the answering process is bound to.
+	Address string      `msgpack:"a"`
+	Leases  []LeaseName `msgpack:"l"`
+}
