rate: cut an account's rate into leased parts, move tokens on demand

Cause: no account may exceed its rate and burst over all instances together, also when links, log or processes fail.

Ruled out: one counter per account at a home instance (a partition stops the account); moving rates instead of tokens (a lost answer would need a lease of its own).

Change: each slot lease mints a fixed part; tokens move by debit before credit; tokens on the way lower the granter's cap and expire at the receiver before that ends; refunds count only as far as the bucket had room since the debit.

--- /dev/null
+++ b/internal/rate/exchange.go
@@ -0,0 +1,218 @@
+package rate
+
+import (
+	"slices"
+	"time"
+
+	"github.com/mastictray/mastictray/internal/wire"
+)
+
+// hintFresh is how long a peer's balance is taken as just seen.
+const hintFresh = 50 * time.Millisecond
+
+// mutePeer is how long a peer that did not answer is left out.
+const mutePeer = time.Second
+
+// Peer is another instance that may have tokens.
+type Peer struct {
+	// ID names the peer towards the caller of this package.
+	ID string
+	// Local is set for peers in this instance's failure domain.
+	Local bool
+	// Share is the part of all rates that the peer mints, as far as known;
+	// 0 for a peer that only passes on.
+	Share float64
+
+	muteUntil time.Duration
+}
+
+// Ask is a call to make to a peer.
+type Ask struct {
+	ID   uint64
+	Peer string
+	Body wire.RateAsk
+}
+
+// Return is a one-way message to send to a peer.
+type Return struct {
+	Peer string
+	Body wire.RateReturn
+}
+
+// hint is a peer's balance of one account as last heard.
+type hint struct {
+	tokens float64
+	at     time.Duration
+}
+
+// pendingAsk is an ask without an answer.
+type pendingAsk struct {
+	peer     string
+	askedAt  time.Duration
+	accounts []string
+}
+
+// SetPeers replaces the peers that are asked for tokens, nearest first.
+func (l *Limiter) SetPeers(peers []Peer) {
+	old := l.peers
+	l.peers = slices.Clone(peers)
+	for i := range l.peers {
+		for _, o := range old {
+			if o.ID == l.peers[i].ID {
+				l.peers[i].muteUntil = o.muteUntil
+			}
+		}
+	}
+}
+
+// HandleAsk debits what it can spare and answers with it.
+func (l *Limiter) HandleAsk(now time.Duration, ask wire.RateAsk) wire.RateGrant {
+	l.settle(now)
+	g := wire.RateGrant{From: l.settings.Self, At: int64(now)}
+	for i, item := range ask.Items {
+		a := l.accounts[item.Account]
+		if a == nil || i >= wire.MaxRateItems {
+			continue
+		}
+		l.advance(a, now)
+		tokens := l.spare(a, item.Tokens)
+		if tokens > 0 {
+			a.bucket.lend(now, l.settings.Lifetime, tokens)
+		}
+		g.Items = append(g.Items, wire.RateGrantItem{Account: item.Account, Tokens: tokens, Left: a.bucket.balance})
+	}
+	return g
+}
+
+// spare is how much of the wanted tokens may go to a peer. Credits from other
+// peers never travel on: their lifetime is counted at their granter.
+func (l *Limiter) spare(a *account, want float64) float64 {
+	if len(a.waiters) > 0 || !(want > 0) {
+		return 0
+	}
+	return max(0, min(want, a.bucket.balance))
+}
+
+// HandleGrant takes a peer's answer to an ask. Tokens that come too late go
+// back.
+func (l *Limiter) HandleGrant(now time.Duration, peer string, id uint64, g wire.RateGrant) {
+	l.settle(now)
+	until := now
+	p, asked := l.pending[id]
+	if asked && p.peer == peer {
+		l.forget(id, p)
+		until = p.askedAt + l.settings.creditFor()
+	}
+	for i, item := range g.Items {
+		a := l.accounts[item.Account]
+		if a == nil || i >= wire.MaxRateItems {
+			continue
+		}
+		a.known[peer] = hint{tokens: item.Left, at: now}
+		if item.Tokens > 0 {
+			l.credit(a, now, credit{peer: peer, incarnation: g.From, grantedAt: g.At, until: until, tokens: item.Tokens})
+		}
+	}
+}
+
+// credit adds granted tokens, or gives them back when it is too late.
+func (l *Limiter) credit(a *account, now time.Duration, c credit) {
+	l.advance(a, now)
+	if now >= c.until {
+		l.giveBack(a, c, c.tokens)
+		return
+	}
+	a.bucket.addCredit(c)
+}
+
+// AskFailed tells that an ask got no answer. Tokens that the peer may have
+// debited are lost.
+func (l *Limiter) AskFailed(now time.Duration, id uint64) {
+	p, ok := l.pending[id]
+	if !ok {
+		return
+	}
+	l.forget(id, p)
+	for i := range l.peers {
+		if l.peers[i].ID == p.peer {
+			l.peers[i].muteUntil = now + mutePeer
+		}
+	}
+}
+
+// HandleReturn takes back unspent tokens of an own grant.
+func (l *Limiter) HandleReturn(now time.Duration, r wire.RateReturn) {
+	l.settle(now)
+	if r.To != l.settings.Self || time.Duration(r.At) > now {
+		return
+	}
+	for _, item := range r.Items {
+		if a := l.accounts[item.Account]; a != nil && item.Tokens > 0 {
+			l.advance(a, now)
+			a.bucket.takeBack(time.Duration(r.At), l.settings.Lifetime, item.Tokens)
+		}
+	}
+}
+
+// HandleHints notes a peer's balances.
+func (l *Limiter) HandleHints(now time.Duration, peer string, h wire.RateHints) {
+	for _, item := range h.Items {
+		if a := l.accounts[item.Account]; a != nil {
+			a.known[peer] = hint{tokens: item.Tokens, at: now}
+		}
+	}
+}
+
+// Hints are the largest balances here, for a heartbeat.
+func (l *Limiter) Hints(now time.Duration) wire.RateHints {
+	l.settle(now)
+	var h wire.RateHints
+	for _, name := range l.names() {
+		a := l.accounts[name]
+		l.advance(a, now)
+		if tokens := l.spare(a, a.bucket.balance); tokens > 0 {
+			h.Items = append(h.Items, wire.RateItem{Account: name, Tokens: tokens})
+		}
+	}
+	slices.SortStableFunc(h.Items, func(x, y wire.RateItem) int { return int(y.Tokens - x.Tokens) })
+	h.Items = h.Items[:min(len(h.Items), wire.MaxRateItems)]
+	return h
+}
+
+// giveBack queues a return of tokens of a credit.
+func (l *Limiter) giveBack(a *account, c credit, tokens float64) {
+	if tokens <= 0 {
+		return
+	}
+	body := wire.RateReturn{To: c.incarnation, At: c.grantedAt, Items: []wire.RateItem{{Account: a.name, Tokens: tokens}}}
+	l.returns = append(l.returns, Return{Peer: c.peer, Body: body})
+}
+
+// forget drops a pending ask.
+func (l *Limiter) forget(id uint64, p pendingAsk) {
+	delete(l.pending, id)
+	for _, name := range p.accounts {
+		if a := l.accounts[name]; a != nil && a.asking > 0 {
+			a.asking--
+		}
+	}
+}
+
+// dropLateAsks forgets asks whose tokens could not be spent any more.
+func (l *Limiter) dropLateAsks(now time.Duration) {
+	for id, p := range l.pending {
+		if now >= p.askedAt+l.settings.creditFor() {
+			l.AskFailed(now, id)
+		}
+	}
+}
+
+// names are the accounts in a fixed order.
+func (l *Limiter) names() []string {
+	names := make([]string, 0, len(l.accounts))
+	for name := range l.accounts {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/internal/wire/rate.go
@@ -0,0 +1,58 @@
+package wire
+
+// Kinds of the rate exchange. KindRateAsk is a call, KindRateReturn a one-way
+// message.
+const (
+	KindRateAsk    Kind = "rate.ask"
+	KindRateReturn Kind = "rate.return"
+)
+
+// MaxRateItems bounds the accounts in one message of the rate exchange.
+const MaxRateItems = 64
+
+// RateItem is a number of tokens of one account.
+type RateItem struct {
+	Account string  `msgpack:"a"`
+	Tokens  float64 `msgpack:"n"`
+}
+
+// RateAsk asks a peer for tokens. The peer debits itself before it answers,
+// so a lost answer loses tokens and never doubles them.
+type RateAsk struct {
+	// From is the asking incarnation.
+	From  string     `msgpack:"f"`
+	Items []RateItem `msgpack:"i"`
+}
+
+// RateGrant answers a RateAsk.
+type RateGrant struct {
+	// From is the granting incarnation; it binds a later RateReturn to it.
+	From string `msgpack:"f"`
+	// At is the granter's own clock at the debit, in nanoseconds. The asker
+	// repeats it in a RateReturn and reads nothing from it.
+	At    int64           `msgpack:"t"`
+	Items []RateGrantItem `msgpack:"i"`
+}
+
+// RateGrantItem is the granted tokens of one account.
+type RateGrantItem struct {
+	Account string  `msgpack:"a"`
+	Tokens  float64 `msgpack:"n"`
+	// Left is the balance that the granter keeps; a hint for later asks.
+	Left float64 `msgpack:"l"`
+}
+
+// RateReturn gives unspent tokens of a grant back. It is sent once and never
+// again: a lost one loses tokens.
+type RateReturn struct {
+	// To is the granting incarnation; another one drops the message.
+	To    string     `msgpack:"to"`
+	At    int64      `msgpack:"t"`
+	Items []RateItem `msgpack:"i"`
+}
+
+// RateHints are balances carried on heartbeats, at most MaxRateItems of them,
+// largest first. They steer asks; nothing is spent on their word.
+type RateHints struct {
+	Items []RateItem `msgpack:"i,omitempty"`
+}
