lease: search all orders of a small fleet; spread slots while acquires are open

Cause: the safety of the lease rests on how records, promises, lost answers, pauses and restarts may be ordered. One instance also took both slots of its domain, because an acquire on its way did not count as held.

Ruled out: fixed scenarios alone; none of the orders below was among the ones written by hand at first.

Change: a breadth-first search over real holders with a fake log; what is on the way may arrive at any later step or never. Open acquires count as held for the stagger.

Conclusion: holds for these sizes and depths; no proof beyond them.

--- /dev/null
+++ b/internal/lease/search_test.go
@@ -0,0 +1,380 @@
+package lease
+
+import (
+	"fmt"
+	"hash/maphash"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/mastictray/mastictray/internal/logrec"
+	"github.com/mastictray/mastictray/internal/platform"
+	"github.com/mastictray/mastictray/internal/wire"
+)
+
+// world is a small fleet at one moment: real holders, the log and everything
+// on the way. What is on the way may arrive at any later step or never, so
+// losses, delays and reordering need no steps of their own; a process that
+// takes no turn is frozen.
+type world struct {
+	now     time.Duration // true time
+	log     []logrec.Envelope
+	members []*actor
+	appends []flight
+	calls   []call
+	spare   int // incarnations that may still be started
+	started int
+}
+
+type actor struct {
+	h     *Holder
+	speed float64
+	start time.Duration
+	read  int
+	dead  bool
+}
+
+type flight struct {
+	by  int
+	seq uint64
+	env logrec.Envelope
+}
+
+// call is a promise asked for, or with answer set its answer.
+type call struct {
+	by     int
+	ask    Ask
+	answer *wire.LeasePromiseAnswer
+}
+
+const unit = time.Second
+
+// slot is the resource that all compete for.
+var slot = Mint("d", 0)
+
+func searchSettings(self Member) Settings {
+	s := DefaultSettings(self, []Resource{slot})
+	s.TTL, s.PromiseFor, s.RenewEvery, s.Hold = 2*unit, 2*unit, unit/2, 5*unit
+	s.Margin, s.Drift, s.Stagger = unit/2, 0.05, 0
+	return s
+}
+
+// newWorld starts members on addresses of their own; the clocks run apart.
+func newWorld(n, spare int) *world {
+	w := &world{spare: spare}
+	for i := range n {
+		w.boot(fmt.Sprintf("a%d", i), 1+0.05*float64(1-2*(i%2)))
+	}
+	for range 3 { // join, acquire, renew
+		for i := range w.members {
+			w.turn(i, true)
+			for len(w.appends) > 0 {
+				w.land(0)
+			}
+		}
+	}
+	return w
+}
+
+func (w *world) boot(addr string, speed float64) {
+	w.started++
+	id := fmt.Sprintf("%s#%d", addr, w.started)
+	h := NewHolder(searchSettings(Member{ID: id, Domain: "d", Address: addr}))
+	w.members = append(w.members, &actor{h: h, speed: speed, start: w.now})
+}
+
+func (a *actor) clock(now time.Duration) time.Duration {
+	return time.Duration(float64(now-a.start) * a.speed)
+}
+
+// turn lets a member read the log, or not, and do what is due.
+func (w *world) turn(i int, read bool) {
+	a := w.members[i]
+	now := a.clock(w.now)
+	for ; read && a.read < len(w.log); a.read++ {
+		_ = a.h.Apply(now, platform.Offset(a.read), w.log[a.read])
+	}
+	if read {
+		a.h.CaughtUp()
+	}
+	work := a.h.Tick(now)
+	for _, r := range work.Records {
+		w.appends = append(w.appends, flight{by: i, seq: r.Seq, env: envelope(a.h.settings.Self.ID, r)})
+	}
+	for _, ask := range work.Asks {
+		w.calls = append(w.calls, call{by: i, ask: ask})
+	}
+}
+
+func envelope(by string, r Record) logrec.Envelope {
+	data, err := logrec.Encode(r.Kind, by, 0, r.Body)
+	if err != nil {
+		panic(err)
+	}
+	e, err := logrec.Decode(data)
+	if err != nil {
+		panic(err)
+	}
+	return e
+}
+
+func (w *world) land(k int) {
+	w.log = append(w.log, w.appends[k].env)
+	w.appends = slices.Delete(w.appends, k, k+1)
+}
+
+// refuse tells the writer that an append had no effect.
+func (w *world) refuse(k int) {
+	f := w.appends[k]
+	w.appends = slices.Delete(w.appends, k, k+1)
+	w.members[f.by].h.Appended(f.seq, platform.ErrOutage)
+}
+
+// carry delivers a call to whoever lives at the address, or its answer.
+func (w *world) carry(k int) {
+	c := w.calls[k]
+	w.calls = slices.Delete(w.calls, k, k+1)
+	if c.answer != nil {
+		w.members[c.by].h.HandleAnswer(c.ask.ID, *c.answer)
+		return
+	}
+	for _, a := range w.members {
+		if !a.dead && a.h.settings.Self.Address == c.ask.Member.Address {
+			answer := a.h.HandleAsk(a.clock(w.now), c.ask.Body)
+			w.calls = append(w.calls, call{by: c.by, ask: c.ask, answer: &answer})
+		}
+	}
+}
+
+// restart replaces a process by a new incarnation at its address.
+func (w *world) restart(i int) {
+	w.spare--
+	w.members[i].dead = true
+	w.boot(w.members[i].h.settings.Self.Address, w.members[i].speed)
+}
+
+// next calls visit with every world that one step leads to.
+func (w *world) next(visit func(step string, next *world)) {
+	do := func(step string, f func(*world)) {
+		c := w.clone()
+		f(c)
+		visit(step, c)
+	}
+	do("time", func(c *world) { c.now += unit })
+	for i, a := range w.members {
+		if a.dead {
+			continue
+		}
+		do(fmt.Sprint("turn ", i), func(c *world) { c.turn(i, true) })
+		do(fmt.Sprint("turn without log ", i), func(c *world) { c.turn(i, false) })
+		if w.spare > 0 {
+			do(fmt.Sprint("restart ", i), func(c *world) { c.restart(i) })
+		}
+	}
+	for k := range w.appends {
+		do(fmt.Sprint("land ", k), func(c *world) { c.land(k) })
+		do(fmt.Sprint("refuse ", k), func(c *world) { c.refuse(k) })
+	}
+	for k := range w.calls {
+		do(fmt.Sprint("carry ", k), func(c *world) { c.carry(k) })
+	}
+	if w.spare > 0 {
+		do("join", func(c *world) {
+			c.spare--
+			c.boot("a9", 1.05)
+		})
+	}
+}
+
+// holders counts the live members that may use the lease, or its floor, now.
+// Each may wake up and act at this instant.
+func (w *world) holders() (lease, floor int) {
+	for _, a := range w.members {
+		if a.dead {
+			continue
+		}
+		now := a.clock(w.now)
+		for _, g := range a.h.Grants(now) {
+			if now < g.Until {
+				lease++
+			}
+			if now < g.FloorUntil {
+				floor++
+			}
+		}
+	}
+	return lease, floor
+}
+
+func (w *world) clone() *world {
+	c := *w
+	c.log = slices.Clone(w.log)
+	c.appends, c.calls = slices.Clone(w.appends), slices.Clone(w.calls)
+	c.members = make([]*actor, len(w.members))
+	for i, a := range w.members {
+		b := *a
+		if !a.dead {
+			b.h = a.h.clone()
+		}
+		c.members[i] = &b
+	}
+	return &c
+}
+
+func (h *Holder) clone() *Holder {
+	c := *h
+	c.fold = &Fold{next: h.fold.next, members: maps.Clone(h.fold.members), states: maps.Clone(h.fold.states)}
+	c.sent, c.asks, c.promised = maps.Clone(h.sent), maps.Clone(h.asks), maps.Clone(h.promised)
+	c.held, c.acquires = map[Resource]*holding{}, map[Resource]attempt{}
+	for r, l := range h.held {
+		n := *l
+		n.promises = maps.Clone(l.promises)
+		c.held[r] = &n
+	}
+	for r, a := range h.acquires {
+		a.seqs = slices.Clone(a.seqs)
+		c.acquires[r] = a
+	}
+	return &c
+}
+
+var seed = maphash.MakeSeed()
+
+// print identifies a state.
+func (w *world) print() uint64 {
+	var m maphash.Hash
+	m.SetSeed(seed)
+	fmt.Fprint(&m, w.now, w.spare, len(w.log))
+	for _, e := range w.log {
+		fmt.Fprintf(&m, "%s%s%x", e.Kind, e.By, []byte(e.Body))
+	}
+	for _, f := range w.appends {
+		fmt.Fprintf(&m, "%d.%d.%x", f.by, f.seq, []byte(f.env.Body))
+	}
+	for _, c := range w.calls {
+		fmt.Fprint(&m, c.by, c.ask, c.answer != nil)
+		if c.answer != nil {
+			fmt.Fprint(&m, *c.answer)
+		}
+	}
+	for _, a := range w.members {
+		if a.dead {
+			continue
+		}
+		h := a.h
+		fmt.Fprint(&m, a.read, h.seq, h.joinAt, h.renewAt, h.askAt, h.sent, h.acquires, h.promised, h.asks, h.fold.states)
+		for _, r := range h.settings.Wanted {
+			if l := h.held[r]; l != nil {
+				fmt.Fprint(&m, *l)
+			}
+		}
+	}
+	return m.Sum64()
+}
+
+// search walks all worlds within depth steps, breadth first, and returns the
+// steps to the first one with two holders.
+type search struct {
+	seen   map[uint64]bool
+	states int
+}
+
+type node struct {
+	w    *world
+	path []string
+}
+
+func (s *search) run(w *world, depth, limit, onWay int) []string {
+	s.seen = map[uint64]bool{w.print(): true}
+	frontier := []node{{w: w}}
+	for range depth {
+		var nextFrontier []node
+		for _, n := range frontier {
+			var bad []string
+			n.w.next(func(step string, c *world) {
+				if bad != nil || len(c.appends)+len(c.calls) > onWay || s.seen[c.print()] {
+					return
+				}
+				s.seen[c.print()] = true
+				s.states++
+				path := append(slices.Clone(n.path), step)
+				if l, f := c.holders(); l > 1 || f > 1 {
+					bad = path
+				}
+				nextFrontier = append(nextFrontier, node{w: c, path: path})
+			})
+			if bad != nil {
+				return bad
+			}
+			if s.states > limit {
+				return nil
+			}
+		}
+		frontier = nextFrontier
+	}
+	return nil
+}
+
+// Two instances act on one lease: both may believe that they hold it only if
+// records, promises, lost answers, pauses and restarts can be ordered badly.
+// The search tries every order of a small fleet up to a depth.
+func TestNoOrderGivesTwoHolders(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		members, spare int
+		depth, limit   int
+	}{
+		{"two members", 2, 0, 12, 60000},
+		{"two members and a restart or a newcomer", 2, 1, 10, 60000},
+		{"three members", 3, 0, 10, 60000},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := &search{}
+			if bad := s.run(newWorld(c.members, c.spare), c.depth, c.limit, 3); bad != nil {
+				t.Fatalf("two holders after %q", bad)
+			}
+			t.Logf("%d states", s.states)
+		})
+	}
+}
+
+// A newcomer joins, the holder sees it and renews; the renewal lands but the
+// holder is cut from the log before it reads it back. The log now lets the
+// newcomer take over, so the promises of older members alone must not extend
+// the lease: both would mint the same part of every rate.
+func TestUnreadRenewalLetsNewcomerIn(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2, 1)
+	holder, other := w.members[0], 1
+	if !holder.h.Valid(holder.clock(w.now), slot) {
+		holder, other = w.members[1], 0
+	}
+	own := 1 - other
+	w.boot("a9", 1)
+	w.turn(2, true)
+	w.land(0) // the newcomer joins
+	w.now += unit
+	w.turn(own, true)
+	w.land(0) // a renewal that has seen it, not read back
+	w.turn(2, true)
+	for range 4 {
+		w.now += unit
+		w.turn(own, false)
+		for len(w.calls) > 0 {
+			if w.calls[0].ask.Member.Address == "a9" {
+				w.calls = w.calls[1:] // the newcomer does not promise
+				continue
+			}
+			w.carry(0)
+		}
+		w.appends = nil // its renewals do not get through
+	}
+	w.turn(2, true)
+	w.land(0) // the newcomer takes over
+	w.turn(2, true)
+	is.True(w.members[2].h.Valid(w.members[2].clock(w.now), slot))
+	is.True(!holder.h.Valid(holder.clock(w.now), slot))
+}
--- a/internal/lease/tick.go
+++ b/internal/lease/tick.go
@@ -132,8 +132,9 @@
 			place++
 		}
 	}
-	for other := range h.held {
-		if other.Domain() == r.Domain() {
+	for _, other := range h.settings.Wanted {
+		_, open := h.acquires[other]
+		if other != r && other.Domain() == r.Domain() && (open || h.held[other] != nil) {
 			place += heldPenalty
 		}
 	}
