lease: let the unread-renewal test outlast the hold time

Cause: with the hold time of the search the lease ended by itself, so the test passed with the safeguard off. Change: the test runs with a hold time of 10 units.

--- a/internal/lease/search_test.go
+++ b/internal/lease/search_test.go
@@ -27,6 +27,7 @@
 	calls   []call
 	spare   int // incarnations that may still be started
 	started int
+	hold    time.Duration
 }
 
 type actor struct {
@@ -55,16 +56,16 @@
 // slot is the resource that all compete for.
 var slot = Mint("d", 0)
 
-func searchSettings(self Member) Settings {
+func searchSettings(self Member, hold time.Duration) Settings {
 	s := DefaultSettings(self, []Resource{slot})
-	s.TTL, s.PromiseFor, s.RenewEvery, s.Hold = 2*unit, 2*unit, unit/2, 5*unit
+	s.TTL, s.PromiseFor, s.RenewEvery, s.Hold = 2*unit, 2*unit, unit/2, hold
 	s.Margin, s.Drift, s.Stagger = unit/2, 0.05, 0
 	return s
 }
 
 // newWorld starts members on addresses of their own; the clocks run apart.
-func newWorld(n, spare int) *world {
-	w := &world{spare: spare}
+func newWorld(n, spare int, hold time.Duration) *world {
+	w := &world{spare: spare, hold: hold}
 	for i := range n {
 		w.boot(fmt.Sprintf("a%d", i), 1+0.05*float64(1-2*(i%2)))
 	}
@@ -82,7 +83,7 @@
 func (w *world) boot(addr string, speed float64) {
 	w.started++
 	id := fmt.Sprintf("%s#%d", addr, w.started)
-	h := NewHolder(searchSettings(Member{ID: id, Domain: "d", Address: addr}))
+	h := NewHolder(searchSettings(Member{ID: id, Domain: "d", Address: addr}, w.hold))
 	w.members = append(w.members, &actor{h: h, speed: speed, start: w.now})
 }
 
@@ -102,14 +103,14 @@
 	}
 	work := a.h.Tick(now)
 	for _, r := range work.Records {
-		w.appends = append(w.appends, flight{by: i, seq: r.Seq, env: envelope(a.h.settings.Self.ID, r)})
+		w.appends = append(w.appends, flight{by: i, seq: r.Seq, env: framed(a.h.settings.Self.ID, r)})
 	}
 	for _, ask := range work.Asks {
 		w.calls = append(w.calls, call{by: i, ask: ask})
 	}
 }
 
-func envelope(by string, r Record) logrec.Envelope {
+func framed(by string, r Record) logrec.Envelope {
 	data, err := logrec.Encode(r.Kind, by, 0, r.Body)
 	if err != nil {
 		panic(err)
@@ -333,7 +334,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := &search{}
-			if bad := s.run(newWorld(c.members, c.spare), c.depth, c.limit, 3); bad != nil {
+			if bad := s.run(newWorld(c.members, c.spare, 5*unit), c.depth, c.limit, 3); bad != nil {
 				t.Fatalf("two holders after %q", bad)
 			}
 			t.Logf("%d states", s.states)
@@ -347,7 +348,7 @@
 // the lease: both would mint the same part of every rate.
 func TestUnreadRenewalLetsNewcomerIn(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(2, 1)
+	w := newWorld(2, 1, 10*unit)
 	holder, other := w.members[0], 1
 	if !holder.h.Valid(holder.clock(w.now), slot) {
 		holder, other = w.members[1], 0
