--- /dev/null
+++ b/internal/openai/usage.go
@@ -0,0 +1,27 @@
+package openai
+
+import "encoding/json"
+
+// Usage is the token count that an engine reports with an answer.
+type Usage struct {
+	PromptTokens        int                 `json:"prompt_tokens"`
+	CompletionTokens    int                 `json:"completion_tokens"`
+	PromptTokensDetails PromptTokensDetails `json:"prompt_tokens_details"`
+}
+
+// PromptTokensDetails says how much of the prompt the engine had cached.
+type PromptTokensDetails struct {
+	CachedTokens int `json:"cached_tokens"`
+}
+
+// UsageOf reads the usage block of an answer or a chunk. False when there is
+// none.
+func UsageOf(data []byte) (Usage, bool) {
+	var a struct {
+		Usage *Usage `json:"usage"`
+	}
+	if json.Unmarshal(data, &a) != nil || a.Usage == nil {
+		return Usage{}, false
+	}
+	return *a.Usage, true
+}
--- /dev/null
+++ b/internal/peer/node_test.go
@@ -0,0 +1,84 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/mastictray/mastictray/internal/wire"
+)
+
+const kindEcho wire.Kind = "test.echo"
+
+func startNode(t *testing.T, name, secret string) (*Node, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := NewNode(Options{Self: wire.Identity{Instance: name, Address: l.Addr().String()}, Secret: []byte(secret)})
+	n.Handle(kindEcho, func(_ context.Context, from wire.Identity, f wire.Frame) (any, error) {
+		var s string
+		if err := f.Into(&s); err != nil {
+			return nil, err
+		}
+		if s == "refuse" {
+			return nil, errors.New("not today")
+		}
+		return from.Instance + ":" + s, nil
+	})
+	n.Serve(l)
+	t.Cleanup(n.Close)
+	return n, l.Addr().String()
+}
+
+func TestCallAnswersAndRefuses(t *testing.T) {
+	is := is.New(t)
+	a, _ := startNode(t, "a", "0123456789abcdef")
+	_, addr := startNode(t, "b", "0123456789abcdef")
+	var got string
+	from, err := a.Call(context.Background(), addr, kindEcho, "hi", &got)
+	is.NoErr(err)
+	is.Equal(got, "a:hi")
+	is.Equal(from.Instance, "b")
+	_, err = a.Call(context.Background(), addr, kindEcho, "refuse", &got)
+	is.True(errors.Is(err, ErrRefused))
+}
+
+// A stranger without the shared secret dials the peer port. Without the proof
+// it could hand out rate tokens or claim results; it must get no call through.
+func TestStrangerIsRefused(t *testing.T) {
+	is := is.New(t)
+	stranger, _ := startNode(t, "x", "another secret..")
+	_, addr := startNode(t, "b", "0123456789abcdef")
+	_, err := stranger.Call(context.Background(), addr, kindEcho, "hi", nil)
+	is.True(err != nil)
+}
+
+// A peer is restarted at the same address. The first call after that finds a
+// broken connection; the one behind it reaches the new process, not the old.
+func TestReconnectsAfterPeerRestart(t *testing.T) {
+	is := is.New(t)
+	a, _ := startNode(t, "a", "0123456789abcdef")
+	b, addr := startNode(t, "b", "0123456789abcdef")
+	_, err := a.Call(context.Background(), addr, kindEcho, "hi", nil)
+	is.NoErr(err)
+	b.Close()
+	l, err := net.Listen("tcp", addr)
+	is.NoErr(err)
+	again := NewNode(Options{Self: wire.Identity{Instance: "b2"}, Secret: []byte("0123456789abcdef")})
+	again.Handle(kindEcho, func(context.Context, wire.Identity, wire.Frame) (any, error) { return "new", nil })
+	again.Serve(l)
+	defer again.Close()
+	var got string
+	for range 10 {
+		if _, err = a.Call(context.Background(), addr, kindEcho, "hi", &got); err == nil {
+			break
+		}
+	}
+	is.NoErr(err)
+	is.Equal(got, "new")
+}
--- a/internal/platform/httplog.go
+++ b/internal/platform/httplog.go
@@ -72,7 +72,7 @@
 		return 0, errors.Wrapf(err, "append stream=%s peer=%s", stream, l.base)
 	}
 	hr.Header.Set("Content-Type", "application/json")
-	// Without this header the transport may send a POST a second time by
+	// Without GetBody the transport cannot send the append a second time by
 	// itself when a kept connection breaks.
 	hr.GetBody = nil
 	resp, err := l.client.Do(hr)
