Add stand-ins for the instance list and the weight store

Orders to load weights and the lag of the list cannot be tried without them. A resumed stream that had nothing left to send was cut as if truncated: the end was read off the last event of the slice; it is now a field.

--- a/cmd/mastictray-standin/main.go
+++ b/cmd/mastictray-standin/main.go
@@ -10,14 +10,18 @@
 
 	"github.com/mastictray/mastictray/internal/standin"
 	"github.com/mastictray/mastictray/internal/standin/engine"
+	"github.com/mastictray/mastictray/internal/standin/instances"
 	"github.com/mastictray/mastictray/internal/standin/logsvc"
 	"github.com/mastictray/mastictray/internal/standin/service"
+	"github.com/mastictray/mastictray/internal/standin/weights"
 )
 
 type cli struct {
-	Engine  engineCmd  `cmd:"" help:"Model engine. Faults: kill, freeze, crash_on (marker), bad_version (marker), slow (ms)."`
-	Log     logCmd     `cmd:"" help:"Append-only log service. Faults: outage, slow (ms), lose_answer (n), trim (n records kept)."`
-	Service serviceCmd `cmd:"" help:"Plain service. Faults: slow (ms), drop_after_run (n), refuse (n)."`
+	Engine    engineCmd    `cmd:"" help:"Model engine. Faults: kill, freeze, crash_on (marker), bad_version (marker), slow (ms)."`
+	Log       logCmd       `cmd:"" help:"Append-only log service. Faults: outage, slow (ms), lose_answer (n), trim (n records kept)."`
+	Instances instancesCmd `cmd:"" help:"Lagging instance list. Faults: outage, slow (ms)."`
+	Weights   weightsCmd   `cmd:"" help:"Weight store. Faults: outage, slow (ms)."`
+	Service   serviceCmd   `cmd:"" help:"Plain service. Faults: slow (ms), drop_after_run (n), refuse (n)."`
 }
 
 type listen struct {
@@ -83,6 +87,33 @@
 	return standin.Serve("log", c.Listen, s.Handler())
 }
 
+type instancesCmd struct {
+	listen
+	LagMillis int `name:"lag-ms" default:"1000" help:"Milliseconds until a change shows."`
+}
+
+func (c *instancesCmd) Run() error {
+	return standin.Serve("instances", c.Listen, instances.New(millis(c.LagMillis)).Handler())
+}
+
+type weightsCmd struct {
+	listen
+	Versions        []string `help:"Versions known; empty knows all."`
+	Bytes           int      `default:"8000000" help:"Size of each version."`
+	BytesPerSecond  float64  `default:"10000000" help:"Rate of one read."`
+	FullRateReaders int      `default:"2" help:"Reads at the full rate; more share it."`
+}
+
+func (c *weightsCmd) Run() error {
+	s := weights.New(weights.Config{
+		Versions:        c.Versions,
+		Bytes:           c.Bytes,
+		BytesPerSecond:  c.BytesPerSecond,
+		FullRateReaders: c.FullRateReaders,
+	})
+	return standin.Serve("weights", c.Listen, s.Handler())
+}
+
 type serviceCmd struct {
 	listen
 	Name string `default:"service" help:"Name put into each answer."`
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -106,7 +106,7 @@
 		switch {
 		case v.refused != "":
 			standin.Refuse(w, http.StatusConflict, v.refused)
-		case !v.complete():
+		case !v.complete:
 			standin.Cut()
 		default:
 			e.setHeaders(w, s)
@@ -133,31 +133,41 @@
 		if err != nil || e.faults.WaitWhile(r.Context(), FaultFreeze) != nil {
 			return
 		}
-		if v.refused != "" && !started {
+		if !started && v.refused != "" {
 			standin.Refuse(w, http.StatusConflict, v.refused)
 			return
 		}
-		if !started {
-			e.setHeaders(w, s)
-			w.Header().Set("Content-Type", "text/event-stream")
-			w.WriteHeader(http.StatusOK)
+		if !started && (len(v.events) > 0 || v.complete) {
+			e.startEvents(w, s)
 			started = true
 		}
-		for _, data := range v.events {
-			_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", seq, data)
-			seq++
-		}
-		if err := http.NewResponseController(w).Flush(); err != nil {
+		if seq, err = writeEvents(w, seq, v.events); err != nil {
 			return
 		}
-		if !v.ended {
-			continue
-		}
-		if !v.complete() {
+		if v.ended && !v.complete {
 			standin.Cut()
 		}
-		return
+		if v.ended {
+			return
+		}
+	}
+}
+
+func (e *Engine) startEvents(w http.ResponseWriter, s *stream) {
+	e.setHeaders(w, s)
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+}
+
+// writeEvents sends the events at once and returns the next sequence number.
+func writeEvents(w http.ResponseWriter, seq int, events [][]byte) (int, error) {
+	for _, data := range events {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", seq, data); err != nil {
+			return seq, err
+		}
+		seq++
 	}
+	return seq, http.NewResponseController(w).Flush()
 }
 
 func (e *Engine) handleResume(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -26,11 +26,13 @@
 	events [][]byte
 	// refused is the error code when the engine would not run it.
 	refused string
-	ended   bool
-	usage   Usage
-	text    string
-	readers int
-	changed chan struct{}
+	// ended says that no event follows, complete that the end marker came.
+	ended    bool
+	complete bool
+	usage    Usage
+	text     string
+	readers  int
+	changed  chan struct{}
 }
 
 func newStream(id, account string, req Request, chat bool) *stream {
@@ -63,7 +65,7 @@
 	data := s.encode("", &reason, &u)
 	s.change(func() {
 		s.events = append(s.events, data, []byte(doneData))
-		s.usage, s.ended = u, true
+		s.usage, s.ended, s.complete = u, true, true
 	})
 }
 
@@ -103,9 +105,10 @@
 
 // view is what a reader sees of a stream at one moment.
 type view struct {
-	events  [][]byte
-	refused string
-	ended   bool
+	events   [][]byte
+	refused  string
+	ended    bool
+	complete bool
 }
 
 // wait returns the events from seq on once there are some or the stream has
@@ -113,7 +116,7 @@
 func (s *stream) wait(ctx context.Context, seq int) (view, error) {
 	for {
 		s.mu.Lock()
-		v := view{refused: s.refused, ended: s.ended}
+		v := view{refused: s.refused, ended: s.ended, complete: s.complete}
 		if seq < len(s.events) {
 			v.events = s.events[seq:]
 		}
@@ -150,8 +153,3 @@
 		}
 	})
 }
-
-// complete reports whether the view reaches the end marker.
-func (v view) complete() bool {
-	return len(v.events) > 0 && string(v.events[len(v.events)-1]) == doneData
-}
