Add the load tool: open-loop prompts and bookings, checked and measured

The five measures and the promises about answers need traffic whose right answer is known. A closed loop was ruled out: it slows down with the fleet and hides the tail. Arrivals are scheduled from a seed, times count from the schedule, and each chunk is compared with the text the stand-in engine must give for that prompt.

--- /dev/null
+++ b/cmd/mastictray-load/main.go
@@ -0,0 +1,107 @@
+// Command mastictray-load sends open-loop traffic through entry instances,
+// checks every answer and prints the measures. Its exit status is 1 when an
+// answer broke a promise or more requests failed than allowed.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/cockroachdb/errors"
+
+	"github.com/mastictray/mastictray/internal/load"
+)
+
+type cli struct {
+	Profile  string        `required:"" type:"existingfile" help:"INI file with the shape of the traffic and the client accounts."`
+	Entry    []string      `required:"" help:"Base URLs of the entry instances; requests go to them in turn."`
+	Seed     uint64        `default:"1" help:"Seed of the traffic."`
+	Duration time.Duration `default:"20s" help:"Time in which requests are sent."`
+	Requests int           `default:"100000" help:"The most requests that are sent."`
+	Timeout  time.Duration `default:"60s" help:"The longest that one request may take."`
+	Output   string        `help:"File for the report as JSON."`
+
+	MaxFailures int     `default:"0" help:"Failures that do not fail the run; violations always do."`
+	MinAnswered float64 `default:"0.1" help:"Part of the requests that must be answered."`
+
+	Bookings          bool     `help:"Send bookings in place of prompts, each twice, and compare with the runs."`
+	BookingPath       string   `default:"/bookings" help:"Route of the bookings."`
+	BookingCount      int      `default:"100" help:"Number of bookings."`
+	BookingsPerSecond float64  `default:"20" help:"Rate of bookings."`
+	Service           []string `help:"Base URLs of the services that list the runs."`
+}
+
+// report is what both modes end with.
+type report interface {
+	WriteTable(w io.Writer) error
+}
+
+func main() {
+	c := new(cli)
+	ctx := kong.Parse(c, kong.Description("Load and check of mastictray."))
+	ctx.FatalIfErrorf(c.run())
+}
+
+func (c *cli) run() error {
+	profile, err := load.ReadProfile(c.Profile)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	entries := make([]string, 0, len(c.Entry))
+	for _, e := range c.Entry {
+		entries = append(entries, strings.TrimSuffix(e, "/"))
+	}
+	runner := load.NewRunner(profile, entries)
+	running, finish := context.WithCancel(ctx)
+	defer finish()
+	go runner.Progress(running, os.Stderr)
+	if c.Bookings {
+		return c.book(ctx, runner)
+	}
+	return c.prompts(ctx, runner, profile)
+}
+
+func (c *cli) prompts(ctx context.Context, runner *load.Runner, profile load.Profile) error {
+	bounds := load.Bounds{Duration: c.Duration, Requests: c.Requests, Timeout: c.Timeout}
+	rep := load.Summarize(profile, c.Seed, runner.Run(ctx, c.Seed, bounds))
+	return errors.CombineErrors(c.print(rep), rep.Verdict(c.MaxFailures, c.MinAnswered))
+}
+
+func (c *cli) book(ctx context.Context, runner *load.Runner) error {
+	bookings := runner.Book(ctx, c.Seed, load.BookingPlan{
+		Path:      c.BookingPath,
+		PerSecond: c.BookingsPerSecond,
+		Count:     c.BookingCount,
+		Timeout:   c.Timeout,
+	})
+	runs, err := runner.Runs(ctx, c.Service)
+	if err != nil {
+		return err
+	}
+	rep := load.CheckBookings(bookings, runs)
+	return errors.CombineErrors(c.print(rep), rep.Verdict(c.MaxFailures, c.MinAnswered))
+}
+
+// print writes the table to standard output and the JSON to its file.
+func (c *cli) print(rep report) error {
+	if err := rep.WriteTable(os.Stdout); err != nil {
+		return errors.Wrap(err, "print report")
+	}
+	if c.Output == "" {
+		return nil
+	}
+	raw, err := json.MarshalIndent(rep, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "encode report")
+	}
+	return errors.Wrap(os.WriteFile(c.Output, append(raw, '\n'), 0o644), "write report")
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -231,7 +231,7 @@
 	scope := prefix.Scope{Account: j.stream.account, Model: e.cfg.Model, Version: version}
 	chain := prefix.Chain(nil, scope.Seed(), j.prompt, e.cfg.PieceBytes)
 	e.mu.Lock()
-	cached := e.cache.match(j.stream.account, chain) * e.cfg.PieceBytes / bytesPerToken
+	cached := e.cache.match(j.stream.account, chain) * e.cfg.PieceBytes / BytesPerToken
 	e.prefilling = j.tokens - cached
 	e.mu.Unlock()
 	seconds := float64(j.tokens-cached) / e.cfg.PrefillTPS
--- a/internal/standin/engine/text.go
+++ b/internal/standin/engine/text.go
@@ -8,11 +8,11 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// bytesPerToken is the engine's fixed tokenizer.
-const bytesPerToken = 4
+// BytesPerToken is the engine's fixed tokenizer.
+const BytesPerToken = 4
 
 // Tokens is how many tokens the engine counts in a prompt.
-func Tokens(prompt []byte) int { return (len(prompt) + bytesPerToken - 1) / bytesPerToken }
+func Tokens(prompt []byte) int { return (len(prompt) + BytesPerToken - 1) / BytesPerToken }
 
 // Text generates the answer to one prompt, a chunk a token.
 type Text struct{ prompt uint64 }
