--- /dev/null
+++ b/internal/standin/engine/engine_test.go
@@ -0,0 +1,254 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/mastictray/mastictray/internal/prefix"
+	"github.com/mastictray/mastictray/internal/standin"
+)
+
+// start serves a fast engine.
+func start(t *testing.T, change func(*Config)) (*Engine, string) {
+	t.Helper()
+	cfg := Config{Model: "m", Version: "1", PieceBytes: 64, CachePieces: 8, PrefillTPS: 1e9, DecodeTPS: 1e6}
+	if change != nil {
+		change(&cfg)
+	}
+	e := New(cfg)
+	srv := httptest.NewServer(e.Handler())
+	t.Cleanup(func() { srv.Close(); e.Close() })
+	return e, srv.URL
+}
+
+func call(t *testing.T, method, url string, header map[string]string, body any) (int, []byte) {
+	t.Helper()
+	resp := open(t, method, url, header, body)
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(resp.Body)
+	is.New(t).NoErr(err)
+	return resp.StatusCode, raw
+}
+
+func open(t *testing.T, method, url string, header map[string]string, body any) *http.Response {
+	t.Helper()
+	is := is.New(t)
+	raw, err := json.Marshal(body)
+	is.NoErr(err)
+	req, err := http.NewRequestWithContext(t.Context(), method, url, bytes.NewReader(raw))
+	is.NoErr(err)
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	is.NoErr(err)
+	return resp
+}
+
+func complete(t *testing.T, url, account, prompt string) Completion {
+	t.Helper()
+	is := is.New(t)
+	status, raw := call(t, "POST", url+"/v1/completions", map[string]string{"X-Client-Account": account}, Request{Prompt: prompt, MaxTokens: 2})
+	is.Equal(status, http.StatusOK)
+	var c Completion
+	is.NoErr(json.Unmarshal(raw, &c))
+	return c
+}
+
+func TestCacheCountsOnlyTheAccountsOwnPieces(t *testing.T) {
+	is := is.New(t)
+	_, url := start(t, nil)
+	prompt := strings.Repeat("x", 130)
+	is.Equal(complete(t, url, "a", prompt).Usage.PromptTokensDetails.CachedTokens, 0)
+	is.Equal(complete(t, url, "a", prompt).Usage.PromptTokensDetails.CachedTokens, 32) // two pieces of 64 bytes
+	is.Equal(complete(t, url, "b", prompt).Usage.PromptTokensDetails.CachedTokens, 0)
+}
+
+func TestTextIsTheSameOnEveryEngine(t *testing.T) {
+	is := is.New(t)
+	_, one := start(t, nil)
+	_, two := start(t, nil)
+	want := NewText([]byte("hello")).First(2)
+	is.Equal(complete(t, one, "a", "hello").Content(), want)
+	is.Equal(complete(t, two, "a", "hello").Content(), want)
+}
+
+// The connection to an engine breaks in the middle of a stream. The caller
+// asks for the rest by the last event it has, and gets every event after it,
+// with the same ids and text as if nothing had happened.
+func TestBrokenStreamIsResumedWithoutGap(t *testing.T) {
+	is := is.New(t)
+	_, url := start(t, func(c *Config) { c.InterToken = 5 * time.Millisecond })
+	ctx, cancel := context.WithCancel(t.Context())
+	body := `{"prompt":"hello","max_tokens":4,"stream":true}`
+	req, err := http.NewRequestWithContext(ctx, "POST", url+"/v1/completions", strings.NewReader(body))
+	is.NoErr(err)
+	req.Header.Set("X-Request-Id", "r1")
+	resp, err := http.DefaultClient.Do(req)
+	is.NoErr(err)
+	_, err = io.ReadFull(resp.Body, make([]byte, len("id: 0\n")))
+	is.NoErr(err)
+	cancel()
+	_ = resp.Body.Close()
+
+	status, raw := call(t, "GET", url+"/v1/streams/r1", map[string]string{"Last-Event-ID": "0"}, nil)
+	is.Equal(status, http.StatusOK)
+	events := strings.Split(strings.TrimSpace(string(raw)), "\n\n")
+	is.Equal(len(events), 5) // tokens 1 to 3, the usage, the end marker
+	for i, e := range events {
+		is.True(strings.HasPrefix(e, fmt.Sprintf("id: %d\n", i+1)))
+	}
+	for i := 1; i < 4; i++ {
+		is.True(strings.Contains(events[i-1], NewText([]byte("hello")).Chunk(i)))
+	}
+	is.True(strings.HasSuffix(events[4], "data: [DONE]"))
+}
+
+func TestUnknownStreamAndWrongVersionAreRefused(t *testing.T) {
+	is := is.New(t)
+	_, url := start(t, nil)
+	status, _ := call(t, "GET", url+"/v1/streams/none", nil, nil)
+	is.Equal(status, http.StatusNotFound)
+	status, raw := call(t, "POST", url+"/v1/completions", map[string]string{"X-Weights-Version": "2"}, Request{Prompt: "x"})
+	is.Equal(status, http.StatusConflict)
+	is.True(strings.Contains(string(raw), codeWrongVersion))
+}
+
+// The weights change while a request waits for its prefill. It must not run
+// on weights its router did not count on: it is refused as at its arrival.
+func TestWaitingRequestIsRefusedAfterAChangeOfWeights(t *testing.T) {
+	is := is.New(t)
+	e, _ := start(t, nil)
+	s := newStream("r1", "a", Request{MaxTokens: 1}, false)
+	e.mu.Lock()
+	e.weights.version = "2"
+	e.mu.Unlock()
+	e.submit(&job{stream: s, prompt: []byte("x"), tokens: 1, wanted: "1"})
+	v, err := s.wait(t.Context(), 0)
+	is.NoErr(err)
+	is.Equal(v.refused, codeWrongVersion)
+}
+
+func TestOrders(t *testing.T) {
+	for name, tc := range map[string]struct {
+		checks bool
+		orders []Order
+		want   []int
+	}{
+		"stale fence refused":       {true, []Order{{Op: OrderRole, Role: "x", Fence: 5}, {Op: OrderRole, Role: "y", Fence: 4}}, []int{202, 409}},
+		"stale fence ignored":       {false, []Order{{Op: OrderRole, Role: "x", Fence: 5}, {Op: OrderRole, Role: "y", Fence: 4}}, []int{202, 202}},
+		"equal state is a no-op":    {true, []Order{{Op: OrderLoad, Model: "m", Version: "1", Fence: 1}, {Op: OrderAdapter, Adapter: "a", Fence: 1}, {Op: OrderAdapter, Adapter: "a", Fence: 1}}, []int{200, 202, 200}},
+		"another model, unknown op": {true, []Order{{Op: OrderLoad, Model: "n"}, {Op: "x"}}, []int{400, 400}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, url := start(t, func(c *Config) { c.ChecksFencing = tc.checks })
+			for i, o := range tc.orders {
+				status, _ := call(t, "POST", url+"/orders", nil, o)
+				is.Equal(status, tc.want[i])
+			}
+		})
+	}
+}
+
+func TestLoadSwapsTheVersionAndClearsTheCache(t *testing.T) {
+	is := is.New(t)
+	e, url := start(t, nil)
+	complete(t, url, "a", strings.Repeat("x", 64))
+	v, _ := e.order(Order{Op: OrderLoad, Model: "m", Version: "2"})
+	is.Equal(v, orderTaken)
+	events, _ := e.feed.wait(t.Context(), 1, time.Minute) // event 0 is the stored piece
+	is.Equal(events[0].Op, OpCleared)
+	is.Equal(e.State().Version, "2")
+	is.Equal(complete(t, url, "a", strings.Repeat("x", 64)).Usage.PromptTokensDetails.CachedTokens, 0)
+}
+
+// A router exports pieces on one engine and imports them on another, but the
+// other has restarted, serves other weights, or the account is another. Each
+// import is refused; only the right one is counted as cached.
+func TestImportChecksItsWholeScope(t *testing.T) {
+	is := is.New(t)
+	e, url := start(t, nil)
+	prompt := []byte(strings.Repeat("x", 64))
+	h := prefix.Chain(nil, prefix.Scope{Account: "a", Model: "m", Version: "1"}.Seed(), prompt, 64)
+	good := KV{Account: "a", Model: "m", Version: "1", Incarnation: e.incarnation, Pieces: []string{fmt.Sprintf("%016x", uint64(h[0]))}}
+	for _, spoil := range []func(*KV){
+		func(kv *KV) { kv.Account = "" },
+		func(kv *KV) { kv.Model = "n" },
+		func(kv *KV) { kv.Version = "0" },
+		func(kv *KV) { kv.Incarnation = "old" },
+		func(kv *KV) { kv.Pieces = []string{"zz"} },
+	} {
+		kv := good
+		spoil(&kv)
+		status, _ := call(t, "POST", url+"/kv/import", nil, kv)
+		is.Equal(status, http.StatusConflict)
+	}
+	other := good
+	other.Account = "b" // the chain is a's: it cannot help b
+	_, _ = call(t, "POST", url+"/kv/import", nil, other)
+	is.Equal(complete(t, url, "b", string(prompt)).Usage.PromptTokensDetails.CachedTokens, 0)
+	status, _ := call(t, "POST", url+"/kv/import", nil, good)
+	is.Equal(status, http.StatusNoContent)
+	is.Equal(complete(t, url, "a", string(prompt)).Usage.PromptTokensDetails.CachedTokens, 16)
+}
+
+func TestCrashMarkerEndsTheProcess(t *testing.T) {
+	is := is.New(t)
+	exited := make(chan int, 1)
+	e, url := start(t, func(c *Config) { c.Exit = func(status int) { exited <- status } })
+	is.True(e.Faults().Set(standin.Fault{Kind: FaultCrashOn, Marker: "boom"}))
+	complete(t, url, "a", "harmless")
+	is.Equal(len(exited), 0)
+	complete(t, url, "a", "goes boom now")
+	is.Equal(<-exited, crashStatus)
+}
+
+func TestEventsAreLateAndHaveGaps(t *testing.T) {
+	is := is.New(t)
+	f := newFeed(time.Second, 0.5, 1)
+	now := time.Unix(0, 0)
+	for range 100 {
+		f.add(now, OpStored, []prefix.Hash{1})
+	}
+	early, next := f.read(now, 0)
+	is.Equal(len(early), 0)
+	is.Equal(next, int64(0))
+	late, _ := f.read(now.Add(time.Second), 0)
+	is.True(len(late) > 20 && len(late) < 80)
+}
+
+func TestReportedLoadLags(t *testing.T) {
+	is := is.New(t)
+	var h loadHistory
+	for ms := range int64(10) {
+		h.add(Load{AsOfMS: ms * 100}, 300*time.Millisecond)
+	}
+	is.Equal(h.samples[0].AsOfMS, int64(600))
+}
+
+func TestQueueHonoursPriority(t *testing.T) {
+	is := is.New(t)
+	q := newQueue()
+	for _, p := range []int{1, 5, 1, 9} {
+		q.push(&job{priority: p, tokens: 1})
+	}
+	var got []int
+	var arrivals []uint64
+	for range 4 {
+		j := q.pop()
+		got, arrivals = append(got, j.priority), append(arrivals, j.arrival)
+	}
+	is.Equal(got, []int{9, 5, 1, 1})
+	is.Equal(arrivals, []uint64{4, 2, 1, 3})
+}
--- /dev/null
+++ b/internal/standin/fault_test.go
@@ -0,0 +1,37 @@
+package standin
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestFaultStrikesSoManyTimes(t *testing.T) {
+	is := is.New(t)
+	f := NewFaults("cut")
+	is.True(!f.Set(Fault{Kind: "other"}))
+	is.True(f.Set(Fault{Kind: "cut", N: 2}))
+	for _, want := range []bool{true, true, false} {
+		_, ok := f.Take("cut")
+		is.Equal(ok, want)
+	}
+	is.True(f.Set(Fault{Kind: "cut"}))
+	for range 3 {
+		_, ok := f.Take("cut")
+		is.True(ok)
+	}
+	is.True(f.Set(Fault{Kind: KindNone}))
+	_, ok := f.Take("cut")
+	is.True(!ok)
+}
+
+func TestFreezeEndsWithTheFault(t *testing.T) {
+	is := is.New(t)
+	f := NewFaults("freeze")
+	is.True(f.Set(Fault{Kind: "freeze"}))
+	thawed := make(chan error)
+	go func() { thawed <- f.WaitWhile(context.Background(), "freeze") }()
+	is.True(f.Set(Fault{Kind: KindNone}))
+	is.NoErr(<-thawed)
+}
--- a/internal/standin/service/server.go
+++ b/internal/standin/service/server.go
@@ -63,10 +63,13 @@
 }
 
 func (s *Server) handleRuns(w http.ResponseWriter, _ *http.Request) {
+	standin.WriteJSON(w, http.StatusOK, Runs{Runs: s.list()})
+}
+
+func (s *Server) list() []Run {
 	s.mu.Lock()
-	runs := append([]Run{}, s.runs...)
-	s.mu.Unlock()
-	standin.WriteJSON(w, http.StatusOK, Runs{Runs: runs})
+	defer s.mu.Unlock()
+	return append([]Run{}, s.runs...)
 }
 
 func (s *Server) handleAny(w http.ResponseWriter, r *http.Request) {
