--- /dev/null
+++ b/internal/rate/fleet_test.go
@@ -0,0 +1,334 @@
+package rate
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/mastictray/mastictray/internal/lease"
+	"github.com/mastictray/mastictray/internal/logrec"
+	"github.com/mastictray/mastictray/internal/platform"
+)
+
+// The fleet steps real limiters and lease holders through one schedule: a
+// fake log, links with delays and cuts, processes that die, freeze and
+// restart, clocks that drift.
+
+const (
+	testStep  = 5 * time.Millisecond
+	testSlots = 2 // per domain
+	testFloor = 0.25
+)
+
+type event struct {
+	at  time.Duration
+	seq int
+	to  *process // nil: nobody has to be awake for it
+	do  func()
+}
+
+type admission struct {
+	at     time.Duration
+	tokens float64
+}
+
+type process struct {
+	id, domain, addr string
+	skew             float64
+	started          time.Duration
+	frozen, dead     bool
+	read             platform.Offset
+	limiter          *Limiter
+	leases           *lease.Holder
+}
+
+type fleet struct {
+	rng         *rand.Rand
+	now         time.Duration
+	log         [][]byte
+	logDown     bool
+	logCut      map[string]bool // by domain
+	linkCut     map[string]bool // by domain
+	procs       []*process
+	queue       []event
+	seq         int
+	rate, burst float64
+	demand      []float64 // chance of a request a step, by process
+	cost        func(*rand.Rand) float64
+	admitted    []*admission
+	offered     int
+	lost        float64 // chance that a message or an answer is lost
+	slow        float64 // chance that one takes long
+	onDecision  func(p *process, at time.Duration, cost float64, ok bool)
+}
+
+func newFleet(seed uint64, domains, perDomain int, r, b float64) *fleet {
+	f := &fleet{
+		rng: rand.New(rand.NewPCG(seed, 1)), logCut: map[string]bool{}, linkCut: map[string]bool{},
+		rate: r, burst: b,
+		cost: func(g *rand.Rand) float64 { return b * (0.01 + 0.3*g.Float64()) },
+	}
+	for i := range domains * perDomain {
+		f.procs = append(f.procs, &process{domain: fmt.Sprintf("d%d", i/perDomain), addr: fmt.Sprintf("a%d", i)})
+		f.demand = append(f.demand, 0)
+		f.start(i)
+	}
+	return f
+}
+
+// start runs a new incarnation at place i.
+func (f *fleet) start(i int) {
+	old := f.procs[i]
+	old.dead = true
+	p := &process{
+		id: fmt.Sprintf("%s#%d", old.addr, f.seq), domain: old.domain, addr: old.addr,
+		skew: 1 + 0.001*(2*f.rng.Float64()-1), started: f.now,
+	}
+	f.seq++
+	f.procs[i] = p
+	f.boot(p)
+}
+
+func (f *fleet) boot(p *process) {
+	p.limiter = New(DefaultSettings(p.id))
+	p.limiter.SetAccount(0, "acct", f.rate, f.burst)
+	var wanted []lease.Resource
+	for s := range testSlots {
+		wanted = append(wanted, lease.Mint(p.domain, s))
+	}
+	set := lease.DefaultSettings(lease.Member{ID: p.id, Domain: p.domain, Address: p.addr}, wanted)
+	set.TTL, set.RenewEvery, set.PromiseFor = 3*time.Second, time.Second, 3*time.Second
+	set.Margin, set.Hold = 200*time.Millisecond, 10*time.Second
+	p.leases = lease.NewHolder(set)
+}
+
+func (f *fleet) clock(p *process) time.Duration {
+	return time.Duration(float64(f.now-p.started) * p.skew)
+}
+
+func (f *fleet) schedule(after time.Duration, to *process, do func()) {
+	f.seq++
+	f.queue = append(f.queue, event{at: f.now + after, seq: f.seq, to: to, do: do})
+}
+
+// delay is one message's time on the way.
+func (f *fleet) delay() time.Duration {
+	if f.rng.Float64() < f.slow {
+		return time.Duration(f.rng.Int64N(int64(3 * time.Second)))
+	}
+	return time.Millisecond + time.Duration(f.rng.Int64N(int64(time.Millisecond)))
+}
+
+func (f *fleet) run(span time.Duration) {
+	for end := f.now + span; f.now < end; f.now += testStep {
+		f.deliver()
+		for i, p := range f.procs {
+			if !p.dead && !p.frozen {
+				f.step(p, f.demand[i])
+			}
+		}
+	}
+}
+
+// deliver hands over what is due; a frozen process gets it when it thaws.
+func (f *fleet) deliver() {
+	due := f.queue[:0:0]
+	kept := f.queue[:0:0]
+	for _, e := range f.queue {
+		switch {
+		case e.to != nil && e.to.dead:
+		case e.at > f.now || (e.to != nil && e.to.frozen):
+			kept = append(kept, e)
+		default:
+			due = append(due, e)
+		}
+	}
+	f.queue = kept
+	slices.SortFunc(due, func(a, b event) int {
+		if a.at != b.at {
+			return int(a.at - b.at)
+		}
+		return a.seq - b.seq
+	})
+	for _, e := range due {
+		e.do()
+	}
+}
+
+// step is one turn of a process: read the log, keep leases, serve requests.
+func (f *fleet) step(p *process, demand float64) {
+	now := f.clock(p)
+	if f.logReachable(p) {
+		for ; int(p.read) < len(f.log); p.read++ {
+			env, err := logrec.Decode(f.log[p.read])
+			if err == nil {
+				_ = p.leases.Apply(now, p.read, env)
+			}
+		}
+		p.leases.CaughtUp()
+	}
+	work := p.leases.Tick(now)
+	for _, rec := range work.Records {
+		f.append(p, rec)
+	}
+	for _, ask := range work.Asks {
+		f.askPromise(p, ask)
+	}
+	slots := testSlots * len(f.domains())
+	p.limiter.SetParts(now, PartsOf(p.leases.Grants(now), slots, testFloor))
+	p.limiter.SetPeers(f.peersOf(p, slots))
+	if f.rng.Float64() < demand {
+		f.request(p, f.cost(f.rng))
+	}
+	f.tick(p)
+}
+
+func (f *fleet) domains() []string {
+	var list []string
+	for _, p := range f.procs {
+		if !slices.Contains(list, p.domain) {
+			list = append(list, p.domain)
+		}
+	}
+	return list
+}
+
+func (f *fleet) peersOf(p *process, slots int) []Peer {
+	var peers []Peer
+	for _, o := range f.procs {
+		if o != p {
+			peers = append(peers, Peer{ID: o.addr, Local: o.domain == p.domain, Share: ShareOf(p.leases.Fold(), o.id, slots)})
+		}
+	}
+	return peers
+}
+
+func (f *fleet) logReachable(p *process) bool { return !f.logDown && !f.logCut[p.domain] }
+
+func (f *fleet) linked(a, b *process) bool {
+	return !a.dead && !b.dead && (a.domain == b.domain || !f.linkCut[a.domain] && !f.linkCut[b.domain])
+}
+
+// append sends a record; the answer may be lost before or after the effect.
+func (f *fleet) append(p *process, rec lease.Record) {
+	data, err := logrec.Encode(rec.Kind, p.id, 0, rec.Body)
+	if err != nil {
+		panic(err)
+	}
+	if !f.logReachable(p) {
+		p.leases.Appended(rec.Seq, platform.ErrOutage)
+		return
+	}
+	if f.rng.Float64() < f.lost/2 {
+		p.leases.Appended(rec.Seq, platform.ErrUnknown)
+		return
+	}
+	f.schedule(f.delay(), nil, func() { f.log = append(f.log, data) })
+}
+
+func (f *fleet) at(addr string) *process {
+	for _, p := range f.procs {
+		if p.addr == addr {
+			return p
+		}
+	}
+	return nil
+}
+
+// call carries a message to the process at an address and its answer back.
+func (f *fleet) call(p *process, addr string, serve func(*process) func()) {
+	to := f.at(addr)
+	if !f.linked(p, to) || f.rng.Float64() < f.lost {
+		return
+	}
+	f.schedule(f.delay(), to, func() {
+		answer := serve(to)
+		if answer != nil && f.linked(p, to) && f.rng.Float64() >= f.lost {
+			f.schedule(f.delay(), p, answer)
+		}
+	})
+}
+
+func (f *fleet) askPromise(p *process, ask lease.Ask) {
+	f.call(p, ask.Member.Address, func(to *process) func() {
+		a := to.leases.HandleAsk(f.clock(to), ask.Body)
+		return func() { p.leases.HandleAnswer(ask.ID, a) }
+	})
+}
+
+func (f *fleet) tick(p *process) {
+	r := p.limiter.Tick(f.clock(p))
+	for _, ask := range r.Asks {
+		f.call(p, ask.Peer, func(to *process) func() {
+			g := to.limiter.HandleAsk(f.clock(to), ask.Body)
+			return func() {
+				p.limiter.HandleGrant(f.clock(p), to.addr, ask.ID, g)
+				f.tick(p)
+			}
+		})
+	}
+	for _, ret := range r.Returns {
+		f.sendReturn(p, ret)
+	}
+	for _, out := range r.Done {
+		f.decided(p, out)
+	}
+}
+
+func (f *fleet) sendReturn(p *process, ret Return) {
+	f.call(p, ret.Peer, func(to *process) func() {
+		to.limiter.HandleReturn(f.clock(to), ret.Body)
+		return nil
+	})
+}
+
+func (f *fleet) request(p *process, cost float64) {
+	f.offered++
+	now := f.clock(p)
+	out := p.limiter.Admit(now, "acct", cost, now+time.Second)
+	if !out.Waiting {
+		f.decided(p, out)
+	}
+}
+
+// decided dispatches an admitted request at once or, after a pause, not at
+// all; it ends some time later with a part of its tokens unused.
+func (f *fleet) decided(p *process, out Outcome) {
+	if f.onDecision != nil {
+		f.onDecision(p, f.now, out.Reservation.Tokens, out.Err == nil)
+	}
+	if out.Err != nil {
+		return
+	}
+	res, adm := out.Reservation, &admission{at: f.now, tokens: out.Reservation.Tokens}
+	f.admitted = append(f.admitted, adm)
+	used := res.Tokens * (0.3 + 0.7*f.rng.Float64())
+	f.schedule(time.Millisecond, p, func() {
+		if !p.limiter.Confirm(f.clock(p), res) {
+			p.limiter.Settle(f.clock(p), &res, 0)
+			adm.tokens = 0
+		}
+	})
+	f.schedule(time.Duration(f.rng.Int64N(int64(2*time.Second))), p, func() {
+		if res.Account != "" {
+			p.limiter.Settle(f.clock(p), &res, used)
+			adm.tokens = used
+		}
+	})
+}
+
+// worst is the lowest level of a bucket of the account's rate and burst that
+// every admission is taken from: below zero, some window held too much.
+func (f *fleet) worst() (level float64, at time.Duration) {
+	slices.SortStableFunc(f.admitted, func(a, b *admission) int { return int(a.at - b.at) })
+	level, fill, last := f.burst, f.burst, time.Duration(0)
+	for _, a := range f.admitted {
+		fill = min(f.burst, fill+f.rate*(a.at-last).Seconds()) - a.tokens
+		last = a.at
+		if fill < level {
+			level, at = fill, a.at
+		}
+	}
+	return level, at
+}
--- a/internal/rate/limiter.go
+++ b/internal/rate/limiter.go
@@ -152,13 +152,15 @@
 }
 
 // Settle ends a reservation: tokens not used go back as far as the bucket had
-// room for them since the debit, tokens used above it become a debt.
-func (l *Limiter) Settle(now time.Duration, r Reservation, used float64) {
+// room for them since the debit, tokens used above it become a debt. It empties
+// the reservation: a second call does nothing.
+func (l *Limiter) Settle(now time.Duration, r *Reservation, used float64) {
 	l.settle(now)
 	a := l.accounts[r.Account]
 	if a == nil {
 		return
 	}
+	defer func() { *r = Reservation{} }()
 	l.advance(a, now)
 	if used > r.Tokens {
 		a.bucket.spend(used - r.Tokens)
--- a/internal/rate/limiter_test.go
+++ b/internal/rate/limiter_test.go
@@ -54,7 +54,7 @@
 	now := 10 * time.Second
 	first := l.Admit(now, "acct", 4000, now).Reservation
 	now += time.Second // 2000 minted and kept, room for 3000
-	l.Settle(now, first, 1000)
+	l.Settle(now, &first, 1000)
 	is.True(l.accounts["acct"].bucket.balance > 4990)
 	// A second one finds the bucket full in between: nothing comes back.
 	second := l.Admit(now, "acct", 2000, now).Reservation
@@ -62,7 +62,7 @@
 	l.Hints(now)
 	third := l.Admit(now, "acct", 5000, now)
 	is.NoErr(third.Err)
-	l.Settle(now, second, 0)
+	l.Settle(now, &second, 0)
 	is.Equal(l.accounts["acct"].bucket.balance, 0.0)
 }
 
@@ -83,7 +83,7 @@
 	is.NoErr(done[0].Err)
 	is.Equal(a.accounts["acct"].bucket.balance, 2000.0)
 	// What b did not use goes back to a, as b mints nothing itself.
-	b.Settle(now, done[0].Reservation, 1000)
+	b.Settle(now, &done[0].Reservation, 1000)
 	ret := b.Tick(now).Returns
 	is.Equal(len(ret), 1)
 	a.HandleReturn(now, ret[0].Body)
--- /dev/null
+++ b/internal/rate/window_test.go
@@ -0,0 +1,71 @@
+package rate
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// A caller of a large account sends several times its rate while processes
+// die, freeze, thaw and restart, domains lose each other and the log, and
+// answers are lost or come late. Whatever the order, no window of time may
+// hold more than rate*window + burst: one token minted twice, a grant spent
+// after its granter refilled, or a lease used past its end would show here.
+func TestWindowInvariantUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(rapid.Uint64().Draw(t, "seed"), 3, 2, 1000, float64(rapid.IntRange(500, 5000).Draw(t, "burst")))
+		f.lost = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "lost")
+		f.slow = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "slow")
+		f.run(2 * time.Second)
+		for range rapid.IntRange(5, 25).Draw(t, "steps") {
+			f.fault(rapid.SampledFrom(faults).Draw(t, "fault"), rapid.IntRange(0, len(f.procs)-1).Draw(t, "place"))
+			f.run(time.Duration(rapid.IntRange(5, 4000).Draw(t, "ms")) * time.Millisecond)
+		}
+		if level, at := f.worst(); level < -1e-6 {
+			t.Fatalf("window invariant broken by %.3f tokens at %v", -level, at)
+		}
+	})
+}
+
+var faults = []string{
+	"idle", "flood", "skew", "kill", "freeze", "thaw", "restart", "herd", "cut links", "cut log",
+	"log down", "heal",
+}
+
+// fault applies one fault at one place.
+func (f *fleet) fault(kind string, place int) {
+	p := f.procs[place]
+	switch kind {
+	case "idle", "flood", "skew":
+		for i := range f.demand {
+			f.demand[i] = map[string]float64{"idle": 0, "flood": 0.2, "skew": 0}[kind]
+		}
+		if kind == "skew" {
+			f.demand[place] = 0.5
+		}
+	case "kill":
+		p.dead = true
+	case "freeze", "thaw":
+		p.frozen = kind == "freeze"
+	case "restart":
+		f.start(place)
+	case "herd":
+		for i := range f.procs {
+			f.start(i)
+		}
+	case "cut links":
+		f.linkCut[p.domain] = true
+	case "cut log":
+		f.logCut[p.domain] = true
+	case "log down":
+		f.logDown = true
+	case "heal":
+		f.logDown = false
+		clear(f.linkCut)
+		clear(f.logCut)
+	default:
+		panic(fmt.Sprintf("no fault %q", kind))
+	}
+}
