belief: bound what is believed to the present identity

Cause: engines crash and come back empty, change weights and send cache events late; sending a request to a cache that is gone costs seconds. Ruled out: remembering the last 8 ended incarnations. Instead each observation carries when its question was sent, and older questions are ignored.

--- /dev/null
+++ b/internal/belief/identity.go
@@ -0,0 +1,22 @@
+package belief
+
+import "time"
+
+// Identity names one run of a target on one weights version. Beliefs never
+// outlive the identity that they were learnt from.
+type Identity struct {
+	Target      string
+	Incarnation string
+	Version     string
+}
+
+// holder is what is known of one target.
+type holder struct {
+	identity Identity
+	// asked is when the question was sent that gave the identity.
+	asked time.Duration
+	// generation keys the entries; 0 means that nothing is believed.
+	generation uint32
+	// first is the head of the list of entries of this target.
+	first int32
+}
