placement: filter, score and pick over rendezvous candidates

Cause: instances must agree on where a prefix lives without talking and without state that a restart loses. Ruled out: consistent hashing with a ring (state for each point, uneven at 12 targets); scoring every target (10,000 belief look-ups a decision). Change: candidates are the first live targets in rendezvous order of the leading pieces; scorers add queue, prefill and link time; the pick is a seeded choice among near ties.

--- /dev/null
+++ b/internal/placement/load.go
@@ -0,0 +1,74 @@
+package placement
+
+import "time"
+
+// maxSent bounds the sends remembered since a report. Older ones are merged.
+const maxSent = 64
+
+// Load estimates a target's queue. Reports lag: a report alone makes every
+// instance send to the same idle target until the next one (a herd). The work
+// that this instance sent since the report was true is added to it, and what
+// the target has prefilled meanwhile is taken off.
+type Load struct {
+	queued float64
+	asOf   time.Duration
+	sent   [maxSent]send
+	n      int
+}
+
+// send is prompt work given to the target.
+type send struct {
+	at     time.Duration
+	tokens float64
+}
+
+// Report takes in a load report that was true at asOf, in this process's
+// monotonic time. A report older than the last one is ignored.
+func (l *Load) Report(asOf time.Duration, queuedTokens float64) {
+	if asOf < l.asOf {
+		return
+	}
+	l.asOf, l.queued = asOf, queuedTokens
+	kept := 0
+	for _, s := range l.sent[:l.n] {
+		if s.at > asOf {
+			l.sent[kept] = s
+			kept++
+		}
+	}
+	l.n = kept
+}
+
+// Sent records uncached prompt tokens that this instance gave the target.
+func (l *Load) Sent(now time.Duration, tokens float64) {
+	if l.n == maxSent {
+		l.sent[0] = send{at: l.sent[1].at, tokens: l.sent[0].tokens + l.sent[1].tokens}
+		copy(l.sent[1:], l.sent[2:])
+		l.n--
+	}
+	l.sent[l.n] = send{at: now, tokens: tokens}
+	l.n++
+}
+
+// Reset forgets the load of a target that came back as a new incarnation.
+func (l *Load) Reset(now time.Duration) {
+	*l = Load{asOf: now}
+}
+
+// Queued estimates the prompt tokens waiting at the target now, given its
+// prefill rate in tokens a second.
+func (l *Load) Queued(now time.Duration, rate float64) float64 {
+	queue, at := l.queued, l.asOf
+	for _, s := range l.sent[:l.n] {
+		queue = drained(queue, s.at-at, rate) + s.tokens
+		at = s.at
+	}
+	return drained(queue, now-at, rate)
+}
+
+func drained(queue float64, d time.Duration, rate float64) float64 {
+	if d <= 0 {
+		return queue
+	}
+	return max(0, queue-rate*d.Seconds())
+}
--- /dev/null
+++ b/internal/placement/options.go
@@ -0,0 +1,44 @@
+package placement
+
+import "time"
+
+// Options tune a picker.
+type Options struct {
+	// Domain is the failure domain of this instance.
+	Domain string
+	// CrossDomainDelay is the one-way delay to another domain.
+	CrossDomainDelay time.Duration
+	// MaxCandidates bounds the targets scored for one request.
+	MaxCandidates int
+	// AnchorPieces is the number of leading pieces that the rendezvous key
+	// covers: one more than the opening that all prompts of a service share.
+	AnchorPieces int
+	// FirstRankTrust is the part of a prompt's pieces that the first target
+	// in rendezvous order is counted on to hold when nothing is believed of
+	// it. All instances send there, this one has seen only its own part.
+	FirstRankTrust float64
+	// RecomputeFactor weighs a recomputed token against a waiting one. Over
+	// 1, because prefill that a cached copy elsewhere would have spared
+	// delays the requests behind it too.
+	RecomputeFactor float64
+	// TransferTokensPerSecond is the rate at which pieces move from the KV
+	// store; 0 when they cannot.
+	TransferTokensPerSecond float64
+	// TransferSetup is the fixed time of one move.
+	TransferSetup time.Duration
+	// NearTie is the difference in cost within which candidates count as
+	// equal.
+	NearTie time.Duration
+}
+
+// DefaultOptions are the measured defaults; docs/measurements has the runs.
+func DefaultOptions() Options {
+	return Options{
+		CrossDomainDelay: 1500 * time.Microsecond,
+		MaxCandidates:    16,
+		AnchorPieces:     2,
+		FirstRankTrust:   0.5,
+		RecomputeFactor:  1.5,
+		NearTie:          2 * time.Millisecond,
+	}
+}
--- /dev/null
+++ b/internal/placement/picker.go
@@ -0,0 +1,129 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mastictray/mastictray/internal/belief"
+	"github.com/mastictray/mastictray/internal/prefix"
+)
+
+// ErrNoTarget: filters reject every target of the pool. The request did not
+// run.
+var ErrNoTarget = errors.New("placement: no target")
+
+// Decision is the outcome for one request.
+type Decision struct {
+	// Index is the chosen target's index in the pool.
+	Index int
+	// CachedPieces is what the target is believed to hold of the chain.
+	CachedPieces int
+	// UncachedTokens is the prompt tokens it is expected to prefill.
+	UncachedTokens float64
+	// Cost is the expected time to first token.
+	Cost time.Duration
+}
+
+// Picker places requests on the targets of one pool. It keeps no state that a
+// decision needs beyond the pool and the beliefs: only buffers. It is not safe
+// for concurrent use.
+type Picker struct {
+	pool    *Pool
+	beliefs *belief.Store
+	options Options
+	scorers []Scorer
+	ranked  []ranked
+	scored  []Candidate
+}
+
+// NewPicker makes a picker over a pool and what is believed of its targets.
+func NewPicker(pool *Pool, beliefs *belief.Store, o Options) *Picker {
+	return &Picker{
+		pool:    pool,
+		beliefs: beliefs,
+		options: o,
+		scorers: DefaultScorers(o),
+		ranked:  make([]ranked, 0, o.MaxCandidates+1),
+		scored:  make([]Candidate, 0, o.MaxCandidates+1),
+	}
+}
+
+// Pick chooses a target. It allocates nothing. The random source breaks near
+// ties, so that instances with the same view do not all choose the same one.
+func (p *Picker) Pick(now time.Duration, r *Request, rng *rand.Rand) (Decision, error) {
+	p.candidates(r, rng)
+	if len(p.scored) == 0 {
+		return Decision{}, ErrNoTarget
+	}
+	for i := range p.scored {
+		p.score(now, r, &p.scored[i])
+	}
+	c := &p.scored[choose(p.scored, p.options.NearTie, rng)]
+	return Decision{
+		Index:          c.Index,
+		CachedPieces:   c.CachedPieces,
+		UncachedTokens: max(0, float64(r.PromptTokens)-c.CountedTokens),
+		Cost:           c.Cost,
+	}, nil
+}
+
+// candidates fills p.scored with the first live targets in rendezvous order.
+// A hot prefix widens by itself: when the queue of the first costs more than
+// recomputing, the next in the same order wins, on every instance alike.
+func (p *Picker) candidates(r *Request, rng *rand.Rand) {
+	p.ranked = topRanked(p.ranked[:0], p.anchor(r, rng), p.pool.seeds, p.pool.rejected, p.options.MaxCandidates)
+	p.scored = p.scored[:0]
+	for _, k := range p.ranked {
+		if r.Exclude != "" && p.pool.targets[k.index].Name == r.Exclude {
+			continue
+		}
+		p.scored = append(p.scored, Candidate{Index: int(k.index), Rank: len(p.scored)})
+	}
+}
+
+// anchor is the rendezvous key of a request. A prompt without a full piece
+// has nothing to find again and may go anywhere.
+func (p *Picker) anchor(r *Request, rng *rand.Rand) prefix.Hash {
+	n := min(len(r.Chain), p.options.AnchorPieces)
+	if n == 0 {
+		return prefix.Hash(rng.Uint64())
+	}
+	return r.Chain[n-1]
+}
+
+func (p *Picker) score(now time.Duration, r *Request, c *Candidate) {
+	t := &p.pool.targets[c.Index]
+	c.CachedPieces = p.beliefs.Cached(t.Belief, r.Chain)
+	c.CountedTokens = float64(min(c.CachedPieces*r.PieceTokens, r.PromptTokens))
+	if c.Rank == 0 {
+		c.CountedTokens = max(c.CountedTokens, p.options.FirstRankTrust*float64(r.fullTokens()))
+	}
+	for i, s := range p.scorers {
+		c.Terms[i] = s.Cost(now, r, t, c)
+		c.Cost += c.Terms[i]
+	}
+}
+
+// choose draws one of the candidates within nearTie of the best.
+func choose(scored []Candidate, nearTie time.Duration, rng *rand.Rand) int {
+	best := 0
+	for i := range scored {
+		if scored[i].Cost < scored[best].Cost {
+			best = i
+		}
+	}
+	limit := scored[best].Cost + nearTie
+	chosen, ties := best, 0
+	for i := range scored {
+		if scored[i].Cost > limit {
+			continue
+		}
+		ties++
+		if rng.IntN(ties) == 0 {
+			chosen = i
+		}
+	}
+	return chosen
+}
--- /dev/null
+++ b/internal/placement/pool.go
@@ -0,0 +1,89 @@
+package placement
+
+// Pool is the targets that serve the same model, with everything that a
+// decision needs computed beforehand. It is not safe for concurrent use.
+type Pool struct {
+	targets  []Target
+	byName   map[string]int
+	seeds    []uint64
+	rejected []Rejection
+	filters  []Filter
+	wanted   string
+}
+
+// NewPool makes a pool of targets that should serve the wanted version; empty
+// accepts any. The order of the targets does not matter for decisions.
+func NewPool(targets []Target, wanted string, filters []Filter) *Pool {
+	p := &Pool{
+		targets:  targets,
+		byName:   make(map[string]int, len(targets)),
+		seeds:    make([]uint64, len(targets)),
+		rejected: make([]Rejection, len(targets)),
+		filters:  filters,
+		wanted:   wanted,
+	}
+	for i := range targets {
+		p.byName[targets[i].Name] = i
+		p.seeds[i] = targetSeed(targets[i].Name)
+		p.Changed(i)
+	}
+	return p
+}
+
+// Len is the number of targets.
+func (p *Pool) Len() int { return len(p.targets) }
+
+// Target is the i-th target. Call Changed after writing a field that a filter
+// reads.
+func (p *Pool) Target(i int) *Target { return &p.targets[i] }
+
+// Find is the index of a target by its name.
+func (p *Pool) Find(name string) (int, bool) {
+	i, ok := p.byName[name]
+	return i, ok
+}
+
+// Changed runs the filters again for one target.
+func (p *Pool) Changed(i int) {
+	t := &p.targets[i]
+	t.rejectedBy = 0
+	for bit, f := range p.filters {
+		if f.Rejects(t, p.wanted) {
+			t.rejectedBy |= 1 << bit
+		}
+	}
+	p.rejected[i] = t.rejectedBy
+}
+
+// Want sets the version that targets should serve.
+func (p *Pool) Want(version string) {
+	if p.wanted == version {
+		return
+	}
+	p.wanted = version
+	for i := range p.targets {
+		p.Changed(i)
+	}
+}
+
+// Live counts the targets that no filter rejects.
+func (p *Pool) Live() int {
+	n := 0
+	for _, r := range p.rejected {
+		if r == 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// RejectedBy names the filters that reject the i-th target.
+func (p *Pool) RejectedBy(i int) []string {
+	var names []string
+	for bit, f := range p.filters {
+		if p.rejected[i]&(1<<bit) != 0 {
+			names = append(names, f.Name())
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/internal/placement/rendezvous.go
@@ -0,0 +1,58 @@
+package placement
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/mastictray/mastictray/internal/prefix"
+)
+
+// ranked is a target and its rendezvous weight for one key.
+type ranked struct {
+	index  int32
+	weight uint64
+}
+
+// targetSeed is the target's part of the rendezvous hash. It depends on the
+// name only, so that every instance, at any time, computes the same order.
+func targetSeed(name string) uint64 { return xxhash.Sum64String(name) }
+
+// mix is the finalizer of splitmix64.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// topRanked appends the limit targets of highest weight among those that no
+// filter rejects, highest first. When a target leaves, only keys it was
+// highest for move, each to its next target.
+func topRanked(dst []ranked, key prefix.Hash, seeds []uint64, rejected []Rejection, limit int) []ranked {
+	start := len(dst)
+	for i, seed := range seeds {
+		if rejected[i] != 0 {
+			continue
+		}
+		w := mix(uint64(key) ^ seed)
+		n := len(dst) - start
+		if n == limit && w <= dst[len(dst)-1].weight {
+			continue
+		}
+		if n < limit {
+			dst = append(dst, ranked{})
+		}
+		insertRanked(dst[start:], ranked{index: int32(i), weight: w})
+	}
+	return dst
+}
+
+// insertRanked puts r in order into list, whose last place is free.
+func insertRanked(list []ranked, r ranked) {
+	at := len(list) - 1
+	for at > 0 && list[at-1].weight < r.weight {
+		list[at] = list[at-1]
+		at--
+	}
+	list[at] = r
+}
--- /dev/null
+++ b/internal/placement/request.go
@@ -0,0 +1,22 @@
+package placement
+
+import "github.com/mastictray/mastictray/internal/prefix"
+
+// Request is what placement needs to know of a request.
+type Request struct {
+	// Chain has one hash for each full piece of the prompt; the hashes are
+	// bound to account, model and version.
+	Chain []prefix.Hash
+	// PieceTokens is the prompt tokens in one piece.
+	PieceTokens int
+	// PromptTokens counts the whole prompt.
+	PromptTokens int
+	// Exclude names a target to leave out, such as the one that an earlier
+	// attempt failed on; empty for none.
+	Exclude string
+}
+
+// fullTokens is the prompt tokens inside full pieces.
+func (r *Request) fullTokens() int {
+	return min(len(r.Chain)*r.PieceTokens, r.PromptTokens)
+}
--- /dev/null
+++ b/internal/placement/score.go
@@ -0,0 +1,40 @@
+package placement
+
+import "time"
+
+// maxScorers bounds the scorers of a picker, so that a candidate's terms need
+// no allocation.
+const maxScorers = 8
+
+// Candidate is one target that was scored for a request.
+type Candidate struct {
+	// Index is the target's index in the pool.
+	Index int
+	// Rank is the place in rendezvous order; 0 is the first.
+	Rank int
+	// CachedPieces is the believed number of leading pieces held.
+	CachedPieces int
+	// CountedTokens is the cached prompt tokens the score counts on.
+	CountedTokens float64
+	// Terms has one addend for each scorer, in order.
+	Terms [maxScorers]time.Duration
+	// Cost is the expected time to first token.
+	Cost time.Duration
+}
+
+// Scorer adds one term to the expected time to first token.
+type Scorer interface {
+	// Name is a stable word for explanations.
+	Name() string
+	// Cost is the term for one candidate. It must not allocate.
+	Cost(now time.Duration, r *Request, t *Target, c *Candidate) time.Duration
+}
+
+// DefaultScorers are the scorers of every pool.
+func DefaultScorers(o Options) []Scorer {
+	return []Scorer{
+		queueScorer{},
+		prefillScorer{factor: o.RecomputeFactor, transfer: o.TransferTokensPerSecond, setup: o.TransferSetup},
+		linkScorer{domain: o.Domain, delay: o.CrossDomainDelay},
+	}
+}
--- /dev/null
+++ b/internal/placement/target.go
@@ -0,0 +1,54 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/mastictray/mastictray/internal/belief"
+)
+
+// Target is what this instance knows of one target of a pool.
+type Target struct {
+	Name        string
+	Domain      string
+	Incarnation string
+	// Version is the weights version that the target last said it serves.
+	Version string
+	// Belief is the handle on the pieces the target is believed to hold.
+	Belief belief.Ref
+	// PrefillTokensPerSecond is the target's prefill rate.
+	PrefillTokensPerSecond float64
+	// Load is the last load report, corrected by this instance's own work.
+	Load Load
+	// SlowStart is the part of its prefill rate that a target back from a
+	// crash is trusted with, over 0 up to 1. Zero counts as 1.
+	SlowStart float64
+
+	Draining    bool
+	BreakerOpen bool
+	// Quarantined targets run requests that are suspected of crashing them.
+	Quarantined bool
+	// Unreachable is set while the link to the target's domain is down.
+	Unreachable bool
+
+	rejectedBy Rejection
+}
+
+// rate is the prefill rate that can be counted on, in tokens a second.
+func (t *Target) rate() float64 {
+	r := t.PrefillTokensPerSecond
+	if r <= 0 {
+		r = defaultPrefillRate
+	}
+	if t.SlowStart > 0 && t.SlowStart < 1 {
+		r *= t.SlowStart
+	}
+	return r
+}
+
+// defaultPrefillRate stands in for a pool without a configured rate.
+const defaultPrefillRate = 8000
+
+// seconds turns a count of tokens at a rate into a duration.
+func seconds(tokens, rate float64) time.Duration {
+	return time.Duration(tokens / rate * float64(time.Second))
+}
