fairqueue: fair queueing by tokens, priorities, early refusal

Cause: one client account with many small or few huge requests must not crowd out the others, and a refusal must come at once. Ruled out: deficit round robin (its quantum must cover the largest request, which lets 5,000 small ones pass first); earliest deadline first over all accounts (a flood of short deadlines wins). Change: start-time fair queueing over accounts, strict priorities inside, refusal at Push from the measured service rate, a bound that displaces the account that fills the queue. Safeguards off, one at a time: without the tags TestPropertyBackloggedAccountsShareByWeight fails; without the start at the present virtual time TestIdleTimeIsNotSavedUp fails; without displacement by account TestFullQueueDisplacesAccountThatFillsIt fails; without the check at Push TestPushRefusesAtOnceWhatIsTooLate fails.

--- /dev/null
+++ b/internal/fairqueue/queue_test.go
@@ -0,0 +1,223 @@
+package fairqueue
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "200")
+	os.Exit(m.Run())
+}
+
+type item = Item[int]
+
+func newQueue(maxItems int) *Queue[int] {
+	return New[int](Options{MaxItems: maxItems, InitialRate: 1000})
+}
+
+// One account sends 5,000 small requests, or 20 huge ones, before another
+// sends one. The other's request is served next but one: if the queue were
+// first come first served, it would wait for all of them.
+func TestQuietAccountIsServedPastFlood(t *testing.T) {
+	for name, flood := range map[string]struct {
+		n    int
+		cost float64
+	}{
+		"many small": {5000, 1},
+		"few huge":   {20, 50000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			q := newQueue(10000)
+			for i := range flood.n {
+				is.Equal(len(q.Push(0, item{ID: uint64(i), Account: "noisy", Cost: flood.cost})), 0)
+			}
+			_, ok := q.Pop(0)
+			is.True(ok)
+			q.Push(0, item{Account: "quiet", Cost: 100})
+			got, _ := q.Pop(0)
+			is.Equal(got.Account, "quiet")
+		})
+	}
+}
+
+// A queue of 100 is full of one account's requests when another account
+// sends. The noisy account loses its newest request; were the pushed one
+// refused instead, a flood would shut everybody else out.
+func TestFullQueueDisplacesAccountThatFillsIt(t *testing.T) {
+	is := is.New(t)
+	q := newQueue(100)
+	for i := range 100 {
+		q.Push(0, item{ID: uint64(i), Account: "noisy", Cost: 1})
+	}
+	refused := q.Push(0, item{ID: 1000, Account: "quiet", Cost: 1})
+	is.Equal(len(refused), 1)
+	is.Equal(refused[0].Item.ID, uint64(99))
+	is.Equal(refused[0].Reason, ReasonFull)
+	is.Equal(q.Len(), 100)
+}
+
+// Ten seconds of work wait. A request due in five is refused when it comes,
+// with the time after which it would have passed; held back it would fail at
+// its deadline, and its caller could not have gone elsewhere meanwhile.
+func TestPushRefusesAtOnceWhatIsTooLate(t *testing.T) {
+	is := is.New(t)
+	q := newQueue(100)
+	for i := range 10 {
+		q.Push(0, item{ID: uint64(i), Account: "a", Cost: 1000})
+	}
+	refused := q.Push(0, item{Account: "a", Cost: 1, Deadline: 5 * time.Second})
+	is.Equal(len(refused), 1)
+	is.Equal(refused[0].Reason, ReasonDeadline)
+	is.Equal(refused[0].RetryAfter, 5*time.Second)
+	is.Equal(len(q.Push(0, item{Account: "b", Cost: 1, Deadline: 5 * time.Second})), 0) // its account is next
+	is.Equal(len(q.Push(0, item{Account: "a", Cost: 1, Priority: 5, Deadline: time.Second})), 0)
+}
+
+func TestSweepRemovesWhatBecameLate(t *testing.T) {
+	is := is.New(t)
+	q := newQueue(100)
+	q.Push(0, item{ID: 1, Account: "a", Cost: 1, Deadline: time.Second, Service: 100 * time.Millisecond})
+	q.Push(0, item{ID: 2, Account: "a", Cost: 1, Deadline: 3 * time.Second})
+	is.Equal(len(q.Sweep(900*time.Millisecond)), 0)
+	late := q.Sweep(901 * time.Millisecond)
+	is.Equal(len(late), 1)
+	is.Equal(late[0].Item.ID, uint64(1))
+	is.Equal(q.Len(), 1)
+}
+
+func TestPrioritiesOrderInsideAccountOnly(t *testing.T) {
+	is := is.New(t)
+	q := newQueue(100)
+	q.Push(0, item{ID: 1, Account: "a", Cost: 10})
+	q.Push(0, item{ID: 2, Account: "a", Cost: 10, Priority: 9})
+	q.Push(0, item{ID: 3, Account: "b", Cost: 10})
+	var order []uint64
+	for it, ok := q.Pop(0); ok; it, ok = q.Pop(0) {
+		order = append(order, it.ID)
+	}
+	is.Equal(order, []uint64{2, 3, 1})
+}
+
+func TestDoneChargesWhatWasUsed(t *testing.T) {
+	is := is.New(t)
+	q := newQueue(100)
+	for i := range 3 {
+		q.Push(0, item{ID: uint64(i), Account: "a", Cost: 10})
+		q.Push(0, item{ID: uint64(10 + i), Account: "b", Cost: 10})
+	}
+	first, _ := q.Pop(0)
+	q.Done(first.Account, 25) // it used 35, not 10
+	for range 3 {
+		it, _ := q.Pop(0)
+		is.True(it.Account != first.Account)
+	}
+}
+
+func TestCancelRemovesItem(t *testing.T) {
+	is := is.New(t)
+	q := newQueue(100)
+	q.Push(0, item{ID: 1, Account: "a", Cost: 10})
+	is.True(q.Cancel("a", 1))
+	is.True(!q.Cancel("a", 1))
+	is.Equal(q.Len(), 0)
+	is.Equal(q.Cost(), 0.0)
+}
+
+// While two accounts both wait, the tokens served to each for its weight never
+// differ by more than their largest requests, whatever the sizes: the bound of
+// start-time fair queueing.
+func TestPropertyBackloggedAccountsShareByWeight(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := newQueue(100000)
+		weights := map[string]float64{"a": rapid.Float64Range(0.5, 4).Draw(t, "wa"), "b": 1}
+		largest := map[string]float64{}
+		for name, w := range weights {
+			for _, cost := range rapid.SliceOfN(rapid.Float64Range(1, 1000), 30, 30).Draw(t, name) {
+				q.Push(0, item{Account: name, Weight: w, Cost: cost})
+				largest[name] = max(largest[name], cost)
+			}
+		}
+		served := map[string]float64{}
+		left := map[string]int{"a": 30, "b": 30}
+		for left["a"] > 0 && left["b"] > 0 {
+			it, _ := q.Pop(0)
+			left[it.Account]--
+			served[it.Account] += it.Cost
+			diff := served["a"]/weights["a"] - served["b"]/weights["b"]
+			if bound := largest["a"]/weights["a"] + largest["b"]; diff > bound+1e-6 || diff < -bound-1e-6 {
+				t.Fatalf("difference %v over %v", diff, bound)
+			}
+		}
+	})
+}
+
+// Whatever happens, every item comes out exactly once: popped, refused or
+// cancelled. One that vanished would leave its caller without an answer.
+func TestPropertyEveryItemLeavesOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := newQueue(5)
+		waiting := map[uint64]bool{}
+		leave := func(id uint64) {
+			if !waiting[id] {
+				t.Fatalf("item %d left twice", id)
+			}
+			delete(waiting, id)
+		}
+		var now time.Duration
+		for id := range uint64(60) {
+			now += time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond
+			waiting[id] = true
+			it := item{
+				ID: id, Account: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "account"),
+				Priority: rapid.IntRange(0, 9).Draw(t, "priority"), Cost: float64(rapid.IntRange(1, 900).Draw(t, "cost")),
+				Deadline: now + time.Duration(rapid.IntRange(0, 3000).Draw(t, "due"))*time.Millisecond,
+			}
+			for _, r := range q.Push(now, it) {
+				leave(r.Item.ID)
+			}
+			if rapid.Bool().Draw(t, "pop") {
+				for _, r := range q.Sweep(now) {
+					leave(r.Item.ID)
+				}
+				if it, ok := q.Pop(now); ok {
+					leave(it.ID)
+				}
+			}
+			if q.Len() != len(waiting) {
+				t.Fatalf("queue has %d items, %d expected", q.Len(), len(waiting))
+			}
+		}
+	})
+}
+
+// One account was served for an hour while another was idle, then both send.
+// They share from now on; were idle time saved up, the second would be served
+// alone until it had caught up with that hour.
+func TestIdleTimeIsNotSavedUp(t *testing.T) {
+	is := is.New(t)
+	q := newQueue(1000)
+	for i := range 200 {
+		q.Push(0, item{ID: uint64(i), Account: "busy", Cost: 100})
+	}
+	for range 100 {
+		q.Pop(0)
+	}
+	for i := range 50 {
+		q.Push(0, item{ID: uint64(i), Account: "idle", Cost: 100})
+	}
+	served := map[string]int{}
+	for range 20 {
+		it, _ := q.Pop(0)
+		served[it.Account]++
+	}
+	is.Equal(served["busy"], 10)
+}
