--- /dev/null
+++ b/internal/experiment/engine.go
@@ -0,0 +1,123 @@
+package experiment
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/mastictray/mastictray/internal/belief"
+	"github.com/mastictray/mastictray/internal/prefix"
+)
+
+// prefillOverhead is the fixed time of one prefill.
+const prefillOverhead = 4 * time.Millisecond
+
+// job is one attempt at an engine. Exactly one of done and failed is called.
+type job struct {
+	call   *call
+	chain  []prefix.Hash
+	due    time.Duration
+	done   func(cached int)
+	failed func(late bool)
+	// uncached is the tokens to prefill, as known when it was queued.
+	uncached float64
+}
+
+// engine is a queue, a prefill rate and an LRU of pieces.
+type engine struct {
+	f       *fleet
+	index   int
+	name    string
+	domain  string
+	up      bool
+	version string
+	starts  int
+	cache   *lru
+	waiting []*job
+	running *job
+	ends    time.Duration
+	busy    time.Duration
+}
+
+func newEngine(f *fleet, i int) *engine {
+	e := &engine{f: f, index: i, name: fmt.Sprintf("engine-%02d", i), domain: f.w.Domains[i%len(f.w.Domains)], version: "v1"}
+	e.start()
+	return e
+}
+
+func (e *engine) identity() belief.Identity {
+	return belief.Identity{Target: e.name, Incarnation: fmt.Sprint(e.starts), Version: e.version}
+}
+
+func (e *engine) start() {
+	e.starts++
+	e.up = true
+	e.cache = newLRU(e.f.w.CachePieces)
+}
+
+// stop ends the incarnation; all its jobs fail.
+func (e *engine) stop() {
+	e.up = false
+	jobs := e.waiting
+	if e.running != nil {
+		jobs = append(jobs, e.running)
+	}
+	e.waiting, e.running = nil, nil
+	for _, j := range jobs {
+		j.failed(false)
+	}
+}
+
+func (e *engine) submit(j *job) {
+	if !e.up {
+		j.failed(false)
+		return
+	}
+	j.uncached = float64(j.call.tokens - e.cache.lead(j.chain)*e.f.w.PieceTokens)
+	e.waiting = append(e.waiting, j)
+	e.next()
+}
+
+// queued is the prompt tokens that wait to be prefilled.
+func (e *engine) queued() float64 {
+	sum := 0.0
+	for _, j := range e.waiting {
+		sum += j.uncached
+	}
+	if e.running != nil {
+		sum += (e.ends - e.f.clock.now).Seconds() * e.f.w.PrefillRate
+	}
+	return sum
+}
+
+// next starts the prefill of the first job that is not too late.
+func (e *engine) next() {
+	for e.running == nil && len(e.waiting) > 0 {
+		j := e.waiting[0]
+		e.waiting = e.waiting[1:]
+		if e.f.clock.now > j.due {
+			j.failed(true)
+			continue
+		}
+		e.prefill(j)
+	}
+}
+
+func (e *engine) prefill(j *job) {
+	cached := e.cache.lead(j.chain)
+	e.f.measure.prefilled(j.call, cached, e.f.bestElsewhere(e, j.chain))
+	uncached := float64(j.call.tokens - cached*e.f.w.PieceTokens)
+	d := prefillOverhead + time.Duration(uncached/e.f.w.PrefillRate*float64(time.Second))
+	e.running, e.ends = j, e.f.clock.now+d
+	e.busy += d
+	e.cache.use(j.chain[:cached])
+	e.f.clock.after(d, func() {
+		if e.running != j {
+			return // the incarnation ended
+		}
+		e.running = nil
+		stored, evicted := e.cache.use(j.chain)
+		e.f.publish(e.identity(), stored, evicted)
+		j.done(cached)
+		e.next()
+	})
+}
--- /dev/null
+++ b/internal/experiment/fleet.go
@@ -0,0 +1,112 @@
+package experiment
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/mastictray/mastictray/internal/belief"
+	"github.com/mastictray/mastictray/internal/prefix"
+)
+
+// fleet is the engines and routers of one run.
+type fleet struct {
+	w       *Workload
+	c       *Case
+	clock   *clock
+	rng     *rand.Rand
+	engines []*engine
+	routers []*router
+	measure *measure
+	wanted  string
+	cut     bool
+	names   []string
+}
+
+// linked reports whether two failure domains reach each other.
+func (f *fleet) linked(a, b string) bool {
+	first := f.w.Domains[0]
+	return a == b || !f.cut || (a != first && b != first)
+}
+
+func (f *fleet) delay(a, b string) time.Duration {
+	if a == b {
+		return 0
+	}
+	return f.w.LinkDelay
+}
+
+// bestElsewhere is the most leading pieces that another live engine of the
+// wanted version holds.
+func (f *fleet) bestElsewhere(not *engine, chain []prefix.Hash) int {
+	best := 0
+	for _, e := range f.engines {
+		if e != not && e.up && e.version == f.wanted {
+			best = max(best, e.cache.lead(chain))
+		}
+	}
+	return best
+}
+
+// publish sends a cache event to all routers, late, and loses some.
+func (f *fleet) publish(id belief.Identity, stored, evicted []prefix.Hash) {
+	if len(stored)+len(evicted) == 0 {
+		return
+	}
+	for _, r := range f.routers {
+		if f.rng.Float64() < f.c.EventLoss {
+			continue
+		}
+		f.clock.after(eventDelay, func() { r.policy.cacheEvent(id, stored, evicted) })
+	}
+}
+
+// schedule sets up the faults of the case.
+func (f *fleet) schedule() {
+	c := f.c
+	if c.CrashEvery > 0 {
+		n := 0
+		f.clock.every(c.CrashEvery, func() {
+			e := f.engines[n*5%len(f.engines)]
+			n++
+			e.stop()
+			f.clock.after(c.Away, e.start)
+		})
+	}
+	if c.CutAt > 0 {
+		f.clock.after(c.CutAt, func() { f.cut = true })
+		f.clock.after(c.CutAt+c.CutFor, func() { f.cut = false })
+	}
+	if c.RollAt > 0 {
+		f.clock.after(c.RollAt, func() { f.roll(0) })
+	}
+	if c.RestartEvery > 0 {
+		f.clock.every(c.RestartEvery, func() {
+			f.measure.restarted = f.clock.now
+			for _, r := range f.routers {
+				r.policy.restart()
+			}
+		})
+	}
+}
+
+// roll loads the new version on MaxLoads engines at a time. The wanted version
+// changes when half of the engines serve the new one.
+func (f *fleet) roll(from int) {
+	to := min(from+f.w.MaxLoads, len(f.engines))
+	if to > len(f.engines)/2 && f.wanted == "v1" {
+		f.wanted = "v2"
+	}
+	if from == to {
+		return
+	}
+	for _, e := range f.engines[from:to] {
+		e.stop()
+	}
+	f.clock.after(f.w.LoadTime, func() {
+		for _, e := range f.engines[from:to] {
+			e.version = "v2"
+			e.start()
+		}
+		f.roll(to)
+	})
+}
--- /dev/null
+++ b/internal/experiment/policy_baseline.go
@@ -0,0 +1,97 @@
+package experiment
+
+import (
+	"time"
+
+	"github.com/mastictray/mastictray/internal/belief"
+	"github.com/mastictray/mastictray/internal/placement"
+	"github.com/mastictray/mastictray/internal/prefix"
+)
+
+// baseline sends each request at once to the engine that choose names.
+type baseline struct {
+	r           *router
+	choose      func(b *baseline, a *attempt) int
+	outstanding []int
+	turn        int
+}
+
+func newBaseline(choose func(*baseline, *attempt) int) func(*router) policy {
+	return func(r *router) policy {
+		return &baseline{r: r, choose: choose, outstanding: make([]int, len(r.usable)), turn: r.rng.IntN(len(r.usable))}
+	}
+}
+
+func (b *baseline) arrive(a *attempt) {
+	i := b.choose(b, a)
+	if i < 0 {
+		b.r.refuse(a)
+		return
+	}
+	b.outstanding[i]++
+	b.r.send(i, a)
+}
+
+func (b *baseline) report(int, time.Duration, belief.Identity, float64) {}
+
+func (b *baseline) cacheEvent(belief.Identity, []prefix.Hash, []prefix.Hash) {}
+
+func (b *baseline) answered(e int, _ *attempt, _ int) { b.outstanding[e]-- }
+
+func (b *baseline) failed(e int, _ *attempt) { b.outstanding[e]-- }
+
+// restart keeps the count of outstanding requests: the experiment's routers
+// keep their connections.
+func (b *baseline) restart() {}
+
+func roundRobin(b *baseline, _ *attempt) int {
+	for range b.r.usable {
+		b.turn = (b.turn + 1) % len(b.r.usable)
+		if b.r.usable[b.turn] {
+			return b.turn
+		}
+	}
+	return -1
+}
+
+func leastOutstanding(b *baseline, _ *attempt) int {
+	best := -1
+	start := b.r.rng.IntN(len(b.r.usable))
+	for k := range b.r.usable {
+		i := (start + k) % len(b.r.usable)
+		if b.r.usable[i] && (best < 0 || b.outstanding[i] < b.outstanding[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
+// loadBound is the part over the mean that one engine may hold under prefix
+// hash with bounded load.
+const loadBound = 1.25
+
+// prefixHashBounded takes the first engine in rendezvous order of the prefix
+// that is within the load bound.
+func prefixHashBounded(b *baseline, a *attempt) int {
+	chain := a.call.chain(b.r.f.w, b.r.f.wanted)
+	n := min(len(chain), placement.DefaultOptions().AnchorPieces)
+	if n == 0 {
+		return leastOutstanding(b, a)
+	}
+	sum, live := 1, 0
+	for i, ok := range b.r.usable {
+		if ok {
+			sum += b.outstanding[i]
+			live++
+		}
+	}
+	bound := loadBound * float64(sum) / float64(max(1, live))
+	for _, i := range placement.Order(chain[n-1], b.names(), b.r.usable) {
+		if float64(b.outstanding[i]) < bound {
+			return i
+		}
+	}
+	return leastOutstanding(b, a)
+}
+
+func (b *baseline) names() []string { return b.r.f.names }
--- /dev/null
+++ b/internal/experiment/run.go
@@ -0,0 +1,83 @@
+package experiment
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/mastictray/mastictray/internal/placement"
+)
+
+// drain is the time after the last arrival in which answers are awaited.
+const drain = 30 * time.Second
+
+// Policy is one way of routing that is compared.
+type Policy struct {
+	Name string
+	make func(*router) policy
+}
+
+// defaultWindow is the backlog that the product lets the targets have.
+const defaultWindow = 300 * time.Millisecond
+
+// Policies are the baselines, the oracle and the product.
+func Policies() []Policy {
+	return []Policy{
+		{"round robin", newBaseline(roundRobin)},
+		{"least outstanding", newBaseline(leastOutstanding)},
+		{"prefix hash, bounded load", newBaseline(prefixHashBounded)},
+		{"mastictray", newProduct(placement.DefaultOptions(), defaultWindow)},
+	}
+}
+
+// Run compares the policies on one trace.
+func Run(w Workload, c Case, policies []Policy, seed uint64) []Result {
+	var out []Result
+	calls := makeTrace(&w, &c, seed)
+	for _, p := range policies {
+		out = append(out, runOne(&w, &c, p, calls, seed))
+	}
+	return out
+}
+
+func runOne(w *Workload, c *Case, p Policy, calls []*call, seed uint64) Result {
+	f := &fleet{w: w, c: c, clock: &clock{}, rng: rand.New(rand.NewPCG(seed, 2)), measure: newMeasure(w, c), wanted: "v1"}
+	for i := range w.Engines {
+		e := newEngine(f, i)
+		f.engines = append(f.engines, e)
+		f.names = append(f.names, e.name)
+	}
+	for i := range w.Routers {
+		f.routers = append(f.routers, newRouter(f, i, seed, p.make))
+	}
+	f.schedule()
+	for _, call := range calls {
+		f.clock.after(call.at, func() { f.routers[call.router].policy.arrive(&attempt{call: call, last: -1}) })
+	}
+	f.clock.runUntil(c.Length)
+	busy := time.Duration(0)
+	for _, e := range f.engines {
+		busy += e.busy
+	}
+	share := busy.Seconds() / c.Length.Seconds() / float64(len(f.engines))
+	f.clock.runUntil(c.Length + drain)
+	return f.measure.result(p.Name, share)
+}
+
+// Selection is what RunAll runs; empty names select everything.
+type Selection struct {
+	Workload, Case string
+	Seed           uint64
+}
+
+// RunAll compares the policies under the selected workloads and cases.
+func RunAll(s Selection) []Result {
+	var out []Result
+	for _, w := range []Workload{Cantonal(), Charter()} {
+		for _, c := range Cases() {
+			if (s.Workload == "" || s.Workload == w.Name) && (s.Case == "" || s.Case == c.Name) {
+				out = append(out, Run(w, c, Policies(), s.Seed)...)
+			}
+		}
+	}
+	return out
+}
--- a/internal/placement/rendezvous.go
+++ b/internal/placement/rendezvous.go
@@ -56,3 +56,22 @@
 	}
 	list[at] = r
 }
+
+// Order is the indexes of the usable targets in rendezvous order of the key.
+// It is for tools; decisions use a Picker.
+func Order(key prefix.Hash, names []string, usable []bool) []int {
+	rejected := make([]Rejection, len(names))
+	seeds := make([]uint64, len(names))
+	for i, name := range names {
+		seeds[i] = targetSeed(name)
+		if !usable[i] {
+			rejected[i] = 1
+		}
+	}
+	ranked := topRanked(nil, key, seeds, rejected, len(names))
+	order := make([]int, len(ranked))
+	for i, r := range ranked {
+		order[i] = int(r.index)
+	}
+	return order
+}
