--- /dev/null
+++ b/internal/config/fold.go
@@ -0,0 +1,258 @@
+package config
+
+import (
+	"fmt"
+	"maps"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mastictray/mastictray/internal/audit"
+	"github.com/mastictray/mastictray/internal/logrec"
+	"github.com/mastictray/mastictray/internal/platform"
+)
+
+// ErrNewerRules is returned for a record that this build cannot judge.
+var ErrNewerRules = errors.New("config record: written by newer rules")
+
+const (
+	// maxReasonBytes bounds the reason kept for a rejected change.
+	maxReasonBytes = 1024
+	maxOpBytes     = 128
+)
+
+// Fold gives the state after the record at offset s.Next. A record that does
+// not decode is skipped, the same way on every instance. The only error is
+// ErrNewerRules; the state is then unchanged.
+func Fold(s *State, data []byte) (*State, error) {
+	n := s.next()
+	e, err := logrec.Decode(data)
+	if err != nil {
+		return n, nil
+	}
+	switch e.Kind {
+	case KindChange:
+		return foldBody(s, n, e, foldChange)
+	case KindKeyCreate:
+		return foldBody(s, n, e, foldKeyCreate)
+	case KindKeyWithdraw:
+		return foldBody(s, n, e, foldKeyWithdraw)
+	case KindSnapshot:
+		return foldBody(s, n, e, foldSnapshot)
+	}
+	return n, nil
+}
+
+// foldBody decodes a body and hands it to its fold, which changes n.
+func foldBody[B interface{ rules() int }](s, n *State, e logrec.Envelope, fold func(*State, *entryDraft, B)) (*State, error) {
+	var body B
+	if e.Into(&body) != nil {
+		return n, nil
+	}
+	if body.rules() > RulesVersion {
+		return s, errors.Wrapf(ErrNewerRules, "offset %d: rules %d, this build has %d", s.Next, body.rules(), RulesVersion)
+	}
+	fold(n, newDraft(s.Next, e), body)
+	return n, nil
+}
+
+func (c Change) rules() int       { return c.Rules }
+func (k KeyCreate) rules() int    { return k.Rules }
+func (k KeyWithdraw) rules() int  { return k.Rules }
+func (p SnapshotPart) rules() int { return p.Rules }
+
+// entryDraft is the audit entry of the record being folded.
+type entryDraft struct{ audit.Entry }
+
+func newDraft(offset int64, e logrec.Envelope) *entryDraft {
+	return &entryDraft{audit.Entry{
+		Stream: platform.StreamConfig, Offset: offset, AtMillis: e.AtMillis, By: e.By, What: string(e.Kind),
+	}}
+}
+
+// begin says whether the operation is to be judged: it has an id that was
+// not seen before. An append that took effect twice has its first verdict.
+func (s *State) begin(d *entryDraft, op, note string) bool {
+	if op == "" || len(op) > maxOpBytes || d.By == "" {
+		return false
+	}
+	d.Op, d.Note = op, cut(note)
+	_, seen := s.Outcome(op)
+	return !seen
+}
+
+func (s *State) reject(d *entryDraft, reason string) {
+	d.Outcome, d.Reason = audit.Rejected, cut(reason)
+	s.Audit = audit.Append(s.Audit, d.Entry, maxAudit)
+}
+
+func (s *State) accept(d *entryDraft) {
+	d.Outcome = audit.Accepted
+	s.Audit = audit.Append(s.Audit, d.Entry, maxAudit)
+}
+
+func cut(text string) string {
+	if len(text) > maxReasonBytes {
+		return text[:maxReasonBytes] + "…"
+	}
+	return text
+}
+
+func foldChange(n *State, d *entryDraft, c Change) {
+	if !n.begin(d, c.Op, c.Note) {
+		return
+	}
+	if reason := n.checkBases(d, c); reason != "" {
+		n.reject(d, reason)
+		return
+	}
+	tried := *n
+	if ps := tried.applyFiles(d, c); len(ps) > 0 {
+		n.reject(d, ps.Error())
+		return
+	}
+	*n = tried
+	n.accept(d)
+}
+
+// checkBases compares each file's base with its present revision. The record
+// at the lower offset wins; the later one learns here who that was.
+func (s *State) checkBases(d *entryDraft, c Change) string {
+	if len(c.Files) == 0 {
+		return "the change names no file"
+	}
+	seen := map[string]bool{}
+	reason := ""
+	for _, f := range c.Files {
+		present := s.Base(f.Name)
+		d.Subjects = append(d.Subjects, subject(f, present, d.Offset))
+		switch {
+		case reason != "":
+		case seen[f.Name]:
+			reason = fmt.Sprintf("%s is named twice", f.Name)
+		case f.Base != present:
+			reason = s.lost(d, f)
+		case f.Delete && (present == NoRevision || s.Files[f.Name].Deleted):
+			reason = fmt.Sprintf("%s: there is no such file to delete", f.Name)
+		}
+		seen[f.Name] = true
+	}
+	return reason
+}
+
+// lost names the change that f lost to.
+func (s *State) lost(d *entryDraft, f FileChange) string {
+	present, ok := s.Files[f.Name]
+	if !ok {
+		return fmt.Sprintf("%s: based on revision %d, but the file never was", f.Name, f.Base)
+	}
+	d.Winner, d.WinnerRevision = present.By, present.Revision
+	verb := "brought"
+	if present.Deleted {
+		verb = "deleted it at"
+	}
+	return fmt.Sprintf("%s: based on revision %d, but %s %s revision %d", f.Name, f.Base, present.By, verb, present.Revision)
+}
+
+func subject(f FileChange, before, after int64) audit.Subject {
+	s := audit.Subject{Name: f.Name, After: strconv.FormatInt(after, 10)}
+	if before != NoRevision {
+		s.Before = strconv.FormatInt(before, 10)
+	}
+	if f.Delete {
+		s.After = "deleted"
+	}
+	return s
+}
+
+// applyFiles puts the change into the state and checks the whole result.
+func (s *State) applyFiles(d *entryDraft, c Change) Problems {
+	s.Revision = d.Offset
+	s.Files, s.fragments = maps.Clone(s.Files), maps.Clone(s.fragments)
+	var ps Problems
+	for _, f := range c.Files {
+		file := File{Revision: d.Offset, By: d.By, Deleted: f.Delete}
+		delete(s.fragments, f.Name)
+		if !f.Delete {
+			file.Contents = f.Contents
+			parsed, problems := parseFile(f.Name, f.Contents)
+			ps = append(ps, problems...)
+			s.fragments[f.Name] = parsed
+		}
+		s.Files[f.Name] = file
+	}
+	if len(ps) > 0 {
+		return ps
+	}
+	return s.rebuild()
+}
+
+func foldKeyCreate(n *State, d *entryDraft, k KeyCreate) {
+	if !n.begin(d, k.Op, k.Note) {
+		return
+	}
+	d.Subjects = []audit.Subject{{Name: k.ID, After: k.Account}}
+	if reason := n.checkCreate(k); reason != "" {
+		n.reject(d, reason)
+		return
+	}
+	key := Key{ID: k.ID, Account: k.Account, SHA256: k.SHA256}
+	n.Revision = d.Offset
+	n.Created = maps.Clone(n.Created)
+	n.Created[k.SHA256] = key
+	n.intent = n.withIntentKey(key)
+	n.accept(d)
+}
+
+func (s *State) checkCreate(k KeyCreate) string {
+	if !namePattern.MatchString(k.ID) {
+		return "key id: expected " + nameExpected
+	}
+	if !hashPattern.MatchString(k.SHA256) {
+		return "sha256: expected " + hashExpected
+	}
+	if _, ok := s.intent.Accounts[k.Account]; !ok {
+		return "account " + k.Account + " is not known"
+	}
+	if other, ok := s.intent.Keys[k.SHA256]; ok {
+		return "key " + other.ID + " has this hash already"
+	}
+	for _, other := range s.intent.Keys {
+		if other.ID == k.ID {
+			return "key " + k.ID + " is there already"
+		}
+	}
+	return ""
+}
+
+// foldKeyWithdraw ends a key whatever the state says about it. The hash stays
+// in Withdrawn for good: a file that lists it again, such as an old copy
+// published by an operator who had not heard, must not revive it.
+func foldKeyWithdraw(n *State, d *entryDraft, k KeyWithdraw) {
+	if !n.begin(d, k.Op, k.Note) {
+		return
+	}
+	d.Subjects = []audit.Subject{{Name: k.ID, After: "withdrawn"}}
+	if !hashPattern.MatchString(k.SHA256) {
+		n.reject(d, "sha256: expected "+hashExpected)
+		return
+	}
+	w := Withdrawal{ID: k.ID, SHA256: k.SHA256, Revision: d.Offset}
+	if key, ok := n.intent.Keys[k.SHA256]; ok {
+		w.ID, w.Account = key.ID, key.Account
+		d.Subjects[0] = audit.Subject{Name: key.ID, Before: key.Account, After: "withdrawn"}
+	}
+	n.Revision = d.Offset
+	n.Withdrawn = maps.Clone(n.Withdrawn)
+	n.Withdrawn[k.SHA256] = w
+	n.Created = maps.Clone(n.Created)
+	delete(n.Created, k.SHA256)
+	n.intent = n.withIntentKey(w.key())
+	n.accept(d)
+}
+
+func foldSnapshot(n *State, _ *entryDraft, p SnapshotPart) {
+	if p.Part == p.Parts-1 && p.Through > n.SnapshotThrough && p.Through < n.Next {
+		n.SnapshotThrough = p.Through
+	}
+}
--- /dev/null
+++ b/internal/config/snapshot.go
@@ -0,0 +1,217 @@
+package config
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/mastictray/mastictray/internal/audit"
+	"github.com/mastictray/mastictray/internal/logrec"
+)
+
+const (
+	// snapshotPartBytes leaves room for the envelope in a log record.
+	snapshotPartBytes = logrec.MaxRecordBytes - 4<<10
+	// maxSnapshotParts bounds a snapshot to 64 MB.
+	maxSnapshotParts = 256
+)
+
+// ErrMalformedState is returned for bytes that are no valid state.
+var ErrMalformedState = errors.New("config state: malformed")
+
+// stateBody is the encoded state. Its lists are sorted, so that equal states
+// have equal bytes.
+type stateBody struct {
+	Rules           int           `msgpack:"v"`
+	Revision        int64         `msgpack:"r"`
+	Next            int64         `msgpack:"n"`
+	SnapshotThrough int64         `msgpack:"s"`
+	Files           []fileBody    `msgpack:"f"`
+	Created         []keyBody     `msgpack:"c"`
+	Withdrawn       []keyBody     `msgpack:"w"`
+	Audit           []audit.Entry `msgpack:"a"`
+}
+
+type fileBody struct {
+	Name     string `msgpack:"n"`
+	Contents []byte `msgpack:"c"`
+	Revision int64  `msgpack:"r"`
+	By       string `msgpack:"b"`
+	Deleted  bool   `msgpack:"d,omitempty"`
+}
+
+type keyBody struct {
+	ID       string `msgpack:"i"`
+	Account  string `msgpack:"a"`
+	SHA256   string `msgpack:"h"`
+	Revision int64  `msgpack:"r"`
+}
+
+// Encode gives the state's bytes, for snapshots and for peers.
+func (s *State) Encode() ([]byte, error) {
+	b := stateBody{
+		Rules: RulesVersion, Revision: s.Revision, Next: s.Next,
+		SnapshotThrough: s.SnapshotThrough, Audit: s.Audit,
+	}
+	for name, f := range s.Files {
+		b.Files = append(b.Files, fileBody{name, f.Contents, f.Revision, f.By, f.Deleted})
+	}
+	for _, k := range s.Created {
+		b.Created = append(b.Created, keyBody{ID: k.ID, Account: k.Account, SHA256: k.SHA256})
+	}
+	for _, w := range s.Withdrawn {
+		b.Withdrawn = append(b.Withdrawn, keyBody(w))
+	}
+	sort.Slice(b.Files, func(i, j int) bool { return b.Files[i].Name < b.Files[j].Name })
+	sort.Slice(b.Created, func(i, j int) bool { return b.Created[i].SHA256 < b.Created[j].SHA256 })
+	sort.Slice(b.Withdrawn, func(i, j int) bool { return b.Withdrawn[i].SHA256 < b.Withdrawn[j].SHA256 })
+	data, err := msgpack.Marshal(&b)
+	return data, errors.Wrap(err, "encode config state")
+}
+
+// DecodeState reads a state and checks it as a whole. Errors:
+// ErrMalformedState, ErrNewerRules.
+func DecodeState(data []byte) (*State, error) {
+	var b stateBody
+	if err := msgpack.Unmarshal(data, &b); err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "decode config state"), ErrMalformedState)
+	}
+	if b.Rules > RulesVersion {
+		return nil, errors.Wrapf(ErrNewerRules, "state at offset %d: rules %d", b.Next, b.Rules)
+	}
+	if b.Revision < NoRevision || b.Next <= b.Revision || len(b.Audit) > maxAudit {
+		return nil, errors.Wrapf(ErrMalformedState, "revision %d next %d", b.Revision, b.Next)
+	}
+	s := EmptyState()
+	s.Revision, s.Next, s.SnapshotThrough, s.Audit = b.Revision, b.Next, b.SnapshotThrough, b.Audit
+	for _, k := range b.Created {
+		s.Created[k.SHA256] = Key{ID: k.ID, Account: k.Account, SHA256: k.SHA256}
+	}
+	for _, w := range b.Withdrawn {
+		s.Withdrawn[w.SHA256] = Withdrawal(w)
+	}
+	return s, s.decodeFiles(b.Files)
+}
+
+func (s *State) decodeFiles(files []fileBody) error {
+	var ps Problems
+	for _, f := range files {
+		s.Files[f.Name] = File{Contents: f.Contents, Revision: f.Revision, By: f.By, Deleted: f.Deleted}
+		if f.Deleted {
+			continue
+		}
+		parsed, problems := parseFile(f.Name, f.Contents)
+		ps = append(ps, problems...)
+		s.fragments[f.Name] = parsed
+	}
+	if len(ps) == 0 {
+		ps = s.rebuild()
+	}
+	if len(ps) > 0 {
+		return errors.Mark(errors.Wrap(ps, "config state"), ErrMalformedState)
+	}
+	return nil
+}
+
+// SnapshotRecords encodes the state as records for one append to the config
+// stream.
+func SnapshotRecords(s *State, by string, atMillis int64) ([][]byte, error) {
+	data, err := s.Encode()
+	if err != nil {
+		return nil, err
+	}
+	parts := (len(data) + snapshotPartBytes - 1) / snapshotPartBytes
+	if parts > maxSnapshotParts {
+		return nil, errors.Newf("config snapshot: %d bytes, at most %d", len(data), maxSnapshotParts*snapshotPartBytes)
+	}
+	records := make([][]byte, 0, parts)
+	for i := range parts {
+		end := min((i+1)*snapshotPartBytes, len(data))
+		body := SnapshotPart{
+			Rules: RulesVersion, Through: s.Next, Part: i, Parts: parts,
+			Data: data[i*snapshotPartBytes : end],
+		}
+		record, err := logrec.Encode(KindSnapshot, by, atMillis, body)
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, record)
+	}
+	return records, nil
+}
+
+// SnapshotPolicy says when the holder of the lease duty/snapshot writes one.
+type SnapshotPolicy struct {
+	// EveryRecords bounds what a starting instance folds.
+	EveryRecords int64
+	// Every bounds the age of the newest snapshot; it has to be well under
+	// the log's retention, also when nothing changes.
+	Every time.Duration
+}
+
+// DefaultSnapshotPolicy fits a retention of some hours or more.
+var DefaultSnapshotPolicy = SnapshotPolicy{EveryRecords: 1024, Every: 30 * time.Minute}
+
+// SnapshotDue says whether a snapshot is to be written now. sinceLast is the
+// time since this instance saw the newest one appear in the log; pass a very
+// long time when it has not seen it itself, so that leases which move faster
+// than Every cannot put a snapshot off for good. logStart is the oldest
+// retained offset.
+func SnapshotDue(s *State, p SnapshotPolicy, sinceLast time.Duration, logStart int64) bool {
+	if s.Revision == NoRevision {
+		return false
+	}
+	// A log that starts behind the snapshot can no longer be folded from
+	// it: a restarted fleet would find no configuration there.
+	if logStart > s.SnapshotThrough {
+		return true
+	}
+	return s.Next-s.SnapshotThrough >= p.EveryRecords || sinceLast >= p.Every
+}
+
+// assembler joins the parts of a snapshot, which stand at consecutive
+// offsets.
+type assembler struct {
+	through int64
+	parts   int
+	data    []byte
+}
+
+// add takes the record of one offset and gives the state when it completes a
+// snapshot. Records that are no snapshot, or do not continue the one being
+// read, start over.
+func (a *assembler) add(record []byte) *State {
+	e, err := logrec.Decode(record)
+	if err != nil || e.Kind != KindSnapshot {
+		a.reset()
+		return nil
+	}
+	var p SnapshotPart
+	if e.Into(&p) != nil || p.Rules > RulesVersion || p.Parts < 1 || p.Parts > maxSnapshotParts {
+		a.reset()
+		return nil
+	}
+	if p.Part == 0 {
+		a.reset()
+		a.through = p.Through
+	}
+	if p.Part != a.parts || p.Through != a.through {
+		a.reset()
+		return nil
+	}
+	a.parts++
+	a.data = append(a.data, p.Data...)
+	if a.parts < p.Parts {
+		return nil
+	}
+	s, err := DecodeState(a.data)
+	a.reset()
+	if err != nil || s.Next != p.Through {
+		return nil
+	}
+	return s
+}
+
+func (a *assembler) reset() { *a = assembler{} }
--- /dev/null
+++ b/internal/keys/contact.go
@@ -0,0 +1,56 @@
+package keys
+
+import "time"
+
+// Contact says when this instance last heard from where withdrawals come
+// from. Times are monotonic, since an arbitrary start of the process.
+type Contact struct {
+	Now time.Duration
+	// LastLog is when a read of the config stream last succeeded.
+	LastLog time.Duration
+	// LastPeer is when a peer last answered that could know more.
+	LastPeer time.Duration
+}
+
+// Silence is how long neither the log nor a peer was heard.
+func (c Contact) Silence() time.Duration {
+	return c.Now - max(c.LastLog, c.LastPeer)
+}
+
+// Contacts collects the times of contact of one instance.
+type Contacts struct {
+	domain   string
+	lastLog  time.Duration
+	lastSame time.Duration
+	lastElse time.Duration
+}
+
+// NewContacts starts at the time when the instance got its first state.
+func NewContacts(domain string, now time.Duration) *Contacts {
+	return &Contacts{domain: domain, lastLog: now}
+}
+
+// Log notes a successful read of the config stream, also an empty one.
+func (c *Contacts) Log(now time.Duration) { c.lastLog = max(c.lastLog, now) }
+
+// Peer notes an answer from a peer of the domain. logAge is how long ago the
+// peer itself read the log: what it knew then, it has passed on.
+func (c *Contacts) Peer(domain string, now, logAge time.Duration) {
+	c.lastLog = max(c.lastLog, now-logAge)
+	if domain == c.domain {
+		c.lastSame = max(c.lastSame, now)
+	} else {
+		c.lastElse = max(c.lastElse, now)
+	}
+}
+
+// View gives the contact at a time. With several domains only peers of
+// another one count: the instances of a domain that is cut off as a whole
+// go on hearing each other, and none of them hears of a withdrawal.
+func (c *Contacts) View(now time.Duration, severalDomains bool) Contact {
+	peer := c.lastElse
+	if !severalDomains {
+		peer = max(peer, c.lastSame)
+	}
+	return Contact{Now: now, LastLog: c.lastLog, LastPeer: peer}
+}
--- /dev/null
+++ b/internal/wire/config.go
@@ -0,0 +1,22 @@
+package wire
+
+// Kinds of message about the configuration.
+const (
+	// KindConfigAsk asks a peer for a newer state.
+	KindConfigAsk Kind = "config.ask"
+)
+
+// ConfigAsk says what the asking instance has; -1 for nothing.
+type ConfigAsk struct {
+	Revision int64 `msgpack:"r"`
+	Next     int64 `msgpack:"n"`
+}
+
+// ConfigAnswer has the peer's state when it is newer than what was asked
+// with, else only its revision and next offset.
+type ConfigAnswer struct {
+	Revision int64 `msgpack:"r"`
+	Next     int64 `msgpack:"n"`
+	// State is encoded by config.State.Encode; empty when not newer.
+	State []byte `msgpack:"s,omitempty"`
+}
