--- a/internal/config/follower.go
+++ b/internal/config/follower.go
@@ -1,5 +1,7 @@
 package config
 
+import "github.com/mastictray/mastictray/internal/platform"
+
 // Follower folds the config stream as it is read, finds a state to start
 // from when the log is trimmed, and takes newer states from peers. What it
 // holds never goes back. The caller reads from Next and hands in the answers.
@@ -42,16 +44,22 @@
 	f.assembler.reset()
 }
 
-// Read takes the records read from Next on, in offset order and without
-// gaps; an empty list says that there were none yet. It reports whether the
-// state changed. The error is ErrNewerRules; reading again will not help.
-func (f *Follower) Read(records [][]byte) (bool, error) {
+// Read takes the answer to a read from Next on; an empty list says that there
+// were no records yet. It reports whether the state changed. Records that
+// were read before are skipped, and a gap starts the search anew: folding on
+// across it would part this instance from the others. The error is
+// ErrNewerRules; reading again will not help.
+func (f *Follower) Read(records []platform.Record) (bool, error) {
 	before := f.state
 	if f.state == nil && f.from == 0 {
 		f.state = EmptyState()
 	}
-	for _, record := range records {
-		if err := f.take(record); err != nil {
+	for _, r := range records {
+		if int64(r.Offset) < f.pos {
+			continue
+		}
+		f.Trimmed(int64(r.Offset))
+		if err := f.take(r.Data); err != nil {
 			return f.state != before, err
 		}
 	}
@@ -88,8 +96,12 @@
 	if !f.joined() {
 		return true, nil
 	}
-	_, err := f.Read(f.rebase(s.Next))
-	return true, err
+	for _, record := range f.rebase(s.Next) {
+		if err := f.take(record); err != nil {
+			return true, err
+		}
+	}
+	return true, nil
 }
 
 // rebase continues from the offset next and gives the held records that
--- /dev/null
+++ b/internal/config/follower_test.go
@@ -0,0 +1,414 @@
+package config
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/mastictray/mastictray/internal/audit"
+	"github.com/mastictray/mastictray/internal/logrec"
+	"github.com/mastictray/mastictray/internal/platform"
+)
+
+// fakeLog is the config stream: records from start on are retained.
+type fakeLog struct {
+	start   int64
+	records [][]byte
+}
+
+func (l *fakeLog) append(kind logrec.Kind, by string, body any) int64 {
+	data, err := logrec.Encode(kind, by, 0, body)
+	if err != nil {
+		panic(err)
+	}
+	l.records = append(l.records, data)
+	return int64(len(l.records) - 1)
+}
+
+// read lets f read at most limit records, as an instance does.
+func (l *fakeLog) read(f *Follower, limit int) error {
+	if f.Next() < l.start {
+		f.Trimmed(l.start)
+	}
+	var batch []platform.Record
+	for o := f.Next(); o < int64(len(l.records)) && len(batch) < limit; o++ {
+		batch = append(batch, platform.Record{Offset: platform.Offset(o), Data: l.records[o]})
+	}
+	_, err := f.Read(batch)
+	return err
+}
+
+func accountFile(name string, rate int) []byte {
+	return fmt.Appendf(nil, "[account %q]\ntokens-per-second = %d\nburst-tokens = 10\n", name, rate)
+}
+
+func change(op, file string, base int64, contents []byte) Change {
+	return Change{Op: op, Rules: RulesVersion, Files: []FileChange{{Name: file, Base: base, Contents: contents}}}
+}
+
+func mustEncode(t interface{ Fatal(...any) }, s *State) []byte {
+	data, err := s.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+func follow(t *testing.T, l *fakeLog) *State {
+	t.Helper()
+	f := NewFollower()
+	if err := l.read(f, len(l.records)); err != nil {
+		t.Fatal(err)
+	}
+	return f.State()
+}
+
+// Two operators change the same file from the same base. The record at the
+// lower offset is in force on every instance; the other operator is told who
+// won and at which revision, and the audit trail has both.
+func TestOperatorRaceHasOneWinnerWhoIsNamed(t *testing.T) {
+	is := is.New(t)
+	l := &fakeLog{}
+	l.append(KindChange, "anna", change("op-a", "a.ini", NoRevision, accountFile("a", 1)))
+	l.append(KindChange, "beat", change("op-b", "a.ini", NoRevision, accountFile("a", 2)))
+	s := follow(t, l)
+	is.Equal(s.Intent().Accounts["a"].TokensPerSecond, 1.0)
+	lost, ok := s.Outcome("op-b")
+	is.True(ok)
+	is.Equal(lost.Outcome, audit.Rejected)
+	is.Equal(lost.Winner, "anna")
+	is.Equal(lost.WinnerRevision, int64(0))
+	is.Equal(lost.Reason, "a.ini: based on revision -1, but anna brought revision 0")
+	is.Equal(len(s.Audit), 2)
+}
+
+// The answer to an append is lost and the operator's tool appends the same
+// operation again. It takes effect once: the second record, whose base is
+// stale by then, must not turn the operation into a rejected one.
+func TestSameOperationTwiceTakesEffectOnce(t *testing.T) {
+	is := is.New(t)
+	l := &fakeLog{}
+	for range 2 {
+		l.append(KindChange, "anna", change("op-a", "a.ini", NoRevision, accountFile("a", 1)))
+	}
+	s := follow(t, l)
+	got, _ := s.Outcome("op-a")
+	is.Equal(got.Outcome, audit.Accepted)
+	is.Equal(s.Revision, int64(0))
+	is.Equal(len(s.Audit), 1)
+}
+
+// A change based on the time before a file was deleted would bring it back
+// without its operator knowing of the deletion. It loses like any other.
+func TestDeletionWinsOverOlderBase(t *testing.T) {
+	is := is.New(t)
+	l := &fakeLog{}
+	l.append(KindChange, "anna", change("1", "a.ini", NoRevision, accountFile("a", 1)))
+	l.append(KindChange, "anna", Change{Op: "2", Files: []FileChange{{Name: "a.ini", Base: 0, Delete: true}}})
+	l.append(KindChange, "beat", change("3", "a.ini", 0, accountFile("a", 2)))
+	l.append(KindChange, "beat", change("4", "a.ini", NoRevision, accountFile("a", 2)))
+	l.append(KindChange, "beat", change("5", "a.ini", 1, accountFile("a", 3)))
+	s := follow(t, l)
+	got, _ := s.Outcome("3")
+	is.Equal(got.Reason, "a.ini: based on revision 0, but anna deleted it at revision 1")
+	is.Equal(s.Intent().Accounts["a"].TokensPerSecond, 3.0)
+}
+
+// A change that does not validate as a whole set is rejected everywhere,
+// with the place and what was expected; what was in force stays in force.
+func TestInvalidChangeIsRejectedWithItsProblems(t *testing.T) {
+	is := is.New(t)
+	l := &fakeLog{}
+	l.append(KindChange, "anna", change("1", "a.ini", NoRevision, accountFile("a", 1)))
+	l.append(KindChange, "anna", change("2", "a.ini", 0, accountFile("a", 0)))
+	l.append(KindChange, "anna", change("3", "k.ini", NoRevision, []byte("[key \"k\"]\naccount = b\nsha256 = "+goodHash)))
+	s := follow(t, l)
+	got, _ := s.Outcome("2")
+	is.Equal(got.Reason, `a.ini:2: [account "a"] tokens-per-second: expected a number above 0, got "0"`)
+	got, _ = s.Outcome("3")
+	is.Equal(got.Reason, `k.ini:2: [key "k"] account: expected a known account, got "b"`)
+	is.Equal(s.Revision, int64(0))
+}
+
+// A key is withdrawn, and then an operator who has not heard publishes a
+// file that lists it. The key stays withdrawn: by the file's own base the
+// change is valid, so only the kept hash stops it.
+func TestWithdrawnKeyIsNotRevivedByFileOrRecord(t *testing.T) {
+	is := is.New(t)
+	l := &fakeLog{}
+	l.append(KindChange, "anna", change("1", "a.ini", NoRevision, accountFile("a", 1)))
+	l.append(KindKeyCreate, "anna", KeyCreate{Op: "2", ID: "k1", Account: "a", SHA256: goodHash})
+	is.True(!follow(t, l).Intent().Keys[goodHash].Withdrawn)
+	l.append(KindKeyWithdraw, "anna", KeyWithdraw{Op: "3", ID: "k1", SHA256: goodHash})
+	listing := append(accountFile("a", 2), []byte("[key \"k2\"]\naccount = a\nsha256 = "+goodHash)...)
+	l.append(KindChange, "beat", change("4", "a.ini", 0, listing))
+	l.append(KindKeyCreate, "beat", KeyCreate{Op: "5", ID: "k3", Account: "a", SHA256: goodHash})
+	s := follow(t, l)
+	is.Equal(s.Intent().Keys[goodHash], Key{ID: "k1", Account: "a", SHA256: goodHash, Withdrawn: true})
+	got, _ := s.Outcome("4")
+	is.Equal(got.Outcome, audit.Accepted)
+	got, _ = s.Outcome("5")
+	is.Equal(got.Outcome, audit.Rejected)
+}
+
+// An instance comes back from a long cut and its peers are older than it.
+// What it serves must not go back to the older configuration.
+func TestPeerOfLowerRevisionIsNotAdopted(t *testing.T) {
+	is := is.New(t)
+	l := &fakeLog{}
+	l.append(KindChange, "anna", change("1", "a.ini", NoRevision, accountFile("a", 1)))
+	old := follow(t, l)
+	l.append(KindChange, "anna", change("2", "a.ini", 0, accountFile("a", 2)))
+	f := NewFollower()
+	is.NoErr(l.read(f, 10))
+	adopted, err := f.Adopt(old)
+	is.NoErr(err)
+	is.True(!adopted)
+	is.Equal(f.State().Intent().Accounts["a"].TokensPerSecond, 2.0)
+}
+
+// The log has trimmed the first changes and no snapshot stands after the
+// trim. A new instance has nothing that it may serve: an empty configuration
+// would refuse every key and revert what the others have.
+func TestTrimmedLogWithoutSnapshotGivesNoState(t *testing.T) {
+	is := is.New(t)
+	l := &fakeLog{}
+	l.append(KindChange, "anna", change("1", "a.ini", NoRevision, accountFile("a", 1)))
+	base := follow(t, l)
+	l.append(KindChange, "anna", change("2", "a.ini", 0, accountFile("a", 2)))
+	want := follow(t, l)
+	l.start = 1
+	f := NewFollower()
+	is.NoErr(l.read(f, 10))
+	is.True(f.State() == nil)
+	is.True(f.Searching())
+	_, err := f.Adopt(base)
+	is.NoErr(err)
+	is.Equal(mustEncode(t, f.State()), mustEncode(t, want))
+}
+
+// A record of newer rules reaches an older build during an upgrade. The
+// older instance stops in front of it and keeps serving what it has.
+func TestNewerRulesStopTheFold(t *testing.T) {
+	is := is.New(t)
+	l := &fakeLog{}
+	l.append(KindChange, "anna", change("1", "a.ini", NoRevision, accountFile("a", 1)))
+	newer := change("2", "a.ini", 0, accountFile("a", 2))
+	newer.Rules = RulesVersion + 1
+	l.append(KindChange, "anna", newer)
+	f := NewFollower()
+	is.True(l.read(f, 10) != nil)
+	is.Equal(f.State().Revision, int64(0))
+	is.Equal(f.Next(), int64(1))
+}
+
+// world is the machine of the property test: one log, some operators and
+// some instances with whatever each has read.
+type world struct {
+	log       *fakeLog
+	instances []*Follower
+	// reference folds every record; trims never reach it.
+	reference []*State
+	ops       int
+}
+
+func newWorld() *world {
+	w := &world{log: &fakeLog{}, reference: []*State{EmptyState()}}
+	for range 3 {
+		w.instances = append(w.instances, NewFollower())
+	}
+	return w
+}
+
+func (w *world) newest() *State { return w.reference[len(w.reference)-1] }
+
+func (w *world) write(t *rapid.T, kind logrec.Kind, by string, body any) {
+	o := w.log.append(kind, by, body)
+	s, err := Fold(w.newest(), w.log.records[o])
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.reference = append(w.reference, s)
+}
+
+func (w *world) publish(t *rapid.T) {
+	w.ops++
+	seen := w.reference[rapid.IntRange(0, len(w.reference)-1).Draw(t, "seen")]
+	file := rapid.SampledFrom([]string{"a.ini", "b.ini"}).Draw(t, "file")
+	rate := rapid.IntRange(0, 5).Draw(t, "rate")
+	body := change(fmt.Sprint(w.ops), file, seen.Base(file), accountFile(file[:1], rate))
+	if rapid.IntRange(0, 4).Draw(t, "delete") == 0 {
+		body.Files[0] = FileChange{Name: file, Base: seen.Base(file), Delete: true}
+	}
+	// A lost answer makes the tool or the network append it twice.
+	for range rapid.IntRange(1, 2).Draw(t, "times") {
+		w.write(t, KindChange, "operator", body)
+	}
+}
+
+func (w *world) keyOrder(t *rapid.T) {
+	w.ops++
+	n := rapid.IntRange(0, 3).Draw(t, "key")
+	op, id, hash := fmt.Sprint(w.ops), fmt.Sprint("k", n), fmt.Sprintf("%064x", n)
+	if rapid.Bool().Draw(t, "create") {
+		w.write(t, KindKeyCreate, "operator", KeyCreate{Op: op, ID: id, Account: "a", SHA256: hash})
+	} else {
+		w.write(t, KindKeyWithdraw, "operator", KeyWithdraw{Op: op, ID: id, SHA256: hash})
+	}
+}
+
+// snapshot writes the state of any earlier time: a duty holder that was
+// paused does the same.
+func (w *world) snapshot(t *rapid.T) {
+	s := w.reference[rapid.IntRange(0, len(w.reference)-1).Draw(t, "of")]
+	records, err := SnapshotRecords(s, "instance", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range records {
+		e, _ := logrec.Decode(r)
+		w.write(t, KindSnapshot, e.By, e.Body)
+	}
+}
+
+func (w *world) trim(t *rapid.T) {
+	w.log.start = rapid.Int64Range(w.log.start, int64(len(w.log.records))).Draw(t, "start")
+}
+
+func (w *world) restart(t *rapid.T) {
+	w.instances[rapid.IntRange(0, 2).Draw(t, "who")] = NewFollower()
+}
+
+func (w *world) read(t *rapid.T) {
+	f := w.instances[rapid.IntRange(0, 2).Draw(t, "who")]
+	w.advance(t, f, func() error { return w.log.read(f, rapid.IntRange(0, 9).Draw(t, "limit")) })
+}
+
+func (w *world) exchange(t *rapid.T) {
+	from := w.instances[rapid.IntRange(0, 2).Draw(t, "from")].State()
+	f := w.instances[rapid.IntRange(0, 2).Draw(t, "to")]
+	if from == nil {
+		return
+	}
+	s, err := DecodeState(mustEncode(t, from))
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.advance(t, f, func() error { _, err := f.Adopt(s); return err })
+}
+
+// advance runs a step of one instance and checks that it did not go back.
+func (w *world) advance(t *rapid.T, f *Follower, step func() error) {
+	before := f.State()
+	if err := step(); err != nil {
+		t.Fatal(err)
+	}
+	if before != nil && before.Newer(f.State()) {
+		t.Fatalf("went back from %d/%d to %d/%d", before.Revision, before.Next, f.State().Revision, f.State().Next)
+	}
+}
+
+// check compares each instance with the fold of the whole log.
+func (w *world) check(t *rapid.T) {
+	for i, f := range w.instances {
+		s := f.State()
+		if s == nil {
+			continue
+		}
+		want := w.reference[s.Next]
+		if !bytes.Equal(mustEncode(t, s), mustEncode(t, want)) {
+			t.Fatalf("instance %d at offset %d differs from the fold of the log", i, s.Next)
+		}
+		if fmt.Sprint(s.Intent()) != fmt.Sprint(want.Intent()) {
+			t.Fatalf("instance %d at offset %d: intent %v, want %v", i, s.Next, s.Intent(), want.Intent())
+		}
+	}
+}
+
+// Operators race, answers are lost, the log is trimmed, snapshots come late
+// and from old states, instances restart and take states from each other. At
+// equal offsets all instances are equal, and none ever goes back.
+func TestInstancesAgreeAndNeverRevert(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld()
+		t.Repeat(map[string]func(*rapid.T){
+			"publish": w.publish, "key": w.keyOrder, "snapshot": w.snapshot, "trim": w.trim,
+			"restart": w.restart, "read": w.read, "exchange": w.exchange, "": w.check,
+		})
+	})
+}
+
+// A snapshot larger than one log record is split; a new instance on a
+// trimmed log joins the parts and ends with the same bytes.
+func TestSnapshotOfSeveralPartsRestores(t *testing.T) {
+	is := is.New(t)
+	l := &fakeLog{}
+	big := append(accountFile("a", 1), bytes.Repeat([]byte("# comment\n"), 15000)...)
+	for _, name := range []string{"a.ini", "b.ini", "c.ini"} {
+		body := bytes.Replace(big, []byte(`"a"`), []byte(`"`+name[:1]+`"`), 1)
+		l.append(KindChange, "anna", change(name, name, NoRevision, body))
+	}
+	want := follow(t, l)
+	records, err := SnapshotRecords(want, "i", 0)
+	is.NoErr(err)
+	is.True(len(records) > 1)
+	l.records = append(l.records, records...)
+	l.start = 3
+	got := follow(t, l)
+	is.Equal(mustEncode(t, got), mustEncode(t, follow(t, &fakeLog{records: l.records})))
+	is.Equal(got.Revision, want.Revision)
+}
+
+func TestSnapshotDue(t *testing.T) {
+	p := SnapshotPolicy{EveryRecords: 10, Every: 60}
+	cases := map[string]struct {
+		next, through, start int64
+		since                time.Duration
+		want                 bool
+	}{
+		"fresh":        {9, 0, 0, 1, false},
+		"many records": {10, 0, 0, 1, true},
+		"old":          {1, 0, 0, 60, true},
+		"trimmed past": {9, 3, 4, 1, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := &State{Revision: 0, Next: c.next, SnapshotThrough: c.through}
+			is.Equal(SnapshotDue(s, p, c.since, c.start), c.want)
+		})
+	}
+}
+
+func FuzzFold(f *testing.F) {
+	seed, _ := logrec.Encode(KindChange, "o", 0, change("1", "a.ini", NoRevision, accountFile("a", 1)))
+	f.Add(seed)
+	seed, _ = logrec.Encode(KindKeyWithdraw, "o", 0, KeyWithdraw{Op: "1", ID: "k", SHA256: goodHash})
+	f.Add(seed)
+	seed, _ = logrec.Encode(KindSnapshot, "o", 0, SnapshotPart{Through: 0, Parts: 1, Data: []byte{0x80}})
+	f.Add(seed)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		a, errA := Fold(EmptyState(), data)
+		b, errB := Fold(EmptyState(), data)
+		if (errA == nil) != (errB == nil) || !bytes.Equal(mustEncode(t, a), mustEncode(t, b)) {
+			t.Fatal("two folds of one record differ")
+		}
+		if errA == nil && a.Next != 1 {
+			t.Fatalf("next is %d", a.Next)
+		}
+		if _, err := DecodeState(mustEncode(t, a)); err != nil {
+			t.Fatal(err)
+		}
+		NewFollower().assembler.add(data)
+	})
+}
+
+func FuzzDecodeState(f *testing.F) {
+	data, _ := EmptyState().Encode()
+	f.Add(data)
+	f.Fuzz(func(_ *testing.T, data []byte) { _, _ = DecodeState(data) })
+}
