Add the entry process: callers, admission, placement, relay, claims, draining

Cause: the decision packages need a process that serves with them. Change: drivers that feed the config, lease, rate and claim machines from the log and from peers; engine and service pools over placement and the fair queue; a relay; refusals that say whether the request ran. Requests that may run once go over fresh connections, since net/http repeats some on kept ones by itself.

--- /dev/null
+++ b/cmd/mastictray-entry/main.go
@@ -0,0 +1,46 @@
+// Command mastictray-entry is the process on an entry instance.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"k8s.io/klog/v2"
+
+	"github.com/mastictray/mastictray/internal/entry"
+	"github.com/mastictray/mastictray/internal/settings"
+)
+
+func main() {
+	var s settings.Settings
+	parsed := kong.Parse(
+		&s,
+		kong.Name("mastictray-entry"),
+		kong.Description("Routes callers' requests to the targets whose prefix cache serves them soonest."),
+		kong.Configuration(settings.Loader),
+		kong.Vars{"version": "0.1.0"},
+	)
+	if s.PrintSettings {
+		settings.Print(os.Stdout, parsed)
+		return
+	}
+	if err := run(&s); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(s *settings.Settings) error {
+	defer klog.Flush()
+	e, err := entry.New(s)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	return e.Run(ctx)
+}
--- /dev/null
+++ b/internal/entry/callerserver.go
@@ -0,0 +1,61 @@
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/mastictray/mastictray/internal/settings"
+)
+
+// headerReadTimeout bounds reading a request's header: without it a caller
+// that sends one byte a minute holds a connection for ever.
+const headerReadTimeout = 10 * time.Second
+
+// callerServer is the HTTP server that callers reach.
+type callerServer struct {
+	http *http.Server
+	open atomic.Int64
+	max  int64
+}
+
+func newCallerServer(s *settings.Settings, h http.Handler, tlsConfig *tls.Config) *callerServer {
+	c := &callerServer{max: int64(s.MaxConnections)}
+	c.http = &http.Server{
+		Handler:           h,
+		TLSConfig:         tlsConfig,
+		ReadHeaderTimeout: headerReadTimeout,
+		ReadTimeout:       s.ReadTimeout,
+		IdleTimeout:       s.IdleTimeout,
+		MaxHeaderBytes:    s.MaxHeaderBytes,
+		ConnState:         c.track,
+		ErrorLog:          discardLogger(),
+	}
+	return c
+}
+
+// track counts open connections.
+func (c *callerServer) track(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		c.open.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		c.open.Add(-1)
+	}
+}
+
+// full says that a request came on a connection over the limit. It is refused
+// with an answer rather than a reset, so that its caller knows why.
+func (c *callerServer) full() bool { return c.open.Load() > c.max }
+
+func (c *callerServer) serve(l net.Listener) error {
+	if c.http.TLSConfig != nil {
+		return c.http.ServeTLS(l, "", "")
+	}
+	return c.http.Serve(l)
+}
+
+func (c *callerServer) shutdown(ctx context.Context) error { return c.http.Shutdown(ctx) }
--- /dev/null
+++ b/internal/entry/configdriver.go
@@ -0,0 +1,212 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/mastictray/mastictray/internal/config"
+	"github.com/mastictray/mastictray/internal/keys"
+	"github.com/mastictray/mastictray/internal/logline"
+	"github.com/mastictray/mastictray/internal/peer"
+	"github.com/mastictray/mastictray/internal/platform"
+	"github.com/mastictray/mastictray/internal/wire"
+)
+
+const (
+	// configAskEvery is how often a peer is asked for a newer configuration.
+	// It bounds how late a change comes to an instance that is cut off from
+	// the platform only.
+	configAskEvery   = 500 * time.Millisecond
+	configAskTimeout = time.Second
+)
+
+// configDriver keeps the configuration in force: it follows the config stream
+// and asks peers, and takes whichever has the newer state.
+type configDriver struct {
+	clock clock
+	node  *peer.Node
+	peers func() []string
+
+	mu       sync.Mutex
+	follower *config.Follower
+	contacts *keys.Contacts
+	lastLog  time.Duration
+	heardLog bool
+
+	state   atomic.Pointer[config.State]
+	ready   chan struct{}
+	changed []func(*config.State)
+}
+
+func newConfigDriver(c clock, node *peer.Node, domain string, peers func() []string) *configDriver {
+	d := &configDriver{
+		clock:    c,
+		node:     node,
+		peers:    peers,
+		follower: config.NewFollower(),
+		contacts: keys.NewContacts(domain, c.now()),
+		ready:    make(chan struct{}),
+	}
+	node.Handle(wire.KindConfigAsk, d.handleAsk)
+	return d
+}
+
+// onChange registers a function that is called with each new state, one call
+// at a time. Register before run.
+func (d *configDriver) onChange(f func(*config.State)) { d.changed = append(d.changed, f) }
+
+// intent is the configuration in force, or nil before the first.
+func (d *configDriver) intent() *config.Intent {
+	s := d.state.Load()
+	if s == nil {
+		return nil
+	}
+	return s.Intent()
+}
+
+// authorize checks a presented key against the configuration in force.
+func (d *configDriver) authorize(presented string) (config.Account, string, error) {
+	intent := d.intent()
+	d.mu.Lock()
+	contact := d.contacts.View(d.clock.now(), severalDomains(intent))
+	d.mu.Unlock()
+	return keys.Authorize(intent, presented, contact)
+}
+
+func severalDomains(intent *config.Intent) bool {
+	first := ""
+	for _, t := range intent.Targets {
+		if first != "" && t.Domain != first {
+			return true
+		}
+		first = t.Domain
+	}
+	return false
+}
+
+func (d *configDriver) next() platform.Offset {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return platform.Offset(d.follower.Next())
+}
+
+func (d *configDriver) read(b platform.Batch) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lastLog, d.heardLog = d.clock.now(), true
+	d.contacts.Log(d.lastLog)
+	_, err := d.follower.Read(b.Records)
+	d.publish()
+	return err
+}
+
+func (d *configDriver) trimmed(start platform.Offset) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	logline.Info("config_trimmed", "start", start)
+	d.follower.Trimmed(int64(start))
+}
+
+// publish puts the follower's state into force. Callers hold mu.
+func (d *configDriver) publish() {
+	s, before := d.follower.State(), d.state.Load()
+	if s == nil || s == before {
+		return
+	}
+	d.state.Store(s)
+	if before == nil {
+		close(d.ready)
+	}
+	if before == nil || before.Revision != s.Revision {
+		logline.Info("config_in_force", "revision", s.Revision, "next", s.Next)
+		for _, f := range d.changed {
+			f(s)
+		}
+	}
+}
+
+// askPeers asks one peer after another for a newer state until ctx ends. The
+// first round asks all at once: a starting instance takes whichever of the
+// log and the peers answers first.
+func (d *configDriver) askPeers(ctx context.Context) {
+	for _, addr := range d.peers() {
+		go d.ask(ctx, addr)
+	}
+	for turn := 0; ctx.Err() == nil; turn++ {
+		sleep(ctx, configAskEvery)
+		if all := d.peers(); len(all) > 0 {
+			d.ask(ctx, all[turn%len(all)])
+		}
+	}
+}
+
+func (d *configDriver) ask(ctx context.Context, addr string) {
+	ctx, cancel := context.WithTimeout(ctx, configAskTimeout)
+	defer cancel()
+	ask := wire.ConfigAsk{Revision: config.NoRevision, Next: 0}
+	if s := d.state.Load(); s != nil {
+		ask = wire.ConfigAsk{Revision: s.Revision, Next: s.Next}
+	}
+	var ans wire.ConfigAnswer
+	from, err := d.node.Call(ctx, addr, wire.KindConfigAsk, ask, &ans)
+	if err != nil {
+		return
+	}
+	d.adopt(from, ans)
+}
+
+func (d *configDriver) adopt(from wire.Identity, ans wire.ConfigAnswer) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if ans.LogAgeMillis >= 0 {
+		d.contacts.Peer(from.Domain, d.clock.now(), time.Duration(ans.LogAgeMillis)*time.Millisecond)
+	}
+	if len(ans.State) == 0 {
+		return
+	}
+	s, err := config.DecodeState(ans.State)
+	if err != nil {
+		logline.Error(err, "config_from_peer_refused", "peer", from.Address)
+		return
+	}
+	took, err := d.follower.Adopt(s)
+	if err != nil {
+		logline.Error(err, "config_from_peer_refused", "peer", from.Address)
+		return
+	}
+	if took {
+		logline.Info("config_from_peer", "peer", from.Address, "revision", s.Revision)
+		d.publish()
+	}
+}
+
+func (d *configDriver) handleAsk(_ context.Context, _ wire.Identity, f wire.Frame) (any, error) {
+	var ask wire.ConfigAsk
+	if err := f.Into(&ask); err != nil {
+		return nil, err
+	}
+	ans := wire.ConfigAnswer{Revision: config.NoRevision, LogAgeMillis: d.logAgeMillis()}
+	s := d.state.Load()
+	if s == nil {
+		return ans, nil
+	}
+	ans.Revision, ans.Next = s.Revision, s.Next
+	if s.Next <= ask.Next {
+		return ans, nil
+	}
+	raw, err := s.Encode()
+	ans.State = raw
+	return ans, err
+}
+
+// logAgeMillis is how long ago this instance read the log; -1 for never.
+func (d *configDriver) logAgeMillis() int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.heardLog {
+		return -1
+	}
+	return (d.clock.now() - d.lastLog).Milliseconds()
+}
--- /dev/null
+++ b/internal/entry/discard.go
@@ -0,0 +1,19 @@
+package entry
+
+import (
+	"log"
+	"strings"
+
+	"github.com/mastictray/mastictray/internal/logline"
+)
+
+// discardLogger turns net/http's own messages into event lines, without the
+// request they speak of.
+func discardLogger() *log.Logger { return log.New(httpLog{}, "", 0) }
+
+type httpLog struct{}
+
+func (httpLog) Write(p []byte) (int, error) {
+	logline.Info("http_server", "message", strings.TrimSpace(string(p)))
+	return len(p), nil
+}
--- /dev/null
+++ b/internal/entry/enginepool.go
@@ -0,0 +1,321 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mastictray/mastictray/internal/belief"
+	"github.com/mastictray/mastictray/internal/config"
+	"github.com/mastictray/mastictray/internal/fairqueue"
+	"github.com/mastictray/mastictray/internal/openai"
+	"github.com/mastictray/mastictray/internal/placement"
+	"github.com/mastictray/mastictray/internal/prefix"
+)
+
+const (
+	beliefBudgetBytes = 16 << 20
+	maxQueuedRequests = 4096
+	pumpEvery         = 5 * time.Millisecond
+	// backlogWindow is the prompt work at the targets above which requests
+	// wait here, where their order is still fair.
+	backlogWindow = 600 * time.Millisecond
+	// crossDomainDelay is what placement counts for a target elsewhere.
+	crossDomainDelay = 1500 * time.Microsecond
+)
+
+// placed is a target chosen for one attempt.
+type placed struct {
+	target  string
+	address string
+	version string
+	id      belief.Identity
+	chain   []prefix.Hash
+	kept    int
+}
+
+// waiter is a request in the fair queue.
+type waiter struct {
+	req  placement.Request
+	done chan placedOrError
+}
+
+type placedOrError struct {
+	placed placed
+	err    error
+}
+
+// enginePool decides for the requests of one engine pool. Its lock is held for
+// decisions only, never over I/O.
+type enginePool struct {
+	clock  clock
+	domain string
+
+	mu      sync.Mutex
+	cfg     config.Pool
+	model   config.Model
+	address map[string]string
+	failed  map[string]time.Duration
+	pool    *placement.Pool
+	picker  *placement.Picker
+	beliefs *belief.Store
+	queue   *fairqueue.Queue[*waiter]
+	rng     *rand.Rand
+	nextID  uint64
+	// started is set once run is going; the pools' lock guards it.
+	started bool
+}
+
+func newEnginePool(c clock, domain string) *enginePool {
+	return &enginePool{
+		clock:   c,
+		domain:  domain,
+		address: make(map[string]string),
+		failed:  make(map[string]time.Duration),
+		beliefs: belief.NewStore(beliefBudgetBytes),
+		rng:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+}
+
+// configure puts a pool's configuration into force and keeps what is known of
+// the targets that stay.
+func (p *enginePool) configure(cfg config.Pool, model config.Model, targets []config.Target, routers int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := make([]placement.Target, 0, len(targets))
+	address := make(map[string]string, len(targets))
+	for _, t := range targets {
+		address[t.Name] = t.Address
+		list = append(list, p.keep(t, cfg, model))
+	}
+	p.cfg, p.model, p.address = cfg, model, address
+	p.pool = placement.NewPool(list, model.Version, placement.DefaultFilters())
+	o := placement.DefaultOptions()
+	o.Domain, o.CrossDomainDelay = p.domain, crossDomainDelay
+	p.picker = placement.NewPicker(p.pool, p.beliefs, o)
+	if p.queue == nil {
+		share := cfg.PrefillTokensPerSecond * float64(len(targets)) / float64(max(routers, 1))
+		p.queue = fairqueue.New[*waiter](fairqueue.Options{MaxItems: maxQueuedRequests, InitialRate: share})
+	}
+}
+
+// keep carries a target's observed state over a change of configuration. A
+// target at another address is a new one: nothing is believed of it. A target
+// not heard of yet counts as serving the wanted version: the target itself
+// refuses a request that counts on another.
+func (p *enginePool) keep(t config.Target, cfg config.Pool, model config.Model) placement.Target {
+	fresh := placement.Target{
+		Name: t.Name, Domain: t.Domain, Version: model.Version,
+		PrefillTokensPerSecond: cfg.PrefillTokensPerSecond,
+	}
+	if p.pool == nil || p.address[t.Name] != t.Address {
+		p.beliefs.Forget(t.Name)
+		return fresh
+	}
+	i, ok := p.pool.Find(t.Name)
+	if !ok {
+		return fresh
+	}
+	kept := *p.pool.Target(i)
+	kept.Domain, kept.PrefillTokensPerSecond = t.Domain, cfg.PrefillTokensPerSecond
+	return kept
+}
+
+// acquire waits in the fair queue and returns the chosen target. The error is
+// an *openai.Error: the request has not run.
+func (p *enginePool) acquire(ctx context.Context, it fairqueue.Item[*waiter]) (placed, error) {
+	p.mu.Lock()
+	p.nextID++
+	it.ID = p.nextID
+	it.Value.done = make(chan placedOrError, 1)
+	refuseAll(p.queue.Push(p.clock.now(), it))
+	p.pump()
+	p.mu.Unlock()
+	select {
+	case r := <-it.Value.done:
+		return r.placed, r.err
+	case <-ctx.Done():
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.queue.Cancel(it.Account, it.ID) {
+		if r := <-it.Value.done; r.err == nil {
+			p.beliefs.Failed(r.placed.id, r.placed.chain, r.placed.kept)
+		}
+	}
+	return placed{}, ctx.Err()
+}
+
+// again places a request that was served once already on another target.
+func (p *enginePool) again(req placement.Request) (placed, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.place(&req)
+}
+
+// run pumps the queue until ctx ends.
+func (p *enginePool) run(ctx context.Context) {
+	tick := time.NewTicker(pumpEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		p.mu.Lock()
+		p.pump()
+		p.mu.Unlock()
+	}
+}
+
+// pump sends waiting requests while the targets' backlog is low. Callers hold
+// mu.
+func (p *enginePool) pump() {
+	if p.queue == nil || p.queue.Len() == 0 {
+		return
+	}
+	now := p.clock.now()
+	refuseAll(p.queue.Sweep(now))
+	for p.queue.Len() > 0 && p.pool.Backlog(now) < backlogWindow {
+		it, ok := p.queue.Pop(now)
+		if !ok {
+			return
+		}
+		pl, err := p.place(&it.Value.req)
+		it.Value.done <- placedOrError{pl, err}
+	}
+}
+
+func (p *enginePool) place(req *placement.Request) (placed, error) {
+	now := p.clock.now()
+	d, err := p.picker.Pick(now, req, p.rng)
+	if err != nil {
+		return placed{}, &openai.Error{
+			Status: http.StatusServiceUnavailable, Code: openai.CodeNoTarget, Outcome: openai.NotRun,
+			Message: "no target can take the request", RetryAfter: time.Second,
+		}
+	}
+	t := p.pool.Target(d.Index)
+	id := belief.Identity{Target: t.Name, Incarnation: t.Incarnation, Version: t.Version}
+	t.Load.Sent(now, d.UncachedTokens)
+	p.beliefs.Expect(id, req.Chain)
+	return placed{target: t.Name, address: p.address[t.Name], version: t.Version, id: id, chain: req.Chain, kept: d.CachedPieces}, nil
+}
+
+func refuseAll(list []fairqueue.Refusal[*waiter]) {
+	for _, x := range list {
+		x.Item.Value.done <- placedOrError{err: queueRefusal(x.Reason, x.RetryAfter)}
+	}
+}
+
+func queueRefusal(reason fairqueue.Reason, retryAfter time.Duration) *openai.Error {
+	e := &openai.Error{
+		Status: http.StatusServiceUnavailable, Code: openai.CodeOverloaded, Outcome: openai.NotRun,
+		Message: "the queue is full", RetryAfter: retryAfter,
+	}
+	if reason == fairqueue.ReasonDeadline {
+		e.Code, e.Message = openai.CodeDeadline, "the answer would not begin before its deadline"
+	}
+	return e
+}
+
+// served takes in the end of an answer: the target holds the whole chain.
+func (p *enginePool) served(pl placed, account string, costDelta float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.beliefs.Answered(pl.id, pl.chain)
+	p.queue.Done(account, costDelta)
+}
+
+// lost takes in a failed attempt. With broken the connection to the target
+// failed, and it gets no new work until it answers a load question again.
+func (p *enginePool) lost(pl placed, broken bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.beliefs.Failed(pl.id, pl.chain, pl.kept)
+	if broken {
+		p.setBreaker(pl.target, true)
+	}
+}
+
+// setBreaker opens or closes a target's breaker. Callers hold mu.
+func (p *enginePool) setBreaker(name string, open bool) {
+	i, ok := p.pool.Find(name)
+	if !ok {
+		return
+	}
+	if open {
+		p.failed[name] = p.clock.now()
+	}
+	t := p.pool.Target(i)
+	t.BreakerOpen = open
+	p.pool.Changed(i)
+}
+
+// setDraining marks the targets that the instance list shows leaving.
+func (p *enginePool) setDraining(leaving func(name string) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.pool == nil {
+		return
+	}
+	for i := range p.pool.Len() {
+		t := p.pool.Target(i)
+		if drain := leaving(t.Name); drain != t.Draining {
+			t.Draining = drain
+			p.pool.Changed(i)
+		}
+	}
+}
+
+// loadReport is a target's answer to a load question.
+type loadReport struct {
+	Incarnation         string  `json:"incarnation"`
+	Version             string  `json:"version"`
+	QueuedPrefillTokens float64 `json:"queued_prefill_tokens"`
+	AsOfMS              int64   `json:"as_of_ms"`
+}
+
+// observe takes a load report in. asked is when the question was sent, asOf
+// when the report was true.
+func (p *enginePool) observe(name string, asked, asOf time.Duration, r loadReport) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	i, ok := p.pool.Find(name)
+	if !ok {
+		return
+	}
+	t := p.pool.Target(i)
+	t.Belief = p.beliefs.Observe(asked, belief.Identity{Target: name, Incarnation: r.Incarnation, Version: r.Version})
+	if t.Incarnation != r.Incarnation || t.Version != r.Version {
+		t.Load.Reset(asOf)
+		t.Incarnation, t.Version = r.Incarnation, r.Version
+		p.pool.Changed(i)
+	}
+	t.Load.Report(asOf, r.QueuedPrefillTokens)
+	if t.BreakerOpen && asked > p.failed[name] {
+		p.setBreaker(name, false)
+	}
+}
+
+// unanswered opens the breaker of a target that answers no load questions.
+func (p *enginePool) unanswered(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.setBreaker(name, true)
+}
+
+// explain says where a request would go and why, without sending it.
+func (p *enginePool) explain(req placement.Request) (placement.Explanation, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.picker == nil {
+		return placement.Explanation{}, errors.New("explain: pool not configured")
+	}
+	return p.picker.Explain(p.clock.now(), &req, p.rng), nil
+}
--- /dev/null
+++ b/internal/entry/engineserve.go
@@ -0,0 +1,228 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mastictray/mastictray/internal/config"
+	"github.com/mastictray/mastictray/internal/fairqueue"
+	"github.com/mastictray/mastictray/internal/logline"
+	"github.com/mastictray/mastictray/internal/openai"
+	"github.com/mastictray/mastictray/internal/placement"
+	"github.com/mastictray/mastictray/internal/prefix"
+	"github.com/mastictray/mastictray/internal/rate"
+)
+
+// maxAttempts bounds the targets tried for one request.
+const maxAttempts = 3
+
+// engineCall is a call to a model with what was decided about it.
+type engineCall struct {
+	*call
+	pool     config.Pool
+	model    config.Model
+	req      openai.Request
+	place    placement.Request
+	cost     float64
+	reserved rate.Reservation
+	usage    openai.Usage
+	// wrote is set once a byte of the answer went to the caller.
+	wrote bool
+}
+
+func (s *server) serveEngine(c *call, route config.Route, pool config.Pool, model config.Model, req openai.Request) error {
+	c.route = route
+	c.due = c.began + route.Deadline
+	e := &engineCall{call: c, pool: pool, model: model, req: req}
+	e.describe()
+	if err := s.admit(c, e.cost, &e.reserved); err != nil {
+		return err
+	}
+	used := 0.0
+	defer func() { s.rates.settle(&e.reserved, used) }()
+	err := s.runEngine(e)
+	used = e.used(err)
+	if err == nil {
+		s.metrics.usage(c.account.Name, pool.Name, e.usage)
+		logline.Info("request_done", "request", c.id, "account", c.account.Name, "key", c.keyID, "route", route.Name,
+			"attempts", c.attempts, "prompt_tokens", e.usage.PromptTokens,
+			"cached_tokens", e.usage.PromptTokensDetails.CachedTokens, "completion_tokens", e.usage.CompletionTokens,
+			"ms", (s.clock.now() - c.began).Milliseconds())
+	}
+	return err
+}
+
+// describe works out the pieces of the prompt and the charge.
+func (e *engineCall) describe() {
+	scope := prefix.Scope{Account: e.account.Name, Model: e.model.Name, Version: e.model.Version}
+	e.place = placement.Request{
+		Chain:        prefix.Chain(nil, scope.Seed(), e.req.Prompt, e.model.PieceBytes),
+		PieceTokens:  int(float64(e.model.PieceBytes) / e.model.BytesPerToken),
+		PromptTokens: int(float64(len(e.req.Prompt))/e.model.BytesPerToken) + 1,
+	}
+	output := e.req.MaxTokens
+	if output == 0 {
+		output = e.model.DefaultMaxTokens
+	}
+	e.cost = float64(e.place.PromptTokens + output)
+}
+
+// used is what the request is charged in the end. What did not run costs
+// nothing; what may have run without a count costs its whole charge.
+func (e *engineCall) used(err error) float64 {
+	var refused *openai.Error
+	if errors.As(err, &refused) && refused.Outcome == openai.NotRun {
+		return 0
+	}
+	if e.usage.PromptTokens == 0 {
+		return e.cost
+	}
+	return float64(e.usage.PromptTokens + e.usage.CompletionTokens)
+}
+
+// admit debits the account's rate.
+func (s *server) admit(c *call, cost float64, into *rate.Reservation) error {
+	o := s.rates.admit(c.r.Context(), c.account.Name, cost, c.due)
+	if o.Err == nil {
+		*into = o.Reservation
+		return nil
+	}
+	switch {
+	case errors.Is(o.Err, rate.ErrTooLarge):
+		return refusal(http.StatusRequestEntityTooLarge, openai.CodeOverBurst, "the request costs more than the account's whole burst", 0)
+	case errors.Is(o.Err, rate.ErrTooMany):
+		return refusal(http.StatusTooManyRequests, openai.CodeOverloaded, "too many requests of the account are waiting", time.Second)
+	case errors.Is(o.Err, rate.ErrOverRate):
+		return refusal(http.StatusTooManyRequests, openai.CodeRateLimited, "the account is over its rate", max(o.RetryAfter, time.Second))
+	default:
+		return refusal(http.StatusServiceUnavailable, openai.CodeNotReady, "the request could not be admitted", time.Second)
+	}
+}
+
+// runEngine queues the request and tries targets until one answers whole.
+func (s *server) runEngine(e *engineCall) error {
+	pool := s.pools.engine(e.pool.Name)
+	first := fairqueue.Item[*waiter]{
+		Account: e.account.Name, Weight: e.account.Weight, Priority: e.route.Priority,
+		Cost: e.cost, Deadline: e.due, Value: &waiter{req: e.place},
+	}
+	pl, err := pool.acquire(e.r.Context(), first)
+	for {
+		if err != nil {
+			return placeError(err)
+		}
+		err = s.attempt(e, pool, pl)
+		if err == nil || !s.mayRetry(e, err) {
+			return err
+		}
+		e.place.Exclude = pl.target
+		pl, err = pool.again(e.place)
+	}
+}
+
+// placeError passes refusals on; what remains is a caller that left.
+func placeError(err error) error {
+	var e *openai.Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return refusal(http.StatusServiceUnavailable, openai.CodeDeadline, "the caller left before the request ran", 0)
+}
+
+// mayRetry reports whether a failed attempt may be followed by another: never
+// once a byte went to the caller, and for a non-idempotent route only when
+// the request has not run.
+func (s *server) mayRetry(e *engineCall, err error) bool {
+	if e.wrote || e.attempts >= maxAttempts || e.r.Context().Err() != nil || s.clock.now() >= e.due {
+		return false
+	}
+	var failed *openai.Error
+	if !errors.As(err, &failed) {
+		return false
+	}
+	return failed.Status != http.StatusBadRequest && (e.route.Idempotent || failed.Outcome == openai.NotRun)
+}
+
+// attempt sends the request to one target and relays its answer.
+func (s *server) attempt(e *engineCall, pool *enginePool, pl placed) error {
+	if err := s.recheck(e); err != nil {
+		pool.lost(pl, false)
+		return err
+	}
+	e.attempts++
+	ctx, cancel := context.WithCancel(e.r.Context())
+	defer cancel()
+	resp, err := s.targets.send(ctx, s.engineRequest(e, pl))
+	if err != nil {
+		pool.lost(pl, ctx.Err() == nil)
+		s.metrics.attempt(e.pool.Name, "unreachable")
+		return attemptError(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		pool.lost(pl, false)
+		s.metrics.attempt(e.pool.Name, "refused")
+		return targetRefusal(resp)
+	}
+	if err := s.relay(e, resp); err != nil {
+		pool.lost(pl, ctx.Err() == nil)
+		s.metrics.attempt(e.pool.Name, "broken")
+		return err
+	}
+	s.metrics.attempt(e.pool.Name, "answered")
+	s.metrics.answered(e.account.Name, e.pool.Name)
+	pool.served(pl, e.account.Name, float64(e.usage.PromptTokens+e.usage.CompletionTokens)-e.cost)
+	return nil
+}
+
+// recheck is the last look before dispatch: the key may have been withdrawn
+// and the debit may have lapsed while the request waited or the process was
+// paused.
+func (s *server) recheck(e *engineCall) error {
+	if err := s.authorize(e.call); err != nil {
+		return err
+	}
+	if e.attempts == 0 && !s.rates.confirm(e.reserved) {
+		s.rates.settle(&e.reserved, 0)
+		return s.admit(e.call, e.cost, &e.reserved)
+	}
+	return nil
+}
+
+func (s *server) engineRequest(e *engineCall, pl placed) attemptRequest {
+	return attemptRequest{
+		attempt: attemptID(e.call), target: pl.target, address: pl.address, method: http.MethodPost,
+		path: e.r.URL.Path, account: e.account.Name, version: pl.version, priority: e.route.Priority,
+		header: http.Header{"Content-Type": {"application/json"}}, body: e.req.Body, once: !e.route.Idempotent,
+	}
+}
+
+// attemptError turns a failed exchange into what the caller is told.
+func attemptError(err error) error {
+	var se *sendError
+	if !errors.As(err, &se) {
+		return err
+	}
+	return &openai.Error{
+		Status: http.StatusBadGateway, Code: openai.CodeTargetFailed, Outcome: se.outcome,
+		Message: "the target failed", RetryAfter: time.Second,
+	}
+}
+
+// targetRefusal turns a target's answer other than 200 into what the caller is
+// told. 409, 429 and 503 are refusals before the request ran.
+func targetRefusal(resp *http.Response) error {
+	body, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBodyBytes))
+	switch resp.StatusCode {
+	case http.StatusConflict, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return refusal(http.StatusServiceUnavailable, openai.CodeOverloaded, "the target refused the request", time.Second)
+	case http.StatusBadRequest:
+		return refusal(http.StatusBadRequest, openai.CodeBadRequest, "the target refused the request: "+string(body), 0)
+	default:
+		return &openai.Error{Status: http.StatusBadGateway, Code: openai.CodeTargetFailed, Outcome: openai.MayHaveRun, Message: "the target failed"}
+	}
+}
--- /dev/null
+++ b/internal/entry/loadpoller.go
@@ -0,0 +1,122 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mastictray/mastictray/internal/config"
+)
+
+const (
+	loadEvery   = 250 * time.Millisecond
+	loadTimeout = time.Second
+	// loadMisses is how many questions in a row may stay unanswered.
+	loadMisses     = 2
+	maxReportBytes = 64 << 10
+	maxReportAge   = 10 * time.Second
+)
+
+// loadPoller asks every target of the engine pools for its load, one question
+// after the other for each target.
+type loadPoller struct {
+	clock  clock
+	client *http.Client
+
+	mu      sync.Mutex
+	running map[string]polled
+}
+
+// polled is one target that is being asked.
+type polled struct {
+	address string
+	pool    *enginePool
+	stop    context.CancelFunc
+}
+
+func newLoadPoller(c clock) *loadPoller {
+	return &loadPoller{
+		clock:   c,
+		client:  &http.Client{Timeout: loadTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+		running: make(map[string]polled),
+	}
+}
+
+// follow asks exactly these targets from now on.
+func (l *loadPoller) follow(ctx context.Context, targets []config.Target, poolOf func(string) *enginePool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	wanted := make(map[string]bool, len(targets))
+	for _, t := range targets {
+		pool := poolOf(t.Pool)
+		if pool == nil {
+			continue
+		}
+		wanted[t.Name] = true
+		if was, ok := l.running[t.Name]; ok {
+			if was.address == t.Address && was.pool == pool {
+				continue
+			}
+			was.stop()
+		}
+		own, stop := context.WithCancel(ctx)
+		l.running[t.Name] = polled{address: t.Address, pool: pool, stop: stop}
+		go l.poll(own, t.Name, t.Address, pool)
+	}
+	for name, was := range l.running {
+		if !wanted[name] {
+			was.stop()
+			delete(l.running, name)
+		}
+	}
+}
+
+func (l *loadPoller) poll(ctx context.Context, name, address string, pool *enginePool) {
+	missed := 0
+	for ctx.Err() == nil {
+		asked := l.clock.now()
+		r, err := l.ask(ctx, address)
+		if ctx.Err() != nil {
+			return
+		}
+		if err == nil {
+			missed = 0
+			pool.observe(name, asked, l.asOf(asked, r), r)
+		} else if missed++; missed >= loadMisses {
+			pool.unanswered(name)
+		}
+		sleep(ctx, loadEvery)
+	}
+}
+
+func (l *loadPoller) ask(ctx context.Context, address string) (loadReport, error) {
+	var r loadReport
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/load", nil)
+	if err != nil {
+		return r, errors.Wrapf(err, "ask load target=%s", address)
+	}
+	resp, err := l.client.Do(req)
+	if err != nil {
+		return r, errors.Wrapf(err, "ask load target=%s", address)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return r, errors.Newf("ask load target=%s: status %d", address, resp.StatusCode)
+	}
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxReportBytes)).Decode(&r)
+	return r, errors.Wrapf(err, "ask load target=%s", address)
+}
+
+// asOf turns the target's wall clock into this process's time. A clock that is
+// far off cannot make a report newer than its answer or very old.
+func (l *loadPoller) asOf(asked time.Duration, r loadReport) time.Duration {
+	now := l.clock.now()
+	age := time.Duration(l.clock.wallMillis()-r.AsOfMS) * time.Millisecond
+	age = min(max(age, 0), maxReportAge)
+	return max(min(now-age, now), asked-maxReportAge)
+}
--- /dev/null
+++ b/internal/entry/metrics.go
@@ -0,0 +1,38 @@
+package entry
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/mastictray/mastictray/internal/openai"
+)
+
+// entryMetrics are the process's counters; docs/operators/metrics.md has what
+// each means.
+type entryMetrics struct{ set *metrics.Set }
+
+func newEntryMetrics() *entryMetrics { return &entryMetrics{set: metrics.NewSet()} }
+
+func (m *entryMetrics) refused(account string, code openai.Code) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`mastictray_refusals_total{account=%q,code=%q}`, account, code)).Inc()
+}
+
+func (m *entryMetrics) answered(account, pool string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`mastictray_answers_total{account=%q,pool=%q}`, account, pool)).Inc()
+}
+
+func (m *entryMetrics) attempt(pool, result string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`mastictray_attempts_total{pool=%q,result=%q}`, pool, result)).Inc()
+}
+
+func (m *entryMetrics) firstToken(pool string, d time.Duration) {
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`mastictray_first_token_seconds{pool=%q}`, pool)).Update(d.Seconds())
+}
+
+func (m *entryMetrics) usage(account, pool string, u openai.Usage) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`mastictray_prompt_tokens_total{account=%q,pool=%q}`, account, pool)).Add(u.PromptTokens)
+	m.set.GetOrCreateCounter(fmt.Sprintf(`mastictray_cached_tokens_total{account=%q,pool=%q}`, account, pool)).Add(u.PromptTokensDetails.CachedTokens)
+	m.set.GetOrCreateCounter(fmt.Sprintf(`mastictray_completion_tokens_total{account=%q,pool=%q}`, account, pool)).Add(u.CompletionTokens)
+}
--- /dev/null
+++ b/internal/entry/pools.go
@@ -0,0 +1,95 @@
+package entry
+
+import (
+	"context"
+	"sync"
+
+	"github.com/mastictray/mastictray/internal/config"
+)
+
+// pools are the engine and service pools of the configuration in force.
+type pools struct {
+	clock  clock
+	domain string
+	poller *loadPoller
+	ctx    context.Context
+
+	mu       sync.RWMutex
+	engines  map[string]*enginePool
+	services map[string]*servicePool
+}
+
+func newPools(ctx context.Context, c clock, domain string) *pools {
+	return &pools{
+		clock:    c,
+		domain:   domain,
+		poller:   newLoadPoller(c),
+		ctx:      ctx,
+		engines:  make(map[string]*enginePool),
+		services: make(map[string]*servicePool),
+	}
+}
+
+// configure puts a configuration into force. routers is the number of entry
+// instances that share the targets.
+func (p *pools) configure(s *config.State, routers int) {
+	intent := s.Intent()
+	byPool := make(map[string][]config.Target)
+	for _, t := range intent.Targets {
+		byPool[t.Pool] = append(byPool[t.Pool], t)
+	}
+	p.mu.Lock()
+	for name, cfg := range intent.Pools {
+		p.configureOne(cfg, intent.Models[cfg.Model], byPool[name], routers)
+	}
+	p.mu.Unlock()
+	all := make([]config.Target, 0, len(intent.Targets))
+	for _, t := range intent.Targets {
+		all = append(all, t)
+	}
+	p.poller.follow(p.ctx, all, p.engine)
+}
+
+func (p *pools) configureOne(cfg config.Pool, model config.Model, targets []config.Target, routers int) {
+	if cfg.Kind == config.KindService {
+		if p.services[cfg.Name] == nil {
+			p.services[cfg.Name] = newServicePool(p.clock, p.domain)
+		}
+		p.services[cfg.Name].configure(cfg, targets)
+		return
+	}
+	pool := p.engines[cfg.Name]
+	if pool == nil {
+		pool = newEnginePool(p.clock, p.domain)
+		p.engines[cfg.Name] = pool
+	}
+	pool.configure(cfg, model, targets, routers)
+	if !pool.started {
+		pool.started = true
+		go pool.run(p.ctx)
+	}
+}
+
+func (p *pools) engine(name string) *enginePool {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return p.engines[name]
+}
+
+func (p *pools) service(name string) *servicePool {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return p.services[name]
+}
+
+// setDraining marks the targets that get no new work.
+func (p *pools) setDraining(leaving func(name string) bool) {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	for _, pool := range p.engines {
+		pool.setDraining(leaving)
+	}
+	for _, pool := range p.services {
+		pool.setDraining(leaving)
+	}
+}
--- /dev/null
+++ b/internal/entry/server.go
@@ -0,0 +1,221 @@
+package entry
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/mastictray/mastictray/internal/config"
+	"github.com/mastictray/mastictray/internal/keys"
+	"github.com/mastictray/mastictray/internal/logline"
+	"github.com/mastictray/mastictray/internal/openai"
+)
+
+// server answers callers.
+type server struct {
+	clock   clock
+	config  *configDriver
+	rates   *rateDriver
+	claims  *claimDriver
+	pools   *pools
+	targets *targetClient
+	metrics *entryMetrics
+	maxBody int64
+
+	// full reports whether too many connections are open.
+	full func() bool
+	// closing is set when the process no longer takes requests.
+	closing atomic.Bool
+	running sync.WaitGroup
+}
+
+// call is one request of a caller on its way through.
+type call struct {
+	id      string
+	w       http.ResponseWriter
+	r       *http.Request
+	began   time.Duration
+	due     time.Duration
+	key     string
+	keyID   string
+	account config.Account
+	route   config.Route
+	body    []byte
+	// attempts counts the tries at targets.
+	attempts int
+}
+
+// deadline of a call without a route yet.
+const defaultDeadline = 30 * time.Second
+
+// ServeHTTP implements http.Handler.
+func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.running.Add(1)
+	defer s.running.Done()
+	c := &call{id: uuid.Must(uuid.NewV7()).String(), w: w, r: r, began: s.clock.now()}
+	w.Header().Set(headerRequestID, c.id)
+	if err := s.serve(c); err != nil {
+		s.refuse(c, err)
+	}
+}
+
+// serve runs one request. A returned error has not been written yet.
+func (s *server) serve(c *call) error {
+	if s.closing.Load() {
+		return refusal(http.StatusServiceUnavailable, openai.CodeNotReady, "this instance is shutting down", time.Second)
+	}
+	if s.full() {
+		c.w.Header().Set("Connection", "close")
+		return refusal(http.StatusServiceUnavailable, openai.CodeTooManyConns, "too many connections", time.Second)
+	}
+	intent := s.config.intent()
+	if intent == nil {
+		return refusal(http.StatusServiceUnavailable, openai.CodeNotReady, "no configuration yet", time.Second)
+	}
+	c.key = bearer(c.r)
+	if err := s.authorize(c); err != nil {
+		return err
+	}
+	if c.r.URL.Path == modelsPath {
+		return s.listModels(c, intent)
+	}
+	if err := s.readBody(c); err != nil {
+		return err
+	}
+	return s.dispatchByRoute(c, intent)
+}
+
+// authorize checks the call's key against the configuration in force now.
+func (s *server) authorize(c *call) error {
+	account, keyID, err := s.config.authorize(c.key)
+	c.account, c.keyID = account, keyID
+	if err == nil {
+		return nil
+	}
+	if errors.Is(err, keys.ErrCutOff) {
+		return refusal(http.StatusServiceUnavailable, openai.CodeKeyCutOff, "this instance cannot check the key at present", time.Second)
+	}
+	return refusal(http.StatusUnauthorized, openai.CodeInvalidKey, "the key is not valid", 0)
+}
+
+func bearer(r *http.Request) string {
+	scheme, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, "Bearer") {
+		return ""
+	}
+	return strings.TrimSpace(key)
+}
+
+func (s *server) readBody(c *call) error {
+	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, s.maxBody))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return refusal(http.StatusRequestEntityTooLarge, openai.CodeTooLarge, "the body is too large", 0)
+	}
+	if err != nil {
+		return refusal(http.StatusBadRequest, openai.CodeBadRequest, "the body could not be read", 0)
+	}
+	c.body = body
+	return nil
+}
+
+// Paths that take OpenAI-style bodies.
+const (
+	chatPath       = "/v1/chat/completions"
+	completionPath = "/v1/completions"
+	modelsPath     = "/v1/models"
+)
+
+// dispatchByRoute finds the route of a request. Several routes may share an
+// OpenAI path; the model named in the body chooses between them.
+func (s *server) dispatchByRoute(c *call, intent *config.Intent) error {
+	routes := routesOf(intent, c.r.URL.Path)
+	if len(routes) == 0 {
+		return refusal(http.StatusNotFound, openai.CodeNotFound, "no route has this path", 0)
+	}
+	if intent.Pools[routes[0].Pool].Kind == config.KindService {
+		return s.serveService(c, routes[0], intent.Pools[routes[0].Pool])
+	}
+	if c.r.Method != http.MethodPost {
+		return refusal(http.StatusMethodNotAllowed, openai.CodeBadRequest, "expected POST", 0)
+	}
+	req, err := parseBody(c)
+	if err != nil {
+		return refusal(http.StatusBadRequest, openai.CodeBadRequest, err.Error(), 0)
+	}
+	for _, route := range routes {
+		if pool := intent.Pools[route.Pool]; pool.Model == req.Model {
+			return s.serveEngine(c, route, pool, intent.Models[pool.Model], req)
+		}
+	}
+	return refusal(http.StatusNotFound, openai.CodeNotFound, "no route serves this model", 0)
+}
+
+func parseBody(c *call) (openai.Request, error) {
+	if c.r.URL.Path == completionPath {
+		return openai.ParseCompletion(c.body)
+	}
+	return openai.ParseChat(c.body)
+}
+
+// routesOf returns the routes of a path, in the order of their names.
+func routesOf(intent *config.Intent, path string) []config.Route {
+	var routes []config.Route
+	for _, r := range intent.Routes {
+		if r.Path == path {
+			routes = append(routes, r)
+		}
+	}
+	sort.Slice(routes, func(i, j int) bool { return routes[i].Name < routes[j].Name })
+	return routes
+}
+
+func (s *server) listModels(c *call, intent *config.Intent) error {
+	type model struct {
+		ID      string `json:"id"`
+		Object  string `json:"object"`
+		OwnedBy string `json:"owned_by"`
+	}
+	names := make([]string, 0, len(intent.Models))
+	for name := range intent.Models {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	data := make([]model, 0, len(names))
+	for _, n := range names {
+		data = append(data, model{ID: n, Object: "model", OwnedBy: "mastictray"})
+	}
+	c.w.Header().Set("Content-Type", "application/json")
+	return json.NewEncoder(c.w).Encode(struct {
+		Object string  `json:"object"`
+		Data   []model `json:"data"`
+	}{"list", data})
+}
+
+// refuse writes a refusal and its log line.
+func (s *server) refuse(c *call, err error) {
+	var e *openai.Error
+	if !errors.As(err, &e) {
+		e = &openai.Error{Status: http.StatusInternalServerError, Code: openai.CodeTargetFailed, Outcome: openai.MayHaveRun, Message: "internal error"}
+		logline.Error(err, "request_failed", "request", c.id)
+	}
+	answer := *e
+	answer.RequestID = c.id
+	answer.Write(c.w)
+	s.metrics.refused(c.account.Name, answer.Code)
+	logline.Info("request_refused", "request", c.id, "account", c.account.Name, "key", c.keyID,
+		"route", c.route.Name, "code", answer.Code, "outcome", answer.Outcome, "attempts", c.attempts)
+}
+
+// refusal is an error for a request that has not run.
+func refusal(status int, code openai.Code, message string, retryAfter time.Duration) *openai.Error {
+	return &openai.Error{Status: status, Code: code, Message: message, Outcome: openai.NotRun, RetryAfter: retryAfter}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/alecthomas/kong"
@@ -33,6 +34,9 @@
 	Peers          []string `env:"MASTICTRAY_PEERS" help:"Peer addresses known at start; the instance list adds to them." group:"peers"`
 	PeerSecretFile string   `required:"" type:"existingfile" env:"MASTICTRAY_PEER_SECRET_FILE" help:"File with the secret shared by the entry instances, 16 bytes or more." group:"peers"`
 
+	FleetDomains []string `required:"" env:"MASTICTRAY_FLEET_DOMAINS" help:"All failure domains, the same list on every instance: the accounts' rates are cut by it." group:"rates"`
+	MintSlots    int      `default:"2" env:"MASTICTRAY_MINT_SLOTS" help:"Parts that a domain's share of the rates is cut into, the same on every instance." group:"rates"`
+
 	AdminTokenFile string `type:"existingfile" env:"MASTICTRAY_ADMIN_TOKEN_FILE" help:"File with operator tokens, one 'role token' a line (roles: read, operate). Without it the admin API is read-only for everyone on its listener." group:"admin"`
 
 	CallerTLSCert string `name:"caller-tls-cert" type:"existingfile" env:"MASTICTRAY_CALLER_TLS_CERT" help:"PEM certificate for callers; read again when it changes." group:"tls"`
@@ -77,6 +81,12 @@
 	if s.MaxBodyBytes <= 0 || s.MaxHeaderBytes <= 0 || s.MaxConnections <= 0 {
 		problems = append(problems, "limits: expected numbers above 0")
 	}
+	if !slices.Contains(s.FleetDomains, s.Domain) {
+		problems = append(problems, fmt.Sprintf("fleet-domains: expected %q among them", s.Domain))
+	}
+	if s.MintSlots <= 0 {
+		problems = append(problems, fmt.Sprintf("mint-slots=%d: expected a number above 0", s.MintSlots))
+	}
 	if len(problems) == 0 {
 		return nil
 	}
--- a/internal/wire/config.go
+++ b/internal/wire/config.go
@@ -17,6 +17,9 @@
 type ConfigAnswer struct {
 	Revision int64 `msgpack:"r"`
 	Next     int64 `msgpack:"n"`
+	// LogAgeMillis is how long ago the answering instance read the log
+	// itself; -1 when it never did.
+	LogAgeMillis int64 `msgpack:"l"`
 	// State is encoded by config.State.Encode; empty when not newer.
 	State []byte `msgpack:"s,omitempty"`
 }
