--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,273 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/mastictray/mastictray/internal/prefix"
+	"github.com/mastictray/mastictray/internal/standin/engine"
+	"github.com/mastictray/mastictray/internal/standin/service"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	os.Exit(m.Run())
+}
+
+func testProfile() Profile {
+	return Profile{
+		Model: "m", Path: "/v1/chat/completions", RequestsPerSecond: 200, PieceBytes: 128,
+		OpeningPieces: 1, DossierPieces: 2, Dossiers: 4, Zipf: 1.2, QuestionBytes: 40, MaxTokens: 3,
+		Accounts: []Account{{Name: "a", Key: "ka", Times: 1}, {Name: "b", Key: "kb", Times: 3}},
+	}
+}
+
+func TestReadProfile(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "p.ini")
+	is.NoErr(os.WriteFile(path, []byte("[load]\nzipf = 1.5\n[account x]\nkey = k\ntimes = 5\n"), 0o600))
+	p, err := ReadProfile(path)
+	is.NoErr(err)
+	is.Equal(p.Zipf, 1.5)
+	is.Equal(p.Accounts, []Account{{Name: "x", Key: "k", Times: 5}})
+	is.NoErr(os.WriteFile(path, []byte("[load]\n"), 0o600))
+	_, err = ReadProfile(path)
+	is.True(errors.Is(err, ErrProfile))
+}
+
+func TestGeneratorIsSeededAndNestsPrefixes(t *testing.T) {
+	is := is.New(t)
+	p := testProfile()
+	one, two := NewGenerator(p, 7), NewGenerator(p, 7)
+	distinct := map[prefix.Hash]bool{}
+	questions := map[string]bool{}
+	sent := map[string]int{}
+	for range 200 {
+		a := one.Next()
+		is.Equal(a, two.Next())
+		sent[a.Account.Name]++
+		res := newResult(a, p.PieceBytes)
+		is.True(len(res.Pieces) >= 2) // the opening and a piece of dossier
+		for _, h := range res.Pieces {
+			distinct[h] = true
+		}
+		questions[string(a.Request.PromptText())] = true
+	}
+	is.True(len(distinct) <= 2*(1+4*2)) // two accounts, one opening, dossiers
+	is.Equal(len(questions), 200)       // no two prompts are equal
+	is.True(sent["b"] > 2*sent["a"])    // b sends three times as much
+}
+
+// chunkEvent is the i-th token of a request, as the engine would send it.
+func chunkEvent(req engine.Request, id string, i int) event {
+	c := engine.Completion{ID: id, Choices: []engine.Choice{{Delta: &engine.Delta{Content: engine.NewText(req.PromptText()).Chunk(i)}}}}
+	data, _ := json.Marshal(c)
+	return event{id: i, data: data}
+}
+
+// A caller's stream loses, repeats or swaps chunks, gets one of another
+// request, or ends early without an error. Each shows as a violation; an error
+// event is a failure that the caller can tell, and no violation.
+func TestStreamCheckFindsBrokenPromises(t *testing.T) {
+	mine := engine.Request{Messages: []engine.Message{{Role: "user", Content: "mine"}}, MaxTokens: 2}
+	other := engine.Request{Messages: []engine.Message{{Role: "user", Content: "other"}}, MaxTokens: 2}
+	c0, c1 := chunkEvent(mine, "x", 0), chunkEvent(mine, "x", 1)
+	usage := event{id: 2, data: []byte(`{"id":"x","choices":[{"delta":{"content":""}}],"usage":{"prompt_tokens":1}}`)}
+	done := event{id: 3, data: []byte(doneData)}
+	at := func(id int, e event) event { e.id = id; return e }
+	for name, tc := range map[string]struct {
+		events []event
+		want   error
+		says   string
+	}{
+		"whole":             {[]event{c0, c1, usage, done}, nil, ""},
+		"whole without ids": {[]event{at(noID, c0), at(noID, c1), at(noID, usage), at(noID, done)}, nil, ""},
+		"lost":              {[]event{at(0, c1), at(1, usage), at(2, done)}, ErrViolation, "chunk 0 is"},
+		"gap in the ids":    {[]event{c0, at(2, c1)}, ErrViolation, "event id 2, want 1"},
+		"doubled":           {[]event{c0, at(1, c0)}, ErrViolation, "chunk 1 is"},
+		"of another prompt": {[]event{c0, chunkEvent(other, "x", 1)}, ErrViolation, "chunk 1 is"},
+		"of another stream": {[]event{c0, chunkEvent(mine, "y", 1)}, ErrViolation, "chunk of y in the stream of x"},
+		"too short":         {[]event{c0, at(1, usage), at(2, done)}, ErrViolation, "1 chunks, want 2"},
+		"no usage":          {[]event{c0, c1, at(2, done)}, ErrViolation, "no usage"},
+		"after the end":     {[]event{c0, c1, usage, done, at(4, c0)}, ErrViolation, "after the end marker"},
+		"silent truncation": {[]event{c0, c1, usage}, ErrViolation, "without end marker"},
+		"no chunk":          {[]event{{id: 0, data: []byte("nonsense")}}, ErrViolation, "is no chunk"},
+		"error event":       {[]event{c0, {id: 1, data: []byte(`{"error":{"code":"stream_broken"}}`)}}, ErrAnswer, "stream_broken"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			check := newStreamCheck(mine)
+			var err error
+			for _, e := range tc.events {
+				if err = check.event(e); err != nil {
+					break
+				}
+			}
+			if err == nil {
+				err = check.eof()
+			}
+			is.True(errors.Is(err, tc.want))
+			is.True(tc.want == nil || strings.Contains(err.Error(), tc.says))
+		})
+	}
+}
+
+func TestMeterAgreesWithEveryWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate, burst := 10.0, 50.0
+		m := meter{rate: rate}
+		var at []time.Duration
+		var tokens []int
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 20).Draw(t, "n") {
+			now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "gap")) * time.Millisecond
+			at, tokens = append(at, now), append(tokens, rapid.IntRange(1, 40).Draw(t, "tokens"))
+			level := m.add(now, float64(tokens[len(tokens)-1]))
+			sum, over := 0.0, 0.0
+			for i := len(at) - 1; i >= 0; i-- {
+				sum += float64(tokens[i])
+				over = max(over, sum-rate*(now-at[i]).Seconds())
+			}
+			if diff := level - over; diff > 1e-6 || diff < -1e-6 {
+				t.Fatalf("level %f, worst window %f, burst %f", level, over, burst)
+			}
+		}
+	})
+}
+
+func TestMeasures(t *testing.T) {
+	is := is.New(t)
+	p := testProfile()
+	p.PieceBytes = 40 // ten tokens
+	p.Accounts = []Account{{Name: "a", TokensPerSecond: 10, BurstTokens: 20}, {Name: "b", TokensPerSecond: 10, BurstTokens: 20}}
+	usage := func(cached int) engine.Usage {
+		return engine.Usage{PromptTokens: 20, TotalTokens: 20, PromptTokensDetails: engine.PromptDetails{CachedTokens: cached}}
+	}
+	ok := func(account string, at time.Duration, cached int, ttft time.Duration, pieces ...prefix.Hash) Result {
+		return Result{Account: account, At: at, Outcome: OutcomeOK, Tokens: 20, Usage: usage(cached), Pieces: pieces, FirstToken: ttft}
+	}
+	refused := func(account string, at time.Duration) Result {
+		return Result{Account: account, At: at, Outcome: OutcomeRateRefused, Tokens: 20}
+	}
+	rep := Summarize(p, 1, []Result{
+		ok("a", 0, 0, time.Millisecond, 1, 2),
+		ok("b", 0, 0, 9*time.Millisecond, 3, 4),
+		refused("b", time.Second), // over: 30 tokens asked for in the window
+		ok("a", 2*time.Second, 10, time.Millisecond, 1, 2),
+		refused("a", 4*time.Second), // within: the window is empty again
+	})
+	is.Equal(rep.HitRate, 10.0/60)
+	is.Equal(rep.PossibleHitRate, 20.0/60)
+	is.Equal(rep.Wasted, 20.0/60-10.0/60)
+	is.Equal(rep.WrongfulRefusals, 1)
+	is.Equal(rep.Accounts[0].RefusalsWithRoom, 1)
+	is.Equal(rep.Accounts[1].RefusalsWithRoom, 0)
+	is.Equal(rep.Accounts[1].WithinRate, false)
+	is.Equal(rep.Worst, "a") // b is slower, but it went over its rate
+	is.NoErr(rep.Verdict(0, 0.5))
+	is.True(errors.Is(rep.Verdict(0, 0.9), ErrTooFewAnswers))
+}
+
+// Two attempts of one booking reach two entries. The service's list of runs
+// tells what the answers hide: a second run, a lost booking, a "not run" that
+// is not true, an answer to somebody else's booking.
+func TestCheckBookingsFindsBrokenPromises(t *testing.T) {
+	b := newBooking(1, 0, Account{})
+	answer := func(run int) Attempt {
+		s := service.New("s")
+		w := httptest.NewRecorder()
+		r := httptest.NewRequestWithContext(context.Background(), "POST", "/b", strings.NewReader(string(b.Body)))
+		r.Header.Set("Idempotency-Key", b.Key)
+		s.Handler().ServeHTTP(w, r)
+		a := Attempt{Outcome: OutcomeOK}
+		_ = json.Unmarshal(w.Body.Bytes(), &a.Answer)
+		a.Answer.Run = run
+		return a
+	}
+	foreign := answer(1)
+	foreign.Answer.IdempotencyKey = "booking-1-9"
+	notRun, unknown := Attempt{Outcome: OutcomeRefused}, Attempt{Outcome: OutcomeFailed}
+	for name, tc := range map[string]struct {
+		attempts []Attempt
+		runs     int
+		broken   int
+	}{
+		"once, same answer":       {[]Attempt{answer(1), answer(1)}, 1, 0},
+		"once, one refused":       {[]Attempt{answer(1), notRun}, 1, 0},
+		"outcome unknown":         {[]Attempt{unknown, notRun}, 1, 0},
+		"not run":                 {[]Attempt{notRun, notRun}, 0, 0},
+		"ran twice":               {[]Attempt{answer(1), answer(2)}, 2, 2},
+		"not run, but ran":        {[]Attempt{notRun, notRun}, 1, 1},
+		"answered, but never ran": {[]Attempt{answer(1), notRun}, 0, 1},
+		"another's answer":        {[]Attempt{foreign, notRun}, 1, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := b
+			b.Attempts = tc.attempts
+			runs := make([]service.Run, tc.runs)
+			for i := range runs {
+				runs[i].IdempotencyKey = b.Key
+			}
+			rep := CheckBookings([]Booking{b}, runs)
+			is.Equal(len(rep.Violations), tc.broken)
+			is.Equal(errors.Is(rep.Verdict(9, 0), ErrViolation), tc.broken > 0)
+		})
+	}
+}
+
+func TestRunAgainstTheStandInEngine(t *testing.T) {
+	is := is.New(t)
+	p := testProfile()
+	e := engine.New(engine.Config{Model: "m", Version: "1", PieceBytes: p.PieceBytes, CachePieces: 100, PrefillTPS: 1e9, DecodeTPS: 1e9})
+	defer e.Close()
+	srv := httptest.NewServer(e.Handler())
+	defer srv.Close()
+	r := NewRunner(p, []string{srv.URL})
+	rep := Summarize(p, 1, r.Run(t.Context(), 1, Bounds{Duration: time.Minute, Requests: 50, Timeout: time.Minute}))
+	is.Equal(fmt.Sprint(rep.Outcomes), "map[ok:50]")
+	is.True(rep.HitRate > 0.5)
+	is.Equal(rep.HitRate, rep.PossibleHitRate) // one engine, nothing evicted
+	is.Equal(rep.Wasted, 0.0)
+	var sb strings.Builder
+	is.NoErr(rep.WriteTable(&sb))
+	is.True(strings.Contains(sb.String(), "worst-served account"))
+}
+
+func TestBookAgainstTheStandInService(t *testing.T) {
+	is := is.New(t)
+	srv := httptest.NewServer(service.New("s").Handler())
+	defer srv.Close()
+	r := NewRunner(testProfile(), []string{srv.URL})
+	bookings := r.Book(t.Context(), 1, BookingPlan{Path: "/bookings", PerSecond: 1e6, Count: 5, Timeout: time.Minute})
+	runs, err := r.Runs(t.Context(), []string{srv.URL})
+	is.NoErr(err)
+	is.Equal(len(runs), 10) // the service itself does not recognise repeats
+	is.True(errors.Is(CheckBookings(bookings, runs).Verdict(0, 0), ErrViolation))
+}
+
+func FuzzEventReader(f *testing.F) {
+	f.Add([]byte("id: 0\ndata: {}\n\n"))
+	f.Add([]byte("data: a\nid: x\n"))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		r := newEventReader(strings.NewReader(string(data)))
+		for {
+			if _, err := r.next(); err != nil {
+				return
+			}
+		}
+	})
+}
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -104,10 +104,12 @@
 }
 
 // cacheMeasures are the hit rate, the possible one, and the waste. The chains
-// differ between accounts, so that no account counts on another's pieces.
+// differ between accounts, so that no account counts on another's pieces. The
+// waste is taken over all requests: which of two that overlap computes a shared
+// piece does not matter, only that one of them need not.
 func cacheMeasures(pieceBytes int, results []Result) (hit, possible, wasted float64) {
 	seen := map[prefix.Hash]bool{}
-	var prompt, cached, known, again int
+	var prompt, cached, known int
 	for _, r := range results {
 		if r.Outcome != OutcomeOK {
 			continue
@@ -119,18 +121,15 @@
 		for _, h := range r.Pieces[n:] {
 			seen[h] = true
 		}
-		got := r.Usage.PromptTokensDetails.CachedTokens
-		before := n * pieceBytes / engine.BytesPerToken
 		prompt += r.Usage.PromptTokens
-		cached += got
-		known += before
-		again += max(0, before-got)
+		cached += r.Usage.PromptTokensDetails.CachedTokens
+		known += n * pieceBytes / engine.BytesPerToken
 	}
 	if prompt == 0 {
 		return 0, 0, 0
 	}
-	total := float64(prompt)
-	return float64(cached) / total, float64(known) / total, float64(again) / total
+	hit, possible = float64(cached)/float64(prompt), float64(known)/float64(prompt)
+	return hit, possible, max(0, possible-hit)
 }
 
 func summarizeAccount(a Account, results []Result, seconds float64) AccountReport {
