Reject unknown and malformed keys in load profiles; read a first instance list

A mistyped key left its default in force and the run measured other traffic than meant. Profiles are now mapped strictly, with the dashed keys of the configuration files. The instance-list stand-in can start from a file, so that a script needs no HTTP client.

--- a/cmd/mastictray-standin/main.go
+++ b/cmd/mastictray-standin/main.go
@@ -4,9 +4,12 @@
 package main
 
 import (
+	"encoding/json"
+	"os"
 	"time"
 
 	"github.com/alecthomas/kong"
+	"github.com/cockroachdb/errors"
 
 	"github.com/mastictray/mastictray/internal/standin"
 	"github.com/mastictray/mastictray/internal/standin/engine"
@@ -89,11 +92,24 @@
 
 type instancesCmd struct {
 	listen
-	LagMillis int `name:"lag-ms" default:"1000" help:"Milliseconds until a change shows."`
+	LagMillis int    `name:"lag-ms" default:"1000" help:"Milliseconds until a change shows."`
+	Initial   string `type:"existingfile" help:"JSON file with the first list, as POST /v1/instances takes it."`
 }
 
 func (c *instancesCmd) Run() error {
-	return standin.Serve("instances", c.Listen, instances.New(millis(c.LagMillis)).Handler())
+	s := instances.New(millis(c.LagMillis))
+	if c.Initial != "" {
+		raw, err := os.ReadFile(c.Initial)
+		if err != nil {
+			return errors.Wrap(err, "read first list")
+		}
+		var list instances.List
+		if err := json.Unmarshal(raw, &list); err != nil {
+			return errors.Wrapf(err, "decode first list file=%s", c.Initial)
+		}
+		s.Set(time.Now(), list.Instances)
+	}
+	return standin.Serve("instances", c.Listen, s.Handler())
 }
 
 type weightsCmd struct {
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -43,9 +43,17 @@
 	is.NoErr(err)
 	is.Equal(p.Zipf, 1.5)
 	is.Equal(p.Accounts, []Account{{Name: "x", Key: "k", Times: 5}})
-	is.NoErr(os.WriteFile(path, []byte("[load]\n"), 0o600))
-	_, err = ReadProfile(path)
-	is.True(errors.Is(err, ErrProfile))
+	is.Equal(p.MaxTokens, DefaultProfile().MaxTokens)
+	for _, bad := range []string{
+		"[load]\n", // no account
+		"[load]\nzipf = much\n[account x]\nkey = k\n", // no number
+		"[load]\nzip = 2\n[account x]\nkey = k\n",     // unknown key
+		"[account x]\ntimes = 1\n",                    // no key
+	} {
+		is.NoErr(os.WriteFile(path, []byte(bad), 0o600))
+		_, err = ReadProfile(path)
+		is.True(errors.Is(err, ErrProfile))
+	}
 }
 
 func TestGeneratorIsSeededAndNestsPrefixes(t *testing.T) {
--- a/internal/load/profile.go
+++ b/internal/load/profile.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"reflect"
 	"strings"
 	"time"
 
@@ -10,82 +11,114 @@
 
 // Account is one client account's part of the traffic.
 type Account struct {
-	Name string
-	Key  string
-	// Times multiplies the account's part of the requests.
-	Times float64
+	Name string `ini:"-"`
+	Key  string `ini:"key"`
+	// Times multiplies the account's part of the requests; default 1.
+	Times float64 `ini:"times"`
 	// TokensPerSecond and BurstTokens are what the account is allowed, as
 	// published; 0 means that it is not checked.
-	TokensPerSecond float64
-	BurstTokens     float64
+	TokensPerSecond float64 `ini:"tokens-per-second"`
+	BurstTokens     float64 `ini:"burst-tokens"`
 }
 
 // Profile is the shape of the traffic.
 type Profile struct {
-	Model string
+	Model string `ini:"model"`
 	// Path is the route of the requests.
-	Path string
+	Path string `ini:"path"`
 	// RequestsPerSecond is over all accounts.
-	RequestsPerSecond float64
+	RequestsPerSecond float64 `ini:"requests-per-second"`
 	// PieceBytes is the prompt bytes in one cached piece.
-	PieceBytes int
+	PieceBytes int `ini:"piece-bytes"`
 	// OpeningPieces is the length of the opening an account's requests
 	// share, DossierPieces the most a dossier has.
-	OpeningPieces int
-	DossierPieces int
+	OpeningPieces int `ini:"opening-pieces"`
+	DossierPieces int `ini:"dossier-pieces"`
 	// Dossiers is how many each account has; Zipf is the exponent of their
 	// heat, over 1.
-	Dossiers int
-	Zipf     float64
+	Dossiers int     `ini:"dossiers"`
+	Zipf     float64 `ini:"zipf"`
 	// ShiftEvery moves the heat to other dossiers; 0 never.
-	ShiftEvery    time.Duration
-	QuestionBytes int
-	MaxTokens     int
-	Accounts      []Account
+	ShiftEvery    time.Duration `ini:"shift-every"`
+	QuestionBytes int           `ini:"question-bytes"`
+	MaxTokens     int           `ini:"max-tokens"`
+	Accounts      []Account     `ini:"-"`
 }
 
-const accountSection = "account "
+const (
+	loadSection   = "load"
+	accountPrefix = "account "
+)
 
 // ErrProfile is wrapped by all faults of a profile.
 var ErrProfile = errors.New("load profile")
 
+// DefaultProfile is what the keys that a file leaves out stand at.
+func DefaultProfile() Profile {
+	return Profile{
+		Model:             "demo",
+		Path:              "/v1/chat/completions",
+		RequestsPerSecond: 20,
+		PieceBytes:        16384,
+		OpeningPieces:     1,
+		DossierPieces:     3,
+		Dossiers:          20,
+		Zipf:              1.2,
+		QuestionBytes:     400,
+		MaxTokens:         32,
+	}
+}
+
 // ReadProfile reads a profile from an INI file: a [load] section, and one
 // [account NAME] section for each client account.
 func ReadProfile(path string) (Profile, error) {
-	file, err := ini.Load(path)
+	p, err := readProfile(path)
 	if err != nil {
 		return Profile{}, errors.Mark(errors.Wrapf(err, "read profile file=%s", path), ErrProfile)
 	}
-	s := file.Section("load")
-	p := Profile{
-		Model:             s.Key("model").MustString("demo"),
-		Path:              s.Key("path").MustString("/v1/chat/completions"),
-		RequestsPerSecond: s.Key("requests_per_second").MustFloat64(20),
-		PieceBytes:        s.Key("piece_bytes").MustInt(16384),
-		OpeningPieces:     s.Key("opening_pieces").MustInt(1),
-		DossierPieces:     s.Key("dossier_pieces").MustInt(3),
-		Dossiers:          s.Key("dossiers").MustInt(20),
-		Zipf:              s.Key("zipf").MustFloat64(1.2),
-		ShiftEvery:        s.Key("shift_every").MustDuration(0),
-		QuestionBytes:     s.Key("question_bytes").MustInt(400),
-		MaxTokens:         s.Key("max_tokens").MustInt(32),
+	return p, errors.Wrapf(p.Validate(), "file=%s", path)
+}
+
+func readProfile(path string) (Profile, error) {
+	p := DefaultProfile()
+	file, err := ini.Load(path)
+	if err != nil {
+		return p, err
+	}
+	if err := mapSection(file.Section(loadSection), &p); err != nil {
+		return p, err
 	}
 	for _, sec := range file.Sections() {
-		if name, ok := strings.CutPrefix(sec.Name(), accountSection); ok {
-			p.Accounts = append(p.Accounts, readAccount(name, sec))
+		name, ok := strings.CutPrefix(sec.Name(), accountPrefix)
+		if !ok {
+			continue
 		}
+		a := Account{Name: name, Times: 1}
+		if err := mapSection(sec, &a); err != nil {
+			return p, err
+		}
+		p.Accounts = append(p.Accounts, a)
 	}
-	return p, errors.Wrapf(p.Validate(), "file=%s", path)
+	return p, nil
 }
 
-func readAccount(name string, sec *ini.Section) Account {
-	return Account{
-		Name:            name,
-		Key:             sec.Key("key").String(),
-		Times:           sec.Key("times").MustFloat64(1),
-		TokensPerSecond: sec.Key("tokens_per_second").MustFloat64(0),
-		BurstTokens:     sec.Key("burst_tokens").MustFloat64(0),
+// mapSection reads a section into a struct. A key that the struct lacks is an
+// error: mistyped, it would leave a default in force unseen.
+func mapSection(sec *ini.Section, into any) error {
+	if err := sec.StrictMapTo(into); err != nil {
+		return errors.Wrapf(err, "section=%q", sec.Name())
 	}
+	known := map[string]bool{}
+	t := reflect.TypeOf(into).Elem()
+	for i := range t.NumField() {
+		known[t.Field(i).Tag.Get("ini")] = true
+	}
+	for _, key := range sec.KeyStrings() {
+		if !known[key] {
+			return errors.Newf("section=%q key=%q: unknown", sec.Name(), key)
+		}
+	}
+	return nil
 }
 
 // Validate reports what makes the profile unusable.
@@ -94,11 +127,11 @@
 	case len(p.Accounts) == 0:
 		return errors.Wrap(ErrProfile, "no [account NAME] section")
 	case p.RequestsPerSecond <= 0:
-		return errors.Wrap(ErrProfile, "requests_per_second: want over 0")
+		return errors.Wrap(ErrProfile, "requests-per-second: want over 0")
 	case p.Zipf <= 1:
 		return errors.Wrap(ErrProfile, "zipf: want over 1")
 	case p.OpeningPieces < 1 || p.DossierPieces < 1 || p.Dossiers < 1 || p.PieceBytes < minPieceBytes:
-		return errors.Wrapf(ErrProfile, "opening_pieces, dossier_pieces, dossiers: want 1 or more; piece_bytes: %d or more", minPieceBytes)
+		return errors.Wrapf(ErrProfile, "opening-pieces, dossier-pieces, dossiers: want 1 or more; piece-bytes: %d or more", minPieceBytes)
 	}
 	for _, a := range p.Accounts {
 		if a.Key == "" || a.Times < 0 {
--- a/internal/standin/engine/openai.go
+++ b/internal/standin/engine/openai.go
@@ -15,7 +15,10 @@
 	Messages  []Message `json:"messages,omitempty"`
 	Prompt    string    `json:"prompt,omitempty"`
 	MaxTokens int       `json:"max_tokens,omitempty"`
-	Stream    bool      `json:"stream,omitempty"`
+	// MaxCompletionTokens is the newer name of MaxTokens, and stands in
+	// for it when that is not set.
+	MaxCompletionTokens int  `json:"max_completion_tokens,omitempty"`
+	Stream              bool `json:"stream,omitempty"`
 }
 
 // PromptText is the text that pieces are cut from.
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -80,9 +81,7 @@
 	if id == "" {
 		id = uuid.NewString()
 	}
-	if req.MaxTokens <= 0 {
-		req.MaxTokens = defaultMaxTokens
-	}
+	req.MaxTokens = cmp.Or(max(req.MaxTokens, 0), max(req.MaxCompletionTokens, 0), defaultMaxTokens)
 	s := newStream(id, r.Header.Get("X-Client-Account"), req, chat)
 	s.incarnation, s.version = e.incarnation, version
 	priority, _ := strconv.Atoi(r.Header.Get("X-Priority"))
--- a/internal/standin/instances/server.go
+++ b/internal/standin/instances/server.go
@@ -60,11 +60,12 @@
 	if !standin.ReadJSON(w, r, &list) {
 		return
 	}
-	s.set(time.Now(), list.Instances)
+	s.Set(time.Now(), list.Instances)
 	w.WriteHeader(http.StatusNoContent)
 }
 
-func (s *Server) set(now time.Time, instances []Instance) {
+// Set changes the list at a time; readers see it after the lag.
+func (s *Server) Set(now time.Time, instances []Instance) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lists = append(s.lists, List{AsOfMS: now.UnixMilli(), Instances: instances})
--- a/internal/standin/instances/server_test.go
+++ b/internal/standin/instances/server_test.go
@@ -13,9 +13,9 @@
 	is := is.New(t)
 	s := New(time.Second)
 	start := time.Unix(100, 0)
-	s.set(start, []Instance{{ID: "a", State: "live"}})
+	s.Set(start, []Instance{{ID: "a", State: "live"}})
 	is.Equal(s.shown(start).Instances[0].State, "live") // the first list needs no lag
-	s.set(start.Add(2*time.Second), []Instance{{ID: "a", State: "leaving"}})
+	s.Set(start.Add(2*time.Second), []Instance{{ID: "a", State: "leaving"}})
 	is.Equal(s.shown(start.Add(2999 * time.Millisecond)).Instances[0].State, "live")
 	is.Equal(s.shown(start.Add(3 * time.Second)).Instances[0].State, "leaving")
 }
