--- a/cmd/mastictray-load/main.go
+++ b/cmd/mastictray-load/main.go
@@ -28,8 +28,9 @@
 	Timeout  time.Duration `default:"60s" help:"The longest that one request may take."`
 	Output   string        `help:"File for the report as JSON."`
 
-	MaxFailures int     `default:"0" help:"Failures that do not fail the run; violations always do."`
-	MinAnswered float64 `default:"0.1" help:"Part of the requests that must be answered."`
+	MaxFailures int           `default:"0" help:"Failures that do not fail the run; violations always do."`
+	MinAnswered float64       `default:"0.1" help:"Part of the requests that must be answered."`
+	RateSlack   time.Duration `default:"1s" help:"Time by which admissions may lie apart from arrivals, in the check of the accounts' rates."`
 
 	Bookings          bool     `help:"Send bookings in place of prompts, each twice, and compare with the runs."`
 	BookingPath       string   `default:"/bookings" help:"Route of the bookings."`
@@ -70,10 +71,14 @@
 	return c.prompts(ctx, runner, profile)
 }
 
+func (c *cli) limits() load.Limits {
+	return load.Limits{MaxFailures: c.MaxFailures, MinAnswered: c.MinAnswered, RateSlack: c.RateSlack}
+}
+
 func (c *cli) prompts(ctx context.Context, runner *load.Runner, profile load.Profile) error {
 	bounds := load.Bounds{Duration: c.Duration, Requests: c.Requests, Timeout: c.Timeout}
 	rep := load.Summarize(profile, c.Seed, runner.Run(ctx, c.Seed, bounds))
-	return errors.CombineErrors(c.print(rep), rep.Verdict(c.MaxFailures, c.MinAnswered))
+	return errors.CombineErrors(c.print(rep), rep.Verdict(c.limits()))
 }
 
 func (c *cli) book(ctx context.Context, runner *load.Runner) error {
@@ -88,7 +93,7 @@
 		return err
 	}
 	rep := load.CheckBookings(bookings, runs)
-	return errors.CombineErrors(c.print(rep), rep.Verdict(c.MaxFailures, c.MinAnswered))
+	return errors.CombineErrors(c.print(rep), rep.Verdict(c.limits()))
 }
 
 // print writes the table to standard output and the JSON to its file.
--- a/cmd/mastictray-standin/main.go
+++ b/cmd/mastictray-standin/main.go
@@ -48,7 +48,7 @@
 	EventLoss     float64 `default:"0.05" help:"Part of the cache events that is lost."`
 	LoadMillis    int     `name:"load-ms" default:"800" help:"Time to load weights, after reading them."`
 	Weights       string  `help:"URL of the weight store; empty reads nothing."`
-	ChecksFencing bool    `help:"Refuse orders with a stale fencing token."`
+	ChecksFencing bool    `negatable:"" help:"Refuse orders with a stale fencing token."`
 	TimeScale     float64 `default:"1" help:"Speed of the engine's clock."`
 	CrashOn       string  `help:"Exit when a prompt contains this."`
 	BadVersion    string  `help:"Exit at the first request on this version."`
--- a/internal/load/bookingtable.go
+++ b/internal/load/bookingtable.go
@@ -18,7 +18,7 @@
 		_, _ = fmt.Fprintf(tw, "codes\t%s\n", counts(rep.Codes))
 	}
 	_, _ = fmt.Fprintf(tw, "violations\t%d\n", len(rep.Violations))
-	for _, v := range rep.Violations {
+	for _, v := range rep.Violations[:min(len(rep.Violations), reasonsKept)] {
 		_, _ = fmt.Fprintln(tw, v)
 	}
 	return tw.Flush()
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -38,7 +38,7 @@
 func TestReadProfile(t *testing.T) {
 	is := is.New(t)
 	path := filepath.Join(t.TempDir(), "p.ini")
-	is.NoErr(os.WriteFile(path, []byte("[load]\nzipf = 1.5\n[account x]\nkey = k\ntimes = 5\n"), 0o600))
+	is.NoErr(os.WriteFile(path, []byte("[load]\nzipf = 1.5\n[account \"x\"]\nkey = k\ntimes = 5\n"), 0o600))
 	p, err := ReadProfile(path)
 	is.NoErr(err)
 	is.Equal(p.Zipf, 1.5)
@@ -46,9 +46,9 @@
 	is.Equal(p.MaxTokens, DefaultProfile().MaxTokens)
 	for _, bad := range []string{
 		"[load]\n", // no account
-		"[load]\nzipf = much\n[account x]\nkey = k\n", // no number
-		"[load]\nzip = 2\n[account x]\nkey = k\n",     // unknown key
-		"[account x]\ntimes = 1\n",                    // no key
+		"[load]\nzipf = much\n[account \"x\"]\nkey = k\n", // no number
+		"[load]\nzip = 2\n[account \"x\"]\nkey = k\n",     // unknown key
+		"[account \"x\"]\ntimes = 1\n",                    // no key
 	} {
 		is.NoErr(os.WriteFile(path, []byte(bad), 0o600))
 		_, err = ReadProfile(path)
@@ -185,8 +185,25 @@
 	is.Equal(rep.Accounts[1].RefusalsWithRoom, 0)
 	is.Equal(rep.Accounts[1].WithinRate, false)
 	is.Equal(rep.Worst, "a") // b is slower, but it went over its rate
-	is.NoErr(rep.Verdict(0, 0.5))
-	is.True(errors.Is(rep.Verdict(0, 0.9), ErrTooFewAnswers))
+	is.NoErr(rep.Verdict(Limits{MinAnswered: 0.5}))
+	is.True(errors.Is(rep.Verdict(Limits{MinAnswered: 0.9}), ErrTooFewAnswers))
+}
+
+// The fleet admits more for an account than its rate and burst. The run fails
+// even though every request is answered; the slack takes up no more than the
+// time by which admissions lie apart from arrivals.
+func TestVerdictFailsAnAccountOverItsRate(t *testing.T) {
+	is := is.New(t)
+	p := testProfile()
+	p.Accounts = []Account{{Name: "a", TokensPerSecond: 10, BurstTokens: 20}}
+	var results []Result
+	for i := range 3 {
+		results = append(results, Result{Account: "a", At: time.Duration(i) * time.Second, Outcome: OutcomeOK, Tokens: 20})
+	}
+	rep := Summarize(p, 1, results) // 60 tokens in 2 s, 40 allowed
+	is.Equal(rep.Accounts[0].OverBurst, 20.0)
+	is.True(errors.Is(rep.Verdict(Limits{RateSlack: time.Second}), ErrOverRate))
+	is.NoErr(rep.Verdict(Limits{RateSlack: 2 * time.Second}))
 }
 
 // Two attempts of one booking reach two entries. The service's list of runs
@@ -232,7 +249,7 @@
 			}
 			rep := CheckBookings([]Booking{b}, runs)
 			is.Equal(len(rep.Violations), tc.broken)
-			is.Equal(errors.Is(rep.Verdict(9, 0), ErrViolation), tc.broken > 0)
+			is.Equal(errors.Is(rep.Verdict(Limits{}), ErrViolation), tc.broken > 0)
 		})
 	}
 }
@@ -264,7 +281,7 @@
 	runs, err := r.Runs(t.Context(), []string{srv.URL})
 	is.NoErr(err)
 	is.Equal(len(runs), 10) // the service itself does not recognise repeats
-	is.True(errors.Is(CheckBookings(bookings, runs).Verdict(0, 0), ErrViolation))
+	is.True(errors.Is(CheckBookings(bookings, runs).Verdict(Limits{}), ErrViolation))
 }
 
 func FuzzEventReader(f *testing.F) {
--- a/internal/load/profile.go
+++ b/internal/load/profile.go
@@ -47,7 +47,7 @@
 
 const (
 	loadSection   = "load"
-	accountPrefix = "account "
+	accountPrefix = `account "`
 )
 
 // ErrProfile is wrapped by all faults of a profile.
@@ -70,7 +70,7 @@
 }
 
 // ReadProfile reads a profile from an INI file: a [load] section, and one
-// [account NAME] section for each client account.
+// [account "NAME"] section for each client account.
 func ReadProfile(path string) (Profile, error) {
 	p, err := readProfile(path)
 	if err != nil {
@@ -93,7 +93,7 @@
 		if !ok {
 			continue
 		}
-		a := Account{Name: name, Times: 1}
+		a := Account{Name: strings.TrimSuffix(name, `"`), Times: 1}
 		if err := mapSection(sec, &a); err != nil {
 			return p, err
 		}
@@ -125,7 +125,7 @@
 func (p Profile) Validate() error {
 	switch {
 	case len(p.Accounts) == 0:
-		return errors.Wrap(ErrProfile, "no [account NAME] section")
+		return errors.Wrap(ErrProfile, `no [account "NAME"] section`)
 	case p.RequestsPerSecond <= 0:
 		return errors.Wrap(ErrProfile, "requests-per-second: want over 0")
 	case p.Zipf <= 1:
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -34,6 +34,8 @@
 	Sent       int            `json:"sent"`
 	OK         int            `json:"ok"`
 	Outcomes   map[string]int `json:"outcomes"`
+	// TokensPerSecond is the account's rate, 0 when it is not checked.
+	TokensPerSecond float64 `json:"rate_tokens_per_second"`
 	// OfferedTPS and ServedTPS are tokens a second, prompt and output.
 	OfferedTPS float64 `json:"offered_tokens_per_second"`
 	ServedTPS  float64 `json:"served_tokens_per_second"`
@@ -133,7 +135,7 @@
 }
 
 func summarizeAccount(a Account, results []Result, seconds float64) AccountReport {
-	ar := AccountReport{Name: a.Name, WithinRate: true, Sent: len(results), Outcomes: map[string]int{}}
+	ar := AccountReport{Name: a.Name, WithinRate: true, Sent: len(results), Outcomes: map[string]int{}, TokensPerSecond: a.TokensPerSecond}
 	hist := newHistogram()
 	var offered, served int
 	for _, r := range results {
--- a/internal/load/verdict.go
+++ b/internal/load/verdict.go
@@ -1,6 +1,10 @@
 package load
 
-import "github.com/cockroachdb/errors"
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
 
 // ErrTooManyFailures: more requests failed than the run allows.
 var ErrTooManyFailures = errors.New("too many failures")
@@ -9,28 +13,46 @@
 // keeps a fleet that refuses everything from passing.
 var ErrTooFewAnswers = errors.New("too few answers")
 
-// Verdict is nil when the run passed: no violation, at most so many failures,
-// and at least this part of the requests answered.
-func (rep Report) Verdict(maxFailures int, minAnswered float64) error {
+// ErrOverRate: more was admitted for an account than its rate and burst allow.
+var ErrOverRate = errors.New("account over its rate")
+
+// Limits is what a run may come to and still pass. Violations never pass.
+type Limits struct {
+	// MaxFailures is how many requests may fail.
+	MaxFailures int
+	// MinAnswered is the part of the requests that must be answered.
+	MinAnswered float64
+	// RateSlack is the time by which admissions may lie apart from the
+	// scheduled arrivals that the rate is checked by.
+	RateSlack time.Duration
+}
+
+// Verdict is nil when the run passed.
+func (rep Report) Verdict(l Limits) error {
 	if n := rep.Outcomes[string(OutcomeViolation)]; n > 0 {
 		return errors.Wrapf(ErrViolation, "requests=%d", n)
 	}
-	return verdict(rep.Outcomes[string(OutcomeFailed)], maxFailures, rep.Outcomes[string(OutcomeOK)], rep.Sent, minAnswered)
+	for _, a := range rep.Accounts {
+		if a.OverBurst > a.TokensPerSecond*l.RateSlack.Seconds() {
+			return errors.Wrapf(ErrOverRate, "account=%s tokens=%.0f", a.Name, a.OverBurst)
+		}
+	}
+	return l.check(rep.Outcomes[string(OutcomeFailed)], rep.Outcomes[string(OutcomeOK)], rep.Sent)
 }
 
-// Verdict is nil when the run passed, as for prompts.
-func (rep BookingReport) Verdict(maxFailures int, minAnswered float64) error {
+// Verdict is nil when the run passed.
+func (rep BookingReport) Verdict(l Limits) error {
 	if n := len(rep.Violations); n > 0 {
 		return errors.Wrapf(ErrViolation, "bookings=%d", n)
 	}
-	return verdict(rep.Outcomes[string(OutcomeFailed)], maxFailures, rep.Confirmed, rep.Bookings, minAnswered)
+	return l.check(rep.Outcomes[string(OutcomeFailed)], rep.Confirmed, rep.Bookings)
 }
 
-func verdict(failed, maxFailures, answered, sent int, minAnswered float64) error {
-	if failed > maxFailures {
-		return errors.Wrapf(ErrTooManyFailures, "failed=%d allowed=%d", failed, maxFailures)
+func (l Limits) check(failed, answered, sent int) error {
+	if failed > l.MaxFailures {
+		return errors.Wrapf(ErrTooManyFailures, "failed=%d allowed=%d", failed, l.MaxFailures)
 	}
-	if sent == 0 || float64(answered) < minAnswered*float64(sent) {
+	if sent == 0 || float64(answered) < l.MinAnswered*float64(sent) {
 		return errors.Wrapf(ErrTooFewAnswers, "answered=%d sent=%d", answered, sent)
 	}
 	return nil
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,177 @@
+#!/usr/bin/env bash
+# Runs the cantonal deployment on one machine, each process by itself: the
+# platform's stand-ins, six engines and two booking services over three failure
+# domains, and six entry instances. Publishes examples/cantonal, sends prompts
+# and bookings, prints the measures and stops everything by process id. The exit
+# status is not 0 when a request broke a promise or failed, when a process
+# ended early, or when one did not stop cleanly.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+readonly host=127.0.0.1
+readonly log_port=21001 instances_port=21002 weights_port=21003
+readonly domains=(vaud-nord vaud-centre vaud-sud)
+readonly duration=${DEMO_DURATION:-20s}
+readonly run=${DEMO_RUN_DIR:-$(mktemp -d)}
+readonly seed=${DEMO_SEED:-1}
+
+pids=()
+names=()
+
+# start NAME COMMAND... runs a process with its output in $run/NAME.log.
+start() {
+  local name=$1
+  shift
+  "$@" >"$run/$name.log" 2>&1 &
+  pids+=($!)
+  names+=("$name")
+}
+
+# stop_all ends every process, newest first, and fails for one that does not
+# end by itself within ten seconds or ends with an error.
+stop_all() {
+  local failed=0 i
+  for ((i = ${#pids[@]} - 1; i >= 0; i--)); do
+    if ! stop "${pids[i]}"; then
+      echo "demo: ${names[i]} did not stop cleanly, see $run/${names[i]}.log" >&2
+      failed=1
+    fi
+  done
+  pids=()
+  return $failed
+}
+
+stop() {
+  local pid=$1 waited
+  kill -TERM "$pid" 2>/dev/null || { wait "$pid" || true; return 1; }
+  for ((waited = 0; waited < 100; waited++)); do
+    kill -0 "$pid" 2>/dev/null || break
+    sleep 0.1
+  done
+  kill -KILL "$pid" 2>/dev/null || true
+  wait "$pid"
+}
+
+finish() {
+  local status=$?
+  trap - EXIT
+  stop_all || status=1
+  if ((status != 0)); then
+    echo "demo: failed, logs in $run" >&2
+  fi
+  exit $status
+}
+trap finish EXIT
+trap 'exit 130' INT
+trap 'exit 143' TERM
+
+# wait_for SECONDS COMMAND... tries a command until it succeeds.
+wait_for() {
+  local tries=$(($1 * 10))
+  shift
+  until "$@" 2>/dev/null; do
+    ((tries-- > 0)) || { echo "demo: gave up on: $*" >&2; return 1; }
+    sleep 0.1
+  done
+}
+
+listens() { (exec 3<>"/dev/tcp/$host/$1"); }
+
+ready() {
+  (
+    exec 3<>"/dev/tcp/$host/$1"
+    printf 'GET /readyz HTTP/1.0\r\n\r\n' >&3
+    head -n 1 <&3 | grep -q ' 200 '
+  )
+}
+
+all_running() {
+  local i
+  for i in "${!pids[@]}"; do
+    kill -0 "${pids[i]}" 2>/dev/null || { echo "demo: ${names[i]} ended early" >&2; return 1; }
+  done
+}
+
+domain_of() { echo "${domains[$((($1 - 1) / 2))]}"; }
+
+# instance_list prints the platform's view of all instances.
+instance_list() {
+  local i sep=
+  printf '{"instances":['
+  for i in 1 2 3 4 5 6; do
+    printf '%s{"id":"entry-%d","address":"%s:%d","domain":"%s","role":"entry","state":"live"}' \
+      "$sep" "$i" "$host" $((21310 + i)) "$(domain_of "$i")"
+    sep=,
+    printf ',{"id":"draft-%d","address":"%s:%d","domain":"%s","role":"target","state":"live"}' \
+      "$i" "$host" $((21100 + i)) "$(domain_of "$i")"
+  done
+  printf ',{"id":"booking-1","address":"%s:21201","domain":"vaud-nord","role":"target","state":"live"}' "$host"
+  printf ',{"id":"booking-2","address":"%s:21202","domain":"vaud-sud","role":"target","state":"live"}' "$host"
+  printf ']}\n'
+}
+
+start_platform() {
+  instance_list >"$run/instances.json"
+  start log bin/mastictray-standin log --listen "$host:$log_port"
+  start instances bin/mastictray-standin instances --listen "$host:$instances_port" --initial "$run/instances.json"
+  start weights bin/mastictray-standin weights --listen "$host:$weights_port"
+}
+
+start_targets() {
+  local i fencing
+  for i in 1 2 3 4 5 6; do
+    fencing=--checks-fencing
+    ((i % 2)) || fencing=--no-checks-fencing
+    start "draft-$i" bin/mastictray-standin engine --listen "$host:$((21100 + i))" \
+      --model reports --cache-pieces 48 --prefill-tps 40000 --seed "$i" \
+      --weights "http://$host:$weights_port" $fencing
+  done
+  start booking-1 bin/mastictray-standin service --listen "$host:21201" --name booking-1
+  start booking-2 bin/mastictray-standin service --listen "$host:21202" --name booking-2
+}
+
+start_entries() {
+  local i peers
+  (umask 077 && head -c 32 /dev/urandom | base64 >"$run/peer-secret")
+  peers=$(printf "$host:%d," 21311 21312 21313 21314 21315 21316)
+  for i in 1 2 3 4 5 6; do
+    start "entry-$i" bin/mastictray-entry --instance-id "entry-$i" --domain "$(domain_of "$i")" \
+      --caller-listen "$host:$((21300 + i))" --peer-listen "$host:$((21310 + i))" \
+      --admin-listen "$host:$((21320 + i))" --log-url "http://$host:$log_port" \
+      --instances-url "http://$host:$instances_port" --peers "${peers%,}" \
+      --peer-secret-file "$run/peer-secret" --balancer-lag 500ms
+  done
+}
+
+# send runs the bookings beside the prompts and fails when either does.
+send() {
+  local entries booker status=0
+  entries=$(printf "http://$host:%d," 21301 21302 21303 21304 21305 21306)
+  bin/mastictray-load --profile examples/cantonal-load.ini --entry "${entries%,}" --seed "$seed" \
+    --bookings --booking-path /bookings --booking-count 100 --bookings-per-second 10 \
+    --service "http://$host:21201,http://$host:21202" --min-answered 1 \
+    --output "$run/bookings.json" >"$run/bookings.txt" 2>&1 &
+  booker=$!
+  bin/mastictray-load --profile examples/cantonal-load.ini --entry "${entries%,}" --seed "$seed" \
+    --duration "$duration" --output "$run/load.json" || status=1
+  echo
+  wait "$booker" || status=1
+  grep -v '^elapsed=' "$run/bookings.txt"
+  return $status
+}
+
+start_platform
+start_targets
+for port in $log_port $instances_port $weights_port 21101 21102 21103 21104 21105 21106 21201 21202; do
+  wait_for 5 listens "$port"
+done
+bin/mastictray --log "http://$host:$log_port" publish --as demo examples/cantonal
+start_entries
+for port in 21321 21322 21323 21324 21325 21326; do
+  wait_for 10 ready "$port"
+done
+all_running
+status=0
+send || status=1
+all_running || status=1
+exit $status
