--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 
-.PHONY: build test fmt lint unit
+.PHONY: build test fmt lint unit demo
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -17,3 +17,6 @@
 	$(GO) test -race ./...
 
 test: lint build unit
+
+demo: build
+	scripts/demo.sh
