--- a/cmd/mastictray-standin/main.go
+++ b/cmd/mastictray-standin/main.go
@@ -79,6 +79,7 @@
 	RetainRecords    int           `default:"0" help:"Records kept in each stream; 0 keeps all."`
 	RetainFor        time.Duration `default:"0" help:"How long a record is kept; 0 for ever."`
 	AppendsPerSecond int           `default:"300" help:"Append calls taken a second; 0 takes all."`
+	ReadsPerSecond   int           `default:"0" help:"Read calls taken a second; 0 takes all."`
 }
 
 func (c *logCmd) Run() error {
@@ -86,6 +87,7 @@
 		RetainRecords:    c.RetainRecords,
 		RetainFor:        c.RetainFor,
 		AppendsPerSecond: c.AppendsPerSecond,
+		ReadsPerSecond:   c.ReadsPerSecond,
 	})
 	return standin.Serve("log", c.Listen, s.Handler())
 }
--- a/internal/standin/logsvc/server.go
+++ b/internal/standin/logsvc/server.go
@@ -29,8 +29,10 @@
 	RetainRecords int
 	// RetainFor is how long a record is kept.
 	RetainFor time.Duration
-	// AppendsPerSecond is how many append calls are taken in a second.
+	// AppendsPerSecond and ReadsPerSecond are how many calls are taken in
+	// a second.
 	AppendsPerSecond int
+	ReadsPerSecond   int
 }
 
 // Server is the log service.
@@ -39,11 +41,25 @@
 	faults  *standin.Faults
 	mu      sync.Mutex
 	streams map[string]*stream
-	// second and taken count the append calls of the running second.
+	appends rateLimit
+	reads   rateLimit
+}
+
+// rateLimit counts the calls of the running second.
+type rateLimit struct {
 	second int64
 	taken  int
 }
 
+// take reports whether one more call is within perSecond; 0 is no limit.
+func (l *rateLimit) take(now time.Time, perSecond int) bool {
+	if now.Unix() != l.second {
+		l.second, l.taken = now.Unix(), 0
+	}
+	l.taken++
+	return perSecond == 0 || l.taken <= perSecond
+}
+
 // New returns an empty log service.
 func New(cfg Config) *Server {
 	return &Server{
@@ -108,8 +124,7 @@
 	}
 	first, ok := s.append(r.PathValue("stream"), time.Now(), req.Records)
 	if !ok {
-		w.Header().Set("Retry-After", "1")
-		standin.Refuse(w, http.StatusTooManyRequests, "rate_limited")
+		refuseRate(w)
 		return
 	}
 	if _, lose := s.faults.Take(FaultLoseAnswer); lose {
@@ -122,13 +137,9 @@
 func (s *Server) append(name string, now time.Time, data [][]byte) (int64, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if now.Unix() != s.second {
-		s.second, s.taken = now.Unix(), 0
-	}
-	if s.cfg.AppendsPerSecond > 0 && s.taken >= s.cfg.AppendsPerSecond {
+	if !s.appends.take(now, s.cfg.AppendsPerSecond) {
 		return 0, false
 	}
-	s.taken++
 	st := s.stream(name)
 	first := st.append(now, data)
 	s.retain(st, now)
@@ -164,7 +175,22 @@
 	Start int64  `json:"start"`
 }
 
+func refuseRate(w http.ResponseWriter) {
+	w.Header().Set("Retry-After", "1")
+	standin.Refuse(w, http.StatusTooManyRequests, "rate_limited")
+}
+
+func (s *Server) takeRead(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads.take(now, s.cfg.ReadsPerSecond)
+}
+
 func (s *Server) handleRead(w http.ResponseWriter, r *http.Request) {
+	if !s.takeRead(time.Now()) {
+		refuseRate(w)
+		return
+	}
 	from := queryInt(r, "from", 0)
 	limit := int(max(1, queryInt(r, "limit", defaultLimit)))
 	wait := min(time.Duration(queryInt(r, "wait_ms", 0))*time.Millisecond, maxWait)
--- a/internal/standin/logsvc/server_test.go
+++ b/internal/standin/logsvc/server_test.go
@@ -57,12 +57,15 @@
 
 func TestRateAndOutageRefuseWithoutEffect(t *testing.T) {
 	is := is.New(t)
-	s := New(Config{AppendsPerSecond: 1})
+	s := New(Config{AppendsPerSecond: 1, ReadsPerSecond: 1})
 	now := time.Unix(5, 0)
 	_, ok := s.append("s", now, [][]byte{{1}})
 	is.True(ok)
 	_, ok = s.append("s", now, [][]byte{{1}})
 	is.True(!ok)
+	is.True(s.takeRead(now))
+	is.True(!s.takeRead(now))
+	is.True(s.takeRead(now.Add(time.Second)))
 	is.True(s.faults.Set(standin.Fault{Kind: FaultOutage}))
 	status, _ := do(t, s.Handler(), "POST", records, `{"records":["YQ=="]}`)
 	is.Equal(status, http.StatusServiceUnavailable)
--- a/internal/standin/service/server.go
+++ b/internal/standin/service/server.go
@@ -1,6 +1,7 @@
 package service
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"io"
@@ -85,7 +86,7 @@
 	if f, ok := s.faults.Take(FaultSlow); ok {
 		// A caller that leaves does not stop the run: the effect of a
 		// booking does not depend on who still listens.
-		_ = standin.Sleep(r.Context(), f.Delay())
+		_ = standin.Sleep(context.WithoutCancel(r.Context()), f.Delay())
 	}
 	ans := s.run(r, body)
 	if _, ok := s.faults.Take(FaultDropAfterRun); ok {
