--- a/cmd/mastictray-standin/main.go
+++ b/cmd/mastictray-standin/main.go
@@ -4,9 +4,12 @@
 package main
 
 import (
+	"encoding/json"
+	"os"
 	"time"
 
 	"github.com/alecthomas/kong"
+	"github.com/cockroachdb/errors"
 
 	"github.com/mastictray/mastictray/internal/standin"
 	"github.com/mastictray/mastictray/internal/standin/engine"
@@ -45,7 +48,7 @@
 	EventLoss     float64 `default:"0.05" help:"Part of the cache events that is lost."`
 	LoadMillis    int     `name:"load-ms" default:"800" help:"Time to load weights, after reading them."`
 	Weights       string  `help:"URL of the weight store; empty reads nothing."`
-	ChecksFencing bool    `help:"Refuse orders with a stale fencing token."`
+	ChecksFencing bool    `negatable:"" help:"Refuse orders with a stale fencing token."`
 	TimeScale     float64 `default:"1" help:"Speed of the engine's clock."`
 	CrashOn       string  `help:"Exit when a prompt contains this."`
 	BadVersion    string  `help:"Exit at the first request on this version."`
@@ -76,6 +79,7 @@
 	RetainRecords    int           `default:"0" help:"Records kept in each stream; 0 keeps all."`
 	RetainFor        time.Duration `default:"0" help:"How long a record is kept; 0 for ever."`
 	AppendsPerSecond int           `default:"300" help:"Append calls taken a second; 0 takes all."`
+	ReadsPerSecond   int           `default:"0" help:"Read calls taken a second; 0 takes all."`
 }
 
 func (c *logCmd) Run() error {
@@ -83,17 +87,31 @@
 		RetainRecords:    c.RetainRecords,
 		RetainFor:        c.RetainFor,
 		AppendsPerSecond: c.AppendsPerSecond,
+		ReadsPerSecond:   c.ReadsPerSecond,
 	})
 	return standin.Serve("log", c.Listen, s.Handler())
 }
 
 type instancesCmd struct {
 	listen
-	LagMillis int `name:"lag-ms" default:"1000" help:"Milliseconds until a change shows."`
+	LagMillis int    `name:"lag-ms" default:"1000" help:"Milliseconds until a change shows."`
+	Initial   string `type:"existingfile" help:"JSON file with the first list, as POST /v1/instances takes it."`
 }
 
 func (c *instancesCmd) Run() error {
-	return standin.Serve("instances", c.Listen, instances.New(millis(c.LagMillis)).Handler())
+	s := instances.New(millis(c.LagMillis))
+	if c.Initial != "" {
+		raw, err := os.ReadFile(c.Initial)
+		if err != nil {
+			return errors.Wrap(err, "read first list")
+		}
+		var list instances.List
+		if err := json.Unmarshal(raw, &list); err != nil {
+			return errors.Wrapf(err, "decode first list file=%s", c.Initial)
+		}
+		s.Set(time.Now(), list.Instances)
+	}
+	return standin.Serve("instances", c.Listen, s.Handler())
 }
 
 type weightsCmd struct {
