--- a/internal/rate/fleet_test.go
+++ b/internal/rate/fleet_test.go
@@ -60,6 +60,7 @@
 	offered     int
 	lost        float64 // chance that a message or an answer is lost
 	slow        float64 // chance that one takes long
+	most        float64 // highest spendable seen
 	onDecision  func(p *process, at time.Duration, cost float64, ok bool)
 }
 
@@ -128,9 +129,24 @@
 				f.step(p, f.demand[i])
 			}
 		}
+		f.most = max(f.most, f.spendable())
 	}
 }
 
+// spendable is what all processes together could admit at this instant; of a
+// frozen one, what it could right after it thaws.
+func (f *fleet) spendable() float64 {
+	sum := 0.0
+	for _, p := range f.procs {
+		if a := p.limiter.accounts["acct"]; !p.dead {
+			p.limiter.settle(f.clock(p))
+			p.limiter.advance(a, f.clock(p))
+			sum += max(0, a.bucket.available())
+		}
+	}
+	return sum
+}
+
 // deliver hands over what is due; a frozen process gets it when it thaws.
 func (f *fleet) deliver() {
 	due := f.queue[:0:0]
--- a/internal/rate/window_test.go
+++ b/internal/rate/window_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -18,10 +19,15 @@
 		f := newFleet(rapid.Uint64().Draw(t, "seed"), 3, 2, 1000, float64(rapid.IntRange(500, 5000).Draw(t, "burst")))
 		f.lost = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "lost")
 		f.slow = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "slow")
+		scale := rapid.SampledFrom([]float64{0.01, 0.1, 0.3}).Draw(t, "cost")
+		f.cost = func(g *rand.Rand) float64 { return f.burst * scale * g.Float64() }
 		f.run(2 * time.Second)
 		for range rapid.IntRange(5, 25).Draw(t, "steps") {
 			f.fault(rapid.SampledFrom(faults).Draw(t, "fault"), rapid.IntRange(0, len(f.procs)-1).Draw(t, "place"))
-			f.run(time.Duration(rapid.IntRange(5, 4000).Draw(t, "ms")) * time.Millisecond)
+			f.run(time.Duration(rapid.SampledFrom([]int{5, 20, 100, 300, 2000, 4000}).Draw(t, "ms")) * time.Millisecond)
+		}
+		if f.most > f.burst+1e-6 {
+			t.Fatalf("%.3f tokens spendable at once, burst %.0f", f.most, f.burst)
 		}
 		if level, at := f.worst(); level < -1e-6 {
 			t.Fatalf("window invariant broken by %.3f tokens at %v", -level, at)
@@ -30,7 +36,7 @@
 }
 
 var faults = []string{
-	"idle", "flood", "skew", "kill", "freeze", "thaw", "restart", "herd", "cut links", "cut log",
+	"idle", "flood", "skew", "large", "kill", "freeze", "thaw", "restart", "herd", "cut links", "cut log",
 	"log down", "heal",
 }
 
@@ -40,11 +46,15 @@
 	switch kind {
 	case "idle", "flood", "skew":
 		for i := range f.demand {
-			f.demand[i] = map[string]float64{"idle": 0, "flood": 0.2, "skew": 0}[kind]
+			f.demand[i] = map[string]float64{"idle": 0, "flood": 1, "skew": 0}[kind]
 		}
 		if kind == "skew" {
 			f.demand[place] = 0.5
 		}
+	case "large": // gathers tokens from everywhere and often gives up
+		if !p.dead && !p.frozen {
+			f.request(p, f.burst)
+		}
 	case "kill":
 		p.dead = true
 	case "freeze", "thaw":
