Add the operators' command line and the example configurations

Cause: operators have to check, publish and withdraw without editing the log by hand, and to be told who won a race. Change: lint, diff, publish, outcome, keys, status, audit, explain and completion over the log and the admin API; documented exit codes; examples of both deployments and of the demo. Conclusion: tests pass under -race; the examples pass lint.

--- a/cmd/mastictray/main.go
+++ b/cmd/mastictray/main.go
@@ -1,4 +1,23 @@
 // Command mastictray is the operators' command line.
 package main
 
-func main() {}
+import (
+	"context"
+	"crypto/rand"
+	"net/http"
+	"os"
+	"os/signal"
+	"time"
+
+	"github.com/mastictray/mastictray/internal/cli"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	env := cli.Env{
+		Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr,
+		Client: http.DefaultClient, Now: time.Now, Random: rand.Reader,
+	}
+	os.Exit(int(cli.Main(ctx, os.Args[1:], env)))
+}
--- /dev/null
+++ b/internal/cli/publish.go
@@ -0,0 +1,271 @@
+package cli
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"sort"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/mastictray/mastictray/internal/audit"
+	"github.com/mastictray/mastictray/internal/config"
+	"github.com/mastictray/mastictray/internal/logrec"
+)
+
+type lintCommand struct {
+	sources `embed:""`
+}
+
+type lintResult struct {
+	Files    int             `json:"files"`
+	Problems config.Problems `json:"problems"`
+}
+
+func (r lintResult) text(w io.Writer) {
+	for _, p := range r.Problems {
+		fmt.Fprintln(w, p)
+	}
+	fmt.Fprintf(w, "%d files, %d problems\n", r.Files, len(r.Problems))
+}
+
+// Run checks the files as a set of their own.
+func (c *lintCommand) Run(e *Env) error {
+	set, err := c.collect()
+	if err != nil {
+		return err
+	}
+	_, err = config.Build(set.contents)
+	result := lintResult{Files: len(set.contents), Problems: config.Problems{}}
+	errors.As(err, &result.Problems)
+	if printErr := e.print(result); printErr != nil {
+		return printErr
+	}
+	if len(result.Problems) > 0 {
+		return invalid(len(result.Problems))
+	}
+	return nil
+}
+
+// planned is what publishing does with one file.
+type planned struct {
+	Name   string `json:"name"`
+	Action string `json:"action"`
+	// Base is the file's present revision, -1 for none.
+	Base  int64    `json:"base"`
+	Lines []string `json:"lines,omitempty"`
+}
+
+type plan struct {
+	// Revision is that of the configuration in force.
+	Revision int64           `json:"revision"`
+	Files    []planned       `json:"files"`
+	Problems config.Problems `json:"problems"`
+	changes  []config.FileChange
+}
+
+func (p plan) text(w io.Writer) {
+	for _, f := range p.Files {
+		fmt.Fprintf(w, "%-8s %s (base %d)\n", f.Action, f.Name, f.Base)
+		for _, line := range f.Lines {
+			fmt.Fprintln(w, "  "+line)
+		}
+	}
+	for _, problem := range p.Problems {
+		fmt.Fprintln(w, problem)
+	}
+	fmt.Fprintf(w, "%d changes against revision %d\n", len(p.changes), p.Revision)
+}
+
+// makePlan compares the files with the state, and checks the result.
+func makePlan(s *config.State, set fileSet, prune bool) plan {
+	p := plan{Revision: s.Revision, Files: []planned{}, Problems: config.Problems{}}
+	present := s.Present()
+	after := s.Present()
+	for _, name := range sortedNames(set.contents) {
+		contents := set.contents[name]
+		old, had := present[name]
+		if had && bytes.Equal(old, contents) {
+			continue
+		}
+		action := "add"
+		if had {
+			action = "change"
+		}
+		after[name] = contents
+		p.add(s, action, config.FileChange{Name: name, Contents: contents}, old)
+	}
+	for _, name := range sortedNames(present) {
+		if _, there := set.contents[name]; there || !set.covers(name) {
+			continue
+		}
+		if !prune {
+			p.Files = append(p.Files, planned{Name: name, Action: "keep", Base: s.Base(name)})
+			continue
+		}
+		delete(after, name)
+		p.add(s, "delete", config.FileChange{Name: name, Delete: true}, present[name])
+	}
+	_, err := config.Build(after)
+	errors.As(err, &p.Problems)
+	return p
+}
+
+func (p *plan) add(s *config.State, action string, change config.FileChange, old []byte) {
+	change.Base = s.Base(change.Name)
+	p.changes = append(p.changes, change)
+	p.Files = append(p.Files, planned{
+		Name: change.Name, Action: action, Base: change.Base, Lines: diffLines(old, change.Contents),
+	})
+}
+
+func sortedNames(files map[string][]byte) []string {
+	names := make([]string, 0, len(files))
+	for name := range files {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+type diffCommand struct {
+	sources `embed:""`
+	Prune   bool `help:"Delete files in force that the directories no longer have."`
+}
+
+// Run prints the plan.
+func (c *diffCommand) Run(e *Env) error {
+	set, err := c.collect()
+	if err != nil {
+		return err
+	}
+	f, err := e.follow()
+	if err != nil {
+		return err
+	}
+	p := makePlan(f.State(), set, c.Prune)
+	if err := e.print(p); err != nil {
+		return err
+	}
+	if len(p.Problems) > 0 {
+		return invalid(len(p.Problems))
+	}
+	return nil
+}
+
+// operator is who a record is written by.
+type operator struct {
+	As   string `help:"Your name, for the audit trail." required:"" env:"MASTICTRAY_OPERATOR" placeholder:"NAME"`
+	Note string `help:"Why; kept in the audit trail. Never put a key here."`
+	Op   string `help:"Operation id. Repeating a command with the id of one whose outcome is unknown never changes twice." placeholder:"ID"`
+}
+
+func (o *operator) opID() string {
+	if o.Op == "" {
+		o.Op = uuid.NewString()
+	}
+	return o.Op
+}
+
+type publishCommand struct {
+	sources  `embed:""`
+	operator `embed:""`
+	Prune    bool  `help:"Delete files in force that the directories no longer have."`
+	Expect   int64 `help:"Refuse if a file to be changed has a revision above this; diff prints the number." default:"-1" placeholder:"REVISION"`
+}
+
+// Run appends the change and waits for the verdict of the fold.
+func (c *publishCommand) Run(e *Env) error {
+	set, err := c.collect()
+	if err != nil {
+		return err
+	}
+	f, err := e.follow()
+	if err != nil {
+		return err
+	}
+	op := c.opID()
+	if entry, ok := f.State().Outcome(op); ok {
+		return e.verdict(entry)
+	}
+	p := makePlan(f.State(), set, c.Prune)
+	if len(p.Problems) > 0 {
+		p.text(e.Stderr)
+		return invalid(len(p.Problems))
+	}
+	if len(p.changes) == 0 {
+		return e.print(p)
+	}
+	if err := c.checkExpected(f.State(), p); err != nil {
+		return err
+	}
+	change := config.Change{Op: op, Rules: config.RulesVersion, Note: c.Note, Files: p.changes}
+	return e.submit(f, config.KindChange, c.As, op, change)
+}
+
+// checkExpected refuses to overwrite what the operator has not seen: the
+// bases are read just now, so alone they guard only against a race from here
+// on, not against an old checkout.
+func (c *publishCommand) checkExpected(s *config.State, p plan) error {
+	if c.Expect < 0 {
+		return nil
+	}
+	for _, change := range p.changes {
+		if change.Base > c.Expect {
+			winner := s.Files[change.Name].By
+			return errors.Mark(errors.Newf("%s: expected at most revision %d, but %s brought revision %d",
+				change.Name, c.Expect, winner, change.Base), errRejected)
+		}
+	}
+	return nil
+}
+
+// submit appends one record and reports what became of it.
+func (e *Env) submit(f *config.Follower, kind logrec.Kind, by, op string, body any) error {
+	entry, err := e.judge(f, kind, by, op, body)
+	if err != nil {
+		return err
+	}
+	return e.verdict(entry)
+}
+
+// judge appends one record and waits for the verdict of the fold.
+func (e *Env) judge(f *config.Follower, kind logrec.Kind, by, op string, body any) (audit.Entry, error) {
+	record, err := logrec.Encode(kind, by, e.Now().UnixMilli(), body)
+	if err != nil {
+		return audit.Entry{}, errors.Wrap(err, "too much for one change; publish fewer files at once")
+	}
+	fmt.Fprintf(e.Stderr, "operation %s\n", op)
+	if err := e.append(record); err != nil {
+		return audit.Entry{}, err
+	}
+	return e.settle(f, op)
+}
+
+func (e *Env) verdict(entry audit.Entry) error {
+	if err := e.print(entries{entry}); err != nil {
+		return err
+	}
+	if entry.Outcome == audit.Rejected {
+		return errors.Mark(errors.Newf("rejected: %s", entry.Reason), errRejected)
+	}
+	return nil
+}
+
+type outcomeCommand struct {
+	Op string `arg:"" help:"Operation id that an earlier command printed."`
+}
+
+// Run reads the log to its end and looks for the operation.
+func (c *outcomeCommand) Run(e *Env) error {
+	f, err := e.follow()
+	if err != nil {
+		return err
+	}
+	entry, ok := f.State().Outcome(c.Op)
+	if !ok {
+		return errors.Mark(errors.Newf("operation %s is not among the newest in the log, which was read to offset %d", c.Op, f.Next()), errUnknown)
+	}
+	return e.verdict(entry)
+}
--- /dev/null
+++ b/internal/config/fuzz_test.go
@@ -0,0 +1,37 @@
+package config
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/mastictray/mastictray/internal/logrec"
+)
+
+func FuzzFold(f *testing.F) {
+	seed, _ := logrec.Encode(KindChange, "o", 0, change("1", "a.ini", NoRevision, accountFile("a", 1)))
+	f.Add(seed)
+	seed, _ = logrec.Encode(KindKeyWithdraw, "o", 0, KeyWithdraw{Op: "1", ID: "k", SHA256: goodHash})
+	f.Add(seed)
+	seed, _ = logrec.Encode(KindSnapshot, "o", 0, SnapshotPart{Through: 0, Parts: 1, Data: []byte{0x80}})
+	f.Add(seed)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		a, errA := Fold(EmptyState(), data)
+		b, errB := Fold(EmptyState(), data)
+		if (errA == nil) != (errB == nil) || !bytes.Equal(mustEncode(t, a), mustEncode(t, b)) {
+			t.Fatal("two folds of one record differ")
+		}
+		if errA == nil && a.Next != 1 {
+			t.Fatalf("next is %d", a.Next)
+		}
+		if _, err := DecodeState(mustEncode(t, a)); err != nil {
+			t.Fatal(err)
+		}
+		NewFollower().assembler.add(data)
+	})
+}
+
+func FuzzDecodeState(f *testing.F) {
+	data, _ := EmptyState().Encode()
+	f.Add(data)
+	f.Fuzz(func(_ *testing.T, data []byte) { _, _ = DecodeState(data) })
+}
