--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Runs the cantonal deployment on one machine, each process by itself: the
 # platform's stand-ins, six engines and two booking services over three failure
-# domains, and six entry instances. Publishes examples/cantonal, sends prompts
+# domains, and six entry instances. Publishes examples/demo, sends prompts
 # and bookings, prints the measures and stops everything by process id. The exit
 # status is not 0 when a request broke a promise or failed, when a process
 # ended early, or when one did not stop cleanly.
@@ -147,12 +147,12 @@
 send() {
   local entries booker status=0
   entries=$(printf "http://$host:%d," 21301 21302 21303 21304 21305 21306)
-  bin/mastictray-load --profile examples/cantonal-load.ini --entry "${entries%,}" --seed "$seed" \
+  bin/mastictray-load --profile examples/demo-load.ini --entry "${entries%,}" --seed "$seed" \
     --bookings --booking-path /bookings --booking-count 100 --bookings-per-second 10 \
     --service "http://$host:21201,http://$host:21202" --min-answered 1 \
     --output "$run/bookings.json" >"$run/bookings.txt" 2>&1 &
   booker=$!
-  bin/mastictray-load --profile examples/cantonal-load.ini --entry "${entries%,}" --seed "$seed" \
+  bin/mastictray-load --profile examples/demo-load.ini --entry "${entries%,}" --seed "$seed" \
     --duration "$duration" --output "$run/load.json" || status=1
   echo
   wait "$booker" || status=1
@@ -165,7 +165,7 @@
 for port in $log_port $instances_port $weights_port 21101 21102 21103 21104 21105 21106 21201 21202; do
   wait_for 5 listens "$port"
 done
-bin/mastictray --log "http://$host:$log_port" publish --as demo examples/cantonal
+bin/mastictray --log "http://$host:$log_port" publish --as demo examples/demo
 start_entries
 for port in 21321 21322 21323 21324 21325 21326; do
   wait_for 10 ready "$port"
