--- a/internal/entry/engineclient.go
+++ b/internal/entry/engineclient.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -21,7 +20,6 @@
 	headerVersion     = "X-Weights-Version"
 	headerPriority    = "X-Priority"
 	headerIncarnation = "X-Engine-Incarnation"
-	headerLastEvent   = "Last-Event-ID"
 	headerIdempotency = "Idempotency-Key"
 )
 
@@ -39,9 +37,7 @@
 	step    string
 	target  string
 	outcome openai.Outcome
-	// status is the target's answer; 0 when there was none.
-	status int
-	cause  error
+	cause   error
 }
 
 func (e *sendError) Error() string {
@@ -133,31 +129,6 @@
 	return resp, nil
 }
 
-// resume asks the same process for the rest of a stream it has begun.
-func (c *targetClient) resume(ctx context.Context, r attemptRequest, lastSeq int64) (*http.Response, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.address+"/v1/streams/"+r.attempt, nil)
-	if err != nil {
-		return nil, &sendError{step: "build resume", target: r.target, outcome: openai.MayHaveRun, cause: err}
-	}
-	req.Header.Set(headerLastEvent, strconv.FormatInt(lastSeq, 10))
-	resp, err := c.pooled.Do(req)
-	if err != nil {
-		return nil, &sendError{step: "resume", target: r.target, outcome: openai.MayHaveRun, cause: err}
-	}
-	return resp, nil
-}
-
-// cancel tells the target that nobody waits for the stream any more.
-func (c *targetClient) cancel(ctx context.Context, address, attempt string) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+address+"/v1/streams/"+attempt, nil)
-	if err != nil {
-		return
-	}
-	if resp, err := c.pooled.Do(req); err == nil {
-		drainBody(resp)
-	}
-}
-
 // outcomeOfSend says not_run only when the connection was never made: any
 // later failure may have come after the target read the request.
 func outcomeOfSend(err error) openai.Outcome {
@@ -167,10 +138,3 @@
 	}
 	return openai.MayHaveRun
 }
-
-// drainBody reads a little of the rest so that the connection can be kept,
-// and closes.
-func drainBody(resp *http.Response) {
-	_, _ = io.CopyN(io.Discard, resp.Body, maxErrorBodyBytes)
-	resp.Body.Close()
-}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -53,9 +53,6 @@
 	attempts int
 }
 
-// deadline of a call without a route yet.
-const defaultDeadline = 30 * time.Second
-
 // ServeHTTP implements http.Handler.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.running.Add(1)
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -138,7 +138,7 @@
     start "entry-$i" bin/mastictray-entry --instance-id "entry-$i" --domain "$(domain_of "$i")" \
       --caller-listen "$host:$((21300 + i))" --peer-listen "$host:$((21310 + i))" \
       --admin-listen "$host:$((21320 + i))" --log-url "http://$host:$log_port" \
-      --instances-url "http://$host:$instances_port" --peers "${peers%,}" \
+      --instances-url "http://$host:$instances_port" --peers "${peers%,}" --fleet-domains "$(IFS=,; echo "${domains[*]}")" \
       --peer-secret-file "$run/peer-secret" --balancer-lag 500ms
   done
 }
