--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -13,8 +13,6 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/mastictray/mastictray/internal/openai"
-	"github.com/mastictray/mastictray/internal/placement"
-	"github.com/mastictray/mastictray/internal/prefix"
 )
 
 // adminServer answers operators: health, metrics and the admin API.
@@ -118,13 +116,8 @@
 		if pool.Model != req.Model {
 			continue
 		}
-		model := intent.Models[pool.Model]
-		scope := prefix.Scope{Account: account, Model: model.Name, Version: model.Version}
-		exp, err := a.entry.pools.engine(pool.Name).explain(placement.Request{
-			Chain:        prefix.Chain(nil, scope.Seed(), req.Prompt, model.PieceBytes),
-			PieceTokens:  int(float64(model.PieceBytes) / model.BytesPerToken),
-			PromptTokens: int(float64(len(req.Prompt))/model.BytesPerToken) + 1,
-		})
+		engines := a.entry.pools.engine(pool.Name)
+		exp, err := engines.explain(placementOf(account, intent.Models[pool.Model], engines.activeVersion(), req.Prompt))
 		if err != nil {
 			ctx.StopWithText(http.StatusServiceUnavailable, "%s\n", err.Error())
 			return
--- a/internal/entry/configdriver.go
+++ b/internal/entry/configdriver.go
@@ -34,6 +34,7 @@
 	contacts *keys.Contacts
 	lastLog  time.Duration
 	heardLog bool
+	logStart int64
 
 	state   atomic.Pointer[config.State]
 	ready   chan struct{}
@@ -86,6 +87,13 @@
 	return false
 }
 
+// view is the state in force and the oldest offset that the log retains.
+func (d *configDriver) view() (*config.State, int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.state.Load(), d.logStart
+}
+
 func (d *configDriver) next() platform.Offset {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -97,6 +105,7 @@
 	defer d.mu.Unlock()
 	d.lastLog, d.heardLog = d.clock.now(), true
 	d.contacts.Log(d.lastLog)
+	d.logStart = int64(b.Start)
 	_, err := d.follower.Read(b.Records)
 	d.publish()
 	return err
--- a/internal/entry/enginepool.go
+++ b/internal/entry/enginepool.go
@@ -65,19 +65,24 @@
 	beliefs *belief.Store
 	queue   *fairqueue.Queue[*waiter]
 	rng     *rand.Rand
-	nextID  uint64
+	// active is the weights version that new requests count on.
+	active string
+	// returned is when a target came back as a new incarnation.
+	returned map[string]time.Duration
+	nextID   uint64
 	// started is set once run is going; the pools' lock guards it.
 	started bool
 }
 
 func newEnginePool(c clock, domain string) *enginePool {
 	return &enginePool{
-		clock:   c,
-		domain:  domain,
-		address: make(map[string]string),
-		failed:  make(map[string]time.Duration),
-		beliefs: belief.NewStore(beliefBudgetBytes),
-		rng:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		clock:    c,
+		domain:   domain,
+		address:  make(map[string]string),
+		failed:   make(map[string]time.Duration),
+		returned: make(map[string]time.Duration),
+		beliefs:  belief.NewStore(beliefBudgetBytes),
+		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
 
@@ -97,6 +102,7 @@
 	o := placement.DefaultOptions()
 	o.Domain, o.CrossDomainDelay = p.domain, crossDomainDelay
 	p.picker = placement.NewPicker(p.pool, p.beliefs, o)
+	p.activate()
 	if p.queue == nil {
 		share := cfg.PrefillTokensPerSecond * float64(len(targets)) / float64(max(routers, 1))
 		p.queue = fairqueue.New[*waiter](fairqueue.Options{MaxItems: maxQueuedRequests, InitialRate: share})
@@ -125,6 +131,25 @@
 	return kept
 }
 
+// activate chooses the version that new requests count on. Callers hold mu.
+func (p *enginePool) activate() {
+	served := make(map[string]int)
+	for i := range p.pool.Len() {
+		if t := p.pool.Target(i); !t.Draining && !t.BreakerOpen {
+			served[t.Version]++
+		}
+	}
+	p.active = placement.ActiveVersion(served, p.model.Version, p.cfg.ServingFloor)
+	p.pool.Want(p.active)
+}
+
+// activeVersion is the version that a new request counts on.
+func (p *enginePool) activeVersion() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.active
+}
+
 // acquire waits in the fair queue and returns the chosen target. The error is
 // an *openai.Error: the request has not run.
 func (p *enginePool) acquire(ctx context.Context, it fairqueue.Item[*waiter]) (placed, error) {
@@ -293,9 +318,16 @@
 	t := p.pool.Target(i)
 	t.Belief = p.beliefs.Observe(asked, belief.Identity{Target: name, Incarnation: r.Incarnation, Version: r.Version})
 	if t.Incarnation != r.Incarnation || t.Version != r.Version {
+		if t.Incarnation != "" {
+			p.returned[name] = asked
+		}
 		t.Load.Reset(asOf)
 		t.Incarnation, t.Version = r.Incarnation, r.Version
 		p.pool.Changed(i)
+		p.activate()
+	}
+	if at, ok := p.returned[name]; ok {
+		t.SlowStart = placement.SlowStart(asked - at)
 	}
 	t.Load.Report(asOf, r.QueuedPrefillTokens)
 	if t.BreakerOpen && asked > p.failed[name] {
--- a/internal/entry/engineserve.go
+++ b/internal/entry/engineserve.go
@@ -38,7 +38,7 @@
 	c.route = route
 	c.due = c.began + route.Deadline
 	e := &engineCall{call: c, pool: pool, model: model, req: req}
-	e.describe()
+	e.describe(s.pools.engine(pool.Name).activeVersion())
 	if err := s.admit(c, e.cost, &e.reserved); err != nil {
 		return err
 	}
@@ -56,14 +56,19 @@
 	return err
 }
 
-// describe works out the pieces of the prompt and the charge.
-func (e *engineCall) describe() {
-	scope := prefix.Scope{Account: e.account.Name, Model: e.model.Name, Version: e.model.Version}
-	e.place = placement.Request{
-		Chain:        prefix.Chain(nil, scope.Seed(), e.req.Prompt, e.model.PieceBytes),
-		PieceTokens:  int(float64(e.model.PieceBytes) / e.model.BytesPerToken),
-		PromptTokens: int(float64(len(e.req.Prompt))/e.model.BytesPerToken) + 1,
+// placementOf describes a prompt to placement.
+func placementOf(account string, m config.Model, version string, prompt []byte) placement.Request {
+	scope := prefix.Scope{Account: account, Model: m.Name, Version: version}
+	return placement.Request{
+		Chain:        prefix.Chain(nil, scope.Seed(), prompt, m.PieceBytes),
+		PieceTokens:  int(float64(m.PieceBytes) / m.BytesPerToken),
+		PromptTokens: int(float64(len(prompt))/m.BytesPerToken) + 1,
 	}
+}
+
+// describe works out the pieces of the prompt and the charge.
+func (e *engineCall) describe(version string) {
+	e.place = placementOf(e.account.Name, e.model, version, e.req.Prompt)
 	output := e.req.MaxTokens
 	if output == 0 {
 		output = e.model.DefaultMaxTokens
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -97,6 +97,8 @@
 	e.start(func() { e.rates.run(e.ctx) })
 	e.start(func() { e.claims.run(e.ctx) })
 	e.start(func() { e.members.run(e.ctx) })
+	snapshots := &snapshotter{clock: e.clock, config: e.config, rates: e.rates, log: e.log, self: e.node.Self().Incarnation}
+	e.start(func() { snapshots.run(e.ctx) })
 	e.start(func() { e.admin.serve(listeners.admin) })
 	e.start(func() { _ = e.callers.serve(listeners.caller) })
 	logline.Info("entry_started", "instance", e.settings.InstanceID, "incarnation", e.node.Self().Incarnation,
--- a/internal/entry/ratedriver.go
+++ b/internal/entry/ratedriver.go
@@ -328,6 +328,17 @@
 	d.refreshParts()
 }
 
+// valid reports whether this instance may act on a duty now, and with which
+// fencing token.
+func (d *rateDriver) valid(r lease.Resource) (platform.Offset, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.holder.Valid(d.clock.now(), r) {
+		return 0, false
+	}
+	return d.holder.Token(r)
+}
+
 func (d *rateDriver) next() platform.Offset {
 	d.mu.Lock()
 	defer d.mu.Unlock()
