--- /dev/null
+++ b/internal/certs/pair_test.go
@@ -0,0 +1,125 @@
+package certs
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+type authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+func newAuthority(t *testing.T, file string) authority {
+	t.Helper()
+	is := is.New(t)
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	is.NoErr(err)
+	tmpl := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "ca"}, IsCA: true, BasicConstraintsValid: true,
+		NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, tmpl, &key.PublicKey, key)
+	is.NoErr(err)
+	cert, err := x509.ParseCertificate(der)
+	is.NoErr(err)
+	is.NoErr(os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}), 0o600))
+	return authority{cert, key}
+}
+
+// issue writes a certificate and key and sets both files' times to at.
+func (a authority) issue(t *testing.T, dir, name string, serial int64, at time.Time) (certFile, keyFile string) {
+	t.Helper()
+	is := is.New(t)
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	is.NoErr(err)
+	tmpl := &x509.Certificate{SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: name}, NotAfter: time.Now().Add(time.Hour)}
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, a.cert, &key.PublicKey, a.key)
+	is.NoErr(err)
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	is.NoErr(err)
+	certFile, keyFile = filepath.Join(dir, name+".crt"), filepath.Join(dir, name+".key")
+	is.NoErr(os.WriteFile(certFile, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}), 0o600))
+	is.NoErr(os.WriteFile(keyFile, pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: keyDER}), 0o600))
+	is.NoErr(os.Chtimes(certFile, at, at))
+	is.NoErr(os.Chtimes(keyFile, at, at))
+	return certFile, keyFile
+}
+
+// An operator replaces the certificate files of a running process. New
+// connections get the new certificate; a broken file leaves the last good one.
+func TestPairIsReadAgain(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	ca := newAuthority(t, filepath.Join(dir, "ca.pem"))
+	now := time.Unix(1000, 0)
+	cert, key := ca.issue(t, dir, "node", 2, now)
+	p, err := NewPair(cert, key, func() time.Time { return now })
+	is.NoErr(err)
+	first := p.Certificate().Certificate[0]
+
+	ca.issue(t, dir, "node", 3, now.Add(time.Minute))
+	now = now.Add(2 * time.Second)
+	second := p.Certificate().Certificate[0]
+	is.True(string(first) != string(second))
+
+	is.NoErr(os.WriteFile(cert, []byte("half"), 0o600))
+	now = now.Add(2 * time.Second)
+	is.Equal(p.Certificate().Certificate[0], second)
+}
+
+// A process with a certificate of another authority dials a peer. It must not
+// get through, in either direction.
+func TestMutualRefusesStrangers(t *testing.T) {
+	dir := t.TempDir()
+	ours := newAuthority(t, filepath.Join(dir, "ours.pem"))
+	theirs := newAuthority(t, filepath.Join(dir, "theirs.pem"))
+	tests := []struct {
+		name   string
+		dialer authority
+		ok     bool
+	}{{"same authority", ours, true}, {"another authority", theirs, false}}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			server := mutual(t, ours, dir, "server")
+			client := mutual(t, tt.dialer, dir, "client")
+			is.Equal(handshake(server, client) == nil, tt.ok)
+		})
+	}
+}
+
+func mutual(t *testing.T, a authority, dir, name string) *tls.Config {
+	t.Helper()
+	is := is.New(t)
+	cert, key := a.issue(t, dir, name, 5, time.Now())
+	p, err := NewPair(cert, key, time.Now)
+	is.NoErr(err)
+	c, err := Mutual(p, filepath.Join(dir, "ours.pem"))
+	is.NoErr(err)
+	return c
+}
+
+// handshake returns the server's verdict.
+func handshake(server, client *tls.Config) error {
+	a, b := net.Pipe()
+	defer a.Close()
+	go func() {
+		defer b.Close()
+		_ = tls.Client(b, client).Handshake()
+	}()
+	return tls.Server(a, server).Handshake()
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -45,18 +45,22 @@
 	if err != nil {
 		return nil, err
 	}
+	secure, err := newSecurity(s)
+	if err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Entry{settings: s, clock: newClock(), ctx: ctx, cancel: cancel, metrics: newEntryMetrics()}
 	self := wire.Identity{Instance: s.InstanceID, Incarnation: uuid.Must(uuid.NewV7()).String(), Address: s.PeerListen, Domain: s.Domain}
-	e.node = peer.NewNode(peer.Options{Self: self, Secret: secret})
+	e.node = peer.NewNode(peer.Options{Self: self, Secret: secret, TLS: secure.peers})
 	e.log = platform.NewHTTPLog(s.LogURL, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: platformConns}})
-	e.build()
+	e.build(secure)
 	return e, nil
 }
 
 const platformConns = 8
 
-func (e *Entry) build() {
+func (e *Entry) build(secure security) {
 	s := e.settings
 	var list platform.InstanceLister
 	if s.InstancesURL != "" {
@@ -77,7 +81,7 @@
 		clock: e.clock, config: e.config, rates: e.rates, claims: e.claims, pools: e.pools,
 		targets: newTargetClient(), metrics: e.metrics, maxBody: s.MaxBodyBytes,
 	}
-	e.callers = newCallerServer(s, e.server, nil)
+	e.callers = newCallerServer(s, e.server, secure.callers)
 	e.server.full = e.callers.full
 	e.admin = newAdminServer(e)
 }
--- a/internal/placement/version.go
+++ b/internal/placement/version.go
@@ -2,17 +2,22 @@
 
 // ActiveVersion is the weights version that new requests count on while a pool
 // moves to the wanted one: the wanted version once at least floor targets
-// serve it, until then the version that most targets serve. Switching at the
-// first loaded target would send the whole pool's requests there.
+// serve it, until then the version that most targets serve, of equals an
+// unwanted one. Switching at the first loaded target would send the whole
+// pool's requests there.
 func ActiveVersion(served map[string]int, wanted string, floor int) string {
-	total, best := 0, wanted
+	total, best, most := 0, wanted, 0
 	for version, n := range served {
 		total += n
-		if n > served[best] || (n == served[best] && best != wanted && version < best) {
-			best = version
+		if version == wanted {
+			continue
+		}
+		if n > most || (n == most && version < best) {
+			best, most = version, n
 		}
 	}
-	if served[wanted] > 0 && served[wanted] >= min(max(floor, 1), total) {
+	enough := min(max(floor, 1), total)
+	if served[wanted] >= enough || served[wanted] > most {
 		return wanted
 	}
 	return best
