Check that a change of weights empties the stand-in's cache

With the clearing turned off no test failed: the version is part of the hash chain, so old pieces matched nothing, but they kept their room.

--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -170,6 +170,9 @@
 	events, _ := e.feed.wait(t.Context(), 1, time.Minute) // event 0 is the stored piece
 	is.Equal(events[0].Op, OpCleared)
 	is.Equal(e.State().Version, "2")
+	e.mu.Lock()
+	is.Equal(e.cache.order.Len(), 0)
+	e.mu.Unlock()
 	is.Equal(complete(t, url, "a", strings.Repeat("x", 64)).Usage.PromptTokensDetails.CachedTokens, 0)
 }
 
