Stop the demo's waiting when a process has ended

Entries that refused their settings kept the demo waiting for ten seconds before it said so. Draining is bounded below the ten seconds after which the demo counts a process as not stopped.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -70,6 +70,7 @@
   local tries=$(($1 * 10))
   shift
   until "$@" 2>/dev/null; do
+    all_running || return 1
     ((tries-- > 0)) || { echo "demo: gave up on: $*" >&2; return 1; }
     sleep 0.1
   done
@@ -138,8 +139,9 @@
     start "entry-$i" bin/mastictray-entry --instance-id "entry-$i" --domain "$(domain_of "$i")" \
       --caller-listen "$host:$((21300 + i))" --peer-listen "$host:$((21310 + i))" \
       --admin-listen "$host:$((21320 + i))" --log-url "http://$host:$log_port" \
-      --instances-url "http://$host:$instances_port" --peers "${peers%,}" --fleet-domains "$(IFS=,; echo "${domains[*]}")" \
-      --peer-secret-file "$run/peer-secret" --balancer-lag 500ms
+      --instances-url "http://$host:$instances_port" --peers "${peers%,}" \
+      --peer-secret-file "$run/peer-secret" --fleet-domains "$(IFS=,; echo "${domains[*]}")" \
+      --balancer-lag 500ms --drain-timeout 8s
   done
 }
 
