dispatch: hold requests at the target that is full, not at the pool

Cause: requests waited at 41-66% busy engines, because a gate on the mean backlog of the pool closed while only some targets were full. Change: dispatch.Dispatcher joins queue and placement; the queue is scanned in fair order, items whose target is full keep their place and count as that target's work. The oracle is added as a policy.

--- /dev/null
+++ b/internal/dispatch/dispatcher.go
@@ -0,0 +1,177 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/mastictray/mastictray/internal/belief"
+	"github.com/mastictray/mastictray/internal/fairqueue"
+	"github.com/mastictray/mastictray/internal/placement"
+)
+
+// Options tune a dispatcher.
+type Options struct {
+	// Window is the time of work that a target may have before further
+	// requests for it are held.
+	Window time.Duration
+	// ScanLimit bounds the waiting requests looked at in one step.
+	ScanLimit int
+	// Queue bounds the fair queue.
+	Queue fairqueue.Options
+}
+
+// DefaultOptions are the measured defaults; docs/measurements has the runs.
+func DefaultOptions() Options {
+	return Options{
+		Window:    300 * time.Millisecond,
+		ScanLimit: 64,
+		Queue:     fairqueue.Options{MaxItems: 2000},
+	}
+}
+
+// Request is a waiting request: how it is queued and how it is placed.
+type Request[T any] struct {
+	ID       uint64
+	Account  string
+	Weight   float64
+	Priority int
+	// Deadline is when the first byte of the answer is due; 0 for never.
+	Deadline time.Duration
+	Place    placement.Request
+	Value    T
+}
+
+// Send is a request that goes to a target now.
+type Send[T any] struct {
+	Request *Request[T]
+	// Target is the index in the pool.
+	Target int
+	// Identity is what the target was when it was chosen.
+	Identity belief.Identity
+	Decision placement.Decision
+}
+
+// Refusal is a request that will not be sent.
+type Refusal[T any] struct {
+	Request    *Request[T]
+	Reason     fairqueue.Reason
+	RetryAfter time.Duration
+}
+
+// ReasonNoTarget: filters reject every target of the pool.
+const ReasonNoTarget fairqueue.Reason = "no_target"
+
+// Dispatcher decides for one pool. It is not safe for concurrent use.
+type Dispatcher[T any] struct {
+	options Options
+	pool    *placement.Pool
+	beliefs *belief.Store
+	picker  *placement.Picker
+	queue   *fairqueue.Queue[*Request[T]]
+	out     Step[T]
+}
+
+// Step is what is to be done now. Its slices are reused by the next step.
+type Step[T any] struct {
+	Sends    []Send[T]
+	Refusals []Refusal[T]
+}
+
+// New makes a dispatcher over a pool, what is believed of its targets, and a
+// picker over both.
+func New[T any](pool *placement.Pool, beliefs *belief.Store, picker *placement.Picker, o Options) *Dispatcher[T] {
+	return &Dispatcher[T]{
+		options: o, pool: pool, beliefs: beliefs, picker: picker,
+		queue: fairqueue.New[*Request[T]](o.Queue),
+	}
+}
+
+// Waiting is the number of requests held.
+func (d *Dispatcher[T]) Waiting() int { return d.queue.Len() }
+
+// Push takes a request in and then steps.
+func (d *Dispatcher[T]) Push(now time.Duration, r *Request[T], rng *rand.Rand) Step[T] {
+	d.reset()
+	refused := d.queue.Push(now, fairqueue.Item[*Request[T]]{
+		ID: r.ID, Account: r.Account, Weight: r.Weight, Priority: r.Priority,
+		Cost: float64(r.Place.PromptTokens), Deadline: r.Deadline, Value: r,
+	})
+	d.refuse(refused)
+	d.scan(now, rng)
+	return d.out
+}
+
+// Step sends and refuses what it is time for. Call it when an answer came, a
+// load report came or a target changed, and every few milliseconds while
+// requests wait.
+func (d *Dispatcher[T]) Step(now time.Duration, rng *rand.Rand) Step[T] {
+	d.reset()
+	d.scan(now, rng)
+	return d.out
+}
+
+// Cancel drops a waiting request whose caller has gone.
+func (d *Dispatcher[T]) Cancel(account string, id uint64) bool {
+	return d.queue.Cancel(account, id)
+}
+
+// Answered takes in the first token of an answer, or its end.
+func (d *Dispatcher[T]) Answered(s *Send[T]) {
+	d.beliefs.Answered(s.Identity, s.Request.Place.Chain)
+}
+
+// Failed takes in an attempt that the target did not prefill.
+func (d *Dispatcher[T]) Failed(s *Send[T]) {
+	d.beliefs.Failed(s.Identity, s.Request.Place.Chain, s.Decision.CachedPieces)
+}
+
+func (d *Dispatcher[T]) reset() {
+	clear(d.out.Sends)
+	clear(d.out.Refusals)
+	d.out.Sends, d.out.Refusals = d.out.Sends[:0], d.out.Refusals[:0]
+}
+
+func (d *Dispatcher[T]) refuse(list []fairqueue.Refusal[*Request[T]]) {
+	for _, r := range list {
+		d.out.Refusals = append(d.out.Refusals, Refusal[T]{Request: r.Item.Value, Reason: r.Reason, RetryAfter: r.RetryAfter})
+	}
+}
+
+func (d *Dispatcher[T]) scan(now time.Duration, rng *rand.Rand) {
+	d.refuse(d.queue.Sweep(now))
+	if d.queue.Len() == 0 {
+		return
+	}
+	d.pool.Unpark()
+	d.queue.Scan(now, d.options.ScanLimit, func(it *fairqueue.Item[*Request[T]]) fairqueue.Verdict {
+		return d.visit(now, it.Value, rng)
+	})
+	d.pool.Unpark()
+}
+
+// visit places one waiting request, as if all before it had been sent.
+func (d *Dispatcher[T]) visit(now time.Duration, r *Request[T], rng *rand.Rand) fairqueue.Verdict {
+	choice, err := d.picker.Pick(now, &r.Place, rng)
+	if err != nil {
+		d.out.Refusals = append(d.out.Refusals, Refusal[T]{Request: r, Reason: ReasonNoTarget, RetryAfter: noTargetRetryAfter})
+		return fairqueue.Refuse
+	}
+	t := d.pool.Target(choice.Index)
+	if d.pool.Backlog(choice.Index, now) >= d.options.Window {
+		t.Load.Park(choice.UncachedTokens)
+		return fairqueue.Skip
+	}
+	d.send(now, r, t, choice)
+	return fairqueue.Take
+}
+
+// noTargetRetryAfter is the hint when no target is live: about the time that
+// a target needs to come back.
+const noTargetRetryAfter = time.Second
+
+func (d *Dispatcher[T]) send(now time.Duration, r *Request[T], t *placement.Target, choice placement.Decision) {
+	id := belief.Identity{Target: t.Name, Incarnation: t.Incarnation, Version: t.Version}
+	t.Load.Sent(now, choice.UncachedTokens)
+	d.beliefs.Expect(id, r.Place.Chain)
+	d.out.Sends = append(d.out.Sends, Send[T]{Request: r, Target: choice.Index, Identity: id, Decision: choice})
+}
--- a/internal/experiment/engine.go
+++ b/internal/experiment/engine.go
@@ -36,6 +36,10 @@
 	running *job
 	ends    time.Duration
 	busy    time.Duration
+	// expected counts the accepted jobs that will leave a piece here.
+	expected map[prefix.Hash]int
+	// inbound is the uncached tokens that are on their way here.
+	inbound float64
 }
 
 func newEngine(f *fleet, i int) *engine {
@@ -52,6 +56,7 @@
 	e.starts++
 	e.up = true
 	e.cache = newLRU(e.f.w.CachePieces)
+	e.expected = map[prefix.Hash]int{}
 }
 
 // stop ends the incarnation; all its jobs fail.
@@ -77,6 +82,26 @@
 	e.next()
 }
 
+// expect notes what a job will leave here, n being 1 when it is sent and -1
+// when it ends.
+func (e *engine) expect(chain []prefix.Hash, n int) {
+	for _, h := range chain {
+		if e.expected[h] += n; e.expected[h] <= 0 {
+			delete(e.expected, h)
+		}
+	}
+}
+
+// coming is the number of leading pieces that are here or will be.
+func (e *engine) coming(chain []prefix.Hash) int {
+	for i, h := range chain {
+		if e.cache.at[h] == nil && e.expected[h] == 0 {
+			return i
+		}
+	}
+	return len(chain)
+}
+
 // queued is the prompt tokens that wait to be prefilled.
 func (e *engine) queued() float64 {
 	sum := 0.0
--- a/internal/experiment/policy_baseline.go
+++ b/internal/experiment/policy_baseline.go
@@ -95,3 +95,25 @@
 }
 
 func (b *baseline) names() []string { return b.r.f.names }
+
+// oracle knows every cache and every queue at once, also what is on its way.
+func oracle(b *baseline, a *attempt) int {
+	f := b.r.f
+	chain := a.call.chain(f.w, f.wanted)
+	best, bestCost := -1, 0.0
+	for i, e := range f.engines {
+		if !e.up || e.version != f.wanted || !f.linked(b.r.domain, e.domain) {
+			continue
+		}
+		missing := float64((len(chain) - e.coming(chain)) * f.w.PieceTokens)
+		cost := e.queued() + e.inbound + oracleRecomputeFactor*missing
+		if best < 0 || cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
+	return best
+}
+
+// oracleRecomputeFactor weighs a recomputed token against a waiting one; it
+// is the product's.
+var oracleRecomputeFactor = placement.DefaultOptions().RecomputeFactor
--- a/internal/fairqueue/flow.go
+++ b/internal/fairqueue/flow.go
@@ -10,6 +10,29 @@
 	costs  [MaxPriority + 1]float64
 	cost   float64
 	count  int
+	cursor cursor
+}
+
+// cursor is how far a scan has come in a flow.
+type cursor struct {
+	// tag is the flow's tag if all items passed were served.
+	tag   float64
+	level int
+	at    int
+}
+
+func (f *flow[T]) rewind() { f.cursor = cursor{tag: f.tag, level: MaxPriority} }
+
+// peek is the item at the cursor; nil at the end.
+func (f *flow[T]) peek() *Item[T] {
+	for c := &f.cursor; c.level >= 0; {
+		if c.at < len(f.levels[c.level]) {
+			return &f.levels[c.level][c.at]
+		}
+		c.level--
+		c.at = 0
+	}
+	return nil
 }
 
 func (f *flow[T]) push(it Item[T]) {
@@ -51,16 +74,6 @@
 	return it
 }
 
-// popFirst removes the oldest item of the highest level.
-func (f *flow[T]) popFirst() Item[T] {
-	for l := MaxPriority; l > 0; l-- {
-		if len(f.levels[l]) > 0 {
-			return f.take(l, 0)
-		}
-	}
-	return f.take(0, 0)
-}
-
 // dropLast removes the newest item of the lowest level.
 func (f *flow[T]) dropLast() Item[T] {
 	for l := range f.levels {
--- a/internal/fairqueue/queue.go
+++ b/internal/fairqueue/queue.go
@@ -6,9 +6,10 @@
 type Options struct {
 	// MaxItems bounds the waiting items.
 	MaxItems int
-	// InitialRate is the tokens a second that the pool is taken to serve
-	// this instance until it has been measured.
-	InitialRate float64
+	// FloorRate is the tokens a second that the pool serves this instance
+	// at least. A queue that is long only because one target is hot measures
+	// less, and would refuse what other targets have time for.
+	FloorRate float64
 }
 
 // Queue is the waiting requests of one pool. It is not safe for concurrent
@@ -26,7 +27,7 @@
 
 // New makes an empty queue.
 func New[T any](o Options) *Queue[T] {
-	return &Queue[T]{options: o, flows: map[string]*flow[T]{}, meter: newRateMeter(o.InitialRate)}
+	return &Queue[T]{options: o, flows: map[string]*flow[T]{}, meter: newRateMeter(o.FloorRate)}
 }
 
 // Len is the number of waiting items.
@@ -43,7 +44,7 @@
 	if q.count == 0 {
 		q.meter.resume(now)
 	}
-	wait := q.expectedWait(now, &it)
+	wait := q.expectedWait(&it)
 	if it.late(now, wait) {
 		return []Refusal[T]{{Item: it, Reason: ReasonDeadline, RetryAfter: retryAfter(now, wait, &it)}}
 	}
@@ -57,27 +58,19 @@
 	if q.count <= q.options.MaxItems {
 		return nil
 	}
-	return []Refusal[T]{q.displace(now)}
+	return []Refusal[T]{q.displace()}
 }
 
 // Pop removes the next item to serve. Items that became late meanwhile are
 // left for Sweep.
 func (q *Queue[T]) Pop(now time.Duration) (Item[T], bool) {
-	var next *flow[T]
-	for _, f := range q.active {
-		if next == nil || f.tag < next.tag {
-			next = f
-		}
-	}
-	if next == nil {
-		return Item[T]{}, false
-	}
-	it := next.popFirst()
-	q.virtual = max(q.virtual, next.tag)
-	next.tag += it.Cost / next.weight
-	q.left(next, it.Cost)
-	q.meter.served(now, it.Cost)
-	return it, true
+	var out Item[T]
+	found := false
+	q.Scan(now, 1, func(it *Item[T]) Verdict {
+		out, found = *it, true
+		return Take
+	})
+	return out, found
 }
 
 // Sweep removes the items that can no longer make their deadline. Call it
@@ -183,14 +176,14 @@
 
 // displace refuses the newest item of the lowest priority of the account that
 // has the most items for its weight.
-func (q *Queue[T]) displace(now time.Duration) Refusal[T] {
+func (q *Queue[T]) displace() Refusal[T] {
 	worst := q.active[0]
 	for _, f := range q.active[1:] {
 		if float64(f.count)/f.weight > float64(worst.count)/worst.weight {
 			worst = f
 		}
 	}
-	wait := q.meter.wait(now, worst.cost)
+	wait := q.meter.wait(worst.cost)
 	it := worst.dropLast()
 	q.left(worst, it.Cost)
 	return Refusal[T]{Item: it, Reason: ReasonFull, RetryAfter: wait}
@@ -199,7 +192,7 @@
 // expectedWait is the time until a new item would be popped: its account is
 // served at least its share of the rate, and never waits for more than the
 // whole backlog.
-func (q *Queue[T]) expectedWait(now time.Duration, it *Item[T]) time.Duration {
+func (q *Queue[T]) expectedWait(it *Item[T]) time.Duration {
 	weights, own := it.weight(), 0.0
 	for _, f := range q.active {
 		if f.account == it.Account {
@@ -209,7 +202,7 @@
 		weights += f.weight
 	}
 	share := own * weights / it.weight()
-	return q.meter.wait(now, min(share, q.cost))
+	return q.meter.wait(min(share, q.cost))
 }
 
 // minRetryAfter keeps callers from trying again at once.
--- a/internal/fairqueue/rate.go
+++ b/internal/fairqueue/rate.go
@@ -11,14 +11,15 @@
 // rateMeter measures how many tokens a second leave the queue while there is
 // a backlog; time without a backlog says nothing about the capacity.
 type rateMeter struct {
+	floor   float64
 	tokens  float64
 	seconds float64
 	last    time.Duration
 }
 
-func newRateMeter(initial float64) rateMeter {
+func newRateMeter(floor float64) rateMeter {
 	s := rateWindow.Seconds()
-	return rateMeter{tokens: initial * s, seconds: s}
+	return rateMeter{floor: floor, tokens: floor * s, seconds: s}
 }
 
 // resume marks the start of a backlog.
@@ -33,13 +34,14 @@
 	m.seconds = m.seconds*decay + dt
 }
 
-// wait is the expected time until so many tokens have left. The time since
-// the last Pop counts, so that a stalled pool is noticed before its next Pop.
-func (m *rateMeter) wait(now time.Duration, tokens float64) time.Duration {
-	if m.tokens <= 0 {
+// wait is the expected time until so many tokens have left.
+func (m *rateMeter) wait(tokens float64) time.Duration {
+	rate := m.floor
+	if m.seconds > 0 {
+		rate = max(rate, m.tokens/m.seconds)
+	}
+	if rate <= 0 {
 		return 0
 	}
-	stalled := max(0, (now - m.last).Seconds())
-	s := tokens * (m.seconds + stalled) / m.tokens
-	return time.Duration(min(s, math.MaxInt32) * float64(time.Second))
+	return time.Duration(min(tokens/rate, math.MaxInt32) * float64(time.Second))
 }
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -14,6 +14,7 @@
 	asOf   time.Duration
 	sent   [maxSent]send
 	n      int
+	parked float64
 }
 
 // send is prompt work given to the target.
@@ -50,14 +51,24 @@
 	l.n++
 }
 
+// Park counts work that waits at this instance for the target. It lengthens
+// the queue that later requests see, so that a hot prefix widens while its
+// requests are still held here.
+func (l *Load) Park(tokens float64) { l.parked += tokens }
+
 // Reset forgets the load of a target that came back as a new incarnation.
 func (l *Load) Reset(now time.Duration) {
 	*l = Load{asOf: now}
 }
 
-// Queued estimates the prompt tokens waiting at the target now, given its
-// prefill rate in tokens a second.
+// Queued estimates the prompt tokens that a new request would wait for, given
+// the target's prefill rate in tokens a second.
 func (l *Load) Queued(now time.Duration, rate float64) float64 {
+	return l.Given(now, rate) + l.parked
+}
+
+// Given estimates the prompt tokens waiting at the target itself.
+func (l *Load) Given(now time.Duration, rate float64) float64 {
 	queue, at := l.queued, l.asOf
 	for _, s := range l.sent[:l.n] {
 		queue = drained(queue, s.at-at, rate) + s.tokens
--- a/internal/placement/picker.go
+++ b/internal/placement/picker.go
@@ -22,8 +22,11 @@
 	CachedPieces int
 	// UncachedTokens is the prompt tokens it is expected to prefill.
 	UncachedTokens float64
-	// Cost is the expected time to first token.
+	// Cost is what candidates were compared by.
 	Cost time.Duration
+	// Expected is the expected time to first token, without the weight on
+	// recomputing.
+	Expected time.Duration
 }
 
 // Picker places requests on the targets of one pool. It keeps no state that a
@@ -60,13 +63,20 @@
 	for i := range p.scored {
 		p.score(now, r, &p.scored[i])
 	}
-	c := &p.scored[choose(p.scored, p.options.NearTie, rng)]
+	return p.decision(now, r, &p.scored[choose(p.scored, p.options.NearTie, rng)]), nil
+}
+
+func (p *Picker) decision(now time.Duration, r *Request, c *Candidate) Decision {
+	t := &p.pool.targets[c.Index]
+	rate := t.rate()
+	uncached := max(0, float64(r.PromptTokens)-c.CountedTokens)
 	return Decision{
 		Index:          c.Index,
 		CachedPieces:   c.CachedPieces,
-		UncachedTokens: max(0, float64(r.PromptTokens)-c.CountedTokens),
+		UncachedTokens: uncached,
 		Cost:           c.Cost,
-	}, nil
+		Expected:       seconds(t.Load.Queued(now, rate)+uncached, rate),
+	}
 }
 
 // candidates fills p.scored with the first live targets in rendezvous order.
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -1,5 +1,7 @@
 package placement
 
+import "time"
+
 // Pool is the targets that serve the same model, with everything that a
 // decision needs computed beforehand. It is not safe for concurrent use.
 type Pool struct {
@@ -87,3 +89,17 @@
 	}
 	return names
 }
+
+// Unpark forgets the work counted as waiting at this instance.
+func (p *Pool) Unpark() {
+	for i := range p.targets {
+		p.targets[i].Load.parked = 0
+	}
+}
+
+// Backlog is the time that the i-th target needs for the work it has.
+func (p *Pool) Backlog(i int, now time.Duration) time.Duration {
+	t := &p.targets[i]
+	rate := t.rate()
+	return seconds(t.Load.Given(now, rate), rate)
+}
