Serve through the dispatcher: hold requests at the target that is full

Change: the engine pool runs dispatch.Dispatcher; a change of configuration replaces pool and picker under it and keeps the waiting requests.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -86,6 +86,12 @@
 	}
 }
 
+// Replace puts another pool and its picker in place, after a change of
+// configuration. Waiting requests stay.
+func (d *Dispatcher[T]) Replace(pool *placement.Pool, picker *placement.Picker) {
+	d.pool, d.picker = pool, picker
+}
+
 // Waiting is the number of requests held.
 func (d *Dispatcher[T]) Waiting() int { return d.queue.Len() }
 
--- a/internal/entry/enginepool.go
+++ b/internal/entry/enginepool.go
@@ -11,37 +11,31 @@
 
 	"github.com/mastictray/mastictray/internal/belief"
 	"github.com/mastictray/mastictray/internal/config"
+	"github.com/mastictray/mastictray/internal/dispatch"
 	"github.com/mastictray/mastictray/internal/fairqueue"
 	"github.com/mastictray/mastictray/internal/openai"
 	"github.com/mastictray/mastictray/internal/placement"
-	"github.com/mastictray/mastictray/internal/prefix"
 )
 
 const (
 	beliefBudgetBytes = 16 << 20
 	maxQueuedRequests = 4096
-	pumpEvery         = 5 * time.Millisecond
-	// backlogWindow is the prompt work at the targets above which requests
-	// wait here, where their order is still fair.
-	backlogWindow = 600 * time.Millisecond
+	stepEvery         = 5 * time.Millisecond
 	// crossDomainDelay is what placement counts for a target elsewhere.
 	crossDomainDelay = 1500 * time.Microsecond
 )
 
+type (
+	request = dispatch.Request[chan placedOrError]
+	sending = dispatch.Send[chan placedOrError]
+)
+
 // placed is a target chosen for one attempt.
 type placed struct {
+	sending
 	target  string
 	address string
 	version string
-	id      belief.Identity
-	chain   []prefix.Hash
-	kept    int
-}
-
-// waiter is a request in the fair queue.
-type waiter struct {
-	req  placement.Request
-	done chan placedOrError
 }
 
 type placedOrError struct {
@@ -55,16 +49,16 @@
 	clock  clock
 	domain string
 
-	mu      sync.Mutex
-	cfg     config.Pool
-	model   config.Model
-	address map[string]string
-	failed  map[string]time.Duration
-	pool    *placement.Pool
-	picker  *placement.Picker
-	beliefs *belief.Store
-	queue   *fairqueue.Queue[*waiter]
-	rng     *rand.Rand
+	mu         sync.Mutex
+	cfg        config.Pool
+	model      config.Model
+	address    map[string]string
+	failed     map[string]time.Duration
+	pool       *placement.Pool
+	picker     *placement.Picker
+	beliefs    *belief.Store
+	dispatcher *dispatch.Dispatcher[chan placedOrError]
+	rng        *rand.Rand
 	// active is the weights version that new requests count on.
 	active string
 	// returned is when a target came back as a new incarnation.
@@ -99,14 +93,18 @@
 	}
 	p.cfg, p.model, p.address = cfg, model, address
 	p.pool = placement.NewPool(list, model.Version, placement.DefaultFilters())
-	o := placement.DefaultOptions()
-	o.Domain, o.CrossDomainDelay = p.domain, crossDomainDelay
-	p.picker = placement.NewPicker(p.pool, p.beliefs, o)
+	place := placement.DefaultOptions()
+	place.Domain, place.CrossDomainDelay = p.domain, crossDomainDelay
+	p.picker = placement.NewPicker(p.pool, p.beliefs, place)
 	p.activate()
-	if p.queue == nil {
-		share := cfg.PrefillTokensPerSecond * float64(len(targets)) / float64(max(routers, 1))
-		p.queue = fairqueue.New[*waiter](fairqueue.Options{MaxItems: maxQueuedRequests, InitialRate: share})
+	if p.dispatcher != nil {
+		p.dispatcher.Replace(p.pool, p.picker)
+		return
 	}
+	o := dispatch.DefaultOptions()
+	o.Queue.MaxItems = maxQueuedRequests
+	o.Queue.FloorRate = cfg.PrefillTokensPerSecond * float64(len(targets)) / float64(max(routers, 1))
+	p.dispatcher = dispatch.New[chan placedOrError](p.pool, p.beliefs, p.picker, o)
 }
 
 // keep carries a target's observed state over a change of configuration. A
@@ -152,39 +150,31 @@
 
 // acquire waits in the fair queue and returns the chosen target. The error is
 // an *openai.Error: the request has not run.
-func (p *enginePool) acquire(ctx context.Context, it fairqueue.Item[*waiter]) (placed, error) {
+func (p *enginePool) acquire(ctx context.Context, r *request) (placed, error) {
+	r.Value = make(chan placedOrError, 1)
 	p.mu.Lock()
 	p.nextID++
-	it.ID = p.nextID
-	it.Value.done = make(chan placedOrError, 1)
-	refuseAll(p.queue.Push(p.clock.now(), it))
-	p.pump()
+	r.ID = p.nextID
+	p.perform(p.dispatcher.Push(p.clock.now(), r, p.rng))
 	p.mu.Unlock()
 	select {
-	case r := <-it.Value.done:
-		return r.placed, r.err
+	case x := <-r.Value:
+		return x.placed, x.err
 	case <-ctx.Done():
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.queue.Cancel(it.Account, it.ID) {
-		if r := <-it.Value.done; r.err == nil {
-			p.beliefs.Failed(r.placed.id, r.placed.chain, r.placed.kept)
+	if !p.dispatcher.Cancel(r.Account, r.ID) {
+		if x := <-r.Value; x.err == nil {
+			p.dispatcher.Failed(&x.placed.sending)
 		}
 	}
 	return placed{}, ctx.Err()
 }
 
-// again places a request that was served once already on another target.
-func (p *enginePool) again(req placement.Request) (placed, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.place(&req)
-}
-
-// run pumps the queue until ctx ends.
+// run steps the dispatcher while requests wait, until ctx ends.
 func (p *enginePool) run(ctx context.Context) {
-	tick := time.NewTicker(pumpEvery)
+	tick := time.NewTicker(stepEvery)
 	defer tick.Stop()
 	for {
 		select {
@@ -193,48 +183,22 @@
 		case <-tick.C:
 		}
 		p.mu.Lock()
-		p.pump()
-		p.mu.Unlock()
-	}
-}
-
-// pump sends waiting requests while the targets' backlog is low. Callers hold
-// mu.
-func (p *enginePool) pump() {
-	if p.queue == nil || p.queue.Len() == 0 {
-		return
-	}
-	now := p.clock.now()
-	refuseAll(p.queue.Sweep(now))
-	for p.queue.Len() > 0 && p.pool.Backlog(now) < backlogWindow {
-		it, ok := p.queue.Pop(now)
-		if !ok {
-			return
+		if p.dispatcher.Waiting() > 0 {
+			p.perform(p.dispatcher.Step(p.clock.now(), p.rng))
 		}
-		pl, err := p.place(&it.Value.req)
-		it.Value.done <- placedOrError{pl, err}
+		p.mu.Unlock()
 	}
 }
 
-func (p *enginePool) place(req *placement.Request) (placed, error) {
-	now := p.clock.now()
-	d, err := p.picker.Pick(now, req, p.rng)
-	if err != nil {
-		return placed{}, &openai.Error{
-			Status: http.StatusServiceUnavailable, Code: openai.CodeNoTarget, Outcome: openai.NotRun,
-			Message: "no target can take the request", RetryAfter: time.Second,
-		}
+// perform hands a step's decisions to the requests that wait for them. Callers
+// hold mu.
+func (p *enginePool) perform(step dispatch.Step[chan placedOrError]) {
+	for _, x := range step.Refusals {
+		x.Request.Value <- placedOrError{err: queueRefusal(x.Reason, x.RetryAfter)}
 	}
-	t := p.pool.Target(d.Index)
-	id := belief.Identity{Target: t.Name, Incarnation: t.Incarnation, Version: t.Version}
-	t.Load.Sent(now, d.UncachedTokens)
-	p.beliefs.Expect(id, req.Chain)
-	return placed{target: t.Name, address: p.address[t.Name], version: t.Version, id: id, chain: req.Chain, kept: d.CachedPieces}, nil
-}
-
-func refuseAll(list []fairqueue.Refusal[*waiter]) {
-	for _, x := range list {
-		x.Item.Value.done <- placedOrError{err: queueRefusal(x.Reason, x.RetryAfter)}
+	for _, s := range step.Sends {
+		name := s.Identity.Target
+		s.Request.Value <- placedOrError{placed: placed{sending: s, target: name, address: p.address[name], version: s.Identity.Version}}
 	}
 }
 
@@ -243,18 +207,20 @@
 		Status: http.StatusServiceUnavailable, Code: openai.CodeOverloaded, Outcome: openai.NotRun,
 		Message: "the queue is full", RetryAfter: retryAfter,
 	}
-	if reason == fairqueue.ReasonDeadline {
+	switch reason {
+	case fairqueue.ReasonDeadline:
 		e.Code, e.Message = openai.CodeDeadline, "the answer would not begin before its deadline"
+	case dispatch.ReasonNoTarget:
+		e.Code, e.Message = openai.CodeNoTarget, "no target can take the request"
 	}
 	return e
 }
 
 // served takes in the end of an answer: the target holds the whole chain.
-func (p *enginePool) served(pl placed, account string, costDelta float64) {
+func (p *enginePool) served(pl placed) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.beliefs.Answered(pl.id, pl.chain)
-	p.queue.Done(account, costDelta)
+	p.dispatcher.Answered(&pl.sending)
 }
 
 // lost takes in a failed attempt. With broken the connection to the target
@@ -262,7 +228,7 @@
 func (p *enginePool) lost(pl placed, broken bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.beliefs.Failed(pl.id, pl.chain, pl.kept)
+	p.dispatcher.Failed(&pl.sending)
 	if broken {
 		p.setBreaker(pl.target, true)
 	}
--- a/internal/entry/engineserve.go
+++ b/internal/entry/engineserve.go
@@ -9,7 +9,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mastictray/mastictray/internal/config"
-	"github.com/mastictray/mastictray/internal/fairqueue"
 	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/openai"
 	"github.com/mastictray/mastictray/internal/placement"
@@ -111,12 +110,8 @@
 // runEngine queues the request and tries targets until one answers whole.
 func (s *server) runEngine(e *engineCall) error {
 	pool := s.pools.engine(e.pool.Name)
-	first := fairqueue.Item[*waiter]{
-		Account: e.account.Name, Weight: e.account.Weight, Priority: e.route.Priority,
-		Cost: e.cost, Deadline: e.due, Value: &waiter{req: e.place},
-	}
-	pl, err := pool.acquire(e.r.Context(), first)
 	for {
+		pl, err := pool.acquire(e.r.Context(), e.queued())
 		if err != nil {
 			return placeError(err)
 		}
@@ -125,7 +120,14 @@
 			return err
 		}
 		e.place.Exclude = pl.target
-		pl, err = pool.again(e.place)
+	}
+}
+
+// queued is the request as it waits for a target.
+func (e *engineCall) queued() *request {
+	return &request{
+		Account: e.account.Name, Weight: e.account.Weight, Priority: e.route.Priority,
+		Deadline: e.due, Place: e.place,
 	}
 }
 
@@ -180,7 +182,7 @@
 	}
 	s.metrics.attempt(e.pool.Name, "answered")
 	s.metrics.answered(e.account.Name, e.pool.Name)
-	pool.served(pl, e.account.Name, float64(e.usage.PromptTokens+e.usage.CompletionTokens)-e.cost)
+	pool.served(pl)
 	return nil
 }
 
