--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -2,66 +2,80 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
-	"github.com/kataras/iris/v12"
-
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/kataras/iris/v12"
 
+	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/openai"
 )
 
 // adminServer answers operators: health, metrics and the admin API.
 type adminServer struct {
-	entry *Entry
-	app   *iris.Application
-	http  *http.Server
+	entry  *Entry
+	app    *iris.Application
+	http   *http.Server
+	tokens adminTokens
 	// ready is cleared when the process begins to drain.
 	ready atomic.Bool
 }
 
-func newAdminServer(e *Entry) *adminServer {
-	a := &adminServer{entry: e, app: iris.New()}
+func newAdminServer(e *Entry, tokens adminTokens) *adminServer {
+	a := &adminServer{entry: e, app: iris.New(), tokens: tokens}
 	a.ready.Store(true)
 	a.app.Logger().SetOutput(io.Discard)
 	a.app.Get("/livez", func(ctx iris.Context) { _, _ = ctx.WriteString("ok\n") })
 	a.app.Get("/readyz", a.readyz)
 	a.app.Get("/metrics", a.metrics)
-	a.app.Get("/admin/v1/state", a.state)
-	a.app.Post("/admin/v1/explain", a.explain)
+	read, operate := a.require(roleRead), a.require(roleOperate)
+	a.app.Get("/admin/v1/state", read, a.state)
+	a.app.Get("/admin/v1/audit", read, a.audit)
+	a.app.Post("/admin/v1/explain", read, a.explain)
+	a.app.Post("/admin/v1/drain", operate, a.drain)
+	a.http = &http.Server{Handler: a.app, ReadHeaderTimeout: headerReadTimeout, ErrorLog: discardLogger()}
 	return a
 }
 
 func (a *adminServer) serve(l net.Listener) {
 	if err := a.app.Build(); err != nil {
+		logline.Error(err, "admin_failed")
 		return
 	}
-	a.http = &http.Server{Handler: a.app, ReadHeaderTimeout: headerReadTimeout, ErrorLog: discardLogger()}
 	_ = a.http.Serve(l)
 }
 
 func (a *adminServer) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	if a.http != nil {
-		_ = a.http.Shutdown(ctx)
+	_ = a.http.Shutdown(ctx)
+}
+
+// require lets a call through whose token has the role.
+func (a *adminServer) require(need adminRole) iris.Handler {
+	return func(ctx iris.Context) {
+		if !a.tokens.allows(bearer(ctx.Request()), need) {
+			ctx.StopWithText(http.StatusForbidden, "the token does not have the role %s\n", need)
+			return
+		}
+		ctx.Next()
 	}
 }
 
 func (a *adminServer) readyz(ctx iris.Context) {
-	if !a.ready.Load() {
+	switch {
+	case !a.ready.Load():
 		ctx.StopWithText(http.StatusServiceUnavailable, "draining\n")
-		return
-	}
-	if a.entry.config.intent() == nil {
+	case a.entry.config.intent() == nil:
 		ctx.StopWithText(http.StatusServiceUnavailable, "no configuration yet\n")
-		return
+	default:
+		_, _ = ctx.WriteString("ok\n")
 	}
-	_, _ = ctx.WriteString("ok\n")
 }
 
 func (a *adminServer) metrics(ctx iris.Context) {
@@ -69,39 +83,38 @@
 	metrics.WriteProcessMetrics(ctx.ResponseWriter())
 }
 
-// stateBody is the answer of /admin/v1/state.
-type stateBody struct {
-	Instance    string   `json:"instance"`
-	Incarnation string   `json:"incarnation"`
-	Domain      string   `json:"domain"`
-	Ready       bool     `json:"ready"`
-	Revision    int64    `json:"revision"`
-	Accounts    int      `json:"accounts"`
-	Peers       []string `json:"peers"`
-	RateShare   float64  `json:"rate_share"`
-}
+func (a *adminServer) state(ctx iris.Context) { _ = ctx.JSON(a.entry.view(a.ready.Load())) }
 
-func (a *adminServer) state(ctx iris.Context) {
-	e := a.entry
-	body := stateBody{
-		Instance: e.settings.InstanceID, Incarnation: e.node.Self().Incarnation, Domain: e.settings.Domain,
-		Ready: a.ready.Load(), Revision: -1, Peers: e.members.addresses(), RateShare: e.rates.share(),
-	}
-	if intent := e.config.intent(); intent != nil {
-		body.Revision = intent.Revision
-		body.Accounts = len(intent.Accounts)
+func (a *adminServer) audit(ctx iris.Context) {
+	state, _ := a.entry.config.view()
+	if state == nil {
+		ctx.StopWithText(http.StatusServiceUnavailable, "no configuration yet\n")
+		return
 	}
-	_ = ctx.JSON(body)
+	_ = ctx.JSON(state.Audit)
+}
+
+// drain begins a graceful shutdown, as SIGTERM does.
+func (a *adminServer) drain(ctx iris.Context) {
+	a.entry.Drain()
+	ctx.StatusCode(http.StatusAccepted)
+}
+
+// explainBody is a request whose placement is asked for.
+type explainBody struct {
+	Path    string          `json:"path"`
+	Account string          `json:"account"`
+	Body    json.RawMessage `json:"body"`
 }
 
 // explain decides on a request without sending it.
 func (a *adminServer) explain(ctx iris.Context) {
-	body, err := ctx.GetBody()
-	if err != nil {
-		ctx.StopWithText(http.StatusBadRequest, "the body could not be read\n")
+	var ask explainBody
+	if err := ctx.ReadJSON(&ask); err != nil {
+		ctx.StopWithText(http.StatusBadRequest, "expected path, account and body as JSON\n")
 		return
 	}
-	req, err := openai.ParseChat(body)
+	req, err := parseBody(ask.Path, ask.Body)
 	if err != nil {
 		ctx.StopWithText(http.StatusBadRequest, "%s\n", err.Error())
 		return
@@ -111,19 +124,19 @@
 		ctx.StopWithText(http.StatusServiceUnavailable, "no configuration yet\n")
 		return
 	}
-	account := ctx.URLParam("account")
-	for _, pool := range intent.Pools {
-		if pool.Model != req.Model {
-			continue
-		}
-		engines := a.entry.pools.engine(pool.Name)
-		exp, err := engines.explain(placementOf(account, intent.Models[pool.Model], engines.activeVersion(), req.Prompt))
-		if err != nil {
-			ctx.StopWithText(http.StatusServiceUnavailable, "%s\n", err.Error())
-			return
-		}
-		_ = ctx.JSON(exp)
+	_, pool, ok := modelRoute(intent, routesOf(intent, ask.Path), req.Model)
+	if !ok {
+		ctx.StopWithText(http.StatusNotFound, "no route serves this path and model\n")
+		return
+	}
+	a.explainIn(ctx, ask.Account, a.entry.pools.engine(pool.Name), req)
+}
+
+func (a *adminServer) explainIn(ctx iris.Context, account string, pool *enginePool, req openai.Request) {
+	explained, err := pool.explain(placementOf(account, pool.modelNow(), pool.activeVersion(), req.Prompt))
+	if err != nil {
+		ctx.StopWithText(http.StatusServiceUnavailable, "%s\n", err.Error())
 		return
 	}
-	ctx.StopWithText(http.StatusNotFound, "no pool serves this model\n")
+	_ = ctx.JSON(explained)
 }
--- a/internal/entry/enginepool.go
+++ b/internal/entry/enginepool.go
@@ -148,6 +148,13 @@
 	return p.active
 }
 
+// modelNow is the model as configured.
+func (p *enginePool) modelNow() config.Model {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.model
+}
+
 // acquire waits in the fair queue and returns the chosen target. The error is
 // an *openai.Error: the request has not run.
 func (p *enginePool) acquire(ctx context.Context, r *request) (placed, error) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -37,6 +37,9 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
+	// drain is closed when an operator asks for a graceful shutdown.
+	drain     chan struct{}
+	drainOnce sync.Once
 }
 
 // New builds the process from checked settings. Nothing listens yet.
@@ -50,7 +53,7 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	e := &Entry{settings: s, clock: newClock(), ctx: ctx, cancel: cancel, metrics: newEntryMetrics()}
+	e := &Entry{settings: s, clock: newClock(), ctx: ctx, cancel: cancel, metrics: newEntryMetrics(), drain: make(chan struct{})}
 	self := wire.Identity{Instance: s.InstanceID, Incarnation: uuid.Must(uuid.NewV7()).String(), Address: s.PeerListen, Domain: s.Domain}
 	e.node = peer.NewNode(peer.Options{Self: self, Secret: secret, TLS: secure.peers})
 	e.log = platform.NewHTTPLog(s.LogURL, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: platformConns}})
@@ -83,7 +86,7 @@
 	}
 	e.callers = newCallerServer(s, e.server, secure.callers)
 	e.server.full = e.callers.full
-	e.admin = newAdminServer(e)
+	e.admin = newAdminServer(e, secure.admin)
 }
 
 // Run serves until ctx ends, then drains. It returns when the last stream is
@@ -107,11 +110,17 @@
 	e.start(func() { _ = e.callers.serve(listeners.caller) })
 	logline.Info("entry_started", "instance", e.settings.InstanceID, "incarnation", e.node.Self().Incarnation,
 		"domain", e.settings.Domain, "callers", listeners.caller.Addr(), "peers", listeners.peer.Addr(), "admin", listeners.admin.Addr())
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-e.drain:
+	}
 	e.shutdown()
 	return nil
 }
 
+// Drain begins a graceful shutdown; Run returns when it is over.
+func (e *Entry) Drain() { e.drainOnce.Do(func() { close(e.drain) }) }
+
 func (e *Entry) start(f func()) {
 	e.wg.Add(1)
 	go func() {
--- a/internal/entry/security.go
+++ b/internal/entry/security.go
@@ -8,11 +8,19 @@
 	"github.com/mastictray/mastictray/internal/settings"
 )
 
-// security is the TLS of the process's listeners; nil where none is set.
-type security struct{ callers, peers *tls.Config }
+// security is the TLS of the process's listeners, nil where none is set, and
+// the operators' tokens.
+type security struct {
+	callers, peers *tls.Config
+	admin          adminTokens
+}
 
 func newSecurity(s *settings.Settings) (security, error) {
-	var sec security
+	tokens, err := loadAdminTokens(s.AdminTokenFile)
+	if err != nil {
+		return security{}, err
+	}
+	sec := security{admin: tokens}
 	if s.CallerTLSCert != "" {
 		pair, err := certs.NewPair(s.CallerTLSCert, s.CallerTLSKey, time.Now)
 		if err != nil {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -144,23 +144,32 @@
 	if c.r.Method != http.MethodPost {
 		return refusal(http.StatusMethodNotAllowed, openai.CodeBadRequest, "expected POST", 0)
 	}
-	req, err := parseBody(c)
+	req, err := parseBody(c.r.URL.Path, c.body)
 	if err != nil {
 		return refusal(http.StatusBadRequest, openai.CodeBadRequest, err.Error(), 0)
 	}
+	route, pool, ok := modelRoute(intent, routes, req.Model)
+	if !ok {
+		return refusal(http.StatusNotFound, openai.CodeNotFound, "no route serves this model", 0)
+	}
+	return s.serveEngine(c, route, pool, intent.Models[pool.Model], req)
+}
+
+// modelRoute is the first of the routes whose pool serves the model.
+func modelRoute(intent *config.Intent, routes []config.Route, model string) (config.Route, config.Pool, bool) {
 	for _, route := range routes {
-		if pool := intent.Pools[route.Pool]; pool.Model == req.Model {
-			return s.serveEngine(c, route, pool, intent.Models[pool.Model], req)
+		if pool := intent.Pools[route.Pool]; pool.Model == model {
+			return route, pool, true
 		}
 	}
-	return refusal(http.StatusNotFound, openai.CodeNotFound, "no route serves this model", 0)
+	return config.Route{}, config.Pool{}, false
 }
 
-func parseBody(c *call) (openai.Request, error) {
-	if c.r.URL.Path == completionPath {
-		return openai.ParseCompletion(c.body)
+func parseBody(path string, body []byte) (openai.Request, error) {
+	if path == completionPath {
+		return openai.ParseCompletion(body)
 	}
-	return openai.ParseChat(c.body)
+	return openai.ParseChat(body)
 }
 
 // routesOf returns the routes of a path, in the order of their names.
