Move the demo's ports by DEMO_PORT_BASE; refuse to start on taken ports

Two demos at once on one machine mixed: the second one's stand-ins could not listen, its publish reached the first one's log, and it was told only later that a process had ended. The ports are checked before anything starts.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -9,7 +9,15 @@
 cd "$(dirname "$0")/.."
 
 readonly host=127.0.0.1
-readonly log_port=21001 instances_port=21002 weights_port=21003
+# The examples name ports from 21000 on; DEMO_PORT_BASE moves them all, by whole
+# thousands, so that two demos can run on one machine.
+readonly base=${DEMO_PORT_BASE:-21000}
+readonly log_port=$((base + 1)) instances_port=$((base + 2)) weights_port=$((base + 3))
+readonly target_ports=($((base + 101)) $((base + 102)) $((base + 103)) $((base + 104)) $((base + 105)) $((base + 106))
+  $((base + 201)) $((base + 202)))
+readonly caller_ports=($((base + 301)) $((base + 302)) $((base + 303)) $((base + 304)) $((base + 305)) $((base + 306)))
+readonly peer_ports=($((base + 311)) $((base + 312)) $((base + 313)) $((base + 314)) $((base + 315)) $((base + 316)))
+readonly admin_ports=($((base + 321)) $((base + 322)) $((base + 323)) $((base + 324)) $((base + 325)) $((base + 326)))
 readonly domains=(vaud-nord vaud-centre vaud-sud)
 readonly duration=${DEMO_DURATION:-20s}
 readonly run=${DEMO_RUN_DIR:-$(mktemp -d)}
@@ -101,13 +109,13 @@
   printf '{"instances":['
   for i in 1 2 3 4 5 6; do
     printf '%s{"id":"entry-%d","address":"%s:%d","domain":"%s","role":"entry","state":"live"}' \
-      "$sep" "$i" "$host" $((21310 + i)) "$(domain_of "$i")"
+      "$sep" "$i" "$host" $((base + 310 + i)) "$(domain_of "$i")"
     sep=,
     printf ',{"id":"draft-%d","address":"%s:%d","domain":"%s","role":"target","state":"live"}' \
-      "$i" "$host" $((21100 + i)) "$(domain_of "$i")"
+      "$i" "$host" $((base + 100 + i)) "$(domain_of "$i")"
   done
-  printf ',{"id":"booking-1","address":"%s:21201","domain":"vaud-nord","role":"target","state":"live"}' "$host"
-  printf ',{"id":"booking-2","address":"%s:21202","domain":"vaud-sud","role":"target","state":"live"}' "$host"
+  printf ',{"id":"booking-1","address":"%s:%d","domain":"vaud-nord","role":"target","state":"live"}' "$host" $((base + 201))
+  printf ',{"id":"booking-2","address":"%s:%d","domain":"vaud-sud","role":"target","state":"live"}' "$host" $((base + 202))
   printf ']}\n'
 }
 
@@ -123,22 +131,22 @@
   for i in 1 2 3 4 5 6; do
     fencing=--checks-fencing
     ((i % 2)) || fencing=--no-checks-fencing
-    start "draft-$i" bin/mastictray-standin engine --listen "$host:$((21100 + i))" \
+    start "draft-$i" bin/mastictray-standin engine --listen "$host:$((base + 100 + i))" \
       --model reports --cache-pieces 48 --prefill-tps 40000 --seed "$i" \
       --weights "http://$host:$weights_port" $fencing
   done
-  start booking-1 bin/mastictray-standin service --listen "$host:21201" --name booking-1
-  start booking-2 bin/mastictray-standin service --listen "$host:21202" --name booking-2
+  start booking-1 bin/mastictray-standin service --listen "$host:$((base + 201))" --name booking-1
+  start booking-2 bin/mastictray-standin service --listen "$host:$((base + 202))" --name booking-2
 }
 
 start_entries() {
   local i peers
   (umask 077 && head -c 32 /dev/urandom | base64 >"$run/peer-secret")
-  peers=$(printf "$host:%d," 21311 21312 21313 21314 21315 21316)
+  peers=$(printf "$host:%d," "${peer_ports[@]}")
   for i in 1 2 3 4 5 6; do
     start "entry-$i" bin/mastictray-entry --instance-id "entry-$i" --domain "$(domain_of "$i")" \
-      --caller-listen "$host:$((21300 + i))" --peer-listen "$host:$((21310 + i))" \
-      --admin-listen "$host:$((21320 + i))" --log-url "http://$host:$log_port" \
+      --caller-listen "$host:$((base + 300 + i))" --peer-listen "$host:$((base + 310 + i))" \
+      --admin-listen "$host:$((base + 320 + i))" --log-url "http://$host:$log_port" \
       --instances-url "http://$host:$instances_port" --peers "${peers%,}" \
       --peer-secret-file "$run/peer-secret" --fleet-domains "$(IFS=,; echo "${domains[*]}")" \
       --balancer-lag 500ms --drain-timeout 8s
@@ -148,10 +156,10 @@
 # send runs the bookings beside the prompts and fails when either does.
 send() {
   local entries booker status=0
-  entries=$(printf "http://$host:%d," 21301 21302 21303 21304 21305 21306)
+  entries=$(printf "http://$host:%d," "${caller_ports[@]}")
   bin/mastictray-load --profile examples/demo-load.ini --entry "${entries%,}" --seed "$seed" \
     --bookings --booking-path /bookings --booking-count 100 --bookings-per-second 10 \
-    --service "http://$host:21201,http://$host:21202" --min-answered 1 \
+    --service "http://$host:$((base + 201)),http://$host:$((base + 202))" --min-answered 1 \
     --output "$run/bookings.json" >"$run/bookings.txt" 2>&1 &
   booker=$!
   bin/mastictray-load --profile examples/demo-load.ini --entry "${entries%,}" --seed "$seed" \
@@ -162,14 +170,30 @@
   return $status
 }
 
+# config copies the example with the ports of this run.
+config() {
+  local file
+  mkdir -p "$run/config"
+  for file in examples/demo/*.ini; do
+    sed "s/$host:21/$host:$((base / 1000))/" "$file" >"$run/config/${file##*/}"
+  done
+}
+
+for port in $log_port $instances_port $weights_port "${target_ports[@]}" "${caller_ports[@]}" "${peer_ports[@]}" "${admin_ports[@]}"; do
+  if listens "$port" 2>/dev/null; then
+    echo "demo: port $port is taken; set DEMO_PORT_BASE" >&2
+    exit 1
+  fi
+done
+config
 start_platform
 start_targets
-for port in $log_port $instances_port $weights_port 21101 21102 21103 21104 21105 21106 21201 21202; do
+for port in $log_port $instances_port $weights_port "${target_ports[@]}"; do
   wait_for 5 listens "$port"
 done
-bin/mastictray --log "http://$host:$log_port" publish --as demo examples/demo
+bin/mastictray --log "http://$host:$log_port" publish --as demo --root "$run/config" "$run/config"
 start_entries
-for port in 21321 21322 21323 21324 21325 21326; do
+for port in "${admin_ports[@]}"; do
   wait_for 10 ready "$port"
 done
 all_running
