Start the leases behind a trimmed log from a checkpoint; know the peers' shares

Cause: the control stream keeps its records for a limited time. An instance that started behind that time knew no holders, took a held mint slot for a free one and would have minted a part of every rate twice. Ruled out: renewals that carry the whole state, which would grow each record with the fleet. Peers are refreshed at each heartbeat, by incarnation. Not covered: a fleet that was down longer than the log's retention finds no checkpoint and needs a new stream.

--- a/internal/entry/duties.go
+++ b/internal/entry/duties.go
@@ -6,15 +6,26 @@
 	"time"
 
 	"github.com/mastictray/mastictray/internal/config"
+	"github.com/mastictray/mastictray/internal/lease"
 	"github.com/mastictray/mastictray/internal/logline"
+	"github.com/mastictray/mastictray/internal/logrec"
 	"github.com/mastictray/mastictray/internal/platform"
 )
 
 const dutyEvery = time.Second
 
-// snapshotter writes snapshots of the configuration into its stream, on the
-// instance that holds the lease for it. Two instances that both believe to
-// hold it cost a needless record, nothing else: a snapshot changes no state.
+const (
+	// checkpointEvery and checkpointRecords bound what a starting instance
+	// folds of the control stream. The log has to keep its records for
+	// several times checkpointEvery.
+	checkpointEvery   = 5 * time.Minute
+	checkpointRecords = 4096
+)
+
+// snapshotter writes snapshots of the configuration and checkpoints of the
+// leases into their streams, on the instance that holds the duty. Two
+// instances that both believe to hold it cost a needless record, nothing else:
+// neither record changes a state.
 type snapshotter struct {
 	clock  clock
 	config *configDriver
@@ -25,53 +36,69 @@
 	// seen is the newest snapshot known, since when it is known.
 	seen  int64
 	since time.Duration
+	// through and writtenAt are the last checkpoint of this instance.
+	through   platform.Offset
+	writtenAt time.Duration
 }
 
 func (s *snapshotter) run(ctx context.Context) {
 	s.seen = -1
 	for ctx.Err() == nil {
 		sleep(ctx, dutyEvery)
-		s.step(ctx)
+		if _, held := s.rates.valid(dutySnapshot); held {
+			s.snapshot(ctx)
+			s.checkpoint(ctx)
+		}
 	}
 }
 
-func (s *snapshotter) step(ctx context.Context) {
+// snapshot writes the configuration when it is due.
+func (s *snapshotter) snapshot(ctx context.Context) {
 	state, logStart := s.config.view()
-	if state == nil {
+	if state == nil || !config.SnapshotDue(state, config.DefaultSnapshotPolicy, s.snapshotAge(state), logStart) {
 		return
 	}
+	records, err := config.SnapshotRecords(state, s.self, s.clock.wallMillis())
+	s.append(ctx, platform.StreamConfig, records, err)
+}
+
+// snapshotAge is how long the newest snapshot has been known to be the newest;
+// one that was there at the start counts as very old.
+func (s *snapshotter) snapshotAge(state *config.State) time.Duration {
 	now := s.clock.now()
-	age := time.Duration(math.MaxInt64)
-	switch {
-	case s.seen < 0:
-		s.seen = state.SnapshotThrough
-	case state.SnapshotThrough != s.seen:
-		s.seen, s.since = state.SnapshotThrough, now
-	}
-	if s.since > 0 {
-		age = now - s.since
+	if s.seen >= 0 && state.SnapshotThrough != s.seen {
+		s.since = now
 	}
-	if !config.SnapshotDue(state, config.DefaultSnapshotPolicy, age, logStart) {
-		return
+	s.seen = state.SnapshotThrough
+	if s.since == 0 {
+		return math.MaxInt64
 	}
-	if _, held := s.rates.valid(dutySnapshot); !held {
-		return
-	}
-	s.write(ctx, state)
+	return now - s.since
 }
 
-func (s *snapshotter) write(ctx context.Context, state *config.State) {
-	records, err := config.SnapshotRecords(state, s.self, s.clock.wallMillis())
-	if err != nil {
-		logline.Error(err, "snapshot_failed", "revision", state.Revision)
+// checkpoint writes the state of the leases when it is due.
+func (s *snapshotter) checkpoint(ctx context.Context) {
+	now := s.clock.now()
+	c, ok := s.rates.checkpoint()
+	due := s.writtenAt == 0 || now-s.writtenAt >= checkpointEvery || c.Through-s.through >= checkpointRecords
+	if !ok || !due {
 		return
 	}
+	s.writtenAt, s.through = now, c.Through
+	record, err := logrec.Encode(lease.KindCheckpoint, s.self, s.clock.wallMillis(), c)
+	s.append(ctx, platform.StreamControl, [][]byte{record}, err)
+}
+
+func (s *snapshotter) append(ctx context.Context, stream string, records [][]byte, err error) {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
-	offset, err := s.log.Append(ctx, platform.StreamConfig, records)
+	var offset platform.Offset
+	if err == nil {
+		offset, err = s.log.Append(ctx, stream, records)
+	}
 	if err != nil {
-		logline.Error(err, "snapshot_failed", "revision", state.Revision)
+		logline.Error(err, "snapshot_failed", "stream", stream)
 		return
 	}
-	logline.Info("snapshot_written", "offset", offset, "through", state.Next, "records", len(records))
+	logline.Info("snapshot_written", "stream", stream, "offset", offset, "records", len(records))
 }
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -85,6 +85,7 @@
 			go m.beat(ctx, addr)
 		}
 		m.forget()
+		m.rates.setPeers(m.known())
 		sleep(ctx, heartbeatEvery)
 	}
 }
@@ -178,20 +179,21 @@
 	fresh := p.identity != hb.From
 	drains := !slices.Equal(p.draining, hb.Draining)
 	p.identity, p.heard, p.leaving, p.draining = hb.From, m.clock.now(), hb.Leaving, hb.Draining
-	identities := m.identities()
 	m.mu.Unlock()
 	m.rates.takeHints(hb.From.Address, hb.Hints)
 	if fresh {
 		logline.Info("peer_known", "peer", hb.From.Address, "instance", hb.From.Instance, "incarnation", hb.From.Incarnation, "domain", hb.From.Domain)
-		m.rates.setPeers(identities)
+		m.rates.setPeers(m.known())
 	}
 	if drains {
 		m.notify()
 	}
 }
 
-// identities are the peers heard so far. Callers hold mu.
-func (m *members) identities() []wire.Identity {
+// known are the peers heard so far that are not leaving.
+func (m *members) known() []wire.Identity {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	var list []wire.Identity
 	for _, p := range m.peers {
 		if p.identity.Incarnation != "" && !p.leaving {
--- a/internal/entry/ratedriver.go
+++ b/internal/entry/ratedriver.go
@@ -108,7 +108,7 @@
 		list = append(list, rate.Peer{
 			ID:    p.Address,
 			Local: p.Domain == d.node.Self().Domain,
-			Share: rate.ShareOf(d.holder.Fold(), p.Address, d.fleet.slots()),
+			Share: rate.ShareOf(d.holder.Fold(), p.Incarnation, d.fleet.slots()),
 		})
 	}
 	d.limiter.SetPeers(list)
@@ -369,9 +369,19 @@
 }
 
 func (d *rateDriver) trimmed(start platform.Offset) {
+	d.mu.Lock()
+	d.holder.Trimmed(start)
+	d.mu.Unlock()
 	logline.Info("control_trimmed", "start", start)
 }
 
+// checkpoint is the state of all leases, if it is known.
+func (d *rateDriver) checkpoint() (lease.Checkpoint, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.holder.Fold().Checkpoint()
+}
+
 // leave gives every lease back, at the end of a graceful shutdown.
 func (d *rateDriver) leave(ctx context.Context) {
 	d.mu.Lock()
--- /dev/null
+++ b/internal/lease/checkpoint.go
@@ -0,0 +1,124 @@
+package lease
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/mastictray/mastictray/internal/logrec"
+	"github.com/mastictray/mastictray/internal/platform"
+)
+
+// KindCheckpoint is a record with the whole state of the fold. The log keeps
+// its records for a limited time: an instance that starts behind that time
+// would miss who holds what, take a held lease for a free one, and mint an
+// account's rate a second time.
+const KindCheckpoint logrec.Kind = "lease.checkpoint"
+
+// Checkpoint is the body of KindCheckpoint.
+type Checkpoint struct {
+	// Through is the first offset that is not in the state.
+	Through platform.Offset   `msgpack:"t"`
+	Members []CheckpointEntry `msgpack:"m"`
+	Leases  []CheckpointLease `msgpack:"l"`
+}
+
+// CheckpointEntry is one member with the offset of its join.
+type CheckpointEntry struct {
+	Member Member          `msgpack:"m"`
+	At     platform.Offset `msgpack:"a"`
+}
+
+// CheckpointLease is the state of one resource, without the times that each
+// process counts by itself.
+type CheckpointLease struct {
+	Resource Resource        `msgpack:"r"`
+	Holder   string          `msgpack:"h"`
+	Address  string          `msgpack:"a"`
+	Token    platform.Offset `msgpack:"k"`
+	Last     platform.Offset `msgpack:"l"`
+	Seen     platform.Offset `msgpack:"s"`
+	Floor    bool            `msgpack:"f"`
+}
+
+// Checkpoint is the state of the fold up to Next, and false while the fold
+// searches for one itself.
+func (f *Fold) Checkpoint() (Checkpoint, bool) {
+	if f.searching {
+		return Checkpoint{}, false
+	}
+	c := Checkpoint{Through: f.next}
+	for _, j := range f.members {
+		c.Members = append(c.Members, CheckpointEntry{Member: j.member, At: j.at})
+	}
+	for r, s := range f.states {
+		c.Leases = append(c.Leases, CheckpointLease{
+			Resource: r, Holder: s.Holder, Address: s.Address,
+			Token: s.Token, Last: s.Last, Seen: s.Seen, Floor: s.Floor,
+		})
+	}
+	slices.SortFunc(c.Members, func(a, b CheckpointEntry) int { return cmp.Compare(a.At, b.At) })
+	slices.SortFunc(c.Leases, func(a, b CheckpointLease) int { return cmp.Compare(a.Resource, b.Resource) })
+	return c, true
+}
+
+// Trimmed tells that the records before start are lost. Until a checkpoint is
+// found that stands for them, the fold knows nothing new.
+func (f *Fold) Trimmed(start platform.Offset) {
+	f.searching = true
+	f.next, f.floorOffset = start, start
+	f.held = nil
+}
+
+// Searching says that the fold waits for a checkpoint.
+func (f *Fold) Searching() bool { return f.searching }
+
+// heldRecord is a record read while the fold searches.
+type heldRecord struct {
+	off platform.Offset
+	env logrec.Envelope
+}
+
+// search keeps records until a checkpoint stands for all that is lost. It
+// reports whether the fold goes on from here.
+func (f *Fold) search(now time.Duration, off platform.Offset, e logrec.Envelope) error {
+	f.next = off + 1
+	if e.Kind != KindCheckpoint {
+		f.held = append(f.held, heldRecord{off, e})
+		return nil
+	}
+	var c Checkpoint
+	if err := e.Into(&c); err != nil {
+		return err
+	}
+	if c.Through < f.floorOffset || c.Through > off {
+		return nil
+	}
+	later := f.held
+	f.restore(now, c)
+	for _, r := range later {
+		if r.off >= c.Through {
+			_ = f.Apply(now, r.off, r.env)
+		}
+	}
+	f.next = off + 1
+	return nil
+}
+
+// restore takes a checkpoint's state. All waits for holders begin anew: when
+// this process would have folded their records is not known.
+func (f *Fold) restore(now time.Duration, c Checkpoint) {
+	f.searching, f.held = false, nil
+	f.next = c.Through
+	f.members = make(map[string]joined, len(c.Members))
+	f.states = make(map[Resource]State, len(c.Leases))
+	for _, m := range c.Members {
+		f.members[m.Member.ID] = joined{member: m.Member, at: m.At}
+	}
+	for _, l := range c.Leases {
+		f.states[l.Resource] = State{
+			Holder: l.Holder, Address: l.Address, Token: l.Token, Last: l.Last,
+			Seen: l.Seen, Floor: l.Floor, FoldedAt: now, FloorSince: now,
+		}
+	}
+}
--- /dev/null
+++ b/internal/lease/checkpoint_test.go
@@ -0,0 +1,94 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/mastictray/mastictray/internal/logrec"
+	"github.com/mastictray/mastictray/internal/platform"
+)
+
+func envelope(t *testing.T, kind logrec.Kind, by string, body any) logrec.Envelope {
+	t.Helper()
+	raw, err := logrec.Encode(kind, by, 0, body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e, err := logrec.Decode(raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return e
+}
+
+// heldLog is a control stream in which a joined and acquired a mint slot long
+// ago and renewed it at offset 2.
+func heldLog(t *testing.T) []logrec.Envelope {
+	slot := Mint("d", 0)
+	a := Member{ID: "a", Domain: "d", Address: "10.0.0.1:1"}
+	return []logrec.Envelope{
+		envelope(t, KindJoin, "a", Join{Member: a}),
+		envelope(t, KindAcquire, "a", Acquire{Resource: slot, Holder: "a", Basis: BasisFree, BasedOn: NoOffset, Seen: 0, Seq: 1}),
+		envelope(t, KindRenew, "a", Renew{Holder: "a", Leases: []Renewal{{Resource: slot, Token: 1}}, Seen: 1, Seq: 2}),
+	}
+}
+
+func foldAll(f *Fold, log []logrec.Envelope, from platform.Offset) {
+	for i, e := range log[from:] {
+		_ = f.Apply(0, from+platform.Offset(i), e)
+	}
+}
+
+// Instance a holds a mint slot. The log loses the first two records, then b
+// starts. Without a checkpoint b would see a free slot, acquire it, believe it
+// holds it, and both would mint the same part of every account's rate. With
+// it, b knows the holder, and its view equals that of an instance that has
+// folded everything.
+func TestFreshInstanceKnowsHoldersBehindTrimmedLog(t *testing.T) {
+	is := is.New(t)
+	log := heldLog(t)
+	whole := NewFold()
+	foldAll(whole, log, 0)
+	c, ok := whole.Checkpoint()
+	is.True(ok)
+	log = append(log, envelope(t, KindCheckpoint, "a", c),
+		envelope(t, KindRenew, "a", Renew{Holder: "a", Leases: []Renewal{{Resource: Mint("d", 0), Token: 1}}, Seen: 3, Seq: 3}))
+	foldAll(whole, log, 3)
+
+	h := NewHolder(DefaultSettings(Member{ID: "b", Domain: "d", Address: "10.0.0.2:1"}, []Resource{Mint("d", 0)}))
+	h.Trimmed(2)
+	for i, e := range log[2:] {
+		h.CaughtUp()
+		is.True(!acquires(h.Tick(time.Hour))) // knows nothing yet, or knows the holder
+		is.NoErr(h.Apply(time.Hour, platform.Offset(2+i), e))
+	}
+	want, _ := whole.Checkpoint()
+	got, ok := h.Fold().Checkpoint()
+	is.True(ok)
+	is.Equal(got, want)
+}
+
+func acquires(r Ready) bool {
+	for _, rec := range r.Records {
+		if rec.Kind == KindAcquire {
+			return true
+		}
+	}
+	return false
+}
+
+// The checkpoint in the log stands for fewer records than were lost: an older
+// one, read from behind the trimmed start. Starting from it would miss the
+// records in between, so the fold goes on searching.
+func TestCheckpointThatMissesRecordsIsNotTaken(t *testing.T) {
+	is := is.New(t)
+	f := NewFold()
+	f.Trimmed(5)
+	is.NoErr(f.Apply(0, 5, envelope(t, KindCheckpoint, "a", Checkpoint{Through: 4})))
+	is.True(f.Searching())
+	is.NoErr(f.Apply(0, 6, envelope(t, KindCheckpoint, "a", Checkpoint{Through: 5})))
+	is.True(!f.Searching())
+	is.Equal(f.Next(), platform.Offset(7))
+}
--- a/internal/lease/fold.go
+++ b/internal/lease/fold.go
@@ -41,6 +41,12 @@
 	next    platform.Offset
 	members map[string]joined
 	states  map[Resource]State
+
+	// searching is set while records before floorOffset are lost and no
+	// checkpoint was found; held are the records read meanwhile.
+	searching   bool
+	floorOffset platform.Offset
+	held        []heldRecord
 }
 
 // NewFold is the fold before offset 0.
@@ -54,6 +60,9 @@
 	if off < f.next {
 		return nil
 	}
+	if f.searching {
+		return f.search(now, off, e)
+	}
 	f.next = off + 1
 	switch e.Kind {
 	case KindJoin:
--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -96,15 +96,26 @@
 // Fold is the state of all leases, for reading.
 func (h *Holder) Fold() *Fold { return h.fold }
 
+// Trimmed tells that the log lost the records before start. Leases that are
+// held stay in use as long as their right lasts; nothing is acquired before a
+// checkpoint shows who holds what.
+func (h *Holder) Trimmed(start platform.Offset) {
+	h.caughtUp = false
+	h.fold.Trimmed(start)
+}
+
 // CaughtUp tells that the fold has reached the end of the stream once. Before
 // that nothing is acquired.
-func (h *Holder) CaughtUp() { h.caughtUp = true }
+func (h *Holder) CaughtUp() { h.caughtUp = !h.fold.Searching() }
 
 // Apply folds one record of the control stream. now is read after the record
 // was received.
 func (h *Holder) Apply(now time.Duration, off platform.Offset, e logrec.Envelope) error {
 	err := h.fold.Apply(now, off, e)
 	sentAt, own := h.settleOwn(e)
+	if h.fold.Searching() {
+		return err
+	}
 	for _, r := range h.settings.Wanted {
 		h.follow(r, off, now, sentAt, own)
 	}
