Ask the peers that mint for tokens, also when they took their lease late

Symptom: in the demo two of six instances refused about half of what they got, of accounts well within their rates: 139 wrongful refusals in 922 requests, and bookings that cost one token. Cause: an instance that finds all of its domain's slots taken has to live on its peers' tokens. It thought every peer minted nothing: their shares were looked up by address where the log names incarnations, and only at the moment a peer became known, before it had its lease. So each ask was cut over four peers, poor ones among them, and came back short. Ruled out: too few slots (instances with one refused nobody within its rate). Change: shares are looked up by incarnation, and again after each batch of control records. The new test fails without the change: two asks where one is wanted.

--- a/internal/entry/ratedriver.go
+++ b/internal/entry/ratedriver.go
@@ -45,6 +45,7 @@
 	limiter *rate.Limiter
 	waiting map[rate.Ticket]chan rate.Outcome
 	known   map[string]bool
+	peers   []wire.Identity
 	folded  []func(platform.Offset, logrec.Envelope)
 	wake    chan struct{}
 }
@@ -103,12 +104,21 @@
 func (d *rateDriver) setPeers(peers []wire.Identity) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	list := make([]rate.Peer, 0, len(peers))
-	for _, p := range peers {
+	d.peers = peers
+	d.refreshPeers()
+}
+
+// refreshPeers tells the limiter what its peers mint. It runs again when the
+// log shows a change: an instance that knew its peers before they took their
+// leases would think them poor for good and, having no lease itself, refuse
+// requests that are within their account's rate. Callers hold mu.
+func (d *rateDriver) refreshPeers() {
+	list := make([]rate.Peer, 0, len(d.peers))
+	for _, p := range d.peers {
 		list = append(list, rate.Peer{
 			ID:    p.Address,
 			Local: p.Domain == d.node.Self().Domain,
-			Share: rate.ShareOf(d.holder.Fold(), p.Address, d.fleet.slots()),
+			Share: rate.ShareOf(d.holder.Fold(), p.Incarnation, d.fleet.slots()),
 		})
 	}
 	d.limiter.SetPeers(list)
@@ -364,6 +374,9 @@
 	if len(b.Records) == 0 || b.Records[len(b.Records)-1].Offset+1 >= b.Next {
 		d.holder.CaughtUp()
 	}
+	if len(b.Records) > 0 {
+		d.refreshPeers()
+	}
 	d.refreshParts()
 	return nil
 }
--- /dev/null
+++ b/internal/entry/ratedriver_test.go
@@ -0,0 +1,65 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/mastictray/mastictray/internal/lease"
+	"github.com/mastictray/mastictray/internal/logrec"
+	"github.com/mastictray/mastictray/internal/peer"
+	"github.com/mastictray/mastictray/internal/platform"
+	"github.com/mastictray/mastictray/internal/wire"
+)
+
+// takeLease runs a holder, alone on its log, until it holds the lease, and
+// returns what it wrote.
+func takeLease(t *testing.T, m lease.Member, r lease.Resource) []platform.Record {
+	t.Helper()
+	is := is.New(t)
+	var records []platform.Record
+	h := lease.NewHolder(lease.DefaultSettings(m, []lease.Resource{r}))
+	h.CaughtUp()
+	for now := time.Second; !h.Valid(now, r); now += 100 * time.Millisecond {
+		is.True(now < time.Minute) // a free lease is taken
+		for _, rec := range h.Tick(now).Records {
+			data, err := logrec.Encode(rec.Kind, m.ID, 0, rec.Body)
+			is.NoErr(err)
+			off := platform.Offset(len(records))
+			records = append(records, platform.Record{Offset: off, Data: data})
+			env, err := logrec.Decode(data)
+			is.NoErr(err)
+			is.NoErr(h.Apply(now, off, env))
+		}
+	}
+	return records
+}
+
+// An instance without a lease knows its peers before one of them takes one.
+// Its next request is within its account's rate and needs that peer's tokens.
+// If it still believed that all are equally poor it would ask them all for a
+// part, get only one part, and refuse the request.
+func TestAsksGoToThePeerThatTookALeaseLater(t *testing.T) {
+	is := is.New(t)
+	self := wire.Identity{Instance: "a", Incarnation: "a-1", Domain: "d", Address: "127.0.0.1:1"}
+	poor := wire.Identity{Instance: "b", Incarnation: "b-1", Domain: "d", Address: "127.0.0.1:2"}
+	rich := wire.Identity{Instance: "c", Incarnation: "c-1", Domain: "d", Address: "127.0.0.1:3"}
+	node := peer.NewNode(peer.Options{Self: self})
+	defer node.Close()
+	d := newRateDriver(newClock(), node, nil, fleet{domains: []string{"d"}, slotsPerDomain: 1})
+	d.limiter.SetAccount(d.clock.now(), "acc", 1000, 1000)
+	d.setPeers([]wire.Identity{poor, rich})
+
+	member := lease.Member{ID: rich.Incarnation, Domain: rich.Domain, Address: rich.Address}
+	records := takeLease(t, member, lease.Mint("d", 0))
+	is.NoErr(d.read(platform.Batch{Next: platform.Offset(len(records)), Records: records}))
+
+	now := d.clock.now() + time.Second
+	o := d.limiter.Admit(now, "acc", 100, time.Hour)
+	is.True(o.Waiting)
+	asks := d.limiter.Tick(now).Asks
+	is.Equal(len(asks), 1)
+	is.Equal(asks[0].Peer, rich.Address)
+	is.Equal(asks[0].Body.Items[0].Tokens, 100.0)
+}
