dispatch: an account's backlog makes its recomputing dearer

Cause: an account at five times its rate spilled over to every target; its waiting requests recomputed what a cache held and evicted what others need. Change: BacklogFactor 20 a second of backlog, window 150 ms.

--- a/cmd/mastictray-bench/main.go
+++ b/cmd/mastictray-bench/main.go
@@ -23,6 +23,7 @@
 
 	Trust    *float64       `help:"Vary the product: FirstRankTrust."`
 	Factor   *float64       `help:"Vary the product: RecomputeFactor."`
+	Backlog  *float64       `help:"Vary the product: BacklogFactor."`
 	Window   *time.Duration `help:"Vary the product: Window."`
 	NearTie  *time.Duration `help:"Vary the product: NearTie."`
 	Anchor   *int           `help:"Vary the product: AnchorPieces."`
@@ -33,7 +34,8 @@
 func (c *policiesCmd) tuning() experiment.Tuning {
 	t := experiment.DefaultTuning()
 	vary(&t.Placement.FirstRankTrust, c.Trust)
-	vary(&t.Placement.RecomputeFactor, c.Factor)
+	vary(&t.Dispatch.RecomputeFactor, c.Factor)
+	vary(&t.Dispatch.BacklogFactor, c.Backlog)
 	vary(&t.Placement.NearTie, c.NearTie)
 	vary(&t.Placement.AnchorPieces, c.Anchor)
 	vary(&t.Placement.TransferTokensPerSecond, c.Transfer)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -16,6 +16,12 @@
 	Window time.Duration
 	// ScanLimit bounds the waiting requests looked at in one step.
 	ScanLimit int
+	// RecomputeFactor weighs a recomputed token against a waiting one. Over
+	// 1, because prefill that a cached copy elsewhere would have spared
+	// delays the requests behind it too.
+	RecomputeFactor float64
+	// BacklogFactor is added to it for each second of the account's backlog.
+	BacklogFactor float64
 	// Queue bounds the fair queue.
 	Queue fairqueue.Options
 }
@@ -23,9 +29,12 @@
 // DefaultOptions are the measured defaults; docs/measurements has the runs.
 func DefaultOptions() Options {
 	return Options{
-		Window:    300 * time.Millisecond,
+		Window:    150 * time.Millisecond,
 		ScanLimit: 64,
-		Queue:     fairqueue.Options{MaxItems: 2000},
+
+		RecomputeFactor: placement.DefaultOptions().RecomputeFactor,
+		BacklogFactor:   20,
+		Queue:           fairqueue.Options{MaxItems: 2000},
 	}
 }
 
@@ -151,6 +160,7 @@
 
 // visit places one waiting request, as if all before it had been sent.
 func (d *Dispatcher[T]) visit(now time.Duration, r *Request[T], rng *rand.Rand) fairqueue.Verdict {
+	r.Place.RecomputeFactor = d.recomputeFactor(r)
 	choice, err := d.picker.Pick(now, &r.Place, rng)
 	if err != nil {
 		d.out.Refusals = append(d.out.Refusals, Refusal[T]{Request: r, Reason: ReasonNoTarget, RetryAfter: noTargetRetryAfter})
@@ -165,6 +175,15 @@
 	return fairqueue.Take
 }
 
+// recomputeFactor grows with the backlog of the request's account. An account
+// that sends more than its share would else spill over to every target: its
+// waiting requests recompute what a cache holds, evict what others need, and
+// so slow the pool down further.
+func (d *Dispatcher[T]) recomputeFactor(r *Request[T]) float64 {
+	backlog := d.queue.Backlog(r.Account, r.Weight).Seconds()
+	return d.options.RecomputeFactor + d.options.BacklogFactor*backlog
+}
+
 // noTargetRetryAfter is the hint when no target is live: about the time that
 // a target needs to come back.
 const noTargetRetryAfter = time.Second
--- a/internal/fairqueue/queue.go
+++ b/internal/fairqueue/queue.go
@@ -205,6 +205,13 @@
 	return q.meter.wait(min(share, q.cost))
 }
 
+// Backlog is the time that an account's waiting items take at its share of
+// the rate.
+func (q *Queue[T]) Backlog(account string, weight float64) time.Duration {
+	it := Item[T]{Account: account, Weight: weight}
+	return q.expectedWait(&it)
+}
+
 // minRetryAfter keeps callers from trying again at once.
 const minRetryAfter = 100 * time.Millisecond
 
--- a/internal/placement/options.go
+++ b/internal/placement/options.go
@@ -37,7 +37,7 @@
 		CrossDomainDelay: 1500 * time.Microsecond,
 		MaxCandidates:    16,
 		AnchorPieces:     2,
-		FirstRankTrust:   0.5,
+		FirstRankTrust:   0.1,
 		RecomputeFactor:  1.5,
 		NearTie:          2 * time.Millisecond,
 	}
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -14,6 +14,9 @@
 	// Exclude names a target to leave out, such as the one that an earlier
 	// attempt failed on; empty for none.
 	Exclude string
+	// RecomputeFactor weighs a recomputed token against a waiting one; 0
+	// takes the picker's.
+	RecomputeFactor float64
 }
 
 // fullTokens is the prompt tokens inside full pieces.
--- a/internal/placement/score_prefill.go
+++ b/internal/placement/score_prefill.go
@@ -16,7 +16,11 @@
 	rest := float64(r.PromptTokens - r.fullTokens())
 	missing := max(0, float64(r.fullTokens())-c.CountedTokens)
 	rate := t.rate()
-	compute := time.Duration(s.factor * float64(seconds(missing, rate)))
+	factor := s.factor
+	if r.RecomputeFactor > 0 {
+		factor = r.RecomputeFactor
+	}
+	compute := time.Duration(factor * float64(seconds(missing, rate)))
 	if s.transfer > 0 && missing > 0 {
 		compute = min(compute, s.setup+seconds(missing, s.transfer))
 	}
