placement: unanswered own work counts; a young instance trusts rendezvous

Cause: with load reports 2 s late the drained estimate forgot own requests that still waited, and after a restart unknown prefixes went anywhere.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -124,14 +124,26 @@
 	return d.queue.Cancel(account, id)
 }
 
-// Answered takes in the first token of an answer, or its end.
+// Answered takes in the first token of an answer. Call it or Failed once for
+// each send.
 func (d *Dispatcher[T]) Answered(s *Send[T]) {
 	d.beliefs.Answered(s.Identity, s.Request.Place.Chain)
+	d.ended(s)
 }
 
 // Failed takes in an attempt that the target did not prefill.
 func (d *Dispatcher[T]) Failed(s *Send[T]) {
 	d.beliefs.Failed(s.Identity, s.Request.Place.Chain, s.Decision.CachedPieces)
+	d.ended(s)
+}
+
+// ended takes an attempt off its target's load, unless that incarnation is
+// gone and its load with it.
+func (d *Dispatcher[T]) ended(s *Send[T]) {
+	i, ok := d.pool.Find(s.Identity.Target)
+	if t := d.pool.Target(i); ok && t.Incarnation == s.Identity.Incarnation {
+		t.Load.Answered(s.Decision.UncachedTokens)
+	}
 }
 
 func (d *Dispatcher[T]) reset() {
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -15,6 +15,8 @@
 	sent   [maxSent]send
 	n      int
 	parked float64
+	// unanswered is the own work whose first token has not come.
+	unanswered float64
 }
 
 // send is prompt work given to the target.
@@ -49,6 +51,12 @@
 	}
 	l.sent[l.n] = send{at: now, tokens: tokens}
 	l.n++
+	l.unanswered += tokens
+}
+
+// Answered takes off own work whose first token came or that failed.
+func (l *Load) Answered(tokens float64) {
+	l.unanswered = max(0, l.unanswered-tokens)
 }
 
 // Park counts work that waits at this instance for the target. It lengthens
@@ -67,14 +75,17 @@
 	return l.Given(now, rate) + l.parked
 }
 
-// Given estimates the prompt tokens waiting at the target itself.
+// Given estimates the prompt tokens waiting at the target itself. Own work
+// counts until its first token came, also when it should have been prefilled
+// by now: then work of other instances, which no report has told of yet, is
+// ahead of it.
 func (l *Load) Given(now time.Duration, rate float64) float64 {
 	queue, at := l.queued, l.asOf
 	for _, s := range l.sent[:l.n] {
 		queue = drained(queue, s.at-at, rate) + s.tokens
 		at = s.at
 	}
-	return drained(queue, now-at, rate)
+	return max(drained(queue, now-at, rate), l.unanswered)
 }
 
 func drained(queue float64, d time.Duration, rate float64) float64 {
--- a/internal/placement/options.go
+++ b/internal/placement/options.go
@@ -17,6 +17,13 @@
 	// in rendezvous order is counted on to hold when nothing is believed of
 	// it. All instances send there, this one has seen only its own part.
 	FirstRankTrust float64
+	// Started is when this process began to follow the targets. Until
+	// YoungFor after it, YoungTrust stands in place of FirstRankTrust: what
+	// was cached before is unknown to it, and most of that is where
+	// rendezvous hashing puts it.
+	Started    time.Duration
+	YoungFor   time.Duration
+	YoungTrust float64
 	// RecomputeFactor weighs a recomputed token against a waiting one. Over
 	// 1, because prefill that a cached copy elsewhere would have spared
 	// delays the requests behind it too.
@@ -38,6 +45,8 @@
 		MaxCandidates:    16,
 		AnchorPieces:     2,
 		FirstRankTrust:   0.1,
+		YoungFor:         10 * time.Second,
+		YoungTrust:       1,
 		RecomputeFactor:  1.5,
 		NearTie:          2 * time.Millisecond,
 	}
--- a/internal/placement/picker.go
+++ b/internal/placement/picker.go
@@ -108,7 +108,7 @@
 	c.CachedPieces = p.beliefs.Cached(t.Belief, r.Chain)
 	c.CountedTokens = float64(min(c.CachedPieces*r.PieceTokens, r.PromptTokens))
 	if c.Rank == 0 {
-		c.CountedTokens = max(c.CountedTokens, p.options.FirstRankTrust*float64(r.fullTokens()))
+		c.CountedTokens = max(c.CountedTokens, p.trust(now)*float64(r.fullTokens()))
 	}
 	for i, s := range p.scorers {
 		c.Terms[i] = s.Cost(now, r, t, c)
@@ -116,6 +116,15 @@
 	}
 }
 
+// trust is the part of a prompt that the first in rendezvous order is counted
+// on to hold.
+func (p *Picker) trust(now time.Duration) float64 {
+	if now < p.options.Started+p.options.YoungFor {
+		return p.options.YoungTrust
+	}
+	return p.options.FirstRankTrust
+}
+
 // choose draws one of the candidates within nearTie of the best.
 func choose(scored []Candidate, nearTie time.Duration, rng *rand.Rand) int {
 	best := 0
