--- a/internal/entry/configdriver.go
+++ b/internal/entry/configdriver.go
@@ -25,8 +25,10 @@
 // configDriver keeps the configuration in force: it follows the config stream
 // and asks peers, and takes whichever has the newer state.
 type configDriver struct {
+	ctx   context.Context
 	clock clock
 	node  *peer.Node
+	log   platform.Log
 	peers func() []string
 
 	mu       sync.Mutex
@@ -34,15 +36,20 @@
 	contacts *keys.Contacts
 	lastLog  time.Duration
 	heardLog bool
+	// askedLog is when the read that runs now was begun.
+	askedLog time.Duration
 	logStart int64
 
 	state   atomic.Pointer[config.State]
 	ready   chan struct{}
 	changed []func(*config.State)
+	thaw    *thawGuard
 }
 
-func newConfigDriver(c clock, node *peer.Node, domain string, peers func() []string) *configDriver {
+func newConfigDriver(ctx context.Context, c clock, node *peer.Node, log platform.Log, domain string, peers func() []string) *configDriver {
 	d := &configDriver{
+		ctx:      ctx,
+		log:      log,
 		clock:    c,
 		node:     node,
 		peers:    peers,
@@ -50,6 +57,7 @@
 		contacts: keys.NewContacts(domain, c.now()),
 		ready:    make(chan struct{}),
 	}
+	d.thaw = newThawGuard(c.now, d.refresh)
 	node.Handle(wire.KindConfigAsk, d.handleAsk)
 	return d
 }
@@ -97,10 +105,38 @@
 func (d *configDriver) next() platform.Offset {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.askedLog = d.clock.now()
 	return platform.Offset(d.follower.Next())
 }
 
+// refresh asks the log and all peers for news at once, without waiting.
+func (d *configDriver) refresh() {
+	for _, addr := range d.peers() {
+		go d.ask(d.ctx, addr)
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(d.ctx, thawWait)
+		defer cancel()
+		asked := d.clock.now()
+		d.mu.Lock()
+		from := platform.Offset(d.follower.Next())
+		d.mu.Unlock()
+		b, err := d.log.Read(ctx, platform.StreamConfig, from, tailLimit, 0)
+		if err == nil && d.take(b, asked) == nil {
+			logline.Info("refreshed_from_log", "next", b.Next)
+		}
+	}()
+}
+
 func (d *configDriver) read(b platform.Batch) error {
+	d.mu.Lock()
+	asked := d.askedLog
+	d.mu.Unlock()
+	return d.take(b, asked)
+}
+
+// take folds an answer of the log to a read that was begun at asked.
+func (d *configDriver) take(b platform.Batch, asked time.Duration) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.lastLog, d.heardLog = d.clock.now(), true
@@ -108,6 +144,7 @@
 	d.logStart = int64(b.Start)
 	_, err := d.follower.Read(b.Records)
 	d.publish()
+	d.thaw.confirmed(asked)
 	return err
 }
 
@@ -159,11 +196,13 @@
 		ask = wire.ConfigAsk{Revision: s.Revision, Next: s.Next}
 	}
 	var ans wire.ConfigAnswer
+	asked := d.clock.now()
 	from, err := d.node.Call(ctx, addr, wire.KindConfigAsk, ask, &ans)
 	if err != nil {
 		return
 	}
 	d.adopt(from, ans)
+	d.thaw.confirmed(asked)
 }
 
 func (d *configDriver) adopt(from wire.Identity, ans wire.ConfigAnswer) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -72,7 +72,7 @@
 	e.members = newMembers(e.clock, e.node, list, s.Peers)
 	e.rates = newRateDriver(e.clock, e.node, e.log, fleet{domains: s.FleetDomains, slotsPerDomain: s.MintSlots})
 	e.members.rates = e.rates
-	e.config = newConfigDriver(e.clock, e.node, s.Domain, e.members.addresses)
+	e.config = newConfigDriver(e.ctx, e.clock, e.node, e.log, s.Domain, e.members.addresses)
 	e.claims = newClaimDriver(e.clock, e.node, e.log)
 	e.pools = newPools(e.ctx, e.clock, s.Domain)
 	e.config.onChange(func(st *config.State) {
@@ -101,6 +101,7 @@
 	e.start(func() { tail(e.ctx, e.log, platform.StreamControl, e.rates) })
 	e.start(func() { tail(e.ctx, e.log, platform.StreamClaims, e.claims) })
 	e.start(func() { e.config.askPeers(e.ctx) })
+	e.start(func() { e.config.thaw.run(e.ctx) })
 	e.start(func() { e.rates.run(e.ctx) })
 	e.start(func() { e.claims.run(e.ctx) })
 	e.start(func() { e.members.run(e.ctx) })
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -92,6 +92,7 @@
 
 // authorize checks the call's key against the configuration in force now.
 func (s *server) authorize(c *call) error {
+	s.config.thaw.wait(c.r.Context())
 	account, keyID, err := s.config.authorize(c.key)
 	c.account, c.keyID = account, keyID
 	if err == nil {
--- /dev/null
+++ b/internal/entry/thaw_test.go
@@ -0,0 +1,36 @@
+package entry
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// A process is paused for five seconds in which a key was withdrawn. The first
+// request after the pause must wait: an answer to a question from before the
+// pause does not let it through, one asked after the pause does. Otherwise the
+// caller of the withdrawn key is served.
+func TestRequestsWaitForNewsAfterPause(t *testing.T) {
+	is := is.New(t)
+	now := time.Duration(0)
+	asked := 0
+	g := newThawGuard(func() time.Duration { return now }, func() { asked++ })
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel() // wait returns at once; what it left behind is looked at
+
+	g.wait(ctx)
+	is.True(g.news == nil) // no pause, no wait
+
+	now = 5 * time.Second
+	g.wait(ctx)
+	is.True(g.news != nil)
+	is.Equal(asked, 1)
+
+	g.confirmed(4 * time.Second)
+	is.True(g.news != nil) // the question is older than the pause
+
+	g.confirmed(5 * time.Second)
+	is.True(g.news == nil)
+}
