--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -26,13 +26,15 @@
 pids=()
 names=()
 
-# start NAME COMMAND... runs a process with its output in $run/NAME.log.
+# start NAME COMMAND... runs a process with its output in $run/NAME.log and its
+# id in $run/NAME.pid.
 start() {
   local name=$1
   shift
   "$@" >"$run/$name.log" 2>&1 &
   pids+=($!)
   names+=("$name")
+  echo $! >"$run/$name.pid"
 }
 
 # stop_all ends every process, newest first, and fails for one that does not
