--- a/internal/experiment/case.go
+++ b/internal/experiment/case.go
@@ -30,6 +30,8 @@
 	RollAt time.Duration
 	// Restart restarts all routers at once, every restartPeriod.
 	Restart bool
+	// Replay lets a restarted router read the events that engines retain.
+	Replay bool
 }
 
 const (
@@ -64,6 +66,7 @@
 		with("reports 2s late", func(c *Case) { c.ReportLag = 2 * time.Second }),
 		with("10% events lost", func(c *Case) { c.EventLoss = 0.1 }),
 		with("weights rolled", func(c *Case) { c.RollAt = 150 * time.Second }),
-		with("herd restart", func(c *Case) { c.Restart = true }),
+		with("herd restart", func(c *Case) { c.Restart, c.Replay = true, true }),
+		with("herd restart, no events kept", func(c *Case) { c.Restart = true }),
 	}
 }
--- a/internal/experiment/engine.go
+++ b/internal/experiment/engine.go
@@ -40,6 +40,8 @@
 	expected map[prefix.Hash]int
 	// inbound is the uncached tokens that are on their way here.
 	inbound float64
+	// history is the cache events that a reader can still ask for.
+	history []cacheChange
 }
 
 func newEngine(f *fleet, i int) *engine {
@@ -55,6 +57,7 @@
 func (e *engine) start() {
 	e.starts++
 	e.up = true
+	e.history = nil
 	e.cache = newLRU(e.f.w.CachePieces)
 	e.expected = map[prefix.Hash]int{}
 }
@@ -141,7 +144,7 @@
 		}
 		e.running = nil
 		stored, evicted := e.cache.use(j.chain)
-		e.f.publish(e.identity(), stored, evicted)
+		e.f.publish(e, cacheChange{e.identity(), stored, evicted})
 		j.done(cached)
 		e.next()
 	})
--- a/internal/experiment/fleet.go
+++ b/internal/experiment/fleet.go
@@ -47,16 +47,43 @@
 	return best
 }
 
-// publish sends a cache event to all routers, late, and loses some.
-func (f *fleet) publish(id belief.Identity, stored, evicted []prefix.Hash) {
-	if len(stored)+len(evicted) == 0 {
+// cacheChange is what one prefill changed in an engine's cache.
+type cacheChange struct {
+	id              belief.Identity
+	stored, evicted []prefix.Hash
+}
+
+// historyLimit bounds the cache events that an engine retains.
+const historyLimit = 512
+
+// publish sends a cache event to all routers and retains it.
+func (f *fleet) publish(e *engine, change cacheChange) {
+	if len(change.stored)+len(change.evicted) == 0 {
 		return
 	}
+	e.history = append(e.history, change)
+	if len(e.history) > historyLimit {
+		e.history = e.history[1:]
+	}
 	for _, r := range f.routers {
-		if f.rng.Float64() < f.c.EventLoss {
-			continue
+		f.deliver(r, change)
+	}
+}
+
+// deliver sends a cache event to one router, late, and loses some.
+func (f *fleet) deliver(r *router, change cacheChange) {
+	if f.rng.Float64() < f.c.EventLoss {
+		return
+	}
+	f.clock.after(eventDelay, func() { r.policy.cacheEvent(change.id, change.stored, change.evicted) })
+}
+
+// replay sends a restarted router the events that engines retain.
+func (f *fleet) replay(r *router) {
+	for _, e := range f.engines {
+		for _, change := range e.history {
+			f.deliver(r, change)
 		}
-		f.clock.after(eventDelay, func() { r.policy.cacheEvent(id, stored, evicted) })
 	}
 }
 
@@ -83,6 +110,9 @@
 		f.clock.every(restartPeriod, func() {
 			for _, r := range f.routers {
 				r.policy.restart()
+				if f.c.Replay {
+					f.replay(r)
+				}
 			}
 		})
 	}
