Add the rollout of weights versions to targets

Cause: targets have to come to the wanted version without more loads than the weight store bears, without going below the serving floor, and without a lapsed holder's order undoing it. Change: internal/rollout, pure: a ledger folded from the control stream and a controller for one term of the lease. Orders are absolute, recorded before they are sent, and count as loads until they can no longer arrive.

--- a/internal/audit/entry.go
+++ b/internal/audit/entry.go
@@ -13,6 +13,8 @@
 	Issued Outcome = "issued"
 	// Observed: the target reported the state that the order asked for.
 	Observed Outcome = "observed"
+	// Failed: the target did not come to serve what the order asked for.
+	Failed Outcome = "failed"
 	// Halted: the rollout stopped itself; the reason says why.
 	Halted Outcome = "halted"
 )
--- /dev/null
+++ b/internal/rollout/order.go
@@ -0,0 +1,181 @@
+package rollout
+
+import (
+	"sort"
+
+	"github.com/mastictray/mastictray/internal/config"
+)
+
+// settle decides what became of the target's open order, if it can be told.
+func (t *tick) settle(target string) {
+	o, known := t.ledger.Order(target)
+	if !known || !o.Open || t.underWay(o) {
+		return
+	}
+	seen, fresh := t.fresh(target)
+	switch {
+	case t.serves(target, o.Version):
+		t.settleServing(o, seen)
+	case fresh && seen.Incarnation != o.Incarnation && seen.At > o.FoldedAt:
+		t.proposeSettled(o, "restarted after the order")
+	case t.since(o.FoldedAt) >= t.settings.LoadTimeout:
+		t.proposeSettled(o, "did not reach the version in time")
+	}
+}
+
+// underWay says that the order may still arrive. Settled too early, its
+// target would count as one that cannot load, and a late copy of the order
+// would be one load more than the weight store bears.
+func (t *tick) underWay(o Order) bool {
+	if o.ID.Token != t.token {
+		return t.now < t.quietUntil
+	}
+	last, sent := t.sent[o.Target]
+	return sent && t.since(last.at) < t.settings.Margin
+}
+
+// settleServing waits until the target has served for the soak time: a bad
+// version often loads well and crashes on its first requests.
+func (t *tick) settleServing(o Order, seen Observation) {
+	m, known := t.matched[o.Target]
+	switch {
+	case !known || m.id != o.ID:
+		t.matched[o.Target] = match{id: o.ID, incarnation: seen.Incarnation, since: t.now}
+	case m.incarnation != seen.Incarnation:
+		t.proposeSettled(o, "restarted while serving the version")
+	case t.since(m.since) >= t.settings.Soak:
+		t.proposeSettled(o, "")
+	}
+}
+
+func (t *tick) proposeSettled(o Order, failure string) {
+	body := Settled{
+		Token: t.token, Order: o.ID, Pool: o.Pool, Target: o.Target, Version: o.Version,
+		Failed: failure != "", Reason: failure,
+	}
+	t.propose(settledKey(o.Target), body, func(OrderID) Record { return Record{Settled: &body} })
+}
+
+// order brings targets to the version, those that do not serve first: they
+// cost nothing of the floor.
+func (t *tick) order(version string) {
+	targets := append([]config.Target(nil), t.goal.Targets...)
+	sort.SliceStable(targets, func(i, j int) bool {
+		return !t.serving(targets[i].Name) && t.serving(targets[j].Name)
+	})
+	for _, target := range targets {
+		// Once its settling is proposed, an order is never sent again: the
+		// copy would arrive at a target that no longer counts as loading.
+		if _, settling := t.proposed[settledKey(target.Name)]; settling {
+			continue
+		}
+		o, known := t.ledger.Order(target.Name)
+		if known && o.Open && o.Version == version && o.ID.Token == t.token {
+			t.send(target, o)
+			continue
+		}
+		if t.needs(target.Name, version) && t.mayOrder(target.Name) {
+			t.issue(target.Name, version)
+		}
+	}
+}
+
+// needs says that the target is to be ordered. An order for another version
+// that may still be folded or carried out needs one too, also on a target
+// that serves the version already.
+func (t *tick) needs(target, version string) bool {
+	seen, fresh := t.fresh(target)
+	if !fresh {
+		return false
+	}
+	o, known := t.ledger.Order(target)
+	if known && o.Open {
+		return o.Version != version || !t.serves(target, version) && seen.Loading != version
+	}
+	// A record that is still out is written until it is folded, also when
+	// the target serves the version by now: dropped, it would hold a place
+	// among those that may load for ever, and the rollout would stand still.
+	if _, out := t.proposed[issueKey(target)]; out {
+		return true
+	}
+	if known && o.Failed && o.Version == version && t.since(o.FoldedAt) < t.settings.RetryAfter {
+		return false
+	}
+	return !t.serves(target, version)
+}
+
+// serving says that requests can run on the target, in whatever version.
+func (t *tick) serving(target string) bool {
+	o, fresh := t.fresh(target)
+	return fresh && o.Loading == "" && o.Version != "" && o.Model == t.goal.Model
+}
+
+// mayLoad says that the target loads, or may start to at any moment by an
+// order that is known or may become known from the log.
+func (t *tick) mayLoad(target string) bool {
+	if o, known := t.ledger.Order(target); known && o.Open {
+		return true
+	}
+	if _, proposed := t.proposed[issueKey(target)]; proposed {
+		return true
+	}
+	o, fresh := t.fresh(target)
+	return fresh && o.Loading != ""
+}
+
+// mayOrder keeps the number of loads within what the weight store bears, and
+// the serving floor. A target that may load already changes neither.
+func (t *tick) mayOrder(target string) bool {
+	if t.mayLoad(target) {
+		return true
+	}
+	loads, serving := 0, 0
+	for _, other := range t.goal.Targets {
+		if t.mayLoad(other.Name) {
+			loads++
+		} else if other.Name != target && t.serving(other.Name) {
+			serving++
+		}
+	}
+	if loads >= t.goal.MaxLoads {
+		return false
+	}
+	return !t.serving(target) || serving >= t.goal.ServingFloor
+}
+
+func (t *tick) issue(target, version string) {
+	seen := t.seen[target]
+	body := Issued{
+		Pool: t.goal.Pool, Target: target, Model: t.goal.Model,
+		Before: seen.Version, Version: version, Incarnation: seen.Incarnation,
+	}
+	t.propose(issueKey(target), body, func(id OrderID) Record {
+		body.ID = id
+		return Record{Issued: &body}
+	})
+}
+
+// send repeats the order until the target's state shows that it arrived.
+func (t *tick) send(target config.Target, o Order) {
+	seen, fresh := t.fresh(target.Name)
+	if !fresh || t.serves(target.Name, o.Version) || seen.Loading == o.Version {
+		return
+	}
+	// A target that does not check tokens would carry out an older holder's
+	// order that arrives after ours, and load twice.
+	if !target.ChecksFencing && t.now < t.quietUntil {
+		return
+	}
+	last, sent := t.sent[target.Name]
+	if sent && last.id == o.ID && t.since(last.at) < t.settings.Resend {
+		return
+	}
+	// Our own earlier order may be under way too, and the token is the same.
+	if sent && last.version != o.Version && t.since(last.at) < t.settings.Margin {
+		return
+	}
+	t.sent[target.Name] = sending{version: o.Version, id: o.ID, at: t.now}
+	t.ready.Sends = append(t.ready.Sends, Send{
+		ID: o.ID, Target: target.Name, Address: target.Address, Model: o.Model, Version: o.Version, Fence: t.token,
+	})
+}
