Show orders to targets in the audit command

Cause: the trail of the config stream alone does not say who made a target load what. Change: audit reads the control stream too and merges both by time.

--- a/internal/cli/audit.go
+++ b/internal/cli/audit.go
@@ -3,10 +3,16 @@
 import (
 	"fmt"
 	"io"
+	"sort"
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/mastictray/mastictray/internal/audit"
+	"github.com/mastictray/mastictray/internal/logrec"
+	"github.com/mastictray/mastictray/internal/platform"
+	"github.com/mastictray/mastictray/internal/rollout"
 )
 
 // entries are audit entries, oldest first.
@@ -41,27 +47,60 @@
 type auditCommand struct {
 	Limit int    `help:"At most this many entries, the newest." default:"50"`
 	By    string `help:"Only changes by this operator or instance." placeholder:"NAME"`
-	Of    string `help:"Only changes of this file, key or target." placeholder:"NAME"`
+	Of    string `help:"Only changes of this file, key, pool or target." placeholder:"NAME"`
 }
 
-// Run reads the trail from the log.
+// Run reads the trail from both streams of the log. Configuration goes back
+// as far as its newest entries, orders as far as the log retains them.
 func (c *auditCommand) Run(e *Env) error {
 	f, err := e.follow()
 	if err != nil {
 		return err
 	}
+	orders, err := e.orders()
+	if err != nil {
+		return err
+	}
 	found := entries{}
-	for _, entry := range f.State().Audit {
+	for _, entry := range append(orders, f.State().Audit...) {
 		if c.wanted(entry) {
 			found = append(found, entry)
 		}
 	}
+	sort.SliceStable(found, func(i, j int) bool { return found[i].AtMillis < found[j].AtMillis })
 	if drop := len(found) - c.Limit; drop > 0 {
 		found = found[drop:]
 	}
 	return e.print(found)
 }
 
+// orders reads what was ordered of targets from the control stream.
+func (e *Env) orders() (entries, error) {
+	var found entries
+	for from, end := platform.Offset(0), false; !end; {
+		batch, err := e.read(platform.StreamControl, from, 0)
+		switch {
+		case errors.Is(err, platform.ErrTrimmed) && batch.Start > from:
+			from = batch.Start
+			continue
+		case err != nil:
+			return nil, errors.Wrapf(err, "read orders peer=%s", e.cmd.Log)
+		}
+		for _, r := range batch.Records {
+			from = r.Offset + 1
+			envelope, err := logrec.Decode(r.Data)
+			if err != nil {
+				continue
+			}
+			if entry, ok := rollout.Entry(int64(r.Offset), envelope); ok {
+				found = append(found, entry)
+			}
+		}
+		end = len(batch.Records) == 0 || from >= batch.Next
+	}
+	return found, nil
+}
+
 func (c *auditCommand) wanted(e audit.Entry) bool {
 	if c.By != "" && e.By != c.By {
 		return false
--- a/internal/cli/command_test.go
+++ b/internal/cli/command_test.go
@@ -20,12 +20,14 @@
 	"github.com/mastictray/mastictray/internal/keys"
 	"github.com/mastictray/mastictray/internal/logrec"
 	"github.com/mastictray/mastictray/internal/platform"
+	"github.com/mastictray/mastictray/internal/rollout"
 )
 
 // memoryLog keeps one stream. Each append runs before, if set, and gives its
 // error after the effect or instead of it.
 type memoryLog struct {
 	records []platform.Record
+	control []platform.Record
 	before  func()
 	refuse  error
 	lose    error
@@ -47,11 +49,12 @@
 }
 
 func (l *memoryLog) Read(_ context.Context, stream string, from platform.Offset, limit int, _ time.Duration) (platform.Batch, error) {
-	if stream != platform.StreamConfig {
-		return platform.Batch{}, nil
+	records := l.records
+	if stream == platform.StreamControl {
+		records = l.control
 	}
-	end := min(int(from)+limit, len(l.records))
-	return platform.Batch{Next: platform.Offset(len(l.records)), Records: l.records[from:end]}, nil
+	end := min(int(from)+limit, len(records))
+	return platform.Batch{Next: platform.Offset(len(records)), Records: records[from:end]}, nil
 }
 
 // shell runs command lines against one log and one root directory.
@@ -255,6 +258,12 @@
 	is.Equal(strings.Count(out, "\n"), 2)
 	_, out, _ = s.run("audit", "--by", "beat")
 	is.Equal(out, "1970-01-01T00:00:00Z  config@1  beat  key.create  accepted  k1 none->a\n")
+	order := rollout.Issued{ID: rollout.OrderID{Token: 4, N: 2}, Target: "t1", Before: "v1", Version: "v2"}
+	record, err := logrec.Encode(rollout.KindIssued, "entry-1", 1000, order)
+	is.NoErr(err)
+	s.log.control = []platform.Record{{Data: record}}
+	_, out, _ = s.run("audit", "--of", "t1")
+	is.Equal(out, "1970-01-01T00:00:01Z  control@0  entry-1  order.issued  issued  t1 v1->v2\n")
 	_, out, _ = s.run("audit", "--of", "a.ini", "--output", "json")
 	is.True(strings.Contains(out, `"by": "anna"`))
 }
