--- /dev/null
+++ b/internal/entry/enginepool.go
@@ -0,0 +1,326 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mastictray/mastictray/internal/belief"
+	"github.com/mastictray/mastictray/internal/config"
+	"github.com/mastictray/mastictray/internal/dispatch"
+	"github.com/mastictray/mastictray/internal/fairqueue"
+	"github.com/mastictray/mastictray/internal/openai"
+	"github.com/mastictray/mastictray/internal/placement"
+)
+
+const (
+	beliefBudgetBytes = 16 << 20
+	maxQueuedRequests = 4096
+	stepEvery         = 5 * time.Millisecond
+	// crossDomainDelay is what placement counts for a target elsewhere.
+	crossDomainDelay = 1500 * time.Microsecond
+)
+
+type (
+	request = dispatch.Request[chan placedOrError]
+	sending = dispatch.Send[chan placedOrError]
+)
+
+// placed is a target chosen for one attempt.
+type placed struct {
+	sending
+	target  string
+	address string
+	version string
+}
+
+type placedOrError struct {
+	placed placed
+	err    error
+}
+
+// enginePool decides for the requests of one engine pool. Its lock is held for
+// decisions only, never over I/O.
+type enginePool struct {
+	clock  clock
+	domain string
+
+	mu         sync.Mutex
+	cfg        config.Pool
+	model      config.Model
+	address    map[string]string
+	failed     map[string]time.Duration
+	pool       *placement.Pool
+	picker     *placement.Picker
+	beliefs    *belief.Store
+	dispatcher *dispatch.Dispatcher[chan placedOrError]
+	rng        *rand.Rand
+	// active is the weights version that new requests count on.
+	active string
+	// returned is when a target came back as a new incarnation.
+	returned map[string]time.Duration
+	nextID   uint64
+	// started is set once run is going; the pools' lock guards it.
+	started bool
+}
+
+func newEnginePool(c clock, domain string) *enginePool {
+	return &enginePool{
+		clock:    c,
+		domain:   domain,
+		address:  make(map[string]string),
+		failed:   make(map[string]time.Duration),
+		returned: make(map[string]time.Duration),
+		beliefs:  belief.NewStore(beliefBudgetBytes),
+		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+}
+
+// configure puts a pool's configuration into force and keeps what is known of
+// the targets that stay.
+func (p *enginePool) configure(cfg config.Pool, model config.Model, targets []config.Target, routers int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := make([]placement.Target, 0, len(targets))
+	address := make(map[string]string, len(targets))
+	for _, t := range targets {
+		address[t.Name] = t.Address
+		list = append(list, p.keep(t, cfg, model))
+	}
+	p.cfg, p.model, p.address = cfg, model, address
+	p.pool = placement.NewPool(list, model.Version, placement.DefaultFilters())
+	place := placement.DefaultOptions()
+	place.Domain, place.CrossDomainDelay = p.domain, crossDomainDelay
+	p.picker = placement.NewPicker(p.pool, p.beliefs, place)
+	p.activate()
+	if p.dispatcher != nil {
+		p.dispatcher.Replace(p.pool, p.picker)
+		return
+	}
+	o := dispatch.DefaultOptions()
+	o.Queue.MaxItems = maxQueuedRequests
+	o.Queue.FloorRate = cfg.PrefillTokensPerSecond * float64(len(targets)) / float64(max(routers, 1))
+	p.dispatcher = dispatch.New[chan placedOrError](p.pool, p.beliefs, p.picker, o)
+}
+
+// keep carries a target's observed state over a change of configuration. A
+// target at another address is a new one: nothing is believed of it. A target
+// not heard of yet counts as serving the wanted version: the target itself
+// refuses a request that counts on another.
+func (p *enginePool) keep(t config.Target, cfg config.Pool, model config.Model) placement.Target {
+	fresh := placement.Target{
+		Name: t.Name, Domain: t.Domain, Version: model.Version,
+		PrefillTokensPerSecond: cfg.PrefillTokensPerSecond,
+	}
+	if p.pool == nil || p.address[t.Name] != t.Address {
+		p.beliefs.Forget(t.Name)
+		return fresh
+	}
+	i, ok := p.pool.Find(t.Name)
+	if !ok {
+		return fresh
+	}
+	kept := *p.pool.Target(i)
+	kept.Domain, kept.PrefillTokensPerSecond = t.Domain, cfg.PrefillTokensPerSecond
+	return kept
+}
+
+// activate chooses the version that new requests count on. Callers hold mu.
+func (p *enginePool) activate() {
+	served := make(map[string]int)
+	for i := range p.pool.Len() {
+		if t := p.pool.Target(i); !t.Draining && !t.BreakerOpen {
+			served[t.Version]++
+		}
+	}
+	p.active = placement.ActiveVersion(served, p.model.Version, p.cfg.ServingFloor)
+	p.pool.Want(p.active)
+}
+
+// activeVersion is the version that a new request counts on.
+func (p *enginePool) activeVersion() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.active
+}
+
+// modelNow is the model as configured.
+func (p *enginePool) modelNow() config.Model {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.model
+}
+
+// acquire waits in the fair queue and returns the chosen target. The error is
+// an *openai.Error: the request has not run.
+func (p *enginePool) acquire(ctx context.Context, r *request) (placed, error) {
+	r.Value = make(chan placedOrError, 1)
+	p.mu.Lock()
+	p.nextID++
+	r.ID = p.nextID
+	p.perform(p.dispatcher.Push(p.clock.now(), r, p.rng))
+	p.mu.Unlock()
+	select {
+	case x := <-r.Value:
+		return x.placed, x.err
+	case <-ctx.Done():
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.dispatcher.Cancel(r.Account, r.ID) {
+		if x := <-r.Value; x.err == nil {
+			p.dispatcher.Failed(&x.placed.sending)
+		}
+	}
+	return placed{}, ctx.Err()
+}
+
+// run steps the dispatcher while requests wait, until ctx ends.
+func (p *enginePool) run(ctx context.Context) {
+	tick := time.NewTicker(stepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		p.mu.Lock()
+		if p.dispatcher.Waiting() > 0 {
+			p.perform(p.dispatcher.Step(p.clock.now(), p.rng))
+		}
+		p.mu.Unlock()
+	}
+}
+
+// perform hands a step's decisions to the requests that wait for them. Callers
+// hold mu.
+func (p *enginePool) perform(step dispatch.Step[chan placedOrError]) {
+	for _, x := range step.Refusals {
+		x.Request.Value <- placedOrError{err: queueRefusal(x.Reason, x.RetryAfter)}
+	}
+	for _, s := range step.Sends {
+		name := s.Identity.Target
+		s.Request.Value <- placedOrError{placed: placed{sending: s, target: name, address: p.address[name], version: s.Identity.Version}}
+	}
+}
+
+func queueRefusal(reason fairqueue.Reason, retryAfter time.Duration) *openai.Error {
+	e := &openai.Error{
+		Status: http.StatusServiceUnavailable, Code: openai.CodeOverloaded, Outcome: openai.NotRun,
+		Message: "the queue is full", RetryAfter: retryAfter,
+	}
+	switch reason {
+	case fairqueue.ReasonDeadline:
+		e.Code, e.Message = openai.CodeDeadline, "the answer would not begin before its deadline"
+	case dispatch.ReasonNoTarget:
+		e.Code, e.Message = openai.CodeNoTarget, "no target can take the request"
+	}
+	return e
+}
+
+// served takes in the end of an answer: the target holds the whole chain.
+func (p *enginePool) served(pl placed) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dispatcher.Answered(&pl.sending)
+}
+
+// lost takes in a failed attempt. With broken the connection to the target
+// failed, and it gets no new work until it answers a load question again.
+func (p *enginePool) lost(pl placed, broken bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dispatcher.Failed(&pl.sending)
+	if broken {
+		p.setBreaker(pl.target, true)
+	}
+}
+
+// setBreaker opens or closes a target's breaker. Callers hold mu.
+func (p *enginePool) setBreaker(name string, open bool) {
+	i, ok := p.pool.Find(name)
+	if !ok {
+		return
+	}
+	if open {
+		p.failed[name] = p.clock.now()
+	}
+	t := p.pool.Target(i)
+	t.BreakerOpen = open
+	p.pool.Changed(i)
+}
+
+// setDraining marks the targets that the instance list shows leaving.
+func (p *enginePool) setDraining(leaving func(name string) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.pool == nil {
+		return
+	}
+	for i := range p.pool.Len() {
+		t := p.pool.Target(i)
+		if drain := leaving(t.Name); drain != t.Draining {
+			t.Draining = drain
+			p.pool.Changed(i)
+		}
+	}
+}
+
+// loadReport is a target's answer to a load question.
+type loadReport struct {
+	Incarnation         string  `json:"incarnation"`
+	Version             string  `json:"version"`
+	QueuedPrefillTokens float64 `json:"queued_prefill_tokens"`
+	AsOfMS              int64   `json:"as_of_ms"`
+}
+
+// observe takes a load report in. asked is when the question was sent, asOf
+// when the report was true.
+func (p *enginePool) observe(name string, asked, asOf time.Duration, r loadReport) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	i, ok := p.pool.Find(name)
+	if !ok {
+		return
+	}
+	t := p.pool.Target(i)
+	t.Belief = p.beliefs.Observe(asked, belief.Identity{Target: name, Incarnation: r.Incarnation, Version: r.Version})
+	if t.Incarnation != r.Incarnation || t.Version != r.Version {
+		if t.Incarnation != "" {
+			p.returned[name] = asked
+		}
+		t.Load.Reset(asOf)
+		t.Incarnation, t.Version = r.Incarnation, r.Version
+		p.pool.Changed(i)
+		p.activate()
+	}
+	if at, ok := p.returned[name]; ok {
+		t.SlowStart = placement.SlowStart(asked - at)
+	}
+	t.Load.Report(asOf, r.QueuedPrefillTokens)
+	if t.BreakerOpen && asked > p.failed[name] {
+		p.setBreaker(name, false)
+	}
+}
+
+// unanswered opens the breaker of a target that answers no load questions.
+func (p *enginePool) unanswered(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.setBreaker(name, true)
+}
+
+// explain says where a request would go and why, without sending it.
+func (p *enginePool) explain(req placement.Request) (placement.Explanation, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.picker == nil {
+		return placement.Explanation{}, errors.New("explain: pool not configured")
+	}
+	return p.picker.Explain(p.clock.now(), &req, p.rng), nil
+}
--- /dev/null
+++ b/internal/experiment/policy_ours.go
@@ -0,0 +1,137 @@
+package experiment
+
+import (
+	"time"
+
+	"github.com/mastictray/mastictray/internal/belief"
+	"github.com/mastictray/mastictray/internal/dispatch"
+	"github.com/mastictray/mastictray/internal/placement"
+	"github.com/mastictray/mastictray/internal/prefix"
+)
+
+const (
+	beliefBudget = 1 << 20
+	stepPeriod   = 5 * time.Millisecond
+)
+
+type (
+	request = dispatch.Request[*attempt]
+	sending = dispatch.Send[*attempt]
+)
+
+// product is the product's decision code in one router.
+type product struct {
+	r          *router
+	tuning     Tuning
+	pool       *placement.Pool
+	beliefs    *belief.Store
+	dispatcher *dispatch.Dispatcher[*attempt]
+	sent       map[*attempt]sending
+	nextID     uint64
+	ticking    map[*dispatch.Dispatcher[*attempt]]bool
+}
+
+func newProduct(t Tuning) func(*router) policy {
+	return func(r *router) policy {
+		p := &product{r: r, tuning: t, sent: map[*attempt]sending{}, ticking: map[*dispatch.Dispatcher[*attempt]]bool{}}
+		p.restart()
+		return p
+	}
+}
+
+// restart begins with nothing. Requests that wait or run are those of the
+// former incarnation, which finishes them.
+func (p *product) restart() {
+	w := p.r.f.w
+	targets := make([]placement.Target, len(p.r.f.engines))
+	for i, e := range p.r.f.engines {
+		targets[i] = placement.Target{Name: e.name, Domain: e.domain, PrefillTokensPerSecond: w.PrefillRate, Version: p.r.f.wanted}
+	}
+	place := p.tuning.Placement
+	place.Started = p.r.f.clock.now
+	place.Domain, place.CrossDomainDelay = p.r.domain, w.LinkDelay
+	o := p.tuning.Dispatch
+	o.Queue.FloorRate = w.PrefillRate * float64(w.Engines) / float64(w.Routers)
+	p.pool = placement.NewPool(targets, p.r.f.wanted, placement.DefaultFilters())
+	p.beliefs = belief.NewStore(beliefBudget)
+	picker := placement.NewPicker(p.pool, p.beliefs, place)
+	p.dispatcher = dispatch.New[*attempt](p.pool, p.beliefs, picker, o)
+}
+
+func (p *product) arrive(a *attempt) {
+	p.syncFlags()
+	p.nextID++
+	w := p.r.f.w
+	p.perform(p.dispatcher.Push(p.r.f.clock.now, &request{
+		ID: p.nextID, Account: w.Accounts[a.call.account].Name, Priority: a.call.priority,
+		Deadline: a.call.at + a.call.deadline, Value: a,
+		Place: placement.Request{Chain: a.call.chain(w, p.r.f.wanted), PieceTokens: w.PieceTokens, PromptTokens: a.call.tokens},
+	}, p.r.rng))
+	p.tick(p.dispatcher)
+}
+
+// tick steps a dispatcher while requests wait in it; one of a former
+// incarnation too.
+func (p *product) tick(d *dispatch.Dispatcher[*attempt]) {
+	if p.ticking[d] || d.Waiting() == 0 {
+		return
+	}
+	p.ticking[d] = true
+	p.r.f.clock.after(stepPeriod, func() {
+		delete(p.ticking, d)
+		p.syncFlags()
+		p.perform(d.Step(p.r.f.clock.now, p.r.rng))
+		p.tick(d)
+	})
+}
+
+func (p *product) perform(step dispatch.Step[*attempt]) {
+	for _, x := range step.Refusals {
+		p.r.refuse(x.Request.Value)
+	}
+	for _, s := range step.Sends {
+		p.sent[s.Request.Value] = s
+		p.r.send(s.Target, s.Request.Value)
+	}
+}
+
+// syncFlags carries what the router saw of the engines into the pool.
+func (p *product) syncFlags() {
+	p.pool.Want(p.r.f.wanted)
+	for i, ok := range p.r.usable {
+		if t := p.pool.Target(i); t.BreakerOpen == ok {
+			t.BreakerOpen = !ok
+			p.pool.Changed(i)
+		}
+	}
+}
+
+func (p *product) report(e int, asOf time.Duration, id belief.Identity, queued float64) {
+	t := p.pool.Target(e)
+	t.Belief = p.beliefs.Observe(asOf, id)
+	if t.Incarnation != id.Incarnation || t.Version != id.Version {
+		t.Load.Reset(asOf)
+		t.Incarnation, t.Version = id.Incarnation, id.Version
+		p.pool.Changed(e)
+	}
+	t.Load.Report(asOf, queued)
+}
+
+func (p *product) cacheEvent(id belief.Identity, stored, evicted []prefix.Hash) {
+	p.beliefs.Stored(id, stored)
+	p.beliefs.Evicted(id, evicted)
+}
+
+func (p *product) answered(_ int, a *attempt, _ int) {
+	if s, ok := p.sent[a]; ok {
+		p.dispatcher.Answered(&s)
+		delete(p.sent, a)
+	}
+}
+
+func (p *product) failed(_ int, a *attempt) {
+	if s, ok := p.sent[a]; ok {
+		p.dispatcher.Failed(&s)
+		delete(p.sent, a)
+	}
+}
