rate: ask all peers when no share of theirs is known

Cause: an instance that starts while the log is down knows no leases, took all peers for empty and asked nobody: every request was refused (whole-path test of a restart during a log outage). Ruled out: the peers' refusal; they were never asked. Change: when no share is known, all peers count as equal.

--- a/internal/rate/exchange.go
+++ b/internal/rate/exchange.go
@@ -52,11 +52,19 @@
 	accounts []string
 }
 
-// SetPeers replaces the peers that are asked for tokens, nearest first.
+// SetPeers replaces the peers that are asked for tokens, nearest first. When
+// no share is known, as on an instance that started while the log is down, all
+// are taken as equal: else nobody would be asked and every request refused.
 func (l *Limiter) SetPeers(peers []Peer) {
-	old := l.peers
+	old, known := l.peers, 0.0
 	l.peers = slices.Clone(peers)
+	for _, p := range l.peers {
+		known += p.Share
+	}
 	for i := range l.peers {
+		if known == 0 {
+			l.peers[i].Share = 1 / float64(len(l.peers))
+		}
 		for _, o := range old {
 			if o.ID == l.peers[i].ID {
 				l.peers[i].muteUntil = o.muteUntil
--- a/internal/rate/limiter_test.go
+++ b/internal/rate/limiter_test.go
@@ -163,3 +163,15 @@
 	is.Equal(l.Share(won+l.settings.Lifetime), 0.0)
 	is.Equal(l.Share(won+2*l.settings.Lifetime), 1.0)
 }
+
+// An instance starts while the log is down: it has no lease and knows of no
+// share of its peers. Its callers must still be served from what the peers
+// mint, so it asks them all.
+func TestFreshInstanceAsksPeersOfUnknownShare(t *testing.T) {
+	is := is.New(t)
+	l := New(DefaultSettings("i3"))
+	l.SetAccount(0, "acct", 1000, 5000)
+	l.SetPeers([]Peer{{ID: "i1"}, {ID: "i2"}})
+	l.Admit(time.Second, "acct", 10, 2*time.Second)
+	is.Equal(len(l.Tick(time.Second).Asks), 2)
+}
