rate: look only at accounts in use; leave out peers that mint nothing

Ruled out: a longer interval; a waiting request would pay for it. Change: Tick goes over accounts with waiting requests, credits or a request in the last second. Peers without a share are not asked. Conclusion: the cost follows the accounts in use.

--- /dev/null
+++ b/internal/rate/bench_test.go
@@ -0,0 +1,126 @@
+package rate
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/mastictray/mastictray/internal/wire"
+)
+
+// benchLimiter is one instance of many with many accounts.
+func benchLimiter(accounts, peers int) *Limiter {
+	l := New(DefaultSettings("i0"))
+	l.SetParts(0, []Part{{Fraction: 1, Since: -time.Second, Until: never}})
+	for i := range accounts {
+		l.SetAccount(0, fmt.Sprintf("account-%03d", i), 1e9, 1e9)
+	}
+	list := make([]Peer, 0, peers)
+	for i := range peers {
+		list = append(list, Peer{ID: fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250), Share: 1 / float64(peers+1)})
+	}
+	l.SetPeers(list)
+	return l
+}
+
+func BenchmarkAdmitAndSettle(b *testing.B) {
+	l, now := benchLimiter(440, 5), time.Second
+	b.ReportAllocs()
+	for b.Loop() {
+		now += 10 * time.Microsecond
+		out := l.Admit(now, "account-007", 8000, now)
+		if out.Err != nil || out.Waiting {
+			b.Fatal("not admitted")
+		}
+		l.Settle(now, &out.Reservation, 7000)
+	}
+}
+
+func BenchmarkHandleAsk(b *testing.B) {
+	l, now := benchLimiter(440, 5), time.Second
+	ask := wire.RateAsk{From: "i1", Items: []wire.RateItem{{Account: "account-007", Tokens: 1}}}
+	b.ReportAllocs()
+	for b.Loop() {
+		now += time.Millisecond
+		l.HandleAsk(now, ask)
+	}
+}
+
+// BenchmarkTick is one Tick while one account waits, by accounts and peers.
+func BenchmarkTick(b *testing.B) {
+	for _, accounts := range []int{5, 55, 165, 440} {
+		for _, peers := range []int{5, 220} {
+			b.Run(fmt.Sprintf("accounts=%d/peers=%d", accounts, peers), func(b *testing.B) {
+				l, now := benchLimiter(accounts, peers), time.Second
+				l.Admit(now, "account-003", 1e9, 365*24*time.Hour)
+				l.accounts["account-003"].waiters = append(l.accounts["account-003"].waiters, waiter{cost: 1e9, since: now, until: never})
+				b.ReportAllocs()
+				for b.Loop() {
+					now += 20 * time.Millisecond
+					l.Tick(now)
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkMemory reports the heap bytes of a limiter by accounts and peers
+// that it has heard from.
+func BenchmarkMemory(b *testing.B) {
+	for _, accounts := range []int{5, 55, 165, 440} {
+		for _, peers := range []int{5, 44} {
+			b.Run(fmt.Sprintf("accounts=%d/peers=%d", accounts, peers), func(b *testing.B) {
+				for b.Loop() {
+					before := heap()
+					l := benchLimiter(accounts, peers)
+					for _, p := range l.peers {
+						for name := range l.accounts {
+							l.HandleHints(time.Second, p.ID, wire.RateHints{Items: []wire.RateItem{{Account: name, Tokens: 1}}})
+						}
+					}
+					b.ReportMetric(float64(heap()-before)/float64(accounts), "B/account")
+					runtime.KeepAlive(l)
+				}
+			})
+		}
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkMessageBytes reports the encoded size of one exchange (ask, grant,
+// report) by the accounts in it.
+func BenchmarkMessageBytes(b *testing.B) {
+	for _, accounts := range []int{1, 4, 16, 64} {
+		b.Run(fmt.Sprintf("accounts=%d", accounts), func(b *testing.B) {
+			const id = "01a23935-8cec-7b06-907d-5eec2ad2e5c2"
+			ask, grant, ret := wire.RateAsk{From: id}, wire.RateGrant{From: id, At: 1 << 50}, wire.RateReturn{To: id}
+			for i := range accounts {
+				name := fmt.Sprintf("account-%03d", i)
+				ask.Items = append(ask.Items, wire.RateItem{Account: name, Tokens: 1234.5, WaitedMicros: 1500})
+				grant.Items = append(grant.Items, wire.RateGrantItem{Account: name, Tokens: 1234.5, Left: 987.6})
+				ret.Items = append(ret.Items, wire.RateReturnItem{Account: name, At: 1 << 50, Spent: 1234.5})
+			}
+			sum := 0
+			for b.Loop() {
+				sum = 0
+				for _, m := range []any{ask, grant, ret} {
+					raw, err := msgpack.Marshal(m)
+					if err != nil {
+						b.Fatal(err)
+					}
+					sum += len(raw)
+				}
+			}
+			b.ReportMetric(float64(sum), "B/exchange")
+		})
+	}
+}
--- a/internal/rate/exchange.go
+++ b/internal/rate/exchange.go
@@ -52,19 +52,20 @@
 	accounts []string
 }
 
-// SetPeers replaces the peers that are asked for tokens, nearest first. When
-// no share is known, as on an instance that started while the log is down, all
-// are taken as equal: else nobody would be asked and every request refused.
+// SetPeers replaces the peers that are asked for tokens, nearest first. Those
+// that mint nothing are left out: they have nothing to send. When no share is
+// known, as on an instance that started while the log is down, all are taken
+// as equal: else nobody would be asked and every request refused.
 func (l *Limiter) SetPeers(peers []Peer) {
-	old, known := l.peers, 0.0
-	l.peers = slices.Clone(peers)
-	for _, p := range l.peers {
-		known += p.Share
-	}
-	for i := range l.peers {
-		if known == 0 {
+	old := l.peers
+	l.peers = slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool { return p.Share <= 0 })
+	if len(l.peers) == 0 {
+		l.peers = slices.Clone(peers)
+		for i := range l.peers {
 			l.peers[i].Share = 1 / float64(len(l.peers))
 		}
+	}
+	for i := range l.peers {
 		for _, o := range old {
 			if o.ID == l.peers[i].ID {
 				l.peers[i].muteUntil = o.muteUntil
@@ -144,6 +145,7 @@
 		return
 	}
 	a.bucket.addCredit(c)
+	l.activate(a)
 }
 
 // AskFailed tells that an ask got no answer. Tokens that the peer may have
--- a/internal/rate/limiter.go
+++ b/internal/rate/limiter.go
@@ -1,6 +1,7 @@
 package rate
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -61,6 +62,7 @@
 	at       time.Duration // up to here parts are accounted for
 	boundary time.Duration // when the share changes next
 	accounts map[string]*account
+	active   []*account // those that Tick looks at
 	peers    []Peer
 	pending  map[uint64]pendingAsk
 	lastAsk  uint64
@@ -71,6 +73,7 @@
 // account is one client account on this instance.
 type account struct {
 	name    string
+	active  bool // is on the active list
 	bucket  bucket
 	waiters []waiter
 	asking  int           // asks without an answer
@@ -106,14 +109,14 @@
 	a.bucket.clamp()
 }
 
-// RemoveAccount forgets an account. Its waiting requests are refused at the
-// next Tick.
+// RemoveAccount forgets an account and refuses its waiting requests.
 func (l *Limiter) RemoveAccount(name string) []Outcome {
 	a := l.accounts[name]
 	if a == nil {
 		return nil
 	}
 	delete(l.accounts, name)
+	l.active = slices.DeleteFunc(l.active, func(o *account) bool { return o == a })
 	var done []Outcome
 	for _, w := range a.waiters {
 		done = append(done, Outcome{Ticket: w.ticket, Err: ErrUnknownAccount})
@@ -134,6 +137,7 @@
 	}
 	l.advance(a, now)
 	a.saw(now, cost)
+	l.activate(a)
 	if len(a.waiters) == 0 && a.bucket.available() >= cost {
 		return Outcome{Reservation: l.debit(a, now, cost)}
 	}
@@ -177,6 +181,13 @@
 	}
 }
 
+func (l *Limiter) activate(a *account) {
+	if !a.active {
+		a.active = true
+		l.active = append(l.active, a)
+	}
+}
+
 // debit takes the cost from the bucket.
 func (l *Limiter) debit(a *account, now time.Duration, cost float64) Reservation {
 	r := Reservation{Account: a.name, Tokens: cost, At: now}
--- a/internal/rate/waiter.go
+++ b/internal/rate/waiter.go
@@ -1,6 +1,7 @@
 package rate
 
 import (
+	"slices"
 	"time"
 )
 
@@ -34,8 +35,7 @@
 	l.dropLateAsks(now)
 	r := Ready{}
 	wants := newAskBatch()
-	for _, name := range l.names() {
-		a := l.accounts[name]
+	for _, a := range l.active {
 		l.advance(a, now)
 		r.Done = l.serveWaiters(a, now, r.Done)
 		l.collect(a, now, wants)
@@ -47,11 +47,21 @@
 			}
 		}
 	}
+	l.dropIdle(now)
 	r.Asks = l.send(now, wants)
 	r.Returns, l.returns = l.returns, nil
 	return r
 }
 
+// dropIdle takes accounts off the active list that need no Tick: an instance
+// knows all accounts of the fleet and sees requests of few.
+func (l *Limiter) dropIdle(now time.Duration) {
+	l.active = slices.DeleteFunc(l.active, func(a *account) bool {
+		a.active = len(a.waiters) > 0 || len(a.bucket.credits) > 0 || now-a.seenAt <= prefetchWithin
+		return !a.active
+	})
+}
+
 // Cancel gives up on a waiting request, such as one whose caller left.
 func (l *Limiter) Cancel(name string, t Ticket) {
 	a := l.accounts[name]
