Take broken streams up elsewhere; ask peers for tokens on their own word

Cause: TestStreamsSurviveKilledEngine: streams of a killed engine broke off. TestRestartDuringLogOutageServesFromPeers and TestHerdRestartServesAgain, since shares steer the asks: an instance that starts in an outage of the log, or has heard no heartbeat yet, knew nobody that mints and refused callers within their rate. Ruled out: shares from the log only, which is not there in an outage. Change: engineRun does the I/O of attempt.Stream: resume at the same incarnation, replay elsewhere with a check by hash, an error event when neither works; a target that answers no load questions gives its answers up.

--- a/internal/entry/engineclient.go
+++ b/internal/entry/engineclient.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -20,6 +21,7 @@
 	headerVersion     = "X-Weights-Version"
 	headerPriority    = "X-Priority"
 	headerIncarnation = "X-Engine-Incarnation"
+	headerLastEvent   = "Last-Event-ID"
 	headerIdempotency = "Idempotency-Key"
 )
 
@@ -138,3 +140,35 @@
 	}
 	return openai.MayHaveRun
 }
+
+// resume asks the same process for the rest of a stream it has begun.
+func (c *targetClient) resume(ctx context.Context, r attemptRequest, lastSeq int64) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.address+"/v1/streams/"+r.attempt, nil)
+	if err != nil {
+		return nil, &sendError{step: "build resume", target: r.target, outcome: openai.MayHaveRun, cause: err}
+	}
+	req.Header.Set(headerLastEvent, strconv.FormatInt(lastSeq, 10))
+	resp, err := c.pooled.Do(req)
+	if err != nil {
+		return nil, &sendError{step: "resume", target: r.target, outcome: openai.MayHaveRun, cause: err}
+	}
+	return resp, nil
+}
+
+// cancel tells the target that nobody waits for the stream any more.
+func (c *targetClient) cancel(ctx context.Context, address, attempt string) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+address+"/v1/streams/"+attempt, nil)
+	if err != nil {
+		return
+	}
+	if resp, err := c.pooled.Do(req); err == nil {
+		drainBody(resp)
+	}
+}
+
+// drainBody reads a little of the rest so that the connection can be kept,
+// and closes.
+func drainBody(resp *http.Response) {
+	_, _ = io.CopyN(io.Discard, resp.Body, maxErrorBodyBytes)
+	resp.Body.Close()
+}
--- a/internal/entry/enginepool.go
+++ b/internal/entry/enginepool.go
@@ -64,6 +64,8 @@
 	// returned is when a target came back as a new incarnation.
 	returned map[string]time.Duration
 	nextID   uint64
+	// watchers are called when a target is found to answer no questions.
+	watchers map[string]map[uint64]func()
 	// started is set once run is going; the pools' lock guards it.
 	started bool
 }
@@ -75,6 +77,7 @@
 		address:  make(map[string]string),
 		failed:   make(map[string]time.Duration),
 		returned: make(map[string]time.Duration),
+		watchers: make(map[string]map[uint64]func()),
 		beliefs:  belief.NewStore(beliefBudgetBytes),
 		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
@@ -308,11 +311,45 @@
 	}
 }
 
-// unanswered opens the breaker of a target that answers no load questions.
+// unanswered takes in that a target answers no load questions: it gets no new
+// work, and the answers that it still owes are given up.
 func (p *enginePool) unanswered(name string) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.setBreaker(name, true)
+	list := make([]func(), 0, len(p.watchers[name]))
+	for _, down := range p.watchers[name] {
+		list = append(list, down)
+	}
+	p.mu.Unlock()
+	for _, down := range list {
+		down()
+	}
+}
+
+// watch calls down when the target is found to answer no questions, until stop
+// is called.
+func (p *enginePool) watch(name string, down func()) (stop func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.nextID++
+	id := p.nextID
+	if p.watchers[name] == nil {
+		p.watchers[name] = make(map[uint64]func())
+	}
+	p.watchers[name][id] = down
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		delete(p.watchers[name], id)
+	}
+}
+
+// addressOf is where a target is reached.
+func (p *enginePool) addressOf(name string) (string, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	address, ok := p.address[name]
+	return address, ok
 }
 
 // explain says where a request would go and why, without sending it.
--- a/internal/entry/engineserve.go
+++ b/internal/entry/engineserve.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"io"
 	"net/http"
 	"time"
@@ -29,8 +28,8 @@
 	cost     float64
 	reserved rate.Reservation
 	usage    openai.Usage
-	// wrote is set once a byte of the answer went to the caller.
-	wrote bool
+	// buf is reused for the events of the answer.
+	buf []byte
 }
 
 func (s *server) serveEngine(c *call, route config.Route, pool config.Pool, model config.Model, req openai.Request) error {
@@ -107,22 +106,6 @@
 	}
 }
 
-// runEngine queues the request and tries targets until one answers whole.
-func (s *server) runEngine(e *engineCall) error {
-	pool := s.pools.engine(e.pool.Name)
-	for {
-		pl, err := pool.acquire(e.r.Context(), e.queued())
-		if err != nil {
-			return placeError(err)
-		}
-		err = s.attempt(e, pool, pl)
-		if err == nil || !s.mayRetry(e, err) {
-			return err
-		}
-		e.place.Exclude = pl.target
-	}
-}
-
 // queued is the request as it waits for a target.
 func (e *engineCall) queued() *request {
 	return &request{
@@ -140,52 +123,6 @@
 	return refusal(http.StatusServiceUnavailable, openai.CodeDeadline, "the caller left before the request ran", 0)
 }
 
-// mayRetry reports whether a failed attempt may be followed by another: never
-// once a byte went to the caller, and for a non-idempotent route only when
-// the request has not run.
-func (s *server) mayRetry(e *engineCall, err error) bool {
-	if e.wrote || e.attempts >= maxAttempts || e.r.Context().Err() != nil || s.clock.now() >= e.due {
-		return false
-	}
-	var failed *openai.Error
-	if !errors.As(err, &failed) {
-		return false
-	}
-	return failed.Status != http.StatusBadRequest && (e.route.Idempotent || failed.Outcome == openai.NotRun)
-}
-
-// attempt sends the request to one target and relays its answer.
-func (s *server) attempt(e *engineCall, pool *enginePool, pl placed) error {
-	if err := s.recheck(e); err != nil {
-		pool.lost(pl, false)
-		return err
-	}
-	e.attempts++
-	ctx, cancel := context.WithCancel(e.r.Context())
-	defer cancel()
-	resp, err := s.targets.send(ctx, s.engineRequest(e, pl))
-	if err != nil {
-		pool.lost(pl, ctx.Err() == nil)
-		s.metrics.attempt(e.pool.Name, "unreachable")
-		return attemptError(err)
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		pool.lost(pl, false)
-		s.metrics.attempt(e.pool.Name, "refused")
-		return targetRefusal(resp)
-	}
-	if err := s.relay(e, resp); err != nil {
-		pool.lost(pl, ctx.Err() == nil)
-		s.metrics.attempt(e.pool.Name, "broken")
-		return err
-	}
-	s.metrics.attempt(e.pool.Name, "answered")
-	s.metrics.answered(e.account.Name, e.pool.Name)
-	pool.served(pl)
-	return nil
-}
-
 // recheck is the last look before dispatch: the key may have been withdrawn
 // and the debit may have lapsed while the request waited or the process was
 // paused.
@@ -200,14 +137,6 @@
 	return nil
 }
 
-func (s *server) engineRequest(e *engineCall, pl placed) attemptRequest {
-	return attemptRequest{
-		attempt: attemptID(e.call), target: pl.target, address: pl.address, method: http.MethodPost,
-		path: e.r.URL.Path, account: e.account.Name, version: pl.version, priority: e.route.Priority,
-		header: http.Header{"Content-Type": {"application/json"}}, body: e.req.Body, once: !e.route.Idempotent,
-	}
-}
-
 // attemptError turns a failed exchange into what the caller is told.
 func attemptError(err error) error {
 	var se *sendError
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -148,10 +148,10 @@
 
 // own is this instance's heartbeat.
 func (m *members) own() wire.Heartbeat {
-	hints := m.rates.hints()
+	hints, share := m.rates.hints()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	hb := wire.Heartbeat{From: m.node.Self(), Leaving: m.leaving, Hints: hints}
+	hb := wire.Heartbeat{From: m.node.Self(), Leaving: m.leaving, RateShare: share, Hints: hints}
 	for id, in := range m.listed {
 		if in.Role == platform.RoleTarget && in.State == platform.StateLeaving {
 			hb.Draining = append(hb.Draining, id)
@@ -180,7 +180,7 @@
 	drains := !slices.Equal(p.draining, hb.Draining)
 	p.identity, p.heard, p.leaving, p.draining = hb.From, m.clock.now(), hb.Leaving, hb.Draining
 	m.mu.Unlock()
-	m.rates.takeHints(hb.From.Address, hb.Hints)
+	m.rates.takeHints(hb)
 	if fresh {
 		logline.Info("peer_known", "peer", hb.From.Address, "instance", hb.From.Instance, "incarnation", hb.From.Incarnation, "domain", hb.From.Domain)
 		m.rates.setPeers(m.known())
--- a/internal/entry/ratedriver.go
+++ b/internal/entry/ratedriver.go
@@ -46,6 +46,7 @@
 	waiting map[rate.Ticket]chan rate.Outcome
 	known   map[string]bool
 	peers   []wire.Identity
+	heard   map[string]float64 // by address: the share a peer says it mints
 	folded  []func(platform.Offset, logrec.Envelope)
 	wake    chan struct{}
 }
@@ -66,6 +67,7 @@
 		limiter: rate.New(rate.DefaultSettings(self.Incarnation)),
 		waiting: make(map[rate.Ticket]chan rate.Outcome),
 		known:   make(map[string]bool),
+		heard:   make(map[string]float64),
 		wake:    make(chan struct{}, 1),
 	}
 	node.Handle(wire.KindRateAsk, d.handleAsk)
@@ -108,17 +110,16 @@
 	d.refreshPeers()
 }
 
-// refreshPeers tells the limiter what its peers mint. It runs again when the
-// log shows a change: an instance that knew its peers before they took their
-// leases would think them poor for good and, having no lease itself, refuse
-// requests that are within their account's rate. Callers hold mu.
+// refreshPeers tells the limiter what each peer mints: by the log, or by the
+// peer's own word where that is more. The log alone would leave an instance
+// that starts in an outage of the log without anybody to ask. Callers hold mu.
 func (d *rateDriver) refreshPeers() {
 	list := make([]rate.Peer, 0, len(d.peers))
 	for _, p := range d.peers {
 		list = append(list, rate.Peer{
 			ID:    p.Address,
 			Local: p.Domain == d.node.Self().Domain,
-			Share: rate.ShareOf(d.holder.Fold(), p.Incarnation, d.fleet.slots()),
+			Share: max(rate.ShareOf(d.holder.Fold(), p.Incarnation, d.fleet.slots()), d.heard[p.Address]),
 		})
 	}
 	d.limiter.SetPeers(list)
@@ -404,18 +405,25 @@
 	d.append(ctx, r)
 }
 
-// hints are this instance's balances, for heartbeats.
-func (d *rateDriver) hints() wire.RateHints {
+// hints are this instance's balances and its part of all rates, for
+// heartbeats.
+func (d *rateDriver) hints() (wire.RateHints, float64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.limiter.Hints(d.clock.now())
+	now := d.clock.now()
+	return d.limiter.Hints(now), d.limiter.Share(now)
 }
 
-// takeHints notes a peer's balances.
-func (d *rateDriver) takeHints(addr string, h wire.RateHints) {
+// takeHints notes a peer's balances and what it mints.
+func (d *rateDriver) takeHints(hb wire.Heartbeat) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.limiter.HandleHints(d.clock.now(), addr, h)
+	addr := hb.From.Address
+	d.limiter.HandleHints(d.clock.now(), addr, hb.Hints)
+	if d.heard[addr] != hb.RateShare {
+		d.heard[addr] = hb.RateShare
+		d.refreshPeers()
+	}
 }
 
 // share is the part of all rates that this instance mints now.
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -1,75 +1,51 @@
 package entry
 
 import (
-	"bufio"
-	"bytes"
-	"io"
 	"net/http"
+	"strconv"
 
+	"github.com/mastictray/mastictray/internal/attempt"
 	"github.com/mastictray/mastictray/internal/openai"
+	"github.com/mastictray/mastictray/internal/sse"
 )
 
-// relay passes a target's answer on.
-func (s *server) relay(e *engineCall, resp *http.Response) error {
-	if e.req.Stream {
-		return s.relayStream(e, resp)
-	}
-	return s.relayWhole(e, resp)
-}
+// errorEvent names the event that ends a stream which cannot be completed.
+const errorEvent = "error"
 
-// relayWhole reads the whole answer before the first byte goes out, so that a
-// broken answer can still be had from another target.
-func (s *server) relayWhole(e *engineCall, resp *http.Response) error {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBodyBytes))
-	if err != nil {
-		return &openai.Error{Status: http.StatusBadGateway, Code: openai.CodeTargetFailed, Outcome: openai.MayHaveRun, Message: "the answer broke off"}
-	}
-	s.metrics.firstToken(e.pool.Name, s.clock.now()-e.began)
-	e.usage, _ = openai.UsageOf(body)
-	e.wrote = true
-	e.w.Header().Set("Content-Type", "application/json")
-	_, _ = e.w.Write(body)
-	return nil
+// write relays one event to the caller.
+func (r *engineRun) write(act attempt.Action) {
+	r.begin("text/event-stream")
+	r.send(sse.Event{ID: strconv.FormatInt(act.Seq, 10), HasID: true, Data: act.Data})
 }
 
-var (
-	dataField = []byte("data: ")
-	doneData  = []byte("[DONE]")
-)
-
-func (s *server) relayStream(e *engineCall, resp *http.Response) error {
-	r := bufio.NewReader(resp.Body)
-	for {
-		line, err := r.ReadBytes('\n')
-		if err != nil {
-			return &openai.Error{Status: http.StatusBadGateway, Code: openai.CodeStreamBroken, Outcome: openai.MayHaveRun, Message: "the stream broke off"}
-		}
-		data, ok := bytes.CutPrefix(bytes.TrimSpace(line), dataField)
-		if !ok {
-			continue
-		}
-		s.chunk(e, data)
-		if bytes.Equal(data, doneData) {
-			return nil
-		}
+// begin sends the head of the answer, once.
+func (r *engineRun) begin(contentType string) {
+	if r.e.wrote {
+		return
 	}
+	r.e.wrote = true
+	h := r.e.w.Header()
+	h.Set("Content-Type", contentType)
+	h.Set("Cache-Control", "no-cache")
+	r.s.metrics.firstToken(r.e.pool.Name, r.s.clock.now()-r.e.began)
 }
 
-// chunk writes one event to the caller.
-func (s *server) chunk(e *engineCall, data []byte) {
-	if !e.wrote {
-		e.wrote = true
-		e.w.Header().Set("Content-Type", "text/event-stream")
-		e.w.Header().Set("Cache-Control", "no-cache")
-		s.metrics.firstToken(e.pool.Name, s.clock.now()-e.began)
-	}
-	if u, ok := openai.UsageOf(data); ok {
-		e.usage = u
-	}
-	_, _ = e.w.Write(dataField)
-	_, _ = e.w.Write(data)
-	_, _ = e.w.Write([]byte("\n\n"))
-	if f, ok := e.w.(http.Flusher); ok {
+func (r *engineRun) send(ev sse.Event) {
+	r.e.buf = sse.Append(r.e.buf[:0], ev)
+	_, _ = r.e.w.Write(r.e.buf)
+	if f, ok := r.e.w.(http.Flusher); ok {
 		f.Flush()
 	}
 }
+
+// writeWhole sends an answer without a stream.
+func (r *engineRun) writeWhole(body []byte) {
+	r.begin("application/json")
+	_, _ = r.e.w.Write(body)
+}
+
+// writeError ends a stream whose head is out already: without the event its
+// caller would take the part for the whole.
+func (r *engineRun) writeError(e *openai.Error) {
+	r.send(sse.Event{Name: errorEvent, Data: e.JSON()})
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -51,6 +51,8 @@
 	body    []byte
 	// attempts counts the tries at targets.
 	attempts int
+	// wrote is set once the head of the answer went to the caller.
+	wrote bool
 }
 
 // ServeHTTP implements http.Handler.
@@ -216,7 +218,9 @@
 	}
 	answer := *e
 	answer.RequestID = c.id
-	answer.Write(c.w)
+	if !c.wrote {
+		answer.Write(c.w)
+	}
 	s.metrics.refused(c.account.Name, answer.Code)
 	logline.Info("request_refused", "request", c.id, "account", c.account.Name, "key", c.keyID,
 		"route", c.route.Name, "code", answer.Code, "outcome", answer.Outcome, "attempts", c.attempts)
--- a/internal/wire/heartbeat.go
+++ b/internal/wire/heartbeat.go
@@ -9,6 +9,9 @@
 	From Identity `msgpack:"f"`
 	// Leaving is set once the sender drains.
 	Leaving bool `msgpack:"l,omitempty"`
+	// RateShare is the part of all rates that the sender mints now. It only
+	// steers asks for tokens; nothing is spent on its word.
+	RateShare float64 `msgpack:"s"`
 	// Hints are the sender's rate balances.
 	Hints RateHints `msgpack:"h"`
 	// Draining are the targets that the sender knows to be leaving.
