Pass over entries that take no connection, as the balancer does

A request is now offered to the next entry when no connection was made, and only then: one that was cut may have run. Both are tested.

--- a/cmd/mastictray-load/main.go
+++ b/cmd/mastictray-load/main.go
@@ -78,6 +78,7 @@
 func (c *cli) prompts(ctx context.Context, runner *load.Runner, profile load.Profile) error {
 	bounds := load.Bounds{Duration: c.Duration, Requests: c.Requests, Timeout: c.Timeout}
 	rep := load.Summarize(profile, c.Seed, runner.Run(ctx, c.Seed, bounds))
+	rep.PassedOver = runner.PassedOver()
 	return errors.CombineErrors(c.print(rep), rep.Verdict(c.limits()))
 }
 
--- a/internal/load/bookingrunner.go
+++ b/internal/load/bookingrunner.go
@@ -1,7 +1,6 @@
 package load
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -65,7 +64,7 @@
 	ctx, cancel := context.WithTimeout(ctx, plan.Timeout)
 	defer cancel()
 	r.stats.sent.Add(1)
-	a, err := r.sendBooking(ctx, r.entries[i%len(r.entries)]+plan.Path, b)
+	a, err := r.sendBooking(ctx, i, plan.Path, b)
 	if err != nil {
 		a = Attempt{Outcome: OutcomeFailed, Code: err.Error()}
 	}
@@ -73,17 +72,12 @@
 	return a
 }
 
-func (r *Runner) sendBooking(ctx context.Context, url string, b Booking) (Attempt, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(b.Body))
+func (r *Runner) sendBooking(ctx context.Context, i int, path string, b Booking) (Attempt, error) {
+	h := header(b.Account)
+	h.Set("Idempotency-Key", b.Key)
+	resp, err := r.post(ctx, i, path, b.Body, h)
 	if err != nil {
-		return Attempt{}, errors.Wrapf(err, "build booking url=%s", url)
-	}
-	req.Header.Set("Content-Type", "application/json")
-	req.Header.Set("Authorization", "Bearer "+b.Account.Key)
-	req.Header.Set("Idempotency-Key", b.Key)
-	resp, err := r.client.Do(req)
-	if err != nil {
-		return Attempt{}, errors.Wrapf(err, "send booking url=%s", url)
+		return Attempt{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
@@ -92,7 +86,7 @@
 	}
 	a := Attempt{Outcome: OutcomeOK}
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxErrorBytes)).Decode(&a.Answer); err != nil {
-		return Attempt{}, errors.Wrapf(err, "read answer url=%s", url)
+		return Attempt{}, errors.Wrapf(err, "read answer entry=%s", resp.Request.Host)
 	}
 	return a, nil
 }
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -272,6 +273,37 @@
 	is.True(strings.Contains(sb.String(), "worst-served account"))
 }
 
+// One of two entries is gone. The balancer in front of real entries passes it
+// over; so must the load tool, or a run measures a balancer that is not there.
+func TestEntryWithoutConnectionIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	gone := httptest.NewServer(nil)
+	gone.Close()
+	srv := httptest.NewServer(service.New("s").Handler())
+	defer srv.Close()
+	r := NewRunner(testProfile(), []string{gone.URL, srv.URL})
+	bookings := r.Book(t.Context(), 1, BookingPlan{Path: "/bookings", PerSecond: 1e6, Count: 4, Timeout: time.Minute})
+	for _, b := range bookings {
+		is.True(!b.has(OutcomeFailed))
+	}
+	is.Equal(r.PassedOver(), int64(4)) // one of the two attempts of each
+}
+
+// An entry dies with a request in hand. Sending it on could run it twice, so
+// the load tool reports a failure and leaves the repeat to the caller.
+func TestCutRequestIsNotSentOn(t *testing.T) {
+	is := is.New(t)
+	cut := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	defer cut.Close()
+	s := service.New("s")
+	srv := httptest.NewServer(s.Handler())
+	defer srv.Close()
+	r := NewRunner(testProfile(), []string{cut.URL, srv.URL})
+	_, err := r.post(t.Context(), 0, "/bookings", nil, nil)
+	is.True(err != nil && !notConnected(err))
+	is.Equal(r.PassedOver(), int64(0))
+}
+
 func TestBookAgainstTheStandInService(t *testing.T) {
 	is := is.New(t)
 	srv := httptest.NewServer(service.New("s").Handler())
--- a/internal/load/progress.go
+++ b/internal/load/progress.go
@@ -13,6 +13,8 @@
 // progress counts what a run has done so far.
 type progress struct {
 	sent, ok, refused, failed, violations atomic.Int64
+	// passedOver counts entries that took no connection.
+	passedOver atomic.Int64
 }
 
 func (p *progress) end(r Result) {
@@ -38,8 +40,8 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			_, _ = fmt.Fprintf(w, "elapsed=%ds sent=%d ok=%d refused=%d failed=%d violations=%d\n",
-				int(time.Since(start).Seconds()+0.5), p.sent.Load(), p.ok.Load(), p.refused.Load(), p.failed.Load(), p.violations.Load())
+			_, _ = fmt.Fprintf(w, "elapsed=%ds sent=%d ok=%d refused=%d failed=%d violations=%d passed_over=%d\n",
+				int(time.Since(start).Seconds()+0.5), p.sent.Load(), p.ok.Load(), p.refused.Load(), p.failed.Load(), p.violations.Load(), p.passedOver.Load())
 		}
 	}
 }
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -104,25 +105,57 @@
 	if err != nil {
 		return errors.Wrap(err, "encode request")
 	}
-	entry := r.entries[a.Index%len(r.entries)]
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, entry+r.profile.Path, bytes.NewReader(body))
+	resp, err := r.post(ctx, a.Index, r.profile.Path, body, header(a.Account))
 	if err != nil {
-		return errors.Wrapf(err, "build request entry=%s", entry)
-	}
-	req.Header.Set("Content-Type", "application/json")
-	req.Header.Set("Authorization", "Bearer "+a.Account.Key)
-	resp, err := r.client.Do(req)
-	if err != nil {
-		return errors.Wrapf(err, "send request entry=%s", entry)
+		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
 		res.Outcome, res.Code = refusal(resp)
 		return nil
 	}
-	return errors.Wrapf(r.follow(resp.Body, a, start, res), "entry=%s request=%d", entry, a.Index)
+	return errors.Wrapf(r.follow(resp.Body, a, start, res), "entry=%s request=%d", resp.Request.Host, a.Index)
+}
+
+// header is what every request of an account carries.
+func header(a Account) http.Header {
+	return http.Header{"Content-Type": {"application/json"}, "Authorization": {"Bearer " + a.Key}}
+}
+
+// post sends a request to the i-th entry. Like the balancer it passes over an
+// entry that takes no connection: nothing has been sent to it then, so the next
+// one does not get a repeat.
+func (r *Runner) post(ctx context.Context, i int, path string, body []byte, h http.Header) (*http.Response, error) {
+	var err error
+	for n := range r.entries {
+		entry := r.entries[(i+n)%len(r.entries)]
+		var req *http.Request
+		if req, err = http.NewRequestWithContext(ctx, http.MethodPost, entry+path, bytes.NewReader(body)); err != nil {
+			return nil, errors.Wrapf(err, "build request entry=%s", entry)
+		}
+		req.Header = h.Clone()
+		var resp *http.Response
+		if resp, err = r.client.Do(req); err == nil {
+			return resp, nil
+		}
+		err = errors.Wrapf(err, "send request entry=%s", entry)
+		if !notConnected(err) {
+			break
+		}
+		r.stats.passedOver.Add(1)
+	}
+	return nil, err
 }
 
+// notConnected reports whether the request found no connection to go out on.
+func notConnected(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// PassedOver counts the times that an entry took no connection.
+func (r *Runner) PassedOver() int64 { return r.stats.passedOver.Load() }
+
 // follow reads and checks a stream to its end.
 func (r *Runner) follow(body io.Reader, a Arrival, start time.Time, res *Result) error {
 	check := newStreamCheck(a.Request)
