--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -44,6 +45,11 @@
 	is.Equal(p.Zipf, 1.5)
 	is.Equal(p.Accounts, []Account{{Name: "x", Key: "k", Times: 5}})
 	is.Equal(p.MaxTokens, DefaultProfile().MaxTokens)
+	only, err := p.Only([]string{"x"})
+	is.NoErr(err)
+	is.Equal(only, p.Accounts)
+	_, err = p.Only([]string{"y"})
+	is.True(errors.Is(err, ErrProfile))
 	for _, bad := range []string{
 		"[load]\n", // no account
 		"[load]\nzipf = much\n[account \"x\"]\nkey = k\n", // no number
@@ -272,12 +278,43 @@
 	is.True(strings.Contains(sb.String(), "worst-served account"))
 }
 
+// One of two entries is gone. The balancer in front of real entries passes it
+// over; so must the load tool, or a run measures a balancer that is not there.
+func TestEntryWithoutConnectionIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	gone := httptest.NewServer(nil)
+	gone.Close()
+	srv := httptest.NewServer(service.New("s").Handler())
+	defer srv.Close()
+	r := NewRunner(testProfile(), []string{gone.URL, srv.URL})
+	bookings := r.Book(t.Context(), 1, BookingPlan{Path: "/bookings", Accounts: testProfile().Accounts, PerSecond: 1e6, Count: 4, Timeout: time.Minute})
+	for _, b := range bookings {
+		is.True(!b.has(OutcomeFailed))
+	}
+	is.Equal(r.PassedOver(), int64(4)) // one of the two attempts of each
+}
+
+// An entry dies with a request in hand. Sending it on could run it twice, so
+// the load tool reports a failure and leaves the repeat to the caller.
+func TestCutRequestIsNotSentOn(t *testing.T) {
+	is := is.New(t)
+	cut := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	defer cut.Close()
+	s := service.New("s")
+	srv := httptest.NewServer(s.Handler())
+	defer srv.Close()
+	r := NewRunner(testProfile(), []string{cut.URL, srv.URL})
+	_, err := r.post(t.Context(), 0, "/bookings", nil, nil)
+	is.True(err != nil && !notConnected(err))
+	is.Equal(r.PassedOver(), int64(0))
+}
+
 func TestBookAgainstTheStandInService(t *testing.T) {
 	is := is.New(t)
 	srv := httptest.NewServer(service.New("s").Handler())
 	defer srv.Close()
 	r := NewRunner(testProfile(), []string{srv.URL})
-	bookings := r.Book(t.Context(), 1, BookingPlan{Path: "/bookings", PerSecond: 1e6, Count: 5, Timeout: time.Minute})
+	bookings := r.Book(t.Context(), 1, BookingPlan{Path: "/bookings", Accounts: testProfile().Accounts, PerSecond: 1e6, Count: 5, Timeout: time.Minute})
 	runs, err := r.Runs(t.Context(), []string{srv.URL})
 	is.NoErr(err)
 	is.Equal(len(runs), 10) // the service itself does not recognise repeats
