placement: trust in the first target scales with the prompt; work is the cost

Cause: after a restart of all routers the hit rate of the first second fell by half; requests waited in a dispatcher that got no reports; the fair queue charged cached tokens, and so refused what there was time for. Change: HomeTrust 0.25 weighed as recomputing; a restarted router reads the cache events that engines retain and is then not young; an item costs the tokens it will have prefilled.

--- a/cmd/mastictray-bench/main.go
+++ b/cmd/mastictray-bench/main.go
@@ -3,10 +3,14 @@
 package main
 
 import (
+	"bytes"
+	"encoding/json"
 	"os"
+	"path/filepath"
 	"time"
 
 	"github.com/alecthomas/kong"
+	"github.com/cockroachdb/errors"
 
 	"github.com/mastictray/mastictray/internal/experiment"
 )
@@ -19,9 +23,11 @@
 	Workload string `help:"Only this workload (cantonal, charter)."`
 	Case     string `help:"Only this case."`
 	Policy   string `help:"Only this policy."`
-	Seed     uint64 `help:"Seed of the traces." default:"1"`
+	Seeds    int    `help:"Number of traces, with seeds from 1 on; their requests are measured together." default:"1"`
+	Out      string `help:"Directory for policies.txt, policies.json and the plots." type:"existingdir"`
 
-	Trust    *float64       `help:"Vary the product: FirstRankTrust."`
+	Trust    *float64       `help:"Vary the product: HomeTrust."`
+	Young    *time.Duration `help:"Vary the product: YoungFor."`
 	Factor   *float64       `help:"Vary the product: RecomputeFactor."`
 	Backlog  *float64       `help:"Vary the product: BacklogFactor."`
 	Window   *time.Duration `help:"Vary the product: Window."`
@@ -33,9 +39,10 @@
 // tuning is the product's, with what the command line varies.
 func (c *policiesCmd) tuning() experiment.Tuning {
 	t := experiment.DefaultTuning()
-	vary(&t.Placement.FirstRankTrust, c.Trust)
+	vary(&t.Placement.HomeTrust, c.Trust)
 	vary(&t.Dispatch.RecomputeFactor, c.Factor)
 	vary(&t.Dispatch.BacklogFactor, c.Backlog)
+	vary(&t.Placement.YoungFor, c.Young)
 	vary(&t.Placement.NearTie, c.NearTie)
 	vary(&t.Placement.AnchorPieces, c.Anchor)
 	vary(&t.Placement.TransferTokensPerSecond, c.Transfer)
@@ -51,8 +58,29 @@
 
 // Run compares the policies and prints the table.
 func (c *policiesCmd) Run() error {
-	results := experiment.RunAll(experiment.Selection{Workload: c.Workload, Case: c.Case, Policy: c.Policy, Seed: c.Seed, Tuning: c.tuning()})
-	return experiment.WriteTable(os.Stdout, results)
+	results := experiment.RunAll(experiment.Selection{Workload: c.Workload, Case: c.Case, Policy: c.Policy, Seeds: c.Seeds, Tuning: c.tuning()})
+	if c.Out == "" {
+		return experiment.WriteTable(os.Stdout, results)
+	}
+	return write(c.Out, results)
+}
+
+// write stores the table, the figures and the plots.
+func write(dir string, results []experiment.Result) error {
+	var table bytes.Buffer
+	if err := experiment.WriteTable(&table, results); err != nil {
+		return err
+	}
+	figures, err := json.MarshalIndent(results, "", " ")
+	if err != nil {
+		return errors.Wrap(err, "encode results")
+	}
+	for name, data := range map[string][]byte{"policies.txt": table.Bytes(), "policies.json": append(figures, '\n')} {
+		if err := os.WriteFile(filepath.Join(dir, name), data, 0o644); err != nil {
+			return errors.Wrapf(err, "write results file=%s", name)
+		}
+	}
+	return experiment.WritePlots(dir, results)
 }
 
 func main() {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -101,15 +101,31 @@
 // Push takes a request in and then steps.
 func (d *Dispatcher[T]) Push(now time.Duration, r *Request[T], rng *rand.Rand) Step[T] {
 	d.reset()
+	cost, err := d.cost(now, r, rng)
+	if err != nil {
+		d.refuseNoTarget(r)
+		return d.out
+	}
 	refused := d.queue.Push(now, fairqueue.Item[*Request[T]]{
 		ID: r.ID, Account: r.Account, Weight: r.Weight, Priority: r.Priority,
-		Cost: float64(r.Place.PromptTokens), Deadline: r.Deadline, Value: r,
+		Cost: cost, Deadline: r.Deadline, Value: r,
 	})
 	d.refuse(refused)
 	d.scan(now, rng)
 	return d.out
 }
 
+// minCost is charged for a request that is cached almost wholly.
+const minCost = 100
+
+// cost is the tokens that a request will need to have prefilled. Accounts
+// share the targets' work, not the length of their prompts: a cached prompt
+// costs the others nothing.
+func (d *Dispatcher[T]) cost(now time.Duration, r *Request[T], rng *rand.Rand) (float64, error) {
+	choice, err := d.picker.Pick(now, &r.Place, rng)
+	return max(minCost, choice.UncachedTokens), err
+}
+
 // Step sends and refuses what it is time for. Call it when an answer came, a
 // load report came or a target changed, and every few milliseconds while
 // requests wait.
@@ -175,7 +191,7 @@
 	r.Place.RecomputeFactor = d.recomputeFactor(r)
 	choice, err := d.picker.Pick(now, &r.Place, rng)
 	if err != nil {
-		d.out.Refusals = append(d.out.Refusals, Refusal[T]{Request: r, Reason: ReasonNoTarget, RetryAfter: noTargetRetryAfter})
+		d.refuseNoTarget(r)
 		return fairqueue.Refuse
 	}
 	t := d.pool.Target(choice.Index)
@@ -196,6 +212,10 @@
 	return d.options.RecomputeFactor + d.options.BacklogFactor*backlog
 }
 
+func (d *Dispatcher[T]) refuseNoTarget(r *Request[T]) {
+	d.out.Refusals = append(d.out.Refusals, Refusal[T]{Request: r, Reason: ReasonNoTarget, RetryAfter: noTargetRetryAfter})
+}
+
 // noTargetRetryAfter is the hint when no target is live: about the time that
 // a target needs to come back.
 const noTargetRetryAfter = time.Second
--- /dev/null
+++ b/internal/dispatch/dispatcher_test.go
@@ -0,0 +1,117 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/mastictray/mastictray/internal/belief"
+	"github.com/mastictray/mastictray/internal/fairqueue"
+	"github.com/mastictray/mastictray/internal/placement"
+	"github.com/mastictray/mastictray/internal/prefix"
+)
+
+const pieceTokens = 4000
+
+type fixture struct {
+	*Dispatcher[string]
+	pool *placement.Pool
+	rng  *rand.Rand
+	id   uint64
+}
+
+func newFixture(targets int) *fixture {
+	list := make([]placement.Target, targets)
+	beliefs := belief.NewStore(1 << 20)
+	for i := range list {
+		list[i] = placement.Target{Name: fmt.Sprint("t", i), Incarnation: "i1", Version: "v1", PrefillTokensPerSecond: 10000}
+		list[i].Belief = beliefs.Observe(0, belief.Identity{Target: list[i].Name, Incarnation: "i1", Version: "v1"})
+	}
+	pool := placement.NewPool(list, "v1", placement.DefaultFilters())
+	place := placement.DefaultOptions()
+	place.YoungFor = 0
+	o := DefaultOptions()
+	o.Queue.FloorRate = 10000
+	d := New[string](pool, beliefs, placement.NewPicker(pool, beliefs, place), o)
+	return &fixture{Dispatcher: d, pool: pool, rng: rand.New(rand.NewPCG(1, 1))}
+}
+
+func (f *fixture) push(account string, piece prefix.Hash, due time.Duration) Step[string] {
+	f.id++
+	r := &Request[string]{ID: f.id, Account: account, Deadline: due, Value: account}
+	r.Place = placement.Request{Chain: []prefix.Hash{piece}, PieceTokens: pieceTokens, PromptTokens: pieceTokens + 100}
+	return f.Push(0, r, f.rng)
+}
+
+// One account floods the only target. Its requests beyond the window are held,
+// so that another account's request goes next; sent on at once they would be
+// ahead of it in the target's own queue.
+func TestFloodIsHeldNotSent(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(1)
+	is.Equal(len(f.push("noisy", 1, 0).Sends), 1)
+	for i := range 20 {
+		is.Equal(len(f.push("noisy", prefix.Hash(i+2), 0).Sends), 0)
+	}
+	is.Equal(len(f.push("quiet", 50, 0).Sends), 0)
+	step := f.Step(450*time.Millisecond, f.rng) // the first is prefilled by its estimate, but not answered
+	is.Equal(len(step.Sends), 0)
+	f.pool.Target(0).Load.Answered(pieceTokens + 100)
+	step = f.Step(450*time.Millisecond, f.rng)
+	is.Equal(len(step.Sends), 1)
+	is.Equal(step.Sends[0].Request.Account, "quiet")
+	is.Equal(f.Waiting(), 20)
+}
+
+// A request's target is full. The request behind it wants an idle target and
+// is sent; a queue that only looks at its head would leave targets idle.
+func TestFullTargetDoesNotBlockOthers(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(4)
+	first := f.push("a", 1, 0).Sends[0]
+	for f.Waiting() == 0 { // the same prefix, until its target is full
+		f.push("a", 1, 0)
+		f.pool.Target(first.Target).Load.Sent(0, 1000)
+	}
+	sent := 0
+	for piece := prefix.Hash(10); piece < 20; piece++ {
+		for _, s := range f.push("a", piece, 0).Sends {
+			is.True(s.Target != first.Target)
+			sent++
+		}
+	}
+	is.True(sent >= 3)
+}
+
+func TestRefusesAtOnce(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(1)
+	for i := range 5 {
+		f.push("a", prefix.Hash(i), 0)
+	}
+	late := f.push("a", 9, time.Second).Refusals
+	is.Equal(len(late), 1)
+	is.Equal(late[0].Reason, fairqueue.ReasonDeadline)
+	is.True(late[0].RetryAfter > 0)
+	f.pool.Target(0).Draining = true
+	f.pool.Changed(0)
+	none := f.push("b", 9, 0).Refusals
+	is.Equal(none[len(none)-1].Reason, ReasonNoTarget)
+}
+
+// A target crashes with a request and comes back. The answer that never came
+// must not count as work of the new incarnation: it would look busy for good.
+func TestFailureOfDeadIncarnationLeavesLoadAlone(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(1)
+	s := f.push("a", 1, 0).Sends[0]
+	target := f.pool.Target(0)
+	target.Incarnation = "i2"
+	target.Load.Reset(0)
+	target.Load.Sent(0, 500)
+	f.Failed(&s)
+	is.Equal(target.Load.Given(0, 10000), 500.0)
+}
--- a/internal/experiment/engine.go
+++ b/internal/experiment/engine.go
@@ -144,7 +144,7 @@
 		}
 		e.running = nil
 		stored, evicted := e.cache.use(j.chain)
-		e.f.publish(e, cacheChange{e.identity(), stored, evicted})
+		e.f.publish(e, cacheChange{e.f.clock.now, e.identity(), stored, evicted})
 		j.done(cached)
 		e.next()
 	})
--- a/internal/experiment/fleet.go
+++ b/internal/experiment/fleet.go
@@ -49,6 +49,7 @@
 
 // cacheChange is what one prefill changed in an engine's cache.
 type cacheChange struct {
+	at              time.Duration
 	id              belief.Identity
 	stored, evicted []prefix.Hash
 }
@@ -66,23 +67,26 @@
 		e.history = e.history[1:]
 	}
 	for _, r := range f.routers {
-		f.deliver(r, change)
+		f.deliver(r, change, eventDelay)
 	}
 }
 
 // deliver sends a cache event to one router, late, and loses some.
-func (f *fleet) deliver(r *router, change cacheChange) {
+func (f *fleet) deliver(r *router, change cacheChange, delay time.Duration) {
 	if f.rng.Float64() < f.c.EventLoss {
 		return
 	}
-	f.clock.after(eventDelay, func() { r.policy.cacheEvent(change.id, change.stored, change.evicted) })
+	f.clock.after(delay, func() { r.policy.cacheEvent(change.id, change.stored, change.evicted) })
 }
 
-// replay sends a restarted router the events that engines retain.
+// replay answers a restarted router that asks for the events that engines
+// retain: it gets at once what was published before.
 func (f *fleet) replay(r *router) {
 	for _, e := range f.engines {
 		for _, change := range e.history {
-			f.deliver(r, change)
+			if change.at+eventDelay <= f.clock.now {
+				f.deliver(r, change, 2*f.w.LinkDelay)
+			}
 		}
 	}
 }
--- a/internal/experiment/measure.go
+++ b/internal/experiment/measure.go
@@ -58,10 +58,25 @@
 	nRefused int
 	nLate    int
 	nLost    int
+	busy     float64
+	runs     int
+}
+
+// add takes in the measures of another run of the same policy and case.
+func (m *measure) add(o *measure) {
+	m.all.Merge(o.all)
+	for i, h := range o.accounts {
+		m.accounts[i].Merge(h)
+	}
+	m.prompt, m.hit, m.waste = m.prompt+o.prompt, m.hit+o.hit, m.waste+o.waste
+	m.restart, m.restHit = m.restart+o.restart, m.restHit+o.restHit
+	m.requests, m.nRefused = m.requests+o.requests, m.nRefused+o.nRefused
+	m.nLate, m.nLost, m.busy = m.nLate+o.nLate, m.nLost+o.nLost, m.busy+o.busy
+	m.runs += o.runs
 }
 
 func newMeasure(w *Workload, c *Case) *measure {
-	m := &measure{w: w, c: c, all: hdrhistogram.New(1, histogramMax, histogramDigits)}
+	m := &measure{w: w, c: c, runs: 1, all: hdrhistogram.New(1, histogramMax, histogramDigits)}
 	for range w.Accounts {
 		m.accounts = append(m.accounts, hdrhistogram.New(1, histogramMax, histogramDigits))
 	}
@@ -115,12 +130,12 @@
 	m.record(c, c.deadline)
 }
 
-func (m *measure) result(policy string, busy float64) Result {
+func (m *measure) result(policy string) Result {
 	r := Result{
 		Workload: m.w.Name, Case: m.c.Name, Policy: policy, Requests: m.requests,
 		HitRate: ratio(m.hit, m.prompt), Wasted: ratio(m.waste, m.prompt),
 		P50: millis(m.all, 50), P99: millis(m.all, 99),
-		Refused: m.nRefused, Late: m.nLate, Lost: m.nLost, Busy: busy,
+		Refused: m.nRefused, Late: m.nLate, Lost: m.nLost, Busy: m.busy / float64(m.runs),
 		RestartHitRate: ratio(m.restHit, m.restart),
 	}
 	for i, h := range m.accounts {
--- a/internal/experiment/policy_baseline.go
+++ b/internal/experiment/policy_baseline.go
@@ -18,7 +18,7 @@
 
 func newBaseline(choose func(*baseline, *attempt) int) func(*router) policy {
 	return func(r *router) policy {
-		return &baseline{r: r, choose: choose, outstanding: make([]int, len(r.usable)), turn: r.rng.IntN(len(r.usable))}
+		return &baseline{r: r, choose: choose, outstanding: make([]int, len(r.up)), turn: r.rng.IntN(len(r.up))}
 	}
 }
 
@@ -45,9 +45,9 @@
 func (b *baseline) restart() {}
 
 func roundRobin(b *baseline, _ *attempt) int {
-	for range b.r.usable {
-		b.turn = (b.turn + 1) % len(b.r.usable)
-		if b.r.usable[b.turn] {
+	for range b.r.up {
+		b.turn = (b.turn + 1) % len(b.r.up)
+		if b.r.usable(b.turn) {
 			return b.turn
 		}
 	}
@@ -56,10 +56,10 @@
 
 func leastOutstanding(b *baseline, _ *attempt) int {
 	best := -1
-	start := b.r.rng.IntN(len(b.r.usable))
-	for k := range b.r.usable {
-		i := (start + k) % len(b.r.usable)
-		if b.r.usable[i] && (best < 0 || b.outstanding[i] < b.outstanding[best]) {
+	start := b.r.rng.IntN(len(b.r.up))
+	for k := range b.r.up {
+		i := (start + k) % len(b.r.up)
+		if b.r.usable(i) && (best < 0 || b.outstanding[i] < b.outstanding[best]) {
 			best = i
 		}
 	}
@@ -79,14 +79,15 @@
 		return leastOutstanding(b, a)
 	}
 	sum, live := 1, 0
-	for i, ok := range b.r.usable {
-		if ok {
+	usable := make([]bool, len(b.r.up))
+	for i := range usable {
+		if usable[i] = b.r.usable(i); usable[i] {
 			sum += b.outstanding[i]
 			live++
 		}
 	}
 	bound := loadBound * float64(sum) / float64(max(1, live))
-	for _, i := range placement.Order(chain[n-1], b.names(), b.r.usable) {
+	for _, i := range placement.Order(chain[n-1], b.r.f.names, usable) {
 		if float64(b.outstanding[i]) < bound {
 			return i
 		}
@@ -94,8 +95,6 @@
 	return leastOutstanding(b, a)
 }
 
-func (b *baseline) names() []string { return b.r.f.names }
-
 // oracle knows every cache and every queue at once, also what is on its way.
 func oracle(b *baseline, a *attempt) int {
 	f := b.r.f
--- a/internal/experiment/policy_ours.go
+++ b/internal/experiment/policy_ours.go
@@ -1,6 +1,9 @@
 package experiment
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/mastictray/mastictray/internal/belief"
@@ -27,21 +30,34 @@
 	beliefs    *belief.Store
 	dispatcher *dispatch.Dispatcher[*attempt]
 	sent       map[*attempt]sending
+	waiting    map[*attempt]uint64 // by arrival
 	nextID     uint64
-	ticking    map[*dispatch.Dispatcher[*attempt]]bool
+	ticking    bool
 }
 
 func newProduct(t Tuning) func(*router) policy {
 	return func(r *router) policy {
-		p := &product{r: r, tuning: t, sent: map[*attempt]sending{}, ticking: map[*dispatch.Dispatcher[*attempt]]bool{}}
-		p.restart()
+		p := &product{r: r, tuning: t, sent: map[*attempt]sending{}, waiting: map[*attempt]uint64{}}
+		p.begin()
 		return p
 	}
 }
 
-// restart begins with nothing. Requests that wait or run are those of the
-// former incarnation, which finishes them.
+// restart loses everything. Waiting requests come again, as their callers
+// would send them again; running ones are finished by the former incarnation.
 func (p *product) restart() {
+	again := slices.SortedFunc(maps.Keys(p.waiting), func(a, b *attempt) int {
+		return cmp.Compare(p.waiting[a], p.waiting[b])
+	})
+	clear(p.waiting)
+	p.begin()
+	for _, a := range again {
+		p.arrive(a)
+	}
+}
+
+// begin starts with nothing remembered.
+func (p *product) begin() {
 	w := p.r.f.w
 	targets := make([]placement.Target, len(p.r.f.engines))
 	for i, e := range p.r.f.engines {
@@ -55,41 +71,49 @@
 	p.pool = placement.NewPool(targets, p.r.f.wanted, placement.DefaultFilters())
 	p.beliefs = belief.NewStore(beliefBudget)
 	picker := placement.NewPicker(p.pool, p.beliefs, place)
+	if p.r.f.c.Replay {
+		p.r.f.clock.after(2*w.LinkDelay, picker.CaughtUp)
+	}
+	for i, e := range p.r.f.engines {
+		p.report(i, p.r.f.clock.now, e.identity(), 0)
+	}
 	p.dispatcher = dispatch.New[*attempt](p.pool, p.beliefs, picker, o)
 }
 
 func (p *product) arrive(a *attempt) {
 	p.syncFlags()
 	p.nextID++
+	p.waiting[a] = p.nextID
 	w := p.r.f.w
 	p.perform(p.dispatcher.Push(p.r.f.clock.now, &request{
 		ID: p.nextID, Account: w.Accounts[a.call.account].Name, Priority: a.call.priority,
 		Deadline: a.call.at + a.call.deadline, Value: a,
 		Place: placement.Request{Chain: a.call.chain(w, p.r.f.wanted), PieceTokens: w.PieceTokens, PromptTokens: a.call.tokens},
 	}, p.r.rng))
-	p.tick(p.dispatcher)
+	p.tick()
 }
 
-// tick steps a dispatcher while requests wait in it; one of a former
-// incarnation too.
-func (p *product) tick(d *dispatch.Dispatcher[*attempt]) {
-	if p.ticking[d] || d.Waiting() == 0 {
+// tick steps the dispatcher while requests wait in it.
+func (p *product) tick() {
+	if p.ticking || p.dispatcher.Waiting() == 0 {
 		return
 	}
-	p.ticking[d] = true
+	p.ticking = true
 	p.r.f.clock.after(stepPeriod, func() {
-		delete(p.ticking, d)
+		p.ticking = false
 		p.syncFlags()
-		p.perform(d.Step(p.r.f.clock.now, p.r.rng))
-		p.tick(d)
+		p.perform(p.dispatcher.Step(p.r.f.clock.now, p.r.rng))
+		p.tick()
 	})
 }
 
 func (p *product) perform(step dispatch.Step[*attempt]) {
 	for _, x := range step.Refusals {
+		delete(p.waiting, x.Request.Value)
 		p.r.refuse(x.Request.Value)
 	}
 	for _, s := range step.Sends {
+		delete(p.waiting, s.Request.Value)
 		p.sent[s.Request.Value] = s
 		p.r.send(s.Target, s.Request.Value)
 	}
@@ -98,7 +122,7 @@
 // syncFlags carries what the router saw of the engines into the pool.
 func (p *product) syncFlags() {
 	p.pool.Want(p.r.f.wanted)
-	for i, ok := range p.r.usable {
+	for i, ok := range p.r.up {
 		if t := p.pool.Target(i); t.BreakerOpen == ok {
 			t.BreakerOpen = !ok
 			p.pool.Changed(i)
--- a/internal/experiment/router.go
+++ b/internal/experiment/router.go
@@ -40,16 +40,16 @@
 	domain string
 	rng    *rand.Rand
 	policy policy
-	// usable has one flag for each engine: reachable and on the wanted
-	// version, as far as this router has seen.
-	usable []bool
+	// up and version are what this router has last seen of each engine.
+	up      []bool
+	version []string
 }
 
 func newRouter(f *fleet, i int, seed uint64, mk func(*router) policy) *router {
 	r := &router{f: f, index: i, domain: f.w.Domains[i%len(f.w.Domains)], rng: rand.New(rand.NewPCG(seed, uint64(i)+10))}
-	r.usable = make([]bool, len(f.engines))
-	for e := range r.usable {
-		r.usable[e] = true
+	for _, e := range f.engines {
+		r.up = append(r.up, true)
+		r.version = append(r.version, e.version)
 	}
 	r.policy = mk(r)
 	offset := reportPeriod * time.Duration(i) / time.Duration(f.w.Routers)
@@ -57,6 +57,9 @@
 	return r
 }
 
+// usable reports whether an engine can be sent to.
+func (r *router) usable(i int) bool { return r.up[i] && r.version[i] == r.f.wanted }
+
 // poll asks every engine for its load.
 func (r *router) poll() {
 	asOf := r.f.clock.now
@@ -69,7 +72,7 @@
 			if !e.up || e.identity() != id || !r.f.linked(r.domain, e.domain) {
 				return
 			}
-			r.usable[i] = id.Version == r.f.wanted
+			r.up[i], r.version[i] = true, id.Version
 			r.policy.report(i, asOf, id, queued)
 		})
 	}
@@ -118,7 +121,7 @@
 		r.f.measure.late(a.call)
 		return
 	}
-	r.usable[i] = false
+	r.up[i] = false
 	a.tries++
 	if a.tries >= maxAttempts {
 		r.f.measure.lost(a.call)
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -39,17 +39,28 @@
 	}
 }
 
-// Run compares the policies on one trace.
-func Run(w Workload, c Case, policies []Policy, seed uint64) []Result {
+// Run compares the policies on the same traces, one for each seed from 1 on.
+func Run(w Workload, c Case, policies []Policy, seeds int) []Result {
+	totals := make([]*measure, len(policies))
+	for seed := uint64(1); seed <= uint64(seeds); seed++ {
+		calls := makeTrace(&w, &c, seed)
+		for i, p := range policies {
+			m := runOne(&w, &c, p, calls, seed)
+			if totals[i] == nil {
+				totals[i] = m
+				continue
+			}
+			totals[i].add(m)
+		}
+	}
 	var out []Result
-	calls := makeTrace(&w, &c, seed)
-	for _, p := range policies {
-		out = append(out, runOne(&w, &c, p, calls, seed))
+	for i, p := range policies {
+		out = append(out, totals[i].result(p.Name))
 	}
 	return out
 }
 
-func runOne(w *Workload, c *Case, p Policy, calls []*call, seed uint64) Result {
+func runOne(w *Workload, c *Case, p Policy, calls []*call, seed uint64) *measure {
 	f := &fleet{w: w, c: c, clock: &clock{}, rng: rand.New(rand.NewPCG(seed, 2)), measure: newMeasure(w, c), wanted: "v1"}
 	for i := range w.Engines {
 		e := newEngine(f, i)
@@ -68,15 +79,15 @@
 	for _, e := range f.engines {
 		busy += e.busy
 	}
-	share := busy.Seconds() / c.Length.Seconds() / float64(len(f.engines))
+	f.measure.busy = busy.Seconds() / c.Length.Seconds() / float64(len(f.engines))
 	f.clock.runUntil(c.Length + drain)
-	return f.measure.result(p.Name, share)
+	return f.measure
 }
 
 // Selection is what RunAll runs; empty names select everything.
 type Selection struct {
 	Workload, Case, Policy string
-	Seed                   uint64
+	Seeds                  int
 	Tuning                 Tuning
 }
 
@@ -86,7 +97,7 @@
 	for _, w := range []Workload{Cantonal(), Charter()} {
 		for _, c := range Cases() {
 			if (s.Workload == "" || s.Workload == w.Name) && (s.Case == "" || s.Case == c.Name) {
-				out = append(out, Run(w, c, s.policies(), s.Seed)...)
+				out = append(out, Run(w, c, s.policies(), s.Seeds)...)
 			}
 		}
 	}
--- a/internal/placement/options.go
+++ b/internal/placement/options.go
@@ -13,14 +13,15 @@
 	// AnchorPieces is the number of leading pieces that the rendezvous key
 	// covers: one more than the opening that all prompts of a service share.
 	AnchorPieces int
-	// FirstRankTrust is the part of a prompt's pieces that the first target
-	// in rendezvous order is counted on to hold when nothing is believed of
-	// it. All instances send there, this one has seen only its own part.
-	FirstRankTrust float64
+	// HomeTrust is the part of a prompt's pieces that the first target in
+	// rendezvous order is counted on to hold when less is believed of it. It
+	// keeps prefixes where other instances, and this one after a restart,
+	// look for them; the higher, the longer a new prefix waits for a busy
+	// first target.
+	HomeTrust float64
 	// Started is when this process began to follow the targets. Until
-	// YoungFor after it, YoungTrust stands in place of FirstRankTrust: what
-	// was cached before is unknown to it, and most of that is where
-	// rendezvous hashing puts it.
+	// YoungFor after it, YoungTrust stands in place of HomeTrust: what was
+	// cached before is unknown to the process.
 	Started    time.Duration
 	YoungFor   time.Duration
 	YoungTrust float64
@@ -44,8 +45,8 @@
 		CrossDomainDelay: 1500 * time.Microsecond,
 		MaxCandidates:    16,
 		AnchorPieces:     2,
-		FirstRankTrust:   0.1,
-		YoungFor:         10 * time.Second,
+		HomeTrust:        0.25,
+		YoungFor:         2 * time.Second,
 		YoungTrust:       1,
 		RecomputeFactor:  1.5,
 		NearTie:          2 * time.Millisecond,
--- a/internal/placement/picker.go
+++ b/internal/placement/picker.go
@@ -53,6 +53,10 @@
 	}
 }
 
+// CaughtUp tells the picker that what targets held before this process began
+// is known, from the cache events that they retain: it is no longer young.
+func (p *Picker) CaughtUp() { p.options.YoungFor = 0 }
+
 // Pick chooses a target. It allocates nothing. The random source breaks near
 // ties, so that instances with the same view do not all choose the same one.
 func (p *Picker) Pick(now time.Duration, r *Request, rng *rand.Rand) (Decision, error) {
@@ -69,7 +73,8 @@
 func (p *Picker) decision(now time.Duration, r *Request, c *Candidate) Decision {
 	t := &p.pool.targets[c.Index]
 	rate := t.rate()
-	uncached := max(0, float64(r.PromptTokens)-c.CountedTokens)
+	missing := float64(r.PromptTokens - c.CachedPieces*r.PieceTokens)
+	uncached := max(0, missing-trustedShare*c.TrustedTokens)
 	return Decision{
 		Index:          c.Index,
 		CachedPieces:   c.CachedPieces,
@@ -106,9 +111,9 @@
 func (p *Picker) score(now time.Duration, r *Request, c *Candidate) {
 	t := &p.pool.targets[c.Index]
 	c.CachedPieces = p.beliefs.Cached(t.Belief, r.Chain)
-	c.CountedTokens = float64(min(c.CachedPieces*r.PieceTokens, r.PromptTokens))
 	if c.Rank == 0 {
-		c.CountedTokens = max(c.CountedTokens, p.trust(now)*float64(r.fullTokens()))
+		full := float64(r.fullTokens())
+		c.TrustedTokens = max(0, p.trust(now)*full-float64(c.CachedPieces*r.PieceTokens))
 	}
 	for i, s := range p.scorers {
 		c.Terms[i] = s.Cost(now, r, t, c)
@@ -116,13 +121,17 @@
 	}
 }
 
-// trust is the part of a prompt that the first in rendezvous order is counted
-// on to hold.
+// trustedShare is the part of the trusted tokens that is taken to be cached
+// when a request's work is counted: about the hit rate of such guesses.
+const trustedShare = 0.5
+
+// trust is the part of a prompt that the first target in rendezvous order is
+// counted on to hold.
 func (p *Picker) trust(now time.Duration) float64 {
 	if now < p.options.Started+p.options.YoungFor {
 		return p.options.YoungTrust
 	}
-	return p.options.FirstRankTrust
+	return p.options.HomeTrust
 }
 
 // choose draws one of the candidates within nearTie of the best.
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -9,7 +9,7 @@
 	Chain []prefix.Hash
 	// PieceTokens is the prompt tokens in one piece.
 	PieceTokens int
-	// PromptTokens counts the whole prompt.
+	// PromptTokens counts the whole prompt, at least len(Chain)*PieceTokens.
 	PromptTokens int
 	// Exclude names a target to leave out, such as the one that an earlier
 	// attempt failed on; empty for none.
@@ -21,5 +21,13 @@
 
 // fullTokens is the prompt tokens inside full pieces.
 func (r *Request) fullTokens() int {
-	return min(len(r.Chain)*r.PieceTokens, r.PromptTokens)
+	return len(r.Chain) * r.PieceTokens
+}
+
+// factor is the weight on recomputing, given the picker's.
+func (r *Request) factor(standard float64) float64 {
+	if r.RecomputeFactor > 0 {
+		return r.RecomputeFactor
+	}
+	return standard
 }
--- a/internal/placement/score.go
+++ b/internal/placement/score.go
@@ -14,8 +14,9 @@
 	Rank int
 	// CachedPieces is the believed number of leading pieces held.
 	CachedPieces int
-	// CountedTokens is the cached prompt tokens the score counts on.
-	CountedTokens float64
+	// TrustedTokens is the further prompt tokens that the first target in
+	// rendezvous order is counted on to hold, though nothing is known.
+	TrustedTokens float64
 	// Terms has one addend for each scorer, in order.
 	Terms [maxScorers]time.Duration
 	// Cost is the expected time to first token.
@@ -35,6 +36,7 @@
 	return []Scorer{
 		queueScorer{},
 		prefillScorer{factor: o.RecomputeFactor, transfer: o.TransferTokensPerSecond, setup: o.TransferSetup},
+		homeScorer{factor: o.RecomputeFactor},
 		linkScorer{domain: o.Domain, delay: o.CrossDomainDelay},
 	}
 }
--- a/internal/placement/score_prefill.go
+++ b/internal/placement/score_prefill.go
@@ -14,13 +14,9 @@
 
 func (s prefillScorer) Cost(_ time.Duration, r *Request, t *Target, c *Candidate) time.Duration {
 	rest := float64(r.PromptTokens - r.fullTokens())
-	missing := max(0, float64(r.fullTokens())-c.CountedTokens)
+	missing := float64(r.fullTokens() - c.CachedPieces*r.PieceTokens)
 	rate := t.rate()
-	factor := s.factor
-	if r.RecomputeFactor > 0 {
-		factor = r.RecomputeFactor
-	}
-	compute := time.Duration(factor * float64(seconds(missing, rate)))
+	compute := time.Duration(r.factor(s.factor) * float64(seconds(missing, rate)))
 	if s.transfer > 0 && missing > 0 {
 		compute = min(compute, s.setup+seconds(missing, s.transfer))
 	}
