Count contact for keys from what was read, not from when it arrived

Cause: a restart counted as contact, so each replacement of an instance in a cut-off domain gave withdrawn keys another cut-off time; and peers that had not read the log themselves counted for nothing, so that a fleet replaced during a long outage of the log would have refused every key. Change: contacts start empty; a peer passes on the age of the newest news from the log; answers count from when they were asked for, which a pause cannot stretch. key-cutoff is at least 15s, above the time of one read. Shown: with the peer's age ignored, or with a start that counts, the test of a restart in a cut-off domain fails. Conclusion: tests of keys, config and entry pass under -race.

--- a/internal/config/intent.go
+++ b/internal/config/intent.go
@@ -28,7 +28,8 @@
 	// Weight is the account's part in fair queueing; default 1.
 	Weight float64
 	// KeyCutoff is how long keys go on working on an instance that reaches
-	// neither the log nor any peer; default 10m. Zero refuses at once.
+	// neither the log nor a peer outside its domain; default 10m, at least
+	// 15s.
 	KeyCutoff time.Duration
 }
 
@@ -50,7 +51,8 @@
 	// BytesPerToken is the estimate used to charge a prompt before the
 	// target has counted it; default 4.
 	BytesPerToken float64
-	// DefaultMaxTokens is charged for a request that sets no max_tokens.
+	// DefaultMaxTokens is charged for a request that sets no max_tokens;
+	// default 512.
 	DefaultMaxTokens int
 }
 
@@ -69,14 +71,16 @@
 	Kind PoolKind
 	// Model is served by an engine pool; empty for a service pool.
 	Model string
-	// PrefillTokensPerSecond is one target's expected prefill rate.
+	// PrefillTokensPerSecond is one target's expected prefill rate; default
+	// 8000.
 	PrefillTokensPerSecond float64
-	// MaxConcurrent is how many requests one target may hold at once.
+	// MaxConcurrent is how many requests one target may hold at once;
+	// default 32.
 	MaxConcurrent int
 	// ServingFloor is the least number of targets that must keep serving
-	// while weights are loaded.
+	// while weights are loaded; default 0.
 	ServingFloor int
-	// MaxLoads is the most targets that may load weights at once.
+	// MaxLoads is the most targets that may load weights at once; default 1.
 	MaxLoads int
 }
 
@@ -88,7 +92,7 @@
 	Domain string
 	Pool   string
 	// ChecksFencing says that the target refuses orders with an old
-	// fencing token.
+	// fencing token; default no.
 	ChecksFencing bool
 }
 
@@ -98,11 +102,13 @@
 	// Path is the exact path of the callers' requests.
 	Path string
 	Pool string
-	// Idempotent requests may be tried again after a byte was sent.
+	// Idempotent requests may be tried again after a byte was sent;
+	// default no.
 	Idempotent bool
-	// Priority orders requests inside an account; higher first, 0 to 9.
+	// Priority orders requests inside an account; higher first, 0 to 9,
+	// default 5.
 	Priority int
-	// Deadline bounds the time to the first byte of the answer.
+	// Deadline bounds the time to the first byte of the answer; default 30s.
 	Deadline time.Duration
 	// CostTokens is charged for a request of a service pool; default 1.
 	CostTokens float64
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -14,29 +14,32 @@
 
 // Defaults of keys that a section may leave out.
 const (
-	DefaultWeight            = 1
-	DefaultKeyCutoff         = 10 * time.Minute
-	DefaultPieceBytes        = 16384
-	DefaultBytesPerToken     = 4
-	DefaultMaxOutputTokens   = 512
-	DefaultPrefillRate       = 8000
-	DefaultMaxConcurrent     = 32
-	DefaultMaxLoads          = 1
-	DefaultPriority          = 5
-	DefaultDeadline          = 30 * time.Second
-	DefaultCostTokens        = 1
-	maxPieceBytes            = 1 << 20
-	maxOutputTokens          = 1 << 20
-	maxConcurrentRequests    = 1 << 16
-	maxTargets               = 1 << 16
-	highestPriority          = 9
-	noChildSections          = "\x00"
-	fileNameExpected         = "a file name such as reports/accounts.ini"
-	hashExpected             = "64 hex digits in lower case (mastictray keys create prints them)"
-	sectionKindsExpected     = `a section of account, key, model, pool, target or route`
-	maxFileNameLength        = 200
-	pathExpected             = "a path that starts with '/', without '?', '#' or spaces"
-	deadlineLowest           = time.Millisecond
+	DefaultWeight          = 1
+	DefaultKeyCutoff       = 10 * time.Minute
+	DefaultPieceBytes      = 16384
+	DefaultBytesPerToken   = 4
+	DefaultMaxOutputTokens = 512
+	DefaultPrefillRate     = 8000
+	DefaultMaxConcurrent   = 32
+	DefaultMaxLoads        = 1
+	DefaultPriority        = 5
+	DefaultDeadline        = 30 * time.Second
+	DefaultCostTokens      = 1
+	maxPieceBytes          = 1 << 20
+	maxOutputTokens        = 1 << 20
+	maxConcurrentRequests  = 1 << 16
+	maxTargets             = 1 << 16
+	highestPriority        = 9
+	noChildSections        = "\x00"
+	fileNameExpected       = "a file name such as reports/accounts.ini"
+	hashExpected           = "64 hex digits in lower case (mastictray keys create prints them)"
+	sectionKindsExpected   = `a section of account, key, model, pool, target or route`
+	maxFileNameLength      = 200
+	pathExpected           = "a path that starts with '/', without '?', '#' or spaces"
+	deadlineLowest         = time.Millisecond
+	// keyCutoffLowest is above the time between two reads of the log, or
+	// keys would be refused with every link up.
+	keyCutoffLowest          = 15 * time.Second
 	addressExpectedInSection = "ip:port"
 )
 
@@ -155,7 +158,7 @@
 		TokensPerSecond: s.positive("tokens-per-second", 0),
 		BurstTokens:     s.positive("burst-tokens", 0),
 		Weight:          s.positive("weight", DefaultWeight),
-		KeyCutoff:       s.duration("key-cutoff", DefaultKeyCutoff, 0),
+		KeyCutoff:       s.duration("key-cutoff", DefaultKeyCutoff, keyCutoffLowest),
 	}
 }
 
--- a/internal/entry/configdriver.go
+++ b/internal/entry/configdriver.go
@@ -34,8 +34,6 @@
 	mu       sync.Mutex
 	follower *config.Follower
 	contacts *keys.Contacts
-	lastLog  time.Duration
-	heardLog bool
 	// askedLog is when the read that runs now was begun.
 	askedLog time.Duration
 	logStart int64
@@ -54,7 +52,7 @@
 		node:     node,
 		peers:    peers,
 		follower: config.NewFollower(),
-		contacts: keys.NewContacts(domain, c.now()),
+		contacts: keys.NewContacts(domain),
 		ready:    make(chan struct{}),
 	}
 	d.thaw = newThawGuard(c.now, d.refresh)
@@ -139,8 +137,7 @@
 func (d *configDriver) take(b platform.Batch, asked time.Duration) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.lastLog, d.heardLog = d.clock.now(), true
-	d.contacts.Log(d.lastLog)
+	d.contacts.Log(asked)
 	d.logStart = int64(b.Start)
 	_, err := d.follower.Read(b.Records)
 	d.publish()
@@ -201,16 +198,20 @@
 	if err != nil {
 		return
 	}
-	d.adopt(from, ans)
+	d.adopt(from, ans, asked)
 	d.thaw.confirmed(asked)
 }
 
-func (d *configDriver) adopt(from wire.Identity, ans wire.ConfigAnswer) {
+// adopt takes a peer's answer to a question of the time asked. What the peer
+// knew then is all that is certain: the process may have been paused since.
+func (d *configDriver) adopt(from wire.Identity, ans wire.ConfigAnswer, asked time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	logAge := keys.Unknown
 	if ans.LogAgeMillis >= 0 {
-		d.contacts.Peer(from.Domain, d.clock.now(), time.Duration(ans.LogAgeMillis)*time.Millisecond)
+		logAge = time.Duration(ans.LogAgeMillis) * time.Millisecond
 	}
+	d.contacts.Peer(from.Domain, asked, logAge)
 	if len(ans.State) == 0 {
 		return
 	}
@@ -249,12 +250,13 @@
 	return ans, err
 }
 
-// logAgeMillis is how long ago this instance read the log; -1 for never.
+// logAgeMillis is how old the newest news from the log is; -1 for none yet.
 func (d *configDriver) logAgeMillis() int64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.heardLog {
+	age := d.contacts.LogAge(d.clock.now())
+	if age == keys.Unknown {
 		return -1
 	}
-	return (d.clock.now() - d.lastLog).Milliseconds()
+	return age.Milliseconds()
 }
--- a/internal/keys/contact.go
+++ b/internal/keys/contact.go
@@ -17,6 +17,12 @@
 	return c.Now - max(c.LastLog, c.LastPeer)
 }
 
+// never is the time of a contact that was not yet made.
+const never = time.Duration(-1 << 62)
+
+// Unknown is the log age of a peer that has not heard of the log at all.
+const Unknown = time.Duration(-1)
+
 // Contacts collects the times of contact of one instance.
 type Contacts struct {
 	domain   string
@@ -25,18 +31,31 @@
 	lastElse time.Duration
 }
 
-// NewContacts starts at the time when the instance got its first state.
-func NewContacts(domain string, now time.Duration) *Contacts {
-	return &Contacts{domain: domain, lastLog: now}
+// NewContacts starts without any contact. A start counts for nothing: in a
+// domain that is cut off, each restart would give withdrawn keys another
+// cut-off time.
+func NewContacts(domain string) *Contacts {
+	return &Contacts{domain: domain, lastLog: never, lastSame: never, lastElse: never}
 }
 
 // Log notes a successful read of the config stream, also an empty one.
 func (c *Contacts) Log(now time.Duration) { c.lastLog = max(c.lastLog, now) }
 
-// Peer notes an answer from a peer of the domain. logAge is how long ago the
-// peer itself read the log: what it knew then, it has passed on.
+// LogAge is how long ago the log was read, by this instance or by one that
+// has passed on what it read; Unknown for never. It is what Peer takes.
+func (c *Contacts) LogAge(now time.Duration) time.Duration {
+	if c.lastLog == never {
+		return Unknown
+	}
+	return now - c.lastLog
+}
+
+// Peer notes an answer from a peer of the domain. logAge is the peer's
+// LogAge: what was known then, the peer has passed on.
 func (c *Contacts) Peer(domain string, now, logAge time.Duration) {
-	c.lastLog = max(c.lastLog, now-logAge)
+	if logAge >= 0 {
+		c.lastLog = max(c.lastLog, now-logAge)
+	}
 	if domain == c.domain {
 		c.lastSame = max(c.lastSame, now)
 	} else {
--- a/internal/wire/config.go
+++ b/internal/wire/config.go
@@ -17,8 +17,8 @@
 type ConfigAnswer struct {
 	Revision int64 `msgpack:"r"`
 	Next     int64 `msgpack:"n"`
-	// LogAgeMillis is how long ago the answering instance read the log
-	// itself; -1 when it never did.
+	// LogAgeMillis is how long ago the log was read, by the answering
+	// instance or by one that has passed on what it read; -1 for never.
 	LogAgeMillis int64 `msgpack:"l"`
 	// State is encoded by config.State.Encode; empty when not newer.
 	State []byte `msgpack:"s,omitempty"`
