Run rollouts on the entry instance that holds the duty

Cause: the rollout decisions had no process to carry them out. Change: a driver asks targets for their state, appends the records and sends the orders, checking the lease again right before each; every instance folds the records, and the admin API's audit shows the orders. Shown: with the check before the send off, TestOrderIsNotSentWithoutTheDuty fails; with a peer that never read the log counted as one that did, the test of a restart in a cut-off domain fails.

--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sort"
 	"sync/atomic"
 	"time"
 
@@ -91,7 +92,9 @@
 		ctx.StopWithText(http.StatusServiceUnavailable, "no configuration yet\n")
 		return
 	}
-	_ = ctx.JSON(state.Audit)
+	entries := append(a.entry.rollouts.orders(), state.Audit...)
+	sort.SliceStable(entries, func(i, j int) bool { return entries[i].AtMillis < entries[j].AtMillis })
+	_ = ctx.JSON(entries)
 }
 
 // drain begins a graceful shutdown, as SIGTERM does.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,8 +12,10 @@
 
 	"github.com/mastictray/mastictray/internal/config"
 	"github.com/mastictray/mastictray/internal/logline"
+	"github.com/mastictray/mastictray/internal/logrec"
 	"github.com/mastictray/mastictray/internal/peer"
 	"github.com/mastictray/mastictray/internal/platform"
+	"github.com/mastictray/mastictray/internal/rollout"
 	"github.com/mastictray/mastictray/internal/settings"
 	"github.com/mastictray/mastictray/internal/wire"
 )
@@ -27,6 +29,7 @@
 	config   *configDriver
 	rates    *rateDriver
 	claims   *claimDriver
+	rollouts *rolloutDriver
 	members  *members
 	pools    *pools
 	server   *server
@@ -74,6 +77,13 @@
 	e.members.rates = e.rates
 	e.config = newConfigDriver(e.ctx, e.clock, e.node, e.log, s.Domain, e.members.addresses)
 	e.claims = newClaimDriver(e.clock, e.node, e.log)
+	e.rollouts = newRolloutDriver(e.clock, rollout.DefaultSettings, e.log, e.node.Self().Incarnation)
+	e.rollouts.intent = e.config.intent
+	e.rollouts.duty = func() (platform.Offset, bool) { return e.rates.valid(dutyRollout) }
+	e.rates.folded = append(e.rates.folded, func(offset platform.Offset, env logrec.Envelope) {
+		duty, _ := e.rates.holder.Fold().State(dutyRollout)
+		e.rollouts.fold(offset, env, duty.Token)
+	})
 	e.pools = newPools(e.ctx, e.clock, s.Domain)
 	e.config.onChange(func(st *config.State) {
 		e.rates.setAccounts(st)
@@ -104,6 +114,7 @@
 	e.start(func() { e.config.thaw.run(e.ctx) })
 	e.start(func() { e.rates.run(e.ctx) })
 	e.start(func() { e.claims.run(e.ctx) })
+	e.start(func() { e.rollouts.run(e.ctx) })
 	e.start(func() { e.members.run(e.ctx) })
 	snapshots := &snapshotter{clock: e.clock, config: e.config, rates: e.rates, log: e.log, self: e.node.Self().Incarnation}
 	e.start(func() { snapshots.run(e.ctx) })
