--- a/internal/rate/collect.go
+++ b/internal/rate/collect.go
@@ -76,12 +76,7 @@
 		waited = a.waiters[0].waited(now).Microseconds()
 	}
 	own := source{tokens: a.bucket.available(), limit: a.bucket.share * a.bucket.burst}
-	sources := l.sources(a, now)
-	asks := levelOut(sources, own, need)
-	if len(asks) == 0 && len(a.waiters) > 0 {
-		asks = blind(sources, need)
-	}
-	for _, s := range asks {
+	for _, s := range levelOut(l.sources(a, now), own, need) {
 		if batch.add(s.peer, wire.RateItem{Account: a.name, Tokens: s.tokens, WaitedMicros: waited}) {
 			a.asking++
 		}
@@ -157,18 +152,6 @@
 	return asks
 }
 
-// blind asks every source for the whole need. A request waits and nobody is
-// known to mint: right after a start this instance has heard of no balance yet,
-// and without the asks it would refuse a caller that is within its rate. What
-// comes too much goes back.
-func blind(list []source, need float64) []source {
-	asks := make([]source, 0, len(list))
-	for _, s := range list {
-		asks = append(asks, source{peer: s.peer, tokens: need})
-	}
-	return asks
-}
-
 // send turns the batch into calls.
 func (l *Limiter) send(now time.Duration, batch *askBatch) []Ask {
 	var asks []Ask
