lease: renew an own lease whose acquire a checkpoint covers

Cause: a holder that starts its fold again from a checkpoint cannot tell when it sent its own acquire. It neither used nor renewed the lease, and the slot lay idle until another member saw it lapse. Ruled out: counting from the checkpoint; its right began before. Change: such a lease is renewed, and used once a renewal is folded.

--- a/internal/lease/checkpoint_test.go
+++ b/internal/lease/checkpoint_test.go
@@ -92,3 +92,24 @@
 	is.True(!f.Searching())
 	is.Equal(f.Next(), platform.Offset(7))
 }
+
+// An instance's own acquire is covered by the checkpoint that it starts its
+// fold from again, so it cannot tell when it sent it. It must not use the lease
+// on that ground, but has to renew it: else the slot would lie idle.
+func TestOwnLeaseInCheckpointIsRenewedBeforeUse(t *testing.T) {
+	is := is.New(t)
+	slot := Mint("d", 0)
+	self := Member{ID: "a", Domain: "d", Address: "10.0.0.1:1"}
+	whole := NewFold()
+	foldAll(whole, heldLog(t), 0)
+	c, _ := whole.Checkpoint()
+	h := NewHolder(DefaultSettings(self, []Resource{slot}))
+	h.Trimmed(3)
+	is.NoErr(h.Apply(time.Second, 3, encoded(t, KindCheckpoint, "b", c)))
+	is.True(!h.Valid(time.Second, slot))
+	work := h.Tick(time.Hour)
+	is.Equal(len(work.Records), 1)
+	is.Equal(work.Records[0].Kind, KindRenew)
+	is.NoErr(h.Apply(time.Hour, 4, encoded(t, KindRenew, "a", work.Records[0].Body)))
+	is.True(h.Valid(time.Hour, slot))
+}
--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -45,6 +45,12 @@
 	promises   map[string]time.Duration // by member
 }
 
+// unknownSend stands for a record whose time of sending is not known, such as
+// an own acquire that a checkpoint covers. The lease is renewed but not used
+// before a renewal is folded; were it left alone, nobody would hold it until it
+// lapses.
+const unknownSend = -1000 * time.Hour
+
 // attempt is acquires of one resource whose outcome is open. All of them are
 // based on the same offset: the first that takes effect makes the rest void.
 type attempt struct {
@@ -147,14 +153,17 @@
 	if !ok || s.Holder != h.settings.Self.ID || (h.held[r] != nil && h.held[r].token != s.Token) {
 		delete(h.held, r)
 	}
-	if !own || !ok || s.Last != off || s.Holder != h.settings.Self.ID {
+	if !ok || s.Holder != h.settings.Self.ID {
 		return
 	}
 	l := h.held[r]
 	if l == nil {
-		l = &holding{token: s.Token, since: now, promises: map[string]time.Duration{}}
+		l = &holding{token: s.Token, sentAt: unknownSend, since: now, promises: map[string]time.Duration{}}
 		h.held[r] = l
 	}
+	if !own || s.Last != off {
+		return
+	}
 	l.sentAt = max(l.sentAt, sentAt)
 	if s.Floor && !l.floor {
 		l.floor, l.floorSince = true, now
