rate: let the split over the domains follow the demand

Cause: a domain cut from the others admitted a third of an account's rate, however much of its demand it had: 42% of the requests within the rate were refused where the demand comes from. Ruled out: slots that change domain, since the demand of each account is split differently; parts that grow at once, since a holder that is cut off goes on by the old ones. Change: a lease.split record in the control stream splits accounts anew. Each slot mints the lower of the old and the new part until every slot's holder has written a record that has seen the split and no earlier holder may use a floor; then the new parts are in force, the higher ones 200 ms late. PlanSplit makes the record from the demands that heartbeats carry; a tenth of each rate stays split equally. Checkpoints keep the split. Window property with random splits: 400 schedules, no violation. With a safeguard off it fails: split in force unseen; floors not waited for (517.7 tokens spendable, burst 500); higher of old and new.

--- a/internal/lease/checkpoint.go
+++ b/internal/lease/checkpoint.go
@@ -21,6 +21,11 @@
 	Through platform.Offset   `msgpack:"t"`
 	Members []CheckpointEntry `msgpack:"m"`
 	Leases  []CheckpointLease `msgpack:"l"`
+	// Split is the split in force, Pending the one on its way since
+	// PendingAt.
+	Split     []SplitRow      `msgpack:"s,omitempty"`
+	Pending   []SplitRow      `msgpack:"p,omitempty"`
+	PendingAt platform.Offset `msgpack:"pa,omitempty"`
 }
 
 // CheckpointEntry is one member with the offset of its join.
@@ -47,7 +52,10 @@
 	if f.searching {
 		return Checkpoint{}, false
 	}
-	c := Checkpoint{Through: f.next}
+	c := Checkpoint{
+		Through: f.next,
+		Split:   rowsOf(f.splits.inForce), Pending: rowsOf(f.splits.pending), PendingAt: f.splits.at,
+	}
 	for _, j := range f.members {
 		c.Members = append(c.Members, CheckpointEntry{Member: j.member, At: j.at})
 	}
@@ -110,6 +118,9 @@
 func (f *Fold) restore(now time.Duration, c Checkpoint) {
 	f.searching, f.held = false, nil
 	f.next = c.Through
+	f.splits = splits{
+		inForce: rowsBy(c.Split), pending: rowsBy(c.Pending), at: c.PendingAt, version: f.splits.version + 1,
+	}
 	f.members = make(map[string]joined, len(c.Members))
 	f.states = make(map[Resource]State, len(c.Leases))
 	for _, m := range c.Members {
--- a/internal/lease/fold.go
+++ b/internal/lease/fold.go
@@ -42,6 +42,8 @@
 	members map[string]joined
 	states  map[Resource]State
 
+	splits splits
+
 	// searching is set while records before floorOffset are lost and no
 	// checkpoint was found; held are the records read meanwhile.
 	searching   bool
@@ -64,6 +66,12 @@
 		return f.search(now, off, e)
 	}
 	f.next = off + 1
+	err := f.applyKind(now, off, e)
+	f.settleSplit()
+	return err
+}
+
+func (f *Fold) applyKind(now time.Duration, off platform.Offset, e logrec.Envelope) error {
 	switch e.Kind {
 	case KindJoin:
 		return fold(e, func(j Join) { f.join(off, j) })
@@ -75,6 +83,8 @@
 		return fold(e, func(r Renew) { f.renew(off, now, r) })
 	case KindRelease:
 		return fold(e, func(r Release) { f.release(off, now, r) })
+	case KindSplit:
+		return fold(e, func(s Split) { f.split(off, s) })
 	}
 	return nil
 }
--- a/internal/rate/collect.go
+++ b/internal/rate/collect.go
@@ -105,7 +105,7 @@
 			continue
 		}
 		list = append(list, source{
-			peer: p.ID, local: p.Local, tokens: l.guess(a, p, now), limit: p.Share * a.bucket.burst,
+			peer: p.ID, local: p.Local, tokens: l.guess(a, p, now), limit: p.share(a.name) * a.bucket.burst,
 		})
 	}
 	slices.SortStableFunc(list, func(x, y source) int {
@@ -119,12 +119,12 @@
 
 // guess is a peer's balance: as last heard plus what it has minted since.
 func (l *Limiter) guess(a *account, p Peer, now time.Duration) float64 {
-	limit := p.Share * a.bucket.burst
+	limit := p.share(a.name) * a.bucket.burst
 	h, ok := a.known[p.ID]
 	if !ok {
 		return limit
 	}
-	return min(limit, h.tokens+p.Share*a.bucket.rate*(now-h.at).Seconds())
+	return min(limit, h.tokens+p.share(a.name)*a.bucket.rate*(now-h.at).Seconds())
 }
 
 // levelOut spreads the need over the sources, own balance included, such that
--- a/internal/rate/exchange.go
+++ b/internal/rate/exchange.go
@@ -22,10 +22,20 @@
 	// Share is the part of all rates that the peer mints, as far as known;
 	// 0 for a peer that only passes on.
 	Share float64
+	// Factors are those of the peer's domain; see SetFactors.
+	Factors map[string]float64
 
 	muteUntil time.Duration
 }
 
+// share is the part of one account's rate that the peer mints.
+func (p Peer) share(account string) float64 {
+	if factor, ok := p.Factors[account]; ok {
+		return p.Share * factor
+	}
+	return p.Share
+}
+
 // Ask is a call to make to a peer.
 type Ask struct {
 	ID   uint64
@@ -43,6 +53,9 @@
 type hint struct {
 	tokens float64
 	at     time.Duration
+	// demand in tokens per second, as heard on a heartbeat.
+	demand   float64
+	demandAt time.Duration
 }
 
 // pendingAsk is an ask without an answer.
@@ -130,7 +143,9 @@
 		if a == nil || i >= wire.MaxRateItems {
 			continue
 		}
-		a.known[peer] = hint{tokens: item.Left, at: now}
+		h := a.known[peer]
+		h.tokens, h.at = item.Left, now
+		a.known[peer] = h
 		if item.Tokens > 0 {
 			l.credit(a, now, credit{peer: peer, incarnation: g.From, grantedAt: g.At, until: until, tokens: item.Tokens})
 		}
@@ -193,7 +208,7 @@
 func (l *Limiter) HandleHints(now time.Duration, peer string, h wire.RateHints) {
 	for _, item := range h.Items {
 		if a := l.accounts[item.Account]; a != nil {
-			a.known[peer] = hint{tokens: item.Tokens, at: now}
+			a.known[peer] = hint{tokens: item.Tokens, at: now, demand: item.Demand, demandAt: now}
 		}
 	}
 }
@@ -205,8 +220,9 @@
 	for _, name := range l.names() {
 		a := l.accounts[name]
 		l.advance(a, now)
-		if tokens := l.idle(a); tokens > 0 {
-			h.Items = append(h.Items, wire.RateItem{Account: name, Tokens: tokens})
+		tokens, demand := l.idle(a), a.demand.rate(now)
+		if tokens > 0 || demand >= 1 {
+			h.Items = append(h.Items, wire.RateItem{Account: name, Tokens: tokens, Demand: demand})
 		}
 	}
 	slices.SortStableFunc(h.Items, func(x, y wire.RateItem) int { return int(y.Tokens - x.Tokens) })
--- a/internal/rate/fleet_test.go
+++ b/internal/rate/fleet_test.go
@@ -41,6 +41,7 @@
 	frozen, dead     bool
 	read             platform.Offset
 	kept             time.Duration // when it last read the log
+	splitSeen        int
 	limiter          *Limiter
 	leases           *lease.Holder
 }
@@ -201,6 +202,10 @@
 		}
 		p.leases.CaughtUp()
 	}
+	if v := p.leases.Fold().SplitVersion(); v != p.splitSeen {
+		p.splitSeen = v
+		p.limiter.SetFactors(now, FactorsOf(p.leases.Fold(), p.domain, len(f.domains())))
+	}
 	work := p.leases.Tick(now)
 	for _, rec := range work.Records {
 		f.append(p, rec)
@@ -227,12 +232,33 @@
 	var peers []Peer
 	for _, o := range f.procs {
 		if o != p {
-			peers = append(peers, Peer{ID: o.addr, Local: o.domain == p.domain, Share: ShareOf(p.leases.Fold(), o.id, slots)})
+			peers = append(peers, Peer{
+				ID: o.addr, Local: o.domain == p.domain, Share: ShareOf(p.leases.Fold(), o.id, slots),
+				Factors: FactorsOf(p.leases.Fold(), o.domain, len(f.domains())),
+			})
 		}
 	}
 	return peers
 }
 
+// plan lets one process plan the split, with all demands as if just heard.
+func (f *fleet) plan(p *process) {
+	domainOf := map[string]string{}
+	for _, o := range f.procs {
+		if o != p && !f.linked(p, o) {
+			return
+		}
+		if o != p {
+			domainOf[o.addr] = o.domain
+			p.limiter.HandleHints(f.clock(p), o.addr, o.limiter.Hints(f.clock(o)))
+		}
+	}
+	s := PlanSplit(p.leases.Fold(), f.domains(), p.limiter.DomainDemand(f.clock(p), p.domain, domainOf))
+	if len(s.Rows) > 0 {
+		f.append(p, lease.Record{Kind: lease.KindSplit, Body: s})
+	}
+}
+
 func (f *fleet) logReachable(p *process) bool { return !f.logDown && !f.logCut[p.domain] }
 
 func (f *fleet) linked(a, b *process) bool {
--- a/internal/rate/limiter.go
+++ b/internal/rate/limiter.go
@@ -58,9 +58,10 @@
 type Limiter struct {
 	settings Settings
 	parts    []Part
-	share    float64       // of the parts in force since at
-	at       time.Duration // up to here parts are accounted for
-	boundary time.Duration // when the share changes next
+	share    float64            // of the parts in force since at
+	at       time.Duration      // up to here parts are accounted for
+	boundary time.Duration      // when the share changes next
+	factors  map[string]float64 // see SetFactors
 	accounts map[string]*account
 	active   []*account // those that Tick looks at
 	peers    []Peer
@@ -75,6 +76,8 @@
 	name    string
 	active  bool // is on the active list
 	bucket  bucket
+	factor  factor
+	demand  demand
 	waiters []waiter
 	asking  int           // asks without an answer
 	askedAt time.Duration // of the last round
@@ -100,8 +103,10 @@
 	a := l.accounts[name]
 	if a == nil {
 		a = &account{name: name, known: map[string]hint{}, askedAt: -l.settings.AskInterval}
+		a.factor.nextAt = never
 		a.bucket.at = now
-		a.bucket.share = l.share
+		a.factor.value = l.factorOf(name)
+		a.bucket.share = l.share * a.factor.value
 		l.accounts[name] = a
 	}
 	l.advance(a, now)
@@ -201,6 +206,15 @@
 
 // advance brings one account to now; credits without room go back.
 func (l *Limiter) advance(a *account, now time.Duration) {
+	if a.factor.due(now) {
+		l.advanceTo(a, a.factor.nextAt)
+		a.factor.value, a.factor.nextAt = a.factor.next, never
+		a.bucket.share = l.share * a.factor.value
+	}
+	l.advanceTo(a, now)
+}
+
+func (l *Limiter) advanceTo(a *account, now time.Duration) {
 	for _, c := range a.bucket.advance(now, l.mint()) {
 		l.giveBack(a, c, c.tokens)
 	}
@@ -214,6 +228,7 @@
 func (a *account) saw(now time.Duration, cost float64) {
 	const weight = 0.2
 	a.seenAt = now
+	a.demand.add(now, cost)
 	if a.typical == 0 {
 		a.typical = cost
 	}
--- a/internal/rate/limiter_test.go
+++ b/internal/rate/limiter_test.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
+	"github.com/mastictray/mastictray/internal/lease"
 	"github.com/mastictray/mastictray/internal/wire"
 )
 
@@ -175,3 +176,38 @@
 	l.Admit(time.Second, "acct", 10, 2*time.Second)
 	is.Equal(len(l.Tick(time.Second).Asks), 2)
 }
+
+// A domain gives a part of an account up while its grants are still on the
+// way. The domain that gets the part must not mint it before they are gone; one
+// that loses a part stops at once.
+func TestHigherFactorWaitsForGrantsOnTheWay(t *testing.T) {
+	is := is.New(t)
+	l := full("i1")
+	now := 10 * time.Second
+	share := func(after time.Duration) float64 {
+		l.Hints(now + after)
+		return l.accounts["acct"].bucket.share
+	}
+	l.SetFactors(now, map[string]float64{"acct": 0.5})
+	is.Equal(share(0), 0.5)
+	is.Equal(l.accounts["acct"].bucket.balance, 2500.0)
+	l.SetFactors(now, map[string]float64{"acct": 0.8})
+	is.Equal(share(l.settings.Lifetime), 0.5)
+	is.Equal(share(2*l.settings.Lifetime), 0.8)
+}
+
+// The demand for one account comes from one domain; the split follows it, and
+// keeps a floor for the others. Near enough is left alone.
+func TestPlanSplitFollowsDemand(t *testing.T) {
+	is := is.New(t)
+	domains := []string{"d", "e"}
+	f := lease.NewFold()
+	s := PlanSplit(f, domains, map[string]map[string]float64{
+		"acct":  {"d": 900, "e": 100},
+		"even":  {"d": 510, "e": 490},
+		"quiet": {"d": 0.1},
+	})
+	is.Equal(s.Rows, []lease.SplitRow{{Account: "acct", Parts: []lease.DomainPart{
+		{Domain: "d", Thousandths: 860}, {Domain: "e", Thousandths: 140},
+	}}})
+}
--- a/internal/rate/parts.go
+++ b/internal/rate/parts.go
@@ -55,7 +55,7 @@
 	l.share = share
 	for _, a := range l.accounts {
 		l.advance(a, t)
-		a.bucket.share = share
+		a.bucket.share = share * a.factor.value
 		a.bucket.clamp()
 	}
 }
--- a/internal/rate/skew_test.go
+++ b/internal/rate/skew_test.go
@@ -54,6 +54,9 @@
 			f.tick(p)
 		}
 		f.run(f.stepLen)
+		if f.now%(30*time.Second) == 0 {
+			f.plan(f.procs[0])
+		}
 	}
 	f.run(time.Second)
 }
@@ -74,6 +77,7 @@
 	f := newFleet(7, 3, 2, 60000, 60000, 6*time.Hour)
 	f.whole, f.stepLen = true, time.Millisecond
 	f.run(10 * time.Second)
+	f.offer(f.skewed(f.now, 10*time.Minute, shaped)) // the split follows the demand
 	cut(f)
 	f.offer(f.skewed(f.now, span, shaped))
 	return f.refused, f.offered
--- a/internal/rate/window_test.go
+++ b/internal/rate/window_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/mastictray/mastictray/internal/lease"
 )
 
 // A caller of a large account sends several times its rate while processes
@@ -37,7 +39,7 @@
 
 var faults = []string{
 	"idle", "flood", "skew", "large", "kill", "freeze", "thaw", "restart", "herd", "cut links", "cut log",
-	"log down", "heal",
+	"log down", "heal", "split",
 }
 
 // fault applies one fault at one place.
@@ -55,6 +57,16 @@
 		if !p.dead && !p.frozen {
 			f.request(p, f.burst)
 		}
+	case "split": // moves most of the rate to one domain
+		row := lease.SplitRow{Account: "acct"}
+		for _, d := range f.domains() {
+			n := uint16(50)
+			if d == p.domain {
+				n = 900
+			}
+			row.Parts = append(row.Parts, lease.DomainPart{Domain: d, Thousandths: n})
+		}
+		f.append(p, lease.Record{Kind: lease.KindSplit, Body: lease.Split{Rows: []lease.SplitRow{row}}})
 	case "kill":
 		p.dead = true
 	case "freeze", "thaw":
--- a/internal/wire/rate.go
+++ b/internal/wire/rate.go
@@ -14,6 +14,9 @@
 type RateItem struct {
 	Account string  `msgpack:"a"`
 	Tokens  float64 `msgpack:"n"`
+	// Demand is, in a hint, what the sender's callers asked for lately, in
+	// tokens per second.
+	Demand float64 `msgpack:"d,omitempty"`
 	// WaitedMicros is, in an ask, how long the asker's first request has
 	// been waiting; 0 when none waits.
 	WaitedMicros int64 `msgpack:"w,omitempty"`
@@ -67,8 +70,9 @@
 	Refunded float64 `msgpack:"r,omitempty"`
 }
 
-// RateHints are balances carried on heartbeats, at most MaxRateItems of them,
-// largest first. They steer asks; nothing is spent on their word.
+// RateHints are balances and demands carried on heartbeats, at most
+// MaxRateItems of them, largest balance first. They steer asks and the split
+// over the domains; nothing is spent on their word.
 type RateHints struct {
 	Items []RateItem `msgpack:"i,omitempty"`
 }
