lease: a renewal on its way does not revive a lease after leave

Cause: a draining instance folded its last renewal after it had given its leases up and counted them as held again, until it folded its own leave; the next holder could be let in before. Ruled out: waiting for the renewal before the leave; its answer may be lost. Change: after Leave nothing is granted any more. Figures: TestRenewalOnTheWayDoesNotReviveAfterLeave fails without (lease valid after leave), passes with.

--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -191,7 +191,7 @@
 // before the act: a process paused after an earlier check may have lost it.
 func (h *Holder) Valid(now time.Duration, r Resource) bool {
 	l := h.held[r]
-	return l != nil && now < h.until(r, l)
+	return l != nil && !h.leaving && now < h.until(r, l)
 }
 
 // Token is the fencing token of a held lease.
@@ -207,7 +207,7 @@
 	var list []Grant
 	for _, r := range h.settings.Wanted {
 		l := h.held[r]
-		if l == nil {
+		if l == nil || h.leaving {
 			continue
 		}
 		g := Grant{Resource: r, Token: l.token, Since: l.since, Until: h.until(r, l)}
@@ -251,8 +251,9 @@
 	return list
 }
 
-// Leave ends all use and returns the record that frees the leases. The caller
-// has stopped using them and appends it before it exits.
+// Leave ends all use for good, also when a renewal that is still on its way is
+// folded later, and returns the record that frees the leases. The caller has
+// stopped using them and appends it before it exits.
 func (h *Holder) Leave() Record {
 	h.leaving = true
 	clear(h.held)
--- a/internal/lease/search_test.go
+++ b/internal/lease/search_test.go
@@ -409,3 +409,25 @@
 	is.True(w.members[2].h.Valid(w.members[2].clock(w.now), slot))
 	is.True(!holder.h.Valid(holder.clock(w.now), slot))
 }
+
+// An instance drains: it stops minting and gives its slot back, while its last
+// renewal is still on the way. The renewal lands first and is read back. If it
+// revived the lease, the instance would mint on while the next holder, let in
+// by the leave behind it, mints too.
+func TestRenewalOnTheWayDoesNotReviveAfterLeave(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2, 0, 10*unit)
+	w.now += unit
+	w.turn(0, true) // a renewal is on its way
+	leave := w.members[0].h.Leave()
+	w.land(0)
+	w.turn(0, true)
+	is.True(!w.members[0].h.Valid(w.members[0].clock(w.now), slot))
+	is.Equal(len(w.members[0].h.Grants(w.members[0].clock(w.now))), 0)
+	w.appends = append(w.appends, flight{by: 0, env: framed(w.members[0].h.settings.Self.ID, leave)})
+	w.land(len(w.appends) - 1)
+	w.turn(1, true)
+	w.land(0)
+	w.turn(1, true)
+	is.True(w.members[1].h.Valid(w.members[1].clock(w.now), slot))
+}
