Quarantine a request that crashes its targets after two of them

Cause: a request that crashes each target that runs it, sent again by its caller to any instance, takes one target after another.

Ruled out: counting at each instance (two targets lost at each) and suspects in the log (an append on the path of each crash, and the log may be down).

--- /dev/null
+++ b/internal/wire/poison.go
@@ -0,0 +1,86 @@
+package wire
+
+// Kinds of message about requests that crash their targets.
+const (
+	// KindPoisonNotice spreads crashes, exonerations and quarantines; the
+	// answer is a PoisonAck.
+	KindPoisonNotice Kind = "poison.notice"
+	// KindPoisonAck says that a notice has been taken in.
+	KindPoisonAck Kind = "poison.ack"
+	// KindPoisonAsk asks the home instance for a permit to run a suspect.
+	KindPoisonAsk Kind = "poison.ask"
+	// KindPoisonGrant answers a PoisonAsk.
+	KindPoisonGrant Kind = "poison.grant"
+	// KindPoisonHold keeps a permit alive.
+	KindPoisonHold Kind = "poison.hold"
+	// KindPoisonDone gives a permit back.
+	KindPoisonDone Kind = "poison.done"
+)
+
+// PoisonCrash is one lost target incarnation and the fingerprints of the
+// requests that an instance had on it.
+type PoisonCrash struct {
+	Target       string   `msgpack:"t"`
+	Incarnation  string   `msgpack:"i"`
+	Fingerprints [][]byte `msgpack:"f"`
+	AgeMillis    int64    `msgpack:"a"`
+}
+
+// PoisonClear says that a fingerprint did not cause a crash.
+type PoisonClear struct {
+	Fingerprint []byte `msgpack:"f"`
+	Target      string `msgpack:"t"`
+	Incarnation string `msgpack:"i"`
+}
+
+// PoisonQuarantine is a fingerprint that is refused everywhere.
+type PoisonQuarantine struct {
+	Fingerprint []byte `msgpack:"f"`
+	AgeMillis   int64  `msgpack:"a"`
+}
+
+// PoisonNotice is what an instance learned, or all it knows. Taking it in
+// twice, or in any order with others, changes nothing.
+type PoisonNotice struct {
+	// ID is repeated in the PoisonAck; 0 asks for none.
+	ID          uint64             `msgpack:"n"`
+	Crashes     []PoisonCrash      `msgpack:"c,omitempty"`
+	Clears      []PoisonClear      `msgpack:"l,omitempty"`
+	Quarantines []PoisonQuarantine `msgpack:"q,omitempty"`
+}
+
+// PoisonAck answers the notice with the ID.
+type PoisonAck struct {
+	ID uint64 `msgpack:"n"`
+}
+
+// PoisonAsk asks for a permit to run a suspect request on one of the targets.
+type PoisonAsk struct {
+	Request     string   `msgpack:"r"`
+	Fingerprint []byte   `msgpack:"f"`
+	Targets     []string `msgpack:"t"`
+}
+
+// PoisonGrant answers a PoisonAsk. Quarantined refuses for good; an empty
+// target says that the fingerprint is no suspect any more.
+type PoisonGrant struct {
+	Request     string `msgpack:"r"`
+	Fingerprint []byte `msgpack:"f"`
+	Target      string `msgpack:"t,omitempty"`
+	Quarantined bool   `msgpack:"q,omitempty"`
+}
+
+// PoisonHold says that the sender runs a suspect on the target.
+type PoisonHold struct {
+	Fingerprint []byte `msgpack:"f"`
+	Target      string `msgpack:"t"`
+}
+
+// PoisonDone ends a permit. Crash is set when the target was lost: the home
+// has to know it before it grants again.
+type PoisonDone struct {
+	Request     string       `msgpack:"r"`
+	Fingerprint []byte       `msgpack:"f"`
+	Target      string       `msgpack:"t"`
+	Crash       *PoisonCrash `msgpack:"c,omitempty"`
+}
