dispatch: a short backlog does not make recomputing dearer

Cause: an account with a tenth of a second of backlog waited for seconds at its first target, as if it were over its share. Change: BacklogGrace 100 ms. Routing in the own failure domain only is added to the policies that are compared.

--- a/cmd/mastictray-bench/main.go
+++ b/cmd/mastictray-bench/main.go
@@ -30,6 +30,7 @@
 	Young    *time.Duration `help:"Vary the product: YoungFor."`
 	Factor   *float64       `help:"Vary the product: RecomputeFactor."`
 	Backlog  *float64       `help:"Vary the product: BacklogFactor."`
+	Grace    *time.Duration `help:"Vary the product: BacklogGrace."`
 	Window   *time.Duration `help:"Vary the product: Window."`
 	NearTie  *time.Duration `help:"Vary the product: NearTie."`
 	Anchor   *int           `help:"Vary the product: AnchorPieces."`
@@ -46,6 +47,7 @@
 	vary(&t.Placement.NearTie, c.NearTie)
 	vary(&t.Placement.AnchorPieces, c.Anchor)
 	vary(&t.Placement.TransferTokensPerSecond, c.Transfer)
+	vary(&t.Dispatch.BacklogGrace, c.Grace)
 	vary(&t.Dispatch.Window, c.Window)
 	return t
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -20,8 +20,10 @@
 	// 1, because prefill that a cached copy elsewhere would have spared
 	// delays the requests behind it too.
 	RecomputeFactor float64
-	// BacklogFactor is added to it for each second of the account's backlog.
+	// BacklogFactor is added to it for each second of the account's backlog
+	// over BacklogGrace.
 	BacklogFactor float64
+	BacklogGrace  time.Duration
 	// Queue bounds the fair queue.
 	Queue fairqueue.Options
 }
@@ -34,6 +36,7 @@
 
 		RecomputeFactor: placement.DefaultOptions().RecomputeFactor,
 		BacklogFactor:   20,
+		BacklogGrace:    100 * time.Millisecond,
 		Queue:           fairqueue.Options{MaxItems: 2000},
 	}
 }
@@ -214,8 +217,8 @@
 // waiting requests recompute what a cache holds, evict what others need, and
 // so slow the pool down further.
 func (d *Dispatcher[T]) recomputeFactor(r *Request[T]) float64 {
-	backlog := d.queue.Backlog(r.Account, r.Weight).Seconds()
-	return d.options.RecomputeFactor + d.options.BacklogFactor*backlog
+	backlog := d.queue.Backlog(r.Account, r.Weight) - d.options.BacklogGrace
+	return d.options.RecomputeFactor + d.options.BacklogFactor*max(0, backlog.Seconds())
 }
 
 func (d *Dispatcher[T]) refuseNoTarget(r *Request[T]) {
--- a/internal/experiment/policy_ours.go
+++ b/internal/experiment/policy_ours.go
@@ -62,6 +62,7 @@
 	targets := make([]placement.Target, len(p.r.f.engines))
 	for i, e := range p.r.f.engines {
 		targets[i] = placement.Target{Name: e.name, Domain: e.domain, PrefillTokensPerSecond: w.PrefillRate, Version: p.r.f.wanted}
+		targets[i].Unreachable = p.tuning.OwnDomain && e.domain != p.r.domain
 	}
 	place := p.tuning.Placement
 	place.Started = p.r.f.clock.now
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -21,6 +21,8 @@
 type Tuning struct {
 	Placement placement.Options
 	Dispatch  dispatch.Options
+	// OwnDomain places requests in the router's failure domain only.
+	OwnDomain bool
 }
 
 // DefaultTuning is the product's.
@@ -30,12 +32,15 @@
 
 // Policies are the baselines, the oracle and the product.
 func Policies(t Tuning) []Policy {
+	own := t
+	own.OwnDomain = true
 	return []Policy{
 		{"round robin", newBaseline(roundRobin)},
 		{"least outstanding", newBaseline(leastOutstanding)},
 		{"prefix hash, bounded load", newBaseline(prefixHashBounded)},
 		{"oracle", newBaseline(oracle)},
 		{"mastictray", newProduct(t)},
+		{"mastictray, own domain", newProduct(own)},
 	}
 }
 
