Count a target's work as done when an answer's first token comes

Cause: a request through the entry took 49 ms more to its first token than one straight to the engine: the engine prefills faster than configured, the load estimate drained at the configured rate, and the dispatcher held requests for a target that was idle. Ruled out: admission (0.02 ms), the relay (0.2 ms), by the times of each step. Change: the first token of own work ends everything given to the target before it; the entry tells the dispatcher at the first token, once an attempt.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -60,6 +60,8 @@
 	Target int
 	// Identity is what the target was when it was chosen.
 	Identity belief.Identity
+	// SentAt is when it was chosen.
+	SentAt   time.Duration
 	Decision placement.Decision
 }
 
@@ -153,22 +155,28 @@
 // each send.
 func (d *Dispatcher[T]) Answered(s *Send[T]) {
 	d.beliefs.Answered(s.Identity, s.Request.Place.Chain)
-	d.ended(s)
+	if t, ok := d.sentTo(s); ok {
+		t.Load.Answered(s.SentAt, s.Decision.UncachedTokens)
+	}
 }
 
 // Failed takes in an attempt that the target did not prefill.
 func (d *Dispatcher[T]) Failed(s *Send[T]) {
 	d.beliefs.Failed(s.Identity, s.Request.Place.Chain, s.Decision.CachedPieces)
-	d.ended(s)
+	if t, ok := d.sentTo(s); ok {
+		t.Load.Failed(s.Decision.UncachedTokens)
+	}
 }
 
-// ended takes an attempt off its target's load, unless that incarnation is
+// sentTo is the target that an attempt went to, unless that incarnation is
 // gone and its load with it.
-func (d *Dispatcher[T]) ended(s *Send[T]) {
+func (d *Dispatcher[T]) sentTo(s *Send[T]) (*placement.Target, bool) {
 	i, ok := d.pool.Find(s.Identity.Target)
-	if t := d.pool.Target(i); ok && t.Incarnation == s.Identity.Incarnation {
-		t.Load.Answered(s.Decision.UncachedTokens)
+	if !ok {
+		return nil, false
 	}
+	t := d.pool.Target(i)
+	return t, t.Incarnation == s.Identity.Incarnation
 }
 
 func (d *Dispatcher[T]) reset() {
@@ -233,5 +241,5 @@
 	id := belief.Identity{Target: t.Name, Incarnation: t.Incarnation, Version: t.Version}
 	t.Load.Sent(now, choice.UncachedTokens)
 	d.beliefs.Expect(id, r.Place.Chain)
-	d.out.Sends = append(d.out.Sends, Send[T]{Request: r, Target: choice.Index, Identity: id, Decision: choice})
+	d.out.Sends = append(d.out.Sends, Send[T]{Request: r, Target: choice.Index, Identity: id, SentAt: now, Decision: choice})
 }
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -59,7 +59,7 @@
 	is.Equal(len(f.push("quiet", 50, 0).Sends), 0)
 	step := f.Step(450*time.Millisecond, f.rng) // the first is prefilled by its estimate, but not answered
 	is.Equal(len(step.Sends), 0)
-	f.pool.Target(0).Load.Answered(pieceTokens + 100)
+	f.pool.Target(0).Load.Answered(0, pieceTokens+100)
 	step = f.Step(450*time.Millisecond, f.rng)
 	is.Equal(len(step.Sends), 1)
 	is.Equal(step.Sends[0].Request.Account, "quiet")
--- a/internal/entry/enginepool.go
+++ b/internal/entry/enginepool.go
@@ -226,22 +226,27 @@
 	return e
 }
 
-// served takes in the end of an answer: the target holds the whole chain.
+// served takes in the first token of an answer: the target holds the whole
+// chain and has done the work.
 func (p *enginePool) served(pl placed) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.dispatcher.Answered(&pl.sending)
 }
 
-// lost takes in a failed attempt. With broken the connection to the target
-// failed, and it gets no new work until it answers a load question again.
-func (p *enginePool) lost(pl placed, broken bool) {
+// lost takes in an attempt that the target did not prefill.
+func (p *enginePool) lost(pl placed) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.dispatcher.Failed(&pl.sending)
-	if broken {
-		p.setBreaker(pl.target, true)
-	}
+}
+
+// open keeps new work off a target whose connection failed, until it answers a
+// load question again.
+func (p *enginePool) open(target string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.setBreaker(target, true)
 }
 
 // setBreaker opens or closes a target's breaker. Callers hold mu.
--- a/internal/entry/enginerun.go
+++ b/internal/entry/enginerun.go
@@ -40,6 +40,8 @@
 	resp   *http.Response
 	events *sse.Reader
 	idle   *time.Timer
+	// counted is set once the pool knows what became of the leg's attempt.
+	counted bool
 	// refused is the last refusal of a target, for the caller.
 	refused error
 }
@@ -86,11 +88,11 @@
 		return attempt.Action{}, placeError(err)
 	}
 	if err := r.s.recheck(r.e); err != nil {
-		r.pool.lost(pl, false)
+		r.pool.lost(pl)
 		return attempt.Action{}, err
 	}
 	r.e.attempts++
-	r.at, r.id = pl, attemptID(r.e.call)
+	r.at, r.id, r.counted = pl, attemptID(r.e.call), false
 	r.leg = r.stream.Dispatch(r.s.clock.now(), r.id, pl.target)
 	r.openLeg()
 	resp, err := r.s.targets.send(r.ctx, r.request())
@@ -158,7 +160,7 @@
 func (r *engineRun) sendFailed(err error) attempt.Action {
 	logline.Error(err, "attempt_failed", "request", r.e.id, "attempt", r.id, "target", r.at.target)
 	r.s.metrics.attempt(r.e.pool.Name, "unreachable")
-	r.pool.lost(r.at, r.e.r.Context().Err() == nil)
+	r.lost(r.e.r.Context().Err() == nil)
 	if r.e.r.Context().Err() != nil {
 		return r.stream.Abort()
 	}
@@ -187,7 +189,7 @@
 // rejected takes an answer other than 200.
 func (r *engineRun) rejected(resp *http.Response) attempt.Action {
 	r.s.metrics.attempt(r.e.pool.Name, "refused")
-	r.pool.lost(r.at, false)
+	r.lost(false)
 	r.refused = targetRefusal(resp)
 	var refused *openai.Error
 	if errors.As(r.refused, &refused) && refused.Outcome == openai.NotRun {
@@ -206,6 +208,7 @@
 		return r.broke(err)
 	}
 	r.idle.Reset(chunkIdle)
+	r.prefilled()
 	if u, ok := openai.UsageOf(ev.Data); ok {
 		r.e.usage = u
 	}
@@ -226,7 +229,7 @@
 // broke tells the state machine that the leg ended early.
 func (r *engineRun) broke(err error) attempt.Action {
 	if r.e.r.Context().Err() != nil {
-		r.pool.lost(r.at, false)
+		r.lost(false)
 		return r.stream.Abort()
 	}
 	cause := attempt.CauseReset
@@ -240,6 +243,7 @@
 	}
 	logline.Error(err, "stream_broke", "request", r.e.id, "attempt", r.id, "target", r.at.target, "cause", cause)
 	r.s.metrics.attempt(r.e.pool.Name, "broken")
+	r.lost(cause == attempt.CauseReset)
 	return r.stream.Broke(r.leg, cause)
 }
 
@@ -249,12 +253,12 @@
 	r.leg = r.stream.Resumed(r.s.clock.now())
 	resp, err := r.s.targets.resume(r.ctx, r.request(), act.LastSeq)
 	if err != nil {
-		r.pool.lost(r.at, true)
+		r.lost(true)
 		return r.stream.Broke(r.leg, attempt.CauseReset)
 	}
 	if resp.StatusCode != http.StatusOK {
 		r.resp = resp
-		r.pool.lost(r.at, false)
+		r.lost(false)
 		return r.stream.Broke(r.leg, attempt.CauseUnknownStream)
 	}
 	return r.opened(resp)
@@ -269,10 +273,31 @@
 	}
 }
 
+// prefilled tells the pool that the first token came: the target has done the
+// work and holds the prompt's pieces.
+func (r *engineRun) prefilled() {
+	if !r.counted {
+		r.counted = true
+		r.pool.served(r.at)
+	}
+}
+
+// lost tells the pool that the attempt failed. With broken the connection to
+// the target failed.
+func (r *engineRun) lost(broken bool) {
+	if !r.counted {
+		r.counted = true
+		r.pool.lost(r.at)
+	}
+	if broken {
+		r.pool.open(r.at.target)
+	}
+}
+
 func (r *engineRun) finished() error {
 	r.s.metrics.attempt(r.e.pool.Name, "answered")
 	r.s.metrics.answered(r.e.account.Name, r.e.pool.Name)
-	r.pool.served(r.at)
+	r.prefilled()
 	return nil
 }
 
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -54,8 +54,17 @@
 	l.unanswered += tokens
 }
 
-// Answered takes off own work whose first token came or that failed.
-func (l *Load) Answered(tokens float64) {
+// Answered takes off own work, sent at sentAt, whose first token came. Targets
+// prefill in the order of arrival, so what was given to the target before that
+// is done as well. Without this a target faster than configured would count as
+// busy, and requests would be held here while it is idle.
+func (l *Load) Answered(sentAt time.Duration, tokens float64) {
+	l.Failed(tokens)
+	l.Report(sentAt, 0)
+}
+
+// Failed takes off own work that the target did not do.
+func (l *Load) Failed(tokens float64) {
 	l.unanswered = max(0, l.unanswered-tokens)
 }
 
--- a/internal/wholepath/fleet_test.go
+++ b/internal/wholepath/fleet_test.go
@@ -46,7 +46,7 @@
 
 // process is one process of the fleet.
 type process struct {
-	t    *testing.T
+	t    testing.TB
 	name string
 	args []string
 	log  string
@@ -56,7 +56,7 @@
 // fleet is a running deployment: the platform's stand-ins, targets and entry
 // instances over three failure domains.
 type fleet struct {
-	t       *testing.T
+	t       testing.TB
 	dir     string
 	domains []string
 	ports   map[string]int
@@ -80,9 +80,11 @@
 	logFlags []string
 }
 
-func newFleet(t *testing.T, s shape) *fleet {
+func newFleet(t testing.TB, s shape) *fleet {
 	t.Helper()
-	t.Parallel()
+	if test, ok := t.(*testing.T); ok {
+		test.Parallel()
+	}
 	f := &fleet{
 		t: t, dir: t.TempDir(), domains: []string{"north", "centre", "south"},
 		ports: map[string]int{}, procs: map[string]*process{}, keys: map[string]string{},
