Vet requests against the registry of those that crash targets

Change: the entry asks the poison registry before each dispatch, reports a lost target with all requests that broke with it, and answers only when the peers know.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -151,6 +151,22 @@
 	return d.queue.Cancel(account, id)
 }
 
+// SendTo sends a request to a given target past the queue: one that is
+// suspected of crashing targets and may go nowhere else. False when the target
+// takes no new work.
+func (d *Dispatcher[T]) SendTo(now time.Duration, r *Request[T], name string) (Send[T], bool) {
+	i, ok := d.pool.Find(name)
+	if !ok || d.pool.Rejected(i) {
+		return Send[T]{}, false
+	}
+	d.reset()
+	t := d.pool.Target(i)
+	cached := d.beliefs.Cached(t.Belief, r.Place.Chain)
+	uncached := max(0, r.Place.PromptTokens-cached*r.Place.PieceTokens)
+	d.send(now, r, t, placement.Decision{Index: i, CachedPieces: cached, UncachedTokens: float64(uncached)})
+	return d.out.Sends[0], true
+}
+
 // Answered takes in the first token of an answer. Call it or Failed once for
 // each send.
 func (d *Dispatcher[T]) Answered(s *Send[T]) {
--- /dev/null
+++ b/internal/entry/enginecrash.go
@@ -0,0 +1,79 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mastictray/mastictray/internal/openai"
+	"github.com/mastictray/mastictray/internal/poison"
+)
+
+// crashProbe bounds the question to a target that broke an answer off.
+const crashProbe = 300 * time.Millisecond
+
+// vet asks whether the request may be dispatched. The error is the answer to a
+// request that has crashed too many targets, or that is suspected to and found
+// nobody to allow it another one.
+func (r *engineRun) vet() error {
+	ctx, cancel := context.WithTimeout(r.e.r.Context(), max(r.e.due-r.s.clock.now(), permitWait/2))
+	defer cancel()
+	d := r.s.poison.admit(ctx, r.e.id, r.e.print, r.e.pool.Name, r.pool.targets(r.e.place.Exclude))
+	r.isolated = d.Target
+	switch d.Verdict {
+	case poison.Quarantined:
+		return &openai.Error{
+			Status: http.StatusUnprocessableEntity, Code: openai.CodeQuarantined, Outcome: openai.MayHaveRun,
+			Message: "this request has crashed the targets that ran it and is not run again",
+		}
+	case poison.Refused:
+		return &openai.Error{
+			Status: http.StatusServiceUnavailable, Code: openai.CodeOverloaded, Outcome: r.outcome(),
+			Message: "this request may crash its target and found none to run on alone", RetryAfter: time.Second,
+		}
+	}
+	return nil
+}
+
+// outcome is whether the request has run so far.
+func (r *engineRun) outcome() openai.Outcome { return openai.Outcome(r.stream.Outcome()) }
+
+// afterLoss finds out whether the leg's target was lost with the request. It
+// returns when the peers know, so that the caller cannot send a request that
+// crashes targets to an instance that has not heard of it. The error is the
+// final answer to such a request.
+func (r *engineRun) afterLoss() error {
+	if !r.sent {
+		return nil
+	}
+	r.sent = false
+	if !r.targetLost() {
+		return nil
+	}
+	crash := poison.CrashID{Target: r.at.target, Incarnation: r.at.Identity.Incarnation}
+	r.vetted = false
+	if d := r.s.poison.crashed(r.e.r.Context(), r.e.id, crash); d.Verdict == poison.Quarantined {
+		return &openai.Error{
+			Status: http.StatusUnprocessableEntity, Code: openai.CodeQuarantined, Outcome: openai.MayHaveRun,
+			Message: "this request has crashed the targets that ran it and is not run again",
+		}
+	}
+	return nil
+}
+
+// targetLost reports that the leg's process is gone: nothing listens at its
+// address, or another incarnation answers there. A target that does not answer
+// in time may be paused; that is no crash.
+func (r *engineRun) targetLost() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), crashProbe)
+	defer cancel()
+	report, err := r.s.pools.poller.ask(ctx, r.at.address)
+	if err == nil {
+		return report.Incarnation != r.at.Identity.Incarnation
+	}
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial" && !op.Timeout()
+}
--- a/internal/entry/enginepool.go
+++ b/internal/entry/enginepool.go
@@ -182,6 +182,31 @@
 	return placed{}, ctx.Err()
 }
 
+// acquireOn takes a given target, for a request that may go nowhere else. The
+// error is an *openai.Error: the request has not run.
+func (p *enginePool) acquireOn(name string, r *request) (placed, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, ok := p.dispatcher.SendTo(p.clock.now(), r, name)
+	if !ok {
+		return placed{}, queueRefusal(dispatch.ReasonNoTarget, time.Second)
+	}
+	return placed{sending: s, target: name, address: p.address[name], version: s.Identity.Version}, nil
+}
+
+// targets names the targets that take new work, without the excluded one.
+func (p *enginePool) targets(exclude string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	names := make([]string, 0, p.pool.Len())
+	for i := range p.pool.Len() {
+		if name := p.pool.Target(i).Name; name != exclude && !p.pool.Rejected(i) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // run steps the dispatcher while requests wait, until ctx ends.
 func (p *enginePool) run(ctx context.Context) {
 	tick := time.NewTicker(stepEvery)
--- a/internal/entry/enginerun.go
+++ b/internal/entry/enginerun.go
@@ -42,6 +42,12 @@
 	idle   *time.Timer
 	// counted is set once the pool knows what became of the leg's attempt.
 	counted bool
+	// sent is set while the leg's target may be running the request.
+	sent bool
+	// vetted is set while the request counts as admitted, and isolated is
+	// the only target that it may go to then; empty for any.
+	vetted   bool
+	isolated string
 	// refused is the last refusal of a target, for the caller.
 	refused error
 }
@@ -52,6 +58,12 @@
 		Request: e.id, Repeatable: e.route.Idempotent, MaxDispatches: maxAttempts, IdleTimeout: chunkIdle,
 	})
 	defer r.closeLeg()
+	err := r.loop()
+	s.poison.ended(e.id, err == nil)
+	return err
+}
+
+func (r *engineRun) loop() error {
 	act, err := r.dispatch()
 	for err == nil {
 		if act.Cancel != nil {
@@ -83,9 +95,9 @@
 // dispatch places the request and sends it. An error is a refusal before any
 // byte reached a target in this attempt.
 func (r *engineRun) dispatch() (attempt.Action, error) {
-	pl, err := r.pool.acquire(r.e.r.Context(), r.e.queued())
+	pl, err := r.choose()
 	if err != nil {
-		return attempt.Action{}, placeError(err)
+		return attempt.Action{}, err
 	}
 	if err := r.s.recheck(r.e); err != nil {
 		r.pool.lost(pl)
@@ -95,21 +107,48 @@
 	r.at, r.id, r.counted = pl, attemptID(r.e.call), false
 	r.leg = r.stream.Dispatch(r.s.clock.now(), r.id, pl.target)
 	r.openLeg()
+	r.s.poison.started(r.e.id, pl.target)
 	resp, err := r.s.targets.send(r.ctx, r.request())
 	if err != nil {
 		return r.sendFailed(err), nil
 	}
 	r.stream.Sent(r.leg)
+	r.sent = true
 	return r.opened(resp), nil
 }
 
+// choose vets the request and waits for a target.
+func (r *engineRun) choose() (placed, error) {
+	if !r.vetted {
+		if err := r.vet(); err != nil {
+			return placed{}, err
+		}
+		r.vetted = true
+	}
+	if r.isolated != "" {
+		return r.pool.acquireOn(r.isolated, r.e.queued())
+	}
+	pl, err := r.pool.acquire(r.e.r.Context(), r.e.queued())
+	if err != nil {
+		return placed{}, placeError(err)
+	}
+	return pl, nil
+}
+
 // redispatch tries another target, or ends the request when there is none.
 func (r *engineRun) redispatch() (attempt.Action, error) {
+	if err := r.afterLoss(); err != nil {
+		return attempt.Action{}, r.final(err)
+	}
 	r.e.place.Exclude = r.at.target
 	if r.s.clock.now() >= r.e.due && !r.e.wrote {
 		return r.stream.NoTarget(), nil
 	}
 	act, err := r.dispatch()
+	var e *openai.Error
+	if errors.As(err, &e) && e.Code == openai.CodeQuarantined {
+		return act, r.final(err)
+	}
 	if err != nil && (r.e.wrote || r.stream.Outcome() != attempt.NotRun) {
 		return r.stream.NoTarget(), nil
 	}
@@ -169,6 +208,7 @@
 		return r.stream.Broke(r.leg, attempt.CauseDial)
 	}
 	r.stream.Sent(r.leg)
+	r.sent = true
 	return r.stream.Broke(r.leg, attempt.CauseReset)
 }
 
@@ -189,6 +229,7 @@
 // rejected takes an answer other than 200.
 func (r *engineRun) rejected(resp *http.Response) attempt.Action {
 	r.s.metrics.attempt(r.e.pool.Name, "refused")
+	r.sent = false
 	r.lost(false)
 	r.refused = targetRefusal(resp)
 	var refused *openai.Error
@@ -304,6 +345,9 @@
 // failed ends the request with an error: an event when a part of the answer
 // is out, else a whole answer.
 func (r *engineRun) failed(act attempt.Action) error {
+	if err := r.afterLoss(); err != nil {
+		return r.final(err)
+	}
 	e := &openai.Error{
 		Status: http.StatusBadGateway, Code: openai.CodeTargetFailed, Outcome: openai.Outcome(act.Outcome),
 		Message: "no target gave the whole answer: " + string(act.Cause), RetryAfter: time.Second, RequestID: r.e.id,
@@ -317,7 +361,17 @@
 	}
 	if r.e.wrote {
 		e.Code = openai.CodeStreamBroken
-		r.writeError(e)
 	}
-	return e
+	return r.final(e)
+}
+
+// final ends a stream whose head is out with an error event.
+func (r *engineRun) final(err error) error {
+	var e *openai.Error
+	if r.e.wrote && errors.As(err, &e) {
+		answer := *e
+		answer.RequestID = r.e.id
+		r.writeError(&answer)
+	}
+	return err
 }
--- a/internal/entry/engineserve.go
+++ b/internal/entry/engineserve.go
@@ -11,6 +11,7 @@
 	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/openai"
 	"github.com/mastictray/mastictray/internal/placement"
+	"github.com/mastictray/mastictray/internal/poison"
 	"github.com/mastictray/mastictray/internal/prefix"
 	"github.com/mastictray/mastictray/internal/rate"
 )
@@ -25,6 +26,7 @@
 	model    config.Model
 	req      openai.Request
 	place    placement.Request
+	print    poison.Fingerprint
 	cost     float64
 	reserved rate.Reservation
 	usage    openai.Usage
@@ -67,6 +69,7 @@
 // describe works out the pieces of the prompt and the charge.
 func (e *engineCall) describe(version string) {
 	e.place = placementOf(e.account.Name, e.model, version, e.req.Prompt)
+	e.print = poison.Print(e.account.Name, e.r.URL.Path, e.body)
 	output := e.req.MaxTokens
 	if output == 0 {
 		output = e.model.DefaultMaxTokens
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -32,6 +32,7 @@
 	rollouts *rolloutDriver
 	members  *members
 	pools    *pools
+	poison   *poisonDriver
 	server   *server
 	callers  *callerServer
 	admin    *adminServer
@@ -90,8 +91,10 @@
 		e.pools.configure(st, e.members.count())
 	})
 	e.members.changed = e.pools.setDraining
+	e.poison = newPoisonDriver(e.clock, e.node)
+	e.members.poison = e.poison
 	e.server = &server{
-		clock: e.clock, config: e.config, rates: e.rates, claims: e.claims, pools: e.pools,
+		clock: e.clock, config: e.config, rates: e.rates, claims: e.claims, pools: e.pools, poison: e.poison,
 		targets: newTargetClient(), metrics: e.metrics, maxBody: s.MaxBodyBytes,
 	}
 	e.callers = newCallerServer(s, e.server, secure.callers)
@@ -116,6 +119,7 @@
 	e.start(func() { e.claims.run(e.ctx) })
 	e.start(func() { e.rollouts.run(e.ctx) })
 	e.start(func() { e.members.run(e.ctx) })
+	e.start(func() { e.poison.run(e.ctx) })
 	snapshots := &snapshotter{clock: e.clock, config: e.config, rates: e.rates, log: e.log, self: e.node.Self().Incarnation}
 	e.start(func() { snapshots.run(e.ctx) })
 	e.start(func() { e.admin.serve(listeners.admin) })
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -33,11 +33,12 @@
 
 // members keeps the other entry instances and the targets that are leaving.
 type members struct {
-	clock clock
-	node  *peer.Node
-	list  platform.InstanceLister
-	rates *rateDriver
-	fixed []string
+	clock  clock
+	node   *peer.Node
+	list   platform.InstanceLister
+	rates  *rateDriver
+	poison *poisonDriver
+	fixed  []string
 
 	mu      sync.Mutex
 	peers   map[string]*knownPeer
@@ -85,7 +86,9 @@
 			go m.beat(ctx, addr)
 		}
 		m.forget()
-		m.rates.setPeers(m.known())
+		known := m.known()
+		m.rates.setPeers(known)
+		m.poison.setPeers(known)
 		sleep(ctx, heartbeatEvery)
 	}
 }
@@ -183,7 +186,9 @@
 	m.rates.takeHints(hb)
 	if fresh {
 		logline.Info("peer_known", "peer", hb.From.Address, "instance", hb.From.Instance, "incarnation", hb.From.Incarnation, "domain", hb.From.Domain)
-		m.rates.setPeers(m.known())
+		known := m.known()
+		m.rates.setPeers(known)
+		m.poison.setPeers(known)
 	}
 	if drains {
 		m.notify()
--- /dev/null
+++ b/internal/entry/poisondriver.go
@@ -0,0 +1,209 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/mastictray/mastictray/internal/logline"
+	"github.com/mastictray/mastictray/internal/peer"
+	"github.com/mastictray/mastictray/internal/poison"
+	"github.com/mastictray/mastictray/internal/wire"
+)
+
+const (
+	poisonTick        = 50 * time.Millisecond
+	poisonSendTimeout = 200 * time.Millisecond
+	// crashGather is how long the requests that a crash broke are gathered
+	// before the peers are told of all of them at once.
+	crashGather = 20 * time.Millisecond
+	// permitWait bounds the wait of a suspect for a target to run on alone.
+	// Innocent requests that shared a crashed target wait their turn in it.
+	permitWait = 30 * time.Second
+)
+
+// poisonDriver runs the registry of requests that crash their targets.
+type poisonDriver struct {
+	clock clock
+	node  *peer.Node
+
+	mu       sync.Mutex
+	registry *poison.Registry
+	waiting  map[string]chan poison.Decision
+	crashes  map[poison.CrashID][]string // gathered requests
+	address  map[string]string           // of a peer's incarnation
+}
+
+func newPoisonDriver(c clock, node *peer.Node) *poisonDriver {
+	d := &poisonDriver{
+		clock: c, node: node,
+		registry: poison.New(poison.Config{Self: node.Self().Incarnation, AskBound: permitWait}),
+		waiting:  make(map[string]chan poison.Decision),
+		crashes:  make(map[poison.CrashID][]string),
+		address:  make(map[string]string),
+	}
+	for _, kind := range []wire.Kind{
+		wire.KindPoisonNotice, wire.KindPoisonAck, wire.KindPoisonAsk,
+		wire.KindPoisonGrant, wire.KindPoisonHold, wire.KindPoisonDone,
+	} {
+		node.Handle(kind, d.receive)
+	}
+	return d
+}
+
+// setPeers gives the live peers.
+func (d *poisonDriver) setPeers(peers []wire.Identity) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	ids := make([]string, 0, len(peers))
+	for _, p := range peers {
+		ids = append(ids, p.Incarnation)
+		if d.address[p.Incarnation] == "" {
+			d.address[p.Incarnation] = p.Address
+			d.introduce(p.Incarnation)
+		}
+	}
+	d.registry.SetPeers(d.clock.now(), ids)
+	d.work()
+}
+
+// introduce gives a peer that was not known all that is known here. Callers
+// hold mu.
+func (d *poisonDriver) introduce(incarnation string) {
+	state := d.registry.State(d.clock.now())
+	if len(state.Crashes)+len(state.Quarantines) > 0 {
+		go d.send(poison.Message{To: incarnation, Kind: wire.KindPoisonNotice, Body: state}, d.address[incarnation])
+	}
+}
+
+// admit asks whether a request may be dispatched, and waits for the verdict.
+func (d *poisonDriver) admit(ctx context.Context, id string, fp poison.Fingerprint, pool string, targets []string) poison.Decision {
+	d.mu.Lock()
+	v := d.registry.Admit(d.clock.now(), id, fp, pool, targets)
+	if v != poison.Wait {
+		d.mu.Unlock()
+		return poison.Decision{Request: id, Verdict: v}
+	}
+	ch := d.await(id)
+	d.work()
+	d.mu.Unlock()
+	return d.decision(ctx, id, ch)
+}
+
+// await registers a request for its next decision. Callers hold mu.
+func (d *poisonDriver) await(id string) chan poison.Decision {
+	ch := make(chan poison.Decision, 1)
+	d.waiting[id] = ch
+	return ch
+}
+
+func (d *poisonDriver) decision(ctx context.Context, id string, ch chan poison.Decision) poison.Decision {
+	select {
+	case x := <-ch:
+		return x
+	case <-ctx.Done():
+		d.mu.Lock()
+		delete(d.waiting, id)
+		d.mu.Unlock()
+		return poison.Decision{Request: id, Verdict: poison.Refused}
+	}
+}
+
+// started tells that an admitted request goes to a target.
+func (d *poisonDriver) started(id, target string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.registry.Started(id, target)
+}
+
+// crashed tells that a request's target was lost with it, and waits until the
+// peers know.
+func (d *poisonDriver) crashed(ctx context.Context, id string, crash poison.CrashID) poison.Decision {
+	d.mu.Lock()
+	ch := d.await(id)
+	d.crashes[crash] = append(d.crashes[crash], id)
+	if len(d.crashes[crash]) == 1 {
+		time.AfterFunc(crashGather, func() { d.blame(crash) })
+	}
+	d.mu.Unlock()
+	return d.decision(ctx, id, ch)
+}
+
+// blame reports a crash with all requests gathered.
+func (d *poisonDriver) blame(crash poison.CrashID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	lost := d.crashes[crash]
+	delete(d.crashes, crash)
+	logline.Info("target_crashed", "target", crash.Target, "incarnation", crash.Incarnation, "requests", len(lost))
+	d.registry.Crashed(d.clock.now(), crash.Target, crash.Incarnation, lost)
+	d.work()
+}
+
+// ended tells that a request is over.
+func (d *poisonDriver) ended(id string, completed bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.registry.Ended(d.clock.now(), id, completed)
+	d.work()
+}
+
+func (d *poisonDriver) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, poisonTick)
+		d.mu.Lock()
+		d.registry.Tick(d.clock.now())
+		d.work()
+		d.mu.Unlock()
+	}
+}
+
+// work does what the registry has ready. Callers hold mu.
+func (d *poisonDriver) work() {
+	ready := d.registry.Ready()
+	for _, x := range ready.Decisions {
+		if ch := d.waiting[x.Request]; ch != nil {
+			delete(d.waiting, x.Request)
+			ch <- x
+		}
+	}
+	for _, m := range ready.Messages {
+		go d.send(m, d.address[m.To])
+	}
+}
+
+func (d *poisonDriver) send(m poison.Message, address string) {
+	if address == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), poisonSendTimeout)
+	defer cancel()
+	if err := d.node.Send(ctx, address, m.Kind, m.Body); err != nil {
+		logline.Error(err, "poison_message_lost", "kind", m.Kind, "peer", address)
+	}
+}
+
+func (d *poisonDriver) receive(_ context.Context, from wire.Identity, f wire.Frame) (any, error) {
+	body, err := poison.Decode(f)
+	if err != nil {
+		return nil, err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.address[from.Incarnation] == "" {
+		d.address[from.Incarnation] = from.Address
+	}
+	d.registry.Receive(d.clock.now(), from.Incarnation, body)
+	d.work()
+	return nil, nil
+}
+
+func (d *poisonDriver) view() poisonView {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	stats := d.registry.Stats()
+	return poisonView{
+		Suspects: d.registry.Suspects(), Crashes: stats.Crashes,
+		Quarantined: stats.Quarantined, Isolated: stats.Isolated, Cleared: stats.Cleared,
+	}
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -26,6 +26,7 @@
 	rates   *rateDriver
 	claims  *claimDriver
 	pools   *pools
+	poison  *poisonDriver
 	targets *targetClient
 	metrics *entryMetrics
 	maxBody int64
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -20,6 +20,7 @@
 	Leases      []leaseView   `json:"leases"`
 	RateShare   float64       `json:"rate_share"`
 	Claims      claimView     `json:"claims"`
+	Poison      poisonView    `json:"poison"`
 }
 
 type accountView struct {
@@ -63,12 +64,23 @@
 	HeldBytes int `json:"held_bytes"`
 }
 
+// poisonView counts requests that crash their targets, since the start.
+type poisonView struct {
+	// Suspects is the fingerprints remembered now.
+	Suspects int   `json:"suspects"`
+	Crashes  int64 `json:"crashes"`
+	// Quarantined, Isolated and Cleared are verdicts given.
+	Quarantined int64 `json:"quarantined"`
+	Isolated    int64 `json:"isolated"`
+	Cleared     int64 `json:"cleared"`
+}
+
 // view collects the state of the process.
 func (e *Entry) view(ready bool) stateView {
 	v := stateView{
 		Instance: e.settings.InstanceID, Incarnation: e.node.Self().Incarnation, Domain: e.settings.Domain,
 		Ready: ready, Revision: -1, LogAgeMS: e.config.logAgeMillis(), RateShare: e.rates.share(),
-		Peers: e.members.view(), Leases: e.rates.view(), Targets: e.pools.view(), Claims: e.claims.view(),
+		Peers: e.members.view(), Leases: e.rates.view(), Targets: e.pools.view(), Claims: e.claims.view(), Poison: e.poison.view(),
 	}
 	intent := e.config.intent()
 	if intent == nil {
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -79,6 +79,9 @@
 	return n
 }
 
+// Rejected reports that the i-th target takes no new work.
+func (p *Pool) Rejected(i int) bool { return p.rejected[i] != 0 }
+
 // RejectedBy names the filters that reject the i-th target.
 func (p *Pool) RejectedBy(i int) []string {
 	var names []string
