Fingerprint a request only when something is suspected

Cause: the fingerprint of a 26 kB prompt took 0.5 ms of every request. Change: while the registry remembers nothing, requests are sent without Admit and registered when their target is lost.

--- a/internal/entry/enginecrash.go
+++ b/internal/entry/enginecrash.go
@@ -19,9 +19,13 @@
 // request that has crashed too many targets, or that is suspected to and found
 // nobody to allow it another one.
 func (r *engineRun) vet() error {
+	r.unvetted = r.s.poison.quiet()
+	if r.unvetted {
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(r.e.r.Context(), max(r.e.due-r.s.clock.now(), permitWait/2))
 	defer cancel()
-	d := r.s.poison.admit(ctx, r.e.id, r.e.print, r.e.pool.Name, r.pool.targets(r.e.place.Exclude))
+	d := r.s.poison.admit(ctx, r.e.id, r.e.fingerprint(), r.e.pool.Name, r.pool.targets(r.e.place.Exclude))
 	r.isolated = d.Target
 	switch d.Verdict {
 	case poison.Quarantined:
@@ -54,6 +58,9 @@
 		return nil
 	}
 	crash := poison.CrashID{Target: r.at.target, Incarnation: r.at.Identity.Incarnation}
+	if r.unvetted {
+		r.s.poison.running(r.e.id, r.e.fingerprint(), r.e.pool.Name, r.at.target, r.pool.targets(r.at.target))
+	}
 	r.vetted = false
 	if d := r.s.poison.crashed(r.e.r.Context(), r.e.id, crash); d.Verdict == poison.Quarantined {
 		return &openai.Error{
@@ -64,6 +71,14 @@
 	return nil
 }
 
+// fingerprint names what the request asks for.
+func (e *engineCall) fingerprint() poison.Fingerprint {
+	if !e.printed {
+		e.printed, e.print = true, poison.Print(e.account.Name, e.r.URL.Path, e.body)
+	}
+	return e.print
+}
+
 // targetLost reports that the leg's process is gone: nothing listens at its
 // address, or another incarnation answers there. A target that does not answer
 // in time may be paused; that is no crash.
--- a/internal/entry/enginerun.go
+++ b/internal/entry/enginerun.go
@@ -46,7 +46,10 @@
 	sent bool
 	// vetted is set while the request counts as admitted, and isolated is
 	// the only target that it may go to then; empty for any.
-	vetted   bool
+	vetted bool
+	// unvetted is set when nothing was suspected at that time, and the
+	// registry does not know the request.
+	unvetted bool
 	isolated string
 	// refused is the last refusal of a target, for the caller.
 	refused error
--- a/internal/entry/engineserve.go
+++ b/internal/entry/engineserve.go
@@ -22,11 +22,13 @@
 // engineCall is a call to a model with what was decided about it.
 type engineCall struct {
 	*call
-	pool     config.Pool
-	model    config.Model
-	req      openai.Request
-	place    placement.Request
+	pool  config.Pool
+	model config.Model
+	req   openai.Request
+	place placement.Request
+	// print is the request's fingerprint once printed is set.
 	print    poison.Fingerprint
+	printed  bool
 	cost     float64
 	reserved rate.Reservation
 	usage    openai.Usage
@@ -69,7 +71,6 @@
 // describe works out the pieces of the prompt and the charge.
 func (e *engineCall) describe(version string) {
 	e.place = placementOf(e.account.Name, e.model, version, e.req.Prompt)
-	e.print = poison.Print(e.account.Name, e.r.URL.Path, e.body)
 	output := e.req.MaxTokens
 	if output == 0 {
 		output = e.model.DefaultMaxTokens
--- a/internal/entry/poisondriver.go
+++ b/internal/entry/poisondriver.go
@@ -109,6 +109,20 @@
 	}
 }
 
+// quiet reports that no request is suspected or quarantined.
+func (d *poisonDriver) quiet() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.registry.Suspects() == 0
+}
+
+// running registers a request that was sent while all was quiet.
+func (d *poisonDriver) running(id string, fp poison.Fingerprint, pool, target string, targets []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.registry.Running(id, fp, pool, target, targets)
+}
+
 // started tells that an admitted request goes to a target.
 func (d *poisonDriver) started(id, target string) {
 	d.mu.Lock()
--- a/internal/poison/registry.go
+++ b/internal/poison/registry.go
@@ -169,6 +169,13 @@
 	}
 }
 
+// Running registers a request that went to its target while nothing was
+// suspected, so that Admit was left out: the fingerprint of a long prompt costs
+// more than all the rest of a request's way. Call it before Crashed names it.
+func (r *Registry) Running(id string, fp Fingerprint, pool, target string, targets []string) {
+	r.requests[id] = &request{id: id, fp: fp, pool: pool, targets: targets, target: target}
+}
+
 // Ended tells that a request is over, other than by its target's crash.
 // completed says that its target answered it whole.
 func (r *Registry) Ended(now time.Duration, id string, completed bool) {
--- /dev/null
+++ b/internal/poison/running_test.go
@@ -0,0 +1,29 @@
+package poison
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// A request runs while nothing is suspected, so it was not admitted. Its target
+// is lost, and so is the next one. If the first loss were not counted because
+// the registry did not know the request, it would take a third target.
+func TestCrashOfUnadmittedRequestCounts(t *testing.T) {
+	is := is.New(t)
+	r := New(Config{Self: "a"})
+	fp := Print("acc", "/p", []byte(`{"x":1}`))
+	r.Running("1", fp, "pool", "t1", []string{"t2"})
+	r.Crashed(time.Second, "t1", "t1-1", []string{"1"})
+	r.Tick(2 * time.Second)
+	is.Equal(r.Ready().Decisions, []Decision{{Request: "1", Verdict: Retry}})
+
+	is.Equal(r.Admit(2*time.Second, "1", fp, "pool", []string{"t2"}), Wait)
+	r.Tick(10 * time.Second)
+	is.Equal(r.Ready().Decisions, []Decision{{Request: "1", Verdict: Isolate, Target: "t2"}})
+	r.Started("1", "t2")
+	r.Crashed(11*time.Second, "t2", "t2-1", []string{"1"})
+	r.Tick(12 * time.Second)
+	is.Equal(r.Ready().Decisions, []Decision{{Request: "1", Verdict: Quarantined}})
+}
