Follow the targets' cache events from the oldest retained on

Ruled out: sharing beliefs between instances, which costs messages and repeats what the targets publish. Change: one reader a target, by long poll, from the oldest retained event; events count only for the incarnation that the target is known by. At the target size a node cannot read all events; see docs/CAPACITY.md.

--- /dev/null
+++ b/internal/entry/cacheevents.go
@@ -0,0 +1,123 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/mastictray/mastictray/internal/logline"
+	"github.com/mastictray/mastictray/internal/prefix"
+)
+
+const (
+	eventsWait    = 5 * time.Second
+	eventsTimeout = 8 * time.Second
+	eventsRetry   = time.Second
+)
+
+// cacheEvents is a target's answer to a question for its cache events.
+type cacheEvents struct {
+	Incarnation string       `json:"incarnation"`
+	Next        int64        `json:"next"`
+	Events      []cacheEvent `json:"events"`
+}
+
+// cacheEvent says that a target stored or evicted pieces.
+type cacheEvent struct {
+	Seq    int64    `json:"seq"`
+	Op     string   `json:"op"`
+	Pieces []string `json:"pieces"`
+}
+
+// The operations of a cache event.
+const (
+	opStored  = "stored"
+	opEvicted = "evicted"
+	opCleared = "cleared"
+)
+
+// eventReader follows one target's cache events. It begins with those that the
+// target still retains, so a restarted instance knows at once what is cached.
+// A lost event costs hit rate only, so gaps are passed over.
+type eventReader struct {
+	client  *http.Client
+	address string
+	target  string
+	pool    *enginePool
+}
+
+func (r *eventReader) run(ctx context.Context) {
+	from, incarnation := int64(0), ""
+	for ctx.Err() == nil {
+		got, err := r.read(ctx, from)
+		if err != nil {
+			sleep(ctx, eventsRetry)
+			continue
+		}
+		if got.Incarnation != incarnation {
+			// Offsets of another incarnation mean nothing here.
+			incarnation = got.Incarnation
+			if from != 0 {
+				from = 0
+				continue
+			}
+		}
+		if !r.pool.cached(r.target, got.Incarnation, got.Events) {
+			// The load question has not told of this incarnation yet.
+			sleep(ctx, loadEvery)
+			continue
+		}
+		from = got.Next
+	}
+}
+
+func (r *eventReader) read(ctx context.Context, from int64) (cacheEvents, error) {
+	ctx, cancel := context.WithTimeout(ctx, eventsTimeout)
+	defer cancel()
+	var got cacheEvents
+	url := fmt.Sprintf("http://%s/events?from=%d&wait_ms=%d", r.address, from, eventsWait.Milliseconds())
+	err := getJSON(ctx, r.client, url, &got)
+	return got, err
+}
+
+// cached takes a target's cache events in. False when they are not from the
+// incarnation that the target is known by: nothing is believed of another.
+func (p *enginePool) cached(name, incarnation string, events []cacheEvent) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	i, ok := p.pool.Find(name)
+	if !ok || p.pool.Target(i).Incarnation != incarnation {
+		return false
+	}
+	id := p.identity(i)
+	for _, e := range events {
+		pieces, err := parsePieces(e.Pieces)
+		if err != nil {
+			logline.Error(err, "cache_event_malformed", "target", name, "seq", e.Seq)
+			continue
+		}
+		switch e.Op {
+		case opStored:
+			p.beliefs.Stored(id, pieces)
+		case opEvicted:
+			p.beliefs.Evicted(id, pieces)
+		case opCleared:
+			p.beliefs.Cleared(id)
+		}
+	}
+	return true
+}
+
+func parsePieces(list []string) ([]prefix.Hash, error) {
+	pieces := make([]prefix.Hash, 0, len(list))
+	for _, s := range list {
+		h, err := strconv.ParseUint(s, 16, 64)
+		if err != nil {
+			return nil, err
+		}
+		pieces = append(pieces, prefix.Hash(h))
+	}
+	return pieces, nil
+}
--- a/internal/entry/enginepool.go
+++ b/internal/entry/enginepool.go
@@ -304,6 +304,12 @@
 	}
 }
 
+// identity is what the i-th target is now. Callers hold mu.
+func (p *enginePool) identity(i int) belief.Identity {
+	t := p.pool.Target(i)
+	return belief.Identity{Target: t.Name, Incarnation: t.Incarnation, Version: t.Version}
+}
+
 // loadReport is a target's answer to a load question.
 type loadReport struct {
 	Incarnation         string  `json:"incarnation"`
--- a/internal/entry/loadpoller.go
+++ b/internal/entry/loadpoller.go
@@ -2,14 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
 	"net/http"
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/mastictray/mastictray/internal/config"
 )
 
@@ -17,9 +13,8 @@
 	loadEvery   = 250 * time.Millisecond
 	loadTimeout = time.Second
 	// loadMisses is how many questions in a row may stay unanswered.
-	loadMisses     = 2
-	maxReportBytes = 64 << 10
-	maxReportAge   = 10 * time.Second
+	loadMisses   = 2
+	maxReportAge = 10 * time.Second
 )
 
 // loadPoller asks every target of the engine pools for its load, one question
@@ -27,6 +22,7 @@
 type loadPoller struct {
 	clock  clock
 	client *http.Client
+	events *http.Client
 
 	mu      sync.Mutex
 	running map[string]polled
@@ -43,6 +39,7 @@
 	return &loadPoller{
 		clock:   c,
 		client:  &http.Client{Timeout: loadTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+		events:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
 		running: make(map[string]polled),
 	}
 }
@@ -67,6 +64,8 @@
 		own, stop := context.WithCancel(ctx)
 		l.running[t.Name] = polled{address: t.Address, pool: pool, stop: stop}
 		go l.poll(own, t.Name, t.Address, pool)
+		events := &eventReader{client: l.events, address: t.Address, target: t.Name, pool: pool}
+		go events.run(own)
 	}
 	for name, was := range l.running {
 		if !wanted[name] {
@@ -96,20 +95,8 @@
 
 func (l *loadPoller) ask(ctx context.Context, address string) (loadReport, error) {
 	var r loadReport
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/load", nil)
-	if err != nil {
-		return r, errors.Wrapf(err, "ask load target=%s", address)
-	}
-	resp, err := l.client.Do(req)
-	if err != nil {
-		return r, errors.Wrapf(err, "ask load target=%s", address)
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return r, errors.Newf("ask load target=%s: status %d", address, resp.StatusCode)
-	}
-	err = json.NewDecoder(io.LimitReader(resp.Body, maxReportBytes)).Decode(&r)
-	return r, errors.Wrapf(err, "ask load target=%s", address)
+	err := getJSON(ctx, l.client, "http://"+address+"/load", &r)
+	return r, err
 }
 
 // asOf turns the target's wall clock into this process's time. A clock that is
--- a/internal/entry/rolloutdriver.go
+++ b/internal/entry/rolloutdriver.go
@@ -4,14 +4,11 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/mastictray/mastictray/internal/audit"
 	"github.com/mastictray/mastictray/internal/config"
 	"github.com/mastictray/mastictray/internal/logline"
@@ -161,21 +158,9 @@
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
 	asked := d.clock.now()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/state", nil)
-	if err != nil {
-		return rollout.Observation{}, errors.Wrapf(err, "ask state target=%s", address)
-	}
-	resp, err := d.http.Do(req)
-	if err != nil {
-		return rollout.Observation{}, errors.Wrapf(err, "ask state target=%s", address)
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return rollout.Observation{}, errors.Newf("ask state target=%s: status %d", address, resp.StatusCode)
-	}
 	var s targetState
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxReportBytes)).Decode(&s); err != nil {
-		return rollout.Observation{}, errors.Wrapf(err, "ask state target=%s", address)
+	if err := getJSON(ctx, d.http, "http://"+address+"/state", &s); err != nil {
+		return rollout.Observation{}, err
 	}
 	return rollout.Observation{
 		At: asked, Incarnation: s.Incarnation, Model: s.Model, Version: s.Version, Loading: s.Loading, Fence: s.Fence,
@@ -234,7 +219,6 @@
 		logline.Error(err, "order_unanswered", "target", s.Target, "order", s.ID)
 		return
 	}
-	defer resp.Body.Close()
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxReportBytes))
+	drainBody(resp)
 	logline.Info("order_sent", "target", s.Target, "order", s.ID, "version", s.Version, "status", resp.StatusCode)
 }
