Add the charter operator's demo

The demo ran one deployment only. The script takes the deployment as its argument now; what differs stands in one case. A second script was ruled out: it would repeat the starting and stopping of twenty processes.

The charter demo sends long trip logs, short checks and seat bookings at once.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 
-.PHONY: build test fmt lint unit demo
+.PHONY: build test fmt lint unit demo demo-charter
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -19,4 +19,7 @@
 test: lint build unit
 
 demo: build
-	scripts/demo.sh
+	scripts/demo.sh cantonal
+
+demo-charter: build
+	scripts/demo.sh charter
--- a/internal/cli/command_test.go
+++ b/internal/cli/command_test.go
@@ -305,7 +305,7 @@
 // The example configurations must stay valid, or the first thing that a
 // newcomer tries fails.
 func TestExamplesAreValid(t *testing.T) {
-	for _, dir := range []string{"cantonal", "charter", "demo"} {
+	for _, dir := range []string{"cantonal", "charter", "demo", "demo-charter"} {
 		t.Run(dir, func(t *testing.T) {
 			is := is.New(t)
 			root := filepath.Join("..", "..", "examples", dir)
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,13 +1,36 @@
 #!/usr/bin/env bash
-# Runs the cantonal deployment on one machine, each process by itself: the
-# platform's stand-ins, six engines and two booking services over three failure
-# domains, and six entry instances. Publishes examples/demo, sends prompts
-# and bookings, prints the measures and stops everything by process id. The exit
-# status is not 0 when a request broke a promise or failed, when a process
-# ended early, or when one did not stop cleanly.
+# Runs a deployment on one machine, each process by itself: the platform's
+# stand-ins, six engines and two booking services over three failure domains,
+# and six entry instances. Publishes its example, sends prompts and bookings,
+# prints the measures and stops everything by process id. The exit status is
+# not 0 when a request broke a promise or failed, when a process ended early, or
+# when one did not stop cleanly.
+#
+# usage: demo.sh [cantonal|charter]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
+# What differs between the deployments. The accounts that book are those within
+# their rate, since each booking must be confirmed.
+case ${1:-cantonal} in
+  cantonal)
+    readonly example=examples/demo model=reports engine=draft
+    readonly domains=(vaud-nord vaud-centre vaud-sud)
+    readonly profiles=(examples/demo-load.ini)
+    readonly booking_path=/bookings booking_accounts=inspections,dispatch,archive,training
+    ;;
+  charter)
+    readonly example=examples/demo-charter model=skipper engine=assistant
+    readonly domains=(kul-a kul-b kul-c)
+    readonly profiles=(examples/demo-charter-checks.ini examples/demo-charter-logs.ini)
+    readonly booking_path=/seats/confirm booking_accounts=skipper-assistant,angler-web,night-desk
+    ;;
+  *)
+    echo "usage: demo.sh [cantonal|charter]" >&2
+    exit 2
+    ;;
+esac
+
 readonly host=127.0.0.1
 # The examples name ports from 21000 on; DEMO_PORT_BASE moves them all, by whole
 # thousands, so that two demos can run on one machine.
@@ -18,7 +41,6 @@
 readonly caller_ports=($((base + 301)) $((base + 302)) $((base + 303)) $((base + 304)) $((base + 305)) $((base + 306)))
 readonly peer_ports=($((base + 311)) $((base + 312)) $((base + 313)) $((base + 314)) $((base + 315)) $((base + 316)))
 readonly admin_ports=($((base + 321)) $((base + 322)) $((base + 323)) $((base + 324)) $((base + 325)) $((base + 326)))
-readonly domains=(vaud-nord vaud-centre vaud-sud)
 readonly duration=${DEMO_DURATION:-20s}
 readonly run=${DEMO_RUN_DIR:-$(mktemp -d)}
 readonly seed=${DEMO_SEED:-1}
@@ -113,11 +135,11 @@
     printf '%s{"id":"entry-%d","address":"%s:%d","domain":"%s","role":"entry","state":"live"}' \
       "$sep" "$i" "$host" $((base + 310 + i)) "$(domain_of "$i")"
     sep=,
-    printf ',{"id":"draft-%d","address":"%s:%d","domain":"%s","role":"target","state":"live"}' \
-      "$i" "$host" $((base + 100 + i)) "$(domain_of "$i")"
+    printf ',{"id":"%s-%d","address":"%s:%d","domain":"%s","role":"target","state":"live"}' \
+      "$engine" "$i" "$host" $((base + 100 + i)) "$(domain_of "$i")"
   done
-  printf ',{"id":"booking-1","address":"%s:%d","domain":"vaud-nord","role":"target","state":"live"}' "$host" $((base + 201))
-  printf ',{"id":"booking-2","address":"%s:%d","domain":"vaud-sud","role":"target","state":"live"}' "$host" $((base + 202))
+  printf ',{"id":"booking-1","address":"%s:%d","domain":"%s","role":"target","state":"live"}' "$host" $((base + 201)) "${domains[0]}"
+  printf ',{"id":"booking-2","address":"%s:%d","domain":"%s","role":"target","state":"live"}' "$host" $((base + 202)) "${domains[2]}"
   printf ']}\n'
 }
 
@@ -133,8 +155,8 @@
   for i in 1 2 3 4 5 6; do
     fencing=--checks-fencing
     ((i % 2)) || fencing=--no-checks-fencing
-    start "draft-$i" bin/mastictray-standin engine --listen "$host:$((base + 100 + i))" \
-      --model reports --cache-pieces 48 --prefill-tps 40000 --seed "$i" \
+    start "$engine-$i" bin/mastictray-standin engine --listen "$host:$((base + 100 + i))" \
+      --model "$model" --cache-pieces 48 --prefill-tps 40000 --seed "$i" \
       --weights "http://$host:$weights_port" $fencing
   done
   start booking-1 bin/mastictray-standin service --listen "$host:$((base + 201))" --name booking-1
@@ -155,22 +177,35 @@
   done
 }
 
-# send runs the bookings beside the prompts and fails when either does. Every
-# booking must be confirmed, so they come from the accounts within their rate:
-# the portal's may rightly be refused.
-send() {
-  local entries booker status=0
+# load PROFILE NAME ARGS... sends a profile's traffic for the whole run, or its
+# bookings, and keeps the report as NAME.json.
+load() {
+  local profile=$1 name=$2 entries
+  shift 2
   entries=$(printf "http://$host:%d," "${caller_ports[@]}")
-  bin/mastictray-load --profile examples/demo-load.ini --entry "${entries%,}" --seed "$seed" \
-    --bookings --booking-path /bookings --booking-accounts inspections,dispatch,archive,training --booking-count 100 --bookings-per-second 10 \
-    --service "http://$host:$((base + 201)),http://$host:$((base + 202))" --min-answered 1 \
-    --output "$run/bookings.json" >"$run/bookings.txt" 2>&1 &
-  booker=$!
-  bin/mastictray-load --profile examples/demo-load.ini --entry "${entries%,}" --seed "$seed" \
-    --duration "$duration" --output "$run/load.json" || status=1
-  echo
-  wait "$booker" || status=1
-  grep -v '^elapsed=' "$run/bookings.txt"
+  bin/mastictray-load --profile "$profile" --entry "${entries%,}" --seed "$seed" --output "$run/$name.json" "$@"
+}
+
+# send runs the bookings beside the prompts and fails when any of them does.
+# The last profile is shown as it goes, the others when they are done.
+send() {
+  local last=$((${#profiles[@]} - 1)) status=0 senders=() reports=() i
+  load "${profiles[last]}" bookings --bookings --booking-path "$booking_path" --booking-accounts "$booking_accounts" \
+    --booking-count 100 --bookings-per-second 10 \
+    --service "http://$host:$((base + 201)),http://$host:$((base + 202))" --min-answered 1 >"$run/bookings.txt" 2>&1 &
+  senders+=($!)
+  reports+=("$run/bookings.txt")
+  for ((i = 0; i < last; i++)); do
+    load "${profiles[i]}" "load-$i" --duration "$duration" >"$run/load-$i.txt" 2>&1 &
+    senders+=($!)
+    reports+=("$run/load-$i.txt")
+  done
+  load "${profiles[last]}" load --duration "$duration" || status=1
+  for i in "${!senders[@]}"; do
+    wait "${senders[i]}" || status=1
+    echo
+    grep -v '^elapsed=' "${reports[i]}"
+  done
   return $status
 }
 
@@ -178,7 +213,7 @@
 config() {
   local file
   mkdir -p "$run/config"
-  for file in examples/demo/*.ini; do
+  for file in "$example"/*.ini; do
     sed "s/$host:21/$host:$((base / 1000))/" "$file" >"$run/config/${file##*/}"
   done
 }
