Take a peer's claims in place of the records that the log lost

Cause: an instance restarted behind a trimmed claims stream knew none of the keys in the lost part and answered every one of them as unknown. Change: it asks its peers for their fold, page by page. The change serves new keys there, not safety.

--- a/internal/entry/claimdriver.go
+++ b/internal/entry/claimdriver.go
@@ -9,6 +9,7 @@
 	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/peer"
 	"github.com/mastictray/mastictray/internal/platform"
+	"github.com/mastictray/mastictray/internal/wire"
 )
 
 // claimTick bounds the sleep between two looks at due work.
@@ -16,8 +17,11 @@
 
 // claimDriver runs the claim machine of this instance.
 type claimDriver struct {
+	ctx   context.Context
 	clock clock
+	node  *peer.Node
 	log   platform.Log
+	peers func() []string
 
 	mu      sync.Mutex
 	machine *claim.Machine
@@ -25,15 +29,20 @@
 	wake    chan struct{}
 }
 
-func newClaimDriver(c clock, node *peer.Node, log platform.Log) *claimDriver {
+func newClaimDriver(ctx context.Context, c clock, node *peer.Node, log platform.Log, peers func() []string) *claimDriver {
 	self := node.Self()
-	return &claimDriver{
+	d := &claimDriver{
+		ctx:     ctx,
 		clock:   c,
+		node:    node,
+		peers:   peers,
 		log:     log,
 		machine: claim.New(claim.Config{Incarnation: self.Incarnation, Address: self.Address}),
 		waiting: make(map[string]chan claim.Answer),
 		wake:    make(chan struct{}, 1),
 	}
+	node.Handle(wire.KindClaimSnapshot, d.handleSnapshot)
+	return d
 }
 
 // begin asks for the right to run a keyed request and waits for the answer.
@@ -165,4 +174,63 @@
 	d.mu.Unlock()
 	logline.Info("claims_trimmed", "start", start)
 	d.kick()
+	go d.bootstrap()
+}
+
+const (
+	snapshotPage    = 1000
+	snapshotTimeout = 5 * time.Second
+)
+
+func (d *claimDriver) handleSnapshot(_ context.Context, _ wire.Identity, f wire.Frame) (any, error) {
+	var ask wire.ClaimSnapshotAsk
+	if err := f.Into(&ask); err != nil {
+		return nil, err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.machine.Snapshot(platform.Offset(ask.From), min(max(ask.Max, 1), snapshotPage)).PageBody(), nil
+}
+
+// bootstrap takes a peer's fold in place of the records that the log has lost:
+// without it the keys of those records would count as unknown here until the
+// window has passed.
+func (d *claimDriver) bootstrap() {
+	for _, addr := range d.peers() {
+		pages, err := d.pagesOf(addr)
+		if err != nil {
+			logline.Error(err, "claim_snapshot_failed", "peer", addr)
+			continue
+		}
+		d.mu.Lock()
+		took := d.machine.Restore(pages)
+		d.mu.Unlock()
+		if took {
+			logline.Info("claims_from_peer", "peer", addr, "next", pages[0].Next)
+			d.kick()
+			return
+		}
+	}
+}
+
+// pagesOf asks a peer for its whole fold, page by page.
+func (d *claimDriver) pagesOf(addr string) ([]claim.Page, error) {
+	ctx, cancel := context.WithTimeout(d.ctx, snapshotTimeout)
+	defer cancel()
+	var pages []claim.Page
+	for from := int64(-1); ; {
+		var body wire.ClaimPage
+		if _, err := d.node.Call(ctx, addr, wire.KindClaimSnapshot, wire.ClaimSnapshotAsk{From: from, Max: snapshotPage}, &body); err != nil {
+			return nil, err
+		}
+		page, err := claim.PageFrom(body)
+		if err != nil {
+			return nil, err
+		}
+		pages = append(pages, page)
+		if !page.More {
+			return pages, nil
+		}
+		from = int64(page.After)
+	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -77,7 +77,7 @@
 	e.rates = newRateDriver(e.clock, e.node, e.log, fleet{domains: s.FleetDomains, slotsPerDomain: s.MintSlots})
 	e.members.rates = e.rates
 	e.config = newConfigDriver(e.ctx, e.clock, e.node, e.log, s.Domain, e.members.addresses)
-	e.claims = newClaimDriver(e.clock, e.node, e.log)
+	e.claims = newClaimDriver(e.ctx, e.clock, e.node, e.log, e.members.addresses)
 	e.rollouts = newRolloutDriver(e.clock, rollout.DefaultSettings, e.log, e.node.Self().Incarnation)
 	e.rollouts.intent = e.config.intent
 	e.rollouts.duty = func() (platform.Offset, bool) { return e.rates.valid(dutyRollout) }
