--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -20,8 +20,10 @@
 	// 1, because prefill that a cached copy elsewhere would have spared
 	// delays the requests behind it too.
 	RecomputeFactor float64
-	// BacklogFactor is added to it for each second of the account's backlog.
+	// BacklogFactor is added to it for each second of the account's backlog
+	// over BacklogGrace.
 	BacklogFactor float64
+	BacklogGrace  time.Duration
 	// Queue bounds the fair queue.
 	Queue fairqueue.Options
 }
@@ -34,6 +36,7 @@
 
 		RecomputeFactor: placement.DefaultOptions().RecomputeFactor,
 		BacklogFactor:   20,
+		BacklogGrace:    100 * time.Millisecond,
 		Queue:           fairqueue.Options{MaxItems: 2000},
 	}
 }
@@ -57,6 +60,8 @@
 	Target int
 	// Identity is what the target was when it was chosen.
 	Identity belief.Identity
+	// SentAt is when it was chosen.
+	SentAt   time.Duration
 	Decision placement.Decision
 }
 
@@ -146,26 +151,48 @@
 	return d.queue.Cancel(account, id)
 }
 
+// SendTo sends a request to a given target past the queue: one that is
+// suspected of crashing targets and may go nowhere else. False when the target
+// takes no new work.
+func (d *Dispatcher[T]) SendTo(now time.Duration, r *Request[T], name string) (Send[T], bool) {
+	i, ok := d.pool.Find(name)
+	if !ok || d.pool.Rejected(i) {
+		return Send[T]{}, false
+	}
+	d.reset()
+	t := d.pool.Target(i)
+	cached := d.beliefs.Cached(t.Belief, r.Place.Chain)
+	uncached := max(0, r.Place.PromptTokens-cached*r.Place.PieceTokens)
+	d.send(now, r, t, placement.Decision{Index: i, CachedPieces: cached, UncachedTokens: float64(uncached)})
+	return d.out.Sends[0], true
+}
+
 // Answered takes in the first token of an answer. Call it or Failed once for
 // each send.
 func (d *Dispatcher[T]) Answered(s *Send[T]) {
 	d.beliefs.Answered(s.Identity, s.Request.Place.Chain)
-	d.ended(s)
+	if t, ok := d.sentTo(s); ok {
+		t.Load.Answered(s.SentAt, s.Decision.UncachedTokens)
+	}
 }
 
 // Failed takes in an attempt that the target did not prefill.
 func (d *Dispatcher[T]) Failed(s *Send[T]) {
 	d.beliefs.Failed(s.Identity, s.Request.Place.Chain, s.Decision.CachedPieces)
-	d.ended(s)
+	if t, ok := d.sentTo(s); ok {
+		t.Load.Failed(s.Decision.UncachedTokens)
+	}
 }
 
-// ended takes an attempt off its target's load, unless that incarnation is
+// sentTo is the target that an attempt went to, unless that incarnation is
 // gone and its load with it.
-func (d *Dispatcher[T]) ended(s *Send[T]) {
+func (d *Dispatcher[T]) sentTo(s *Send[T]) (*placement.Target, bool) {
 	i, ok := d.pool.Find(s.Identity.Target)
-	if t := d.pool.Target(i); ok && t.Incarnation == s.Identity.Incarnation {
-		t.Load.Answered(s.Decision.UncachedTokens)
+	if !ok {
+		return nil, false
 	}
+	t := d.pool.Target(i)
+	return t, t.Incarnation == s.Identity.Incarnation
 }
 
 func (d *Dispatcher[T]) reset() {
@@ -214,8 +241,8 @@
 // waiting requests recompute what a cache holds, evict what others need, and
 // so slow the pool down further.
 func (d *Dispatcher[T]) recomputeFactor(r *Request[T]) float64 {
-	backlog := d.queue.Backlog(r.Account, r.Weight).Seconds()
-	return d.options.RecomputeFactor + d.options.BacklogFactor*backlog
+	backlog := d.queue.Backlog(r.Account, r.Weight) - d.options.BacklogGrace
+	return d.options.RecomputeFactor + d.options.BacklogFactor*max(0, backlog.Seconds())
 }
 
 func (d *Dispatcher[T]) refuseNoTarget(r *Request[T]) {
@@ -230,5 +257,5 @@
 	id := belief.Identity{Target: t.Name, Incarnation: t.Incarnation, Version: t.Version}
 	t.Load.Sent(now, choice.UncachedTokens)
 	d.beliefs.Expect(id, r.Place.Chain)
-	d.out.Sends = append(d.out.Sends, Send[T]{Request: r, Target: choice.Index, Identity: id, Decision: choice})
+	d.out.Sends = append(d.out.Sends, Send[T]{Request: r, Target: choice.Index, Identity: id, SentAt: now, Decision: choice})
 }
--- a/internal/entry/enginepool.go
+++ b/internal/entry/enginepool.go
@@ -182,6 +182,31 @@
 	return placed{}, ctx.Err()
 }
 
+// acquireOn takes a given target, for a request that may go nowhere else. The
+// error is an *openai.Error: the request has not run.
+func (p *enginePool) acquireOn(name string, r *request) (placed, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, ok := p.dispatcher.SendTo(p.clock.now(), r, name)
+	if !ok {
+		return placed{}, queueRefusal(dispatch.ReasonNoTarget, time.Second)
+	}
+	return placed{sending: s, target: name, address: p.address[name], version: s.Identity.Version}, nil
+}
+
+// targets names the targets that take new work, without the excluded one.
+func (p *enginePool) targets(exclude string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	names := make([]string, 0, p.pool.Len())
+	for i := range p.pool.Len() {
+		if name := p.pool.Target(i).Name; name != exclude && !p.pool.Rejected(i) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // run steps the dispatcher while requests wait, until ctx ends.
 func (p *enginePool) run(ctx context.Context) {
 	tick := time.NewTicker(stepEvery)
@@ -226,22 +251,27 @@
 	return e
 }
 
-// served takes in the end of an answer: the target holds the whole chain.
+// served takes in the first token of an answer: the target holds the whole
+// chain and has done the work.
 func (p *enginePool) served(pl placed) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.dispatcher.Answered(&pl.sending)
 }
 
-// lost takes in a failed attempt. With broken the connection to the target
-// failed, and it gets no new work until it answers a load question again.
-func (p *enginePool) lost(pl placed, broken bool) {
+// lost takes in an attempt that the target did not prefill.
+func (p *enginePool) lost(pl placed) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.dispatcher.Failed(&pl.sending)
-	if broken {
-		p.setBreaker(pl.target, true)
-	}
+}
+
+// open keeps new work off a target whose connection failed, until it answers a
+// load question again.
+func (p *enginePool) open(target string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.setBreaker(target, true)
 }
 
 // setBreaker opens or closes a target's breaker. Callers hold mu.
@@ -274,6 +304,12 @@
 	}
 }
 
+// identity is what the i-th target is now. Callers hold mu.
+func (p *enginePool) identity(i int) belief.Identity {
+	t := p.pool.Target(i)
+	return belief.Identity{Target: t.Name, Incarnation: t.Incarnation, Version: t.Version}
+}
+
 // loadReport is a target's answer to a load question.
 type loadReport struct {
 	Incarnation         string  `json:"incarnation"`
--- a/internal/entry/enginerun.go
+++ b/internal/entry/enginerun.go
@@ -40,6 +40,17 @@
 	resp   *http.Response
 	events *sse.Reader
 	idle   *time.Timer
+	// counted is set once the pool knows what became of the leg's attempt.
+	counted bool
+	// sent is set while the leg's target may be running the request.
+	sent bool
+	// vetted is set while the request counts as admitted, and isolated is
+	// the only target that it may go to then; empty for any.
+	vetted bool
+	// unvetted is set when nothing was suspected at that time, and the
+	// registry does not know the request.
+	unvetted bool
+	isolated string
 	// refused is the last refusal of a target, for the caller.
 	refused error
 }
@@ -50,6 +61,12 @@
 		Request: e.id, Repeatable: e.route.Idempotent, MaxDispatches: maxAttempts, IdleTimeout: chunkIdle,
 	})
 	defer r.closeLeg()
+	err := r.loop()
+	s.poison.ended(e.id, err == nil)
+	return err
+}
+
+func (r *engineRun) loop() error {
 	act, err := r.dispatch()
 	for err == nil {
 		if act.Cancel != nil {
@@ -81,33 +98,60 @@
 // dispatch places the request and sends it. An error is a refusal before any
 // byte reached a target in this attempt.
 func (r *engineRun) dispatch() (attempt.Action, error) {
-	pl, err := r.pool.acquire(r.e.r.Context(), r.e.queued())
+	pl, err := r.choose()
 	if err != nil {
-		return attempt.Action{}, placeError(err)
+		return attempt.Action{}, err
 	}
 	if err := r.s.recheck(r.e); err != nil {
-		r.pool.lost(pl, false)
+		r.pool.lost(pl)
 		return attempt.Action{}, err
 	}
 	r.e.attempts++
-	r.at, r.id = pl, attemptID(r.e.call)
+	r.at, r.id, r.counted = pl, attemptID(r.e.call), false
 	r.leg = r.stream.Dispatch(r.s.clock.now(), r.id, pl.target)
 	r.openLeg()
+	r.s.poison.started(r.e.id, pl.target)
 	resp, err := r.s.targets.send(r.ctx, r.request())
 	if err != nil {
 		return r.sendFailed(err), nil
 	}
 	r.stream.Sent(r.leg)
+	r.sent = true
 	return r.opened(resp), nil
 }
 
+// choose vets the request and waits for a target.
+func (r *engineRun) choose() (placed, error) {
+	if !r.vetted {
+		if err := r.vet(); err != nil {
+			return placed{}, err
+		}
+		r.vetted = true
+	}
+	if r.isolated != "" {
+		return r.pool.acquireOn(r.isolated, r.e.queued())
+	}
+	pl, err := r.pool.acquire(r.e.r.Context(), r.e.queued())
+	if err != nil {
+		return placed{}, placeError(err)
+	}
+	return pl, nil
+}
+
 // redispatch tries another target, or ends the request when there is none.
 func (r *engineRun) redispatch() (attempt.Action, error) {
+	if err := r.afterLoss(); err != nil {
+		return attempt.Action{}, r.final(err)
+	}
 	r.e.place.Exclude = r.at.target
 	if r.s.clock.now() >= r.e.due && !r.e.wrote {
 		return r.stream.NoTarget(), nil
 	}
 	act, err := r.dispatch()
+	var e *openai.Error
+	if errors.As(err, &e) && e.Code == openai.CodeQuarantined {
+		return act, r.final(err)
+	}
 	if err != nil && (r.e.wrote || r.stream.Outcome() != attempt.NotRun) {
 		return r.stream.NoTarget(), nil
 	}
@@ -158,7 +202,7 @@
 func (r *engineRun) sendFailed(err error) attempt.Action {
 	logline.Error(err, "attempt_failed", "request", r.e.id, "attempt", r.id, "target", r.at.target)
 	r.s.metrics.attempt(r.e.pool.Name, "unreachable")
-	r.pool.lost(r.at, r.e.r.Context().Err() == nil)
+	r.lost(r.e.r.Context().Err() == nil)
 	if r.e.r.Context().Err() != nil {
 		return r.stream.Abort()
 	}
@@ -167,6 +211,7 @@
 		return r.stream.Broke(r.leg, attempt.CauseDial)
 	}
 	r.stream.Sent(r.leg)
+	r.sent = true
 	return r.stream.Broke(r.leg, attempt.CauseReset)
 }
 
@@ -187,7 +232,8 @@
 // rejected takes an answer other than 200.
 func (r *engineRun) rejected(resp *http.Response) attempt.Action {
 	r.s.metrics.attempt(r.e.pool.Name, "refused")
-	r.pool.lost(r.at, false)
+	r.sent = false
+	r.lost(false)
 	r.refused = targetRefusal(resp)
 	var refused *openai.Error
 	if errors.As(r.refused, &refused) && refused.Outcome == openai.NotRun {
@@ -206,6 +252,7 @@
 		return r.broke(err)
 	}
 	r.idle.Reset(chunkIdle)
+	r.prefilled()
 	if u, ok := openai.UsageOf(ev.Data); ok {
 		r.e.usage = u
 	}
@@ -226,7 +273,7 @@
 // broke tells the state machine that the leg ended early.
 func (r *engineRun) broke(err error) attempt.Action {
 	if r.e.r.Context().Err() != nil {
-		r.pool.lost(r.at, false)
+		r.lost(false)
 		return r.stream.Abort()
 	}
 	cause := attempt.CauseReset
@@ -240,6 +287,7 @@
 	}
 	logline.Error(err, "stream_broke", "request", r.e.id, "attempt", r.id, "target", r.at.target, "cause", cause)
 	r.s.metrics.attempt(r.e.pool.Name, "broken")
+	r.lost(cause == attempt.CauseReset)
 	return r.stream.Broke(r.leg, cause)
 }
 
@@ -249,12 +297,12 @@
 	r.leg = r.stream.Resumed(r.s.clock.now())
 	resp, err := r.s.targets.resume(r.ctx, r.request(), act.LastSeq)
 	if err != nil {
-		r.pool.lost(r.at, true)
+		r.lost(true)
 		return r.stream.Broke(r.leg, attempt.CauseReset)
 	}
 	if resp.StatusCode != http.StatusOK {
 		r.resp = resp
-		r.pool.lost(r.at, false)
+		r.lost(false)
 		return r.stream.Broke(r.leg, attempt.CauseUnknownStream)
 	}
 	return r.opened(resp)
@@ -269,16 +317,40 @@
 	}
 }
 
+// prefilled tells the pool that the first token came: the target has done the
+// work and holds the prompt's pieces.
+func (r *engineRun) prefilled() {
+	if !r.counted {
+		r.counted = true
+		r.pool.served(r.at)
+	}
+}
+
+// lost tells the pool that the attempt failed. With broken the connection to
+// the target failed.
+func (r *engineRun) lost(broken bool) {
+	if !r.counted {
+		r.counted = true
+		r.pool.lost(r.at)
+	}
+	if broken {
+		r.pool.open(r.at.target)
+	}
+}
+
 func (r *engineRun) finished() error {
 	r.s.metrics.attempt(r.e.pool.Name, "answered")
 	r.s.metrics.answered(r.e.account.Name, r.e.pool.Name)
-	r.pool.served(r.at)
+	r.prefilled()
 	return nil
 }
 
 // failed ends the request with an error: an event when a part of the answer
 // is out, else a whole answer.
 func (r *engineRun) failed(act attempt.Action) error {
+	if err := r.afterLoss(); err != nil {
+		return r.final(err)
+	}
 	e := &openai.Error{
 		Status: http.StatusBadGateway, Code: openai.CodeTargetFailed, Outcome: openai.Outcome(act.Outcome),
 		Message: "no target gave the whole answer: " + string(act.Cause), RetryAfter: time.Second, RequestID: r.e.id,
@@ -292,7 +364,17 @@
 	}
 	if r.e.wrote {
 		e.Code = openai.CodeStreamBroken
-		r.writeError(e)
 	}
-	return e
+	return r.final(e)
+}
+
+// final ends a stream whose head is out with an error event.
+func (r *engineRun) final(err error) error {
+	var e *openai.Error
+	if r.e.wrote && errors.As(err, &e) {
+		answer := *e
+		answer.RequestID = r.e.id
+		r.writeError(&answer)
+	}
+	return err
 }
--- a/internal/entry/engineserve.go
+++ b/internal/entry/engineserve.go
@@ -11,6 +11,7 @@
 	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/openai"
 	"github.com/mastictray/mastictray/internal/placement"
+	"github.com/mastictray/mastictray/internal/poison"
 	"github.com/mastictray/mastictray/internal/prefix"
 	"github.com/mastictray/mastictray/internal/rate"
 )
@@ -21,10 +22,13 @@
 // engineCall is a call to a model with what was decided about it.
 type engineCall struct {
 	*call
-	pool     config.Pool
-	model    config.Model
-	req      openai.Request
-	place    placement.Request
+	pool  config.Pool
+	model config.Model
+	req   openai.Request
+	place placement.Request
+	// print is the request's fingerprint once printed is set.
+	print    poison.Fingerprint
+	printed  bool
 	cost     float64
 	reserved rate.Reservation
 	usage    openai.Usage
