entry: wire the split of rates over the domains

Cause: the split needs the demands of all domains and a record in the log. Change: every 30 s that holder plans the split from the demands on heartbeats, only while every domain was heard within 15 s; each instance puts a change into force when it folds it, before its next renewal.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -116,6 +116,7 @@
 	e.start(func() { e.config.askPeers(e.ctx) })
 	e.start(func() { e.config.thaw.run(e.ctx) })
 	e.start(func() { e.rates.run(e.ctx) })
+	e.start(func() { e.rates.runSplit(e.ctx) })
 	e.start(func() { e.claims.run(e.ctx) })
 	e.start(func() { e.rollouts.run(e.ctx) })
 	e.start(func() { e.members.run(e.ctx) })
--- a/internal/entry/ratedriver.go
+++ b/internal/entry/ratedriver.go
@@ -47,8 +47,11 @@
 	known   map[string]bool
 	peers   []wire.Identity
 	heard   map[string]float64 // by address: the share a peer says it mints
+	heardAt map[string]time.Duration
 	folded  []func(platform.Offset, logrec.Envelope)
 	wake    chan struct{}
+	// splitSeen is the version of the split that is in force here.
+	splitSeen int
 }
 
 func newRateDriver(c clock, node *peer.Node, log platform.Log, f fleet) *rateDriver {
@@ -68,6 +71,7 @@
 		waiting: make(map[rate.Ticket]chan rate.Outcome),
 		known:   make(map[string]bool),
 		heard:   make(map[string]float64),
+		heardAt: make(map[string]time.Duration),
 		wake:    make(chan struct{}, 1),
 	}
 	node.Handle(wire.KindRateAsk, d.handleAsk)
@@ -115,11 +119,17 @@
 // that starts in an outage of the log without anybody to ask. Callers hold mu.
 func (d *rateDriver) refreshPeers() {
 	list := make([]rate.Peer, 0, len(d.peers))
+	factors := make(map[string]map[string]float64, len(d.fleet.domains))
+	for _, domain := range d.fleet.domains {
+		factors[domain] = rate.FactorsOf(d.holder.Fold(), domain, len(d.fleet.domains))
+	}
 	for _, p := range d.peers {
 		list = append(list, rate.Peer{
 			ID:    p.Address,
 			Local: p.Domain == d.node.Self().Domain,
 			Share: max(rate.ShareOf(d.holder.Fold(), p.Incarnation, d.fleet.slots()), d.heard[p.Address]),
+
+			Factors: factors[p.Domain],
 		})
 	}
 	d.limiter.SetPeers(list)
@@ -375,6 +385,7 @@
 	if len(b.Records) == 0 || b.Records[len(b.Records)-1].Offset+1 >= b.Next {
 		d.holder.CaughtUp()
 	}
+	d.refreshSplit(now)
 	if len(b.Records) > 0 {
 		d.refreshPeers()
 	}
@@ -419,7 +430,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	addr := hb.From.Address
-	d.limiter.HandleHints(d.clock.now(), addr, hb.Hints)
+	d.heardAt[addr] = d.clock.now()
+	d.limiter.HandleHints(d.heardAt[addr], addr, hb.Hints)
 	if d.heard[addr] != hb.RateShare {
 		d.heard[addr] = hb.RateShare
 		d.refreshPeers()
--- /dev/null
+++ b/internal/entry/splitdriver.go
@@ -0,0 +1,68 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/mastictray/mastictray/internal/lease"
+	"github.com/mastictray/mastictray/internal/logline"
+	"github.com/mastictray/mastictray/internal/rate"
+)
+
+const (
+	// splitEvery is how often the split of the rates over the domains is
+	// looked at.
+	splitEvery = 30 * time.Second
+	// heardFresh is how old a heartbeat may be for its domain to count as
+	// heard.
+	heardFresh = 15 * time.Second
+)
+
+// refreshSplit puts what the log says of the split into force. It runs before
+// the next renewal is written, because that says that it was done. Callers hold
+// mu.
+func (d *rateDriver) refreshSplit(now time.Duration) {
+	v := d.holder.Fold().SplitVersion()
+	if v == d.splitSeen {
+		return
+	}
+	d.splitSeen = v
+	d.limiter.SetFactors(now, rate.FactorsOf(d.holder.Fold(), d.node.Self().Domain, len(d.fleet.domains)))
+	d.refreshPeers()
+}
+
+// runSplit lets the split follow the demand, on the instance that holds the
+// duty. Two that both believe to hold it cost a void record, nothing else.
+func (d *rateDriver) runSplit(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, splitEvery)
+		if _, held := d.valid(dutySnapshot); !held {
+			continue
+		}
+		if s := d.planSplit(); len(s.Rows) > 0 {
+			logline.Info("rate_split", "accounts", len(s.Rows), "first", s.Rows[0].Account)
+			d.append(ctx, lease.Record{Kind: lease.KindSplit, Body: s})
+		}
+	}
+}
+
+// planSplit is the change that the demand asks for; none while a domain is not
+// heard, since what it asks for is not known.
+func (d *rateDriver) planSplit() lease.Split {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now, own := d.clock.now(), d.node.Self().Domain
+	domainOf, heard := map[string]string{}, map[string]bool{own: true}
+	for _, p := range d.peers {
+		domainOf[p.Address] = p.Domain
+		if at, ok := d.heardAt[p.Address]; ok && now-at <= heardFresh {
+			heard[p.Domain] = true
+		}
+	}
+	for _, domain := range d.fleet.domains {
+		if !heard[domain] {
+			return lease.Split{}
+		}
+	}
+	return rate.PlanSplit(d.holder.Fold(), d.fleet.domains, d.limiter.DomainDemand(now, own, domainOf))
+}
