lease: a searching holder names only what it has folded

Cause: behind a trimmed log a holder goes on renewing, and its renewals named offsets that it had read but not folded. So a newcomer unknown to it could take its lease over while promises extend it, and a split counted as seen by a holder that still minted by the old one. Ruled out: no renewals while searching; the slot would lapse for no reason. Change: Seen stays at the last folded offset until a checkpoint is found.

--- a/internal/lease/checkpoint.go
+++ b/internal/lease/checkpoint.go
@@ -73,11 +73,23 @@
 // Trimmed tells that the records before start are lost. Until a checkpoint is
 // found that stands for them, the fold knows nothing new.
 func (f *Fold) Trimmed(start platform.Offset) {
+	f.seen = f.lastSeen()
 	f.searching = true
 	f.next, f.floorOffset = start, start
 	f.held = nil
 }
 
+// lastSeen is the last offset whose record is in the state. A holder that
+// searches still renews: were it to name the records that it has read but not
+// folded, the others would take it that it knows of a newcomer, who may then
+// take its lease over, or that it mints by a new split.
+func (f *Fold) lastSeen() platform.Offset {
+	if f.searching {
+		return f.seen
+	}
+	return f.next - 1
+}
+
 // Searching says that the fold waits for a checkpoint.
 func (f *Fold) Searching() bool { return f.searching }
 
--- a/internal/lease/checkpoint_test.go
+++ b/internal/lease/checkpoint_test.go
@@ -113,3 +113,26 @@
 	is.NoErr(h.Apply(time.Hour, 4, encoded(t, KindRenew, "a", work.Records[0].Body)))
 	is.True(h.Valid(time.Hour, slot))
 }
+
+// A holder was away so long that the log lost records, among them the join of
+// a newcomer. It goes on renewing while it searches for a checkpoint. If its
+// renewals said that it has seen what it only read, the newcomer could take
+// over while promises of the members it knows extend the lease.
+func TestSearchingHolderClaimsToHaveSeenNothingNew(t *testing.T) {
+	is := is.New(t)
+	slot := Mint("d", 0)
+	h := NewHolder(DefaultSettings(Member{ID: "a", Domain: "d", Address: "10.0.0.1:1"}, []Resource{slot}))
+	for i, e := range heldLog(t) {
+		is.NoErr(h.Apply(0, platform.Offset(i), e))
+	}
+	h.Trimmed(10)
+	h.Trimmed(11)
+	is.NoErr(h.Apply(0, 11, encoded(t, KindJoin, "b", Join{Member: Member{ID: "b", Domain: "d"}})))
+	for _, r := range h.Tick(time.Minute).Records {
+		if renew, ok := r.Body.(Renew); ok {
+			is.Equal(renew.Seen, platform.Offset(2))
+			return
+		}
+	}
+	is.Fail() // no renewal
+}
--- a/internal/lease/fold.go
+++ b/internal/lease/fold.go
@@ -48,6 +48,7 @@
 	// checkpoint was found; held are the records read meanwhile.
 	searching   bool
 	floorOffset platform.Offset
+	seen        platform.Offset // before it was set
 	held        []heldRecord
 }
 
--- a/internal/lease/tick.go
+++ b/internal/lease/tick.go
@@ -61,7 +61,7 @@
 		return Record{}, false
 	}
 	h.renewAt = now
-	body := Renew{Holder: h.settings.Self.ID, Seen: h.fold.next - 1, Seq: h.number(now)}
+	body := Renew{Holder: h.settings.Self.ID, Seen: h.fold.lastSeen(), Seq: h.number(now)}
 	for _, r := range h.settings.Wanted {
 		if l := h.held[r]; l != nil {
 			body.Leases = append(body.Leases, Renewal{Resource: r, Token: l.token, Floor: h.floorDue(now, r)})
@@ -99,7 +99,7 @@
 	}
 	body := Acquire{
 		Resource: r, Holder: h.settings.Self.ID, Basis: basis,
-		BasedOn: s.Last, Seen: h.fold.next - 1, Seq: h.number(now),
+		BasedOn: s.Last, Seen: h.fold.lastSeen(), Seq: h.number(now),
 	}
 	h.acquires[r] = attempt{basedOn: s.Last, seqs: append(a.seqs, body.Seq), sentAt: now}
 	return Record{Kind: KindAcquire, Body: body, Seq: body.Seq}, true
