rate: the longest waiting request of the fleet goes first

Cause: a late small request took from third instances what an early large one lacked, and the large one was refused although it came first. A granter with waiting requests also told an older asker that it has nothing left. Ruled out: a longer wait, which is the caller's time. Change: a granter remembers an ask it could not meet for 50 ms and gives nothing to one that has waited less; what it says is left is what this asker would get. With the precedence off TestLongerWaitingRequestGoesFirst fails.

--- a/internal/rate/exchange.go
+++ b/internal/rate/exchange.go
@@ -97,11 +97,14 @@
 			continue
 		}
 		l.advance(a, now)
-		tokens := l.spare(a, now, item)
+		tokens := l.spare(a, now, ask.From, item)
+		a.claim.note(now, ask.From, item, tokens)
 		if tokens > 0 {
 			a.bucket.lend(now, l.settings.Lifetime, tokens)
 		}
-		g.Items = append(g.Items, wire.RateGrantItem{Account: item.Account, Tokens: tokens, Left: l.idle(a)})
+		item.Tokens = a.bucket.balance
+		left := l.spare(a, now, ask.From, item) // to this asker
+		g.Items = append(g.Items, wire.RateGrantItem{Account: item.Account, Tokens: tokens, Left: left})
 	}
 	return g
 }
@@ -110,8 +113,8 @@
 // that both lack tokens, the one whose request has waited longer gets the
 // other's: else both would sit on a part until both give up. Credits from
 // other peers never travel on: their lifetime is counted at their granter.
-func (l *Limiter) spare(a *account, now time.Duration, ask wire.RateItem) float64 {
-	if !(ask.Tokens > 0) {
+func (l *Limiter) spare(a *account, now time.Duration, from string, ask wire.RateItem) float64 {
+	if !(ask.Tokens > 0) || a.claim.bars(now, from, ask) {
 		return 0
 	}
 	if len(a.waiters) > 0 && a.waiters[0].waited(now).Microseconds() >= ask.WaitedMicros {
--- a/internal/rate/limiter.go
+++ b/internal/rate/limiter.go
@@ -78,6 +78,7 @@
 	bucket  bucket
 	factor  factor
 	demand  demand
+	claim   claim
 	waiters []waiter
 	asking  int           // asks without an answer
 	askedAt time.Duration // of the last round
--- a/internal/rate/limiter_test.go
+++ b/internal/rate/limiter_test.go
@@ -211,3 +211,21 @@
 		{Domain: "d", Thousandths: 860}, {Domain: "e", Thousandths: 140},
 	}}})
 }
+
+// A large request waits at b for more than a has; then a small one waits at c.
+// If c got what a mints meanwhile, the large one, which came first and is
+// within the rate, would be refused.
+func TestLongerWaitingRequestGoesFirst(t *testing.T) {
+	is := is.New(t)
+	a, now := full("a"), 10*time.Second
+	ask := func(from string, tokens float64, waited time.Duration) float64 {
+		item := wire.RateItem{Account: "acct", Tokens: tokens, WaitedMicros: waited.Microseconds()}
+		return a.HandleAsk(now, wire.RateAsk{From: from, Items: []wire.RateItem{item}}).Items[0].Tokens
+	}
+	is.Equal(ask("b", 5100, 100*time.Millisecond), 5000.0)
+	a.HandleReturn(now, wire.RateReturn{To: "a", Items: []wire.RateReturnItem{{Account: "acct", At: int64(now), Spent: 5000}}})
+	now += 40 * time.Millisecond
+	is.Equal(ask("c", 30, 20*time.Millisecond), 0.0)
+	is.True(ask("b", 30, 140*time.Millisecond) == 30) // b has all it needs
+	is.True(ask("c", 5, 20*time.Millisecond) == 5)
+}
--- a/internal/wire/rate.go
+++ b/internal/wire/rate.go
@@ -44,7 +44,8 @@
 type RateGrantItem struct {
 	Account string  `msgpack:"a"`
 	Tokens  float64 `msgpack:"n"`
-	// Left is the balance that the granter keeps; a hint for later asks.
+	// Left is what the granter keeps and would give to this asker; a hint for
+	// later asks.
 	Left float64 `msgpack:"l"`
 }
 
