--- a/internal/lease/fold.go
+++ b/internal/lease/fold.go
@@ -82,8 +82,6 @@
 		return fold(e, func(a Acquire) { f.acquire(off, now, a) })
 	case KindRenew:
 		return fold(e, func(r Renew) { f.renew(off, now, r) })
-	case KindRelease:
-		return fold(e, func(r Release) { f.release(off, now, r) })
 	case KindSplit:
 		return fold(e, func(s Split) { f.split(off, s) })
 	}
@@ -183,16 +181,6 @@
 	}
 }
 
-// release frees the leases that the writer still holds.
-func (f *Fold) release(off platform.Offset, now time.Duration, r Release) {
-	for _, l := range r.Leases {
-		s, ok := f.states[l.Resource]
-		if ok && s.Holder == r.Holder && s.Token == l.Token {
-			f.free(l.Resource, s, off, now)
-		}
-	}
-}
-
 // leave forgets an incarnation and frees what it held.
 func (f *Fold) leave(off platform.Offset, now time.Duration, l Leave) {
 	delete(f.members, l.ID)
--- a/internal/lease/records.go
+++ b/internal/lease/records.go
@@ -14,7 +14,6 @@
 	KindLeave   logrec.Kind = "lease.leave"
 	KindAcquire logrec.Kind = "lease.acquire"
 	KindRenew   logrec.Kind = "lease.renew"
-	KindRelease logrec.Kind = "lease.release"
 )
 
 // Resource names what is leased, such as "mint/kul-a/0" or "duty/rollout".
@@ -104,11 +103,5 @@
 	Floor bool `msgpack:"f,omitempty"`
 }
 
-// Release gives leases up. The holder has stopped using them before.
-type Release struct {
-	Holder string    `msgpack:"h"`
-	Leases []Renewal `msgpack:"l"`
-}
-
 // NoOffset stands for "no record".
 const NoOffset platform.Offset = -1
--- a/internal/rate/exchange.go
+++ b/internal/rate/exchange.go
@@ -49,15 +49,6 @@
 	Body wire.RateReturn
 }
 
-// hint is a peer's balance of one account as last heard.
-type hint struct {
-	tokens float64
-	at     time.Duration
-	// demand in tokens per second, as heard on a heartbeat.
-	demand   float64
-	demandAt time.Duration
-}
-
 // pendingAsk is an ask without an answer.
 type pendingAsk struct {
 	peer     string
@@ -207,32 +198,6 @@
 	}
 }
 
-// HandleHints notes a peer's balances.
-func (l *Limiter) HandleHints(now time.Duration, peer string, h wire.RateHints) {
-	for _, item := range h.Items {
-		if a := l.accounts[item.Account]; a != nil {
-			a.known[peer] = hint{tokens: item.Tokens, at: now, demand: item.Demand, demandAt: now}
-		}
-	}
-}
-
-// Hints are the largest balances here, for a heartbeat.
-func (l *Limiter) Hints(now time.Duration) wire.RateHints {
-	l.settle(now)
-	var h wire.RateHints
-	for _, name := range l.names() {
-		a := l.accounts[name]
-		l.advance(a, now)
-		tokens, demand := l.idle(a), a.demand.rate(now)
-		if tokens > 0 || demand >= 1 {
-			h.Items = append(h.Items, wire.RateItem{Account: name, Tokens: tokens, Demand: demand})
-		}
-	}
-	slices.SortStableFunc(h.Items, func(x, y wire.RateItem) int { return int(y.Tokens - x.Tokens) })
-	h.Items = h.Items[:min(len(h.Items), wire.MaxRateItems)]
-	return h
-}
-
 // giveBack queues the return of unspent tokens of a credit.
 func (l *Limiter) giveBack(a *account, c credit, tokens float64) {
 	if tokens > 0 {
@@ -271,13 +236,3 @@
 		}
 	}
 }
-
-// names are the accounts in a fixed order.
-func (l *Limiter) names() []string {
-	names := make([]string, 0, len(l.accounts))
-	for name := range l.accounts {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
--- a/internal/rate/limiter.go
+++ b/internal/rate/limiter.go
@@ -69,6 +69,8 @@
 	lastAsk  uint64
 	lastWait Ticket
 	returns  []Return
+	hints    wire.RateHints
+	hintsAt  time.Duration
 }
 
 // account is one client account on this instance.
--- /dev/null
+++ b/internal/rate/links_test.go
@@ -0,0 +1,86 @@
+package rate
+
+import (
+	"github.com/mastictray/mastictray/internal/lease"
+	"github.com/mastictray/mastictray/internal/logrec"
+	"github.com/mastictray/mastictray/internal/platform"
+)
+
+func (f *fleet) logReachable(p *process) bool { return !f.logDown && !f.logCut[p.domain] }
+
+func (f *fleet) linked(a, b *process) bool {
+	return !a.dead && !b.dead && (a.domain == b.domain || !f.linkCut[a.domain] && !f.linkCut[b.domain])
+}
+
+// append sends a record; the answer may be lost before or after the effect.
+func (f *fleet) append(p *process, rec lease.Record) {
+	data, err := logrec.Encode(rec.Kind, p.id, 0, rec.Body)
+	if err != nil {
+		panic(err)
+	}
+	if !f.logReachable(p) {
+		p.leases.Appended(rec.Seq, platform.ErrOutage)
+		return
+	}
+	if f.rng.Float64() < f.lost/2 {
+		p.leases.Appended(rec.Seq, platform.ErrUnknown)
+		return
+	}
+	f.schedule(f.delay(), nil, func() { f.log = append(f.log, data) })
+}
+
+func (f *fleet) at(addr string) *process {
+	for _, p := range f.procs {
+		if p.addr == addr {
+			return p
+		}
+	}
+	return nil
+}
+
+// call carries a message to the process at an address and its answer back.
+func (f *fleet) call(p *process, addr string, serve func(*process) func()) {
+	to := f.at(addr)
+	if !f.linked(p, to) || f.rng.Float64() < f.lost {
+		return
+	}
+	f.schedule(f.delay(), to, func() {
+		answer := serve(to)
+		if answer != nil && f.linked(p, to) && f.rng.Float64() >= f.lost {
+			f.schedule(f.delay(), p, answer)
+		}
+	})
+}
+
+func (f *fleet) askPromise(p *process, ask lease.Ask) {
+	f.call(p, ask.Member.Address, func(to *process) func() {
+		a := to.leases.HandleAsk(f.clock(to), ask.Body)
+		return func() { p.leases.HandleAnswer(ask.ID, a) }
+	})
+}
+
+func (f *fleet) tick(p *process) {
+	r := p.limiter.Tick(f.clock(p))
+	for _, ask := range r.Asks {
+		f.call(p, ask.Peer, func(to *process) func() {
+			g := to.limiter.HandleAsk(f.clock(to), ask.Body)
+			return func() {
+				p.limiter.HandleGrant(f.clock(p), to.addr, ask.ID, g)
+				f.tick(p)
+			}
+		})
+	}
+	for _, ret := range r.Returns {
+		f.sendReturn(p, ret)
+	}
+	for _, out := range r.Done {
+		f.decided(p, out)
+	}
+}
+
+func (f *fleet) sendReturn(p *process, ret Return) {
+	f.call(p, ret.Peer, func(to *process) func() {
+		to.limiter.HandleReturn(f.clock(to), ret.Body)
+		return nil
+	})
+}
--- a/internal/rate/window_test.go
+++ b/internal/rate/window_test.go
@@ -57,16 +57,8 @@
 		if !p.dead && !p.frozen {
 			f.request(p, f.burst)
 		}
-	case "split": // moves most of the rate to one domain
-		row := lease.SplitRow{Account: "acct"}
-		for _, d := range f.domains() {
-			n := uint16(50)
-			if d == p.domain {
-				n = 900
-			}
-			row.Parts = append(row.Parts, lease.DomainPart{Domain: d, Thousandths: n})
-		}
-		f.append(p, lease.Record{Kind: lease.KindSplit, Body: lease.Split{Rows: []lease.SplitRow{row}}})
+	case "split":
+		f.moveTo(p)
 	case "kill":
 		p.dead = true
 	case "freeze", "thaw":
@@ -91,3 +83,16 @@
 		panic(fmt.Sprintf("no fault %q", kind))
 	}
 }
+
+// moveTo splits the rate anew, most of it to one domain.
+func (f *fleet) moveTo(p *process) {
+	row := lease.SplitRow{Account: "acct"}
+	for _, d := range f.domains() {
+		n := uint16(50)
+		if d == p.domain {
+			n = 900
+		}
+		row.Parts = append(row.Parts, lease.DomainPart{Domain: d, Thousandths: n})
+	}
+	f.append(p, lease.Record{Kind: lease.KindSplit, Body: lease.Split{Rows: []lease.SplitRow{row}}})
+}
