--- a/internal/rate/fleet_test.go
+++ b/internal/rate/fleet_test.go
@@ -67,6 +67,7 @@
 	slow        float64 // chance that one takes long
 	most        float64 // highest spendable seen
 	refused     int
+	messages    int  // sent over links
 	whole       bool // requests use all of their tokens
 }
 
--- a/internal/rate/links_test.go
+++ b/internal/rate/links_test.go
@@ -44,9 +44,11 @@
 	if !f.linked(p, to) || f.rng.Float64() < f.lost {
 		return
 	}
+	f.messages++
 	f.schedule(f.delay(), to, func() {
 		answer := serve(to)
 		if answer != nil && f.linked(p, to) && f.rng.Float64() >= f.lost {
+			f.messages++
 			f.schedule(f.delay(), p, answer)
 		}
 	})
--- a/internal/rate/skew_test.go
+++ b/internal/rate/skew_test.go
@@ -73,14 +73,15 @@
 	{"own domain cut from log", func(f *fleet) { f.logCut["d0"] = true }},
 }
 
-func measureSkew(span time.Duration, shaped bool, cut func(*fleet)) (refused, offered int) {
+func measureSkew(span time.Duration, shaped bool, cut func(*fleet)) *fleet {
 	f := newFleet(7, 3, 2, 60000, 60000, 6*time.Hour)
 	f.whole, f.stepLen = true, time.Millisecond
 	f.run(10 * time.Second)
 	f.offer(f.skewed(f.now, 10*time.Minute, shaped)) // the split follows the demand
 	cut(f)
+	f.messages = 0
 	f.offer(f.skewed(f.now, span, shaped))
-	return f.refused, f.offered
+	return f
 }
 
 // BenchmarkWrongfulRefusals reports wrongful refusals in percent; run it with
@@ -90,9 +91,10 @@
 		for _, shaped := range []bool{false, true} {
 			b.Run(fmt.Sprintf("%s/shaped=%v", c.name, shaped), func(b *testing.B) {
 				for b.Loop() {
-					refused, offered := measureSkew(time.Hour, shaped, c.cut)
-					b.ReportMetric(100*float64(refused)/float64(offered), "%refused")
-					b.ReportMetric(float64(offered), "requests")
+					f := measureSkew(time.Hour, shaped, c.cut)
+					b.ReportMetric(100*float64(f.refused)/float64(f.offered), "%refused")
+					b.ReportMetric(float64(f.offered), "requests")
+					b.ReportMetric(float64(f.messages)/float64(f.offered), "messages/request")
 				}
 			})
 		}
