--- a/internal/lease/checkpoint.go
+++ b/internal/lease/checkpoint.go
@@ -21,6 +21,11 @@
 	Through platform.Offset   `msgpack:"t"`
 	Members []CheckpointEntry `msgpack:"m"`
 	Leases  []CheckpointLease `msgpack:"l"`
+	// Split is the split in force, Pending the one on its way since
+	// PendingAt.
+	Split     []SplitRow      `msgpack:"s,omitempty"`
+	Pending   []SplitRow      `msgpack:"p,omitempty"`
+	PendingAt platform.Offset `msgpack:"pa,omitempty"`
 }
 
 // CheckpointEntry is one member with the offset of its join.
@@ -47,7 +52,10 @@
 	if f.searching {
 		return Checkpoint{}, false
 	}
-	c := Checkpoint{Through: f.next}
+	c := Checkpoint{
+		Through: f.next,
+		Split:   rowsOf(f.splits.inForce), Pending: rowsOf(f.splits.pending), PendingAt: f.splits.at,
+	}
 	for _, j := range f.members {
 		c.Members = append(c.Members, CheckpointEntry{Member: j.member, At: j.at})
 	}
@@ -65,11 +73,23 @@
 // Trimmed tells that the records before start are lost. Until a checkpoint is
 // found that stands for them, the fold knows nothing new.
 func (f *Fold) Trimmed(start platform.Offset) {
+	f.seen = f.lastSeen()
 	f.searching = true
 	f.next, f.floorOffset = start, start
 	f.held = nil
 }
 
+// lastSeen is the last offset whose record is in the state. A holder that
+// searches still renews: were it to name the records that it has read but not
+// folded, the others would take it that it knows of a newcomer, who may then
+// take its lease over, or that it mints by a new split.
+func (f *Fold) lastSeen() platform.Offset {
+	if f.searching {
+		return f.seen
+	}
+	return f.next - 1
+}
+
 // Searching says that the fold waits for a checkpoint.
 func (f *Fold) Searching() bool { return f.searching }
 
@@ -110,6 +130,9 @@
 func (f *Fold) restore(now time.Duration, c Checkpoint) {
 	f.searching, f.held = false, nil
 	f.next = c.Through
+	f.splits = splits{
+		inForce: rowsBy(c.Split), pending: rowsBy(c.Pending), at: c.PendingAt, version: f.splits.version + 1,
+	}
 	f.members = make(map[string]joined, len(c.Members))
 	f.states = make(map[Resource]State, len(c.Leases))
 	for _, m := range c.Members {
