Count a target that came back as failed, also when it serves the version

Cause: with real processes a bad version went through the pool. An engine crashed on it, came back and loaded it again by a repeated order between two polls, and passed for a success. Ruled out: faster polls, which only make it rarer. Change: another incarnation than the order's is a failure whatever it serves; a target that came back is not ordered again before it is settled; the way back to the good version needs no soak time.

--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -39,9 +39,8 @@
 
 // match is a target that serves what its open order asked for.
 type match struct {
-	id          OrderID
-	incarnation string
-	since       time.Duration
+	id    OrderID
+	since time.Duration
 }
 
 // statement is when this controller first saw a pool's newest record.
--- a/internal/rollout/controller_test.go
+++ b/internal/rollout/controller_test.go
@@ -183,6 +183,51 @@
 	is.Equal(len(r.Sends)+len(r.Records), 0)
 }
 
+// A target crashes on the version, comes back and loads it again by a
+// repeated order, all between two observations. It counts as failed: taken for
+// a success, a version that ends every target would go through the whole pool.
+func TestRestartBetweenTwoObservationsIsAFailure(t *testing.T) {
+	is := is.New(t)
+	b := newBench(5, 0, true)
+	b.goal.Version = "v2"
+	b.see("a", "1", "v1")
+	is.Equal(len(b.sends()), 1)
+	b.now = DefaultSettings.Margin
+	b.see("a", "2", "v2")
+	b.tick()
+	o, _ := b.ledger.Order("a")
+	is.True(!o.Open && o.Failed)
+}
+
+// A target came back from a crash after its order. It is not ordered again
+// before the order is settled: a bad version would crash it once more.
+func TestRestartedTargetIsNotOrderedAgain(t *testing.T) {
+	is := is.New(t)
+	b := newBench(5, 0, true)
+	b.goal.Version = "v2"
+	b.see("a", "1", "v1")
+	is.Equal(len(b.sends()), 1)
+	b.now = DefaultSettings.Resend
+	b.see("a", "2", "v1")
+	is.Equal(len(b.sends()), 0)
+}
+
+// A target does not come to serve the version in time, and the record that
+// says so is not folded yet. The order is not repeated meanwhile: its copy
+// would start a load at a target that no longer counts.
+func TestOrderIsNotRepeatedOnceItsSettlingIsProposed(t *testing.T) {
+	is := is.New(t)
+	b := newBench(5, 0, true)
+	b.goal.Version = "v2"
+	b.see("a", "1", "v1")
+	is.Equal(len(b.sends()), 1)
+	b.now = DefaultSettings.LoadTimeout
+	b.see("a", "1", "v1")
+	r := b.Tick(b.now, day, []Goal{b.goal})
+	is.Equal(len(r.Sends), 0)
+	is.Equal(r.Records[0].Settled.Failed, true)
+}
+
 // In a pool of many targets a few crash on any day. The rollout goes on:
 // two failures beside many that passed say nothing about the version.
 func TestFewFailuresAmongManyDoNotHalt(t *testing.T) {
--- a/internal/rollout/order.go
+++ b/internal/rollout/order.go
@@ -14,10 +14,12 @@
 	}
 	seen, fresh := t.fresh(target)
 	switch {
-	case t.serves(target, o.Version):
-		t.settleServing(o, seen)
+	// Also when it serves the version: it may have crashed on it between
+	// two observations, and have loaded it again by a repeated order.
 	case fresh && seen.Incarnation != o.Incarnation && seen.At > o.FoldedAt:
 		t.proposeSettled(o, "restarted after the order")
+	case t.serves(target, o.Version):
+		t.settleServing(o)
 	case t.since(o.FoldedAt) >= t.settings.LoadTimeout:
 		t.proposeSettled(o, "did not reach the version in time")
 	}
@@ -35,15 +37,16 @@
 }
 
 // settleServing waits until the target has served for the soak time: a bad
-// version often loads well and crashes on its first requests.
-func (t *tick) settleServing(o Order, seen Observation) {
+// version often loads well and crashes on its first requests. The way back to
+// a version that was good needs no such wait.
+func (t *tick) settleServing(o Order) {
 	m, known := t.matched[o.Target]
-	switch {
-	case !known || m.id != o.ID:
-		t.matched[o.Target] = match{id: o.ID, incarnation: seen.Incarnation, since: t.now}
-	case m.incarnation != seen.Incarnation:
-		t.proposeSettled(o, "restarted while serving the version")
-	case t.since(m.since) >= t.settings.Soak:
+	if !known || m.id != o.ID {
+		m = match{id: o.ID, since: t.now}
+		t.matched[o.Target] = m
+	}
+	state, _ := t.ledger.Pool(t.goal.Pool)
+	if state.Halted || t.since(m.since) >= t.settings.Soak {
 		t.proposeSettled(o, "")
 	}
 }
@@ -161,6 +164,11 @@
 	if !fresh || t.serves(target.Name, o.Version) || seen.Loading == o.Version {
 		return
 	}
+	// It restarted after the order, which will be settled as failed. Sent
+	// again, a bad version would be loaded once more, and crash it once more.
+	if seen.Incarnation != o.Incarnation {
+		return
+	}
 	// A target that does not check tokens would carry out an older holder's
 	// order that arrives after ours, and load twice.
 	if !target.ChecksFencing && t.now < t.quietUntil {
