Keep the serving floor by targets of one version

Cause: the floor counted targets of all versions, but requests count on one version at a time. With a floor of 3 in a pool of 6 the property found two targets at one version in the middle of a rollout. Ruled out: serving requests on all versions at once, which would split the caches of hot prefixes. Conclusion: the floor holds for the version that callers use.

--- a/internal/config/build.go
+++ b/internal/config/build.go
@@ -196,11 +196,12 @@
 	if _, ok := m.intent.Models[p.value.Model]; !ok {
 		m.problem(p.file, p.title, "model", "a known model", p.value.Model)
 	}
-	// A floor of all targets would leave none that may load new weights:
-	// a rollout would wait forever.
-	if n := m.poolSizes[p.value.Name]; p.value.ServingFloor > 0 && p.value.ServingFloor >= n {
+	// Requests count on one version at a time. In the middle of a rollout the
+	// larger part of the pool has half of the targets: a floor above that
+	// could not be kept, and the rollout would wait forever.
+	if n := m.poolSizes[p.value.Name]; p.value.ServingFloor > n/2 {
 		m.problem(p.file, p.title, "serving-floor",
-			fmt.Sprintf("less than the pool's %d targets", n), fmt.Sprint(p.value.ServingFloor))
+			fmt.Sprintf("at most half of the pool's %d targets", n), fmt.Sprint(p.value.ServingFloor))
 	}
 }
 
--- a/internal/config/intent.go
+++ b/internal/config/intent.go
@@ -78,7 +78,8 @@
 	// default 32.
 	MaxConcurrent int
 	// ServingFloor is the least number of targets that must keep serving
-	// while weights are loaded; default 0.
+	// one version while weights are loaded; at most half of the pool's
+	// targets, default 0.
 	ServingFloor int
 	// MaxLoads is the most targets that may load weights at once; default 1.
 	MaxLoads int
--- a/internal/rollout/goal.go
+++ b/internal/rollout/goal.go
@@ -13,7 +13,8 @@
 	Pool    string
 	Model   string
 	Version string
-	// ServingFloor is the least number of targets that keep serving.
+	// ServingFloor is the least number of targets that keep serving one
+	// and the same version.
 	ServingFloor int
 	// MaxLoads is the most targets that may load at once.
 	MaxLoads int
--- a/internal/rollout/order.go
+++ b/internal/rollout/order.go
@@ -127,23 +127,28 @@
 }
 
 // mayOrder keeps the number of loads within what the weight store bears, and
-// the serving floor. A target that may load already changes neither.
+// the serving floor. Requests count on one version at a time, so the floor has
+// to be kept by targets of one version: the sum over versions would let half
+// of the pool stand idle. A target that may load already changes neither.
 func (t *tick) mayOrder(target string) bool {
 	if t.mayLoad(target) {
 		return true
 	}
-	loads, serving := 0, 0
+	loads, most := 0, 0
+	serving := map[string]int{}
 	for _, other := range t.goal.Targets {
 		if t.mayLoad(other.Name) {
 			loads++
 		} else if other.Name != target && t.serving(other.Name) {
-			serving++
+			version := t.seen[other.Name].Version
+			serving[version]++
+			most = max(most, serving[version])
 		}
 	}
 	if loads >= t.goal.MaxLoads {
 		return false
 	}
-	return !t.serving(target) || serving >= t.goal.ServingFloor
+	return !t.serving(target) || most >= t.goal.ServingFloor
 }
 
 func (t *tick) issue(target, version string) {
