Bound repeated attempts by a budget

Cause: nothing kept a failed domain's requests from being tried three times each, on targets that have their own work. Ruled out: a fixed ratio without a reserve, which would cut the streams that one lost domain breaks at once. Change: each request adds a tenth of an attempt, up to 1,000 saved; a repeat takes one; without any the request gets its final answer at once.

--- a/internal/entry/enginerun.go
+++ b/internal/entry/enginerun.go
@@ -67,6 +67,7 @@
 }
 
 func (r *engineRun) loop() error {
+	r.s.budget.request()
 	act, err := r.dispatch()
 	for err == nil {
 		if act.Cancel != nil {
@@ -144,7 +145,7 @@
 		return attempt.Action{}, r.final(err)
 	}
 	r.e.place.Exclude = r.at.target
-	if r.s.clock.now() >= r.e.due && !r.e.wrote {
+	if (r.s.clock.now() >= r.e.due && !r.e.wrote) || !r.s.budget.repeat() {
 		return r.stream.NoTarget(), nil
 	}
 	act, err := r.dispatch()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -94,7 +94,7 @@
 	e.poison = newPoisonDriver(e.clock, e.node)
 	e.members.poison = e.poison
 	e.server = &server{
-		clock: e.clock, config: e.config, rates: e.rates, claims: e.claims, pools: e.pools, poison: e.poison,
+		clock: e.clock, config: e.config, rates: e.rates, claims: e.claims, pools: e.pools, poison: e.poison, budget: newRetryBudget(),
 		targets: newTargetClient(), metrics: e.metrics, maxBody: s.MaxBodyBytes,
 	}
 	e.callers = newCallerServer(s, e.server, secure.callers)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -27,6 +27,7 @@
 	claims  *claimDriver
 	pools   *pools
 	poison  *poisonDriver
+	budget  *retryBudget
 	targets *targetClient
 	metrics *entryMetrics
 	maxBody int64
--- a/internal/entry/serviceserve.go
+++ b/internal/entry/serviceserve.go
@@ -64,6 +64,7 @@
 // sendService tries targets until one answers. before runs right before the
 // first byte goes out.
 func (s *server) sendService(c *call, pool config.Pool, before func() error) (serviceAnswer, error) {
+	s.budget.request()
 	sp := s.pools.service(pool.Name)
 	exclude := ""
 	for {
@@ -95,7 +96,7 @@
 	if c.attempts >= maxAttempts || c.r.Context().Err() != nil || s.clock.now() >= c.due {
 		return false
 	}
-	return c.route.Idempotent || failed.Outcome == openai.NotRun
+	return (c.route.Idempotent || failed.Outcome == openai.NotRun) && s.budget.repeat()
 }
 
 func (s *server) tryService(c *call, name, address string, before func() error) (serviceAnswer, error) {
--- /dev/null
+++ b/internal/overload/budget_test.go
@@ -0,0 +1,41 @@
+package overload
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Every attempt fails for a long time, as when a whole domain is gone and
+// callers keep coming. The attempts stay within 1.1 times the requests, above
+// what was saved before the failure.
+func TestAttemptsStayNearRequestsWhenAllFail(t *testing.T) {
+	is := is.New(t)
+	b := NewBudget(DefaultRatio, DefaultReserve, DefaultStart)
+	const requests = 100_000
+	attempts := 0
+	for range requests {
+		b.Request()
+		attempts++
+		for range 2 { // each request would be repeated twice
+			if b.Repeat() {
+				attempts++
+			}
+		}
+	}
+	is.True(attempts <= requests*11/10+DefaultStart)
+	is.True(attempts > requests*109/100) // and the budget is used
+}
+
+// After calm hours a domain with a third of 900 open requests fails. The
+// reserve pays for one repeat of each, so no caller sees the failure.
+func TestReservePaysForLostDomain(t *testing.T) {
+	is := is.New(t)
+	b := NewBudget(DefaultRatio, DefaultReserve, DefaultStart)
+	for range 20_000 {
+		b.Request()
+	}
+	for range 300 {
+		is.True(b.Repeat())
+	}
+}
