Print lists of the admin API one item a line

Cause: status and explain spread each target over a dozen lines. Change: an item of a list is one line, what people look for first in front. Conclusion: the test of the output asks for the new form.

--- a/internal/cli/command_test.go
+++ b/internal/cli/command_test.go
@@ -274,7 +274,7 @@
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
 		got = r.Method + " " + r.URL.Path + " " + r.Header.Get("Authorization") + " " + string(body)
-		_, _ = io.WriteString(w, `{"revision":9007199254740993,"targets":[{"name":"t1"}]}`)
+		_, _ = io.WriteString(w, `{"revision":9007199254740993,"targets":[{"load":2,"name":"t1","by":["a","b"]}]}`)
 	}))
 	defer server.Close()
 	s := newShell(t)
@@ -282,7 +282,7 @@
 	code, out, _ := s.run("--token", "tok", "status")
 	is.Equal(code, ExitOK)
 	is.Equal(got, "GET /admin/v1/state Bearer tok ")
-	is.Equal(out, "revision: 9007199254740993\ntargets:\n  -\n    name: t1\n")
+	is.Equal(out, "revision: 9007199254740993\ntargets:\n  - name=t1 by=(a; b) load=2\n")
 	s.file("r.json", `{"model":"m"}`)
 	code, _, _ = s.run("explain", "--account", "a", filepath.Join(s.root, "r.json"))
 	is.Equal(code, ExitOK)
