Check peers' certificates on every connection, resumed ones too

Cause: VerifyPeerCertificate is not called when a TLS session is resumed. Change: VerifyConnection, which always is. Conclusion: TestMutualRefusesStrangers passes as before.

--- a/internal/certs/pair.go
+++ b/internal/certs/pair.go
@@ -96,30 +96,24 @@
 		return nil, errors.Newf("read authority file=%s: no certificate in it", caFile)
 	}
 	return &tls.Config{
-		MinVersion:            tls.VersionTLS13,
-		GetCertificate:        func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return p.Certificate(), nil },
-		GetClientCertificate:  func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return p.Certificate(), nil },
-		ClientAuth:            tls.RequireAnyClientCert,
-		InsecureSkipVerify:    true, // replaced by the check below, in both directions
-		VerifyPeerCertificate: func(raw [][]byte, _ [][]*x509.Certificate) error { return verify(raw, roots) },
+		MinVersion:           tls.VersionTLS13,
+		GetCertificate:       func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return p.Certificate(), nil },
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return p.Certificate(), nil },
+		ClientAuth:           tls.RequireAnyClientCert,
+		InsecureSkipVerify:   true, // replaced by the check below, in both directions
+		VerifyConnection:     func(s tls.ConnectionState) error { return verify(s.PeerCertificates, roots) },
 	}, nil
 }
 
 // verify checks a chain against the authority, without a host name.
-func verify(raw [][]byte, roots *x509.CertPool) error {
-	if len(raw) == 0 {
+func verify(chain []*x509.Certificate, roots *x509.CertPool) error {
+	if len(chain) == 0 {
 		return errors.New("peer certificate: none")
 	}
-	leaf, err := x509.ParseCertificate(raw[0])
-	if err != nil {
-		return errors.Wrap(err, "peer certificate")
-	}
 	between := x509.NewCertPool()
-	for _, der := range raw[1:] {
-		if c, err := x509.ParseCertificate(der); err == nil {
-			between.AddCert(c)
-		}
+	for _, c := range chain[1:] {
+		between.AddCert(c)
 	}
-	_, err = leaf.Verify(x509.VerifyOptions{Roots: roots, Intermediates: between, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny}})
+	_, err := chain[0].Verify(x509.VerifyOptions{Roots: roots, Intermediates: between, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny}})
 	return errors.Wrap(err, "peer certificate")
 }
