Close every kept connection at shutdown; test that no goroutine stays

Cause: the clients of the log, the targets' load and their events kept idle connections, ten goroutines, after a shutdown. Change: they are closed when all loops have ended. The test serves 64 callers in one process under the race detector, shuts down and counts goroutines.

--- a/internal/entry/engineclient.go
+++ b/internal/entry/engineclient.go
@@ -93,11 +93,6 @@
 	}
 }
 
-func (c *targetClient) close() {
-	c.pooled.CloseIdleConnections()
-	c.fresh.CloseIdleConnections()
-}
-
 // send makes one attempt and returns the answer with its body open. A status
 // of 4xx or 5xx is returned as an answer too; only a failed exchange is an
 // error.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -25,6 +25,7 @@
 	settings *settings.Settings
 	clock    clock
 	node     *peer.Node
+	platform *http.Client
 	log      platform.Log
 	config   *configDriver
 	rates    *rateDriver
@@ -60,7 +61,8 @@
 	e := &Entry{settings: s, clock: newClock(), ctx: ctx, cancel: cancel, metrics: newEntryMetrics(), drain: make(chan struct{})}
 	self := wire.Identity{Instance: s.InstanceID, Incarnation: uuid.Must(uuid.NewV7()).String(), Address: s.PeerListen, Domain: s.Domain}
 	e.node = peer.NewNode(peer.Options{Self: self, Secret: secret, TLS: secure.peers})
-	e.log = platform.NewHTTPLog(s.LogURL, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: platformConns}})
+	e.platform = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: platformConns}}
+	e.log = platform.NewHTTPLog(s.LogURL, e.platform)
 	e.build(secure)
 	return e, nil
 }
@@ -71,7 +73,7 @@
 	s := e.settings
 	var list platform.InstanceLister
 	if s.InstancesURL != "" {
-		list = platform.NewHTTPInstances(s.InstancesURL, nil)
+		list = platform.NewHTTPInstances(s.InstancesURL, e.platform)
 	}
 	e.members = newMembers(e.clock, e.node, list, s.Peers)
 	e.rates = newRateDriver(e.clock, e.node, e.log, fleet{domains: s.FleetDomains, slotsPerDomain: s.MintSlots})
@@ -183,8 +185,10 @@
 	e.cancel()
 	e.admin.close()
 	e.node.Close()
-	e.server.targets.close()
 	e.wg.Wait()
+	for _, c := range []*http.Client{e.platform, e.pools.poller.client, e.pools.poller.events, e.rollouts.http, e.server.targets.pooled} {
+		c.CloseIdleConnections()
+	}
 	logline.Info("entry_stopped", "instance", e.settings.InstanceID)
 }
 
--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,143 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/mastictray/mastictray/internal/config"
+	"github.com/mastictray/mastictray/internal/keys"
+	"github.com/mastictray/mastictray/internal/logrec"
+	"github.com/mastictray/mastictray/internal/platform"
+	"github.com/mastictray/mastictray/internal/settings"
+	"github.com/mastictray/mastictray/internal/standin/engine"
+	"github.com/mastictray/mastictray/internal/standin/logsvc"
+)
+
+const testKey = "mt-test"
+
+// freePort is an address that nothing listens at.
+func freePort(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// publishTo appends a configuration with one account and one target.
+func publishTo(t *testing.T, log platform.Log, target string) {
+	t.Helper()
+	is := is.New(t)
+	files := fmt.Sprintf("[account \"a\"]\ntokens-per-second = 1000000\nburst-tokens = 1000000\n"+
+		"[key \"k\"]\naccount = a\nsha256 = %s\n[model \"m\"]\nversion = 1\n[pool \"p\"]\nkind = engine\nmodel = m\n"+
+		"[target \"t\"]\naddress = %s\ndomain = d\npool = p\n"+
+		"[route \"chat\"]\npath = /v1/chat/completions\npool = p\nidempotent = yes\n", keys.Hash(testKey), target)
+	body := config.Change{Op: "1", Rules: config.RulesVersion, Files: []config.FileChange{{Name: "all.ini", Base: config.NoRevision, Contents: []byte(files)}}}
+	record, err := logrec.Encode(config.KindChange, "tester", 0, body)
+	is.NoErr(err)
+	_, err = log.Append(context.Background(), platform.StreamConfig, [][]byte{record})
+	is.NoErr(err)
+}
+
+// startEntry runs an entry in this process and returns its callers' address and
+// a function that shuts it down and waits for its end.
+func startEntry(t *testing.T, logURL string) (caller string, stop func()) {
+	t.Helper()
+	is := is.New(t)
+	secret := filepath.Join(t.TempDir(), "secret")
+	is.NoErr(os.WriteFile(secret, []byte("a secret of the fleet"), 0o600))
+	s := &settings.Settings{
+		InstanceID: "i", Domain: "d", CallerListen: freePort(t), PeerListen: freePort(t), AdminListen: freePort(t),
+		LogURL: logURL, PeerSecretFile: secret, FleetDomains: []string{"d"}, MintSlots: 1,
+		MaxBodyBytes: 1 << 20, MaxHeaderBytes: 1 << 16, MaxConnections: 1000,
+		IdleTimeout: time.Minute, ReadTimeout: time.Minute, DrainTimeout: time.Minute,
+	}
+	e, err := New(s)
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- e.Run(ctx) }()
+	return s.CallerListen, func() {
+		cancel()
+		is.NoErr(<-ended)
+	}
+}
+
+// ask sends one streamed request and reports whether its answer came whole.
+func ask(client *http.Client, address, prompt string) bool {
+	body := fmt.Sprintf(`{"model":"m","stream":true,"max_tokens":4,"messages":[{"role":"user","content":%q}]}`, prompt)
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+chatPath, strings.NewReader(body))
+	if err != nil {
+		return false
+	}
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	resp, err := client.Do(req)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	return err == nil && resp.StatusCode == http.StatusOK && strings.Contains(string(raw), "[DONE]")
+}
+
+// An instance serves many callers at once and is shut down. Nothing of it is
+// left: a goroutine that stays behind in a process which is only asked to drain
+// would keep it from ending.
+func TestShutdownLeavesNoGoroutines(t *testing.T) {
+	is := is.New(t)
+	log := httptest.NewServer(logsvc.New(logsvc.Config{}).Handler())
+	fake := engine.New(engine.Config{Model: "m", Version: "1", PieceBytes: 1024, CachePieces: 64, PrefillTPS: 1e9, DecodeTPS: 1e9, Exit: func(int) {}})
+	target := httptest.NewServer(fake.Handler())
+	publishTo(t, platform.NewHTTPLog(log.URL, nil), strings.TrimPrefix(target.URL, "http://"))
+	http.DefaultClient.CloseIdleConnections()
+	before := runtime.NumGoroutine()
+
+	caller, stop := startEntry(t, log.URL)
+	client := &http.Client{Transport: &http.Transport{}}
+	waitFor(t, "the first answer", func() bool { return ask(client, caller, "hello") })
+	var wg sync.WaitGroup
+	for i := range 64 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if !ask(client, caller, strings.Repeat("x", 100*i)) {
+				t.Errorf("request %d got no whole answer", i)
+			}
+		}()
+	}
+	wg.Wait()
+	client.CloseIdleConnections()
+	stop()
+	waitFor(t, "the entry's goroutines end", func() bool { return runtime.NumGoroutine() <= before })
+	target.Close()
+	fake.Close()
+	log.Close()
+	is.True(!t.Failed())
+}
+
+// waitFor waits for a condition, far longer than it takes.
+func waitFor(t *testing.T, what string, cond func() bool) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if cond() {
+			return
+		}
+	}
+	buf := make([]byte, 1<<20)
+	t.Fatalf("gave up waiting: %s\n%s", what, buf[:runtime.Stack(buf, true)])
+}
