placement: rendezvous guides until cache events are followed; misses teach

Change: until CaughtUp is called UnseenTrust 0.5 stands in place of HomeTrust, and a cached-token count below the belief drops all that the target was not seen to use since. Safeguards off, one at a time: without the drop TestMissDropsWhatWasUsedBefore fails; without unanswered work TestFloodIsHeldNotSent fails.

--- a/cmd/mastictray-bench/main.go
+++ b/cmd/mastictray-bench/main.go
@@ -27,7 +27,7 @@
 	Out      string `help:"Directory for policies.txt, policies.json and the plots." type:"existingdir"`
 
 	Trust    *float64       `help:"Vary the product: HomeTrust."`
-	Young    *time.Duration `help:"Vary the product: YoungFor."`
+	Unseen   *float64       `help:"Vary the product: UnseenTrust."`
 	Factor   *float64       `help:"Vary the product: RecomputeFactor."`
 	Backlog  *float64       `help:"Vary the product: BacklogFactor."`
 	Grace    *time.Duration `help:"Vary the product: BacklogGrace."`
@@ -43,7 +43,7 @@
 	vary(&t.Placement.HomeTrust, c.Trust)
 	vary(&t.Dispatch.RecomputeFactor, c.Factor)
 	vary(&t.Dispatch.BacklogFactor, c.Backlog)
-	vary(&t.Placement.YoungFor, c.Young)
+	vary(&t.Placement.UnseenTrust, c.Unseen)
 	vary(&t.Placement.NearTie, c.NearTie)
 	vary(&t.Placement.AnchorPieces, c.Anchor)
 	vary(&t.Placement.TransferTokensPerSecond, c.Transfer)
--- a/internal/belief/entries.go
+++ b/internal/belief/entries.go
@@ -10,6 +10,8 @@
 	holder       *holder
 	newer, older int32
 	next, prev   int32
+	// used is the store's count of uses when this one was used last.
+	used uint64
 }
 
 // entryList keeps entries in one slice and reuses freed places.
--- a/internal/belief/store.go
+++ b/internal/belief/store.go
@@ -28,6 +28,7 @@
 	entries     entryList
 	maxEntries  int
 	generations uint32
+	uses        uint64
 }
 
 // NewStore makes a store that keeps within budgetBytes by forgetting the
@@ -93,11 +94,53 @@
 	return len(chain)
 }
 
+// Stamp marks a moment in the order of uses of one target's pieces; the zero
+// Stamp is before all uses.
+type Stamp uint64
+
 // Expect records the pieces that a request on its way to the target will
-// leave there. A ref that went stale since the placement is ignored.
-func (s *Store) Expect(id Identity, chain []prefix.Hash) {
-	if h := s.current(id); h != nil {
-		s.addAll(h, chain)
+// leave there. It gives the stamp of the least recent use among those already
+// believed, for Missed.
+func (s *Store) Expect(id Identity, chain []prefix.Hash) Stamp {
+	h := s.current(id)
+	if h == nil {
+		return 0
+	}
+	stamp := s.leastRecent(h, chain)
+	s.addAll(h, chain)
+	return stamp
+}
+
+// leastRecent is the stamp of the least recently used believed leading piece.
+func (s *Store) leastRecent(h *holder, chain []prefix.Hash) Stamp {
+	var least uint64
+	for i, hash := range chain {
+		at, ok := s.index[key{h.generation, hash}]
+		if !ok {
+			break
+		}
+		if used := s.entries.at[at].used; i == 0 || used < least {
+			least = used
+		}
+	}
+	return Stamp(least)
+}
+
+// Missed takes in that a target had evicted pieces of a chain that Expect gave
+// the stamp for. Engines evict what was used least recently, so all that was
+// not used since is gone too.
+func (s *Store) Missed(id Identity, stamp Stamp) {
+	h := s.current(id)
+	if h == nil {
+		return
+	}
+	for at := h.first; at != none; {
+		e := &s.entries.at[at]
+		next := e.next
+		if e.used <= uint64(stamp) {
+			s.remove(at)
+		}
+		at = next
 	}
 }
 
@@ -147,16 +190,19 @@
 }
 
 func (s *Store) addAll(h *holder, pieces []prefix.Hash) {
+	s.uses++
 	for _, hash := range pieces {
 		k := key{h.generation, hash}
 		if at, ok := s.index[k]; ok {
 			s.entries.touch(at)
+			s.entries.at[at].used = s.uses
 			continue
 		}
 		if len(s.index) >= s.maxEntries {
 			s.remove(s.entries.oldest())
 		}
 		at := s.entries.insert(k, h)
+		s.entries.at[at].used = s.uses
 		s.index[k] = at
 	}
 }
--- a/internal/belief/store_test.go
+++ b/internal/belief/store_test.go
@@ -88,6 +88,24 @@
 	is.Equal(s.Cached(ref, chain), 2)
 }
 
+// An answer tells that the engine had evicted a piece. Everything used before
+// it must be gone as well; believed on, each piece would cost a miss of its
+// own to learn about.
+func TestMissDropsWhatWasUsedBefore(t *testing.T) {
+	is := is.New(t)
+	s := NewStore(1 << 20)
+	id := Identity{"t1", "i1", "v1"}
+	ref := s.Observe(1, id)
+	s.Answered(id, []prefix.Hash{10})
+	s.Answered(id, chain)
+	s.Answered(id, []prefix.Hash{20})
+	stamp := s.Expect(id, chain)
+	s.Missed(id, stamp)
+	is.Equal(s.Cached(ref, []prefix.Hash{10}), 0)
+	is.Equal(s.Cached(ref, []prefix.Hash{20}), 1)
+	is.Equal(s.Cached(ref, chain), 3) // prefilled again by this request
+}
+
 // Engines crash, change weights and send late events in any order. Nothing is
 // ever believed that was not said by the present incarnation on the present
 // weights, and the budget holds.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -61,6 +61,7 @@
 	// Identity is what the target was when it was chosen.
 	Identity belief.Identity
 	Decision placement.Decision
+	stamp    belief.Stamp
 }
 
 // Refusal is a request that will not be sent.
@@ -156,6 +157,18 @@
 	d.ended(s)
 }
 
+// Counted takes in the cached-token count of an answer, which comes at its
+// end. A count below what was believed tells that the target evicts more than
+// is known here. Where cache events are followed they tell better.
+func (d *Dispatcher[T]) Counted(s *Send[T], cachedTokens int) {
+	if d.picker.KnowsCaches() {
+		return
+	}
+	if cachedTokens < s.Decision.CachedPieces*s.Request.Place.PieceTokens {
+		d.beliefs.Missed(s.Identity, s.stamp)
+	}
+}
+
 // Failed takes in an attempt that the target did not prefill.
 func (d *Dispatcher[T]) Failed(s *Send[T]) {
 	d.beliefs.Failed(s.Identity, s.Request.Place.Chain, s.Decision.CachedPieces)
@@ -232,6 +245,6 @@
 func (d *Dispatcher[T]) send(now time.Duration, r *Request[T], t *placement.Target, choice placement.Decision) {
 	id := belief.Identity{Target: t.Name, Incarnation: t.Incarnation, Version: t.Version}
 	t.Load.Sent(now, choice.UncachedTokens)
-	d.beliefs.Expect(id, r.Place.Chain)
-	d.out.Sends = append(d.out.Sends, Send[T]{Request: r, Target: choice.Index, Identity: id, Decision: choice})
+	stamp := d.beliefs.Expect(id, r.Place.Chain)
+	d.out.Sends = append(d.out.Sends, Send[T]{Request: r, Target: choice.Index, Identity: id, Decision: choice, stamp: stamp})
 }
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -32,10 +32,11 @@
 	}
 	pool := placement.NewPool(list, "v1", placement.DefaultFilters())
 	place := placement.DefaultOptions()
-	place.YoungFor = 0
 	o := DefaultOptions()
 	o.Queue.FloorRate = 10000
-	d := New[string](pool, beliefs, placement.NewPicker(pool, beliefs, place), o)
+	picker := placement.NewPicker(pool, beliefs, place)
+	picker.CaughtUp()
+	d := New[string](pool, beliefs, picker, o)
 	return &fixture{Dispatcher: d, pool: pool, rng: rand.New(rand.NewPCG(1, 1))}
 }
 
@@ -72,10 +73,10 @@
 	is := is.New(t)
 	f := newFixture(4)
 	first := f.push("a", 1, 0).Sends[0]
-	for f.Waiting() == 0 { // the same prefix, until its target is full
+	for range 10 { // the same prefix, until its target is full
 		f.push("a", 1, 0)
-		f.pool.Target(first.Target).Load.Sent(0, 1000)
 	}
+	is.True(f.Waiting() > 0)
 	sent := 0
 	for piece := prefix.Hash(10); piece < 20; piece++ {
 		for _, s := range f.push("a", piece, 0).Sends {
--- a/internal/experiment/case.go
+++ b/internal/experiment/case.go
@@ -65,6 +65,7 @@
 		with("domain cut", func(c *Case) { c.CutAt, c.CutFor = 150*time.Second, 30*time.Second }),
 		with("reports 2s late", func(c *Case) { c.ReportLag = 2 * time.Second }),
 		with("10% events lost", func(c *Case) { c.EventLoss = 0.1 }),
+		with("no cache events", func(c *Case) { c.EventLoss = 1 }),
 		with("weights rolled", func(c *Case) { c.RollAt = 150 * time.Second }),
 		with("herd restart", func(c *Case) { c.Restart, c.Replay = true, true }),
 		with("herd restart, no events kept", func(c *Case) { c.Restart = true }),
--- a/internal/experiment/policy_ours.go
+++ b/internal/experiment/policy_ours.go
@@ -15,6 +15,9 @@
 const (
 	beliefBudget = 1 << 20
 	stepPeriod   = 5 * time.Millisecond
+	// catchUp is how long a router follows cache events until it has heard
+	// of most of what is cached, when engines retain none.
+	catchUp = 2 * time.Second
 )
 
 type (
@@ -65,15 +68,17 @@
 		targets[i].Unreachable = p.tuning.OwnDomain && e.domain != p.r.domain
 	}
 	place := p.tuning.Placement
-	place.Started = p.r.f.clock.now
 	place.Domain, place.CrossDomainDelay = p.r.domain, w.LinkDelay
 	o := p.tuning.Dispatch
 	o.Queue.FloorRate = w.PrefillRate * float64(w.Engines) / float64(w.Routers)
 	p.pool = placement.NewPool(targets, p.r.f.wanted, placement.DefaultFilters())
 	p.beliefs = belief.NewStore(beliefBudget)
 	picker := placement.NewPicker(p.pool, p.beliefs, place)
-	if p.r.f.c.Replay {
+	switch {
+	case p.r.f.c.Replay:
 		p.r.f.clock.after(2*w.LinkDelay, picker.CaughtUp)
+	case p.r.f.c.EventLoss < 1:
+		p.r.f.clock.after(catchUp, picker.CaughtUp)
 	}
 	for i, e := range p.r.f.engines {
 		p.report(i, p.r.f.clock.now, e.identity(), 0)
@@ -147,9 +152,10 @@
 	p.beliefs.Evicted(id, evicted)
 }
 
-func (p *product) answered(_ int, a *attempt, _ int) {
+func (p *product) answered(_ int, a *attempt, cached int) {
 	if s, ok := p.sent[a]; ok {
 		p.dispatcher.Answered(&s)
+		p.dispatcher.Counted(&s, cached*p.r.f.w.PieceTokens)
 		delete(p.sent, a)
 	}
 }
--- a/internal/placement/options.go
+++ b/internal/placement/options.go
@@ -19,12 +19,10 @@
 	// look for them; the higher, the longer a new prefix waits for a busy
 	// first target.
 	HomeTrust float64
-	// Started is when this process began to follow the targets. Until
-	// YoungFor after it, YoungTrust stands in place of HomeTrust: what was
-	// cached before is unknown to the process.
-	Started    time.Duration
-	YoungFor   time.Duration
-	YoungTrust float64
+	// UnseenTrust stands in place of HomeTrust until CaughtUp: without the
+	// targets' cache events, or before they tell what was cached earlier,
+	// rendezvous hashing is the better guide.
+	UnseenTrust float64
 	// RecomputeFactor weighs a recomputed token against a waiting one. Over
 	// 1, because prefill that a cached copy elsewhere would have spared
 	// delays the requests behind it too.
@@ -46,8 +44,7 @@
 		MaxCandidates:    16,
 		AnchorPieces:     2,
 		HomeTrust:        0.25,
-		YoungFor:         2 * time.Second,
-		YoungTrust:       1,
+		UnseenTrust:      0.5,
 		RecomputeFactor:  1.5,
 		NearTie:          2 * time.Millisecond,
 	}
--- a/internal/placement/picker.go
+++ b/internal/placement/picker.go
@@ -39,6 +39,8 @@
 	scorers []Scorer
 	ranked  []ranked
 	scored  []Candidate
+	// caughtUp is set once cache events are followed.
+	caughtUp bool
 }
 
 // NewPicker makes a picker over a pool and what is believed of its targets.
@@ -53,9 +55,12 @@
 	}
 }
 
-// CaughtUp tells the picker that what targets held before this process began
-// is known, from the cache events that they retain: it is no longer young.
-func (p *Picker) CaughtUp() { p.options.YoungFor = 0 }
+// CaughtUp tells the picker that this process follows the targets' cache
+// events and knows what they held before.
+func (p *Picker) CaughtUp() { p.caughtUp = true }
+
+// KnowsCaches reports whether CaughtUp was called.
+func (p *Picker) KnowsCaches() bool { return p.caughtUp }
 
 // Pick chooses a target. It allocates nothing. The random source breaks near
 // ties, so that instances with the same view do not all choose the same one.
@@ -113,7 +118,7 @@
 	c.CachedPieces = p.beliefs.Cached(t.Belief, r.Chain)
 	if c.Rank == 0 {
 		full := float64(r.fullTokens())
-		c.TrustedTokens = max(0, p.trust(now)*full-float64(c.CachedPieces*r.PieceTokens))
+		c.TrustedTokens = max(0, p.trust()*full-float64(c.CachedPieces*r.PieceTokens))
 	}
 	for i, s := range p.scorers {
 		c.Terms[i] = s.Cost(now, r, t, c)
@@ -127,11 +132,11 @@
 
 // trust is the part of a prompt that the first target in rendezvous order is
 // counted on to hold.
-func (p *Picker) trust(now time.Duration) float64 {
-	if now < p.options.Started+p.options.YoungFor {
-		return p.options.YoungTrust
+func (p *Picker) trust() float64 {
+	if p.caughtUp {
+		return p.options.HomeTrust
 	}
-	return p.options.HomeTrust
+	return p.options.UnseenTrust
 }
 
 // choose draws one of the candidates within nearTie of the best.
--- a/internal/placement/picker_test.go
+++ b/internal/placement/picker_test.go
@@ -42,6 +42,7 @@
 		t.Belief = f.beliefs.Observe(0, identity(t))
 	}
 	f.picker = NewPicker(f.pool, f.beliefs, DefaultOptions())
+	f.picker.CaughtUp()
 	return f
 }
 
