--- a/internal/entry/enginerun.go
+++ b/internal/entry/enginerun.go
@@ -343,6 +343,9 @@
 	r.s.metrics.attempt(r.e.pool.Name, "answered")
 	r.s.metrics.answered(r.e.account.Name, r.e.pool.Name)
 	r.prefilled()
+	if r.e.usage.PromptTokens > 0 {
+		r.pool.counted(r.at, r.e.usage.PromptTokensDetails.CachedTokens)
+	}
 	return nil
 }
 
