Renew the lease checkpoint before the log drops it

An instance restarted while the log kept 12 records took no slot of the rates within 30 s: the checkpoint in the control stream is written every five minutes and was gone, so the instance could not tell held slots from free ones, and a third of every rate was missing. Safety held: never more than the whole rate was minted.

Ruled out: a shorter interval, which costs records where the log keeps enough; asking a peer for its leases, which would have to be covered by the search of orders again. A checkpoint is now written when the last comes into the older half of what the log keeps.

Before: TestTrimmedLogIsNoReset gave up after 30 s on the whole rate.

--- a/internal/entry/duties.go
+++ b/internal/entry/duties.go
@@ -79,9 +79,8 @@
 // checkpoint writes the state of the leases when it is due.
 func (s *snapshotter) checkpoint(ctx context.Context) {
 	now := s.clock.now()
-	c, ok := s.rates.checkpoint()
-	due := s.writtenAt == 0 || now-s.writtenAt >= checkpointEvery || c.Through-s.through >= checkpointRecords
-	if !ok || !due {
+	c, start, ok := s.rates.checkpoint()
+	if !ok || !s.checkpointDue(now, c.Through, start) {
 		return
 	}
 	s.writtenAt, s.through = now, c.Through
@@ -89,6 +88,20 @@
 	s.append(ctx, platform.StreamControl, [][]byte{record}, err)
 }
 
+// checkpointDue says whether to write a checkpoint now, of the records below
+// next, when the log has those from start on.
+func (s *snapshotter) checkpointDue(now time.Duration, next, start platform.Offset) bool {
+	if s.writtenAt == 0 || now-s.writtenAt >= checkpointEvery || next-s.through >= checkpointRecords {
+		return true
+	}
+	// A log that keeps less than checkpointEvery drops the newest checkpoint
+	// before the next is written. An instance that starts in between cannot
+	// tell held slots from free ones and takes none: a part of every account's
+	// rate is missing for minutes. A checkpoint that is renewed when it comes
+	// into the older half of what the log keeps is always there.
+	return start > 0 && s.through-start < (next-start)/2
+}
+
 func (s *snapshotter) append(ctx context.Context, stream string, records [][]byte, err error) {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
--- a/internal/entry/ratedriver.go
+++ b/internal/entry/ratedriver.go
@@ -52,6 +52,8 @@
 	wake    chan struct{}
 	// splitSeen is the version of the split that is in force here.
 	splitSeen int
+	// logStart is the oldest offset that the log had kept at the last read.
+	logStart platform.Offset
 }
 
 func newRateDriver(c clock, node *peer.Node, log platform.Log, f fleet) *rateDriver {
@@ -370,6 +372,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.now()
+	d.logStart = b.Start
 	for _, rec := range b.Records {
 		env, err := logrec.Decode(rec.Data)
 		if err != nil {
@@ -400,11 +403,13 @@
 	logline.Info("control_trimmed", "start", start)
 }
 
-// checkpoint is the state of all leases, if it is known.
-func (d *rateDriver) checkpoint() (lease.Checkpoint, bool) {
+// checkpoint is the state of all leases, if it is known, and the oldest offset
+// that the log has kept of them.
+func (d *rateDriver) checkpoint() (c lease.Checkpoint, logStart platform.Offset, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.holder.Fold().Checkpoint()
+	c, ok = d.holder.Fold().Checkpoint()
+	return c, d.logStart, ok
 }
 
 // leave gives every lease back, at the end of a graceful shutdown.
