Test that a poison request cuts no stream beside it

The home of the pool's suspects goes on granting the target that the poison request has just crashed, as it is no longer busy. The instance that got such a grant takes the refused connection, or its breaker, as the end of the request; it neither gives the permit back nor asks for another target.

--- a/internal/wholepath/poison_test.go
+++ b/internal/wholepath/poison_test.go
@@ -64,3 +64,24 @@
 	}
 	is.New(t).Equal(f.dead(), dead)
 }
+
+// The same while others stream from the engines that crash. Their answers come
+// whole, although they share each crash with the request and are suspects too.
+func TestPoisonRequestCutsNoOtherStream(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, shape{entries: 3, engines: 4, engineFlags: []string{"--crash-on", poisonMarker, "--itl-ms", "20"}})
+	f.stream(8, 60, func() {
+		f.wait("streams run", func() bool {
+			n := 0
+			for _, e := range f.engines {
+				n += f.running(e)
+			}
+			return n >= 8
+		})
+		for n := range 6 {
+			f.poison(f.entries[n%len(f.entries)])
+		}
+	})
+	f.wait("the request is refused for good", func() bool { return f.poison("entry0").code == "request_quarantined" })
+	is.True(f.dead() <= 2)
+}
