Choose the active version anew whenever a target is lost

Cause: a target that was the only one at the new weights crashed on them; requests kept counting on that version and waited for it until their deadline. Seen in the whole-path test of a bad version on a busy machine: one request refused after 30 s with target_failed. Ruled out: the retry itself, which waited in the queue with no target to take. Change: breakers and draining choose the active version too, not only load reports. Conclusion: requests fall back to the version that the others serve.

--- a/internal/entry/enginepool.go
+++ b/internal/entry/enginepool.go
@@ -136,7 +136,10 @@
 	return kept
 }
 
-// activate chooses the version that new requests count on. Callers hold mu.
+// activate chooses the version that new requests count on. It is to run after
+// every change of who takes work: when the only target of a version is lost,
+// requests that wait for that version would wait until their deadline. Callers
+// hold mu.
 func (p *enginePool) activate() {
 	served := make(map[string]int)
 	for i := range p.pool.Len() {
@@ -290,6 +293,7 @@
 	t := p.pool.Target(i)
 	t.BreakerOpen = open
 	p.pool.Changed(i)
+	p.activate()
 }
 
 // setDraining marks the targets that the instance list shows leaving.
@@ -306,6 +310,7 @@
 			p.pool.Changed(i)
 		}
 	}
+	p.activate()
 }
 
 // identity is what the i-th target is now. Callers hold mu.
