--- a/internal/wholepath/fleet_test.go
+++ b/internal/wholepath/fleet_test.go
@@ -276,9 +276,10 @@
 		TokensPerSecond float64 `json:"tokens_per_second"`
 	} `json:"accounts"`
 	Targets []struct {
-		Name       string   `json:"name"`
-		Version    string   `json:"version"`
-		RejectedBy []string `json:"rejected_by"`
+		Name        string   `json:"name"`
+		Incarnation string   `json:"incarnation"`
+		Version     string   `json:"version"`
+		RejectedBy  []string `json:"rejected_by"`
 	} `json:"targets"`
 }
 
