Keep a view of instances and targets at a constant cost for each node

Cause: a leaving target must get no new work within 3 s at every instance, also one that can't read the list; a thawed instance must not serve by its old view; a mesh of heartbeats and everybody reading the list does not fit the target size.

Ruled out: a full mesh, and a few chosen readers of the list for each domain.

Conclusion: the cost of the protocol does not grow with the fleet; only the memory of the facts and the list do.

--- /dev/null
+++ b/internal/membership/cost_test.go
@@ -0,0 +1,131 @@
+package membership
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/mastictray/mastictray/internal/platform"
+	"github.com/mastictray/mastictray/internal/wire"
+)
+
+// largeFleets adds the sizes that take longer to the cost test.
+var largeFleets = flag.Bool("membership.large", false, "measure fleets of 512, 1024 and 2400 instances as well")
+
+// The cost of membership for each instance does not grow with the fleet, at
+// rest or with an instance restarting and a target leaving every second. One
+// instance reads the list; the others hear of the leaving target from peers.
+func TestCostPerInstanceIsConstant(t *testing.T) {
+	sizes := []int{16, 64, 128, 256}
+	if *largeFleets {
+		sizes = append(sizes, 512, 1024, 2400)
+	}
+	var first float64
+	for _, n := range sizes {
+		f := newFleet(n, 4*n, 1)
+		f.run(6 * time.Second)
+		for _, o := range f.nodes[1:] {
+			o.listDown = true
+		}
+		f.size = true
+		f.run(3 * time.Second)
+		rest := float64(f.bytes) / float64(n) / 3
+		f.bytes, f.count = 0, 0
+		for i := range 5 {
+			f.start(2+i, 2000+int64(i))
+			f.leaving(fmt.Sprint("t", i))
+			f.run(time.Second)
+		}
+		busy := float64(f.bytes) / float64(n) / 5
+		messages := float64(f.count) / float64(n) / 5
+		spread := f.spread()
+		if spread > time.Second {
+			t.Fatalf("%d instances: news took %v", n, spread)
+		}
+		t.Logf("instances=%d targets=%d bytes/s=%.0f with_changes=%.0f messages/s=%.1f spread=%v",
+			n, 4*n, rest, busy, messages, spread)
+		if first == 0 {
+			first = rest
+		}
+		if rest > 1.5*first || busy > 1.5*first {
+			t.Fatalf("%d instances: %.0f bytes/s at rest, %.0f with changes, %.0f at 16", n, rest, busy, first)
+		}
+	}
+}
+
+// spread is the time from the only reader knowing of a leaving target to all
+// instances knowing.
+func (f *fleet) spread() time.Duration {
+	f.leaving("t9")
+	for !f.nodes[0].v.Draining("t9") {
+		f.run(step)
+	}
+	from := f.now
+	for _, o := range f.nodes {
+		for !o.v.Draining("t9") && f.now-from < time.Minute {
+			f.run(step)
+		}
+	}
+	return f.now - from
+}
+
+// BenchmarkInstanceSecond is the processor time of one instance for one
+// second, with the test's own network.
+func BenchmarkInstanceSecond(b *testing.B) {
+	for _, n := range []int{16, 64, 256, 1024} {
+		b.Run(fmt.Sprint("instances=", n), func(b *testing.B) {
+			f := newFleet(n, 4*n, 1)
+			f.run(6 * time.Second)
+			for _, o := range f.nodes {
+				o.listDown = true
+			}
+			b.ResetTimer()
+			for range b.N {
+				f.run(time.Second)
+			}
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N)/float64(n), "us/instance-second")
+		})
+	}
+}
+
+// BenchmarkViewMemory is the memory of one view of the fleet.
+func BenchmarkViewMemory(b *testing.B) {
+	for _, n := range []int{300, 600, 1200, 2400} {
+		b.Run(fmt.Sprint("instances=", n), func(b *testing.B) {
+			for range b.N {
+				before := heap()
+				v := filled(n, 4*n)
+				b.ReportMetric(float64(heap()-before)/1024, "KiB/view")
+				runtime.KeepAlive(v)
+			}
+		})
+	}
+}
+
+func heap() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+func filled(members, targets int) *View {
+	v := New(Config{Self: wire.Identity{Instance: "self"}}, rand.New(rand.NewPCG(1, 1)))
+	for i := range members {
+		v.learn(0, wire.MemberFact{Order: 1, Identity: wire.Identity{
+			Instance: fmt.Sprint("entry-", i), Incarnation: fmt.Sprintf("%032d", i),
+			Address: fmt.Sprintf("10.0.%d.%d:7000", i/256, i%256), Domain: "domain-a",
+		}})
+	}
+	l := platform.InstanceList{AsOf: time.UnixMilli(5)}
+	for i := range targets {
+		l.Instances = append(l.Instances, platform.Instance{ID: fmt.Sprint("target-", i), Role: platform.RoleTarget})
+		v.Observed(0, fmt.Sprint("target-", i), fmt.Sprintf("%032d", i))
+	}
+	v.List(0, 0, l, 0)
+	v.Ready()
+	return v
+}
--- /dev/null
+++ b/internal/membership/fleet_test.go
@@ -0,0 +1,182 @@
+package membership
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/mastictray/mastictray/internal/platform"
+	"github.com/mastictray/mastictray/internal/wire"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "100")
+	_ = flag.Set("rapid.nofailfile", "true")
+	flag.Parse() // the command line goes first
+	os.Exit(m.Run())
+}
+
+const (
+	step    = 50 * time.Millisecond
+	listLag = 500 * time.Millisecond
+)
+
+type node struct {
+	v      *View
+	id     wire.Identity
+	up     bool
+	frozen bool
+	// listDown cuts it from the platform.
+	listDown bool
+	// group is its side of a partition.
+	group int
+}
+
+type packet struct {
+	from int
+	Message
+}
+
+// fleet steps a number of views through virtual time.
+type fleet struct {
+	rng   *rand.Rand
+	now   time.Duration
+	nodes []*node
+	at    map[string]int
+	mail  []packet
+	// states are the platform's lists over time, one for each step.
+	states []platform.InstanceList
+	list   platform.InstanceList
+	loss   float64
+	bytes  int64
+	count  int64
+	size   bool
+	starts int
+}
+
+func newFleet(n, targets int, seed uint64) *fleet {
+	f := &fleet{rng: rand.New(rand.NewPCG(seed, 1)), at: map[string]int{}}
+	for i := range targets {
+		f.list.Instances = append(f.list.Instances, platform.Instance{
+			ID: fmt.Sprint("t", i), Role: platform.RoleTarget, State: platform.StateLive,
+		})
+	}
+	for i := range n {
+		addr := fmt.Sprint("10.0.0.", i)
+		f.list.Instances = append(f.list.Instances, platform.Instance{
+			ID: fmt.Sprint("e", i), Address: addr, Role: platform.RoleEntry, State: platform.StateLive,
+		})
+		f.at[addr] = i
+		f.nodes = append(f.nodes, &node{})
+	}
+	for i := range n {
+		f.start(i, 1000)
+	}
+	return f
+}
+
+func (f *fleet) start(i int, startMillis int64) {
+	f.starts++
+	n := f.nodes[i]
+	n.id = wire.Identity{Instance: fmt.Sprint("e", i), Incarnation: fmt.Sprint("i", f.starts), Address: fmt.Sprint("10.0.0.", i)}
+	cfg := Config{Self: n.id, StartMillis: startMillis, Seeds: []string{"10.0.0.0", "10.0.0.1"}}
+	n.v, n.up = New(cfg, rand.New(rand.NewPCG(uint64(f.starts), 2))), true
+}
+
+// snapshot is the platform's list now, as a value of its own.
+func (f *fleet) snapshot() platform.InstanceList {
+	l := platform.InstanceList{AsOf: time.UnixMilli(f.now.Milliseconds() + 1)}
+	l.Instances = append(l.Instances, f.list.Instances...)
+	return l
+}
+
+func (f *fleet) run(d time.Duration) {
+	for end := f.now + d; f.now < end; f.now += step {
+		f.states = append(f.states, f.snapshot())
+		if lag := int(listLag / step); len(f.states) > lag+1 {
+			f.states = f.states[1:]
+		}
+		mail := f.mail
+		f.mail = nil
+		for _, p := range mail {
+			f.deliver(p)
+		}
+		for i, n := range f.nodes {
+			if n.up && !n.frozen {
+				n.v.Tick(f.now)
+				f.collect(i)
+			}
+		}
+	}
+}
+
+func (f *fleet) deliver(p packet) {
+	to, from := f.nodes[f.at[p.To]], f.nodes[p.from]
+	if !to.up || to.frozen || to.group != from.group || f.rng.Float64() < f.loss {
+		return
+	}
+	to.v.Receive(f.now, p.Kind, p.Body)
+	f.collect(f.at[p.To])
+}
+
+func (f *fleet) collect(i int) {
+	n := f.nodes[i]
+	out := n.v.Ready()
+	for _, m := range out.Messages {
+		if f.size {
+			frame, _ := wire.NewFrame(0, m.Kind, m.Body)
+			raw, _ := wire.Append(nil, frame)
+			f.bytes += int64(len(raw))
+			f.count++
+		}
+		f.mail = append(f.mail, packet{from: i, Message: m})
+	}
+	if !out.ReadList {
+		return
+	}
+	if n.listDown {
+		n.v.ListFailed(f.now)
+	} else {
+		l := f.states[0]
+		n.v.List(f.now, f.now, l, 100*len(l.Instances))
+	}
+	f.collect(i)
+}
+
+func (f *fleet) leaving(target string) {
+	for i := range f.list.Instances {
+		if f.list.Instances[i].ID == target {
+			f.list.Instances[i].State = platform.StateLeaving
+		}
+	}
+}
+
+// agree reports the first instance that does not hold the fleet to be just
+// the instances that run in its group.
+func (f *fleet) agree() error {
+	for i, n := range f.nodes {
+		if !n.up || n.frozen {
+			continue
+		}
+		want := 0
+		for _, o := range f.nodes {
+			if o.up && !o.frozen && o.group == n.group {
+				want++
+			}
+		}
+		got := n.v.Members()
+		if len(got) != want {
+			return fmt.Errorf("instance %d sees %d members, want %d", i, len(got), want)
+		}
+		for _, m := range got {
+			if o := f.nodes[f.at[m.Identity.Address]]; o.id != m.Identity {
+				return fmt.Errorf("instance %d sees %v, running is %v", i, m.Identity, o.id)
+			}
+		}
+	}
+	return nil
+}
