--- a/internal/rate/limiter.go
+++ b/internal/rate/limiter.go
@@ -69,6 +69,8 @@
 	lastAsk  uint64
 	lastWait Ticket
 	returns  []Return
+	hints    wire.RateHints
+	hintsAt  time.Duration
 }
 
 // account is one client account on this instance.
@@ -78,6 +80,7 @@
 	bucket  bucket
 	factor  factor
 	demand  demand
+	claim   claim
 	waiters []waiter
 	asking  int           // asks without an answer
 	askedAt time.Duration // of the last round
