capacity: work the page out from measured slopes

Cause: the page must not drift from what the code costs. Ruled out: figures by hand; slopes at one size. Change: mastictray-bench slopes measures 24 costs at four or five sizes; mastictray-bench capacity works out each role today, at the target as built and by design; a test compares docs/CAPACITY.md with it. Page edited by hand: the test fails until it is generated again.

--- a/cmd/mastictray-bench/main.go
+++ b/cmd/mastictray-bench/main.go
@@ -17,6 +17,8 @@
 
 type cli struct {
 	Policies policiesCmd `cmd:"" help:"Compare routing policies on seeded traces (simulated time)."`
+	Slopes   slopesCmd   `cmd:"" help:"Measure what each role costs by its size (some seconds of one core)."`
+	Capacity capacityCmd `cmd:"" help:"Print the tables of docs/CAPACITY.md, worked out from the slopes."`
 }
 
 type policiesCmd struct {
--- /dev/null
+++ b/internal/capacity/design.go
@@ -0,0 +1,44 @@
+package capacity
+
+// Design is how the roles work: the numbers that the arithmetic needs.
+type Design struct {
+	Name string
+	// HeartbeatPeers are the peers called each HeartbeatEvery seconds; 0 is
+	// all nodes.
+	HeartbeatPeers, HeartbeatEvery, HeartbeatHints float64
+	// LoadEvery is the seconds between two polls of a target. With
+	// SharedLoads the nodes of a domain share the polling and pass digests
+	// on along a tree of DigestFanOut.
+	LoadEvery, DigestFanOut float64
+	SharedLoads             bool
+	// MintSlots are the leases of a domain; 0 is one for each node.
+	MintSlots, RenewEvery float64
+	// Relays is the nodes that one node passes records on to.
+	Relays float64
+	// AskEvery, when not 0, is the seconds for which tokens are asked for
+	// ahead, at the one node of the domain that is the account's home.
+	AskEvery float64
+	// AskPeers is the peers asked for tokens for each request otherwise.
+	AskPeers float64
+	// ClaimStreams is the number of streams that claims are spread over;
+	// ClaimBatches the appends a second to each; ClaimCopies the nodes that
+	// remember a key (0: all); ClaimWindow the seconds it is remembered.
+	ClaimStreams, ClaimBatches, ClaimCopies, ClaimWindow float64
+}
+
+// AsBuilt is what runs today.
+func AsBuilt() Design {
+	return Design{
+		Name: "as built", HeartbeatEvery: 0.3, HeartbeatHints: 64, LoadEvery: 0.25, RenewEvery: 3,
+		AskPeers: 5, ClaimStreams: 1, ClaimWindow: secondsPerDay,
+	}
+}
+
+// ForTarget is what is to be built as the fleet grows.
+func ForTarget() Design {
+	return Design{
+		Name: "by design", HeartbeatPeers: 4, HeartbeatEvery: 2, HeartbeatHints: 8,
+		LoadEvery: 2, DigestFanOut: 2, SharedLoads: true, MintSlots: 4, RenewEvery: 3, Relays: 2, AskEvery: 4,
+		ClaimStreams: 64, ClaimBatches: 5, ClaimCopies: 3, ClaimWindow: secondsPerDay / 2,
+	}
+}
--- /dev/null
+++ b/internal/capacity/points.go
@@ -0,0 +1,61 @@
+package capacity
+
+import (
+	"fmt"
+	"math"
+)
+
+// Point is one hard point answered with a number.
+type Point struct {
+	Question, Answer string
+}
+
+const (
+	// compactEventBytes is the least that one cache event takes: a hash and
+	// the target's number.
+	compactEventBytes = 12
+	// regionDelay is the assumed one-way delay between regions, seconds.
+	regionDelay = 0.08
+	domainDelay = 0.0015
+	// chargedTokens is a request's charge in the example of the shares: the
+	// mean prompt and some 250 generated tokens.
+	chargedTokens = 8250
+)
+
+// Points are the hard points of a fleet.
+func Points(f Fleet, s Set) []Point {
+	built, design := AsBuilt(), ForTarget()
+	perNode := f.CacheEvents / f.Nodes
+	jsonBytes := s["event-bytes"].PerUnit
+	bookings := recordsPerBooking * f.bookings()
+	others := f.changes() + 2*f.Replacements/secondsPerDay
+	depth := math.Ceil(math.Log(f.Nodes) / math.Log(design.Relays))
+	fold := s["config-fold"].At(f.Targets) * nanosecond
+	spread := depth*(domainDelay+fold) + regionDelay
+	return []Point{
+		{"every node listens to all cache events", fmt.Sprintf("%s/s of JSON a node", size(f.CacheEvents*jsonBytes))},
+		{"each event goes to one node only", fmt.Sprintf("%.0f events/s a node: %s/s as JSON, %s/s at %d bytes", perNode, size(perNode*jsonBytes), size(perNode*compactEventBytes), compactEventBytes)},
+		{"all blocks believed on one node", size(f.CachedBlocks * s["belief-memory"].PerUnit)},
+		{"how long a block stays cached", fmt.Sprintf("%.0f s, if half of the events store one", f.Residence())},
+		{"log appends/s, as built", fmt.Sprintf("%.1f config and joins, %.0f lease renewals, %.0f claims and results", others, f.renewals(built), bookings)},
+		{"log appends/s, by design", fmt.Sprintf("%.1f config and joins, %.1f lease renewals, %.0f batches of claims", others, f.renewals(design), design.ClaimStreams*design.ClaimBatches)},
+		{"shares of accounts by domain", fmt.Sprintf("%.0f accounts x %.0f domains = %.0f, %.1f a node", f.Accounts, f.Domains, f.Accounts*f.Domains, f.Accounts*f.Domains/f.Nodes)},
+		{"tokens/s minted on one node for a mean account, one slot a node", fmt.Sprintf("%.0f, where one request is charged %.0f", (f.GeneratedTokens+f.RequestsPerSecond*f.PromptBytes/4)/f.Accounts/f.Nodes, float64(chargedTokens))},
+		{"peer calls/s of a node in a full mesh", fmt.Sprintf("%.0f, against %.0f with a bounded fan-out", 2*(f.Nodes-1)/built.HeartbeatEvery, 2*design.HeartbeatPeers/design.HeartbeatEvery)},
+		{"a change reaches all nodes by a tree", fmt.Sprintf("%.0f hops of fan-out %.0f, %.1f ms to fold each: %.2f s with one crossing between regions", depth, design.Relays, 1000*fold, spread)},
+		{"a region cut off", fmt.Sprintf("%.0f nodes before %.0f targets go on with its slots' floor, a quarter of %.0f%% of each rate; keyed bookings (%.0f/s there) are refused while its log is out of reach", f.Nodes/f.Regions, f.Targets/f.Regions, 100/f.Regions, f.bookings()/f.Regions)},
+		{"replacements", fmt.Sprintf("%.0f a day, one each %.0f s; the configuration sent to each is %s; %.0f failures a day leave %.2f%% of nodes away at a time if each lasts ten minutes", f.Replacements, secondsPerDay/f.Replacements, size(s["config-state"].At(f.Targets)), f.Failures, 100*f.Failures*600/secondsPerDay/f.Nodes)},
+		{"serving, first token and gap between tokens", fmt.Sprintf("%.0f requests/s and %.0f generated tokens/s a node relayed, %.0f targets a pool; a placement takes %.0f us of 0.62 s", f.requests(), f.GeneratedTokens/f.Nodes, f.Targets/f.Models, s["decision"].At(f.Targets/f.Models)/1000)},
+	}
+}
+
+// size writes bytes for people.
+func size(b float64) string {
+	for _, unit := range []string{"B", "KB", "MB", "GB"} {
+		if b < 1000 {
+			return fmt.Sprintf("%.3g %s", b, unit)
+		}
+		b /= 1000
+	}
+	return fmt.Sprintf("%.3g TB", b)
+}
--- /dev/null
+++ b/internal/capacity/roles.go
@@ -0,0 +1,175 @@
+package capacity
+
+import (
+	"math"
+
+	"github.com/mastictray/mastictray/internal/slopes"
+)
+
+// Cost is what a role costs one node.
+type Cost struct {
+	Role string
+	// Messages a second, sent and received.
+	Messages float64
+	Core     float64 // part of a core
+	Memory   float64 // bytes
+	Rate     float64 // bytes a second, sent and received
+}
+
+// Set finds slopes by name.
+type Set map[string]slopes.Slope
+
+const (
+	nanosecond = 1e-9
+	// loadPollBytes is a GET /load with its answer, headers included,
+	// counted from the protocol page.
+	loadPollBytes = 450
+	// digestBytes is one target's load in a digest.
+	digestBytes = 4
+	// changedFileBytes is the mean size of a changed file; assumed.
+	changedFileBytes = 2000
+	// pieceBytes is the prompt bytes in one cached piece.
+	pieceBytes = 16384
+	// recordsPerBooking are a claim and a result.
+	recordsPerBooking = 2
+)
+
+// Costs are the costs of all roles; the first is serving, which is not
+// control.
+func Costs(f Fleet, d Design, s Set) []Cost {
+	return []Cost{
+		serving(f, s), loadReports(f, d), cacheEvents(f, s), peerExchange(f, d, s), logFollower(f, d, s),
+		leaseHolder(f, d, s), rateShares(f, d, s), claims(f, d, s), auditTrail(f, s),
+	}
+}
+
+// Control adds up all roles but serving.
+func Control(costs []Cost) Cost {
+	sum := Cost{Role: "control, together"}
+	for _, c := range costs[1:] {
+		sum.Messages += c.Messages
+		sum.Core += c.Core
+		sum.Memory += c.Memory
+		sum.Rate += c.Rate
+	}
+	return sum
+}
+
+func serving(f Fleet, s Set) Cost {
+	perRequest := s["decision"].At(f.Targets/f.Models) + s["queue"].At(f.Accounts) + s["prefix-hash"].PerUnit*f.PromptBytes
+	return Cost{
+		Role: "serving", Messages: f.requests(), Core: f.requests() * perRequest * nanosecond,
+		Memory: s["pool-memory"].At(f.Targets),
+	}
+}
+
+func loadReports(f Fleet, d Design) Cost {
+	c := Cost{Role: "load reports"}
+	if !d.SharedLoads {
+		c.Messages = f.Targets / d.LoadEvery
+		c.Rate = c.Messages * loadPollBytes
+		return c
+	}
+	polled := f.Targets / f.Nodes / d.LoadEvery
+	digest := f.Targets / f.Domains * digestBytes / d.LoadEvery
+	c.Messages = polled + (1+d.DigestFanOut)/d.LoadEvery
+	c.Rate = polled*loadPollBytes + (1+d.DigestFanOut)*digest
+	return c
+}
+
+// Residence is how many seconds a block stays cached: half of the events
+// store a block, and as many are evicted.
+func (f Fleet) Residence() float64 { return f.CachedBlocks / (f.CacheEvents / 2) }
+
+func cacheEvents(f Fleet, s Set) Cost {
+	touched := f.requests() * f.PromptBytes / pieceBytes
+	return Cost{
+		Role: "cache belief from own answers", Core: touched * s["event-apply"].PerUnit * nanosecond,
+		Memory: s["belief-memory"].PerUnit * touched * f.Residence(),
+	}
+}
+
+func peerExchange(f Fleet, d Design, s Set) Cost {
+	peers := d.HeartbeatPeers
+	if peers == 0 {
+		peers = f.Nodes - 1
+	}
+	hints := math.Min(f.Accounts, d.HeartbeatHints)
+	calls := 2 * peers / d.HeartbeatEvery // made and answered
+	return Cost{
+		Role: "peer exchange", Messages: 2 * calls, Core: calls * s["heartbeat-time"].At(hints) * nanosecond,
+		Memory: f.Nodes * s["heartbeat-bytes"].At(0), Rate: 2 * calls * s["heartbeat-bytes"].At(hints),
+	}
+}
+
+func logFollower(f Fleet, d Design, s Set) Cost {
+	received := f.changes() * (1 + d.Relays)
+	starts := f.Replacements / secondsPerDay / f.Nodes * s["config-state"].At(f.Targets)
+	return Cost{
+		Role: "log follower", Messages: received, Core: f.changes() * s["config-fold"].At(f.Targets) * nanosecond,
+		Memory: s["config-memory"].At(f.Targets), Rate: received*s["config-record"].At(changedFileBytes) + 2*starts,
+	}
+}
+
+func (f Fleet) renewals(d Design) float64 {
+	holders := f.Nodes
+	if d.MintSlots > 0 {
+		holders = math.Min(f.Nodes, f.Domains*d.MintSlots)
+	}
+	return holders / d.RenewEvery
+}
+
+func leaseHolder(f Fleet, d Design, s Set) Cost {
+	records := f.renewals(d) + 2*f.Replacements/secondsPerDay
+	return Cost{
+		Role: "lease holder", Messages: records, Core: records * s["lease-fold"].PerUnit * nanosecond,
+		Memory: s["lease-memory"].PerUnit * f.Nodes, Rate: records * s["lease-record"].At(1),
+	}
+}
+
+// inUse is the expected number of accounts with a request at one node within
+// so many seconds, when the n-th account asks in proportion to 1/n.
+func (f Fleet) inUse(seconds float64) float64 {
+	sum, total := 0.0, 0.0
+	for n := 1.0; n <= f.Accounts; n++ {
+		total += 1 / n
+	}
+	for n := 1.0; n <= f.Accounts; n++ {
+		sum += 1 - math.Pow(1-1/n/total, seconds*f.requests())
+	}
+	return sum
+}
+
+func rateShares(f Fleet, d Design, s Set) Cost {
+	exchanges := 2 * f.requests() * math.Min(d.AskPeers, f.Nodes-1) // asked and answered
+	if d.AskEvery > 0 {
+		exchanges = 2 * f.inUse(d.AskEvery) / d.AskEvery
+	}
+	return Cost{
+		Role: "rate shares", Messages: 3 * exchanges,
+		Core:   (f.requests()*s["rate-admit"].At(f.Accounts) + exchanges*s["heartbeat-time"].At(1)) * nanosecond,
+		Memory: s["rate-memory"].At(f.Accounts), Rate: exchanges * s["rate-exchange-bytes"].At(1),
+	}
+}
+
+func claims(f Fleet, d Design, s Set) Cost {
+	records := recordsPerBooking * f.bookings() / d.ClaimStreams
+	keys := f.bookings() * d.ClaimWindow
+	if d.ClaimCopies > 0 {
+		keys *= d.ClaimCopies / f.Nodes
+	}
+	return Cost{
+		Role: "claims", Messages: records, Core: records * s["claim-fold"].PerUnit * nanosecond,
+		Memory: keys * s["claim-memory"].PerUnit, Rate: records * s["claim-bytes"].PerUnit,
+	}
+}
+
+// trailEntries is the bound of the trail kept in the configuration's state.
+const trailEntries = 512
+
+func auditTrail(f Fleet, s Set) Cost {
+	return Cost{
+		Role: "audit", Core: f.changes() * s["audit-append"].At(trailEntries) * nanosecond,
+		Memory: s["audit-bytes"].At(trailEntries),
+	}
+}
--- /dev/null
+++ b/internal/slopes/exchange.go
@@ -0,0 +1,96 @@
+package slopes
+
+import (
+	"bytes"
+	"fmt"
+	"time"
+
+	"github.com/mastictray/mastictray/internal/rate"
+	"github.com/mastictray/mastictray/internal/wire"
+)
+
+const incarnation = "0123456789abcdef0123"
+
+func frameBytes(kind wire.Kind, body any) []byte {
+	f, err := wire.NewFrame(1, kind, body)
+	if err != nil {
+		panic(err) // a body of ours that does not encode is a programming error
+	}
+	raw, err := wire.Append(nil, f)
+	if err != nil {
+		panic(err)
+	}
+	return raw
+}
+
+func heartbeat(hints int) wire.Heartbeat {
+	hb := wire.Heartbeat{From: wire.Identity{Instance: "entry-0001", Incarnation: incarnation, Address: "10.0.0.1:7000", Domain: "domain-01"}, RateShare: 0.01}
+	for i := range hints {
+		hb.Hints.Items = append(hb.Hints.Items, wire.RateItem{Account: fmt.Sprintf("account-%03d", i), Tokens: 12345.678})
+	}
+	for i := range 8 {
+		hb.Peers = append(hb.Peers, fmt.Sprintf("10.0.0.%d:7000", i))
+	}
+	return hb
+}
+
+func peerExchange() []Slope {
+	sizes := []int{0, 8, 16, 32, 64}
+	return []Slope{
+		measure("heartbeat-bytes", "accounts hinted at", "bytes of a heartbeat", sizes, func(n int) float64 {
+			return float64(len(frameBytes(wire.KindHeartbeat, heartbeat(n))))
+		}),
+		measure("heartbeat-time", "accounts hinted at", "ns to encode and decode", sizes, func(n int) float64 {
+			const rounds = 500
+			hb := heartbeat(n)
+			return nanos(rounds, func() {
+				for range rounds {
+					f, _ := wire.Read(bytes.NewReader(frameBytes(wire.KindHeartbeat, hb)))
+					var got wire.Heartbeat
+					_ = f.Into(&got)
+				}
+			})
+		}),
+	}
+}
+
+func newLimiter(accounts int) *rate.Limiter {
+	l := rate.New(rate.DefaultSettings(incarnation))
+	l.SetParts(0, []rate.Part{{Fraction: 1, Until: time.Hour}})
+	for i := range accounts {
+		l.SetAccount(0, fmt.Sprintf("account-%03d", i), 1e9, 1e12)
+	}
+	return l
+}
+
+func rates() []Slope {
+	accounts := []int{5, 50, 150, 440}
+	items := []int{1, 4, 16, 64}
+	return []Slope{
+		measure("rate-memory", "accounts", "bytes of heap", []int{100, 440, 1000, 4000}, func(n int) float64 {
+			return heapBytes(func() any { return newLimiter(n) })
+		}),
+		measure("rate-admit", "accounts", "ns for one admit and settle", accounts, func(n int) float64 {
+			const rounds = 5000
+			l := newLimiter(n)
+			now := time.Minute
+			return nanos(rounds, func() {
+				for i := range rounds {
+					now += time.Millisecond
+					o := l.Admit(now, fmt.Sprintf("account-%03d", i%n), 1000, now+time.Second)
+					l.Settle(now, &o.Reservation, 900)
+				}
+			})
+		}),
+		measure("rate-exchange-bytes", "accounts asked for", "bytes of ask, grant and return", items, func(n int) float64 {
+			ask, grant, back := wire.RateAsk{From: incarnation}, wire.RateGrant{From: incarnation, At: 1 << 40}, wire.RateReturn{To: incarnation}
+			for i := range n {
+				account := fmt.Sprintf("account-%03d", i)
+				ask.Items = append(ask.Items, wire.RateItem{Account: account, Tokens: 1234.5, WaitedMicros: 1000})
+				grant.Items = append(grant.Items, wire.RateGrantItem{Account: account, Tokens: 1234.5, Left: 99})
+				back.Items = append(back.Items, wire.RateReturnItem{Account: account, At: 1 << 40, Spent: 1234.5})
+			}
+			return float64(len(frameBytes(wire.KindRateAsk, ask)) + len(frameBytes(wire.KindRateAsk, grant)) + len(frameBytes(wire.KindRateReturn, back)))
+		}),
+	}
+}
--- /dev/null
+++ b/internal/slopes/records.go
@@ -0,0 +1,191 @@
+package slopes
+
+import (
+	"fmt"
+	"maps"
+	"runtime"
+	"slices"
+	"time"
+
+	"github.com/mastictray/mastictray/internal/claim"
+	"github.com/mastictray/mastictray/internal/config"
+	"github.com/mastictray/mastictray/internal/lease"
+	"github.com/mastictray/mastictray/internal/logrec"
+	"github.com/mastictray/mastictray/internal/platform"
+)
+
+func record(kind logrec.Kind, body any) []byte {
+	raw, err := logrec.Encode(kind, incarnation, 1<<40, body)
+	if err != nil {
+		panic(err) // a body of ours that does not encode is a programming error
+	}
+	return raw
+}
+
+// targetsPerFile is how operators split a large deployment into files.
+const targetsPerFile = 100
+
+func accountFile(i, rate int) []byte {
+	return fmt.Appendf(nil, "[account \"a%d\"]\ntokens-per-second = %d\nburst-tokens = 100000\n[key \"k%d\"]\naccount = a%d\nsha256 = %064x\n", i, rate, i, i, i)
+}
+
+const poolFile = "pool.ini"
+
+// configState has targets in files and one account with a key for 25 targets.
+func configState(targets int) *config.State {
+	files := map[string][]byte{poolFile: []byte("[model \"m\"]\nversion = v1\n[pool \"p\"]\nkind = engine\nmodel = m\n")}
+	for a := range max(1, targets/25) {
+		files[fmt.Sprintf("a%d.ini", a)] = accountFile(a, 1000)
+	}
+	for t := range targets {
+		name := fmt.Sprintf("t%d.ini", t/targetsPerFile)
+		files[name] = fmt.Appendf(files[name], "[target \"t%d\"]\naddress = 10.%d.%d.%d:80\ndomain = d%d\npool = p\n", t, t>>16, t>>8&255, t&255, t%11)
+	}
+	s := config.EmptyState()
+	for _, name := range order(files) {
+		text := files[name]
+		s = foldConfig(s, config.Change{Op: name, Rules: config.RulesVersion, Files: []config.FileChange{{Name: name, Base: config.NoRevision, Contents: text}}})
+	}
+	return s
+}
+
+// order puts the pool before the targets that name it.
+func order(files map[string][]byte) []string {
+	names := []string{poolFile}
+	for _, name := range slices.Sorted(maps.Keys(files)) {
+		if name != poolFile {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+func foldConfig(s *config.State, c config.Change) *config.State {
+	n, err := config.Fold(s, record(config.KindChange, c))
+	if err != nil || n.Revision == s.Revision {
+		panic(fmt.Sprint("change not accepted: ", err, n.Audit))
+	}
+	return n
+}
+
+func logFollower() []Slope {
+	sizes := []int{250, 1000, 2500, 10000}
+	states := map[int]*config.State{}
+	for _, n := range sizes {
+		states[n] = configState(n)
+	}
+	return []Slope{
+		measure("config-fold", "targets, with an account for 25", "ns to fold one change", sizes, func(n int) float64 {
+			s := states[n]
+			raw := record(config.KindChange, config.Change{Op: "x", Rules: config.RulesVersion, Files: []config.FileChange{{Name: "a0.ini", Base: s.Base("a0.ini"), Contents: accountFile(0, 2000)}}})
+			return nanos(1, func() { _, _ = config.Fold(s, raw) })
+		}),
+		measure("config-state", "targets, with an account for 25", "bytes of the encoded state", sizes, func(n int) float64 {
+			raw, err := states[n].Encode()
+			if err != nil {
+				panic(err)
+			}
+			return float64(len(raw))
+		}),
+		measure("config-memory", "targets, with an account for 25", "bytes of heap", sizes, func(n int) float64 {
+			return heapBytes(func() any { return configState(n) })
+		}),
+		measure("config-record", "bytes of the changed file", "bytes of the record", []int{100, 1000, 4000, 16000}, func(n int) float64 {
+			return float64(len(record(config.KindChange, config.Change{Op: incarnation, Rules: 1, Files: []config.FileChange{{Name: "accounts/a0.ini", Contents: make([]byte, n)}}})))
+		}),
+	}
+}
+
+func leases() []Slope {
+	sizes := []int{50, 200, 800, 2400}
+	return []Slope{
+		measure("lease-record", "leases in a renewal", "bytes of the record", []int{1, 4, 16, 64}, func(n int) float64 {
+			r := lease.Renew{Holder: incarnation, Seen: 1 << 30, Seq: 1 << 20}
+			for i := range n {
+				r.Leases = append(r.Leases, lease.Renewal{Resource: lease.Mint("domain-01", i), Token: 1 << 30})
+			}
+			return float64(len(record(lease.KindRenew, r)))
+		}),
+		measure("lease-fold", "renewals", "ns for all", sizes, func(n int) float64 {
+			raws := renewals(n)
+			return nanos(1, func() {
+				f := lease.NewFold()
+				for i, raw := range raws {
+					e, _ := logrec.Decode(raw)
+					_ = f.Apply(0, platform.Offset(i), e)
+				}
+			}) / 3
+		}),
+		measure("lease-memory", "members with a lease", "bytes of heap", sizes, func(n int) float64 {
+			raws := renewals(n)
+			defer runtime.KeepAlive(raws)
+			return heapBytes(func() any {
+				f := lease.NewFold()
+				for i, raw := range raws {
+					e, _ := logrec.Decode(raw)
+					_ = f.Apply(0, platform.Offset(i), e)
+				}
+				return f
+			})
+		}),
+	}
+}
+
+// renewals are the records of members that join, acquire and renew once each.
+func renewals(n int) [][]byte {
+	var out [][]byte
+	add := func(kind logrec.Kind, body any) { out = append(out, record(kind, body)) }
+	for i := range n {
+		id := fmt.Sprintf("%s-%d", incarnation, i)
+		r := lease.Mint("domain-01", i)
+		add(lease.KindJoin, lease.Join{Member: lease.Member{ID: id, Domain: "domain-01", Address: fmt.Sprintf("10.0.%d.%d:7000", i>>8, i&255)}})
+		token := platform.Offset(len(out))
+		seen := token - 1
+		add(lease.KindAcquire, lease.Acquire{Resource: r, Holder: id, Basis: lease.BasisFree, BasedOn: lease.NoOffset, Seen: seen, Seq: 1})
+		add(lease.KindRenew, lease.Renew{Holder: id, Leases: []lease.Renewal{{Resource: r, Token: token}}, Seen: token, Seq: 2})
+	}
+	return out
+}
+
+func claimRecord(i int) []byte {
+	return record(claim.KindClaim, claim.Claim{
+		Key: claim.HashKey("a", fmt.Sprint(i)), Request: claim.HashRequest("POST", "/book", nil),
+		Attempt: incarnation, Incarnation: incarnation, Address: "10.0.0.1:7000", Head: platform.Offset(i), HeadMillis: 1 << 40,
+	})
+}
+
+func claims() []Slope {
+	sizes := []int{2000, 4000, 8000, 16000}
+	batch := func(n int) platform.Batch {
+		b := platform.Batch{Next: platform.Offset(n)}
+		for i := range n {
+			b.Records = append(b.Records, platform.Record{Offset: platform.Offset(i), Data: claimRecord(i)})
+		}
+		return b
+	}
+	fold := func(b platform.Batch) *claim.Machine {
+		m := claim.New(claim.Config{Incarnation: incarnation})
+		if err := m.Records(time.Second, 1<<40, b); err != nil {
+			panic(err)
+		}
+		return m
+	}
+	return []Slope{
+		measure("claim-bytes", "claims", "bytes of the records", sizes, func(n int) float64 {
+			sum := 0
+			for i := range n {
+				sum += len(claimRecord(i))
+			}
+			return float64(sum)
+		}),
+		measure("claim-fold", "claims", "ns for all", sizes, func(n int) float64 {
+			b := batch(n)
+			return nanos(1, func() { fold(b) })
+		}),
+		measure("claim-memory", "claims held", "bytes of heap", sizes, func(n int) float64 {
+			b := batch(n)
+			defer runtime.KeepAlive(b)
+			return heapBytes(func() any { return fold(b) })
+		}),
+	}
+}
