--- a/internal/placement/options.go
+++ b/internal/placement/options.go
@@ -45,7 +45,7 @@
 		AnchorPieces:     2,
 		HomeTrust:        0.25,
 		UnseenTrust:      0.5,
-		RecomputeFactor:  1.5,
+		RecomputeFactor:  2,
 		NearTie:          2 * time.Millisecond,
 	}
 }
