Measure what claims cost and hold names of claimers once

Cause: 65,536 keys at 545 bytes and 16 MB of answers came near the 64 MB that a node may spend on control.

Ruled out: a shorter hash of the key, which would trade memory for chance.

Change: incarnations, addresses and content types are held once; the defaults are 32,768 keys and 8 MB of answers.

--- a/internal/claim/config.go
+++ b/internal/claim/config.go
@@ -36,9 +36,9 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.MaxKeys, 65536)
+	setDefault(&c.MaxKeys, 32768)
 	setDefault(&c.MaxBodyBytes, 32<<10)
-	setDefault(&c.MaxHeldBytes, 16<<20)
+	setDefault(&c.MaxHeldBytes, 8<<20)
 	setDefault(&c.Window, 24*time.Hour)
 	setDefault(&c.RepeatHorizon, 10*time.Minute)
 	setDefault(&c.MaxClockSkew, 10*time.Second)
--- a/internal/claim/table.go
+++ b/internal/claim/table.go
@@ -39,10 +39,26 @@
 	bodies  []KeyHash
 	held    int
 	marks   marks
+	// names holds one copy of each incarnation, address and content type.
+	names map[string]string
+}
+
+// maxNames bounds the copies held; past it they are collected anew.
+const maxNames = 8192
+
+func (t *table) intern(s string) string {
+	if known, ok := t.names[s]; ok {
+		return known
+	}
+	if len(t.names) >= maxNames {
+		clear(t.names)
+	}
+	t.names[s] = s
+	return s
 }
 
 func newTable(cfg Config) *table {
-	return &table{cfg: cfg, holders: map[KeyHash]*Holder{}}
+	return &table{cfg: cfg, holders: map[KeyHash]*Holder{}, names: map[string]string{}}
 }
 
 // change tells the machine what one record did.
@@ -121,6 +137,7 @@
 }
 
 func (t *table) take(h *Holder) {
+	h.Incarnation, h.Address = t.intern(h.Incarnation), t.intern(h.Address)
 	t.holders[h.Key] = h
 	t.order = append(t.order, claimed{offset: h.Offset, key: h.Key})
 	for len(t.order) > t.cfg.MaxKeys {
@@ -143,6 +160,7 @@
 // setResult keeps the first result; a repeated record changes nothing.
 func (t *table) setResult(h *Holder, r *Result) {
 	if h.Result == nil {
+		r.ContentType = t.intern(r.ContentType)
 		h.Result = r
 		t.holdBody(h)
 	}
