Give suspects no crashed target, and another when one is out of reach

The home of the suspects went on giving out the target that had just crashed, as no suspect ran there any more. The instance that got it took the refused connection or the open breaker as the end of the request and kept the permit.

The home now takes a crashed target out of the asks from before the crash; an instance that cannot reach the target gives the permit back and asks again without it, at most as often as targets are tried. Ruled out: to let such a request go to any target, since the guilty one may be it.

With the home's rule off TestCrashedTargetIsNotGivenToTheNextSuspect fails.

--- a/internal/entry/enginecrash.go
+++ b/internal/entry/enginecrash.go
@@ -46,6 +46,19 @@
 	return nil
 }
 
+// release gives a target back that the request was to run on alone, and leaves
+// it out from then on. Targets that crash next to each other are given out
+// before all instances know: without another target the stream of an innocent
+// request would end there.
+func (r *engineRun) release() {
+	if r.isolated == "" {
+		return
+	}
+	r.s.poison.ended(r.e.id, false)
+	r.e.place.Exclude = r.isolated
+	r.isolated, r.vetted = "", false
+}
+
 // outcome is whether the request has run so far.
 func (r *engineRun) outcome() openai.Outcome { return openai.Outcome(r.stream.Outcome()) }
 
--- a/internal/entry/enginerun.go
+++ b/internal/entry/enginerun.go
@@ -123,14 +123,21 @@
 
 // choose vets the request and waits for a target.
 func (r *engineRun) choose() (placed, error) {
-	if !r.vetted {
-		if err := r.vet(); err != nil {
-			return placed{}, err
+	for tries := 1; ; tries++ {
+		if !r.vetted {
+			if err := r.vet(); err != nil {
+				return placed{}, err
+			}
+			r.vetted = true
 		}
-		r.vetted = true
-	}
-	if r.isolated != "" {
-		return r.pool.acquireOn(r.isolated, r.e.queued())
+		if r.isolated == "" {
+			break
+		}
+		pl, err := r.pool.acquireOn(r.isolated, r.e.queued())
+		if err == nil || tries >= maxAttempts {
+			return pl, err
+		}
+		r.release()
 	}
 	pl, err := r.pool.acquire(r.e.r.Context(), r.e.queued())
 	if err != nil {
@@ -145,6 +152,7 @@
 		return attempt.Action{}, r.final(err)
 	}
 	r.e.place.Exclude = r.at.target
+	r.release()
 	if (r.s.clock.now() >= r.e.due && !r.e.wrote) || !r.s.budget.repeat() {
 		return r.stream.NoTarget(), nil
 	}
--- a/internal/poison/crash.go
+++ b/internal/poison/crash.go
@@ -42,6 +42,7 @@
 // blame adds a crash and tells the peers; nextID is then that notice's.
 func (r *Registry) blame(now time.Duration, id CrashID, fps []Fingerprint) wire.PoisonCrash {
 	r.ledger.addCrash(now, id, 0, fps)
+	r.home.lost(id.Target, now)
 	body := crashBody(id, 0, fps)
 	if len(fps) == 0 {
 		return body
--- a/internal/poison/home.go
+++ b/internal/poison/home.go
@@ -32,6 +32,7 @@
 	request string
 	fp      Fingerprint
 	targets []string
+	at      time.Duration
 	until   time.Duration
 }
 
@@ -59,7 +60,7 @@
 	if !ok || len(h.queue) >= maxQueue {
 		return
 	}
-	a := ask{from: from, request: b.Request, fp: fp, targets: b.Targets, until: now + h.cfg.AskBound}
+	a := ask{from: from, request: b.Request, fp: fp, targets: b.Targets, at: now, until: now + h.cfg.AskBound}
 	i := slices.IndexFunc(h.queue, func(o ask) bool { return o.from == from && o.request == b.Request })
 	if i >= 0 {
 		h.queue[i] = a
@@ -95,6 +96,18 @@
 	}
 }
 
+// lost takes a target that crashed at a time out of the asks from before it.
+// The asks name the targets that were up when they came; no suspect runs on the
+// crashed one any more, so it would be given to the next of them at once, and
+// that one's stream would end at a refused connection.
+func (h *home) lost(target string, at time.Duration) {
+	for i, a := range h.queue {
+		if a.at <= at && slices.Contains(a.targets, target) {
+			h.queue[i].targets = slices.DeleteFunc(slices.Clone(a.targets), func(t string) bool { return t == target })
+		}
+	}
+}
+
 // busy says whether a suspect runs on the target by permit.
 func (h *home) busy(target string) bool {
 	for _, p := range h.permits {
--- a/internal/poison/messages.go
+++ b/internal/poison/messages.go
@@ -75,6 +75,7 @@
 	for _, c := range b.Crashes {
 		id := CrashID{Target: c.Target, Incarnation: c.Incarnation}
 		r.ledger.addCrash(now, id, millis(c.AgeMillis), prints(c.Fingerprints))
+		r.home.lost(c.Target, now-millis(c.AgeMillis))
 	}
 	for _, q := range b.Quarantines {
 		if fp, ok := fingerprint(q.Fingerprint); ok && r.ledger.quarantine(now, fp, millis(q.AgeMillis)) {
--- a/internal/poison/registry_test.go
+++ b/internal/poison/registry_test.go
@@ -60,6 +60,27 @@
 	is.Equal(len(r.Ready().Decisions), 1)
 }
 
+// A suspect waits for the only target it named, on which another one runs, and
+// that target crashes. The target is without a suspect then, but gone: given to
+// the waiting one, its stream would end at a refused connection. It waits until
+// it names others.
+func TestCrashedTargetIsNotGivenToTheNextSuspect(t *testing.T) {
+	is := is.New(t)
+	r := suspected(Config{Self: "a"})
+	is.Equal(r.Admit(0, "r1", print(0), "pool", []string{"t2"}), Wait)
+	is.Equal(r.Ready().Decisions, []Decision{{Request: "r1", Verdict: Isolate, Target: "t2"}})
+	r.Crashed(0, "t1", "i1", nil)
+	other := print(1)
+	r.Receive(0, "b", wire.PoisonNotice{Crashes: []wire.PoisonCrash{{Target: "t1", Incarnation: "i1", Fingerprints: [][]byte{other[:]}}}})
+	is.Equal(r.Admit(time.Second, "r2", other, "pool", []string{"t2"}), Wait)
+	r.Crashed(2*time.Second, "t2", "i1", []string{"r1"})
+	for _, d := range r.Ready().Decisions {
+		is.True(d.Request != "r2") // the crashed target was given out
+	}
+	is.Equal(r.Admit(3*time.Second, "r2", other, "pool", []string{"t3"}), Wait)
+	is.Equal(r.Ready().Decisions, []Decision{{Request: "r2", Verdict: Isolate, Target: "t3"}})
+}
+
 // An instance dies together with the target on which it ran a suspect. The
 // home granted the permit and counts the crash: otherwise the request could
 // take a third target.
