Let engine routes share a path when their models differ

Cause: paths were unique, so a deployment of eight models could not serve them all on /v1/chat/completions, where the request names the model. Change: the check is on path and model; service routes keep their path to themselves.

--- a/internal/config/build.go
+++ b/internal/config/build.go
@@ -56,8 +56,10 @@
 	// titles remembers where each section was seen first.
 	titles map[string]string
 	// keyIDs, addresses and paths say which section has a value already.
-	keyIDs, addresses, paths map[string]string
-	poolSizes                map[string]int
+	keyIDs, addresses map[string]string
+	paths             map[pathOf]string
+	pathKinds         map[string]PoolKind
+	poolSizes         map[string]int
 }
 
 // merge joins the fragments with the keys that records created.
@@ -65,7 +67,7 @@
 	m := &merger{
 		intent: newIntent(),
 		titles: map[string]string{}, keyIDs: map[string]string{},
-		addresses: map[string]string{}, paths: map[string]string{}, poolSizes: map[string]int{},
+		addresses: map[string]string{}, paths: map[pathOf]string{}, pathKinds: map[string]PoolKind{}, poolSizes: map[string]int{},
 	}
 	names := make([]string, 0, len(fragments))
 	for name := range fragments {
@@ -106,6 +108,9 @@
 	return true
 }
 
+// pathOf is what requests are routed by.
+type pathOf struct{ path, model string }
+
 // unique reports a value that another section has taken.
 func (m *merger) unique(taken map[string]string, value, file, title, key string) {
 	if other, twice := taken[value]; twice {
@@ -216,8 +221,25 @@
 	}
 }
 
+// checkPath lets engine routes share a path when their pools serve different
+// models, since the request names the model. Any other route has its path to
+// itself.
+func (m *merger) checkPath(r placed[Route]) {
+	pool := m.intent.Pools[r.value.Pool]
+	if kind, seen := m.pathKinds[r.value.Path]; seen && kind != pool.Kind {
+		m.problem(r.file, r.title, "path", "a path of pools of one kind", r.value.Path)
+	}
+	m.pathKinds[r.value.Path] = pool.Kind
+	of := pathOf{path: r.value.Path, model: pool.Model}
+	if other, twice := m.paths[of]; twice {
+		m.problem(r.file, r.title, "path", "a path and model of its own, but ["+other+"] has them", r.value.Path)
+		return
+	}
+	m.paths[of] = r.title
+}
+
 func (m *merger) checkRoute(r placed[Route]) {
-	m.unique(m.paths, r.value.Path, r.file, r.title, "path")
+	m.checkPath(r)
 	for _, reserved := range reservedPaths {
 		if r.value.Path == reserved || strings.HasPrefix(r.value.Path, reserved+"/") {
 			m.problem(r.file, r.title, "path", "a path that the entry process does not use itself", r.value.Path)
