--- a/cmd/mastictray-bench/main.go
+++ b/cmd/mastictray-bench/main.go
@@ -17,6 +17,8 @@
 
 type cli struct {
 	Policies policiesCmd `cmd:"" help:"Compare routing policies on seeded traces (simulated time)."`
+	Slopes   slopesCmd   `cmd:"" help:"Measure what each role costs by its size (some seconds of one core)."`
+	Capacity capacityCmd `cmd:"" help:"Print the tables of docs/CAPACITY.md, worked out from the slopes."`
 }
 
 type policiesCmd struct {
@@ -27,7 +29,7 @@
 	Out      string `help:"Directory for policies.txt, policies.json and the plots." type:"existingdir"`
 
 	Trust    *float64       `help:"Vary the product: HomeTrust."`
-	Young    *time.Duration `help:"Vary the product: YoungFor."`
+	Unseen   *float64       `help:"Vary the product: UnseenTrust."`
 	Factor   *float64       `help:"Vary the product: RecomputeFactor."`
 	Backlog  *float64       `help:"Vary the product: BacklogFactor."`
 	Grace    *time.Duration `help:"Vary the product: BacklogGrace."`
@@ -43,7 +45,7 @@
 	vary(&t.Placement.HomeTrust, c.Trust)
 	vary(&t.Dispatch.RecomputeFactor, c.Factor)
 	vary(&t.Dispatch.BacklogFactor, c.Backlog)
-	vary(&t.Placement.YoungFor, c.Young)
+	vary(&t.Placement.UnseenTrust, c.Unseen)
 	vary(&t.Placement.NearTie, c.NearTie)
 	vary(&t.Placement.AnchorPieces, c.Anchor)
 	vary(&t.Placement.TransferTokensPerSecond, c.Transfer)
--- a/internal/entry/cacheevents.go
+++ b/internal/entry/cacheevents.go
@@ -107,9 +107,30 @@
 			p.beliefs.Cleared(id)
 		}
 	}
+	p.followed[name] = true
+	p.checkFollowed()
 	return true
 }
 
+// checkFollowed tells the picker once the retained events of all targets that
+// answer have been read: until then rendezvous order is the better guide.
+// Callers hold mu.
+func (p *enginePool) checkFollowed() {
+	for i := range p.pool.Len() {
+		if t := p.pool.Target(i); !p.followed[t.Name] && !t.BreakerOpen {
+			return
+		}
+	}
+	p.picker.CaughtUp()
+}
+
+// counted takes in the cached-token count at the end of an answer.
+func (p *enginePool) counted(pl placed, cachedTokens int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dispatcher.Counted(&pl.sending, cachedTokens)
+}
+
 func parsePieces(list []string) ([]prefix.Hash, error) {
 	pieces := make([]prefix.Hash, 0, len(list))
 	for _, s := range list {
--- a/internal/entry/enginepool.go
+++ b/internal/entry/enginepool.go
@@ -59,6 +59,8 @@
 	beliefs    *belief.Store
 	dispatcher *dispatch.Dispatcher[chan placedOrError]
 	rng        *rand.Rand
+	// followed are the targets whose retained cache events have been read.
+	followed map[string]bool
 	// active is the weights version that new requests count on.
 	active string
 	// returned is when a target came back as a new incarnation.
@@ -77,6 +79,7 @@
 		address:  make(map[string]string),
 		failed:   make(map[string]time.Duration),
 		returned: make(map[string]time.Duration),
+		followed: make(map[string]bool),
 		watchers: make(map[string]map[uint64]func()),
 		beliefs:  belief.NewStore(beliefBudgetBytes),
 		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -100,6 +103,7 @@
 	place.Domain, place.CrossDomainDelay = p.domain, crossDomainDelay
 	p.picker = placement.NewPicker(p.pool, p.beliefs, place)
 	p.activate()
+	p.checkFollowed()
 	if p.dispatcher != nil {
 		p.dispatcher.Replace(p.pool, p.picker)
 		return
@@ -132,7 +136,10 @@
 	return kept
 }
 
-// activate chooses the version that new requests count on. Callers hold mu.
+// activate chooses the version that new requests count on. It is to run after
+// every change of who takes work: when the only target of a version is lost,
+// requests that wait for that version would wait until their deadline. Callers
+// hold mu.
 func (p *enginePool) activate() {
 	served := make(map[string]int)
 	for i := range p.pool.Len() {
@@ -286,6 +293,7 @@
 	t := p.pool.Target(i)
 	t.BreakerOpen = open
 	p.pool.Changed(i)
+	p.activate()
 }
 
 // setDraining marks the targets that the instance list shows leaving.
@@ -302,6 +310,7 @@
 			p.pool.Changed(i)
 		}
 	}
+	p.activate()
 }
 
 // identity is what the i-th target is now. Callers hold mu.
--- a/internal/entry/enginerun.go
+++ b/internal/entry/enginerun.go
@@ -67,6 +67,7 @@
 }
 
 func (r *engineRun) loop() error {
+	r.s.budget.request()
 	act, err := r.dispatch()
 	for err == nil {
 		if act.Cancel != nil {
@@ -122,14 +123,21 @@
 
 // choose vets the request and waits for a target.
 func (r *engineRun) choose() (placed, error) {
-	if !r.vetted {
-		if err := r.vet(); err != nil {
-			return placed{}, err
+	for tries := 1; ; tries++ {
+		if !r.vetted {
+			if err := r.vet(); err != nil {
+				return placed{}, err
+			}
+			r.vetted = true
 		}
-		r.vetted = true
-	}
-	if r.isolated != "" {
-		return r.pool.acquireOn(r.isolated, r.e.queued())
+		if r.isolated == "" {
+			break
+		}
+		pl, err := r.pool.acquireOn(r.isolated, r.e.queued())
+		if err == nil || tries >= maxAttempts {
+			return pl, err
+		}
+		r.release()
 	}
 	pl, err := r.pool.acquire(r.e.r.Context(), r.e.queued())
 	if err != nil {
@@ -144,7 +152,8 @@
 		return attempt.Action{}, r.final(err)
 	}
 	r.e.place.Exclude = r.at.target
-	if r.s.clock.now() >= r.e.due && !r.e.wrote {
+	r.release()
+	if (r.s.clock.now() >= r.e.due && !r.e.wrote) || !r.s.budget.repeat() {
 		return r.stream.NoTarget(), nil
 	}
 	act, err := r.dispatch()
@@ -342,6 +351,9 @@
 	r.s.metrics.attempt(r.e.pool.Name, "answered")
 	r.s.metrics.answered(r.e.account.Name, r.e.pool.Name)
 	r.prefilled()
+	if r.e.usage.PromptTokens > 0 {
+		r.pool.counted(r.at, r.e.usage.PromptTokensDetails.CachedTokens)
+	}
 	return nil
 }
 
