Begin slots that nobody has held with their burst

Ruled out: full buckets after every take-over, since the former holder may have spent its part a moment before. Change: the fold says whether a lease has its first holder ever, and such a part begins full. All others begin empty as before. After a restart of all instances bursts are still lost.

--- a/internal/lease/checkpoint.go
+++ b/internal/lease/checkpoint.go
@@ -44,6 +44,7 @@
 	Last     platform.Offset `msgpack:"l"`
 	Seen     platform.Offset `msgpack:"s"`
 	Floor    bool            `msgpack:"f"`
+	First    bool            `msgpack:"n,omitempty"`
 }
 
 // Checkpoint is the state of the fold up to Next, and false while the fold
@@ -62,7 +63,7 @@
 	for r, s := range f.states {
 		c.Leases = append(c.Leases, CheckpointLease{
 			Resource: r, Holder: s.Holder, Address: s.Address,
-			Token: s.Token, Last: s.Last, Seen: s.Seen, Floor: s.Floor,
+			Token: s.Token, Last: s.Last, Seen: s.Seen, Floor: s.Floor, First: s.First,
 		})
 	}
 	slices.SortFunc(c.Members, func(a, b CheckpointEntry) int { return cmp.Compare(a.At, b.At) })
@@ -141,7 +142,7 @@
 	for _, l := range c.Leases {
 		f.states[l.Resource] = State{
 			Holder: l.Holder, Address: l.Address, Token: l.Token, Last: l.Last,
-			Seen: l.Seen, Floor: l.Floor, FoldedAt: now, FloorSince: now,
+			Seen: l.Seen, Floor: l.Floor, First: l.First, FoldedAt: now, FloorSince: now,
 		}
 	}
 }
--- a/internal/lease/fold.go
+++ b/internal/lease/fold.go
@@ -18,6 +18,8 @@
 	Token platform.Offset
 	// Last is the offset of the last valid record of the resource.
 	Last platform.Offset
+	// First is set while the resource has its first holder ever.
+	First bool
 	// Seen is the last offset that the holder had folded when it wrote Last.
 	Seen platform.Offset
 	// Floor is set while the holder, or nobody, holds the floor. It is
@@ -132,6 +134,7 @@
 	if !known {
 		s = State{Last: NoOffset, Floor: true}
 	}
+	s.First = !known
 	m, ok := f.members[a.Holder]
 	if !ok || s.Last != a.BasedOn || !f.due(a, s, m) {
 		return
--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -42,6 +42,7 @@
 	since      time.Duration
 	floorSince time.Duration
 	floor      bool
+	first      bool
 	promises   map[string]time.Duration // by member
 }
 
@@ -84,6 +85,8 @@
 	// FloorSince and FloorUntil bound the use of the floor; both are 0 when
 	// an earlier holder may still use it.
 	FloorSince, FloorUntil time.Duration
+	// First says that nobody has held the resource before.
+	First bool
 }
 
 // NewHolder makes a holder that has folded nothing.
@@ -158,7 +161,7 @@
 	}
 	l := h.held[r]
 	if l == nil {
-		l = &holding{token: s.Token, sentAt: unknownSend, since: now, promises: map[string]time.Duration{}}
+		l = &holding{token: s.Token, first: s.First, sentAt: unknownSend, since: now, promises: map[string]time.Duration{}}
 		h.held[r] = l
 	}
 	if !own || s.Last != off {
@@ -210,7 +213,7 @@
 		if l == nil || h.leaving {
 			continue
 		}
-		g := Grant{Resource: r, Token: l.token, Since: l.since, Until: h.until(r, l)}
+		g := Grant{Resource: r, Token: l.token, Since: l.since, Until: h.until(r, l), First: l.first}
 		if l.floor {
 			g.FloorSince, g.FloorUntil = l.floorSince, l.sentAt+h.settings.use(h.settings.Hold)
 		}
--- a/internal/rate/limiter.go
+++ b/internal/rate/limiter.go
@@ -58,6 +58,7 @@
 type Limiter struct {
 	settings Settings
 	parts    []Part
+	filled   map[string]bool    // parts whose first burst was given
 	share    float64            // of the parts in force since at
 	at       time.Duration      // up to here parts are accounted for
 	boundary time.Duration      // when the share changes next
@@ -95,6 +96,7 @@
 		settings: s,
 		boundary: never,
 		accounts: map[string]*account{},
+		filled:   map[string]bool{},
 		pending:  map[uint64]pendingAsk{},
 	}
 }
--- a/internal/rate/parts.go
+++ b/internal/rate/parts.go
@@ -10,6 +10,9 @@
 // never is a time that does not come.
 const never = time.Duration(math.MaxInt64)
 
+// floorSuffix marks the floor's part of a slot.
+const floorSuffix = "#floor"
+
 // SetParts replaces the parts that this instance holds. Call it whenever a
 // lease is renewed, won or given up.
 func (l *Limiter) SetParts(now time.Duration, parts []Part) {
@@ -49,6 +52,7 @@
 		}
 	}
 	l.boundary = next
+	fresh := l.freshParts(t)
 	if share == l.share {
 		return
 	}
@@ -56,10 +60,26 @@
 	for _, a := range l.accounts {
 		l.advance(a, t)
 		a.bucket.share = share * a.factor.value
+		a.bucket.balance += fresh * a.factor.value * a.bucket.burst
 		a.bucket.clamp()
 	}
 }
 
+// freshParts is the sum of the parts that nobody held before and that begin to
+// count at t, each once. Without their burst every account would be refused
+// its bursts after the first start of a fleet, though it had spent nothing.
+// It can be given because the log shows that nobody can have spent it.
+func (l *Limiter) freshParts(t time.Duration) float64 {
+	sum := 0.0
+	for _, p := range l.parts {
+		if p.Full && !l.filled[p.Name] && p.Since+l.settings.startDelay() <= t && t < p.Until {
+			l.filled[p.Name] = true
+			sum += p.Fraction
+		}
+	}
+	return sum
+}
+
 // PartsOf turns mint leases into parts: each of the slots of the whole fleet
 // is 1/slots of all rates, and floor of that (0 to 1) is the slot's floor.
 func PartsOf(grants []lease.Grant, slots int, floor float64) []Part {
@@ -69,9 +89,10 @@
 			continue
 		}
 		slot := 1 / float64(slots)
-		parts = append(parts, Part{Fraction: slot * (1 - floor), Since: g.Since, Until: g.Until})
+		name := string(g.Resource)
+		parts = append(parts, Part{Name: name, Full: g.First, Fraction: slot * (1 - floor), Since: g.Since, Until: g.Until})
 		if g.FloorUntil > 0 {
-			parts = append(parts, Part{Fraction: slot * floor, Since: g.FloorSince, Until: g.FloorUntil})
+			parts = append(parts, Part{Name: name + floorSuffix, Full: g.First, Fraction: slot * floor, Since: g.FloorSince, Until: g.FloorUntil})
 		}
 	}
 	return parts
--- a/internal/rate/settings.go
+++ b/internal/rate/settings.go
@@ -52,6 +52,11 @@
 // Part is a fraction of every account's rate and burst that this instance
 // mints while it holds the lease.
 type Part struct {
+	// Name tells parts apart.
+	Name string
+	// Full says that nobody has held the part before: it begins with its
+	// part of every burst, else with nothing.
+	Full bool
 	// Fraction of the account's rate and burst, above 0 and at most 1.
 	Fraction float64
 	// Since is when this process came to hold the part. Minting starts one
