--- a/internal/experiment/plot.go
+++ b/internal/experiment/plot.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"path/filepath"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 	"gonum.org/v1/plot"
@@ -15,6 +16,8 @@
 	plotWidth  = 13 * vg.Inch
 	plotHeight = 4 * vg.Inch
 	barWidth   = 9
+	// headroom leaves space above the bars for the legend.
+	headroom = 1.4
 )
 
 // chart is one measure drawn for every case and policy.
@@ -53,13 +56,13 @@
 func (c chart) draw(name, workload string, results []Result) error {
 	p := plot.New()
 	p.Title.Text = workload + ": " + c.title
-	p.Y.Min = 0
 	p.Legend.Top = true
-	var cases, policies []string
+	var cases, labels, policies []string
 	values := map[string]plotter.Values{}
 	for _, r := range results {
 		if len(cases) == 0 || cases[len(cases)-1] != r.Case {
 			cases = append(cases, r.Case)
+			labels = append(labels, strings.ReplaceAll(r.Case, ", ", ",\n"))
 		}
 		if _, ok := values[r.Policy]; !ok {
 			policies = append(policies, r.Policy)
@@ -76,6 +79,7 @@
 		p.Add(bars)
 		p.Legend.Add(policy, bars)
 	}
-	p.NominalX(cases...)
+	p.NominalX(labels...)
+	p.Y.Min, p.Y.Max = 0, headroom*p.Y.Max
 	return p.Save(plotWidth, plotHeight, name)
 }
