capacity: count the reader of cache events as built

Cause: every entry instance reads the cache events of all targets; the tables as built left that out.

--- a/internal/capacity/design.go
+++ b/internal/capacity/design.go
@@ -11,6 +11,10 @@
 	// on along a tree of DigestFanOut.
 	LoadEvery, DigestFanOut float64
 	SharedLoads             bool
+	// ReadEvents: every node reads the cache events of all targets, and
+	// keeps what fits in BeliefBudget bytes.
+	ReadEvents   bool
+	BeliefBudget float64
 	// MintSlots are the leases of a domain; 0 is one for each node.
 	MintSlots, RenewEvery float64
 	// Relays is the nodes that one node passes records on to.
@@ -30,6 +34,7 @@
 func AsBuilt() Design {
 	return Design{
 		Name: "as built", HeartbeatEvery: 0.3, HeartbeatHints: 64, LoadEvery: 0.25, RenewEvery: 3,
+		ReadEvents: true, BeliefBudget: 16 << 20,
 		AskPeers: 5, ClaimStreams: 1, ClaimWindow: secondsPerDay,
 	}
 }
--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -38,7 +38,7 @@
 // control.
 func Costs(f Fleet, d Design, s Set) []Cost {
 	return []Cost{
-		serving(f, s), loadReports(f, d), cacheEvents(f, s), peerExchange(f, d, s), logFollower(f, d, s),
+		serving(f, s), loadReports(f, d), cacheEvents(f, d, s), peerExchange(f, d, s), logFollower(f, d, s),
 		leaseHolder(f, d, s), rateShares(f, d, s), claims(f, d, s), auditTrail(f, s),
 	}
 }
@@ -81,7 +81,16 @@
 // store a block, and as many are evicted.
 func (f Fleet) Residence() float64 { return f.CachedBlocks / (f.CacheEvents / 2) }
 
-func cacheEvents(f Fleet, s Set) Cost {
+// cacheEvents is the reader of cache events, or without it what is believed
+// from own answers.
+func cacheEvents(f Fleet, d Design, s Set) Cost {
+	if d.ReadEvents {
+		return Cost{
+			Role: "cache-event reader", Messages: f.CacheEvents, Core: f.CacheEvents * s["event-apply"].PerUnit * nanosecond,
+			Memory: math.Min(d.BeliefBudget, f.CachedBlocks*s["belief-memory"].PerUnit),
+			Rate:   f.CacheEvents * s["event-bytes"].PerUnit,
+		}
+	}
 	touched := f.requests() * f.PromptBytes / pieceBytes
 	return Cost{
 		Role: "cache belief from own answers", Core: touched * s["event-apply"].PerUnit * nanosecond,
