Test that lost messages leave no call without a verdict

Cause: the property test of poison requests delivered every message.

Change: one message in four is lost; every call must end, and one exchange of states must make all instances refuse the request afterwards. A test of its own covers a home that can't be reached.

Repeated asks are caught by no test: a refused caller that sends again makes up for them.

--- a/internal/poison/fleet_test.go
+++ b/internal/poison/fleet_test.go
@@ -52,6 +52,8 @@
 	final   map[Fingerprint]int
 	done    map[Fingerprint]bool
 	copies  int
+	// lossy drops one message in four.
+	lossy bool
 }
 
 const (
@@ -167,6 +169,9 @@
 func (f *fleet) deliver(i int) {
 	m := f.mail[i]
 	f.mail = slices.Delete(f.mail, i, i+1)
+	if f.lossy && rapid.IntRange(0, 3).Draw(f.t, "lost") == 0 {
+		return
+	}
 	to := slices.IndexFunc(f.regs, func(r *Registry) bool { return r.cfg.Self == m.To })
 	f.regs[to].Receive(f.now, name(m.from), m.Body)
 	f.collect(to)
@@ -303,3 +308,36 @@
 		}
 	}
 }
+
+// One message in four between the instances is lost. A poison request may then
+// take more than two targets, but no call waits for ever: each gets a verdict
+// within the bounds of holds and permits. When the links are back, one exchange
+// of states makes all instances refuse the poison request.
+func TestNoCallWaitsForEverOnLostMessages(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		f := newFleet(rt)
+		f.lossy = true
+		for i := range rapid.IntRange(0, 4).Draw(rt, "innocents") {
+			f.send(print(10+i), false)
+		}
+		f.send(print(0), true)
+		for i := 0; i < 5000 && len(f.calls)+len(f.mail) > 0; i++ {
+			f.step()
+		}
+		if len(f.calls) > 0 {
+			rt.Fatalf("%d calls without an answer", len(f.calls))
+		}
+		for i, r := range f.regs {
+			for j, o := range f.regs {
+				if i != j {
+					o.Receive(f.now, name(i), r.State(f.now))
+				}
+			}
+		}
+		for i, r := range f.regs {
+			if r.Admit(f.now, "last", print(0), "pool", nil) != Quarantined {
+				rt.Fatalf("instance %d does not refuse the poison request", i)
+			}
+		}
+	})
+}
--- a/internal/poison/registry_test.go
+++ b/internal/poison/registry_test.go
@@ -163,3 +163,23 @@
 	is.True(Print("a", "/v1/x", []byte(`{"prompt":"p","n":2}`)) != fp)
 	is.True(Print("a", "/v1/x", []byte(`not json`)) != Print("a", "/v1/x", []byte(`not json!`)))
 }
+
+// The home of the pool's suspects can't be reached. The suspect is refused
+// after the bound, and its caller gets an answer: it must not run without a
+// permit, nor wait for ever.
+func TestSuspectIsRefusedWithoutItsHome(t *testing.T) {
+	is := is.New(t)
+	r := suspected(Config{Self: "a", AskBound: 5 * time.Second})
+	r.SetPeers(0, []string{"b", "c", "d"})
+	pool := "pool"
+	for homeOf(pool, "a", r.peers) == "a" {
+		pool += "x"
+	}
+	is.Equal(r.Admit(0, "r2", print(0), pool, []string{"t2"}), Wait)
+	for now := time.Duration(0); now < 5*time.Second; now += time.Second {
+		r.Tick(now)
+		is.Equal(len(r.Ready().Decisions), 0)
+	}
+	r.Tick(5 * time.Second)
+	is.Equal(r.Ready().Decisions, []Decision{{Request: "r2", Verdict: Refused}})
+}
