Do not blame a request for the end of an engine before it

An engine is replaced and an instance still knows the incarnation before. A request whose answer from the new one breaks off was counted among the suspects of the old one's end, though it never ran there; two such, and an innocent request is refused for an hour everywhere. In a pool of one target it waited 30 s for another.

The head of the answer says which incarnation runs the request; the question whether that one is gone compares with it. Ruled out: to refuse answers of unknown incarnations, which would fail the first requests after each restart.

Not covered: a request that breaks before any head of an answer.

--- a/internal/entry/enginecrash.go
+++ b/internal/entry/enginecrash.go
@@ -74,7 +74,7 @@
 	if !r.targetLost() {
 		return nil
 	}
-	crash := poison.CrashID{Target: r.at.target, Incarnation: r.at.Identity.Incarnation}
+	crash := poison.CrashID{Target: r.at.target, Incarnation: r.incarnation}
 	if r.unvetted {
 		r.s.poison.running(r.e.id, r.e.fingerprint(), r.e.pool.Name, r.at.target, r.pool.targets(r.at.target))
 	}
@@ -96,8 +96,10 @@
 	return e.print
 }
 
-// targetLost reports that the leg's process is gone: nothing listens at its
-// address, or another incarnation answers there. A target that does not answer
+// targetLost reports that the process which ran the request is gone: nothing
+// listens at its address, or another incarnation answers there. One that was
+// gone before the request came is not blamed on it: the head of the answer says
+// which process ran it, the last report may still be of the one before. A target that does not answer
 // in time may be paused; that is no crash.
 func (r *engineRun) targetLost() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), crashProbe)
@@ -109,7 +111,7 @@
 	for ctx.Err() == nil {
 		report, err := r.s.pools.poller.ask(ctx, r.at.address)
 		if err == nil {
-			return report.Incarnation != r.at.Identity.Incarnation
+			return report.Incarnation != r.incarnation
 		}
 		var op *net.OpError
 		if errors.As(err, &op) && op.Op == "dial" && !op.Timeout() {
--- a/internal/entry/enginerun.go
+++ b/internal/entry/enginerun.go
@@ -42,8 +42,10 @@
 	idle   *time.Timer
 	// counted is set once the pool knows what became of the leg's attempt.
 	counted bool
-	// sent is set while the leg's target may be running the request.
-	sent bool
+	// sent is set while the leg's target may be running the request, and
+	// incarnation is the process that does, as far as is known.
+	sent        bool
+	incarnation string
 	// vetted is set while the request counts as admitted, and isolated is
 	// the only target that it may go to then; empty for any.
 	vetted bool
@@ -109,6 +111,7 @@
 	}
 	r.e.attempts++
 	r.at, r.id, r.counted = pl, attemptID(r.e.call), false
+	r.incarnation = pl.Identity.Incarnation
 	r.leg = r.stream.Dispatch(r.s.clock.now(), r.id, pl.target)
 	r.openLeg()
 	r.s.poison.started(r.e.id, pl.target)
@@ -227,6 +230,9 @@
 // opened takes the head of an answer.
 func (r *engineRun) opened(resp *http.Response) attempt.Action {
 	r.resp = resp
+	if inc := resp.Header.Get(headerIncarnation); inc != "" {
+		r.incarnation = inc
+	}
 	if resp.StatusCode != http.StatusOK {
 		return r.rejected(resp)
 	}
--- a/internal/wholepath/fleet_test.go
+++ b/internal/wholepath/fleet_test.go
@@ -272,7 +272,10 @@
 type entryState struct {
 	Revision  int64   `json:"revision"`
 	RateShare float64 `json:"rate_share"`
-	Accounts  []struct {
+	Poison    struct {
+		Crashes int64 `json:"crashes"`
+	} `json:"poison"`
+	Accounts []struct {
 		TokensPerSecond float64 `json:"tokens_per_second"`
 	} `json:"accounts"`
 	Targets []struct {
--- a/internal/wholepath/poison_test.go
+++ b/internal/wholepath/poison_test.go
@@ -85,3 +85,21 @@
 	f.wait("the request is refused for good", func() bool { return f.poison("entry0").code == "request_quarantined" })
 	is.True(f.dead() <= 2)
 }
+
+// An engine has been replaced and its instances do not know yet. The new one
+// answers a request wrongly, and the request is answered elsewhere. It is not
+// blamed for the end of the engine before: blamed twice, an innocent request
+// would be refused for an hour whenever engines are restarted.
+func TestRequestIsNotBlamedForCrashBeforeIt(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, shape{entries: 3, engines: 2})
+	engine := f.replace("engine0")
+	f.wait("a prompt reaches the new engine", func() bool {
+		a := f.send("entry0", "office", "/v1/chat/completions", `{"model":"m","messages":[{"role":"user","content":"hi"}]}`)
+		is.Equal(a.status, 200)
+		return len(engine.got("/v1/chat/completions")) > 0
+	})
+	s, ok := f.state("entry0")
+	is.True(ok)
+	is.Equal(s.Poison.Crashes, int64(0)) // the request counts as a suspect
+}
