--- a/internal/wholepath/control_test.go
+++ b/internal/wholepath/control_test.go
@@ -96,15 +96,7 @@
 	f := newFleet(t, shape{entries: 3, engines: 2})
 	f.list(`{"instances":[{"id":"engine0","address":"` + f.addr("engine0") + `","domain":"north","role":"target","state":"leaving"}]}`)
 	for _, e := range f.entries {
-		f.wait(e+" drains engine0", func() bool {
-			s, _ := f.state(e)
-			for _, target := range s.Targets {
-				if target.Name == "engine0" {
-					return len(target.RejectedBy) > 0
-				}
-			}
-			return false
-		})
+		f.wait(e+" drains engine0", func() bool { return f.rejects(e, "engine0") })
 	}
 	before := f.attempts("engine0")
 	f.stream(12, 3, func() {})
