rate: cross the window property with changes of the rate

Cause: nothing showed that a change of rate and burst, which instances follow one by one, makes no tokens. Change: schedules lower the rate and burst to 0.4 and put them back, crossed with all other faults; windows are held against the higher rate throughout.

--- a/internal/rate/fleet_test.go
+++ b/internal/rate/fleet_test.go
@@ -59,6 +59,7 @@
 	queue       []event
 	seq         int
 	rate, burst float64
+	part        float64   // of both that is configured now
 	demand      []float64 // chance of a request a step, by process
 	cost        func(*rand.Rand) float64
 	admitted    []*admission
@@ -74,7 +75,7 @@
 func newFleet(seed uint64, domains, perDomain int, r, b float64, hold time.Duration) *fleet {
 	f := &fleet{
 		rng: rand.New(rand.NewPCG(seed, 1)), logCut: map[string]bool{}, linkCut: map[string]bool{},
-		rate: r, burst: b, stepLen: testStep, hold: hold,
+		rate: r, burst: b, part: 1, stepLen: testStep, hold: hold,
 		cost: func(g *rand.Rand) float64 { return b * (0.01 + 0.3*g.Float64()) },
 	}
 	for i := range domains * perDomain {
@@ -100,7 +101,7 @@
 
 func (f *fleet) boot(p *process) {
 	p.limiter = New(DefaultSettings(p.id))
-	p.limiter.SetAccount(0, "acct", f.rate, f.burst)
+	p.limiter.SetAccount(0, "acct", f.part*f.rate, f.part*f.burst)
 	var wanted []lease.Resource
 	for s := range testSlots {
 		wanted = append(wanted, lease.Mint(p.domain, s))
--- a/internal/rate/window_test.go
+++ b/internal/rate/window_test.go
@@ -39,7 +39,7 @@
 
 var faults = []string{
 	"idle", "flood", "skew", "large", "kill", "freeze", "thaw", "restart", "herd", "cut links", "cut log",
-	"log down", "heal", "split",
+	"log down", "heal", "split", "less", "as before",
 }
 
 // fault applies one fault at one place.
@@ -57,6 +57,10 @@
 		if !p.dead && !p.frozen {
 			f.request(p, f.burst)
 		}
+	case "less":
+		f.configure(0.4)
+	case "as before":
+		f.configure(1)
 	case "split":
 		f.moveTo(p)
 	case "kill":
@@ -96,3 +100,13 @@
 	}
 	f.append(p, lease.Record{Kind: lease.KindSplit, Body: lease.Split{Rows: []lease.SplitRow{row}}})
 }
+
+// configure changes the rate and burst; the instances follow one by one.
+func (f *fleet) configure(part float64) {
+	f.part = part
+	for _, p := range f.procs {
+		f.schedule(f.delay(), p, func() {
+			p.limiter.SetAccount(f.clock(p), "acct", part*f.rate, part*f.burst)
+		})
+	}
+}
