Run the membership view in the entry process

Cause: every instance read the whole list and called every other one, and a peer's stale word on a leaving target stayed in force for a minute. Ruled out: keeping the mesh for news: at 2,400 nodes it is 2,399 calls a beat. Change: members.go runs membership.View: pings to ring neighbours, news with bounded fan-out, facts in the list's own order, targets' incarnations; a process that learns of a later one under its name drains; repeats that wait for a holder that has ended hear so at once. Heartbeats carry rate balances only. Rate heartbeats still go to every live instance.

--- a/internal/entry/claimdriver.go
+++ b/internal/entry/claimdriver.go
@@ -100,6 +100,15 @@
 	d.kick()
 }
 
+// holderGone tells that a process has ended for good: those who wait for its
+// results are answered at once.
+func (d *claimDriver) holderGone(incarnation string) {
+	d.mu.Lock()
+	d.machine.HolderGone(d.clock.now(), incarnation)
+	d.mu.Unlock()
+	d.kick()
+}
+
 func (d *claimDriver) kick() {
 	select {
 	case d.wake <- struct{}{}:
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -94,7 +94,8 @@
 	})
 	e.members.changed = e.pools.setDraining
 	e.poison = newPoisonDriver(e.clock, e.node)
-	e.members.poison = e.poison
+	e.members.poison, e.members.claims, e.members.replaced = e.poison, e.claims, e.Drain
+	e.pools.poller.observed = e.members.observed
 	e.server = &server{
 		clock: e.clock, config: e.config, rates: e.rates, claims: e.claims, pools: e.pools, poison: e.poison, budget: newRetryBudget(),
 		targets: newTargetClient(), metrics: e.metrics, maxBody: s.MaxBodyBytes,
--- a/internal/entry/loadpoller.go
+++ b/internal/entry/loadpoller.go
@@ -23,6 +23,8 @@
 	clock  clock
 	client *http.Client
 	events *http.Client
+	// observed is told the incarnation in each answer.
+	observed func(target, incarnation string)
 
 	mu      sync.Mutex
 	running map[string]polled
@@ -86,6 +88,7 @@
 		if err == nil {
 			missed = 0
 			pool.observe(name, asked, l.asOf(asked, r), r)
+			l.observed(name, r.Incarnation)
 		} else if missed++; missed >= loadMisses {
 			pool.unanswered(name)
 		}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -2,71 +2,71 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/mastictray/mastictray/internal/logline"
+	"github.com/mastictray/mastictray/internal/membership"
 	"github.com/mastictray/mastictray/internal/peer"
 	"github.com/mastictray/mastictray/internal/platform"
 	"github.com/mastictray/mastictray/internal/wire"
 )
 
 const (
-	heartbeatEvery   = 300 * time.Millisecond
-	heartbeatTimeout = 500 * time.Millisecond
-	listEvery        = 500 * time.Millisecond
-	listTimeout      = 2 * time.Second
-	// peerForget is how long a silent peer is still called. It is longer
-	// than a restart takes, and shorter than an address is likely to be
-	// given to something else.
-	peerForget = time.Minute
+	memberTick        = 75 * time.Millisecond
+	memberSendTimeout = 500 * time.Millisecond
+	heartbeatEvery    = 300 * time.Millisecond
+	heartbeatTimeout  = 500 * time.Millisecond
+	listTimeout       = 2 * time.Second
+	// listRowBytes is about what one row of the list takes beside its names.
+	listRowBytes = 70
 )
 
-// knownPeer is what this instance knows of another.
-type knownPeer struct {
-	identity wire.Identity
-	heard    time.Duration
-	leaving  bool
-	draining []string
-}
-
-// members keeps the other entry instances and the targets that are leaving.
+// members runs the view of the other entry instances and of the targets that
+// are leaving, and exchanges rate balances with the live ones.
 type members struct {
 	clock  clock
 	node   *peer.Node
 	list   platform.InstanceLister
 	rates  *rateDriver
 	poison *poisonDriver
-	fixed  []string
-
-	mu      sync.Mutex
-	peers   map[string]*knownPeer
-	listed  map[string]platform.Instance
-	leaving bool
+	claims *claimDriver
+	seeds  []string
+	// changed is told which targets are leaving, at every beat.
 	changed func(leaving func(target string) bool)
+	// replaced is called when a later process has this instance's name.
+	replaced func()
+
+	mu   sync.Mutex
+	view *membership.View
+	// incarnations by instance name, and when each address was last heard.
+	incarnations map[string]string
+	heard        map[string]time.Duration
 }
 
-func newMembers(c clock, node *peer.Node, list platform.InstanceLister, fixed []string) *members {
+func newMembers(c clock, node *peer.Node, list platform.InstanceLister, seeds []string) *members {
 	m := &members{
-		clock: c, node: node, list: list, fixed: fixed,
-		peers: make(map[string]*knownPeer), listed: make(map[string]platform.Instance),
+		clock: c, node: node, list: list,
+		seeds:        slices.DeleteFunc(slices.Clone(seeds), func(a string) bool { return a == node.Self().Address }),
+		incarnations: make(map[string]string), heard: make(map[string]time.Duration),
 	}
-	for _, addr := range fixed {
-		m.peers[addr] = &knownPeer{identity: wire.Identity{Address: addr}}
+	cfg := membership.Config{Self: node.Self(), StartMillis: c.wallMillis(), Seeds: m.seeds}
+	m.view = membership.New(cfg, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	node.Handle(wire.KindHeartbeat, m.handleBeat)
+	for _, kind := range []wire.Kind{wire.KindMemberPing, wire.KindMemberPong, wire.KindMemberNews} {
+		node.Handle(kind, m.receive)
 	}
-	node.Handle(wire.KindHeartbeat, m.handle)
 	return m
 }
 
-// addresses are the peers to talk to, without this instance.
+// addresses are the peers to talk to: those that are heard, and the seeds.
 func (m *members) addresses() []string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	list := make([]string, 0, len(m.peers))
-	for addr := range m.peers {
-		if addr != m.node.Self().Address {
-			list = append(list, addr)
+	list := slices.Clone(m.seeds)
+	for _, p := range m.known() {
+		if !slices.Contains(list, p.Address) {
+			list = append(list, p.Address)
 		}
 	}
 	slices.Sort(list)
@@ -74,69 +74,160 @@
 }
 
 // count is the number of live entry instances, this one included.
-func (m *members) count() int { return len(m.addresses()) + 1 }
+func (m *members) count() int { return len(m.known()) + 1 }
 
-// run reads the instance list and exchanges heartbeats until ctx ends.
-func (m *members) run(ctx context.Context) {
-	if m.list != nil {
-		go m.readList(ctx)
-	}
-	for ctx.Err() == nil {
-		for _, addr := range m.addresses() {
-			go m.beat(ctx, addr)
+// known are the other instances that are heard and not leaving.
+func (m *members) known() []wire.Identity {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var list []wire.Identity
+	for _, f := range m.view.Members() {
+		if f.State == wire.MemberLive && f.Identity != m.node.Self() {
+			list = append(list, f.Identity)
 		}
-		m.forget()
-		known := m.known()
-		m.rates.setPeers(known)
-		m.poison.setPeers(known)
-		sleep(ctx, heartbeatEvery)
 	}
+	return list
 }
 
-func (m *members) readList(ctx context.Context) {
+// run ticks the view and sends heartbeats until ctx ends.
+func (m *members) run(ctx context.Context) {
+	nextBeat := time.Duration(0)
 	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
-		list, err := m.list.Instances(callCtx)
-		cancel()
-		if err != nil {
-			logline.Error(err, "instance_list_failed")
-		} else {
-			m.takeList(list)
+		now := m.clock.now()
+		m.mu.Lock()
+		m.view.Tick(now)
+		replaced := m.view.Replaced()
+		m.mu.Unlock()
+		m.work(ctx)
+		if replaced {
+			logline.Info("instance_replaced", "instance", m.node.Self().Instance)
+			m.replaced()
 		}
-		sleep(ctx, listEvery)
+		if now >= nextBeat {
+			nextBeat = now + heartbeatEvery
+			m.beatAll(ctx)
+		}
+		sleep(ctx, memberTick)
 	}
 }
 
-func (m *members) takeList(list platform.InstanceList) {
+// work does what the view has ready.
+func (m *members) work(ctx context.Context) {
 	m.mu.Lock()
-	m.listed = make(map[string]platform.Instance, len(list.Instances))
-	for _, in := range list.Instances {
-		m.listed[in.ID] = in
-		if in.Role == platform.RoleEntry && m.peers[in.Address] == nil && in.Address != m.node.Self().Address {
-			m.peers[in.Address] = &knownPeer{identity: wire.Identity{Instance: in.ID, Address: in.Address, Domain: in.Domain}, heard: m.clock.now()}
-		}
+	ready := m.view.Ready()
+	m.mu.Unlock()
+	for _, msg := range ready.Messages {
+		go m.send(ctx, msg)
+	}
+	if ready.ReadList && m.list != nil {
+		go m.readList(ctx)
 	}
+	for _, c := range ready.Changes {
+		m.note(c)
+	}
+}
+
+func (m *members) send(ctx context.Context, msg membership.Message) {
+	ctx, cancel := context.WithTimeout(ctx, memberSendTimeout)
+	defer cancel()
+	_ = m.node.Send(ctx, msg.To, msg.Kind, msg.Body) // the view asks again
+}
+
+// note logs a change. A later process under an instance's name tells that the
+// earlier one has ended: callers that wait for its answers hear so at once.
+func (m *members) note(c membership.Change) {
+	if c.Target != nil {
+		logline.Info("target_known", "target", c.Target.Target, "draining", c.Target.Draining, "gone", c.Target.Gone, "incarnation", c.Target.Incarnation)
+		return
+	}
+	id := c.Member.Identity
+	logline.Info("peer_known", "peer", id.Address, "instance", id.Instance, "incarnation", id.Incarnation, "domain", id.Domain, "state", c.Member.State)
+	m.mu.Lock()
+	before := m.incarnations[id.Instance]
+	m.incarnations[id.Instance] = id.Incarnation
 	m.mu.Unlock()
-	m.notify()
+	if before != "" && before != id.Incarnation {
+		m.claims.holderGone(before)
+	}
 }
 
-// notify tells the pools which targets are leaving.
-func (m *members) notify() {
+func (m *members) readList(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	asked := m.clock.now()
+	list, err := m.list.Instances(ctx)
 	m.mu.Lock()
-	leaving := make(map[string]bool)
-	for id, in := range m.listed {
-		if in.Role == platform.RoleTarget && in.State == platform.StateLeaving {
-			leaving[id] = true
-		}
+	if err != nil {
+		m.view.ListFailed(m.clock.now())
+	} else {
+		m.view.List(m.clock.now(), asked, list, listBytes(list))
 	}
-	for _, p := range m.peers {
-		for _, name := range p.draining {
-			leaving[name] = true
-		}
+	m.mu.Unlock()
+	if err != nil && ctx.Err() == nil {
+		logline.Error(err, "instance_list_failed")
+	}
+}
+
+// listBytes is about the size of the list on the wire.
+func listBytes(l platform.InstanceList) int {
+	n := 0
+	for _, in := range l.Instances {
+		n += listRowBytes + len(in.ID) + len(in.Address) + len(in.Domain)
 	}
+	return n
+}
+
+func (m *members) receive(ctx context.Context, _ wire.Identity, f wire.Frame) (any, error) {
+	body, err := membership.Decode(f)
+	if err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	m.view.Receive(m.clock.now(), f.Kind, body)
 	m.mu.Unlock()
-	if m.changed != nil {
-		m.changed(func(name string) bool { return leaving[name] })
+	m.work(ctx)
+	return nil, nil
+}
+
+// observed takes the incarnation that a target named in an answer.
+func (m *members) observed(target, incarnation string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.view.Observed(m.clock.now(), target, incarnation)
+}
+
+// leave tells the peers that this instance drains.
+func (m *members) leave() {
+	m.mu.Lock()
+	m.view.Leave(m.clock.now())
+	m.mu.Unlock()
+}
+
+// beatAll exchanges balances with the live peers and tells all drivers who is
+// live and leaving.
+func (m *members) beatAll(ctx context.Context) {
+	known := m.known()
+	m.rates.setPeers(known)
+	m.poison.setPeers(known)
+	m.forget(known)
+	for _, p := range known {
+		go m.beat(ctx, p.Address)
+	}
+	m.changed(func(name string) bool {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return m.view.Draining(name)
+	})
+}
+
+// forget drops what was heard of addresses that are not known any more.
+func (m *members) forget(known []wire.Identity) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for addr := range m.heard {
+		if !slices.ContainsFunc(known, func(p wire.Identity) bool { return p.Address == addr }) {
+			delete(m.heard, addr)
+		}
 	}
 }
 
@@ -152,18 +243,10 @@
 // own is this instance's heartbeat.
 func (m *members) own() wire.Heartbeat {
 	hints, share := m.rates.hints()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	hb := wire.Heartbeat{From: m.node.Self(), Leaving: m.leaving, RateShare: share, Hints: hints}
-	for id, in := range m.listed {
-		if in.Role == platform.RoleTarget && in.State == platform.StateLeaving {
-			hb.Draining = append(hb.Draining, id)
-		}
-	}
-	return hb
+	return wire.Heartbeat{From: m.node.Self(), RateShare: share, Hints: hints}
 }
 
-func (m *members) handle(_ context.Context, _ wire.Identity, f wire.Frame) (any, error) {
+func (m *members) handleBeat(_ context.Context, _ wire.Identity, f wire.Frame) (any, error) {
 	var hb wire.Heartbeat
 	if err := f.Into(&hb); err != nil {
 		return nil, err
@@ -174,55 +257,7 @@
 
 func (m *members) take(hb wire.Heartbeat) {
 	m.mu.Lock()
-	p := m.peers[hb.From.Address]
-	if p == nil {
-		p = &knownPeer{}
-		m.peers[hb.From.Address] = p
-	}
-	fresh := p.identity != hb.From
-	drains := !slices.Equal(p.draining, hb.Draining)
-	p.identity, p.heard, p.leaving, p.draining = hb.From, m.clock.now(), hb.Leaving, hb.Draining
+	m.heard[hb.From.Address] = m.clock.now()
 	m.mu.Unlock()
 	m.rates.takeHints(hb)
-	if fresh {
-		logline.Info("peer_known", "peer", hb.From.Address, "instance", hb.From.Instance, "incarnation", hb.From.Incarnation, "domain", hb.From.Domain)
-		known := m.known()
-		m.rates.setPeers(known)
-		m.poison.setPeers(known)
-	}
-	if drains {
-		m.notify()
-	}
-}
-
-// known are the peers heard so far that are not leaving.
-func (m *members) known() []wire.Identity {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var list []wire.Identity
-	for _, p := range m.peers {
-		if p.identity.Incarnation != "" && !p.leaving {
-			list = append(list, p.identity)
-		}
-	}
-	return list
-}
-
-// forget drops peers that were silent for long and that no setting names.
-func (m *members) forget() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	now := m.clock.now()
-	for addr, p := range m.peers {
-		if now-p.heard > peerForget && !slices.Contains(m.fixed, addr) {
-			delete(m.peers, addr)
-		}
-	}
-}
-
-// leave tells the peers at the next heartbeats that this instance drains.
-func (m *members) leave() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.leaving = true
 }
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -4,6 +4,7 @@
 	"sort"
 
 	"github.com/mastictray/mastictray/internal/lease"
+	"github.com/mastictray/mastictray/internal/wire"
 )
 
 // stateView is what the admin API shows of the process.
@@ -80,7 +81,7 @@
 	v := stateView{
 		Instance: e.settings.InstanceID, Incarnation: e.node.Self().Incarnation, Domain: e.settings.Domain,
 		Ready: ready, Revision: -1, LogAgeMS: e.config.logAgeMillis(), RateShare: e.rates.share(),
-		Peers: e.members.view(), Leases: e.rates.view(), Targets: e.pools.view(), Claims: e.claims.view(), Poison: e.poison.view(),
+		Peers: e.members.peerViews(), Leases: e.rates.view(), Targets: e.pools.view(), Claims: e.claims.view(), Poison: e.poison.view(),
 	}
 	intent := e.config.intent()
 	if intent == nil {
@@ -102,21 +103,21 @@
 	return v
 }
 
-func (m *members) view() []peerView {
+func (m *members) peerViews() []peerView {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.clock.now()
 	var list []peerView
-	for addr, p := range m.peers {
-		if addr == m.node.Self().Address {
+	for _, f := range m.view.Members() {
+		if f.Identity == m.node.Self() {
 			continue
 		}
 		list = append(list, peerView{
-			Address: addr, Instance: p.identity.Instance, Incarnation: p.identity.Incarnation,
-			Domain: p.identity.Domain, SilentMS: (now - p.heard).Milliseconds(), Leaving: p.leaving,
+			Address: f.Identity.Address, Instance: f.Identity.Instance, Incarnation: f.Identity.Incarnation,
+			Domain: f.Identity.Domain, SilentMS: (now - m.heard[f.Identity.Address]).Milliseconds(),
+			Leaving: f.State == wire.MemberLeaving,
 		})
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].Address < list[j].Address })
 	return list
 }
 
--- a/internal/slopes/exchange.go
+++ b/internal/slopes/exchange.go
@@ -28,9 +28,6 @@
 	for i := range hints {
 		hb.Hints.Items = append(hb.Hints.Items, wire.RateItem{Account: fmt.Sprintf("account-%03d", i), Tokens: 12345.678})
 	}
-	for i := range 8 {
-		hb.Peers = append(hb.Peers, fmt.Sprintf("10.0.0.%d:7000", i))
-	}
 	return hb
 }
 
