Yield the floor of a lapsed lease once its former holder knows

Cause: a holder paused past its lease kept the right to a quarter of its slot for six hours; nobody minted it meanwhile, although the former holder was back and used nothing of it. Ruled out: giving the floor to whoever takes over at once, which breaks the right of a holder that is cut off. Change: the fold names the floor's owner; the owner, or a later incarnation at its address, yields it by a record, and the present holder has it with its next renewal.

--- a/internal/lease/checkpoint.go
+++ b/internal/lease/checkpoint.go
@@ -45,6 +45,9 @@
 	Seen     platform.Offset `msgpack:"s"`
 	Floor    bool            `msgpack:"f"`
 	First    bool            `msgpack:"n,omitempty"`
+	// FloorOwner and FloorAddress are those of the State.
+	FloorOwner   string `msgpack:"o,omitempty"`
+	FloorAddress string `msgpack:"d,omitempty"`
 }
 
 // Checkpoint is the state of the fold up to Next, and false while the fold
@@ -64,6 +67,7 @@
 		c.Leases = append(c.Leases, CheckpointLease{
 			Resource: r, Holder: s.Holder, Address: s.Address,
 			Token: s.Token, Last: s.Last, Seen: s.Seen, Floor: s.Floor, First: s.First,
+			FloorOwner: s.FloorOwner, FloorAddress: s.FloorAddress,
 		})
 	}
 	slices.SortFunc(c.Members, func(a, b CheckpointEntry) int { return cmp.Compare(a.At, b.At) })
@@ -142,7 +146,7 @@
 	for _, l := range c.Leases {
 		f.states[l.Resource] = State{
 			Holder: l.Holder, Address: l.Address, Token: l.Token, Last: l.Last,
-			Seen: l.Seen, Floor: l.Floor, First: l.First, FoldedAt: now, FloorSince: now,
+			Seen: l.Seen, Floor: l.Floor, First: l.First, FloorOwner: l.FloorOwner, FloorAddress: l.FloorAddress, FoldedAt: now, FloorSince: now,
 		}
 	}
 }
--- a/internal/lease/fold.go
+++ b/internal/lease/fold.go
@@ -25,6 +25,8 @@
 	// Floor is set while the holder, or nobody, holds the floor. It is
 	// unset after a take-over whose former holder may still use it.
 	Floor bool
+	// FloorOwner and FloorAddress name that former holder.
+	FloorOwner, FloorAddress string
 	// FoldedAt is this process's clock when it folded Last.
 	FoldedAt time.Duration
 	// FloorSince is this process's clock when it folded the last record of
@@ -84,6 +86,8 @@
 		return fold(e, func(a Acquire) { f.acquire(off, now, a) })
 	case KindRenew:
 		return fold(e, func(r Renew) { f.renew(off, now, r) })
+	case KindYield:
+		return fold(e, f.yield)
 	case KindSplit:
 		return fold(e, func(s Split) { f.split(off, s) })
 	}
@@ -145,6 +149,7 @@
 	if a.Basis == BasisLapsed && s.Floor {
 		s.Floor = false
 		s.FloorSince = s.FoldedAt
+		s.FloorOwner, s.FloorAddress = s.Holder, s.Address
 	}
 	s.Holder, s.Address = a.Holder, m.member.Address
 	s.Token, s.Last, s.Seen, s.FoldedAt = off, off, a.Seen, now
--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -24,6 +24,7 @@
 	sent     map[uint64]time.Duration // own records not yet folded
 	joinAt   time.Duration            // of the last join sent
 	renewAt  time.Duration            // of the last renewal sent
+	yieldAt  time.Duration            // of the last yields sent
 	held     map[Resource]*holding
 	acquires map[Resource]attempt       // sent and not settled
 	promised map[Resource]time.Duration // own promises to others
--- a/internal/lease/records.go
+++ b/internal/lease/records.go
@@ -14,6 +14,7 @@
 	KindLeave   logrec.Kind = "lease.leave"
 	KindAcquire logrec.Kind = "lease.acquire"
 	KindRenew   logrec.Kind = "lease.renew"
+	KindYield   logrec.Kind = "lease.yield"
 )
 
 // Resource names what is leased, such as "mint/kul-a/0" or "duty/rollout".
@@ -103,5 +104,15 @@
 	Floor bool `msgpack:"f,omitempty"`
 }
 
+// Yield gives up the floor of a lapsed lease before the hold time is over.
+type Yield struct {
+	Resource Resource `msgpack:"r"`
+	// Owner is the former holder that might still use the floor.
+	Owner string `msgpack:"o"`
+	// By is the owner itself, or a later incarnation at its address: then
+	// the owner is dead.
+	By string `msgpack:"b"`
+}
+
 // NoOffset stands for "no record".
 const NoOffset platform.Offset = -1
--- a/internal/lease/tick.go
+++ b/internal/lease/tick.go
@@ -35,6 +35,7 @@
 				r.Records = append(r.Records, rec)
 			}
 		}
+		r.Records = append(r.Records, h.yields(now)...)
 	}
 	r.Asks = h.askPromises(now)
 	return r
