Answer repeats of a dead predecessor's bookings at once

Cause: an instance killed between claim and result, and restarted, let repeats of those bookings wait for ten seconds and answered in_progress each time. Change: a claim from an earlier process at this address counts as ended.

--- a/internal/claim/decide.go
+++ b/internal/claim/decide.go
@@ -56,13 +56,22 @@
 		m.answer(r, Answer{State: MayHaveRun, HolderAddress: h.Address})
 	case h.Result != nil:
 		m.answer(r, Answer{State: Replay, Result: h.Result})
-	case m.gone[h.Incarnation]:
+	case m.ended(h):
 		m.answer(r, Answer{State: MayHaveRun, HolderAddress: h.Address})
 	default:
 		r.phase = phaseWaiting
 	}
 }
 
+// ended reports that the holder's process is gone: it was told so, or the holder
+// had this process's address. An address belongs to one process at a time;
+// without the second rule a restarted instance would let repeats of its own
+// earlier bookings wait for an answer that cannot come.
+func (m *Machine) ended(h *Holder) bool {
+	predecessor := h.Address != "" && h.Address == m.cfg.Address && h.Incarnation != m.cfg.Incarnation
+	return predecessor || m.gone[h.Incarnation]
+}
+
 func (m *Machine) claim(r *request) {
 	if !m.covers(r) {
 		m.answer(r, Answer{State: TooOld})
