rate: forget the shares of addresses that are no peers any more

Cause: heard and heardAt kept an entry for every address that ever sent a heartbeat; instances come back at other addresses, so both grew with each restart in the fleet. Change: setPeers drops what was heard from other addresses. A heartbeat that comes before its sender is a peer is dropped with the next view and heard again with the next heartbeat. Shown: TestSharesOfGonePeersAreForgotten fails without the change.

--- a/internal/entry/ratedriver.go
+++ b/internal/entry/ratedriver.go
@@ -113,9 +113,26 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.peers = peers
+	d.forgetOthers()
 	d.refreshPeers()
 }
 
+// forgetOthers drops what was heard from addresses that are no peers any more:
+// instances come back at other addresses, and both maps would grow with each
+// restart in the fleet. Callers hold mu.
+func (d *rateDriver) forgetOthers() {
+	present := make(map[string]bool, len(d.peers))
+	for _, p := range d.peers {
+		present[p.Address] = true
+	}
+	for addr := range d.heardAt {
+		if !present[addr] {
+			delete(d.heardAt, addr)
+			delete(d.heard, addr)
+		}
+	}
+}
+
 // refreshPeers tells the limiter what each peer mints: by the log, or by the
 // peer's own word where that is more. The log alone would leave an instance
 // that starts in an outage of the log without anybody to ask. Callers hold mu.
--- a/internal/entry/ratedriver_test.go
+++ b/internal/entry/ratedriver_test.go
@@ -63,3 +63,22 @@
 	is.Equal(asks[0].Peer, rich.Address)
 	is.Equal(asks[0].Body.Items[0].Tokens, 101.0) // one more than the cost, against rounding
 }
+
+// Instances come back at other addresses all day. What was heard from an
+// address goes with the last peer there; else it would be kept until the end of
+// the process.
+func TestSharesOfGonePeersAreForgotten(t *testing.T) {
+	is := is.New(t)
+	stays := wire.Identity{Instance: "b", Domain: "d", Address: "127.0.0.1:2"}
+	goes := wire.Identity{Instance: "c", Domain: "d", Address: "127.0.0.1:3"}
+	node := peer.NewNode(peer.Options{Self: wire.Identity{Instance: "a", Domain: "d", Address: "127.0.0.1:1"}})
+	defer node.Close()
+	d := newRateDriver(newClock(), node, nil, fleet{domains: []string{"d"}, slotsPerDomain: 1})
+	d.setPeers([]wire.Identity{stays, goes})
+	for _, from := range []wire.Identity{stays, goes} {
+		d.takeHints(wire.Heartbeat{From: from, RateShare: 0.5})
+	}
+	d.setPeers([]wire.Identity{stays})
+	is.Equal(d.heard, map[string]float64{stays.Address: 0.5})
+	is.Equal(len(d.heardAt), 1)
+}
