entry: leases, peers and requests of the rate driver in files of their own

Cause: ratedriver.go had grown to 468 lines with three jobs, and two drivers had the same wake-up. Change: leasedriver.go, ratepeers.go and wake.go; no behaviour changed.

--- a/internal/entry/claimdriver.go
+++ b/internal/entry/claimdriver.go
@@ -26,7 +26,7 @@
 	mu      sync.Mutex
 	machine *claim.Machine
 	waiting map[string]chan claim.Answer
-	wake    chan struct{}
+	wake    wake
 }
 
 func newClaimDriver(ctx context.Context, c clock, node *peer.Node, log platform.Log, peers func() []string) *claimDriver {
@@ -39,7 +39,7 @@
 		log:     log,
 		machine: claim.New(claim.Config{Incarnation: self.Incarnation, Address: self.Address}),
 		waiting: make(map[string]chan claim.Answer),
-		wake:    make(chan struct{}, 1),
+		wake:    newWake(),
 	}
 	node.Handle(wire.KindClaimSnapshot, d.handleSnapshot)
 	return d
@@ -55,7 +55,7 @@
 	}
 	d.waiting[req.ID] = ch
 	d.mu.Unlock()
-	d.kick()
+	d.wake.kick()
 	select {
 	case a := <-ch:
 		return a, nil
@@ -70,7 +70,7 @@
 	delete(d.waiting, id)
 	d.machine.Cancel(d.clock.now(), id)
 	d.mu.Unlock()
-	d.kick()
+	d.wake.kick()
 	return claim.Answer{}, cause
 }
 
@@ -86,7 +86,7 @@
 	d.mu.Lock()
 	d.machine.Cancel(d.clock.now(), id)
 	d.mu.Unlock()
-	d.kick()
+	d.wake.kick()
 }
 
 // finish records what became of a dispatched request.
@@ -97,7 +97,7 @@
 	if err != nil {
 		logline.Error(err, "claim_result_lost", "request", id)
 	}
-	d.kick()
+	d.wake.kick()
 }
 
 // holderGone tells that a process has ended for good: those who wait for its
@@ -106,14 +106,7 @@
 	d.mu.Lock()
 	d.machine.HolderGone(d.clock.now(), incarnation)
 	d.mu.Unlock()
-	d.kick()
-}
-
-func (d *claimDriver) kick() {
-	select {
-	case d.wake <- struct{}{}:
-	default:
-	}
+	d.wake.kick()
 }
 
 // run hands out the machine's due work until ctx ends.
@@ -160,7 +153,7 @@
 	d.mu.Lock()
 	d.machine.AppendDone(d.clock.now(), a.ID, err)
 	d.mu.Unlock()
-	d.kick()
+	d.wake.kick()
 }
 
 func (d *claimDriver) next() platform.Offset {
@@ -173,7 +166,7 @@
 	d.mu.Lock()
 	err := d.machine.Records(d.clock.now(), d.clock.wallMillis(), b)
 	d.mu.Unlock()
-	d.kick()
+	d.wake.kick()
 	return err
 }
 
@@ -182,7 +175,7 @@
 	d.machine.Trimmed(d.clock.now(), d.clock.wallMillis(), start)
 	d.mu.Unlock()
 	logline.Info("claims_trimmed", "start", start)
-	d.kick()
+	d.wake.kick()
 	go d.bootstrap()
 }
 
@@ -216,7 +209,7 @@
 		d.mu.Unlock()
 		if took {
 			logline.Info("claims_from_peer", "peer", addr, "next", pages[0].Next)
-			d.kick()
+			d.wake.kick()
 			return
 		}
 	}
--- a/internal/entry/ratedriver.go
+++ b/internal/entry/ratedriver.go
@@ -7,7 +7,6 @@
 
 	"github.com/mastictray/mastictray/internal/config"
 	"github.com/mastictray/mastictray/internal/lease"
-	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/logrec"
 	"github.com/mastictray/mastictray/internal/peer"
 	"github.com/mastictray/mastictray/internal/platform"
@@ -49,7 +48,7 @@
 	heard   map[string]float64 // by address: the share a peer says it mints
 	heardAt map[string]time.Duration
 	folded  []func(platform.Offset, logrec.Envelope)
-	wake    chan struct{}
+	wake    wake
 	// splitSeen is the version of the split that is in force here.
 	splitSeen int
 	// logStart is the oldest offset that the log had kept at the last read.
@@ -74,7 +73,7 @@
 		known:   make(map[string]bool),
 		heard:   make(map[string]float64),
 		heardAt: make(map[string]time.Duration),
-		wake:    make(chan struct{}, 1),
+		wake:    newWake(),
 	}
 	node.Handle(wire.KindRateAsk, d.handleAsk)
 	node.Handle(wire.KindRateReturn, d.handleReturn)
@@ -108,52 +107,6 @@
 	}
 }
 
-// setPeers replaces the peers that are asked for tokens.
-func (d *rateDriver) setPeers(peers []wire.Identity) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.peers = peers
-	d.forgetOthers()
-	d.refreshPeers()
-}
-
-// forgetOthers drops what was heard from addresses that are no peers any more:
-// instances come back at other addresses, and both maps would grow with each
-// restart in the fleet. Callers hold mu.
-func (d *rateDriver) forgetOthers() {
-	present := make(map[string]bool, len(d.peers))
-	for _, p := range d.peers {
-		present[p.Address] = true
-	}
-	for addr := range d.heardAt {
-		if !present[addr] {
-			delete(d.heardAt, addr)
-			delete(d.heard, addr)
-		}
-	}
-}
-
-// refreshPeers tells the limiter what each peer mints: by the log, or by the
-// peer's own word where that is more. The log alone would leave an instance
-// that starts in an outage of the log without anybody to ask. Callers hold mu.
-func (d *rateDriver) refreshPeers() {
-	list := make([]rate.Peer, 0, len(d.peers))
-	factors := make(map[string]map[string]float64, len(d.fleet.domains))
-	for _, domain := range d.fleet.domains {
-		factors[domain] = rate.FactorsOf(d.holder.Fold(), domain, len(d.fleet.domains))
-	}
-	for _, p := range d.peers {
-		list = append(list, rate.Peer{
-			ID:    p.Address,
-			Local: p.Domain == d.node.Self().Domain,
-			Share: max(rate.ShareOf(d.holder.Fold(), p.Incarnation, d.fleet.slots()), d.heard[p.Address]),
-
-			Factors: factors[p.Domain],
-		})
-	}
-	d.limiter.SetPeers(list)
-}
-
 // admit debits the cost of a request, waiting a little for tokens to come.
 func (d *rateDriver) admit(ctx context.Context, account string, cost float64, deadline time.Duration) rate.Outcome {
 	d.mu.Lock()
@@ -165,7 +118,7 @@
 	ch := make(chan rate.Outcome, 1)
 	d.waiting[o.Ticket] = ch
 	d.mu.Unlock()
-	d.kick()
+	d.wake.kick()
 	select {
 	case o = <-ch:
 		return o
@@ -215,13 +168,6 @@
 	ch <- o
 }
 
-func (d *rateDriver) kick() {
-	select {
-	case d.wake <- struct{}{}:
-	default:
-	}
-}
-
 // run ticks the limiter and the leases until ctx ends.
 func (d *rateDriver) run(ctx context.Context) {
 	timer := time.NewTimer(0)
@@ -263,206 +209,3 @@
 	}
 	return max(next-now, time.Millisecond)
 }
-
-func (d *rateDriver) ask(ctx context.Context, a rate.Ask) {
-	ctx, cancel := context.WithTimeout(ctx, rateAskTimeout)
-	defer cancel()
-	var grant wire.RateGrant
-	_, err := d.node.Call(ctx, a.Peer, wire.KindRateAsk, a.Body, &grant)
-	d.mu.Lock()
-	if err != nil {
-		d.limiter.AskFailed(d.clock.now(), a.ID)
-	} else {
-		d.limiter.HandleGrant(d.clock.now(), a.Peer, a.ID, grant)
-	}
-	d.mu.Unlock()
-	d.kick()
-}
-
-func (d *rateDriver) giveBack(ctx context.Context, r rate.Return) {
-	ctx, cancel := context.WithTimeout(ctx, rateAskTimeout)
-	defer cancel()
-	_ = d.node.Send(ctx, r.Peer, wire.KindRateReturn, r.Body)
-}
-
-func (d *rateDriver) handleAsk(_ context.Context, _ wire.Identity, f wire.Frame) (any, error) {
-	var ask wire.RateAsk
-	if err := f.Into(&ask); err != nil {
-		return nil, err
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.limiter.HandleAsk(d.clock.now(), ask), nil
-}
-
-func (d *rateDriver) handleReturn(_ context.Context, _ wire.Identity, f wire.Frame) (any, error) {
-	var r wire.RateReturn
-	if err := f.Into(&r); err != nil {
-		return nil, err
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.limiter.HandleReturn(d.clock.now(), r)
-	return nil, nil
-}
-
-func (d *rateDriver) handlePromise(_ context.Context, _ wire.Identity, f wire.Frame) (any, error) {
-	var ask wire.LeasePromiseAsk
-	if err := f.Into(&ask); err != nil {
-		return nil, err
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.holder.HandleAsk(d.clock.now(), ask), nil
-}
-
-// tickLease does the lease holder's due work.
-func (d *rateDriver) tickLease(ctx context.Context) {
-	d.mu.Lock()
-	ready := d.holder.Tick(d.clock.now())
-	d.refreshParts()
-	d.mu.Unlock()
-	for _, r := range ready.Records {
-		go d.append(ctx, r)
-	}
-	for _, a := range ready.Asks {
-		go d.promise(ctx, a)
-	}
-}
-
-// refreshParts tells the limiter what the leases allow. Callers hold mu.
-func (d *rateDriver) refreshParts() {
-	now := d.clock.now()
-	grants := d.holder.Grants(now)
-	mints := grants[:0]
-	for _, g := range grants {
-		if g.Resource != dutyRollout && g.Resource != dutySnapshot {
-			mints = append(mints, g)
-		}
-	}
-	d.limiter.SetParts(now, rate.PartsOf(mints, d.fleet.slots(), floorPart))
-}
-
-func (d *rateDriver) append(ctx context.Context, r lease.Record) {
-	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
-	defer cancel()
-	data, err := logrec.Encode(r.Kind, d.node.Self().Incarnation, d.clock.wallMillis(), r.Body)
-	if err == nil {
-		_, err = d.log.Append(ctx, platform.StreamControl, [][]byte{data})
-	}
-	d.mu.Lock()
-	d.holder.Appended(r.Seq, err)
-	d.mu.Unlock()
-}
-
-func (d *rateDriver) promise(ctx context.Context, a lease.Ask) {
-	ctx, cancel := context.WithTimeout(ctx, promiseTimeout)
-	defer cancel()
-	var ans wire.LeasePromiseAnswer
-	if _, err := d.node.Call(ctx, a.Member.Address, wire.KindLeasePromise, a.Body, &ans); err != nil {
-		return
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.holder.HandleAnswer(a.ID, ans)
-	d.refreshParts()
-}
-
-// valid reports whether this instance may act on a duty now, and with which
-// fencing token.
-func (d *rateDriver) valid(r lease.Resource) (platform.Offset, bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if !d.holder.Valid(d.clock.now(), r) {
-		return 0, false
-	}
-	return d.holder.Token(r)
-}
-
-func (d *rateDriver) next() platform.Offset {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.holder.Fold().Next()
-}
-
-func (d *rateDriver) read(b platform.Batch) error {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := d.clock.now()
-	d.logStart = b.Start
-	for _, rec := range b.Records {
-		env, err := logrec.Decode(rec.Data)
-		if err != nil {
-			logline.Error(err, "control_record_skipped", "offset", rec.Offset)
-		}
-		if err := d.holder.Apply(now, rec.Offset, env); err != nil {
-			logline.Error(err, "control_record_skipped", "offset", rec.Offset)
-		}
-		for _, f := range d.folded {
-			f(rec.Offset, env)
-		}
-	}
-	if len(b.Records) == 0 || b.Records[len(b.Records)-1].Offset+1 >= b.Next {
-		d.holder.CaughtUp()
-	}
-	d.refreshSplit(now)
-	if len(b.Records) > 0 {
-		d.refreshPeers()
-	}
-	d.refreshParts()
-	return nil
-}
-
-func (d *rateDriver) trimmed(start platform.Offset) {
-	d.mu.Lock()
-	d.holder.Trimmed(start)
-	d.mu.Unlock()
-	logline.Info("control_trimmed", "start", start)
-}
-
-// checkpoint is the state of all leases, if it is known, and the oldest offset
-// that the log has kept of them.
-func (d *rateDriver) checkpoint() (c lease.Checkpoint, logStart platform.Offset, ok bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	c, ok = d.holder.Fold().Checkpoint()
-	return c, d.logStart, ok
-}
-
-// leave gives every lease back, at the end of a graceful shutdown.
-func (d *rateDriver) leave(ctx context.Context) {
-	d.mu.Lock()
-	r := d.holder.Leave()
-	d.limiter.SetParts(d.clock.now(), nil)
-	d.mu.Unlock()
-	d.append(ctx, r)
-}
-
-// hints are this instance's balances and its part of all rates, for
-// heartbeats.
-func (d *rateDriver) hints() (wire.RateHints, float64) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := d.clock.now()
-	return d.limiter.Hints(now), d.limiter.Share(now)
-}
-
-// takeHints notes a peer's balances and what it mints.
-func (d *rateDriver) takeHints(hb wire.Heartbeat) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	addr := hb.From.Address
-	d.heardAt[addr] = d.clock.now()
-	d.limiter.HandleHints(d.heardAt[addr], addr, hb.Hints)
-	if d.heard[addr] != hb.RateShare {
-		d.heard[addr] = hb.RateShare
-		d.refreshPeers()
-	}
-}
-
-// share is the part of all rates that this instance mints now.
-func (d *rateDriver) share() float64 {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.limiter.Share(d.clock.now())
-}
