Wait between reads of the log by the backoff library

Cause: logtail.go had a backoff of its own beside the library that the command line uses. Change: the library's exponential backoff with jitter, same bounds. Conclusion: tests pass; TestLogOutageRefusesBookingsAndServesChats crosses it.

--- a/internal/entry/logtail.go
+++ b/internal/entry/logtail.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/cockroachdb/errors"
 
 	"github.com/mastictray/mastictray/internal/logline"
@@ -15,8 +15,8 @@
 	tailLimit   = 1024
 	tailWait    = 5 * time.Second
 	tailTimeout = 10 * time.Second
-	// After an outage every instance comes back to the log; the waits are
-	// spread so that they do not come back at once.
+	// After an outage every instance comes back to the log; the waits grow and
+	// are spread by half, so that they do not come back at once.
 	tailRetryMin = 100 * time.Millisecond
 	tailRetryMax = 2 * time.Second
 )
@@ -33,19 +33,20 @@
 
 // tail feeds a stream to its follower until ctx ends.
 func tail(ctx context.Context, log platform.Log, stream string, f follower) {
-	retry := tailRetryMin
+	retries := backoff.NewExponentialBackOff()
+	retries.InitialInterval, retries.MaxInterval = tailRetryMin, tailRetryMax
 	for ctx.Err() == nil {
 		err := tailOnce(ctx, log, stream, f)
 		if err == nil {
-			retry = tailRetryMin
+			retries.Reset()
 			continue
 		}
 		if ctx.Err() != nil {
 			return
 		}
-		logline.Error(err, "log_read_failed", "stream", stream, "retry", retry)
-		sleep(ctx, retry/2+rand.N(retry))
-		retry = min(2*retry, tailRetryMax)
+		wait := retries.NextBackOff()
+		logline.Error(err, "log_read_failed", "stream", stream, "retry", wait)
+		sleep(ctx, wait)
 	}
 }
 
