experiment: a noisy account with its rate limited

Cause: the noisy case had no limiter before the queues, though the product always has one, so the goal for the worst-served account was judged on a path that no request takes.

--- a/internal/experiment/case.go
+++ b/internal/experiment/case.go
@@ -20,6 +20,8 @@
 	NoisyAt     time.Duration
 	NoisyFactor float64
 	NoisyAbsent bool
+	// Limited puts the accounts' rates before the queues.
+	Limited bool
 	// CutAt and CutFor cut the first failure domain off from the others.
 	CutAt, CutFor time.Duration
 	// ReportLag is how late load reports are.
@@ -62,6 +64,7 @@
 		with("shift", func(c *Case) { c.ShiftAt = 150 * time.Second }),
 		with("noisy", func(c *Case) { c.NoisyAt, c.NoisyFactor = caseWarmup, 5 }),
 		with("noisy absent", func(c *Case) { c.NoisyAbsent = true }),
+		with("noisy, rates limited", func(c *Case) { c.NoisyAt, c.NoisyFactor, c.Limited = caseWarmup, 5, true }),
 		with("domain cut", func(c *Case) { c.CutAt, c.CutFor = 150*time.Second, 30*time.Second }),
 		with("reports 2s late", func(c *Case) { c.ReportLag = 2 * time.Second }),
 		with("10% events lost", func(c *Case) { c.EventLoss = 0.1 }),
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -76,8 +76,15 @@
 		f.routers = append(f.routers, newRouter(f, i, seed, p.make))
 	}
 	f.schedule()
+	limits := newAdmission(f, calls)
 	for _, call := range calls {
-		f.clock.after(call.at, func() { f.routers[call.router].policy.arrive(&attempt{call: call, last: -1}) })
+		f.clock.after(call.at, func() {
+			if !limits.allows(call) {
+				f.measure.refused(call)
+				return
+			}
+			f.routers[call.router].policy.arrive(&attempt{call: call, last: -1})
+		})
 	}
 	f.clock.runUntil(c.Length)
 	busy := time.Duration(0)
