--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -241,7 +241,7 @@
 		return fairqueue.Refuse
 	}
 	t := d.pool.Target(choice.Index)
-	if d.pool.Backlog(choice.Index, now) >= d.options.Window {
+	if t.Full() || d.pool.Backlog(choice.Index, now) >= d.options.Window {
 		t.Load.Park(choice.UncachedTokens)
 		return fairqueue.Skip
 	}
@@ -269,6 +269,7 @@
 func (d *Dispatcher[T]) send(now time.Duration, r *Request[T], t *placement.Target, choice placement.Decision) {
 	id := belief.Identity{Target: t.Name, Incarnation: t.Incarnation, Version: t.Version}
 	t.Load.Sent(now, choice.UncachedTokens)
+	t.InFlight++
 	stamp := d.beliefs.Expect(id, r.Place.Chain)
 	d.out.Sends = append(d.out.Sends, Send[T]{
 		Request: r, Target: choice.Index, Identity: id, SentAt: now, Decision: choice, stamp: stamp,
--- a/internal/entry/enginecrash.go
+++ b/internal/entry/enginecrash.go
@@ -74,6 +74,7 @@
 	if !r.targetLost() {
 		return nil
 	}
+	r.pool.gone(r.at.target, r.incarnation)
 	crash := poison.CrashID{Target: r.at.target, Incarnation: r.incarnation}
 	if r.unvetted {
 		r.s.poison.running(r.e.id, r.e.fingerprint(), r.e.pool.Name, r.at.target, r.pool.targets(r.at.target))
--- a/internal/entry/enginepool.go
+++ b/internal/entry/enginepool.go
@@ -14,6 +14,7 @@
 	"github.com/mastictray/mastictray/internal/dispatch"
 	"github.com/mastictray/mastictray/internal/fairqueue"
 	"github.com/mastictray/mastictray/internal/openai"
+	"github.com/mastictray/mastictray/internal/overload"
 	"github.com/mastictray/mastictray/internal/placement"
 )
 
@@ -36,6 +37,7 @@
 	target  string
 	address string
 	version string
+	ticket  breakerTicket
 }
 
 type placedOrError struct {
@@ -53,7 +55,7 @@
 	cfg        config.Pool
 	model      config.Model
 	address    map[string]string
-	failed     map[string]time.Duration
+	breakers   breakers
 	pool       *placement.Pool
 	picker     *placement.Picker
 	beliefs    *belief.Store
@@ -77,7 +79,7 @@
 		clock:    c,
 		domain:   domain,
 		address:  make(map[string]string),
-		failed:   make(map[string]time.Duration),
+		breakers: newBreakers(overload.BreakerConfig{}),
 		returned: make(map[string]time.Duration),
 		followed: make(map[string]bool),
 		watchers: make(map[string]map[uint64]func()),
@@ -102,6 +104,8 @@
 	place := placement.DefaultOptions()
 	place.Domain, place.CrossDomainDelay = p.domain, crossDomainDelay
 	p.picker = placement.NewPicker(p.pool, p.beliefs, place)
+	p.breakers.configure(targets)
+	p.refreshBreakers()
 	p.activate()
 	p.checkFollowed()
 	if p.dispatcher != nil {
@@ -172,6 +176,7 @@
 	p.mu.Lock()
 	p.nextID++
 	r.ID = p.nextID
+	p.refreshBreakers()
 	p.perform(p.dispatcher.Push(p.clock.now(), r, p.rng))
 	p.mu.Unlock()
 	select {
@@ -183,7 +188,7 @@
 	defer p.mu.Unlock()
 	if !p.dispatcher.Cancel(r.Account, r.ID) {
 		if x := <-r.Value; x.err == nil {
-			p.dispatcher.Failed(&x.placed.sending)
+			p.fail(x.placed, overload.Cancelled)
 		}
 	}
 	return placed{}, ctx.Err()
@@ -194,17 +199,19 @@
 func (p *enginePool) acquireOn(name string, r *request) (placed, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.refreshBreakers()
 	s, ok := p.dispatcher.SendTo(p.clock.now(), r, name)
 	if !ok {
 		return placed{}, queueRefusal(dispatch.ReasonNoTarget, time.Second)
 	}
-	return placed{sending: s, target: name, address: p.address[name], version: s.Identity.Version}, nil
+	return p.begin(s), nil
 }
 
 // targets names the targets that take new work, without the excluded one.
 func (p *enginePool) targets(exclude string) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.refreshBreakers()
 	names := make([]string, 0, p.pool.Len())
 	for i := range p.pool.Len() {
 		if name := p.pool.Target(i).Name; name != exclude && !p.pool.Rejected(i) {
@@ -226,6 +233,7 @@
 		}
 		p.mu.Lock()
 		if p.dispatcher.Waiting() > 0 {
+			p.refreshBreakers()
 			p.perform(p.dispatcher.Step(p.clock.now(), p.rng))
 		}
 		p.mu.Unlock()
@@ -239,8 +247,7 @@
 		x.Request.Value <- placedOrError{err: queueRefusal(x.Reason, x.RetryAfter)}
 	}
 	for _, s := range step.Sends {
-		name := s.Identity.Target
-		s.Request.Value <- placedOrError{placed: placed{sending: s, target: name, address: p.address[name], version: s.Identity.Version}}
+		s.Request.Value <- placedOrError{placed: p.begin(s)}
 	}
 }
 
@@ -264,36 +271,20 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.dispatcher.Answered(&pl.sending)
+	p.end(pl, overload.Succeeded)
 }
 
 // lost takes in an attempt that the target did not prefill.
-func (p *enginePool) lost(pl placed) {
+func (p *enginePool) lost(pl placed, r overload.Result) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.dispatcher.Failed(&pl.sending)
+	p.fail(pl, r)
 }
 
-// open keeps new work off a target whose connection failed, until it answers a
-// load question again.
-func (p *enginePool) open(target string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.setBreaker(target, true)
-}
-
-// setBreaker opens or closes a target's breaker. Callers hold mu.
-func (p *enginePool) setBreaker(name string, open bool) {
-	i, ok := p.pool.Find(name)
-	if !ok {
-		return
-	}
-	if open {
-		p.failed[name] = p.clock.now()
-	}
-	t := p.pool.Target(i)
-	t.BreakerOpen = open
-	p.pool.Changed(i)
-	p.activate()
+// fail is lost for callers that hold mu.
+func (p *enginePool) fail(pl placed, r overload.Result) {
+	p.dispatcher.Failed(&pl.sending)
+	p.end(pl, r)
 }
 
 // setDraining marks the targets that the instance list shows leaving.
@@ -337,6 +328,7 @@
 		return
 	}
 	t := p.pool.Target(i)
+	back := t.Incarnation != "" && t.Incarnation != r.Incarnation
 	t.Belief = p.beliefs.Observe(asked, belief.Identity{Target: name, Incarnation: r.Incarnation, Version: r.Version})
 	if t.Incarnation != r.Incarnation || t.Version != r.Version {
 		if t.Incarnation != "" {
@@ -351,16 +343,14 @@
 		t.SlowStart = placement.SlowStart(asked - at)
 	}
 	t.Load.Report(asOf, r.QueuedPrefillTokens)
-	if t.BreakerOpen && asked > p.failed[name] {
-		p.setBreaker(name, false)
-	}
+	p.answersQuestions(name, back)
 }
 
 // unanswered takes in that a target answers no load questions: it gets no new
 // work, and the answers that it still owes are given up.
 func (p *enginePool) unanswered(name string) {
 	p.mu.Lock()
-	p.setBreaker(name, true)
+	p.answersNoQuestions(name)
 	list := make([]func(), 0, len(p.watchers[name]))
 	for _, down := range p.watchers[name] {
 		list = append(list, down)
--- a/internal/entry/enginepool_test.go
+++ b/internal/entry/enginepool_test.go
@@ -16,6 +16,7 @@
 func TestActiveVersionFollowsLostTargets(t *testing.T) {
 	lose := map[string]func(*enginePool){
 		"crashed":     func(p *enginePool) { p.open("new") },
+		"gone":        func(p *enginePool) { p.gone("new", "i") },
 		"unanswering": func(p *enginePool) { p.unanswered("new") },
 		"leaving":     func(p *enginePool) { p.setDraining(func(name string) bool { return name == "new" }) },
 	}
--- a/internal/entry/enginerun.go
+++ b/internal/entry/enginerun.go
@@ -11,6 +11,7 @@
 	"github.com/mastictray/mastictray/internal/attempt"
 	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/openai"
+	"github.com/mastictray/mastictray/internal/overload"
 	"github.com/mastictray/mastictray/internal/sse"
 )
 
@@ -63,6 +64,7 @@
 		Request: e.id, Repeatable: e.route.Idempotent, MaxDispatches: maxAttempts, IdleTimeout: chunkIdle,
 	})
 	defer r.closeLeg()
+	defer r.abandon()
 	err := r.loop()
 	s.poison.ended(e.id, err == nil)
 	return err
@@ -106,9 +108,10 @@
 		return attempt.Action{}, err
 	}
 	if err := r.s.recheck(r.e); err != nil {
-		r.pool.lost(pl)
+		r.pool.lost(pl, overload.Cancelled)
 		return attempt.Action{}, err
 	}
+	r.abandon()
 	r.e.attempts++
 	r.at, r.id, r.counted = pl, attemptID(r.e.call), false
 	r.incarnation = pl.Identity.Incarnation
@@ -214,10 +217,11 @@
 func (r *engineRun) sendFailed(err error) attempt.Action {
 	logline.Error(err, "attempt_failed", "request", r.e.id, "attempt", r.id, "target", r.at.target)
 	r.s.metrics.attempt(r.e.pool.Name, "unreachable")
-	r.lost(r.e.r.Context().Err() == nil)
+	r.lost(r.brokenResult())
 	if r.e.r.Context().Err() != nil {
 		return r.stream.Abort()
 	}
+	r.unreachable(err)
 	var se *sendError
 	if errors.As(err, &se) && se.outcome == openai.NotRun {
 		return r.stream.Broke(r.leg, attempt.CauseDial)
@@ -248,10 +252,11 @@
 func (r *engineRun) rejected(resp *http.Response) attempt.Action {
 	r.s.metrics.attempt(r.e.pool.Name, "refused")
 	r.sent = false
-	r.lost(false)
 	r.refused = targetRefusal(resp)
 	var refused *openai.Error
-	if errors.As(r.refused, &refused) && refused.Outcome == openai.NotRun {
+	notRun := errors.As(r.refused, &refused) && refused.Outcome == openai.NotRun
+	r.lost(resultOf(notRun))
+	if notRun {
 		return r.stream.Rejected(r.leg)
 	}
 	return r.stream.Broke(r.leg, attempt.CauseRejected)
@@ -287,8 +292,8 @@
 
 // broke tells the state machine that the leg ended early.
 func (r *engineRun) broke(err error) attempt.Action {
+	r.lost(r.brokenResult())
 	if r.e.r.Context().Err() != nil {
-		r.lost(false)
 		return r.stream.Abort()
 	}
 	cause := attempt.CauseReset
@@ -302,7 +307,6 @@
 	}
 	logline.Error(err, "stream_broke", "request", r.e.id, "attempt", r.id, "target", r.at.target, "cause", cause)
 	r.s.metrics.attempt(r.e.pool.Name, "broken")
-	r.lost(cause == attempt.CauseReset)
 	return r.stream.Broke(r.leg, cause)
 }
 
@@ -312,12 +316,13 @@
 	r.leg = r.stream.Resumed(r.s.clock.now())
 	resp, err := r.s.targets.resume(r.ctx, r.request(), act.LastSeq)
 	if err != nil {
-		r.lost(true)
+		r.lost(r.brokenResult())
+		r.unreachable(err)
 		return r.stream.Broke(r.leg, attempt.CauseReset)
 	}
 	if resp.StatusCode != http.StatusOK {
 		r.resp = resp
-		r.lost(false)
+		r.lost(r.brokenResult())
 		return r.stream.Broke(r.leg, attempt.CauseUnknownStream)
 	}
 	return r.opened(resp)
@@ -341,18 +346,39 @@
 	}
 }
 
-// lost tells the pool that the attempt failed. With broken the connection to
-// the target failed.
-func (r *engineRun) lost(broken bool) {
+// lost tells the pool that the attempt ended before its first token, and what
+// that says of the target.
+func (r *engineRun) lost(result overload.Result) {
 	if !r.counted {
 		r.counted = true
-		r.pool.lost(r.at)
+		r.pool.lost(r.at, result)
 	}
-	if broken {
+}
+
+// brokenResult is what an exchange that broke says of the target: nothing when
+// the caller left.
+func (r *engineRun) brokenResult() overload.Result {
+	if r.e.r.Context().Err() != nil {
+		return overload.Cancelled
+	}
+	return overload.Failed
+}
+
+// unreachable tells the pool when no connection to the target was made.
+func (r *engineRun) unreachable(err error) {
+	if r.e.r.Context().Err() == nil && outcomeOfSend(err) == openai.NotRun {
 		r.pool.open(r.at.target)
 	}
 }
 
+// abandon ends an attempt that ended in no other way: one left open would keep
+// a place at a target that starts slowly for ever.
+func (r *engineRun) abandon() {
+	if r.id != "" {
+		r.lost(overload.Cancelled)
+	}
+}
+
 func (r *engineRun) finished() error {
 	r.s.metrics.attempt(r.e.pool.Name, "answered")
 	r.s.metrics.answered(r.e.account.Name, r.e.pool.Name)
--- a/internal/entry/servicepool.go
+++ b/internal/entry/servicepool.go
@@ -8,32 +8,44 @@
 
 	"github.com/mastictray/mastictray/internal/config"
 	"github.com/mastictray/mastictray/internal/openai"
+	"github.com/mastictray/mastictray/internal/overload"
 	"github.com/mastictray/mastictray/internal/placement"
 )
 
-// serviceRetryAfter is when a target that could not be reached is tried again.
-const serviceRetryAfter = time.Second
+const (
+	// serviceRetryAfter is the hint when no target is usable.
+	serviceRetryAfter = time.Second
+	// serviceMaxWait bounds the wait between probes. Plain services answer no
+	// load questions: only a probe finds out that one is back.
+	serviceMaxWait = time.Second
+)
 
 // servicePool decides for the requests of one pool of plain services.
 type servicePool struct {
 	clock  clock
 	domain string
 
-	mu      sync.Mutex
-	cfg     config.Pool
-	targets []placement.ServiceTarget
-	address map[string]string
-	// retryAt is when a failed target may be tried again.
-	retryAt  map[string]time.Duration
+	mu       sync.Mutex
+	cfg      config.Pool
+	targets  []placement.ServiceTarget
+	address  map[string]string
+	breakers breakers
 	draining map[string]bool
 	rng      *rand.Rand
 }
 
+// servicePlaced is a target chosen for one attempt.
+type servicePlaced struct {
+	target  string
+	address string
+	ticket  breakerTicket
+}
+
 func newServicePool(c clock, domain string) *servicePool {
 	return &servicePool{
 		clock:    c,
 		domain:   domain,
-		retryAt:  make(map[string]time.Duration),
+		breakers: newBreakers(overload.BreakerConfig{MaxWait: serviceMaxWait}),
 		draining: make(map[string]bool),
 		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
@@ -46,6 +58,7 @@
 	for _, t := range p.targets {
 		outstanding[t.Name] = t.Outstanding
 	}
+	p.breakers.configure(targets)
 	p.cfg, p.targets = cfg, p.targets[:0]
 	p.address = make(map[string]string, len(targets))
 	for _, t := range targets {
@@ -56,37 +69,49 @@
 
 // acquire chooses a target and counts the request there until release. The
 // error is an *openai.Error: the request has not run.
-func (p *servicePool) acquire(exclude string) (name, address string, err error) {
+func (p *servicePool) acquire(exclude string) (servicePlaced, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := p.clock.now()
-	for i := range p.targets {
-		t := &p.targets[i]
-		t.Usable = !p.draining[t.Name] && now >= p.retryAt[t.Name]
+	i, ok := p.choose(exclude, func(b *targetBreaker) bool { return b.Ready(p.clock.now()) })
+	if !ok {
+		// A pool that was lost as a whole starts slowly as a whole. There is no
+		// queue here: what is over the limits would be refused.
+		i, ok = p.choose(exclude, func(b *targetBreaker) bool { return b.State() != overload.Open })
 	}
-	i, ok := placement.LeastOutstanding(p.targets, p.domain, exclude, p.cfg.MaxConcurrent, p.rng)
 	if !ok {
-		return "", "", &openai.Error{
+		return servicePlaced{}, &openai.Error{
 			Status: http.StatusServiceUnavailable, Code: openai.CodeNoTarget, Outcome: openai.NotRun,
 			Message: "no target can take the request", RetryAfter: serviceRetryAfter,
 		}
 	}
 	p.targets[i].Outstanding++
-	return p.targets[i].Name, p.address[p.targets[i].Name], nil
+	name := p.targets[i].Name
+	return servicePlaced{target: name, address: p.address[name], ticket: p.breakers.begin(name)}, nil
 }
 
-// release ends a request at a target. With failed the target gets no new work
-// for a while.
-func (p *servicePool) release(name string, failed bool) {
+// choose picks one of the targets whose breakers are taken. Callers hold mu.
+func (p *servicePool) choose(exclude string, takes func(*targetBreaker) bool) (int, bool) {
+	for i := range p.targets {
+		t := &p.targets[i]
+		t.Usable = !p.draining[t.Name] && takes(p.breakers.of[t.Name])
+	}
+	return placement.LeastOutstanding(p.targets, p.domain, exclude, p.cfg.MaxConcurrent, p.rng)
+}
+
+// release ends an attempt and takes in what it says of the target. One that
+// can't be connected to gets probes only, at once.
+func (p *servicePool) release(pl servicePlaced, r overload.Result, unreachable bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for i := range p.targets {
-		if p.targets[i].Name == name {
+		if p.targets[i].Name == pl.target {
 			p.targets[i].Outstanding--
 		}
 	}
-	if failed {
-		p.retryAt[name] = p.clock.now() + serviceRetryAfter
+	now := p.clock.now()
+	pl.ticket.end(now, r, p.rng)
+	if unreachable {
+		pl.ticket.breaker.Unreachable(now, p.rng)
 	}
 }
 
--- a/internal/entry/serviceserve.go
+++ b/internal/entry/serviceserve.go
@@ -12,6 +12,7 @@
 	"github.com/mastictray/mastictray/internal/config"
 	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/openai"
+	"github.com/mastictray/mastictray/internal/overload"
 	"github.com/mastictray/mastictray/internal/rate"
 )
 
@@ -68,14 +69,14 @@
 	sp := s.pools.service(pool.Name)
 	exclude := ""
 	for {
-		name, address, err := sp.acquire(exclude)
+		pl, err := sp.acquire(exclude)
 		if err != nil {
 			return serviceAnswer{}, err
 		}
-		ans, err := s.tryService(c, name, address, before)
+		ans, err := s.tryService(c, pl.target, pl.address, before)
 		before = nil
-		var failed *openai.Error
-		sp.release(name, err != nil && c.r.Context().Err() == nil && errors.As(err, &failed) && failed.Code == openai.CodeTargetFailed)
+		res := serviceResult(c, ans, err)
+		sp.release(pl, res, res == overload.Failed && unreachable(err))
 		if err == nil {
 			s.metrics.attempt(pool.Name, "answered")
 			return ans, nil
@@ -84,10 +85,33 @@
 		if !s.mayRepeat(c, err) {
 			return serviceAnswer{}, err
 		}
-		exclude = name
+		exclude = pl.target
 	}
 }
 
+// serviceResult is what an attempt says of its target. An answer with a server
+// error goes to the caller as it is, and counts against the target all the
+// same.
+func serviceResult(c *call, ans serviceAnswer, err error) overload.Result {
+	var failed *openai.Error
+	switch {
+	case err == nil && ans.status < http.StatusInternalServerError:
+		return overload.Succeeded
+	case err == nil:
+		return overload.Failed
+	case c.r.Context().Err() == nil && errors.As(err, &failed) && failed.Code == openai.CodeTargetFailed:
+		return overload.Failed
+	default:
+		return overload.Cancelled
+	}
+}
+
+// unreachable reports that no connection to the target was made.
+func unreachable(err error) bool {
+	var failed *openai.Error
+	return errors.As(err, &failed) && failed.Code == openai.CodeTargetFailed && failed.Outcome == openai.NotRun
+}
+
 func (s *server) mayRepeat(c *call, err error) bool {
 	var failed *openai.Error
 	if !errors.As(err, &failed) || failed.Code != openai.CodeTargetFailed {
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -172,7 +172,7 @@
 		if p.draining[t.Name] {
 			v.RejectedBy = append(v.RejectedBy, "draining")
 		}
-		if p.clock.now() < p.retryAt[t.Name] {
+		if b := p.breakers.of[t.Name]; b.shut(p.clock.now()) {
 			v.RejectedBy = append(v.RejectedBy, "breaker")
 		}
 		list = append(list, v)
--- a/internal/overload/breaker.go
+++ b/internal/overload/breaker.go
@@ -106,6 +106,20 @@
 	return true
 }
 
+// Limit is how many requests may be in flight; 0 for any number.
+func (b *Breaker) Limit() int {
+	switch b.state {
+	case SlowStart:
+		return b.limit
+	case Open:
+		return 1
+	}
+	return 0
+}
+
+// InFlight counts the requests sent since the last change of state.
+func (b *Breaker) InFlight() int { return b.inFlight }
+
 // Ticket ties a request's result to the time it was sent in.
 type Ticket struct{ round int }
 
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -23,6 +23,10 @@
 	// crash is trusted with, over 0 up to 1. Zero counts as 1.
 	SlowStart float64
 
+	// Limit is how many requests the target may have in flight from this
+	// instance, InFlight how many it has; a Limit of 0 allows any number.
+	Limit, InFlight int
+
 	Draining    bool
 	BreakerOpen bool
 	// Quarantined targets run requests that are suspected of crashing them.
@@ -33,6 +37,10 @@
 	rejectedBy Rejection
 }
 
+// Full reports that the target takes no further request until it has answered
+// one. Requests for it wait.
+func (t *Target) Full() bool { return t.Limit > 0 && t.InFlight >= t.Limit }
+
 // rate is the prefill rate that can be counted on, in tokens a second.
 func (t *Target) rate() float64 {
 	r := t.PrefillTokensPerSecond
