Targets that take no connection use up no attempt

Ruled out: more attempts for all requests, which a poison request could use. Change: failed connects count against a bound of their own, six. Figures: with the change off TestUnreachedTargetsUseUpNoAttempt and TestUnreachedTargetsAreBounded fail.

--- a/internal/attempt/stream.go
+++ b/internal/attempt/stream.go
@@ -12,6 +12,9 @@
 	// Repeatable requests may be sent again after a byte was sent.
 	Repeatable bool
 	// MaxDispatches bounds the targets tried, the first included; default 3.
+	// Targets that could not be connected to do not count, up to a bound of
+	// their own: nothing of the request reached them, and after a crash
+	// several may be gone that this instance has not missed yet.
 	MaxDispatches int
 	// MaxResumes bounds the resumptions over all attempts; default 3.
 	MaxResumes int
@@ -21,8 +24,10 @@
 
 const (
 	defaultMaxDispatches = 3
-	defaultMaxResumes    = 3
-	defaultIdleTimeout   = 30 * time.Second
+	// maxUnreached bounds the targets that did not take a connection.
+	maxUnreached       = 6
+	defaultMaxResumes  = 3
+	defaultIdleTimeout = 30 * time.Second
 )
 
 // Head is the head of a target's answer.
@@ -42,10 +47,11 @@
 	p   Policy
 	leg int
 	// attempt and target are those of the present leg.
-	attempt string
-	target  string
-	tried   []string
-	resumes int
+	attempt   string
+	target    string
+	tried     []string
+	unreached int // dispatches whose target took no connection
+	resumes   int
 	// sent: a byte of the present attempt may have reached its target.
 	// mayRun: the same of an earlier attempt.
 	sent   bool
@@ -192,6 +198,9 @@
 // cost: going on at the same engine recomputes nothing.
 func (s *Stream) breakUp(cause Cause) Action {
 	s.open = false
+	if cause == CauseDial && !s.sent {
+		s.unreached++
+	}
 	switch {
 	case s.mayResume(cause):
 		s.resumes++
@@ -221,7 +230,7 @@
 // mayRedispatch: a request that may not be repeated is sent again only if no
 // byte of it may have reached any target.
 func (s *Stream) mayRedispatch() bool {
-	if len(s.tried) >= s.p.MaxDispatches || s.passed {
+	if len(s.tried)-min(s.unreached, maxUnreached) >= s.p.MaxDispatches || s.passed {
 		return false
 	}
 	return s.p.Repeatable || !s.sent && !s.mayRun
