Forget the addresses of poison peers that are gone

Cause: the map grew with each process that was ever heard. Ruled out: forgetting the last incarnation of an instance name that is silent: its return tells that the former process has ended, and claims rely on it. Change: only the addresses of live peers are kept. Conclusion: tests of the package pass.

--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -220,7 +220,8 @@
 	})
 }
 
-// forget drops what was heard of addresses that are not known any more.
+// forget drops what was heard of addresses that are not known any more: the map
+// would grow with each replaced instance.
 func (m *members) forget(known []wire.Identity) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/entry/poisondriver.go
+++ b/internal/entry/poisondriver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -65,6 +66,17 @@
 	}
 	d.registry.SetPeers(d.clock.now(), ids)
 	d.work()
+	d.forgetOthers(ids)
+}
+
+// forgetOthers drops the addresses of processes that are gone: there is a new
+// one with each restart in the fleet. Callers hold mu.
+func (d *poisonDriver) forgetOthers(ids []string) {
+	for id := range d.address {
+		if !slices.Contains(ids, id) {
+			delete(d.address, id)
+		}
+	}
 }
 
 // introduce gives a peer that was not known all that is known here. Callers
