Fix the seeds of property tests in one place

Change: propertytest.Main, with each package's number of checks as it was; the command line still goes first.

--- a/internal/attempt/stream_test.go
+++ b/internal/attempt/stream_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"encoding/json"
-	"flag"
 	"fmt"
-	"os"
 	"strconv"
 	"strings"
 	"testing"
@@ -13,16 +11,11 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/mastictray/mastictray/internal/propertytest"
 	"github.com/mastictray/mastictray/internal/sse"
 )
 
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.checks", "5000")
-	_ = flag.Set("rapid.nofailfile", "true")
-	flag.Parse() // the command line goes first
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { propertytest.Main(m, 5000) }
 
 func event(attempt string, seq int, text string) sse.Event {
 	data := doneData
--- a/internal/belief/store_test.go
+++ b/internal/belief/store_test.go
@@ -1,9 +1,7 @@
 package belief
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -11,14 +9,10 @@
 	"pgregory.net/rapid"
 
 	"github.com/mastictray/mastictray/internal/prefix"
+	"github.com/mastictray/mastictray/internal/propertytest"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.checks", "200")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { propertytest.Main(m, 200) }
 
 var chain = []prefix.Hash{1, 2, 3}
 
--- a/internal/claim/fleet_test.go
+++ b/internal/claim/fleet_test.go
@@ -1,9 +1,7 @@
 package claim
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"sort"
 	"strings"
 	"testing"
@@ -12,15 +10,10 @@
 	"github.com/google/uuid"
 
 	"github.com/mastictray/mastictray/internal/platform"
+	"github.com/mastictray/mastictray/internal/propertytest"
 )
 
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.checks", "2000")
-	_ = flag.Set("rapid.nofailfile", "true")
-	flag.Parse() // the command line goes first
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { propertytest.Main(m, 2000) }
 
 // fleet is a few machines around one log, stepped by hand.
 type fleet struct {
--- a/internal/config/main_test.go
+++ b/internal/config/main_test.go
@@ -1,18 +1,11 @@
 package config
 
 import (
-	"flag"
-	"os"
 	"testing"
 
 	_ "pgregory.net/rapid"
+
+	"github.com/mastictray/mastictray/internal/propertytest"
 )
 
-// TestMain fixes the seed of the property tests, so that a run repeats.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "1")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { propertytest.Main(m, propertytest.DefaultChecks) }
--- a/internal/fairqueue/queue_test.go
+++ b/internal/fairqueue/queue_test.go
@@ -1,21 +1,16 @@
 package fairqueue
 
 import (
-	"flag"
-	"os"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"github.com/mastictray/mastictray/internal/propertytest"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.checks", "200")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { propertytest.Main(m, 200) }
 
 type item = Item[int]
 
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -18,15 +17,12 @@
 	"pgregory.net/rapid"
 
 	"github.com/mastictray/mastictray/internal/prefix"
+	"github.com/mastictray/mastictray/internal/propertytest"
 	"github.com/mastictray/mastictray/internal/standin/engine"
 	"github.com/mastictray/mastictray/internal/standin/service"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "1")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { propertytest.Main(m, propertytest.DefaultChecks) }
 
 func testProfile() Profile {
 	return Profile{
--- a/internal/membership/fleet_test.go
+++ b/internal/membership/fleet_test.go
@@ -1,24 +1,17 @@
 package membership
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"testing"
 	"time"
 
 	"github.com/mastictray/mastictray/internal/platform"
+	"github.com/mastictray/mastictray/internal/propertytest"
 	"github.com/mastictray/mastictray/internal/wire"
 )
 
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.checks", "100")
-	_ = flag.Set("rapid.nofailfile", "true")
-	flag.Parse() // the command line goes first
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { propertytest.Main(m, 100) }
 
 const (
 	step    = 50 * time.Millisecond
--- a/internal/overload/breaker_test.go
+++ b/internal/overload/breaker_test.go
@@ -1,23 +1,17 @@
 package overload
 
 import (
-	"flag"
 	"math/rand/v2"
-	"os"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"github.com/mastictray/mastictray/internal/propertytest"
 )
 
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.checks", "2000")
-	_ = flag.Set("rapid.nofailfile", "true")
-	flag.Parse() // the command line goes first
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { propertytest.Main(m, 2000) }
 
 // driver sends requests through a breaker as fast as it lets them.
 type driver struct {
--- a/internal/poison/fleet_test.go
+++ b/internal/poison/fleet_test.go
@@ -1,23 +1,17 @@
 package poison
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/mastictray/mastictray/internal/propertytest"
 )
 
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.checks", "1500")
-	_ = flag.Set("rapid.nofailfile", "true")
-	flag.Parse() // the command line goes first
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { propertytest.Main(m, 1500) }
 
 type envelope struct {
 	from int
--- a/internal/rate/main_test.go
+++ b/internal/rate/main_test.go
@@ -1,18 +1,11 @@
 package rate
 
 import (
-	"flag"
-	"os"
 	"testing"
 
 	_ "pgregory.net/rapid" // registers the flag
+
+	"github.com/mastictray/mastictray/internal/propertytest"
 )
 
-// TestMain fixes the seed of the property tests unless one is given.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
-		_ = flag.Set("rapid.seed", "1")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { propertytest.Main(m, propertytest.DefaultChecks) }
