Renew soon after a member of the domain has joined

Cause: only members that a holder's last record has seen may take its slots over. A holder lost within three seconds of the only other member's join kept its slots for six hours; it made a whole-path test fail. Ruled out: letting newcomers take over, which breaks promises that they know nothing of.

--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -24,6 +24,7 @@
 	sent     map[uint64]time.Duration // own records not yet folded
 	joinAt   time.Duration            // of the last join sent
 	renewAt  time.Duration            // of the last renewal sent
+	renewNow bool                     // a member has joined since
 	yieldAt  time.Duration            // of the last yields sent
 	held     map[Resource]*holding
 	acquires map[Resource]attempt       // sent and not settled
@@ -129,6 +130,10 @@
 	for _, r := range h.settings.Wanted {
 		h.follow(r, off, now, sentAt, own)
 	}
+	var j Join
+	if e.Kind == KindJoin && e.Into(&j) == nil && j.Member.Domain == h.settings.Self.Domain {
+		h.renewNow = true
+	}
 	return err
 }
 
--- a/internal/lease/tick.go
+++ b/internal/lease/tick.go
@@ -56,12 +56,23 @@
 	return Record{Kind: KindJoin, Body: Join{Member: h.settings.Self}, Seq: h.seq}, true
 }
 
-// renew extends everything held in one record.
+// joinGap is the part of the renewal period between two renewals for joins: many
+// members may join at once.
+const joinGap = 6
+
+// renew extends everything held in one record, and soon when a member of the
+// domain has joined: only members that a holder's last record has seen may take
+// over from it. A holder lost before that record would keep its slots for the
+// hold time.
 func (h *Holder) renew(now time.Duration) (Record, bool) {
-	if len(h.held) == 0 || now-h.renewAt < h.settings.RenewEvery {
+	period := h.settings.RenewEvery
+	if h.renewNow {
+		period /= joinGap
+	}
+	if len(h.held) == 0 || now-h.renewAt < period {
 		return Record{}, false
 	}
-	h.renewAt = now
+	h.renewAt, h.renewNow = now, false
 	body := Renew{Holder: h.settings.Self.ID, Seen: h.fold.lastSeen(), Seq: h.number(now)}
 	for _, r := range h.settings.Wanted {
 		if l := h.held[r]; l != nil {
