One place each for two refusals and for what a failed connect proves

Cause: read through the whole change: the answers to a quarantined request and to a repeat of unknown outcome were written out twice, and the rule on which "not run" and "no effect" rest, a connection that was never made, stood in the target client and in the log client. Behaviour is as before.

--- a/internal/entry/engineclient.go
+++ b/internal/entry/engineclient.go
@@ -9,9 +9,8 @@
 	"strconv"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/mastictray/mastictray/internal/openai"
+	"github.com/mastictray/mastictray/internal/platform"
 )
 
 // Headers between the router and its targets; see docs/PROTOCOLS.md.
@@ -129,8 +128,7 @@
 // outcomeOfSend says not_run only when the connection was never made: any
 // later failure may have come after the target read the request.
 func outcomeOfSend(err error) openai.Outcome {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	if platform.NotConnected(err) {
 		return openai.NotRun
 	}
 	return openai.MayHaveRun
--- a/internal/entry/enginecrash.go
+++ b/internal/entry/enginecrash.go
@@ -33,10 +33,7 @@
 	r.isolated = d.Target
 	switch d.Verdict {
 	case poison.Quarantined:
-		return &openai.Error{
-			Status: http.StatusUnprocessableEntity, Code: openai.CodeQuarantined, Outcome: openai.MayHaveRun,
-			Message: "this request has crashed the targets that ran it and is not run again",
-		}
+		return quarantined()
 	case poison.Refused:
 		return &openai.Error{
 			Status: http.StatusServiceUnavailable, Code: openai.CodeOverloaded, Outcome: r.outcome(),
@@ -46,6 +43,14 @@
 	return nil
 }
 
+// quarantined is the final answer to a request that crashes its targets.
+func quarantined() *openai.Error {
+	return &openai.Error{
+		Status: http.StatusUnprocessableEntity, Code: openai.CodeQuarantined, Outcome: openai.MayHaveRun,
+		Message: "this request has crashed the targets that ran it and is not run again",
+	}
+}
+
 // release gives a target back that the request was to run on alone, and leaves
 // it out from then on. Targets that crash next to each other are given out
 // before all instances know: without another target the stream of an innocent
@@ -81,10 +86,7 @@
 	}
 	r.vetted = false
 	if d := r.s.poison.crashed(r.e.r.Context(), r.e.id, crash); d.Verdict == poison.Quarantined {
-		return &openai.Error{
-			Status: http.StatusUnprocessableEntity, Code: openai.CodeQuarantined, Outcome: openai.MayHaveRun,
-			Message: "this request has crashed the targets that ran it and is not run again",
-		}
+		return quarantined()
 	}
 	return nil
 }
@@ -100,8 +102,8 @@
 // targetLost reports that the process which ran the request is gone: nothing
 // listens at its address, or another incarnation answers there. One that was
 // gone before the request came is not blamed on it: the head of the answer says
-// which process ran it, the last report may still be of the one before. A target that does not answer
-// in time may be paused; that is no crash.
+// which process ran it, the last report may still be of the one before. A
+// target that does not answer in time may be paused; that is no crash.
 func (r *engineRun) targetLost() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), crashProbe)
 	defer cancel()
--- a/internal/entry/serviceserve.go
+++ b/internal/entry/serviceserve.go
@@ -229,7 +229,7 @@
 	case claim.InProgress:
 		return &openai.Error{Status: http.StatusConflict, Code: openai.CodeInProgress, Outcome: openai.MayHaveRun, Message: "the first request with this key is still running", RetryAfter: time.Second}
 	case claim.MayHaveRun, claim.TooOld:
-		return &openai.Error{Status: http.StatusConflict, Code: openai.CodeUnknownOutcome, Outcome: openai.MayHaveRun, Message: "a request with this key may have run; its outcome is not known"}
+		return unknownOutcome()
 	case claim.BodyMismatch:
 		return refusal(http.StatusUnprocessableEntity, openai.CodeKeyReused, "the key belongs to a different request", 0)
 	default:
@@ -237,10 +237,18 @@
 	}
 }
 
+// unknownOutcome is the answer to a repeat whose first request may have run.
+func unknownOutcome() *openai.Error {
+	return &openai.Error{
+		Status: http.StatusConflict, Code: openai.CodeUnknownOutcome, Outcome: openai.MayHaveRun,
+		Message: "a request with this key may have run; its outcome is not known",
+	}
+}
+
 // replay gives the first request's answer to its repeat.
 func (s *server) replay(c *call, pool config.Pool, res claim.Result) error {
 	if res.Unknown {
-		return &openai.Error{Status: http.StatusConflict, Code: openai.CodeUnknownOutcome, Outcome: openai.MayHaveRun, Message: "a request with this key may have run; its outcome is not known"}
+		return unknownOutcome()
 	}
 	if res.BodyDropped {
 		return &openai.Error{Status: http.StatusConflict, Code: openai.CodeUnknownOutcome, Outcome: openai.Ran, Message: "the request ran; its answer was too large to keep"}
--- a/internal/platform/httplog.go
+++ b/internal/platform/httplog.go
@@ -150,9 +150,15 @@
 
 // lostCallError tells a call that never left from one whose answer was lost.
 func lostCallError(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	if NotConnected(err) {
 		return ErrOutage
 	}
 	return ErrUnknown
 }
+
+// NotConnected reports that a call failed before its connection was made: only
+// then is it sure that no byte of it has reached the other side.
+func NotConnected(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
