--- /dev/null
+++ b/cmd/mastictray-gateway/main.go
@@ -0,0 +1,68 @@
+// Command mastictray-gateway serves callers by routes on the platform: it
+// reads routes, keys and rates from the platform's store and finds its targets
+// and peers there.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"k8s.io/klog/v2"
+
+	"github.com/mastictray/mastictray/internal/gateway"
+	"github.com/mastictray/mastictray/internal/logline"
+	"github.com/mastictray/mastictray/internal/settings"
+	"github.com/mastictray/mastictray/platform"
+)
+
+// settingsVariable holds the path of the settings file.
+const settingsVariable = "MASTICTRAY_CONFIG"
+
+func main() {
+	var s Settings
+	kong.Parse(
+		&s,
+		kong.Name("mastictray-gateway"),
+		kong.Description("Routes callers' requests by host and path to the targets that serve them soonest."),
+		kong.Configuration(settings.Loader, os.Getenv(settingsVariable)),
+		kong.Vars{"version": "0.2.0"},
+	)
+	if err := run(&s); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(s *Settings) error {
+	if err := logline.ToWriter(os.Stdout); err != nil {
+		return err
+	}
+	defer klog.Flush()
+	limitMemory(s.MemoryMB)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	signal.Ignore(syscall.SIGHUP) // the settings in use do not change while it runs
+	g := gateway.New(s.gateway(), platform.Dialect{}, platform.NewStore(s.StoreAddress), platform.NewControl())
+	return g.Run(ctx)
+}
+
+const (
+	// gcPercent trades processor time for memory: the live heap is a few
+	// megabytes, so collecting twice as often costs little.
+	gcPercent = 50
+	// memoryShare is the part of the instance's memory that the runtime keeps
+	// within; the rest is for the kernel's buffers, which count too.
+	memoryShare = 0.6
+)
+
+func limitMemory(megabytes int) {
+	debug.SetGCPercent(gcPercent)
+	if megabytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(megabytes<<20)))
+	}
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -163,7 +163,7 @@
 	d.reset()
 	t := d.pool.Target(i)
 	cached := d.beliefs.Cached(t.Belief, r.Place.Chain)
-	uncached := max(0, r.Place.PromptTokens-cached*r.Place.PieceTokens)
+	uncached := max(0, r.Place.PromptTokens-r.Place.LeadingTokens(cached))
 	d.send(now, r, t, placement.Decision{Index: i, CachedPieces: cached, UncachedTokens: float64(uncached)})
 	return d.out.Sends[0], true
 }
@@ -184,7 +184,7 @@
 	if d.picker.KnowsCaches() {
 		return
 	}
-	if cachedTokens < s.Decision.CachedPieces*s.Request.Place.PieceTokens {
+	if cachedTokens < s.Request.Place.LeadingTokens(s.Decision.CachedPieces) {
 		d.beliefs.Missed(s.Identity, s.stamp)
 	}
 }
@@ -270,6 +270,7 @@
 	id := belief.Identity{Target: t.Name, Incarnation: t.Incarnation, Version: t.Version}
 	t.Load.Sent(now, choice.UncachedTokens)
 	t.InFlight++
+	t.HeldTokens += r.Place.HeldTokens
 	stamp := d.beliefs.Expect(id, r.Place.Chain)
 	d.out.Sends = append(d.out.Sends, Send[T]{
 		Request: r, Target: choice.Index, Identity: id, SentAt: now, Decision: choice, stamp: stamp,
--- /dev/null
+++ b/internal/gateway/callers.go
@@ -0,0 +1,134 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+
+	"github.com/mastictray/mastictray/internal/logline"
+)
+
+const (
+	// defaultIdle is how long a caller's idle connection is kept where the
+	// configuration does not say.
+	defaultIdle = 15 * time.Second
+	// idleSlack is added to it: a caller that keeps to the limit would
+	// otherwise send just as the connection closes.
+	idleSlack = time.Second
+	// headerTimeout bounds the time to a whole head.
+	headerTimeout = 5 * time.Second
+	// callerKeepAlive is the pause between probes of a silent caller: one
+	// that was cut off must not hold its targets for long.
+	callerKeepAlive = time.Second
+	maxHeaderBytes  = 64 << 10
+)
+
+// callerServer is the listeners for callers, the balancer and metrics.
+type callerServer struct {
+	g       *Gateway
+	callers *http.Server
+	ready   *http.Server
+	metrics *http.Server
+
+	mu   sync.Mutex
+	idle map[net.Conn]time.Time
+}
+
+func newCallerServer(g *Gateway) *callerServer {
+	s := &callerServer{g: g, idle: map[net.Conn]time.Time{}}
+	s.callers = &http.Server{
+		Handler: g, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: s.track,
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc(g.dialect.ReadyPath(), s.answerReady)
+	s.ready = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	counts := http.NewServeMux()
+	counts.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	s.metrics = &http.Server{Handler: counts, ReadHeaderTimeout: headerTimeout}
+	return s
+}
+
+func (s *callerServer) listen() error {
+	for _, l := range []struct {
+		address string
+		server  *http.Server
+	}{
+		{s.g.settings.CallerListen, s.callers},
+		{s.g.settings.ReadyListen, s.ready},
+		{s.g.settings.MetricsListen, s.metrics},
+	} {
+		if l.address == "" {
+			continue
+		}
+		config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: callerKeepAlive, Interval: callerKeepAlive, Count: 3,
+		}}
+		listener, err := config.Listen(context.Background(), "tcp", l.address)
+		if err != nil {
+			return errors.Wrapf(err, "listen at %s", l.address)
+		}
+		go func() {
+			if err := l.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				logline.Error(err, "listener_ended", "address", l.address)
+			}
+		}()
+	}
+	return nil
+}
+
+func (s *callerServer) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if !s.g.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// track notes which connections are idle, and since when. The limit is the
+// configuration's and changes while the server runs, so the server's own,
+// which is fixed, is left off.
+func (s *callerServer) track(c net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if state == http.StateIdle || state == http.StateNew {
+		s.idle[c] = time.Now()
+	} else {
+		delete(s.idle, c)
+	}
+}
+
+// closeIdle closes connections that were idle for too long.
+func (s *callerServer) closeIdle() {
+	limit := defaultIdle
+	if t := s.g.table.Load(); t != nil && t.Config().Limits.IdleTimeout > 0 {
+		limit = t.Config().Limits.IdleTimeout
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c, since := range s.idle {
+		if time.Since(since) > limit+idleSlack {
+			// The server forgets the connection once it is closed.
+			_ = c.Close()
+			delete(s.idle, c)
+		}
+	}
+}
+
+// lastAnswers makes every further answer the last one of its connection, so
+// that callers move to other instances by themselves.
+func (s *callerServer) lastAnswers() { s.callers.SetKeepAlivesEnabled(false) }
+
+// shutdown takes no new connections and waits for running requests.
+func (s *callerServer) shutdown(ctx context.Context) {
+	if err := s.callers.Shutdown(ctx); err != nil {
+		logline.Error(err, "drain_incomplete")
+	}
+	for _, server := range []*http.Server{s.ready, s.metrics} {
+		if err := server.Close(); err != nil {
+			logline.Error(err, "listener_unclosed")
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/enginepool.go
@@ -0,0 +1,388 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/mastictray/mastictray/internal/belief"
+	"github.com/mastictray/mastictray/internal/directory"
+	"github.com/mastictray/mastictray/internal/dispatch"
+	"github.com/mastictray/mastictray/internal/overload"
+	"github.com/mastictray/mastictray/internal/placement"
+	"github.com/mastictray/mastictray/internal/prefix"
+)
+
+const (
+	// beliefBudgetBytes bounds what is remembered of the targets' caches: some
+	// ten thousand pieces, several times what a dozen engines hold.
+	beliefBudgetBytes = 2 << 20
+	// maxQueued bounds the requests that wait here for one service.
+	maxQueued = 1024
+	// stepEvery is the pause between looks at the queue while requests wait:
+	// an engine's own step.
+	stepEvery = 4 * time.Millisecond
+	// outdatedPenalty is what a first token on the newest weights may come
+	// later by: an answer on older ones loses a fifth of its worth, which is
+	// more than a wait inside the latency objective costs.
+	outdatedPenalty = 250 * time.Millisecond
+)
+
+type (
+	waiting = dispatch.Request[chan placedOrRefusal]
+	sending = dispatch.Send[chan placedOrRefusal]
+)
+
+type placedOrRefusal struct {
+	placed  *placed
+	refusal *dispatch.Refusal[chan placedOrRefusal]
+}
+
+// placed is a target chosen for one attempt.
+type placed struct {
+	target  directory.Registration
+	send    sending
+	breaker *overload.Breaker
+	ticket  overload.Ticket
+	held    int
+	// prefilled is set once the first token came.
+	prefilled bool
+}
+
+// load is what an instance has running at one target.
+type load struct {
+	// Unanswered is the prompt tokens whose first token has not come, Held
+	// the tokens of memory that running requests take.
+	Unanswered float64
+	Held       int
+}
+
+// enginePool decides for the requests of one service of model servers. Its
+// lock is held for decisions only, never over I/O.
+type enginePool struct {
+	now     func() time.Duration
+	domain  string
+	prefill float64
+
+	mu         sync.Mutex
+	regs       map[string]directory.Registration
+	memory     int
+	breakers   map[string]*overload.Breaker
+	pool       *placement.Pool
+	picker     *placement.Picker
+	beliefs    *belief.Store
+	dispatcher *dispatch.Dispatcher[chan placedOrRefusal]
+	rng        *rand.Rand
+	nextID     uint64
+	wanted     map[string]int64
+	loading    map[string]bool
+	mustServe  bool
+	stepping   bool
+}
+
+func newEnginePool(now func() time.Duration, domain string, prefill float64) *enginePool {
+	p := &enginePool{
+		now: now, domain: domain, prefill: prefill,
+		regs: map[string]directory.Registration{}, breakers: map[string]*overload.Breaker{},
+		beliefs: belief.NewStore(beliefBudgetBytes),
+		rng:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		wanted:  map[string]int64{}, loading: map[string]bool{},
+	}
+	p.rebuild(nil)
+	o := dispatch.DefaultOptions()
+	o.Queue.MaxItems = maxQueued
+	o.Queue.FloorRate = prefill
+	p.dispatcher = dispatch.New[chan placedOrRefusal](p.pool, p.beliefs, p.picker, o)
+	return p
+}
+
+// update takes the service's usable targets. What is known of targets that
+// stay is kept; a new incarnation starts with nothing believed of it.
+func (p *enginePool) update(regs []directory.Registration, memory int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.memory = memory
+	p.rebuild(regs)
+	p.dispatcher.Replace(p.pool, p.picker)
+	p.step()
+}
+
+func (p *enginePool) rebuild(regs []directory.Registration) {
+	next := map[string]directory.Registration{}
+	targets := make([]placement.Target, 0, len(regs))
+	for _, r := range regs {
+		next[r.ID] = r
+		targets = append(targets, p.keep(r))
+	}
+	for id, old := range p.regs {
+		if r, ok := next[id]; !ok || r.Incarnation() != old.Incarnation() {
+			delete(p.breakers, id)
+		}
+	}
+	p.regs = next
+	p.pool = placement.NewPool(targets, "", placement.DefaultFilters())
+	o := placement.DefaultOptions()
+	o.Domain, o.OutdatedPenalty = p.domain, outdatedPenalty
+	p.picker = placement.NewPicker(p.pool, p.beliefs, o)
+}
+
+// keep carries over what was observed of a target.
+func (p *enginePool) keep(r directory.Registration) placement.Target {
+	t := placement.Target{Name: r.ID, PrefillTokensPerSecond: p.prefill}
+	if p.pool != nil && p.regs[r.ID].Incarnation() == r.Incarnation() {
+		if i, ok := p.pool.Find(r.ID); ok {
+			t = *p.pool.Target(i)
+		}
+	}
+	t.Domain, t.Incarnation = r.Domain, strconv.FormatInt(r.Born, 10)
+	t.Limit, t.MemoryTokens = r.Slots, p.memory
+	t.Version = versionText(r.Versions)
+	t.Outdated, t.Loading = p.outdated(&r), p.loading[r.ID]
+	t.Belief = p.beliefs.Observe(p.now(), belief.Identity{Target: r.ID, Incarnation: t.Incarnation, Version: t.Version})
+	return t
+}
+
+// versionText names the weights of a target; what it cached under others is
+// not believed any more.
+func versionText(versions map[string]int64) string {
+	switch len(versions) {
+	case 0:
+		return ""
+	case 1:
+		for _, v := range versions {
+			return strconv.FormatInt(v, 10)
+		}
+	}
+	sum := int64(0)
+	for _, v := range versions {
+		sum = sum*31 + v
+	}
+	return strconv.FormatInt(sum, 10)
+}
+
+func (p *enginePool) outdated(r *directory.Registration) bool {
+	for model, wanted := range p.wanted {
+		if v, ok := r.Versions[model]; ok && v < wanted {
+			return true
+		}
+	}
+	return false
+}
+
+// setRollout takes the versions wanted, whether older ones are no longer to be
+// served, and the targets that load.
+func (p *enginePool) setRollout(wanted map[string]int64, mustServe bool, loading map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.wanted, p.loading, p.mustServe = wanted, loading, mustServe
+	for id, r := range p.regs {
+		p.mark(id, &r)
+	}
+	p.step()
+}
+
+func (p *enginePool) mark(id string, r *directory.Registration) {
+	i, ok := p.pool.Find(id)
+	if !ok {
+		return
+	}
+	t := p.pool.Target(i)
+	t.Outdated = p.outdated(r)
+	t.Loading = p.loading[id] || p.mustServe && t.Outdated
+	p.pool.Changed(i)
+}
+
+// served takes in the version that an answer was made on: answers tell of it
+// sooner than registrations do.
+func (p *enginePool) served(id directory.Incarnation, model string, version int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r, ok := p.regs[id.ID]
+	if !ok || r.Incarnation() != id || r.Versions[model] >= version {
+		return
+	}
+	versions := make(map[string]int64, len(r.Versions))
+	for m, v := range r.Versions {
+		versions[m] = v
+	}
+	versions[model] = version
+	r.Versions = versions
+	p.regs[id.ID] = r
+	if i, ok := p.pool.Find(id.ID); ok {
+		t := p.pool.Target(i)
+		t.Version = versionText(versions)
+		t.Belief = p.beliefs.Observe(p.now(), belief.Identity{Target: r.ID, Incarnation: t.Incarnation, Version: t.Version})
+		p.mark(id.ID, &r)
+	}
+}
+
+// acquire waits for a target. The refusal says why there is none.
+func (p *enginePool) acquire(ctx context.Context, r *waiting) (*placed, *dispatch.Refusal[chan placedOrRefusal]) {
+	r.Value = make(chan placedOrRefusal, 1)
+	p.mu.Lock()
+	p.nextID++
+	r.ID = p.nextID
+	p.refreshBreakers()
+	p.deliver(p.dispatcher.Push(p.now(), r, p.rng))
+	p.keepStepping()
+	p.mu.Unlock()
+	select {
+	case out := <-r.Value:
+		return out.placed, out.refusal
+	case <-ctx.Done():
+	}
+	p.mu.Lock()
+	p.dispatcher.Cancel(r.Account, r.ID)
+	p.mu.Unlock()
+	select {
+	case out := <-r.Value: // it was chosen meanwhile
+		if out.placed != nil {
+			p.ended(out.placed, overload.Cancelled)
+		}
+	default:
+	}
+	return nil, nil
+}
+
+// keepStepping looks at the queue every few milliseconds while requests wait.
+func (p *enginePool) keepStepping() {
+	if p.stepping || p.dispatcher.Waiting() == 0 {
+		return
+	}
+	p.stepping = true
+	time.AfterFunc(stepEvery, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.stepping = false
+		p.step()
+	})
+}
+
+func (p *enginePool) step() {
+	p.refreshBreakers()
+	p.deliver(p.dispatcher.Step(p.now(), p.rng))
+	p.keepStepping()
+}
+
+func (p *enginePool) deliver(s dispatch.Step[chan placedOrRefusal]) {
+	for i := range s.Sends {
+		send := s.Sends[i]
+		b := p.breaker(send.Identity.Target)
+		pl := &placed{
+			target: p.regs[send.Identity.Target], send: send, breaker: b, ticket: b.Begin(),
+			held: send.Request.Place.HeldTokens,
+		}
+		send.Request.Value <- placedOrRefusal{placed: pl}
+	}
+	for i := range s.Refusals {
+		refusal := s.Refusals[i]
+		refusal.Request.Value <- placedOrRefusal{refusal: &refusal}
+	}
+}
+
+func (p *enginePool) breaker(id string) *overload.Breaker {
+	b := p.breakers[id]
+	if b == nil {
+		b = overload.NewBreaker(overload.BreakerConfig{})
+		p.breakers[id] = b
+	}
+	return b
+}
+
+// refreshBreakers shows the placement which targets may get a request now.
+func (p *enginePool) refreshBreakers() {
+	now := p.now()
+	for id, b := range p.breakers {
+		i, ok := p.pool.Find(id)
+		if !ok {
+			continue
+		}
+		t := p.pool.Target(i)
+		if open := !b.Ready(now); open != t.BreakerOpen {
+			t.BreakerOpen = open
+			p.pool.Changed(i)
+		}
+	}
+}
+
+// answered takes in the first token of an answer.
+func (p *enginePool) answered(pl *placed) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if pl.prefilled {
+		return
+	}
+	pl.prefilled = true
+	p.dispatcher.Answered(&pl.send)
+	p.step()
+}
+
+// ended takes in the end of an attempt and what it says of the target.
+func (p *enginePool) ended(pl *placed, result overload.Result) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !pl.prefilled {
+		pl.prefilled = true
+		p.dispatcher.Failed(&pl.send)
+	}
+	if i, ok := p.pool.Find(pl.target.ID); ok && p.regs[pl.target.ID].Incarnation() == pl.target.Incarnation() {
+		t := p.pool.Target(i)
+		t.InFlight--
+		t.HeldTokens -= pl.held
+	}
+	pl.breaker.End(p.now(), pl.ticket, result, p.rng)
+	p.step()
+}
+
+// unreachable takes in that the target takes no connection.
+func (p *enginePool) unreachable(pl *placed) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pl.breaker.Unreachable(p.now(), p.rng)
+}
+
+// loads is what this instance has running, by target.
+func (p *enginePool) loads() map[string]load {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := map[string]load{}
+	for i := range p.pool.Len() {
+		t := p.pool.Target(i)
+		if l := (load{Unanswered: t.Load.Unanswered(), Held: t.HeldTokens}); l != (load{}) {
+			out[t.Name] = l
+		}
+	}
+	return out
+}
+
+// setPeers takes what the other instances have running, by target.
+func (p *enginePool) setPeers(now time.Duration, peers map[string]load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := range p.pool.Len() {
+		t := p.pool.Target(i)
+		l := peers[t.Name]
+		t.PeersHeldTokens = l.Held
+		t.Load.Report(now, t.Load.Unanswered()+l.Unanswered)
+	}
+}
+
+// believe takes in the prompts that peers have sent to targets.
+func (p *enginePool) believe(id directory.Incarnation, chain []prefix.Hash) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r, ok := p.regs[id.ID]
+	if !ok || r.Incarnation() != id {
+		return
+	}
+	p.beliefs.Stored(belief.Identity{Target: r.ID, Incarnation: strconv.FormatInt(r.Born, 10), Version: versionText(r.Versions)}, chain)
+}
+
+// live counts the targets that may get a request.
+func (p *enginePool) live() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pool.Live()
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,217 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/mastictray/mastictray/internal/clock"
+	"github.com/mastictray/mastictray/internal/directory"
+	"github.com/mastictray/mastictray/internal/keys"
+	"github.com/mastictray/mastictray/internal/logline"
+	"github.com/mastictray/mastictray/internal/orderlease"
+	"github.com/mastictray/mastictray/internal/quota"
+	"github.com/mastictray/mastictray/internal/routing"
+	"github.com/mastictray/mastictray/internal/targetconn"
+	"github.com/mastictray/mastictray/internal/weights"
+	"github.com/mastictray/mastictray/internal/wire"
+)
+
+// Gateway is one instance's process.
+type Gateway struct {
+	settings Settings
+	clock    clock.Clock
+	self     wire.Identity
+	dialect  Dialect
+	store    Store
+	control  TargetControl
+	targets  *targetconn.Pool
+	metrics  *gatewayMetrics
+
+	// table is the configuration in force; nil until one is known.
+	table atomic.Pointer[routing.Table]
+
+	mu       sync.Mutex
+	contacts *keys.Contacts
+	// versions are the newest weights named, and when this instance learnt
+	// of each.
+	versions   map[string]namedVersion
+	quota      *quota.Limiter
+	directory  *directory.Directory
+	registered time.Duration // of the last read; 0 for none
+	engines    map[string]*enginePool
+	services   map[string]*servicePool
+	budgets    map[string]*retryBudget
+	strikes    strikes
+
+	peers   *peers
+	lease   *sharedLease
+	planner *weights.Planner
+	// ordered are the targets that load by this instance's orders.
+	ordered []string
+	// loadingNow are the targets that load by any instance's orders.
+	loadingNow map[string]bool
+
+	closing atomic.Bool
+	callers *callerServer
+	running sync.WaitGroup
+}
+
+type namedVersion struct {
+	version int64
+	at      time.Duration
+}
+
+// New builds the process. Nothing listens yet.
+func New(s Settings, d Dialect, store Store, control TargetControl) *Gateway {
+	c := clock.New()
+	g := &Gateway{
+		settings: s, clock: c, dialect: d, store: store, control: control,
+		self: wire.Identity{
+			Instance: s.Instance, Incarnation: uuid.Must(uuid.NewV7()).String(), Address: s.PeerListen, Domain: s.Domain,
+		},
+		targets:   targetconn.NewPool(targetconn.DefaultOptions(), c.Now),
+		metrics:   newGatewayMetrics(),
+		contacts:  keys.NewContacts(s.Domain),
+		versions:  map[string]namedVersion{},
+		quota:     quota.New(),
+		directory: directory.New(),
+		engines:   map[string]*enginePool{},
+		services:  map[string]*servicePool{},
+		budgets:   map[string]*retryBudget{},
+		strikes:   newStrikes(),
+		planner:   weights.New(weights.DefaultSettings()),
+	}
+	lease := orderlease.DefaultSettings()
+	lease.Gap = s.LeaseGap
+	g.lease = &sharedLease{l: orderlease.New(g.self.Incarnation, lease)}
+	g.peers = newPeers(g)
+	g.callers = newCallerServer(g)
+	return g
+}
+
+// Run serves until ctx ends, then drains.
+func (g *Gateway) Run(ctx context.Context) error {
+	logline.Info("started", "instance", g.self.Instance, "incarnation", g.self.Incarnation, "domain", g.self.Domain,
+		"callers", g.settings.CallerListen, "peers", g.settings.PeerListen)
+	if err := g.callers.listen(); err != nil {
+		return err
+	}
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	var loops sync.WaitGroup
+	for _, loop := range []func(context.Context){
+		g.followOperators, g.followRegistrations, g.peers.run, g.runRollouts, g.sweep,
+	} {
+		loops.Add(1)
+		go func() {
+			defer loops.Done()
+			loop(work)
+		}()
+	}
+	<-ctx.Done()
+	g.drain()
+	stop()
+	g.peers.close()
+	loops.Wait()
+	logline.Info("stopped", "instance", g.self.Instance)
+	return nil
+}
+
+// drain stops being ready first and goes on serving while the balancer still
+// sends, then finishes what runs.
+func (g *Gateway) drain() {
+	logline.Info("draining", "balancer_lag", g.settings.BalancerLag, "running_for", g.settings.DrainTimeout)
+	g.closing.Store(true)
+	g.callers.lastAnswers()
+	time.Sleep(g.settings.BalancerLag)
+	ctx, cancel := context.WithTimeout(context.Background(), g.settings.DrainTimeout)
+	defer cancel()
+	g.callers.shutdown(ctx)
+	leave, cancelLeave := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancelLeave()
+	if err := g.store.Withdraw(leave, g.self.Instance); err != nil {
+		logline.Error(err, "withdraw_failed")
+	}
+}
+
+// ready says whether the balancer should send callers here: only while their
+// keys can be checked and targets are known.
+func (g *Gateway) ready() bool {
+	if g.closing.Load() || g.table.Load() == nil {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.registered > 0 && g.contactAge() <= g.settings.KeyReadyAge
+}
+
+// contactAge is how long ago this instance surely knew all that operators had
+// written. The caller holds g.mu.
+func (g *Gateway) contactAge() time.Duration {
+	now := g.clock.Now()
+	age := g.contacts.LogAge(now)
+	if age == keys.Unknown {
+		return 1 << 62
+	}
+	return age
+}
+
+// sweep closes idle connections and reports counts.
+func (g *Gateway) sweep(ctx context.Context) {
+	for sleep(ctx, sweepEvery) {
+		g.targets.Sweep()
+		g.callers.closeIdle()
+	}
+}
+
+const (
+	sweepEvery = 500 * time.Millisecond
+	// storeTimeout bounds a call to the store: ten times a slow answer's
+	// usual time, so that a slow store still answers.
+	storeTimeout = 1500 * time.Millisecond
+)
+
+// source gives a random source for one decision.
+func (g *Gateway) source() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+}
+
+// sleep waits, and is false when ctx ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// engine finds or makes the pool of a service of model servers.
+func (g *Gateway) engine(name string) *enginePool {
+	p := g.engines[name]
+	if p == nil {
+		p = newEnginePool(g.clock.Now, g.settings.Domain, g.settings.PrefillTokensPerSecond)
+		g.engines[name] = p
+	}
+	return p
+}
+
+// service finds or makes the pool of a plain service.
+func (g *Gateway) service(name string) *servicePool {
+	p := g.services[name]
+	if p == nil {
+		p = newServicePool(g.clock.Now, g.settings.Domain)
+		g.services[name] = p
+	}
+	return p
+}
+
+var _ http.Handler = (*Gateway)(nil)
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,39 @@
+package gateway
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// gatewayMetrics are the counters and histograms of one process. Names carry
+// routes, services, reasons and statuses; never requests, keys or targets, so
+// that their number is bounded by the configuration.
+type gatewayMetrics struct {
+	set *metrics.Set
+}
+
+func newGatewayMetrics() *gatewayMetrics {
+	m := &gatewayMetrics{set: metrics.NewSet()}
+	metrics.RegisterSet(m.set)
+	return m
+}
+
+func (m *gatewayMetrics) refused(r *Refusal) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`mastictray_refused_total{reason=%q,status="%d"}`, r.Reason, r.Status)).Inc()
+}
+
+func (m *gatewayMetrics) left() {
+	m.set.GetOrCreateCounter(`mastictray_callers_left_total`).Inc()
+}
+
+func (m *gatewayMetrics) brokenOff() {
+	m.set.GetOrCreateCounter(`mastictray_broken_off_total`).Inc()
+}
+
+func (m *gatewayMetrics) answered(c *call, s *relay, total time.Duration) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`mastictray_answered_total{route=%q,status="%d",attempts="%d"}`, c.route.Name, s.status, c.sent)).Inc()
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`mastictray_first_seconds{route=%q}`, c.route.Name)).Update(s.firstAt.Seconds())
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`mastictray_total_seconds{route=%q}`, c.route.Name)).Update(total.Seconds())
+}
--- /dev/null
+++ b/internal/gateway/request.go
@@ -0,0 +1,114 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/mastictray/mastictray/internal/prefix"
+)
+
+// Request is a caller's request in neutral form.
+type Request struct {
+	// ID is the caller's name for this attempt; targets echo it.
+	ID     string
+	Method string
+	// URI is the path and query as they were sent; Path is for routing.
+	URI  string
+	Path string
+	Host string
+	// Header is what goes on to the target: no header of one connection and
+	// none that only the router may set.
+	Header http.Header
+	Body   []byte
+	// Key is the caller's key; empty for none. It is never logged.
+	Key string
+	// Patience is how long the caller waits; 0 when it does not say.
+	Patience time.Duration
+	// Prompt is set for requests to model servers.
+	Prompt *Prompt
+	// LastEventID resumes a stream behind this event; empty for none.
+	LastEventID string
+}
+
+// Prompt describes the prompt of a request.
+type Prompt struct {
+	Model string
+	// Pieces are the prompt's parts in order. Requests share leading pieces;
+	// the last one belongs to the request or its session.
+	Pieces []Piece
+	// Tokens is the size of the prompt, MaxOutput the most tokens of answer;
+	// Counted says that the caller gave them.
+	Tokens    int
+	MaxOutput int
+	Counted   bool
+}
+
+// Piece is one part of a prompt.
+type Piece struct {
+	Hash   prefix.Hash
+	Tokens int
+}
+
+// Outgoing is what the router adds to a request for one target.
+type Outgoing struct {
+	// Target is the incarnation that must run the request; any other at the
+	// address refuses it.
+	Target string
+	// Account owns the key that came with the request; empty for none.
+	Account string
+	// Left is the time that the target may take.
+	Left time.Duration
+	// Urgency is from 0, the most urgent, to 9.
+	Urgency int
+	// CacheScope separates cached pieces: they are found only under the same
+	// scope. Empty is the scope shared by all.
+	CacheScope string
+	// LastEventID resumes a stream behind this event; empty for none.
+	LastEventID string
+}
+
+// Verdict says what an answer's head proves.
+type Verdict struct {
+	// NotRun is set when the target states that it did not run the request.
+	NotRun bool
+	// Genuine is set when the answer bears the target's own signature. What
+	// lacks it is not passed on as a success.
+	Genuine bool
+	// Weights is the version of the weights that the answer was made on; 0
+	// when the answer does not say.
+	Weights int64
+}
+
+// Refusal is a final answer of the router's own.
+type Refusal struct {
+	Status int
+	// Reason is a stable word for the caller's operators.
+	Reason string
+	// RetryAfter, when over 0, is when to come back.
+	RetryAfter time.Duration
+	// NotRun is set when no target has run or will run the request.
+	NotRun bool
+	// abort ends the caller's connection instead of answering: the caller has
+	// left, or part of an answer is out that must not look complete.
+	abort bool
+}
+
+func (r *Refusal) Error() string { return r.Reason }
+
+// Dialect is the protocol spoken with callers and targets.
+type Dialect interface {
+	// Decode reads the head of a caller's request. The body is not read.
+	Decode(r *http.Request) (*Request, error)
+	// Encode gives the header of the request as a target gets it.
+	Encode(r *Request, o Outgoing) http.Header
+	// Answers says whether an answer belongs to the request.
+	Answers(r *Request, resp *http.Response) bool
+	// Judge reads what an answer proves.
+	Judge(resp *http.Response) Verdict
+	// RelayHeader gives the header of an answer for the caller.
+	RelayHeader(resp *http.Response) http.Header
+	// Refuse writes a refusal.
+	Refuse(w http.ResponseWriter, r *Request, refusal *Refusal)
+	// ReadyPath is where the balancer asks whether the instance is ready.
+	ReadyPath() string
+}
--- /dev/null
+++ b/internal/gateway/rollout.go
@@ -0,0 +1,237 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/mastictray/mastictray/internal/directory"
+	"github.com/mastictray/mastictray/internal/logline"
+	"github.com/mastictray/mastictray/internal/routing"
+	"github.com/mastictray/mastictray/internal/weights"
+)
+
+const (
+	// rolloutEvery is the pause between two looks at the rollout.
+	rolloutEvery = 100 * time.Millisecond
+	// orderTimeout bounds a question or an order to a target.
+	orderTimeout = time.Second
+	// candidateStagger is the delay between instances that would begin a
+	// rollout: the first in order of their names has mostly begun by then.
+	candidateStagger = 250 * time.Millisecond
+	// mustServeShare is the part of the bound on old weights after which no
+	// request is sent to a target with older ones.
+	mustServeShare = 0.8
+)
+
+// updateRollout tells the pools which versions are wanted and which targets
+// load. The caller holds g.mu.
+func (g *Gateway) updateRollout() {
+	now := g.clock.Now()
+	wanted := map[string]map[string]int64{}
+	must := map[string]bool{}
+	g.eachGoal(func(s *routing.Service, model string, v namedVersion) {
+		if wanted[s.Name] == nil {
+			wanted[s.Name] = map[string]int64{}
+		}
+		wanted[s.Name][model] = v.version
+		if now-v.at > time.Duration(mustServeShare*float64(g.settings.WeightsBound)) {
+			must[s.Name] = true
+		}
+	})
+	for name, pool := range g.engines {
+		pool.setRollout(wanted[name], must[name], g.loadingNow)
+	}
+}
+
+// runRollouts brings the targets to the named versions, while this instance
+// holds the lease.
+func (g *Gateway) runRollouts(ctx context.Context) {
+	for sleep(ctx, rolloutEvery) {
+		if g.closing.Load() {
+			continue
+		}
+		g.rolloutStep(ctx)
+	}
+}
+
+// rolloutStep is one look at the rollout.
+func (g *Gateway) rolloutStep(ctx context.Context) {
+	work := g.rolloutWork()
+	if len(work) == 0 {
+		g.setOrdered(nil)
+		return
+	}
+	if !g.keepLease(ctx, work) {
+		return
+	}
+	token, held := g.lease.held(g.clock.Now())
+	if !held {
+		return
+	}
+	for _, w := range work {
+		g.mu.Lock()
+		actions := g.planner.Tick(g.clock.Now(), w.goal, w.targets)
+		ordered := g.planner.Loading()
+		g.mu.Unlock()
+		g.setOrdered(ordered)
+		for _, a := range actions.Asks {
+			go g.askState(ctx, a.Target)
+		}
+		for _, s := range actions.Sends {
+			s.Order.Holder, s.Order.Token = g.self.Incarnation, token
+			go g.giveOrder(ctx, s)
+		}
+	}
+}
+
+// rollingOut is a goal that some targets do not serve yet.
+type rollingOut struct {
+	goal    weights.Goal
+	targets []directory.Registration
+	since   time.Duration
+}
+
+func (g *Gateway) rolloutWork() []rollingOut {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var work []rollingOut
+	g.eachGoal(func(s *routing.Service, model string, v namedVersion) {
+		goal := weights.Goal{Service: s.Name, Model: model, Version: v.version}
+		targets := g.directory.Usable(s.Name)
+		if g.planner.Pending(goal, targets) {
+			work = append(work, rollingOut{goal: goal, targets: targets, since: v.at})
+		}
+	})
+	return work
+}
+
+// keepLease renews or takes the lease where that is due.
+func (g *Gateway) keepLease(ctx context.Context, work []rollingOut) bool {
+	now := g.clock.Now()
+	if _, held := g.lease.held(now); !held && now < work[0].since+g.standBack() {
+		return false
+	}
+	if g.lease.readDue(now) {
+		if err := g.readLease(ctx); err != nil {
+			logline.Error(err, "lease_unread")
+			return false
+		}
+	}
+	if err := g.writeLease(ctx); err != nil {
+		logline.Error(err, "lease_unwritten")
+	}
+	return true
+}
+
+func (g *Gateway) readLease(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	record, err := g.store.ReadLease(ctx)
+	if err != nil {
+		return err
+	}
+	g.lease.read(g.clock.Now(), record)
+	return nil
+}
+
+func (g *Gateway) writeLease(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	at, record, due := g.lease.propose(g.clock.Now())
+	if !due {
+		return nil
+	}
+	written, err := g.store.WriteLease(ctx, at, record)
+	if g.lease.wrote(g.clock.Now(), at, record, written, err) {
+		logline.Info("lease_taken", "token", record.Token)
+	}
+	return err
+}
+
+// leaseReadEvery is the pause between reads of another holder's record.
+const leaseReadEvery = time.Second
+
+// standBack is how long this instance lets others begin a rollout first.
+func (g *Gateway) standBack() time.Duration {
+	if g.lease.heldLast() {
+		return 0
+	}
+	return time.Duration(g.peers.rank()) * candidateStagger
+}
+
+// rank is the number of heard peers whose names come before this instance's.
+func (p *peers) rank() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now, rank := p.g.clock.Now(), 0
+	for name, s := range p.known {
+		if name < p.g.self.Instance && !s.leaving && now-s.heard <= heardFor {
+			rank++
+		}
+	}
+	return rank
+}
+
+func (g *Gateway) setOrdered(ids []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ordered = ids
+	if len(ids) > 0 {
+		for _, id := range ids {
+			if !g.loadingNow[id] {
+				next := map[string]bool{}
+				for k := range g.loadingNow {
+					next[k] = true
+				}
+				for _, id := range ids {
+					next[id] = true
+				}
+				g.loadingNow = next
+				g.updateRollout()
+				return
+			}
+		}
+	}
+}
+
+func (g *Gateway) askState(ctx context.Context, t directory.Registration) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	asked := g.clock.Now()
+	o, err := g.control.State(ctx, t)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err != nil {
+		logline.Error(err, "state_unknown", "target", t.ID)
+		g.planner.Observed(g.clock.Now(), t.Incarnation(), nil)
+		return
+	}
+	o.Asked = asked
+	g.planner.Observed(g.clock.Now(), t.Incarnation(), &o)
+	for model, v := range o.Versions {
+		if pool := g.engines[t.Service]; pool != nil && !o.Busy {
+			pool.served(t.Incarnation(), model, v)
+		}
+	}
+}
+
+// giveOrder sends an order if the lease still allows it: the process may have
+// stood still since it was decided.
+func (g *Gateway) giveOrder(ctx context.Context, s weights.Send) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	if token, held := g.lease.held(g.clock.Now()); !held || token != s.Order.Token {
+		g.mu.Lock()
+		g.planner.Answered(g.clock.Now(), s.Target.Incarnation(), weights.Conflict)
+		g.mu.Unlock()
+		return
+	}
+	receipt, err := g.control.Order(ctx, s.Target, s.Order)
+	logline.Info("order", "target", s.Target.ID, "model", s.Order.Model, "version", s.Order.Version, "accepted_before", s.Order.Accepted,
+		"token", s.Order.Token, "receipt", string(receipt), "error", err)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err == nil {
+		g.planner.Answered(g.clock.Now(), s.Target.Incarnation(), receipt)
+	}
+}
--- /dev/null
+++ b/internal/gateway/servicepool.go
@@ -0,0 +1,108 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/mastictray/mastictray/internal/directory"
+	"github.com/mastictray/mastictray/internal/overload"
+	"github.com/mastictray/mastictray/internal/placement"
+)
+
+// servicePool chooses among the targets of one plain service.
+type servicePool struct {
+	now    func() time.Duration
+	domain string
+
+	mu      sync.Mutex
+	targets []serviceTarget
+	rng     *rand.Rand
+	scratch []placement.ServiceTarget
+}
+
+type serviceTarget struct {
+	reg      directory.Registration
+	inFlight int
+	breaker  *overload.Breaker
+}
+
+func newServicePool(now func() time.Duration, domain string) *servicePool {
+	return &servicePool{now: now, domain: domain, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+}
+
+// update takes the service's usable targets; what is known of those that stay
+// is kept.
+func (p *servicePool) update(regs []directory.Registration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	next := make([]serviceTarget, 0, len(regs))
+	for _, r := range regs {
+		t := serviceTarget{reg: r}
+		if old := p.find(r.Incarnation()); old != nil {
+			t.inFlight, t.breaker = old.inFlight, old.breaker
+		} else {
+			t.breaker = overload.NewBreaker(overload.BreakerConfig{})
+		}
+		next = append(next, t)
+	}
+	p.targets = next
+}
+
+func (p *servicePool) find(id directory.Incarnation) *serviceTarget {
+	for i := range p.targets {
+		if p.targets[i].reg.Incarnation() == id {
+			return &p.targets[i]
+		}
+	}
+	return nil
+}
+
+// chosen is a target for one attempt.
+type chosen struct {
+	target  directory.Registration
+	breaker *overload.Breaker
+	ticket  overload.Ticket
+}
+
+// acquire chooses the target with the fewest requests of this instance, of the
+// own domain where that is equal. False when none may get one.
+func (p *servicePool) acquire(exclude string) (*chosen, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	p.scratch = p.scratch[:0]
+	for _, t := range p.targets {
+		p.scratch = append(p.scratch, placement.ServiceTarget{
+			Name: t.reg.ID, Domain: t.reg.Domain, Outstanding: t.inFlight, Usable: t.breaker.Ready(now),
+		})
+	}
+	i, ok := placement.LeastOutstanding(p.scratch, p.domain, exclude, maxOutstanding, p.rng)
+	if !ok {
+		return nil, false
+	}
+	t := &p.targets[i]
+	t.inFlight++
+	return &chosen{target: t.reg, breaker: t.breaker, ticket: t.breaker.Begin()}, true
+}
+
+// maxOutstanding bounds this instance's requests at one target, far above what
+// a target runs at once: it only stops a pile-up behind one that hangs.
+const maxOutstanding = 64
+
+// ended takes in the end of an attempt and what it says of the target.
+func (p *servicePool) ended(c *chosen, result overload.Result) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if t := p.find(c.target.Incarnation()); t != nil {
+		t.inFlight--
+	}
+	c.breaker.End(p.now(), c.ticket, result, p.rng)
+}
+
+// unreachable takes in that the target takes no connection.
+func (p *servicePool) unreachable(c *chosen) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.breaker.Unreachable(p.now(), p.rng)
+}
--- /dev/null
+++ b/internal/gateway/sharedlease.go
@@ -0,0 +1,74 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/mastictray/mastictray/internal/orderlease"
+)
+
+// sharedLease guards the lease: orders look at it right before they are sent.
+type sharedLease struct {
+	mu     sync.Mutex
+	l      *orderlease.Lease
+	readAt time.Duration
+	// taken is set while the present holding has been logged.
+	taken bool
+}
+
+func (s *sharedLease) held(now time.Duration) (int64, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.l.Held(now)
+}
+
+func (s *sharedLease) heldLast() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.l.HeldLast()
+}
+
+// readDue says that the record has to be read: it is not known, or another
+// holder's may have been renewed or be about to lapse.
+func (s *sharedLease) readDue(now time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.l.Stale() {
+		return true
+	}
+	_, held := s.l.Held(now)
+	return !held && now-s.readAt > leaseReadEvery
+}
+
+func (s *sharedLease) read(now time.Duration, r orderlease.Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readAt = now
+	s.l.Read(now, r)
+}
+
+// propose gives the record to write now and notes that it is on its way.
+func (s *sharedLease) propose(now time.Duration) (int64, orderlease.Record, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at, r, ok := s.l.Propose(now)
+	if ok {
+		s.l.Sent(now)
+	}
+	return at, r, ok
+}
+
+// wrote takes in what became of a proposed record; true when the lease is new.
+func (s *sharedLease) wrote(now time.Duration, at int64, r orderlease.Record, written bool, err error) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil || !written {
+		s.l.Unwritten(err == nil)
+		s.taken = false
+		return false
+	}
+	s.l.Written(now, at, r)
+	taken := !s.taken
+	s.taken = true
+	return taken
+}
--- /dev/null
+++ b/internal/logline/output.go
@@ -0,0 +1,86 @@
+package logline
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+)
+
+const (
+	// queuedLines is the lines that wait for a slow reader of the output
+	// before further ones are left out: a second at the rate below.
+	queuedLines = 256
+	// linesPerSecond bounds the output. A process that refuses thousands of
+	// requests a second must not spend its time on saying so.
+	linesPerSecond = 250
+	// sampleEvery: of events that are all alike one in so many is written.
+	sampleEvery = 16
+)
+
+// output writes lines from a queue and drops what does not fit: a request
+// never waits for a log line.
+type output struct {
+	w       io.Writer
+	lines   chan []byte
+	dropped atomic.Int64
+	second  atomic.Int64
+	written atomic.Int64
+}
+
+// ToWriter sends all lines to w, bounded in rate and never blocking.
+func ToWriter(w io.Writer) error {
+	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(flags)
+	for name, value := range map[string]string{"logtostderr": "false", "one_output": "true", "stderrthreshold": "FATAL"} {
+		if err := flags.Set(name, value); err != nil {
+			return errors.Wrapf(err, "set log flag %s", name)
+		}
+	}
+	o := &output{w: w, lines: make(chan []byte, queuedLines)}
+	klog.SetOutput(o)
+	go o.run()
+	return nil
+}
+
+// Write implements io.Writer for klog, one line a call.
+func (o *output) Write(line []byte) (int, error) {
+	now := time.Now().Unix()
+	if o.second.Swap(now) != now {
+		o.written.Store(0)
+	}
+	if o.written.Add(1) > linesPerSecond {
+		o.dropped.Add(1)
+		return len(line), nil
+	}
+	select {
+	case o.lines <- append([]byte(nil), line...):
+	default:
+		o.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+func (o *output) run() {
+	for line := range o.lines {
+		if n := o.dropped.Swap(0); n > 0 {
+			fmt.Fprintf(o.w, "log_lines_left_out count=%d\n", n)
+		}
+		// A reader that is gone can't be told anything.
+		_, _ = o.w.Write(line)
+	}
+}
+
+var samples atomic.Int64
+
+// Sampled writes one in sampleEvery of events that are frequent and alike,
+// such as requests that were served; counters have them all.
+func Sampled(event string, keyvals ...any) {
+	if samples.Add(1)%sampleEvery == 1 {
+		klog.InfoSDepth(1, event, append(keyvals, "sampled", sampleEvery)...)
+	}
+}
--- /dev/null
+++ b/internal/orderlease/lease.go
@@ -0,0 +1,137 @@
+// Package orderlease makes sure that one instance at a time gives orders to
+// targets, on a record in the platform's store.
+//
+// The lease is held only while there is work: no instance renews it in quiet
+// times, and the last holder may go on at once when there is work again. The
+// record is written under the condition that nobody wrote since it was read,
+// so of two writers one fails, whatever becomes of their answers.
+//
+// The package is pure: time and the store's answers come in as arguments.
+package orderlease
+
+import (
+	"context"
+	"time"
+)
+
+// Record is the lease as it stands in the store.
+type Record struct {
+	// Holder is the incarnation of the instance that wrote it.
+	Holder string
+	// Token is the fencing token: the offset of the holder's first record
+	// since another one held the lease.
+	Token int64
+	// End is the offset that the next record will get. A record that was
+	// written again moves it.
+	End int64
+}
+
+// Log is where the record is kept.
+type Log interface {
+	// ReadLease reads the record; its Holder is empty when there is none.
+	ReadLease(ctx context.Context) (Record, error)
+	// WriteLease writes a record if nothing was written since offset at. An
+	// error leaves open whether it was, or still will be.
+	WriteLease(ctx context.Context, at int64, r Record) (written bool, err error)
+}
+
+// Settings of the protocol; the same on all instances.
+type Settings struct {
+	// Valid is how long a record gives its writer the right to send orders,
+	// counted from before it was written.
+	Valid time.Duration
+	// Gap is the least time between the last order of one holder and the
+	// first of the next. Targets that do not check tokens must be done with
+	// the one before they hear the other.
+	Gap time.Duration
+	// RenewBefore is how long before its end a right is renewed.
+	RenewBefore time.Duration
+}
+
+// DefaultSettings are the times used unless the platform asks for others.
+func DefaultSettings() Settings {
+	return Settings{
+		Valid:       1500 * time.Millisecond, // some renewals may fail before it ends
+		Gap:         3300 * time.Millisecond, // the platform's lease time and a tenth for the clocks
+		RenewBefore: 700 * time.Millisecond,  // two answers of a slow store
+	}
+}
+
+// Lease is one instance's view. It is not safe for concurrent use.
+type Lease struct {
+	settings Settings
+	self     string
+
+	known  bool
+	record Record
+	// seenAt is when the present record was first seen here.
+	seenAt time.Duration
+	// validUntil ends the right that the own record gives.
+	validUntil time.Duration
+	// sentAt is when the own write under way, or of unknown outcome, was
+	// sent; 0 for none.
+	sentAt time.Duration
+}
+
+// New makes a view that knows nothing yet. self is this process's
+// incarnation: an earlier process of the instance is another holder.
+func New(self string, s Settings) *Lease { return &Lease{settings: s, self: self} }
+
+// Read takes in the record as read by a call that was answered at now.
+func (l *Lease) Read(now time.Duration, r Record) {
+	if l.known && r.End <= l.record.End {
+		return
+	}
+	l.known, l.record, l.seenAt = true, r, now
+	if r.Holder == l.self && l.sentAt > 0 {
+		// The own write whose answer was lost has been carried out.
+		l.validUntil = l.sentAt + l.settings.Valid
+		l.sentAt = 0
+	}
+}
+
+// Held gives the fencing token while this instance may send orders.
+func (l *Lease) Held(now time.Duration) (token int64, ok bool) {
+	return l.record.Token, l.known && l.record.Holder == l.self && now < l.validUntil
+}
+
+// HeldLast says that this instance wrote the present record, as far as is
+// known: no other has given orders since.
+func (l *Lease) HeldLast() bool { return l.known && l.record.Holder == l.self }
+
+// Stale says that the record has to be read before anything can be decided.
+func (l *Lease) Stale() bool { return !l.known }
+
+// Propose gives the record to write now, if one may be written. Call Sent
+// before it is.
+func (l *Lease) Propose(now time.Duration) (at int64, r Record, ok bool) {
+	switch {
+	case !l.known:
+		return 0, Record{}, false
+	case l.record.Holder == l.self:
+		return l.record.End, Record{Holder: l.self, Token: l.record.Token}, now >= l.validUntil-l.settings.RenewBefore
+	case l.record.Holder != "" && now < l.seenAt+l.settings.Valid+l.settings.Gap:
+		return 0, Record{}, false
+	}
+	return l.record.End, Record{Holder: l.self, Token: l.record.End}, true
+}
+
+// Sent notes that a proposed record is on its way.
+func (l *Lease) Sent(now time.Duration) { l.sentAt = now }
+
+// Written takes in that the store has written the record, at offset at.
+func (l *Lease) Written(now time.Duration, at int64, r Record) {
+	r.End = at + 1
+	l.record, l.seenAt = r, now
+	l.validUntil = l.sentAt + l.settings.Valid
+	l.sentAt = 0
+}
+
+// Unwritten takes in that the store refused the record, or that its outcome
+// is unknown. Either way the record has to be read again.
+func (l *Lease) Unwritten(outcomeKnown bool) {
+	l.known = false
+	if outcomeKnown {
+		l.sentAt = 0
+	}
+}
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -272,3 +272,16 @@
 	n.mu.Unlock()
 	n.wg.Wait()
 }
+
+// Drop ends the connection to an address. A call that got no answer in time
+// may have gone into a connection that is silent for good while a new one
+// would work.
+func (n *Node) Drop(addr string) {
+	n.mu.Lock()
+	c := n.conns[addr]
+	delete(n.conns, addr)
+	n.mu.Unlock()
+	if c != nil {
+		c.close()
+	}
+}
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -68,6 +68,9 @@
 	l.unanswered = max(0, l.unanswered-tokens)
 }
 
+// Unanswered is the own work whose first token has not come, in prompt tokens.
+func (l *Load) Unanswered() float64 { return l.unanswered }
+
 // Park counts work that waits at this instance for the target. It lengthens
 // the queue that later requests see, so that a hot prefix widens while its
 // requests are still held here.
--- a/internal/placement/options.go
+++ b/internal/placement/options.go
@@ -32,6 +32,9 @@
 	TransferTokensPerSecond float64
 	// TransferSetup is the fixed time of one move.
 	TransferSetup time.Duration
+	// OutdatedPenalty is the time that a first token on the newest weights
+	// may come later and still be worth more than one on older weights.
+	OutdatedPenalty time.Duration
 	// NearTie is the difference in cost within which candidates count as
 	// equal.
 	NearTie time.Duration
--- a/internal/placement/picker.go
+++ b/internal/placement/picker.go
@@ -78,7 +78,7 @@
 func (p *Picker) decision(now time.Duration, r *Request, c *Candidate) Decision {
 	t := &p.pool.targets[c.Index]
 	rate := t.rate()
-	missing := float64(r.PromptTokens - c.CachedPieces*r.PieceTokens)
+	missing := float64(r.PromptTokens - r.LeadingTokens(c.CachedPieces))
 	uncached := max(0, missing-trustedShare*c.TrustedTokens)
 	return Decision{
 		Index:          c.Index,
@@ -118,7 +118,7 @@
 	c.CachedPieces = p.beliefs.Cached(t.Belief, r.Chain)
 	if c.Rank == 0 {
 		full := float64(r.fullTokens())
-		c.TrustedTokens = max(0, p.trust()*full-float64(c.CachedPieces*r.PieceTokens))
+		c.TrustedTokens = max(0, p.trust()*full-float64(r.LeadingTokens(c.CachedPieces)))
 	}
 	for i, s := range p.scorers {
 		c.Terms[i] = s.Cost(now, r, t, c)
--- a/internal/placement/score.go
+++ b/internal/placement/score.go
@@ -38,5 +38,6 @@
 		prefillScorer{factor: o.RecomputeFactor, transfer: o.TransferTokensPerSecond, setup: o.TransferSetup},
 		homeScorer{factor: o.RecomputeFactor},
 		linkScorer{domain: o.Domain, delay: o.CrossDomainDelay},
+		outdatedScorer{penalty: o.OutdatedPenalty},
 	}
 }
--- a/internal/placement/score_prefill.go
+++ b/internal/placement/score_prefill.go
@@ -14,7 +14,7 @@
 
 func (s prefillScorer) Cost(_ time.Duration, r *Request, t *Target, c *Candidate) time.Duration {
 	rest := float64(r.PromptTokens - r.fullTokens())
-	missing := float64(r.fullTokens() - c.CachedPieces*r.PieceTokens)
+	missing := float64(r.fullTokens() - r.LeadingTokens(c.CachedPieces))
 	rate := t.rate()
 	compute := time.Duration(r.factor(s.factor) * float64(seconds(missing, rate)))
 	if s.transfer > 0 && missing > 0 {
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -27,6 +27,18 @@
 	// instance, InFlight how many it has; a Limit of 0 allows any number.
 	Limit, InFlight int
 
+	// MemoryTokens is the tokens that running requests and cached pieces
+	// share on the target; 0 when it is not known. HeldTokens is what this
+	// instance's running requests hold of it, PeersHeldTokens what those of
+	// other instances do.
+	MemoryTokens                int
+	HeldTokens, PeersHeldTokens int
+
+	// Outdated targets serve older weights than the newest that were named.
+	Outdated bool
+	// Loading targets take no requests until they have new weights.
+	Loading bool
+
 	Draining    bool
 	BreakerOpen bool
 	// Quarantined targets run requests that are suspected of crashing them.
@@ -37,9 +49,21 @@
 	rejectedBy Rejection
 }
 
+// memoryShare is the part of a target's memory that running requests may hold.
+// When it runs out, the target preempts a running stream, whose caller then
+// sees a pause of a whole prefill; the rest is left for the error in what
+// requests will need and for peers' sends that are not known yet.
+const memoryShare = 0.8
+
 // Full reports that the target takes no further request until it has answered
 // one. Requests for it wait.
-func (t *Target) Full() bool { return t.Limit > 0 && t.InFlight >= t.Limit }
+func (t *Target) Full() bool {
+	if t.Limit > 0 && t.InFlight >= t.Limit {
+		return true
+	}
+	held := t.HeldTokens + t.PeersHeldTokens
+	return t.MemoryTokens > 0 && float64(held) >= memoryShare*float64(t.MemoryTokens)
+}
 
 // rate is the prefill rate that can be counted on, in tokens a second.
 func (t *Target) rate() float64 {
--- /dev/null
+++ b/internal/quota/quota.go
@@ -0,0 +1,192 @@
+// Package quota keeps client accounts within their rate and burst over a
+// whole fleet by telling the other instances what was spent.
+//
+// Each instance counts what it admits and sends the counts to its peers every
+// few hundred milliseconds. An instance that hears all others holds the whole
+// bucket of an account and takes off it what the others spent. An instance
+// that hears only some of the fleet holds their part of the bucket: the parts
+// of two halves that cannot talk add up to the whole, and each half goes on
+// serving.
+//
+// What is spent between two messages is seen late, so the buckets of a fleet
+// may run into debt by at most what arrives in one interval; the debt is paid
+// before anything else is admitted. Leases of parts (package rate) admit no
+// such debt but need the log every few seconds; counts need it never.
+//
+// The package is pure.
+package quota
+
+import (
+	"math"
+	"time"
+)
+
+// Limit is an account's rate and burst over the whole fleet.
+type Limit struct {
+	// Rate is tokens a second; 0 for no limit.
+	Rate  float64
+	Burst float64
+}
+
+// PeerTimeout is the silence after which a peer's part of the buckets is left
+// to it: four intervals of the exchange, so that one lost message does not
+// shrink the bucket.
+const PeerTimeout = time.Second
+
+// Limiter decides on the requests of one instance. It is not safe for
+// concurrent use.
+type Limiter struct {
+	limits   map[string]Limit
+	accounts map[string]*account
+	peers    map[string]*peer
+	// fleet is the number of instances that may be serving, this one too.
+	fleet int
+}
+
+type account struct {
+	balance float64
+	at      time.Duration
+	// spent counts all that this instance has admitted.
+	spent float64
+}
+
+type peer struct {
+	heard time.Duration
+	spent map[string]float64
+}
+
+// New makes a limiter for a fleet of one without limits.
+func New() *Limiter {
+	return &Limiter{limits: map[string]Limit{}, accounts: map[string]*account{}, peers: map[string]*peer{}, fleet: 1}
+}
+
+// SetLimits takes the limits of a new configuration.
+func (l *Limiter) SetLimits(now time.Duration, limits map[string]Limit) {
+	part := l.part(now)
+	for name, a := range l.accounts {
+		l.advance(now, a, l.limits[name], part)
+	}
+	l.limits = limits
+}
+
+// SetFleet gives the number of instances that may be serving, this one too.
+func (l *Limiter) SetFleet(now time.Duration, n int) {
+	l.settle(now)
+	l.fleet = max(1, n)
+}
+
+// Heard takes in a peer's counts, by its incarnation. The first message after
+// a silence only sets where counting starts: what the peer spent meanwhile
+// came out of its own part.
+func (l *Limiter) Heard(now time.Duration, incarnation string, spent map[string]float64) {
+	l.settle(now)
+	p := l.peers[incarnation]
+	fresh := p != nil && now-p.heard <= PeerTimeout
+	if fresh {
+		for name, total := range spent {
+			l.take(now, name, total-p.spent[name])
+		}
+	}
+	l.peers[incarnation] = &peer{heard: now, spent: spent}
+}
+
+func (l *Limiter) take(now time.Duration, name string, tokens float64) {
+	if tokens > 0 {
+		l.account(now, name).balance -= tokens
+	}
+}
+
+// Spent is what this instance has admitted since its start, by account.
+func (l *Limiter) Spent() map[string]float64 {
+	out := make(map[string]float64, len(l.accounts))
+	for name, a := range l.accounts {
+		if a.spent > 0 {
+			out[name] = a.spent
+		}
+	}
+	return out
+}
+
+// Admit spends tokens of an account. When there are not enough it spends
+// nothing and says how long they will take to come in.
+func (l *Limiter) Admit(now time.Duration, name string, tokens float64) (wait time.Duration, ok bool) {
+	limit := l.limits[name]
+	if limit.Rate <= 0 {
+		return 0, true
+	}
+	part := l.part(now)
+	a := l.account(now, name)
+	l.advance(now, a, limit, part)
+	need := min(tokens, part*limit.Burst)
+	if a.balance < need {
+		return seconds((need - a.balance) / (part * limit.Rate)), false
+	}
+	a.balance -= tokens
+	a.spent += tokens
+	return 0, true
+}
+
+// Refund gives back the tokens of a request that was admitted and has not run.
+func (l *Limiter) Refund(now time.Duration, name string, tokens float64) {
+	if l.limits[name].Rate <= 0 {
+		return
+	}
+	a := l.account(now, name)
+	a.balance += tokens
+	a.spent -= tokens
+}
+
+// account finds the account's bucket or makes one. It starts empty: after a
+// restart of the fleet full buckets would let a second burst through.
+func (l *Limiter) account(now time.Duration, name string) *account {
+	a := l.accounts[name]
+	if a == nil {
+		a = &account{at: now}
+		l.accounts[name] = a
+	}
+	return a
+}
+
+// part is the part of the fleet's buckets that this instance draws from: its
+// own and those of the peers whose counts it hears.
+func (l *Limiter) part(now time.Duration) float64 {
+	heard := 1
+	for _, p := range l.peers {
+		if now-p.heard <= PeerTimeout {
+			heard++
+		}
+	}
+	return min(1, float64(heard)/float64(l.fleet))
+}
+
+// settle brings all buckets to now, before the part changes, and forgets
+// peers that were silent for long.
+func (l *Limiter) settle(now time.Duration) {
+	part := l.part(now)
+	for name, a := range l.accounts {
+		l.advance(now, a, l.limits[name], part)
+	}
+	for id, p := range l.peers {
+		if now-p.heard > forgetAfter {
+			delete(l.peers, id)
+		}
+	}
+}
+
+// forgetAfter is when a silent peer's counts are dropped.
+const forgetAfter = time.Minute
+
+func (l *Limiter) advance(now time.Duration, a *account, limit Limit, part float64) {
+	if now > a.at {
+		a.balance += part * limit.Rate * (now - a.at).Seconds()
+		a.at = now
+	}
+	a.balance = min(a.balance, part*limit.Burst)
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(math.Min(s, maxWaitSeconds) * float64(time.Second))
+}
+
+// maxWaitSeconds bounds the hint for a limit that is next to nothing.
+const maxWaitSeconds = 60
--- /dev/null
+++ b/internal/weights/planner.go
@@ -0,0 +1,331 @@
+// Package weights brings model servers to the newest weights that operators
+// named.
+//
+// The planner compares what targets report with what is wanted and says which
+// target to ask and which to order next. It keeps no ledger: targets report
+// the orders that they have accepted, an order carries the count at which it
+// is to be carried out, and an older one that arrives late finds another
+// count. So a new holder of the lease starts from the targets' own word.
+//
+// The package is pure.
+package weights
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/mastictray/mastictray/internal/directory"
+)
+
+// Observation is what a target answered to a question about its state.
+type Observation struct {
+	// Asked is when the question was sent.
+	Asked time.Duration
+	// Versions are the weights versions of its models.
+	Versions map[string]int64
+	// Busy is set while it carries out an order.
+	Busy bool
+	// Accepted counts the orders accepted since its start.
+	Accepted int64
+}
+
+// Order makes a target load a version.
+type Order struct {
+	Model   string
+	Version int64
+	// Accepted is the count at which the order is to be carried out.
+	Accepted int64
+	// Holder and Token name the lease under which it is given.
+	Holder string
+	Token  int64
+}
+
+// Receipt is a target's answer to an order.
+type Receipt string
+
+// The receipts. No answer at all leaves open whether the order was accepted.
+const (
+	// Taken: the target carries it out.
+	Taken Receipt = "taken"
+	// InForce: the target has the version already.
+	InForce Receipt = "in_force"
+	// Conflict: another order is under way, or the count is another.
+	Conflict Receipt = "conflict"
+	// Rejected: the order is not valid, its token is stale, or another target
+	// has the address.
+	Rejected Receipt = "rejected"
+)
+
+// Settings of a planner.
+type Settings struct {
+	// ParallelDivisor: one in so many targets of a service may load at once.
+	// With three, a rollout takes three loads' time and two thirds of the
+	// service go on serving.
+	ParallelDivisor int
+	// PollEvery is the pause between questions to a target that loads.
+	PollEvery time.Duration
+	// ResendAfter is when an order without an answer is sent again, if the
+	// target's count shows that it was not accepted.
+	ResendAfter time.Duration
+	// RetryAfter is the pause after a target rejected an order or could not
+	// be asked.
+	RetryAfter time.Duration
+	// LoadTimeout is when a target that does not come back with the version
+	// no longer holds up the others.
+	LoadTimeout time.Duration
+}
+
+// DefaultSettings suit loads of about a second.
+func DefaultSettings() Settings {
+	return Settings{
+		ParallelDivisor: 3,
+		PollEvery:       250 * time.Millisecond, // reports lag by 100 ms
+		ResendAfter:     1200 * time.Millisecond,
+		RetryAfter:      time.Second,
+		LoadTimeout:     4 * time.Second,
+	}
+}
+
+type phase int
+
+const (
+	idle phase = iota
+	// asking: the count of accepted orders is needed first.
+	asking
+	// ordered: an order is out, its answer is not here or was lost.
+	ordered
+	// loading: the order was accepted.
+	loading
+)
+
+type progress struct {
+	incarnation directory.Incarnation
+	phase       phase
+	wanted      int64
+	began       time.Duration
+	askAt       time.Duration
+	asking      bool
+	sentAt      time.Duration
+	seen        *Observation
+}
+
+// Planner decides for all model servers. It is not safe for concurrent use.
+type Planner struct {
+	settings Settings
+	targets  map[string]*progress
+}
+
+// New makes a planner that knows nothing of any target.
+func New(s Settings) *Planner { return &Planner{settings: s, targets: map[string]*progress{}} }
+
+// Goal is a version that targets of a service should serve.
+type Goal struct {
+	Service string
+	Model   string
+	Version int64
+}
+
+// Ask is a question to send to a target.
+type Ask struct{ Target directory.Registration }
+
+// Send is an order to send to a target.
+type Send struct {
+	Target directory.Registration
+	Order  Order
+}
+
+// Actions are what to do now.
+type Actions struct {
+	Asks  []Ask
+	Sends []Send
+}
+
+// Pending says whether some target does not serve its goal, as far as known.
+func (p *Planner) Pending(g Goal, targets []directory.Registration) bool {
+	return slices.ContainsFunc(targets, func(t directory.Registration) bool { return p.behind(g, &t) })
+}
+
+// behind compares the newest word on a target's version with the goal.
+func (p *Planner) behind(g Goal, t *directory.Registration) bool {
+	version, known := t.Versions[g.Model]
+	if q := p.targets[t.ID]; q != nil && q.incarnation == t.Incarnation() && q.seen != nil {
+		if v, ok := q.seen.Versions[g.Model]; ok {
+			version, known = max(version, v), true
+		}
+	}
+	return known && version < g.Version
+}
+
+// Tick decides for one goal. Only the holder of the lease may call it.
+func (p *Planner) Tick(now time.Duration, g Goal, targets []directory.Registration) Actions {
+	var out Actions
+	p.forget(targets, g.Service)
+	active := 0
+	for i := range targets {
+		t := &targets[i]
+		q := p.of(t)
+		if q.phase == idle {
+			continue
+		}
+		p.step(now, g, t, q, &out)
+		if q.phase != idle && now-q.began < p.settings.LoadTimeout {
+			active++
+		}
+	}
+	for _, t := range p.candidates(now, g, targets) {
+		if active >= p.parallel(len(targets)) {
+			break
+		}
+		q := p.of(&t)
+		q.phase, q.wanted, q.began, q.askAt, q.seen = asking, g.Version, now, now, nil
+		p.step(now, g, &t, q, &out)
+		active++
+	}
+	return out
+}
+
+func (p *Planner) parallel(n int) int {
+	return max(1, (n+p.settings.ParallelDivisor-1)/p.settings.ParallelDivisor)
+}
+
+// candidates are the targets to start on, spread over failure domains so that
+// none loses all its servers at once.
+func (p *Planner) candidates(now time.Duration, g Goal, targets []directory.Registration) []directory.Registration {
+	var out []directory.Registration
+	perDomain := map[string]int{}
+	rank := map[string]int{}
+	for _, t := range targets {
+		if q := p.of(&t); q.phase != idle || now < q.askAt || !p.behind(g, &t) {
+			continue
+		}
+		rank[t.ID] = perDomain[t.Domain]
+		perDomain[t.Domain]++
+		out = append(out, t)
+	}
+	slices.SortStableFunc(out, func(a, b directory.Registration) int { return cmp.Compare(rank[a.ID], rank[b.ID]) })
+	return out
+}
+
+func (p *Planner) of(t *directory.Registration) *progress {
+	q := p.targets[t.ID]
+	if q == nil || q.incarnation != t.Incarnation() {
+		q = &progress{incarnation: t.Incarnation()}
+		p.targets[t.ID] = q
+	}
+	return q
+}
+
+// forget drops the targets of the service that are gone. Only one service's
+// targets are known to a call, so others' are left alone.
+func (p *Planner) forget(targets []directory.Registration, _ string) {
+	if len(p.targets) <= 4*len(targets)+64 {
+		return
+	}
+	there := map[string]bool{}
+	for _, t := range targets {
+		there[t.ID] = true
+	}
+	for id := range p.targets {
+		if !there[id] {
+			delete(p.targets, id)
+		}
+	}
+}
+
+// step moves one target on.
+func (p *Planner) step(now time.Duration, g Goal, t *directory.Registration, q *progress, out *Actions) {
+	if !p.behind(g, t) {
+		*q = progress{incarnation: q.incarnation, seen: q.seen}
+		return
+	}
+	if q.phase == asking && q.seen != nil && !q.seen.Busy && now-q.seen.Asked < p.settings.RetryAfter {
+		p.send(now, g, t, q, out)
+		return
+	}
+	if q.phase == ordered && now-q.sentAt >= p.settings.ResendAfter {
+		q.phase = asking
+		q.seen = nil
+	}
+	if q.phase == loading && now-q.sentAt >= p.settings.LoadTimeout {
+		q.phase, q.seen = asking, nil
+	}
+	if !q.asking && now >= q.askAt {
+		q.asking = true
+		q.askAt = now + p.settings.PollEvery
+		out.Asks = append(out.Asks, Ask{Target: *t})
+	}
+}
+
+func (p *Planner) send(now time.Duration, g Goal, t *directory.Registration, q *progress, out *Actions) {
+	q.phase, q.sentAt, q.wanted = ordered, now, g.Version
+	q.askAt = now + p.settings.PollEvery
+	out.Sends = append(out.Sends, Send{Target: *t, Order: Order{
+		Model: g.Model, Version: g.Version, Accepted: q.seen.Accepted,
+	}})
+}
+
+// Observed takes in the answer to a question; nil for none.
+func (p *Planner) Observed(now time.Duration, t directory.Incarnation, o *Observation) {
+	q := p.targets[t.ID]
+	if q == nil || q.incarnation != t {
+		return
+	}
+	q.asking = false
+	if o == nil {
+		q.askAt = now + p.settings.RetryAfter
+		return
+	}
+	// While an order is under way, an answer to an older question would give
+	// the count from before it.
+	if q.phase == ordered && o.Asked < q.sentAt {
+		return
+	}
+	if q.phase == ordered && (o.Busy || q.seen != nil && o.Accepted > q.seen.Accepted) {
+		q.phase = loading
+	}
+	if q.phase == loading && !o.Busy && o.Versions != nil && o.Asked > q.sentAt+p.settings.PollEvery {
+		// Done, or failed: the next step compares versions.
+		q.phase = asking
+	}
+	q.seen = o
+}
+
+// Answered takes in the receipt of an order; empty when there was no answer.
+func (p *Planner) Answered(now time.Duration, t directory.Incarnation, r Receipt) {
+	q := p.targets[t.ID]
+	if q == nil || q.incarnation != t || q.phase != ordered {
+		return
+	}
+	switch r {
+	case Taken:
+		q.phase = loading
+	case InForce, Conflict:
+		q.phase, q.seen, q.askAt = asking, nil, now
+	case Rejected:
+		q.phase, q.seen, q.askAt = idle, nil, now+p.settings.RetryAfter
+	}
+}
+
+// Loading lists the targets that were ordered and are not done yet: they
+// refuse requests.
+func (p *Planner) Loading() []string {
+	var ids []string
+	for id, q := range p.targets {
+		if q.phase == ordered || q.phase == loading {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Served gives the version of a model that a target was seen to serve, where
+// that is newer than its registration.
+func (p *Planner) Served(t *directory.Registration, model string) int64 {
+	version := t.Versions[model]
+	if q := p.targets[t.ID]; q != nil && q.incarnation == t.Incarnation() && q.seen != nil {
+		version = max(version, q.seen.Versions[model])
+	}
+	return version
+}
--- /dev/null
+++ b/internal/wire/exchange.go
@@ -0,0 +1,56 @@
+package wire
+
+// KindExchange is a call between instances every few hundred milliseconds: the
+// caller tells what it has spent and has running, the answer tells how fresh
+// the peer's configuration is.
+const KindExchange Kind = "exchange"
+
+// Exchange is what one instance tells another.
+type Exchange struct {
+	From Identity `msgpack:"f"`
+	// ConfigVersion is the configuration that the sender has; 0 for none.
+	ConfigVersion int64 `msgpack:"v"`
+	// Spent is what the sender has admitted since its start, by account.
+	Spent map[string]float64 `msgpack:"s,omitempty"`
+	// Loads is what the sender has running, by target.
+	Loads map[string]TargetLoad `msgpack:"l,omitempty"`
+	// Loading are targets that the sender has ordered to take new weights.
+	Loading []string `msgpack:"o,omitempty"`
+	// Prompts are pieces that the sender's requests have left at targets
+	// since its last message.
+	Prompts []SentPrompt `msgpack:"p,omitempty"`
+	// Crashed are fingerprints of requests that broke off at a target.
+	Crashed []uint64 `msgpack:"c,omitempty"`
+	// Leaving is set by an instance that takes no more requests.
+	Leaving bool `msgpack:"x,omitempty"`
+}
+
+// TargetLoad is what an instance has running at one target.
+type TargetLoad struct {
+	// Unanswered is the prompt tokens whose first token has not come.
+	Unanswered float64 `msgpack:"u,omitempty"`
+	// Held is the tokens of memory that running requests take.
+	Held int `msgpack:"h,omitempty"`
+}
+
+// SentPrompt is a prompt that a target has prefilled.
+type SentPrompt struct {
+	Target string `msgpack:"t"`
+	Born   int64  `msgpack:"b"`
+	// Chain are the hashes of the prompt's shared pieces.
+	Chain []uint64 `msgpack:"c"`
+}
+
+// ExchangeAnswer answers an Exchange.
+type ExchangeAnswer struct {
+	// ConfigVersion is the configuration that the answerer has.
+	ConfigVersion int64 `msgpack:"v"`
+	// ContactAge is how many milliseconds ago the answerer last heard from
+	// the store what operators wrote, by itself or from a peer; -1 for never.
+	ContactAge int64 `msgpack:"a"`
+	// Config is the answerer's configuration when the caller's is older.
+	Config []byte `msgpack:"c,omitempty"`
+	// Weights are the newest weights versions that the answerer knows.
+	Weights map[string]int64 `msgpack:"w,omitempty"`
+	Leaving bool             `msgpack:"x,omitempty"`
+}
