gateway: fetch cached pieces, and bound the age of served weights

Targets now fetch them from one that holds them; the cache scope names weights and account, and the target must have the version that the scope names. Versions now come with their ages from peers, the oldest weights are replaced first, and a holder that drains goes on with its orders and then releases the lease.

--- a/internal/gateway/enginepool.go
+++ b/internal/gateway/enginepool.go
@@ -13,6 +13,7 @@
 	"github.com/mastictray/mastictray/internal/overload"
 	"github.com/mastictray/mastictray/internal/placement"
 	"github.com/mastictray/mastictray/internal/prefix"
+	"github.com/mastictray/mastictray/internal/routing"
 )
 
 const (
@@ -28,6 +29,14 @@
 	// later by: an answer on older ones loses a fifth of its worth, which is
 	// more than a wait inside the latency objective costs.
 	outdatedPenalty = 250 * time.Millisecond
+	// transferSetup is what a fetch from another target costs before its
+	// bytes move, and a bit more, so that a prompt stays where it is cached
+	// unless that saves time.
+	transferSetup = 15 * time.Millisecond
+	// transferShare of the link's rate is counted on: other transfers share
+	// it, and between domains it takes twice as long.
+	transferShare = 0.4
+	bytesPerMbit  = 1e6 / 8
 )
 
 type (
@@ -47,6 +56,8 @@
 	breaker *overload.Breaker
 	ticket  overload.Ticket
 	held    int
+	// source is a target to fetch pieces of the prompt from; empty for none.
+	source string
 	// prefilled is set once the first token came.
 	prefilled bool
 }
@@ -65,6 +76,8 @@
 	now     func() time.Duration
 	domain  string
 	prefill float64
+	// transfer is the tokens a second that one target fetches from another.
+	transfer float64
 
 	mu         sync.Mutex
 	regs       map[string]directory.Registration
@@ -76,19 +89,23 @@
 	dispatcher *dispatch.Dispatcher[chan placedOrRefusal]
 	rng        *rand.Rand
 	nextID     uint64
-	wanted     map[string]int64
-	loading    map[string]bool
-	mustServe  bool
-	stepping   bool
+	// wanted are the newest weights named, least the oldest that may still
+	// serve, by model.
+	wanted  map[string]int64
+	least   map[string]int64
+	loading map[string]bool
+	// refusedAt is when a target last refused a request as a whole.
+	refusedAt map[string]time.Duration
+	stepping  bool
 }
 
 func newEnginePool(now func() time.Duration, domain string, prefill float64) *enginePool {
 	p := &enginePool{
 		now: now, domain: domain, prefill: prefill,
 		regs: map[string]directory.Registration{}, breakers: map[string]*overload.Breaker{},
-		beliefs: belief.NewStore(beliefBudgetBytes),
-		rng:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		wanted:  map[string]int64{}, loading: map[string]bool{},
+		beliefs:   belief.NewStore(beliefBudgetBytes),
+		rng:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		refusedAt: map[string]time.Duration{},
 	}
 	p.rebuild(nil)
 	o := dispatch.DefaultOptions()
@@ -100,10 +117,13 @@
 
 // update takes the service's usable targets. What is known of targets that
 // stay is kept; a new incarnation starts with nothing believed of it.
-func (p *enginePool) update(regs []directory.Registration, memory int) {
+func (p *enginePool) update(regs []directory.Registration, e *routing.Engine) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.memory = memory
+	p.memory = e.MemoryTokens
+	if e.BytesPerToken > 0 {
+		p.transfer = transferShare * e.LinkMbps * bytesPerMbit / float64(e.BytesPerToken)
+	}
 	p.rebuild(regs)
 	p.dispatcher.Replace(p.pool, p.picker)
 	p.step()
@@ -125,6 +145,7 @@
 	p.pool = placement.NewPool(targets, "", placement.DefaultFilters())
 	o := placement.DefaultOptions()
 	o.Domain, o.OutdatedPenalty = p.domain, outdatedPenalty
+	o.TransferTokensPerSecond, o.TransferSetup = p.transfer, transferSetup
 	p.picker = placement.NewPicker(p.pool, p.beliefs, o)
 }
 
@@ -139,7 +160,7 @@
 	t.Domain, t.Incarnation = r.Domain, strconv.FormatInt(r.Born, 10)
 	t.Limit, t.MemoryTokens = r.Slots, p.memory
 	t.Version = versionText(r.Versions)
-	t.Outdated, t.Loading = p.outdated(&r), p.loading[r.ID]
+	t.Outdated, t.Loading = behind(&r, p.wanted), p.resting(&r)
 	t.Belief = p.beliefs.Observe(p.now(), belief.Identity{Target: r.ID, Incarnation: t.Incarnation, Version: t.Version})
 	return t
 }
@@ -162,25 +183,50 @@
 	return strconv.FormatInt(sum, 10)
 }
 
-func (p *enginePool) outdated(r *directory.Registration) bool {
-	for model, wanted := range p.wanted {
-		if v, ok := r.Versions[model]; ok && v < wanted {
+// behind says that a target has older weights than these.
+func behind(r *directory.Registration, versions map[string]int64) bool {
+	for model, version := range versions {
+		if v, ok := r.Versions[model]; ok && v < version {
 			return true
 		}
 	}
 	return false
 }
 
-// setRollout takes the versions wanted, whether older ones are no longer to be
-// served, and the targets that load.
-func (p *enginePool) setRollout(wanted map[string]int64, mustServe bool, loading map[string]bool) {
+// restAfterRefusal is how long a target that refused a request as a whole gets
+// no other: it is full or about to load, and by then peers will have told.
+const restAfterRefusal = 200 * time.Millisecond
+
+// resting says that a target takes no requests now.
+func (p *enginePool) resting(r *directory.Registration) bool {
+	at, refused := p.refusedAt[r.ID]
+	return p.loading[r.ID] || behind(r, p.least) || refused && p.now()-at < restAfterRefusal
+}
+
+// refused takes in that a target refused a request as a whole.
+func (p *enginePool) refused(id directory.Incarnation) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.wanted, p.loading, p.mustServe = wanted, loading, mustServe
+	if r, ok := p.regs[id.ID]; ok && r.Incarnation() == id {
+		p.refusedAt[id.ID] = p.now()
+		p.mark(id.ID, &r)
+	}
+}
+
+// setRollout takes the newest versions, the oldest that may still serve, and
+// the targets that load.
+func (p *enginePool) setRollout(wanted, least map[string]int64, loading map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.wanted, p.least, p.loading = wanted, least, loading
+	p.markAll()
+	p.step()
+}
+
+func (p *enginePool) markAll() {
 	for id, r := range p.regs {
 		p.mark(id, &r)
 	}
-	p.step()
 }
 
 func (p *enginePool) mark(id string, r *directory.Registration) {
@@ -189,8 +235,7 @@
 		return
 	}
 	t := p.pool.Target(i)
-	t.Outdated = p.outdated(r)
-	t.Loading = p.loading[id] || p.mustServe && t.Outdated
+	t.Outdated, t.Loading = behind(r, p.wanted), p.resting(r)
 	p.pool.Changed(i)
 }
 
@@ -225,6 +270,7 @@
 	p.nextID++
 	r.ID = p.nextID
 	p.refreshBreakers()
+	p.endRests()
 	p.deliver(p.dispatcher.Push(p.now(), r, p.rng))
 	p.keepStepping()
 	p.mu.Unlock()
@@ -262,6 +308,7 @@
 
 func (p *enginePool) step() {
 	p.refreshBreakers()
+	p.endRests()
 	p.deliver(p.dispatcher.Step(p.now(), p.rng))
 	p.keepStepping()
 }
@@ -274,6 +321,9 @@
 			target: p.regs[send.Identity.Target], send: send, breaker: b, ticket: b.Begin(),
 			held: send.Request.Place.HeldTokens,
 		}
+		if from, ok := p.picker.Source(send.Decision, &send.Request.Place); ok {
+			pl.source = p.regs[p.pool.Target(from).Name].Address
+		}
 		send.Request.Value <- placedOrRefusal{placed: pl}
 	}
 	for i := range s.Refusals {
@@ -307,6 +357,20 @@
 	}
 }
 
+// endRests lets requests go again to targets whose rest is over.
+func (p *enginePool) endRests() {
+	now := p.now()
+	for id, at := range p.refusedAt {
+		if now-at < restAfterRefusal {
+			continue
+		}
+		delete(p.refusedAt, id)
+		if r, ok := p.regs[id]; ok {
+			p.mark(id, &r)
+		}
+	}
+}
+
 // answered takes in the first token of an answer.
 func (p *enginePool) answered(pl *placed) {
 	p.mu.Lock()
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,6 +19,8 @@
 // leg is one attempt at one target.
 type leg struct {
 	target directory.Registration
+	// source is the address of a target to fetch pieces from; empty for none.
+	source string
 	// answered is called at the first token or byte of the answer, ended once
 	// at the end, unreachable when no connection was made.
 	answered    func()
@@ -174,7 +177,7 @@
 		return nil, nil
 	}
 	return &leg{
-		target: pl.target,
+		target: pl.target, source: pl.source,
 		answered: func() {
 			if !pl.prefilled {
 				g.peers.sentPrompt(pl)
@@ -318,6 +321,9 @@
 	}
 	switch {
 	case verdict.NotRun:
+		if c.service.Engine != nil {
+			g.engineOf(c).refused(l.target.Incarnation())
+		}
 		return notRun, errors.Newf("status %d, not run", resp.StatusCode)
 	case !verdict.Genuine:
 		return unknown, errors.Newf("status %d without the target's signature", resp.StatusCode)
@@ -363,10 +369,18 @@
 
 // outgoing is what goes with the request to the target.
 func (g *Gateway) outgoing(c *call, l *leg, s *relay) Outgoing {
-	return Outgoing{
+	o := Outgoing{
 		Target: l.target.ID, Account: accountName(c), Left: g.left(c), Urgency: urgency(c),
-		CacheScope: cacheScope(c), LastEventID: s.resumeAfter(),
+		FetchFrom: l.source, LastEventID: s.resumeAfter(),
+	}
+	if c.Prompt != nil {
+		// Pieces made on one version must not serve another: targets look
+		// neither at versions nor at accounts when they fetch. So the scope
+		// names both, and the target must have the version that it names.
+		o.Weights = l.target.Versions[c.Prompt.Model]
+		o.CacheScope = strconv.FormatInt(o.Weights, 10) + "/" + cacheScope(c)
 	}
+	return o
 }
 
 // giveUp ends a request that no target has answered.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -40,7 +42,7 @@
 	contacts *keys.Contacts
 	// versions are the newest weights named, and when this instance learnt
 	// of each.
-	versions   map[string]namedVersion
+	versions   map[string]*namedVersions
 	quota      *quota.Limiter
 	directory  *directory.Directory
 	registered time.Duration // of the last read; 0 for none
@@ -62,11 +64,55 @@
 	running sync.WaitGroup
 }
 
+// namedVersions are the weights versions of one model, in the order in which
+// they were named.
+type namedVersions struct{ list []namedVersion }
+
 type namedVersion struct {
 	version int64
 	at      time.Duration
 }
 
+// add takes a version that was named by the given time, and says whether it is
+// newer than all known. Of a known one it takes the earlier time.
+func (n *namedVersions) add(version int64, at time.Duration) bool {
+	for i := range n.list {
+		if n.list[i].version == version {
+			n.list[i].at = min(n.list[i].at, at)
+			return false
+		}
+	}
+	newest := len(n.list) == 0 || n.newest().version < version
+	n.list = append(n.list, namedVersion{version, at})
+	slices.SortFunc(n.list, func(a, b namedVersion) int { return cmp.Compare(a.version, b.version) })
+	if len(n.list) > maxNamedVersions {
+		n.list = n.list[1:]
+	}
+	return newest
+}
+
+// recent are the last versions, at most max, oldest first.
+func (n *namedVersions) recent(most int) []namedVersion {
+	return n.list[max(0, len(n.list)-most):]
+}
+
+// maxNamedVersions is how many versions are remembered for dueBy: more than
+// are named within the bound on old weights.
+const maxNamedVersions = 64
+
+func (n *namedVersions) newest() namedVersion { return n.list[len(n.list)-1] }
+
+// dueBy is the newest version named by that time; 0 for none.
+func (n *namedVersions) dueBy(at time.Duration) int64 {
+	due := int64(0)
+	for _, v := range n.list {
+		if v.at <= at {
+			due = v.version
+		}
+	}
+	return due
+}
+
 // New builds the process. Nothing listens yet.
 func New(s Settings, d Dialect, store Store, control TargetControl) *Gateway {
 	c := clock.New()
@@ -78,7 +124,7 @@
 		targets:   targetconn.NewPool(targetconn.DefaultOptions(), c.Now),
 		metrics:   newGatewayMetrics(),
 		contacts:  keys.NewContacts(s.Domain),
-		versions:  map[string]namedVersion{},
+		versions:  map[string]*namedVersions{},
 		quota:     quota.New(),
 		directory: directory.New(),
 		engines:   map[string]*enginePool{},
@@ -135,6 +181,7 @@
 	g.callers.shutdown(ctx)
 	leave, cancelLeave := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancelLeave()
+	g.releaseLease(leave)
 	if err := g.store.Withdraw(leave, g.self.Instance); err != nil {
 		logline.Error(err, "withdraw_failed")
 	}
--- a/internal/gateway/operators.go
+++ b/internal/gateway/operators.go
@@ -61,15 +61,24 @@
 func (g *Gateway) takeNews(sent time.Duration, news OperatorNews) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	namedBy := g.clock.Now()
+	if g.contactAge() > startAge {
+		namedBy -= namedBefore
+	}
 	g.contacts.Log(sent)
 	if news.Config != nil {
 		g.putInForce(news.Config, "store")
 	}
 	for _, v := range news.Versions {
-		g.nameVersion(v)
+		g.nameVersion(v, namedBy)
 	}
 }
 
+// namedBefore is how long ago a version is taken to have been named that a
+// process finds at its start: nothing tells, and late is worse than early. Its
+// peers tell better.
+const namedBefore = 3 * time.Second
+
 // putInForce takes a configuration if it is newer. Versions never go back: a
 // record read late, or from a peer that is behind, changes nothing. The caller
 // holds g.mu.
@@ -86,15 +95,22 @@
 }
 
 // nameVersion takes a weights version if it is newer. The caller holds g.mu.
-func (g *Gateway) nameVersion(v routing.WeightsVersion) {
-	if g.versions[v.Model].version >= v.Version {
+func (g *Gateway) nameVersion(v routing.WeightsVersion, namedBy time.Duration) {
+	known := g.versions[v.Model]
+	if known == nil {
+		known = &namedVersions{}
+		g.versions[v.Model] = known
+	}
+	if !known.add(v.Version, namedBy) {
 		return
 	}
-	g.versions[v.Model] = namedVersion{version: v.Version, at: g.clock.Now()}
 	logline.Info("weights_named", "model", v.Model, "version", v.Version)
 	g.updateRollout()
 }
 
+// startAge is an age of contact that only a process without any has.
+const startAge = 1 << 61
+
 // jitter spreads a pause, so that instances that fail together do not come
 // back together.
 func (g *Gateway) jitter(d time.Duration) time.Duration {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -37,6 +37,9 @@
 	// that is cut off from the store too has stopped serving callers with keys
 	// by then, since it cannot check them.
 	goneAfter = 7 * time.Second
+	// toldVersions is how many versions of each model are told to peers, which
+	// may have restarted: those that still bound what may serve.
+	toldVersions = 4
 	// maxSentPrompts bounds the prompts told in one message.
 	maxSentPrompts = 128
 )
@@ -361,12 +364,14 @@
 	for _, f := range m.Crashed {
 		g.strikes.add(now, f)
 	}
-	answer := wire.ExchangeAnswer{ContactAge: -1, Leaving: g.closing.Load(), Weights: map[string]int64{}}
-	if age := g.contactAge(); age < 1<<61 {
+	answer := wire.ExchangeAnswer{ContactAge: -1, Leaving: g.closing.Load()}
+	if age := g.contactAge(); age < startAge {
 		answer.ContactAge = age.Milliseconds() + 1
 	}
 	for model, v := range g.versions {
-		answer.Weights[model] = v.version
+		for _, n := range v.recent(toldVersions) {
+			answer.Weights = append(answer.Weights, wire.NamedWeights{Model: model, Version: n.version, Age: (now - n.at).Milliseconds()})
+		}
 	}
 	pools := make([]*enginePool, 0, len(g.engines))
 	for _, pool := range g.engines {
@@ -409,8 +414,8 @@
 		}
 		g.putInForce(c, from.Instance)
 	}
-	for model, v := range a.Weights {
-		g.nameVersion(routing.WeightsVersion{Model: model, Version: v})
+	for _, v := range a.Weights {
+		g.nameVersion(routing.WeightsVersion{Model: v.Model, Version: v.Version}, asked-time.Duration(v.Age)*time.Millisecond)
 	}
 	t := g.table.Load()
 	if a.ContactAge >= 0 && t != nil && t.Config().Version >= a.ConfigVersion {
--- a/internal/gateway/registrations.go
+++ b/internal/gateway/registrations.go
@@ -97,7 +97,7 @@
 		s := &t.Config().Services[i]
 		switch {
 		case s.Engine != nil:
-			g.engine(s.Name).update(g.directory.Usable(s.Name), s.Engine.MemoryTokens)
+			g.engine(s.Name).update(g.directory.Usable(s.Name), s.Engine)
 		case s.Cache == nil:
 			g.service(s.Name).update(g.directory.Usable(s.Name))
 		}
@@ -114,7 +114,7 @@
 
 // goals are the versions that each service's models should have. The caller
 // holds g.mu.
-func (g *Gateway) eachGoal(visit func(s *routing.Service, model string, v namedVersion)) {
+func (g *Gateway) eachGoal(visit func(s *routing.Service, model string, v *namedVersions)) {
 	t := g.table.Load()
 	if t == nil {
 		return
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -60,6 +60,12 @@
 	Left time.Duration
 	// Urgency is from 0, the most urgent, to 9.
 	Urgency int
+	// Weights is the version of the weights that the target must have; it
+	// refuses the request otherwise. 0 for any.
+	Weights int64
+	// FetchFrom is the address of a target that holds more of the prompt
+	// than this one; empty for none.
+	FetchFrom string
 	// CacheScope separates cached pieces: they are found only under the same
 	// scope. Empty is the scope shared by all.
 	CacheScope string
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -27,19 +27,17 @@
 // load. The caller holds g.mu.
 func (g *Gateway) updateRollout() {
 	now := g.clock.Now()
-	wanted := map[string]map[string]int64{}
-	must := map[string]bool{}
-	g.eachGoal(func(s *routing.Service, model string, v namedVersion) {
+	bound := time.Duration(mustServeShare * float64(g.settings.WeightsBound))
+	wanted, least := map[string]map[string]int64{}, map[string]map[string]int64{}
+	g.eachGoal(func(s *routing.Service, model string, v *namedVersions) {
 		if wanted[s.Name] == nil {
-			wanted[s.Name] = map[string]int64{}
-		}
-		wanted[s.Name][model] = v.version
-		if now-v.at > time.Duration(mustServeShare*float64(g.settings.WeightsBound)) {
-			must[s.Name] = true
+			wanted[s.Name], least[s.Name] = map[string]int64{}, map[string]int64{}
 		}
+		wanted[s.Name][model] = v.newest().version
+		least[s.Name][model] = v.dueBy(now - bound)
 	})
 	for name, pool := range g.engines {
-		pool.setRollout(wanted[name], must[name], g.loadingNow)
+		pool.setRollout(wanted[name], least[name], g.loadingNow)
 	}
 }
 
@@ -47,13 +45,26 @@
 // holds the lease.
 func (g *Gateway) runRollouts(ctx context.Context) {
 	for sleep(ctx, rolloutEvery) {
-		if g.closing.Load() {
+		// A holder that drains goes on while it can: the next one would have
+		// to wait for the lease to lapse.
+		if g.closing.Load() && !g.lease.heldLast() {
 			continue
 		}
 		g.rolloutStep(ctx)
 	}
 }
 
+// releaseLease lets another instance go on with orders at once.
+func (g *Gateway) releaseLease(ctx context.Context) {
+	at, record, ok := g.lease.release()
+	if !ok {
+		return
+	}
+	if _, err := g.store.WriteLease(ctx, at, record); err != nil {
+		logline.Error(err, "lease_unreleased")
+	}
+}
+
 // rolloutStep is one look at the rollout.
 func (g *Gateway) rolloutStep(ctx context.Context) {
 	work := g.rolloutWork()
@@ -95,7 +106,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var work []rollingOut
-	g.eachGoal(func(s *routing.Service, model string, v namedVersion) {
+	g.eachGoal(func(s *routing.Service, model string, all *namedVersions) {
+		v := all.newest()
 		goal := weights.Goal{Service: s.Name, Model: model, Version: v.version}
 		targets := g.directory.Usable(s.Name)
 		if g.planner.Pending(goal, targets) {
--- a/internal/gateway/sharedlease.go
+++ b/internal/gateway/sharedlease.go
@@ -58,6 +58,12 @@
 	return at, r, ok
 }
 
+func (s *sharedLease) release() (int64, orderlease.Record, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.l.Release()
+}
+
 // wrote takes in what became of a proposed record; true when the lease is new.
 func (s *sharedLease) wrote(now time.Duration, at int64, r orderlease.Record, written bool, err error) bool {
 	s.mu.Lock()
--- a/internal/orderlease/lease.go
+++ b/internal/orderlease/lease.go
@@ -18,6 +18,8 @@
 type Record struct {
 	// Holder is the incarnation of the instance that wrote it.
 	Holder string
+	// Released is set by a holder that gives no more orders.
+	Released bool
 	// Token is the fencing token: the offset of the holder's first record
 	// since another one held the lease.
 	Token int64
@@ -71,6 +73,8 @@
 	// sentAt is when the own write under way, or of unknown outcome, was
 	// sent; 0 for none.
 	sentAt time.Duration
+	// left is set once this instance has released the lease.
+	left bool
 }
 
 // New makes a view that knows nothing yet. self is this process's
@@ -106,16 +110,34 @@
 // before it is.
 func (l *Lease) Propose(now time.Duration) (at int64, r Record, ok bool) {
 	switch {
-	case !l.known:
+	case !l.known || l.left:
 		return 0, Record{}, false
 	case l.record.Holder == l.self:
 		return l.record.End, Record{Holder: l.self, Token: l.record.Token}, now >= l.validUntil-l.settings.RenewBefore
-	case l.record.Holder != "" && now < l.seenAt+l.settings.Valid+l.settings.Gap:
+	case l.record.Holder != "" && now < l.seenAt+l.wait():
 		return 0, Record{}, false
 	}
 	return l.record.End, Record{Holder: l.self, Token: l.record.End}, true
 }
 
+// wait is how long after another holder's record the next may begin.
+func (l *Lease) wait() time.Duration {
+	if l.record.Released {
+		return l.settings.Gap
+	}
+	return l.settings.Valid + l.settings.Gap
+}
+
+// Release gives the record by which a holder ends its right early, and ends it
+// here. False when this instance does not hold the lease.
+func (l *Lease) Release() (at int64, r Record, ok bool) {
+	if !l.HeldLast() || l.record.Released {
+		return 0, Record{}, false
+	}
+	l.validUntil, l.left = 0, true
+	return l.record.End, Record{Holder: l.self, Token: l.record.Token, Released: true}, true
+}
+
 // Sent notes that a proposed record is on its way.
 func (l *Lease) Sent(now time.Duration) { l.sentAt = now }
 
--- a/internal/placement/picker.go
+++ b/internal/placement/picker.go
@@ -69,6 +69,7 @@
 	if len(p.scored) == 0 {
 		return Decision{}, ErrNoTarget
 	}
+	p.findElsewhere(r)
 	for i := range p.scored {
 		p.score(now, r, &p.scored[i])
 	}
@@ -78,7 +79,7 @@
 func (p *Picker) decision(now time.Duration, r *Request, c *Candidate) Decision {
 	t := &p.pool.targets[c.Index]
 	rate := t.rate()
-	missing := float64(r.PromptTokens - r.LeadingTokens(c.CachedPieces))
+	missing := float64(r.PromptTokens - r.LeadingTokens(max(c.CachedPieces, r.Elsewhere)))
 	uncached := max(0, missing-trustedShare*c.TrustedTokens)
 	return Decision{
 		Index:          c.Index,
@@ -103,6 +104,38 @@
 	}
 }
 
+// findElsewhere sets how many leading pieces can be fetched from some target.
+func (p *Picker) findElsewhere(r *Request) {
+	r.Elsewhere = 0
+	if p.options.TransferTokensPerSecond <= 0 || len(r.Chain) == 0 {
+		return
+	}
+	for i := range p.pool.targets {
+		if p.pool.rejected[i] == 0 && r.Elsewhere < len(r.Chain) {
+			r.Elsewhere = max(r.Elsewhere, p.beliefs.Cached(p.pool.targets[i].Belief, r.Chain))
+		}
+	}
+}
+
+// Source is the target to fetch pieces from that the chosen one lacks: the one
+// of the same weights that holds most, in the chosen one's domain where that
+// is equal. False when none holds more.
+func (p *Picker) Source(d Decision, r *Request) (int, bool) {
+	to := &p.pool.targets[d.Index]
+	best, most, near := -1, d.CachedPieces, false
+	for i := range p.pool.targets {
+		t := &p.pool.targets[i]
+		if i == d.Index || p.pool.rejected[i] != 0 || t.Version != to.Version {
+			continue
+		}
+		n, same := p.beliefs.Cached(t.Belief, r.Chain), t.Domain == to.Domain
+		if n > most || n == most && best >= 0 && same && !near {
+			best, most, near = i, n, same
+		}
+	}
+	return best, best >= 0
+}
+
 // anchor is the rendezvous key of a request. A prompt without a full piece
 // has nothing to find again and may go anywhere.
 func (p *Picker) anchor(r *Request, rng *rand.Rand) prefix.Hash {
@@ -118,7 +151,7 @@
 	c.CachedPieces = p.beliefs.Cached(t.Belief, r.Chain)
 	if c.Rank == 0 {
 		full := float64(r.fullTokens())
-		c.TrustedTokens = max(0, p.trust()*full-float64(r.LeadingTokens(c.CachedPieces)))
+		c.TrustedTokens = max(0, p.trust()*full-float64(r.LeadingTokens(max(c.CachedPieces, r.Elsewhere))))
 	}
 	for i, s := range p.scorers {
 		c.Terms[i] = s.Cost(now, r, t, c)
--- a/internal/placement/picker_test.go
+++ b/internal/placement/picker_test.go
@@ -168,6 +168,8 @@
 	target := testTargets(1)[0]
 	r := request(1, 1)
 	r.PromptTokens = testPieceTokens
+	is.Equal(s.Cost(0, r, &target, &Candidate{}), 400*time.Millisecond) // nobody holds it
+	r.Elsewhere = 1
 	is.Equal(s.Cost(0, r, &target, &Candidate{}), 50*time.Millisecond) // recomputing takes 400 ms
 }
 
--- a/internal/placement/score_prefill.go
+++ b/internal/placement/score_prefill.go
@@ -3,7 +3,8 @@
 import "time"
 
 // prefillScorer counts the prompt tokens that the target does not hold: they
-// are recomputed, or moved from the KV store where that is faster.
+// are recomputed, or fetched from a target that holds them where that is
+// faster.
 type prefillScorer struct {
 	factor   float64
 	transfer float64
@@ -14,11 +15,16 @@
 
 func (s prefillScorer) Cost(_ time.Duration, r *Request, t *Target, c *Candidate) time.Duration {
 	rest := float64(r.PromptTokens - r.fullTokens())
-	missing := float64(r.fullTokens() - r.LeadingTokens(c.CachedPieces))
-	rate := t.rate()
-	compute := time.Duration(r.factor(s.factor) * float64(seconds(missing, rate)))
-	if s.transfer > 0 && missing > 0 {
-		compute = min(compute, s.setup+seconds(missing, s.transfer))
+	held := max(c.CachedPieces, r.Elsewhere)
+	missing := float64(r.fullTokens() - r.LeadingTokens(held))
+	moved := float64(r.LeadingTokens(held) - r.LeadingTokens(c.CachedPieces))
+	rate, factor := t.rate(), r.factor(s.factor)
+	compute := time.Duration(factor * float64(seconds(missing, rate)))
+	if moved > 0 {
+		compute += min(
+			time.Duration(factor*float64(seconds(moved, rate))),
+			s.setup+time.Duration(factor*float64(seconds(moved, s.transfer))),
+		)
 	}
 	return compute + seconds(rest, rate)
 }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -67,6 +67,9 @@
 		l.advance(now, a, l.limits[name], part)
 	}
 	l.limits = limits
+	for name := range limits {
+		l.account(now, name)
+	}
 }
 
 // SetFleet gives the number of instances that may be serving, this one too.
@@ -136,8 +139,9 @@
 	a.spent -= tokens
 }
 
-// account finds the account's bucket or makes one. It starts empty: after a
-// restart of the fleet full buckets would let a second burst through.
+// account finds the account's bucket or makes one. It starts empty, when the
+// account is first known: after a restart of the fleet full buckets would let
+// a second burst through.
 func (l *Limiter) account(now time.Duration, name string) *account {
 	a := l.accounts[name]
 	if a == nil {
--- a/internal/weights/planner.go
+++ b/internal/weights/planner.go
@@ -63,6 +63,10 @@
 	// With three, a rollout takes three loads' time and two thirds of the
 	// service go on serving.
 	ParallelDivisor int
+	// LeadTime is how long a target is announced as about to load before it
+	// is ordered: one exchange between instances and a bit. A request sent
+	// meanwhile would be refused.
+	LeadTime time.Duration
 	// PollEvery is the pause between questions to a target that loads.
 	PollEvery time.Duration
 	// ResendAfter is when an order without an answer is sent again, if the
@@ -80,6 +84,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		ParallelDivisor: 3,
+		LeadTime:        300 * time.Millisecond,
 		PollEvery:       250 * time.Millisecond, // reports lag by 100 ms
 		ResendAfter:     1200 * time.Millisecond,
 		RetryAfter:      time.Second,
@@ -189,8 +194,9 @@
 	return max(1, (n+p.settings.ParallelDivisor-1)/p.settings.ParallelDivisor)
 }
 
-// candidates are the targets to start on, spread over failure domains so that
-// none loses all its servers at once.
+// candidates are the targets to start on: those with the oldest weights first,
+// since their time runs out first, and spread over failure domains so that none
+// loses all its servers at once.
 func (p *Planner) candidates(now time.Duration, g Goal, targets []directory.Registration) []directory.Registration {
 	var out []directory.Registration
 	perDomain := map[string]int{}
@@ -203,7 +209,9 @@
 		perDomain[t.Domain]++
 		out = append(out, t)
 	}
-	slices.SortStableFunc(out, func(a, b directory.Registration) int { return cmp.Compare(rank[a.ID], rank[b.ID]) })
+	slices.SortStableFunc(out, func(a, b directory.Registration) int {
+		return cmp.Or(cmp.Compare(p.Served(&a, g.Model), p.Served(&b, g.Model)), cmp.Compare(rank[a.ID], rank[b.ID]))
+	})
 	return out
 }
 
@@ -239,7 +247,7 @@
 		*q = progress{incarnation: q.incarnation, seen: q.seen}
 		return
 	}
-	if q.phase == asking && q.seen != nil && !q.seen.Busy && now-q.seen.Asked < p.settings.RetryAfter {
+	if q.phase == asking && q.seen != nil && !q.seen.Busy && now-q.began >= p.settings.LeadTime && now-q.seen.Asked < p.settings.RetryAfter {
 		p.send(now, g, t, q, out)
 		return
 	}
@@ -307,12 +315,12 @@
 	}
 }
 
-// Loading lists the targets that were ordered and are not done yet: they
-// refuse requests.
+// Loading lists the targets that are about to be ordered, or were and are not
+// done yet: they refuse requests.
 func (p *Planner) Loading() []string {
 	var ids []string
 	for id, q := range p.targets {
-		if q.phase == ordered || q.phase == loading {
+		if q.phase != idle {
 			ids = append(ids, id)
 		}
 	}
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -50,7 +50,15 @@
 	ContactAge int64 `msgpack:"a"`
 	// Config is the answerer's configuration when the caller's is older.
 	Config []byte `msgpack:"c,omitempty"`
-	// Weights are the newest weights versions that the answerer knows.
-	Weights map[string]int64 `msgpack:"w,omitempty"`
-	Leaving bool             `msgpack:"x,omitempty"`
+	// Weights are the weights versions named last, oldest first.
+	Weights []NamedWeights `msgpack:"w,omitempty"`
+	Leaving bool           `msgpack:"x,omitempty"`
+}
+
+// NamedWeights is a weights version of a model that operators named.
+type NamedWeights struct {
+	Model   string `msgpack:"m"`
+	Version int64  `msgpack:"v"`
+	// Age is how many milliseconds ago it was named, as far as is known.
+	Age int64 `msgpack:"a"`
 }
