--- a/Makefile
+++ b/Makefile
@@ -6,10 +6,10 @@
 	$(GO) build -o bin/ ./cmd/...
 
 fmt:
-	$(GO) tool gofumpt -l -w cmd internal
+	$(GO) tool gofumpt -l -w cmd internal platform
 
 lint:
-	@out=$$($(GO) tool gofumpt -l cmd internal); if [ -n "$$out" ]; then echo "not gofumpt-clean:"; echo "$$out"; exit 1; fi
+	@out=$$($(GO) tool gofumpt -l cmd internal platform); if [ -n "$$out" ]; then echo "not gofumpt-clean:"; echo "$$out"; exit 1; fi
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
--- a/internal/gateway/enginepool.go
+++ b/internal/gateway/enginepool.go
@@ -443,10 +443,3 @@
 	}
 	p.beliefs.Stored(belief.Identity{Target: r.ID, Incarnation: strconv.FormatInt(r.Born, 10), Version: versionText(r.Versions)}, chain)
 }
-
-// live counts the targets that may get a request.
-func (p *enginePool) live() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.pool.Live()
-}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -28,7 +28,6 @@
 	// lastID is the id of the last event that went out.
 	lastID  string
 	firstAt time.Duration
-	buf     []byte
 }
 
 // resumeAfter is the event behind which a target is to go on.
--- a/internal/gateway/sharedlease.go
+++ b/internal/gateway/sharedlease.go
@@ -69,7 +69,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err != nil || !written {
-		s.l.Unwritten(err == nil)
+		s.l.Unwritten(at, err == nil)
 		s.taken = false
 		return false
 	}
--- a/internal/orderlease/lease.go
+++ b/internal/orderlease/lease.go
@@ -70,13 +70,24 @@
 	seenAt time.Duration
 	// validUntil ends the right that the own record gives.
 	validUntil time.Duration
-	// sentAt is when the own write under way, or of unknown outcome, was
-	// sent; 0 for none.
+	// sentAt is when the own write under way was sent.
 	sentAt time.Duration
+	// open is the own writes of unknown outcome.
+	open unsettled
 	// left is set once this instance has released the lease.
 	left bool
 }
 
+// unsettled is own writes at one offset whose answers were lost. At most one of
+// them is ever carried out, and nothing tells which.
+type unsettled struct {
+	there bool
+	at    int64
+	// first is when the first of them was sent. Others count their wait from
+	// when they see the record, which may be any time after that.
+	first time.Duration
+}
+
 // New makes a view that knows nothing yet. self is this process's
 // incarnation: an earlier process of the instance is another holder.
 func New(self string, s Settings) *Lease { return &Lease{settings: s, self: self} }
@@ -86,12 +97,17 @@
 	if l.known && r.End <= l.record.End {
 		return
 	}
-	l.known, l.record, l.seenAt = true, r, now
-	if r.Holder == l.self && l.sentAt > 0 {
-		// The own write whose answer was lost has been carried out.
-		l.validUntil = l.sentAt + l.settings.Valid
-		l.sentAt = 0
+	if r.End > l.record.End {
+		l.seenAt = now
+	}
+	l.known, l.record = true, r
+	if !l.open.there || r.End <= l.open.at {
+		return // the record is from before them
+	}
+	if r.Holder == l.self {
+		l.validUntil = max(l.validUntil, l.open.first+l.settings.Valid)
 	}
+	l.open = unsettled{}
 }
 
 // Held gives the fencing token while this instance may send orders.
@@ -146,14 +162,14 @@
 	r.End = at + 1
 	l.record, l.seenAt = r, now
 	l.validUntil = l.sentAt + l.settings.Valid
-	l.sentAt = 0
+	l.open = unsettled{}
 }
 
-// Unwritten takes in that the store refused the record, or that its outcome
-// is unknown. Either way the record has to be read again.
-func (l *Lease) Unwritten(outcomeKnown bool) {
+// Unwritten takes in that the store refused the record at offset at, or that
+// its outcome is unknown. Either way the record has to be read again.
+func (l *Lease) Unwritten(at int64, outcomeKnown bool) {
 	l.known = false
-	if outcomeKnown {
-		l.sentAt = 0
+	if !outcomeKnown && (!l.open.there || l.open.at != at) {
+		l.open = unsettled{there: true, at: at, first: l.sentAt}
 	}
 }
--- /dev/null
+++ b/internal/quota/quota_test.go
@@ -0,0 +1,193 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/mastictray/mastictray/internal/propertytest"
+)
+
+func TestMain(m *testing.M) { propertytest.Main(m, 200) }
+
+const (
+	testRate  = 1000.0
+	testBurst = 1000.0
+	// exchange is the pause between two messages in these tests.
+	exchange = 250 * time.Millisecond
+)
+
+// fleet is instances that tell each other what they spent.
+type fleet struct {
+	now       time.Duration
+	instances []*Limiter
+	admitted  []admission
+}
+
+type admission struct {
+	at     time.Duration
+	tokens float64
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{}
+	for range n {
+		l := New()
+		l.SetLimits(0, map[string]Limit{"a": {Rate: testRate, Burst: testBurst}})
+		l.SetFleet(0, n)
+		f.instances = append(f.instances, l)
+	}
+	return f
+}
+
+// step moves the time on; every instance is asked for tokens, and those that
+// reach each other exchange counts.
+func (f *fleet) step(tokens float64, reach func(from, to int) bool) {
+	f.now += exchange
+	for _, l := range f.instances {
+		if _, ok := l.Admit(f.now, "a", tokens); ok {
+			f.admitted = append(f.admitted, admission{f.now, tokens})
+		}
+	}
+	for from, l := range f.instances {
+		for to, peer := range f.instances {
+			if from != to && reach(from, to) {
+				peer.Heard(f.now, string(rune('a'+from)), l.Spent())
+			}
+		}
+	}
+}
+
+// most is the most tokens admitted in any window.
+func (f *fleet) most(window time.Duration) float64 {
+	most := 0.0
+	for i := range f.admitted {
+		sum := 0.0
+		for _, a := range f.admitted[i:] {
+			if a.at < f.admitted[i].at+window {
+				sum += a.tokens
+			}
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+func all(int, int) bool { return true }
+
+// An account asks for far more than its rate on every instance. The callers
+// that are over the rate are refused, the rate itself is served, and what is
+// spent between two messages comes off what is admitted next.
+func TestFleetStaysWithinTheRate(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(6)
+	for range 120 {
+		f.step(100, all)
+	}
+	const window = 8 * time.Second
+	inOneInterval := 6 * 100.0
+	is.True(f.most(window) <= testRate*window.Seconds()+testBurst+inOneInterval)
+	is.True(f.most(window) >= testRate*window.Seconds()*0.9)
+}
+
+// The fleet is cut in two halves that cannot talk. Each goes on serving its
+// part; together they stay within the rate.
+func TestHalvesThatCannotTalkShareTheRate(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(6)
+	sides := func(from, to int) bool { return (from < 2) == (to < 2) }
+	for range 20 {
+		f.step(100, all)
+	}
+	cut := len(f.admitted)
+	for range 120 {
+		f.step(100, sides)
+	}
+	f.admitted = f.admitted[cut:]
+	const window = 8 * time.Second
+	is.True(f.most(window) <= testRate*window.Seconds()+testBurst+6*100)
+	is.True(f.most(window) >= testRate*window.Seconds()*0.8)
+}
+
+// Links fail and heal at any time, one way or both. Whatever the order, no
+// window holds more than the rate, the burst and what can be spent unseen
+// while a silent peer still counts as heard.
+func TestRateHoldsUnderAnyCuts(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(2, 6).Draw(rt, "instances")
+		tokens := float64(rapid.IntRange(10, 200).Draw(rt, "tokens"))
+		f := newFleet(n)
+		down := map[[2]int]bool{}
+		for range 100 {
+			if rapid.IntRange(0, 4).Draw(rt, "change") == 0 {
+				link := [2]int{rapid.IntRange(0, n-1).Draw(rt, "from"), rapid.IntRange(0, n-1).Draw(rt, "to")}
+				down[link] = !down[link]
+			}
+			f.step(tokens, func(from, to int) bool { return !down[[2]int{from, to}] })
+		}
+		const window = 8 * time.Second
+		// Each loss of a link goes unseen for PeerTimeout, in which its two
+		// ends may each spend from the whole bucket.
+		unseen := float64(n) * (testBurst + testRate*PeerTimeout.Seconds())
+		if got := f.most(window); got > testRate*window.Seconds()+testBurst+unseen {
+			rt.Fatalf("%.0f tokens in %v", got, window)
+		}
+	})
+}
+
+// An instance restarts again and again. Each time it could admit a whole burst
+// if its bucket started full; it starts empty.
+func TestRestartedInstanceStartsWithoutTokens(t *testing.T) {
+	is := is.New(t)
+	l := New()
+	l.SetLimits(0, map[string]Limit{"a": {Rate: testRate, Burst: testBurst}})
+	_, ok := l.Admit(0, "a", 100)
+	is.True(!ok)
+	wait, ok := l.Admit(50*time.Millisecond, "a", 100)
+	is.True(!ok)
+	is.Equal(wait, 50*time.Millisecond)
+	_, ok = l.Admit(100*time.Millisecond, "a", 100)
+	is.True(ok)
+}
+
+// A peer is silent for a while and then heard again. What it spent meanwhile
+// came out of its own part: taken off here too, it would stop this instance
+// for seconds.
+func TestSpentInSilenceIsNotTakenTwice(t *testing.T) {
+	is := is.New(t)
+	l := New()
+	l.SetLimits(0, map[string]Limit{"a": {Rate: testRate, Burst: testBurst}})
+	l.SetFleet(0, 2)
+	l.Heard(0, "p", map[string]float64{"a": 0})
+	l.Heard(10*time.Second, "p", map[string]float64{"a": 50_000})
+	_, ok := l.Admit(10*time.Second, "a", 400)
+	is.True(ok)
+}
+
+// A request larger than what the bucket can ever hold is admitted once the
+// bucket is full and paid off afterwards; it would else never run.
+func TestRequestLargerThanTheBucket(t *testing.T) {
+	is := is.New(t)
+	l := New()
+	l.SetLimits(0, map[string]Limit{"a": {Rate: testRate, Burst: testBurst}})
+	_, ok := l.Admit(time.Second, "a", 3000)
+	is.True(ok)
+	wait, ok := l.Admit(time.Second, "a", 100)
+	is.True(!ok)
+	is.Equal(wait, 2100*time.Millisecond)
+}
+
+func TestNoLimitAndRefund(t *testing.T) {
+	is := is.New(t)
+	l := New()
+	_, ok := l.Admit(0, "free", 1e9)
+	is.True(ok)
+	l.SetLimits(0, map[string]Limit{"a": {Rate: testRate, Burst: testBurst}})
+	_, ok = l.Admit(time.Second, "a", 1000)
+	is.True(ok)
+	l.Refund(time.Second, "a", 1000)
+	_, ok = l.Admit(time.Second, "a", 1000)
+	is.True(ok)
+}
--- /dev/null
+++ b/internal/routing/table_test.go
@@ -0,0 +1,92 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func testTable() *Table {
+	return NewTable(&Config{
+		Version: 1,
+		Routes: []Route{
+			{Name: "short", Host: "a.example", Prefix: "/x/", Split: []Weighted{{"s1", 3}, {"s2", 1}}},
+			{Name: "long", Host: "a.example", Prefix: "/x/y/", Anonymous: true},
+			{Name: "other", Host: "b.example", Prefix: "/"},
+		},
+		Services: []Service{{Name: "s1"}},
+		Accounts: []Account{{Name: "acc", KeyHashes: []string{HashKey("k1"), HashKey("k2")}}},
+	})
+}
+
+func TestMatchTakesTheLongestPrefixOfTheHost(t *testing.T) {
+	cases := map[string]struct{ host, path, want string }{
+		"short":          {"a.example", "/x/1", "short"},
+		"long":           {"a.example", "/x/y/1", "long"},
+		"with a port":    {"a.example:80", "/x/1", "short"},
+		"whole segments": {"a.example", "/xy/1", ""},
+		"other host":     {"b.example", "/x/1", "other"},
+		"unknown host":   {"c.example", "/x/1", ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r, ok := testTable().Match(c.host, c.path)
+			is.Equal(ok, c.want != "")
+			if ok {
+				is.Equal(r.Name, c.want)
+			}
+		})
+	}
+}
+
+func TestKeysAndLookups(t *testing.T) {
+	is := is.New(t)
+	table := testTable()
+	a, ok := table.KeyHolder(HashKey("k2"))
+	is.True(ok)
+	is.Equal(a.Name, "acc")
+	_, ok = table.KeyHolder(HashKey("k3"))
+	is.True(!ok)
+	short, _ := table.Match("a.example", "/x/1")
+	long, _ := table.Match("a.example", "/x/y/1")
+	is.True(table.NeedsKey(short))
+	is.True(!table.NeedsKey(long))
+	_, ok = table.Service("s1")
+	is.True(ok)
+	_, ok = table.Account("acc")
+	is.True(ok)
+}
+
+func TestChooseFollowsTheWeights(t *testing.T) {
+	is := is.New(t)
+	r, _ := testTable().Match("a.example", "/x/1")
+	rng := rand.New(rand.NewPCG(1, 1))
+	n := map[string]int{}
+	for range 4000 {
+		n[r.Choose(rng)]++
+	}
+	is.True(n["s1"] > 2900 && n["s1"] < 3100)
+	is.Equal(n["s1"]+n["s2"], 4000)
+	is.Equal((&Route{}).Choose(rng), "")
+}
+
+func TestCodecKeepsTheConfiguration(t *testing.T) {
+	is := is.New(t)
+	raw, err := Encode(testTable().Config())
+	is.NoErr(err)
+	c, err := Decode(raw)
+	is.NoErr(err)
+	is.Equal(c, testTable().Config())
+	_, err = Decode([]byte("no configuration"))
+	is.True(err != nil)
+}
+
+func TestRepeatable(t *testing.T) {
+	is := is.New(t)
+	is.True((&Route{Kind: Idempotent}).Repeatable())
+	is.True(!(&Route{Kind: NonIdempotent}).Repeatable())
+	is.True(!(&Route{Kind: Stream}).Repeatable())
+	is.True((&Route{Kind: Stream, Resumable: true}).Repeatable())
+}
--- /dev/null
+++ b/internal/targetconn/conn_test.go
@@ -0,0 +1,260 @@
+package targetconn
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+)
+
+// script is a target that answers the requests of each connection with the
+// given bytes, one after the other, and then closes it.
+type script struct {
+	listener net.Listener
+	requests atomic.Int64
+	bodies   sync.Map // request number to body
+	conns    sync.Map // open connections, to close at the end
+	wg       sync.WaitGroup
+}
+
+func newScript(t *testing.T, answers ...string) *script {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &script{listener: l}
+	s.wg.Add(1)
+	go s.run(answers)
+	t.Cleanup(func() {
+		l.Close()
+		s.conns.Range(func(c, _ any) bool { c.(net.Conn).Close(); return true })
+		s.wg.Wait()
+	})
+	return s
+}
+
+func (s *script) run(answers []string) {
+	defer s.wg.Done()
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.conns.Store(c, true)
+		s.wg.Add(1)
+		go func() {
+			defer s.wg.Done()
+			defer c.Close()
+			r := bufio.NewReader(c)
+			for _, answer := range answers {
+				req, err := http.ReadRequest(r)
+				if err != nil {
+					return
+				}
+				body, _ := io.ReadAll(req.Body)
+				s.bodies.Store(s.requests.Add(1), string(body))
+				if _, err := io.WriteString(c, answer); err != nil {
+					return
+				}
+			}
+		}()
+	}
+}
+
+func answer(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + itoa(len(body)) + "\r\n\r\n" + body
+}
+
+func itoa(n int) string { return strings.TrimSpace(string(rune('0' + n))) }
+
+type fixture struct {
+	*is.I
+	pool *Pool
+	now  atomic.Int64
+}
+
+func newFixture(t *testing.T) *fixture {
+	f := &fixture{I: is.New(t)}
+	f.pool = NewPool(DefaultOptions(), func() time.Duration { return time.Duration(f.now.Load()) })
+	return f
+}
+
+// exchange sends one request with the id and gives its answer's body.
+func (f *fixture) exchange(addr, id, body string) (string, *Conn, error) {
+	c, err := f.pool.Get(context.Background(), addr, time.Minute)
+	if err != nil {
+		return "", nil, err
+	}
+	resp, err := c.Send(context.Background(), &Request{Method: "POST", URI: "/x?y=1", Host: "h", Header: http.Header{}, Body: []byte(body)},
+		func(r *http.Response) bool { return r.Header.Get("Id") == id })
+	if err != nil {
+		c.Close()
+		return "", c, err
+	}
+	raw, err := io.ReadAll(resp.Body)
+	c.Finished()
+	return string(raw), c, err
+}
+
+func TestConnectionIsUsedAgain(t *testing.T) {
+	f := newFixture(t)
+	s := newScript(t, answer("1", "one"), answer("2", "two"))
+	for i, want := range []string{"one", "two"} {
+		got, c, err := f.exchange(s.listener.Addr().String(), itoa(i+1), "b")
+		f.NoErr(err)
+		f.Equal(got, want)
+		f.Equal(c.Reused(), i == 1)
+		f.pool.Put(c)
+	}
+	f.Equal(f.pool.Dialed(), int64(1))
+}
+
+// A target answers an earlier request a second time, late. The caller of the
+// next request on the connection must get its own answer, not that one.
+func TestEarlierAnswerIsPassedOver(t *testing.T) {
+	f := newFixture(t)
+	s := newScript(t, answer("0", "late")+answer("1", "mine"))
+	got, _, err := f.exchange(s.listener.Addr().String(), "1", "")
+	f.NoErr(err)
+	f.Equal(got, "mine")
+}
+
+// Bytes follow a whole answer. The connection must not be used again: they
+// would be read as the answer to the next request.
+func TestSurplusBytesEndTheConnection(t *testing.T) {
+	f := newFixture(t)
+	s := newScript(t, answer("1", "mine")+"junk", answer("2", "two"))
+	_, c, err := f.exchange(s.listener.Addr().String(), "1", "")
+	f.NoErr(err)
+	f.pool.Put(c)
+	_, c, err = f.exchange(s.listener.Addr().String(), "1", "")
+	f.NoErr(err)
+	f.True(!c.Reused())
+}
+
+// The target closes an idle connection. The next request must not be lost on
+// it: nothing would tell whether it ran.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	f := newFixture(t)
+	s := newScript(t, answer("1", "one"))
+	addr := s.listener.Addr().String()
+	_, c, err := f.exchange(addr, "1", "")
+	f.NoErr(err)
+	f.pool.Put(c)
+	for c.quiet() { // until the close has arrived
+		time.Sleep(time.Millisecond)
+	}
+	got, c, err := f.exchange(addr, "1", "")
+	f.NoErr(err)
+	f.Equal(got, "one")
+	f.True(!c.Reused())
+	f.Equal(s.requests.Load(), int64(2))
+}
+
+// The connection breaks before the answer. The request is sent once: a second
+// send would be a second run.
+func TestBrokenExchangeIsNotSentAgain(t *testing.T) {
+	f := newFixture(t)
+	s := newScript(t, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Le")
+	_, _, err := f.exchange(s.listener.Addr().String(), "1", "b")
+	f.True(err != nil)
+	f.True(!errors.Is(err, ErrNotSent))
+	f.Equal(s.requests.Load(), int64(1))
+}
+
+func TestRefusedDialIsKnownNotSent(t *testing.T) {
+	f := newFixture(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	f.NoErr(err)
+	addr := l.Addr().String()
+	l.Close()
+	_, _, err = f.exchange(addr, "1", "")
+	f.True(errors.Is(err, ErrNotSent))
+}
+
+// A target answers a long request before it has read all of it. The answer
+// counts, but what the target reads next is the rest of the body: another
+// request on the connection would run with wrong bytes.
+func TestAnswerBeforeTheBodyWasReadEndsTheConnection(t *testing.T) {
+	f := newFixture(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	f.NoErr(err)
+	defer l.Close()
+	release := make(chan struct{})
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		if _, err := bufio.NewReader(c).ReadString('\n'); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, answer("1", "early"))
+		<-release
+	}()
+	got, c, err := f.exchange(l.Addr().String(), "1", strings.Repeat("x", 16<<20))
+	f.NoErr(err)
+	f.Equal(got, "early")
+	f.True(c.broken)
+	close(release)
+	c.Close()
+}
+
+// A target sends a head without an end. Reading stops at the bound instead of
+// filling the memory.
+func TestEndlessHeadIsCut(t *testing.T) {
+	f := newFixture(t)
+	s := newScript(t, "HTTP/1.1 200 OK\r\nA: "+strings.Repeat("x", maxHeadBytes))
+	_, _, err := f.exchange(s.listener.Addr().String(), "1", "")
+	f.True(errors.Is(err, ErrMalformed))
+}
+
+// A target says how long it keeps an idle connection. A request sent later
+// would meet its close.
+func TestKeepAliveOfTheTargetIsObeyed(t *testing.T) {
+	f := newFixture(t)
+	s := newScript(t, "HTTP/1.1 200 OK\r\nId: 1\r\nKeep-Alive: timeout=3\r\nContent-Length: 0\r\n\r\n", answer("1", "two"))
+	addr := s.listener.Addr().String()
+	_, c, err := f.exchange(addr, "1", "")
+	f.NoErr(err)
+	f.pool.Put(c)
+	f.now.Store(int64(2 * time.Second))
+	_, c, err = f.exchange(addr, "1", "")
+	f.NoErr(err)
+	f.True(!c.Reused())
+}
+
+func TestSweepAndForgetCloseIdleConnections(t *testing.T) {
+	f := newFixture(t)
+	s := newScript(t, answer("1", "one"), answer("1", "two"))
+	addr := s.listener.Addr().String()
+	for _, drop := range []func(){
+		func() { f.pool.Forget(addr) },
+		func() { f.now.Store(int64(time.Hour)); f.pool.Sweep() },
+	} {
+		_, c, err := f.exchange(addr, "1", "")
+		f.NoErr(err)
+		f.pool.Put(c)
+		drop()
+		f.Equal(len(f.pool.idle[addr]), 0)
+	}
+}
+
+func TestRequestBytes(t *testing.T) {
+	is := is.New(t)
+	raw := string((&Request{Method: "POST", URI: "/a?b", Host: "h", Header: http.Header{"X": {"1"}}, Body: []byte("xy")}).encode())
+	is.Equal(raw, "POST /a?b HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nX: 1\r\n\r\nxy")
+	raw = string((&Request{Method: "GET", URI: "/", Host: "h", Header: http.Header{}}).encode())
+	is.Equal(raw, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+}
--- /dev/null
+++ b/internal/weights/planner_test.go
@@ -0,0 +1,258 @@
+package weights
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/mastictray/mastictray/internal/directory"
+	"github.com/mastictray/mastictray/internal/propertytest"
+)
+
+func TestMain(m *testing.M) { propertytest.Main(m, 100) }
+
+const (
+	testTick = 100 * time.Millisecond
+	testLoad = 800 * time.Millisecond
+)
+
+// target is a model server that takes orders.
+type target struct {
+	reg       directory.Registration
+	version   int64
+	accepted  int64
+	loading   int64 // the version being loaded; 0 for none
+	readyAt   time.Duration
+	loads     int
+	unanswers int // orders whose receipt is lost from now on
+}
+
+// world is targets and one planner that holds the lease.
+type world struct {
+	now     time.Duration
+	targets []*target
+	planner *Planner
+	most    int
+	late    []lateOrder
+}
+
+type lateOrder struct {
+	at time.Duration
+	to *target
+	o  Order
+}
+
+func newWorld(n int) *world {
+	w := &world{planner: New(DefaultSettings())}
+	for i := range n {
+		w.targets = append(w.targets, &target{version: 1, reg: directory.Registration{
+			ID: fmt.Sprintf("t%02d", i), Service: "s", Domain: fmt.Sprintf("d%d", i%3), Born: 1,
+			State: directory.Ready, Versions: map[string]int64{"m": 1},
+		}})
+	}
+	return w
+}
+
+func (t *target) take(now time.Duration, o Order) Receipt {
+	switch {
+	case o.Accepted != t.accepted || t.loading != 0:
+		return Conflict
+	case t.version == o.Version:
+		return InForce
+	}
+	t.accepted++
+	t.loading, t.readyAt = o.Version, now+testLoad
+	t.loads++
+	return Taken
+}
+
+func (w *world) regs() []directory.Registration {
+	var out []directory.Registration
+	for _, t := range w.targets {
+		out = append(out, t.reg)
+	}
+	return out
+}
+
+func (w *world) find(id string) *target {
+	for _, t := range w.targets {
+		if t.reg.ID == id {
+			return t
+		}
+	}
+	return nil
+}
+
+// step moves the time on by one tick with the given goal.
+func (w *world) step(version int64) {
+	w.now += testTick
+	for i := 0; i < len(w.late); i++ {
+		if w.late[i].at <= w.now {
+			w.late[i].to.take(w.now, w.late[i].o)
+			w.late = append(w.late[:i], w.late[i+1:]...)
+			i--
+		}
+	}
+	loading := 0
+	for _, t := range w.targets {
+		if t.loading != 0 && w.now >= t.readyAt {
+			t.version, t.loading = t.loading, 0
+		}
+		if t.loading != 0 {
+			loading++
+		}
+	}
+	w.most = max(w.most, loading)
+	actions := w.planner.Tick(w.now, Goal{Service: "s", Model: "m", Version: version}, w.regs())
+	for _, a := range actions.Asks {
+		t := w.find(a.Target.ID)
+		w.planner.Observed(w.now, t.reg.Incarnation(), &Observation{
+			Asked: w.now, Versions: map[string]int64{"m": t.version}, Busy: t.loading != 0, Accepted: t.accepted,
+		})
+	}
+	for _, s := range actions.Sends {
+		w.deliver(s)
+	}
+}
+
+func (w *world) deliver(s Send) {
+	t := w.find(s.Target.ID)
+	if t.unanswers > 0 {
+		t.unanswers--
+		w.late = append(w.late, lateOrder{at: w.now + 3*time.Second, to: t, o: s.Order})
+		return
+	}
+	w.planner.Answered(w.now, t.reg.Incarnation(), t.take(w.now, s.Order))
+}
+
+// until steps until all targets serve the version, at most for the time.
+func (w *world) until(version int64, limit time.Duration) bool {
+	for end := w.now + limit; w.now < end; {
+		w.step(version)
+		done := true
+		for _, t := range w.targets {
+			done = done && t.version == version
+		}
+		if done {
+			return true
+		}
+	}
+	return false
+}
+
+// A version is named for twelve targets. All serve it in time, each loads
+// once, and never more than a third is away at once.
+func TestRolloutReachesAllTargets(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(12)
+	is.True(w.until(2, 8*time.Second))
+	is.True(w.most <= 4)
+	for _, x := range w.targets {
+		is.Equal(x.loads, 1)
+	}
+}
+
+// A second version is named in the middle of a rollout. Targets that have not
+// begun go to the newest at once: loading the one between would be in vain.
+func TestSupersededVersionIsSkipped(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(12)
+	for range 5 {
+		w.step(2)
+	}
+	is.True(w.until(3, 10*time.Second))
+	once := 0
+	for _, x := range w.targets {
+		if x.loads == 1 {
+			once++
+		}
+	}
+	is.Equal(once, 8)
+}
+
+// The answer to an order is lost, and the target carries it out seconds later,
+// after it was ordered again. The count in the order makes the late one void:
+// the target loads once.
+func TestLateOrderIsVoid(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1)
+	w.targets[0].unanswers = 1
+	is.True(w.until(2, 6*time.Second))
+	for range 50 {
+		w.step(2)
+	}
+	is.Equal(w.targets[0].loads, 1)
+}
+
+// A target restarts while it loads, with the version from before. It counts as
+// new, is asked anew, and ordered again.
+func TestTargetThatRestartsIsOrderedAgain(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1)
+	for range 5 {
+		w.step(2)
+	}
+	x := w.targets[0]
+	is.Equal(x.loading, int64(2))
+	x.loading, x.accepted, x.reg.Born = 0, 0, 2
+	is.True(w.until(2, 5*time.Second))
+}
+
+// A target answers no questions. It holds up the others for a while only.
+func TestSilentTargetDoesNotStopTheRollout(t *testing.T) {
+	is := is.New(t)
+	p := New(DefaultSettings())
+	regs := []directory.Registration{
+		{ID: "a", Service: "s", Versions: map[string]int64{"m": 1}},
+		{ID: "b", Service: "s", Versions: map[string]int64{"m": 1}},
+	}
+	asked := map[string]bool{}
+	for now := time.Duration(0); now < 6*time.Second; now += testTick {
+		for _, a := range p.Tick(now, Goal{Service: "s", Model: "m", Version: 2}, regs).Asks {
+			asked[a.Target.ID] = true
+			p.Observed(now, a.Target.Incarnation(), nil)
+		}
+	}
+	is.True(asked["a"])
+	is.True(asked["b"])
+}
+
+// Targets are announced as about to load before they are ordered, so that
+// requests are not sent there to be refused.
+func TestTargetsAreAnnouncedBeforeTheOrder(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(3)
+	w.step(2)
+	is.Equal(w.planner.Loading(), []string{"t00"})
+	is.Equal(w.targets[0].accepted, int64(0))
+	for range 4 {
+		w.step(2)
+	}
+	is.Equal(w.targets[0].accepted, int64(1))
+}
+
+// Orders are lost at any target at any time, and versions are named one upon
+// the other. In the end all targets serve the newest, and at no time do more
+// load than may.
+func TestRolloutConverges(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(1, 15).Draw(rt, "targets")
+		w := newWorld(n)
+		version := int64(1)
+		for range rapid.IntRange(1, 4).Draw(rt, "versions") {
+			version++
+			for range rapid.IntRange(0, 40).Draw(rt, "steps") {
+				if rapid.IntRange(0, 5).Draw(rt, "lose") == 0 {
+					w.targets[rapid.IntRange(0, n-1).Draw(rt, "target")].unanswers = 1
+				}
+				w.step(version)
+			}
+		}
+		if !w.until(version, time.Minute) {
+			rt.Fatalf("not all targets serve version %d", version)
+		}
+	})
+}
