--- a/internal/gateway/enginepool.go
+++ b/internal/gateway/enginepool.go
@@ -25,7 +25,7 @@
 	maxQueued = 1024
 	// engineWindow is the prompt work that a target may have before further
 	// requests for it are held here.
-	engineWindow = 300 * time.Millisecond
+	engineWindow = 120 * time.Millisecond
 	// stepEvery is the pause between looks at the queue while requests wait:
 	// an engine's own step.
 	stepEvery = 4 * time.Millisecond
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -19,7 +19,7 @@
 const (
 	// exchangeEvery is the pause between two messages to a peer. What an
 	// account spends in it on all instances is its possible debt.
-	exchangeEvery = 250 * time.Millisecond
+	exchangeEvery = 125 * time.Millisecond
 	// exchangeTimeout bounds one exchange; a peer that takes longer counts
 	// as silent.
 	exchangeTimeout = 800 * time.Millisecond
