--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -80,7 +80,7 @@
 	if refusal := g.readBody(ctx, c); refusal != nil {
 		return refusal
 	}
-	if refusal := g.admit(ctx, c); refusal != nil {
+	if refusal := g.admit(c); refusal != nil {
 		return refusal
 	}
 	return g.forward(ctx, c)
@@ -184,30 +184,15 @@
 // defaultMaxBody bounds a body where the configuration does not.
 const defaultMaxBody = 4 << 20
 
-// admit takes the request's part of its account's rate, and waits a little
-// where it comes in soon.
-func (g *Gateway) admit(ctx context.Context, c *call) *Refusal {
-	wait, refusal := g.takeRate(c)
-	if refusal == nil && wait > 0 {
-		sleep(ctx, wait) // a context that ended is noticed in forward
-	}
-	return refusal
-}
-
-// ratePatience is the part of the latency objective that a request may wait
-// for its account's rate: the answer can still come in time.
-const ratePatience = 0.4
-
-// takeRate takes the request's part of its account's rate and gives the time
-// until it is in.
-func (g *Gateway) takeRate(c *call) (time.Duration, *Refusal) {
+// admit takes the request's part of its account's rate.
+func (g *Gateway) admit(c *call) *Refusal {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.strikes.barred(g.clock.Now(), c.fingerprint) {
-		return 0, &Refusal{Status: http.StatusServiceUnavailable, Reason: "crashes_targets", NotRun: true, RetryAfter: barredRetry}
+		return &Refusal{Status: http.StatusServiceUnavailable, Reason: "crashes_targets", NotRun: true, RetryAfter: barredRetry}
 	}
 	if c.account == nil {
-		return 0, nil
+		return nil
 	}
 	c.tokens = 1
 	if c.account.CountTokens {
@@ -216,13 +201,12 @@
 			c.tokens = float64(c.Prompt.Tokens + c.Prompt.MaxOutput)
 		}
 	}
-	patience := time.Duration(ratePatience * float64(c.route.LatencyObjective))
-	wait, ok := g.quota.Admit(g.clock.Now(), c.account.Name, c.tokens, patience)
+	wait, ok := g.quota.Admit(g.clock.Now(), c.account.Name, c.tokens)
 	if !ok {
 		c.tokens = 0
-		return 0, &Refusal{Status: http.StatusTooManyRequests, Reason: "over_rate", RetryAfter: max(wait, minRateRetry), NotRun: true}
+		return &Refusal{Status: http.StatusTooManyRequests, Reason: "over_rate", RetryAfter: max(wait, minRateRetry), NotRun: true}
 	}
-	return wait, nil
+	return nil
 }
 
 const (
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -110,11 +110,9 @@
 	return out
 }
 
-// Admit spends tokens of an account. When there are not enough it says how long
-// they will take to come in. Up to patience it spends them beforehand, and the
-// request may go once they are in: requests that come in a bunch are spread
-// out instead of refused. Beyond that it spends nothing.
-func (l *Limiter) Admit(now time.Duration, name string, tokens float64, patience time.Duration) (wait time.Duration, ok bool) {
+// Admit spends tokens of an account. When there are not enough it spends
+// nothing and says how long they will take to come in.
+func (l *Limiter) Admit(now time.Duration, name string, tokens float64) (wait time.Duration, ok bool) {
 	limit := l.limits[name]
 	if limit.Rate <= 0 {
 		return 0, true
@@ -124,14 +122,11 @@
 	l.advance(now, a, limit, part)
 	need := min(tokens, part*limit.Burst)
 	if a.balance < need {
-		wait = seconds((need - a.balance) / (part * limit.Rate))
-	}
-	if wait > patience {
-		return wait, false
+		return seconds((need - a.balance) / (part * limit.Rate)), false
 	}
 	a.balance -= tokens
 	a.spent += tokens
-	return wait, true
+	return 0, true
 }
 
 // Refund gives back the tokens of a request that was admitted and has not run.
