gateway: read the store less often, at times drawn apart

Peers tell each other how fresh they are. Ruled out: a wait of 4 s for all. Change: the wait is drawn between 0.8 and 3.2 s while peers are heard; registrations are read at 0.35 of the drain bound, a setting now; the pause between exchanges grows with the fleet (15 ms a peer).

--- a/internal/gateway/operators.go
+++ b/internal/gateway/operators.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -11,10 +12,18 @@
 )
 
 const (
-	// operatorWait is how long a read waits for news. Each answer, also one
-	// without news, shows that this instance knows all that was written when
-	// the read was sent; so this also bounds the age of that knowledge.
+	// operatorWait is how long a read waits for news while no peer is heard.
+	// Each answer, also one without news, shows that this instance knows all
+	// that was written when the read was sent; so this also bounds the age of
+	// that knowledge.
 	operatorWait = 1200 * time.Millisecond
+	// While peers are heard, whose reads tell the same, a read may wait for
+	// longer, since calls to the store are paid for: for a time drawn between
+	// minOperatorWait and that for each instance of the fleet, at most
+	// maxOperatorWait. News wakes all reads at once; without the draw they
+	// would also end at once ever after, and none would be fresh between.
+	minOperatorWait = 800 * time.Millisecond
+	maxOperatorWait = 3200 * time.Millisecond
 	// operatorRetry is the pause after a failed read. It is short: a config
 	// must be in force within two seconds of its acknowledgement.
 	operatorRetry = 200 * time.Millisecond
@@ -49,12 +58,22 @@
 }
 
 func (g *Gateway) readOperators(ctx context.Context, next int64, known bool) (OperatorNews, error) {
-	ctx, cancel := context.WithTimeout(ctx, operatorWait+storeTimeout)
+	wait := drawOperatorWait(g.peers.heardCount(), g.source())
+	ctx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
 	defer cancel()
 	if !known {
 		return g.store.Newest(ctx)
 	}
-	return g.store.Since(ctx, next, operatorWait)
+	return g.store.Since(ctx, next, wait)
+}
+
+// drawOperatorWait is how long a read waits for news, given the peers heard.
+func drawOperatorWait(peers int, rng *rand.Rand) time.Duration {
+	if peers == 0 {
+		return operatorWait
+	}
+	most := min(maxOperatorWait, minOperatorWait*time.Duration(1+peers))
+	return minOperatorWait + time.Duration(rng.Int64N(int64(most-minOperatorWait)))
 }
 
 // takeNews puts into force what a read sent at that time has brought.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -17,15 +17,21 @@
 )
 
 const (
-	// exchangeEvery is the pause between two messages to a peer. What an
-	// account spends in it on all instances is its possible debt.
+	// exchangeEvery is the least pause between two messages to a peer. What
+	// an account spends in it on all instances is its possible debt.
 	exchangeEvery = 125 * time.Millisecond
+	// exchangeShare lengthens the pause in large fleets: one message takes an
+	// instance well under a thousandth of this time, so its messages to all
+	// peers stay under a hundredth of a processor.
+	exchangeShare = 15 * time.Millisecond
 	// exchangeTimeout bounds one exchange; a peer that takes longer counts
 	// as silent.
 	exchangeTimeout = 800 * time.Millisecond
-	// heardFor is how long a peer's last message is held for its present
-	// state: four messages, so that one lost changes nothing.
-	heardFor = time.Second
+	// minHeardFor is how long a peer's last message is held for its present
+	// state, and heardMessages that time in pauses between two of them, so
+	// that one lost changes nothing.
+	minHeardFor   = time.Second
+	heardMessages = 4
 	// announceEvery is the pause between announcements while a peer is
 	// silent, or while this instance may be unknown to one.
 	announceEvery = 2 * time.Second
@@ -91,7 +97,7 @@
 		}
 		p.exchangeAll(ctx)
 		p.apply()
-		if !sleep(ctx, exchangeEvery) {
+		if !sleep(ctx, p.pace()) {
 			return
 		}
 	}
@@ -175,7 +181,7 @@
 		s := p.known[a.Instance]
 		if s == nil || s.Incarnation != a.Incarnation {
 			if s == nil || a.Revision > s.Revision {
-				p.known[a.Instance] = &peerState{Announced: a, heard: -heardFor, announcedAt: now, sentPrompts: p.promptBase + len(p.prompts), sentCrashes: p.crashBase + len(p.crashes)}
+				p.known[a.Instance] = &peerState{Announced: a, heard: never, announcedAt: now, sentPrompts: p.promptBase + len(p.prompts), sentCrashes: p.crashBase + len(p.crashes)}
 				logline.Info("peer_found", "peer", a.Instance, "address", a.Address, "incarnation", a.Incarnation)
 			}
 			continue
@@ -186,7 +192,7 @@
 	}
 	for name, s := range p.known {
 		silent := now - max(s.heard, s.announcedAt)
-		if (!there[name] || s.leaving) && now-s.heard > heardFor || silent > goneAfter {
+		if (!there[name] || s.leaving) && now-s.heard > p.heardFor() || silent > goneAfter {
 			delete(p.known, name)
 			logline.Info("peer_gone", "peer", name, "silent_for", silent, "announced", there[name])
 		}
@@ -194,15 +200,8 @@
 }
 
 func (p *peers) allHeard() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.g.clock.Now()
-	for _, s := range p.known {
-		if now-s.heard > heardFor {
-			return false
-		}
-	}
-	return len(p.known) > 0
+	n := p.heardCount()
+	return n > 0 && n+1 == p.fleetSize()
 }
 
 // fleetSize is the number of instances that may be serving, this one too.
@@ -212,6 +211,40 @@
 	return 1 + len(p.known)
 }
 
+// pace is the pause between two messages to a peer. The caller does not hold
+// p.mu.
+func (p *peers) pace() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.paceLocked()
+}
+
+func (p *peers) paceLocked() time.Duration {
+	return max(exchangeEvery, exchangeShare*time.Duration(len(p.known)))
+}
+
+// heardFor is how long a peer's last message is held for its present state.
+// The caller holds p.mu.
+func (p *peers) heardFor() time.Duration {
+	return max(minHeardFor, heardMessages*p.paceLocked())
+}
+
+// never is the time of a message that was not yet heard.
+const never = -time.Hour
+
+// heardCount is the number of peers that are heard.
+func (p *peers) heardCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now, n := p.g.clock.Now(), 0
+	for _, s := range p.known {
+		if now-s.heard <= p.heardFor() {
+			n++
+		}
+	}
+	return n
+}
+
 // exchangeAll starts an exchange with every peer that has none running.
 func (p *peers) exchangeAll(ctx context.Context) {
 	p.mu.Lock()
@@ -301,9 +334,9 @@
 	loads := map[string]load{}
 	loading, soon := map[string]bool{}, map[string]bool{}
 	p.mu.Lock()
-	fleet := 1 + len(p.known)
+	fleet, silence := 1+len(p.known), p.heardFor()
 	for _, s := range p.known {
-		if now-s.heard > heardFor {
+		if now-s.heard > p.heardFor() {
 			continue
 		}
 		for target, l := range s.loads {
@@ -318,7 +351,7 @@
 		}
 	}
 	p.mu.Unlock()
-	p.g.takePeers(now, fleet, loads, loading, soon)
+	p.g.takePeers(now, fleet, silence, loads, loading, soon)
 }
 
 // sentPrompt notes a prompt that a target has prefilled, to tell the peers.
@@ -428,10 +461,10 @@
 }
 
 // takePeers puts the peers' loads and the size of the fleet into force.
-func (g *Gateway) takePeers(now time.Duration, fleet int, loads map[string]load, loading, soon map[string]bool) {
+func (g *Gateway) takePeers(now time.Duration, fleet int, silence time.Duration, loads map[string]load, loading, soon map[string]bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.quota.SetFleet(now, fleet)
+	g.quota.SetFleet(now, fleet, silence)
 	for _, f := range g.strikes.news {
 		g.peers.struck(f)
 	}
--- a/internal/gateway/registrations.go
+++ b/internal/gateway/registrations.go
@@ -11,10 +11,11 @@
 	"github.com/mastictray/mastictray/internal/routing"
 )
 
-// registrationEvery is the pause between reads of the registrations. A
-// draining target must get no new work two seconds after it said so; a read
-// that waits for news would wake with each heartbeat of each target.
-const registrationEvery = 700 * time.Millisecond
+// registrationShare is the pause between reads of the registrations, as a part
+// of the time within which a draining target must get no new work: a read that
+// fails can be made again. A read that waits for news would wake with each
+// heartbeat of each target.
+const registrationShare = 0.35
 
 // followRegistrations keeps the directory of targets up to date.
 func (g *Gateway) followRegistrations(ctx context.Context) {
@@ -37,7 +38,7 @@
 			g.register(events, !known)
 			next, known, lost = n, true, false
 		}
-		pause := registrationEvery
+		pause := time.Duration(registrationShare * float64(g.settings.DrainBound))
 		if lost {
 			pause = g.jitter(operatorRetry)
 		}
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -179,7 +179,7 @@
 	defer p.mu.Unlock()
 	now, rank := p.g.clock.Now(), 0
 	for name, s := range p.known {
-		if name < p.g.self.Instance && !s.leaving && now-s.heard <= heardFor {
+		if name < p.g.self.Instance && !s.leaving && now-s.heard <= p.heardFor() {
 			rank++
 		}
 	}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -25,6 +25,9 @@
 	// WeightsBound is the time after which no request may begin on older
 	// weights than the newest named.
 	WeightsBound time.Duration
+	// DrainBound is the time after which a target that said that it drains
+	// must get no new work.
+	DrainBound time.Duration
 	// LeaseGap is the least time between orders of two instances to a target.
 	LeaseGap time.Duration
 	// PrefillTokensPerSecond is the prefill rate of a model server.
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -28,7 +28,8 @@
 	Burst float64
 }
 
-// PeerTimeout is the silence after which a peer's part of the buckets is left
+// PeerTimeout is the silence, unless SetFleet gives another, after which a
+// peer's part of the buckets is left
 // to it: four intervals of the exchange, so that one lost message does not
 // shrink the bucket.
 const PeerTimeout = time.Second
@@ -41,6 +42,8 @@
 	peers    map[string]*peer
 	// fleet is the number of instances that may be serving, this one too.
 	fleet int
+	// silence is the time after which a peer counts as not heard.
+	silence time.Duration
 }
 
 type account struct {
@@ -57,7 +60,7 @@
 
 // New makes a limiter for a fleet of one without limits.
 func New() *Limiter {
-	return &Limiter{limits: map[string]Limit{}, accounts: map[string]*account{}, peers: map[string]*peer{}, fleet: 1}
+	return &Limiter{limits: map[string]Limit{}, accounts: map[string]*account{}, peers: map[string]*peer{}, fleet: 1, silence: PeerTimeout}
 }
 
 // SetLimits takes the limits of a new configuration.
@@ -72,10 +75,11 @@
 	}
 }
 
-// SetFleet gives the number of instances that may be serving, this one too.
-func (l *Limiter) SetFleet(now time.Duration, n int) {
+// SetFleet gives the number of instances that may be serving, this one too,
+// and the silence after which one of them counts as not heard.
+func (l *Limiter) SetFleet(now time.Duration, n int, silence time.Duration) {
 	l.settle(now)
-	l.fleet = max(1, n)
+	l.fleet, l.silence = max(1, n), silence
 }
 
 // Heard takes in a peer's counts, by its incarnation. The first message after
@@ -84,7 +88,7 @@
 func (l *Limiter) Heard(now time.Duration, incarnation string, spent map[string]float64) {
 	l.settle(now)
 	p := l.peers[incarnation]
-	fresh := p != nil && now-p.heard <= PeerTimeout
+	fresh := p != nil && now-p.heard <= l.silence
 	if fresh {
 		for name, total := range spent {
 			l.take(now, name, total-p.spent[name])
@@ -156,7 +160,7 @@
 func (l *Limiter) part(now time.Duration) float64 {
 	heard := 1
 	for _, p := range l.peers {
-		if now-p.heard <= PeerTimeout {
+		if now-p.heard <= l.silence {
 			heard++
 		}
 	}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -36,7 +36,7 @@
 	for range n {
 		l := New()
 		l.SetLimits(0, map[string]Limit{"a": {Rate: testRate, Burst: testBurst}})
-		l.SetFleet(0, n)
+		l.SetFleet(0, n, PeerTimeout)
 		f.instances = append(f.instances, l)
 	}
 	return f
@@ -159,7 +159,7 @@
 	is := is.New(t)
 	l := New()
 	l.SetLimits(0, map[string]Limit{"a": {Rate: testRate, Burst: testBurst}})
-	l.SetFleet(0, 2)
+	l.SetFleet(0, 2, PeerTimeout)
 	l.Heard(0, "p", map[string]float64{"a": 0})
 	l.Heard(10*time.Second, "p", map[string]float64{"a": 50_000})
 	_, ok := l.Admit(10*time.Second, "a", 400)
