--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -27,8 +27,10 @@
 
 	began time.Duration
 	// due is when the final answer has to be out; 0 for never.
-	due    time.Duration
-	tokens float64 // that the request counts of its account's rate
+	due time.Duration
+	// tokens is what the request has taken of its account's rate, asked what
+	// it counts.
+	tokens, asked float64
 	// sent counts the targets that it was sent to, ran says that one of them
 	// may have run it.
 	sent int
@@ -201,6 +203,7 @@
 			c.tokens = float64(c.Prompt.Tokens + c.Prompt.MaxOutput)
 		}
 	}
+	c.asked = c.tokens
 	wait, ok := g.quota.Admit(g.clock.Now(), c.account.Name, c.tokens)
 	if !ok {
 		c.tokens = 0
@@ -239,9 +242,24 @@
 		g.dialect.Refuse(c.w, c.Request, refusal)
 	}
 	g.metrics.refused(refusal)
+	g.logRefusal(c, refusal)
+}
+
+// logRefusal writes what was decided and what it was decided by: the
+// configuration and its age, the tokens asked for, and how much of the fleet
+// is heard, by which the account's rate is shared.
+func (g *Gateway) logRefusal(c *call, refusal *Refusal) {
+	version := int64(0)
+	if c.table != nil {
+		version = c.table.Config().Version
+	}
+	g.mu.Lock()
+	age := g.contactAge()
+	g.mu.Unlock()
 	logline.Info("refused", "request", c.ID, "route", routeName(c), "account", accountName(c), "status", refusal.Status,
 		"reason", refusal.Reason, "not_run", refusal.NotRun, "sent", c.sent, "target", c.tried,
-		"after", g.clock.Now()-c.began, "retry_after", refusal.RetryAfter)
+		"after", g.clock.Now()-c.began, "retry_after", refusal.RetryAfter, "tokens", c.asked,
+		"config", version, "config_age", age, "fleet", g.peers.fleetSize(), "heard", g.peers.heardCount())
 }
 
 func unavailable(reason string, retryAfter time.Duration) *Refusal {
