gateway: orders end with the right to send them; careful starts; gentle drain

Change: an order's context ends with the right; the fleet counts as 16 until it was read; budgets start with one repeat and follow the fleet; answers say "close" while draining and idle connections stay open; heads over the operators' limit get 431; SIGHUP is logged.

--- a/cmd/mastictray-gateway/main.go
+++ b/cmd/mastictray-gateway/main.go
@@ -46,11 +46,24 @@
 	limitMemory(s.MemoryMB)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	signal.Ignore(syscall.SIGHUP) // the settings in use do not change while it runs
+	logReloads()
 	g := gateway.New(s.gateway(), platform.Dialect{}, platform.NewStore(s.StoreAddress), platform.NewControl())
 	return g.Run(ctx)
 }
 
+// logReloads notes each request to read the settings again. They are bounds of
+// the platform and addresses, fixed for the life of a process; what operators
+// change comes through the store.
+func logReloads() {
+	asked := make(chan os.Signal, 1)
+	signal.Notify(asked, syscall.SIGHUP)
+	go func() {
+		for range asked {
+			logline.Info("reload_asked", "settings", "read at the start only")
+		}
+	}()
+}
+
 const (
 	// gcPercent trades processor time for memory: the live heap is a few
 	// megabytes, so collecting twice as often costs little.
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -117,10 +117,6 @@
 	}
 }
 
-// lastAnswers makes every further answer the last one of its connection, so
-// that callers move to other instances by themselves.
-func (s *callerServer) lastAnswers() { s.callers.SetKeepAlivesEnabled(false) }
-
 // shutdown takes no new connections and waits for running requests.
 func (s *callerServer) shutdown(ctx context.Context) {
 	if err := s.callers.Shutdown(ctx); err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -71,6 +71,11 @@
 // they were named.
 type namedVersions struct{ list []namedVersion }
 
+// unknownFleet is the size that the fleet is taken to have until its instances
+// were read once. A process that starts while the store fails would otherwise
+// spend the whole rate of each account, beside all others.
+const unknownFleet = 16
+
 type namedVersion struct {
 	version int64
 	at      time.Duration
@@ -136,6 +141,7 @@
 		strikes:   newStrikes(),
 		planner:   weights.New(weights.DefaultSettings()),
 	}
+	g.quota.SetFleet(0, unknownFleet, quota.PeerTimeout)
 	lease := orderlease.DefaultSettings()
 	lease.Gap = s.LeaseGap
 	g.lease = &sharedLease{l: orderlease.New(g.self.Incarnation, lease)}
@@ -178,7 +184,6 @@
 func (g *Gateway) drain() {
 	logline.Info("draining", "balancer_lag", g.settings.BalancerLag, "running_for", g.settings.DrainTimeout)
 	g.closing.Store(true)
-	g.callers.lastAnswers()
 	time.Sleep(g.settings.BalancerLag)
 	ctx, cancel := context.WithTimeout(context.Background(), g.settings.DrainTimeout)
 	defer cancel()
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -64,6 +64,8 @@
 	promptBase int
 	crashBase  int
 	crashes    []uint64
+	// read is set once the announcements were read.
+	read bool
 }
 
 type peerState struct {
@@ -171,6 +173,7 @@
 func (p *peers) take(all []Announced) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.read = true
 	now := p.g.clock.Now()
 	there := map[string]bool{p.g.self.Instance: true}
 	for _, a := range all {
@@ -208,6 +211,13 @@
 func (p *peers) fleetSize() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.sizeLocked()
+}
+
+func (p *peers) sizeLocked() int {
+	if !p.read {
+		return max(unknownFleet, 1+len(p.known))
+	}
 	return 1 + len(p.known)
 }
 
@@ -334,7 +344,7 @@
 	loads := map[string]load{}
 	loading, soon := map[string]bool{}, map[string]bool{}
 	p.mu.Lock()
-	fleet, silence := 1+len(p.known), p.heardFor()
+	fleet, silence := p.sizeLocked(), p.heardFor()
 	for _, s := range p.known {
 		if now-s.heard > p.heardFor() {
 			continue
@@ -465,6 +475,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.quota.SetFleet(now, fleet, silence)
+	g.shareReserves(fleet)
 	for _, f := range g.strikes.news {
 		g.peers.struck(f)
 	}
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -235,7 +235,10 @@
 // giveOrder sends an order if the lease still allows it: the process may have
 // stood still since it was decided.
 func (g *Gateway) giveOrder(ctx context.Context, s weights.Send) {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	// An order that is still on its way when the right ends could reach its
+	// target next to one of another holder.
+	left := g.lease.until() - g.clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, min(orderTimeout, left))
 	defer cancel()
 	if token, held := g.lease.held(g.clock.Now()); !held || token != s.Order.Token {
 		g.mu.Lock()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -51,6 +51,12 @@
 	g.running.Add(1)
 	defer g.running.Done()
 	c := &call{w: w, r: r, began: g.clock.Now()}
+	if g.closing.Load() {
+		// The caller moves to another instance after this answer. Its idle
+		// connections stay open meanwhile: a request that crosses the close
+		// of one is lost to its caller.
+		w.Header().Set("Connection", "close")
+	}
 	req, err := g.dialect.Decode(r)
 	if err != nil {
 		c.Request = &Request{}
@@ -98,9 +104,30 @@
 		return &Refusal{Status: http.StatusNotFound, Reason: "no_route", NotRun: true}
 	}
 	c.route = route
+	if limit := c.table.Config().Limits.MaxHeaderBytes; limit > 0 && headerBytes(c.r) > limit {
+		return &Refusal{Status: http.StatusRequestHeaderFieldsTooLarge, Reason: "header_too_large", NotRun: true}
+	}
 	return nil
 }
 
+// headerBytes is the size of a request's head on the wire.
+func headerBytes(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host) + headFraming
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + lineFraming
+		}
+	}
+	return n
+}
+
+const (
+	// headFraming is the bytes of the request line and the Host line beside
+	// their values, and of the empty line.
+	headFraming = len("  HTTP/1.1\r\nHost: \r\n\r\n")
+	lineFraming = len(": \r\n")
+)
+
 // notReadyRetry is the hint of an instance that just started: about the time
 // of a few reads of the store.
 const notReadyRetry = 300 * time.Millisecond
--- a/internal/gateway/sharedlease.go
+++ b/internal/gateway/sharedlease.go
@@ -22,6 +22,12 @@
 	return s.l.Held(now)
 }
 
+func (s *sharedLease) until() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.l.Until()
+}
+
 func (s *sharedLease) heldLast() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/orderlease/lease.go
+++ b/internal/orderlease/lease.go
@@ -115,6 +115,9 @@
 	return l.record.Token, l.known && l.record.Holder == l.self && now < l.validUntil
 }
 
+// Until is when the right to send orders ends.
+func (l *Lease) Until() time.Duration { return l.validUntil }
+
 // HeldLast says that this instance wrote the present record, as far as is
 // known: no other has given orders since.
 func (l *Lease) HeldLast() bool { return l.known && l.record.Holder == l.self }
--- a/internal/overload/budget.go
+++ b/internal/overload/budget.go
@@ -27,6 +27,13 @@
 	return &Budget{ratio: ratio, reserve: reserve, saved: min(start, reserve)}
 }
 
+// SetReserve changes the most that is saved up, as when the fleet that shares a
+// bound grows or shrinks.
+func (b *Budget) SetReserve(reserve float64) {
+	b.reserve = reserve
+	b.saved = min(b.saved, reserve)
+}
+
 // Request counts a request at its first attempt.
 func (b *Budget) Request() { b.saved = min(b.reserve, b.saved+b.ratio) }
 
--- a/internal/overload/budget_test.go
+++ b/internal/overload/budget_test.go
@@ -27,6 +27,17 @@
 	is.True(attempts > requests*109/100) // and the budget is used
 }
 
+// A fleet grows: each instance's part of what may be saved up shrinks at once,
+// also what it has saved already.
+func TestReserveFollowsTheFleet(t *testing.T) {
+	is := is.New(t)
+	b := NewBudget(DefaultRatio, 30, 30)
+	b.SetReserve(5)
+	is.Equal(b.Saved(), 5.0)
+	b.SetReserve(30)
+	is.Equal(b.Saved(), 5.0)
+}
+
 // After calm hours a domain with a third of 900 open requests fails. The
 // reserve pays for one repeat of each, so no caller sees the failure.
 func TestReservePaysForLostDomain(t *testing.T) {
