gateway: end new requests before the balancer's three seconds; share out cache stores

Ruled out: the time for running streams (4.4 s, unchanged). Cause 2: 61 instances asked each store for events, a store answers 12 at once, so most took it for down and neither fetched nor saved; and only the first of three stores was used. Change: eight readers, the others hear from peers; a prompt's store by rendezvous hashing.

--- a/cmd/mastictray-gateway/settings.go
+++ b/cmd/mastictray-gateway/settings.go
@@ -33,7 +33,7 @@
 	LeaseGap     time.Duration `default:"3s" help:"Least time between orders of two instances to one target." group:"limits"`
 	PrefillRate  float64       `default:"80000" help:"Prompt tokens that a model server reads in a second." group:"limits"`
 
-	BalancerLag time.Duration `default:"3500ms" help:"After SIGTERM requests are still accepted for this long, until the balancer has noticed." group:"shutdown"`
+	BalancerLag time.Duration `default:"2800ms" help:"After SIGTERM requests are still accepted for this long, until the balancer has noticed." group:"shutdown"`
 	Grace       time.Duration `default:"8s" help:"Time from SIGTERM to the end of the process." group:"shutdown"`
 }
 
--- a/internal/cacheindex/index.go
+++ b/internal/cacheindex/index.go
@@ -1,15 +1,17 @@
-// Package cacheindex keeps what a store of KV cache is known to hold.
+// Package cacheindex keeps what stores of KV cache are known to hold.
 //
 // Model servers evict cached pieces within seconds: the own part of each
 // prompt, which nobody asks for again, pushes out openings that are. A piece
-// that a server saved to the store is fetched from there in milliseconds
-// instead of being computed again. The index follows the store's events; the
-// own saves are noted at once, since events come late.
+// that a server saved to a store is fetched from there in milliseconds instead
+// of being computed again. The index of a store follows its events; saves are
+// noted at once, since events come late.
 //
 // The package is pure.
 package cacheindex
 
 import (
+	"time"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/mastictray/mastictray/internal/prefix"
@@ -37,54 +39,77 @@
 type Index struct {
 	boot  int64
 	alive bool
-	held  map[uint64]struct{}
+	// follows is set while this process reads the store's events itself.
+	follows bool
+	held    map[uint64]time.Duration // when the piece was last told of
 }
 
-// maxHeld bounds the pieces remembered: several times what a store of some
-// million tokens holds.
-const maxHeld = 1 << 16
+const (
+	// maxHeld bounds the pieces remembered: several times what a store of some
+	// million tokens holds.
+	maxHeld = 1 << 16
+	// unfollowedFor is how long a save counts where nobody tells of evictions:
+	// about the time in which a busy store replaces all that it holds.
+	unfollowedFor = 15 * time.Second
+)
 
 // New makes an index of a store that has not answered yet.
-func New() *Index { return &Index{held: map[uint64]struct{}{}} }
+func New() *Index { return &Index{held: map[uint64]time.Duration{}} }
 
 // Apply takes in news. After a restart or a gap only what is told from then on
 // counts: a piece believed and not there costs a fetch in vain.
-func (x *Index) Apply(n News) {
-	x.alive = true
-	if n.Boot != x.boot || n.Lost || len(x.held) > maxHeld {
+func (x *Index) Apply(now time.Duration, n News) {
+	x.follows = true
+	x.Alive(n.Boot)
+	if n.Lost || len(x.held) > maxHeld {
 		clear(x.held)
 	}
-	x.boot = n.Boot
 	for _, e := range n.Events {
 		if e.Held {
-			x.held[key(e.Scope, e.Piece)] = struct{}{}
+			x.held[key(e.Scope, e.Piece)] = now
 		} else {
 			delete(x.held, key(e.Scope, e.Piece))
 		}
 	}
 }
 
+// Alive takes in that the store was seen to answer, by this instance or by a
+// peer, and which of its starts it was.
+func (x *Index) Alive(boot int64) {
+	if boot != x.boot {
+		clear(x.held)
+	}
+	x.boot, x.alive = boot, true
+}
+
 // Down takes in that the store does not answer: a fetch from it would cost
 // each request some hundred milliseconds.
 func (x *Index) Down() { x.alive = false }
 
-// Alive says that the store answered the last question.
-func (x *Index) Alive() bool { return x.alive }
+// Answers says whether the store answers, and which of its starts it is.
+func (x *Index) Answers() (boot int64, ok bool) { return x.boot, x.alive }
+
+// Unfollow notes that this process no longer reads the store's events.
+func (x *Index) Unfollow() { x.follows = false }
 
 // Saved notes that a model server saves these pieces.
-func (x *Index) Saved(scope string, pieces []prefix.Hash) {
+func (x *Index) Saved(now time.Duration, scope string, pieces []prefix.Hash) {
+	if len(x.held) > maxHeld {
+		clear(x.held)
+	}
 	for _, p := range pieces {
-		x.held[key(scope, p)] = struct{}{}
+		x.held[key(scope, p)] = now
 	}
 }
 
 // Holds is the number of leading pieces that the store holds.
-func (x *Index) Holds(scope string, pieces []prefix.Hash) int {
+func (x *Index) Holds(now time.Duration, scope string, pieces []prefix.Hash) int {
 	if !x.alive {
 		return 0
 	}
 	for i, p := range pieces {
-		if _, ok := x.held[key(scope, p)]; !ok {
+		at, ok := x.held[key(scope, p)]
+		if !ok || !x.follows && now-at > unfollowedFor {
 			return i
 		}
 	}
--- a/internal/gateway/cachestore.go
+++ b/internal/gateway/cachestore.go
@@ -2,17 +2,20 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/mastictray/mastictray/internal/cacheindex"
 	"github.com/mastictray/mastictray/internal/logline"
+	"github.com/mastictray/mastictray/internal/placement"
 	"github.com/mastictray/mastictray/internal/prefix"
 	"github.com/mastictray/mastictray/internal/routing"
+	"github.com/mastictray/mastictray/internal/wire"
 )
 
 const (
-	// cacheEventsWait is how long a question to the store waits for news;
+	// cacheEventsWait is how long a question to a store waits for news;
 	// shorter ones are charged as probes.
 	cacheEventsWait = time.Second
 	// cacheEventsEvery is the pause between questions, so that many events
@@ -20,73 +23,116 @@
 	cacheEventsEvery = 400 * time.Millisecond
 	// cacheRetry is the pause after a question without an answer.
 	cacheRetry = 500 * time.Millisecond
+	// maxCacheReaders is the instances that read a store's events, under what
+	// a store answers at once. The others hear of its life from these.
+	maxCacheReaders = 8
 )
 
-// cacheStore is the store of KV cache that this instance makes targets use.
-type cacheStore struct {
+// cacheStores are the stores of KV cache that this instance makes targets use.
+// Each prompt has one store, by rendezvous hashing of its last shared piece, so
+// that all instances save and look for it at the same place.
+type cacheStores struct {
 	g *Gateway
 
-	mu      sync.Mutex
-	address string
-	index   *cacheindex.Index
-	since   int64
+	mu        sync.Mutex
+	addresses []string
+	stores    map[string]*cacheStore
 }
 
-func newCacheStore(g *Gateway) *cacheStore { return &cacheStore{g: g, index: cacheindex.New()} }
+type cacheStore struct {
+	index *cacheindex.Index
+	since int64
+	// heard is when the store, or a peer's word of it, was last heard.
+	heard   time.Duration
+	reading bool
+}
+
+func newCacheStores(g *Gateway) *cacheStores {
+	return &cacheStores{g: g, stores: map[string]*cacheStore{}}
+}
 
-// run follows the store's events until ctx ends.
-func (s *cacheStore) run(ctx context.Context) {
+// run follows the stores' events until ctx ends.
+func (s *cacheStores) run(ctx context.Context) {
 	for {
-		pause := cacheRetry
-		if address, since := s.locate(); address != "" {
-			call, cancel := context.WithTimeout(ctx, cacheEventsWait+orderTimeout)
-			news, err := s.g.control.CacheEvents(call, address, since, cacheEventsWait)
-			cancel()
-			s.take(address, news, err)
-			if err == nil {
-				pause = cacheEventsEvery
-			}
+		reads := s.g.peers.rank() < maxCacheReaders
+		for _, address := range s.locate(reads) {
+			go s.read(ctx, address)
 		}
-		if !sleep(ctx, pause) {
+		if !sleep(ctx, cacheEventsEvery) {
 			return
 		}
 	}
 }
 
-// locate finds the store in the configuration in force.
-func (s *cacheStore) locate() (string, int64) {
-	t := s.g.table.Load()
+// locate finds the stores in the configuration in force, and gives those to
+// read now.
+func (s *cacheStores) locate(reads bool) []string {
+	addresses := cacheAddresses(s.g.table.Load())
+	now := s.g.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	address := cacheAddress(t)
-	if address != s.address {
-		s.address, s.index, s.since = address, cacheindex.New(), 0
+	if !slices.Equal(addresses, s.addresses) {
+		s.addresses = addresses
+		next := map[string]*cacheStore{}
+		for _, a := range addresses {
+			next[a] = s.stores[a]
+			if next[a] == nil {
+				next[a] = &cacheStore{index: cacheindex.New()}
+			}
+		}
+		s.stores = next
 	}
-	return s.address, s.since
+	var out []string
+	for address, store := range s.stores {
+		switch {
+		case reads && !store.reading:
+			store.reading = true
+			out = append(out, address)
+		case !reads:
+			store.index.Unfollow()
+			if now-store.heard > goneAfter {
+				store.index.Down()
+			}
+		}
+	}
+	return out
 }
 
-// cacheAddress is the address of the configuration's first store of KV cache.
-func cacheAddress(t *routing.Table) string {
+// cacheAddresses are the addresses of the configuration's stores, in order.
+func cacheAddresses(t *routing.Table) []string {
+	var out []string
 	if t == nil {
-		return ""
+		return nil
 	}
 	for _, s := range t.Config().Services {
 		if s.Cache != nil {
-			return s.Cache.Address
+			out = append(out, s.Cache.Address)
 		}
 	}
-	return ""
+	slices.Sort(out)
+	return out
 }
 
-func (s *cacheStore) take(address string, news cacheindex.News, err error) {
+// read asks one store what has changed.
+func (s *cacheStores) read(ctx context.Context, address string) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if address != s.address {
+	store := s.stores[address]
+	s.mu.Unlock()
+	if store == nil {
 		return
 	}
-	was := s.index.Alive()
+	call, cancel := context.WithTimeout(ctx, cacheEventsWait+orderTimeout)
+	defer cancel()
+	news, err := s.g.control.CacheEvents(call, address, store.since, cacheEventsWait)
 	if err != nil {
-		s.index.Down()
+		sleep(ctx, cacheRetry)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	store.reading = false
+	_, was := store.index.Answers()
+	if err != nil {
+		store.index.Down()
 		if was {
 			logline.Error(err, "cache_store_lost", "address", address)
 		}
@@ -95,31 +141,82 @@
 	if !was {
 		logline.Info("cache_store_found", "address", address, "boot", news.Boot)
 	}
-	s.index.Apply(news)
-	s.since = news.Next
+	store.heard = s.g.clock.Now()
+	store.index.Apply(store.heard, news)
+	store.since = news.Next
 }
 
-// plan says whether a request should fetch its pieces from the store, and
+// of is the address of the store for a prompt with these shared pieces. The
+// caller holds s.mu.
+func (s *cacheStores) of(pieces []prefix.Hash) string {
+	if len(s.addresses) == 0 || len(pieces) == 0 {
+		return ""
+	}
+	usable := make([]bool, len(s.addresses))
+	for i := range usable {
+		usable[i] = true
+	}
+	return s.addresses[placement.Order(pieces[len(pieces)-1], s.addresses, usable)[0]]
+}
+
+// plan says whether a request should fetch its pieces from a store, and
 // whether its target should save them there.
-func (s *cacheStore) plan(scope string, pieces []prefix.Hash) (fetch, save string) {
+func (s *cacheStores) plan(scope string, pieces []prefix.Hash) (fetch, save string) {
+	now := s.g.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.index.Alive() || len(pieces) == 0 {
+	address := s.of(pieces)
+	if address == "" {
+		return "", ""
+	}
+	index := s.stores[address].index
+	if _, ok := index.Answers(); !ok {
 		return "", ""
 	}
-	n := s.index.Holds(scope, pieces)
+	n := index.Holds(now, scope, pieces)
 	if n > 0 {
-		fetch = s.address
+		fetch = address
 	}
 	if n < len(pieces) {
-		save = s.address
+		save = address
 	}
 	return fetch, save
 }
 
-// saved notes that a target has read pieces that it was told to save.
-func (s *cacheStore) saved(scope string, pieces []prefix.Hash) {
+// saved notes that a target has read pieces that it was told to save, by this
+// instance or by a peer.
+func (s *cacheStores) saved(scope string, pieces []prefix.Hash) {
+	now := s.g.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if address := s.of(pieces); address != "" {
+		s.stores[address].index.Saved(now, scope, pieces)
+	}
+}
+
+// answering lists the stores that this instance reads, for its peers.
+func (s *cacheStores) answering() []wire.CacheStore {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.index.Saved(scope, pieces)
+	var out []wire.CacheStore
+	for address, store := range s.stores {
+		if boot, ok := store.index.Answers(); ok && store.reading {
+			out = append(out, wire.CacheStore{Address: address, Boot: boot})
+		}
+	}
+	return out
+}
+
+// told takes in which stores a peer reads. An instance that reads a store
+// itself knows better.
+func (s *cacheStores) told(stores []wire.CacheStore) {
+	now := s.g.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range stores {
+		if store := s.stores[t.Address]; store != nil && !store.reading {
+			store.heard = now
+			store.index.Alive(t.Boot)
+		}
+	}
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -200,10 +200,7 @@
 		choice: choice{cached: pl.send.Decision.CachedPieces, uncached: int(pl.send.Decision.UncachedTokens), expected: pl.send.Decision.Expected, targets: pl.targets},
 		answered: func() {
 			if !pl.prefilled {
-				g.peers.sentPrompt(pl)
-				if l.saves {
-					g.cache.saved(l.scope, sharedPieces(c))
-				}
+				g.noteRead(c, l, pl)
 			}
 			pool.answered(pl)
 		},
@@ -215,6 +212,17 @@
 	return l, nil
 }
 
+// noteRead notes that a target has read the prompt, and whether it saves it.
+func (g *Gateway) noteRead(c *call, l *leg, pl *placed) {
+	if !l.saves {
+		g.peers.sentPrompt(pl, "", nil)
+		return
+	}
+	pieces := sharedPieces(c)
+	g.cache.saved(l.scope, pieces)
+	g.peers.sentPrompt(pl, l.scope, pieces)
+}
+
 // sharedPieces are the names of the prompt's pieces that other requests share.
 func sharedPieces(c *call) []prefix.Hash {
 	pieces := c.Prompt.Pieces
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,7 +53,7 @@
 	strikes    strikes
 
 	peers   *peers
-	cache   *cacheStore
+	cache   *cacheStores
 	lease   *sharedLease
 	planner *weights.Planner
 	// ordered are the targets that load by this instance's orders, orderedSoon
@@ -146,7 +146,7 @@
 	lease.Gap = s.LeaseGap
 	g.lease = &sharedLease{l: orderlease.New(g.self.Incarnation, lease)}
 	g.peers = newPeers(g)
-	g.cache = newCacheStore(g)
+	g.cache = newCacheStores(g)
 	g.callers = newCallerServer(g)
 	return g
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -364,21 +364,35 @@
 	p.g.takePeers(now, fleet, silence, loads, loading, soon)
 }
 
-// sentPrompt notes a prompt that a target has prefilled, to tell the peers.
-func (p *peers) sentPrompt(pl *placed) {
+// sentPrompt notes a prompt that a target has prefilled, and the pieces that it
+// saves under the scope, to tell the peers.
+func (p *peers) sentPrompt(pl *placed, scope string, saved []prefix.Hash) {
 	chain := pl.send.Request.Place.Chain
 	if len(chain) == 0 {
 		return
 	}
-	m := wire.SentPrompt{Target: pl.target.ID, Born: pl.target.Born, Chain: make([]uint64, len(chain))}
-	for i, h := range chain {
-		m.Chain[i] = uint64(h)
-	}
+	m := wire.SentPrompt{Target: pl.target.ID, Born: pl.target.Born, Chain: numbers(chain), Scope: scope, Pieces: numbers(saved)}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.prompts = append(p.prompts, m)
 }
 
+func numbers(hashes []prefix.Hash) []uint64 {
+	out := make([]uint64, len(hashes))
+	for i, h := range hashes {
+		out[i] = uint64(h)
+	}
+	return out
+}
+
+func hashes(numbers []uint64) []prefix.Hash {
+	out := make([]prefix.Hash, len(numbers))
+	for i, n := range numbers {
+		out[i] = prefix.Hash(n)
+	}
+	return out
+}
+
 // struck notes a request that broke off, to tell the peers.
 func (p *peers) struck(fingerprint uint64) {
 	p.mu.Lock()
@@ -388,7 +402,7 @@
 
 // state is what this instance tells its peers.
 func (g *Gateway) state() wire.Exchange {
-	m := wire.Exchange{From: g.self, Leaving: g.closing.Load(), Loads: map[string]wire.TargetLoad{}}
+	m := wire.Exchange{From: g.self, Leaving: g.closing.Load(), Loads: map[string]wire.TargetLoad{}, Stores: g.cache.answering()}
 	if t := g.table.Load(); t != nil {
 		m.ConfigVersion = t.Config().Version
 	}
@@ -425,11 +439,12 @@
 		pools = append(pools, pool)
 	}
 	g.mu.Unlock()
+	g.cache.told(m.Stores)
 	for _, s := range m.Prompts {
-		chain := make([]prefix.Hash, len(s.Chain))
-		for i, h := range s.Chain {
-			chain[i] = prefix.Hash(h)
+		if len(s.Pieces) > 0 {
+			g.cache.saved(s.Scope, hashes(s.Pieces))
 		}
+		chain := hashes(s.Chain)
 		for _, pool := range pools {
 			pool.believe(directory.Incarnation{ID: s.Target, Born: s.Born}, chain)
 		}
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -21,6 +21,8 @@
 	// Prompts are pieces that the sender's requests have left at targets
 	// since its last message.
 	Prompts []SentPrompt `msgpack:"p,omitempty"`
+	// Stores are the stores of KV cache that the sender reads.
+	Stores []CacheStore `msgpack:"k,omitempty"`
 	// Crashed are fingerprints of requests that broke off at a target.
 	Crashed []uint64 `msgpack:"c,omitempty"`
 	// Leaving is set by an instance that takes no more requests.
@@ -41,6 +43,16 @@
 	Born   int64  `msgpack:"b"`
 	// Chain are the hashes of the prompt's shared pieces.
 	Chain []uint64 `msgpack:"c"`
+	// Scope and Pieces are set when the target saves the pieces to a store.
+	Scope  string   `msgpack:"s,omitempty"`
+	Pieces []uint64 `msgpack:"p,omitempty"`
+}
+
+// CacheStore is a store of KV cache that answers.
+type CacheStore struct {
+	Address string `msgpack:"a"`
+	// Boot tells its starts apart.
+	Boot int64 `msgpack:"b"`
 }
 
 // ExchangeAnswer answers an Exchange.
