--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -116,3 +116,39 @@
 	f.Failed(&s)
 	is.Equal(target.Load.Given(0, 10000), 500.0)
 }
+
+// Sixty instances of a fleet see idle targets all at the same time, and none
+// hears of the others' sends for a second. Each keeps to its part, so that the
+// targets' queues stay short enough for first tokens in time.
+func TestInstanceKeepsToItsPartOfThePool(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(20)
+	f.SetMost(2 * (pieceTokens + 100))
+	sent := 0
+	for i := range 20 {
+		sent += len(f.push("a", prefix.Hash(i+1), 0).Sends)
+	}
+	is.Equal(sent+f.Waiting(), 20)
+	is.True(f.pool.Unanswered() < 3*(pieceTokens+100)) // the bound and a part of one request
+}
+
+// More comes than can be served. A request that has missed its objective while
+// it waited gives way to one that can still make it.
+func TestRequestPastItsObjectiveWaitsBehind(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(1)
+	f.push("a", 1, 0) // takes the target
+	push := func(name string, objective time.Duration) {
+		f.id++
+		r := &Request[string]{ID: f.id, Account: "a", Priority: 5, Value: name, Objective: objective}
+		r.Place = placement.Request{Chain: []prefix.Hash{prefix.Hash(f.id)}, PieceTokens: pieceTokens, PromptTokens: pieceTokens}
+		f.Push(0, r, f.rng)
+	}
+	push("old", time.Second)
+	push("fresh", 5*time.Second)
+	f.pool.Target(0).Load.Answered(0, pieceTokens+100)
+	step := f.Step(2*time.Second, f.rng)
+	is.Equal(len(step.Sends), 1)
+	is.Equal(step.Sends[0].Request.Value, "fresh")
+	is.Equal(f.Waiting(), 1)
+}
--- /dev/null
+++ b/internal/gateway/attempt.go
@@ -0,0 +1,170 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mastictray/mastictray/internal/overload"
+	"github.com/mastictray/mastictray/internal/targetconn"
+)
+
+// attempt sends the request to one target and relays what comes.
+func (g *Gateway) attempt(ctx context.Context, c *call, l *leg, s *relay) outcome {
+	c.tried, c.choice = l.target.ID, l.choice
+	c.placedAt = g.clock.Now()
+	conn, err := g.targets.Get(ctx, l.target.Address, g.freshFor(c))
+	if err != nil {
+		if ctx.Err() != nil {
+			l.ended(overload.Cancelled)
+		} else {
+			l.unreachable()
+			l.ended(overload.Failed)
+		}
+		g.logAttempt(c, l, "not_sent", err)
+		return notSent
+	}
+	c.sent++
+	abandon := conn.Close
+	if !c.route.Repeatable() {
+		abandon = nil // the target may come back; nobody else may run it
+	}
+	l.sent(abandon)
+	stop := context.AfterFunc(ctx, conn.Close)
+	result, err := g.exchange(ctx, c, l, s, conn)
+	if !stop() {
+		conn.Break()
+	}
+	if result == delivered {
+		g.targets.Put(conn)
+	} else {
+		conn.Close()
+	}
+	l.ended(verdictOn(ctx, result, err))
+	if result != delivered {
+		g.logAttempt(c, l, result.String(), err)
+		g.noteCrash(ctx, c, result, err)
+	}
+	return result
+}
+
+// errServerError marks an answer by which the target says that it failed.
+var errServerError = errors.New("target: server error")
+
+// verdictOn is what an attempt says of its target.
+func verdictOn(ctx context.Context, result outcome, err error) overload.Result {
+	switch {
+	case result == delivered && !errors.Is(err, errServerError):
+		return overload.Succeeded
+	case ctx.Err() != nil && errors.Is(ctx.Err(), context.Canceled):
+		return overload.Cancelled
+	case result == notRun:
+		// It is full or leaving, not broken.
+		return overload.Cancelled
+	}
+	return overload.Failed
+}
+
+// freshFor is the longest idle time of a connection for the request. One that
+// may not be repeated takes a connection that cannot have been closed for
+// idleness meanwhile: a reset would leave open whether it ran.
+func (g *Gateway) freshFor(c *call) time.Duration {
+	if c.route.Repeatable() {
+		return longIdle
+	}
+	return shortIdle
+}
+
+const (
+	longIdle = time.Minute
+	// shortIdle is under the shortest idle timeouts that servers use.
+	shortIdle = 1500 * time.Millisecond
+)
+
+// exchange sends the request on a connection and relays the answer.
+func (g *Gateway) exchange(ctx context.Context, c *call, l *leg, s *relay, conn *targetconn.Conn) (outcome, error) {
+	o := g.outgoing(c, l, s)
+	l.saves, l.scope = o.SaveTo != "", o.CacheScope
+	req := &targetconn.Request{
+		Method: c.Method, URI: c.URI, Host: c.Host, Body: c.Body, Header: g.dialect.Encode(c.Request, o),
+	}
+	resp, err := g.send(ctx, c, conn, req)
+	if err != nil {
+		return unknown, err
+	}
+	defer resp.Body.Close()
+	verdict := g.dialect.Judge(resp)
+	if verdict.Weights > 0 && c.Prompt != nil {
+		g.engineOf(c).served(l.target.Incarnation(), c.Prompt.Model, verdict.Weights)
+	}
+	switch {
+	case verdict.NotRun:
+		if c.service.Engine != nil {
+			g.engineOf(c).refused(l.target.Incarnation())
+		}
+		return notRun, errors.Newf("status %d, not run", resp.StatusCode)
+	case !verdict.Genuine:
+		return unknown, errors.Newf("status %d without the target's signature", resp.StatusCode)
+	case resp.StatusCode >= http.StatusInternalServerError && g.worthRepeating(ctx, c):
+		return unknown, errors.Wrapf(errServerError, "status %d", resp.StatusCode)
+	}
+	return s.answer(ctx, l, conn, resp)
+}
+
+// worthRepeating says that a failure of the target may be tried elsewhere.
+func (g *Gateway) worthRepeating(ctx context.Context, c *call) bool {
+	return ctx.Err() == nil && c.route.Repeatable() && c.sent < c.route.MaxAttempts && !c.wrote &&
+		g.budget(c.service.Name).saved() >= 1
+}
+
+// send writes the request and waits for the head of its answer. Where the
+// request may be repeated and may go elsewhere, it waits for a part of the
+// time only: a target that hangs says nothing until the deadline.
+func (g *Gateway) send(ctx context.Context, c *call, conn *targetconn.Conn, req *targetconn.Request) (*http.Response, error) {
+	if wait := g.tryTime(c); wait > 0 {
+		t := time.AfterFunc(wait, conn.Close)
+		defer t.Stop()
+	}
+	return conn.Send(ctx, req, func(resp *http.Response) bool { return g.dialect.Answers(c.Request, resp) })
+}
+
+// tryTime is how long an attempt may stay without an answer before another
+// target is tried; 0 for as long as the request may.
+func (g *Gateway) tryTime(c *call) time.Duration {
+	if c.service.Engine != nil || !c.route.Repeatable() || c.sent >= c.route.MaxAttempts {
+		return 0
+	}
+	return max(minTryTime, min(c.route.LatencyObjective*tryObjectives, g.left(c)/2))
+}
+
+const (
+	// minTryTime is far above the usual time of an answer.
+	minTryTime = 60 * time.Millisecond
+	// tryObjectives is the latency objectives after which an answer is worth
+	// less by so much that another target is tried.
+	tryObjectives = 1
+)
+
+// outgoing is what goes with the request to the target.
+func (g *Gateway) outgoing(c *call, l *leg, s *relay) Outgoing {
+	o := Outgoing{
+		Target: l.target.ID, Account: accountName(c), Left: g.left(c), Urgency: urgency(c),
+		FetchFrom: l.source, LastEventID: s.resumeAfter(),
+	}
+	if c.Prompt != nil {
+		// Pieces made on one version must not serve another: targets look
+		// neither at versions nor at accounts when they fetch. So the scope
+		// names both, and the target must have the version that it names.
+		o.Weights = l.target.Versions[c.Prompt.Model]
+		o.CacheScope = strconv.FormatInt(o.Weights, 10) + "/" + cacheScope(c)
+		fetch, save := g.cache.plan(o.CacheScope, sharedPieces(c))
+		if fetch != "" {
+			o.FetchFrom = fetch
+		}
+		o.SaveTo = save
+	}
+	return o
+}
--- /dev/null
+++ b/internal/gateway/enginemarks.go
@@ -0,0 +1,121 @@
+package gateway
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/mastictray/mastictray/internal/belief"
+	"github.com/mastictray/mastictray/internal/directory"
+)
+
+// versionText names the weights of a target; what it cached under others is
+// not believed any more.
+func versionText(versions map[string]int64) string {
+	switch len(versions) {
+	case 0:
+		return ""
+	case 1:
+		for _, v := range versions {
+			return strconv.FormatInt(v, 10)
+		}
+	}
+	sum := int64(0)
+	for _, v := range versions {
+		sum = sum*31 + v
+	}
+	return strconv.FormatInt(sum, 10)
+}
+
+// behind says that a target has older weights than these.
+func behind(r *directory.Registration, versions map[string]int64) bool {
+	for model, version := range versions {
+		if v, ok := r.Versions[model]; ok && v < version {
+			return true
+		}
+	}
+	return false
+}
+
+// restAfterRefusal is how long a target that refused a request as a whole gets
+// no other: it is full or about to load, and by then peers will have told.
+const restAfterRefusal = 200 * time.Millisecond
+
+// resting says that a target takes no requests now.
+func (p *enginePool) resting(r *directory.Registration) bool {
+	at, refused := p.refusedAt[r.ID]
+	return p.loading[r.ID] || behind(r, p.least) || refused && p.now()-at < restAfterRefusal
+}
+
+// refused takes in that a target refused a request as a whole.
+func (p *enginePool) refused(id directory.Incarnation) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r, ok := p.regs[id.ID]; ok && r.Incarnation() == id {
+		p.refusedAt[id.ID] = p.now()
+		p.mark(id.ID, &r)
+	}
+}
+
+// setRollout takes the newest versions, the oldest that may still serve, the
+// targets that load and those that do so next.
+func (p *enginePool) setRollout(wanted, least map[string]int64, loading, soon map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.wanted, p.least, p.loading, p.soon = wanted, least, loading, soon
+	p.markAll()
+	p.step()
+}
+
+func (p *enginePool) markAll() {
+	for id, r := range p.regs {
+		p.mark(id, &r)
+	}
+}
+
+func (p *enginePool) mark(id string, r *directory.Registration) {
+	i, ok := p.pool.Find(id)
+	if !ok {
+		return
+	}
+	t := p.pool.Target(i)
+	t.Outdated, t.Loading, t.LoadsSoon = behind(r, p.wanted), p.resting(r), p.soon[id]
+	p.pool.Changed(i)
+}
+
+// served takes in the version that an answer was made on: answers tell of it
+// sooner than registrations do.
+func (p *enginePool) served(id directory.Incarnation, model string, version int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r, ok := p.regs[id.ID]
+	if !ok || r.Incarnation() != id || r.Versions[model] >= version {
+		return
+	}
+	versions := make(map[string]int64, len(r.Versions))
+	for m, v := range r.Versions {
+		versions[m] = v
+	}
+	versions[model] = version
+	r.Versions = versions
+	p.regs[id.ID] = r
+	if i, ok := p.pool.Find(id.ID); ok {
+		t := p.pool.Target(i)
+		t.Version = versionText(versions)
+		t.Belief = p.beliefs.Observe(p.now(), belief.Identity{Target: r.ID, Incarnation: t.Incarnation, Version: t.Version})
+		p.mark(id.ID, &r)
+	}
+}
+
+// endRests lets requests go again to targets whose rest is over.
+func (p *enginePool) endRests() {
+	now := p.now()
+	for id, at := range p.refusedAt {
+		if now-at < restAfterRefusal {
+			continue
+		}
+		delete(p.refusedAt, id)
+		if r, ok := p.regs[id]; ok {
+			p.mark(id, &r)
+		}
+	}
+}
--- a/internal/gateway/enginepool.go
+++ b/internal/gateway/enginepool.go
@@ -10,7 +10,6 @@
 	"github.com/mastictray/mastictray/internal/belief"
 	"github.com/mastictray/mastictray/internal/directory"
 	"github.com/mastictray/mastictray/internal/dispatch"
-	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/overload"
 	"github.com/mastictray/mastictray/internal/placement"
 	"github.com/mastictray/mastictray/internal/prefix"
@@ -26,6 +25,11 @@
 	// engineWindow is the prompt work that a target may have before further
 	// requests for it are held here.
 	engineWindow = 120 * time.Millisecond
+	// shareFactor is how many times its part of the targets' windows one
+	// instance may have unanswered: callers are shared out unevenly.
+	shareFactor = 8
+	// minShare lets each instance have one large prompt under way.
+	minShare = 20_000
 	// stepEvery is the pause between looks at the queue while requests wait:
 	// an engine's own step.
 	stepEvery = 4 * time.Millisecond
@@ -89,12 +93,14 @@
 	// transfer is the tokens a second that one target fetches from another.
 	transfer float64
 
-	mu         sync.Mutex
-	regs       map[string]directory.Registration
-	memory     int
-	breakers   map[string]*overload.Breaker
-	silences   map[string]*overload.Silence
-	running    map[*placed]struct{}
+	mu       sync.Mutex
+	regs     map[string]directory.Registration
+	memory   int
+	breakers map[string]*overload.Breaker
+	silences map[string]*overload.Silence
+	running  map[*placed]struct{}
+	// silentAt is when a target was found silent.
+	silentAt   map[string]time.Duration
 	pool       *placement.Pool
 	picker     *placement.Picker
 	beliefs    *belief.Store
@@ -116,7 +122,7 @@
 	p := &enginePool{
 		now: now, domain: domain, prefill: prefill,
 		regs: map[string]directory.Registration{}, breakers: map[string]*overload.Breaker{},
-		silences: map[string]*overload.Silence{}, running: map[*placed]struct{}{},
+		silences: map[string]*overload.Silence{}, running: map[*placed]struct{}{}, silentAt: map[string]time.Duration{},
 		beliefs:   belief.NewStore(beliefBudgetBytes),
 		rng:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		refusedAt: map[string]time.Duration{},
@@ -181,104 +187,6 @@
 	return t
 }
 
-// versionText names the weights of a target; what it cached under others is
-// not believed any more.
-func versionText(versions map[string]int64) string {
-	switch len(versions) {
-	case 0:
-		return ""
-	case 1:
-		for _, v := range versions {
-			return strconv.FormatInt(v, 10)
-		}
-	}
-	sum := int64(0)
-	for _, v := range versions {
-		sum = sum*31 + v
-	}
-	return strconv.FormatInt(sum, 10)
-}
-
-// behind says that a target has older weights than these.
-func behind(r *directory.Registration, versions map[string]int64) bool {
-	for model, version := range versions {
-		if v, ok := r.Versions[model]; ok && v < version {
-			return true
-		}
-	}
-	return false
-}
-
-// restAfterRefusal is how long a target that refused a request as a whole gets
-// no other: it is full or about to load, and by then peers will have told.
-const restAfterRefusal = 200 * time.Millisecond
-
-// resting says that a target takes no requests now.
-func (p *enginePool) resting(r *directory.Registration) bool {
-	at, refused := p.refusedAt[r.ID]
-	return p.loading[r.ID] || behind(r, p.least) || refused && p.now()-at < restAfterRefusal
-}
-
-// refused takes in that a target refused a request as a whole.
-func (p *enginePool) refused(id directory.Incarnation) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if r, ok := p.regs[id.ID]; ok && r.Incarnation() == id {
-		p.refusedAt[id.ID] = p.now()
-		p.mark(id.ID, &r)
-	}
-}
-
-// setRollout takes the newest versions, the oldest that may still serve, the
-// targets that load and those that do so next.
-func (p *enginePool) setRollout(wanted, least map[string]int64, loading, soon map[string]bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.wanted, p.least, p.loading, p.soon = wanted, least, loading, soon
-	p.markAll()
-	p.step()
-}
-
-func (p *enginePool) markAll() {
-	for id, r := range p.regs {
-		p.mark(id, &r)
-	}
-}
-
-func (p *enginePool) mark(id string, r *directory.Registration) {
-	i, ok := p.pool.Find(id)
-	if !ok {
-		return
-	}
-	t := p.pool.Target(i)
-	t.Outdated, t.Loading, t.LoadsSoon = behind(r, p.wanted), p.resting(r), p.soon[id]
-	p.pool.Changed(i)
-}
-
-// served takes in the version that an answer was made on: answers tell of it
-// sooner than registrations do.
-func (p *enginePool) served(id directory.Incarnation, model string, version int64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	r, ok := p.regs[id.ID]
-	if !ok || r.Incarnation() != id || r.Versions[model] >= version {
-		return
-	}
-	versions := make(map[string]int64, len(r.Versions))
-	for m, v := range r.Versions {
-		versions[m] = v
-	}
-	versions[model] = version
-	r.Versions = versions
-	p.regs[id.ID] = r
-	if i, ok := p.pool.Find(id.ID); ok {
-		t := p.pool.Target(i)
-		t.Version = versionText(versions)
-		t.Belief = p.beliefs.Observe(p.now(), belief.Identity{Target: r.ID, Incarnation: t.Incarnation, Version: t.Version})
-		p.mark(id.ID, &r)
-	}
-}
-
 // acquire waits for a target. The refusal says why there is none.
 func (p *enginePool) acquire(ctx context.Context, r *waiting) (*placed, *dispatch.Refusal[chan placedOrRefusal]) {
 	r.Value = make(chan placedOrRefusal, 1)
@@ -373,71 +281,6 @@
 	}
 }
 
-// endRests lets requests go again to targets whose rest is over.
-func (p *enginePool) endRests() {
-	now := p.now()
-	for id, at := range p.refusedAt {
-		if now-at < restAfterRefusal {
-			continue
-		}
-		delete(p.refusedAt, id)
-		if r, ok := p.regs[id]; ok {
-			p.mark(id, &r)
-		}
-	}
-}
-
-// sent notes that an attempt is on its way. Should its target fall silent,
-// abandon is called.
-func (p *enginePool) sent(pl *placed, abandon func()) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	pl.abandon = abandon
-	pl.leg = p.silence(pl.target.ID).Begin(p.now())
-	p.running[pl] = struct{}{}
-}
-
-func (p *enginePool) silence(id string) *overload.Silence {
-	s := p.silences[id]
-	if s == nil {
-		s = &overload.Silence{}
-		p.silences[id] = s
-	}
-	return s
-}
-
-// heard notes that something of an attempt's answer came.
-func (p *enginePool) heard(pl *placed) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.silence(pl.target.ID).Heard(p.now(), pl.leg)
-}
-
-// checkSilence stops sending to targets that fell silent, and ends the
-// attempts there that may go on elsewhere. It gives the targets' addresses.
-func (p *enginePool) checkSilence() []string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.now()
-	var gone []string
-	for id, s := range p.silences {
-		b := p.breaker(id)
-		if b.State() == overload.Open || !s.Gone(now) {
-			continue
-		}
-		b.Unreachable(now, p.rng)
-		gone = append(gone, p.regs[id].Address)
-		logline.Info("target_silent", "target", id, "address", p.regs[id].Address, "domain", p.regs[id].Domain)
-		for pl := range p.running {
-			if pl.target.ID == id && pl.abandon != nil {
-				pl.abandon()
-			}
-		}
-	}
-	p.step()
-	return gone
-}
-
 // answered takes in the first token of an answer.
 func (p *enginePool) answered(pl *placed) {
 	p.mu.Lock()
@@ -491,9 +334,11 @@
 }
 
 // setPeers takes what the other instances have running, by target.
-func (p *enginePool) setPeers(peers map[string]load) {
+func (p *enginePool) setPeers(fleet int, peers map[string]load) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	all := float64(p.pool.Live()) * p.prefill * engineWindow.Seconds()
+	p.dispatcher.SetMost(max(minShare, shareFactor*all/float64(fleet)))
 	for i := range p.pool.Len() {
 		t := p.pool.Target(i)
 		l := peers[t.Name]
--- /dev/null
+++ b/internal/gateway/enginesilence.go
@@ -0,0 +1,101 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/mastictray/mastictray/internal/logline"
+	"github.com/mastictray/mastictray/internal/overload"
+)
+
+const (
+	// toldSilentFor is how long peers are told of a target's silence.
+	toldSilentFor = 2 * time.Second
+	// ownWordFor is how long an own answer of a target outweighs peers' word.
+	ownWordFor = time.Second
+)
+
+// silent lists the targets found silent a short while ago.
+func (p *enginePool) silent() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var ids []string
+	for id, at := range p.silentAt {
+		if p.now()-at > toldSilentFor {
+			delete(p.silentAt, id)
+		} else {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// suspect stops sending to targets that several peers have found silent,
+// unless one has answered here lately: this instance may reach what they do
+// not. A probe tells soon.
+func (p *enginePool) suspect(ids []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	for _, id := range ids {
+		r, known := p.regs[id]
+		b := p.breaker(id)
+		if !known || b.State() == overload.Open || p.silence(id).HeardSince(now-ownWordFor) {
+			continue
+		}
+		b.Unreachable(now, p.rng)
+		logline.Info("target_suspected", "target", id, "address", r.Address, "domain", r.Domain)
+	}
+	p.step()
+}
+
+// checkSilence stops sending to targets that fell silent, and ends the
+// attempts there that may go on elsewhere. It gives the targets' addresses.
+func (p *enginePool) checkSilence() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	var gone []string
+	for id, s := range p.silences {
+		b := p.breaker(id)
+		if b.State() == overload.Open || !s.Gone(now) {
+			continue
+		}
+		b.Unreachable(now, p.rng)
+		gone = append(gone, p.regs[id].Address)
+		p.silentAt[id] = now
+		logline.Info("target_silent", "target", id, "address", p.regs[id].Address, "domain", p.regs[id].Domain)
+		for pl := range p.running {
+			if pl.target.ID == id && pl.abandon != nil {
+				pl.abandon()
+			}
+		}
+	}
+	p.step()
+	return gone
+}
+
+// sent notes that an attempt is on its way. Should its target fall silent,
+// abandon is called.
+func (p *enginePool) sent(pl *placed, abandon func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pl.abandon = abandon
+	pl.leg = p.silence(pl.target.ID).Begin(p.now())
+	p.running[pl] = struct{}{}
+}
+
+func (p *enginePool) silence(id string) *overload.Silence {
+	s := p.silences[id]
+	if s == nil {
+		s = &overload.Silence{}
+		p.silences[id] = s
+	}
+	return s
+}
+
+// heard notes that something of an attempt's answer came.
+func (p *enginePool) heard(pl *placed) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silence(pl.target.ID).Heard(p.now(), pl.leg)
+}
--- /dev/null
+++ b/internal/gateway/fleetstate.go
@@ -0,0 +1,134 @@
+package gateway
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/mastictray/mastictray/internal/directory"
+	"github.com/mastictray/mastictray/internal/logline"
+	"github.com/mastictray/mastictray/internal/routing"
+	"github.com/mastictray/mastictray/internal/wire"
+)
+
+// state is what this instance tells its peers.
+func (g *Gateway) state() wire.Exchange {
+	m := wire.Exchange{From: g.self, Leaving: g.closing.Load(), Loads: map[string]wire.TargetLoad{}, Stores: g.cache.answering()}
+	if t := g.table.Load(); t != nil {
+		m.ConfigVersion = t.Config().Version
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m.Spent = g.quota.Spent()
+	m.Loading, m.Soon = g.ordered, g.orderedSoon
+	for _, pool := range g.engines {
+		for id, l := range pool.loads() {
+			m.Loads[id] = wire.TargetLoad{Unanswered: l.Unanswered, Held: l.Held}
+		}
+		m.Silent = append(m.Silent, pool.silent()...)
+	}
+	return m
+}
+
+// takeMessage takes in a peer's message and answers it.
+func (g *Gateway) takeMessage(now time.Duration, from wire.Identity, m wire.Exchange) wire.ExchangeAnswer {
+	g.mu.Lock()
+	g.quota.Heard(now, from.Incarnation, m.Spent)
+	for _, f := range m.Crashed {
+		g.strikes.add(now, f)
+	}
+	answer := wire.ExchangeAnswer{ContactAge: -1, Leaving: g.closing.Load()}
+	if age := g.contactAge(); age < startAge {
+		answer.ContactAge = age.Milliseconds() + 1
+	}
+	for model, v := range g.versions {
+		for _, n := range v.recent(toldVersions) {
+			answer.Weights = append(answer.Weights, wire.NamedWeights{Model: model, Version: n.version, Age: (now - n.at).Milliseconds()})
+		}
+	}
+	pools := make([]*enginePool, 0, len(g.engines))
+	for _, pool := range g.engines {
+		pools = append(pools, pool)
+	}
+	g.mu.Unlock()
+	g.cache.told(m.Stores)
+	for _, s := range m.Prompts {
+		if len(s.Pieces) > 0 {
+			g.cache.saved(s.Scope, hashes(s.Pieces))
+		}
+		chain := hashes(s.Chain)
+		for _, pool := range pools {
+			pool.believe(directory.Incarnation{ID: s.Target, Born: s.Born}, chain)
+		}
+	}
+	if t := g.table.Load(); t != nil {
+		answer.ConfigVersion = t.Config().Version
+		if answer.ConfigVersion > m.ConfigVersion {
+			raw, err := routing.Encode(t.Config())
+			if err != nil {
+				logline.Error(err, "config_not_passed_on", "peer", from.Instance)
+			}
+			answer.Config = raw
+		}
+	}
+	return answer
+}
+
+// takeAnswer takes in a peer's answer to a message sent at that time. What the
+// peer knew when it answered, this instance knows now: so the peer's contact
+// with the store counts as one of its own, made that much before it asked.
+func (g *Gateway) takeAnswer(asked time.Duration, from wire.Identity, a wire.ExchangeAnswer) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(a.Config) > 0 {
+		c, err := routing.Decode(a.Config)
+		if err != nil {
+			logline.Error(err, "config_unreadable", "peer", from.Instance)
+			return
+		}
+		g.putInForce(c, from.Instance)
+	}
+	for _, v := range a.Weights {
+		g.nameVersion(routing.WeightsVersion{Model: v.Model, Version: v.Version}, asked-time.Duration(v.Age)*time.Millisecond)
+	}
+	t := g.table.Load()
+	if a.ContactAge >= 0 && t != nil && t.Config().Version >= a.ConfigVersion {
+		g.contacts.Log(asked - time.Duration(a.ContactAge)*time.Millisecond)
+	}
+}
+
+// suspect tells each pool of targets that peers have found silent.
+func (g *Gateway) suspect(ids []string) {
+	if len(ids) == 0 {
+		return
+	}
+	g.mu.Lock()
+	pools := slices.Collect(maps.Values(g.engines))
+	g.mu.Unlock()
+	for _, pool := range pools {
+		pool.suspect(ids)
+	}
+}
+
+// takePeers puts the peers' loads and the size of the fleet into force.
+func (g *Gateway) takePeers(now time.Duration, fleet int, silence time.Duration, loads map[string]load, loading, soon map[string]bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.quota.SetFleet(now, fleet, silence)
+	g.shareReserves(fleet)
+	for _, f := range g.strikes.news {
+		g.peers.struck(f)
+	}
+	g.strikes.news = nil
+	for _, id := range g.ordered {
+		loading[id] = true
+	}
+	for _, id := range g.orderedSoon {
+		soon[id] = true
+	}
+	g.loadingNow, g.loadingSoon = loading, soon
+	g.updateRollout()
+	for _, pool := range g.engines {
+		pool.setPeers(fleet, loads)
+	}
+}
--- a/internal/overload/silence.go
+++ b/internal/overload/silence.go
@@ -46,6 +46,9 @@
 	}
 }
 
+// HeardSince says whether something of an answer came after that time.
+func (s *Silence) HeardSince(at time.Duration) bool { return s.heard > at }
+
 // End notes that a request is over.
 func (s *Silence) End(n uint64) { delete(s.open, n) }
 
--- a/internal/weights/planner.go
+++ b/internal/weights/planner.go
@@ -165,7 +165,7 @@
 // Tick decides for one goal. Only the holder of the lease may call it.
 func (p *Planner) Tick(now time.Duration, g Goal, targets []directory.Registration) Actions {
 	var out Actions
-	p.forget(targets, g.Service)
+	p.forget(targets)
 	active := 0
 	for i := range targets {
 		t := &targets[i]
@@ -224,10 +224,10 @@
 	return q
 }
 
-// forget drops the targets of the service that are gone. Only one service's
-// targets are known to a call, so others' are left alone.
-func (p *Planner) forget(targets []directory.Registration, _ string) {
-	if len(p.targets) <= 4*len(targets)+64 {
+// forget drops targets that are gone once there are many of them. A call knows
+// one service's targets only; those of others are then asked anew.
+func (p *Planner) forget(targets []directory.Registration) {
+	if len(p.targets) <= forgetFactor*len(targets)+forgetFloor {
 		return
 	}
 	there := map[string]bool{}
@@ -241,6 +241,12 @@
 	}
 }
 
+// The targets remembered beyond those of one service, before some are dropped.
+const (
+	forgetFactor = 4
+	forgetFloor  = 64
+)
+
 // step moves one target on.
 func (p *Planner) step(now time.Duration, g Goal, t *directory.Registration, q *progress, out *Actions) {
 	if !p.behind(g, t) {
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -23,6 +23,8 @@
 	Prompts []SentPrompt `msgpack:"p,omitempty"`
 	// Stores are the stores of KV cache that the sender reads.
 	Stores []CacheStore `msgpack:"k,omitempty"`
+	// Silent are targets that the sender has found to say nothing.
+	Silent []string `msgpack:"q,omitempty"`
 	// Crashed are fingerprints of requests that broke off at a target.
 	Crashed []uint64 `msgpack:"c,omitempty"`
 	// Leaving is set by an instance that takes no more requests.
