--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -146,7 +146,7 @@
 
 // longOutput is the tokens of answer above which a request runs for much longer
 // than it takes to its first token: an engine makes some twenty a second of each.
-const longOutput = 20
+const longOutput = 100
 
 // firstDue is when the first byte is due at the latest. Callers leave a stream
 // that brings nothing for long, well before their deadline; what starts after
