gateway: a restarted fleet spares targets left behind by a rollout

Ruled out: the age from peers (all had restarted); writing the time into the store (a call for each version, and clocks that step). Change: a version found at the start is due at once where most targets serve it.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,6 +79,9 @@
 type namedVersion struct {
 	version int64
 	at      time.Duration
+	// found is set when this process found the version at its start, so that
+	// nothing but peers tells when it was named.
+	found bool
 }
 
 // add takes a version that was named by the given time, and says whether it is
@@ -91,7 +94,7 @@
 		}
 	}
 	newest := len(n.list) == 0 || n.newest().version < version
-	n.list = append(n.list, namedVersion{version, at})
+	n.list = append(n.list, namedVersion{version: version, at: at})
 	slices.SortFunc(n.list, func(a, b namedVersion) int { return cmp.Compare(a.version, b.version) })
 	if len(n.list) > maxNamedVersions {
 		n.list = n.list[1:]
@@ -99,6 +102,9 @@
 	return newest
 }
 
+// markFound notes that the newest version was found at the start.
+func (n *namedVersions) markFound() { n.list[len(n.list)-1].found = true }
+
 // recent are the last versions, at most max, oldest first.
 func (n *namedVersions) recent(most int) []namedVersion {
 	return n.list[max(0, len(n.list)-most):]
--- a/internal/gateway/operators.go
+++ b/internal/gateway/operators.go
@@ -80,8 +80,8 @@
 func (g *Gateway) takeNews(sent time.Duration, news OperatorNews) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	namedBy := g.clock.Now()
-	if g.contactAge() > startAge {
+	namedBy, atStart := g.clock.Now(), g.contactAge() > startAge
+	if atStart {
 		namedBy -= namedBefore
 	}
 	g.contacts.Log(sent)
@@ -90,6 +90,12 @@
 	}
 	for _, v := range news.Versions {
 		g.nameVersion(v, namedBy)
+		if atStart {
+			g.versions[v.Model].markFound()
+		}
+	}
+	if atStart {
+		g.updateRollout()
 	}
 }
 
--- a/internal/gateway/operators_test.go
+++ b/internal/gateway/operators_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/mastictray/mastictray/internal/directory"
 )
 
 // News wakes the reads of all instances at once, and none comes for a while.
@@ -35,6 +37,26 @@
 	is.True(drawOperatorWait(1, rand.New(rand.NewPCG(1, 1))) <= 2*minOperatorWait)
 }
 
+// All instances are killed at once, late in a rollout. None knows any more when
+// the version was named, and the bound on older weights would begin anew: a
+// target that was left behind would go on serving them past it. Where most
+// targets serve the version, the others get no requests.
+func TestRestartedFleetSparesTargetsLeftBehind(t *testing.T) {
+	is := is.New(t)
+	target := func(v int64) directory.Registration {
+		return directory.Registration{Versions: map[string]int64{"m": v}}
+	}
+	is.True(mostServe([]directory.Registration{target(2), target(2), target(1)}, "m", 2))
+	is.True(!mostServe([]directory.Registration{target(2), target(1), target(1)}, "m", 2))
+	is.True(!mostServe(nil, "m", 2))
+	var n namedVersions
+	n.add(2, 0)
+	n.markFound()
+	is.True(n.newest().found)
+	n.add(3, time.Second) // named while this process lives
+	is.True(!n.newest().found)
+}
+
 // Versions come late, in any order, from the store and from peers. The bound
 // on old weights counts from the earliest word on each.
 func TestNamedVersionsKeepTheEarliestTime(t *testing.T) {
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -37,12 +37,29 @@
 		}
 		wanted[s.Name][model] = v.newest().version
 		least[s.Name][model] = v.dueBy(now - bound)
+		if n := v.newest(); n.found && mostServe(g.directory.Usable(s.Name), model, n.version) {
+			least[s.Name][model] = n.version
+		}
 	})
 	for name, pool := range g.engines {
 		pool.setRollout(wanted[name], least[name], g.loadingNow, g.loadingSoon)
 	}
 }
 
+// mostServe says whether at least half of the targets serve the version or a
+// newer one. A process that started in the middle of a rollout does not know
+// how long ago the version was named; when most serve it, the others' time is
+// nearly over, and they can be spared.
+func mostServe(targets []directory.Registration, model string, version int64) bool {
+	n := 0
+	for _, t := range targets {
+		if t.Versions[model] >= version {
+			n++
+		}
+	}
+	return n > 0 && 2*n >= len(targets)
+}
+
 // runRollouts brings the targets to the named versions, while this instance
 // holds the lease.
 func (g *Gateway) runRollouts(ctx context.Context) {
