gateway: exchange more often in large fleets; one retry budget type

Cause 1: on the grown fleet of 61 instances the word of peers was 0.9 s old. Held by it, requests waited here for targets that had become idle; a bound of each instance to its part of the windows held even more. Change: 5 ms a peer instead of 15 (0.3 s), the window as much longer as the word is old, no such bound. Cause 2: the entry process and the gateway each had a locked budget; overload.SharedBudget serves both. Behaviour unchanged.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -87,9 +87,6 @@
 	picker  *placement.Picker
 	queue   *fairqueue.Queue[*Request[T]]
 	out     Step[T]
-	// most is the prompt work that this instance may have unanswered at all
-	// targets together, in tokens; 0 for any. unanswered is what it has.
-	most, unanswered float64
 }
 
 // Step is what is to be done now. Its slices are reused by the next step.
@@ -113,11 +110,11 @@
 	d.pool, d.picker = pool, picker
 }
 
-// SetMost bounds the prompt work that this instance may have unanswered at all
-// targets together; 0 for no bound. Instances of a large fleet hear too late of
-// each other's work to keep the targets' queues short by it; by its part of
-// what the targets may have, each does so alone.
-func (d *Dispatcher[T]) SetMost(tokens float64) { d.most = tokens }
+// SetWindow changes the time of work that a target may have before further
+// requests for it are held. What is known of other instances' work is old in a
+// large fleet: a short window would hold requests back from targets that have
+// become idle meanwhile.
+func (d *Dispatcher[T]) SetWindow(w time.Duration) { d.options.Window = w }
 
 // Waiting is the number of requests held.
 func (d *Dispatcher[T]) Waiting() int { return d.queue.Len() }
@@ -250,7 +247,6 @@
 		return
 	}
 	d.pool.Unpark()
-	d.unanswered = d.pool.Unanswered()
 	d.queue.Scan(now, d.options.ScanLimit, func(it *fairqueue.Item[*Request[T]]) fairqueue.Verdict {
 		return d.visit(now, it.Value, rng)
 	})
@@ -266,9 +262,6 @@
 		return fairqueue.Refuse
 	}
 	t := d.pool.Target(choice.Index)
-	if d.most > 0 && d.unanswered >= d.most {
-		return fairqueue.Skip
-	}
 	if t.Full() || d.pool.Backlog(choice.Index, now) >= d.options.Window {
 		t.Load.Park(choice.UncachedTokens)
 		return fairqueue.Skip
@@ -297,7 +290,6 @@
 func (d *Dispatcher[T]) send(now time.Duration, r *Request[T], t *placement.Target, choice placement.Decision) {
 	id := belief.Identity{Target: t.Name, Incarnation: t.Incarnation, Version: t.Version}
 	t.Load.Sent(now, choice.UncachedTokens)
-	d.unanswered += choice.UncachedTokens
 	t.InFlight++
 	t.HeldTokens += r.Place.HeldTokens
 	stamp := d.beliefs.Expect(id, r.Place.Chain)
--- a/internal/entry/enginerun.go
+++ b/internal/entry/enginerun.go
@@ -69,7 +69,7 @@
 }
 
 func (r *engineRun) loop() error {
-	r.s.budget.request()
+	r.s.budget.Request()
 	act, err := r.dispatch()
 	for err == nil {
 		if act.Cancel != nil {
@@ -157,7 +157,7 @@
 	}
 	r.e.place.Exclude = r.at.target
 	r.release()
-	if (r.s.clock.now() >= r.e.due && !r.e.wrote) || !r.s.budget.repeat() {
+	if (r.s.clock.now() >= r.e.due && !r.e.wrote) || !r.s.budget.Repeat() {
 		return r.stream.NoTarget(), nil
 	}
 	act, err := r.dispatch()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/mastictray/mastictray/internal/config"
 	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/logrec"
+	"github.com/mastictray/mastictray/internal/overload"
 	"github.com/mastictray/mastictray/internal/peer"
 	"github.com/mastictray/mastictray/internal/platform"
 	"github.com/mastictray/mastictray/internal/rollout"
@@ -97,7 +98,7 @@
 	e.members.poison, e.members.claims, e.members.replaced = e.poison, e.claims, e.Drain
 	e.pools.poller.observed = e.members.observed
 	e.server = &server{
-		clock: e.clock, config: e.config, rates: e.rates, claims: e.claims, pools: e.pools, poison: e.poison, budget: newRetryBudget(),
+		clock: e.clock, config: e.config, rates: e.rates, claims: e.claims, pools: e.pools, poison: e.poison, budget: overload.NewSharedBudget(overload.DefaultRatio, overload.DefaultReserve, overload.DefaultStart),
 		targets: newTargetClient(), metrics: e.metrics, maxBody: s.MaxBodyBytes,
 	}
 	e.callers = newCallerServer(s, e.server, secure.callers)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -17,6 +17,7 @@
 	"github.com/mastictray/mastictray/internal/keys"
 	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/openai"
+	"github.com/mastictray/mastictray/internal/overload"
 )
 
 // server answers callers.
@@ -27,7 +28,7 @@
 	claims  *claimDriver
 	pools   *pools
 	poison  *poisonDriver
-	budget  *retryBudget
+	budget  *overload.SharedBudget
 	targets *targetClient
 	metrics *entryMetrics
 	maxBody int64
--- a/internal/gateway/enginepool.go
+++ b/internal/gateway/enginepool.go
@@ -25,11 +25,6 @@
 	// engineWindow is the prompt work that a target may have before further
 	// requests for it are held here.
 	engineWindow = 120 * time.Millisecond
-	// shareFactor is how many times its part of the targets' windows one
-	// instance may have unanswered: callers are shared out unevenly.
-	shareFactor = 8
-	// minShare lets each instance have one large prompt under way.
-	minShare = 20_000
 	// stepEvery is the pause between looks at the queue while requests wait:
 	// an engine's own step.
 	stepEvery = 4 * time.Millisecond
@@ -334,11 +329,11 @@
 }
 
 // setPeers takes what the other instances have running, by target.
-func (p *enginePool) setPeers(fleet int, peers map[string]load) {
+// The word of peers is as old as the pause between their messages.
+func (p *enginePool) setPeers(pace time.Duration, peers map[string]load) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	all := float64(p.pool.Live()) * p.prefill * engineWindow.Seconds()
-	p.dispatcher.SetMost(max(minShare, shareFactor*all/float64(fleet)))
+	p.dispatcher.SetWindow(engineWindow + pace - exchangeEvery)
 	for i := range p.pool.Len() {
 		t := p.pool.Target(i)
 		l := peers[t.Name]
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -98,6 +98,7 @@
 	loading, soon := map[string]bool{}, map[string]bool{}
 	p.mu.Lock()
 	fleet, silence := p.sizeLocked(), p.heardFor()
+	pace := p.paceLocked()
 	heard, silent := 0, map[string]int{}
 	for _, s := range p.known {
 		if now-s.heard > p.heardFor() {
@@ -119,7 +120,7 @@
 		}
 	}
 	p.mu.Unlock()
-	p.g.takePeers(now, fleet, silence, loads, loading, soon)
+	p.g.takePeers(now, fleet, silence, pace, loads, loading, soon)
 	p.g.suspect(agreed(silent, heard))
 }
 
--- a/internal/gateway/fleetstate.go
+++ b/internal/gateway/fleetstate.go
@@ -111,7 +111,7 @@
 }
 
 // takePeers puts the peers' loads and the size of the fleet into force.
-func (g *Gateway) takePeers(now time.Duration, fleet int, silence time.Duration, loads map[string]load, loading, soon map[string]bool) {
+func (g *Gateway) takePeers(now time.Duration, fleet int, silence, pace time.Duration, loads map[string]load, loading, soon map[string]bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.quota.SetFleet(now, fleet, silence)
@@ -129,6 +129,6 @@
 	g.loadingNow, g.loadingSoon = loading, soon
 	g.updateRollout()
 	for _, pool := range g.engines {
-		pool.setPeers(fleet, loads)
+		pool.setPeers(pace, loads)
 	}
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -32,7 +32,7 @@
 		return unavailable("no_service", notReadyRetry)
 	}
 	c.service = service
-	g.budget(name).request()
+	g.budget(name).Request()
 	s := &relay{g: g, c: c}
 	unsent := 0
 	for {
@@ -77,7 +77,7 @@
 	if c.ran && !c.route.Repeatable() {
 		return false
 	}
-	return g.budget(c.service.Name).repeat()
+	return g.budget(c.service.Name).Repeat()
 }
 
 // recheck looks again at what may have changed while the request waited: the
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/mastictray/mastictray/internal/keys"
 	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/orderlease"
+	"github.com/mastictray/mastictray/internal/overload"
 	"github.com/mastictray/mastictray/internal/quota"
 	"github.com/mastictray/mastictray/internal/routing"
 	"github.com/mastictray/mastictray/internal/targetconn"
@@ -49,7 +50,7 @@
 	registered time.Duration // of the last read; 0 for none
 	engines    map[string]*enginePool
 	services   map[string]*servicePool
-	budgets    map[string]*retryBudget
+	budgets    map[string]*overload.SharedBudget
 	strikes    strikes
 
 	peers   *peers
@@ -143,7 +144,7 @@
 		directory: directory.New(),
 		engines:   map[string]*enginePool{},
 		services:  map[string]*servicePool{},
-		budgets:   map[string]*retryBudget{},
+		budgets:   map[string]*overload.SharedBudget{},
 		strikes:   newStrikes(),
 		planner:   weights.New(weights.DefaultSettings()),
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -17,10 +17,11 @@
 	// exchangeEvery is the least pause between two messages to a peer. What
 	// an account spends in it on all instances is its possible debt.
 	exchangeEvery = 125 * time.Millisecond
-	// exchangeShare lengthens the pause in large fleets: one message takes an
-	// instance well under a thousandth of this time, so its messages to all
-	// peers stay under a hundredth of a processor.
-	exchangeShare = 15 * time.Millisecond
+	// exchangeShare lengthens the pause in large fleets. A message takes an
+	// instance some 60 us on both ends together, so its messages to all peers
+	// stay near a hundredth of a processor; what placement knows of their work
+	// is as old as the pause.
+	exchangeShare = 5 * time.Millisecond
 	// exchangeTimeout bounds one exchange; a peer that takes longer counts
 	// as silent.
 	exchangeTimeout = 800 * time.Millisecond
--- a/internal/gateway/retrybudget.go
+++ b/internal/gateway/retrybudget.go
@@ -1,45 +1,17 @@
 package gateway
 
-import (
-	"sync"
-
-	"github.com/mastictray/mastictray/internal/overload"
-)
-
-// retryBudget is one service's budget of repeated sends on this instance.
-type retryBudget struct {
-	mu sync.Mutex
-	b  *overload.Budget
-}
-
-func (b *retryBudget) request() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.b.Request()
-}
-
-func (b *retryBudget) repeat() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.b.Repeat()
-}
-
-func (b *retryBudget) saved() float64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.b.Saved()
-}
+import "github.com/mastictray/mastictray/internal/overload"
 
 // budget finds or makes a service's budget. The bound is on the whole fleet:
 // each instance adds to its budget by its own requests, and has its part of
 // what may be saved up. A new process has saved up nothing: after a restart of
 // the whole fleet it would else be spent twice.
-func (g *Gateway) budget(service string) *retryBudget {
+func (g *Gateway) budget(service string) *overload.SharedBudget {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	b := g.budgets[service]
 	if b == nil {
-		b = &retryBudget{b: overload.NewBudget(g.settings.RetryRatio, g.retryReserve(g.peers.fleetSize()), startBudget)}
+		b = overload.NewSharedBudget(g.settings.RetryRatio, g.retryReserve(g.peers.fleetSize()), startBudget)
 		g.budgets[service] = b
 	}
 	return b
@@ -57,8 +29,6 @@
 // caller holds g.mu.
 func (g *Gateway) shareReserves(fleet int) {
 	for _, b := range g.budgets {
-		b.mu.Lock()
-		b.b.SetReserve(g.retryReserve(fleet))
-		b.mu.Unlock()
+		b.SetReserve(g.retryReserve(fleet))
 	}
 }
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -93,15 +93,6 @@
 	return names
 }
 
-// Unanswered is this instance's prompt work whose first token has not come.
-func (p *Pool) Unanswered() float64 {
-	sum := 0.0
-	for i := range p.targets {
-		sum += p.targets[i].Load.unanswered
-	}
-	return sum
-}
-
 // Unpark forgets the work counted as waiting at this instance.
 func (p *Pool) Unpark() {
 	for i := range p.targets {
