--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -225,7 +225,7 @@
 	return age
 }
 
-// sweep closes idle connections and reports counts.
+// sweep closes idle connections and looks for silent targets.
 func (g *Gateway) sweep(ctx context.Context) {
 	for sleep(ctx, sweepEvery) {
 		g.targets.Sweep()
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -17,10 +17,10 @@
 	// exchangeEvery is the least pause between two messages to a peer. What
 	// an account spends in it on all instances is its possible debt.
 	exchangeEvery = 125 * time.Millisecond
-	// exchangeShare lengthens the pause in large fleets. A message takes an
-	// instance some 60 us on both ends together, so its messages to all peers
-	// stay near a hundredth of a processor; what placement knows of their work
-	// is as old as the pause.
+	// exchangeShare lengthens the pause in large fleets. A message and the one
+	// that comes back take an instance some 110 us (two fleets of 61 instances
+	// compared), so at 200 a second they take two hundredths of a processor;
+	// what placement knows of peers' work is as old as the pause.
 	exchangeShare = 5 * time.Millisecond
 	// exchangeTimeout bounds one exchange; a peer that takes longer counts
 	// as silent.
