--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -3,7 +3,9 @@
 // the request there and relays the whole answer.
 //
 // A request goes one way through the files: serve.go (decode, authorise,
-// admit), forward.go (place, attempt, retry), relay.go (answer). Decisions are
+// admit), forward.go (try targets until one has answered), place.go, attempt.go,
+// relay.go (answer), finish.go (give up, log). What is known of other instances
+// is in peers.go, exchange.go and fleetstate.go. Decisions are
 // made by pure packages (routing, quota, dispatch, placement, directory,
 // weights, orderlease); this package does their I/O.
 //
--- a/internal/gateway/enginemarks.go
+++ b/internal/gateway/enginemarks.go
@@ -4,7 +4,6 @@
 	"strconv"
 	"time"
 
-	"github.com/mastictray/mastictray/internal/belief"
 	"github.com/mastictray/mastictray/internal/directory"
 )
 
@@ -100,8 +99,9 @@
 	p.regs[id.ID] = r
 	if i, ok := p.pool.Find(id.ID); ok {
 		t := p.pool.Target(i)
-		t.Version = versionText(versions)
-		t.Belief = p.beliefs.Observe(p.now(), belief.Identity{Target: r.ID, Incarnation: t.Incarnation, Version: t.Version})
+		now := identity(&r)
+		t.Version = now.Version
+		t.Belief = p.beliefs.Observe(p.now(), now)
 		p.mark(id.ID, &r)
 	}
 }
--- a/internal/gateway/enginepool.go
+++ b/internal/gateway/enginepool.go
@@ -174,14 +174,19 @@
 			t = *p.pool.Target(i)
 		}
 	}
-	t.Domain, t.Incarnation = r.Domain, strconv.FormatInt(r.Born, 10)
+	id := identity(&r)
+	t.Domain, t.Incarnation, t.Version = r.Domain, id.Incarnation, id.Version
 	t.Limit, t.MemoryTokens = r.Slots, p.memory
-	t.Version = versionText(r.Versions)
 	t.Outdated, t.Loading, t.LoadsSoon = behind(&r, p.wanted), p.resting(&r), p.soon[r.ID]
-	t.Belief = p.beliefs.Observe(p.now(), belief.Identity{Target: r.ID, Incarnation: t.Incarnation, Version: t.Version})
+	t.Belief = p.beliefs.Observe(p.now(), id)
 	return t
 }
 
+// identity names what is believed of a target's cache.
+func identity(r *directory.Registration) belief.Identity {
+	return belief.Identity{Target: r.ID, Incarnation: strconv.FormatInt(r.Born, 10), Version: versionText(r.Versions)}
+}
+
 // acquire waits for a target. The refusal says why there is none.
 func (p *enginePool) acquire(ctx context.Context, r *waiting) (*placed, *dispatch.Refusal[chan placedOrRefusal]) {
 	r.Value = make(chan placedOrRefusal, 1)
@@ -328,8 +333,8 @@
 	return out
 }
 
-// setPeers takes what the other instances have running, by target.
-// The word of peers is as old as the pause between their messages.
+// setPeers takes what the other instances have running, by target. Their word
+// is as old as the pause between two messages, so the window is as much longer.
 func (p *enginePool) setPeers(pace time.Duration, peers map[string]load) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -350,5 +355,5 @@
 	if !ok || r.Incarnation() != id {
 		return
 	}
-	p.beliefs.Stored(belief.Identity{Target: r.ID, Incarnation: strconv.FormatInt(r.Born, 10), Version: versionText(r.Versions)}, chain)
+	p.beliefs.Stored(identity(&r), chain)
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -79,10 +79,9 @@
 	p.mu.Lock()
 	s := p.known[from.Instance]
 	if s == nil || s.Incarnation != from.Incarnation {
-		s = &peerState{
-			Announced:   Announced{Announcement: Announcement{Instance: from.Instance, Incarnation: from.Incarnation, Address: from.Address, Domain: from.Domain}},
-			announcedAt: now, sentPrompts: p.promptBase + len(p.prompts), sentCrashes: p.crashBase + len(p.crashes),
-		}
+		s = p.newState(now, Announced{Announcement: Announcement{
+			Instance: from.Instance, Incarnation: from.Incarnation, Address: from.Address, Domain: from.Domain,
+		}})
 		p.known[from.Instance] = s
 		logline.Info("peer_met", "peer", from.Instance, "address", from.Address, "incarnation", from.Incarnation)
 	}
--- a/internal/gateway/fleetstate.go
+++ b/internal/gateway/fleetstate.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/mastictray/mastictray/internal/directory"
@@ -46,11 +44,8 @@
 			answer.Weights = append(answer.Weights, wire.NamedWeights{Model: model, Version: n.version, Age: (now - n.at).Milliseconds()})
 		}
 	}
-	pools := make([]*enginePool, 0, len(g.engines))
-	for _, pool := range g.engines {
-		pools = append(pools, pool)
-	}
 	g.mu.Unlock()
+	pools := g.enginePools()
 	g.cache.told(m.Stores)
 	for _, s := range m.Prompts {
 		if len(s.Pieces) > 0 {
@@ -102,10 +97,7 @@
 	if len(ids) == 0 {
 		return
 	}
-	g.mu.Lock()
-	pools := slices.Collect(maps.Values(g.engines))
-	g.mu.Unlock()
-	for _, pool := range pools {
+	for _, pool := range g.enginePools() {
 		pool.suspect(ids)
 	}
 }
@@ -120,13 +112,7 @@
 		g.peers.struck(f)
 	}
 	g.strikes.news = nil
-	for _, id := range g.ordered {
-		loading[id] = true
-	}
-	for _, id := range g.orderedSoon {
-		soon[id] = true
-	}
-	g.loadingNow, g.loadingSoon = loading, soon
+	g.loadingNow, g.loadingSoon = with(loading, g.ordered), with(soon, g.orderedSoon)
 	g.updateRollout()
 	for _, pool := range g.engines {
 		pool.setPeers(pace, loads)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"maps"
 	"math/rand/v2"
@@ -65,69 +64,13 @@
 
 	closing atomic.Bool
 	callers *callerServer
-	running sync.WaitGroup
 }
 
-// namedVersions are the weights versions of one model, in the order in which
-// they were named.
-type namedVersions struct{ list []namedVersion }
-
 // unknownFleet is the size that the fleet is taken to have until its instances
 // were read once. A process that starts while the store fails would otherwise
 // spend the whole rate of each account, beside all others.
 const unknownFleet = 16
 
-type namedVersion struct {
-	version int64
-	at      time.Duration
-	// found is set when this process found the version at its start, so that
-	// nothing but peers tells when it was named.
-	found bool
-}
-
-// add takes a version that was named by the given time, and says whether it is
-// newer than all known. Of a known one it takes the earlier time.
-func (n *namedVersions) add(version int64, at time.Duration) bool {
-	for i := range n.list {
-		if n.list[i].version == version {
-			n.list[i].at = min(n.list[i].at, at)
-			return false
-		}
-	}
-	newest := len(n.list) == 0 || n.newest().version < version
-	n.list = append(n.list, namedVersion{version: version, at: at})
-	slices.SortFunc(n.list, func(a, b namedVersion) int { return cmp.Compare(a.version, b.version) })
-	if len(n.list) > maxNamedVersions {
-		n.list = n.list[1:]
-	}
-	return newest
-}
-
-// markFound notes that the newest version was found at the start.
-func (n *namedVersions) markFound() { n.list[len(n.list)-1].found = true }
-
-// recent are the last versions, at most max, oldest first.
-func (n *namedVersions) recent(most int) []namedVersion {
-	return n.list[max(0, len(n.list)-most):]
-}
-
-// maxNamedVersions is how many versions are remembered for dueBy: more than
-// are named within the bound on old weights.
-const maxNamedVersions = 64
-
-func (n *namedVersions) newest() namedVersion { return n.list[len(n.list)-1] }
-
-// dueBy is the newest version named by that time; 0 for none.
-func (n *namedVersions) dueBy(at time.Duration) int64 {
-	due := int64(0)
-	for _, v := range n.list {
-		if v.at <= at {
-			due = v.version
-		}
-	}
-	return due
-}
-
 // New builds the process. Nothing listens yet.
 func New(s Settings, d Dialect, store Store, control TargetControl) *Gateway {
 	c := clock.New()
@@ -237,10 +180,7 @@
 // checkSilence looks for targets that stopped answering. Their kept
 // connections are dropped: a probe has to make a new one.
 func (g *Gateway) checkSilence() {
-	g.mu.Lock()
-	pools := slices.Collect(maps.Values(g.engines))
-	g.mu.Unlock()
-	for _, pool := range pools {
+	for _, pool := range g.enginePools() {
 		for _, address := range pool.checkSilence() {
 			g.targets.Forget(address)
 		}
@@ -281,6 +221,14 @@
 	return p
 }
 
+// enginePools lists the pools of all services of model servers, for calls that
+// are made without g.mu.
+func (g *Gateway) enginePools() []*enginePool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Collect(maps.Values(g.engines))
+}
+
 // service finds or makes the pool of a plain service.
 func (g *Gateway) service(name string) *servicePool {
 	p := g.services[name]
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -81,6 +81,15 @@
 	sentCrashes int
 }
 
+// newState is that of a peer not heard yet. It is told only what happens from
+// now on. The caller holds p.mu.
+func (p *peers) newState(now time.Duration, a Announced) *peerState {
+	return &peerState{
+		Announced: a, heard: never, announcedAt: now,
+		sentPrompts: p.promptBase + len(p.prompts), sentCrashes: p.crashBase + len(p.crashes),
+	}
+}
+
 func newPeers(g *Gateway) *peers {
 	return &peers{g: g, known: map[string]*peerState{}}
 }
@@ -105,7 +114,7 @@
 }
 
 // start gets the secret and listens for peers. Until that is done this
-// instance serves alone.
+// instance serves alone, with its part of a fleet of unknown size.
 func (p *peers) start(ctx context.Context) bool {
 	var secret []byte
 	for secret == nil {
@@ -183,7 +192,7 @@
 		s := p.known[a.Instance]
 		if s == nil || s.Incarnation != a.Incarnation {
 			if s == nil || a.Revision > s.Revision {
-				p.known[a.Instance] = &peerState{Announced: a, heard: never, announcedAt: now, sentPrompts: p.promptBase + len(p.prompts), sentCrashes: p.crashBase + len(p.crashes)}
+				p.known[a.Instance] = p.newState(now, a)
 				logline.Info("peer_found", "peer", a.Instance, "address", a.Address, "incarnation", a.Incarnation)
 			}
 			continue
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -48,8 +48,6 @@
 
 // ServeHTTP implements http.Handler for callers.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	g.running.Add(1)
-	defer g.running.Done()
 	c := &call{w: w, r: r, began: g.clock.Now()}
 	if g.closing.Load() {
 		// The caller moves to another instance after this answer. Its idle
--- a/internal/targetconn/conn.go
+++ b/internal/targetconn/conn.go
@@ -96,9 +96,6 @@
 // Reused says that the connection had served an earlier exchange.
 func (c *Conn) Reused() bool { return c.reused }
 
-// Address is the target's ip:port.
-func (c *Conn) Address() string { return c.addr }
-
 // Send writes the request and reads the head of its answer. Answers for which
 // mine is false belong to an earlier request on this connection and are passed
 // over. The context bounds the exchange up to the end of the body.
@@ -199,16 +196,6 @@
 // Break marks the connection as unusable for another exchange.
 func (c *Conn) Break() { c.broken = true }
 
-// SetDeadline bounds reads and writes.
-func (c *Conn) SetDeadline(t time.Time) error {
-	return errors.Wrapf(c.raw.SetDeadline(t), "set deadline target=%s", c.addr)
-}
-
-// SetReadDeadline bounds reads.
-func (c *Conn) SetReadDeadline(t time.Time) error {
-	return errors.Wrapf(c.raw.SetReadDeadline(t), "set read deadline target=%s", c.addr)
-}
-
 // Close ends the connection; it may be called at any time.
 func (c *Conn) Close() {
 	// The other side learns from it; there is nothing to do about an error.
--- a/internal/weights/planner.go
+++ b/internal/weights/planner.go
@@ -107,7 +107,6 @@
 type progress struct {
 	incarnation directory.Incarnation
 	phase       phase
-	wanted      int64
 	began       time.Duration
 	askAt       time.Duration
 	asking      bool
@@ -153,13 +152,20 @@
 
 // behind compares the newest word on a target's version with the goal.
 func (p *Planner) behind(g Goal, t *directory.Registration) bool {
-	version, known := t.Versions[g.Model]
+	version, known := p.served(t, g.Model)
+	return known && version < g.Version
+}
+
+// served is the version of a model that a target was seen to serve or has
+// registered, the newer of the two; false when neither tells.
+func (p *Planner) served(t *directory.Registration, model string) (version int64, known bool) {
+	version, known = t.Versions[model]
 	if q := p.targets[t.ID]; q != nil && q.incarnation == t.Incarnation() && q.seen != nil {
-		if v, ok := q.seen.Versions[g.Model]; ok {
+		if v, ok := q.seen.Versions[model]; ok {
 			version, known = max(version, v), true
 		}
 	}
-	return known && version < g.Version
+	return version, known
 }
 
 // Tick decides for one goal. Only the holder of the lease may call it.
@@ -183,7 +189,7 @@
 			break
 		}
 		q := p.of(&t)
-		q.phase, q.wanted, q.began, q.askAt, q.seen = asking, g.Version, now, now, nil
+		q.phase, q.began, q.askAt, q.seen = asking, now, now, nil
 		p.step(now, g, &t, q, &out)
 		active++
 	}
@@ -210,7 +216,9 @@
 		out = append(out, t)
 	}
 	slices.SortStableFunc(out, func(a, b directory.Registration) int {
-		return cmp.Or(cmp.Compare(p.Served(&a, g.Model), p.Served(&b, g.Model)), cmp.Compare(rank[a.ID], rank[b.ID]))
+		oldA, _ := p.served(&a, g.Model)
+		oldB, _ := p.served(&b, g.Model)
+		return cmp.Or(cmp.Compare(oldA, oldB), cmp.Compare(rank[a.ID], rank[b.ID]))
 	})
 	return out
 }
@@ -272,7 +280,7 @@
 }
 
 func (p *Planner) send(now time.Duration, g Goal, t *directory.Registration, q *progress, out *Actions) {
-	q.phase, q.sentAt, q.wanted = ordered, now, g.Version
+	q.phase, q.sentAt = ordered, now
 	q.askAt = now + p.settings.PollEvery
 	out.Sends = append(out.Sends, Send{Target: *t, Order: Order{
 		Model: g.Model, Version: g.Version, Accepted: q.seen.Accepted,
@@ -347,13 +355,3 @@
 	slices.Sort(ids)
 	return ids
 }
-
-// Served gives the version of a model that a target was seen to serve, where
-// that is newer than its registration.
-func (p *Planner) Served(t *directory.Registration, model string) int64 {
-	version := t.Versions[model]
-	if q := p.targets[t.ID]; q != nil && q.incarnation == t.Incarnation() && q.seen != nil {
-		version = max(version, q.seen.Versions[model])
-	}
-	return version
-}
