--- a/cmd/mastictray-gateway/settings.go
+++ b/cmd/mastictray-gateway/settings.go
@@ -29,6 +29,7 @@
 	RetryRatio   float64       `default:"0.2" help:"Most repeated sends for each request of a service, over all instances." group:"limits"`
 	RetryReserve float64       `default:"50" help:"Repeated sends allowed on top, over all instances." group:"limits"`
 	WeightsBound time.Duration `default:"10s" help:"No request begins on older weights later than this after newer ones were named." group:"limits"`
+	ConfigBound  time.Duration `default:"2s" help:"A configuration is in force everywhere not later than this." group:"limits"`
 	DrainBound   time.Duration `default:"2s" help:"A draining target gets no new work later than this." group:"limits"`
 	LeaseGap     time.Duration `default:"3s" help:"Least time between orders of two instances to one target." group:"limits"`
 	PrefillRate  float64       `default:"80000" help:"Prompt tokens that a model server reads in a second." group:"limits"`
@@ -72,7 +73,7 @@
 		KeyCutoff:   s.KeyBound - keyMargin,
 		KeyReadyAge: time.Duration(keyReadyShare * float64(s.KeyBound)),
 		RetryRatio:  retryShare * s.RetryRatio, RetryReserve: retryShare * s.RetryReserve,
-		WeightsBound: s.WeightsBound, DrainBound: s.DrainBound, LeaseGap: time.Duration(leaseFactor * float64(s.LeaseGap)),
+		WeightsBound: s.WeightsBound, ConfigBound: s.ConfigBound, DrainBound: s.DrainBound, LeaseGap: time.Duration(leaseFactor * float64(s.LeaseGap)),
 		PrefillTokensPerSecond: s.PrefillRate,
 		BalancerLag:            s.BalancerLag, DrainTimeout: s.Grace - s.BalancerLag - exitMargin,
 	}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -62,8 +62,10 @@
 const ReturnGrace = 2500 * time.Millisecond
 
 // AwayAfter is the silence of the store after which records may have lapsed
-// without their target being at fault: twice the usual time between reads.
-const AwayAfter = 1800 * time.Millisecond
+// without their target being at fault. It is over the usual time between two
+// words on the registrations, by an own read or a peer's, and well under the
+// three heartbeats after which a record lapses.
+const AwayAfter = 2200 * time.Millisecond
 
 // Directory is the registered targets. It is not safe for concurrent use.
 type Directory struct {
@@ -89,21 +91,28 @@
 // sequence number.
 func (d *Directory) Revision() int64 { return d.revision }
 
-// Read takes in the records read from the store by a call sent at the time.
-func (d *Directory) Read(now time.Duration, events []Event) {
+// Read takes in the records that the store held at the time. It gives those
+// that changed more than a target's sequence number.
+func (d *Directory) Read(now time.Duration, events []Event) []Event {
 	if d.lastRead > 0 && now-d.lastRead > AwayAfter {
 		d.returnedAt, d.wasAway = now, true
 	}
 	d.lastRead = now
+	var changes []Event
 	for _, e := range events {
+		before := d.revision
 		d.apply(now, e)
+		if d.revision != before {
+			changes = append(changes, e)
+		}
 	}
 	d.expire(now)
+	return changes
 }
 
 // Replace takes in the whole of the records, as read after the store's
 // history was lost: what is not among them is gone.
-func (d *Directory) Replace(now time.Duration, all []Event) {
+func (d *Directory) Replace(now time.Duration, all []Event) []Event {
 	there := make(map[string]bool, len(all))
 	for _, e := range all {
 		there[e.ID] = true
@@ -113,7 +122,7 @@
 			all = append(all, Event{ID: id})
 		}
 	}
-	d.Read(now, all)
+	return d.Read(now, all)
 }
 
 func (d *Directory) apply(now time.Duration, e Event) {
--- /dev/null
+++ b/internal/feedturn/feedturn.go
@@ -0,0 +1,124 @@
+// Package feedturn decides when an instance reads a feed of the platform's
+// store by itself.
+//
+// Calls to the store are limited over the whole fleet and paid for. Where all
+// sixty instances of a fleet read what one could tell, the calls cost more than
+// the instances' processors. So one instance of each failure domain reads a
+// feed, the others hear from it, and an instance reads by itself only when what
+// it knows has become old: its reader died, is cut off from it, or is turned
+// away by the store. A domain has a reader of its own, because domains can be
+// cut off from each other.
+//
+// The package is pure.
+package feedturn
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Settings of a feed.
+type Settings struct {
+	// Bound is the time within which news of the feed must be known.
+	Bound time.Duration
+	// ReadEvery is the pause between two reads of the domain's reader; 0 where
+	// a read itself waits for news.
+	ReadEvery time.Duration
+}
+
+const (
+	// followShare is the part of the bound after which an instance that hears
+	// nothing new reads by itself. The reader's pause, the way of its word
+	// through the fleet and a read after that fit into the bound.
+	followShare = 0.5
+	// retryPause is the least pause after a failed read.
+	retryPause = 200 * time.Millisecond
+	// retryShare lengthens that pause in large fleets, for each instance:
+	// while the store is away all of them fail, each failed call is counted
+	// too, and one that gets through tells the others.
+	retryShare = 30 * time.Millisecond
+	// lookEvery is the longest time between two looks, since the reader may
+	// leave at any time.
+	lookEvery = 200 * time.Millisecond
+)
+
+// View is what the decision depends on besides the feed's own past.
+type View struct {
+	// Reader says that this instance reads for its domain.
+	Reader bool
+	// KnownAt is the time up to which this instance knows the feed; Known is
+	// false before it was read or told for the first time.
+	KnownAt time.Duration
+	Known   bool
+	// Fleet is the number of instances.
+	Fleet int
+}
+
+// Turn is one instance's turns at a feed. It is not safe for concurrent use.
+type Turn struct {
+	settings Settings
+	// notBefore is the end of the pause after a read.
+	notBefore time.Duration
+	lost      bool
+}
+
+// New makes the turns at a feed.
+func New(s Settings) *Turn { return &Turn{settings: s} }
+
+// Next says whether to read now, and else how long to wait before the next
+// look.
+func (t *Turn) Next(now time.Duration, v View) (read bool, wait time.Duration) {
+	due := t.notBefore
+	if v.Known && !(v.Reader && !t.lost) {
+		due = max(due, v.KnownAt+time.Duration(followShare*float64(t.settings.Bound)))
+	}
+	if now >= due {
+		return true, 0
+	}
+	return false, min(due-now, lookEvery)
+}
+
+// Succeeded takes in a read that was answered.
+func (t *Turn) Succeeded(now time.Duration) {
+	t.notBefore, t.lost = now+t.settings.ReadEvery, false
+}
+
+// Failed takes in a read without an answer. The pause is drawn, so that
+// instances that fail together do not come back together.
+func (t *Turn) Failed(now time.Duration, fleet int, rng *rand.Rand) {
+	pause := max(retryPause, retryShare*time.Duration(fleet))
+	t.notBefore, t.lost = now+pause/2+time.Duration(rng.Int64N(int64(pause))), true
+}
+
+// Lost says that the last read failed: another instance should be the reader.
+func (t *Turn) Lost() bool { return t.lost }
+
+// KnownUpTo is the time up to which an answer tells of the feed. A read that
+// waits for news and ends without any was answered at the end of its wait, so
+// nothing was written until then. In all other cases only the time at which it
+// was sent is sure.
+func KnownUpTo(sent, answered, wait time.Duration, news bool) time.Duration {
+	if !news && answered >= sent+wait {
+		return sent + wait
+	}
+	return sent
+}
+
+// Peer is another instance of the own domain, as far as the choice of the
+// reader goes.
+type Peer struct {
+	Name string
+	// Lost says that it does not reach the store.
+	Lost bool
+}
+
+// Reads says whether the instance reads for its domain: it is the first by
+// name of those that reach the store.
+func Reads(self string, heard []Peer) bool {
+	for _, p := range heard {
+		if !p.Lost && p.Name < self {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/feedturn/feedturn_test.go
@@ -0,0 +1,204 @@
+package feedturn
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const (
+	ms    = time.Millisecond
+	bound = 2 * time.Second
+)
+
+func newTurn() (*Turn, *rand.Rand) {
+	return New(Settings{Bound: bound, ReadEvery: 700 * ms}), rand.New(rand.NewPCG(1, 1))
+}
+
+func (t *Turn) reads(now time.Duration, v View) bool {
+	read, _ := t.Next(now, v)
+	return read
+}
+
+func TestReaderReadsAtItsPace(t *testing.T) {
+	is := is.New(t)
+	turn, _ := newTurn()
+	is.True(turn.reads(0, View{Reader: true}))
+	turn.Succeeded(0)
+	v := View{Reader: true, Known: true}
+	is.True(!turn.reads(600*ms, v))
+	is.True(turn.reads(700*ms, v))
+}
+
+// A configuration withdraws a route, and the domain's reader has just lost
+// power. The other instances hear nothing new; each reads by itself while there
+// is still time to put the change into force within the bound.
+func TestFollowerReadsWhenItsKnowledgeIsOld(t *testing.T) {
+	is := is.New(t)
+	turn, _ := newTurn()
+	turn.Succeeded(0)
+	is.True(!turn.reads(10*time.Second, View{Known: true, KnownAt: 9500 * ms}))
+	is.True(turn.reads(10*time.Second, View{Known: true, KnownAt: 9 * time.Second}))
+}
+
+// The store is away for five seconds and sixty instances know nothing new. If
+// each tried five times a second, their calls would go on at three hundred a
+// second, and the store would come back under them.
+func TestFailedReadsAreSpreadOverTheFleet(t *testing.T) {
+	is := is.New(t)
+	turn, rng := newTurn()
+	calls := 0
+	for now := time.Duration(0); now < 5*time.Second; now += 10 * ms {
+		if turn.reads(now, View{Known: true, KnownAt: -time.Hour}) {
+			turn.Failed(now, 60, rng)
+			calls++
+		}
+	}
+	is.True(calls >= 2)
+	is.True(calls <= 6)
+}
+
+// The store turns the reader away and serves the others. Were it to remain the
+// reader, its domain would live on the followers' late reads.
+func TestReaderThatIsTurnedAwayHandsOver(t *testing.T) {
+	is := is.New(t)
+	turn, rng := newTurn()
+	turn.Failed(0, 6, rng)
+	is.True(turn.Lost())
+	is.True(Reads("b", []Peer{{Name: "a", Lost: true}, {Name: "c"}}))
+	is.True(!Reads("b", []Peer{{Name: "a"}, {Name: "c"}}))
+	// While others tell it what is new, it makes no calls in vain.
+	is.True(!turn.reads(10*time.Second, View{Reader: true, Known: true, KnownAt: 9900 * ms}))
+}
+
+// A read waits a second for news and the process stands still while it waits.
+// What came back tells of the feed up to the end of the wait, not up to now.
+func TestKnownUpTo(t *testing.T) {
+	is := is.New(t)
+	is.Equal(KnownUpTo(10*ms, 1010*ms, time.Second, false), 1010*ms)
+	is.Equal(KnownUpTo(10*ms, 5*time.Second, time.Second, false), 1010*ms)
+	is.Equal(KnownUpTo(10*ms, 500*ms, time.Second, false), 10*ms) // answered early
+	is.Equal(KnownUpTo(10*ms, 1010*ms, time.Second, true), 10*ms)
+}
+
+// fleetSim is six instances in three domains whose feed is read in turns. The
+// waits of reads and the messages between instances take time.
+type fleetSim struct {
+	rng     *rand.Rand
+	turns   []*Turn
+	upTo    []time.Duration
+	reading []time.Duration // when the read under way ends
+	dead    []bool
+	away    func(instance int, now time.Duration) bool
+	calls   int
+}
+
+const (
+	simWait  = 600 * ms
+	simTell  = 125 * ms
+	simStep  = 5 * ms
+	simFleet = 6
+)
+
+func newFleetSim(away func(int, time.Duration) bool) *fleetSim {
+	f := &fleetSim{rng: rand.New(rand.NewPCG(3, 3)), away: away}
+	for range simFleet {
+		f.turns = append(f.turns, New(Settings{Bound: bound}))
+		f.upTo, f.reading, f.dead = append(f.upTo, 0), append(f.reading, -1), append(f.dead, false)
+	}
+	return f
+}
+
+func (f *fleetSim) reader(i int) bool {
+	mate := (i + simFleet/2) % simFleet
+	if f.dead[mate] {
+		return true
+	}
+	return Reads(string(rune('a'+i)), []Peer{{Name: string(rune('a' + mate)), Lost: f.turns[mate].Lost()}})
+}
+
+// step moves the instances on; each hears from all others at its own moments.
+func (f *fleetSim) step(now time.Duration) {
+	for i, turn := range f.turns {
+		if f.dead[i] {
+			continue
+		}
+		if (now/simStep)%(simTell/simStep) == time.Duration(i) {
+			for j := range f.turns {
+				if !f.dead[j] {
+					f.upTo[i] = max(f.upTo[i], f.upTo[j])
+				}
+			}
+		}
+		f.read(i, turn, now)
+	}
+}
+
+func (f *fleetSim) read(i int, turn *Turn, now time.Duration) {
+	if end := f.reading[i]; end >= 0 {
+		if now >= end {
+			f.reading[i] = -1
+			turn.Succeeded(now)
+			f.upTo[i] = max(f.upTo[i], now)
+		}
+		return
+	}
+	reader := f.reader(i)
+	if read, _ := turn.Next(now, View{Reader: reader, Known: true, KnownAt: f.upTo[i], Fleet: simFleet}); !read {
+		return
+	}
+	f.calls++
+	switch {
+	case f.away(i, now):
+		turn.Failed(now, simFleet, f.rng)
+	case reader && !turn.Lost():
+		f.reading[i] = now + simWait
+	default:
+		f.reading[i] = now + simStep
+	}
+}
+
+// worst runs the fleet and gives the greatest age of what a living instance
+// knew.
+func (f *fleetSim) worst(until time.Duration) time.Duration {
+	worst := time.Duration(0)
+	for now := simStep; now < until; now += simStep {
+		f.step(now)
+		for i, at := range f.upTo {
+			if !f.dead[i] {
+				worst = max(worst, now-at)
+			}
+		}
+	}
+	return worst
+}
+
+// A key is withdrawn while nothing else happens, while a reader dies, or while
+// the store turns a reader away. Instances that hear of the store only through
+// others must know of it in time: what any of them knows is never older than
+// half the bound, a message and a read.
+func TestKnowledgeOfAFleetStaysYoung(t *testing.T) {
+	const limit = bound/2 + simTell + 2*simStep
+	served := func(int, time.Duration) bool { return false }
+	t.Run("calm", func(t *testing.T) {
+		is := is.New(t)
+		f := newFleetSim(served)
+		is.True(f.worst(20*time.Second) <= limit)
+		is.True(f.calls <= 3*20*5/3+3) // three readers, one call each 0.6 s
+	})
+	t.Run("two readers die", func(t *testing.T) {
+		is := is.New(t)
+		f := newFleetSim(served)
+		f.worst(5 * time.Second)
+		f.dead[0], f.dead[1] = true, true
+		f.reading[0], f.reading[1] = -1, -1
+		is.True(f.worst(5*time.Second) <= limit)
+	})
+	t.Run("readers are turned away", func(t *testing.T) {
+		is := is.New(t)
+		f := newFleetSim(func(i int, now time.Duration) bool { return i < 3 && now > 5*time.Second })
+		is.True(f.worst(20*time.Second) <= limit)
+	})
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -11,6 +11,8 @@
 // exchangeAll starts an exchange with every peer that has none running.
 func (p *peers) exchangeAll(ctx context.Context) {
 	p.mu.Lock()
+	now := p.g.clock.Now()
+	p.expire(now)
 	var call []*peerState
 	for _, s := range p.known {
 		if !s.calling {
@@ -19,11 +21,13 @@
 		}
 	}
 	p.trim()
+	unheard := p.unheard(now)
 	p.mu.Unlock()
 	if len(call) == 0 {
 		return
 	}
 	body := p.g.state()
+	body.Unheard = unheard
 	for _, s := range call {
 		go p.exchange(ctx, s, body)
 	}
@@ -47,6 +51,9 @@
 	p.mu.Lock()
 	body.Prompts = p.prompts[max(0, s.sentPrompts-p.promptBase):]
 	body.Crashed = p.crashes[max(0, s.sentCrashes-p.crashBase):]
+	body.WantConfig = p.asksForConfig(s, body.ConfigVersion)
+	spent := body.Spent
+	body.Spent = newly(spent, s.told)
 	prompts, crashes := p.promptBase+len(p.prompts), p.crashBase+len(p.crashes)
 	address, node := s.Address, p.node
 	p.mu.Unlock()
@@ -55,9 +62,16 @@
 	from, err := node.Call(ctx, address, wire.KindExchange, body, &answer)
 	p.mu.Lock()
 	s.calling = false
+	if body.WantConfig {
+		p.askedConfig = nil
+	}
 	if err == nil && from.Incarnation == s.Incarnation {
-		s.sentPrompts, s.sentCrashes = prompts, crashes
-		s.leaving = answer.Leaving
+		s.sentPrompts, s.sentCrashes, s.told = prompts, crashes, spent
+		s.leaving, s.config = answer.Leaving, max(s.config, answer.ConfigVersion)
+	}
+	if err != nil {
+		// The peer may forget this instance while it does not hear it.
+		s.told = nil
 	}
 	p.mu.Unlock()
 	if err != nil {
@@ -66,7 +80,33 @@
 		}
 		return
 	}
-	p.g.takeAnswer(asked, from, answer)
+	p.g.takeAnswer(asked, from, body.TargetsNext, answer)
+}
+
+// asksForConfig says whether to ask this peer for its configuration: it has a
+// newer one, and no other peer is being asked. A fleet that asked everybody at
+// once would fill the small instances' links with copies. The caller holds p.mu.
+func (p *peers) asksForConfig(s *peerState, have int64) bool {
+	if s.config <= have || p.askedConfig != nil {
+		return false
+	}
+	p.askedConfig = s
+	return true
+}
+
+// newly is what has changed of the counts since they were told; all of them
+// when nothing was.
+func newly(spent, told map[string]float64) map[string]float64 {
+	if told == nil {
+		return spent
+	}
+	out := map[string]float64{}
+	for account, tokens := range spent {
+		if told[account] != tokens {
+			out[account] = tokens
+		}
+	}
+	return out
 }
 
 // serve answers a peer's message.
@@ -86,6 +126,8 @@
 		logline.Info("peer_met", "peer", from.Instance, "address", from.Address, "incarnation", from.Incarnation)
 	}
 	s.heard, s.leaving, s.loads, s.loading, s.soon, s.silent = now, m.Leaving, m.Loads, m.Loading, m.Soon, m.Silent
+	s.cut, s.holdsOrders, s.config = m.Cut, m.HoldsOrders, max(s.config, m.ConfigVersion)
+	p.takeUnheard(now, m.Unheard)
 	p.mu.Unlock()
 	return p.g.takeMessage(now, from, m), nil
 }
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -47,6 +47,9 @@
 	Incarnation string
 	Address     string
 	Domain      string
+	// Hears are the instances for which this one speaks, because others may
+	// not hear them.
+	Hears []string
 }
 
 // Announced is an announcement as it stands in the store; Revision changes
--- /dev/null
+++ b/internal/gateway/feedstate.go
@@ -0,0 +1,62 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/mastictray/mastictray/internal/feedturn"
+	"github.com/mastictray/mastictray/internal/logline"
+)
+
+// feedStates say which feeds of the store this instance does not reach. Peers
+// are told, so that they do not wait for its word.
+type feedStates struct {
+	mu                       sync.Mutex
+	operators, registrations bool
+}
+
+// cut says that some feed is not reached.
+func (s *feedStates) cut() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.operators || s.registrations
+}
+
+// awaitTurn waits until the feed is to be read; false when ctx ended.
+func (g *Gateway) awaitTurn(ctx context.Context, turn *feedturn.Turn, view func() feedturn.View) bool {
+	for ctx.Err() == nil {
+		read, wait := turn.Next(g.clock.Now(), view())
+		if read {
+			return true
+		}
+		sleep(ctx, wait)
+	}
+	return false
+}
+
+// tookTurn takes in how a read ended. The log gets a line when the feed is lost
+// or regained.
+func (g *Gateway) tookTurn(ctx context.Context, turn *feedturn.Turn, lost *bool, feed string, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	was := turn.Lost()
+	if err != nil {
+		turn.Failed(g.clock.Now(), g.peers.fleetSize(), g.source())
+	} else {
+		turn.Succeeded(g.clock.Now())
+	}
+	switch {
+	case err != nil && !was:
+		logline.Error(err, "store_lost", "feed", feed)
+	case err == nil && was:
+		logline.Info("store_regained", "feed", feed)
+	}
+	g.feeds.mu.Lock()
+	*lost = turn.Lost()
+	g.feeds.mu.Unlock()
+}
+
+// never is the time of what has not happened yet.
+const never = -time.Hour
--- a/internal/gateway/fleetstate.go
+++ b/internal/gateway/fleetstate.go
@@ -11,12 +11,17 @@
 
 // state is what this instance tells its peers.
 func (g *Gateway) state() wire.Exchange {
-	m := wire.Exchange{From: g.self, Leaving: g.closing.Load(), Loads: map[string]wire.TargetLoad{}, Stores: g.cache.answering()}
+	_, holds := g.lease.held(g.clock.Now())
+	m := wire.Exchange{
+		From: g.self, Leaving: g.closing.Load(), Cut: g.feeds.cut(), HoldsOrders: holds,
+		Loads: map[string]wire.TargetLoad{}, Stores: g.cache.answering(),
+	}
 	if t := g.table.Load(); t != nil {
 		m.ConfigVersion = t.Config().Version
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	m.TargetsNext = g.registrations.next
 	m.Spent = g.quota.Spent()
 	m.Loading, m.Soon = g.ordered, g.orderedSoon
 	for _, pool := range g.engines {
@@ -30,6 +35,7 @@
 
 // takeMessage takes in a peer's message and answers it.
 func (g *Gateway) takeMessage(now time.Duration, from wire.Identity, m wire.Exchange) wire.ExchangeAnswer {
+	reads := g.peers.readsForDomain()
 	g.mu.Lock()
 	g.quota.Heard(now, from.Incarnation, m.Spent)
 	for _, f := range m.Crashed {
@@ -44,6 +50,7 @@
 			answer.Weights = append(answer.Weights, wire.NamedWeights{Model: model, Version: n.version, Age: (now - n.at).Milliseconds()})
 		}
 	}
+	answer.Targets = g.targetNews(now, m.TargetsNext, reads)
 	g.mu.Unlock()
 	pools := g.enginePools()
 	g.cache.told(m.Stores)
@@ -58,7 +65,7 @@
 	}
 	if t := g.table.Load(); t != nil {
 		answer.ConfigVersion = t.Config().Version
-		if answer.ConfigVersion > m.ConfigVersion {
+		if m.WantConfig && answer.ConfigVersion > m.ConfigVersion {
 			raw, err := routing.Encode(t.Config())
 			if err != nil {
 				logline.Error(err, "config_not_passed_on", "peer", from.Instance)
@@ -72,7 +79,8 @@
 // takeAnswer takes in a peer's answer to a message sent at that time. What the
 // peer knew when it answered, this instance knows now: so the peer's contact
 // with the store counts as one of its own, made that much before it asked.
-func (g *Gateway) takeAnswer(asked time.Duration, from wire.Identity, a wire.ExchangeAnswer) {
+func (g *Gateway) takeAnswer(asked time.Duration, from wire.Identity, place int64, a wire.ExchangeAnswer) {
+	g.takeTargetNews(asked, place, a.Targets)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if len(a.Config) > 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,15 +43,16 @@
 	contacts *keys.Contacts
 	// versions are the newest weights named, and when this instance learnt
 	// of each.
-	versions   map[string]*namedVersions
-	quota      *quota.Limiter
-	directory  *directory.Directory
-	registered time.Duration // of the last read; 0 for none
-	engines    map[string]*enginePool
-	services   map[string]*servicePool
-	budgets    map[string]*overload.SharedBudget
-	strikes    strikes
-
+	versions      map[string]*namedVersions
+	quota         *quota.Limiter
+	directory     *directory.Directory
+	registrations registrationFeed
+	engines       map[string]*enginePool
+	services      map[string]*servicePool
+	budgets       map[string]*overload.SharedBudget
+	strikes       strikes
+
+	feeds   feedStates
 	peers   *peers
 	cache   *cacheStores
 	lease   *sharedLease
@@ -59,6 +60,9 @@
 	// ordered are the targets that load by this instance's orders, orderedSoon
 	// those that it will order next.
 	ordered, orderedSoon []string
+	// ordersHeldAt is when a peer was last heard to hold the lease for orders.
+	// Only the loop of rollouts uses it.
+	ordersHeldAt time.Duration
 	// loadingNow and loadingSoon are those of all instances.
 	loadingNow, loadingSoon map[string]bool
 
@@ -79,17 +83,18 @@
 		self: wire.Identity{
 			Instance: s.Instance, Incarnation: uuid.Must(uuid.NewV7()).String(), Address: s.PeerListen, Domain: s.Domain,
 		},
-		targets:   targetconn.NewPool(targetconn.DefaultOptions(), c.Now),
-		metrics:   newGatewayMetrics(),
-		contacts:  keys.NewContacts(s.Domain),
-		versions:  map[string]*namedVersions{},
-		quota:     quota.New(),
-		directory: directory.New(),
-		engines:   map[string]*enginePool{},
-		services:  map[string]*servicePool{},
-		budgets:   map[string]*overload.SharedBudget{},
-		strikes:   newStrikes(),
-		planner:   weights.New(weights.DefaultSettings()),
+		targets:       targetconn.NewPool(targetconn.DefaultOptions(), c.Now),
+		metrics:       newGatewayMetrics(),
+		contacts:      keys.NewContacts(s.Domain),
+		versions:      map[string]*namedVersions{},
+		quota:         quota.New(),
+		directory:     directory.New(),
+		registrations: registrationFeed{next: unread, upTo: never},
+		engines:       map[string]*enginePool{},
+		services:      map[string]*servicePool{},
+		budgets:       map[string]*overload.SharedBudget{},
+		strikes:       newStrikes(),
+		planner:       weights.New(weights.DefaultSettings()),
 	}
 	g.quota.SetFleet(0, unknownFleet, quota.PeerTimeout)
 	lease := orderlease.DefaultSettings()
@@ -154,7 +159,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.registered > 0 && g.contactAge() <= g.settings.KeyReadyAge
+	return g.registrations.next != unread && g.contactAge() <= g.settings.KeyReadyAge
 }
 
 // contactAge is how long ago this instance surely knew all that operators had
--- a/internal/gateway/operators.go
+++ b/internal/gateway/operators.go
@@ -2,63 +2,60 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastictray/mastictray/internal/feedturn"
 	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/routing"
 )
 
-const (
-	// operatorWait is how long a read waits for news while no peer is heard.
-	// Each answer, also one without news, shows that this instance knows all
-	// that was written when the read was sent; so this also bounds the age of
-	// that knowledge.
-	operatorWait = 1200 * time.Millisecond
-	// While peers are heard, whose reads tell the same, a read may wait for
-	// longer, since calls to the store are paid for: for a time drawn between
-	// minOperatorWait and that for each instance of the fleet, at most
-	// maxOperatorWait. News wakes all reads at once; without the draw they
-	// would also end at once ever after, and none would be fresh between.
-	minOperatorWait = 800 * time.Millisecond
-	maxOperatorWait = 3200 * time.Millisecond
-	// operatorRetry is the pause after a failed read. It is short: a config
-	// must be in force within two seconds of its acknowledgement.
-	operatorRetry = 200 * time.Millisecond
-)
+// operatorWait is how long the read of a domain's reader waits for news. Its
+// end without news shows that nothing was written until then, so this also
+// bounds the age of what the domain knows.
+const operatorWait = 600 * time.Millisecond
 
 // followOperators keeps the configuration and the named versions up to date.
+// The domain's reader waits for news at the store; the other instances hear of
+// them from peers and read when they do not.
 func (g *Gateway) followOperators(ctx context.Context) {
+	turn := feedturn.New(feedturn.Settings{Bound: g.settings.ConfigBound})
 	next, known := int64(0), false
-	lost := false
-	for ctx.Err() == nil {
+	for g.awaitTurn(ctx, turn, g.operatorView) {
+		wait := time.Duration(0)
+		if known && g.operatorView().Reader && !turn.Lost() {
+			wait = operatorWait
+		}
 		sent := g.clock.Now()
-		news, err := g.readOperators(ctx, next, known)
+		news, err := g.readOperators(ctx, next, known, wait)
 		if errors.Is(err, ErrTrimmed) {
 			known = false
 			continue
 		}
+		g.tookTurn(ctx, turn, &g.feeds.operators, "operators", err)
 		if err != nil {
-			if !lost && ctx.Err() == nil {
-				logline.Error(err, "store_lost", "feed", "operators")
-			}
-			lost = true
-			sleep(ctx, g.jitter(operatorRetry))
 			continue
 		}
-		if lost {
-			logline.Info("store_regained", "feed", "operators")
-		}
-		lost = false
+		none := news.Config == nil && len(news.Versions) == 0
 		known, next = true, news.Next
-		g.takeNews(sent, news)
+		g.takeNews(feedturn.KnownUpTo(sent, g.clock.Now(), wait, !none), news)
+	}
+}
+
+// operatorView is what the next turn at the operators' feed depends on.
+func (g *Gateway) operatorView() feedturn.View {
+	g.mu.Lock()
+	age := g.contactAge()
+	g.mu.Unlock()
+	v := feedturn.View{Known: age < startAge, Reader: g.peers.readsForDomain(), Fleet: g.peers.fleetSize()}
+	if v.Known {
+		v.KnownAt = g.clock.Now() - age
 	}
+	return v
 }
 
-func (g *Gateway) readOperators(ctx context.Context, next int64, known bool) (OperatorNews, error) {
-	wait := drawOperatorWait(g.peers.heardCount(), g.source())
+func (g *Gateway) readOperators(ctx context.Context, next int64, known bool, wait time.Duration) (OperatorNews, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
 	defer cancel()
 	if !known {
@@ -67,24 +64,16 @@
 	return g.store.Since(ctx, next, wait)
 }
 
-// drawOperatorWait is how long a read waits for news, given the peers heard.
-func drawOperatorWait(peers int, rng *rand.Rand) time.Duration {
-	if peers == 0 {
-		return operatorWait
-	}
-	most := min(maxOperatorWait, minOperatorWait*time.Duration(1+peers))
-	return minOperatorWait + time.Duration(rng.Int64N(int64(most-minOperatorWait)))
-}
-
-// takeNews puts into force what a read sent at that time has brought.
-func (g *Gateway) takeNews(sent time.Duration, news OperatorNews) {
+// takeNews puts into force what a read has brought, which tells of the feed up
+// to that time.
+func (g *Gateway) takeNews(upTo time.Duration, news OperatorNews) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	namedBy, atStart := g.clock.Now(), g.contactAge() > startAge
 	if atStart {
 		namedBy -= namedBefore
 	}
-	g.contacts.Log(sent)
+	g.contacts.Log(upTo)
 	if news.Config != nil {
 		g.putInForce(news.Config, "store")
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastictray/mastictray/internal/feedturn"
 	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/peer"
 	"github.com/mastictray/mastictray/internal/wire"
@@ -30,16 +31,19 @@
 	// that one lost changes nothing.
 	minHeardFor   = time.Second
 	heardMessages = 4
-	// announceEvery is the pause between announcements while a peer is
-	// silent, or while this instance may be unknown to one.
+	// announceEvery is the pause between announcements of the first of the
+	// instances that hear each other, while a peer is silent.
 	announceEvery = 2 * time.Second
-	// calmAnnounceEvery is that pause while all peers are heard.
-	calmAnnounceEvery = 15 * time.Second
-	// goneAfter is when a silent peer that no longer announces itself counts
-	// as gone, and its part of the accounts' rates falls to the others. A peer
-	// that is only cut off from the others announces itself all the while; one
-	// that is cut off from the store too has stopped serving callers with keys
-	// by then, since it cannot check them.
+	// calmAnnounceEvery is that pause while all peers are heard, and
+	// othersAnnounceEvery the pause of the other instances.
+	calmAnnounceEvery   = 15 * time.Second
+	othersAnnounceEvery = time.Minute
+	// goneAfter is when a silent peer that is no longer announced counts as
+	// gone, and its part of the accounts' rates falls to the others. One that
+	// is only cut off from the others is announced all the while, by itself or
+	// by the first of those that it hears; one that is cut off from the store
+	// too has stopped serving callers with keys by then, since it cannot check
+	// them.
 	goneAfter = 7 * time.Second
 	// toldVersions is how many versions of each model are told to peers, which
 	// may have restarted: those that still bound what may serve.
@@ -55,6 +59,9 @@
 
 	mu    sync.Mutex
 	known map[string]*peerState // by instance
+	// dropped are the announcements of peers that are gone: they stay in the
+	// store, and would bring each back whenever they are read.
+	dropped map[string]int64
 	// prompts are what this instance's requests have left at targets, for
 	// each peer since its last message.
 	prompts []wire.SentPrompt
@@ -62,16 +69,33 @@
 	promptBase int
 	crashBase  int
 	crashes    []uint64
+	// askedConfig is the peer that is being asked for its configuration.
+	askedConfig *peerState
 	// read is set once the announcements were read.
 	read bool
+	// announcing is set while a call to the store is under way, announceAt when
+	// the next one is due.
+	announcing bool
+	announceAt time.Duration
 }
 
 type peerState struct {
 	Announced
 	heard time.Duration
-	// announcedAt is when a change of the announcement was last seen.
+	// announcedAt is when a new announcement of it was last seen in the store,
+	// by itself or by another instance.
 	announcedAt time.Duration
-	leaving     bool
+	// missedAt is when the first of the instances last told that it does not
+	// hear this one either.
+	missedAt time.Duration
+	leaving  bool
+	// cut and holdsOrders are the peer's own words.
+	cut         bool
+	holdsOrders bool
+	// config is the configuration that it has.
+	config int64
+	// told is what it knows of this instance's spending.
+	told        map[string]float64
 	loads       map[string]wire.TargetLoad
 	loading     []string
 	soon        []string
@@ -85,13 +109,13 @@
 // now on. The caller holds p.mu.
 func (p *peers) newState(now time.Duration, a Announced) *peerState {
 	return &peerState{
-		Announced: a, heard: never, announcedAt: now,
+		Announced: a, heard: never, announcedAt: now, missedAt: never,
 		sentPrompts: p.promptBase + len(p.prompts), sentCrashes: p.crashBase + len(p.crashes),
 	}
 }
 
 func newPeers(g *Gateway) *peers {
-	return &peers{g: g, known: map[string]*peerState{}}
+	return &peers{g: g, known: map[string]*peerState{}, dropped: map[string]int64{}}
 }
 
 // run finds the peers and exchanges messages with them until ctx ends.
@@ -99,12 +123,8 @@
 	if !p.start(ctx) {
 		return
 	}
-	var wait time.Duration
 	for {
-		now := p.g.clock.Now()
-		if now >= wait {
-			wait = now + p.announce(ctx)
-		}
+		p.announceWhenDue(ctx)
 		p.exchangeAll(ctx)
 		p.apply()
 		if !sleep(ctx, p.pace()) {
@@ -153,68 +173,6 @@
 	}
 }
 
-// announce writes where this instance is, reads where the others are, and
-// gives the pause until the next time.
-func (p *peers) announce(ctx context.Context) time.Duration {
-	call, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	self := Announcement{Instance: p.g.self.Instance, Incarnation: p.g.self.Incarnation, Address: p.g.self.Address, Domain: p.g.self.Domain}
-	if !p.g.closing.Load() {
-		if err := p.g.store.Announce(call, self); err != nil {
-			logline.Error(err, "announce_failed")
-			return announceEvery
-		}
-	}
-	all, err := p.g.store.Announcements(call)
-	if err != nil {
-		logline.Error(err, "announcements_unread")
-		return announceEvery
-	}
-	p.take(all)
-	if p.allHeard() {
-		return calmAnnounceEvery
-	}
-	return announceEvery
-}
-
-// take takes in the announcements, as read whole.
-func (p *peers) take(all []Announced) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.read = true
-	now := p.g.clock.Now()
-	there := map[string]bool{p.g.self.Instance: true}
-	for _, a := range all {
-		there[a.Instance] = true
-		if a.Instance == p.g.self.Instance {
-			continue
-		}
-		s := p.known[a.Instance]
-		if s == nil || s.Incarnation != a.Incarnation {
-			if s == nil || a.Revision > s.Revision {
-				p.known[a.Instance] = p.newState(now, a)
-				logline.Info("peer_found", "peer", a.Instance, "address", a.Address, "incarnation", a.Incarnation)
-			}
-			continue
-		}
-		if a.Revision != s.Revision {
-			s.Announced, s.announcedAt = a, now
-		}
-	}
-	for name, s := range p.known {
-		silent := now - max(s.heard, s.announcedAt)
-		if (!there[name] || s.leaving) && now-s.heard > p.heardFor() || silent > goneAfter {
-			delete(p.known, name)
-			logline.Info("peer_gone", "peer", name, "silent_for", silent, "announced", there[name])
-		}
-	}
-}
-
-func (p *peers) allHeard() bool {
-	n := p.heardCount()
-	return n > 0 && n+1 == p.fleetSize()
-}
-
 // fleetSize is the number of instances that may be serving, this one too.
 func (p *peers) fleetSize() int {
 	p.mu.Lock()
@@ -247,9 +205,6 @@
 	return max(minHeardFor, heardMessages*p.paceLocked())
 }
 
-// never is the time of a message that was not yet heard.
-const never = -time.Hour
-
 // heardCount is the number of peers that are heard.
 func (p *peers) heardCount() int {
 	p.mu.Lock()
@@ -262,3 +217,34 @@
 	}
 	return n
 }
+
+// readsForDomain says whether this instance reads the store's feeds for its
+// failure domain.
+func (p *peers) readsForDomain() bool {
+	if p.g.closing.Load() {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.g.clock.Now()
+	var heard []feedturn.Peer
+	for name, s := range p.known {
+		if s.Domain == p.g.self.Domain && !s.leaving && p.hears(now, s) {
+			heard = append(heard, feedturn.Peer{Name: name, Lost: s.cut})
+		}
+	}
+	return feedturn.Reads(p.g.self.Instance, heard)
+}
+
+// ordersHeld says that a heard peer holds the lease for orders.
+func (p *peers) ordersHeld() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.g.clock.Now()
+	for _, s := range p.known {
+		if s.holdsOrders && p.hears(now, s) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/gateway/registrations.go
+++ b/internal/gateway/registrations.go
@@ -7,8 +7,10 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mastictray/mastictray/internal/directory"
+	"github.com/mastictray/mastictray/internal/feedturn"
 	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/routing"
+	"github.com/mastictray/mastictray/internal/wire"
 )
 
 // registrationShare is the pause between reads of the registrations, as a part
@@ -17,37 +19,52 @@
 // heartbeat of each target.
 const registrationShare = 0.35
 
+// registrationFeed is this instance's place in the registrations of targets.
+// Guarded by Gateway.mu.
+type registrationFeed struct {
+	// next is where to read on; unread before the first read.
+	next int64
+	// upTo is when the store held all that is known here.
+	upTo time.Duration
+	// changes are what recent reads have brought, for peers.
+	changes directory.Changes
+}
+
+// unread is the place of an instance that has read no registrations.
+const unread = int64(-1)
+
 // followRegistrations keeps the directory of targets up to date.
 func (g *Gateway) followRegistrations(ctx context.Context) {
-	next, known, lost := int64(0), false, false
-	for {
-		events, n, err := g.readRegistrations(ctx, next, known)
-		switch {
-		case errors.Is(err, ErrTrimmed):
+	turn := feedturn.New(feedturn.Settings{
+		Bound: g.settings.DrainBound, ReadEvery: time.Duration(registrationShare * float64(g.settings.DrainBound)),
+	})
+	known := false
+	for g.awaitTurn(ctx, turn, g.registrationView) {
+		g.mu.Lock()
+		from := g.registrations.next
+		g.mu.Unlock()
+		sent := g.clock.Now()
+		events, next, err := g.readRegistrations(ctx, from, known)
+		if errors.Is(err, ErrTrimmed) {
 			known = false
 			continue
-		case err != nil:
-			if !lost && ctx.Err() == nil {
-				logline.Error(err, "store_lost", "feed", "registrations")
-			}
-			lost = true
-		default:
-			if lost {
-				logline.Info("store_regained", "feed", "registrations")
-			}
-			g.register(events, !known)
-			next, known, lost = n, true, false
-		}
-		pause := time.Duration(registrationShare * float64(g.settings.DrainBound))
-		if lost {
-			pause = g.jitter(operatorRetry)
 		}
-		if !sleep(ctx, pause) {
-			return
+		g.tookTurn(ctx, turn, &g.feeds.registrations, "registrations", err)
+		if err == nil {
+			g.register(sent, from, next, events, !known)
+			known = true
 		}
 	}
 }
 
+// registrationView is what the next turn at the registrations depends on.
+func (g *Gateway) registrationView() feedturn.View {
+	g.mu.Lock()
+	known, upTo := g.registrations.next != unread, g.registrations.upTo
+	g.mu.Unlock()
+	return feedturn.View{Known: known, KnownAt: upTo, Reader: g.peers.readsForDomain(), Fleet: g.peers.fleetSize()}
+}
+
 func (g *Gateway) readRegistrations(ctx context.Context, next int64, known bool) ([]directory.Event, int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -57,27 +74,60 @@
 	return g.store.RegistrationsSince(ctx, next)
 }
 
-// register takes in what was read; whole says that it is all there is.
-func (g *Gateway) register(events []directory.Event, whole bool) {
+// register takes in the registrations from one place in the feed to another,
+// as the store held them at that time; whole says that they are all there is.
+// A peer's word may have come meanwhile that tells more: then these are old.
+func (g *Gateway) register(at time.Duration, from, next int64, events []directory.Event, whole bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := g.clock.Now()
+	f := &g.registrations
+	if next < f.next {
+		return
+	}
 	before := g.directory.Revision()
+	var changes []directory.Event
 	if whole {
-		g.directory.Replace(now, events)
+		changes = g.directory.Replace(at, events)
+		f.changes.Restart(next)
 	} else {
-		g.directory.Read(now, events)
+		changes = g.directory.Read(at, events)
+		f.changes.Add(from, next, changes)
 	}
-	g.registered = now
-	if g.directory.Revision() == before {
+	first := f.next == unread
+	f.next, f.upTo = next, max(f.upTo, at)
+	if g.directory.Revision() == before && !first {
 		return
 	}
-	for _, e := range events {
+	for _, e := range changes {
 		logEvent(e)
 	}
 	g.updatePools()
 }
 
+// targetNews is what this instance tells a peer that would read on at a place
+// in the registrations; nil when it does not read them itself or has dropped
+// what the peer lacks. The caller holds g.mu.
+func (g *Gateway) targetNews(now time.Duration, place int64, reads bool) *wire.TargetNews {
+	f := &g.registrations
+	if !reads || place == unread || f.next == unread {
+		return nil
+	}
+	events, ok := f.changes.Since(place)
+	if !ok {
+		return nil
+	}
+	return &wire.TargetNews{Next: f.next, Age: (now - f.upTo).Milliseconds() + 1, Events: events}
+}
+
+// takeTargetNews takes in a peer's word on the registrations, asked for at that
+// time by an instance that stood at that place.
+func (g *Gateway) takeTargetNews(asked time.Duration, place int64, n *wire.TargetNews) {
+	if n == nil {
+		return
+	}
+	g.register(asked-time.Duration(n.Age)*time.Millisecond, place, n.Next, n.Events, false)
+}
+
 func logEvent(e directory.Event) {
 	if e.Registration == nil {
 		logline.Info("target_gone", "target", e.ID)
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -139,7 +139,7 @@
 // keepLease renews or takes the lease where that is due.
 func (g *Gateway) keepLease(ctx context.Context, work []rollingOut) bool {
 	now := g.clock.Now()
-	if _, held := g.lease.held(now); !held && now < work[0].since+g.standBack() {
+	if _, held := g.lease.held(now); !held && !g.maySeekLease(now, work[0].since) {
 		return false
 	}
 	if g.lease.readDue(now) {
@@ -182,21 +182,29 @@
 // leaseReadEvery is the pause between reads of another holder's record.
 const leaseReadEvery = time.Second
 
-// standBack is how long this instance lets others begin a rollout first.
-func (g *Gateway) standBack() time.Duration {
+// maySeekLease says whether this instance should look for the lease: nobody
+// that it hears holds it, and those that come first have had the time to take
+// it. Each look is a call to the store, and in a large fleet the looks of all
+// would cost more than the rollout.
+func (g *Gateway) maySeekLease(now, workSince time.Duration) bool {
+	if g.peers.ordersHeld() {
+		g.ordersHeldAt = now
+		return false
+	}
 	if g.lease.heldLast() {
-		return 0
+		return true
 	}
-	return time.Duration(g.peers.rank()) * candidateStagger
+	return now >= max(workSince, g.ordersHeldAt)+time.Duration(g.peers.rank())*candidateStagger
 }
 
-// rank is the number of heard peers whose names come before this instance's.
+// rank is the number of heard peers that reach the store and whose names come
+// before this instance's.
 func (p *peers) rank() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now, rank := p.g.clock.Now(), 0
 	for name, s := range p.known {
-		if name < p.g.self.Instance && !s.leaving && now-s.heard <= p.heardFor() {
+		if name < p.g.self.Instance && !s.leaving && !s.cut && p.hears(now, s) {
 			rank++
 		}
 	}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -25,6 +25,8 @@
 	// WeightsBound is the time after which no request may begin on older
 	// weights than the newest named.
 	WeightsBound time.Duration
+	// ConfigBound is the time after which a configuration must be in force.
+	ConfigBound time.Duration
 	// DrainBound is the time after which a target that said that it drains
 	// must get no new work.
 	DrainBound time.Duration
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -82,19 +82,24 @@
 	l.fleet, l.silence = max(1, n), silence
 }
 
-// Heard takes in a peer's counts, by its incarnation. The first message after
-// a silence only sets where counting starts: what the peer spent meanwhile
-// came out of its own part.
+// Heard takes in a peer's counts, by its incarnation; counts that have not
+// changed may be left out. The first message after a silence only sets where
+// counting starts: what the peer spent meanwhile came out of its own part.
 func (l *Limiter) Heard(now time.Duration, incarnation string, spent map[string]float64) {
 	l.settle(now)
 	p := l.peers[incarnation]
-	fresh := p != nil && now-p.heard <= l.silence
-	if fresh {
-		for name, total := range spent {
+	if p == nil {
+		p = &peer{spent: map[string]float64{}, heard: now - l.silence - 1}
+		l.peers[incarnation] = p
+	}
+	fresh := now-p.heard <= l.silence
+	for name, total := range spent {
+		if fresh {
 			l.take(now, name, total-p.spent[name])
 		}
+		p.spent[name] = total
 	}
-	l.peers[incarnation] = &peer{heard: now, spent: spent}
+	p.heard = now
 }
 
 func (l *Limiter) take(now time.Duration, name string, tokens float64) {
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -1,5 +1,7 @@
 package wire
 
+import "github.com/mastictray/mastictray/internal/directory"
+
 // KindExchange is a call between instances every few hundred milliseconds: the
 // caller tells what it has spent and has running, the answer tells how fresh
 // the peer's configuration is.
@@ -10,6 +12,12 @@
 	From Identity `msgpack:"f"`
 	// ConfigVersion is the configuration that the sender has; 0 for none.
 	ConfigVersion int64 `msgpack:"v"`
+	// WantConfig asks for the answerer's configuration, if it is newer. It is
+	// asked of one peer at a time: small links carry it to few at once.
+	WantConfig bool `msgpack:"w,omitempty"`
+	// TargetsNext is where the sender would read on in the registrations of
+	// targets; -1 before it has read them.
+	TargetsNext int64 `msgpack:"t"`
 	// Spent is what the sender has admitted since its start, by account.
 	Spent map[string]float64 `msgpack:"s,omitempty"`
 	// Loads is what the sender has running, by target.
@@ -29,6 +37,14 @@
 	Crashed []uint64 `msgpack:"c,omitempty"`
 	// Leaving is set by an instance that takes no more requests.
 	Leaving bool `msgpack:"x,omitempty"`
+	// Cut is set by an instance that does not reach the store.
+	Cut bool `msgpack:"y,omitempty"`
+	// HoldsOrders is set by the holder of the lease for orders.
+	HoldsOrders bool `msgpack:"h,omitempty"`
+	// Unheard are the instances that the sender does not hear, with the
+	// milliseconds since the last word of each, by itself or in the store.
+	// Only the first of those that hear each other tells.
+	Unheard map[string]int64 `msgpack:"u,omitempty"`
 }
 
 // TargetLoad is what an instance has running at one target.
@@ -68,7 +84,20 @@
 	Config []byte `msgpack:"c,omitempty"`
 	// Weights are the weights versions named last, oldest first.
 	Weights []NamedWeights `msgpack:"w,omitempty"`
-	Leaving bool           `msgpack:"x,omitempty"`
+	// Targets is what is new of the registrations of targets; nil when the
+	// answerer does not read them itself.
+	Targets *TargetNews `msgpack:"t,omitempty"`
+	Leaving bool        `msgpack:"x,omitempty"`
+}
+
+// TargetNews is what has changed in the registrations of targets since the
+// place that the asker named.
+type TargetNews struct {
+	// Next is where to read on after the events.
+	Next int64 `msgpack:"n"`
+	// Age is how many milliseconds ago the answerer read up to there.
+	Age    int64             `msgpack:"a"`
+	Events []directory.Event `msgpack:"e,omitempty"`
 }
 
 // NamedWeights is a weights version of a model that operators named.
