--- a/internal/gateway/enginepool.go
+++ b/internal/gateway/enginepool.go
@@ -29,9 +29,15 @@
 	// an engine's own step.
 	stepEvery = 4 * time.Millisecond
 	// outdatedPenalty is what a first token on the newest weights may come
-	// later by: an answer on older ones loses a fifth of its worth, which is
-	// more than a wait inside the latency objective costs.
-	outdatedPenalty = 250 * time.Millisecond
+	// later by. An answer on older ones loses a fifth of its worth, one past
+	// its latency objective half or more. With three times as much, all
+	// instances sent to the few targets that had the newest weights, which had
+	// queues of 0.6 s while the others stood idle for 4 s around each load.
+	outdatedPenalty = 80 * time.Millisecond
+	// candidates bounds the targets that a prompt may go to. All instances see
+	// the same queues, and late: with sixteen candidates nearly every prompt
+	// finds the one that has just become free, and they meet there.
+	candidates = 4
 	// queueSlack is the queue of a target that placement does not count: about
 	// one usual prompt, which a target has mostly read by the time that peers
 	// hear of it. In calm traffic on 90 targets it and the division by
@@ -172,6 +178,7 @@
 	p.regs = next
 	p.pool = placement.NewPool(targets, "", placement.DefaultFilters())
 	o := placement.DefaultOptions()
+	o.MaxCandidates = candidates
 	o.QueueSlack, o.HeavyTokens, o.HeavyPenalty = queueSlack, heavyTokens, heavyPenalty
 	o.Domain, o.OutdatedPenalty = p.domain, outdatedPenalty
 	o.TransferTokensPerSecond, o.TransferSetup = p.transfer, transferSetup
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -20,6 +20,10 @@
 	// candidateStagger is the delay between instances that would begin a
 	// rollout: the first in order of their names has mostly begun by then.
 	candidateStagger = 250 * time.Millisecond
+	// outdatedAfter is how long an answer on older weights is worth as much as
+	// one on newer ones, once these were named: the users' own rule. Until
+	// then there is no reason to prefer the few targets that have them.
+	outdatedAfter = 1500 * time.Millisecond
 	// mustServeShare is the part of the bound on old weights after which no
 	// request is sent to a target with older ones.
 	mustServeShare = 0.8
@@ -35,7 +39,7 @@
 		if wanted[s.Name] == nil {
 			wanted[s.Name], least[s.Name] = map[string]int64{}, map[string]int64{}
 		}
-		wanted[s.Name][model] = v.newest().version
+		wanted[s.Name][model] = v.dueBy(now - outdatedAfter)
 		least[s.Name][model] = v.dueBy(now - bound)
 		if n := v.newest(); n.found && mostServe(g.directory.Usable(s.Name), model, n.version) {
 			least[s.Name][model] = n.version
