--- a/internal/feedturn/feedturn.go
+++ b/internal/feedturn/feedturn.go
@@ -36,7 +36,7 @@
 	// retryShare lengthens that pause in large fleets, for each instance:
 	// while the store is away all of them fail, each failed call is counted
 	// too, and one that gets through tells the others.
-	retryShare = 30 * time.Millisecond
+	retryShare = 60 * time.Millisecond
 	// lookEvery is the longest time between two looks, since the reader may
 	// leave at any time.
 	lookEvery = 200 * time.Millisecond
@@ -83,11 +83,17 @@
 	t.notBefore, t.lost = now+t.settings.ReadEvery, false
 }
 
-// Failed takes in a read without an answer. The pause is drawn, so that
-// instances that fail together do not come back together.
+// Failed takes in a read without an answer.
 func (t *Turn) Failed(now time.Duration, fleet int, rng *rand.Rand) {
+	t.notBefore, t.lost = now+RetryPause(fleet, rng), true
+}
+
+// RetryPause is the pause after a call that the store did not answer, in a
+// fleet of that size. It is drawn, so that instances that fail together do not
+// come back together.
+func RetryPause(fleet int, rng *rand.Rand) time.Duration {
 	pause := max(retryPause, retryShare*time.Duration(fleet))
-	t.notBefore, t.lost = now+pause/2+time.Duration(rng.Int64N(int64(pause))), true
+	return pause/2 + time.Duration(rng.Int64N(int64(pause)))
 }
 
 // Lost says that the last read failed: another instance should be the reader.
--- a/internal/gateway/operators.go
+++ b/internal/gateway/operators.go
@@ -11,10 +11,12 @@
 	"github.com/mastictray/mastictray/internal/routing"
 )
 
-// operatorWait is how long the read of a domain's reader waits for news. Its
-// end without news shows that nothing was written until then, so this also
-// bounds the age of what the domain knows.
-const operatorWait = 600 * time.Millisecond
+// operatorWaitShare is how long the read of a domain's reader waits for news,
+// as a part of the time within which a configuration must be in force. The end
+// of the wait without news shows that nothing was written until then, so it
+// also bounds the age of what the domain knows, and has to leave room below the
+// age at which the others read by themselves.
+const operatorWaitShare = 0.35
 
 // followOperators keeps the configuration and the named versions up to date.
 // The domain's reader waits for news at the store; the other instances hear of
@@ -25,7 +27,7 @@
 	for g.awaitTurn(ctx, turn, g.operatorView) {
 		wait := time.Duration(0)
 		if known && g.operatorView().Reader && !turn.Lost() {
-			wait = operatorWait
+			wait = time.Duration(operatorWaitShare * float64(g.settings.ConfigBound))
 		}
 		sent := g.clock.Now()
 		news, err := g.readOperators(ctx, next, known, wait)
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/mastictray/mastictray/internal/directory"
+	"github.com/mastictray/mastictray/internal/feedturn"
 	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/routing"
 	"github.com/mastictray/mastictray/internal/weights"
@@ -148,6 +149,9 @@
 	}
 	if g.lease.readDue(now) {
 		if err := g.readLease(ctx); err != nil {
+			// While the store is away, all instances with a rollout to do
+			// would else ask ten times a second.
+			g.lease.unread(g.clock.Now(), feedturn.RetryPause(g.peers.fleetSize(), g.source()))
 			logline.Error(err, "lease_unread")
 			return false
 		}
--- a/internal/gateway/sharedlease.go
+++ b/internal/gateway/sharedlease.go
@@ -12,6 +12,8 @@
 	mu     sync.Mutex
 	l      *orderlease.Lease
 	readAt time.Duration
+	// notBefore is the end of the pause after a read that failed.
+	notBefore time.Duration
 	// taken is set while the present holding has been logged.
 	taken bool
 }
@@ -39,6 +41,9 @@
 func (s *sharedLease) readDue(now time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if now < s.notBefore {
+		return false
+	}
 	if s.l.Stale() {
 		return true
 	}
@@ -46,6 +51,13 @@
 	return !held && now-s.readAt > leaseReadEvery
 }
 
+// unread takes in a read that failed: the next one waits for the pause.
+func (s *sharedLease) unread(now, pause time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.notBefore = now + pause
+}
+
 func (s *sharedLease) read(now time.Duration, r orderlease.Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
