--- a/internal/belief/entries.go
+++ b/internal/belief/entries.go
@@ -10,8 +10,10 @@
 	holder       *holder
 	newer, older int32
 	next, prev   int32
-	// used is the store's count of uses when this one was used last.
-	used uint64
+	// used is the store's count of uses when this one was used last, takenAt
+	// the target's count of tokens at that time.
+	used    uint64
+	takenAt float64
 }
 
 // entryList keeps entries in one slice and reuses freed places.
--- a/internal/belief/identity.go
+++ b/internal/belief/identity.go
@@ -19,4 +19,6 @@
 	generation uint32
 	// first is the head of the list of entries of this target.
 	first int32
+	// taken counts the tokens that requests have put into its cache.
+	taken float64
 }
--- a/internal/belief/store.go
+++ b/internal/belief/store.go
@@ -29,6 +29,8 @@
 	maxEntries  int
 	generations uint32
 	uses        uint64
+	// capacity is the tokens that a target's cache holds; 0 when not known.
+	capacity float64
 }
 
 // NewStore makes a store that keeps within budgetBytes by forgetting the
@@ -42,6 +44,26 @@
 	}
 }
 
+// SetCapacity gives the tokens that one target's cache holds; 0 when that is
+// not known, and nothing is taken for evicted by its age.
+func (s *Store) SetCapacity(tokens float64) { s.capacity = tokens }
+
+// Took counts tokens that a request has put into the target's cache. Targets
+// evict what was used least recently, mostly by the own parts of prompts, which
+// nobody asks for again: a piece after whose last use a whole cache was filled
+// is gone. Were it believed still, requests would be sent there for it and
+// compute it anew, though another target or a store holds it.
+func (s *Store) Took(id Identity, tokens float64) {
+	if h := s.current(id); h != nil {
+		h.taken += max(0, tokens)
+	}
+}
+
+// evicted says that a whole cache was filled since the entry's last use.
+func (s *Store) evicted(e *entry) bool {
+	return s.capacity > 0 && e.holder.taken-e.takenAt > s.capacity
+}
+
 // Len is the number of believed pieces.
 func (s *Store) Len() int { return len(s.index) }
 
@@ -87,7 +109,8 @@
 		return 0
 	}
 	for i, hash := range chain {
-		if _, ok := s.index[key{uint32(ref), hash}]; !ok {
+		at, ok := s.index[key{uint32(ref), hash}]
+		if !ok || s.evicted(&s.entries.at[at]) {
 			return i
 		}
 	}
@@ -195,14 +218,14 @@
 		k := key{h.generation, hash}
 		if at, ok := s.index[k]; ok {
 			s.entries.touch(at)
-			s.entries.at[at].used = s.uses
+			s.entries.at[at].used, s.entries.at[at].takenAt = s.uses, h.taken
 			continue
 		}
 		if len(s.index) >= s.maxEntries {
 			s.remove(s.entries.oldest())
 		}
 		at := s.entries.insert(k, h)
-		s.entries.at[at].used = s.uses
+		s.entries.at[at].used, s.entries.at[at].takenAt = s.uses, h.taken
 		s.index[k] = at
 	}
 }
--- a/internal/belief/store_test.go
+++ b/internal/belief/store_test.go
@@ -150,3 +150,27 @@
 		}
 	})
 }
+
+// A dossier's opening was used on a target half a minute ago, and the own parts
+// of two hundred prompts have gone through its cache since. A request sent there
+// for it would compute it anew; so nothing is believed of it any more, while
+// what was used in between still is.
+func TestPiecesAgeByWhatTheTargetTook(t *testing.T) {
+	is := is.New(t)
+	s := NewStore(1 << 20)
+	s.SetCapacity(1000)
+	id := Identity{Target: "t", Incarnation: "i", Version: "v"}
+	ref := s.Observe(0, id)
+	old, fresh := []prefix.Hash{1, 2}, []prefix.Hash{3}
+	s.Expect(id, old)
+	s.Took(id, 600)
+	s.Expect(id, fresh)
+	s.Took(id, 600)
+	is.Equal(s.Cached(ref, old), 0)
+	is.Equal(s.Cached(ref, fresh), 1)
+	s.Expect(id, old) // computed anew
+	is.Equal(s.Cached(ref, old), 2)
+	s.SetCapacity(0) // a target whose memory is not known evicts by nobody's count
+	s.Took(id, 1e9)
+	is.Equal(s.Cached(ref, old), 2)
+}
--- a/internal/gateway/cachestore.go
+++ b/internal/gateway/cachestore.go
@@ -159,28 +159,31 @@
 	return s.addresses[placement.Order(pieces[len(pieces)-1], s.addresses, usable)[0]]
 }
 
-// plan says whether a request should fetch its pieces from a store, and
-// whether its target should save them there.
-func (s *cacheStores) plan(scope string, pieces []prefix.Hash) (fetch, save string) {
+// cachePlan is what a request should do with the store of its pieces.
+type cachePlan struct {
+	// address is the store; empty for none that answers.
+	address string
+	// holds is the leading pieces that it is known to hold.
+	holds int
+	// save says that the target should save what it reads there.
+	save bool
+}
+
+// plan says what a request with these shared pieces should do with their store.
+func (s *cacheStores) plan(scope string, pieces []prefix.Hash) cachePlan {
 	now := s.g.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	address := s.of(pieces)
 	if address == "" {
-		return "", ""
+		return cachePlan{}
 	}
 	index := s.stores[address].index
 	if _, ok := index.Answers(); !ok {
-		return "", ""
+		return cachePlan{}
 	}
 	n := index.Holds(now, scope, pieces)
-	if n > 0 {
-		fetch = address
-	}
-	if n < len(pieces) {
-		save = address
-	}
-	return fetch, save
+	return cachePlan{address: address, holds: n, save: n < len(pieces)}
 }
 
 // saved notes that a target has read pieces that it was told to save, by this
--- a/internal/gateway/enginepool.go
+++ b/internal/gateway/enginepool.go
@@ -49,6 +49,9 @@
 	heavyTokens = 8000
 	// heavyPenalty is about the time that a heavy prompt takes.
 	heavyPenalty = 100 * time.Millisecond
+	// cacheShare is the part of a target's memory in which cached pieces stay:
+	// running requests hold the rest.
+	cacheShare = 0.8
 	// transferSetup is what a fetch from another target costs before its
 	// bytes move, and a bit more, so that a prompt stays where it is cached
 	// unless that saves time.
@@ -78,6 +81,8 @@
 	held    int
 	// source is a target to fetch pieces of the prompt from; empty for none.
 	source string
+	// sourceHolds is the leading pieces that it is believed to hold.
+	sourceHolds int
 	// targets is the number of targets that it was chosen from.
 	targets int
 	// leg numbers the attempt among those at its target, whose silence is
@@ -154,6 +159,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.memory = e.MemoryTokens
+	p.beliefs.SetCapacity(cacheShare * float64(e.MemoryTokens))
 	if e.BytesPerToken > 0 {
 		p.transfer = transferShare * e.LinkMbps * bytesPerMbit / float64(e.BytesPerToken)
 	}
@@ -264,8 +270,8 @@
 			target: p.regs[send.Identity.Target], send: send, breaker: b, ticket: b.Begin(),
 			held: send.Request.Place.HeldTokens, targets: p.pool.Live(),
 		}
-		if from, ok := p.picker.Source(send.Decision, &send.Request.Place); ok {
-			pl.source = p.regs[p.pool.Target(from).Name].Address
+		if from, n, ok := p.picker.Source(send.Decision, &send.Request.Place); ok {
+			pl.source, pl.sourceHolds = p.regs[p.pool.Target(from).Name].Address, n
 		}
 		send.Request.Value <- placedOrRefusal{placed: pl}
 	}
@@ -309,6 +315,7 @@
 	}
 	pl.prefilled = true
 	p.dispatcher.Answered(&pl.send)
+	p.beliefs.Took(pl.send.Identity, float64(pl.took()))
 	p.step()
 }
 
@@ -366,13 +373,20 @@
 	}
 }
 
-// believe takes in the prompts that peers have sent to targets.
-func (p *enginePool) believe(id directory.Incarnation, chain []prefix.Hash) {
+// took is the tokens that the request has put into its target's cache.
+func (pl *placed) took() int {
+	return max(0, pl.held-pl.send.Request.Place.LeadingTokens(pl.send.Decision.CachedPieces))
+}
+
+// believe takes in a prompt that a peer has sent to a target, and the tokens
+// that it has put into the target's cache.
+func (p *enginePool) believe(id directory.Incarnation, chain []prefix.Hash, tokens int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r, ok := p.regs[id.ID]
 	if !ok || r.Incarnation() != id {
 		return
 	}
+	p.beliefs.Took(identity(&r), float64(tokens))
 	p.beliefs.Stored(identity(&r), chain)
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -189,11 +189,10 @@
 // sentPrompt notes a prompt that a target has prefilled, and the pieces that it
 // saves under the scope, to tell the peers.
 func (p *peers) sentPrompt(pl *placed, scope string, saved []prefix.Hash) {
-	chain := pl.send.Request.Place.Chain
-	if len(chain) == 0 {
-		return
+	m := wire.SentPrompt{
+		Target: pl.target.ID, Born: pl.target.Born, Chain: numbers(pl.send.Request.Place.Chain), Tokens: pl.took(),
+		Scope: scope, Pieces: numbers(saved),
 	}
-	m := wire.SentPrompt{Target: pl.target.ID, Born: pl.target.Born, Chain: numbers(chain), Scope: scope, Pieces: numbers(saved)}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.prompts = append(p.prompts, m)
--- a/internal/gateway/fleetstate.go
+++ b/internal/gateway/fleetstate.go
@@ -60,7 +60,7 @@
 		}
 		chain := hashes(s.Chain)
 		for _, pool := range pools {
-			pool.believe(directory.Incarnation{ID: s.Target, Born: s.Born}, chain)
+			pool.believe(directory.Incarnation{ID: s.Target, Born: s.Born}, chain, s.Tokens)
 		}
 	}
 	if t := g.table.Load(); t != nil {
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -16,6 +16,8 @@
 	target directory.Registration
 	// source is the address of a target to fetch pieces from; empty for none.
 	source string
+	// sourceHolds is the leading pieces that it is believed to hold.
+	sourceHolds int
 	// saves says that the target saves what it reads, under the scope.
 	saves bool
 	scope string
@@ -84,7 +86,7 @@
 	}
 	l := &leg{}
 	*l = leg{
-		target: pl.target, source: pl.source,
+		target: pl.target, source: pl.source, sourceHolds: pl.sourceHolds,
 		choice: choice{cached: pl.send.Decision.CachedPieces, uncached: int(pl.send.Decision.UncachedTokens), expected: pl.send.Decision.Expected, targets: pl.targets},
 		answered: func() {
 			if !pl.prefilled {
--- a/internal/placement/picker.go
+++ b/internal/placement/picker.go
@@ -129,8 +129,8 @@
 
 // Source is the target to fetch pieces from that the chosen one lacks: the one
 // of the same weights that holds most, in the chosen one's domain where that
-// is equal. False when none holds more.
-func (p *Picker) Source(d Decision, r *Request) (int, bool) {
+// is equal, and how many leading pieces it holds. False when none holds more.
+func (p *Picker) Source(d Decision, r *Request) (index, pieces int, ok bool) {
 	to := &p.pool.targets[d.Index]
 	best, most, near := -1, d.CachedPieces, false
 	for i := range p.pool.targets {
@@ -143,7 +143,7 @@
 			best, most, near = i, n, same
 		}
 	}
-	return best, best >= 0
+	return best, most, best >= 0
 }
 
 // anchor is the rendezvous key of a request. A prompt without a full piece
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -61,6 +61,8 @@
 	Born   int64  `msgpack:"b"`
 	// Chain are the hashes of the prompt's shared pieces.
 	Chain []uint64 `msgpack:"c"`
+	// Tokens is what the request has put into the target's cache.
+	Tokens int `msgpack:"n,omitempty"`
 	// Scope and Pieces are set when the target saves the pieces to a store.
 	Scope  string   `msgpack:"s,omitempty"`
 	Pieces []uint64 `msgpack:"p,omitempty"`
