--- a/cmd/mastictray-gateway/main.go
+++ b/cmd/mastictray-gateway/main.go
@@ -25,13 +25,16 @@
 
 func main() {
 	var s Settings
-	kong.Parse(
-		&s,
+	options := []kong.Option{
 		kong.Name("mastictray-gateway"),
 		kong.Description("Routes callers' requests by host and path to the targets that serve them soonest."),
-		kong.Configuration(settings.Loader, os.Getenv(settingsVariable)),
 		kong.Vars{"version": "0.2.0"},
-	)
+	}
+	// Without a file all settings come from flags.
+	if file := os.Getenv(settingsVariable); file != "" {
+		options = append(options, kong.Configuration(settings.Loader, file))
+	}
+	kong.Parse(&s, options...)
 	if err := run(&s); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
--- a/internal/gateway/announce.go
+++ b/internal/gateway/announce.go
@@ -76,7 +76,7 @@
 // announcePause is the time until the next announcement. The caller holds p.mu.
 func (p *peers) announcePause(now time.Duration) time.Duration {
 	switch {
-	case p.speaksForOthers(now):
+	case p.speaksForOthers(now), p.alone(now):
 		return announceEvery
 	case p.first(now):
 		return calmAnnounceEvery
@@ -102,6 +102,17 @@
 	return false
 }
 
+// alone says that no peer is heard: instances that start together may each have
+// read the announcements before the others wrote theirs. The caller holds p.mu.
+func (p *peers) alone(now time.Duration) bool {
+	for _, s := range p.known {
+		if p.hears(now, s) {
+			return false
+		}
+	}
+	return true
+}
+
 // first says that no heard peer that reaches the store comes before this
 // instance by name. The caller holds p.mu.
 func (p *peers) first(now time.Duration) bool {
@@ -167,7 +178,7 @@
 
 // takeOne takes in one announcement. One that was seen before says nothing new.
 func (p *peers) takeOne(now time.Duration, a Announced) {
-	if a.Instance == p.g.self.Instance || a.Revision <= p.dropped[a.Instance] {
+	if last, dropped := p.dropped[a.Instance]; a.Instance == p.g.self.Instance || dropped && a.Revision <= last {
 		return
 	}
 	s := p.known[a.Instance]
