--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -160,7 +160,7 @@
 		// names both, and the target must have the version that it names.
 		o.Weights = l.target.Versions[c.Prompt.Model]
 		o.CacheScope = strconv.FormatInt(o.Weights, 10) + "/" + cacheScope(c)
-		plan := g.cache.plan(o.CacheScope, sharedPieces(c))
+		plan := g.cache.plan(o.CacheScope, sharedPieces(c), pieceTokens(c))
 		// Without a better source the store is asked also for pieces that
 		// it is not known to hold: a miss costs a millisecond, computing a
 		// piece that it does hold costs a hundred.
--- a/internal/gateway/cachestore.go
+++ b/internal/gateway/cachestore.go
@@ -169,8 +169,9 @@
 	save bool
 }
 
-// plan says what a request with these shared pieces should do with their store.
-func (s *cacheStores) plan(scope string, pieces []prefix.Hash) cachePlan {
+// plan says what a request with these shared pieces, and so many tokens in each
+// of all its pieces, should do with their store.
+func (s *cacheStores) plan(scope string, pieces []prefix.Hash, tokens []int) cachePlan {
 	now := s.g.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -183,7 +184,26 @@
 		return cachePlan{}
 	}
 	n := index.Holds(now, scope, pieces)
-	return cachePlan{address: address, holds: n, save: n < len(pieces)}
+	return cachePlan{address: address, holds: n, save: worthSaving(n, len(pieces), tokens)}
+}
+
+// worthSaving says whether a target should save a prompt to a store that holds
+// its first pieces. It saves all that it reads, also the own part, which nobody
+// asks for again and which pushes out pieces that others need: once new weights
+// are named and every opening is saved anew, the own parts alone fill a store.
+// So a prompt is saved whose own part is no larger than what is missing; the
+// next one with the same opening may have a smaller one.
+func worthSaving(held, shared int, tokens []int) bool {
+	missing, own := 0, 0
+	for i, n := range tokens {
+		switch {
+		case i >= shared:
+			own += n
+		case i >= held:
+			missing += n
+		}
+	}
+	return missing > 0 && own <= missing
 }
 
 // saved notes that a target has read pieces that it was told to save, by this
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -126,6 +126,15 @@
 	return names
 }
 
+// pieceTokens are the sizes of all pieces of the prompt.
+func pieceTokens(c *call) []int {
+	tokens := make([]int, len(c.Prompt.Pieces))
+	for i, p := range c.Prompt.Pieces {
+		tokens[i] = p.Tokens
+	}
+	return tokens
+}
+
 // queued describes the request to the queue and to placement.
 func (g *Gateway) queued(c *call) *waiting {
 	q := &waiting{Account: accountName(c), Priority: fairqueue.MaxPriority - urgency(c), Deadline: c.firstDue()}
