--- a/internal/gateway/operators_test.go
+++ b/internal/gateway/operators_test.go
@@ -18,9 +18,9 @@
 	target := func(v int64) directory.Registration {
 		return directory.Registration{Versions: map[string]int64{"m": v}}
 	}
-	is.True(mostServe([]directory.Registration{target(2), target(2), target(1)}, "m", 2))
-	is.True(!mostServe([]directory.Registration{target(2), target(1), target(1)}, "m", 2))
-	is.True(!mostServe(nil, "m", 2))
+	is.Equal(leastFound([]directory.Registration{target(2), target(2), target(1)}, "m", 2), int64(2))
+	is.Equal(leastFound([]directory.Registration{target(2), target(1), target(1)}, "m", 2), int64(1))
+	is.Equal(leastFound(nil, "m", 2), int64(0))
 	var n namedVersions
 	n.add(2, 0)
 	n.markFound()
@@ -29,6 +29,21 @@
 	is.True(!n.newest().found)
 }
 
+// The holder of the lease is suspended in the middle of a rollout, a newer
+// version is named, the store and then a domain is cut off, and at last all
+// instances lose power. The new ones find the newest version only, with few
+// targets on it, some on the one between and most on the oldest, whose time is
+// long over. Callers would get answers on weights named 24 s ago.
+func TestRestartedFleetSparesTargetsTwoVersionsBehind(t *testing.T) {
+	is := is.New(t)
+	var targets []directory.Registration
+	for _, v := range []int64{4, 4, 3, 3, 3, 2, 2, 2, 2, 2} {
+		targets = append(targets, directory.Registration{Versions: map[string]int64{"m": v}})
+	}
+	is.Equal(leastFound(targets, "m", 4), int64(3))
+	is.Equal(leastFound(targets[5:], "m", 4), int64(2)) // nobody would be left
+}
+
 // Versions come late, in any order, from the store and from peers. The bound
 // on old weights counts from the earliest word on each.
 func TestNamedVersionsKeepTheEarliestTime(t *testing.T) {
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -42,8 +42,8 @@
 		}
 		wanted[s.Name][model] = v.dueBy(now - outdatedAfter)
 		least[s.Name][model] = v.dueBy(now - bound)
-		if n := v.newest(); n.found && mostServe(g.directory.Usable(s.Name), model, n.version) {
-			least[s.Name][model] = n.version
+		if n := v.newest(); n.found {
+			least[s.Name][model] = max(least[s.Name][model], leastFound(g.directory.Usable(s.Name), model, n.version))
 		}
 	})
 	for name, pool := range g.engines {
@@ -51,18 +51,25 @@
 	}
 }
 
-// mostServe says whether at least half of the targets serve the version or a
-// newer one. A process that started in the middle of a rollout does not know
-// how long ago the version was named; when most serve it, the others' time is
-// nearly over, and they can be spared.
-func mostServe(targets []directory.Registration, model string, version int64) bool {
-	n := 0
+// leastFound is the oldest version that may serve as far as targets tell. A
+// process that started in the middle of a rollout does not know how long ago the
+// newest version was named, nor that there was one between. When most targets
+// serve the newest, the others' time is nearly over, and they can be spared.
+// Else those are spared that are behind a version which was superseded after it
+// had come to some target: it was named longer ago than the newest.
+func leastFound(targets []directory.Registration, model string, newest int64) int64 {
+	serve, superseded := 0, int64(0)
 	for _, t := range targets {
-		if t.Versions[model] >= version {
-			n++
+		if v := t.Versions[model]; v >= newest {
+			serve++
+		} else {
+			superseded = max(superseded, v)
 		}
 	}
-	return n > 0 && 2*n >= len(targets)
+	if serve > 0 && 2*serve >= len(targets) {
+		return newest
+	}
+	return superseded
 }
 
 // runRollouts brings the targets to the named versions, while this instance
@@ -193,11 +200,13 @@
 // maySeekLease says whether this instance should look for the lease: nobody
 // that it hears holds it, and those that come first have had the time to take
 // it. Each look is a call to the store, and in a large fleet the looks of all
-// would cost more than the rollout.
+// would cost more than the rollout. While a holder is heard, the reader of each
+// domain looks all the same: whoever has seen the record unchanged for long
+// enough can go on at once when the holder falls silent, also in another domain.
 func (g *Gateway) maySeekLease(now, workSince time.Duration) bool {
 	if g.peers.ordersHeld() {
 		g.ordersHeldAt = now
-		return false
+		return g.peers.readsForDomain()
 	}
 	if g.lease.heldLast() {
 		return true
