--- /dev/null
+++ b/internal/gateway/enginepeers.go
@@ -0,0 +1,62 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/mastictray/mastictray/internal/directory"
+	"github.com/mastictray/mastictray/internal/prefix"
+)
+
+// load is what an instance has running at one target.
+type load struct {
+	// Unanswered is the prompt tokens whose first token has not come, Held
+	// the tokens of memory that running requests take.
+	Unanswered float64
+	Held       int
+}
+
+// loads is what this instance has running, by target.
+func (p *enginePool) loads() map[string]load {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := map[string]load{}
+	for i := range p.pool.Len() {
+		t := p.pool.Target(i)
+		if l := (load{Unanswered: t.Load.Unanswered(), Held: t.HeldTokens}); l != (load{}) {
+			out[t.Name] = l
+		}
+	}
+	return out
+}
+
+// setPeers takes what the other instances have running, by target. Their word
+// is as old as the pause between two messages, so the window is as much longer.
+func (p *enginePool) setPeers(pace time.Duration, peers map[string]load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dispatcher.SetWindow(engineWindow + pace - exchangeEvery)
+	for i := range p.pool.Len() {
+		t := p.pool.Target(i)
+		l := peers[t.Name]
+		t.PeersHeldTokens = l.Held
+		t.Load.Peers(l.Unanswered)
+	}
+}
+
+// took is the tokens that the request has put into its target's cache.
+func (pl *placed) took() int {
+	return max(0, pl.held-pl.send.Request.Place.LeadingTokens(pl.send.Decision.CachedPieces))
+}
+
+// believe takes in a prompt that a peer has sent to a target, and the tokens
+// that it has put into the target's cache.
+func (p *enginePool) believe(id directory.Incarnation, chain []prefix.Hash, tokens int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r, ok := p.regs[id.ID]
+	if !ok || r.Incarnation() != id {
+		return
+	}
+	p.beliefs.Took(identity(&r), float64(tokens))
+	p.beliefs.Stored(identity(&r), chain)
+}
--- a/internal/gateway/enginepool.go
+++ b/internal/gateway/enginepool.go
@@ -12,56 +12,9 @@
 	"github.com/mastictray/mastictray/internal/dispatch"
 	"github.com/mastictray/mastictray/internal/overload"
 	"github.com/mastictray/mastictray/internal/placement"
-	"github.com/mastictray/mastictray/internal/prefix"
 	"github.com/mastictray/mastictray/internal/routing"
 )
 
-const (
-	// beliefBudgetBytes bounds what is remembered of the targets' caches: some
-	// ten thousand pieces, several times what a dozen engines hold.
-	beliefBudgetBytes = 2 << 20
-	// maxQueued bounds the requests that wait here for one service.
-	maxQueued = 1024
-	// engineWindow is the prompt work that a target may have before further
-	// requests for it are held here.
-	engineWindow = 120 * time.Millisecond
-	// stepEvery is the pause between looks at the queue while requests wait:
-	// an engine's own step.
-	stepEvery = 4 * time.Millisecond
-	// outdatedPenalty is what a first token on the newest weights may come
-	// later by. An answer on older ones loses a fifth of its worth, one past
-	// its latency objective half or more. With three times as much, all
-	// instances sent to the few targets that had the newest weights, which had
-	// queues of 0.6 s while the others stood idle for 4 s around each load.
-	outdatedPenalty = 80 * time.Millisecond
-	// candidates bounds the targets that a prompt may go to. All instances see
-	// the same queues, and late: with sixteen candidates nearly every prompt
-	// finds the one that has just become free, and they meet there.
-	candidates = 4
-	// queueSlack is the queue of a target that placement does not count: about
-	// one usual prompt, which a target has mostly read by the time that peers
-	// hear of it. In calm traffic on 90 targets it and the division by
-	// heaviness took late answers from 283 to 83 of 5,544 short prompts, and
-	// from 231 to 168 of 2,399 dossiers.
-	queueSlack = 60 * time.Millisecond
-	// heavyTokens is a tenth of a second of prefill: a fifth of the shorter
-	// latency objective, as far as a light prompt may be held up.
-	heavyTokens = 8000
-	// heavyPenalty is about the time that a heavy prompt takes.
-	heavyPenalty = 100 * time.Millisecond
-	// cacheShare is the part of a target's memory in which cached pieces stay:
-	// running requests hold the rest.
-	cacheShare = 0.8
-	// transferSetup is what a fetch from another target costs before its
-	// bytes move, and a bit more, so that a prompt stays where it is cached
-	// unless that saves time.
-	transferSetup = 15 * time.Millisecond
-	// transferShare of the link's rate is counted on: other transfers share
-	// it, and between domains it takes twice as long.
-	transferShare = 0.4
-	bytesPerMbit  = 1e6 / 8
-)
-
 type (
 	waiting = dispatch.Request[chan placedOrRefusal]
 	sending = dispatch.Send[chan placedOrRefusal]
@@ -93,14 +46,6 @@
 	prefilled bool
 }
 
-// load is what an instance has running at one target.
-type load struct {
-	// Unanswered is the prompt tokens whose first token has not come, Held
-	// the tokens of memory that running requests take.
-	Unanswered float64
-	Held       int
-}
-
 // enginePool decides for the requests of one service of model servers. Its
 // lock is held for decisions only, never over I/O.
 type enginePool struct {
@@ -344,49 +289,3 @@
 	defer p.mu.Unlock()
 	pl.breaker.Unreachable(p.now(), p.rng)
 }
-
-// loads is what this instance has running, by target.
-func (p *enginePool) loads() map[string]load {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	out := map[string]load{}
-	for i := range p.pool.Len() {
-		t := p.pool.Target(i)
-		if l := (load{Unanswered: t.Load.Unanswered(), Held: t.HeldTokens}); l != (load{}) {
-			out[t.Name] = l
-		}
-	}
-	return out
-}
-
-// setPeers takes what the other instances have running, by target. Their word
-// is as old as the pause between two messages, so the window is as much longer.
-func (p *enginePool) setPeers(pace time.Duration, peers map[string]load) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.dispatcher.SetWindow(engineWindow + pace - exchangeEvery)
-	for i := range p.pool.Len() {
-		t := p.pool.Target(i)
-		l := peers[t.Name]
-		t.PeersHeldTokens = l.Held
-		t.Load.Peers(l.Unanswered)
-	}
-}
-
-// took is the tokens that the request has put into its target's cache.
-func (pl *placed) took() int {
-	return max(0, pl.held-pl.send.Request.Place.LeadingTokens(pl.send.Decision.CachedPieces))
-}
-
-// believe takes in a prompt that a peer has sent to a target, and the tokens
-// that it has put into the target's cache.
-func (p *enginePool) believe(id directory.Incarnation, chain []prefix.Hash, tokens int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	r, ok := p.regs[id.ID]
-	if !ok || r.Incarnation() != id {
-		return
-	}
-	p.beliefs.Took(identity(&r), float64(tokens))
-	p.beliefs.Stored(identity(&r), chain)
-}
