--- a/internal/directory/changes.go
+++ b/internal/directory/changes.go
@@ -23,12 +23,15 @@
 	c.batches, c.end = nil, at
 }
 
-// Add takes in what was read. A read that does not begin where the last one
-// ended leaves a gap, and nothing before it can be told any more.
+// Add takes in what was read from one place to another, and what it changed. A
+// read that begins behind the end of the last one leaves a gap, and nothing
+// before it can be told any more. One that begins before that end changes
+// nothing up to there, since that was taken in already: it adds only the rest.
 func (c *Changes) Add(from, next int64, events []Event) {
-	if from != c.end {
+	if from > c.end {
 		c.Restart(from)
 	}
+	from = c.end
 	c.end = next
 	if last := len(c.batches) - 1; last >= 0 && len(events) == 0 && len(c.batches[last].events) == 0 {
 		c.batches[last].next = next
--- a/internal/directory/changes_test.go
+++ b/internal/directory/changes_test.go
@@ -30,6 +30,25 @@
 	is.True(!ok)
 }
 
+// An instance asks a peer what is new, and reads by itself before the answer
+// comes. The answer begins where it stood when it asked, and what it had read
+// meanwhile changes nothing any more. Were that part taken as known to be empty,
+// those that hear from this instance would never learn that a target drains, and
+// would go on sending to it.
+func TestOverlappingReadsLoseNoChange(t *testing.T) {
+	is := is.New(t)
+	var c Changes
+	c.Restart(0)
+	c.Add(0, 10, []Event{put("a", 1, 2, Draining)}) // its own read
+	c.Add(0, 20, []Event{gone("b")})                // the answer
+	events, ok := c.Since(5)
+	is.True(ok)
+	is.Equal(len(events), 2)
+	events, ok = c.Since(10)
+	is.True(ok)
+	is.Equal(len(events), 1)
+}
+
 // One instance reads the registrations, the other hears from it, now and then
 // late, and from places that its own reads left it at. Targets register, beat,
 // drain, leave and return under their names. Both always name the same targets:
