--- a/internal/gateway/announce.go
+++ b/internal/gateway/announce.go
@@ -104,25 +104,11 @@
 
 // alone says that no peer is heard: instances that start together may each have
 // read the announcements before the others wrote theirs. The caller holds p.mu.
-func (p *peers) alone(now time.Duration) bool {
-	for _, s := range p.known {
-		if p.hears(now, s) {
-			return false
-		}
-	}
-	return true
-}
+func (p *peers) alone(now time.Duration) bool { return p.heardLocked(now) == 0 }
 
 // first says that no heard peer that reaches the store comes before this
 // instance by name. The caller holds p.mu.
-func (p *peers) first(now time.Duration) bool {
-	for name, s := range p.known {
-		if name < p.g.self.Instance && p.hears(now, s) && !s.cut && !s.leaving {
-			return false
-		}
-	}
-	return true
-}
+func (p *peers) first(now time.Duration) bool { return p.rankLocked(now) == 0 }
 
 // hears says whether a peer's last message still stands for its present state.
 // The caller holds p.mu.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -142,7 +142,7 @@
 	pace := p.paceLocked()
 	heard, silent := 0, map[string]int{}
 	for _, s := range p.known {
-		if now-s.heard > p.heardFor() {
+		if !p.hears(now, s) {
 			continue
 		}
 		heard++
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -209,15 +209,37 @@
 func (p *peers) heardCount() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now, n := p.g.clock.Now(), 0
+	return p.heardLocked(p.g.clock.Now())
+}
+
+func (p *peers) heardLocked(now time.Duration) int {
+	n := 0
 	for _, s := range p.known {
-		if now-s.heard <= p.heardFor() {
+		if p.hears(now, s) {
 			n++
 		}
 	}
 	return n
 }
 
+// rank is the number of heard peers that reach the store and whose names come
+// before this instance's.
+func (p *peers) rank() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.rankLocked(p.g.clock.Now())
+}
+
+func (p *peers) rankLocked(now time.Duration) int {
+	rank := 0
+	for name, s := range p.known {
+		if name < p.g.self.Instance && !s.leaving && !s.cut && p.hears(now, s) {
+			rank++
+		}
+	}
+	return rank
+}
+
 // readsForDomain says whether this instance reads the store's feeds for its
 // failure domain.
 func (p *peers) readsForDomain() bool {
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -214,20 +214,6 @@
 	return now >= max(workSince, g.ordersHeldAt)+time.Duration(g.peers.rank())*candidateStagger
 }
 
-// rank is the number of heard peers that reach the store and whose names come
-// before this instance's.
-func (p *peers) rank() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now, rank := p.g.clock.Now(), 0
-	for name, s := range p.known {
-		if name < p.g.self.Instance && !s.leaving && !s.cut && p.hears(now, s) {
-			rank++
-		}
-	}
-	return rank
-}
-
 // setOrdered notes which targets this instance has ordered, and which it will
 // order next. Here that counts at once; peers hear of it.
 func (g *Gateway) setOrdered(ordered, soon []string) {
