gateway: logs tell how old a named version is taken to be, and which weights may serve

Callers got answers on weights replaced long ago. The logs could not tell whether a process had forgotten when a version was named or had a wrong belief of a target: weights_named had neither source nor age, nothing told which was the oldest version that may serve, and no line of a request named the version that its target had to have. Change: weights_named has from and age; oldest_weights tells when the oldest version that may serve changes, why, and how many targets are spared; answered and attempt_failed have weights. No decision changes. Checks: make lint, go test ./internal/gateway ./platform.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastictray/mastictray/internal/directory"
 	"github.com/mastictray/mastictray/internal/overload"
 	"github.com/mastictray/mastictray/internal/targetconn"
 )
@@ -152,6 +153,15 @@
 	tryObjectives = 1
 )
 
+// weightsFor is the version of the weights that a target is believed to answer
+// the request on; 0 when it is not known.
+func weightsFor(c *call, t *directory.Registration) int64 {
+	if c.Prompt == nil {
+		return 0
+	}
+	return t.Versions[c.Prompt.Model]
+}
+
 // outgoing is what goes with the request to the target.
 func (g *Gateway) outgoing(c *call, l *leg, s *relay) Outgoing {
 	o := Outgoing{
@@ -162,7 +172,7 @@
 		// Pieces made on one version must not serve another: targets look
 		// neither at versions nor at accounts when they fetch. So the scope
 		// names both, and the target must have the version that it names.
-		o.Weights = l.target.Versions[c.Prompt.Model]
+		o.Weights = weightsFor(c, &l.target)
 		o.CacheScope = strconv.FormatInt(o.Weights, 10) + "/" + cacheScope(c)
 		plan := g.cache.plan(o.CacheScope, sharedPieces(c), pieceTokens(c))
 		// Without a better source the store is asked also for pieces that
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -49,13 +49,13 @@
 
 func (g *Gateway) logAttempt(c *call, l *leg, result string, err error) {
 	logline.Info("attempt_failed", "request", c.ID, "route", c.route.Name, "target", l.target.ID, "address", l.target.Address,
-		"domain", l.target.Domain, "attempt", c.sent, "result", result, "error", err, "after", g.clock.Now()-c.began)
+		"domain", l.target.Domain, "weights", l.choice.weights, "attempt", c.sent, "result", result, "error", err, "after", g.clock.Now()-c.began)
 }
 
 func (g *Gateway) logAnswered(c *call, s *relay) {
 	total := g.clock.Now() - c.began
 	g.metrics.answered(c, s, total)
 	logline.Sampled("answered", "request", c.ID, "route", c.route.Name, "account", accountName(c), "target", c.tried,
-		"status", s.status, "attempts", c.sent, "events", s.events, "queued", c.placedAt-c.began, "first", s.firstAt, "after", total,
+		"weights", c.choice.weights, "status", s.status, "attempts", c.sent, "events", s.events, "queued", c.placedAt-c.began, "first", s.firstAt, "after", total,
 		"expected", c.choice.expected, "cached_pieces", c.choice.cached, "uncached", c.choice.uncached, "targets", c.choice.targets)
 }
--- a/internal/gateway/fleetstate.go
+++ b/internal/gateway/fleetstate.go
@@ -92,7 +92,7 @@
 		g.putInForce(c, from.Instance)
 	}
 	for _, v := range a.Weights {
-		g.nameVersion(routing.WeightsVersion{Model: v.Model, Version: v.Version}, asked-time.Duration(v.Age)*time.Millisecond)
+		g.nameVersion(routing.WeightsVersion{Model: v.Model, Version: v.Version}, asked-time.Duration(v.Age)*time.Millisecond, from.Instance)
 	}
 	t := g.table.Load()
 	if a.ContactAge >= 0 && t != nil && t.Config().Version >= a.ConfigVersion {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,7 +43,10 @@
 	contacts *keys.Contacts
 	// versions are the newest weights named, and when this instance learnt
 	// of each.
-	versions      map[string]*namedVersions
+	versions map[string]*namedVersions
+	// oldestLogged is the oldest version that may serve, by service and model,
+	// as it stands in the log.
+	oldestLogged  map[string]int64
 	quota         *quota.Limiter
 	directory     *directory.Directory
 	registrations registrationFeed
@@ -87,6 +90,7 @@
 		metrics:       newGatewayMetrics(),
 		contacts:      keys.NewContacts(s.Domain),
 		versions:      map[string]*namedVersions{},
+		oldestLogged:  map[string]int64{},
 		quota:         quota.New(),
 		directory:     directory.New(),
 		registrations: registrationFeed{next: unread, upTo: never},
--- a/internal/gateway/operators.go
+++ b/internal/gateway/operators.go
@@ -80,7 +80,7 @@
 		g.putInForce(news.Config, "store")
 	}
 	for _, v := range news.Versions {
-		g.nameVersion(v, namedBy)
+		g.nameVersion(v, namedBy, "store")
 		if atStart {
 			g.versions[v.Model].markFound()
 		}
@@ -110,8 +110,9 @@
 		"services", len(c.Services), "accounts", len(c.Accounts))
 }
 
-// nameVersion takes a weights version if it is newer. The caller holds g.mu.
-func (g *Gateway) nameVersion(v routing.WeightsVersion, namedBy time.Duration) {
+// nameVersion takes a weights version, named by that time as far as from tells.
+// The caller holds g.mu.
+func (g *Gateway) nameVersion(v routing.WeightsVersion, namedBy time.Duration, from string) {
 	known := g.versions[v.Model]
 	if known == nil {
 		known = &namedVersions{}
@@ -120,7 +121,7 @@
 	if !known.add(v.Version, namedBy) {
 		return
 	}
-	logline.Info("weights_named", "model", v.Model, "version", v.Version)
+	logline.Info("weights_named", "model", v.Model, "version", v.Version, "from", from, "age", g.clock.Now()-namedBy)
 	g.updateRollout()
 }
 
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -40,6 +40,8 @@
 	expected time.Duration
 	// targets is the number that could have been chosen.
 	targets int
+	// weights is the version that the target had to have; 0 for any.
+	weights int64
 }
 
 // place chooses a target for the next attempt and waits for it if need be. A
@@ -87,7 +89,7 @@
 	l := &leg{}
 	*l = leg{
 		target: pl.target, source: pl.source, sourceHolds: pl.sourceHolds,
-		choice: choice{cached: pl.send.Decision.CachedPieces, uncached: int(pl.send.Decision.UncachedTokens), expected: pl.send.Decision.Expected, targets: pl.targets},
+		choice: choice{cached: pl.send.Decision.CachedPieces, uncached: int(pl.send.Decision.UncachedTokens), expected: pl.send.Decision.Expected, targets: pl.targets, weights: weightsFor(c, &pl.target)},
 		answered: func() {
 			if !pl.prefilled {
 				g.noteRead(c, l, pl)
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -41,16 +41,38 @@
 			wanted[s.Name], least[s.Name] = map[string]int64{}, map[string]int64{}
 		}
 		wanted[s.Name][model] = v.dueBy(now - outdatedAfter)
-		least[s.Name][model] = v.dueBy(now - bound)
+		oldest, why := v.dueBy(now-bound), "bound_reached"
 		if n := v.newest(); n.found {
-			least[s.Name][model] = max(least[s.Name][model], leastFound(g.directory.Usable(s.Name), model, n.version))
+			if found := leastFound(g.directory.Usable(s.Name), model, n.version); found > oldest {
+				oldest, why = found, "targets_tell"
+			}
 		}
+		least[s.Name][model] = oldest
+		g.logOldest(s.Name, model, oldest, why)
 	})
 	for name, pool := range g.engines {
 		pool.setRollout(wanted[name], least[name], g.loadingNow, g.loadingSoon)
 	}
 }
 
+// logOldest tells when the oldest version that may serve changes, why, and how
+// many targets get no requests by that. The caller holds g.mu.
+func (g *Gateway) logOldest(service, model string, oldest int64, why string) {
+	from := g.oldestLogged[service+"/"+model]
+	if from == oldest {
+		return
+	}
+	g.oldestLogged[service+"/"+model] = oldest
+	spared, targets := 0, g.directory.Usable(service)
+	for i := range targets {
+		if behind(&targets[i], map[string]int64{model: oldest}) {
+			spared++
+		}
+	}
+	logline.Info("oldest_weights", "service", service, "model", model, "version", oldest, "from", from, "why", why,
+		"spared", spared, "of", len(targets))
+}
+
 // leastFound is the oldest version that may serve as far as targets tell. A
 // process that started in the middle of a rollout does not know how long ago the
 // newest version was named, nor that there was one between. When most targets
