gateway: the store keeps when weights were named, for processes that start after all others

Callers got answers on weights replaced long before, for seconds after all instances had lost power at once. Cause: the age of a named version was known to running processes only, and the bound on old weights was counted from it. Operators' records have no times. New processes found the newest version, took it to be 3 s old and knew of none before; what targets serve helped only where one of them had the version between. The same where a version is named after the restart (that ended the safeguard by what targets serve), and for an instance that was suspended while all others were restarted. Change: the first of the instances that hear each other writes each version with a time of day into the store, without the lease; who heard of a version late reads it. The earliest word counts. Peers' words say when they are late themselves; what the record tells is not passed on. Why it holds: the record is there 0.1 s after the naming and does not depend on who lives or holds the lease; 2 s of wrong time are within the margin.

--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -84,4 +84,5 @@
 	RegistrationFeed
 	InstanceFeed
 	orderlease.Log
+	weights.NamingLog
 }
--- a/internal/gateway/fleetstate.go
+++ b/internal/gateway/fleetstate.go
@@ -46,8 +46,10 @@
 		answer.ContactAge = age.Milliseconds() + 1
 	}
 	for model, v := range g.versions {
-		for _, n := range v.recent(toldVersions) {
-			answer.Weights = append(answer.Weights, wire.NamedWeights{Model: model, Version: n.version, Age: (now - n.at).Milliseconds()})
+		for _, n := range v.heard(toldVersions) {
+			answer.Weights = append(answer.Weights, wire.NamedWeights{
+				Model: model, Version: n.version, Age: (now - n.heardAt).Milliseconds(), Found: n.found,
+			})
 		}
 	}
 	answer.Targets = g.targetNews(now, m.TargetsNext, reads)
@@ -92,7 +94,7 @@
 		g.putInForce(c, from.Instance)
 	}
 	for _, v := range a.Weights {
-		g.nameVersion(routing.WeightsVersion{Model: v.Model, Version: v.Version}, asked-time.Duration(v.Age)*time.Millisecond, from.Instance)
+		g.nameVersion(routing.WeightsVersion{Model: v.Model, Version: v.Version}, asked-time.Duration(v.Age)*time.Millisecond, from.Instance, v.Found)
 	}
 	t := g.table.Load()
 	if a.ContactAge >= 0 && t != nil && t.Config().Version >= a.ConfigVersion {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -63,6 +63,9 @@
 	// ordered are the targets that load by this instance's orders, orderedSoon
 	// those that it will order next.
 	ordered, orderedSoon []string
+	namings              recordedNamings
+	// wall is the time of day.
+	wall func() time.Time
 	// ordersHeldAt is when a peer was last heard to hold the lease for orders.
 	// Only the loop of rollouts uses it.
 	ordersHeldAt time.Duration
@@ -82,7 +85,7 @@
 func New(s Settings, d Dialect, store Store, control TargetControl) *Gateway {
 	c := clock.New()
 	g := &Gateway{
-		settings: s, clock: c, dialect: d, store: store, control: control,
+		settings: s, clock: c, wall: time.Now, dialect: d, store: store, control: control,
 		self: wire.Identity{
 			Instance: s.Instance, Incarnation: uuid.Must(uuid.NewV7()).String(), Address: s.PeerListen, Domain: s.Domain,
 		},
@@ -121,7 +124,7 @@
 	defer stop()
 	var loops sync.WaitGroup
 	for _, loop := range []func(context.Context){
-		g.followOperators, g.followRegistrations, g.peers.run, g.cache.run, g.runRollouts, g.sweep,
+		g.followOperators, g.followRegistrations, g.peers.run, g.cache.run, g.runRollouts, g.keepNamings, g.sweep,
 	} {
 		loops.Add(1)
 		go func() {
--- /dev/null
+++ b/internal/gateway/namings.go
@@ -0,0 +1,140 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/mastictray/mastictray/internal/feedturn"
+	"github.com/mastictray/mastictray/internal/logline"
+	"github.com/mastictray/mastictray/internal/weights"
+)
+
+// namingsEvery is the pause between two looks at whether the record of named
+// versions has to be read or written. A kill of all instances within it, right
+// after a version was named, leaves the version without a record.
+const namingsEvery = 100 * time.Millisecond
+
+// keptNamings is the versions of each model in the record: more than are named
+// within the bound on old weights, so that one is older than it.
+const keptNamings = 8
+
+// rereadNamings is the pause before a record that lacks a version is read
+// again: its writer may not have got to it.
+const rereadNamings = time.Second
+
+// recordedNamings is the record of named versions as this process knows it.
+// Only the loop that keeps it uses it.
+type recordedNamings struct {
+	weights.Namings
+	// current is set while no write is known to have come after.
+	current bool
+	// notBefore ends the pause after a failed call, or before the next read.
+	notBefore time.Duration
+}
+
+// keepNamings writes down when versions are named, and reads it where this
+// process did not hear them as they were. Nothing else survives the end of all
+// instances: a bound that began anew with each process let requests begin on
+// weights replaced 25 s before.
+func (g *Gateway) keepNamings(ctx context.Context) {
+	for sleep(ctx, namingsEvery) {
+		g.namingsStep(ctx)
+	}
+}
+
+// namingsStep is one look at the record. While all targets serve what was named
+// last, no age matters and the store is not asked.
+func (g *Gateway) namingsStep(ctx context.Context) {
+	now := g.clock.Now()
+	if now < g.namings.notBefore || len(g.rolloutWork()) == 0 {
+		return
+	}
+	missing, found := g.unrecorded()
+	writes := len(missing) > 0 && g.peers.rank() == 0
+	if !writes && !found {
+		return
+	}
+	if !g.namings.current || !writes {
+		if err := g.readNamings(ctx); err != nil {
+			g.namingsFailed(err, "namings_unread")
+			return
+		}
+		missing, found = g.unrecorded()
+	}
+	switch {
+	case writes && len(missing) > 0:
+		if err := g.writeNamings(ctx, missing); err != nil {
+			g.namingsFailed(err, "namings_unwritten")
+		}
+	case found:
+		g.namings.notBefore = g.clock.Now() + rereadNamings
+	}
+}
+
+// unrecorded are the known versions that the record lacks; found says that
+// this process did not hear one of them as it was named.
+func (g *Gateway) unrecorded() (missing []weights.Naming, found bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now, wall := g.clock.Now(), g.wall()
+	for model, versions := range g.versions {
+		for _, v := range versions.heard(toldVersions) {
+			if g.namings.Has(model, v.version) {
+				continue
+			}
+			missing = append(missing, weights.Naming{Model: model, Version: v.version, At: wall.Add(v.namedBy() - now)})
+			found = found || v.found
+		}
+	}
+	return missing, found
+}
+
+func (g *Gateway) readNamings(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	n, err := g.store.ReadNamings(ctx)
+	if err != nil {
+		return err
+	}
+	g.namings.Namings, g.namings.current = n, true
+	g.takeNamings(n.List)
+	return nil
+}
+
+func (g *Gateway) writeNamings(ctx context.Context, missing []weights.Naming) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	list := g.namings.With(missing, keptNamings)
+	written, err := g.store.WriteNamings(ctx, g.namings.End, list)
+	if err != nil {
+		return err
+	}
+	g.namings.current = written
+	if written {
+		g.namings.Namings = weights.Namings{List: list, End: g.namings.End + 1}
+		logline.Info("namings_written", "versions", len(list), "new", len(missing))
+	}
+	return nil
+}
+
+func (g *Gateway) namingsFailed(err error, event string) {
+	g.namings.current = false
+	g.namings.notBefore = g.clock.Now() + feedturn.RetryPause(g.peers.fleetSize(), g.source())
+	logline.Error(err, event)
+}
+
+// takeNamings puts into force what the record tells. It stays with this
+// process: peers read it by themselves, so that a wrong time of day on one
+// machine ends no target's service elsewhere.
+func (g *Gateway) takeNamings(list []weights.Naming) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now, wall := g.clock.Now(), g.wall()
+	for _, v := range list {
+		age := max(0, wall.Sub(v.At))
+		if g.versionsOf(v.Model).addRecorded(v.Version, now-age) {
+			logline.Info("weights_dated", "model", v.Model, "version", v.Version, "age", age)
+		}
+	}
+	g.updateRollout()
+}
--- a/internal/gateway/operators.go
+++ b/internal/gateway/operators.go
@@ -71,7 +71,8 @@
 func (g *Gateway) takeNews(upTo time.Duration, news OperatorNews) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	namedBy, atStart := g.clock.Now(), g.contactAge() > startAge
+	namedBy, silence := g.clock.Now(), g.contactAge()
+	atStart := silence > startAge
 	if atStart {
 		namedBy -= namedBefore
 	}
@@ -80,10 +81,9 @@
 		g.putInForce(news.Config, "store")
 	}
 	for _, v := range news.Versions {
-		g.nameVersion(v, namedBy, "store")
-		if atStart {
-			g.versions[v.Model].markFound()
-		}
+		// After a time without word, as that of a suspended machine, it may
+		// have been named at any moment since.
+		g.nameVersion(v, namedBy, "store", silence > g.settings.ConfigBound)
 	}
 	if atStart {
 		g.updateRollout()
@@ -91,8 +91,7 @@
 }
 
 // namedBefore is how long ago a version is taken to have been named that a
-// process finds at its start: nothing tells, and late is worse than early. Its
-// peers tell better.
+// process finds at its start, until its peers or the store's record tell better.
 const namedBefore = 3 * time.Second
 
 // putInForce takes a configuration if it is newer. Versions never go back: a
@@ -110,21 +109,30 @@
 		"services", len(c.Services), "accounts", len(c.Accounts))
 }
 
-// nameVersion takes a weights version, named by that time as far as from tells.
-// The caller holds g.mu.
-func (g *Gateway) nameVersion(v routing.WeightsVersion, namedBy time.Duration, from string) {
-	known := g.versions[v.Model]
-	if known == nil {
-		known = &namedVersions{}
-		g.versions[v.Model] = known
+// nameVersion takes a weights version, named by that time as far as from tells;
+// found says that from did not hear it as it was named. The caller holds g.mu.
+func (g *Gateway) nameVersion(v routing.WeightsVersion, namedBy time.Duration, from string, found bool) {
+	known := g.versionsOf(v.Model)
+	if found && !known.heardOf(v.Version) {
+		known.markFound(v.Version)
 	}
 	if !known.add(v.Version, namedBy) {
 		return
 	}
-	logline.Info("weights_named", "model", v.Model, "version", v.Version, "from", from, "age", g.clock.Now()-namedBy)
+	logline.Info("weights_named", "model", v.Model, "version", v.Version, "from", from, "age", g.clock.Now()-namedBy, "found", found)
 	g.updateRollout()
 }
 
+// versionsOf are the versions of a model. The caller holds g.mu.
+func (g *Gateway) versionsOf(model string) *namedVersions {
+	known := g.versions[model]
+	if known == nil {
+		known = &namedVersions{}
+		g.versions[model] = known
+	}
+	return known
+}
+
 // startAge is an age of contact that only a process without any has.
 const startAge = 1 << 61
 
--- a/internal/gateway/operators_test.go
+++ b/internal/gateway/operators_test.go
@@ -23,10 +23,11 @@
 	is.Equal(leastFound(nil, "m", 2), int64(0))
 	var n namedVersions
 	n.add(2, 0)
-	n.markFound()
+	n.markFound(2)
 	is.True(n.newest().found)
 	n.add(3, time.Second) // named while this process lives
 	is.True(!n.newest().found)
+	is.Equal(n.newestFound(), int64(2)) // who is behind it stays spared
 }
 
 // The holder of the lease is suspended in the middle of a rollout, a newer
@@ -57,5 +58,5 @@
 	is.Equal(n.dueBy(24*time.Second), int64(2))
 	is.Equal(n.dueBy(30*time.Second), int64(4))
 	is.Equal(n.dueBy(time.Second), int64(0))
-	is.Equal(len(n.recent(2)), 2)
+	is.Equal(len(n.heard(2)), 2)
 }
--- a/internal/gateway/restart_test.go
+++ b/internal/gateway/restart_test.go
@@ -11,20 +11,28 @@
 
 	"github.com/mastictray/mastictray/internal/cacheindex"
 	"github.com/mastictray/mastictray/internal/directory"
-	"github.com/mastictray/mastictray/internal/orderlease"
+	"github.com/mastictray/mastictray/internal/keys"
 	"github.com/mastictray/mastictray/internal/routing"
 	"github.com/mastictray/mastictray/internal/weights"
 	"github.com/mastictray/mastictray/internal/wire"
 )
 
-// Callers get answers on weights that were replaced 25 s ago, after all
-// instances have lost power at once. Version 3 is named while no instance gives
-// orders; version 4 follows when the first orders go out, so no target ever
-// serves 3, few serve 4 and most are left on 2. Then all processes are new.
+// Callers get answers on weights that were replaced 25 s ago, for seconds after
+// all instances have lost power at once. Version 3 is named while no instance
+// gives orders; version 4 follows when the first orders go out, so no target
+// ever serves 3, few serve 4 and most are left on 2. The store tells the new
+// processes that 4 is the newest, not since when, and nothing of 3: the bound on
+// old weights began anew with each process, and the targets on 2 served again.
+// The logs showed it: all processes took 4 to be 3 s old and spared nobody.
 func TestRestartedFleetSparesWeightsReplacedBefore(t *testing.T) {
-	for name, then := range map[string]func(g *Gateway){
-		"nothing more is named":    func(*Gateway) {},
-		"a newer version is named": func(g *Gateway) { g.takeNews(g.clock.Now(), named(5)) },
+	for name, then := range map[string]func(p *probed){
+		"nothing more is named":    func(*probed) {},
+		"a newer version is named": func(p *probed) { p.takeNews(p.clock.Now(), named(5)) },
+		"restarted twice": func(p *probed) {
+			p.namingsStep(t.Context())
+			*p = *startOn(p.store, "c")
+			p.namingsStep(t.Context())
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -33,20 +41,66 @@
 			lived.takeAnswer(lived.clock.Now(), wire.Identity{Instance: "x"}, 0, wire.ExchangeAnswer{Weights: []wire.NamedWeights{
 				{Model: "m", Version: 3, Age: 25000}, {Model: "m", Version: 4, Age: 6000},
 			}})
-			lived.rolloutStep(t.Context())
+			lived.namingsStep(t.Context())
 			is.Equal(lived.spared(), []int64{2, 2, 2, 2, 2})
 
 			restarted := startOn(store, "b") // lived is gone: nobody else tells
-			restarted.rolloutStep(t.Context())
-			then(restarted.Gateway)
+			restarted.namingsStep(t.Context())
+			then(restarted)
 			is.Equal(restarted.spared(), []int64{2, 2, 2, 2, 2})
 		})
 	}
 }
 
+// All instances are without power for 6 s. Version 4 was 3 s old when they went
+// and is 9 s old when the next processes start: the bound has gone on.
+func TestBoundGoesOnWhileAllInstancesAreDown(t *testing.T) {
+	is := is.New(t)
+	store := &memoryStore{newest: 4, targets: onVersions(4, 3, 3, 3)}
+	lived := startOn(store, "a")
+	lived.namingsStep(t.Context()) // found at its start, taken to be 3 s old
+	is.Equal(lived.spared(), nil)
+	restarted := startOn(store, "b")
+	restarted.wall = func() time.Time { return time.Now().Add(6 * time.Second) }
+	restarted.namingsStep(t.Context())
+	is.Equal(restarted.spared(), []int64{3, 3, 3})
+}
+
+// The first of the instances is suspended for 8 s, in which version 3 is named,
+// and all others are restarted. It hears of the version as it wakes; counted
+// from there, callers would get replaced weights for 8 s more.
+func TestWokenInstanceReadsSinceWhen(t *testing.T) {
+	is := is.New(t)
+	store := &memoryStore{newest: 2, targets: onVersions(3, 2, 2, 2)}
+	suspended := startOn(store, "a")
+	store.namings = weights.Namings{End: 1, List: []weights.Naming{{Model: "m", Version: 3, At: time.Now().Add(-9 * time.Second)}}}
+	suspended.contacts = contactsOf(suspended.clock.Now() - 8*time.Second)
+	suspended.takeNews(suspended.clock.Now(), named(3))
+	is.Equal(suspended.spared(), nil)
+	suspended.namingsStep(t.Context())
+	is.Equal(suspended.spared(), []int64{2, 2, 2})
+}
+
+// The time of day of a restarted machine is an hour ahead. It spares targets too
+// early; what it tells its peers must not make all of them do so.
+func TestWrongTimeOfDayStaysAtItsInstance(t *testing.T) {
+	is := is.New(t)
+	store := &memoryStore{newest: 4, targets: onVersions(4, 3, 3, 3)}
+	startOn(store, "a").namingsStep(t.Context())
+	ahead := startOn(store, "b")
+	ahead.wall = func() time.Time { return time.Now().Add(time.Hour) }
+	ahead.namingsStep(t.Context())
+	is.Equal(ahead.spared(), []int64{3, 3, 3})
+	told := ahead.takeMessage(ahead.clock.Now(), wire.Identity{Instance: "a"}, wire.Exchange{}).Weights
+	is.Equal(len(told), 1)
+	is.True(told[0].Age < 4000)
+	is.True(told[0].Found)
+}
+
 // probed is a gateway whose loops do not run.
 type probed struct {
 	*Gateway
+	store   *memoryStore
 	targets []directory.Registration
 }
 
@@ -56,7 +110,7 @@
 	g.takeNews(g.clock.Now(), store.news())
 	events, next, _ := store.AllRegistrations(context.Background()) // never fails
 	g.register(g.clock.Now(), 0, next, events, true)
-	return &probed{Gateway: g, targets: store.targets}
+	return &probed{Gateway: g, store: store, targets: store.targets}
 }
 
 // spared are the versions of the targets that get no requests, in order.
@@ -93,12 +147,12 @@
 }
 
 // memoryStore is a store that holds one model's newest version, targets and
-// the record of the lease.
+// the record of named versions.
 type memoryStore struct {
 	Store   // what a test does not need is not there
 	newest  int64
 	targets []directory.Registration
-	lease   orderlease.Record
+	namings weights.Namings
 }
 
 func (s *memoryStore) news() OperatorNews {
@@ -117,17 +171,23 @@
 	return events, int64(len(events)), nil
 }
 
-func (s *memoryStore) ReadLease(context.Context) (orderlease.Record, error) { return s.lease, nil }
+func (s *memoryStore) ReadNamings(context.Context) (weights.Namings, error) { return s.namings, nil }
 
-func (s *memoryStore) WriteLease(_ context.Context, at int64, r orderlease.Record) (bool, error) {
-	if at != s.lease.End {
+func (s *memoryStore) WriteNamings(_ context.Context, at int64, list []weights.Naming) (bool, error) {
+	if at != s.namings.End {
 		return false, nil
 	}
-	r.End = at + 1
-	s.lease = r
+	s.namings = weights.Namings{List: list, End: at + 1}
 	return true, nil
 }
 
+// contactsOf are those of an instance with one word from the store.
+func contactsOf(at time.Duration) *keys.Contacts {
+	c := keys.NewContacts("d1")
+	c.Log(at)
+	return c
+}
+
 // silentDialect is enough to build a gateway.
 type silentDialect struct{ Dialect }
 
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -42,8 +42,8 @@
 		}
 		wanted[s.Name][model] = v.dueBy(now - outdatedAfter)
 		oldest, why := v.dueBy(now-bound), "bound_reached"
-		if n := v.newest(); n.found {
-			if found := leastFound(g.directory.Usable(s.Name), model, n.version); found > oldest {
+		if version := v.newestFound(); version > 0 {
+			if found := leastFound(g.directory.Usable(s.Name), model, version); found > oldest {
 				oldest, why = found, "targets_tell"
 			}
 		}
@@ -164,7 +164,7 @@
 		goal := weights.Goal{Service: s.Name, Model: model, Version: v.version}
 		targets := g.directory.Usable(s.Name)
 		if g.planner.Pending(goal, targets) {
-			work = append(work, rollingOut{goal: goal, targets: targets, since: v.at})
+			work = append(work, rollingOut{goal: goal, targets: targets, since: v.namedBy()})
 		}
 	})
 	return work
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -108,4 +108,6 @@
 	Version int64  `msgpack:"v"`
 	// Age is how many milliseconds ago it was named, as far as is known.
 	Age int64 `msgpack:"a"`
+	// Found is set when the sender did not hear it as it was named.
+	Found bool `msgpack:"f,omitempty"`
 }
