gateway: a failing test of requests that wait past the bound on old weights

Callers got answers on weights replaced 10.1 s before, in an ordinary rollout: two requests were sent at 7.8 s of the bound of 10 s to a target that had not loaded yet, and waited there for 2.2 s.

--- /dev/null
+++ b/internal/gateway/waiting_test.go
@@ -0,0 +1,40 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/mastictray/mastictray/internal/wire"
+)
+
+// Callers get answers on weights replaced 10.1 s ago, in the middle of an
+// ordinary rollout. Their requests were sent 2.2 s before, in time, to a target
+// that had not loaded yet and made them wait for longer than usual.
+func TestRequestsDoNotWaitPastTheBound(t *testing.T) {
+	is := is.New(t)
+	p := startOn(&memoryStore{newest: 3, targets: onVersions(2)}, "a")
+	pool := p.engine("engines")
+	send := func() (pl *placed, cut *bool) {
+		pl, refusal := pool.acquire(t.Context(), &waiting{Account: "acc"})
+		is.True(refusal == nil)
+		cut = new(bool)
+		pool.sent(pl, func() { *cut = true })
+		return pl, cut
+	}
+	_, waits := send()
+	answers, answered := send()
+	pool.answered(answers)
+	older := func(age time.Duration) {
+		p.takeAnswer(p.clock.Now(), wire.Identity{}, 0, wire.ExchangeAnswer{Weights: []wire.NamedWeights{
+			{Model: "m", Version: 3, Age: age.Milliseconds()},
+		}})
+		p.spared()
+	}
+	older(9 * time.Second)
+	is.True(!*waits)
+	older(9600 * time.Millisecond)
+	is.True(*waits)
+	is.True(!*answered) // it began in time
+}
