gateway: no request waits at a target until its weights are too old

Callers got answers on weights replaced 10.1 s before, in an ordinary rollout. Cause: from 0.8 of the bound on nothing is sent to targets that are behind, and the rest of the bound, 2 s, was taken to be more than a request waits there. Two waited for 2.2 s (their callers stay for 4 s). Ruled out: a restart (none before), a late word on the version (all instances had it 20 ms after it was named and stopped sending at 10.08 s). Change: at 0.95 of the bound attempts without a first token at targets that are behind are ended. What may be repeated goes elsewhere; the rest is answered 502, as its outcome is not known. Considered: to stop sending sooner, at 0.6 of the bound, which would take the targets from all requests for 2 s more. Why it holds: a request that has begun has sent its first token; half a second is far more than the way there and the time until a version is heard of.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -29,11 +29,7 @@
 		return notSent
 	}
 	c.sent++
-	abandon := conn.Close
-	if !c.route.Repeatable() {
-		abandon = nil // the target may come back; nobody else may run it
-	}
-	l.sent(abandon)
+	l.sent(conn.Close, c.route.Repeatable())
 	stop := context.AfterFunc(ctx, conn.Close)
 	result, err := g.exchange(ctx, c, l, s, conn)
 	if !stop() {
--- a/internal/gateway/enginemarks.go
+++ b/internal/gateway/enginemarks.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/mastictray/mastictray/internal/directory"
+	"github.com/mastictray/mastictray/internal/logline"
 )
 
 // versionText names the weights of a target; what it cached under others is
@@ -42,7 +43,7 @@
 // resting says that a target takes no requests now.
 func (p *enginePool) resting(r *directory.Registration) bool {
 	at, refused := p.refusedAt[r.ID]
-	return p.loading[r.ID] || behind(r, p.least) || refused && p.now()-at < restAfterRefusal
+	return p.loading[r.ID] || behind(r, p.bounds.least) || refused && p.now()-at < restAfterRefusal
 }
 
 // refused takes in that a target refused a request as a whole.
@@ -55,16 +56,40 @@
 	}
 }
 
-// setRollout takes the newest versions, the oldest that may still serve, the
-// targets that load and those that do so next.
-func (p *enginePool) setRollout(wanted, least map[string]int64, loading, soon map[string]bool) {
+// versionBounds are the versions of weights, by model, that bound what targets
+// with older ones get.
+type versionBounds struct {
+	// wanted are preferred; behind least no request is sent; behind wait none
+	// waits any more for its first token.
+	wanted, least, wait map[string]int64
+}
+
+// setRollout takes the bounds on versions, the targets that load and those that
+// do so next.
+func (p *enginePool) setRollout(b versionBounds, loading, soon map[string]bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.wanted, p.least, p.loading, p.soon = wanted, least, loading, soon
+	p.bounds, p.loading, p.soon = b, loading, soon
 	p.markAll()
+	p.cutWaiting()
 	p.step()
 }
 
+// cutWaiting ends the attempts that wait for their first token at targets whose
+// weights are too old. Requests sent in time may wait at a target for longer
+// than usual, and would begin on weights past the bound. The caller holds p.mu.
+func (p *enginePool) cutWaiting() {
+	for pl := range p.running {
+		r, known := p.regs[pl.target.ID]
+		if pl.prefilled || !known || r.Incarnation() != pl.target.Incarnation() || !behind(&r, p.bounds.wait) {
+			continue
+		}
+		logline.Info("waiting_cut", "target", r.ID, "versions", r.Versions, "oldest", p.bounds.wait, "waited", p.now()-pl.send.SentAt)
+		pl.cut()
+		delete(p.running, pl)
+	}
+}
+
 func (p *enginePool) markAll() {
 	for id, r := range p.regs {
 		p.mark(id, &r)
@@ -77,7 +102,7 @@
 		return
 	}
 	t := p.pool.Target(i)
-	t.Outdated, t.Loading, t.LoadsSoon = behind(r, p.wanted), p.resting(r), p.soon[id]
+	t.Outdated, t.Loading, t.LoadsSoon = behind(r, p.bounds.wanted), p.resting(r), p.soon[id]
 	p.pool.Changed(i)
 }
 
--- a/internal/gateway/enginepool.go
+++ b/internal/gateway/enginepool.go
@@ -39,9 +39,11 @@
 	// targets is the number of targets that it was chosen from.
 	targets int
 	// leg numbers the attempt among those at its target, whose silence is
-	// watched; abandon ends the attempt when the target counts as gone.
-	leg     uint64
-	abandon func()
+	// watched.
+	leg uint64
+	// cut ends the attempt; repeatable says that it may then go elsewhere.
+	cut        func()
+	repeatable bool
 	// prefilled is set once the first token came.
 	prefilled bool
 }
@@ -69,12 +71,9 @@
 	dispatcher *dispatch.Dispatcher[chan placedOrRefusal]
 	rng        *rand.Rand
 	nextID     uint64
-	// wanted are the newest weights named, least the oldest that may still
-	// serve, by model.
-	wanted  map[string]int64
-	least   map[string]int64
-	loading map[string]bool
-	soon    map[string]bool
+	bounds     versionBounds
+	loading    map[string]bool
+	soon       map[string]bool
 	// refusedAt is when a target last refused a request as a whole.
 	refusedAt map[string]time.Duration
 	stepping  bool
@@ -147,7 +146,7 @@
 	id := identity(&r)
 	t.Domain, t.Incarnation, t.Version = r.Domain, id.Incarnation, id.Version
 	t.Limit, t.MemoryTokens = r.Slots, p.memory
-	t.Outdated, t.Loading, t.LoadsSoon = behind(&r, p.wanted), p.resting(&r), p.soon[r.ID]
+	t.Outdated, t.Loading, t.LoadsSoon = behind(&r, p.bounds.wanted), p.resting(&r), p.soon[r.ID]
 	t.Belief = p.beliefs.Observe(p.now(), id)
 	return t
 }
--- a/internal/gateway/enginesilence.go
+++ b/internal/gateway/enginesilence.go
@@ -65,8 +65,9 @@
 		p.silentAt[id] = now
 		logline.Info("target_silent", "target", id, "address", p.regs[id].Address, "domain", p.regs[id].Domain)
 		for pl := range p.running {
-			if pl.target.ID == id && pl.abandon != nil {
-				pl.abandon()
+			// What may not be repeated waits: the target may come back.
+			if pl.target.ID == id && pl.repeatable {
+				pl.cut()
 			}
 		}
 	}
@@ -74,12 +75,12 @@
 	return gone
 }
 
-// sent notes that an attempt is on its way. Should its target fall silent,
-// abandon is called.
-func (p *enginePool) sent(pl *placed, abandon func()) {
+// sent notes that an attempt is on its way. Should its target fall silent, or
+// keep it waiting until its weights are too old, cut is called.
+func (p *enginePool) sent(pl *placed, cut func(), repeatable bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	pl.abandon = abandon
+	pl.cut, pl.repeatable = cut, repeatable
 	pl.leg = p.silence(pl.target.ID).Begin(p.now())
 	p.running[pl] = struct{}{}
 }
--- a/internal/gateway/restart_test.go
+++ b/internal/gateway/restart_test.go
@@ -123,7 +123,7 @@
 	defer pool.mu.Unlock()
 	var versions []int64
 	for _, r := range p.targets {
-		if behind(&r, pool.least) {
+		if behind(&r, pool.bounds.least) {
 			versions = append(versions, r.Versions["m"])
 		}
 	}
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -28,6 +28,10 @@
 	// mustServeShare is the part of the bound on old weights after which no
 	// request is sent to a target with older ones.
 	mustServeShare = 0.8
+	// waitShare is the part of the bound after which no request may wait any
+	// more for its first token at a target with older weights. The rest is for
+	// the way there and for hearing of a version late.
+	waitShare = 0.95
 )
 
 // updateRollout tells the pools which versions are wanted and which targets
@@ -35,23 +39,30 @@
 func (g *Gateway) updateRollout() {
 	now := g.clock.Now()
 	bound := time.Duration(mustServeShare * float64(g.settings.WeightsBound))
-	wanted, least := map[string]map[string]int64{}, map[string]map[string]int64{}
+	waitBound := time.Duration(waitShare * float64(g.settings.WeightsBound))
+	bounds := map[string]*versionBounds{}
 	g.eachGoal(func(s *routing.Service, model string, v *namedVersions) {
-		if wanted[s.Name] == nil {
-			wanted[s.Name], least[s.Name] = map[string]int64{}, map[string]int64{}
+		b := bounds[s.Name]
+		if b == nil {
+			b = &versionBounds{wanted: map[string]int64{}, least: map[string]int64{}, wait: map[string]int64{}}
+			bounds[s.Name] = b
 		}
-		wanted[s.Name][model] = v.dueBy(now - outdatedAfter)
+		b.wanted[model], b.wait[model] = v.dueBy(now-outdatedAfter), v.dueBy(now-waitBound)
 		oldest, why := v.dueBy(now-bound), "bound_reached"
 		if version := v.newestFound(); version > 0 {
 			if found := leastFound(g.directory.Usable(s.Name), model, version); found > oldest {
 				oldest, why = found, "targets_tell"
 			}
 		}
-		least[s.Name][model] = oldest
+		b.least[model] = oldest
 		g.logOldest(s.Name, model, oldest, why)
 	})
 	for name, pool := range g.engines {
-		pool.setRollout(wanted[name], least[name], g.loadingNow, g.loadingSoon)
+		b := versionBounds{}
+		if known := bounds[name]; known != nil {
+			b = *known
+		}
+		pool.setRollout(b, g.loadingNow, g.loadingSoon)
 	}
 }
 
--- a/internal/gateway/waiting_test.go
+++ b/internal/gateway/waiting_test.go
@@ -20,7 +20,7 @@
 		pl, refusal := pool.acquire(t.Context(), &waiting{Account: "acc"})
 		is.True(refusal == nil)
 		cut = new(bool)
-		pool.sent(pl, func() { *cut = true })
+		pool.sent(pl, func() { *cut = true }, false)
 		return pl, cut
 	}
 	_, waits := send()
