gateway: a suspended instance listens before it takes its peers for gone

Callers of an account could get up to twice its rate: an instance that was suspended for over 7 s may drop all peers as it wakes, as their silence is longer than that, and ignore their unchanged announcements after that. Found by reading, as the same class as old weights after a restart: a bound counted over a time in which this process heard nothing. Change: after a pause of its own of over a second an instance listens for as long as a peer may be silent, and then drops who is gone. Test: TestWokenInstanceKeepsItsPeers, failing before (0 of 2 peers kept).

--- a/internal/gateway/announce.go
+++ b/internal/gateway/announce.go
@@ -191,6 +191,20 @@
 	}
 }
 
+// look drops the peers that are gone. After a pause of its own, as when the
+// machine was suspended, an instance first listens for as long as a peer may be
+// silent: alone in its count it would spend the whole rate of each account
+// beside all others. The caller holds p.mu.
+func (p *peers) look(now time.Duration) {
+	if now-p.lookedAt > minHeardFor {
+		p.listensUntil = now + p.heardFor()
+	}
+	p.lookedAt = now
+	if now >= p.listensUntil {
+		p.expire(now)
+	}
+}
+
 // expire drops the peers that are gone. The caller holds p.mu.
 func (p *peers) expire(now time.Duration) {
 	for name, s := range p.known {
--- a/internal/gateway/announce_test.go
+++ b/internal/gateway/announce_test.go
@@ -48,6 +48,24 @@
 	is.Equal(len(p.known), 1)
 }
 
+// An instance is suspended for 8 s. The silence of its peers is its own: it must
+// not take them for gone as it wakes. Alone in its count it would spend the whole
+// rate of each account beside all others, for as long as they are not announced
+// again.
+func TestWokenInstanceKeepsItsPeers(t *testing.T) {
+	is := is.New(t)
+	p := newTestPeers("a")
+	p.take(0, []Announced{announced("a", 0), announced("b", 1), announced("c", 2)})
+	p.look(100 * time.Millisecond)
+	p.look(8 * time.Second)
+	is.Equal(len(p.known), 2)
+	p.known["b"].heard = 8500 * time.Millisecond
+	for now := 8 * time.Second; now < 10*time.Second; now += exchangeEvery {
+		p.look(now)
+	}
+	is.Equal(len(p.known), 1) // c is gone indeed
+}
+
 // Two halves of the fleet cannot talk, and both reach the store. The first
 // instance of the other half announces whom it hears. This one keeps them in
 // its count, or each half would spend the whole rate of each account; and it
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -12,7 +12,7 @@
 func (p *peers) exchangeAll(ctx context.Context) {
 	p.mu.Lock()
 	now := p.g.clock.Now()
-	p.expire(now)
+	p.look(now)
 	var call []*peerState
 	for _, s := range p.known {
 		if !s.calling {
