--- a/internal/gateway/namedversions.go
+++ b/internal/gateway/namedversions.go
@@ -66,6 +66,13 @@
 	return slices.ContainsFunc(n.list, func(v namedVersion) bool { return v.version == version && v.heardAt != noTime })
 }
 
+// heardInTime says whether a version was heard of as it was named.
+func (n *namedVersions) heardInTime(version int64) bool {
+	return slices.ContainsFunc(n.list, func(v namedVersion) bool {
+		return v.version == version && v.heardAt != noTime && !v.found
+	})
+}
+
 // markFound notes that a version was not heard as it was named.
 func (n *namedVersions) markFound(version int64) { n.entry(version).found = true }
 
--- a/internal/gateway/namings.go
+++ b/internal/gateway/namings.go
@@ -22,6 +22,11 @@
 // again: its writer may not have got to it.
 const rereadNamings = time.Second
 
+// timeOfDayMargin is added to ages by the record. Times of day jump by seconds:
+// one of 2 s on the machine that wrote it leaves a second of the margin that
+// mustServeShare keeps, and requests wait at a target for less.
+const timeOfDayMargin = time.Second
+
 // recordedNamings is the record of named versions as this process knows it.
 // Only the loop that keeps it uses it.
 type recordedNamings struct {
@@ -131,8 +136,12 @@
 	defer g.mu.Unlock()
 	now, wall := g.clock.Now(), g.wall()
 	for _, v := range list {
-		age := max(0, wall.Sub(v.At))
-		if g.versionsOf(v.Model).addRecorded(v.Version, now-age) {
+		known := g.versionsOf(v.Model)
+		if known.heardInTime(v.Version) {
+			continue // no time of day tells better
+		}
+		age := max(0, wall.Sub(v.At)) + timeOfDayMargin
+		if known.addRecorded(v.Version, now-age) {
 			logline.Info("weights_dated", "model", v.Model, "version", v.Version, "age", age)
 		}
 	}
--- a/internal/gateway/restart_test.go
+++ b/internal/gateway/restart_test.go
@@ -97,6 +97,20 @@
 	is.True(told[0].Found)
 }
 
+// An instance that heard of version 3 as it was named comes to write the record
+// down, and the record has it already, with a time of day that is wrong by an
+// hour. Nothing changes for its callers.
+func TestOwnHearingOutweighsTheRecord(t *testing.T) {
+	is := is.New(t)
+	store := &memoryStore{newest: 2, targets: onVersions(3, 2, 2, 2)}
+	lived := startOn(store, "a")
+	lived.takeNews(lived.clock.Now(), named(3))
+	store.namings = weights.Namings{End: 1, List: []weights.Naming{{Model: "m", Version: 3, At: time.Now().Add(-time.Hour)}}}
+	lived.namingsStep(t.Context())
+	is.Equal(len(store.namings.List), 2) // it wrote what was missing
+	is.Equal(lived.spared(), nil)
+}
+
 // probed is a gateway whose loops do not run.
 type probed struct {
 	*Gateway
@@ -106,7 +120,7 @@
 
 // startOn is a process that has just read the store.
 func startOn(store *memoryStore, instance string) *probed {
-	g := New(Settings{Instance: instance, Domain: "d1", WeightsBound: 10 * time.Second, LeaseGap: 3300 * time.Millisecond}, silentDialect{}, store, deafTargets{})
+	g := New(Settings{Instance: instance, Domain: "d1", WeightsBound: 10 * time.Second, ConfigBound: 2 * time.Second, LeaseGap: 3300 * time.Millisecond}, silentDialect{}, store, deafTargets{})
 	g.takeNews(g.clock.Now(), store.news())
 	events, next, _ := store.AllRegistrations(context.Background()) // never fails
 	g.register(g.clock.Now(), 0, next, events, true)
