gateway: a version heard late is not taken for a new one

Cause: the same as of old weights after a restart: the age of a version counted from when a process heard of it. A suspended process hears late; one that read what a peer had told it took its own reading for the naming; and a process whose time of day was 4 s behind took the record's word, although its peers knew. Change: a version is heard as it was named only if this process had word from operators until then and nobody told it before. Everything else is an estimate: by the record, by how long the process stood still, by its start. Estimates are passed on as such, the earliest counts, and all yield to whoever heard it. After an outage of the store a version still counts from its hearing: with the store away nobody names any, and all instances would spare all targets. The test of a wrong time of day asked that the record's word stays at its instance. That is replaced by one that asks for more: who heard the version goes on by that, and so does the instance with the wrong time once it is told.

--- a/internal/gateway/announce.go
+++ b/internal/gateway/announce.go
@@ -191,16 +191,11 @@
 	}
 }
 
-// look drops the peers that are gone. After a pause of its own, as when the
-// machine was suspended, an instance first listens for as long as a peer may be
-// silent: alone in its count it would spend the whole rate of each account
-// beside all others. The caller holds p.mu.
+// look drops the peers that are gone. After it stood still an instance listens
+// first: alone in its count it would spend the whole rate of each account beside
+// all others. The caller holds p.mu.
 func (p *peers) look(now time.Duration) {
-	if now-p.lookedAt > minHeardFor {
-		p.listensUntil = now + p.heardFor()
-	}
-	p.lookedAt = now
-	if now >= p.listensUntil {
+	if p.g.standstill.recent(now) == 0 {
 		p.expire(now)
 	}
 }
--- a/internal/gateway/fleetstate.go
+++ b/internal/gateway/fleetstate.go
@@ -46,9 +46,9 @@
 		answer.ContactAge = age.Milliseconds() + 1
 	}
 	for model, v := range g.versions {
-		for _, n := range v.heard(toldVersions) {
+		for _, n := range v.recent(toldVersions) {
 			answer.Weights = append(answer.Weights, wire.NamedWeights{
-				Model: model, Version: n.version, Age: (now - n.heardAt).Milliseconds(), Found: n.found,
+				Model: model, Version: n.version, Age: (now - n.at).Milliseconds(), Found: n.found,
 			})
 		}
 	}
@@ -103,13 +103,14 @@
 }
 
 // toldAt is when a version was named by a peer's word. The peer took its age
-// some time between the question and now. Of a version that is known here only
-// what is earlier for sure counts: two peers that took the earliest possible
-// each time would make it older with each exchange, by 0.8 s in 4 s at 2 ms a
-// way. The caller holds g.mu.
+// some time between the question and now. Where there is such a word already,
+// only what is earlier for sure counts: two peers that took the earliest possible
+// each time would make a version older with each exchange, by 0.8 s in 4 s at 2
+// ms a way. The caller holds g.mu.
 func (g *Gateway) toldAt(asked time.Duration, v wire.NamedWeights) time.Duration {
 	age := time.Duration(v.Age) * time.Millisecond
-	if g.versionsOf(v.Model).heardOf(v.Version) {
+	known := g.versionsOf(v.Model)
+	if known.heard(v.Version) || v.Found && known.knows(v.Version) {
 		return g.clock.Now() - age
 	}
 	return asked - age
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,6 +64,7 @@
 	// those that it will order next.
 	ordered, orderedSoon []string
 	namings              recordedNamings
+	standstill           standstill
 	// wall is the time of day.
 	wall func() time.Time
 	// ordersHeldAt is when a peer was last heard to hold the lease for orders.
@@ -183,6 +184,7 @@
 // sweep closes idle connections and looks for silent targets.
 func (g *Gateway) sweep(ctx context.Context) {
 	for sleep(ctx, sweepEvery) {
+		g.standstill.tick(g.clock.Now())
 		g.targets.Sweep()
 		g.callers.closeIdle()
 		g.checkSilence()
--- a/internal/gateway/namedversions.go
+++ b/internal/gateway/namedversions.go
@@ -13,89 +13,84 @@
 
 type namedVersion struct {
 	version int64
-	// heardAt is the earliest time by which it was named, by this process's
-	// and its peers' own hearing; recordedAt the same by the store's record.
-	// Either is noTime where nothing tells.
-	heardAt, recordedAt time.Duration
-	// found is set when this process did not hear the version as it was named:
-	// it started later, or was without word from operators.
+	// at is when it was named, by the best word on it.
+	at time.Duration
+	// found is set while nobody has told who heard the version as it was named:
+	// the process started later or stood still, and so did those that told it.
 	found bool
 }
 
-// noTime is the time of a version of which nothing tells when it was named.
-const noTime = time.Duration(math.MaxInt64)
-
-// namedBy is when it was named at the latest. Late is worse than early: callers
-// would get answers on replaced weights past the bound.
-func (v *namedVersion) namedBy() time.Duration { return min(v.heardAt, v.recordedAt) }
-
-// add takes a version that was named by the given time, and says whether it is
-// newer than all known. Of a known one it takes the earlier time.
+// add takes a version that was heard of as it was named, at that time, by this
+// process or by the peer that tells; it says whether it is newer than all known.
+// Of two such times the earlier one counts: late is worse than early.
 func (n *namedVersions) add(version int64, at time.Duration) bool {
-	newest := !n.heardOf(version) && (len(n.list) == 0 || n.newest().version <= version)
-	v := n.entry(version)
-	v.heardAt = min(v.heardAt, at)
+	v, newest := n.entry(version)
+	if v.found || at < v.at {
+		v.at = at
+	}
+	v.found = false
 	return newest
 }
 
-// addRecorded takes what the store's record tells of a version, and says
-// whether that is earlier than what was known.
-func (n *namedVersions) addRecorded(version int64, at time.Duration) bool {
-	v := n.entry(version)
-	earlier := at < v.namedBy()
-	v.recordedAt = min(v.recordedAt, at)
-	return earlier
+// addFound takes a version of which only an estimate tells when it was named. A
+// word of somebody who heard it outweighs all estimates; of these the earliest
+// counts.
+func (n *namedVersions) addFound(version int64, at time.Duration) bool {
+	v, newest := n.entry(version)
+	if v.found {
+		v.at = min(v.at, at)
+	}
+	return newest
 }
 
-// entry finds or makes the entry of a version.
-func (n *namedVersions) entry(version int64) *namedVersion {
-	i, known := slices.BinarySearchFunc(n.list, version, func(v namedVersion, version int64) int {
-		return cmp.Compare(v.version, version)
-	})
-	if !known {
-		n.list = slices.Insert(n.list, i, namedVersion{version: version, heardAt: noTime, recordedAt: noTime})
-		if len(n.list) > maxNamedVersions && i > 0 {
-			n.list, i = n.list[1:], i-1
-		}
+// entry finds or makes the entry of a version, found at the end of time, and
+// says whether it is newer than all known.
+func (n *namedVersions) entry(version int64) (v *namedVersion, newest bool) {
+	i, known := n.search(version)
+	if known {
+		return &n.list[i], false
+	}
+	newest = i == len(n.list)
+	n.list = slices.Insert(n.list, i, namedVersion{version: version, at: notYet, found: true})
+	if len(n.list) > maxNamedVersions && i > 0 {
+		n.list, i = n.list[1:], i-1
 	}
-	return &n.list[i]
+	return &n.list[i], newest
 }
 
-// heardOf says whether somebody but the store's record has told of a version.
-func (n *namedVersions) heardOf(version int64) bool {
-	return slices.ContainsFunc(n.list, func(v namedVersion) bool { return v.version == version && v.heardAt != noTime })
+func (n *namedVersions) search(version int64) (int, bool) {
+	return slices.BinarySearchFunc(n.list, version, func(v namedVersion, version int64) int {
+		return cmp.Compare(v.version, version)
+	})
 }
 
-// heardInTime says whether a version was heard of as it was named.
-func (n *namedVersions) heardInTime(version int64) bool {
-	return slices.ContainsFunc(n.list, func(v namedVersion) bool {
-		return v.version == version && v.heardAt != noTime && !v.found
-	})
+func (n *namedVersions) knows(version int64) bool {
+	_, known := n.search(version)
+	return known
 }
 
-// markFound notes that a version was not heard as it was named.
-func (n *namedVersions) markFound(version int64) { n.entry(version).found = true }
+// heard says whether somebody who heard the version as it was named has told.
+func (n *namedVersions) heard(version int64) bool {
+	i, known := n.search(version)
+	return known && !n.list[i].found
+}
 
-// heard are the last versions that were heard of, at most as many as given,
-// oldest first.
-func (n *namedVersions) heard(most int) []namedVersion {
-	var heard []namedVersion
-	for _, v := range n.list {
-		if v.heardAt != noTime {
-			heard = append(heard, v)
-		}
-	}
-	return heard[max(0, len(heard)-most):]
+// recent are the last versions, at most as many as given, oldest first.
+func (n *namedVersions) recent(most int) []namedVersion {
+	return n.list[max(0, len(n.list)-most):]
 }
 
+// notYet is the time of a version before the first word on it.
+const notYet = time.Duration(math.MaxInt64)
+
 // maxNamedVersions is how many versions are remembered for dueBy: more than
 // are named within the bound on old weights.
 const maxNamedVersions = 64
 
-func (n *namedVersions) newest() *namedVersion { return &n.list[len(n.list)-1] }
+func (n *namedVersions) newest() namedVersion { return n.list[len(n.list)-1] }
 
-// newestFound is the newest version that was not heard as it was named; 0 for
-// none.
+// newestFound is the newest version that nobody has heard as it was named; 0
+// for none.
 func (n *namedVersions) newestFound() int64 {
 	for _, v := range slices.Backward(n.list) {
 		if v.found {
@@ -109,7 +104,7 @@
 func (n *namedVersions) dueBy(at time.Duration) int64 {
 	due := int64(0)
 	for _, v := range n.list {
-		if v.namedBy() <= at {
+		if v.at <= at {
 			due = v.version
 		}
 	}
--- a/internal/gateway/namings.go
+++ b/internal/gateway/namings.go
@@ -83,11 +83,11 @@
 	defer g.mu.Unlock()
 	now, wall := g.clock.Now(), g.wall()
 	for model, versions := range g.versions {
-		for _, v := range versions.heard(toldVersions) {
+		for _, v := range versions.recent(toldVersions) {
 			if g.namings.Has(model, v.version) {
 				continue
 			}
-			missing = append(missing, weights.Naming{Model: model, Version: v.version, At: wall.Add(v.namedBy() - now)})
+			missing = append(missing, weights.Naming{Model: model, Version: v.version, At: wall.Add(v.at - now)})
 			found = found || v.found
 		}
 	}
@@ -128,20 +128,16 @@
 	logline.Error(err, event)
 }
 
-// takeNamings puts into force what the record tells. It stays with this
-// process: peers read it by themselves, so that a wrong time of day on one
-// machine ends no target's service elsewhere.
+// takeNamings puts into force what the record tells of versions that nobody has
+// told of who heard them as they were named.
 func (g *Gateway) takeNamings(list []weights.Naming) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now, wall := g.clock.Now(), g.wall()
 	for _, v := range list {
-		known := g.versionsOf(v.Model)
-		if known.heardInTime(v.Version) {
-			continue // no time of day tells better
-		}
-		age := max(0, wall.Sub(v.At)) + timeOfDayMargin
-		if known.addRecorded(v.Version, now-age) {
+		known, age := g.versionsOf(v.Model), max(0, wall.Sub(v.At))+timeOfDayMargin
+		if !known.heard(v.Version) {
+			known.addFound(v.Version, now-age)
 			logline.Info("weights_dated", "model", v.Model, "version", v.Version, "age", age)
 		}
 	}
--- a/internal/gateway/operators.go
+++ b/internal/gateway/operators.go
@@ -71,28 +71,39 @@
 func (g *Gateway) takeNews(upTo time.Duration, news OperatorNews) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	namedBy, silence := g.clock.Now(), g.contactAge()
+	now := g.clock.Now()
+	namedBy, silence := now, g.contactAge()
 	atStart := silence > startAge
 	if atStart {
 		namedBy -= namedBefore
+	} else {
+		namedBy -= min(silence, g.standstill.recent(now))
 	}
+	found := silence > time.Duration(foundShare*float64(g.settings.ConfigBound))
 	g.contacts.Log(upTo)
 	if news.Config != nil {
 		g.putInForce(news.Config, "store")
 	}
 	for _, v := range news.Versions {
-		// After a time without word, as that of a suspended machine, it may
-		// have been named at any moment since.
-		g.nameVersion(v, namedBy, "store", silence > g.settings.ConfigBound)
+		// One that peers told before is not heard as it is named.
+		g.nameVersion(v, namedBy, "store", found || g.versionsOf(v.Model).knows(v.Version))
 	}
 	if atStart {
 		g.updateRollout()
 	}
 }
 
-// namedBefore is how long ago a version is taken to have been named that a
-// process finds at its start, until its peers or the store's record tell better.
-const namedBefore = 3 * time.Second
+const (
+	// namedBefore is how long ago a version is taken to have been named that a
+	// process finds at its start, until its peers or the store's record tell.
+	namedBefore = 3 * time.Second
+	// foundShare is the time without word from operators, as a part of the time
+	// within which a configuration must be in force, after which a version is
+	// not heard as it was named. By then all instances read by themselves. Only
+	// a standstill of the process makes it older at once: with the store away
+	// nobody names any, and all instances would spare all targets as it returns.
+	foundShare = 0.5
+)
 
 // putInForce takes a configuration if it is newer. Versions never go back: a
 // record read late, or from a peer that is behind, changes nothing. The caller
@@ -112,11 +123,11 @@
 // nameVersion takes a weights version, named by that time as far as from tells;
 // found says that from did not hear it as it was named. The caller holds g.mu.
 func (g *Gateway) nameVersion(v routing.WeightsVersion, namedBy time.Duration, from string, found bool) {
-	known := g.versionsOf(v.Model)
-	if found && !known.heardOf(v.Version) {
-		known.markFound(v.Version)
+	add := g.versionsOf(v.Model).add
+	if found {
+		add = g.versionsOf(v.Model).addFound
 	}
-	if !known.add(v.Version, namedBy) {
+	if !add(v.Version, namedBy) {
 		return
 	}
 	logline.Info("weights_named", "model", v.Model, "version", v.Version, "from", from, "age", g.clock.Now()-namedBy, "found", found)
--- a/internal/gateway/operators_test.go
+++ b/internal/gateway/operators_test.go
@@ -23,8 +23,7 @@
 	is.Equal(leastFound([]directory.Registration{target(2), target(1), target(1)}, "m", 2), int64(1))
 	is.Equal(leastFound(nil, "m", 2), int64(0))
 	var n namedVersions
-	n.add(2, 0)
-	n.markFound(2)
+	n.addFound(2, 0)
 	is.True(n.newest().found)
 	n.add(3, time.Second) // named while this process lives
 	is.True(!n.newest().found)
@@ -59,7 +58,7 @@
 	is.Equal(n.dueBy(24*time.Second), int64(2))
 	is.Equal(n.dueBy(30*time.Second), int64(4))
 	is.Equal(n.dueBy(time.Second), int64(0))
-	is.Equal(len(n.heard(2)), 2)
+	is.Equal(len(n.recent(2)), 2)
 }
 
 // Two instances tell each other when a version was named, a hundred times. An
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -71,9 +71,6 @@
 	crashes    []uint64
 	// askedConfig is the peer that is being asked for its configuration.
 	askedConfig *peerState
-	// lookedAt is when the peers were last looked over, listensUntil the end of
-	// the wait after a pause of this process.
-	lookedAt, listensUntil time.Duration
 	// read is set once the announcements were read.
 	read bool
 	// announcing is set while a call to the store is under way, announceAt when
--- a/internal/gateway/restart_test.go
+++ b/internal/gateway/restart_test.go
@@ -81,20 +81,81 @@
 	is.Equal(suspended.spared(), []int64{2, 2, 2})
 }
 
-// The time of day of a restarted machine is an hour ahead. It spares targets too
-// early; what it tells its peers must not make all of them do so.
-func TestWrongTimeOfDayStaysAtItsInstance(t *testing.T) {
+// All instances are suspended for 8 s, and version 3 is named as they go to
+// sleep. Nobody has heard it as it was named and nobody has written it down:
+// counted from when they wake, callers would get replaced weights for 8 s more.
+func TestAllInstancesSleepWhileAVersionIsNamed(t *testing.T) {
 	is := is.New(t)
-	store := &memoryStore{newest: 4, targets: onVersions(4, 3, 3, 3)}
-	startOn(store, "a").namingsStep(t.Context())
+	p := startOn(&memoryStore{newest: 2, targets: onVersions(3, 2, 2, 2)}, "a")
+	slept(p, 8100*time.Millisecond)
+	p.takeNews(p.clock.Now(), named(3))
+	is.Equal(p.spared(), []int64{2, 2, 2})
+}
+
+// All instances sleep through the naming of version 3. One reads it from the
+// store, the other hears of it from the first and then reads it too: by its own
+// reading it knows no better since when.
+func TestReadingWhatPeersToldIsNoHearing(t *testing.T) {
+	is := is.New(t)
+	store := &memoryStore{newest: 2, targets: onVersions(3, 2, 2, 2)}
+	first, other := startOn(store, "a"), startOn(store, "b")
+	slept(first, 8100*time.Millisecond)
+	first.takeNews(first.clock.Now(), named(3))
+	other.takeAnswer(other.clock.Now(), wire.Identity{}, 0, first.takeMessage(first.clock.Now(), wire.Identity{}, wire.Exchange{}))
+	other.takeNews(other.clock.Now(), named(3))
+	is.Equal(other.spared(), []int64{2, 2, 2})
+}
+
+// One instance is suspended for 8 s; version 3 is named as it wakes. It takes
+// the version to be 8 s old until a peer that heard it tells.
+func TestWokenInstanceHearsFromItsPeersSinceWhen(t *testing.T) {
+	is := is.New(t)
+	p := startOn(&memoryStore{newest: 2, targets: onVersions(3, 2, 2, 2)}, "a")
+	slept(p, 8100*time.Millisecond)
+	p.takeNews(p.clock.Now(), named(3))
+	p.takeAnswer(p.clock.Now(), wire.Identity{}, 0, wire.ExchangeAnswer{Weights: []wire.NamedWeights{{Model: "m", Version: 3, Age: 300}}})
+	is.Equal(p.spared(), nil)
+}
+
+// The store is away for 6 s, and version 3 is named as it returns. Were it taken
+// to be as old as the silence, all instances would spare all targets before the
+// first has loaded it, and callers would be refused.
+func TestVersionNamedAfterAnOutageIsNew(t *testing.T) {
+	is := is.New(t)
+	p := startOn(&memoryStore{newest: 2, targets: onVersions(2, 2, 2, 2)}, "a")
+	p.contacts = contactsOf(p.clock.Now() - 9*time.Second)
+	p.takeNews(p.clock.Now(), named(3))
+	is.Equal(p.spared(), nil)
+}
+
+// The time of day of a restarted machine is an hour ahead, so it takes a version
+// for an hour older. Instances that heard the version as it was named, and
+// whoever they have told, go on by that.
+func TestEstimatesYieldToWhoHeardTheVersion(t *testing.T) {
+	is := is.New(t)
+	store := &memoryStore{newest: 2, targets: onVersions(3, 2, 2, 2)}
+	lived := startOn(store, "a")
+	lived.takeNews(lived.clock.Now(), named(3))
+	lived.namingsStep(t.Context())
+	store.newest = 3
 	ahead := startOn(store, "b")
 	ahead.wall = func() time.Time { return time.Now().Add(time.Hour) }
 	ahead.namingsStep(t.Context())
-	is.Equal(ahead.spared(), []int64{3, 3, 3})
-	told := ahead.takeMessage(ahead.clock.Now(), wire.Identity{Instance: "a"}, wire.Exchange{}).Weights
-	is.Equal(len(told), 1)
-	is.True(told[0].Age < 4000)
-	is.True(told[0].Found)
+	is.Equal(ahead.spared(), []int64{2, 2, 2})
+	tell := func(from, to *probed) {
+		to.takeAnswer(to.clock.Now(), wire.Identity{}, 0, from.takeMessage(from.clock.Now(), wire.Identity{}, wire.Exchange{}))
+	}
+	tell(ahead, lived)
+	is.Equal(lived.spared(), nil)
+	tell(lived, ahead)
+	is.Equal(ahead.spared(), nil)
+}
+
+// slept makes a process one that has just stood still, without a word since.
+func slept(p *probed, d time.Duration) {
+	now := p.clock.Now()
+	p.contacts = contactsOf(now - d)
+	p.standstill.tick(now - d)
 }
 
 // An instance that heard of version 3 as it was named comes to write the record
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -175,7 +175,7 @@
 		goal := weights.Goal{Service: s.Name, Model: model, Version: v.version}
 		targets := g.directory.Usable(s.Name)
 		if g.planner.Pending(goal, targets) {
-			work = append(work, rollingOut{goal: goal, targets: targets, since: v.namedBy()})
+			work = append(work, rollingOut{goal: goal, targets: targets, since: v.at})
 		}
 	})
 	return work
