gateway: peers tell all versions that still count, not the last four

Callers got answers on weights replaced 12 s before, from an instance that had been suspended while versions were named every 1.2 s: its peers told it of the last four, 4.1 s old and younger, and of the ones before it knew nothing in time. Change: told and recorded are the newest version that is older than the bound and all after it; the record keeps 32 of a model. Test: TestWokenInstanceHearsOfAllVersionsThatCount, failing with four.

--- a/internal/gateway/fleetstate.go
+++ b/internal/gateway/fleetstate.go
@@ -46,7 +46,7 @@
 		answer.ContactAge = age.Milliseconds() + 1
 	}
 	for model, v := range g.versions {
-		for _, n := range v.recent(toldVersions) {
+		for _, n := range v.since(now - g.settings.WeightsBound) {
 			answer.Weights = append(answer.Weights, wire.NamedWeights{
 				Model: model, Version: n.version, Age: (now - n.at).Milliseconds(), Found: n.found,
 			})
--- a/internal/gateway/namedversions.go
+++ b/internal/gateway/namedversions.go
@@ -75,9 +75,11 @@
 	return known && !n.list[i].found
 }
 
-// recent are the last versions, at most as many as given, oldest first.
-func (n *namedVersions) recent(most int) []namedVersion {
-	return n.list[max(0, len(n.list)-most):]
+// since are the versions that count to somebody for whom those named by that
+// time are due: the newest of these, and all that are newer.
+func (n *namedVersions) since(at time.Duration) []namedVersion {
+	i, _ := n.search(n.dueBy(at))
+	return n.list[i:]
 }
 
 // notYet is the time of a version before the first word on it.
--- a/internal/gateway/namings.go
+++ b/internal/gateway/namings.go
@@ -16,7 +16,7 @@
 
 // keptNamings is the versions of each model in the record: more than are named
 // within the bound on old weights, so that one is older than it.
-const keptNamings = 8
+const keptNamings = 32
 
 // rereadNamings is the pause before a record that lacks a version is read
 // again: its writer may not have got to it.
@@ -83,7 +83,7 @@
 	defer g.mu.Unlock()
 	now, wall := g.clock.Now(), g.wall()
 	for model, versions := range g.versions {
-		for _, v := range versions.recent(toldVersions) {
+		for _, v := range versions.since(now - g.settings.WeightsBound) {
 			if g.namings.Has(model, v.version) {
 				continue
 			}
--- a/internal/gateway/operators_test.go
+++ b/internal/gateway/operators_test.go
@@ -58,7 +58,9 @@
 	is.Equal(n.dueBy(24*time.Second), int64(2))
 	is.Equal(n.dueBy(30*time.Second), int64(4))
 	is.Equal(n.dueBy(time.Second), int64(0))
-	is.Equal(len(n.recent(2)), 2)
+	is.Equal(len(n.since(24*time.Second)), 3)
+	is.Equal(len(n.since(26*time.Second)), 1) // 4 is due, nothing older counts
+	is.Equal(len(n.since(time.Second)), 3)
 }
 
 // Two instances tell each other when a version was named, a hundred times. An
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -45,9 +45,6 @@
 	// too has stopped serving callers with keys by then, since it cannot check
 	// them.
 	goneAfter = 7 * time.Second
-	// toldVersions is how many versions of each model are told to peers, which
-	// may have restarted: those that still bound what may serve.
-	toldVersions = 4
 	// maxSentPrompts bounds the prompts told in one message.
 	maxSentPrompts = 128
 )
