weights: targets that are spared load together

Callers had a small part of the service for a long time after a restart of all in a rollout: targets past the bound on old weights get no requests, and were loaded a fifth of the service at a time all the same. Change: targets that get no requests for the age of their weights load all at once; the others take turns as before. Test: TestSparedTargetsLoadTogether, failing before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,9 +44,8 @@
 	// versions are the newest weights named, and when this instance learnt
 	// of each.
 	versions map[string]*namedVersions
-	// oldestLogged is the oldest version that may serve, by service and model,
-	// as it stands in the log.
-	oldestLogged  map[string]int64
+	// oldest is the oldest version that may serve, by service and model.
+	oldest        map[string]int64
 	quota         *quota.Limiter
 	directory     *directory.Directory
 	registrations registrationFeed
@@ -94,7 +93,7 @@
 		metrics:       newGatewayMetrics(),
 		contacts:      keys.NewContacts(s.Domain),
 		versions:      map[string]*namedVersions{},
-		oldestLogged:  map[string]int64{},
+		oldest:        map[string]int64{},
 		quota:         quota.New(),
 		directory:     directory.New(),
 		registrations: registrationFeed{next: unread, upTo: never},
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -55,7 +55,7 @@
 			}
 		}
 		b.least[model] = oldest
-		g.logOldest(s.Name, model, oldest, why)
+		g.setOldest(s.Name, model, oldest, why)
 	})
 	for name, pool := range g.engines {
 		b := versionBounds{}
@@ -66,14 +66,14 @@
 	}
 }
 
-// logOldest tells when the oldest version that may serve changes, why, and how
-// many targets get no requests by that. The caller holds g.mu.
-func (g *Gateway) logOldest(service, model string, oldest int64, why string) {
-	from := g.oldestLogged[service+"/"+model]
+// setOldest notes the oldest version that may serve. Where it changes, a line
+// tells why, and how many targets get no requests by that. The caller holds g.mu.
+func (g *Gateway) setOldest(service, model string, oldest int64, why string) {
+	from := g.oldest[service+"/"+model]
 	if from == oldest {
 		return
 	}
-	g.oldestLogged[service+"/"+model] = oldest
+	g.oldest[service+"/"+model] = oldest
 	spared, targets := 0, g.directory.Usable(service)
 	for i := range targets {
 		if behind(&targets[i], map[string]int64{model: oldest}) {
@@ -172,7 +172,7 @@
 	var work []rollingOut
 	g.eachGoal(func(s *routing.Service, model string, all *namedVersions) {
 		v := all.newest()
-		goal := weights.Goal{Service: s.Name, Model: model, Version: v.version}
+		goal := weights.Goal{Service: s.Name, Model: model, Version: v.version, Oldest: g.oldest[s.Name+"/"+model]}
 		targets := g.directory.Usable(s.Name)
 		if g.planner.Pending(goal, targets) {
 			work = append(work, rollingOut{goal: goal, targets: targets, since: v.at})
--- a/internal/weights/planner.go
+++ b/internal/weights/planner.go
@@ -128,6 +128,9 @@
 	Service string
 	Model   string
 	Version int64
+	// Oldest is the oldest version that may serve. Targets behind it get no
+	// requests: they need not wait for each other.
+	Oldest int64
 }
 
 // Ask is a question to send to a target.
@@ -180,22 +183,32 @@
 			continue
 		}
 		p.step(now, g, t, q, &out)
-		if q.phase != idle && now-q.began < p.settings.LoadTimeout {
+		if q.phase != idle && now-q.began < p.settings.LoadTimeout && !p.spared(g, t) {
 			active++
 		}
 	}
 	for _, t := range p.candidates(now, g, targets) {
-		if active >= p.parallel(len(targets)) {
-			break
+		spared := p.spared(g, &t)
+		if !spared && active >= p.parallel(len(targets)) {
+			continue
 		}
 		q := p.of(&t)
 		q.phase, q.began, q.askAt, q.seen = asking, now, now, nil
 		p.step(now, g, &t, q, &out)
-		active++
+		if !spared {
+			active++
+		}
 	}
 	return out
 }
 
+// spared says that a target gets no requests, since its weights are too old. To
+// load them all at once takes nothing from callers and gives them back sooner.
+func (p *Planner) spared(g Goal, t *directory.Registration) bool {
+	version, known := p.served(t, g.Model)
+	return known && version < g.Oldest
+}
+
 func (p *Planner) parallel(n int) int {
 	return max(1, (n+p.settings.ParallelDivisor-1)/p.settings.ParallelDivisor)
 }
--- a/internal/weights/planner_test.go
+++ b/internal/weights/planner_test.go
@@ -37,6 +37,7 @@
 	planner *Planner
 	most    int
 	late    []lateOrder
+	oldest  int64
 }
 
 type lateOrder struct {
@@ -106,7 +107,7 @@
 		}
 	}
 	w.most = max(w.most, loading)
-	actions := w.planner.Tick(w.now, Goal{Service: "s", Model: "m", Version: version}, w.regs())
+	actions := w.planner.Tick(w.now, Goal{Service: "s", Model: "m", Version: version, Oldest: w.oldest}, w.regs())
 	for _, a := range actions.Asks {
 		t := w.find(a.Target.ID)
 		w.planner.Observed(w.now, t.reg.Incarnation(), &Observation{
@@ -235,6 +236,23 @@
 	is.Equal(w.targets[0].accepted, int64(1))
 }
 
+// Version 2 was named long ago when the first orders get out, and two thirds of
+// the targets get no requests any more. They load together. Were they to take
+// turns with the others, callers would have a third of the service for five
+// loads' time instead of one. The others still take turns.
+func TestSparedTargetsLoadTogether(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(12)
+	for i, t := range w.targets {
+		if i%3 == 0 {
+			t.version, t.reg.Versions["m"] = 2, 2
+		}
+	}
+	w.oldest = 2
+	is.True(w.until(3, 2500*time.Millisecond))
+	is.Equal(w.most, 11) // eight that are spared, three of the others
+}
+
 // Orders are lost at any target at any time, and versions are named one upon
 // the other. In the end all targets serve the newest, and at no time do more
 // load than may.
