gateway: estimates of a version's age yield and err on the safe side

Tests: TestWordWithoutSourceIsAnEstimate, TestLateRecordIsCorrectedByWhoHeard, TestNoWaitOnAnEstimate, TestCutWaitsSayNothingAgainstTheirTarget, TestCallsForTheRecord; TestWokenInstanceKeepsItsPeers looks for a second longer.

--- a/Makefile
+++ b/Makefile
@@ -13,9 +13,9 @@
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
-# Go tests that KNOWN-RED.txt lists fail for faults that are known and open:
+# Go tests (whole ones) that KNOWN-RED.txt lists fail for faults that are known and open:
 # just these are passed over, and CI prints the list.
-RED := $(shell sed -n 's/^go test .*-run \([A-Za-z0-9_]*\).*/\1/p' KNOWN-RED.txt | paste -sd '|')
+RED := $(shell sed -n "s/^go test .*-run \([A-Za-z0-9_]*\)[ ;|].*/\1/p" KNOWN-RED.txt | paste -sd "|")
 SKIP := $(if $(RED),-skip '^($(RED))$$')
 
 # The whole-path tests and the soak run by themselves: their processes would
--- a/internal/gateway/announce_test.go
+++ b/internal/gateway/announce_test.go
@@ -61,7 +61,7 @@
 	p.look(8 * time.Second)
 	is.Equal(len(p.known), 2)
 	p.known["b"].heard = 8500 * time.Millisecond
-	for now := 8 * time.Second; now < 10*time.Second; now += exchangeEvery {
+	for now := 8 * time.Second; now < 11*time.Second; now += exchangeEvery {
 		p.g.standstill.tick(now)
 		p.look(now)
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -35,12 +35,13 @@
 	if !stop() {
 		conn.Break()
 	}
+	// Nobody may cut the connection once another request can have it.
+	l.ended(verdictOn(ctx, result, err))
 	if result == delivered {
 		g.targets.Put(conn)
 	} else {
 		conn.Close()
 	}
-	l.ended(verdictOn(ctx, result, err))
 	if result != delivered {
 		g.logAttempt(c, l, result.String(), err)
 		g.noteCrash(ctx, c, result, err)
--- a/internal/gateway/enginemarks.go
+++ b/internal/gateway/enginemarks.go
@@ -85,6 +85,7 @@
 			continue
 		}
 		logline.Info("waiting_cut", "target", r.ID, "versions", r.Versions, "oldest", p.bounds.wait, "waited", p.now()-pl.send.SentAt)
+		pl.expired = true
 		pl.cut()
 		delete(p.running, pl)
 	}
--- a/internal/gateway/enginepool.go
+++ b/internal/gateway/enginepool.go
@@ -44,6 +44,9 @@
 	// cut ends the attempt; repeatable says that it may then go elsewhere.
 	cut        func()
 	repeatable bool
+	// expired is set when it was cut because it waited for too long: that says
+	// nothing against its target.
+	expired bool
 	// prefilled is set once the first token came.
 	prefilled bool
 }
@@ -267,6 +270,9 @@
 func (p *enginePool) ended(pl *placed, result overload.Result) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if pl.expired {
+		result = overload.Cancelled
+	}
 	if !pl.prefilled {
 		pl.prefilled = true
 		p.dispatcher.Failed(&pl.send)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -184,6 +184,9 @@
 func (g *Gateway) sweep(ctx context.Context) {
 	for sleep(ctx, sweepEvery) {
 		g.standstill.tick(g.clock.Now())
+		g.mu.Lock()
+		g.updateRollout() // bounds are reached also while no peer is heard
+		g.mu.Unlock()
 		g.targets.Sweep()
 		g.callers.closeIdle()
 		g.checkSilence()
--- a/internal/gateway/namedversions.go
+++ b/internal/gateway/namedversions.go
@@ -64,6 +64,12 @@
 	})
 }
 
+// dates says whether an estimate tells something new of a version.
+func (n *namedVersions) dates(version int64, at time.Duration) bool {
+	i, known := n.search(version)
+	return !known || n.list[i].found && at < n.list[i].at
+}
+
 func (n *namedVersions) knows(version int64) bool {
 	_, known := n.search(version)
 	return known
@@ -102,6 +108,18 @@
 	return 0
 }
 
+// dueByEstimate is the newest version of which an estimate tells that it was
+// named by that time; 0 for none.
+func (n *namedVersions) dueByEstimate(at time.Duration) int64 {
+	due := int64(0)
+	for _, v := range n.list {
+		if v.found && v.at <= at {
+			due = v.version
+		}
+	}
+	return due
+}
+
 // dueBy is the newest version named by that time; 0 for none.
 func (n *namedVersions) dueBy(at time.Duration) int64 {
 	due := int64(0)
--- a/internal/gateway/namings.go
+++ b/internal/gateway/namings.go
@@ -22,9 +22,13 @@
 // again: its writer may not have got to it.
 const rereadNamings = time.Second
 
-// timeOfDayMargin is added to ages by the record. Times of day jump by seconds:
-// one of 2 s on the machine that wrote it leaves a second of the margin that
-// mustServeShare keeps, and requests wait at a target for less.
+// rewriteNamings is the pause after a write that failed. One instance writes, so
+// it need not be as long as where all come back together.
+const rewriteNamings = 300 * time.Millisecond
+
+// timeOfDayMargin is added to ages by the record: times of day jump by seconds.
+// With the fifth of the bound between the end of sending and the bound, and no
+// waits in it for versions whose age is an estimate, 3 s may be wrong.
 const timeOfDayMargin = time.Second
 
 // recordedNamings is the record of named versions as this process knows it.
@@ -54,44 +58,46 @@
 	if now < g.namings.notBefore || len(g.rolloutWork()) == 0 {
 		return
 	}
-	missing, found := g.unrecorded()
+	missing, doubtful := g.unrecorded()
 	writes := len(missing) > 0 && g.peers.rank() == 0
-	if !writes && !found {
+	if !writes && !doubtful {
 		return
 	}
 	if !g.namings.current || !writes {
 		if err := g.readNamings(ctx); err != nil {
-			g.namingsFailed(err, "namings_unread")
+			g.namingsFailed(err, "namings_unread", feedturn.RetryPause(g.peers.fleetSize(), g.source()))
 			return
 		}
-		missing, found = g.unrecorded()
+		missing, doubtful = g.unrecorded()
 	}
 	switch {
 	case writes && len(missing) > 0:
 		if err := g.writeNamings(ctx, missing); err != nil {
-			g.namingsFailed(err, "namings_unwritten")
+			g.namingsFailed(err, "namings_unwritten", rewriteNamings)
 		}
-	case found:
+	case doubtful:
 		g.namings.notBefore = g.clock.Now() + rereadNamings
 	}
 }
 
-// unrecorded are the known versions that the record lacks; found says that
-// this process did not hear one of them as it was named.
-func (g *Gateway) unrecorded() (missing []weights.Naming, found bool) {
+// unrecorded are the known versions that the record lacks, or has no more than
+// an estimate of; doubtful says that the record could tell this process more: it
+// did not hear a version as it was named, which is not due anyhow.
+func (g *Gateway) unrecorded() (missing []weights.Naming, doubtful bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now, wall := g.clock.Now(), g.wall()
+	due := now - g.settings.WeightsBound
 	for model, versions := range g.versions {
-		for _, v := range versions.since(now - g.settings.WeightsBound) {
-			if g.namings.Has(model, v.version) {
-				continue
+		for _, v := range versions.since(due) {
+			naming := weights.Naming{Model: model, Version: v.version, At: wall.Add(v.at - now), Estimate: v.found}
+			if !g.namings.Has(naming) {
+				missing = append(missing, naming)
+				doubtful = doubtful || v.found && v.at > due
 			}
-			missing = append(missing, weights.Naming{Model: model, Version: v.version, At: wall.Add(v.at - now)})
-			found = found || v.found
 		}
 	}
-	return missing, found
+	return missing, doubtful
 }
 
 func (g *Gateway) readNamings(ctx context.Context) error {
@@ -122,9 +128,9 @@
 	return nil
 }
 
-func (g *Gateway) namingsFailed(err error, event string) {
+func (g *Gateway) namingsFailed(err error, event string, pause time.Duration) {
 	g.namings.current = false
-	g.namings.notBefore = g.clock.Now() + feedturn.RetryPause(g.peers.fleetSize(), g.source())
+	g.namings.notBefore = g.clock.Now() + pause
 	logline.Error(err, event)
 }
 
@@ -136,7 +142,7 @@
 	now, wall := g.clock.Now(), g.wall()
 	for _, v := range list {
 		known, age := g.versionsOf(v.Model), max(0, wall.Sub(v.At))+timeOfDayMargin
-		if !known.heard(v.Version) {
+		if known.dates(v.Version, now-age) {
 			known.addFound(v.Version, now-age)
 			logline.Info("weights_dated", "model", v.Model, "version", v.Version, "age", age)
 		}
--- a/internal/gateway/restart_test.go
+++ b/internal/gateway/restart_test.go
@@ -39,7 +39,7 @@
 			store := &memoryStore{newest: 4, targets: onVersions(4, 4, 2, 2, 2, 2, 2)}
 			lived := startOn(store, "a")
 			lived.takeAnswer(lived.clock.Now(), wire.Identity{Instance: "x"}, 0, wire.ExchangeAnswer{Weights: []wire.NamedWeights{
-				{Model: "m", Version: 3, Age: 25000}, {Model: "m", Version: 4, Age: 6000},
+				{Model: "m", Version: 3, Age: 25000, Heard: true}, {Model: "m", Version: 4, Age: 6000, Heard: true},
 			}})
 			lived.namingsStep(t.Context())
 			is.Equal(lived.spared(), []int64{2, 2, 2, 2, 2})
@@ -115,7 +115,7 @@
 	lived, woken := startOn(store, "a"), startOn(store, "b")
 	for v := int64(3); v <= 10; v++ {
 		age := 1200 * (10 - v)
-		lived.takeAnswer(lived.clock.Now(), wire.Identity{}, 0, wire.ExchangeAnswer{Weights: []wire.NamedWeights{{Model: "m", Version: v, Age: age}}})
+		lived.takeAnswer(lived.clock.Now(), wire.Identity{}, 0, wire.ExchangeAnswer{Weights: []wire.NamedWeights{{Model: "m", Version: v, Age: age, Heard: true}}})
 	}
 	woken.takeAnswer(woken.clock.Now(), wire.Identity{}, 0, lived.takeMessage(lived.clock.Now(), wire.Identity{}, wire.Exchange{}))
 	is.Equal(lived.spared(), []int64{2, 2, 2})
@@ -129,7 +129,7 @@
 	p := startOn(&memoryStore{newest: 2, targets: onVersions(3, 2, 2, 2)}, "a")
 	slept(p, 8100*time.Millisecond)
 	p.takeNews(p.clock.Now(), named(3))
-	p.takeAnswer(p.clock.Now(), wire.Identity{}, 0, wire.ExchangeAnswer{Weights: []wire.NamedWeights{{Model: "m", Version: 3, Age: 300}}})
+	p.takeAnswer(p.clock.Now(), wire.Identity{}, 0, wire.ExchangeAnswer{Weights: []wire.NamedWeights{{Model: "m", Version: 3, Age: 300, Heard: true}}})
 	is.Equal(p.spared(), nil)
 }
 
@@ -174,6 +174,75 @@
 	p.standstill.tick(now - d)
 }
 
+// In a rolling upgrade a process of the code before, which says nothing of how
+// it knows an age, found version 4 at its own start. Its word must not replace
+// what the record tells: the restarted instance would use old weights again.
+func TestWordWithoutSourceIsAnEstimate(t *testing.T) {
+	is := is.New(t)
+	store := &memoryStore{newest: 4, targets: onVersions(4, 3, 3, 3)}
+	store.namings = weights.Namings{End: 1, List: []weights.Naming{{Model: "m", Version: 4, At: time.Now().Add(-9 * time.Second)}}}
+	p := startOn(store, "a")
+	p.namingsStep(t.Context())
+	p.takeAnswer(p.clock.Now(), wire.Identity{}, 0, wire.ExchangeAnswer{Weights: []wire.NamedWeights{{Model: "m", Version: 4, Age: 3000}}})
+	is.Equal(p.spared(), []int64{3, 3, 3})
+}
+
+// The first instance had no word for a while and writes version 3 down 6 s late.
+// Another one, first when that is gone, heard it and corrects the record; else
+// the next that start would count the bound from 6 s too late.
+func TestLateRecordIsCorrectedByWhoHeard(t *testing.T) {
+	is := is.New(t)
+	store := &memoryStore{newest: 3, targets: onVersions(3, 2, 2, 2)}
+	startOn(store, "a").namingsStep(t.Context())
+	lived := startOn(store, "b")
+	lived.takeAnswer(lived.clock.Now(), wire.Identity{}, 0, wire.ExchangeAnswer{Weights: []wire.NamedWeights{{Model: "m", Version: 3, Age: 9000, Heard: true}}})
+	lived.namingsStep(t.Context())
+	restarted := startOn(store, "c")
+	restarted.namingsStep(t.Context())
+	is.Equal(restarted.spared(), []int64{2, 2, 2})
+}
+
+// The time of day of the machine that wrote the record was 3 s ahead, so a
+// restarted process takes version 3 for 2 s younger than it is. It sends for
+// longer to targets on 2, but no request may wait there past the bound.
+func TestNoWaitOnAnEstimate(t *testing.T) {
+	is := is.New(t)
+	store := &memoryStore{newest: 3, targets: onVersions(2)}
+	const trueAge = 10 * time.Second
+	store.namings = weights.Namings{End: 1, List: []weights.Naming{{Model: "m", Version: 3, At: time.Now().Add(3*time.Second - trueAge)}}}
+	p := startOn(store, "a")
+	pl, refusal := p.engine("engines").acquire(t.Context(), &waiting{Account: "acc"})
+	is.True(refusal == nil)
+	cut := false
+	p.engine("engines").sent(pl, func() { cut = true }, false)
+	p.namingsStep(t.Context())
+	is.True(cut)
+}
+
+// The store is paid for each call. In quiet times nobody asks for the record; in
+// a rollout the first instance reads and writes once, and the others do nothing.
+func TestCallsForTheRecord(t *testing.T) {
+	is := is.New(t)
+	store := &memoryStore{newest: 2, targets: onVersions(2, 2)}
+	first, other := startOn(store, "a"), startOn(store, "b")
+	other.peers.known["a"] = &peerState{heard: other.clock.Now() + time.Hour}
+	for _, p := range []*probed{first, other} { // they have run for long
+		p.takeAnswer(p.clock.Now(), wire.Identity{}, 0, wire.ExchangeAnswer{Weights: []wire.NamedWeights{{Model: "m", Version: 2, Age: 60000}}})
+	}
+	look := func() {
+		for range 5 {
+			first.namingsStep(t.Context())
+			other.namingsStep(t.Context())
+		}
+	}
+	look()
+	is.Equal(store.calls, 0)
+	first.takeNews(first.clock.Now(), named(3))
+	other.takeNews(other.clock.Now(), named(3))
+	look()
+	is.Equal(store.calls, 2)
+}
+
 // An instance that heard of version 3 as it was named comes to write the record
 // down, and the record has it already, with a time of day that is wrong by an
 // hour. Nothing changes for its callers.
@@ -244,6 +313,7 @@
 	newest  int64
 	targets []directory.Registration
 	namings weights.Namings
+	calls   int // for the record of named versions
 }
 
 func (s *memoryStore) news() OperatorNews {
@@ -262,9 +332,13 @@
 	return events, int64(len(events)), nil
 }
 
-func (s *memoryStore) ReadNamings(context.Context) (weights.Namings, error) { return s.namings, nil }
+func (s *memoryStore) ReadNamings(context.Context) (weights.Namings, error) {
+	s.calls++
+	return s.namings, nil
+}
 
 func (s *memoryStore) WriteNamings(_ context.Context, at int64, list []weights.Naming) (bool, error) {
+	s.calls++
 	if at != s.namings.End {
 		return false, nil
 	}
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -47,7 +47,9 @@
 			b = &versionBounds{wanted: map[string]int64{}, least: map[string]int64{}, wait: map[string]int64{}}
 			bounds[s.Name] = b
 		}
-		b.wanted[model], b.wait[model] = v.dueBy(now-outdatedAfter), v.dueBy(now-waitBound)
+		b.wanted[model] = v.dueBy(now - outdatedAfter)
+		// An estimate may be wrong by as much as requests may else wait.
+		b.wait[model] = max(v.dueBy(now-waitBound), v.dueByEstimate(now-bound))
 		oldest, why := v.dueBy(now-bound), "bound_reached"
 		if version := v.newestFound(); version > 0 {
 			if found := leastFound(g.directory.Usable(s.Name), model, version); found > oldest {
--- a/internal/gateway/standstill.go
+++ b/internal/gateway/standstill.go
@@ -10,9 +10,9 @@
 	// stood still: four times the usual one.
 	stillAfter = 4 * sweepEvery
 	// stillKept is how long after its end a standstill is told. By then what
-	// came in meanwhile has been read, and each peer that lives was heard: in a
-	// fleet of 60 that takes up to 1.2 s.
-	stillKept = 1500 * time.Millisecond
+	// came in meanwhile has been read, and each peer that lives was heard or,
+	// every 2 s, announced.
+	stillKept = 2500 * time.Millisecond
 )
 
 // standstill notices that this process stood still, as when its machine was
--- a/internal/gateway/waiting_test.go
+++ b/internal/gateway/waiting_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/mastictray/mastictray/internal/overload"
 	"github.com/mastictray/mastictray/internal/wire"
 )
 
@@ -28,7 +29,7 @@
 	pool.answered(answers)
 	older := func(age time.Duration) {
 		p.takeAnswer(p.clock.Now(), wire.Identity{}, 0, wire.ExchangeAnswer{Weights: []wire.NamedWeights{
-			{Model: "m", Version: 3, Age: age.Milliseconds()},
+			{Model: "m", Version: 3, Age: age.Milliseconds(), Heard: true},
 		}})
 		p.spared()
 	}
@@ -38,3 +39,24 @@
 	is.True(*waits)
 	is.True(!*answered) // it began in time
 }
+
+// A target keeps requests waiting until its weights are too old, and they are
+// cut. It is not broken: it must get requests as soon as it has loaded.
+func TestCutWaitsSayNothingAgainstTheirTarget(t *testing.T) {
+	is := is.New(t)
+	p := startOn(&memoryStore{newest: 3, targets: onVersions(2)}, "a")
+	pool := p.engine("engines")
+	var waits []*placed
+	for range 8 {
+		pl, refusal := pool.acquire(t.Context(), &waiting{Account: "acc"})
+		is.True(refusal == nil)
+		pool.sent(pl, func() {}, false)
+		waits = append(waits, pl)
+	}
+	p.takeAnswer(p.clock.Now(), wire.Identity{}, 0, wire.ExchangeAnswer{Weights: []wire.NamedWeights{{Model: "m", Version: 3, Age: 9600, Heard: true}}})
+	p.spared()
+	for _, pl := range waits {
+		pool.ended(pl, overload.Failed)
+	}
+	is.Equal(pool.breaker("a").State(), overload.Closed)
+}
--- a/internal/weights/namings.go
+++ b/internal/weights/namings.go
@@ -13,6 +13,9 @@
 	Version int64
 	// At is a time of day, by the clock of the instance that wrote it.
 	At time.Time
+	// Estimate is set while nobody has written who heard the version as it was
+	// named.
+	Estimate bool
 }
 
 // Namings are kept in the platform's store. Operators' records have no times,
@@ -32,20 +35,24 @@
 	WriteNamings(ctx context.Context, at int64, list []Naming) (written bool, err error)
 }
 
-// Has says whether the record tells of a version.
-func (n Namings) Has(model string, version int64) bool {
-	return slices.ContainsFunc(n.List, func(v Naming) bool { return v.Model == model && v.Version == version })
+// Has says whether the record tells of a version, and as well as that.
+func (n Namings) Has(v Naming) bool {
+	return slices.ContainsFunc(n.List, func(known Naming) bool {
+		return known.Model == v.Model && known.Version == v.Version && (!known.Estimate || v.Estimate)
+	})
 }
 
-// With is the list with more namings. What is recorded stays: whoever wrote it
-// knew better or just as well. Of each model the newest versions are kept, at
-// most as many as given.
+// With is the list with more namings. What is recorded stays, but for estimates
+// that somebody corrects who heard the version. Of each model the newest
+// versions are kept, at most as many as given.
 func (n Namings) With(more []Naming, most int) []Naming {
 	list := slices.Clone(n.List)
 	for _, v := range more {
-		if !n.Has(v.Model, v.Version) {
-			list = append(list, v)
+		if n.Has(v) {
+			continue
 		}
+		list = slices.DeleteFunc(list, func(old Naming) bool { return old.Model == v.Model && old.Version == v.Version })
+		list = append(list, v)
 	}
 	slices.SortFunc(list, func(a, b Naming) int {
 		return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(b.Version, a.Version))
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -108,6 +108,7 @@
 	Version int64  `msgpack:"v"`
 	// Age is how many milliseconds ago it was named, as far as is known.
 	Age int64 `msgpack:"a"`
-	// Found is set when the sender did not hear it as it was named.
-	Found bool `msgpack:"f,omitempty"`
+	// Heard is set when the age comes from somebody who heard the version as it
+	// was named. Without it the age is an estimate.
+	Heard bool `msgpack:"h,omitempty"`
 }
