logline: lines of a changed belief are written over the rate

Change: the ten events by which a process changes what it believes are written besides the 250 lines a second, and have a queue of their own length.

--- a/internal/logline/output.go
+++ b/internal/logline/output.go
@@ -1,9 +1,11 @@
 package logline
 
 import (
+	"bytes"
 	"flag"
 	"fmt"
 	"io"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -18,10 +20,33 @@
 	// linesPerSecond bounds the output. A process that refuses thousands of
 	// requests a second must not spend its time on saying so.
 	linesPerSecond = 250
+	// keptLines is the lines besides that wait where their event is kept.
+	keptLines = 256
 	// sampleEvery: of events that are all alike one in so many is written.
 	sampleEvery = 16
 )
 
+// kept are the events that are written over the rate, as they stand in a line.
+var kept = keptMarks(
+	"started", "config_in_force", "weights_named", "weights_dated", "oldest_weights", "namings_written", "lease_taken",
+	"peer_gone", "store_lost", "store_regained",
+)
+
+// keptMarks is for events that change what a process believes: rare, and all
+// that a later trace has to go by. A suspended process wakes with hundreds of
+// broken requests in one second, and hears then what it has missed.
+func keptMarks(events ...string) [][]byte {
+	var marks [][]byte
+	for _, e := range events {
+		marks = append(marks, []byte("] \""+e+"\""))
+	}
+	return marks
+}
+
+func isKept(line []byte) bool {
+	return slices.ContainsFunc(kept, func(mark []byte) bool { return bytes.Contains(line, mark) })
+}
+
 // output writes lines from a queue and drops what does not fit: a request
 // never waits for a log line.
 type output struct {
@@ -41,7 +66,7 @@
 			return errors.Wrapf(err, "set log flag %s", name)
 		}
 	}
-	o := &output{w: w, lines: make(chan []byte, queuedLines)}
+	o := &output{w: w, lines: make(chan []byte, queuedLines+keptLines)}
 	klog.SetOutput(o)
 	go o.run()
 	return nil
@@ -53,7 +78,8 @@
 	if o.second.Swap(now) != now {
 		o.written.Store(0)
 	}
-	if o.written.Add(1) > linesPerSecond {
+	over := o.written.Add(1) > linesPerSecond || len(o.lines) >= queuedLines
+	if over && !isKept(line) {
 		o.dropped.Add(1)
 		return len(line), nil
 	}
