gateway: old weights in a file of their own; one search through named versions

Read as a newcomer: rollout.go had both the orders and the bounds on old weights; three loops through the named versions were alike. The head of the restart test is down to five lines. Checks: make lint, go test -race ./internal/gateway.

--- a/internal/gateway/namedversions.go
+++ b/internal/gateway/namedversions.go
@@ -97,36 +97,27 @@
 
 func (n *namedVersions) newest() namedVersion { return n.list[len(n.list)-1] }
 
-// newestFound is the newest version that nobody has heard as it was named; 0
-// for none.
-func (n *namedVersions) newestFound() int64 {
-	for _, v := range slices.Backward(n.list) {
-		if v.found {
-			return v.version
-		}
-	}
-	return 0
+// dueBy is the newest version named by that time; 0 for none.
+func (n *namedVersions) dueBy(at time.Duration) int64 {
+	return n.last(func(v *namedVersion) bool { return v.at <= at })
 }
 
-// dueByEstimate is the newest version of which an estimate tells that it was
-// named by that time; 0 for none.
+// dueByEstimate is the newest of those that are due by an estimate only.
 func (n *namedVersions) dueByEstimate(at time.Duration) int64 {
-	due := int64(0)
-	for _, v := range n.list {
-		if v.found && v.at <= at {
-			due = v.version
-		}
-	}
-	return due
+	return n.last(func(v *namedVersion) bool { return v.at <= at && v.found })
 }
 
-// dueBy is the newest version named by that time; 0 for none.
-func (n *namedVersions) dueBy(at time.Duration) int64 {
-	due := int64(0)
-	for _, v := range n.list {
-		if v.at <= at {
-			due = v.version
+// newestFound is the newest version that nobody has heard as it was named.
+func (n *namedVersions) newestFound() int64 {
+	return n.last(func(v *namedVersion) bool { return v.found })
+}
+
+// last is the newest version that fits; 0 for none.
+func (n *namedVersions) last(fits func(*namedVersion) bool) int64 {
+	for i := range slices.Backward(n.list) {
+		if fits(&n.list[i]) {
+			return n.list[i].version
 		}
 	}
-	return due
+	return 0
 }
--- /dev/null
+++ b/internal/gateway/oldweights.go
@@ -0,0 +1,96 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/mastictray/mastictray/internal/directory"
+	"github.com/mastictray/mastictray/internal/logline"
+	"github.com/mastictray/mastictray/internal/routing"
+)
+
+const (
+	// outdatedAfter is how long an answer on older weights is worth as much as
+	// one on newer ones, once these were named: the users' own rule. Until
+	// then there is no reason to prefer the few targets that have them.
+	outdatedAfter = 1500 * time.Millisecond
+	// mustServeShare is the part of the bound on old weights after which no
+	// request is sent to a target with older ones.
+	mustServeShare = 0.8
+	// waitShare is the part of the bound after which no request may wait any
+	// more for its first token at a target with older weights. The rest is for
+	// the way there and for hearing of a version late.
+	waitShare = 0.95
+)
+
+// updateRollout tells the pools which versions are wanted and which targets
+// load. The caller holds g.mu.
+func (g *Gateway) updateRollout() {
+	now := g.clock.Now()
+	bound := time.Duration(mustServeShare * float64(g.settings.WeightsBound))
+	waitBound := time.Duration(waitShare * float64(g.settings.WeightsBound))
+	bounds := map[string]*versionBounds{}
+	g.eachGoal(func(s *routing.Service, model string, v *namedVersions) {
+		b := bounds[s.Name]
+		if b == nil {
+			b = &versionBounds{wanted: map[string]int64{}, least: map[string]int64{}, wait: map[string]int64{}}
+			bounds[s.Name] = b
+		}
+		b.wanted[model] = v.dueBy(now - outdatedAfter)
+		// An estimate may be wrong by as much as requests may else wait.
+		b.wait[model] = max(v.dueBy(now-waitBound), v.dueByEstimate(now-bound))
+		oldest, why := v.dueBy(now-bound), "bound_reached"
+		if version := v.newestFound(); version > 0 {
+			if found := leastFound(g.directory.Usable(s.Name), model, version); found > oldest {
+				oldest, why = found, "targets_tell"
+			}
+		}
+		b.least[model] = oldest
+		g.setOldest(s.Name, model, oldest, why)
+	})
+	for name, pool := range g.engines {
+		b := versionBounds{}
+		if known := bounds[name]; known != nil {
+			b = *known
+		}
+		pool.setRollout(b, g.loadingNow, g.loadingSoon)
+	}
+}
+
+// setOldest notes the oldest version that may serve. Where it changes, a line
+// tells why, and how many targets get no requests by that. The caller holds g.mu.
+func (g *Gateway) setOldest(service, model string, oldest int64, why string) {
+	from := g.oldest[service+"/"+model]
+	if from == oldest {
+		return
+	}
+	g.oldest[service+"/"+model] = oldest
+	spared, targets := 0, g.directory.Usable(service)
+	for i := range targets {
+		if behind(&targets[i], map[string]int64{model: oldest}) {
+			spared++
+		}
+	}
+	logline.Info("oldest_weights", "service", service, "model", model, "version", oldest, "from", from, "why", why,
+		"spared", spared, "of", len(targets))
+}
+
+// leastFound is the oldest version that may serve as far as targets tell. A
+// process that started in the middle of a rollout does not know how long ago the
+// newest version was named, nor that there was one between. When most targets
+// serve the newest, the others' time is nearly over, and they can be spared.
+// Else those are spared that are behind a version which was superseded after it
+// had come to some target: it was named longer ago than the newest.
+func leastFound(targets []directory.Registration, model string, newest int64) int64 {
+	serve, superseded := 0, int64(0)
+	for _, t := range targets {
+		if v := t.Versions[model]; v >= newest {
+			serve++
+		} else {
+			superseded = max(superseded, v)
+		}
+	}
+	if serve > 0 && 2*serve >= len(targets) {
+		return newest
+	}
+	return superseded
+}
--- a/internal/gateway/restart_test.go
+++ b/internal/gateway/restart_test.go
@@ -18,13 +18,11 @@
 	"github.com/mastictray/mastictray/internal/wire"
 )
 
-// Callers get answers on weights that were replaced 25 s ago, for seconds after
-// all instances have lost power at once. Version 3 is named while no instance
-// gives orders; version 4 follows when the first orders go out, so no target
-// ever serves 3, few serve 4 and most are left on 2. The store tells the new
-// processes that 4 is the newest, not since when, and nothing of 3: the bound on
-// old weights began anew with each process, and the targets on 2 served again.
-// The logs showed it: all processes took 4 to be 3 s old and spared nobody.
+// Callers got answers on weights replaced 25 s before, after all instances had
+// lost power in a rollout. No target served version 3, few 4 and most still 2. The
+// store told the new processes that 4 is the newest, not since when, and nothing
+// of 3, so the bound on old weights began anew with each: the logs show that all
+// took 4 to be 3 s old and spared no target.
 func TestRestartedFleetSparesWeightsReplacedBefore(t *testing.T) {
 	for name, then := range map[string]func(p *probed){
 		"nothing more is named":    func(*probed) {},
