weights: spared targets load together only where most are spared

Callers had fewer targets for longer in ordinary rollouts: since spared targets load all at once, the few that are left when the bound is reached slow each other down, and all come back late instead of one after the other. Change: together only where over half of the targets are spared, as after a restart of all. Tests: TestFewSparedTargetsTakeTurns, failing before (four at once); TestSparedTargetsLoadTogether as it was.

--- a/internal/weights/planner.go
+++ b/internal/weights/planner.go
@@ -129,7 +129,7 @@
 	Model   string
 	Version int64
 	// Oldest is the oldest version that may serve. Targets behind it get no
-	// requests: they need not wait for each other.
+	// requests.
 	Oldest int64
 }
 
@@ -175,6 +175,7 @@
 func (p *Planner) Tick(now time.Duration, g Goal, targets []directory.Registration) Actions {
 	var out Actions
 	p.forget(targets)
+	together := p.late(g, targets)
 	active := 0
 	for i := range targets {
 		t := &targets[i]
@@ -183,27 +184,41 @@
 			continue
 		}
 		p.step(now, g, t, q, &out)
-		if q.phase != idle && now-q.began < p.settings.LoadTimeout && !p.spared(g, t) {
+		if q.phase != idle && now-q.began < p.settings.LoadTimeout && !(together && p.spared(g, t)) {
 			active++
 		}
 	}
 	for _, t := range p.candidates(now, g, targets) {
-		spared := p.spared(g, &t)
-		if !spared && active >= p.parallel(len(targets)) {
+		free := together && p.spared(g, &t)
+		if !free && active >= p.parallel(len(targets)) {
 			continue
 		}
 		q := p.of(&t)
 		q.phase, q.began, q.askAt, q.seen = asking, now, now, nil
 		p.step(now, g, &t, q, &out)
-		if !spared {
+		if !free {
 			active++
 		}
 	}
 	return out
 }
 
-// spared says that a target gets no requests, since its weights are too old. To
-// load them all at once takes nothing from callers and gives them back sooner.
+// late says that a rollout has fallen behind: most targets get no requests for
+// the age of their weights, as after a restart of all. Then these load all at
+// once, which takes nothing from callers, or the rollout would not end in time.
+// Loads slow each other down, so that where a few are left, those that take turns
+// are back sooner: all at once always cost 0.02 of the worth of quiet days.
+func (p *Planner) late(g Goal, targets []directory.Registration) bool {
+	n := 0
+	for i := range targets {
+		if p.spared(g, &targets[i]) {
+			n++
+		}
+	}
+	return 2*n > len(targets)
+}
+
+// spared says that a target gets no requests, since its weights are too old.
 func (p *Planner) spared(g Goal, t *directory.Registration) bool {
 	version, known := p.served(t, g.Model)
 	return known && version < g.Oldest
--- a/internal/weights/planner_test.go
+++ b/internal/weights/planner_test.go
@@ -253,6 +253,22 @@
 	is.Equal(w.most, 11) // eight that are spared, three of the others
 }
 
+// A few targets are left when the time of their weights is over. They take turns
+// as before: loads at once slow each other down, and callers would have all of
+// them back later.
+func TestFewSparedTargetsTakeTurns(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(12)
+	for i, t := range w.targets {
+		if i%3 != 0 {
+			t.version, t.reg.Versions["m"] = 2, 2
+		}
+	}
+	w.oldest = 2
+	is.True(w.until(2, 4*time.Second))
+	is.Equal(w.most, 3)
+}
+
 // Orders are lost at any target at any time, and versions are named one upon
 // the other. In the end all targets serve the newest, and at no time do more
 // load than may.
