rollout: an instance that lost the lease follows the loads it ordered

Cause: the holder of the lease was turned away by the store. Its planner was not stepped any more, so the targets that it had ordered stayed in its list of loading targets, which it went on telling its peers. Ruled out: loads that last longer (all were done within 2.5 s of their order).

Change: without the lease the planner follows its loads to their end and orders nothing; targets that were prepared but not ordered are free at once.

--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -56,19 +56,24 @@
 		return
 	}
 	g.quietSince = never
-	if !g.keepLease(ctx, work) {
-		return
-	}
+	g.keepLease(ctx, work)
 	token, held := g.lease.held(g.clock.Now())
-	if !held {
-		return
-	}
 	for _, w := range work {
+		var actions weights.Actions
+		var soon []string
 		g.mu.Lock()
-		actions := g.planner.Tick(g.clock.Now(), w.goal, w.targets)
-		ordered, soon := g.planner.Loading(), g.planner.Soon(g.clock.Now(), w.goal, w.targets)
+		if held {
+			actions = g.planner.Tick(g.clock.Now(), w.goal, w.targets)
+			soon = g.planner.Soon(g.clock.Now(), w.goal, w.targets)
+		} else {
+			actions = g.planner.Follow(g.clock.Now(), w.goal, w.targets)
+		}
+		ordered := g.planner.Loading()
 		g.mu.Unlock()
 		g.setOrdered(ordered, soon)
+		for _, l := range actions.Loaded {
+			logline.Info("weights_loaded", "target", l.Target.ID, "model", w.goal.Model, "version", l.Version, "took", l.Took, "loading", len(ordered))
+		}
 		for _, a := range actions.Asks {
 			go g.askState(ctx, a.Target)
 		}
@@ -102,10 +107,10 @@
 }
 
 // keepLease renews or takes the lease where that is due.
-func (g *Gateway) keepLease(ctx context.Context, work []rollingOut) bool {
+func (g *Gateway) keepLease(ctx context.Context, work []rollingOut) {
 	now := g.clock.Now()
 	if _, held := g.lease.held(now); !held && !g.maySeekLease(now, work[0].since) {
-		return false
+		return
 	}
 	if g.lease.readDue(now) {
 		if err := g.readLease(ctx); err != nil {
@@ -113,13 +118,12 @@
 			// would else ask ten times a second.
 			g.lease.unread(g.clock.Now(), feedturn.RetryPause(g.peers.fleetSize(), g.source()))
 			logline.Error(err, "lease_unread")
-			return false
+			return
 		}
 	}
 	if err := g.writeLease(ctx); err != nil {
 		logline.Error(err, "lease_unwritten")
 	}
-	return true
 }
 
 func (g *Gateway) readLease(ctx context.Context) error {
--- a/internal/weights/planner.go
+++ b/internal/weights/planner.go
@@ -107,7 +107,9 @@
 type progress struct {
 	incarnation directory.Incarnation
 	phase       phase
-	began       time.Duration
+	// version is what the last order asked for.
+	version int64
+	began   time.Duration
 	askAt       time.Duration
 	asking      bool
 	sentAt      time.Duration
@@ -142,10 +144,20 @@
 	Order  Order
 }
 
+// Loaded is a load that has ended.
+type Loaded struct {
+	Target  directory.Registration
+	Version int64
+	// Took is the time from the order to the first sight of the new version.
+	Took time.Duration
+}
+
 // Actions are what to do now.
 type Actions struct {
 	Asks  []Ask
 	Sends []Send
+	// Loaded lists the loads that have ended since the last call.
+	Loaded []Loaded
 }
 
 // Pending says whether some target does not serve its goal, as far as known.
@@ -171,6 +183,24 @@
 	return version, known
 }
 
+// Follow watches the loads that were ordered under a lease that is lost. It
+// orders nothing. Without it the targets would count as loading until this
+// instance holds the lease again.
+func (p *Planner) Follow(now time.Duration, g Goal, targets []directory.Registration) Actions {
+	var out Actions
+	for i := range targets {
+		t := &targets[i]
+		q := p.of(t)
+		if q.phase == asking || q.phase == ordered && now-q.sentAt >= p.settings.ResendAfter {
+			q.phase, q.seen = idle, nil
+		}
+		if q.phase != idle {
+			p.step(now, g, t, q, &out)
+		}
+	}
+	return out
+}
+
 // Tick decides for one goal. Only the holder of the lease may call it.
 func (p *Planner) Tick(now time.Duration, g Goal, targets []directory.Registration) Actions {
 	var out Actions
@@ -285,7 +315,13 @@
 
 // step moves one target on.
 func (p *Planner) step(now time.Duration, g Goal, t *directory.Registration, q *progress, out *Actions) {
-	if !p.behind(g, t) {
+	version, _ := p.served(t, g.Model)
+	if q.version == g.Version && version >= q.version {
+		out.Loaded = append(out.Loaded, Loaded{Target: *t, Version: version, Took: now - q.sentAt})
+		*q = progress{incarnation: q.incarnation, seen: q.seen}
+		return
+	}
+	if version >= g.Version {
 		*q = progress{incarnation: q.incarnation, seen: q.seen}
 		return
 	}
@@ -308,7 +344,7 @@
 }
 
 func (p *Planner) send(now time.Duration, g Goal, t *directory.Registration, q *progress, out *Actions) {
-	q.phase, q.sentAt = ordered, now
+	q.phase, q.sentAt, q.version = ordered, now, g.Version
 	q.askAt = now + p.settings.PollEvery
 	out.Sends = append(out.Sends, Send{Target: *t, Order: Order{
 		Model: g.Model, Version: g.Version, Accepted: q.seen.Accepted,
--- a/internal/weights/planner_test.go
+++ b/internal/weights/planner_test.go
@@ -38,6 +38,8 @@
 	most    int
 	late    []lateOrder
 	oldest  int64
+	// lost is set while the planner's instance does not hold the lease.
+	lost bool
 }
 
 type lateOrder struct {
@@ -107,7 +109,11 @@
 		}
 	}
 	w.most = max(w.most, loading)
-	actions := w.planner.Tick(w.now, Goal{Service: "s", Model: "m", Version: version, Oldest: w.oldest}, w.regs())
+	decide := w.planner.Tick
+	if w.lost {
+		decide = w.planner.Follow
+	}
+	actions := decide(w.now, Goal{Service: "s", Model: "m", Version: version, Oldest: w.oldest}, w.regs())
 	for _, a := range actions.Asks {
 		t := w.find(a.Target.ID)
 		w.planner.Observed(w.now, t.reg.Incarnation(), &Observation{
@@ -202,6 +208,24 @@
 	is.True(w.until(2, 5*time.Second))
 }
 
+// Guards against targets that count as loading until the lease comes back,
+// though they have loaded.
+func TestFollowEndsLoadsOfLostLease(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(6)
+	for range 5 {
+		w.step(2)
+	}
+	is.Equal(len(w.planner.Loading()), 2)
+	w.lost = true
+	for range 15 {
+		w.step(2)
+	}
+	is.Equal(w.planner.Loading(), nil)
+	is.Equal(w.targets[0].version, int64(2))
+	is.Equal(w.targets[2].loads, 0) // nothing was ordered without the lease
+}
+
 // A target answers no questions. It holds up the others for a while only.
 func TestSilentTargetDoesNotStopTheRollout(t *testing.T) {
 	is := is.New(t)
