weights: a target that has loaded competes anew for the next load

A version was named while a target loaded the one before: the target was ordered again at once, before those with the oldest weights, whose time ran out meanwhile. Now a load ends with the version that was ordered, and the target waits its turn by the age of its weights.

--- a/internal/weights/planner.go
+++ b/internal/weights/planner.go
@@ -316,7 +316,7 @@
 // step moves one target on.
 func (p *Planner) step(now time.Duration, g Goal, t *directory.Registration, q *progress, out *Actions) {
 	version, _ := p.served(t, g.Model)
-	if q.version == g.Version && version >= q.version {
+	if q.version != 0 && version >= q.version {
 		out.Loaded = append(out.Loaded, Loaded{Target: *t, Version: version, Took: now - q.sentAt})
 		*q = progress{incarnation: q.incarnation, seen: q.seen}
 		return
--- a/internal/weights/planner_test.go
+++ b/internal/weights/planner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -226,6 +227,23 @@
 	is.Equal(w.targets[2].loads, 0) // nothing was ordered without the lease
 }
 
+// Guards against a second load of a fresh target while others still have the
+// oldest weights.
+func TestLoadedTargetCompetesAnew(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(6)
+	for range 6 {
+		w.step(2) // two targets load version 2
+	}
+	behind := func(x *target) bool { return x.version == 1 }
+	for slices.ContainsFunc(w.targets, behind) {
+		w.step(3)
+	}
+	for _, x := range w.targets[:2] {
+		is.Equal(x.loads, 1)
+	}
+}
+
 // A target answers no questions. It holds up the others for a while only.
 func TestSilentTargetDoesNotStopTheRollout(t *testing.T) {
 	is := is.New(t)
