gateway: a resumed stream is due after its last event

Callers saw: streams that had run for two seconds or more broke off when their target crashed, though they could be resumed and other targets were free.

Cause: the queue took the deadline and the latency objective of the first event for the resumption too. After two seconds these are past, so the request was refused, or waited behind all others.

Change: the next event is due by the callers' patience and the gap objective, both after the last event that went out; resumptions come first in their account.

--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -139,8 +139,15 @@
 
 // queued describes the request to the queue and to placement.
 func (g *Gateway) queued(c *call) *waiting {
-	q := &waiting{Account: accountName(c), Priority: fairqueue.MaxPriority - urgency(c), Deadline: c.firstDue()}
-	if c.route.LatencyObjective > 0 {
+	q := &waiting{Account: accountName(c), Priority: fairqueue.MaxPriority - urgency(c), Deadline: c.nextEventDue()}
+	switch {
+	case c.resumed():
+		// Its caller has a part of the answer and waits within a shorter bound.
+		q.Priority = fairqueue.MaxPriority
+		if c.route.GapObjective > 0 {
+			q.Objective = c.lastEventAt + c.route.GapObjective
+		}
+	case c.route.LatencyObjective > 0:
 		q.Objective = c.began + c.route.LatencyObjective
 	}
 	q.Place.Exclude = c.tried
@@ -161,21 +168,25 @@
 // than it takes to its first token: an engine makes some twenty a second of each.
 const longOutput = 100
 
-// firstDue is when the first byte is due at the latest. Callers leave a stream
-// that brings nothing for long, well before their deadline; what starts after
-// that runs for nobody.
-func (c *call) firstDue() time.Duration {
+// resumed says that the caller has a part of the answer already.
+func (c *call) resumed() bool { return c.lastEventAt > 0 }
+
+// nextEventDue is when the next event of a stream is due at the latest: the
+// first one, or after a resumption the one behind the last that went out.
+// Callers leave a stream that brings nothing for long, well before their
+// deadline; what starts after that runs for nobody.
+func (c *call) nextEventDue() time.Duration {
 	if c.route.Kind != routing.Stream {
 		return c.due
 	}
-	due := c.began + max(minStreamPatience, streamObjectives*c.route.LatencyObjective, streamGaps*c.route.GapObjective)
+	due := max(c.began, c.lastEventAt) + max(minStreamPatience, streamObjectives*c.route.LatencyObjective, streamGaps*c.route.GapObjective)
 	if c.due > 0 {
 		due = min(due, c.due)
 	}
 	return due
 }
 
-// How long callers wait for the first event of a stream: the longest of a time,
+// How long callers wait for the next event of a stream: the longest of a time,
 // some latency objectives and some gaps. The callers' own rule, as agreed.
 const (
 	minStreamPatience = 2 * time.Second
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -149,6 +149,7 @@
 			return broken, errors.Wrap(err, "flush to caller")
 		}
 		s.events++
+		s.c.lastEventAt = s.g.clock.Now()
 		if e.ID != "" {
 			s.lastID = e.ID
 		}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -35,6 +35,8 @@
 	// may have run it.
 	sent int
 	ran  bool
+	// lastEventAt is when the last event of a stream went out; 0 for none.
+	lastEventAt time.Duration
 	// wrote is set once the head of the answer is out.
 	wrote bool
 	// fingerprint names the request among its repeats.
--- a/internal/gateway/waiting_test.go
+++ b/internal/gateway/waiting_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/mastictray/mastictray/internal/overload"
+	"github.com/mastictray/mastictray/internal/routing"
 	"github.com/mastictray/mastictray/internal/wire"
 )
 
@@ -60,3 +61,19 @@
 	}
 	is.Equal(pool.breaker("a").State(), overload.Closed)
 }
+
+// Guards against a stream that is refused its resumption because it began
+// longer ago than callers wait for a first event.
+func TestResumedStreamIsDueAfterItsLastEvent(t *testing.T) {
+	is := is.New(t)
+	c := &call{route: &routing.Route{Kind: routing.Stream, LatencyObjective: 400 * time.Millisecond, GapObjective: 250 * time.Millisecond}}
+	c.Request, c.service = &Request{}, &routing.Service{}
+	c.began, c.due = time.Second, 16*time.Second
+	is.Equal(c.nextEventDue(), 3*time.Second)
+	c.lastEventAt = 5 * time.Second
+	q := (&Gateway{}).queued(c)
+	is.Equal(q.Deadline, 7*time.Second)
+	is.Equal(q.Objective, 5250*time.Millisecond)
+	c.lastEventAt = 15 * time.Second
+	is.Equal(c.nextEventDue(), c.due)
+}
