gateway: streams that can be resumed move away from a target before it loads

Cause: a load waits for all that runs on its target. A callback runs for 2.3 s on average and up to 9.6 s; five of them run on each target, so the longest of them decides.

Change: 0.2 s after a load is announced, each instance ends its resumable streams there and resumes them on another target in the same answer.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -29,7 +29,7 @@
 		return notSent
 	}
 	c.sent++
-	l.sent(conn.Close, c.route.Repeatable())
+	l.sent(conn.Close, g.mobility(c))
 	stop := context.AfterFunc(ctx, conn.Close)
 	result, err := g.exchange(ctx, c, l, s, conn)
 	if !stop() {
--- a/internal/gateway/enginemarks.go
+++ b/internal/gateway/enginemarks.go
@@ -70,8 +70,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.bounds, p.loading, p.soon = b, loading, soon
+	p.noteLoading()
 	p.markAll()
 	p.cutWaiting()
+	p.moveStreams()
 	p.step()
 }
 
@@ -85,7 +87,7 @@
 			continue
 		}
 		logline.Info("waiting_cut", "target", r.ID, "versions", r.Versions, "oldest", p.bounds.wait, "waited", p.now()-pl.send.SentAt)
-		pl.expired = true
+		pl.withdrawn = true
 		pl.cut()
 		delete(p.running, pl)
 	}
--- a/internal/gateway/enginepool.go
+++ b/internal/gateway/enginepool.go
@@ -41,12 +41,12 @@
 	// leg numbers the attempt among those at its target, whose silence is
 	// watched.
 	leg uint64
-	// cut ends the attempt; repeatable says that it may then go elsewhere.
-	cut        func()
-	repeatable bool
-	// expired is set when it was cut because it waited for too long: that says
-	// nothing against its target.
-	expired bool
+	// cut ends the attempt.
+	cut func()
+	mobility
+	// withdrawn is set when this instance cut it for a reason that says nothing
+	// against its target.
+	withdrawn bool
 	// prefilled is set once the first token came.
 	prefilled bool
 }
@@ -77,6 +77,8 @@
 	bounds     versionBounds
 	loading    map[string]bool
 	soon       map[string]bool
+	// loadingSince is since when a target has been seen to load.
+	loadingSince map[string]time.Duration
 	// refusedAt is when a target last refused a request as a whole.
 	refusedAt map[string]time.Duration
 	stepping  bool
@@ -89,7 +91,7 @@
 		silences: map[string]*overload.Silence{}, running: map[*placed]struct{}{}, silentAt: map[string]time.Duration{},
 		beliefs:   belief.NewStore(beliefBudgetBytes),
 		rng:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		refusedAt: map[string]time.Duration{},
+		refusedAt: map[string]time.Duration{}, loadingSince: map[string]time.Duration{},
 	}
 	p.rebuild(nil)
 	o := dispatch.DefaultOptions()
@@ -270,7 +272,7 @@
 func (p *enginePool) ended(pl *placed, result overload.Result) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if pl.expired {
+	if pl.withdrawn {
 		result = overload.Cancelled
 	}
 	if !pl.prefilled {
--- a/internal/gateway/enginesilence.go
+++ b/internal/gateway/enginesilence.go
@@ -75,12 +75,12 @@
 	return gone
 }
 
-// sent notes that an attempt is on its way. Should its target fall silent, or
-// keep it waiting until its weights are too old, cut is called.
-func (p *enginePool) sent(pl *placed, cut func(), repeatable bool) {
+// sent notes that an attempt is on its way. Should its target fall silent, load
+// new weights, or keep it waiting until its weights are too old, cut is called.
+func (p *enginePool) sent(pl *placed, cut func(), m mobility) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	pl.cut, pl.repeatable = cut, repeatable
+	pl.cut, pl.mobility = cut, m
 	pl.leg = p.silence(pl.target.ID).Begin(p.now())
 	p.running[pl] = struct{}{}
 }
--- a/internal/gateway/restart_test.go
+++ b/internal/gateway/restart_test.go
@@ -213,7 +213,7 @@
 	pl, refusal := p.engine("engines").acquire(t.Context(), &waiting{Account: "acc"})
 	is.True(refusal == nil)
 	cut := false
-	p.engine("engines").sent(pl, func() { cut = true }, false)
+	p.engine("engines").sent(pl, func() { cut = true }, mobility{})
 	p.namingsStep(t.Context())
 	is.True(cut)
 }
--- a/internal/gateway/waiting_test.go
+++ b/internal/gateway/waiting_test.go
@@ -22,7 +22,7 @@
 		pl, refusal := pool.acquire(t.Context(), &waiting{Account: "acc"})
 		is.True(refusal == nil)
 		cut = new(bool)
-		pool.sent(pl, func() { *cut = true }, false)
+		pool.sent(pl, func() { *cut = true }, mobility{})
 		return pl, cut
 	}
 	_, waits := send()
@@ -51,7 +51,7 @@
 	for range 8 {
 		pl, refusal := pool.acquire(t.Context(), &waiting{Account: "acc"})
 		is.True(refusal == nil)
-		pool.sent(pl, func() {}, false)
+		pool.sent(pl, func() {}, mobility{})
 		waits = append(waits, pl)
 	}
 	p.takeAnswer(p.clock.Now(), wire.Identity{}, 0, wire.ExchangeAnswer{Weights: []wire.NamedWeights{{Model: "m", Version: 3, Age: 9600, Heard: true}}})
@@ -62,6 +62,39 @@
 	is.Equal(pool.breaker("a").State(), overload.Closed)
 }
 
+// Guards against a load that waits for the long streams on its target.
+func TestStreamsMoveBeforeALoad(t *testing.T) {
+	is := is.New(t)
+	p := startOn(&memoryStore{newest: 3, targets: onVersions(2, 2)}, "a")
+	pool := p.engine("engines")
+	now := time.Duration(0)
+	pool.now = func() time.Duration { return now }
+	start := func(resumable bool) (pl *placed, cut *bool) {
+		pl, refusal := pool.acquire(t.Context(), &waiting{Account: "acc"})
+		is.True(refusal == nil)
+		cut = new(bool)
+		pool.sent(pl, func() { *cut = true }, mobility{resumable: func() bool { return resumable }})
+		pool.answered(pl)
+		return pl, cut
+	}
+	pl, moved := start(true)
+	_, stays := start(false)
+	loading := map[string]bool{}
+	for id := range pool.regs {
+		loading[id] = true
+	}
+	pool.setRollout(versionBounds{}, loading, nil)
+	now += moveAfter
+	pool.setRollout(versionBounds{}, loading, nil)
+	is.True(!*moved) // there is no other target
+	loading = map[string]bool{pl.target.ID: true}
+	pool.setRollout(versionBounds{}, loading, nil)
+	is.True(*moved)
+	is.True(!*stays)
+	pool.ended(pl, overload.Failed)
+	is.Equal(pool.breaker(pl.target.ID).State(), overload.Closed)
+}
+
 // Guards against a stream that is refused its resumption because it began
 // longer ago than callers wait for a first event.
 func TestResumedStreamIsDueAfterItsLastEvent(t *testing.T) {
--- a/internal/weights/planner.go
+++ b/internal/weights/planner.go
@@ -110,10 +110,10 @@
 	// version is what the last order asked for.
 	version int64
 	began   time.Duration
-	askAt       time.Duration
-	asking      bool
-	sentAt      time.Duration
-	seen        *Observation
+	askAt   time.Duration
+	asking  bool
+	sentAt  time.Duration
+	seen    *Observation
 }
 
 // Planner decides for all model servers. It is not safe for concurrent use.
