weights: loads at once follow the weight source and the targets that serve

Cause: a load older than 4 s no longer counted, so slow loads let more begin, which slowed all of them; and once most targets had weights too old to serve, all of them loaded at once, where the source gives two full speed.

Change: a load counts as long as there are signs of it. Targets that serve load a fifth of the reachable ones at a time. Targets that get no requests load as many at once as the source was seen to give, and are ordered without the time in which others let go of them.

--- a/internal/gateway/enginesilence.go
+++ b/internal/gateway/enginesilence.go
@@ -29,6 +29,19 @@
 	return ids
 }
 
+// unanswering are the targets that answer this instance nothing.
+func (p *enginePool) unanswering() map[string]bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ids := map[string]bool{}
+	for id, b := range p.breakers {
+		if b.State() == overload.Open {
+			ids[id] = true
+		}
+	}
+	return ids
+}
+
 // suspect stops sending to targets that several peers have found silent,
 // unless one has answered here lately: this instance may reach what they do
 // not. A probe tells soon.
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -99,6 +99,9 @@
 		v := all.newest()
 		goal := weights.Goal{Service: s.Name, Model: model, Version: v.version, Oldest: g.oldest[s.Name+"/"+model]}
 		targets := g.directory.Usable(s.Name)
+		if pool := g.engines[s.Name]; pool != nil {
+			goal.Unreachable = pool.unanswering()
+		}
 		if g.planner.Pending(goal, targets) {
 			work = append(work, rollingOut{goal: goal, targets: targets, since: v.at})
 		}
--- a/internal/weights/planner.go
+++ b/internal/weights/planner.go
@@ -59,9 +59,9 @@
 
 // Settings of a planner.
 type Settings struct {
-	// ParallelDivisor: one in so many targets of a service may load at once.
-	// With five, a rollout takes five loads' time, about as fast as the
-	// weight source gives, and four fifths of the service go on serving.
+	// ParallelDivisor: one in so many of the targets that serve may load at
+	// once. Of all targets as many may, until loads show what the weight
+	// source gives.
 	ParallelDivisor int
 	// LeadTime is how long a target is announced as about to load before it
 	// is ordered: one exchange between instances and a bit. A request sent
@@ -75,8 +75,11 @@
 	// RetryAfter is the pause after a target rejected an order or could not
 	// be asked.
 	RetryAfter time.Duration
-	// LoadTimeout is when a target that does not come back with the version
-	// no longer holds up the others.
+	// SilentAfter is when a target without a sign of a load no longer holds up
+	// the others.
+	SilentAfter time.Duration
+	// LoadTimeout is when a target that does not come back with the version is
+	// ordered again.
 	LoadTimeout time.Duration
 }
 
@@ -88,6 +91,7 @@
 		PollEvery:       250 * time.Millisecond, // reports lag by 100 ms
 		ResendAfter:     1200 * time.Millisecond,
 		RetryAfter:      time.Second,
+		SilentAfter:     2 * time.Second,
 		LoadTimeout:     4 * time.Second,
 	}
 }
@@ -109,17 +113,24 @@
 	phase       phase
 	// version is what the last order asked for.
 	version int64
-	began   time.Duration
-	askAt   time.Duration
-	asking  bool
-	sentAt  time.Duration
-	seen    *Observation
+	// excluded is set where the target got no requests as it was ordered.
+	excluded bool
+	began    time.Duration
+	// busyAt is when the target last said that it carries out an order.
+	busyAt time.Duration
+	askAt  time.Duration
+	asking bool
+	sentAt time.Duration
+	seen   *Observation
 }
 
 // Planner decides for all model servers. It is not safe for concurrent use.
 type Planner struct {
 	settings Settings
 	targets  map[string]*progress
+	source   source
+	// underWay is the loads under way as of the last call of Tick.
+	underWay int
 }
 
 // New makes a planner that knows nothing of any target.
@@ -133,6 +144,8 @@
 	// Oldest is the oldest version that may serve. Targets behind it get no
 	// requests.
 	Oldest int64
+	// Unreachable are the targets that answer nobody at present.
+	Unreachable map[string]bool
 }
 
 // Ask is a question to send to a target.
@@ -205,56 +218,58 @@
 func (p *Planner) Tick(now time.Duration, g Goal, targets []directory.Registration) Actions {
 	var out Actions
 	p.forget(targets)
-	together := p.late(g, targets)
-	active := 0
+	underWay, serving := 0, 0
 	for i := range targets {
 		t := &targets[i]
 		q := p.of(t)
-		if q.phase == idle {
-			continue
+		if q.phase != idle {
+			p.step(now, g, t, q, &out)
 		}
-		p.step(now, g, t, q, &out)
-		if q.phase != idle && now-q.began < p.settings.LoadTimeout && !(together && p.spared(g, t)) {
-			active++
+		excluded := p.excluded(g, t)
+		if !excluded && !g.Unreachable[t.ID] {
+			serving++
+		}
+		if p.holdsSlot(now, g, t, q) {
+			underWay++
 		}
 	}
 	for _, t := range p.candidates(now, g, targets) {
-		free := together && p.spared(g, &t)
-		if !free && active >= p.parallel(len(targets)) {
+		limit := p.source.limit(p.share(len(targets)))
+		if !p.excluded(g, &t) {
+			limit = min(limit, p.share(serving))
+		}
+		if underWay >= limit && !g.Unreachable[t.ID] {
 			continue
 		}
 		q := p.of(&t)
-		q.phase, q.began, q.askAt, q.seen = asking, now, now, nil
+		q.phase, q.began, q.askAt, q.seen, q.busyAt = asking, now, now, nil, 0
 		p.step(now, g, &t, q, &out)
-		if !free {
-			active++
+		if p.holdsSlot(now, g, &t, q) {
+			underWay++
 		}
 	}
+	p.underWay = underWay
 	return out
 }
 
-// late says that a rollout has fallen behind: most targets get no requests for
-// the age of their weights, as after a restart of all. Then these load all at
-// once, which takes nothing from callers, or the rollout would not end in time.
-// Loads slow each other down, so that where a few are left, those that take turns
-// are back sooner: all at once always cost 0.02 of the worth of quiet days.
-func (p *Planner) late(g Goal, targets []directory.Registration) bool {
-	n := 0
-	for i := range targets {
-		if p.spared(g, &targets[i]) {
-			n++
-		}
+// holdsSlot says that a target's load is under way, as far as there are signs
+// of it. A silent target must not hold up the others, and a slow load must: the
+// weight source is shared, and more loads would slow down all.
+func (p *Planner) holdsSlot(now time.Duration, g Goal, t *directory.Registration, q *progress) bool {
+	if q.phase == asking && q.seen == nil && g.Unreachable[t.ID] {
+		return false
 	}
-	return 2*n > len(targets)
+	return q.phase != idle && now-max(q.began, q.sentAt, q.busyAt) < p.settings.SilentAfter
 }
 
-// spared says that a target gets no requests, since its weights are too old.
-func (p *Planner) spared(g Goal, t *directory.Registration) bool {
+// excluded says that a target gets no requests, since its weights are too old.
+func (p *Planner) excluded(g Goal, t *directory.Registration) bool {
 	version, known := p.served(t, g.Model)
 	return known && version < g.Oldest
 }
 
-func (p *Planner) parallel(n int) int {
+// share is how many of n targets may load at once.
+func (p *Planner) share(n int) int {
 	return max(1, (n+p.settings.ParallelDivisor-1)/p.settings.ParallelDivisor)
 }
 
@@ -317,7 +332,11 @@
 func (p *Planner) step(now time.Duration, g Goal, t *directory.Registration, q *progress, out *Actions) {
 	version, _ := p.served(t, g.Model)
 	if q.version != 0 && version >= q.version {
-		out.Loaded = append(out.Loaded, Loaded{Target: *t, Version: version, Took: now - q.sentAt})
+		took := now - q.sentAt
+		out.Loaded = append(out.Loaded, Loaded{Target: *t, Version: version, Took: took})
+		if q.excluded {
+			p.source.observe(p.underWay, took)
+		}
 		*q = progress{incarnation: q.incarnation, seen: q.seen}
 		return
 	}
@@ -325,7 +344,7 @@
 		*q = progress{incarnation: q.incarnation, seen: q.seen}
 		return
 	}
-	if q.phase == asking && q.seen != nil && !q.seen.Busy && now-q.began >= p.settings.LeadTime && now-q.seen.Asked < p.settings.RetryAfter {
+	if q.phase == asking && q.seen != nil && !q.seen.Busy && (p.excluded(g, t) || now-q.began >= p.settings.LeadTime) && now-q.seen.Asked < p.settings.RetryAfter {
 		p.send(now, g, t, q, out)
 		return
 	}
@@ -344,7 +363,7 @@
 }
 
 func (p *Planner) send(now time.Duration, g Goal, t *directory.Registration, q *progress, out *Actions) {
-	q.phase, q.sentAt, q.version = ordered, now, g.Version
+	q.phase, q.sentAt, q.version, q.excluded = ordered, now, g.Version, p.excluded(g, t)
 	q.askAt = now + p.settings.PollEvery
 	out.Sends = append(out.Sends, Send{Target: *t, Order: Order{
 		Model: g.Model, Version: g.Version, Accepted: q.seen.Accepted,
@@ -367,6 +386,9 @@
 	if q.phase == ordered && o.Asked < q.sentAt {
 		return
 	}
+	if o.Busy {
+		q.busyAt = o.Asked
+	}
 	if q.phase == ordered && (o.Busy || q.seen != nil && o.Accepted > q.seen.Accepted) {
 		q.phase = loading
 	}
@@ -399,7 +421,7 @@
 func (p *Planner) Soon(now time.Duration, g Goal, targets []directory.Registration) []string {
 	var ids []string
 	for _, t := range p.candidates(now, g, targets) {
-		if len(ids) == p.parallel(len(targets)) {
+		if len(ids) == p.share(len(targets)) {
 			break
 		}
 		ids = append(ids, t.ID)
