weights: orders that are sent again hold no slot longer

Targets there carry out each order 2 to 12 s late; ordering one again renewed its slot.

A slot lasts 2 s from when its target was chosen or last said that it is busy.

--- a/internal/weights/planner.go
+++ b/internal/weights/planner.go
@@ -259,7 +259,7 @@
 	if q.phase == asking && q.seen == nil && g.Unreachable[t.ID] {
 		return false
 	}
-	return q.phase != idle && now-max(q.began, q.sentAt, q.busyAt) < p.settings.SilentAfter
+	return q.phase != idle && now-max(q.began, q.busyAt) < p.settings.SilentAfter
 }
 
 // excluded says that a target gets no requests, since its weights are too old.
--- a/internal/weights/planner_test.go
+++ b/internal/weights/planner_test.go
@@ -348,6 +348,18 @@
 	is.True(w.targets[11].version == 2 || w.targets[11].loading == 2)
 }
 
+// Guards against a rollout that waits for targets whose receipts are lost and
+// that carry out their orders seconds later.
+func TestUnansweredOrdersDoNotHoldUpTheOthers(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(12)
+	w.oldest = 2
+	for _, x := range w.targets {
+		x.unanswers = 100
+	}
+	is.True(w.until(2, 11*time.Second))
+}
+
 // Orders are lost at any target at any time, and versions are named one upon
 // the other. In the end all targets serve the newest, and at no time do more
 // load than may.
