rollout: the holder of the lease reaches its record through a peer

Change: a holder whose call fails within 0.4 s, or that does not reach the store at all, has the first peer that does make the call. Writes are conditional on their offset, so one that goes both ways is carried out once at most; the right still counts from before the first attempt. Others make their calls themselves: an instance that the store turns away should not take the lease.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,11 +54,13 @@
 	budgets       map[string]*overload.SharedBudget
 	strikes       strikes
 
-	feeds   feedStates
-	peers   *peers
-	cache   *cacheStores
-	lease   *sharedLease
-	planner *weights.Planner
+	feeds feedStates
+	peers *peers
+	cache *cacheStores
+	lease *sharedLease
+	// leaseLog is where the lease is kept.
+	leaseLog *leaseLog
+	planner  *weights.Planner
 	// ordered are the targets that load by this instance's orders, orderedSoon
 	// those that it will order next.
 	ordered, orderedSoon []string
@@ -112,6 +114,7 @@
 	lease.Gap = s.LeaseGap
 	g.lease = &sharedLease{l: orderlease.New(g.self.Incarnation, lease).On(g.self.Instance)}
 	g.peers = newPeers(g)
+	g.leaseLog = &leaseLog{direct: store, cut: g.feeds.cut, relay: g.peers.relayLease}
 	g.cache = newCacheStores(g)
 	g.callers = newCallerServer(g)
 	return g
--- /dev/null
+++ b/internal/gateway/leaserelay.go
@@ -0,0 +1,132 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mastictray/mastictray/internal/logline"
+	"github.com/mastictray/mastictray/internal/orderlease"
+	"github.com/mastictray/mastictray/internal/wire"
+)
+
+// leaseLog is the lease's record in the store. A holder that the store turns
+// away reaches it through a peer: a rollout would else stop until another
+// instance may take the lease, several seconds later. A write is conditional on
+// its offset, so one that is sent both ways is carried out once at most.
+type leaseLog struct {
+	direct orderlease.Log
+	// cut says that the store was not reached lately.
+	cut func() bool
+	// relay makes the call through one peer; errNoRelay where there is none.
+	relay func(context.Context, wire.LeaseCall) (wire.LeaseAnswer, error)
+}
+
+// directLeaseTimeout bounds a holder's own call while a peer may make it
+// instead: two of them end before the right does.
+const directLeaseTimeout = 400 * time.Millisecond
+
+// errNoRelay: no peer that reaches the store is heard.
+var errNoRelay = errors.New("lease: no peer reaches the store")
+
+// read reads the record, as the holder or not.
+func (l *leaseLog) read(ctx context.Context, holder bool) (orderlease.Record, error) {
+	var r orderlease.Record
+	err := l.call(ctx, holder, wire.LeaseCall{}, func(ctx context.Context) (err error) {
+		r, err = l.direct.ReadLease(ctx)
+		return err
+	}, func(a wire.LeaseAnswer) { r = fromWireLease(a.Record) })
+	return r, err
+}
+
+// write writes a record of the holder.
+func (l *leaseLog) write(ctx context.Context, holder bool, at int64, r orderlease.Record) (bool, error) {
+	written := false
+	err := l.call(ctx, holder, wire.LeaseCall{Write: true, At: at, Record: toWireLease(r)}, func(ctx context.Context) (err error) {
+		written, err = l.direct.WriteLease(ctx, at, r)
+		return err
+	}, func(a wire.LeaseAnswer) { written = a.Written })
+	return written, err
+}
+
+// call makes a holder's call on whichever way works; others make it themselves.
+func (l *leaseLog) call(ctx context.Context, holder bool, c wire.LeaseCall, direct func(context.Context) error, relayed func(wire.LeaseAnswer)) error {
+	if !holder {
+		return direct(ctx)
+	}
+	if !l.cut() {
+		bound, cancel := context.WithTimeout(ctx, directLeaseTimeout)
+		err := direct(bound)
+		cancel()
+		if err == nil {
+			return nil
+		}
+		logline.Error(err, "lease_turned_away", "write", c.Write)
+	}
+	answer, err := l.relay(ctx, c)
+	if errors.Is(err, errNoRelay) {
+		return direct(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	relayed(answer)
+	return nil
+}
+
+func toWireLease(r orderlease.Record) wire.LeaseRecord {
+	return wire.LeaseRecord{Holder: r.Holder, Instance: r.Instance, Released: r.Released, Token: r.Token, End: r.End}
+}
+
+func fromWireLease(r wire.LeaseRecord) orderlease.Record {
+	return orderlease.Record{Holder: r.Holder, Instance: r.Instance, Released: r.Released, Token: r.Token, End: r.End}
+}
+
+// relayLease has a heard peer that reaches the store make the call.
+func (p *peers) relayLease(ctx context.Context, c wire.LeaseCall) (wire.LeaseAnswer, error) {
+	address, node := p.relayAddress()
+	if address == "" {
+		return wire.LeaseAnswer{}, errNoRelay
+	}
+	var answer wire.LeaseAnswer
+	_, err := node.Call(ctx, address, wire.KindOrderLease, c, &answer)
+	return answer, errors.Wrapf(err, "lease by peer=%s", address)
+}
+
+// relayAddress is the first in order of the peers that reach the store.
+func (p *peers) relayAddress() (string, peerNode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now, first := p.g.clock.Now(), ""
+	for name, s := range p.known {
+		if !s.cut && !s.leaving && p.hears(now, s) && (first == "" || name < first) {
+			first = name
+		}
+	}
+	if first == "" || p.node == nil {
+		return "", nil
+	}
+	return p.known[first].Address, p.node
+}
+
+// peerNode calls peers.
+type peerNode interface {
+	Call(ctx context.Context, addr string, kind wire.Kind, body, answer any) (wire.Identity, error)
+}
+
+// serveLease makes a holder's call to the store.
+func (p *peers) serveLease(ctx context.Context, _ wire.Identity, f wire.Frame) (any, error) {
+	var c wire.LeaseCall
+	if err := f.Into(&c); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if c.Write {
+		written, err := p.g.store.WriteLease(ctx, c.At, fromWireLease(c.Record))
+		return wire.LeaseAnswer{Written: written}, err
+	}
+	r, err := p.g.store.ReadLease(ctx)
+	return wire.LeaseAnswer{Record: toWireLease(r)}, err
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -154,6 +154,7 @@
 	}
 	node := peer.NewNode(peer.Options{Self: p.g.self, Secret: secret})
 	node.Handle(wire.KindExchange, p.serve)
+	node.Handle(wire.KindOrderLease, p.serveLease)
 	node.Serve(listener)
 	p.mu.Lock()
 	p.node = node
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -42,7 +42,7 @@
 	if !ok {
 		return
 	}
-	if _, err := g.store.WriteLease(ctx, at, record); err != nil {
+	if _, err := g.leaseLog.write(ctx, true, at, record); err != nil {
 		logline.Error(err, "lease_unreleased")
 	}
 }
@@ -132,7 +132,7 @@
 func (g *Gateway) readLease(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	record, err := g.store.ReadLease(ctx)
+	record, err := g.leaseLog.read(ctx, g.lease.wasHolder())
 	if err != nil {
 		return err
 	}
@@ -147,7 +147,7 @@
 	if !due {
 		return nil
 	}
-	written, err := g.store.WriteLease(ctx, at, record)
+	written, err := g.leaseLog.write(ctx, g.lease.wasHolder(), at, record)
 	if g.lease.wrote(g.clock.Now(), at, record, written, err) {
 		logline.Info("lease_taken", "token", record.Token)
 	}
@@ -191,7 +191,7 @@
 		g.ordersHeldAt = now
 		return g.peers.readsForDomain()
 	}
-	if g.lease.heldLast() {
+	if g.lease.wasHolder() {
 		return true
 	}
 	return now >= max(workSince, g.ordersHeldAt)+time.Duration(g.peers.rank())*candidateStagger
--- a/internal/gateway/sharedlease.go
+++ b/internal/gateway/sharedlease.go
@@ -36,6 +36,12 @@
 	return s.l.HeldLast()
 }
 
+func (s *sharedLease) wasHolder() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.l.WasHolder()
+}
+
 // readDue says that the record has to be read: it is not known, or another
 // holder's may have been renewed or be about to lapse.
 func (s *sharedLease) readDue(now time.Duration) bool {
--- a/internal/orderlease/lease.go
+++ b/internal/orderlease/lease.go
@@ -132,6 +132,10 @@
 // known: no other has given orders since.
 func (l *Lease) HeldLast() bool { return l.known && l.record.Holder == l.self }
 
+// WasHolder says that this instance wrote the last record that it knew, though a
+// write of unknown outcome may have come after it.
+func (l *Lease) WasHolder() bool { return l.record.Holder == l.self && l.self != "" }
+
 // Stale says that the record has to be read before anything can be decided.
 func (l *Lease) Stale() bool { return !l.known }
 
