cli: timeline shows what happened in a fleet, by time

Reads the logs of any number of processes from standard input and prints a row for each window: usable targets, waits and first tokens as expected and as measured, refusals by reason, callers that left, orders and loads, versions, leases.

--- a/internal/cli/command.go
+++ b/internal/cli/command.go
@@ -29,6 +29,7 @@
 	Status     statusCommand     `cmd:"" help:"Show the state of an entry instance."`
 	Audit      auditCommand      `cmd:"" help:"Show who changed what, and every order to a target."`
 	Explain    explainCommand    `cmd:"" help:"Say where a request would go, and why."`
+	Timeline   timelineCommand   `cmd:"" help:"Read logs from standard input and show what happened, by time."`
 	Completion completionCommand `cmd:"" help:"Print a completion script."`
 }
 
