--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -52,12 +52,8 @@
 	// Objective is when the first byte is worth most, at the latest; 0 for
 	// always.
 	Objective time.Duration
-	// Resumed is set where the caller has a part of the answer. The request
-	// goes on at once, whatever work its target has: its prompt is in part
-	// cached, and a stream that pauses for long is late or left.
-	Resumed bool
-	Place   placement.Request
-	Value   T
+	Place     placement.Request
+	Value     T
 }
 
 // Send is a request that goes to a target now.
@@ -266,7 +262,7 @@
 		return fairqueue.Refuse
 	}
 	t := d.pool.Target(choice.Index)
-	if t.Full() || !r.Resumed && d.pool.Backlog(choice.Index, now) >= d.options.Window {
+	if t.Full() || d.pool.Backlog(choice.Index, now) >= d.options.Window {
 		t.Load.Park(choice.UncachedTokens)
 		return fairqueue.Skip
 	}
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -128,19 +128,6 @@
 	is.Equal(len(f.Step(0, f.rng).Sends), 1)
 }
 
-// Guards against a stream that pauses because its resumption is held back.
-func TestResumedStreamIsNotHeld(t *testing.T) {
-	is := is.New(t)
-	f := newFixture(1)
-	f.pool.Target(0).Load.Peers(5000)
-	is.Equal(len(f.push("a", 1, 0).Sends), 0)
-	r := &Request[string]{ID: 100, Account: "a", Resumed: true, Value: "resumed"}
-	r.Place = placement.Request{PromptTokens: pieceTokens}
-	step := f.Push(0, r, f.rng)
-	is.Equal(len(step.Sends), 1)
-	is.Equal(step.Sends[0].Request.Value, "resumed")
-}
-
 // More comes than can be served. A request that has missed its objective while
 // it waited gives way to one that can still make it.
 func TestRequestPastItsObjectiveWaitsBehind(t *testing.T) {
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -143,7 +143,7 @@
 	switch {
 	case c.resumed():
 		// Its caller has a part of the answer and waits within a shorter bound.
-		q.Priority, q.Resumed = fairqueue.MaxPriority, true
+		q.Priority = fairqueue.MaxPriority
 		if c.route.GapObjective > 0 {
 			q.Objective = c.lastEventAt + c.route.GapObjective
 		}
