weights: as many targets load at once as the source gives full speed

On twelve targets three loaded at once. The source gives two full speed, so three are away half as long again for a seventh more of loads a second. Now a fifth of the targets, rounded down, load at once until loads show what the source gives; one more where they get no requests, to keep the source busy.

--- a/internal/weights/planner.go
+++ b/internal/weights/planner.go
@@ -233,10 +233,11 @@
 			underWay++
 		}
 	}
+	source := p.source.limit(max(1, len(targets)/p.settings.ParallelDivisor))
 	for _, t := range p.candidates(now, g, targets) {
-		limit := p.source.limit(p.share(len(targets)))
+		limit := source + 1
 		if !p.excluded(g, &t) {
-			limit = min(limit, p.share(serving))
+			limit = min(source, p.share(serving))
 		}
 		if underWay >= limit && !g.Unreachable[t.ID] {
 			continue
