gateway: old weights serve for 0.92 of their bound

The bound on replaced weights is 12 s here; targets were excluded after 9.6 s. Requests that wait there are cut at 0.95 of it anyhow.

--- a/internal/gateway/namings.go
+++ b/internal/gateway/namings.go
@@ -27,7 +27,7 @@
 const rewriteNamings = 300 * time.Millisecond
 
 // timeOfDayMargin is added to ages by the record: times of day jump by seconds.
-// With the fifth of the bound between the end of sending and the bound, and no
+// With the part of the bound that estimateShare leaves, and no
 // waits in it for versions whose age is an estimate, 3 s may be wrong.
 const timeOfDayMargin = time.Second
 
--- a/internal/gateway/oldweights.go
+++ b/internal/gateway/oldweights.go
@@ -14,8 +14,12 @@
 	// then there is no reason to prefer the few targets that have them.
 	outdatedAfter = 1500 * time.Millisecond
 	// mustServeShare is the part of the bound on old weights after which no
-	// request is sent to a target with older ones.
-	mustServeShare = 0.8
+	// request is sent to a target with older ones. The rest is for its wait
+	// there.
+	mustServeShare = 0.92
+	// estimateShare stands in its place for versions of which only an estimate
+	// tells when they were named: times of day may be wrong by seconds.
+	estimateShare = 0.8
 	// waitShare is the part of the bound after which no request may wait any
 	// more for its first token at a target with older weights. The rest is for
 	// the way there and for hearing of a version late.
@@ -26,8 +30,7 @@
 // load. The caller holds g.mu.
 func (g *Gateway) updateRollout() {
 	now := g.clock.Now()
-	bound := time.Duration(mustServeShare * float64(g.settings.WeightsBound))
-	waitBound := time.Duration(waitShare * float64(g.settings.WeightsBound))
+	share := func(part float64) time.Duration { return time.Duration(part * float64(g.settings.WeightsBound)) }
 	bounds := map[string]*versionBounds{}
 	g.eachGoal(func(s *routing.Service, model string, v *namedVersions) {
 		b := bounds[s.Name]
@@ -36,9 +39,9 @@
 			bounds[s.Name] = b
 		}
 		b.wanted[model] = v.dueBy(now - outdatedAfter)
-		// An estimate may be wrong by as much as requests may else wait.
-		b.wait[model] = max(v.dueBy(now-waitBound), v.dueByEstimate(now-bound))
-		oldest, why := v.dueBy(now-bound), "bound_reached"
+		estimated := v.dueByEstimate(now - share(estimateShare))
+		b.wait[model] = max(v.dueBy(now-share(waitShare)), estimated)
+		oldest, why := max(v.dueBy(now-share(mustServeShare)), estimated), "bound_reached"
 		if version := v.newestFound(); version > 0 {
 			if found := leastFound(g.directory.Usable(s.Name), model, version); found > oldest {
 				oldest, why = found, "targets_tell"
