placement: targets' rates, long prompts and the latency are learnt from answers

Seen: under load a first token was expected after 40 to 135 ms and came after 500 to 1,000. One constant of 80,000 stood for all of these.

Change: package servicetime learns the latency from short prompts, each target's rate from prompts that found it idle, and a curve for long ones. Placement and the queue count by them; the last moment at which a request is worth sending follows the latency.

Tried and reverted: accounts start with half of the slack of their rates after a start.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -87,6 +87,8 @@
 	picker  *placement.Picker
 	queue   *fairqueue.Queue[*Request[T]]
 	out     Step[T]
+	// latency is the time to a first token beyond the prefill.
+	latency time.Duration
 }
 
 // Step is what is to be done now. Its slices are reused by the next step.
@@ -100,7 +102,7 @@
 func New[T any](pool *placement.Pool, beliefs *belief.Store, picker *placement.Picker, o Options) *Dispatcher[T] {
 	return &Dispatcher[T]{
 		options: o, pool: pool, beliefs: beliefs, picker: picker,
-		queue: fairqueue.New[*Request[T]](o.Queue),
+		queue: fairqueue.New[*Request[T]](o.Queue), latency: firstTokenFloor,
 	}
 }
 
@@ -137,15 +139,19 @@
 }
 
 // firstTokenFloor is the time from sending a request to its first token that
-// no cache spares: two steps of an engine and the ways there and back.
+// no cache saves, until SetLatency gives what was observed: two steps of an
+// engine and the ways there and back.
 const firstTokenFloor = 60 * time.Millisecond
 
+// SetLatency gives the time to a first token beyond the prefill, as observed.
+func (d *Dispatcher[T]) SetLatency(latency time.Duration) { d.latency = latency }
+
 // best is the last moment to send a request so that it meets its objective.
 func (d *Dispatcher[T]) best(r *Request[T], cost float64) time.Duration {
 	if r.Objective == 0 {
 		return 0
 	}
-	return r.Objective - firstTokenFloor - d.picker.PrefillTime(cost)
+	return r.Objective - d.latency - d.picker.PrefillTime(cost)
 }
 
 // minCost is charged for a request that is cached almost wholly.
--- a/internal/gateway/enginepool.go
+++ b/internal/gateway/enginepool.go
@@ -13,6 +13,7 @@
 	"github.com/mastictray/mastictray/internal/overload"
 	"github.com/mastictray/mastictray/internal/placement"
 	"github.com/mastictray/mastictray/internal/routing"
+	"github.com/mastictray/mastictray/internal/servicetime"
 )
 
 type (
@@ -74,9 +75,11 @@
 	dispatcher *dispatch.Dispatcher[chan placedOrRefusal]
 	rng        *rand.Rand
 	nextID     uint64
-	bounds     versionBounds
-	loading    map[string]bool
-	soon       map[string]bool
+	// times is what was learnt of the targets' times to a first token.
+	times   *servicetime.Estimator
+	bounds  versionBounds
+	loading map[string]bool
+	soon    map[string]bool
 	// loadingSince is since when a target has been seen to load.
 	loadingSince map[string]time.Duration
 	// refusedAt is when a target last refused a request as a whole.
@@ -86,10 +89,10 @@
 
 func newEnginePool(now func() time.Duration, domain string, prefill float64) *enginePool {
 	p := &enginePool{
-		now: now, domain: domain, prefill: prefill,
+		now: now, domain: domain, prefill: prefill, times: servicetime.New(prefill),
 		regs: map[string]directory.Registration{}, breakers: map[string]*overload.Breaker{},
 		silences: map[string]*overload.Silence{}, running: map[*placed]struct{}{}, silentAt: map[string]time.Duration{},
-		beliefs:   belief.NewStore(beliefBudgetBytes),
+		beliefs:   belief.NewStore(cacheIndexBytes),
 		rng:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		refusedAt: map[string]time.Duration{}, loadingSince: map[string]time.Duration{},
 	}
@@ -131,9 +134,10 @@
 		}
 	}
 	p.regs = next
+	p.times.Forget(func(id string) bool { _, there := next[id]; return there })
 	p.pool = placement.NewPool(targets, "", placement.DefaultFilters())
 	o := placement.DefaultOptions()
-	o.MaxCandidates = candidates
+	o.MaxCandidates, o.Work = candidates, p.times.Work
 	o.QueueSlack, o.HeavyTokens, o.HeavyPenalty = queueSlack, heavyTokens, heavyPenalty
 	o.Domain, o.OutdatedPenalty = p.domain, outdatedPenalty
 	o.TransferTokensPerSecond, o.TransferSetup = p.transfer, transferSetup
@@ -148,6 +152,7 @@
 			t = *p.pool.Target(i)
 		}
 	}
+	t.PrefillTokensPerSecond = p.times.Rate(r.ID)
 	id := identity(&r)
 	t.Domain, t.Incarnation, t.Version = r.Domain, id.Incarnation, id.Version
 	t.Limit, t.MemoryTokens = r.Slots, p.memory
@@ -263,11 +268,28 @@
 		return
 	}
 	pl.prefilled = true
+	p.observeTime(pl)
 	p.dispatcher.Answered(&pl.send)
 	p.beliefs.Took(pl.send.Identity, float64(pl.took()))
 	p.step()
 }
 
+// observeTime learns from the first token of an answer. The caller holds p.mu.
+func (p *enginePool) observeTime(pl *placed) {
+	now, r := p.now(), &pl.send.Request.Place
+	p.times.Observe(pl.target.ID, servicetime.Sample{
+		At: now, Took: now - pl.send.SentAt, Prompt: float64(r.PromptTokens),
+		Uncached: max(0, float64(r.PromptTokens-r.LeadingTokens(max(pl.send.Decision.CachedPieces, pl.sourceHolds)))),
+		Alone:    pl.send.Decision.Queued == 0,
+	})
+	if l := p.times.Latency(); l > 0 {
+		p.dispatcher.SetLatency(l)
+	}
+	if i, ok := p.pool.Find(pl.target.ID); ok {
+		p.pool.Target(i).PrefillTokensPerSecond = p.times.Rate(pl.target.ID)
+	}
+}
+
 // ended takes in the end of an attempt and what it says of the target.
 func (p *enginePool) ended(pl *placed, result overload.Result) {
 	p.mu.Lock()
--- a/internal/placement/options.go
+++ b/internal/placement/options.go
@@ -32,6 +32,9 @@
 	TransferTokensPerSecond float64
 	// TransferSetup is the fixed time of one move.
 	TransferSetup time.Duration
+	// Work turns the tokens that a prompt needs prefilled into those that they
+	// count as; nil for the same number.
+	Work func(prompt, uncached float64) float64
 	// OutdatedPenalty is the time that a first token on the newest weights
 	// may come later and still be worth more than one on older weights.
 	OutdatedPenalty time.Duration
--- a/internal/placement/picker.go
+++ b/internal/placement/picker.go
@@ -20,13 +20,15 @@
 	Index int
 	// CachedPieces is what the target is believed to hold of the chain.
 	CachedPieces int
-	// UncachedTokens is the prompt tokens it is expected to prefill.
+	// UncachedTokens is the prompt tokens it is expected to prefill, by
+	// Options.Work.
 	UncachedTokens float64
 	// Cost is what candidates were compared by.
 	Cost time.Duration
 	// Expected is the expected time to first token, without the weight on
-	// recomputing.
-	Expected time.Duration
+	// recomputing and the latency that all prompts see. Queued is the part of it
+	// that is work ahead.
+	Expected, Queued time.Duration
 }
 
 // Picker places requests on the targets of one pool. It keeps no state that a
@@ -91,12 +93,17 @@
 	rate := t.rate()
 	missing := float64(r.PromptTokens - r.LeadingTokens(max(c.CachedPieces, r.Elsewhere)))
 	uncached := max(0, missing-trustedShare*c.TrustedTokens)
+	if p.options.Work != nil {
+		uncached = p.options.Work(float64(r.PromptTokens), uncached)
+	}
+	queued := seconds(t.Load.Queued(now, rate), rate)
 	return Decision{
 		Index:          c.Index,
 		CachedPieces:   c.CachedPieces,
 		UncachedTokens: uncached,
 		Cost:           c.Cost,
-		Expected:       seconds(t.Load.Queued(now, rate)+uncached, rate),
+		Expected:       queued + seconds(uncached, rate),
+		Queued:         queued,
 	}
 }
 
