gateway: targets may have 360 ms of work before requests are held

A window of 120 ms is shorter than the latency of a first token and the age of what peers tell of their work together: targets were idle while requests waited here for 0.1 to 0.3 s.

--- a/internal/gateway/enginetuning.go
+++ b/internal/gateway/enginetuning.go
@@ -9,8 +9,10 @@
 	// maxQueued bounds the requests that wait here for one service.
 	maxQueued = 1024
 	// engineWindow is the prompt work that a target may have before further
-	// requests for it are held here.
-	engineWindow = 120 * time.Millisecond
+	// requests for it are held here. It covers the latency of a first token and
+	// the age of what peers tell of their work, or targets would stand idle
+	// between two requests.
+	engineWindow = 360 * time.Millisecond
 	// stepEvery is the pause between looks at the queue while requests wait.
 	stepEvery = 4 * time.Millisecond
 	// outdatedPenalty is what a first token on the newest weights may come
