Names: version record, suspension, excluded

What the code called namings is the version record, a standstill is a suspension of the process, and targets with weights too old to serve are excluded. Log events and fields follow: version_record_written, _unwritten and _unread, excluded. The topic in the store keeps its name. No behaviour changes.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -17,7 +17,7 @@
 	// ScanLimit bounds the waiting requests looked at in one step.
 	ScanLimit int
 	// RecomputeFactor weighs a recomputed token against a waiting one. Over
-	// 1, because prefill that a cached copy elsewhere would have spared
+	// 1, because prefill that a cached copy elsewhere would have saved
 	// delays the requests behind it too.
 	RecomputeFactor float64
 	// BacklogFactor is added to it for each second of the account's backlog
--- a/internal/gateway/announce.go
+++ b/internal/gateway/announce.go
@@ -191,11 +191,11 @@
 	}
 }
 
-// look drops the peers that are gone. After it stood still an instance listens
+// look drops the peers that are gone. After a suspension an instance listens
 // first: alone in its count it would spend the whole rate of each account beside
 // all others. The caller holds p.mu.
 func (p *peers) look(now time.Duration) {
-	if p.g.standstill.recent(now) == 0 {
+	if p.g.suspension.recent(now) == 0 {
 		p.expire(now)
 	}
 }
--- a/internal/gateway/announce_test.go
+++ b/internal/gateway/announce_test.go
@@ -56,13 +56,13 @@
 	is := is.New(t)
 	p := newTestPeers("a")
 	p.take(0, []Announced{announced("a", 0), announced("b", 1), announced("c", 2)})
-	p.g.standstill.tick(100 * time.Millisecond)
+	p.g.suspension.tick(100 * time.Millisecond)
 	p.look(100 * time.Millisecond)
 	p.look(8 * time.Second)
 	is.Equal(len(p.known), 2)
 	p.known["b"].heard = 8500 * time.Millisecond
 	for now := 8 * time.Second; now < 11*time.Second; now += exchangeEvery {
-		p.g.standstill.tick(now)
+		p.g.suspension.tick(now)
 		p.look(now)
 	}
 	is.Equal(len(p.known), 1) // c is gone indeed
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -84,5 +84,5 @@
 	RegistrationFeed
 	InstanceFeed
 	orderlease.Log
-	weights.NamingLog
+	weights.VersionLog
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,8 +64,8 @@
 	// ordered are the targets that load by this instance's orders, orderedSoon
 	// those that it will order next.
 	ordered, orderedSoon []string
-	namings              recordedNamings
-	standstill           standstill
+	versionRecord        versionRecord
+	suspension           suspension
 	// wall is the time of day.
 	wall func() time.Time
 	// ordersHeldAt is when a peer was last heard to hold the lease for orders.
@@ -131,7 +131,7 @@
 	defer stop()
 	var loops sync.WaitGroup
 	for _, loop := range []func(context.Context){
-		g.followOperators, g.followRegistrations, g.peers.run, g.cache.run, g.runRollouts, g.keepNamings, g.sweep,
+		g.followOperators, g.followRegistrations, g.peers.run, g.cache.run, g.runRollouts, g.keepVersionRecord, g.sweep,
 	} {
 		loops.Add(1)
 		go func() {
@@ -190,7 +190,7 @@
 // sweep closes idle connections and looks for silent targets.
 func (g *Gateway) sweep(ctx context.Context) {
 	for sleep(ctx, sweepEvery) {
-		g.standstill.tick(g.clock.Now())
+		g.suspension.tick(g.clock.Now())
 		g.mu.Lock()
 		g.updateRollout() // bounds are reached also while no peer is heard
 		g.mu.Unlock()
--- a/internal/gateway/namedversions.go
+++ b/internal/gateway/namedversions.go
@@ -16,7 +16,7 @@
 	// at is when it was named, by the best word on it.
 	at time.Duration
 	// found is set while nobody has told who heard the version as it was named:
-	// the process started later or stood still, and so did those that told it.
+	// the process started later or was suspended, and so were those that told it.
 	found bool
 }
 
--- a/internal/gateway/oldweights.go
+++ b/internal/gateway/oldweights.go
@@ -67,21 +67,21 @@
 		return
 	}
 	g.oldest[service+"/"+model] = oldest
-	spared, targets := 0, g.directory.Usable(service)
+	excluded, targets := 0, g.directory.Usable(service)
 	for i := range targets {
 		if behind(&targets[i], map[string]int64{model: oldest}) {
-			spared++
+			excluded++
 		}
 	}
 	logline.Info("oldest_weights", "service", service, "model", model, "version", oldest, "from", from, "why", why,
-		"spared", spared, "of", len(targets))
+		"excluded", excluded, "of", len(targets))
 }
 
 // leastFound is the oldest version that may serve as far as targets tell. A
 // process that started in the middle of a rollout does not know how long ago the
 // newest version was named, nor that there was one between. When most targets
-// serve the newest, the others' time is nearly over, and they can be spared.
-// Else those are spared that are behind a version which was superseded after it
+// serve the newest, the others' time is nearly over, and they can be excluded.
+// Else those are excluded that are behind a version which was superseded after it
 // had come to some target: it was named longer ago than the newest.
 func leastFound(targets []directory.Registration, model string, newest int64) int64 {
 	serve, superseded := 0, int64(0)
--- a/internal/gateway/operators.go
+++ b/internal/gateway/operators.go
@@ -77,7 +77,7 @@
 	if atStart {
 		namedBy -= namedBefore
 	} else {
-		namedBy -= min(silence, g.standstill.recent(now))
+		namedBy -= min(silence, g.suspension.recent(now))
 	}
 	found := silence > time.Duration(foundShare*float64(g.settings.ConfigBound))
 	g.contacts.Log(upTo)
@@ -100,7 +100,7 @@
 	// foundShare is the time without word from operators, as a part of the time
 	// within which a configuration must be in force, after which a version is
 	// not heard as it was named. By then all instances read by themselves. Only
-	// a standstill of the process makes it older at once: with the store away
+	// a suspension of the process makes it older at once: with the store away
 	// nobody names any, and all instances would spare all targets as it returns.
 	foundShare = 0.5
 )
--- a/internal/gateway/operators_test.go
+++ b/internal/gateway/operators_test.go
@@ -27,7 +27,7 @@
 	is.True(n.newest().found)
 	n.add(3, time.Second) // named while this process lives
 	is.True(!n.newest().found)
-	is.Equal(n.newestFound(), int64(2)) // who is behind it stays spared
+	is.Equal(n.newestFound(), int64(2)) // who is behind it stays excluded
 }
 
 // The holder of the lease is suspended in the middle of a rollout, a newer
@@ -66,7 +66,7 @@
 // Two instances tell each other when a version was named, a hundred times. An
 // answer takes 40 ms, and its age is taken from when it was asked for. Were
 // each such time taken for an earlier one, the version would be 4 s older after
-// a while, and targets would be spared that may serve for half the bound more.
+// a while, and targets would be excluded that may serve for half the bound more.
 func TestToldAgesDoNotGrow(t *testing.T) {
 	is := is.New(t)
 	store := &memoryStore{newest: 2, targets: onVersions(2, 2)}
--- a/internal/gateway/restart_test.go
+++ b/internal/gateway/restart_test.go
@@ -22,15 +22,15 @@
 // lost power in a rollout. No target served version 3, few 4 and most still 2. The
 // store told the new processes that 4 is the newest, not since when, and nothing
 // of 3, so the bound on old weights began anew with each: the logs show that all
-// took 4 to be 3 s old and spared no target.
+// took 4 to be 3 s old and excluded no target.
 func TestRestartedFleetSparesWeightsReplacedBefore(t *testing.T) {
 	for name, then := range map[string]func(p *probed){
 		"nothing more is named":    func(*probed) {},
 		"a newer version is named": func(p *probed) { p.takeNews(p.clock.Now(), named(5)) },
 		"restarted twice": func(p *probed) {
-			p.namingsStep(t.Context())
+			p.versionRecordStep(t.Context())
 			*p = *startOn(p.store, "c")
-			p.namingsStep(t.Context())
+			p.versionRecordStep(t.Context())
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -40,13 +40,13 @@
 			lived.takeAnswer(lived.clock.Now(), wire.Identity{Instance: "x"}, 0, wire.ExchangeAnswer{Weights: []wire.NamedWeights{
 				{Model: "m", Version: 3, Age: 25000, Heard: true}, {Model: "m", Version: 4, Age: 6000, Heard: true},
 			}})
-			lived.namingsStep(t.Context())
-			is.Equal(lived.spared(), []int64{2, 2, 2, 2, 2})
+			lived.versionRecordStep(t.Context())
+			is.Equal(lived.excluded(), []int64{2, 2, 2, 2, 2})
 
 			restarted := startOn(store, "b") // lived is gone: nobody else tells
-			restarted.namingsStep(t.Context())
+			restarted.versionRecordStep(t.Context())
 			then(restarted)
-			is.Equal(restarted.spared(), []int64{2, 2, 2, 2, 2})
+			is.Equal(restarted.excluded(), []int64{2, 2, 2, 2, 2})
 		})
 	}
 }
@@ -57,12 +57,12 @@
 	is := is.New(t)
 	store := &memoryStore{newest: 4, targets: onVersions(4, 3, 3, 3)}
 	lived := startOn(store, "a")
-	lived.namingsStep(t.Context()) // found at its start, taken to be 3 s old
-	is.Equal(lived.spared(), nil)
+	lived.versionRecordStep(t.Context()) // found at its start, taken to be 3 s old
+	is.Equal(lived.excluded(), nil)
 	restarted := startOn(store, "b")
 	restarted.wall = func() time.Time { return time.Now().Add(6 * time.Second) }
-	restarted.namingsStep(t.Context())
-	is.Equal(restarted.spared(), []int64{3, 3, 3})
+	restarted.versionRecordStep(t.Context())
+	is.Equal(restarted.excluded(), []int64{3, 3, 3})
 }
 
 // The first of the instances is suspended for 8 s, in which version 3 is named,
@@ -72,12 +72,12 @@
 	is := is.New(t)
 	store := &memoryStore{newest: 2, targets: onVersions(3, 2, 2, 2)}
 	suspended := startOn(store, "a")
-	store.namings = weights.Namings{End: 1, List: []weights.Naming{{Model: "m", Version: 3, At: time.Now().Add(-9 * time.Second)}}}
+	store.versionRecord = weights.VersionRecord{End: 1, List: []weights.NamedVersion{{Model: "m", Version: 3, At: time.Now().Add(-9 * time.Second)}}}
 	suspended.contacts = contactsOf(suspended.clock.Now() - 8*time.Second)
 	suspended.takeNews(suspended.clock.Now(), named(3))
-	is.Equal(suspended.spared(), nil)
-	suspended.namingsStep(t.Context())
-	is.Equal(suspended.spared(), []int64{2, 2, 2})
+	is.Equal(suspended.excluded(), nil)
+	suspended.versionRecordStep(t.Context())
+	is.Equal(suspended.excluded(), []int64{2, 2, 2})
 }
 
 // All instances are suspended for 8 s, and version 3 is named as they go to
@@ -88,10 +88,10 @@
 	p := startOn(&memoryStore{newest: 2, targets: onVersions(3, 2, 2, 2)}, "a")
 	slept(p, 8100*time.Millisecond)
 	p.takeNews(p.clock.Now(), named(3))
-	is.Equal(p.spared(), []int64{2, 2, 2})
+	is.Equal(p.excluded(), []int64{2, 2, 2})
 }
 
-// All instances sleep through the naming of version 3. One reads it from the
+// All instances sleep through the publication of version 3. One reads it from the
 // store, the other hears of it from the first and then reads it too: by its own
 // reading it knows no better since when.
 func TestReadingWhatPeersToldIsNoHearing(t *testing.T) {
@@ -102,7 +102,7 @@
 	first.takeNews(first.clock.Now(), named(3))
 	other.takeAnswer(other.clock.Now(), wire.Identity{}, 0, first.takeMessage(first.clock.Now(), wire.Identity{}, wire.Exchange{}))
 	other.takeNews(other.clock.Now(), named(3))
-	is.Equal(other.spared(), []int64{2, 2, 2})
+	is.Equal(other.excluded(), []int64{2, 2, 2})
 }
 
 // Versions are named every 1.35 s while one instance sleeps. Its peers tell it
@@ -117,8 +117,8 @@
 		lived.takeAnswer(lived.clock.Now(), wire.Identity{}, 0, wire.ExchangeAnswer{Weights: []wire.NamedWeights{{Model: "m", Version: v, Age: age, Heard: true}}})
 	}
 	woken.takeAnswer(woken.clock.Now(), wire.Identity{}, 0, lived.takeMessage(lived.clock.Now(), wire.Identity{}, wire.Exchange{}))
-	is.Equal(lived.spared(), []int64{2, 2, 2})
-	is.Equal(woken.spared(), []int64{2, 2, 2})
+	is.Equal(lived.excluded(), []int64{2, 2, 2})
+	is.Equal(woken.excluded(), []int64{2, 2, 2})
 }
 
 // One instance is suspended for 8 s; version 3 is named as it wakes. It takes
@@ -129,7 +129,7 @@
 	slept(p, 8100*time.Millisecond)
 	p.takeNews(p.clock.Now(), named(3))
 	p.takeAnswer(p.clock.Now(), wire.Identity{}, 0, wire.ExchangeAnswer{Weights: []wire.NamedWeights{{Model: "m", Version: 3, Age: 300, Heard: true}}})
-	is.Equal(p.spared(), nil)
+	is.Equal(p.excluded(), nil)
 }
 
 // The store is away for 6 s, and version 3 is named as it returns. Were it taken
@@ -140,7 +140,7 @@
 	p := startOn(&memoryStore{newest: 2, targets: onVersions(2, 2, 2, 2)}, "a")
 	p.contacts = contactsOf(p.clock.Now() - 9*time.Second)
 	p.takeNews(p.clock.Now(), named(3))
-	is.Equal(p.spared(), nil)
+	is.Equal(p.excluded(), nil)
 }
 
 // The time of day of a restarted machine is an hour ahead, so it takes a version
@@ -151,26 +151,26 @@
 	store := &memoryStore{newest: 2, targets: onVersions(3, 2, 2, 2)}
 	lived := startOn(store, "a")
 	lived.takeNews(lived.clock.Now(), named(3))
-	lived.namingsStep(t.Context())
+	lived.versionRecordStep(t.Context())
 	store.newest = 3
 	ahead := startOn(store, "b")
 	ahead.wall = func() time.Time { return time.Now().Add(time.Hour) }
-	ahead.namingsStep(t.Context())
-	is.Equal(ahead.spared(), []int64{2, 2, 2})
+	ahead.versionRecordStep(t.Context())
+	is.Equal(ahead.excluded(), []int64{2, 2, 2})
 	tell := func(from, to *probed) {
 		to.takeAnswer(to.clock.Now(), wire.Identity{}, 0, from.takeMessage(from.clock.Now(), wire.Identity{}, wire.Exchange{}))
 	}
 	tell(ahead, lived)
-	is.Equal(lived.spared(), nil)
+	is.Equal(lived.excluded(), nil)
 	tell(lived, ahead)
-	is.Equal(ahead.spared(), nil)
+	is.Equal(ahead.excluded(), nil)
 }
 
-// slept makes a process one that has just stood still, without a word since.
+// slept makes a process one that has just been suspended, without a word since.
 func slept(p *probed, d time.Duration) {
 	now := p.clock.Now()
 	p.contacts = contactsOf(now - d)
-	p.standstill.tick(now - d)
+	p.suspension.tick(now - d)
 }
 
 // In a rolling upgrade a process of the code before, which says nothing of how
@@ -179,11 +179,11 @@
 func TestWordWithoutSourceIsAnEstimate(t *testing.T) {
 	is := is.New(t)
 	store := &memoryStore{newest: 4, targets: onVersions(4, 3, 3, 3)}
-	store.namings = weights.Namings{End: 1, List: []weights.Naming{{Model: "m", Version: 4, At: time.Now().Add(-9 * time.Second)}}}
+	store.versionRecord = weights.VersionRecord{End: 1, List: []weights.NamedVersion{{Model: "m", Version: 4, At: time.Now().Add(-9 * time.Second)}}}
 	p := startOn(store, "a")
-	p.namingsStep(t.Context())
+	p.versionRecordStep(t.Context())
 	p.takeAnswer(p.clock.Now(), wire.Identity{}, 0, wire.ExchangeAnswer{Weights: []wire.NamedWeights{{Model: "m", Version: 4, Age: 3000}}})
-	is.Equal(p.spared(), []int64{3, 3, 3})
+	is.Equal(p.excluded(), []int64{3, 3, 3})
 }
 
 // The first instance had no word for a while and writes version 3 down 6 s late.
@@ -192,13 +192,13 @@
 func TestLateRecordIsCorrectedByWhoHeard(t *testing.T) {
 	is := is.New(t)
 	store := &memoryStore{newest: 3, targets: onVersions(3, 2, 2, 2)}
-	startOn(store, "a").namingsStep(t.Context())
+	startOn(store, "a").versionRecordStep(t.Context())
 	lived := startOn(store, "b")
 	lived.takeAnswer(lived.clock.Now(), wire.Identity{}, 0, wire.ExchangeAnswer{Weights: []wire.NamedWeights{{Model: "m", Version: 3, Age: 9000, Heard: true}}})
-	lived.namingsStep(t.Context())
+	lived.versionRecordStep(t.Context())
 	restarted := startOn(store, "c")
-	restarted.namingsStep(t.Context())
-	is.Equal(restarted.spared(), []int64{2, 2, 2})
+	restarted.versionRecordStep(t.Context())
+	is.Equal(restarted.excluded(), []int64{2, 2, 2})
 }
 
 // The time of day of the machine that wrote the record was 3 s ahead, so a
@@ -208,13 +208,13 @@
 	is := is.New(t)
 	store := &memoryStore{newest: 3, targets: onVersions(2)}
 	const trueAge = 10 * time.Second
-	store.namings = weights.Namings{End: 1, List: []weights.Naming{{Model: "m", Version: 3, At: time.Now().Add(3*time.Second - trueAge)}}}
+	store.versionRecord = weights.VersionRecord{End: 1, List: []weights.NamedVersion{{Model: "m", Version: 3, At: time.Now().Add(3*time.Second - trueAge)}}}
 	p := startOn(store, "a")
 	pl, refusal := p.engine("engines").acquire(t.Context(), &waiting{Account: "acc"})
 	is.True(refusal == nil)
 	cut := false
 	p.engine("engines").sent(pl, func() { cut = true }, mobility{})
-	p.namingsStep(t.Context())
+	p.versionRecordStep(t.Context())
 	is.True(cut)
 }
 
@@ -230,8 +230,8 @@
 	}
 	look := func() {
 		for range 5 {
-			first.namingsStep(t.Context())
-			other.namingsStep(t.Context())
+			first.versionRecordStep(t.Context())
+			other.versionRecordStep(t.Context())
 		}
 	}
 	look()
@@ -250,10 +250,10 @@
 	store := &memoryStore{newest: 2, targets: onVersions(3, 2, 2, 2)}
 	lived := startOn(store, "a")
 	lived.takeNews(lived.clock.Now(), named(3))
-	store.namings = weights.Namings{End: 1, List: []weights.Naming{{Model: "m", Version: 3, At: time.Now().Add(-time.Hour)}}}
-	lived.namingsStep(t.Context())
-	is.Equal(len(store.namings.List), 2) // it wrote what was missing
-	is.Equal(lived.spared(), nil)
+	store.versionRecord = weights.VersionRecord{End: 1, List: []weights.NamedVersion{{Model: "m", Version: 3, At: time.Now().Add(-time.Hour)}}}
+	lived.versionRecordStep(t.Context())
+	is.Equal(len(store.versionRecord.List), 2) // it wrote what was missing
+	is.Equal(lived.excluded(), nil)
 }
 
 // probed is a gateway whose loops do not run.
@@ -272,8 +272,8 @@
 	return &probed{Gateway: g, store: store, targets: store.targets}
 }
 
-// spared are the versions of the targets that get no requests, in order.
-func (p *probed) spared() []int64 {
+// excluded are the versions of the targets that get no requests, in order.
+func (p *probed) excluded() []int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.updateRollout()
@@ -308,11 +308,11 @@
 // memoryStore is a store that holds one model's newest version, targets and
 // the record of named versions.
 type memoryStore struct {
-	Store   // what a test does not need is not there
-	newest  int64
-	targets []directory.Registration
-	namings weights.Namings
-	calls   int // for the record of named versions
+	Store         // what a test does not need is not there
+	newest        int64
+	targets       []directory.Registration
+	versionRecord weights.VersionRecord
+	calls         int // for the record of named versions
 
 	lease      orderlease.Record
 	leaseReads int
@@ -339,17 +339,17 @@
 	return events, int64(len(events)), nil
 }
 
-func (s *memoryStore) ReadNamings(context.Context) (weights.Namings, error) {
+func (s *memoryStore) ReadVersionRecord(context.Context) (weights.VersionRecord, error) {
 	s.calls++
-	return s.namings, nil
+	return s.versionRecord, nil
 }
 
-func (s *memoryStore) WriteNamings(_ context.Context, at int64, list []weights.Naming) (bool, error) {
+func (s *memoryStore) WriteVersionRecord(_ context.Context, at int64, list []weights.NamedVersion) (bool, error) {
 	s.calls++
-	if at != s.namings.End {
+	if at != s.versionRecord.End {
 		return false, nil
 	}
-	s.namings = weights.Namings{List: list, End: at + 1}
+	s.versionRecord = weights.VersionRecord{List: list, End: at + 1}
 	return true, nil
 }
 
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -244,7 +244,7 @@
 }
 
 // giveOrder sends an order if the lease still allows it: the process may have
-// stood still since it was decided.
+// been suspended since it was decided.
 func (g *Gateway) giveOrder(ctx context.Context, s weights.Send) {
 	// An order that is still on its way when the right ends could reach its
 	// target next to one of another holder.
--- a/internal/gateway/namings.go
+++ b/internal/gateway/versionrecord.go
@@ -9,53 +9,53 @@
 	"github.com/mastictray/mastictray/internal/weights"
 )
 
-// namingsEvery is the pause between two looks at whether the record of named
+// versionRecordEvery is the pause between two looks at whether the record of named
 // versions has to be read or written. A kill of all instances within it, right
 // after a version was named, leaves the version without a record.
-const namingsEvery = 100 * time.Millisecond
+const versionRecordEvery = 100 * time.Millisecond
 
-// keptNamings is the versions of each model in the record: more than are named
+// keptVersions is the versions of each model in the record: more than are named
 // within the bound on old weights, so that one is older than it.
-const keptNamings = 32
+const keptVersions = 32
 
-// rereadNamings is the pause before a record that lacks a version is read
+// rereadVersions is the pause before a record that lacks a version is read
 // again: its writer may not have got to it.
-const rereadNamings = time.Second
+const rereadVersions = time.Second
 
-// rewriteNamings is the pause after a write that failed. One instance writes, so
+// rewriteVersions is the pause after a write that failed. One instance writes, so
 // it need not be as long as where all come back together.
-const rewriteNamings = 300 * time.Millisecond
+const rewriteVersions = 300 * time.Millisecond
 
 // timeOfDayMargin is added to ages by the record: times of day jump by seconds.
 // With the part of the bound that estimateShare leaves, and no
 // waits in it for versions whose age is an estimate, 3 s may be wrong.
 const timeOfDayMargin = time.Second
 
-// recordedNamings is the record of named versions as this process knows it.
+// versionRecord is the record of named versions as this process knows it.
 // Only the loop that keeps it uses it.
-type recordedNamings struct {
-	weights.Namings
+type versionRecord struct {
+	weights.VersionRecord
 	// current is set while no write is known to have come after.
 	current bool
 	// notBefore ends the pause after a failed call, or before the next read.
 	notBefore time.Duration
 }
 
-// keepNamings writes down when versions are named, and reads it where this
+// keepVersionRecord writes down when versions are named, and reads it where this
 // process did not hear them as they were. Nothing else survives the end of all
 // instances: a bound that began anew with each process let requests begin on
 // weights replaced 25 s before.
-func (g *Gateway) keepNamings(ctx context.Context) {
-	for sleep(ctx, namingsEvery) {
-		g.namingsStep(ctx)
+func (g *Gateway) keepVersionRecord(ctx context.Context) {
+	for sleep(ctx, versionRecordEvery) {
+		g.versionRecordStep(ctx)
 	}
 }
 
-// namingsStep is one look at the record. While all targets serve what was named
+// versionRecordStep is one look at the record. While all targets serve what was named
 // last, no age matters and the store is not asked.
-func (g *Gateway) namingsStep(ctx context.Context) {
+func (g *Gateway) versionRecordStep(ctx context.Context) {
 	now := g.clock.Now()
-	if now < g.namings.notBefore || len(g.rolloutWork()) == 0 {
+	if now < g.versionRecord.notBefore || len(g.rolloutWork()) == 0 {
 		return
 	}
 	missing, doubtful := g.unrecorded()
@@ -63,36 +63,36 @@
 	if !writes && !doubtful {
 		return
 	}
-	if !g.namings.current || !writes {
-		if err := g.readNamings(ctx); err != nil {
-			g.namingsFailed(err, "namings_unread", feedturn.RetryPause(g.peers.fleetSize(), g.source()))
+	if !g.versionRecord.current || !writes {
+		if err := g.readVersionRecord(ctx); err != nil {
+			g.versionRecordFailed(err, "version_record_unread", feedturn.RetryPause(g.peers.fleetSize(), g.source()))
 			return
 		}
 		missing, doubtful = g.unrecorded()
 	}
 	switch {
 	case writes && len(missing) > 0:
-		if err := g.writeNamings(ctx, missing); err != nil {
-			g.namingsFailed(err, "namings_unwritten", rewriteNamings)
+		if err := g.writeVersionRecord(ctx, missing); err != nil {
+			g.versionRecordFailed(err, "version_record_unwritten", rewriteVersions)
 		}
 	case doubtful:
-		g.namings.notBefore = g.clock.Now() + rereadNamings
+		g.versionRecord.notBefore = g.clock.Now() + rereadVersions
 	}
 }
 
 // unrecorded are the known versions that the record lacks, or has no more than
 // an estimate of; doubtful says that the record could tell this process more: it
 // did not hear a version as it was named, which is not due anyhow.
-func (g *Gateway) unrecorded() (missing []weights.Naming, doubtful bool) {
+func (g *Gateway) unrecorded() (missing []weights.NamedVersion, doubtful bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now, wall := g.clock.Now(), g.wall()
 	due := now - g.settings.WeightsBound
 	for model, versions := range g.versions {
 		for _, v := range versions.since(due) {
-			naming := weights.Naming{Model: model, Version: v.version, At: wall.Add(v.at - now), Estimate: v.found}
-			if !g.namings.Has(naming) {
-				missing = append(missing, naming)
+			named := weights.NamedVersion{Model: model, Version: v.version, At: wall.Add(v.at - now), Estimate: v.found}
+			if !g.versionRecord.Has(named) {
+				missing = append(missing, named)
 				doubtful = doubtful || v.found && v.at > due
 			}
 		}
@@ -100,43 +100,43 @@
 	return missing, doubtful
 }
 
-func (g *Gateway) readNamings(ctx context.Context) error {
+func (g *Gateway) readVersionRecord(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	n, err := g.store.ReadNamings(ctx)
+	n, err := g.store.ReadVersionRecord(ctx)
 	if err != nil {
 		return err
 	}
-	g.namings.Namings, g.namings.current = n, true
-	g.takeNamings(n.List)
+	g.versionRecord.VersionRecord, g.versionRecord.current = n, true
+	g.takeVersionRecord(n.List)
 	return nil
 }
 
-func (g *Gateway) writeNamings(ctx context.Context, missing []weights.Naming) error {
+func (g *Gateway) writeVersionRecord(ctx context.Context, missing []weights.NamedVersion) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	list := g.namings.With(missing, keptNamings)
-	written, err := g.store.WriteNamings(ctx, g.namings.End, list)
+	list := g.versionRecord.With(missing, keptVersions)
+	written, err := g.store.WriteVersionRecord(ctx, g.versionRecord.End, list)
 	if err != nil {
 		return err
 	}
-	g.namings.current = written
+	g.versionRecord.current = written
 	if written {
-		g.namings.Namings = weights.Namings{List: list, End: g.namings.End + 1}
-		logline.Info("namings_written", "versions", len(list), "new", len(missing))
+		g.versionRecord.VersionRecord = weights.VersionRecord{List: list, End: g.versionRecord.End + 1}
+		logline.Info("version_record_written", "versions", len(list), "new", len(missing))
 	}
 	return nil
 }
 
-func (g *Gateway) namingsFailed(err error, event string, pause time.Duration) {
-	g.namings.current = false
-	g.namings.notBefore = g.clock.Now() + pause
+func (g *Gateway) versionRecordFailed(err error, event string, pause time.Duration) {
+	g.versionRecord.current = false
+	g.versionRecord.notBefore = g.clock.Now() + pause
 	logline.Error(err, event)
 }
 
-// takeNamings puts into force what the record tells of versions that nobody has
+// takeVersionRecord puts into force what the record tells of versions that nobody has
 // told of who heard them as they were named.
-func (g *Gateway) takeNamings(list []weights.Naming) {
+func (g *Gateway) takeVersionRecord(list []weights.NamedVersion) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now, wall := g.clock.Now(), g.wall()
--- a/internal/gateway/waiting_test.go
+++ b/internal/gateway/waiting_test.go
@@ -32,7 +32,7 @@
 		p.takeAnswer(p.clock.Now(), wire.Identity{}, 0, wire.ExchangeAnswer{Weights: []wire.NamedWeights{
 			{Model: "m", Version: 3, Age: age.Milliseconds(), Heard: true},
 		}})
-		p.spared()
+		p.excluded()
 	}
 	older(9 * time.Second)
 	is.True(!*waits)
@@ -55,7 +55,7 @@
 		waits = append(waits, pl)
 	}
 	p.takeAnswer(p.clock.Now(), wire.Identity{}, 0, wire.ExchangeAnswer{Weights: []wire.NamedWeights{{Model: "m", Version: 3, Age: 9600, Heard: true}}})
-	p.spared()
+	p.excluded()
 	for _, pl := range waits {
 		pool.ended(pl, overload.Failed)
 	}
--- a/internal/placement/options.go
+++ b/internal/placement/options.go
@@ -24,7 +24,7 @@
 	// rendezvous hashing is the better guide.
 	UnseenTrust float64
 	// RecomputeFactor weighs a recomputed token against a waiting one. Over
-	// 1, because prefill that a cached copy elsewhere would have spared
+	// 1, because prefill that a cached copy elsewhere would have saved
 	// delays the requests behind it too.
 	RecomputeFactor float64
 	// TransferTokensPerSecond is the rate at which pieces move from the KV
--- /dev/null
+++ b/internal/weights/versionrecord.go
@@ -0,0 +1,65 @@
+package weights
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+)
+
+// NamedVersion says when operators named a version of a model's weights.
+type NamedVersion struct {
+	Model   string
+	Version int64
+	// At is a time of day, by the clock of the instance that wrote it.
+	At time.Time
+	// Estimate is set while nobody has written who heard the version as it was
+	// named.
+	Estimate bool
+}
+
+// VersionRecord is kept in the platform's store. Operators' records have no times,
+// and instances that heard a version as it was named can all be gone at once.
+type VersionRecord struct {
+	List []NamedVersion
+	// End is the offset that the next record will get.
+	End int64
+}
+
+// VersionLog is where the record is kept.
+type VersionLog interface {
+	// ReadVersionRecord reads the record; it is empty when there is none.
+	ReadVersionRecord(ctx context.Context) (VersionRecord, error)
+	// WriteVersionRecord writes a record if nothing was written since offset at. An
+	// error leaves open whether it was, or still will be.
+	WriteVersionRecord(ctx context.Context, at int64, list []NamedVersion) (written bool, err error)
+}
+
+// Has says whether the record tells of a version, and as well as that.
+func (n VersionRecord) Has(v NamedVersion) bool {
+	return slices.ContainsFunc(n.List, func(known NamedVersion) bool {
+		return known.Model == v.Model && known.Version == v.Version && (!known.Estimate || v.Estimate)
+	})
+}
+
+// With is the list with more versions. What is recorded stays, but for estimates
+// that somebody corrects who heard the version. Of each model the newest
+// versions are kept, at most as many as given.
+func (n VersionRecord) With(more []NamedVersion, most int) []NamedVersion {
+	list := slices.Clone(n.List)
+	for _, v := range more {
+		if n.Has(v) {
+			continue
+		}
+		list = slices.DeleteFunc(list, func(old NamedVersion) bool { return old.Model == v.Model && old.Version == v.Version })
+		list = append(list, v)
+	}
+	slices.SortFunc(list, func(a, b NamedVersion) int {
+		return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(b.Version, a.Version))
+	})
+	kept := map[string]int{}
+	return slices.DeleteFunc(list, func(v NamedVersion) bool {
+		kept[v.Model]++
+		return kept[v.Model] > most
+	})
+}
