--- a/internal/belief/entries.go
+++ b/internal/cacheindex/entries.go
@@ -1,9 +1,9 @@
-package belief
+package cacheindex
 
 // none marks the end of a list.
 const none = int32(-1)
 
-// entry is one believed piece. It stands in two lists: all entries in order
+// entry is one piece that a target is known to hold. It stands in two lists: all entries in order
 // of use, and the entries of its target.
 type entry struct {
 	key          key
--- a/internal/belief/identity.go
+++ b/internal/cacheindex/identity.go
@@ -1,8 +1,8 @@
-package belief
+package cacheindex
 
 import "time"
 
-// Identity names one run of a target on one weights version. Beliefs never
+// Identity names one run of a target on one weights version. Entries never
 // outlive the identity that they were learnt from.
 type Identity struct {
 	Target      string
@@ -15,7 +15,7 @@
 	identity Identity
 	// asked is when the question was sent that gave the identity.
 	asked time.Duration
-	// generation keys the entries; 0 means that nothing is believed.
+	// generation keys the entries; 0 means that there are none.
 	generation uint32
 	// first is the head of the list of entries of this target.
 	first int32
--- a/internal/cacheindex/index.go
+++ b/internal/cacheindex/index.go
@@ -1,121 +1,251 @@
-// Package cacheindex keeps what stores of KV cache are known to hold.
-//
-// Model servers evict cached pieces within seconds: the own part of each
-// prompt, which nobody asks for again, pushes out openings that are. A piece
-// that a server saved to a store is fetched from there in milliseconds instead
-// of being computed again. The index of a store follows its events; saves are
-// noted at once, since events come late.
-//
-// The package is pure.
 package cacheindex
 
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/mastictray/mastictray/internal/prefix"
 )
 
-// Event tells that the store has taken in a piece or dropped it.
-type Event struct {
-	Scope string
-	Piece prefix.Hash
-	Held  bool
-}
+// EntryBytes is the memory charged for one piece: the entry, its
+// part of the index and the index's spare room.
+const EntryBytes = 96
 
-// News is an answer of the store to the question what has changed.
-type News struct {
-	// Boot changes when the store starts anew, without any piece.
-	Boot int64
-	// Next is where to ask on.
-	Next int64
-	// Lost is set when events are missing before these.
-	Lost   bool
-	Events []Event
+// Ref is a handle on the entries of one target identity. The zero Ref
+// has none. A Ref goes stale when the identity changes, and then
+// has none either.
+type Ref uint32
+
+type key struct {
+	generation uint32
+	hash       prefix.Hash
 }
 
-// Index is the pieces that one store holds. It is not safe for concurrent use.
+// Index is the set of pieces known to be held, of all targets. It is not safe for
+// concurrent use.
 type Index struct {
-	boot  int64
-	alive bool
-	// follows is set while this process reads the store's events itself.
-	follows bool
-	held    map[uint64]time.Duration // when the piece was last told of
-}
-
-const (
-	// maxHeld bounds the pieces remembered: several times what a store of some
-	// million tokens holds.
-	maxHeld = 1 << 16
-	// unfollowedFor is how long a save counts where nobody tells of evictions:
-	// about the time in which a busy store replaces all that it holds.
-	unfollowedFor = 15 * time.Second
-)
+	holders     map[string]*holder
+	index       map[key]int32
+	entries     entryList
+	maxEntries  int
+	generations uint32
+	uses        uint64
+	// capacity is the tokens that a target's cache holds; 0 when not known.
+	capacity float64
+}
 
-// New makes an index of a store that has not answered yet.
-func New() *Index { return &Index{held: map[uint64]time.Duration{}} }
-
-// Apply takes in news. After a restart or a gap only what is told from then on
-// counts: a piece believed and not there costs a fetch in vain.
-func (x *Index) Apply(now time.Duration, n News) {
-	x.follows = true
-	x.Alive(n.Boot)
-	if n.Lost || len(x.held) > maxHeld {
-		clear(x.held)
-	}
-	for _, e := range n.Events {
-		if e.Held {
-			x.held[key(e.Scope, e.Piece)] = now
-		} else {
-			delete(x.held, key(e.Scope, e.Piece))
-		}
+// New makes a store that keeps within budgetBytes by forgetting the
+// pieces used least recently, over all targets.
+func New(budgetBytes int) *Index {
+	return &Index{
+		holders:    map[string]*holder{},
+		index:      map[key]int32{},
+		entries:    newEntryList(),
+		maxEntries: max(1, budgetBytes/EntryBytes),
 	}
 }
 
-// Alive takes in that the store was seen to answer, by this instance or by a
-// peer, and which of its starts it was.
-func (x *Index) Alive(boot int64) {
-	if boot != x.boot {
-		clear(x.held)
+// SetCapacity gives the tokens that one target's cache holds; 0 when that is
+// not known, and nothing is taken for evicted by its age.
+func (x *Index) SetCapacity(tokens float64) { x.capacity = tokens }
+
+// Took counts tokens that a request has put into the target's cache. Targets
+// evict what was used least recently, mostly by the own parts of prompts, which
+// nobody asks for again: a piece after whose last use a whole cache was filled
+// is gone. Were it still counted on, requests would be sent there for it and
+// compute it anew, though another target or a store holds it.
+func (x *Index) Took(id Identity, tokens float64) {
+	if h := x.current(id); h != nil {
+		h.taken += max(0, tokens)
 	}
-	x.boot, x.alive = boot, true
 }
 
-// Down takes in that the store does not answer: a fetch from it would cost
-// each request some hundred milliseconds.
-func (x *Index) Down() { x.alive = false }
-
-// Answers says whether the store answers, and which of its starts it is.
-func (x *Index) Answers() (boot int64, ok bool) { return x.boot, x.alive }
+// evicted says that a whole cache was filled since the entry's last use.
+func (x *Index) evicted(e *entry) bool {
+	return x.capacity > 0 && e.holder.taken-e.takenAt > x.capacity
+}
 
-// Unfollow notes that this process no longer reads the store's events.
-func (x *Index) Unfollow() { x.follows = false }
+// Len is the number of entries.
+func (x *Index) Len() int { return len(x.index) }
 
-// Saved notes that a model server saves these pieces.
-func (x *Index) Saved(now time.Duration, scope string, pieces []prefix.Hash) {
-	if len(x.held) > maxHeld {
-		clear(x.held)
+// Observe tells the store what a target answered to a question that was sent
+// at asked, and returns the handle for it. A changed incarnation or version
+// drops all entries. Send the questions to one target one after the
+// other.
+//
+// An answer of an ended incarnation can arrive after the first one of the
+// next. It is ignored, because its question is older: were it taken in,
+// answers that cross would bring a dead engine's entries back.
+func (x *Index) Observe(asked time.Duration, id Identity) Ref {
+	h := x.holders[id.Target]
+	if h == nil {
+		h = &holder{first: none}
+		x.holders[id.Target] = h
+	}
+	if asked < h.asked {
+		return Ref(h.generation)
 	}
-	for _, p := range pieces {
-		x.held[key(scope, p)] = now
+	h.asked = asked
+	if h.identity == id {
+		return Ref(h.generation)
+	}
+	x.drop(h)
+	x.generations++
+	h.identity, h.generation = id, x.generations
+	return Ref(h.generation)
+}
+
+// Forget drops a target that left the configuration.
+func (x *Index) Forget(target string) {
+	if h := x.holders[target]; h != nil {
+		x.drop(h)
+		delete(x.holders, target)
 	}
 }
 
-// Holds is the number of leading pieces that the store holds.
-func (x *Index) Holds(now time.Duration, scope string, pieces []prefix.Hash) int {
-	if !x.alive {
+// Cached is the number of leading pieces of the chain that the target is
+// known to hold. It allocates nothing.
+func (x *Index) Cached(ref Ref, chain []prefix.Hash) int {
+	if ref == 0 {
 		return 0
 	}
-	for i, p := range pieces {
-		at, ok := x.held[key(scope, p)]
-		if !ok || !x.follows && now-at > unfollowedFor {
+	for i, hash := range chain {
+		at, ok := x.index[key{uint32(ref), hash}]
+		if !ok || x.evicted(&x.entries.at[at]) {
 			return i
 		}
 	}
-	return len(pieces)
+	return len(chain)
+}
+
+// Stamp marks a moment in the order of uses of one target's pieces; the zero
+// Stamp is before all uses.
+type Stamp uint64
+
+// Expect records the pieces that a request on its way to the target will
+// leave there. It gives the stamp of the least recent use among those already
+// known, for Missed.
+func (x *Index) Expect(id Identity, chain []prefix.Hash) Stamp {
+	h := x.current(id)
+	if h == nil {
+		return 0
+	}
+	stamp := x.leastRecent(h, chain)
+	x.addAll(h, chain)
+	return stamp
+}
+
+// leastRecent is the stamp of the least recently used leading piece that is known.
+func (x *Index) leastRecent(h *holder, chain []prefix.Hash) Stamp {
+	var least uint64
+	for i, hash := range chain {
+		at, ok := x.index[key{h.generation, hash}]
+		if !ok {
+			break
+		}
+		if used := x.entries.at[at].used; i == 0 || used < least {
+			least = used
+		}
+	}
+	return Stamp(least)
+}
+
+// Missed takes in that a target had evicted pieces of a chain that Expect gave
+// the stamp for. Engines evict what was used least recently, so all that was
+// not used since is gone too.
+func (x *Index) Missed(id Identity, stamp Stamp) {
+	h := x.current(id)
+	if h == nil {
+		return
+	}
+	for at := h.first; at != none; {
+		e := &x.entries.at[at]
+		next := e.next
+		if e.used <= uint64(stamp) {
+			x.remove(at)
+		}
+		at = next
+	}
 }
 
-func key(scope string, piece prefix.Hash) uint64 {
-	return uint64(prefix.Join(prefix.Hash(xxhash.Sum64String(scope)), piece))
+// Answered takes in an answer: the target prefilled the whole prompt, so it
+// holds the whole chain now.
+func (x *Index) Answered(id Identity, chain []prefix.Hash) {
+	x.Expect(id, chain)
+}
+
+// Failed takes back what Expect recorded for a request that the target did
+// not prefill; the first kept pieces were held before.
+func (x *Index) Failed(id Identity, chain []prefix.Hash, kept int) {
+	if h := x.current(id); h != nil && kept < len(chain) {
+		x.removeAll(h, chain[kept:])
+	}
+}
+
+// Stored applies a cache event: the target holds these pieces.
+func (x *Index) Stored(id Identity, pieces []prefix.Hash) {
+	if h := x.current(id); h != nil {
+		x.addAll(h, pieces)
+	}
+}
+
+// Evicted applies a cache event: the target holds these pieces no longer.
+func (x *Index) Evicted(id Identity, pieces []prefix.Hash) {
+	if h := x.current(id); h != nil {
+		x.removeAll(h, pieces)
+	}
+}
+
+// Cleared applies a cache event: the target holds nothing.
+func (x *Index) Cleared(id Identity) {
+	if h := x.current(id); h != nil {
+		x.drop(h)
+	}
+}
+
+// current is the holder when id is still its identity. Events and answers are
+// late; those of an ended identity say nothing about the present cache.
+func (x *Index) current(id Identity) *holder {
+	h := x.holders[id.Target]
+	if h == nil || h.identity != id {
+		return nil
+	}
+	return h
+}
+
+func (x *Index) addAll(h *holder, pieces []prefix.Hash) {
+	x.uses++
+	for _, hash := range pieces {
+		k := key{h.generation, hash}
+		if at, ok := x.index[k]; ok {
+			x.entries.touch(at)
+			x.entries.at[at].used, x.entries.at[at].takenAt = x.uses, h.taken
+			continue
+		}
+		if len(x.index) >= x.maxEntries {
+			x.remove(x.entries.oldest())
+		}
+		at := x.entries.insert(k, h)
+		x.entries.at[at].used, x.entries.at[at].takenAt = x.uses, h.taken
+		x.index[k] = at
+	}
+}
+
+func (x *Index) removeAll(h *holder, pieces []prefix.Hash) {
+	for _, hash := range pieces {
+		if at, ok := x.index[key{h.generation, hash}]; ok {
+			x.remove(at)
+		}
+	}
+}
+
+func (x *Index) remove(at int32) {
+	delete(x.index, x.entries.at[at].key)
+	x.entries.remove(at)
+}
+
+// drop forgets every entry of one target.
+func (x *Index) drop(h *holder) {
+	for h.first != none {
+		x.remove(h.first)
+	}
 }
--- a/internal/capacity/design.go
+++ b/internal/capacity/design.go
@@ -15,9 +15,9 @@
 	LoadEvery, DigestFanOut float64
 	SharedLoads             bool
 	// ReadEvents: every node reads the cache events of all targets, and
-	// keeps what fits in BeliefBudget bytes.
-	ReadEvents   bool
-	BeliefBudget float64
+	// keeps what fits in CacheIndexBytes bytes.
+	ReadEvents      bool
+	CacheIndexBytes float64
 	// MintSlots are the leases of a domain; 0 is one for each node.
 	MintSlots, RenewEvery float64
 	// Relays is the nodes that one node passes records on to.
@@ -50,7 +50,7 @@
 	return Design{
 		Name: "as built", HeartbeatEvery: 0.3, HeartbeatHints: 64, LoadEvery: 0.25, RenewEvery: 3,
 		ListEvery: 0.5, ListRate: 12 << 10, MintSlots: 2,
-		ReadEvents: true, BeliefBudget: 16 << 20, RateMessages: poissonMessages,
+		ReadEvents: true, CacheIndexBytes: 16 << 20, RateMessages: poissonMessages,
 		ClaimStreams: 1, ClaimWindow: secondsPerDay, ClaimKeys: 32768,
 	}
 }
--- a/internal/capacity/points.go
+++ b/internal/capacity/points.go
@@ -35,7 +35,7 @@
 	return []Point{
 		{"every node listens to all cache events", fmt.Sprintf("%s/s of JSON a node", size(f.CacheEvents*jsonBytes))},
 		{"each event goes to one node only", fmt.Sprintf("%.0f events/s a node: %s/s as JSON, %s/s at %d bytes", perNode, size(perNode*jsonBytes), size(perNode*compactEventBytes), compactEventBytes)},
-		{"all blocks believed on one node", size(f.CachedBlocks * s["belief-memory"].PerUnit)},
+		{"index of all blocks on one node", size(f.CachedBlocks * s["cache-index-memory"].PerUnit)},
 		{"how long a block stays cached", fmt.Sprintf("%.0f s, if half of the events store one", f.Residence())},
 		{"log appends/s, as built", fmt.Sprintf("%.1f config and joins, %.0f lease renewals, %.0f claims and results", others, f.renewals(built), bookings)},
 		{"log appends/s, by design", fmt.Sprintf("%.1f config and joins, %.1f lease renewals, %.0f batches of claims", others, f.renewals(design), design.ClaimStreams*design.ClaimBatches)},
--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -93,20 +93,20 @@
 // store a block, and as many are evicted.
 func (f Fleet) Residence() float64 { return f.CachedBlocks / (f.CacheEvents / 2) }
 
-// cacheEvents is the reader of cache events, or without it what is believed
+// cacheEvents is the reader of cache events, or without it what is known
 // from own answers.
 func cacheEvents(f Fleet, d Design, s Set) Cost {
 	if d.ReadEvents {
 		return Cost{
 			Role: "cache-event reader", Messages: f.CacheEvents, Core: f.CacheEvents * s["event-apply"].PerUnit * nanosecond,
-			Memory: math.Min(d.BeliefBudget, f.CachedBlocks*s["belief-memory"].PerUnit),
+			Memory: math.Min(d.CacheIndexBytes, f.CachedBlocks*s["cache-index-memory"].PerUnit),
 			Rate:   f.CacheEvents * s["event-bytes"].PerUnit,
 		}
 	}
 	touched := f.requests() * f.PromptBytes / pieceBytes
 	return Cost{
-		Role: "cache belief from own answers", Core: touched * s["event-apply"].PerUnit * nanosecond,
-		Memory: s["belief-memory"].PerUnit * touched * f.Residence(),
+		Role: "cache index from own answers", Core: touched * s["event-apply"].PerUnit * nanosecond,
+		Memory: s["cache-index-memory"].PerUnit * touched * f.Residence(),
 	}
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/mastictray/mastictray/internal/belief"
+	"github.com/mastictray/mastictray/internal/cacheindex"
 	"github.com/mastictray/mastictray/internal/fairqueue"
 	"github.com/mastictray/mastictray/internal/placement"
 )
@@ -62,11 +62,11 @@
 	// Target is the index in the pool.
 	Target int
 	// Identity is what the target was when it was chosen.
-	Identity belief.Identity
+	Identity cacheindex.Identity
 	// SentAt is when it was chosen.
 	SentAt   time.Duration
 	Decision placement.Decision
-	stamp    belief.Stamp
+	stamp    cacheindex.Stamp
 }
 
 // Refusal is a request that will not be sent.
@@ -83,7 +83,7 @@
 type Dispatcher[T any] struct {
 	options Options
 	pool    *placement.Pool
-	beliefs *belief.Store
+	index   *cacheindex.Index
 	picker  *placement.Picker
 	queue   *fairqueue.Queue[*Request[T]]
 	out     Step[T]
@@ -97,11 +97,11 @@
 	Refusals []Refusal[T]
 }
 
-// New makes a dispatcher over a pool, what is believed of its targets, and a
+// New makes a dispatcher over a pool, the index of its targets' caches, and a
 // picker over both.
-func New[T any](pool *placement.Pool, beliefs *belief.Store, picker *placement.Picker, o Options) *Dispatcher[T] {
+func New[T any](pool *placement.Pool, index *cacheindex.Index, picker *placement.Picker, o Options) *Dispatcher[T] {
 	return &Dispatcher[T]{
-		options: o, pool: pool, beliefs: beliefs, picker: picker,
+		options: o, pool: pool, index: index, picker: picker,
 		queue: fairqueue.New[*Request[T]](o.Queue), latency: firstTokenFloor,
 	}
 }
@@ -189,7 +189,7 @@
 	}
 	d.reset()
 	t := d.pool.Target(i)
-	cached := d.beliefs.Cached(t.Belief, r.Place.Chain)
+	cached := d.index.Cached(t.Cache, r.Place.Chain)
 	uncached := max(0, r.Place.PromptTokens-r.Place.LeadingTokens(cached))
 	d.send(now, r, t, placement.Decision{Index: i, CachedPieces: cached, UncachedTokens: float64(uncached)})
 	return d.out.Sends[0], true
@@ -198,27 +198,27 @@
 // Answered takes in the first token of an answer. Call it or Failed once for
 // each send.
 func (d *Dispatcher[T]) Answered(s *Send[T]) {
-	d.beliefs.Answered(s.Identity, s.Request.Place.Chain)
+	d.index.Answered(s.Identity, s.Request.Place.Chain)
 	if t, ok := d.sentTo(s); ok {
 		t.Load.Answered(s.SentAt, s.Decision.UncachedTokens)
 	}
 }
 
 // Counted takes in the cached-token count of an answer, which comes at its
-// end. A count below what was believed tells that the target evicts more than
+// end. A count below what was expected tells that the target evicts more than
 // is known here. Where cache events are followed they tell better.
 func (d *Dispatcher[T]) Counted(s *Send[T], cachedTokens int) {
 	if d.picker.KnowsCaches() {
 		return
 	}
 	if cachedTokens < s.Request.Place.LeadingTokens(s.Decision.CachedPieces) {
-		d.beliefs.Missed(s.Identity, s.stamp)
+		d.index.Missed(s.Identity, s.stamp)
 	}
 }
 
 // Failed takes in an attempt that the target did not prefill.
 func (d *Dispatcher[T]) Failed(s *Send[T]) {
-	d.beliefs.Failed(s.Identity, s.Request.Place.Chain, s.Decision.CachedPieces)
+	d.index.Failed(s.Identity, s.Request.Place.Chain, s.Decision.CachedPieces)
 	if t, ok := d.sentTo(s); ok {
 		t.Load.Failed(s.Decision.UncachedTokens)
 	}
@@ -294,11 +294,11 @@
 const noTargetRetryAfter = time.Second
 
 func (d *Dispatcher[T]) send(now time.Duration, r *Request[T], t *placement.Target, choice placement.Decision) {
-	id := belief.Identity{Target: t.Name, Incarnation: t.Incarnation, Version: t.Version}
+	id := cacheindex.Identity{Target: t.Name, Incarnation: t.Incarnation, Version: t.Version}
 	t.Load.Sent(now, choice.UncachedTokens)
 	t.InFlight++
 	t.HeldTokens += r.Place.HeldTokens
-	stamp := d.beliefs.Expect(id, r.Place.Chain)
+	stamp := d.index.Expect(id, r.Place.Chain)
 	d.out.Sends = append(d.out.Sends, Send[T]{
 		Request: r, Target: choice.Index, Identity: id, SentAt: now, Decision: choice, stamp: stamp,
 	})
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/mastictray/mastictray/internal/belief"
+	"github.com/mastictray/mastictray/internal/cacheindex"
 	"github.com/mastictray/mastictray/internal/fairqueue"
 	"github.com/mastictray/mastictray/internal/placement"
 	"github.com/mastictray/mastictray/internal/prefix"
@@ -25,18 +25,18 @@
 
 func newFixture(targets int) *fixture {
 	list := make([]placement.Target, targets)
-	beliefs := belief.NewStore(1 << 20)
+	index := cacheindex.New(1 << 20)
 	for i := range list {
 		list[i] = placement.Target{Name: fmt.Sprint("t", i), Incarnation: "i1", Version: "v1", PrefillTokensPerSecond: 10000}
-		list[i].Belief = beliefs.Observe(0, belief.Identity{Target: list[i].Name, Incarnation: "i1", Version: "v1"})
+		list[i].Cache = index.Observe(0, cacheindex.Identity{Target: list[i].Name, Incarnation: "i1", Version: "v1"})
 	}
 	pool := placement.NewPool(list, "v1", placement.DefaultFilters())
 	place := placement.DefaultOptions()
 	o := DefaultOptions()
 	o.Queue.FloorRate = 10000
-	picker := placement.NewPicker(pool, beliefs, place)
+	picker := placement.NewPicker(pool, index, place)
 	picker.CaughtUp()
-	d := New[string](pool, beliefs, picker, o)
+	d := New[string](pool, index, picker, o)
 	return &fixture{Dispatcher: d, pool: pool, rng: rand.New(rand.NewPCG(1, 1))}
 }
 
--- a/internal/entry/cacheevents.go
+++ b/internal/entry/cacheevents.go
@@ -83,7 +83,7 @@
 }
 
 // cached takes a target's cache events in. False when they are not from the
-// incarnation that the target is known by: nothing is believed of another.
+// incarnation that the target is known by: nothing is known of another.
 func (p *enginePool) cached(name, incarnation string, events []cacheEvent) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -100,11 +100,11 @@
 		}
 		switch e.Op {
 		case opStored:
-			p.beliefs.Stored(id, pieces)
+			p.index.Stored(id, pieces)
 		case opEvicted:
-			p.beliefs.Evicted(id, pieces)
+			p.index.Evicted(id, pieces)
 		case opCleared:
-			p.beliefs.Cleared(id)
+			p.index.Cleared(id)
 		}
 	}
 	p.followed[name] = true
--- a/internal/entry/cacheevents_test.go
+++ b/internal/entry/cacheevents_test.go
@@ -11,25 +11,25 @@
 )
 
 // A target crashes and comes back empty. Events that its former incarnation
-// published arrive after the new one is known. Were they believed, requests
+// published arrive after the new one is known. Were they taken in, requests
 // would be sent there for pieces that died with the engine.
-func TestEventsOfAnotherIncarnationAreNotBelieved(t *testing.T) {
+func TestEventsOfAnotherIncarnationAreIgnored(t *testing.T) {
 	is := is.New(t)
 	p := newEnginePool(newClock(), "d")
 	p.configure(config.Pool{Name: "p"}, config.Model{Version: "1"}, []config.Target{{Name: "t", Domain: "d"}}, 1)
 	stored := []cacheEvent{{Op: opStored, Pieces: []string{"00000000000000aa"}}}
 	chain := []prefix.Hash{0xaa}
-	believed := func() int {
+	known := func() int {
 		i, _ := p.pool.Find("t")
-		return p.beliefs.Cached(p.pool.Target(i).Belief, chain)
+		return p.index.Cached(p.pool.Target(i).Cache, chain)
 	}
 
 	p.observe("t", time.Second, time.Second, loadReport{Incarnation: "old", Version: "1"})
 	is.True(p.cached("t", "old", stored))
-	is.Equal(believed(), 1)
+	is.Equal(known(), 1)
 
 	p.observe("t", 2*time.Second, 2*time.Second, loadReport{Incarnation: "new", Version: "1"})
-	is.Equal(believed(), 0)
+	is.Equal(known(), 0)
 	is.True(!p.cached("t", "old", stored))
-	is.Equal(believed(), 0)
+	is.Equal(known(), 0)
 }
--- a/internal/entry/duties.go
+++ b/internal/entry/duties.go
@@ -24,7 +24,7 @@
 
 // snapshotter writes snapshots of the configuration and checkpoints of the
 // leases into their streams, on the instance that holds the duty. Two
-// instances that both believe to hold it cost a needless record, nothing else:
+// instances that both assume to hold it cost a needless record, nothing else:
 // neither record changes a state.
 type snapshotter struct {
 	clock  clock
--- a/internal/entry/enginepool.go
+++ b/internal/entry/enginepool.go
@@ -9,7 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/mastictray/mastictray/internal/belief"
+	"github.com/mastictray/mastictray/internal/cacheindex"
 	"github.com/mastictray/mastictray/internal/config"
 	"github.com/mastictray/mastictray/internal/dispatch"
 	"github.com/mastictray/mastictray/internal/fairqueue"
@@ -19,7 +19,7 @@
 )
 
 const (
-	beliefBudgetBytes = 16 << 20
+	cacheIndexBytes   = 16 << 20
 	maxQueuedRequests = 4096
 	stepEvery         = 5 * time.Millisecond
 	// crossDomainDelay is what placement counts for a target elsewhere.
@@ -58,7 +58,7 @@
 	breakers   breakers
 	pool       *placement.Pool
 	picker     *placement.Picker
-	beliefs    *belief.Store
+	index      *cacheindex.Index
 	dispatcher *dispatch.Dispatcher[chan placedOrError]
 	rng        *rand.Rand
 	// followed are the targets whose retained cache events have been read.
@@ -83,7 +83,7 @@
 		returned: make(map[string]time.Duration),
 		followed: make(map[string]bool),
 		watchers: make(map[string]map[uint64]func()),
-		beliefs:  belief.NewStore(beliefBudgetBytes),
+		index:    cacheindex.New(cacheIndexBytes),
 		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
@@ -103,7 +103,7 @@
 	p.pool = placement.NewPool(list, model.Version, placement.DefaultFilters())
 	place := placement.DefaultOptions()
 	place.Domain, place.CrossDomainDelay = p.domain, crossDomainDelay
-	p.picker = placement.NewPicker(p.pool, p.beliefs, place)
+	p.picker = placement.NewPicker(p.pool, p.index, place)
 	p.breakers.configure(targets)
 	p.refreshBreakers()
 	p.activate()
@@ -115,11 +115,11 @@
 	o := dispatch.DefaultOptions()
 	o.Queue.MaxItems = maxQueuedRequests
 	o.Queue.FloorRate = cfg.PrefillTokensPerSecond * float64(len(targets)) / float64(max(routers, 1))
-	p.dispatcher = dispatch.New[chan placedOrError](p.pool, p.beliefs, p.picker, o)
+	p.dispatcher = dispatch.New[chan placedOrError](p.pool, p.index, p.picker, o)
 }
 
 // keep carries a target's observed state over a change of configuration. A
-// target at another address is a new one: nothing is believed of it. A target
+// target at another address is a new one: nothing is known of it. A target
 // not heard of yet counts as serving the wanted version: the target itself
 // refuses a request that counts on another.
 func (p *enginePool) keep(t config.Target, cfg config.Pool, model config.Model) placement.Target {
@@ -128,7 +128,7 @@
 		PrefillTokensPerSecond: cfg.PrefillTokensPerSecond,
 	}
 	if p.pool == nil || p.address[t.Name] != t.Address {
-		p.beliefs.Forget(t.Name)
+		p.index.Forget(t.Name)
 		return fresh
 	}
 	i, ok := p.pool.Find(t.Name)
--- a/internal/entry/poolreports.go
+++ b/internal/entry/poolreports.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/mastictray/mastictray/internal/belief"
+	"github.com/mastictray/mastictray/internal/cacheindex"
 	"github.com/mastictray/mastictray/internal/placement"
 )
 
@@ -25,9 +25,9 @@
 }
 
 // identity is what the i-th target is now. Callers hold mu.
-func (p *enginePool) identity(i int) belief.Identity {
+func (p *enginePool) identity(i int) cacheindex.Identity {
 	t := p.pool.Target(i)
-	return belief.Identity{Target: t.Name, Incarnation: t.Incarnation, Version: t.Version}
+	return cacheindex.Identity{Target: t.Name, Incarnation: t.Incarnation, Version: t.Version}
 }
 
 // loadReport is a target's answer to a load question.
@@ -49,7 +49,7 @@
 	}
 	t := p.pool.Target(i)
 	back := t.Incarnation != "" && t.Incarnation != r.Incarnation
-	t.Belief = p.beliefs.Observe(asked, belief.Identity{Target: name, Incarnation: r.Incarnation, Version: r.Version})
+	t.Cache = p.index.Observe(asked, cacheindex.Identity{Target: name, Incarnation: r.Incarnation, Version: r.Version})
 	if t.Incarnation != r.Incarnation || t.Version != r.Version {
 		if t.Incarnation != "" {
 			p.returned[name] = asked
--- a/internal/entry/ratedriver_test.go
+++ b/internal/entry/ratedriver_test.go
@@ -38,7 +38,7 @@
 
 // An instance without a lease knows its peers before one of them takes one.
 // Its next request is within its account's rate and needs that peer's tokens.
-// If it still believed that all are equally poor it would ask them all for a
+// If it still assumed that all are equally poor it would ask them all for a
 // part, get only one part, and refuse the request.
 func TestAsksGoToThePeerThatTookALeaseLater(t *testing.T) {
 	is := is.New(t)
--- a/internal/entry/splitdriver.go
+++ b/internal/entry/splitdriver.go
@@ -32,7 +32,7 @@
 }
 
 // runSplit lets the split follow the demand, on the instance that holds the
-// duty. Two that both believe to hold it cost a void record, nothing else.
+// duty. Two that both assume to hold it cost a void record, nothing else.
 func (d *rateDriver) runSplit(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, splitEvery)
--- a/internal/experiment/engine.go
+++ b/internal/experiment/engine.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"github.com/mastictray/mastictray/internal/belief"
+	"github.com/mastictray/mastictray/internal/cacheindex"
 	"github.com/mastictray/mastictray/internal/prefix"
 )
 
@@ -50,8 +50,8 @@
 	return e
 }
 
-func (e *engine) identity() belief.Identity {
-	return belief.Identity{Target: e.name, Incarnation: fmt.Sprint(e.starts), Version: e.version}
+func (e *engine) identity() cacheindex.Identity {
+	return cacheindex.Identity{Target: e.name, Incarnation: fmt.Sprint(e.starts), Version: e.version}
 }
 
 func (e *engine) start() {
--- a/internal/experiment/fleet.go
+++ b/internal/experiment/fleet.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/mastictray/mastictray/internal/belief"
+	"github.com/mastictray/mastictray/internal/cacheindex"
 	"github.com/mastictray/mastictray/internal/prefix"
 )
 
@@ -50,7 +50,7 @@
 // cacheChange is what one prefill changed in an engine's cache.
 type cacheChange struct {
 	at              time.Duration
-	id              belief.Identity
+	id              cacheindex.Identity
 	stored, evicted []prefix.Hash
 }
 
--- a/internal/experiment/policy_baseline.go
+++ b/internal/experiment/policy_baseline.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/mastictray/mastictray/internal/belief"
+	"github.com/mastictray/mastictray/internal/cacheindex"
 	"github.com/mastictray/mastictray/internal/placement"
 	"github.com/mastictray/mastictray/internal/prefix"
 )
@@ -32,9 +32,9 @@
 	b.r.send(i, a)
 }
 
-func (b *baseline) report(int, time.Duration, belief.Identity, float64) {}
+func (b *baseline) report(int, time.Duration, cacheindex.Identity, float64) {}
 
-func (b *baseline) cacheEvent(belief.Identity, []prefix.Hash, []prefix.Hash) {}
+func (b *baseline) cacheEvent(cacheindex.Identity, []prefix.Hash, []prefix.Hash) {}
 
 func (b *baseline) answered(e int, _ *attempt, _ int) { b.outstanding[e]-- }
 
--- a/internal/experiment/policy_ours.go
+++ b/internal/experiment/policy_ours.go
@@ -6,15 +6,15 @@
 	"slices"
 	"time"
 
-	"github.com/mastictray/mastictray/internal/belief"
+	"github.com/mastictray/mastictray/internal/cacheindex"
 	"github.com/mastictray/mastictray/internal/dispatch"
 	"github.com/mastictray/mastictray/internal/placement"
 	"github.com/mastictray/mastictray/internal/prefix"
 )
 
 const (
-	beliefBudget = 1 << 20
-	stepPeriod   = 5 * time.Millisecond
+	cacheIndexBytes = 1 << 20
+	stepPeriod      = 5 * time.Millisecond
 	// catchUp is how long a router follows cache events until it has heard
 	// of most of what is cached, when engines retain none.
 	catchUp = 2 * time.Second
@@ -30,7 +30,7 @@
 	r          *router
 	tuning     Tuning
 	pool       *placement.Pool
-	beliefs    *belief.Store
+	index      *cacheindex.Index
 	dispatcher *dispatch.Dispatcher[*attempt]
 	sent       map[*attempt]sending
 	waiting    map[*attempt]uint64 // by arrival
@@ -72,8 +72,8 @@
 	o := p.tuning.Dispatch
 	o.Queue.FloorRate = w.PrefillRate * float64(w.Engines) / float64(w.Routers)
 	p.pool = placement.NewPool(targets, p.r.f.wanted, placement.DefaultFilters())
-	p.beliefs = belief.NewStore(beliefBudget)
-	picker := placement.NewPicker(p.pool, p.beliefs, place)
+	p.index = cacheindex.New(cacheIndexBytes)
+	picker := placement.NewPicker(p.pool, p.index, place)
 	switch {
 	case p.r.f.c.Replay:
 		p.r.f.clock.after(2*w.LinkDelay, picker.CaughtUp)
@@ -83,7 +83,7 @@
 	for i, e := range p.r.f.engines {
 		p.report(i, p.r.f.clock.now, e.identity(), 0)
 	}
-	p.dispatcher = dispatch.New[*attempt](p.pool, p.beliefs, picker, o)
+	p.dispatcher = dispatch.New[*attempt](p.pool, p.index, picker, o)
 }
 
 func (p *product) arrive(a *attempt) {
@@ -136,9 +136,9 @@
 	}
 }
 
-func (p *product) report(e int, asOf time.Duration, id belief.Identity, queued float64) {
+func (p *product) report(e int, asOf time.Duration, id cacheindex.Identity, queued float64) {
 	t := p.pool.Target(e)
-	t.Belief = p.beliefs.Observe(asOf, id)
+	t.Cache = p.index.Observe(asOf, id)
 	if t.Incarnation != id.Incarnation || t.Version != id.Version {
 		t.Load.Reset(asOf)
 		t.Incarnation, t.Version = id.Incarnation, id.Version
@@ -147,9 +147,9 @@
 	t.Load.Report(asOf, queued)
 }
 
-func (p *product) cacheEvent(id belief.Identity, stored, evicted []prefix.Hash) {
-	p.beliefs.Stored(id, stored)
-	p.beliefs.Evicted(id, evicted)
+func (p *product) cacheEvent(id cacheindex.Identity, stored, evicted []prefix.Hash) {
+	p.index.Stored(id, stored)
+	p.index.Evicted(id, evicted)
 }
 
 func (p *product) answered(_ int, a *attempt, cached int) {
--- a/internal/experiment/router.go
+++ b/internal/experiment/router.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/mastictray/mastictray/internal/belief"
+	"github.com/mastictray/mastictray/internal/cacheindex"
 	"github.com/mastictray/mastictray/internal/prefix"
 )
 
@@ -23,9 +23,9 @@
 	// arrive takes a request; the policy calls router.send or router.refuse.
 	arrive(a *attempt)
 	// report takes a load report that was true at asOf.
-	report(e int, asOf time.Duration, id belief.Identity, queued float64)
+	report(e int, asOf time.Duration, id cacheindex.Identity, queued float64)
 	// cacheEvent takes a cache event.
-	cacheEvent(id belief.Identity, stored, evicted []prefix.Hash)
+	cacheEvent(id cacheindex.Identity, stored, evicted []prefix.Hash)
 	// answered and failed end an attempt at an engine.
 	answered(e int, a *attempt, cached int)
 	failed(e int, a *attempt)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -150,7 +150,7 @@
 	tryObjectives = 1
 )
 
-// weightsFor is the version of the weights that a target is believed to answer
+// weightsFor is the version of the weights that a target is expected to answer
 // the request on; 0 when it is not known.
 func weightsFor(c *call, t *directory.Registration) int64 {
 	if c.Prompt == nil {
--- a/internal/gateway/cachestore.go
+++ b/internal/gateway/cachestore.go
@@ -6,11 +6,11 @@
 	"sync"
 	"time"
 
-	"github.com/mastictray/mastictray/internal/cacheindex"
 	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/placement"
 	"github.com/mastictray/mastictray/internal/prefix"
 	"github.com/mastictray/mastictray/internal/routing"
+	"github.com/mastictray/mastictray/internal/storeindex"
 	"github.com/mastictray/mastictray/internal/wire"
 )
 
@@ -40,7 +40,7 @@
 }
 
 type cacheStore struct {
-	index *cacheindex.Index
+	index *storeindex.Index
 	since int64
 	// heard is when the store, or a peer's word of it, was last heard.
 	heard   time.Duration
@@ -77,7 +77,7 @@
 		for _, a := range addresses {
 			next[a] = s.stores[a]
 			if next[a] == nil {
-				next[a] = &cacheStore{index: cacheindex.New()}
+				next[a] = &cacheStore{index: storeindex.New()}
 			}
 		}
 		s.stores = next
--- a/internal/gateway/enginemarks.go
+++ b/internal/gateway/enginemarks.go
@@ -9,7 +9,7 @@
 )
 
 // versionText names the weights of a target; what it cached under others is
-// not believed any more.
+// does not count any more.
 func versionText(versions map[string]int64) string {
 	switch len(versions) {
 	case 0:
@@ -129,7 +129,7 @@
 		t := p.pool.Target(i)
 		now := identity(&r)
 		t.Version = now.Version
-		t.Belief = p.beliefs.Observe(p.now(), now)
+		t.Cache = p.index.Observe(p.now(), now)
 		p.mark(id.ID, &r)
 	}
 }
--- a/internal/gateway/enginepeers.go
+++ b/internal/gateway/enginepeers.go
@@ -48,15 +48,15 @@
 	return max(0, pl.held-pl.send.Request.Place.LeadingTokens(pl.send.Decision.CachedPieces))
 }
 
-// believe takes in a prompt that a peer has sent to a target, and the tokens
+// noteCached takes in a prompt that a peer has sent to a target, and the tokens
 // that it has put into the target's cache.
-func (p *enginePool) believe(id directory.Incarnation, chain []prefix.Hash, tokens int) {
+func (p *enginePool) noteCached(id directory.Incarnation, chain []prefix.Hash, tokens int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r, ok := p.regs[id.ID]
 	if !ok || r.Incarnation() != id {
 		return
 	}
-	p.beliefs.Took(identity(&r), float64(tokens))
-	p.beliefs.Stored(identity(&r), chain)
+	p.index.Took(identity(&r), float64(tokens))
+	p.index.Stored(identity(&r), chain)
 }
--- a/internal/gateway/enginepool.go
+++ b/internal/gateway/enginepool.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/mastictray/mastictray/internal/belief"
+	"github.com/mastictray/mastictray/internal/cacheindex"
 	"github.com/mastictray/mastictray/internal/directory"
 	"github.com/mastictray/mastictray/internal/dispatch"
 	"github.com/mastictray/mastictray/internal/overload"
@@ -35,7 +35,7 @@
 	held    int
 	// source is a target to fetch pieces of the prompt from; empty for none.
 	source string
-	// sourceHolds is the leading pieces that it is believed to hold.
+	// sourceHolds is the leading pieces that it is known to hold.
 	sourceHolds int
 	// targets is the number of targets that it was chosen from.
 	targets int
@@ -71,7 +71,7 @@
 	silentAt   map[string]time.Duration
 	pool       *placement.Pool
 	picker     *placement.Picker
-	beliefs    *belief.Store
+	index      *cacheindex.Index
 	dispatcher *dispatch.Dispatcher[chan placedOrRefusal]
 	rng        *rand.Rand
 	nextID     uint64
@@ -92,7 +92,7 @@
 		now: now, domain: domain, prefill: prefill, times: servicetime.New(prefill),
 		regs: map[string]directory.Registration{}, breakers: map[string]*overload.Breaker{},
 		silences: map[string]*overload.Silence{}, running: map[*placed]struct{}{}, silentAt: map[string]time.Duration{},
-		beliefs:   belief.NewStore(cacheIndexBytes),
+		index:     cacheindex.New(cacheIndexBytes),
 		rng:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		refusedAt: map[string]time.Duration{}, loadingSince: map[string]time.Duration{},
 	}
@@ -101,17 +101,17 @@
 	o.Window = engineWindow
 	o.Queue.MaxItems = maxQueued
 	o.Queue.FloorRate = prefill
-	p.dispatcher = dispatch.New[chan placedOrRefusal](p.pool, p.beliefs, p.picker, o)
+	p.dispatcher = dispatch.New[chan placedOrRefusal](p.pool, p.index, p.picker, o)
 	return p
 }
 
 // update takes the service's usable targets. What is known of targets that
-// stay is kept; a new incarnation starts with nothing believed of it.
+// stay is kept; a new incarnation starts with nothing known of it.
 func (p *enginePool) update(regs []directory.Registration, e *routing.Engine) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.memory = e.MemoryTokens
-	p.beliefs.SetCapacity(cacheShare * float64(e.MemoryTokens))
+	p.index.SetCapacity(cacheShare * float64(e.MemoryTokens))
 	if e.BytesPerToken > 0 {
 		p.transfer = transferShare * e.LinkMbps * bytesPerMbit / float64(e.BytesPerToken)
 	}
@@ -141,7 +141,7 @@
 	o.QueueSlack, o.HeavyTokens, o.HeavyPenalty = queueSlack, heavyTokens, heavyPenalty
 	o.Domain, o.OutdatedPenalty = p.domain, outdatedPenalty
 	o.TransferTokensPerSecond, o.TransferSetup = p.transfer, transferSetup
-	p.picker = placement.NewPicker(p.pool, p.beliefs, o)
+	p.picker = placement.NewPicker(p.pool, p.index, o)
 }
 
 // keep carries over what was observed of a target.
@@ -157,13 +157,13 @@
 	t.Domain, t.Incarnation, t.Version = r.Domain, id.Incarnation, id.Version
 	t.Limit, t.MemoryTokens = r.Slots, p.memory
 	t.Outdated, t.Loading, t.LoadsSoon = behind(&r, p.bounds.wanted), p.resting(&r), p.soon[r.ID]
-	t.Belief = p.beliefs.Observe(p.now(), id)
+	t.Cache = p.index.Observe(p.now(), id)
 	return t
 }
 
-// identity names what is believed of a target's cache.
-func identity(r *directory.Registration) belief.Identity {
-	return belief.Identity{Target: r.ID, Incarnation: strconv.FormatInt(r.Born, 10), Version: versionText(r.Versions)}
+// identity names what is known of a target's cache.
+func identity(r *directory.Registration) cacheindex.Identity {
+	return cacheindex.Identity{Target: r.ID, Incarnation: strconv.FormatInt(r.Born, 10), Version: versionText(r.Versions)}
 }
 
 // acquire waits for a target. The refusal says why there is none.
@@ -270,7 +270,7 @@
 	pl.prefilled = true
 	p.observeTime(pl)
 	p.dispatcher.Answered(&pl.send)
-	p.beliefs.Took(pl.send.Identity, float64(pl.took()))
+	p.index.Took(pl.send.Identity, float64(pl.took()))
 	p.step()
 }
 
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -6,10 +6,10 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/mastictray/mastictray/internal/cacheindex"
 	"github.com/mastictray/mastictray/internal/directory"
 	"github.com/mastictray/mastictray/internal/orderlease"
 	"github.com/mastictray/mastictray/internal/routing"
+	"github.com/mastictray/mastictray/internal/storeindex"
 	"github.com/mastictray/mastictray/internal/weights"
 )
 
@@ -75,7 +75,7 @@
 	Order(ctx context.Context, t directory.Registration, o weights.Order) (weights.Receipt, error)
 	// CacheEvents asks a store of KV cache what has changed and waits up to
 	// wait for news.
-	CacheEvents(ctx context.Context, address string, since int64, wait time.Duration) (cacheindex.News, error)
+	CacheEvents(ctx context.Context, address string, since int64, wait time.Duration) (storeindex.News, error)
 }
 
 // Store is all that the gateway needs of the platform's store.
--- a/internal/gateway/fleetstate.go
+++ b/internal/gateway/fleetstate.go
@@ -62,7 +62,7 @@
 		}
 		chain := hashes(s.Chain)
 		for _, pool := range pools {
-			pool.believe(directory.Incarnation{ID: s.Target, Born: s.Born}, chain, s.Tokens)
+			pool.noteCached(directory.Incarnation{ID: s.Target, Born: s.Born}, chain, s.Tokens)
 		}
 	}
 	if t := g.table.Load(); t != nil {
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -16,7 +16,7 @@
 	target directory.Registration
 	// source is the address of a target to fetch pieces from; empty for none.
 	source string
-	// sourceHolds is the leading pieces that it is believed to hold.
+	// sourceHolds is the leading pieces that it is known to hold.
 	sourceHolds int
 	// saves says that the target saves what it reads, under the scope.
 	saves bool
--- a/internal/gateway/restart_test.go
+++ b/internal/gateway/restart_test.go
@@ -9,11 +9,11 @@
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
-	"github.com/mastictray/mastictray/internal/cacheindex"
 	"github.com/mastictray/mastictray/internal/directory"
 	"github.com/mastictray/mastictray/internal/keys"
 	"github.com/mastictray/mastictray/internal/orderlease"
 	"github.com/mastictray/mastictray/internal/routing"
+	"github.com/mastictray/mastictray/internal/storeindex"
 	"github.com/mastictray/mastictray/internal/weights"
 	"github.com/mastictray/mastictray/internal/wire"
 )
@@ -378,6 +378,6 @@
 	return "", errDeaf
 }
 
-func (deafTargets) CacheEvents(context.Context, string, int64, time.Duration) (cacheindex.News, error) {
-	return cacheindex.News{}, errDeaf
+func (deafTargets) CacheEvents(context.Context, string, int64, time.Duration) (storeindex.News, error) {
+	return storeindex.News{}, errDeaf
 }
--- a/internal/lease/checkpoint_test.go
+++ b/internal/lease/checkpoint_test.go
@@ -42,7 +42,7 @@
 }
 
 // Instance a holds a mint slot. The log loses the first two records, then b
-// starts. Without a checkpoint b would see a free slot, acquire it, believe it
+// starts. Without a checkpoint b would see a free slot, acquire it, take it
 // holds it, and both would mint the same part of every account's rate. With
 // it, b knows the holder, and its view equals that of an instance that has
 // folded everything.
--- a/internal/lease/orders_test.go
+++ b/internal/lease/orders_test.go
@@ -60,7 +60,7 @@
 // searchStates bounds each search; a run by hand can afford more than CI.
 var searchStates = flag.Int("search.states", 25000, "states to look at in each search of orders")
 
-// Two instances act on one lease: both may believe that they hold it only if
+// Two instances act on one lease: both may assume that they hold it only if
 // records, promises, lost answers, pauses and restarts can be ordered badly.
 // The search tries every order of a small fleet up to a depth.
 func TestNoOrderGivesTwoHolders(t *testing.T) {
--- a/internal/logline/output.go
+++ b/internal/logline/output.go
@@ -32,7 +32,7 @@
 	"peer_gone", "store_lost", "store_regained",
 )
 
-// keptMarks is for events that change what a process believes: rare, and all
+// keptMarks is for events that change what a process knows: rare, and all
 // that a later trace has to go by. A suspended process wakes with hundreds of
 // broken requests in one second, and hears then what it has missed.
 func keptMarks(events ...string) [][]byte {
--- a/internal/logline/output_test.go
+++ b/internal/logline/output_test.go
@@ -10,7 +10,7 @@
 // A suspended process wakes, hundreds of requests fail in one second, and the
 // lines of most are left out. The ones that tell what the process learnt as it
 // woke must be there: without them nobody can tell why it acted as it did.
-func TestChangedBeliefsAreWrittenOverTheRate(t *testing.T) {
+func TestStateChangesAreWrittenOverTheRate(t *testing.T) {
 	is := is.New(t)
 	o := &output{lines: make(chan []byte, queuedLines+keptLines)}
 	write := func(event string, request int) {
--- a/internal/membership/target.go
+++ b/internal/membership/target.go
@@ -34,7 +34,7 @@
 }
 
 // observe takes an incarnation that this instance has seen itself. A late
-// answer of an earlier one changes nothing: it would bring back belief in a
+// answer of an earlier one changes nothing: it would bring back trust in a
 // cache that is gone.
 func (t *target) observe(incarnation string) bool {
 	if incarnation == "" || incarnation == t.fact.Incarnation || slices.Contains(t.fact.Past, incarnation) {
--- a/internal/openai/request.go
+++ b/internal/openai/request.go
@@ -99,7 +99,7 @@
 }
 
 // withUsage asks for the usage block at the end of the stream: without it the
-// charge could not be corrected and cache belief would learn nothing.
+// charge could not be corrected and the cache index would learn nothing.
 func withUsage(body []byte) ([]byte, error) {
 	var whole map[string]json.RawMessage
 	if err := json.Unmarshal(body, &whole); err != nil {
--- a/internal/placement/explain.go
+++ b/internal/placement/explain.go
@@ -78,7 +78,7 @@
 	}
 	name := p.pool.targets[other.Index].Name
 	if diff := other.Cost - d.Cost; diff > p.options.NearTie {
-		return fmt.Sprintf("%v sooner than %s, believed to hold %d pieces against %d",
+		return fmt.Sprintf("%v sooner than %s, known to hold %d pieces against %d",
 			diff.Round(time.Microsecond), name, d.CachedPieces, other.CachedPieces)
 	}
 	return fmt.Sprintf("drawn among near ties with %s (%v apart)", name, (other.Cost - d.Cost).Round(time.Microsecond))
--- a/internal/placement/heavy_test.go
+++ b/internal/placement/heavy_test.go
@@ -12,7 +12,7 @@
 	o := DefaultOptions()
 	o.HeavyTokens, o.HeavyPenalty = 8000, 100*time.Millisecond
 	o.HomeTrust, o.UnseenTrust = 0, 0
-	f.picker = NewPicker(f.pool, f.beliefs, o)
+	f.picker = NewPicker(f.pool, f.index, o)
 	return f
 }
 
--- a/internal/placement/options.go
+++ b/internal/placement/options.go
@@ -14,7 +14,7 @@
 	// covers: one more than the opening that all prompts of a service share.
 	AnchorPieces int
 	// HomeTrust is the part of a prompt's pieces that the first target in
-	// rendezvous order is counted on to hold when less is believed of it. It
+	// rendezvous order is counted on to hold when less is known of it. It
 	// keeps prefixes where other instances, and this one after a restart,
 	// look for them; the higher, the longer a new prefix waits for a busy
 	// first target.
--- a/internal/placement/picker.go
+++ b/internal/placement/picker.go
@@ -6,7 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/mastictray/mastictray/internal/belief"
+	"github.com/mastictray/mastictray/internal/cacheindex"
 	"github.com/mastictray/mastictray/internal/prefix"
 )
 
@@ -18,7 +18,7 @@
 type Decision struct {
 	// Index is the chosen target's index in the pool.
 	Index int
-	// CachedPieces is what the target is believed to hold of the chain.
+	// CachedPieces is what the target is known to hold of the chain.
 	CachedPieces int
 	// UncachedTokens is the prompt tokens it is expected to prefill, by
 	// Options.Work.
@@ -32,11 +32,11 @@
 }
 
 // Picker places requests on the targets of one pool. It keeps no state that a
-// decision needs beyond the pool and the beliefs: only buffers. It is not safe
+// decision needs beyond the pool and the index: only buffers. It is not safe
 // for concurrent use.
 type Picker struct {
 	pool    *Pool
-	beliefs *belief.Store
+	index   *cacheindex.Index
 	options Options
 	scorers []Scorer
 	ranked  []ranked
@@ -45,11 +45,11 @@
 	caughtUp bool
 }
 
-// NewPicker makes a picker over a pool and what is believed of its targets.
-func NewPicker(pool *Pool, beliefs *belief.Store, o Options) *Picker {
+// NewPicker makes a picker over a pool and the index of its targets' caches.
+func NewPicker(pool *Pool, index *cacheindex.Index, o Options) *Picker {
 	return &Picker{
 		pool:    pool,
-		beliefs: beliefs,
+		index:   index,
 		options: o,
 		scorers: DefaultScorers(o),
 		ranked:  make([]ranked, 0, o.MaxCandidates+1),
@@ -129,7 +129,7 @@
 	}
 	for i := range p.pool.targets {
 		if p.pool.rejected[i] == 0 && r.Elsewhere < len(r.Chain) {
-			r.Elsewhere = max(r.Elsewhere, p.beliefs.Cached(p.pool.targets[i].Belief, r.Chain))
+			r.Elsewhere = max(r.Elsewhere, p.index.Cached(p.pool.targets[i].Cache, r.Chain))
 		}
 	}
 }
@@ -145,7 +145,7 @@
 		if i == d.Index || p.pool.rejected[i] != 0 || t.Version != to.Version {
 			continue
 		}
-		n, same := p.beliefs.Cached(t.Belief, r.Chain), t.Domain == to.Domain
+		n, same := p.index.Cached(t.Cache, r.Chain), t.Domain == to.Domain
 		if n > most || n == most && best >= 0 && same && !near {
 			best, most, near = i, n, same
 		}
@@ -165,7 +165,7 @@
 
 func (p *Picker) score(now time.Duration, r *Request, c *Candidate) {
 	t := &p.pool.targets[c.Index]
-	c.CachedPieces = p.beliefs.Cached(t.Belief, r.Chain)
+	c.CachedPieces = p.index.Cached(t.Cache, r.Chain)
 	if c.Rank == 0 {
 		full := float64(r.fullTokens())
 		c.TrustedTokens = max(0, p.trust()*full-float64(r.LeadingTokens(max(c.CachedPieces, r.Elsewhere))))
--- a/internal/placement/picker_test.go
+++ b/internal/placement/picker_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/mastictray/mastictray/internal/belief"
+	"github.com/mastictray/mastictray/internal/cacheindex"
 	"github.com/mastictray/mastictray/internal/prefix"
 )
 
@@ -26,28 +26,28 @@
 }
 
 type fixture struct {
-	pool    *Pool
-	beliefs *belief.Store
-	picker  *Picker
-	rng     *rand.Rand
+	pool   *Pool
+	index  *cacheindex.Index
+	picker *Picker
+	rng    *rand.Rand
 }
 
 func newFixture(n int) *fixture {
 	f := &fixture{
-		pool: NewPool(testTargets(n), "v1", DefaultFilters()), beliefs: belief.NewStore(1 << 20),
+		pool: NewPool(testTargets(n), "v1", DefaultFilters()), index: cacheindex.New(1 << 20),
 		rng: rand.New(rand.NewPCG(1, 1)),
 	}
 	for i := range n {
 		t := f.pool.Target(i)
-		t.Belief = f.beliefs.Observe(0, identity(t))
+		t.Cache = f.index.Observe(0, identity(t))
 	}
-	f.picker = NewPicker(f.pool, f.beliefs, DefaultOptions())
+	f.picker = NewPicker(f.pool, f.index, DefaultOptions())
 	f.picker.CaughtUp()
 	return f
 }
 
-func identity(t *Target) belief.Identity {
-	return belief.Identity{Target: t.Name, Incarnation: t.Incarnation, Version: t.Version}
+func identity(t *Target) cacheindex.Identity {
+	return cacheindex.Identity{Target: t.Name, Incarnation: t.Incarnation, Version: t.Version}
 }
 
 func request(key uint64, pieces int) *Request {
@@ -133,12 +133,12 @@
 	f := newFixture(18)
 	r := request(1, 5)
 	first := f.pick(t, r).Index
-	f.beliefs.Answered(identity(f.pool.Target(first)), r.Chain)
+	f.index.Answered(identity(f.pool.Target(first)), r.Chain)
 	f.pool.Target(first).Load.Sent(0, 5000)
 	is.Equal(f.pick(t, r).Index, first) // half a second of queue is cheaper than 20,000 tokens
 	f.pool.Target(first).Load.Sent(0, 60000)
 	second := f.pick(t, r).Index
-	f.beliefs.Answered(identity(f.pool.Target(second)), r.Chain)
+	f.index.Answered(identity(f.pool.Target(second)), r.Chain)
 	f.pool.Target(second).Load.Sent(0, 1000)
 	is.True(second != first)
 	is.Equal(f.pick(t, r).Index, second)
@@ -201,7 +201,7 @@
 			for i := range requests {
 				requests[i] = request(uint64(i), 6)
 				d, _ := f.picker.Pick(0, requests[i], f.rng)
-				f.beliefs.Answered(identity(f.pool.Target(d.Index)), requests[i].Chain)
+				f.index.Answered(identity(f.pool.Target(d.Index)), requests[i].Chain)
 			}
 			b.ReportAllocs()
 			i := 0
--- a/internal/placement/score.go
+++ b/internal/placement/score.go
@@ -12,7 +12,7 @@
 	Index int
 	// Rank is the place in rendezvous order; 0 is the first.
 	Rank int
-	// CachedPieces is the believed number of leading pieces held.
+	// CachedPieces is the number of leading pieces known to be held.
 	CachedPieces int
 	// TrustedTokens is the further prompt tokens that the first target in
 	// rendezvous order is counted on to hold, though nothing is known.
--- a/internal/placement/score_home.go
+++ b/internal/placement/score_home.go
@@ -3,7 +3,7 @@
 import "time"
 
 // homeScorer counts on the first target in rendezvous order to hold a part of
-// what nothing is believed of. Its term is negative: the time that this would
+// what nothing is known of. Its term is negative: the time that this would
 // spare, weighed as recomputing is.
 type homeScorer struct {
 	factor float64
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/mastictray/mastictray/internal/belief"
+	"github.com/mastictray/mastictray/internal/cacheindex"
 )
 
 // Target is what this instance knows of one target of a pool.
@@ -13,8 +13,8 @@
 	Incarnation string
 	// Version is the weights version that the target last said it serves.
 	Version string
-	// Belief is the handle on the pieces the target is believed to hold.
-	Belief belief.Ref
+	// Cache is the handle on the pieces the target is known to hold.
+	Cache cacheindex.Ref
 	// PrefillTokensPerSecond is the target's prefill rate.
 	PrefillTokensPerSecond float64
 	// Load is the last load report, corrected by this instance's own work.
--- a/internal/slopes/serving.go
+++ b/internal/slopes/serving.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 
-	"github.com/mastictray/mastictray/internal/belief"
+	"github.com/mastictray/mastictray/internal/cacheindex"
 	"github.com/mastictray/mastictray/internal/fairqueue"
 	"github.com/mastictray/mastictray/internal/placement"
 	"github.com/mastictray/mastictray/internal/prefix"
@@ -43,7 +43,7 @@
 
 func decisionNanos(n int) float64 {
 	const rounds = 2000
-	picker := placement.NewPicker(newPool(n), belief.NewStore(1<<20), placement.DefaultOptions())
+	picker := placement.NewPicker(newPool(n), cacheindex.New(1<<20), placement.DefaultOptions())
 	rng := rand.New(rand.NewPCG(1, 1))
 	r := placement.Request{PieceTokens: pieceTokens, PromptTokens: pieces * pieceTokens, Chain: make([]prefix.Hash, pieces)}
 	return nanos(rounds, func() {
@@ -72,9 +72,9 @@
 
 func cacheEvents() []Slope {
 	sizes := []int{10000, 20000, 40000, 80000}
-	id := belief.Identity{Target: "target-00001", Incarnation: "0123456789abcdef", Version: "v1"}
-	fill := func(n int) *belief.Store {
-		s := belief.NewStore(n * belief.EntryBytes)
+	id := cacheindex.Identity{Target: "target-00001", Incarnation: "0123456789abcdef", Version: "v1"}
+	fill := func(n int) *cacheindex.Index {
+		s := cacheindex.New(n * cacheindex.EntryBytes)
 		s.Observe(0, id)
 		for i := range n {
 			s.Stored(id, []prefix.Hash{prefix.Hash(i)})
@@ -82,7 +82,7 @@
 		return s
 	}
 	return []Slope{
-		measure("belief-memory", "believed pieces", "bytes of heap", sizes, func(n int) float64 {
+		measure("cache-index-memory", "known pieces", "bytes of heap", sizes, func(n int) float64 {
 			return heapBytes(func() any { return fill(n) })
 		}),
 		measure("event-apply", "cache events", "ns for all", sizes, func(n int) float64 {
--- a/internal/wire/lease.go
+++ b/internal/wire/lease.go
@@ -8,7 +8,7 @@
 type LeasePromiseAsk struct {
 	// Holder is the asking incarnation.
 	Holder string `msgpack:"h"`
-	// Member is the incarnation that the holder believes at this address.
+	// Member is the incarnation that the holder expects at this address.
 	Member string `msgpack:"m"`
 	// ForMillis is how long the promise is to last from when it is given.
 	ForMillis int64       `msgpack:"d"`
