Remove the avoidance of targets that load soon

Streams that can be resumed move away before a load, so that it needs no longer be known beforehand which targets load next: the list of these in messages, the penalty for long requests there and the length of requests are gone.

--- a/internal/gateway/enginemarks.go
+++ b/internal/gateway/enginemarks.go
@@ -64,12 +64,11 @@
 	wanted, least, wait map[string]int64
 }
 
-// setRollout takes the bounds on versions, the targets that load and those that
-// do so next.
-func (p *enginePool) setRollout(b versionBounds, loading, soon map[string]bool) {
+// setRollout takes the bounds on versions and the targets that load.
+func (p *enginePool) setRollout(b versionBounds, loading map[string]bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.bounds, p.loading, p.soon = b, loading, soon
+	p.bounds, p.loading = b, loading
 	p.noteLoading()
 	p.markAll()
 	p.cutWaiting()
@@ -105,7 +104,7 @@
 		return
 	}
 	t := p.pool.Target(i)
-	t.Outdated, t.Loading, t.LoadsSoon = behind(r, p.bounds.wanted), p.resting(r), p.soon[id]
+	t.Outdated, t.Loading = behind(r, p.bounds.wanted), p.resting(r)
 	p.pool.Changed(i)
 }
 
--- a/internal/gateway/enginepool.go
+++ b/internal/gateway/enginepool.go
@@ -79,7 +79,6 @@
 	times   *servicetime.Estimator
 	bounds  versionBounds
 	loading map[string]bool
-	soon    map[string]bool
 	// loadingSince is since when a target has been seen to load.
 	loadingSince map[string]time.Duration
 	// refusedAt is when a target last refused a request as a whole.
@@ -156,7 +155,7 @@
 	id := identity(&r)
 	t.Domain, t.Incarnation, t.Version = r.Domain, id.Incarnation, id.Version
 	t.Limit, t.MemoryTokens = r.Slots, p.memory
-	t.Outdated, t.Loading, t.LoadsSoon = behind(&r, p.bounds.wanted), p.resting(&r), p.soon[r.ID]
+	t.Outdated, t.Loading = behind(&r, p.bounds.wanted), p.resting(&r)
 	t.Cache = p.index.Observe(p.now(), id)
 	return t
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -125,7 +125,7 @@
 		p.known[from.Instance] = s
 		logline.Info("peer_met", "peer", from.Instance, "address", from.Address, "incarnation", from.Incarnation)
 	}
-	s.heard, s.leaving, s.loads, s.loading, s.soon, s.silent = now, m.Leaving, m.Loads, m.Loading, m.Soon, m.Silent
+	s.heard, s.leaving, s.loads, s.loading, s.silent = now, m.Leaving, m.Loads, m.Loading, m.Silent
 	s.cut, s.holdsOrders, s.config = m.Cut, m.HoldsOrders, max(s.config, m.ConfigVersion)
 	p.takeUnheard(now, m.Unheard)
 	p.mu.Unlock()
@@ -136,7 +136,7 @@
 func (p *peers) apply() {
 	now := p.g.clock.Now()
 	loads := map[string]load{}
-	loading, soon := map[string]bool{}, map[string]bool{}
+	loading := map[string]bool{}
 	p.mu.Lock()
 	fleet, silence := p.sizeLocked(), p.heardFor()
 	pace := p.paceLocked()
@@ -156,12 +156,9 @@
 		for _, id := range s.loading {
 			loading[id] = true
 		}
-		for _, id := range s.soon {
-			soon[id] = true
-		}
 	}
 	p.mu.Unlock()
-	p.g.takePeers(now, fleet, silence, pace, loads, loading, soon)
+	p.g.takePeers(now, fleet, silence, pace, loads, loading)
 	p.g.suspect(agreed(silent, heard))
 }
 
--- a/internal/gateway/fleetstate.go
+++ b/internal/gateway/fleetstate.go
@@ -23,7 +23,7 @@
 	defer g.mu.Unlock()
 	m.TargetsNext = g.registrations.next
 	m.Spent = g.quota.Spent()
-	m.Loading, m.Soon = g.ordered, g.orderedSoon
+	m.Loading = g.ordered
 	for _, pool := range g.engines {
 		for id, l := range pool.loads() {
 			m.Loads[id] = wire.TargetLoad{Unanswered: l.Unanswered, Held: l.Held}
@@ -127,7 +127,7 @@
 }
 
 // takePeers puts the peers' loads and the size of the fleet into force.
-func (g *Gateway) takePeers(now time.Duration, fleet int, silence, pace time.Duration, loads map[string]load, loading, soon map[string]bool) {
+func (g *Gateway) takePeers(now time.Duration, fleet int, silence, pace time.Duration, loads map[string]load, loading map[string]bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.quota.SetFleet(now, fleet, silence)
@@ -136,7 +136,7 @@
 		g.peers.struck(f)
 	}
 	g.strikes.news = nil
-	g.loadingNow, g.loadingSoon = with(loading, g.ordered), with(soon, g.orderedSoon)
+	g.loadingNow = with(loading, g.ordered)
 	g.updateRollout()
 	for _, pool := range g.engines {
 		pool.setPeers(pace, loads)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,11 +61,10 @@
 	// leaseLog is where the lease is kept.
 	leaseLog *leaseLog
 	planner  *weights.Planner
-	// ordered are the targets that load by this instance's orders, orderedSoon
-	// those that it will order next.
-	ordered, orderedSoon []string
-	versionRecord        versionRecord
-	suspension           suspension
+	// ordered are the targets that load by this instance's orders.
+	ordered       []string
+	versionRecord versionRecord
+	suspension    suspension
 	// wall is the time of day.
 	wall func() time.Time
 	// ordersHeldAt is when a peer was last heard to hold the lease for orders.
@@ -74,8 +73,8 @@
 	// quietSince is since when no rollout is to be done; never while there is.
 	// Only the loop of rollouts uses it.
 	quietSince time.Duration
-	// loadingNow and loadingSoon are those of all instances.
-	loadingNow, loadingSoon map[string]bool
+	// loadingNow are those of all instances.
+	loadingNow map[string]bool
 
 	closing atomic.Bool
 	callers *callerServer
--- a/internal/gateway/oldweights.go
+++ b/internal/gateway/oldweights.go
@@ -55,7 +55,7 @@
 		if known := bounds[name]; known != nil {
 			b = *known
 		}
-		pool.setRollout(b, g.loadingNow, g.loadingSoon)
+		pool.setRollout(b, g.loadingNow)
 	}
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -95,7 +95,6 @@
 	told        map[string]float64
 	loads       map[string]wire.TargetLoad
 	loading     []string
-	soon        []string
 	silent      []string
 	calling     bool
 	sentPrompts int
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -159,15 +159,10 @@
 	}
 	q.Place.PromptTokens = c.Prompt.Tokens
 	q.Place.HeldTokens = c.Prompt.Tokens + c.Prompt.MaxOutput
-	q.Place.Long = c.Prompt.MaxOutput > longOutput
 	q.Place.Chain, q.Place.PieceEnds = chainOf(c)
 	return q
 }
 
-// longOutput is the tokens of answer above which a request runs for much longer
-// than it takes to its first token: an engine makes some twenty a second of each.
-const longOutput = 100
-
 // resumed says that the caller has a part of the answer already.
 func (c *call) resumed() bool { return c.lastEventAt > 0 }
 
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -51,7 +51,7 @@
 func (g *Gateway) rolloutStep(ctx context.Context) {
 	work := g.rolloutWork()
 	if len(work) == 0 {
-		g.setOrdered(nil, nil)
+		g.setOrdered(nil)
 		g.seeQuietLease(ctx)
 		return
 	}
@@ -60,17 +60,15 @@
 	token, held := g.lease.held(g.clock.Now())
 	for _, w := range work {
 		var actions weights.Actions
-		var soon []string
 		g.mu.Lock()
 		if held {
 			actions = g.planner.Tick(g.clock.Now(), w.goal, w.targets)
-			soon = g.planner.Soon(g.clock.Now(), w.goal, w.targets)
 		} else {
 			actions = g.planner.Follow(g.clock.Now(), w.goal, w.targets)
 		}
 		ordered := g.planner.Loading()
 		g.mu.Unlock()
-		g.setOrdered(ordered, soon)
+		g.setOrdered(ordered)
 		for _, l := range actions.Loaded {
 			logline.Info("weights_loaded", "target", l.Target.ID, "model", w.goal.Model, "version", l.Version, "took", l.Took, "loading", len(ordered))
 		}
@@ -197,16 +195,15 @@
 	return now >= max(workSince, g.ordersHeldAt)+time.Duration(g.peers.rank())*candidateStagger
 }
 
-// setOrdered notes which targets this instance has ordered, and which it will
-// order next. Here that counts at once; peers hear of it.
-func (g *Gateway) setOrdered(ordered, soon []string) {
+// setOrdered notes which targets this instance has ordered. Here that counts at
+// once; peers are told.
+func (g *Gateway) setOrdered(ordered []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if slices.Equal(ordered, g.ordered) && slices.Equal(soon, g.orderedSoon) {
+	if slices.Equal(ordered, g.ordered) {
 		return
 	}
-	g.ordered, g.orderedSoon = ordered, soon
-	g.loadingNow, g.loadingSoon = with(g.loadingNow, ordered), with(g.loadingSoon, soon)
+	g.ordered, g.loadingNow = ordered, with(g.loadingNow, ordered)
 	g.updateRollout()
 }
 
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -20,8 +20,6 @@
 	// HeldTokens is the target's memory that the request takes while it runs,
 	// in tokens.
 	HeldTokens int
-	// Long requests run for much longer than the time to their first token.
-	Long bool
 	// Exclude names a target to leave out, such as the one that an earlier
 	// attempt failed on; empty for none.
 	Exclude string
--- a/internal/placement/score_outdated.go
+++ b/internal/placement/score_outdated.go
@@ -10,17 +10,9 @@
 
 func (outdatedScorer) Name() string { return "outdated" }
 
-func (s outdatedScorer) Cost(_ time.Duration, r *Request, t *Target, _ *Candidate) time.Duration {
-	switch {
-	case t.LoadsSoon && r.Long:
-		return loadsSoonPenalties * s.penalty
-	case t.Outdated:
+func (s outdatedScorer) Cost(_ time.Duration, _ *Request, t *Target, _ *Candidate) time.Duration {
+	if t.Outdated {
 		return s.penalty
 	}
 	return 0
 }
-
-// loadsSoonPenalties is the penalties for a long request on a target that
-// takes new weights soon: it would keep the whole target waiting for seconds,
-// as long as there is any other place for it.
-const loadsSoonPenalties = 4
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -36,9 +36,6 @@
 
 	// Outdated targets serve older weights than the newest that were named.
 	Outdated bool
-	// LoadsSoon targets are next to take new weights and get no long requests:
-	// the load would wait for these.
-	LoadsSoon bool
 	// Loading targets take no requests until they have new weights.
 	Loading bool
 
--- a/internal/weights/planner.go
+++ b/internal/weights/planner.go
@@ -416,20 +416,6 @@
 	}
 }
 
-// Soon lists the targets that are next, in order: as many as may load at once.
-// A load waits for what runs on its target, and nothing new starts there
-// meanwhile. Without long requests there in good time the wait is short.
-func (p *Planner) Soon(now time.Duration, g Goal, targets []directory.Registration) []string {
-	var ids []string
-	for _, t := range p.candidates(now, g, targets) {
-		if len(ids) == p.share(len(targets)) {
-			break
-		}
-		ids = append(ids, t.ID)
-	}
-	return ids
-}
-
 // Loading lists the targets that are about to be ordered, or were and are not
 // done yet: they refuse requests.
 func (p *Planner) Loading() []string {
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -24,8 +24,6 @@
 	Loads map[string]TargetLoad `msgpack:"l,omitempty"`
 	// Loading are targets that the sender has ordered to take new weights.
 	Loading []string `msgpack:"o,omitempty"`
-	// Soon are targets that the sender will order next.
-	Soon []string `msgpack:"n,omitempty"`
 	// Prompts are pieces that the sender's requests have left at targets
 	// since its last message.
 	Prompts []SentPrompt `msgpack:"p,omitempty"`
