Remove the separation of heavy prompts from light ones

Targets were divided, and prompts with 8,000 uncached tokens and more cost 100 ms on the targets of the others. Where targets are few, that leaves each kind with fewer to choose from.

--- a/internal/gateway/enginepool.go
+++ b/internal/gateway/enginepool.go
@@ -137,7 +137,7 @@
 	p.pool = placement.NewPool(targets, "", placement.DefaultFilters())
 	o := placement.DefaultOptions()
 	o.MaxCandidates, o.Work = candidates, p.times.Work
-	o.QueueSlack, o.HeavyTokens, o.HeavyPenalty = queueSlack, heavyTokens, heavyPenalty
+	o.QueueSlack = queueSlack
 	o.Domain, o.OutdatedPenalty = p.domain, outdatedPenalty
 	o.TransferTokensPerSecond, o.TransferSetup = p.transfer, transferSetup
 	p.picker = placement.NewPicker(p.pool, p.index, o)
--- a/internal/gateway/enginetuning.go
+++ b/internal/gateway/enginetuning.go
@@ -25,10 +25,6 @@
 	// queueSlack is the queue of a target that placement does not count: peers
 	// tell of their work late.
 	queueSlack = 60 * time.Millisecond
-	// heavyTokens is the uncached tokens above which a prompt counts as heavy.
-	heavyTokens = 8000
-	// heavyPenalty is about the time that a heavy prompt takes.
-	heavyPenalty = 100 * time.Millisecond
 	// cacheShare is the part of a target's memory in which cached pieces stay:
 	// running requests hold the rest.
 	cacheShare = 0.8
--- a/internal/placement/options.go
+++ b/internal/placement/options.go
@@ -44,12 +44,6 @@
 	// QueueSlack is the part of a target's queue that is not counted, because
 	// what is known of it is old.
 	QueueSlack time.Duration
-	// HeavyTokens is the prompt tokens behind the shared pieces above which a
-	// prompt is heavy; 0 when none is.
-	HeavyTokens int
-	// HeavyPenalty is what a heavy prompt costs on a target for light ones,
-	// and a light one on a target for heavy ones.
-	HeavyPenalty time.Duration
 }
 
 // DefaultOptions are the measured defaults; docs/measurements has the runs.
--- a/internal/placement/picker.go
+++ b/internal/placement/picker.go
@@ -76,7 +76,6 @@
 // Pick chooses a target. It allocates nothing. The random source breaks near
 // ties, so that instances with the same view do not all choose the same one.
 func (p *Picker) Pick(now time.Duration, r *Request, rng *rand.Rand) (Decision, error) {
-	p.pool.divide()
 	p.candidates(r, rng)
 	if len(p.scored) == 0 {
 		return Decision{}, ErrNoTarget
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -1,10 +1,6 @@
 package placement
 
-import (
-	"cmp"
-	"slices"
-	"time"
-)
+import "time"
 
 // Pool is the targets that serve the same model, with everything that a
 // decision needs computed beforehand. It is not safe for concurrent use.
@@ -15,10 +11,6 @@
 	rejected []Rejection
 	filters  []Filter
 	wanted   string
-	// live are buffers for the division into targets for heavy and for light
-	// prompts, divided says that it holds.
-	live    []int
-	divided bool
 }
 
 // NewPool makes a pool of targets that should serve the wanted version; empty
@@ -62,9 +54,6 @@
 			t.rejectedBy |= 1 << bit
 		}
 	}
-	if (p.rejected[i] == 0) != (t.rejectedBy == 0) {
-		p.divided = false
-	}
 	p.rejected[i] = t.rejectedBy
 }
 
@@ -117,37 +106,3 @@
 	rate := t.rate()
 	return seconds(t.Load.Given(now, rate), rate)
 }
-
-const (
-	// heavyShare is the part of the live targets that heavy prompts go to
-	// first. Of prompts whose own part is drawn like the dossiers' (a median
-	// of 2,500 tokens, a mean of 6,600), those over 8,000 tokens are a
-	// thirteenth of all and two fifths of the work.
-	heavyShare = 0.4
-	// minDivided is the least number of live targets that are divided: with
-	// fewer, one kind would be left with a single one.
-	minDivided = 4
-)
-
-// divide chooses the targets for heavy prompts anew when targets came or went.
-// All instances that see the same targets choose the same.
-func (p *Pool) divide() {
-	if p.divided {
-		return
-	}
-	p.divided = true
-	p.live = p.live[:0]
-	for i := range p.targets {
-		p.targets[i].takesHeavy = false
-		if p.rejected[i] == 0 {
-			p.live = append(p.live, i)
-		}
-	}
-	if len(p.live) < minDivided {
-		return
-	}
-	slices.SortFunc(p.live, func(a, b int) int { return cmp.Compare(mix(p.seeds[a]), mix(p.seeds[b])) })
-	for _, i := range p.live[:int(heavyShare*float64(len(p.live)))] {
-		p.targets[i].takesHeavy = true
-	}
-}
--- a/internal/placement/score.go
+++ b/internal/placement/score.go
@@ -35,7 +35,6 @@
 func DefaultScorers(o Options) []Scorer {
 	return []Scorer{
 		queueScorer{slack: o.QueueSlack},
-		heavyScorer{tokens: o.HeavyTokens, penalty: o.HeavyPenalty},
 		prefillScorer{factor: o.RecomputeFactor, transfer: o.TransferTokensPerSecond, setup: o.TransferSetup},
 		homeScorer{factor: o.RecomputeFactor},
 		linkScorer{domain: o.Domain, delay: o.CrossDomainDelay},
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -47,8 +47,6 @@
 	Unreachable bool
 
 	rejectedBy Rejection
-	// takesHeavy marks the targets that heavy prompts go to first.
-	takesHeavy bool
 }
 
 // memoryShare is the part of a target's memory that running requests may hold.
