dispatch: recomputing weighs by the load of the targets

A recomputed token counted twice at all times, and newer weights 80 ms. While targets are idle, an empty cache on the newest weights delays nobody else; while they are busy it delays all behind it. Now a recomputed token counts once, and once more for each 25 ms of work that targets have on average, up to three times; newer weights count 120 ms.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -20,6 +20,11 @@
 	// 1, because prefill that a cached copy elsewhere would have saved
 	// delays the requests behind it too.
 	RecomputeFactor float64
+	// PressureUnit, if set, makes that weight follow the load: 1 while targets
+	// are idle, and one more for each such time of work that they have on
+	// average, up to MaxRecompute.
+	PressureUnit time.Duration
+	MaxRecompute float64
 	// BacklogFactor is added to it for each second of the account's backlog
 	// over BacklogGrace.
 	BacklogFactor float64
@@ -87,6 +92,8 @@
 	picker  *placement.Picker
 	queue   *fairqueue.Queue[*Request[T]]
 	out     Step[T]
+	// baseFactor is the weight of a recomputed token at the present load.
+	baseFactor float64
 	// latency is the time to a first token beyond the prefill.
 	latency time.Duration
 }
@@ -253,12 +260,22 @@
 		return
 	}
 	d.pool.Unpark()
+	d.setBaseFactor(now)
 	d.queue.Scan(now, d.options.ScanLimit, func(it *fairqueue.Item[*Request[T]]) fairqueue.Verdict {
 		return d.visit(now, it.Value, rng)
 	})
 	d.pool.Unpark()
 }
 
+// setBaseFactor sets the weight of a recomputed token for the next decisions.
+func (d *Dispatcher[T]) setBaseFactor(now time.Duration) {
+	d.baseFactor = d.options.RecomputeFactor
+	if d.options.PressureUnit > 0 {
+		pressure := float64(d.pool.MeanBacklog(now)) / float64(d.options.PressureUnit)
+		d.baseFactor = min(d.options.MaxRecompute, 1+pressure)
+	}
+}
+
 // visit places one waiting request, as if all before it had been sent.
 func (d *Dispatcher[T]) visit(now time.Duration, r *Request[T], rng *rand.Rand) fairqueue.Verdict {
 	r.Place.RecomputeFactor = d.recomputeFactor(r)
@@ -282,7 +299,7 @@
 // so slow the pool down further.
 func (d *Dispatcher[T]) recomputeFactor(r *Request[T]) float64 {
 	backlog := d.queue.Backlog(r.Account, r.Weight) - d.options.BacklogGrace
-	return d.options.RecomputeFactor + d.options.BacklogFactor*max(0, backlog.Seconds())
+	return d.baseFactor + d.options.BacklogFactor*max(0, backlog.Seconds())
 }
 
 func (d *Dispatcher[T]) refuseNoTarget(r *Request[T]) {
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -23,7 +23,7 @@
 	id   uint64
 }
 
-func newFixture(targets int) *fixture {
+func newFixture(targets int, set ...func(*Options, *placement.Options)) *fixture {
 	list := make([]placement.Target, targets)
 	index := cacheindex.New(1 << 20)
 	for i := range list {
@@ -34,6 +34,9 @@
 	place := placement.DefaultOptions()
 	o := DefaultOptions()
 	o.Queue.FloorRate = 10000
+	for _, s := range set {
+		s(&o, &place)
+	}
 	picker := placement.NewPicker(pool, index, place)
 	picker.CaughtUp()
 	d := New[string](pool, index, picker, o)
@@ -128,6 +131,34 @@
 	is.Equal(len(f.Step(0, f.rng).Sends), 1)
 }
 
+// Guards against caches that are given up for newer weights while all targets
+// are busy.
+func TestRecomputingWeighsByLoad(t *testing.T) {
+	for name, c := range map[string]struct {
+		work float64 // tokens at each target
+		want int
+	}{
+		"idle targets: newest weights": {0, 1},
+		"busy targets: cached pieces":  {1000, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(2, func(o *Options, place *placement.Options) {
+				o.PressureUnit, o.MaxRecompute = 50*time.Millisecond, 3
+				place.OutdatedPenalty, place.HomeTrust = 500*time.Millisecond, 0
+			})
+			f.pool.Target(0).Outdated = true
+			f.index.Answered(cacheindex.Identity{Target: "t0", Incarnation: "i1", Version: "v1"}, []prefix.Hash{1})
+			for i := range 2 {
+				f.pool.Target(i).Load.Peers(c.work)
+			}
+			step := f.push("a", 1, 0)
+			is.Equal(len(step.Sends), 1)
+			is.Equal(step.Sends[0].Target, c.want)
+		})
+	}
+}
+
 // More comes than can be served. A request that has missed its objective while
 // it waited gives way to one that can still make it.
 func TestRequestPastItsObjectiveWaitsBehind(t *testing.T) {
--- a/internal/gateway/enginepool.go
+++ b/internal/gateway/enginepool.go
@@ -98,6 +98,7 @@
 	p.rebuild(nil)
 	o := dispatch.DefaultOptions()
 	o.Window = engineWindow
+	o.PressureUnit, o.MaxRecompute = pressureUnit, maxRecompute
 	o.Queue.MaxItems = maxQueued
 	o.Queue.FloorRate = prefill
 	p.dispatcher = dispatch.New[chan placedOrRefusal](p.pool, p.index, p.picker, o)
--- a/internal/gateway/enginetuning.go
+++ b/internal/gateway/enginetuning.go
@@ -13,11 +13,15 @@
 	// the age of what peers tell of their work, or targets would stand idle
 	// between two requests.
 	engineWindow = 360 * time.Millisecond
+	// pressureUnit is the mean work of targets at which a recomputed token
+	// weighs as much again, maxRecompute the most that it weighs.
+	pressureUnit = 25 * time.Millisecond
+	maxRecompute = 3.0
 	// stepEvery is the pause between looks at the queue while requests wait.
 	stepEvery = 4 * time.Millisecond
 	// outdatedPenalty is what a first token on the newest weights may come
 	// later by: an answer on older ones is worth less, a late one too.
-	outdatedPenalty = 80 * time.Millisecond
+	outdatedPenalty = 120 * time.Millisecond
 	// candidates bounds the targets that a prompt may go to. All instances see
 	// the same queues, and late: with many candidates nearly every prompt finds
 	// the target that has just become free, and they meet there.
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -100,6 +100,22 @@
 	}
 }
 
+// MeanBacklog is the time that a live target needs for the work it has, on
+// average.
+func (p *Pool) MeanBacklog(now time.Duration) time.Duration {
+	sum, live := time.Duration(0), 0
+	for i := range p.targets {
+		if p.rejected[i] == 0 {
+			sum += p.Backlog(i, now)
+			live++
+		}
+	}
+	if live == 0 {
+		return 0
+	}
+	return sum / time.Duration(live)
+}
+
 // Backlog is the time that the i-th target needs for the work it has.
 func (p *Pool) Backlog(i int, now time.Duration) time.Duration {
 	t := &p.targets[i]
