--- a/internal/gateway/cachestore.go
+++ b/internal/gateway/cachestore.go
@@ -191,8 +191,8 @@
 // its first pieces. It saves all that it reads, also the own part, which nobody
 // asks for again and which pushes out pieces that others need: once new weights
 // are named and every opening is saved anew, the own parts alone fill a store.
-// So a prompt is saved whose own part is no larger than what is missing; the
-// next one with the same opening may have a smaller one.
+// So a prompt is saved whose own part is not too large beside what is missing;
+// the next one with the same opening may have a smaller one.
 func worthSaving(held, shared int, tokens []int) bool {
 	missing, own := 0, 0
 	for i, n := range tokens {
@@ -203,9 +203,13 @@
 			missing += n
 		}
 	}
-	return missing > 0 && own <= missing
+	return missing > 0 && own <= maxOwnSaved*missing
 }
 
+// maxOwnSaved is the size of an own part that is saved, as a multiple of what
+// the store is missing.
+const maxOwnSaved = 2
+
 // saved notes that a target has read pieces that it was told to save, by this
 // instance or by a peer.
 func (s *cacheStores) saved(scope string, pieces []prefix.Hash) {
