Names: estimated instead of found for the age of versions

Whether an instance received a version as it was named, or only estimates when that was, is observed and estimated in code, messages and the weights_named line. No behaviour changes.

--- a/internal/gateway/fleetstate.go
+++ b/internal/gateway/fleetstate.go
@@ -48,7 +48,7 @@
 	for model, v := range g.versions {
 		for _, n := range v.since(now - g.settings.WeightsBound) {
 			answer.Weights = append(answer.Weights, wire.NamedWeights{
-				Model: model, Version: n.version, Age: (now - n.at).Milliseconds(), Heard: !n.found,
+				Model: model, Version: n.version, Age: (now - n.at).Milliseconds(), Observed: !n.estimated,
 			})
 		}
 	}
@@ -94,7 +94,7 @@
 		g.putInForce(c, from.Instance)
 	}
 	for _, v := range a.Weights {
-		g.nameVersion(routing.WeightsVersion{Model: v.Model, Version: v.Version}, g.toldAt(asked, v), from.Instance, !v.Heard)
+		g.nameVersion(routing.WeightsVersion{Model: v.Model, Version: v.Version}, g.toldAt(asked, v), from.Instance, !v.Observed)
 	}
 	t := g.table.Load()
 	if a.ContactAge >= 0 && t != nil && t.Config().Version >= a.ConfigVersion {
@@ -110,7 +110,7 @@
 func (g *Gateway) toldAt(asked time.Duration, v wire.NamedWeights) time.Duration {
 	age := time.Duration(v.Age) * time.Millisecond
 	known := g.versionsOf(v.Model)
-	if known.heard(v.Version) || !v.Heard && known.knows(v.Version) {
+	if known.observed(v.Version) || !v.Observed && known.knows(v.Version) {
 		return g.clock.Now() - age
 	}
 	return asked - age
--- a/internal/gateway/leaserelay.go
+++ b/internal/gateway/leaserelay.go
@@ -27,7 +27,7 @@
 // instead: two of them end before the right does.
 const directLeaseTimeout = 400 * time.Millisecond
 
-// errNoRelay: no peer that reaches the store is heard.
+// errNoRelay: no connected peer reaches the store.
 var errNoRelay = errors.New("lease: no peer reaches the store")
 
 // read reads the record, as the holder or not.
@@ -83,7 +83,7 @@
 	return orderlease.Record{Holder: r.Holder, Instance: r.Instance, Released: r.Released, Token: r.Token, End: r.End}
 }
 
-// relayLease has a heard peer that reaches the store make the call.
+// relayLease has a connected peer that reaches the store make the call.
 func (p *peers) relayLease(ctx context.Context, c wire.LeaseCall) (wire.LeaseAnswer, error) {
 	address, node := p.relayAddress()
 	if address == "" {
--- a/internal/gateway/namedversions.go
+++ b/internal/gateway/namedversions.go
@@ -15,35 +15,36 @@
 	version int64
 	// at is when it was named, by the best word on it.
 	at time.Duration
-	// found is set while nobody has told who heard the version as it was named:
+	// estimated is set while no instance has told that received the version as it
+	// was named:
 	// the process started later or was suspended, and so were those that told it.
-	found bool
+	estimated bool
 }
 
-// add takes a version that was heard of as it was named, at that time, by this
-// process or by the peer that tells; it says whether it is newer than all known.
+// add takes a version that this process, or the peer that tells, received as it
+// was named, at that time; it says whether it is newer than all known.
 // Of two such times the earlier one counts: late is worse than early.
 func (n *namedVersions) add(version int64, at time.Duration) bool {
 	v, newest := n.entry(version)
-	if v.found || at < v.at {
+	if v.estimated || at < v.at {
 		v.at = at
 	}
-	v.found = false
+	v.estimated = false
 	return newest
 }
 
-// addFound takes a version of which only an estimate tells when it was named. A
-// word of somebody who heard it outweighs all estimates; of these the earliest
+// addEstimate takes a version of which only an estimate tells when it was named. A
+// time from an instance that received it then outweighs all estimates; of these the earliest
 // counts.
-func (n *namedVersions) addFound(version int64, at time.Duration) bool {
+func (n *namedVersions) addEstimate(version int64, at time.Duration) bool {
 	v, newest := n.entry(version)
-	if v.found {
+	if v.estimated {
 		v.at = min(v.at, at)
 	}
 	return newest
 }
 
-// entry finds or makes the entry of a version, found at the end of time, and
+// entry finds or makes the entry of a version, estimated at the end of time, and
 // says whether it is newer than all known.
 func (n *namedVersions) entry(version int64) (v *namedVersion, newest bool) {
 	i, known := n.search(version)
@@ -51,7 +52,7 @@
 		return &n.list[i], false
 	}
 	newest = i == len(n.list)
-	n.list = slices.Insert(n.list, i, namedVersion{version: version, at: notYet, found: true})
+	n.list = slices.Insert(n.list, i, namedVersion{version: version, at: notYet, estimated: true})
 	if len(n.list) > maxNamedVersions && i > 0 {
 		n.list, i = n.list[1:], i-1
 	}
@@ -67,7 +68,7 @@
 // dates says whether an estimate tells something new of a version.
 func (n *namedVersions) dates(version int64, at time.Duration) bool {
 	i, known := n.search(version)
-	return !known || n.list[i].found && at < n.list[i].at
+	return !known || n.list[i].estimated && at < n.list[i].at
 }
 
 func (n *namedVersions) knows(version int64) bool {
@@ -75,10 +76,11 @@
 	return known
 }
 
-// heard says whether somebody who heard the version as it was named has told.
-func (n *namedVersions) heard(version int64) bool {
+// observed says whether an instance has told that received the version as it was
+// named.
+func (n *namedVersions) observed(version int64) bool {
 	i, known := n.search(version)
-	return known && !n.list[i].found
+	return known && !n.list[i].estimated
 }
 
 // since are the versions that count to somebody for whom those named by that
@@ -104,12 +106,12 @@
 
 // dueByEstimate is the newest of those that are due by an estimate only.
 func (n *namedVersions) dueByEstimate(at time.Duration) int64 {
-	return n.last(func(v *namedVersion) bool { return v.at <= at && v.found })
+	return n.last(func(v *namedVersion) bool { return v.at <= at && v.estimated })
 }
 
-// newestFound is the newest version that nobody has heard as it was named.
-func (n *namedVersions) newestFound() int64 {
-	return n.last(func(v *namedVersion) bool { return v.found })
+// newestEstimated is the newest version of which only estimates tell.
+func (n *namedVersions) newestEstimated() int64 {
+	return n.last(func(v *namedVersion) bool { return v.estimated })
 }
 
 // last is the newest version that fits; 0 for none.
--- a/internal/gateway/oldweights.go
+++ b/internal/gateway/oldweights.go
@@ -42,9 +42,9 @@
 		estimated := v.dueByEstimate(now - share(estimateShare))
 		b.wait[model] = max(v.dueBy(now-share(waitShare)), estimated)
 		oldest, why := max(v.dueBy(now-share(mustServeShare)), estimated), "bound_reached"
-		if version := v.newestFound(); version > 0 {
-			if found := leastFound(g.directory.Usable(s.Name), model, version); found > oldest {
-				oldest, why = found, "targets_tell"
+		if version := v.newestEstimated(); version > 0 {
+			if least := leastByTargets(g.directory.Usable(s.Name), model, version); least > oldest {
+				oldest, why = least, "targets_tell"
 			}
 		}
 		b.least[model] = oldest
@@ -77,13 +77,13 @@
 		"excluded", excluded, "of", len(targets))
 }
 
-// leastFound is the oldest version that may serve as far as targets tell. A
+// leastByTargets is the oldest version that may serve as far as targets tell. A
 // process that started in the middle of a rollout does not know how long ago the
 // newest version was named, nor that there was one between. When most targets
 // serve the newest, the others' time is nearly over, and they can be excluded.
 // Else those are excluded that are behind a version which was superseded after it
 // had come to some target: it was named longer ago than the newest.
-func leastFound(targets []directory.Registration, model string, newest int64) int64 {
+func leastByTargets(targets []directory.Registration, model string, newest int64) int64 {
 	serve, superseded := 0, int64(0)
 	for _, t := range targets {
 		if v := t.Versions[model]; v >= newest {
--- a/internal/gateway/operators.go
+++ b/internal/gateway/operators.go
@@ -79,14 +79,14 @@
 	} else {
 		namedBy -= min(silence, g.suspension.recent(now))
 	}
-	found := silence > time.Duration(foundShare*float64(g.settings.ConfigBound))
+	estimated := silence > time.Duration(estimatedShare*float64(g.settings.ConfigBound))
 	g.contacts.Log(upTo)
 	if news.Config != nil {
 		g.putInForce(news.Config, "store")
 	}
 	for _, v := range news.Versions {
 		// One that peers told before is not heard as it is named.
-		g.nameVersion(v, namedBy, "store", found || g.versionsOf(v.Model).knows(v.Version))
+		g.nameVersion(v, namedBy, "store", estimated || g.versionsOf(v.Model).knows(v.Version))
 	}
 	if atStart {
 		g.updateRollout()
@@ -97,12 +97,12 @@
 	// namedBefore is how long ago a version is taken to have been named that a
 	// process finds at its start, until its peers or the store's record tell.
 	namedBefore = 3 * time.Second
-	// foundShare is the time without word from operators, as a part of the time
+	// estimatedShare is the time without word from operators, as a part of the time
 	// within which a configuration must be in force, after which a version is
 	// not heard as it was named. By then all instances read by themselves. Only
 	// a suspension of the process makes it older at once: with the store away
 	// nobody names any, and all instances would spare all targets as it returns.
-	foundShare = 0.5
+	estimatedShare = 0.5
 )
 
 // putInForce takes a configuration if it is newer. Versions never go back: a
@@ -121,16 +121,16 @@
 }
 
 // nameVersion takes a weights version, named by that time as far as from tells;
-// found says that from did not hear it as it was named. The caller holds g.mu.
-func (g *Gateway) nameVersion(v routing.WeightsVersion, namedBy time.Duration, from string, found bool) {
+// estimated says that from did not receive it as it was named. The caller holds g.mu.
+func (g *Gateway) nameVersion(v routing.WeightsVersion, namedBy time.Duration, from string, estimated bool) {
 	add := g.versionsOf(v.Model).add
-	if found {
-		add = g.versionsOf(v.Model).addFound
+	if estimated {
+		add = g.versionsOf(v.Model).addEstimate
 	}
 	if !add(v.Version, namedBy) {
 		return
 	}
-	logline.Info("weights_named", "model", v.Model, "version", v.Version, "from", from, "age", g.clock.Now()-namedBy, "found", found)
+	logline.Info("weights_named", "model", v.Model, "version", v.Version, "from", from, "age", g.clock.Now()-namedBy, "estimated", estimated)
 	g.updateRollout()
 }
 
--- a/internal/gateway/versionrecord.go
+++ b/internal/gateway/versionrecord.go
@@ -42,7 +42,7 @@
 }
 
 // keepVersionRecord writes down when versions are named, and reads it where this
-// process did not hear them as they were. Nothing else survives the end of all
+// process did not receive them as they were. Nothing else survives the end of all
 // instances: a bound that began anew with each process let requests begin on
 // weights replaced 25 s before.
 func (g *Gateway) keepVersionRecord(ctx context.Context) {
@@ -82,7 +82,7 @@
 
 // unrecorded are the known versions that the record lacks, or has no more than
 // an estimate of; doubtful says that the record could tell this process more: it
-// did not hear a version as it was named, which is not due anyhow.
+// did not receive a version as it was named, which is not due anyhow.
 func (g *Gateway) unrecorded() (missing []weights.NamedVersion, doubtful bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -90,10 +90,10 @@
 	due := now - g.settings.WeightsBound
 	for model, versions := range g.versions {
 		for _, v := range versions.since(due) {
-			named := weights.NamedVersion{Model: model, Version: v.version, At: wall.Add(v.at - now), Estimate: v.found}
+			named := weights.NamedVersion{Model: model, Version: v.version, At: wall.Add(v.at - now), Estimate: v.estimated}
 			if !g.versionRecord.Has(named) {
 				missing = append(missing, named)
-				doubtful = doubtful || v.found && v.at > due
+				doubtful = doubtful || v.estimated && v.at > due
 			}
 		}
 	}
@@ -135,7 +135,7 @@
 }
 
 // takeVersionRecord puts into force what the record tells of versions that nobody has
-// told of who heard them as they were named.
+// told of from an instance that received them as they were named.
 func (g *Gateway) takeVersionRecord(list []weights.NamedVersion) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -143,7 +143,7 @@
 	for _, v := range list {
 		known, age := g.versionsOf(v.Model), max(0, wall.Sub(v.At))+timeOfDayMargin
 		if known.dates(v.Version, now-age) {
-			known.addFound(v.Version, now-age)
+			known.addEstimate(v.Version, now-age)
 			logline.Info("weights_dated", "model", v.Model, "version", v.Version, "age", age)
 		}
 	}
--- a/internal/gateway/waiting_test.go
+++ b/internal/gateway/waiting_test.go
@@ -30,7 +30,7 @@
 	pool.answered(answers)
 	older := func(age time.Duration) {
 		p.takeAnswer(p.clock.Now(), wire.Identity{}, 0, wire.ExchangeAnswer{Weights: []wire.NamedWeights{
-			{Model: "m", Version: 3, Age: age.Milliseconds(), Heard: true},
+			{Model: "m", Version: 3, Age: age.Milliseconds(), Observed: true},
 		}})
 		p.excluded()
 	}
@@ -54,7 +54,7 @@
 		pool.sent(pl, func() {}, mobility{})
 		waits = append(waits, pl)
 	}
-	p.takeAnswer(p.clock.Now(), wire.Identity{}, 0, wire.ExchangeAnswer{Weights: []wire.NamedWeights{{Model: "m", Version: 3, Age: 9600, Heard: true}}})
+	p.takeAnswer(p.clock.Now(), wire.Identity{}, 0, wire.ExchangeAnswer{Weights: []wire.NamedWeights{{Model: "m", Version: 3, Age: 9600, Observed: true}}})
 	p.excluded()
 	for _, pl := range waits {
 		pool.ended(pl, overload.Failed)
--- a/internal/weights/versionrecord.go
+++ b/internal/weights/versionrecord.go
@@ -13,13 +13,13 @@
 	Version int64
 	// At is a time of day, by the clock of the instance that wrote it.
 	At time.Time
-	// Estimate is set while nobody has written who heard the version as it was
-	// named.
+	// Estimate is set while no instance has written it that received the version
+	// as it was named.
 	Estimate bool
 }
 
 // VersionRecord is kept in the platform's store. Operators' records have no times,
-// and instances that heard a version as it was named can all be gone at once.
+// and instances that received a version as it was named can all be gone at once.
 type VersionRecord struct {
 	List []NamedVersion
 	// End is the offset that the next record will get.
@@ -43,7 +43,7 @@
 }
 
 // With is the list with more versions. What is recorded stays, but for estimates
-// that somebody corrects who heard the version. Of each model the newest
+// that an instance corrects which received the version in time. Of each model the newest
 // versions are kept, at most as many as given.
 func (n VersionRecord) With(more []NamedVersion, most int) []NamedVersion {
 	list := slices.Clone(n.List)
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -106,7 +106,7 @@
 	Version int64  `msgpack:"v"`
 	// Age is how many milliseconds ago it was named, as far as is known.
 	Age int64 `msgpack:"a"`
-	// Heard is set when the age comes from somebody who heard the version as it
+	// Observed is set when the age comes from an instance that received the version as it
 	// was named. Without it the age is an estimate.
-	Heard bool `msgpack:"h,omitempty"`
+	Observed bool `msgpack:"h,omitempty"`
 }
