weights: a rollout that is late goes faster

Where most targets were excluded they no longer loaded together, and where few served, one loaded at a time. The logs show that loads queue at the weight source: thirteen ordered together come back from 1.0 s on, one each 0.3 s.

Change: most targets excluded load together. From half of the bound of a version on, a fifth of the targets rounded up and one more load at once, else a fifth rounded down.

--- a/internal/weights/planner.go
+++ b/internal/weights/planner.go
@@ -59,9 +59,7 @@
 
 // Settings of a planner.
 type Settings struct {
-	// ParallelDivisor: one in so many of the targets that serve may load at
-	// once. Of all targets as many may, until loads show what the weight
-	// source gives.
+	// ParallelDivisor: one in so many of the targets may load at once.
 	ParallelDivisor int
 	// LeadTime is how long a target is announced as about to load before it
 	// is ordered: one exchange between instances and a bit. A request sent
@@ -100,9 +98,6 @@
 type Planner struct {
 	settings Settings
 	targets  map[string]*progress
-	source   source
-	// underWay is the loads under way as of the last call of Tick.
-	underWay int
 }
 
 // New makes a planner that knows nothing of any target.
@@ -116,6 +111,10 @@
 	// Oldest is the oldest version that may serve. Targets behind it get no
 	// requests.
 	Oldest int64
+	// Pressing is the newest version of which a large part of the time is over
+	// in which targets must come to it. While some are behind it, more load at
+	// once.
+	Pressing int64
 	// Unreachable are the targets that answer nobody at present.
 	Unreachable map[string]bool
 }
@@ -190,44 +189,60 @@
 func (p *Planner) Tick(now time.Duration, g Goal, targets []directory.Registration) Actions {
 	var out Actions
 	p.forget(targets)
-	underWay, serving := 0, 0
+	underWay, late, limit := 0, p.late(g, targets), p.limit(g, targets)
 	for i := range targets {
 		t := &targets[i]
 		q := p.of(t)
 		if q.phase != idle {
 			p.step(now, g, t, q, &out)
 		}
-		excluded := p.excluded(g, t)
-		if !excluded && !g.Unreachable[t.ID] {
-			serving++
-		}
-		if p.holdsSlot(now, g, t, q) {
+		if p.holdsSlot(now, g, t, q) && !(late && p.excluded(g, t)) {
 			underWay++
 		}
 	}
-	source := p.source.limit(max(1, len(targets)/p.settings.ParallelDivisor))
 	for _, t := range p.candidates(now, g, targets) {
-		limit := source + 1
-		if !p.excluded(g, &t) {
-			limit = min(source, p.share(serving))
-		}
-		if underWay >= limit && !g.Unreachable[t.ID] {
+		free := late && p.excluded(g, &t) || g.Unreachable[t.ID]
+		if !free && underWay >= limit {
 			continue
 		}
 		q := p.of(&t)
 		q.phase, q.began, q.askAt, q.seen, q.busyAt = asking, now, now, nil, 0
 		p.step(now, g, &t, q, &out)
-		if p.holdsSlot(now, g, &t, q) {
+		if !free {
 			underWay++
 		}
 	}
-	p.underWay = underWay
 	return out
 }
 
+// late says that most targets are excluded, as after a restart of all. These
+// load together: that takes nothing from callers, and in turns the rollout would
+// not end in time.
+func (p *Planner) late(g Goal, targets []directory.Registration) bool {
+	excluded := 0
+	for i := range targets {
+		if p.excluded(g, &targets[i]) {
+			excluded++
+		}
+	}
+	return 2*excluded > len(targets)
+}
+
+// limit is the number of loads under way up to which a target may begin one.
+// Loads slow each other down, so a rollout gains little by many of them; it has
+// to end in time all the same.
+func (p *Planner) limit(g Goal, targets []directory.Registration) int {
+	for i := range targets {
+		if version, known := p.served(&targets[i], g.Model); known && version < g.Pressing {
+			return 1 + (len(targets)+p.settings.ParallelDivisor-1)/p.settings.ParallelDivisor
+		}
+	}
+	return max(1, len(targets)/p.settings.ParallelDivisor)
+}
+
 // holdsSlot says that a target's load is under way, as far as there are signs
 // of it. A silent target must not hold up the others, and a slow load must: the
-// weight source is shared, and more loads would slow down all.
+// weight source is shared, and loads slow each other down.
 func (p *Planner) holdsSlot(now time.Duration, g Goal, t *directory.Registration, q *progress) bool {
 	if q.phase == asking && q.seen == nil && g.Unreachable[t.ID] {
 		return false
@@ -241,11 +256,6 @@
 	return known && version < g.Oldest
 }
 
-// share is how many of n targets may load at once.
-func (p *Planner) share(n int) int {
-	return max(1, (n+p.settings.ParallelDivisor-1)/p.settings.ParallelDivisor)
-}
-
 // candidates are the targets to start on: those with the oldest weights first,
 // since their time runs out first, and spread over failure domains so that none
 // loses all its servers at once.
--- a/internal/weights/progress.go
+++ b/internal/weights/progress.go
@@ -24,9 +24,7 @@
 	phase       phase
 	// version is what the last order asked for.
 	version int64
-	// excluded is set where the target got no requests as it was ordered.
-	excluded bool
-	began    time.Duration
+	began   time.Duration
 	// busyAt is when the target last said that it carries out an order.
 	busyAt time.Duration
 	askAt  time.Duration
@@ -48,11 +46,7 @@
 func (p *Planner) step(now time.Duration, g Goal, t *directory.Registration, q *progress, out *Actions) {
 	version, _ := p.served(t, g.Model)
 	if q.version != 0 && version >= q.version {
-		took := now - q.sentAt
-		out.Loaded = append(out.Loaded, Loaded{Target: *t, Version: version, Took: took})
-		if q.excluded {
-			p.source.observe(p.underWay, took)
-		}
+		out.Loaded = append(out.Loaded, Loaded{Target: *t, Version: version, Took: now - q.sentAt})
 		*q = progress{incarnation: q.incarnation, seen: q.seen}
 		return
 	}
@@ -85,7 +79,7 @@
 }
 
 func (p *Planner) send(now time.Duration, g Goal, t *directory.Registration, q *progress, out *Actions) {
-	q.phase, q.sentAt, q.version, q.excluded = ordered, now, g.Version, p.excluded(g, t)
+	q.phase, q.sentAt, q.version = ordered, now, g.Version
 	q.askAt = now + p.settings.PollEvery
 	out.Sends = append(out.Sends, Send{Target: *t, Order: Order{
 		Model: g.Model, Version: g.Version, Accepted: q.seen.Accepted,
