gateway: a stream moves only once its resumption is paid for

Cause: each stream looked whether the retry budget had room, and all that moved at the same moment found it. Twelve were ended together for three attempts that were left; five broke off.

Change: a stream takes its attempt from the budget before it is ended, and the resumption does not take another. A draining instance moves none.

--- a/internal/gateway/enginemove.go
+++ b/internal/gateway/enginemove.go
@@ -15,8 +15,9 @@
 type mobility struct {
 	// repeatable: it may run again.
 	repeatable bool
-	// resumable says whether it may be ended now to be resumed elsewhere: it
-	// has an attempt left, and the retry budget too.
+	// resumable says whether it may be ended now to be resumed elsewhere. If so
+	// it has taken the attempt from the retry budget: of several streams that
+	// move at once only those are ended whose resumption is paid for.
 	resumable func() bool
 }
 
@@ -25,7 +26,13 @@
 	last := c.sent >= c.route.MaxAttempts
 	budget := g.budget(c.service.Name)
 	reserve := moveReserve * g.retryReserve(g.peers.fleetSize())
-	m.resumable = func() bool { return m.repeatable && !last && budget.Saved() >= reserve }
+	m.resumable = func() bool {
+		if !m.repeatable || last || g.closing.Load() || !budget.RepeatAbove(reserve) {
+			return false
+		}
+		c.prepaid.Store(true)
+		return true
+	}
 	return m
 }
 
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -77,7 +77,7 @@
 	if c.ran && !c.route.Repeatable() {
 		return false
 	}
-	return g.budget(c.service.Name).Repeat()
+	return c.prepaid.Swap(false) || g.budget(c.service.Name).Repeat()
 }
 
 // recheck looks again at what may have changed while the request waited: the
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -37,6 +38,8 @@
 	ran  bool
 	// lastEventAt is when the last event of a stream went out; 0 for none.
 	lastEventAt time.Duration
+	// prepaid is set while the next attempt is taken from the retry budget.
+	prepaid atomic.Bool
 	// wrote is set once the head of the answer is out.
 	wrote bool
 	// fingerprint names the request among its repeats.
--- a/internal/gateway/waiting_test.go
+++ b/internal/gateway/waiting_test.go
@@ -110,3 +110,33 @@
 	c.lastEventAt = 15 * time.Second
 	is.Equal(c.nextEventDue(), c.due)
 }
+
+// Guards against streams that move together on one attempt of the retry budget
+// and break off for want of the others.
+func TestMovedStreamsPayBeforeTheyAreEnded(t *testing.T) {
+	is := is.New(t)
+	p := startOn(&memoryStore{newest: 3, targets: onVersions(2, 2)}, "a")
+	p.settings.RetryReserve, p.settings.RetryRatio = 6, 1
+	newCall := func() *call {
+		c := &call{route: &routing.Route{Kind: routing.Stream, Resumable: true, MaxAttempts: 2}, service: &routing.Service{Name: "engines"}}
+		c.Request = &Request{}
+		c.sent = 1
+		return c
+	}
+	budget := p.budget("engines")
+	budget.SetReserve(6)
+	for range 100 {
+		budget.Request()
+	}
+	moved := 0
+	for range 20 {
+		c := newCall()
+		if p.mobility(c).resumable() {
+			moved++
+			is.True(p.mayRepeat(t.Context(), c))
+		}
+	}
+	is.True(moved > 0)
+	is.True(moved < 6)
+	is.True(budget.Saved() >= 1) // some are left for failures
+}
--- a/internal/overload/budget.go
+++ b/internal/overload/budget.go
@@ -47,5 +47,10 @@
 	return true
 }
 
+// RepeatAbove takes one repeated attempt if at least a reserve is left then.
+func (b *Budget) RepeatAbove(reserve float64) bool {
+	return b.saved >= reserve+1 && b.Repeat()
+}
+
 // Saved is the attempts that could be repeated now.
 func (b *Budget) Saved() float64 { return b.saved }
--- a/internal/overload/sharedbudget.go
+++ b/internal/overload/sharedbudget.go
@@ -27,6 +27,13 @@
 	return s.b.Repeat()
 }
 
+// RepeatAbove takes one repeated attempt if at least a reserve is left then.
+func (s *SharedBudget) RepeatAbove(reserve float64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.RepeatAbove(reserve)
+}
+
 // Saved is the attempts that could be repeated now.
 func (s *SharedBudget) Saved() float64 {
 	s.mu.Lock()
