gateway: a stream moves only where the configuration still allows it

Cause: before each send the key and the route are checked again, and a stream that was ended for a load could not be sent any more. Left where it was, it would have been answered whole.

Change: a stream is ended for a load only if its route still leads to the service and its key is known, and not while the store is out of reach, where keys soon cannot be checked.

--- a/internal/gateway/enginemove.go
+++ b/internal/gateway/enginemove.go
@@ -27,7 +27,7 @@
 	budget := g.budget(c.service.Name)
 	reserve := moveReserve * g.retryReserve(g.peers.fleetSize())
 	m.resumable = func() bool {
-		if !m.repeatable || last || g.closing.Load() || !budget.RepeatAbove(reserve) {
+		if !m.repeatable || last || g.closing.Load() || !g.mayResume(c) || !budget.RepeatAbove(reserve) {
 			return false
 		}
 		c.prepaid.Store(true)
@@ -36,6 +36,24 @@
 	return m
 }
 
+// mayResume says that the configuration in force still allows the request: its
+// key may have been withdrawn, or its route moved, since it was sent.
+func (g *Gateway) mayResume(c *call) bool {
+	t := g.table.Load()
+	if t == nil || g.feeds.cut() {
+		return false
+	}
+	route, ok := t.Match(c.Host, c.Path)
+	if !ok || !leadsTo(route, c.service.Name) {
+		return false
+	}
+	if !t.NeedsKey(route) {
+		return true
+	}
+	_, ok = t.KeyHolder(c.keyHash)
+	return ok
+}
+
 // moveReserve is the part of the retry budget that moved streams leave for
 // failures.
 const moveReserve = 0.5
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/mastictray/mastictray/internal/overload"
+	"github.com/mastictray/mastictray/internal/routing"
 )
 
 // outcome is what became of an attempt.
@@ -105,9 +106,11 @@
 const movedRetry = 50 * time.Millisecond
 
 // routesTo says whether the route still leads to the request's service.
-func routesTo(c *call) bool {
-	for _, w := range c.route.Split {
-		if w.Service == c.service.Name && w.Weight > 0 {
+func routesTo(c *call) bool { return leadsTo(c.route, c.service.Name) }
+
+func leadsTo(r *routing.Route, service string) bool {
+	for _, w := range r.Split {
+		if w.Service == service && w.Weight > 0 {
 			return true
 		}
 	}
--- a/internal/gateway/waiting_test.go
+++ b/internal/gateway/waiting_test.go
@@ -117,9 +117,16 @@
 	is := is.New(t)
 	p := startOn(&memoryStore{newest: 3, targets: onVersions(2, 2)}, "a")
 	p.settings.RetryReserve, p.settings.RetryRatio = 6, 1
+	prompts := routing.Route{
+		Name: "prompts", Host: "h", Prefix: "/", Kind: routing.Stream, Resumable: true, MaxAttempts: 2,
+		Split: []routing.Weighted{{Service: "engines", Weight: 1}},
+	}
+	config := *p.table.Load().Config()
+	config.Routes = []routing.Route{prompts}
+	p.table.Store(routing.NewTable(&config))
 	newCall := func() *call {
-		c := &call{route: &routing.Route{Kind: routing.Stream, Resumable: true, MaxAttempts: 2}, service: &routing.Service{Name: "engines"}}
-		c.Request = &Request{}
+		c := &call{route: &prompts, service: &routing.Service{Name: "engines"}}
+		c.Request = &Request{Host: "h", Path: "/x"}
 		c.sent = 1
 		return c
 	}
@@ -139,4 +146,12 @@
 	is.True(moved > 0)
 	is.True(moved < 6)
 	is.True(budget.Saved() >= 1) // some are left for failures
+	for range 100 {
+		budget.Request()
+	}
+	// Guards against a stream that is ended though its key or route is gone.
+	config.Routes = nil
+	p.table.Store(routing.NewTable(&config))
+	is.True(!p.mobility(newCall()).resumable())
+	is.Equal(budget.Saved(), 6.0)
 }
