weights: one comparison of a target's version for three uses

Behind the goal, excluded and pressing were the same two lines with another bound. No behaviour changes.

--- a/internal/weights/planner.go
+++ b/internal/weights/planner.go
@@ -151,8 +151,13 @@
 
 // behind compares the newest word on a target's version with the goal.
 func (p *Planner) behind(g Goal, t *directory.Registration) bool {
-	version, known := p.served(t, g.Model)
-	return known && version < g.Version
+	return p.older(t, g.Model, g.Version)
+}
+
+// older says that a target is known to serve an older version of a model.
+func (p *Planner) older(t *directory.Registration, model string, than int64) bool {
+	version, known := p.served(t, model)
+	return known && version < than
 }
 
 // served is the version of a model that a target was seen to serve or has
@@ -233,7 +238,7 @@
 // to end in time all the same.
 func (p *Planner) limit(g Goal, targets []directory.Registration) int {
 	for i := range targets {
-		if version, known := p.served(&targets[i], g.Model); known && version < g.Pressing {
+		if p.older(&targets[i], g.Model, g.Pressing) {
 			return 1 + (len(targets)+p.settings.ParallelDivisor-1)/p.settings.ParallelDivisor
 		}
 	}
@@ -252,8 +257,7 @@
 
 // excluded says that a target gets no requests, since its weights are too old.
 func (p *Planner) excluded(g Goal, t *directory.Registration) bool {
-	version, known := p.served(t, g.Model)
-	return known && version < g.Oldest
+	return p.older(t, g.Model, g.Oldest)
 }
 
 // candidates are the targets to start on: those with the oldest weights first,
