weights: targets that serve wait for the excluded ones; pace from deadlines

Eight of twelve targets were excluded and loaded; the four that still served, with nine seconds left to their own bound, were ordered beside them, since excluded targets do not count as under way.

Change: while most targets are excluded, one that serves starts no load as long as its own deadline leaves time for it to come back. The planner gets the deadlines of the versions in place of one version that presses; more load at once where the usual number would miss one, by the time that loads take (mean of those that ended, or of those under way if that is longer already).

TestExcludedTargetsLoadTogether asserted that the four load beside the eight. It is replaced by two: none of the four is taken while the eight load, and the rollout ends in time; where their own time is short, all twelve load at once within 2.5 s as before. TestMoreLoadAtOnceWhenTimeIsShort states the short time as a deadline instead of a pressing version.

--- a/internal/gateway/oldweights.go
+++ b/internal/gateway/oldweights.go
@@ -6,6 +6,7 @@
 	"github.com/mastictray/mastictray/internal/directory"
 	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/routing"
+	"github.com/mastictray/mastictray/internal/weights"
 )
 
 const (
@@ -59,6 +60,23 @@
 	}
 }
 
+// weightsDeadlines are when targets with older weights than the versions named
+// lately are excluded.
+func (g *Gateway) weightsDeadlines(all *namedVersions) []weights.Deadline {
+	now := g.clock.Now()
+	var out []weights.Deadline
+	for _, v := range all.since(now - g.settings.WeightsBound) {
+		share := mustServeShare
+		if v.estimated {
+			share = estimateShare
+		}
+		if at := v.at + time.Duration(share*float64(g.settings.WeightsBound)); at > now {
+			out = append(out, weights.Deadline{Version: v.version, At: at})
+		}
+	}
+	return out
+}
+
 // setOldest notes the oldest version that may serve. Where it changes, a line
 // tells why, and how many targets get no requests by that. The caller holds g.mu.
 func (g *Gateway) setOldest(service, model string, oldest int64, why string) {
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -18,9 +18,6 @@
 	rolloutEvery = 100 * time.Millisecond
 	// orderTimeout bounds a question or an order to a target.
 	orderTimeout = time.Second
-	// pressingShare is the part of the bound on old weights after which a
-	// version presses: from then on more targets load at once.
-	pressingShare = 0.5
 	// candidateStagger is the delay between instances that would begin a
 	// rollout: the first in order of their names has mostly begun by then.
 	candidateStagger = 250 * time.Millisecond
@@ -99,7 +96,7 @@
 	g.eachGoal(func(s *routing.Service, model string, all *namedVersions) {
 		v := all.newest()
 		goal := weights.Goal{Service: s.Name, Model: model, Version: v.version, Oldest: g.oldest[s.Name+"/"+model]}
-		goal.Pressing = all.dueBy(g.clock.Now() - time.Duration(pressingShare*float64(g.settings.WeightsBound)))
+		goal.Deadlines = g.weightsDeadlines(all)
 		targets := g.directory.Usable(s.Name)
 		if pool := g.engines[s.Name]; pool != nil {
 			goal.Unreachable = pool.unanswering()
--- a/internal/weights/planner.go
+++ b/internal/weights/planner.go
@@ -76,6 +76,9 @@
 	// SilentAfter is when a target without a sign of a load no longer holds up
 	// the others.
 	SilentAfter time.Duration
+	// LoadTime is the time from the choice of a target until it serves the new
+	// version, before any was observed.
+	LoadTime time.Duration
 	// LoadTimeout is when a target that does not come back with the version is
 	// ordered again.
 	LoadTimeout time.Duration
@@ -90,6 +93,7 @@
 		ResendAfter:     1200 * time.Millisecond,
 		RetryAfter:      time.Second,
 		SilentAfter:     2 * time.Second,
+		LoadTime:        2 * time.Second,
 		LoadTimeout:     4 * time.Second,
 	}
 }
@@ -98,10 +102,15 @@
 type Planner struct {
 	settings Settings
 	targets  map[string]*progress
+	// loadTime is the time from the choice of a target until it serves the new
+	// version, as observed.
+	loadTime time.Duration
 }
 
 // New makes a planner that knows nothing of any target.
-func New(s Settings) *Planner { return &Planner{settings: s, targets: map[string]*progress{}} }
+func New(s Settings) *Planner {
+	return &Planner{settings: s, targets: map[string]*progress{}, loadTime: s.LoadTime}
+}
 
 // Goal is a version that targets of a service should serve.
 type Goal struct {
@@ -111,14 +120,19 @@
 	// Oldest is the oldest version that may serve. Targets behind it get no
 	// requests.
 	Oldest int64
-	// Pressing is the newest version of which a large part of the time is over
-	// in which targets must come to it. While some are behind it, more load at
-	// once.
-	Pressing int64
+	// Deadlines are those still to come, in any order.
+	Deadlines []Deadline
 	// Unreachable are the targets that answer nobody at present.
 	Unreachable map[string]bool
 }
 
+// Deadline is when targets with older weights than a version get no requests
+// any more.
+type Deadline struct {
+	Version int64
+	At      time.Duration
+}
+
 // Ask is a question to send to a target.
 type Ask struct{ Target directory.Registration }
 
@@ -194,7 +208,7 @@
 func (p *Planner) Tick(now time.Duration, g Goal, targets []directory.Registration) Actions {
 	var out Actions
 	p.forget(targets)
-	underWay, late, limit := 0, p.late(g, targets), p.limit(g, targets)
+	underWay, late, limit := 0, p.late(g, targets), p.limit(now, g, targets)
 	for i := range targets {
 		t := &targets[i]
 		q := p.of(t)
@@ -207,7 +221,7 @@
 	}
 	for _, t := range p.candidates(now, g, targets) {
 		free := late && p.excluded(g, &t) || g.Unreachable[t.ID]
-		if !free && underWay >= limit {
+		if !free && (underWay >= limit || late && p.mayWait(now, g, &t)) {
 			continue
 		}
 		q := p.of(&t)
@@ -233,16 +247,57 @@
 	return 2*excluded > len(targets)
 }
 
+// mayWait says that a target has the time to load after those that are excluded
+// now. Most are, so the few that serve are all that callers have.
+func (p *Planner) mayWait(now time.Duration, g Goal, t *directory.Registration) bool {
+	for _, d := range g.Deadlines {
+		if p.older(t, g.Model, d.Version) && d.At-now < p.settings.LoadTimeout {
+			return false
+		}
+	}
+	return true
+}
+
 // limit is the number of loads under way up to which a target may begin one.
-// Loads slow each other down, so a rollout gains little by many of them; it has
-// to end in time all the same.
-func (p *Planner) limit(g Goal, targets []directory.Registration) int {
+// Loads slow each other down, so a rollout gains little by many of them. Where
+// the usual number would miss a deadline, or has missed one, some more load.
+func (p *Planner) limit(now time.Duration, g Goal, targets []directory.Registration) int {
+	usual := max(1, len(targets)/p.settings.ParallelDivisor)
+	hurried := 1 + (len(targets)+p.settings.ParallelDivisor-1)/p.settings.ParallelDivisor
+	if p.countOlder(g, targets, g.Oldest) > 0 {
+		return hurried
+	}
+	expected := p.expectedLoad(now, targets)
+	for _, d := range g.Deadlines {
+		rounds := int((d.At - now) / expected)
+		if p.countOlder(g, targets, d.Version) > usual*rounds {
+			return hurried
+		}
+	}
+	return usual
+}
+
+// expectedLoad is the time that a load takes: the mean of those that have ended,
+// or of those under way if that is longer already.
+func (p *Planner) expectedLoad(now time.Duration, targets []directory.Registration) time.Duration {
+	elapsed, n := time.Duration(0), time.Duration(0)
+	for i := range targets {
+		if q := p.of(&targets[i]); q.phase != idle && q.version != 0 {
+			elapsed, n = elapsed+now-q.began, n+1
+		}
+	}
+	return max(p.loadTime, elapsed/max(n, 1))
+}
+
+// countOlder counts the targets that are known to serve an older version.
+func (p *Planner) countOlder(g Goal, targets []directory.Registration, than int64) int {
+	n := 0
 	for i := range targets {
-		if p.older(&targets[i], g.Model, g.Pressing) {
-			return 1 + (len(targets)+p.settings.ParallelDivisor-1)/p.settings.ParallelDivisor
+		if p.older(&targets[i], g.Model, than) {
+			n++
 		}
 	}
-	return max(1, len(targets)/p.settings.ParallelDivisor)
+	return n
 }
 
 // holdsSlot says that a target's load is under way, as far as there are signs
--- a/internal/weights/planner_test.go
+++ b/internal/weights/planner_test.go
@@ -34,17 +34,20 @@
 
 // world is targets and one planner that holds the lease.
 type world struct {
-	now     time.Duration
-	targets []*target
-	planner *Planner
-	most    int
-	late    []lateOrder
-	oldest  int64
-	// pressing is the version that targets must come to soon.
-	pressing int64
+	now       time.Duration
+	targets   []*target
+	planner   *Planner
+	most      int
+	late      []lateOrder
+	oldest    int64
+	deadlines []Deadline
 	// lost is set while the planner's instance does not hold the lease.
 	lost        bool
 	unreachable map[string]bool
+	// loadTime is what a load takes while at most so many as source are under
+	// way; more share its rate.
+	loadTime time.Duration
+	source   int
 }
 
 type lateOrder struct {
@@ -54,7 +57,7 @@
 }
 
 func newWorld(n int) *world {
-	w := &world{planner: New(DefaultSettings())}
+	w := &world{planner: New(DefaultSettings()), loadTime: testLoad, source: n}
 	for i := range n {
 		w.targets = append(w.targets, &target{version: 1, reg: directory.Registration{
 			ID: fmt.Sprintf("t%02d", i), Service: "s", Domain: fmt.Sprintf("d%d", i%3), Born: 1,
@@ -64,7 +67,7 @@
 	return w
 }
 
-func (t *target) take(now time.Duration, o Order) Receipt {
+func (t *target) take(o Order, load time.Duration) Receipt {
 	switch {
 	case o.Accepted != t.accepted || t.loading != 0:
 		return Conflict
@@ -72,7 +75,7 @@
 		return InForce
 	}
 	t.accepted++
-	t.loading, t.left = o.Version, testLoad
+	t.loading, t.left = o.Version, load
 	t.loads++
 	return Taken
 }
@@ -99,7 +102,7 @@
 	w.now += testTick
 	for i := 0; i < len(w.late); i++ {
 		if w.late[i].at <= w.now {
-			w.late[i].to.take(w.now, w.late[i].o)
+			w.late[i].to.take(w.late[i].o, w.loadTime)
 			w.late = append(w.late[:i], w.late[i+1:]...)
 			i--
 		}
@@ -109,7 +112,7 @@
 	if w.lost {
 		decide = w.planner.Follow
 	}
-	actions := decide(w.now, Goal{Service: "s", Model: "m", Version: version, Oldest: w.oldest, Pressing: max(w.oldest, w.pressing), Unreachable: w.unreachable}, w.regs())
+	actions := decide(w.now, Goal{Service: "s", Model: "m", Version: version, Oldest: w.oldest, Deadlines: w.deadlines, Unreachable: w.unreachable}, w.regs())
 	for _, a := range actions.Asks {
 		t := w.find(a.Target.ID)
 		if t.silent {
@@ -128,12 +131,17 @@
 // load moves the loads on by one tick.
 func (w *world) load() {
 	loading := 0
+	for _, t := range w.targets {
+		if t.loading != 0 {
+			loading++
+		}
+	}
+	step := testTick * time.Duration(w.source) / time.Duration(max(w.source, loading))
 	for _, t := range w.targets {
 		if t.loading == 0 {
 			continue
 		}
-		loading++
-		if t.left -= testTick; t.left <= 0 {
+		if t.left -= step; t.left <= 0 {
 			t.version, t.loading = t.loading, 0
 		}
 	}
@@ -147,7 +155,7 @@
 		w.late = append(w.late, lateOrder{at: w.now + 3*time.Second, to: t, o: s.Order})
 		return
 	}
-	w.planner.Answered(w.now, t.reg.Incarnation(), t.take(w.now, s.Order))
+	w.planner.Answered(w.now, t.reg.Incarnation(), t.take(s.Order, w.loadTime))
 }
 
 // until steps until all targets serve the version, at most for the time.
@@ -308,17 +316,44 @@
 	is.Equal(w.targets[0].accepted, int64(1))
 }
 
-// Guards against a rollout that does not end in time where most targets get no
-// requests any more. They load together; the others take turns.
-func TestExcludedTargetsLoadTogether(t *testing.T) {
-	is := is.New(t)
-	w := newWorld(12)
-	for i, t := range w.targets {
+// mostlyExcluded is eight targets that get no requests any more, and four that
+// serve a newer version.
+func mostlyExcluded() (w *world, serve []*target) {
+	w = newWorld(12)
+	for i, x := range w.targets {
 		if i%3 == 0 {
-			t.version, t.reg.Versions["m"] = 2, 2
+			x.version, x.reg.Versions["m"] = 2, 2
+			serve = append(serve, x)
 		}
 	}
 	w.oldest = 2
+	return w, serve
+}
+
+// Guards against a rollout that takes away the last targets that serve while the
+// excluded ones load, and against one that does not end in time.
+func TestExcludedTargetsLoadTogetherBeforeThoseThatServe(t *testing.T) {
+	is := is.New(t)
+	w, serve := mostlyExcluded()
+	w.deadlines = []Deadline{{Version: 3, At: 9 * time.Second}}
+	excluded := func(x *target) bool { return x.version < 2 }
+	for w.now < 2*time.Second && slices.ContainsFunc(w.targets, excluded) {
+		w.step(3)
+		for _, x := range serve {
+			is.True(x.loads == 0 && !slices.Contains(w.planner.Loading(), x.reg.ID))
+		}
+	}
+	is.Equal(w.most, 8)
+	is.True(w.now < 2*time.Second) // the excluded ones are back
+	is.True(w.until(3, 4*time.Second))
+	is.True(w.most <= 8)
+}
+
+// Guards against targets that wait for the excluded ones past their own bound.
+func TestServingTargetsLoadBesideExcludedOnesWhenTheirTimeIsShort(t *testing.T) {
+	is := is.New(t)
+	w, _ := mostlyExcluded()
+	w.deadlines = []Deadline{{Version: 3, At: 3 * time.Second}}
 	is.True(w.until(3, 2500*time.Millisecond))
 	is.Equal(w.most, 12) // eight that are excluded, four of the others
 }
@@ -347,7 +382,7 @@
 		w.step(2)
 	}
 	is.Equal(w.most, 2)
-	w.pressing = 2
+	w.deadlines = []Deadline{{Version: 2, At: w.now + 4*time.Second}}
 	is.True(w.until(2, 4*time.Second))
 	is.Equal(w.most, 4)
 }
--- a/internal/weights/progress.go
+++ b/internal/weights/progress.go
@@ -46,6 +46,7 @@
 func (p *Planner) step(now time.Duration, g Goal, t *directory.Registration, q *progress, out *Actions) {
 	version, _ := p.served(t, g.Model)
 	if q.version != 0 && version >= q.version {
+		p.observeLoad(now - q.began)
 		out.Loaded = append(out.Loaded, Loaded{Target: *t, Version: version, Took: now - q.sentAt})
 		*q = progress{incarnation: q.incarnation, seen: q.seen}
 		return
@@ -78,6 +79,15 @@
 	}
 }
 
+// observeLoad takes in the time from the choice of a target until it serves the
+// new version.
+func (p *Planner) observeLoad(took time.Duration) {
+	p.loadTime += time.Duration(loadTimeWeight * float64(min(took, p.settings.LoadTimeout)-p.loadTime))
+}
+
+// loadTimeWeight is the weight of one load in the mean time of loads.
+const loadTimeWeight = 0.2
+
 func (p *Planner) send(now time.Duration, g Goal, t *directory.Registration, q *progress, out *Actions) {
 	q.phase, q.sentAt, q.version = ordered, now, g.Version
 	q.askAt = now + p.settings.PollEvery
