--- a/cmd/mastictray-gateway/settings.go
+++ b/cmd/mastictray-gateway/settings.go
@@ -24,6 +24,10 @@
 
 	StoreAddress string `required:"" help:"ip:port of the platform's store." group:"platform"`
 
+	CPUShare float64 `name:"cpu-share" default:"1" help:"Part of a core that the instance may use." group:"limits"`
+	CPUSpeed float64 `name:"cpu-speed" default:"1" help:"Speed of that core, as a multiple of a usual one." group:"limits"`
+	LinkMbps float64 `name:"link-mbps" default:"1000" help:"Rate of the instance's link in Mbit/s." group:"limits"`
+
 	MemoryMB     int           `name:"memory-mb" help:"Memory of the instance in MB; 0 for no limit." group:"limits"`
 	KeyBound     time.Duration `default:"5s" help:"A withdrawn key must not be used later than this." group:"limits"`
 	RetryRatio   float64       `default:"0.2" help:"Most repeated sends for each request of a service, over all instances." group:"limits"`
@@ -43,6 +47,9 @@
 	if s.Grace <= s.BalancerLag+exitMargin {
 		return errors.Newf("grace=%v: expected more than balancer-lag=%v and %v", s.Grace, s.BalancerLag, exitMargin)
 	}
+	if s.CPUShare <= 0 || s.CPUSpeed <= 0 || s.LinkMbps <= 0 {
+		return errors.Newf("cpu-share=%v cpu-speed=%v link-mbps=%v: expected more than 0", s.CPUShare, s.CPUSpeed, s.LinkMbps)
+	}
 	if s.KeyBound <= keyMargin {
 		return errors.Newf("key-bound=%v: expected more than %v", s.KeyBound, keyMargin)
 	}
@@ -66,9 +73,21 @@
 	leaseFactor = 1.1
 )
 
+const (
+	// hubCores and hubMbps are what a hub's work takes of a core and of a link:
+	// an answer to each of its followers several times a second.
+	hubCores = 0.03
+	hubMbps  = 12
+)
+
+// capacity is the work of hubs that the instance can do beside its own.
+func (s *Settings) capacity() int {
+	return int(min(s.CPUShare*s.CPUSpeed/hubCores, s.LinkMbps/hubMbps))
+}
+
 func (s *Settings) gateway() gateway.Settings {
 	return gateway.Settings{
-		Instance: s.InstanceID, Domain: s.Domain,
+		Instance: s.InstanceID, Domain: s.Domain, Capacity: s.capacity(),
 		CallerListen: s.CallerListen, ReadyListen: s.ReadyListen, PeerListen: s.PeerListen, MetricsListen: s.MetricsListen,
 		KeyCutoff:   s.KeyBound - keyMargin,
 		KeyReadyAge: time.Duration(keyReadyShare * float64(s.KeyBound)),
--- a/internal/feedturn/feedturn.go
+++ b/internal/feedturn/feedturn.go
@@ -15,6 +15,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"github.com/mastictray/mastictray/internal/hubs"
 )
 
 // Settings of a feed.
@@ -113,16 +115,17 @@
 // Peer is another instance of the own domain, as far as the choice of the
 // reader goes.
 type Peer struct {
-	Name string
+	hubs.Instance
 	// Lost says that it does not reach the store.
 	Lost bool
 }
 
-// Reads says whether the instance reads for its domain: it is the first by
-// name of those that reach the store.
-func Reads(self string, heard []Peer) bool {
-	for _, p := range heard {
-		if !p.Lost && p.Name < self {
+// Reads says whether the instance reads for its domain: in the order of duties
+// it is the first of those that reach the store. So it is a hub of its domain,
+// where there are hubs.
+func Reads(self hubs.Instance, peers []Peer) bool {
+	for _, p := range peers {
+		if !p.Lost && hubs.Compare(p.Instance, self) < 0 {
 			return false
 		}
 	}
--- a/internal/feedturn/feedturn_test.go
+++ b/internal/feedturn/feedturn_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/mastictray/mastictray/internal/hubs"
 )
 
 const (
@@ -67,8 +69,8 @@
 	turn, rng := newTurn()
 	turn.Failed(0, 6, rng)
 	is.True(turn.Lost())
-	is.True(Reads("b", []Peer{{Name: "a", Lost: true}, {Name: "c"}}))
-	is.True(!Reads("b", []Peer{{Name: "a"}, {Name: "c"}}))
+	is.True(Reads(hubs.Instance{Name: "b"}, []Peer{{Instance: hubs.Instance{Name: "a"}, Lost: true}, {Instance: hubs.Instance{Name: "c"}}}))
+	is.True(!Reads(hubs.Instance{Name: "b"}, []Peer{{Instance: hubs.Instance{Name: "a"}}, {Instance: hubs.Instance{Name: "c"}}}))
 	// While others tell it what is new, it makes no calls in vain.
 	is.True(!turn.reads(10*time.Second, View{Reader: true, Known: true, KnownAt: 9900 * ms}))
 }
@@ -116,7 +118,7 @@
 	if f.dead[mate] {
 		return true
 	}
-	return Reads(string(rune('a'+i)), []Peer{{Name: string(rune('a' + mate)), Lost: f.turns[mate].Lost()}})
+	return Reads(hubs.Instance{Name: string(rune('a' + i))}, []Peer{{Instance: hubs.Instance{Name: string(rune('a' + mate))}, Lost: f.turns[mate].Lost()}})
 }
 
 // step moves the instances on; each hears from all others at its own moments.
--- a/internal/gateway/announce.go
+++ b/internal/gateway/announce.go
@@ -15,7 +15,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	// A peer fell silent since the pause was chosen.
-	if p.speaksForOthers(now) {
+	if p.announcesOthers(now) {
 		p.announceAt = min(p.announceAt, now+announceEvery)
 	}
 	if p.announcing || now < p.announceAt {
@@ -25,8 +25,8 @@
 	go p.announce(ctx)
 }
 
-// announce writes where this instance is and whom it hears, and reads where
-// the others are.
+// announce writes where this instance is and which ones are alive, and reads
+// where the others are.
 func (p *peers) announce(ctx context.Context) {
 	call, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -55,19 +55,22 @@
 	return p.g.store.Announcements(ctx)
 }
 
-// announcement is what this instance writes of itself, and of those that it
-// hears when it speaks for them.
+// announcement is what this instance writes of itself, and of those that are
+// alive where it announces these too.
 func (p *peers) announcement() Announcement {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.g.clock.Now()
-	a := Announcement{Instance: p.g.self.Instance, Incarnation: p.g.self.Incarnation, Address: p.g.self.Address, Domain: p.g.self.Domain}
-	if !p.speaksForOthers(now) {
+	a := Announcement{
+		Instance: p.g.self.Instance, Incarnation: p.g.self.Incarnation, Address: p.g.self.Address, Domain: p.g.self.Domain,
+		Capacity: p.g.settings.Capacity,
+	}
+	if !p.announcesOthers(now) {
 		return a
 	}
 	for name, s := range p.known {
-		if p.hears(now, s) {
-			a.Hears = append(a.Hears, name)
+		if p.fresh(now, s) {
+			a.Alive = append(a.Alive, name)
 		}
 	}
 	return a
@@ -76,7 +79,7 @@
 // announcePause is the time until the next announcement. The caller holds p.mu.
 func (p *peers) announcePause(now time.Duration) time.Duration {
 	switch {
-	case p.speaksForOthers(now), p.alone(now):
+	case p.announcesOthers(now), p.alone(now):
 		return announceEvery
 	case p.first(now):
 		return calmAnnounceEvery
@@ -84,58 +87,53 @@
 	return othersAnnounceEvery
 }
 
-// speaksForOthers says whether this instance has to look into the store for a
-// silent peer, and to announce there those that it hears: it is the first of
-// them. So does one with a silent peer that the first one does not miss, since
-// it may hear that peer; then the other side has to be told of this one. The
-// caller holds p.mu.
-func (p *peers) speaksForOthers(now time.Duration) bool {
+// announcesOthers says whether this instance has to look into the store for a
+// silent peer, and to announce there those that are alive: it is the first of
+// them in the order of duties. So does one with a silent peer that the first one
+// does not miss, since that one may have updates of it; then the other side has
+// to learn of this one. The caller holds p.mu.
+func (p *peers) announcesOthers(now time.Duration) bool {
 	first := p.first(now)
 	for _, s := range p.known {
-		if p.hears(now, s) {
+		if p.fresh(now, s) {
 			continue
 		}
-		if first || now-max(s.heard, s.announcedAt, s.missedAt) > goneAfter/2 {
+		if first || now-max(s.updatedAt, s.announcedAt, s.missedAt) > goneAfter/2 {
 			return true
 		}
 	}
 	return false
 }
 
-// alone says that no peer is heard: instances that start together may each have
+// alone says that no peer reports: instances that start together may each have
 // read the announcements before the others wrote theirs. The caller holds p.mu.
-func (p *peers) alone(now time.Duration) bool { return p.heardLocked(now) == 0 }
+func (p *peers) alone(now time.Duration) bool { return p.reportingLocked(now) == 0 }
 
-// first says that no heard peer that reaches the store comes before this
-// instance by name. The caller holds p.mu.
+// first says that no peer that reaches the store comes before this instance in
+// the order of duties. The caller holds p.mu.
 func (p *peers) first(now time.Duration) bool { return p.rankLocked(now) == 0 }
 
-// hears says whether a peer's last message still stands for its present state.
-// The caller holds p.mu.
-func (p *peers) hears(now time.Duration, s *peerState) bool { return now-s.heard <= p.heardFor() }
-
-// unheard is what the first of the instances tells the others of the peers that
-// it does not hear: how long ago the last word of each was. The caller holds
-// p.mu.
-func (p *peers) unheard(now time.Duration) map[string]int64 {
+// overdue is what the first of the instances reports of the peers without a fresh
+// update: the age of what was last known of each. The caller holds p.mu.
+func (p *peers) overdue(now time.Duration) map[string]int64 {
 	if !p.first(now) {
 		return nil
 	}
 	var out map[string]int64
 	for name, s := range p.known {
-		if !p.hears(now, s) {
+		if !p.fresh(now, s) {
 			if out == nil {
 				out = map[string]int64{}
 			}
-			out[name] = (now - max(s.heard, s.announcedAt)).Milliseconds()
+			out[name] = (now - max(s.updatedAt, s.announcedAt)).Milliseconds()
 		}
 	}
 	return out
 }
 
-// takeUnheard takes in what a peer knows of those that it does not hear. The
+// takeOverdue takes in what a peer reports of those without a fresh update. The
 // caller holds p.mu.
-func (p *peers) takeUnheard(now time.Duration, ages map[string]int64) {
+func (p *peers) takeOverdue(now time.Duration, ages map[string]int64) {
 	for name, age := range ages {
 		if s := p.known[name]; s != nil {
 			s.missedAt = now
@@ -153,10 +151,10 @@
 		p.takeOne(now, a)
 	}
 	for _, a := range all {
-		p.takeHeard(now, a)
+		p.takeAlive(now, a)
 	}
 	for name, s := range p.known {
-		if !there[name] && !p.hears(now, s) {
+		if !there[name] && !p.fresh(now, s) {
 			p.drop(now, name, "withdrawn")
 		}
 	}
@@ -170,21 +168,22 @@
 	s := p.known[a.Instance]
 	switch {
 	case s == nil, s.Incarnation != a.Incarnation && a.Revision > s.Revision:
-		p.known[a.Instance] = p.newState(now, a)
-		logline.Info("peer_found", "peer", a.Instance, "address", a.Address, "incarnation", a.Incarnation)
+		p.known[a.Instance] = newState(now, a)
+		logline.Sampled("peer_found", "peer", a.Instance, "address", a.Address, "incarnation", a.Incarnation)
 	case s.Incarnation == a.Incarnation && a.Revision != s.Revision:
 		s.Announced, s.announcedAt = a, now
 	}
 }
 
-// takeHeard takes in whom the writer of an announcement hears. An old one
-// says nothing of now: it counts when its writer has just written it.
-func (p *peers) takeHeard(now time.Duration, a Announced) {
+// takeAlive takes in which instances the writer of an announcement takes for
+// alive. An old one says nothing of now: it counts when its writer has just
+// written it.
+func (p *peers) takeAlive(now time.Duration, a Announced) {
 	writer := p.known[a.Instance]
 	if writer == nil || writer.announcedAt != now {
 		return
 	}
-	for _, name := range a.Hears {
+	for _, name := range a.Alive {
 		if s := p.known[name]; s != nil {
 			s.announcedAt = now
 		}
@@ -204,9 +203,9 @@
 func (p *peers) expire(now time.Duration) {
 	for name, s := range p.known {
 		switch {
-		case s.leaving && !p.hears(now, s):
+		case s.state.Leaving && !p.fresh(now, s):
 			p.drop(now, name, "left")
-		case now-max(s.heard, s.announcedAt) > goneAfter:
+		case now-max(s.updatedAt, s.announcedAt) > goneAfter:
 			p.drop(now, name, "silent")
 		}
 	}
@@ -216,5 +215,5 @@
 	s := p.known[name]
 	delete(p.known, name)
 	p.dropped[name] = s.Revision
-	logline.Info("peer_gone", "peer", name, "why", why, "silent_for", now-max(s.heard, s.announcedAt))
+	logline.Info("peer_gone", "peer", name, "why", why, "silent_for", now-max(s.updatedAt, s.announcedAt))
 }
--- a/internal/gateway/announce_test.go
+++ b/internal/gateway/announce_test.go
@@ -16,8 +16,8 @@
 	return g.peers
 }
 
-func announced(name string, revision int64, hears ...string) Announced {
-	return Announced{Announcement: Announcement{Instance: name, Incarnation: "1", Domain: "d1", Hears: hears}, Revision: revision}
+func announced(name string, revision int64, alive ...string) Announced {
+	return Announced{Announcement: Announcement{Instance: name, Incarnation: "1", Domain: "d1", Alive: alive}, Revision: revision}
 }
 
 // Four instances start at once. The first to write reads the announcements
@@ -60,7 +60,7 @@
 	p.look(100 * time.Millisecond)
 	p.look(8 * time.Second)
 	is.Equal(len(p.known), 2)
-	p.known["b"].heard = 8500 * time.Millisecond
+	p.known["b"].updatedAt = 8500 * time.Millisecond
 	for now := 8 * time.Second; now < 11*time.Second; now += exchangeEvery {
 		p.g.suspension.tick(now)
 		p.look(now)
@@ -77,15 +77,15 @@
 	p := newTestPeers("a")
 	p.take(0, []Announced{announced("b", 1), announced("c", 2), announced("d", 3)})
 	now := 5 * time.Second
-	p.known["b"].heard = now
-	is.True(p.speaksForOthers(now))
-	is.Equal(p.unheard(now), map[string]int64{"c": 5000, "d": 5000})
+	p.known["b"].updatedAt = now
+	is.True(p.announcesOthers(now))
+	is.Equal(p.overdue(now), map[string]int64{"c": 5000, "d": 5000})
 	p.take(now, []Announced{announced("b", 1), announced("c", 9, "d"), announced("d", 3)})
 	now += goneAfter - time.Second
-	p.known["b"].heard = now
+	p.known["b"].updatedAt = now
 	p.expire(now)
 	is.Equal(len(p.known), 3)
-	is.Equal(p.unheard(now)["d"], (goneAfter - time.Second).Milliseconds())
+	is.Equal(p.overdue(now)["d"], (goneAfter - time.Second).Milliseconds())
 }
 
 // The second instance hears the first one, which looks into the store for the
@@ -96,13 +96,13 @@
 	p := newTestPeers("b")
 	p.take(0, []Announced{announced("a", 1), announced("c", 2)})
 	now := goneAfter
-	p.known["a"].heard = now
-	p.takeUnheard(now, map[string]int64{"c": 100})
-	is.True(!p.speaksForOthers(now))
+	p.known["a"].updatedAt = now
+	p.takeOverdue(now, map[string]int64{"c": 100})
+	is.True(!p.announcesOthers(now))
 	is.Equal(p.announcePause(now), othersAnnounceEvery)
 	p.expire(now + time.Second)
 	is.Equal(len(p.known), 2)
 	now += goneAfter/2 + time.Second
-	p.known["a"].heard = now // and no word of the third any more
-	is.True(p.speaksForOthers(now))
+	p.known["a"].updatedAt = now // and no word of the third any more
+	is.True(p.announcesOthers(now))
 }
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 
 	"github.com/mastictray/mastictray/internal/logline"
@@ -48,7 +47,8 @@
 	mux.HandleFunc(g.dialect.ReadyPath(), s.answerReady)
 	s.ready = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	counts := http.NewServeMux()
-	counts.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	counts.HandleFunc("GET /metrics", g.serveMetrics)
+	counts.HandleFunc("GET /admin/v1/state", g.serveState)
 	s.metrics = &http.Server{Handler: counts, ReadHeaderTimeout: headerTimeout}
 	return s
 }
--- a/internal/gateway/enginepeers.go
+++ b/internal/gateway/enginepeers.go
@@ -29,12 +29,12 @@
 	return out
 }
 
-// setPeers takes what the other instances have running, by target. Their word
-// is as old as the pause between two messages, so the window is as much longer.
-func (p *enginePool) setPeers(pace time.Duration, peers map[string]load) {
+// setPeers takes what the other instances have running, by target. It is as old
+// as their updates are, so the window is as much longer.
+func (p *enginePool) setPeers(delay time.Duration, peers map[string]load) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.dispatcher.SetWindow(engineWindow + pace - exchangeEvery)
+	p.dispatcher.SetWindow(engineWindow + delay - exchangeEvery)
 	for i := range p.pool.Len() {
 		t := p.pool.Target(i)
 		l := peers[t.Name]
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -2,85 +2,103 @@
 
 import (
 	"context"
+	"time"
 
+	"github.com/mastictray/mastictray/internal/hubs"
 	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/prefix"
+	"github.com/mastictray/mastictray/internal/replica"
 	"github.com/mastictray/mastictray/internal/wire"
 )
 
-// exchangeAll starts an exchange with every peer that has none running.
+// exchangeAll publishes this instance's state and starts the exchanges that are
+// due.
 func (p *peers) exchangeAll(ctx context.Context) {
+	state, spent := p.g.state()
+	message := p.g.message()
 	p.mu.Lock()
 	now := p.g.clock.Now()
 	p.look(now)
-	var call []*peerState
-	for _, s := range p.known {
-		if !s.calling {
-			s.calling = true
-			call = append(call, s)
-		}
+	state.Overdue = p.overdue(now)
+	p.table.SetStaleAfter(p.freshFor())
+	p.table.Publish(now, state, spent)
+	p.planCalls(now)
+	message.Hub = p.plan.Hub
+	for _, c := range p.plan.Calls {
+		s := p.known[c.Name]
+		s.calling, s.calledAt = true, now
+		go p.exchange(ctx, s, c.Follow, message)
 	}
-	p.trim()
-	unheard := p.unheard(now)
 	p.mu.Unlock()
-	if len(call) == 0 {
-		return
-	}
-	body := p.g.state()
-	body.Unheard = unheard
-	for _, s := range call {
-		go p.exchange(ctx, s, body)
-	}
 }
 
-// trim drops what all peers have been told.
-func (p *peers) trim() {
-	if drop := len(p.prompts) - maxSentPrompts; drop > 0 {
-		p.prompts = append([]wire.SentPrompt(nil), p.prompts[drop:]...)
-		p.promptBase += drop
+// planCalls chooses the peers to call now. The caller holds p.mu.
+func (p *peers) planCalls(now time.Duration) {
+	view := make([]hubs.Peer, 0, len(p.known))
+	for _, s := range p.known {
+		fresh := p.fresh(now, s)
+		view = append(view, hubs.Peer{
+			Instance: s.instance(), Updated: fresh, Calling: s.calling, Late: s.calling && now-s.calledAt > lateAfter,
+			Alive: !s.state.Leaving && now-s.failedAt > retryFailed && (fresh || s.updatedAt == never),
+		})
 	}
-	if drop := len(p.crashes) - maxSentPrompts; drop > 0 {
-		p.crashes = append([]uint64(nil), p.crashes[drop:]...)
-		p.crashBase += drop
+	fleet := 1 + len(p.known)
+	for _, s := range p.known {
+		fleet = max(fleet, s.fleet)
+	}
+	was := p.plan
+	p.plan = hubs.Choose(p.instance(), view, fleet, p.turn)
+	p.turn++
+	if was.Hub != p.plan.Hub || was.Mesh != p.plan.Mesh {
+		logline.Info("hub_role", "hub", p.plan.Hub, "mesh", p.plan.Mesh, "known", len(p.known), "reporting", p.reportingLocked(now))
 	}
 }
 
-func (p *peers) exchange(ctx context.Context, s *peerState, body wire.Exchange) {
+// exchange makes one call to a peer.
+func (p *peers) exchange(ctx context.Context, s *peerState, follow bool, m wire.Exchange) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	p.mu.Lock()
-	body.Prompts = p.prompts[max(0, s.sentPrompts-p.promptBase):]
-	body.Crashed = p.crashes[max(0, s.sentCrashes-p.crashBase):]
-	body.WantConfig = p.asksForConfig(s, body.ConfigVersion)
-	spent := body.Spent
-	body.Spent = newly(spent, s.told)
-	prompts, crashes := p.promptBase+len(p.prompts), p.crashBase+len(p.crashes)
-	address, node := s.Address, p.node
-	p.mu.Unlock()
 	asked := p.g.clock.Now()
+	m.Sent, m.Receiver = s.sent, replica.OriginOf(s.Incarnation)
+	m.Updates = p.table.Since(asked, m.Sent, replica.Followers, m.Receiver)
+	m.Follow, m.Received = follow, s.received
+	m.WantConfig = p.asksForConfig(s, m.ConfigVersion)
+	sent, address, node := p.table.Place().Version, s.Address, p.node
+	p.mu.Unlock()
 	var answer wire.ExchangeAnswer
-	from, err := node.Call(ctx, address, wire.KindExchange, body, &answer)
+	from, err := node.Call(ctx, address, wire.KindExchange, m, &answer)
+	if err != nil && ctx.Err() != nil {
+		node.Drop(address)
+	}
+	lacking := err == nil && p.takeUpdates(asked, from.Instance, answer.Updates, false)
 	p.mu.Lock()
 	s.calling = false
-	if body.WantConfig {
+	if m.WantConfig {
 		p.askedConfig = nil
 	}
-	if err == nil && from.Incarnation == s.Incarnation {
-		s.sentPrompts, s.sentCrashes, s.told = prompts, crashes, spent
-		s.leaving, s.config = answer.Leaving, max(s.config, answer.ConfigVersion)
-	}
-	if err != nil {
-		// The peer may forget this instance while it does not hear it.
-		s.told = nil
+	switch {
+	case err != nil:
+		s.failedAt = p.g.clock.Now()
+	case from.Incarnation != s.Incarnation:
+		s.failedAt, s.sent, s.received = never, 0, wire.UpdatePlace{}
+	default:
+		s.failedAt, s.sent = never, sent
+		if answer.Lacking {
+			s.sent = 0
+		}
+		if follow {
+			s.received = answer.Place
+		}
+		if lacking {
+			s.received = wire.UpdatePlace{}
+		}
+		s.state.Leaving, s.config, s.fleet = answer.Leaving, max(s.config, answer.ConfigVersion), answer.Fleet
 	}
 	p.mu.Unlock()
-	if err != nil {
-		if ctx.Err() != nil {
-			node.Drop(address)
-		}
-		return
+	if err == nil {
+		p.g.takeAnswer(asked, from, m.TargetsNext, answer)
 	}
-	p.g.takeAnswer(asked, from, body.TargetsNext, answer)
 }
 
 // asksForConfig says whether to ask this peer for its configuration: it has a
@@ -94,21 +112,6 @@
 	return true
 }
 
-// newly is what has changed of the counts since they were told; all of them
-// when nothing was.
-func newly(spent, told map[string]float64) map[string]float64 {
-	if told == nil {
-		return spent
-	}
-	out := map[string]float64{}
-	for account, tokens := range spent {
-		if told[account] != tokens {
-			out[account] = tokens
-		}
-	}
-	return out
-}
-
 // serve answers a peer's message.
 func (p *peers) serve(_ context.Context, from wire.Identity, f wire.Frame) (any, error) {
 	var m wire.Exchange
@@ -116,20 +119,69 @@
 		return nil, err
 	}
 	now := p.g.clock.Now()
+	// Updates that build on what an earlier process here has got are not for this
+	// one, also where it knows their origins from others.
+	lacking := m.Sent > 0 && m.Receiver != replica.OriginOf(p.g.self.Incarnation)
+	if !lacking {
+		lacking = p.takeUpdates(now, from.Instance, m.Updates, m.Follow && !m.Hub)
+	}
+	answer := p.g.answer(now, from, m)
 	p.mu.Lock()
-	s := p.known[from.Instance]
-	if s == nil || s.Incarnation != from.Incarnation {
-		s = p.newState(now, Announced{Announcement: Announcement{
-			Instance: from.Instance, Incarnation: from.Incarnation, Address: from.Address, Domain: from.Domain,
-		}})
-		p.known[from.Instance] = s
-		logline.Info("peer_met", "peer", from.Instance, "address", from.Address, "incarnation", from.Incarnation)
+	defer p.mu.Unlock()
+	answer.Lacking, answer.Fleet = lacking, 1+len(p.known)
+	if m.Follow {
+		answer.Place = p.table.Place()
+		since := m.Received.Version
+		if m.Received.Table != answer.Place.Table {
+			since = 0 // another process's
+		}
+		answer.Updates = p.table.Since(now, since, replica.All, replica.OriginOf(from.Incarnation))
+	}
+	return answer, nil
+}
+
+// takeUpdates takes in updates that came from an instance, with ages that count
+// back from a time. Lacking says that some build on others that are not here.
+func (p *peers) takeUpdates(from time.Duration, via string, updates []wire.InstanceUpdate, passOn bool) (lacking bool) {
+	if len(updates) == 0 {
+		return false
+	}
+	p.taking.Lock()
+	defer p.taking.Unlock()
+	p.mu.Lock()
+	now := p.g.clock.Now()
+	changes, lacking := p.table.Merge(from, updates, passOn)
+	for i := range changes {
+		p.note(now, via, &changes[i])
 	}
-	s.heard, s.leaving, s.loads, s.loading, s.silent = now, m.Leaving, m.Loads, m.Loading, m.Silent
-	s.cut, s.holdsOrders, s.config = m.Cut, m.HoldsOrders, max(s.config, m.ConfigVersion)
-	p.takeUnheard(now, m.Unheard)
 	p.mu.Unlock()
-	return p.g.takeMessage(now, from, m), nil
+	p.g.takeChanges(now, changes)
+	return lacking
+}
+
+// note takes in the update of a peer. The caller holds p.mu.
+func (p *peers) note(now time.Duration, via string, c *replica.Change) {
+	id := c.Identity
+	if id.Instance == p.g.self.Instance {
+		return // an earlier process of this instance
+	}
+	s := p.known[id.Instance]
+	if s != nil && s.Incarnation != id.Incarnation && c.At <= s.updatedAt {
+		return // an earlier process of that one
+	}
+	if s == nil || s.Incarnation != id.Incarnation {
+		if now-c.At > p.freshFor() {
+			return
+		}
+		s = newState(now, Announced{Announcement: Announcement{
+			Instance: id.Instance, Incarnation: id.Incarnation, Address: id.Address, Domain: id.Domain,
+		}})
+		p.known[id.Instance] = s
+		logline.Sampled("peer_met", "peer", id.Instance, "address", id.Address, "incarnation", id.Incarnation, "via", via)
+	}
+	s.updatedAt, s.via, s.state, s.Capacity = c.At, via, c.State, c.State.Capacity
+	s.config = max(s.config, c.State.ConfigVersion)
+	p.takeOverdue(now, c.State.Overdue)
 }
 
 // apply puts what is known of the peers into force here.
@@ -138,43 +190,42 @@
 	loads := map[string]load{}
 	loading := map[string]bool{}
 	p.mu.Lock()
-	fleet, silence := p.sizeLocked(), p.heardFor()
-	pace := p.paceLocked()
-	heard, silent := 0, map[string]int{}
+	fleet, silence, delay := p.sizeLocked(), p.freshFor(), p.updateTime()
+	reporting, silent := 0, map[string]int{}
 	for _, s := range p.known {
-		if !p.hears(now, s) {
+		if !p.fresh(now, s) {
 			continue
 		}
-		heard++
-		for _, id := range s.silent {
+		reporting++
+		for _, id := range s.state.Silent {
 			silent[id]++
 		}
-		for target, l := range s.loads {
+		for target, l := range s.state.Loads {
 			sum := loads[target]
-			loads[target] = load{Unanswered: sum.Unanswered + l.Unanswered, Held: sum.Held + l.Held}
+			loads[target] = load{Unanswered: sum.Unanswered + float64(l.Unanswered), Held: sum.Held + l.Held}
 		}
-		for _, id := range s.loading {
+		for _, id := range s.state.Loading {
 			loading[id] = true
 		}
 	}
 	p.mu.Unlock()
-	p.g.takePeers(now, fleet, silence, pace, loads, loading)
-	p.g.suspect(agreed(silent, heard))
+	p.g.takePeers(now, fleet, silence, delay, loads, loading)
+	p.g.suspect(agreed(silent, reporting))
 }
 
 const (
 	// minWitnesses is the peers that must have found a target silent. One may
 	// be cut off from it by itself.
 	minWitnesses = 2
-	// witnessShare is that number in large fleets, as a part of the peers
-	// heard: a few machines that share a broken link must not decide for all.
+	// witnessShare is that number in large fleets, as a part of the peers that
+	// report: a few machines that share a broken link must not decide for all.
 	witnessShare = 0.07
 )
 
-// agreed lists the targets that enough of the heard peers have found silent.
-func agreed(silent map[string]int, heard int) []string {
+// agreed lists the targets that enough of the peers have found silent.
+func agreed(silent map[string]int, reporting int) []string {
 	var ids []string
-	need := max(minWitnesses, int(witnessShare*float64(heard)))
+	need := max(minWitnesses, int(witnessShare*float64(reporting)))
 	for id, n := range silent {
 		if n >= need {
 			ids = append(ids, id)
@@ -184,7 +235,7 @@
 }
 
 // sentPrompt notes a prompt that a target has prefilled, and the pieces that it
-// saves under the scope, to tell the peers.
+// saves under the scope, for the peers.
 func (p *peers) sentPrompt(pl *placed, scope string, saved []prefix.Hash) {
 	m := wire.SentPrompt{
 		Target: pl.target.ID, Born: pl.target.Born, Chain: numbers(pl.send.Request.Place.Chain), Tokens: pl.took(),
@@ -192,7 +243,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.prompts = append(p.prompts, m)
+	p.table.AddEvent(wire.InstanceEvent{Prompt: &m})
 }
 
 func numbers(hashes []prefix.Hash) []uint64 {
@@ -211,9 +262,9 @@
 	return out
 }
 
-// struck notes a request that broke off, to tell the peers.
-func (p *peers) struck(fingerprint uint64) {
+// crashed notes a request that broke off, for the peers.
+func (p *peers) crashed(fingerprint uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.crashes = append(p.crashes, fingerprint)
+	p.table.AddEvent(wire.InstanceEvent{Crashed: fingerprint})
 }
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -47,9 +47,11 @@
 	Incarnation string
 	Address     string
 	Domain      string
-	// Hears are the instances for which this one speaks, because others may
-	// not hear them.
-	Hears []string
+	// Capacity is the hubs' work that the instance can do beside its own.
+	Capacity int
+	// Alive are the instances of which this one has updates. It announces them
+	// because others may have none.
+	Alive []string
 }
 
 // Announced is an announcement as it stands in the store; Revision changes
--- a/internal/gateway/fleetstate.go
+++ b/internal/gateway/fleetstate.go
@@ -5,43 +5,90 @@
 
 	"github.com/mastictray/mastictray/internal/directory"
 	"github.com/mastictray/mastictray/internal/logline"
+	"github.com/mastictray/mastictray/internal/quota"
+	"github.com/mastictray/mastictray/internal/replica"
 	"github.com/mastictray/mastictray/internal/routing"
 	"github.com/mastictray/mastictray/internal/wire"
 )
 
-// state is what this instance tells its peers.
-func (g *Gateway) state() wire.Exchange {
+// state is what this instance publishes: its state, and what it has admitted.
+func (g *Gateway) state() (wire.InstanceState, map[string]float64) {
 	_, holds := g.lease.held(g.clock.Now())
-	m := wire.Exchange{
-		From: g.self, Leaving: g.closing.Load(), Cut: g.feeds.cut(), HoldsOrders: holds,
-		Loads: map[string]wire.TargetLoad{}, Stores: g.cache.answering(),
-	}
-	if t := g.table.Load(); t != nil {
-		m.ConfigVersion = t.Config().Version
+	m := wire.InstanceState{
+		Capacity: g.settings.Capacity, Leaving: g.closing.Load(), Cut: g.feeds.cut(), HoldsOrders: holds,
+		ConfigVersion: g.configVersion(), Loads: map[string]wire.TargetLoad{}, Stores: g.cache.answering(),
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	m.TargetsNext = g.registrations.next
-	m.Spent = g.quota.Spent()
 	m.Loading = g.ordered
 	for _, pool := range g.engines {
 		for id, l := range pool.loads() {
-			m.Loads[id] = wire.TargetLoad{Unanswered: l.Unanswered, Held: l.Held}
+			m.Loads[id] = wire.TargetLoad{Unanswered: int(l.Unanswered), Held: l.Held}
 		}
 		m.Silent = append(m.Silent, pool.silent()...)
 	}
-	return m
+	return m, g.quota.Spent()
 }
 
-// takeMessage takes in a peer's message and answers it.
-func (g *Gateway) takeMessage(now time.Duration, from wire.Identity, m wire.Exchange) wire.ExchangeAnswer {
-	reads := g.peers.readsForDomain()
+// configVersion is the version of the configuration in force; 0 for none.
+func (g *Gateway) configVersion() int64 {
+	if t := g.table.Load(); t != nil {
+		return t.Config().Version
+	}
+	return 0
+}
+
+// message is the part of a message to peers that is the same for all.
+func (g *Gateway) message() wire.Exchange {
 	g.mu.Lock()
-	g.quota.Heard(now, from.Incarnation, m.Spent)
-	for _, f := range m.Crashed {
-		g.strikes.add(now, f)
+	defer g.mu.Unlock()
+	return wire.Exchange{From: g.self, ConfigVersion: g.configVersion(), TargetsNext: g.registrations.next}
+}
+
+// takeChanges puts what other instances have published into force.
+func (g *Gateway) takeChanges(now time.Duration, changes []replica.Change) {
+	reports := make([]quota.Report, 0, len(changes))
+	g.mu.Lock()
+	for i := range changes {
+		c := &changes[i]
+		reports = append(reports, quota.Report{Incarnation: c.Identity.Incarnation, At: c.At, Spent: c.Spent})
+		for _, e := range c.Events {
+			if e.Crashed != 0 {
+				g.strikes.add(now, e.Crashed)
+			}
+		}
+	}
+	g.quota.Take(now, reports...)
+	g.mu.Unlock()
+	pools := g.enginePools()
+	for i := range changes {
+		if stores := changes[i].State.Stores; len(stores) > 0 {
+			g.cache.told(stores)
+		}
+		for _, e := range changes[i].Events {
+			if e.Prompt != nil {
+				g.takePrompt(pools, e.Prompt)
+			}
+		}
+	}
+}
+
+// takePrompt takes in a prompt that a target has prefilled for another instance.
+func (g *Gateway) takePrompt(pools []*enginePool, s *wire.SentPrompt) {
+	if len(s.Pieces) > 0 {
+		g.cache.saved(s.Scope, hashes(s.Pieces))
 	}
-	answer := wire.ExchangeAnswer{ContactAge: -1, Leaving: g.closing.Load()}
+	chain := hashes(s.Chain)
+	for _, pool := range pools {
+		pool.noteCached(directory.Incarnation{ID: s.Target, Born: s.Born}, chain, s.Tokens)
+	}
+}
+
+// answer answers a peer's message.
+func (g *Gateway) answer(now time.Duration, from wire.Identity, m wire.Exchange) wire.ExchangeAnswer {
+	reads := g.peers.readsForDomain()
+	g.mu.Lock()
+	answer := wire.ExchangeAnswer{ContactAge: -1, Leaving: g.closing.Load(), ConfigVersion: g.configVersion()}
 	if age := g.contactAge(); age < startAge {
 		answer.ContactAge = age.Milliseconds() + 1
 	}
@@ -52,28 +99,14 @@
 			})
 		}
 	}
-	answer.Targets = g.targetNews(now, m.TargetsNext, reads)
+	answer.Targets = g.targetNews(now, m.TargetsNext, reads || m.Follow)
 	g.mu.Unlock()
-	pools := g.enginePools()
-	g.cache.told(m.Stores)
-	for _, s := range m.Prompts {
-		if len(s.Pieces) > 0 {
-			g.cache.saved(s.Scope, hashes(s.Pieces))
-		}
-		chain := hashes(s.Chain)
-		for _, pool := range pools {
-			pool.noteCached(directory.Incarnation{ID: s.Target, Born: s.Born}, chain, s.Tokens)
-		}
-	}
-	if t := g.table.Load(); t != nil {
-		answer.ConfigVersion = t.Config().Version
-		if m.WantConfig && answer.ConfigVersion > m.ConfigVersion {
-			raw, err := routing.Encode(t.Config())
-			if err != nil {
-				logline.Error(err, "config_not_passed_on", "peer", from.Instance)
-			}
-			answer.Config = raw
+	if t := g.table.Load(); t != nil && (m.WantConfig || m.Follow) && answer.ConfigVersion > m.ConfigVersion {
+		raw, err := routing.Encode(t.Config())
+		if err != nil {
+			logline.Error(err, "config_not_passed_on", "peer", from.Instance)
 		}
+		answer.Config = raw
 	}
 	return answer
 }
@@ -127,18 +160,19 @@
 }
 
 // takePeers puts the peers' loads and the size of the fleet into force.
-func (g *Gateway) takePeers(now time.Duration, fleet int, silence, pace time.Duration, loads map[string]load, loading map[string]bool) {
+// Their updates come with a delay.
+func (g *Gateway) takePeers(now time.Duration, fleet int, silence, delay time.Duration, loads map[string]load, loading map[string]bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.quota.SetFleet(now, fleet, silence)
 	g.shareReserves(fleet)
 	for _, f := range g.strikes.news {
-		g.peers.struck(f)
+		g.peers.crashed(f)
 	}
 	g.strikes.news = nil
 	g.loadingNow = with(loading, g.ordered)
 	g.updateRollout()
 	for _, pool := range g.engines {
-		pool.setPeers(pace, loads)
+		pool.setPeers(delay, loads)
 	}
 }
--- a/internal/gateway/leaserelay.go
+++ b/internal/gateway/leaserelay.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastictray/mastictray/internal/hubs"
 	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/orderlease"
 	"github.com/mastictray/mastictray/internal/wire"
@@ -100,7 +101,7 @@
 	defer p.mu.Unlock()
 	now, first := p.g.clock.Now(), ""
 	for name, s := range p.known {
-		if !s.cut && !s.leaving && p.hears(now, s) && (first == "" || name < first) {
+		if !s.state.Cut && !s.state.Leaving && p.fresh(now, s) && (first == "" || hubs.Compare(s.instance(), p.known[first].instance()) < 0) {
 			first = name
 		}
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -20,6 +21,12 @@
 	return m
 }
 
+// gauge finds or makes a value that is set before the metrics are written.
+func (m *gatewayMetrics) gauge(name string) *metrics.Gauge { return m.set.GetOrCreateGauge(name, nil) }
+
+// write writes all metrics, and those of the process.
+func (m *gatewayMetrics) write(w io.Writer) { metrics.WritePrometheus(w, true) }
+
 func (m *gatewayMetrics) refused(r *Refusal) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`mastictray_refused_total{reason=%q,status="%d"}`, r.Reason, r.Status)).Inc()
 }
--- a/internal/gateway/operators_test.go
+++ b/internal/gateway/operators_test.go
@@ -73,7 +73,7 @@
 	a, b := startOn(store, "a"), startOn(store, "b")
 	a.takeNews(a.clock.Now(), named(3))
 	age := func(p *probed) int64 {
-		for _, v := range p.takeMessage(p.clock.Now(), wire.Identity{}, wire.Exchange{}).Weights {
+		for _, v := range p.answer(p.clock.Now(), wire.Identity{}, wire.Exchange{}).Weights {
 			if v.Version == 3 {
 				return v.Age
 			}
@@ -83,7 +83,7 @@
 	for range 100 {
 		for _, way := range [][2]*probed{{a, b}, {b, a}} {
 			from, to := way[0], way[1]
-			told := from.takeMessage(from.clock.Now(), wire.Identity{}, wire.Exchange{})
+			told := from.answer(from.clock.Now(), wire.Identity{}, wire.Exchange{})
 			to.takeAnswer(to.clock.Now()-40*time.Millisecond, wire.Identity{}, 0, told)
 		}
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -9,8 +9,10 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mastictray/mastictray/internal/feedturn"
+	"github.com/mastictray/mastictray/internal/hubs"
 	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/peer"
+	"github.com/mastictray/mastictray/internal/replica"
 	"github.com/mastictray/mastictray/internal/wire"
 )
 
@@ -18,35 +20,40 @@
 	// exchangeEvery is the least pause between two messages to a peer. What
 	// an account spends in it on all instances is its possible debt.
 	exchangeEvery = 125 * time.Millisecond
-	// exchangeShare lengthens the pause in large fleets. A message and the one
-	// that comes back take an instance some 110 us (two fleets of 61 instances
-	// compared), so at 200 a second they take two hundredths of a processor;
-	// what placement knows of peers' work is as old as the pause.
+	// exchangeShare lengthens the pause for each peer that an instance calls, so
+	// that its messages take a bounded part of its processor.
 	exchangeShare = 5 * time.Millisecond
-	// exchangeTimeout bounds one exchange; a peer that takes longer counts
-	// as silent.
+	// followEvery is the pause between two messages to the hub that an instance
+	// follows.
+	followEvery = 200 * time.Millisecond
+	// exchangeTimeout bounds one exchange; a peer that takes longer is not
+	// called for retryFailed.
 	exchangeTimeout = 800 * time.Millisecond
-	// minHeardFor is how long a peer's last message is held for its present
-	// state, and heardMessages that time in pauses between two of them, so
+	// lateAfter is when an instance calls another hub beside one that has not
+	// answered: after the pause of two messages, and a bit.
+	lateAfter = 300 * time.Millisecond
+	// retryFailed is how long an instance follows another hub after a failed
+	// call.
+	retryFailed = 2 * time.Second
+	// minFreshFor is how long a peer's last update stands for its present
+	// state, and freshUpdates that time in the time that an update takes, so
 	// that one lost changes nothing.
-	minHeardFor   = time.Second
-	heardMessages = 4
+	minFreshFor  = time.Second
+	freshUpdates = 4
 	// announceEvery is the pause between announcements of the first of the
-	// instances that hear each other, while a peer is silent.
+	// instances in the order of duties, while a peer is silent.
 	announceEvery = 2 * time.Second
-	// calmAnnounceEvery is that pause while all peers are heard, and
+	// calmAnnounceEvery is that pause while there are updates of all peers, and
 	// othersAnnounceEvery the pause of the other instances.
 	calmAnnounceEvery   = 15 * time.Second
 	othersAnnounceEvery = time.Minute
 	// goneAfter is when a silent peer that is no longer announced counts as
 	// gone, and its part of the accounts' rates falls to the others. One that
 	// is only cut off from the others is announced all the while, by itself or
-	// by the first of those that it hears; one that is cut off from the store
-	// too has stopped serving callers with keys by then, since it cannot check
-	// them.
+	// by the first of those that it exchanges updates with; one that is cut off
+	// from the store too has stopped serving callers with keys by then, since it
+	// cannot check them.
 	goneAfter = 7 * time.Second
-	// maxSentPrompts bounds the prompts told in one message.
-	maxSentPrompts = 128
 )
 
 // peers is this instance's view of the other instances.
@@ -54,18 +61,19 @@
 	g    *Gateway
 	node *peer.Node
 
+	// taking is held while updates are taken in, so that those of one origin
+	// come into force in their order. It is locked before all others.
+	taking sync.Mutex
+
 	mu    sync.Mutex
+	table *replica.Table
 	known map[string]*peerState // by instance
+	// plan is the last plan of calls, and turn counts the plans.
+	plan hubs.Plan
+	turn int
 	// dropped are the announcements of peers that are gone: they stay in the
 	// store, and would bring each back whenever they are read.
 	dropped map[string]int64
-	// prompts are what this instance's requests have left at targets, for
-	// each peer since its last message.
-	prompts []wire.SentPrompt
-	// promptBase counts the prompts dropped from the front.
-	promptBase int
-	crashBase  int
-	crashes    []uint64
 	// askedConfig is the peer that is being asked for its configuration.
 	askedConfig *peerState
 	// read is set once the announcements were read.
@@ -78,40 +86,39 @@
 
 type peerState struct {
 	Announced
-	heard time.Duration
+	// updatedAt is when the peer made the last update that has come here.
+	updatedAt time.Duration
+	// via is the instance from which that came.
+	via string
 	// announcedAt is when a new announcement of it was last seen in the store,
 	// by itself or by another instance.
 	announcedAt time.Duration
-	// missedAt is when the first of the instances last told that it does not
-	// hear this one either.
+	// missedAt is when the first of the instances last reported that it has no
+	// update of this one either.
 	missedAt time.Duration
-	leaving  bool
-	// cut and holdsOrders are the peer's own words.
-	cut         bool
-	holdsOrders bool
-	// config is the configuration that it has.
+	// state is its last update, config the newest configuration that it has,
+	// fleet the instances that it knows, as it answered last.
+	state  wire.InstanceState
 	config int64
-	// told is what it knows of this instance's spending.
-	told        map[string]float64
-	loads       map[string]wire.TargetLoad
-	loading     []string
-	silent      []string
-	calling     bool
-	sentPrompts int
-	sentCrashes int
+	fleet  int
+	// calling is set while a call is under way, since calledAt; failedAt is when
+	// the last one failed, never after an answer.
+	calling  bool
+	calledAt time.Duration
+	failedAt time.Duration
+	// sent is the version of this instance's table that the peer has, received
+	// the place in the peer's table that this instance has.
+	sent     uint64
+	received wire.UpdatePlace
 }
 
-// newState is that of a peer not heard yet. It is told only what happens from
-// now on. The caller holds p.mu.
-func (p *peers) newState(now time.Duration, a Announced) *peerState {
-	return &peerState{
-		Announced: a, heard: never, announcedAt: now, missedAt: never,
-		sentPrompts: p.promptBase + len(p.prompts), sentCrashes: p.crashBase + len(p.crashes),
-	}
+// newState is that of a peer without an update yet.
+func newState(now time.Duration, a Announced) *peerState {
+	return &peerState{Announced: a, updatedAt: never, announcedAt: now, missedAt: never, failedAt: never}
 }
 
 func newPeers(g *Gateway) *peers {
-	return &peers{g: g, known: map[string]*peerState{}, dropped: map[string]int64{}}
+	return &peers{g: g, table: replica.New(g.self, minFreshFor), known: map[string]*peerState{}, dropped: map[string]int64{}}
 }
 
 // run finds the peers and exchanges messages with them until ctx ends.
@@ -184,8 +191,7 @@
 	return 1 + len(p.known)
 }
 
-// pace is the pause between two messages to a peer. The caller does not hold
-// p.mu.
+// pace is the pause between two plans of calls.
 func (p *peers) pace() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -193,34 +199,63 @@
 }
 
 func (p *peers) paceLocked() time.Duration {
-	return max(exchangeEvery, exchangeShare*time.Duration(len(p.known)))
+	if p.plan.Mesh {
+		return max(exchangeEvery, exchangeShare*time.Duration(len(p.known)))
+	}
+	if p.plan.Hub {
+		return max(exchangeEvery, exchangeShare*time.Duration(len(p.plan.Calls)))
+	}
+	return followEvery
+}
+
+// updateTime is the time after which an update of an instance has reached all
+// others: in a mesh one pause, else those of the instance, of a hub, and of the
+// instances that follow one. The caller holds p.mu.
+func (p *peers) updateTime() time.Duration {
+	if p.plan.Mesh {
+		return p.paceLocked()
+	}
+	return exchangeEvery + followEvery
 }
 
-// heardFor is how long a peer's last message is held for its present state.
-// The caller holds p.mu.
-func (p *peers) heardFor() time.Duration {
-	return max(minHeardFor, heardMessages*p.paceLocked())
+// freshFor is how long a peer's last update stands for its present state. The
+// caller holds p.mu.
+func (p *peers) freshFor() time.Duration {
+	return max(minFreshFor, freshUpdates*p.updateTime())
 }
 
-// heardCount is the number of peers that are heard.
-func (p *peers) heardCount() int {
+// fresh says whether a peer's last update stands for its present state. The
+// caller holds p.mu.
+func (p *peers) fresh(now time.Duration, s *peerState) bool { return now-s.updatedAt <= p.freshFor() }
+
+// reporting is the number of peers with a fresh update.
+func (p *peers) reporting() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.heardLocked(p.g.clock.Now())
+	return p.reportingLocked(p.g.clock.Now())
 }
 
-func (p *peers) heardLocked(now time.Duration) int {
+func (p *peers) reportingLocked(now time.Duration) int {
 	n := 0
 	for _, s := range p.known {
-		if p.hears(now, s) {
+		if p.fresh(now, s) {
 			n++
 		}
 	}
 	return n
 }
 
-// rank is the number of heard peers that reach the store and whose names come
-// before this instance's.
+// instance is this instance in the order of duties.
+func (p *peers) instance() hubs.Instance {
+	return hubs.Instance{Name: p.g.self.Instance, Domain: p.g.self.Domain, Capacity: p.g.settings.Capacity}
+}
+
+func (s *peerState) instance() hubs.Instance {
+	return hubs.Instance{Name: s.Instance, Domain: s.Domain, Capacity: s.Capacity}
+}
+
+// rank is the number of peers with a fresh update that reach the store and come
+// before this instance in the order of duties.
 func (p *peers) rank() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -228,9 +263,9 @@
 }
 
 func (p *peers) rankLocked(now time.Duration) int {
-	rank := 0
-	for name, s := range p.known {
-		if name < p.g.self.Instance && !s.leaving && !s.cut && p.hears(now, s) {
+	rank, self := 0, p.instance()
+	for _, s := range p.known {
+		if hubs.Compare(s.instance(), self) < 0 && !s.state.Leaving && !s.state.Cut && p.fresh(now, s) {
 			rank++
 		}
 	}
@@ -246,22 +281,22 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.g.clock.Now()
-	var heard []feedturn.Peer
-	for name, s := range p.known {
-		if s.Domain == p.g.self.Domain && !s.leaving && p.hears(now, s) {
-			heard = append(heard, feedturn.Peer{Name: name, Lost: s.cut})
+	var members []feedturn.Peer
+	for _, s := range p.known {
+		if s.Domain == p.g.self.Domain && !s.state.Leaving && p.fresh(now, s) {
+			members = append(members, feedturn.Peer{Instance: s.instance(), Lost: s.state.Cut})
 		}
 	}
-	return feedturn.Reads(p.g.self.Instance, heard)
+	return feedturn.Reads(p.instance(), members)
 }
 
-// ordersHeld says that a heard peer holds the lease for orders.
+// ordersHeld says that a peer holds the lease for orders.
 func (p *peers) ordersHeld() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.g.clock.Now()
 	for _, s := range p.known {
-		if s.holdsOrders && p.hears(now, s) {
+		if s.state.HoldsOrders && p.fresh(now, s) {
 			return true
 		}
 	}
--- a/internal/gateway/registrations.go
+++ b/internal/gateway/registrations.go
@@ -104,12 +104,12 @@
 	g.updatePools()
 }
 
-// targetNews is what this instance tells a peer that would read on at a place
-// in the registrations; nil when it does not read them itself or has dropped
-// what the peer lacks. The caller holds g.mu.
-func (g *Gateway) targetNews(now time.Duration, place int64, reads bool) *wire.TargetNews {
+// targetNews is what this instance passes on to a peer that would read on at a
+// place in the registrations; nil when the peer has it from others, or when what
+// it lacks was dropped here. The caller holds g.mu.
+func (g *Gateway) targetNews(now time.Duration, place int64, passOn bool) *wire.TargetNews {
 	f := &g.registrations
-	if !reads || place == unread || f.next == unread {
+	if !passOn || place == unread || f.next == unread {
 		return nil
 	}
 	events, ok := f.changes.Since(place)
--- a/internal/gateway/restart_test.go
+++ b/internal/gateway/restart_test.go
@@ -100,7 +100,7 @@
 	first, other := startOn(store, "a"), startOn(store, "b")
 	slept(first, 8100*time.Millisecond)
 	first.takeNews(first.clock.Now(), named(3))
-	other.takeAnswer(other.clock.Now(), wire.Identity{}, 0, first.takeMessage(first.clock.Now(), wire.Identity{}, wire.Exchange{}))
+	other.takeAnswer(other.clock.Now(), wire.Identity{}, 0, first.answer(first.clock.Now(), wire.Identity{}, wire.Exchange{}))
 	other.takeNews(other.clock.Now(), named(3))
 	is.Equal(other.excluded(), []int64{2, 2, 2})
 }
@@ -116,7 +116,7 @@
 		age := 1350 * (10 - v)
 		lived.takeAnswer(lived.clock.Now(), wire.Identity{}, 0, wire.ExchangeAnswer{Weights: []wire.NamedWeights{{Model: "m", Version: v, Age: age, Observed: true}}})
 	}
-	woken.takeAnswer(woken.clock.Now(), wire.Identity{}, 0, lived.takeMessage(lived.clock.Now(), wire.Identity{}, wire.Exchange{}))
+	woken.takeAnswer(woken.clock.Now(), wire.Identity{}, 0, lived.answer(lived.clock.Now(), wire.Identity{}, wire.Exchange{}))
 	is.Equal(lived.excluded(), []int64{2, 2, 2})
 	is.Equal(woken.excluded(), []int64{2, 2, 2})
 }
@@ -158,7 +158,7 @@
 	ahead.versionRecordStep(t.Context())
 	is.Equal(ahead.excluded(), []int64{2, 2, 2})
 	tell := func(from, to *probed) {
-		to.takeAnswer(to.clock.Now(), wire.Identity{}, 0, from.takeMessage(from.clock.Now(), wire.Identity{}, wire.Exchange{}))
+		to.takeAnswer(to.clock.Now(), wire.Identity{}, 0, from.answer(from.clock.Now(), wire.Identity{}, wire.Exchange{}))
 	}
 	tell(ahead, lived)
 	is.Equal(lived.excluded(), nil)
@@ -224,7 +224,7 @@
 	is := is.New(t)
 	store := &memoryStore{newest: 2, targets: onVersions(2, 2)}
 	first, other := startOn(store, "a"), startOn(store, "b")
-	other.peers.known["a"] = &peerState{heard: other.clock.Now() + time.Hour}
+	other.peers.known["a"] = &peerState{updatedAt: other.clock.Now() + time.Hour}
 	for _, p := range []*probed{first, other} { // they have run for long
 		p.takeAnswer(p.clock.Now(), wire.Identity{}, 0, wire.ExchangeAnswer{Weights: []wire.NamedWeights{{Model: "m", Version: 2, Age: 60000}}})
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -289,7 +289,7 @@
 	logline.Info("refused", "request", c.ID, "route", routeName(c), "account", accountName(c), "status", refusal.Status,
 		"reason", refusal.Reason, "not_run", refusal.NotRun, "sent", c.sent, "target", c.tried,
 		"after", g.clock.Now()-c.began, "retry_after", refusal.RetryAfter, "tokens", c.asked,
-		"config", version, "config_age", age, "fleet", g.peers.fleetSize(), "heard", g.peers.heardCount())
+		"config", version, "config_age", age, "fleet", g.peers.fleetSize(), "reporting", g.peers.reporting())
 }
 
 func unavailable(reason string, retryAfter time.Duration) *Refusal {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -7,6 +7,10 @@
 	Instance string
 	Domain   string
 
+	// Capacity is the work of hubs that the instance can do beside its own; those
+	// with more take the fleet's duties first.
+	Capacity int
+
 	CallerListen  string
 	ReadyListen   string
 	PeerListen    string
--- /dev/null
+++ b/internal/gateway/status.go
@@ -0,0 +1,120 @@
+package gateway
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/mastictray/mastictray/internal/logline"
+)
+
+// Status is the state of an instance as operators see it.
+type Status struct {
+	Instance    string `json:"instance"`
+	Incarnation string `json:"incarnation"`
+	Domain      string `json:"domain"`
+	// Role is "mesh", "hub" or "follower".
+	Role string `json:"role"`
+	// Config is the version of the configuration in force; 0 for none.
+	Config int64 `json:"config_version"`
+	// HoldsOrders says that the instance holds the lease for orders.
+	HoldsOrders bool `json:"holds_orders"`
+	// Followers are the instances whose updates come here from themselves.
+	Followers []string       `json:"followers"`
+	Domains   []DomainStatus `json:"domains"`
+}
+
+// DomainStatus is what an instance knows of the other instances of one failure
+// domain.
+type DomainStatus struct {
+	Domain    string `json:"domain"`
+	Known     int    `json:"known"`
+	Reporting int    `json:"reporting"`
+	// OldestUpdateMS is the age of the oldest of the last updates of those that
+	// report, in milliseconds.
+	OldestUpdateMS int64 `json:"oldest_update_ms"`
+	// Via are the instances from which updates of this domain come.
+	Via []string `json:"via"`
+}
+
+// status gives the state of this instance.
+func (g *Gateway) status() Status {
+	now := g.clock.Now()
+	_, holds := g.lease.held(now)
+	s := Status{
+		Instance: g.self.Instance, Incarnation: g.self.Incarnation, Domain: g.self.Domain, Config: g.configVersion(),
+		HoldsOrders: holds,
+	}
+	g.peers.describe(now, &s)
+	return s
+}
+
+// describe adds what is known of the other instances.
+func (p *peers) describe(now time.Duration, out *Status) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out.Role = "follower"
+	switch {
+	case p.plan.Mesh:
+		out.Role = "mesh"
+	case p.plan.Hub:
+		out.Role = "hub"
+	}
+	domains := map[string]*DomainStatus{}
+	for name, s := range p.known {
+		d := domains[s.Domain]
+		if d == nil {
+			d = &DomainStatus{Domain: s.Domain}
+			domains[s.Domain] = d
+		}
+		d.Known++
+		if !p.fresh(now, s) {
+			continue
+		}
+		d.Reporting++
+		d.OldestUpdateMS = max(d.OldestUpdateMS, (now - s.updatedAt).Milliseconds())
+		if s.via == name {
+			out.Followers = append(out.Followers, name)
+		}
+		if !slices.Contains(d.Via, s.via) {
+			d.Via = append(d.Via, s.via)
+		}
+	}
+	slices.Sort(out.Followers)
+	for _, d := range domains {
+		slices.Sort(d.Via)
+		out.Domains = append(out.Domains, *d)
+	}
+	slices.SortFunc(out.Domains, func(a, b DomainStatus) int { return cmp.Compare(a.Domain, b.Domain) })
+}
+
+// serveState answers the state as JSON.
+func (g *Gateway) serveState(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(g.status()); err != nil {
+		logline.Error(err, "state_unsent")
+	}
+}
+
+// serveMetrics answers the metrics, with those of the fleet as they are now.
+func (g *Gateway) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	s := g.status()
+	for _, d := range s.Domains {
+		g.metrics.gauge(fmt.Sprintf(`mastictray_peers_known{domain=%q}`, d.Domain)).Set(float64(d.Known))
+		g.metrics.gauge(fmt.Sprintf(`mastictray_peers_reporting{domain=%q}`, d.Domain)).Set(float64(d.Reporting))
+		g.metrics.gauge(fmt.Sprintf(`mastictray_peer_update_age_seconds{domain=%q}`, d.Domain)).
+			Set((time.Duration(d.OldestUpdateMS) * time.Millisecond).Seconds())
+	}
+	g.metrics.gauge(`mastictray_followers`).Set(float64(len(s.Followers)))
+	for _, role := range []string{"mesh", "hub", "follower"} {
+		is := 0.0
+		if s.Role == role {
+			is = 1
+		}
+		g.metrics.gauge(fmt.Sprintf(`mastictray_role{role=%q}`, role)).Set(is)
+	}
+	g.metrics.write(w)
+}
--- a/internal/quota/press_test.go
+++ b/internal/quota/press_test.go
@@ -64,7 +64,7 @@
 			for i := range p.instances {
 				for j, peer := range p.instances {
 					if i != j && told[i] != nil {
-						peer.Heard(p.now, names[i], told[i])
+						peer.Take(p.now, Report{Incarnation: names[i], At: p.now, Spent: told[i]})
 					}
 				}
 			}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -47,7 +47,7 @@
 	peers    map[string]*peer
 	// fleet is the number of instances that may be serving, this one too.
 	fleet int
-	// silence is the time after which a peer counts as not heard.
+	// silence is the time after which a peer counts as silent.
 	silence time.Duration
 }
 
@@ -58,7 +58,7 @@
 	// message says of that.
 	spent, told float64
 	// here and fleet are what was lately spent at this instance and, as far as
-	// it has heard, at all of them.
+	// was reported, at all of them.
 	here, fleet float64
 	// shortUntil is the end of the time in which the account counts as short.
 	shortUntil time.Duration
@@ -88,8 +88,9 @@
 )
 
 type peer struct {
-	heard time.Duration
-	spent map[string]float64
+	// updated is when its last report was made.
+	updated time.Duration
+	spent   map[string]float64
 }
 
 // New makes a limiter for a fleet of one without limits.
@@ -110,30 +111,42 @@
 }
 
 // SetFleet gives the number of instances that may be serving, this one too,
-// and the silence after which one of them counts as not heard.
+// and the silence after which one of them counts as silent.
 func (l *Limiter) SetFleet(now time.Duration, n int, silence time.Duration) {
 	l.settle(now)
 	l.fleet, l.silence = max(1, n), silence
 }
 
-// Heard takes in a peer's counts, by its incarnation; counts that have not
-// changed may be left out. The first message after a silence only sets where
-// counting starts: what the peer spent meanwhile came out of its own part.
-func (l *Limiter) Heard(now time.Duration, incarnation string, spent map[string]float64) {
+// Report is the counts of another instance.
+type Report struct {
+	// Incarnation is that of the instance.
+	Incarnation string
+	// At is when it counted.
+	At time.Duration
+	// Spent is what it has admitted since its start, by account. Counts that have
+	// not changed since its last report may be left out.
+	Spent map[string]float64
+}
+
+// Take takes in reports. The first of an instance after a silence only sets where
+// counting starts: what the instance spent meanwhile came out of its own part.
+func (l *Limiter) Take(now time.Duration, reports ...Report) {
 	l.settle(now)
-	p := l.peers[incarnation]
-	if p == nil {
-		p = &peer{spent: map[string]float64{}, heard: now - l.silence - 1}
-		l.peers[incarnation] = p
-	}
-	fresh := now-p.heard <= l.silence
-	for name, total := range spent {
-		if fresh {
-			l.take(now, name, total-p.spent[name])
+	for _, r := range reports {
+		p := l.peers[r.Incarnation]
+		if p == nil {
+			p = &peer{spent: map[string]float64{}, updated: r.At - l.silence - 1}
+			l.peers[r.Incarnation] = p
+		}
+		fresh := r.At-p.updated <= l.silence
+		for name, total := range r.Spent {
+			if fresh {
+				l.take(now, name, total-p.spent[name])
+			}
+			p.spent[name] = total
 		}
-		p.spent[name] = total
+		p.updated = r.At
 	}
-	p.heard = now
 }
 
 func (l *Limiter) take(now time.Duration, name string, tokens float64) {
@@ -192,9 +205,9 @@
 // add up to one, times what uneven callers need. One that hears no peer soon
 // has its part of the bucket to itself.
 func (l *Limiter) share(now time.Duration, a *account, limit Limit, part float64) float64 {
-	heard := float64(l.heard(now))
+	reporting := float64(l.reporting(now))
 	even := evenPart * part * limit.Rate * recentFor.Seconds()
-	share := (a.here + even/heard) / (a.fleet + even)
+	share := (a.here + even/reporting) / (a.fleet + even)
 	if now < a.shortUntil {
 		return share * shortShares
 	}
@@ -226,20 +239,20 @@
 }
 
 // part is the part of the fleet's buckets that this instance draws from: its
-// own and those of the peers whose counts it hears.
+// own and those of the peers that report to it.
 func (l *Limiter) part(now time.Duration) float64 {
-	return min(1, float64(l.heard(now))/float64(l.fleet))
+	return min(1, float64(l.reporting(now))/float64(l.fleet))
 }
 
-// heard is the number of instances whose counts are known, this one too.
-func (l *Limiter) heard(now time.Duration) int {
-	heard := 1
+// reporting is the number of instances whose counts are known, this one too.
+func (l *Limiter) reporting(now time.Duration) int {
+	n := 1
 	for _, p := range l.peers {
-		if now-p.heard <= l.silence {
-			heard++
+		if now-p.updated <= l.silence {
+			n++
 		}
 	}
-	return heard
+	return n
 }
 
 // settle brings all buckets to now, before the part changes, and forgets
@@ -250,7 +263,7 @@
 		l.advance(now, a, l.limits[name], part)
 	}
 	for id, p := range l.peers {
-		if now-p.heard > forgetAfter {
+		if now-p.updated > forgetAfter {
 			delete(l.peers, id)
 		}
 	}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -54,7 +54,7 @@
 	for from, l := range f.instances {
 		for to, peer := range f.instances {
 			if from != to && reach(from, to) {
-				peer.Heard(f.now, string(rune('a'+from)), l.Spent())
+				peer.Take(f.now, Report{Incarnation: string(rune('a' + from)), At: f.now, Spent: l.Spent()})
 			}
 		}
 	}
@@ -160,8 +160,8 @@
 	l := New()
 	l.SetLimits(0, map[string]Limit{"a": {Rate: testRate, Burst: testBurst}})
 	l.SetFleet(0, 2, PeerTimeout)
-	l.Heard(0, "p", map[string]float64{"a": 0})
-	l.Heard(10*time.Second, "p", map[string]float64{"a": 50_000})
+	l.Take(0, Report{Incarnation: "p", Spent: map[string]float64{"a": 0}})
+	l.Take(10*time.Second, Report{Incarnation: "p", At: 10 * time.Second, Spent: map[string]float64{"a": 50_000}})
 	_, ok := l.Admit(10*time.Second, "a", 400)
 	is.True(ok)
 }
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -2,9 +2,9 @@
 
 import "github.com/mastictray/mastictray/internal/directory"
 
-// KindExchange is a call between instances every few hundred milliseconds: the
-// caller tells what it has spent and has running, the answer tells how fresh
-// the peer's configuration is.
+// KindExchange is a call between instances a few times a second: the caller
+// passes on the state of instances, the answer says how fresh the peer's
+// configuration is.
 const KindExchange Kind = "exchange"
 
 // Exchange is what one instance tells another.
@@ -18,52 +18,122 @@
 	// TargetsNext is where the sender would read on in the registrations of
 	// targets; -1 before it has read them.
 	TargetsNext int64 `msgpack:"t"`
-	// Spent is what the sender has admitted since its start, by account.
-	Spent map[string]float64 `msgpack:"s,omitempty"`
-	// Loads is what the sender has running, by target.
-	Loads map[string]TargetLoad `msgpack:"l,omitempty"`
-	// Loading are targets that the sender has ordered to take new weights.
-	Loading []string `msgpack:"o,omitempty"`
-	// Prompts are pieces that the sender's requests have left at targets
-	// since its last message.
-	Prompts []SentPrompt `msgpack:"p,omitempty"`
-	// Stores are the stores of KV cache that the sender reads.
-	Stores []CacheStore `msgpack:"k,omitempty"`
-	// Silent are targets that the sender has found to say nothing.
-	Silent []string `msgpack:"q,omitempty"`
-	// Crashed are fingerprints of requests that broke off at a target.
-	Crashed []uint64 `msgpack:"c,omitempty"`
+	// Updates are the state of the sender, and of the instances that follow it,
+	// as far as it has changed since the last message that was answered.
+	Updates []InstanceUpdate `msgpack:"u,omitempty"`
+	// Sent is the place in the sender's updates on which these build, and
+	// Receiver the origin number of the process that has all up to there.
+	Sent     uint64 `msgpack:"s,omitempty"`
+	Receiver uint64 `msgpack:"e,omitempty"`
+	// Follow asks for what the answerer knows of all other instances.
+	Follow bool `msgpack:"o,omitempty"`
+	// Hub is set by a hub. The answerer passes the state of others on to the
+	// hubs.
+	Hub bool `msgpack:"b,omitempty"`
+	// Received is the place in the answerer's updates up to which the sender
+	// has them.
+	Received UpdatePlace `msgpack:"r"`
+}
+
+// UpdatePlace is a place in the updates that one instance passes on.
+type UpdatePlace struct {
+	//lint:ignore U1000 the codec reads its tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	// Table is the origin number of the instance that passes them on.
+	Table   uint64
+	Version uint64
+}
+
+// InstanceUpdate is the state of one instance, as it or another one tells it.
+type InstanceUpdate struct {
+	//lint:ignore U1000 the codec reads its tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	// Origin is a number for the incarnation of the instance.
+	Origin uint64
+	// Seq counts the updates that the origin has made.
+	Seq uint64
+	// Age is how many milliseconds ago the origin made this one.
+	Age int64
+	// Identity is nil where the receiver has it.
+	Identity *Identity
+	State    InstanceState
+	// Spent is what the origin has admitted since its start, by account, as far
+	// as it has changed.
+	Spent map[string]float64
+	// FirstEvent is the number of the first event; an origin numbers its own
+	// from 1 on.
+	FirstEvent uint64
+	Events     []InstanceEvent
+}
+
+// InstanceState is the part of an update that replaces the one before.
+type InstanceState struct {
+	//lint:ignore U1000 the codec reads its tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	// Capacity is the hubs' work that the instance can do beside its own.
+	Capacity int
 	// Leaving is set by an instance that takes no more requests.
-	Leaving bool `msgpack:"x,omitempty"`
+	Leaving bool
 	// Cut is set by an instance that does not reach the store.
-	Cut bool `msgpack:"y,omitempty"`
+	Cut bool
 	// HoldsOrders is set by the holder of the lease for orders.
-	HoldsOrders bool `msgpack:"h,omitempty"`
-	// Unheard are the instances that the sender does not hear, with the
-	// milliseconds since the last word of each, by itself or in the store.
-	// Only the first of those that hear each other tells.
-	Unheard map[string]int64 `msgpack:"u,omitempty"`
+	HoldsOrders bool
+	// ConfigVersion is the configuration that the origin has; 0 for none.
+	ConfigVersion int64
+	// Loads is what the origin has running, by target.
+	Loads map[string]TargetLoad
+	// Loading are targets that the origin has ordered to take new weights.
+	Loading []string
+	// Stores are the stores of KV cache that the origin reads.
+	Stores []CacheStore
+	// Silent are targets that the origin has found to answer nothing.
+	Silent []string
+	// Overdue are the instances of which the origin has no update, with the
+	// milliseconds since the last one, or since they were last announced in the
+	// store. Only the first instance in the order of duties lists them.
+	Overdue map[string]int64
+}
+
+// InstanceEvent is something that happened at an instance: either a prompt was
+// prefilled or a request broke off.
+type InstanceEvent struct {
+	//lint:ignore U1000 the codec reads its tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Prompt *SentPrompt
+	// Crashed is the fingerprint of a request that broke off at a target; 0 for
+	// none.
+	Crashed uint64
 }
 
 // TargetLoad is what an instance has running at one target.
 type TargetLoad struct {
+	//lint:ignore U1000 the codec reads its tag
+	_msgpack struct{} `msgpack:",as_array"`
+
 	// Unanswered is the prompt tokens whose first token has not come.
-	Unanswered float64 `msgpack:"u,omitempty"`
+	Unanswered int
 	// Held is the tokens of memory that running requests take.
-	Held int `msgpack:"h,omitempty"`
+	Held int
 }
 
 // SentPrompt is a prompt that a target has prefilled.
 type SentPrompt struct {
-	Target string `msgpack:"t"`
-	Born   int64  `msgpack:"b"`
+	//lint:ignore U1000 the codec reads its tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Target string
+	Born   int64
 	// Chain are the hashes of the prompt's shared pieces.
-	Chain []uint64 `msgpack:"c"`
+	Chain []uint64
 	// Tokens is what the request has put into the target's cache.
-	Tokens int `msgpack:"n,omitempty"`
+	Tokens int
 	// Scope and Pieces are set when the target saves the pieces to a store.
-	Scope  string   `msgpack:"s,omitempty"`
-	Pieces []uint64 `msgpack:"p,omitempty"`
+	Scope  string
+	Pieces []uint64
 }
 
 // CacheStore is a store of KV cache that answers.
@@ -85,9 +155,19 @@
 	// Weights are the weights versions named last, oldest first.
 	Weights []NamedWeights `msgpack:"w,omitempty"`
 	// Targets is what is new of the registrations of targets; nil when the
-	// answerer does not read them itself.
+	// caller is to have it from another instance.
 	Targets *TargetNews `msgpack:"t,omitempty"`
 	Leaving bool        `msgpack:"x,omitempty"`
+	// Fleet is the number of instances that the answerer knows, itself too. A
+	// caller that knows few of them learns by it that there are hubs.
+	Fleet int `msgpack:"n"`
+	// Updates are the state of all other instances, for a caller that follows,
+	// and Place where they end.
+	Updates []InstanceUpdate `msgpack:"u,omitempty"`
+	Place   UpdatePlace      `msgpack:"p"`
+	// Lacking is set when an update built on one that the answerer does not
+	// have: all of it is to be sent again.
+	Lacking bool `msgpack:"l,omitempty"`
 }
 
 // TargetNews is what has changed in the registrations of targets since the
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"bytes"
 	"encoding/binary"
 	"io"
 
@@ -39,11 +40,15 @@
 
 // NewFrame builds a frame with an encoded body.
 func NewFrame(id uint64, kind Kind, body any) (Frame, error) {
-	raw, err := msgpack.Marshal(body)
-	if err != nil {
+	var buf bytes.Buffer
+	enc := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(enc)
+	enc.Reset(&buf)
+	enc.UseCompactInts(true)
+	if err := enc.Encode(body); err != nil {
 		return Frame{}, errors.Wrapf(err, "encode body kind=%s", kind)
 	}
-	return Frame{ID: id, Kind: kind, Body: raw}, nil
+	return Frame{ID: id, Kind: kind, Body: buf.Bytes()}, nil
 }
 
 // Into decodes the body.
