--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -26,8 +26,12 @@
 func OriginOf(incarnation string) uint64 { return xxhash.Sum64String(incarnation) }
 
 const (
-	// maxEvents bounds the events of one origin that are kept to be passed on.
-	maxEvents = 128
+	// maxEvents is the events of one origin that are kept to be passed on, at
+	// least; at most twice as many are.
+	maxEvents = 64
+	// repeatAfter is when a state that has not changed is passed on again: twice
+	// in the least time after which its instance would count as silent.
+	repeatAfter = 400 * time.Millisecond
 	// forgetAfter is when an origin without updates is dropped. By then no
 	// receiver builds on what it had of it.
 	forgetAfter = 10 * time.Minute
@@ -81,7 +85,7 @@
 // passed on.
 func New(self wire.Identity, staleAfter time.Duration) *Table {
 	t := &Table{self: OriginOf(self.Incarnation), rows: map[uint64]*row{}, staleAfter: staleAfter}
-	t.rows[t.self] = &row{identity: self, spent: map[string]count{}, created: 1, passOn: true}
+	t.rows[t.self] = &row{identity: self, spent: map[string]count{}, at: -repeatAfter, created: 1, passOn: true}
 	t.version = 1
 	return t
 }
@@ -92,9 +96,14 @@
 // Place is the end of the table's updates.
 func (t *Table) Place() wire.UpdatePlace { return wire.UpdatePlace{Table: t.self, Version: t.version} }
 
-// Publish takes in this instance's own state and counts.
+// Publish takes in this instance's own state and counts. They are passed on if
+// they have changed, and now and then as a sign of life.
 func (t *Table) Publish(now time.Duration, state wire.InstanceState, spent map[string]float64) {
+	t.forget(now)
 	r := t.rows[t.self]
+	if now-r.at < repeatAfter && len(t.pending) == 0 && r.state.Equal(&state) && !r.spentChanges(spent) {
+		return
+	}
 	t.version++
 	r.seq++
 	r.at, r.state, r.changed = now, state, t.version
@@ -103,7 +112,6 @@
 		r.addEvent(e, r.lastEvent+1, t.version)
 	}
 	t.pending = nil
-	t.forget(now)
 }
 
 // AddEvent takes in an event of this instance, to be published with its next
@@ -114,6 +122,15 @@
 	}
 }
 
+func (r *row) spentChanges(spent map[string]float64) bool {
+	for account, total := range spent {
+		if r.spent[account].total != total {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *row) setSpent(spent map[string]float64, version uint64) {
 	for account, total := range spent {
 		if r.spent[account].total != total {
@@ -127,8 +144,8 @@
 		r.events = nil // receivers number events from the first one on
 	}
 	r.events = append(r.events, event{InstanceEvent: e, number: number, changed: version})
-	if drop := len(r.events) - maxEvents; drop > 0 {
-		r.events = append([]event(nil), r.events[drop:]...)
+	if len(r.events) >= 2*maxEvents {
+		r.events = append([]event(nil), r.events[len(r.events)-maxEvents:]...)
 	}
 	r.lastEvent = number
 }
