weights: a target that took no order goes on serving and holds up nobody

Change: a target that was ordered without a receipt and then answers that it carries out no order is not away: it goes on serving, and the next one is ordered. Its order is still repeated until it is there.

--- a/internal/weights/planner.go
+++ b/internal/weights/planner.go
@@ -304,7 +304,7 @@
 // of it. A silent target must not hold up the others, and a slow load must: the
 // weight source is shared, and loads slow each other down.
 func (p *Planner) holdsSlot(now time.Duration, g Goal, t *directory.Registration, q *progress) bool {
-	if q.phase == asking && q.seen == nil && g.Unreachable[t.ID] {
+	if q.phase == asking && q.seen == nil && g.Unreachable[t.ID] || q.unconfirmed() {
 		return false
 	}
 	return q.phase != idle && now-max(q.began, q.busyAt) < p.settings.SilentAfter
@@ -362,11 +362,11 @@
 )
 
 // Loading lists the targets that are about to be ordered, or were and are not
-// done yet: they refuse requests.
+// done yet: they refuse requests. One that took no order goes on serving.
 func (p *Planner) Loading() []string {
 	var ids []string
 	for id, q := range p.targets {
-		if q.phase != idle {
+		if q.phase != idle && !q.unconfirmed() {
 			ids = append(ids, id)
 		}
 	}
--- a/internal/weights/planner_property_test.go
+++ b/internal/weights/planner_property_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 )
 
-// most is the number of loads that a planner begins beside targets that serve.
+// mostAtOnce is the number of targets that a planner takes from callers at once.
 func (w *world) mostAtOnce() int {
 	divisor := w.planner.settings.ParallelDivisor
 	return 1 + (len(w.targets)+divisor-1)/divisor
--- a/internal/weights/planner_test.go
+++ b/internal/weights/planner_test.go
@@ -387,6 +387,28 @@
 	is.Equal(w.most, 4)
 }
 
+// Guards against targets that are kept from callers for seconds because their
+// receipts were lost, though they carry out no order.
+func TestTargetWithoutReceiptGoesOnServing(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(12)
+	for _, x := range w.targets {
+		x.unanswers = 100
+	}
+	w.deadlines = []Deadline{{Version: 2, At: 9 * time.Second}}
+	away := 0
+	for range 60 {
+		w.step(2)
+		for _, id := range w.planner.Loading() {
+			if w.find(id).loading == 0 {
+				away++
+			}
+		}
+	}
+	is.True(away < 12*20) // under 2 s each
+	is.True(w.until(2, 5*time.Second))
+}
+
 // Guards against unreachable targets that hold up the others.
 func TestUnreachableTargetsHoldUpNobody(t *testing.T) {
 	is := is.New(t)
--- a/internal/weights/progress.go
+++ b/internal/weights/progress.go
@@ -31,8 +31,15 @@
 	asking bool
 	sentAt time.Duration
 	seen   *Observation
+	// idleAt is when the target last answered that it carries out no order,
+	// after one was sent to it and no receipt came.
+	idleAt time.Duration
 }
 
+// unconfirmed says that an order was sent, and that the target carries out none:
+// the order was lost, or waits somewhere.
+func (q *progress) unconfirmed() bool { return q.idleAt > max(q.busyAt, 0) }
+
 func (p *Planner) of(t *directory.Registration) *progress {
 	q := p.targets[t.ID]
 	if q == nil || q.incarnation != t.Incarnation() {
@@ -112,8 +119,11 @@
 	if q.phase == ordered && o.Asked < q.sentAt {
 		return
 	}
-	if o.Busy {
+	switch {
+	case o.Busy:
 		q.busyAt = o.Asked
+	case q.phase == asking && q.version != 0:
+		q.idleAt = o.Asked
 	}
 	if q.phase == ordered && (o.Busy || q.seen != nil && o.Accepted > q.seen.Accepted) {
 		q.phase = loading
@@ -133,7 +143,7 @@
 	}
 	switch r {
 	case Taken:
-		q.phase = loading
+		q.phase, q.idleAt = loading, 0
 	case InForce, Conflict:
 		q.phase, q.seen, q.askAt = asking, nil, now
 	case Rejected:
