peers: an instance announces itself once at its start

Two of the seven or eight calls that a start costs were a second announcement two seconds later: as the first one is answered no peer has reported yet, so the instance takes itself for alone, and by the time of the second one it is not. Now the need is looked at again when the announcement is due; a peer that falls silent is looked for as before.

--- a/internal/gateway/announce.go
+++ b/internal/gateway/announce.go
@@ -14,17 +14,33 @@
 	now := p.g.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	// A peer fell silent since the pause was chosen.
-	if p.announcesOthers(now) {
-		p.announceAt = min(p.announceAt, now+announceEvery)
-	}
-	if p.announcing || now < p.announceAt {
+	if !p.announceDue(now) {
 		return
 	}
 	p.announcing = true
 	go p.announce(ctx)
 }
 
+// announceDue says whether to announce now. The pause was chosen as the last
+// announcement was answered, and peers have reported or fallen silent since. The
+// caller holds p.mu.
+func (p *peers) announceDue(now time.Duration) bool {
+	if p.announcing {
+		return false
+	}
+	if p.announcesOthers(now) {
+		p.announceAt = min(p.announceAt, now+announceEvery)
+	}
+	if now < p.announceAt {
+		return false
+	}
+	if due := p.announcedAt + p.announcePause(now); p.read && now < due {
+		p.announceAt = due
+		return false
+	}
+	return true
+}
+
 // announce writes where this instance is and which ones are alive, and reads
 // where the others are.
 func (p *peers) announce(ctx context.Context) {
@@ -36,14 +52,14 @@
 	p.announcing = false
 	now := p.g.clock.Now()
 	if err != nil {
-		p.announceAt = now + p.g.jitter(announceEvery)
+		p.announcedAt, p.announceAt = never, now+p.g.jitter(announceEvery)
 		if ctx.Err() == nil {
 			logline.Error(err, "announcements_failed")
 		}
 		return
 	}
 	p.take(now, all)
-	p.announceAt = now + p.announcePause(now)
+	p.announcedAt, p.announceAt = now, now+p.announcePause(now)
 }
 
 func (p *peers) exchangeAnnouncements(ctx context.Context) ([]Announced, error) {
--- a/internal/gateway/announce_test.go
+++ b/internal/gateway/announce_test.go
@@ -106,3 +106,21 @@
 	p.known["a"].updatedAt = now // and no word of the third any more
 	is.True(p.announcesOthers(now))
 }
+
+// Guards against two calls more to the store by each of hundreds of instances that
+// start together: while the first announcement is answered, no peer has reported.
+func TestInstanceAnnouncesOnceAtItsStart(t *testing.T) {
+	is := is.New(t)
+	p := newTestPeers("b")
+	is.True(p.announceDue(0))
+	p.take(0, []Announced{announced("a", 0), announced("b", 1)})
+	p.announceAt = p.announcePause(0)
+	is.Equal(p.announceAt, announceEvery) // as long as it is alone
+	now := announceEvery
+	p.known["a"].updatedAt = now
+	is.True(!p.announceDue(now))
+	is.Equal(p.announceAt, othersAnnounceEvery)
+	p.known["a"].updatedAt = never
+	is.True(!p.announceDue(now + announceEvery)) // it may report yet
+	is.True(p.announceDue(now + 2*announceEvery))
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -78,10 +78,12 @@
 	askedConfig *peerState
 	// read is set once the announcements were read.
 	read bool
-	// announcing is set while a call to the store is under way, announceAt when
-	// the next one is due.
-	announcing bool
-	announceAt time.Duration
+	// announcing is set while a call to the store is under way. announcedAt is
+	// when the last one was answered, never after a failure, and announceAt when
+	// the next one is to be thought of.
+	announcing  bool
+	announcedAt time.Duration
+	announceAt  time.Duration
 }
 
 type peerState struct {
