wire: loads of an update are a valid array

An instance with requests under way could not be read by any peer, counted as silent, and everybody read the store.

Cause: the written-out codec put a key and two numbers into a map for each load. The decoder of updates read that, but the frame around it is skipped over by the library, which counts pairs, and lost the last bytes of the body.

The tests of the codec decoded the body without its frame. A refused exchange is logged.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -4,8 +4,11 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/mastictray/mastictray/internal/hubs"
 	"github.com/mastictray/mastictray/internal/logline"
+	"github.com/mastictray/mastictray/internal/peer"
 	"github.com/mastictray/mastictray/internal/prefix"
 	"github.com/mastictray/mastictray/internal/replica"
 	"github.com/mastictray/mastictray/internal/wire"
@@ -68,8 +71,11 @@
 	p.mu.Unlock()
 	var answer wire.ExchangeAnswer
 	from, err := node.Call(ctx, address, wire.KindExchange, m, &answer)
-	if err != nil && ctx.Err() != nil {
+	switch {
+	case err != nil && ctx.Err() != nil:
 		node.Drop(address)
+	case errors.Is(err, peer.ErrRefused):
+		logline.Error(err, "exchange_refused", "peer", s.Instance)
 	}
 	lacking := err == nil && p.takeUpdates(asked, from.Instance, answer.Updates, false)
 	p.mu.Lock()
--- a/internal/wire/update.go
+++ b/internal/wire/update.go
@@ -8,9 +8,10 @@
 // The codec of updates is written out: hubs encode and followers decode those of
 // the whole fleet several times a second, and most fields of most are empty.
 
-// updateFields and promptFields are the lengths of the encoded arrays.
+// The lengths of the encoded arrays.
 const (
 	updateFields = 10
+	loadFields   = 3
 	promptFields = 6
 )
 
@@ -55,8 +56,9 @@
 	return nil
 }
 
+// encodeLoads writes an array of loadFields items for each target.
 func encodeLoads(e *msgpack.Encoder, loads map[string]TargetLoad) error {
-	err := e.EncodeMapLen(len(loads))
+	err := e.EncodeArrayLen(loadFields * len(loads))
 	for target, l := range loads {
 		err = firstError(err, e.EncodeString(target), e.EncodeInt(int64(l.Unanswered)), e.EncodeInt(int64(l.Held)))
 	}
@@ -167,7 +169,7 @@
 }
 
 func (r *updateReader) loads() map[string]TargetLoad {
-	n := r.length(r.d.DecodeMapLen)
+	n := r.length(r.d.DecodeArrayLen) / loadFields
 	if n == 0 {
 		return nil
 	}
