Names: crash counts, progress, reports; the field's terms in the gateway's comments

strikes -> crash counts (log line crash_counted), heard -> progressed or answered, told -> reported, word -> report.

--- a/internal/gateway/announce_test.go
+++ b/internal/gateway/announce_test.go
@@ -103,7 +103,7 @@
 	p.expire(now + time.Second)
 	is.Equal(len(p.known), 2)
 	now += goneAfter/2 + time.Second
-	p.known["a"].updatedAt = now // and no word of the third any more
+	p.known["a"].updatedAt = now // and no report of the third any more
 	is.True(p.announcesOthers(now))
 }
 
--- a/internal/gateway/cachestore.go
+++ b/internal/gateway/cachestore.go
@@ -42,9 +42,9 @@
 type cacheStore struct {
 	index *storeindex.Index
 	since int64
-	// heard is when the store, or a peer's word of it, was last heard.
-	heard   time.Duration
-	reading bool
+	// answeredAt is when the store answered last, here or as a peer reported.
+	answeredAt time.Duration
+	reading    bool
 }
 
 func newCacheStores(g *Gateway) *cacheStores {
@@ -90,7 +90,7 @@
 			out = append(out, address)
 		case !reads:
 			store.index.Unfollow()
-			if now-store.heard > goneAfter {
+			if now-store.answeredAt > goneAfter {
 				store.index.Down()
 			}
 		}
@@ -141,8 +141,8 @@
 	if !was {
 		logline.Info("cache_store_found", "address", address, "boot", news.Boot)
 	}
-	store.heard = s.g.clock.Now()
-	store.index.Apply(store.heard, news)
+	store.answeredAt = s.g.clock.Now()
+	store.index.Apply(store.answeredAt, news)
 	store.since = news.Next
 }
 
@@ -210,7 +210,7 @@
 // the store is missing.
 const maxOwnSaved = 2
 
-// saved notes that a target has read pieces that it was told to save, by this
+// saved notes that a target has read pieces that it was asked to save, by this
 // instance or by a peer.
 func (s *cacheStores) saved(scope string, pieces []prefix.Hash) {
 	now := s.g.clock.Now()
@@ -234,15 +234,15 @@
 	return out
 }
 
-// told takes in which stores a peer reads. An instance that reads a store
+// reported takes in which stores a peer reads. An instance that reads a store
 // itself knows better.
-func (s *cacheStores) told(stores []wire.CacheStore) {
+func (s *cacheStores) reported(stores []wire.CacheStore) {
 	now := s.g.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, t := range stores {
 		if store := s.stores[t.Address]; store != nil && !store.reading {
-			store.heard = now
+			store.answeredAt = now
 			store.index.Alive(t.Boot)
 		}
 	}
--- a/internal/gateway/strikes.go
+++ b/internal/gateway/crashcount.go
@@ -13,36 +13,36 @@
 )
 
 const (
-	// maxStrikes is the broken attempts of one request, over all its repeats
+	// maxCrashes is the broken attempts of one request, over all its repeats
 	// and all instances, after which it is refused. Two can be chance: a
 	// request shares its target's fate. The third means that the request
 	// itself crashes what runs it.
-	maxStrikes = 3
-	// strikeMemory is how long strikes are remembered after the last one.
-	strikeMemory = 60 * time.Second
-	// maxStruck bounds the requests remembered.
-	maxStruck = 4096
+	maxCrashes = 3
+	// crashMemory is how long crashes are remembered after the last one.
+	crashMemory = 60 * time.Second
+	// maxCountedRequests bounds the requests remembered.
+	maxCountedRequests = 4096
 )
 
-// strikes counts the attempts that broke off, by the request's fingerprint. A
+// crashCounts counts the attempts that broke off, by the request's fingerprint. A
 // request that crashes each target that runs it would otherwise take down one
 // target after the other as its caller repeats it.
-type strikes struct {
-	byRequest map[uint64]strike
-	// news are the own strikes since peers were last told.
-	news []uint64
+type crashCounts struct {
+	byRequest map[uint64]crashCount
+	// unreported are the own crashes since the last update to the peers.
+	unreported []uint64
 }
 
-type strike struct {
+type crashCount struct {
 	n    int
 	last time.Duration
 }
 
-func newStrikes() strikes { return strikes{byRequest: map[uint64]strike{}} }
+func newCrashCounts() crashCounts { return crashCounts{byRequest: map[uint64]crashCount{}} }
 
 // add counts a broken attempt.
-func (s *strikes) add(now time.Duration, fingerprint uint64) int {
-	if len(s.byRequest) >= maxStruck {
+func (s *crashCounts) add(now time.Duration, fingerprint uint64) int {
+	if len(s.byRequest) >= maxCountedRequests {
 		s.expire(now)
 	}
 	k := s.byRequest[fingerprint]
@@ -51,18 +51,18 @@
 	return k.n
 }
 
-func (s *strikes) expire(now time.Duration) {
+func (s *crashCounts) expire(now time.Duration) {
 	for f, k := range s.byRequest {
-		if now-k.last > strikeMemory {
+		if now-k.last > crashMemory {
 			delete(s.byRequest, f)
 		}
 	}
 }
 
-// barred says whether the request is refused.
-func (s *strikes) barred(now time.Duration, fingerprint uint64) bool {
+// refused says whether the request is refused.
+func (s *crashCounts) refused(now time.Duration, fingerprint uint64) bool {
 	k := s.byRequest[fingerprint]
-	return k.n >= maxStrikes && now-k.last <= strikeMemory
+	return k.n >= maxCrashes && now-k.last <= crashMemory
 }
 
 // fingerprint names a request among its repeats: the same caller, path and
@@ -85,9 +85,9 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	n := g.strikes.add(g.clock.Now(), c.fingerprint)
-	g.strikes.news = append(g.strikes.news, c.fingerprint)
-	logline.Info("strike", "request", c.ID, "target", c.tried, "strikes", n, "of", maxStrikes)
+	n := g.crashes.add(g.clock.Now(), c.fingerprint)
+	g.crashes.unreported = append(g.crashes.unreported, c.fingerprint)
+	logline.Info("crash_counted", "request", c.ID, "target", c.tried, "crashes", n, "of", maxCrashes)
 }
 
 // connectionLost says that an attempt ended with its connection, as when its
--- a/internal/gateway/strikes_test.go
+++ b/internal/gateway/crashcount_test.go
@@ -12,24 +12,24 @@
 // takes no further target along. One that shared a crash by chance runs on.
 func TestRequestIsBarredAfterItsThirdCrash(t *testing.T) {
 	is := is.New(t)
-	s := newStrikes()
+	s := newCrashCounts()
 	const poison, bystander = 1, 2
-	for i := range maxStrikes {
-		is.True(!s.barred(time.Duration(i)*time.Second, poison))
+	for i := range maxCrashes {
+		is.True(!s.refused(time.Duration(i)*time.Second, poison))
 		s.add(time.Duration(i)*time.Second, poison)
 	}
 	s.add(0, bystander)
-	is.True(s.barred(3*time.Second, poison))
-	is.True(!s.barred(3*time.Second, bystander))
-	is.True(!s.barred(time.Hour, poison)) // it is tried again in the end
+	is.True(s.refused(3*time.Second, poison))
+	is.True(!s.refused(3*time.Second, bystander))
+	is.True(!s.refused(time.Hour, poison)) // it is tried again in the end
 }
 
 func TestStrikesAreBounded(t *testing.T) {
 	is := is.New(t)
-	s := newStrikes()
-	for i := range maxStruck {
+	s := newCrashCounts()
+	for i := range maxCountedRequests {
 		s.add(0, uint64(i))
 	}
-	s.add(2*strikeMemory, 1)
-	is.True(len(s.byRequest) < maxStruck)
+	s.add(2*crashMemory, 1)
+	is.True(len(s.byRequest) < maxCountedRequests)
 }
--- a/internal/gateway/enginemarks.go
+++ b/internal/gateway/enginemarks.go
@@ -37,7 +37,7 @@
 }
 
 // restAfterRefusal is how long a target that refused a request as a whole gets
-// no other: it is full or about to load, and by then peers will have told.
+// no other: it is full or about to load, and by then peers will have reported it.
 const restAfterRefusal = 200 * time.Millisecond
 
 // resting says that a target takes no requests now.
--- a/internal/gateway/enginesilence.go
+++ b/internal/gateway/enginesilence.go
@@ -8,10 +8,10 @@
 )
 
 const (
-	// toldSilentFor is how long peers are told of a target's silence.
-	toldSilentFor = 2 * time.Second
-	// ownWordFor is how long an own answer of a target outweighs peers' word.
-	ownWordFor = time.Second
+	// reportSilentFor is how long peers get a report of a target's silence.
+	reportSilentFor = 2 * time.Second
+	// ownAnswerFor is how long an own answer of a target outweighs the reports of peers.
+	ownAnswerFor = time.Second
 )
 
 // silent lists the targets found silent a short while ago.
@@ -20,7 +20,7 @@
 	defer p.mu.Unlock()
 	var ids []string
 	for id, at := range p.silentAt {
-		if p.now()-at > toldSilentFor {
+		if p.now()-at > reportSilentFor {
 			delete(p.silentAt, id)
 		} else {
 			ids = append(ids, id)
@@ -52,7 +52,7 @@
 	for _, id := range ids {
 		r, known := p.regs[id]
 		b := p.breaker(id)
-		if !known || b.State() == overload.Open || p.silence(id).HeardSince(now-ownWordFor) {
+		if !known || b.State() == overload.Open || p.silence(id).AnsweredSince(now-ownAnswerFor) {
 			continue
 		}
 		b.Unreachable(now, p.rng)
@@ -107,9 +107,9 @@
 	return s
 }
 
-// heard notes that something of an attempt's answer came.
-func (p *enginePool) heard(pl *placed) {
+// progressed notes that something of an attempt's answer came.
+func (p *enginePool) progressed(pl *placed) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.silence(pl.target.ID).Heard(p.now(), pl.leg)
+	p.silence(pl.target.ID).Progress(p.now(), pl.leg)
 }
--- a/internal/gateway/feedstate.go
+++ b/internal/gateway/feedstate.go
@@ -10,7 +10,7 @@
 )
 
 // feedStates say which feeds of the store this instance does not reach. Peers
-// are told, so that they do not wait for its word.
+// get a report, so that they do not wait for its updates.
 type feedStates struct {
 	mu                       sync.Mutex
 	operators, registrations bool
--- a/internal/gateway/fleetstate.go
+++ b/internal/gateway/fleetstate.go
@@ -63,7 +63,7 @@
 		reports = append(reports, quota.Report{Incarnation: c.Identity.Incarnation, At: c.At, Spent: c.Spent})
 		for _, e := range c.Events {
 			if e.Crashed != 0 {
-				g.strikes.add(now, e.Crashed)
+				g.crashes.add(now, e.Crashed)
 			}
 		}
 	}
@@ -72,7 +72,7 @@
 	pools := g.enginePools()
 	for i := range changes {
 		if stores := changes[i].State.Stores; len(stores) > 0 {
-			g.cache.told(stores)
+			g.cache.reported(stores)
 		}
 		if orders := changes[i].State.Orders; orders != nil {
 			g.lease.read(now, fromWireLease(*orders))
@@ -139,7 +139,7 @@
 		g.putInForce(c, from.Instance)
 	}
 	for _, v := range a.Weights {
-		g.nameVersion(routing.WeightsVersion{Model: v.Model, Version: v.Version}, g.toldAt(asked, v), from.Instance, !v.Observed)
+		g.nameVersion(routing.WeightsVersion{Model: v.Model, Version: v.Version}, g.namedAt(asked, v), from.Instance, !v.Observed)
 	}
 	t := g.table.Load()
 	if a.ContactAge >= 0 && t != nil && t.Config().Version >= a.ConfigVersion {
@@ -147,12 +147,12 @@
 	}
 }
 
-// toldAt is when a version was named by a peer's word. The peer took its age
-// some time between the question and now. Where there is such a word already,
+// namedAt is when a version was named by a peer's report. The peer took its age
+// some time between the question and now. Where there is such a report already,
 // only what is earlier for sure counts: two peers that took the earliest possible
 // each time would make a version older with each exchange, by 0.8 s in 4 s at 2
 // ms a way. The caller holds g.mu.
-func (g *Gateway) toldAt(asked time.Duration, v wire.NamedWeights) time.Duration {
+func (g *Gateway) namedAt(asked time.Duration, v wire.NamedWeights) time.Duration {
 	age := time.Duration(v.Age) * time.Millisecond
 	known := g.versionsOf(v.Model)
 	if known.observed(v.Version) || !v.Observed && known.knows(v.Version) {
@@ -178,10 +178,10 @@
 	defer g.mu.Unlock()
 	g.quota.SetFleet(now, fleet, silence)
 	g.shareReserves(fleet)
-	for _, f := range g.strikes.news {
+	for _, f := range g.crashes.unreported {
 		g.peers.crashed(f)
 	}
-	g.strikes.news = nil
+	g.crashes.unreported = nil
 	g.loadingNow = with(loading, g.ordered)
 	g.updateRollout()
 	for _, pool := range g.engines {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,7 +52,7 @@
 	engines       map[string]*enginePool
 	services      map[string]*servicePool
 	budgets       map[string]*overload.SharedBudget
-	strikes       strikes
+	crashes       crashCounts
 
 	feeds feedStates
 	peers *peers
@@ -67,7 +67,7 @@
 	suspension    suspension
 	// wall is the time of day.
 	wall func() time.Time
-	// ordersHeldAt is when a peer was last heard to hold the lease for orders.
+	// ordersHeldAt is when a peer last reported that it holds the lease for orders.
 	// Only the loop of rollouts uses it.
 	ordersHeldAt time.Duration
 	// quietSince is since when no rollout is to be done; never while there is.
@@ -104,7 +104,7 @@
 		engines:       map[string]*enginePool{},
 		services:      map[string]*servicePool{},
 		budgets:       map[string]*overload.SharedBudget{},
-		strikes:       newStrikes(),
+		crashes:       newCrashCounts(),
 		planner:       weights.New(weights.DefaultSettings()),
 		quietSince:    never,
 	}
@@ -191,7 +191,7 @@
 	for sleep(ctx, sweepEvery) {
 		g.suspension.tick(g.clock.Now())
 		g.mu.Lock()
-		g.updateRollout() // bounds are reached also while no peer is heard
+		g.updateRollout() // bounds are reached also while no peer reports
 		g.mu.Unlock()
 		g.targets.Sweep()
 		g.callers.closeIdle()
--- a/internal/gateway/namedversions.go
+++ b/internal/gateway/namedversions.go
@@ -13,11 +13,11 @@
 
 type namedVersion struct {
 	version int64
-	// at is when it was named, by the best word on it.
+	// at is when it was named, by the best report on it.
 	at time.Duration
-	// estimated is set while no instance has told that received the version as it
-	// was named:
-	// the process started later or was suspended, and so were those that told it.
+	// estimated is set while no report has come from an instance that received the
+	// version as it was named: this process started later or was suspended, and so
+	// were those that reported it.
 	estimated bool
 }
 
@@ -76,8 +76,8 @@
 	return known
 }
 
-// observed says whether an instance has told that received the version as it was
-// named.
+// observed says whether a report has come from an instance that received the
+// version as it was named.
 func (n *namedVersions) observed(version int64) bool {
 	i, known := n.search(version)
 	return known && !n.list[i].estimated
@@ -90,7 +90,7 @@
 	return n.list[i:]
 }
 
-// notYet is the time of a version before the first word on it.
+// notYet is the time of a version before the first report on it.
 const notYet = time.Duration(math.MaxInt64)
 
 // maxNamedVersions is how many versions are remembered for dueBy: more than
--- a/internal/gateway/operators.go
+++ b/internal/gateway/operators.go
@@ -85,7 +85,7 @@
 		g.putInForce(news.Config, "store")
 	}
 	for _, v := range news.Versions {
-		// One that peers told before is not heard as it is named.
+		// One that peers reported before is not received as it is named.
 		g.nameVersion(v, namedBy, "store", estimated || g.versionsOf(v.Model).knows(v.Version))
 	}
 	if atStart {
@@ -97,9 +97,9 @@
 	// namedBefore is how long ago a version is taken to have been named that a
 	// process finds at its start, until its peers or the store's record tell.
 	namedBefore = 3 * time.Second
-	// estimatedShare is the time without word from operators, as a part of the time
+	// estimatedShare is the time without news from operators, as a part of the time
 	// within which a configuration must be in force, after which a version is
-	// not heard as it was named. By then all instances read by themselves. Only
+	// not received as it was named. By then all instances read by themselves. Only
 	// a suspension of the process makes it older at once: with the store away
 	// nobody names any, and all instances would spare all targets as it returns.
 	estimatedShare = 0.5
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -24,10 +24,10 @@
 	// choice is what placement expected, for the log.
 	choice choice
 	// sent is called with what ends the attempt before its request is
-	// written, heard for each part of the answer, answered for the first one,
+	// written, progressed for each part of the answer, answered for the first one,
 	// ended once at the end, unreachable when no connection was made.
 	sent        func(cut func(), m mobility)
-	heard       func()
+	progressed  func()
 	answered    func()
 	ended       func(overload.Result)
 	unreachable func()
@@ -61,7 +61,7 @@
 		return nil, unavailable("no_target", noTargetRetry)
 	}
 	return &leg{
-		target: ch.target, sent: func(func(), mobility) {}, heard: func() {}, answered: func() {},
+		target: ch.target, sent: func(func(), mobility) {}, progressed: func() {}, answered: func() {},
 		ended:       func(r overload.Result) { pool.ended(ch, r) },
 		unreachable: func() { pool.unreachable(ch) },
 	}, nil
@@ -97,7 +97,7 @@
 			pool.answered(pl)
 		},
 		sent:        func(cut func(), m mobility) { pool.sent(pl, cut, m) },
-		heard:       func() { pool.heard(pl) },
+		progressed:  func() { pool.progressed(pl) },
 		ended:       func(r overload.Result) { pool.ended(pl, r) },
 		unreachable: func() { pool.unreachable(pl) },
 	}
--- a/internal/gateway/registrations.go
+++ b/internal/gateway/registrations.go
@@ -76,7 +76,7 @@
 
 // register takes in the registrations from one place in the feed to another,
 // as the store held them at that time; whole says that they are all there is.
-// A peer's word may have come meanwhile that tells more: then these are old.
+// A peer's report may have come meanwhile that holds more: then these are old.
 func (g *Gateway) register(at time.Duration, from, next int64, events []directory.Event, whole bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -119,7 +119,7 @@
 	return &wire.TargetNews{Next: f.next, Age: (now - f.upTo).Milliseconds() + 1, Events: events}
 }
 
-// takeTargetNews takes in a peer's word on the registrations, asked for at that
+// takeTargetNews takes in a peer's report of the registrations, asked for at that
 // time by an instance that stood at that place.
 func (g *Gateway) takeTargetNews(asked time.Duration, place int64, n *wire.TargetNews) {
 	if n == nil {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -131,7 +131,7 @@
 		if err != nil {
 			return s.cut(), errors.Wrapf(err, "stream after %d events", s.events)
 		}
-		l.heard()
+		l.progressed()
 		if s.seen(e.ID) {
 			continue
 		}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -91,7 +91,7 @@
 // Refusal is a final answer of the router's own.
 type Refusal struct {
 	Status int
-	// Reason is a stable word for the caller's operators.
+	// Reason is a stable code for the caller's operators.
 	Reason string
 	// RetryAfter, when over 0, is when to come back.
 	RetryAfter time.Duration
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -196,7 +196,7 @@
 }
 
 // setOrdered notes which targets this instance has ordered. Here that counts at
-// once; peers are told.
+// once; peers get it with the next update.
 func (g *Gateway) setOrdered(ordered []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -220,7 +220,7 @@
 func (g *Gateway) admit(c *call) *Refusal {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.strikes.barred(g.clock.Now(), c.fingerprint) {
+	if g.crashes.refused(g.clock.Now(), c.fingerprint) {
 		return &Refusal{Status: http.StatusServiceUnavailable, Reason: "crashes_targets", NotRun: true, RetryAfter: barredRetry}
 	}
 	if c.account == nil {
@@ -277,7 +277,7 @@
 
 // logRefusal writes what was decided and what it was decided by: the
 // configuration and its age, the tokens asked for, and how much of the fleet
-// is heard, by which the account's rate is shared.
+// reports, by which the account's rate is shared.
 func (g *Gateway) logRefusal(c *call, refusal *Refusal) {
 	version := int64(0)
 	if c.table != nil {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -16,10 +16,10 @@
 	PeerListen    string
 	MetricsListen string
 
-	// KeyCutoff is the time without word from the store after which requests
+	// KeyCutoff is the time without contact with the store after which requests
 	// with keys are refused: a key may have been withdrawn meanwhile.
 	KeyCutoff time.Duration
-	// KeyReadyAge is the time without word after which the instance asks the
+	// KeyReadyAge is the time without contact after which the instance asks the
 	// balancer for no more callers.
 	KeyReadyAge time.Duration
 	// RetryRatio is the repeated sends for each request of a service, and
--- a/internal/gateway/versionrecord.go
+++ b/internal/gateway/versionrecord.go
@@ -135,7 +135,7 @@
 }
 
 // takeVersionRecord puts into force what the record tells of versions that nobody has
-// told of from an instance that received them as they were named.
+// reported from an instance that received them as they were named.
 func (g *Gateway) takeVersionRecord(list []weights.NamedVersion) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/overload/silence.go
+++ b/internal/overload/silence.go
@@ -6,9 +6,10 @@
 // connections, as when its machine loses power or a link is cut. Requests sent
 // there would wait until their deadlines. It is not safe for concurrent use.
 type Silence struct {
-	heard time.Duration
-	open  map[uint64]openLeg
-	next  uint64
+	// progressAt is when something of an answer came last.
+	progressAt time.Duration
+	open       map[uint64]openLeg
+	next       uint64
 }
 
 type openLeg struct {
@@ -37,24 +38,24 @@
 	return s.next
 }
 
-// Heard notes that something of a request's answer came.
-func (s *Silence) Heard(now time.Duration, n uint64) {
-	s.heard = now
+// Progress notes that something of a request's answer came.
+func (s *Silence) Progress(now time.Duration, n uint64) {
+	s.progressAt = now
 	if leg, ok := s.open[n]; ok && !leg.streaming {
 		leg.streaming = true
 		s.open[n] = leg
 	}
 }
 
-// HeardSince says whether something of an answer came after that time.
-func (s *Silence) HeardSince(at time.Duration) bool { return s.heard > at }
+// AnsweredSince says whether something of an answer came after that time.
+func (s *Silence) AnsweredSince(at time.Duration) bool { return s.progressAt > at }
 
 // End notes that a request is over.
 func (s *Silence) End(n uint64) { delete(s.open, n) }
 
 // Gone says that the target has been silent for too long while it had
 // requests to answer. Time before the oldest of them does not count: nothing
-// was to be heard then.
+// was to come then.
 func (s *Silence) Gone(now time.Duration) bool {
 	oldest, limit := now, waitSilence
 	for _, leg := range s.open {
@@ -63,5 +64,5 @@
 			limit = streamSilence
 		}
 	}
-	return now-max(s.heard, oldest) > limit
+	return now-max(s.progressAt, oldest) > limit
 }
--- a/internal/overload/silence_test.go
+++ b/internal/overload/silence_test.go
@@ -13,10 +13,10 @@
 	is := is.New(t)
 	var s Silence
 	a, b := s.Begin(0), s.Begin(0)
-	s.Heard(100*time.Millisecond, a)
+	s.Progress(100*time.Millisecond, a)
 	is.True(!s.Gone(100*time.Millisecond + streamSilence))
 	is.True(s.Gone(101*time.Millisecond + streamSilence))
-	s.Heard(2*time.Second, b) // it was only slow
+	s.Progress(2*time.Second, b) // it was only slow
 	is.True(!s.Gone(2*time.Second + streamSilence))
 	s.End(a)
 	s.End(b)
@@ -29,7 +29,7 @@
 	is := is.New(t)
 	var s Silence
 	a := s.Begin(0)
-	s.Heard(0, a)
+	s.Progress(0, a)
 	s.End(a)
 	s.Begin(time.Minute)
 	is.True(!s.Gone(time.Minute + waitSilence))
--- a/internal/placement/herd_test.go
+++ b/internal/placement/herd_test.go
@@ -64,7 +64,7 @@
 	for now := time.Duration(0); now < herdLength; now += herdStep {
 		h.answer(now)
 		if now%age == 0 {
-			h.tell()
+			h.update()
 		}
 		for due += perStep; due >= 1; due-- {
 			h.place(now, h.rng.IntN(herdInstances))
@@ -99,8 +99,8 @@
 	})
 }
 
-// tell gives each instance what the others have running.
-func (h *herd) tell() {
+// update gives each instance what the others have running.
+func (h *herd) update() {
 	all := make([]float64, herdTargets)
 	for _, p := range h.running {
 		all[p.target] += herdPrompt
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -12,7 +12,7 @@
 // configuration is.
 const KindExchange Kind = "exchange"
 
-// Exchange is what one instance tells another.
+// Exchange is a message from one instance to another.
 type Exchange struct {
 	From Identity `msgpack:"f"`
 	// ConfigVersion is the configuration that the sender has; 0 for none.
@@ -50,7 +50,7 @@
 	Version uint64
 }
 
-// InstanceUpdate is the state of one instance, as it or another one tells it.
+// InstanceUpdate is the state of one instance, as it or another one reports it.
 type InstanceUpdate struct {
 	// Origin is a number for the incarnation of the instance.
 	Origin uint64
