operators: a version read late is as old as the last contact

Cause: version 5 is named at 23.53, and the fleet's reader loses power at 24.04. The first of the other domains reads 0.84 s after its last contact, at 24.41, and took the version as named then; all peers got that time from it. Ruled out: estimates (estimated=false at all that lived).

A read that waits for news follows the one before, and brings a version as it is named.

--- a/internal/gateway/operators.go
+++ b/internal/gateway/operators.go
@@ -73,13 +73,17 @@
 	defer g.mu.Unlock()
 	now := g.clock.Now()
 	namedBy, silence := now, g.contactAge()
+	latest := time.Duration(estimatedShare * float64(g.settings.ConfigBound))
 	atStart := silence > startAge
 	if atStart {
 		namedBy -= namedBefore
 	} else {
-		namedBy -= min(silence, g.suspension.recent(now))
+		// A read that did not follow the one before at once brings what was named
+		// in between, as when the fleet's reader is lost.
+		unread := max(0, silence-(now-upTo))
+		namedBy -= max(min(silence, g.suspension.recent(now)), min(unread, latest))
 	}
-	estimated := silence > time.Duration(estimatedShare*float64(g.settings.ConfigBound))
+	estimated := silence > latest
 	g.contacts.Log(upTo)
 	if news.Config != nil {
 		g.putInForce(news.Config, "store")
--- a/internal/gateway/operators_test.go
+++ b/internal/gateway/operators_test.go
@@ -91,3 +91,21 @@
 	is.True(age(b) < 1000)
 	is.True(age(b) >= age(a)-1) // the one that was told does not take it for newer
 }
+
+// Guards against requests on weights past the bound after the fleet's reader was
+// lost: the next one reads 0.84 s later, and a version counts as old as that.
+func TestVersionIsAsOldAsTheLastContact(t *testing.T) {
+	is := is.New(t)
+	p := startOn(&memoryStore{newest: 2, targets: onVersions(2, 2)}, "a")
+	now := p.clock.Now()
+	p.contacts = contactsOf(now - 840*time.Millisecond)
+	p.takeNews(now, named(3))
+	is.True(p.versionsOf("m").observed(3))
+	is.True(p.versionsOf("m").newest().at <= now-800*time.Millisecond)
+	// A read that waited for news brings them as they are written.
+	q := startOn(&memoryStore{newest: 2, targets: onVersions(2, 2)}, "a")
+	now = q.clock.Now()
+	q.contacts = contactsOf(now - 400*time.Millisecond)
+	q.takeNews(now-400*time.Millisecond, named(3))
+	is.True(q.versionsOf("m").newest().at >= now-time.Millisecond)
+}
