--- a/internal/replica/fleet_test.go
+++ b/internal/replica/fleet_test.go
@@ -48,9 +48,10 @@
 	peers map[string]*simPeer
 	next  time.Duration
 	turn  int
-	down  bool
-	hub   bool
-	calls int
+	// down: it runs no process; lost: its machine does not answer either.
+	down, lost bool
+	hub        bool
+	calls      int
 
 	spent  float64
 	events uint64
@@ -94,6 +95,21 @@
 	return n
 }
 
+// restart makes a new process, which finds all announcements in the store, also
+// those of processes that are gone.
+func (s *sim) restart(n *simNode) {
+	was := map[string]wire.Identity{}
+	for _, x := range s.nodes {
+		was[x.id.Instance] = x.id
+	}
+	s.start(n)
+	for _, x := range s.nodes {
+		if x != n && n.peers[x.id.Instance] == nil {
+			n.peers[x.id.Instance] = &simPeer{identity: was[x.id.Instance], updated: simNever, failed: simNever}
+		}
+	}
+}
+
 // start makes a new process, which finds the others in the store.
 func (s *sim) start(n *simNode) {
 	n.id.Incarnation = fmt.Sprintf("%s@%v", n.id.Instance, s.now)
@@ -162,7 +178,11 @@
 func (s *sim) call(n *simNode, p *simPeer, follow, hub bool) {
 	to := s.find(p.identity.Instance)
 	p.called = s.now
-	if to == nil || to.down || s.cut(n, to) {
+	if to.down && !to.lost {
+		p.failed = s.now // refused by its machine
+		return
+	}
+	if to.down || s.cut(n, to) {
 		p.until, p.failed = s.now+simTimeout, s.now+simTimeout
 		return
 	}
@@ -283,7 +303,8 @@
 	pick := func(name string) *simNode { return s.nodes[rapid.IntRange(0, len(s.nodes)-1).Draw(rt, name)] }
 	switch rapid.SampledFrom([]string{"stop", "restart", "cut", "one way", "heal", "join"}).Draw(rt, "trouble") {
 	case "stop":
-		pick("node").down = true
+		n := pick("node")
+		n.down, n.lost = true, rapid.Bool().Draw(rt, "lost")
 	case "restart":
 		s.start(pick("node"))
 	case "cut":
@@ -336,7 +357,7 @@
 	lost := s.hubsOf("d0")
 	is.Equal(len(lost), 2)
 	for _, n := range lost {
-		n.down = true
+		n.down, n.lost = true, true
 	}
 	s.run(2 * time.Second)
 	is.Equal(s.agreed(), "")
@@ -350,7 +371,7 @@
 	s := newSim(5, 39, 3)
 	s.run(2 * time.Second)
 	for i, n := range s.nodes {
-		n.down = i%13 != 0 // three of a domain are left
+		n.down, n.lost = i%13 != 0, true // three of a domain are left
 	}
 	s.run(3 * time.Second)
 	for _, n := range s.nodes {
@@ -398,3 +419,30 @@
 	is.Equal(s.agreed(), "")
 	is.Equal(s.backward, nil)
 }
+
+// Guards against a fleet that takes seconds to know itself after a restart of all:
+// until then each account has a part of its rate only.
+func TestRestartedFleetKnowsItselfSoon(t *testing.T) {
+	is := is.New(t)
+	s := newSim(5, 20, 6)
+	s.run(2 * time.Second)
+	began, up := s.now, map[*simNode]time.Duration{}
+	for _, n := range s.nodes {
+		n.down, n.lost = true, false
+		up[n] = began + time.Duration(s.rng.Int64N(int64(600*time.Millisecond)))
+	}
+	for s.now < began+4*time.Second {
+		for _, n := range s.nodes {
+			if n.down && s.now >= up[n] {
+				s.restart(n)
+				s.count(n)
+			}
+		}
+		s.run(simStep)
+		if s.now > began+700*time.Millisecond && s.agreed() == "" {
+			break
+		}
+	}
+	t.Logf("known after %v", s.now-began)
+	is.True(s.now-began <= 2*time.Second) // no hub that failed is waited for
+}
