--- a/internal/hubs/hubs.go
+++ b/internal/hubs/hubs.go
@@ -84,23 +84,19 @@
 func Choose(self Instance, peers []Peer, fleet, turn int) Plan {
 	peers = slices.SortedFunc(slices.Values(peers), func(a, b Peer) int { return Compare(a.Instance, b.Instance) })
 	if fleet <= MeshSize {
-		p := Plan{Mesh: true, Hub: true}
-		for _, x := range peers {
-			p.call(x, false)
-		}
-		return p
+		return mesh(peers)
 	}
 	byDomain := map[string][]Peer{}
 	for _, x := range peers {
 		byDomain[x.Domain] = append(byDomain[x.Domain], x)
 	}
 	own, n := alive(byDomain[self.Domain]), Count(1+len(byDomain[self.Domain]))
-	if ahead := slices.IndexFunc(own, func(x Peer) bool { return Compare(self, x.Instance) < 0 }); ahead < 0 && len(own) >= n || ahead >= n {
-		var p Plan
+	var p Plan
+	if countBefore(self, own) >= n {
 		p.follow(self, own[:n], own)
 		return p
 	}
-	p := Plan{Hub: true}
+	p.Hub = true
 	for _, x := range first(own, n-1) {
 		p.call(x, true)
 	}
@@ -112,6 +108,27 @@
 	return p
 }
 
+// mesh calls all peers.
+func mesh(peers []Peer) Plan {
+	p := Plan{Mesh: true, Hub: true}
+	for _, x := range peers {
+		p.call(x, false)
+	}
+	return p
+}
+
+// countBefore counts the peers that come before an instance in the order of
+// duties.
+func countBefore(self Instance, peers []Peer) int {
+	n := 0
+	for _, x := range peers {
+		if Compare(x.Instance, self) < 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // Count is the number of hubs of a failure domain with so many instances.
 func Count(instances int) int {
 	return max(minHubs, (instances+followersPerHub-1)/followersPerHub)
