--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -37,18 +37,15 @@
 
 // planCalls chooses the peers to call now. The caller holds p.mu.
 func (p *peers) planCalls(now time.Duration) {
-	view := make([]hubs.Peer, 0, len(p.known))
+	view, fleet := make([]hubs.Peer, 0, len(p.known)), 1+len(p.known)
 	for _, s := range p.known {
+		fleet = max(fleet, s.fleet)
 		fresh := p.fresh(now, s)
 		view = append(view, hubs.Peer{
 			Instance: s.instance(), Updated: fresh, Calling: s.calling, Late: s.calling && now-s.calledAt > lateAfter,
 			Alive: !s.state.Leaving && now-s.failedAt > retryFailed && (fresh || s.updatedAt == never),
 		})
 	}
-	fleet := 1 + len(p.known)
-	for _, s := range p.known {
-		fleet = max(fleet, s.fleet)
-	}
 	was := p.plan
 	p.plan = hubs.Choose(p.instance(), view, fleet, p.turn)
 	p.turn++
@@ -137,11 +134,7 @@
 	answer.Lacking, answer.Fleet = lacking, 1+len(p.known)
 	if m.Follow {
 		answer.Place = p.table.Place()
-		since := m.Received.Version
-		if m.Received.Table != answer.Place.Table {
-			since = 0 // another process's
-		}
-		answer.Updates = p.table.Since(now, since, replica.All, replica.OriginOf(from.Incarnation))
+		answer.Updates = p.table.Since(now, p.table.VersionAt(m.Received), replica.All, replica.OriginOf(from.Incarnation))
 	}
 	return answer, nil
 }
--- a/internal/hubs/hubs.go
+++ b/internal/hubs/hubs.go
@@ -17,6 +17,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"maps"
 	"slices"
 )
 
@@ -102,7 +103,7 @@
 	}
 	p.probe(byDomain[self.Domain], turn)
 	delete(byDomain, self.Domain)
-	for _, domain := range sorted(byDomain) {
+	for _, domain := range slices.Sorted(maps.Keys(byDomain)) {
 		p.reach(byDomain[domain], turn)
 	}
 	return p
@@ -203,15 +204,6 @@
 
 func first(peers []Peer, n int) []Peer { return peers[:min(n, len(peers))] }
 
-func sorted(byDomain map[string][]Peer) []string {
-	names := make([]string, 0, len(byDomain))
-	for name := range byDomain {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
-
 func number(name string) uint32 {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(name))
--- a/internal/replica/fleet_test.go
+++ b/internal/replica/fleet_test.go
@@ -195,11 +195,7 @@
 	place := p.received
 	if follow {
 		place = to.table.Place()
-		since := p.received.Version
-		if p.received.Table != place.Table {
-			since = 0
-		}
-		answer = to.table.Since(s.now, since, All, OriginOf(n.id.Incarnation))
+		answer = to.table.Since(s.now, to.table.VersionAt(p.received), All, OriginOf(n.id.Incarnation))
 	}
 	if s.rng.Float64() < s.lost {
 		p.failed = s.now
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -96,6 +96,15 @@
 // Place is the end of the table's updates.
 func (t *Table) Place() wire.UpdatePlace { return wire.UpdatePlace{Table: t.self, Version: t.version} }
 
+// VersionAt is the version of the table at a place; 0 for a place in the table of
+// another process, which says nothing of this one.
+func (t *Table) VersionAt(place wire.UpdatePlace) uint64 {
+	if place.Table != t.self {
+		return 0
+	}
+	return place.Version
+}
+
 // Publish takes in this instance's own state and counts. They are passed on if
 // they have changed, and now and then as a sign of life.
 func (t *Table) Publish(now time.Duration, state wire.InstanceState, spent map[string]float64) {
--- a/internal/weights/planner.go
+++ b/internal/weights/planner.go
@@ -238,13 +238,7 @@
 // load together: that takes nothing from callers, and in turns the rollout would
 // not end in time.
 func (p *Planner) late(g Goal, targets []directory.Registration) bool {
-	excluded := 0
-	for i := range targets {
-		if p.excluded(g, &targets[i]) {
-			excluded++
-		}
-	}
-	return 2*excluded > len(targets)
+	return 2*p.countOlder(g, targets, g.Oldest) > len(targets)
 }
 
 // mayWait says that a target has the time to load after those that are excluded
--- a/internal/wire/update.go
+++ b/internal/wire/update.go
@@ -110,11 +110,11 @@
 	return out
 }
 
-// length reads the length of an array or map. A frame is bounded, and so is what
-// is allocated before its items are there.
+// length reads the length of an array or map. Each item takes a byte or more, so
+// a frame bounds it.
 func (r *updateReader) length(decode func() (int, error)) int {
 	n := read(r, decode)
-	if r.err == nil && n > MaxFrameBytes/minItemBytes {
+	if r.err == nil && n > MaxFrameBytes {
 		r.err = errors.Wrapf(ErrFrameMalformed, "length %d", n)
 	}
 	if r.err != nil {
@@ -123,9 +123,6 @@
 	return max(n, 0)
 }
 
-// minItemBytes is the least that an item of an update takes.
-const minItemBytes = 1
-
 // maxReserved bounds the items for which there is memory before they are read.
 const maxReserved = 64
 
