gateway: logs and metrics of how a configuration comes from peers

Whether an instance kept an old configuration because the transfer from a peer did not end, because the store's answers did not, or because an older one was taken, could not be told apart: config_in_force tells of the end only. config_reported is written when a peer has a newer one than any reported before, config_not_received when a peer was asked for it and its answer did not come whole; mastictray_exchange_failed_total counts exchanges by why they failed. No decision changes.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -74,6 +74,12 @@
 	case errors.Is(err, peer.ErrRefused):
 		logline.Error(err, "exchange_refused", "peer", s.Instance)
 	}
+	if err != nil {
+		p.g.metrics.exchangeFailed(err)
+	}
+	if err != nil && m.WantConfig {
+		logline.Error(err, "config_not_received", "peer", s.Instance, "have", m.ConfigVersion, "after", p.g.clock.Now()-asked)
+	}
 	lacking := err == nil && p.takeUpdates(asked, from.Instance, answer.Updates, false)
 	p.mu.Lock()
 	s.calling = false
@@ -96,7 +102,8 @@
 		if lacking {
 			s.received = wire.UpdatePlace{}
 		}
-		s.state.Leaving, s.config, s.fleet = answer.Leaving, max(s.config, answer.ConfigVersion), answer.Fleet
+		s.state.Leaving, s.fleet = answer.Leaving, answer.Fleet
+		p.noteConfig(s, answer.ConfigVersion)
 	}
 	p.mu.Unlock()
 	if err == nil {
@@ -104,6 +111,18 @@
 	}
 }
 
+// noteConfig takes in which configuration a peer has. The caller holds p.mu.
+func (p *peers) noteConfig(s *peerState, version int64) {
+	s.config = max(s.config, version)
+	if version <= p.reportedConfig {
+		return
+	}
+	p.reportedConfig = version
+	if own := p.g.configVersion(); own < version {
+		logline.Info("config_reported", "version", version, "peer", s.Instance, "own", own)
+	}
+}
+
 // asksForConfig says whether to ask this peer for its configuration: it has a
 // newer one, and no other peer is being asked. A fleet that asked everybody at
 // once would fill the small instances' links with copies. The caller holds p.mu.
@@ -179,7 +198,7 @@
 		logline.Sampled("peer_met", "peer", id.Instance, "address", id.Address, "incarnation", id.Incarnation, "via", via)
 	}
 	s.updatedAt, s.via, s.state, s.Capacity = c.At, via, c.State, c.State.Capacity
-	s.config = max(s.config, c.State.ConfigVersion)
+	p.noteConfig(s, c.State.ConfigVersion)
 	p.takeOverdue(now, c.State.Overdue)
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -1,11 +1,15 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+
+	"github.com/mastictray/mastictray/internal/peer"
 )
 
 // gatewayMetrics are the counters and histograms of one process. Names carry
@@ -31,6 +35,18 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`mastictray_refused_total{reason=%q,status="%d"}`, r.Reason, r.Status)).Inc()
 }
 
+// exchangeFailed counts an exchange with a peer that ended without an answer.
+func (m *gatewayMetrics) exchangeFailed(err error) {
+	why := "broken"
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
+		why = "deadline"
+	case errors.Is(err, peer.ErrRefused):
+		why = "refused"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(`mastictray_exchange_failed_total{why=%q}`, why)).Inc()
+}
+
 func (m *gatewayMetrics) left() {
 	m.set.GetOrCreateCounter(`mastictray_callers_left_total`).Inc()
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -76,6 +76,8 @@
 	dropped map[string]int64
 	// askedConfig is the peer that is being asked for its configuration.
 	askedConfig *peerState
+	// reportedConfig is the newest configuration that a peer has reported.
+	reportedConfig int64
 	// read is set once the announcements were read.
 	read bool
 	// announcing is set while a call to the store is under way. announcedAt is
