gateway: failing test of a large configuration on a slow link

An instance that can get a new configuration from a peer only, over a link of 500 kB/s, keeps the old one for ever: config_not_received, 'context deadline exceeded', each 0.9 s, all after 800 to 801 ms. The configuration travels in the answer to an exchange, which has 0.8 s in all; each new call begins with its first byte.

--- /dev/null
+++ b/internal/gateway/slowlink_test.go
@@ -0,0 +1,134 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/mastictray/mastictray/internal/routing"
+)
+
+const (
+	// slowLinkBytes is the bytes that a slow link carries in a second.
+	slowLinkBytes = 500_000
+	slowLinkPart  = 5_000
+	// configPatience bounds the wait for a configuration that is sure to come.
+	configPatience = 10 * time.Second
+)
+
+// slowLink listens for connections and passes them on to an address, at the rate
+// of a slow link in the direction of the caller.
+func slowLink(t *testing.T, to string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			caller, err := l.Accept()
+			if err != nil {
+				return
+			}
+			callee, err := net.Dial("tcp", to)
+			if err != nil {
+				caller.Close()
+				continue
+			}
+			go passOn(callee, caller, 0)
+			go passOn(caller, callee, slowLinkPart*time.Second/slowLinkBytes)
+		}
+	}()
+	return l.Addr().String()
+}
+
+// passOn copies bytes with a pause after each part, until one side ends.
+func passOn(to, from net.Conn, pause time.Duration) {
+	defer to.Close()
+	defer from.Close()
+	buf := make([]byte, slowLinkPart)
+	for {
+		n, err := from.Read(buf)
+		if err != nil {
+			return
+		}
+		if _, err := to.Write(buf[:n]); err != nil {
+			return
+		}
+		time.Sleep(pause * time.Duration(n) / slowLinkPart)
+	}
+}
+
+// announcedStore is a store in which instances find each other, and nothing else.
+type announcedStore struct {
+	*memoryStore
+	announced []Announced
+}
+
+func (*announcedStore) PeerSecret(context.Context, []byte) ([]byte, error) {
+	return []byte("0123456789abcdef"), nil
+}
+
+func (*announcedStore) Announce(context.Context, Announcement) error { return nil }
+
+func (s *announcedStore) Announcements(context.Context) ([]Announced, error) { return s.announced, nil }
+
+// withRoutes is a configuration of that many routes.
+func withRoutes(version int64, n int) *routing.Config {
+	c := &routing.Config{Version: version}
+	for i := range n {
+		c.Routes = append(c.Routes, routing.Route{
+			Name: fmt.Sprintf("route-%05d-%x", i, i*i*2654435761), Host: fmt.Sprintf("host-%d.example", i%20), Prefix: fmt.Sprintf("/p%x/", i*i*40503),
+			Kind: routing.Idempotent, Timeout: time.Second, LatencyObjective: 100 * time.Millisecond, MaxAttempts: 2,
+			Split: []routing.Weighted{{Service: "desk", Weight: 1}},
+		})
+	}
+	return c
+}
+
+// startPeers runs the exchanges of a gateway that finds these peers.
+func startPeers(t *testing.T, name string, c *routing.Config, announced ...Announced) *Gateway {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	l.Close()
+	store := &announcedStore{memoryStore: &memoryStore{}, announced: announced}
+	g := New(Settings{
+		Instance: name, Domain: "d1", PeerListen: address, ConfigBound: 2 * time.Second, WeightsBound: 10 * time.Second, KeyCutoff: 4 * time.Second,
+	}, silentDialect{}, store, deafTargets{})
+	g.takeNews(g.clock.Now(), OperatorNews{Config: c})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		g.peers.run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		g.peers.close()
+	})
+	return g
+}
+
+// Guards against an instance that keeps an old configuration because the newer
+// one takes longer on its link than one exchange may take.
+func TestLargeConfigurationCrossesASlowLink(t *testing.T) {
+	is := is.New(t)
+	source := startPeers(t, "source", withRoutes(2, 3000))
+	follower := startPeers(t, "follower", withRoutes(1, 10), Announced{Announcement: Announcement{
+		Instance: "source", Incarnation: source.self.Incarnation, Address: slowLink(t, source.self.Address), Domain: "d1",
+	}, Revision: 1})
+	for end := time.Now().Add(configPatience); follower.configVersion() < 2 && time.Now().Before(end); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.Equal(follower.configVersion(), int64(2))
+}
