configsync: configurations go from peer to peer in parts, as differences

Cause: the whole configuration travelled in the answer to an exchange, which has 0.8 s in all. At 2,849 routes it is 0.49 s of a 10 Mbit/s link with nothing else on it. The six hubs, on large links, had each version 0.1 to 0.6 s after it was sent; 15 others got version 13 12 to 26 s late, 32 ended on 10. Class: work that grows with the data, in a call whose time does not, begun anew after each failure.

Now: an exchange carries the version only. A receiver asks for parts of 20 ms of its link beside it, keeps what came and goes on with another peer (encodings are the same everywhere, named by a hash). What is encoded is the difference to the receiver's version; a digest of the whole tells whether it worked, else the whole follows. Both sides keep transfers below half of their link. A version that nobody here has, but a peer reports, makes unknown routes and keys 503 at once and everything 503 when the last contact is 0.9 of the bound old. Peers' contact with the store counts once their configuration is here; while it comes in, the store is not read.

In a rolling upgrade instances of the two codes read the store by themselves.

--- a/cmd/mastictray-gateway/settings.go
+++ b/cmd/mastictray-gateway/settings.go
@@ -87,7 +87,7 @@
 
 func (s *Settings) gateway() gateway.Settings {
 	return gateway.Settings{
-		Instance: s.InstanceID, Domain: s.Domain, Capacity: s.capacity(),
+		Instance: s.InstanceID, Domain: s.Domain, Capacity: s.capacity(), LinkMbps: s.LinkMbps,
 		CallerListen: s.CallerListen, ReadyListen: s.ReadyListen, PeerListen: s.PeerListen, MetricsListen: s.MetricsListen,
 		KeyCutoff:   s.KeyBound - keyMargin,
 		KeyReadyAge: time.Duration(keyReadyShare * float64(s.KeyBound)),
--- /dev/null
+++ b/internal/configsync/receiver_test.go
@@ -0,0 +1,195 @@
+package configsync
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/mastictray/mastictray/internal/wire"
+)
+
+const (
+	ms       = time.Millisecond
+	testLink = 1_250_000.0 // bytes a second
+)
+
+// transferTest is a receiver and what it may fetch from.
+type transferTest struct {
+	*is.I
+	t       *testing.T
+	now     time.Duration
+	r       *Receiver
+	have    *Snapshot
+	sources []Source
+	senders map[string]*Sender
+}
+
+func newTransferTest(t *testing.T, have *Snapshot, sources ...Source) *transferTest {
+	x := &transferTest{
+		I: is.New(t), t: t, r: NewReceiver("self", testLink, 0.5), have: have, sources: sources, senders: map[string]*Sender{},
+	}
+	for _, s := range sources {
+		x.senders[s.Name] = NewSender(testLink)
+	}
+	return x
+}
+
+func (x *transferTest) ref() wire.ConfigRef {
+	if x.have == nil {
+		return wire.ConfigRef{}
+	}
+	return x.have.Ref
+}
+
+// call waits for the next call and says whom it goes to.
+func (x *transferTest) call() (string, wire.ConfigPartCall) {
+	x.t.Helper()
+	for range 1000 {
+		source, c, wait := x.r.Next(x.now, x.ref(), x.sources)
+		if source != "" {
+			return source, c
+		}
+		x.now += max(wait, ms)
+	}
+	x.t.Fatal("no call")
+	return "", wire.ConfigPartCall{}
+}
+
+// answer has a sender answer a call, 2 ms later.
+func (x *transferTest) answer(source string, c wire.ConfigPartCall) (raw []byte, done bool) {
+	x.t.Helper()
+	x.now += 2 * ms
+	part, err := x.senders[source].Part(x.now, c)
+	x.NoErr(err)
+	return x.r.Received(x.now, part)
+}
+
+// finish makes calls until the configuration is there.
+func (x *transferTest) finish() *Snapshot {
+	x.t.Helper()
+	for range 1000 {
+		source, c := x.call()
+		if raw, done := x.answer(source, c); done {
+			s, err := Apply(x.have, raw)
+			x.NoErr(err)
+			return s
+		}
+	}
+	x.t.Fatal("not finished")
+	return nil
+}
+
+func TestTransferStaysWithItsSource(t *testing.T) {
+	next := snapshotOf(t, testConfig(2, 5000))
+	x := newTransferTest(t, nil, Source{Name: "a", Version: 2}, Source{Name: "b", Version: 2})
+	x.senders["a"].Put(next)
+	x.senders["b"].Put(next)
+	first, c := x.call()
+	x.answer(first, c)
+	for range 3 {
+		source, c := x.call()
+		x.Equal(source, first)
+		x.answer(source, c)
+	}
+	x.Equal(x.finish().Ref, next.Ref)
+}
+
+// Guards against transfers that begin anew when their sender is lost.
+func TestTransferGoesOnWithAnotherSource(t *testing.T) {
+	next := snapshotOf(t, testConfig(2, 5000))
+	x := newTransferTest(t, nil, Source{Name: "a", Version: 2}, Source{Name: "b", Version: 2})
+	x.senders["a"].Put(next)
+	x.senders["b"].Put(next)
+	first, c := x.call()
+	x.answer(first, c)
+	lost, _ := x.call()
+	x.Equal(lost, first)
+	x.r.Failed(x.now)
+	other, c := x.call()
+	x.True(other != first)
+	x.Equal(c.Offset, x.r.limit)
+	x.answer(other, c)
+	x.True(x.r.Active(x.now))
+	x.Equal(x.finish().Ref, next.Ref)
+}
+
+// Guards against transfers that are given up for each newer version: with versions
+// that come faster than one is fetched none would ever be there.
+func TestTransferEndsBeforeTheNextBegins(t *testing.T) {
+	second := snapshotOf(t, testConfig(2, 5000))
+	x := newTransferTest(t, nil, Source{Name: "a", Version: 2})
+	x.senders["a"].Put(second)
+	source, c := x.call()
+	x.answer(source, c)
+	third := snapshotOf(t, testConfig(3, 5001))
+	x.senders["a"].Put(third)
+	x.sources[0].Version = 3
+	x.have = x.finish()
+	x.Equal(x.have.Ref, second.Ref)
+	_, c = x.call()
+	x.Equal(c.Base, second.Ref)
+	x.answer("a", c)
+}
+
+func TestBusySourceIsLeftForAnother(t *testing.T) {
+	next := snapshotOf(t, testConfig(2, 5000))
+	x := newTransferTest(t, nil, Source{Name: "a", Version: 2, Near: true}, Source{Name: "b", Version: 2})
+	x.senders["a"] = NewSender(1000)
+	x.senders["a"].Put(next)
+	x.senders["b"].Put(next)
+	_, err := x.senders["a"].Part(x.now, wire.ConfigPartCall{Limit: maxPart}) // uses the link for a minute
+	x.NoErr(err)
+	source, c := x.call()
+	x.Equal(source, "a")
+	x.answer(source, c)
+	source, _ = x.call()
+	x.Equal(source, "b")
+}
+
+// Guards against an instance that asks for the same difference for ever when what it
+// has is not what it was taken for.
+func TestRejectedDifferenceIsFollowedByTheWhole(t *testing.T) {
+	base, next := snapshotOf(t, testConfig(1, 20)), snapshotOf(t, testConfig(2, 21))
+	x := newTransferTest(t, base, Source{Name: "a", Version: 2}, Source{Name: "b", Version: 2})
+	for _, s := range x.senders {
+		s.Put(base)
+		s.Put(next)
+	}
+	first, c := x.call()
+	_, done := x.answer(first, c)
+	x.True(done)
+	x.r.Rejected(x.now, first)
+	source, c := x.call()
+	x.True(source != first)
+	part, err := x.senders[source].Part(x.now, c)
+	x.NoErr(err)
+	x.Equal(part.Base, wire.ConfigRef{})
+	raw, done := x.r.Received(x.now, part)
+	x.True(done)
+	got, err := Apply(base, raw)
+	x.NoErr(err)
+	x.Equal(got.Ref, next.Ref)
+}
+
+func TestNothingIsFetchedWithoutANewerVersion(t *testing.T) {
+	x := newTransferTest(t, snapshotOf(t, testConfig(2, 5)), Source{Name: "a", Version: 2}, Source{Name: "b", Version: 1})
+	source, _, wait := x.r.Next(x.now, x.ref(), x.sources)
+	x.Equal(source, "")
+	x.Equal(wait, time.Duration(0))
+}
+
+// A sender keeps below its share of the link, whoever asks.
+func TestSenderKeepsBelowItsShare(t *testing.T) {
+	is := is.New(t)
+	s := NewSender(100_000)
+	s.Put(snapshotOf(t, testConfig(2, 20000)))
+	sent := 0
+	for now := time.Duration(0); now < 10*time.Second; now += ms {
+		p, err := s.Part(now, wire.ConfigPartCall{Limit: 5000})
+		is.NoErr(err)
+		sent += len(p.Data)
+	}
+	is.True(sent <= 10*100_000+10_000)
+	is.True(sent >= 9*100_000)
+}
--- /dev/null
+++ b/internal/gateway/configtransfer_test.go
@@ -0,0 +1,80 @@
+package gateway
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/mastictray/mastictray/internal/routing"
+	"github.com/mastictray/mastictray/internal/wire"
+)
+
+// oldConfig is an instance with version 1 whose last contact with the store was made
+// some time ago; its peer has another version.
+func oldConfig(age time.Duration, peerHas int64) *probed {
+	p := startOn(&memoryStore{newest: 2, targets: onVersions(2)}, "a")
+	c := withRoutes(1, 3)
+	p.table.Store(routing.NewTable(c))
+	p.contacts = contactsOf(p.clock.Now() - age)
+	p.configs.report(peerHas, "b")
+	return p
+}
+
+// route looks up a request's route, and gives the reason and status of a refusal.
+func (p *probed) route(host, path string) (string, int) {
+	r := httptest.NewRequest(http.MethodGet, path, nil)
+	refusal := p.routeCall(&call{Request: &Request{Host: host, Path: path}, r: r})
+	if refusal == nil {
+		return "", 0
+	}
+	return refusal.Reason, refusal.Status
+}
+
+// Guards against requests that run as a replaced configuration allows, at an
+// instance that knows of the newer one, and against 404 for routes that only the
+// newer one has.
+func TestOutdatedConfigurationIsNotUsedBeyondItsBound(t *testing.T) {
+	const bound = 2 * time.Second // of startOn
+	for name, c := range map[string]struct {
+		age     time.Duration
+		peerHas int64
+		path    string
+		reason  string
+		status  int
+	}{
+		"current":                        {age: bound, peerHas: 1, path: "/p0/"},
+		"outdated, within its bound":     {age: bound / 2, peerHas: 2, path: "/p0/"},
+		"outdated, beyond its bound":     {age: bound, peerHas: 2, path: "/p0/", reason: "config_overdue", status: 503},
+		"unknown route":                  {age: bound / 2, peerHas: 1, path: "/new/", reason: "no_route", status: 404},
+		"unknown route, outdated":        {age: bound / 2, peerHas: 2, path: "/new/", reason: "config_pending", status: 503},
+		"unknown route, no contact":      {age: 2 * bound, peerHas: 1, path: "/new/", reason: "config_pending", status: 503},
+		"known route without a contact":  {age: 2 * bound, peerHas: 1, path: "/p0/"},
+		"peer with an older one, unused": {age: bound, peerHas: 0, path: "/p0/"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			reason, status := oldConfig(c.age, c.peerHas).route("host-0.example", c.path)
+			is.Equal(reason, c.reason)
+			is.Equal(status, c.status)
+		})
+	}
+}
+
+// Guards against instances that refuse callers for stale keys after they have the
+// newest configuration: their peers' contact with the store is theirs too.
+func TestPeersContactCountsOnceTheirConfigurationIsHere(t *testing.T) {
+	is := is.New(t)
+	p := startOn(&memoryStore{newest: 2, targets: onVersions(2)}, "a")
+	p.contacts = contactsOf(p.clock.Now() - 5*time.Second)
+	for _, a := range []wire.ExchangeAnswer{{ConfigVersion: 2, ContactAge: 900}, {ConfigVersion: 3, ContactAge: 100}} {
+		p.takeAnswer(p.clock.Now(), wire.Identity{Instance: "b"}, 0, a)
+	}
+	is.True(p.sinceContact() >= 5*time.Second)
+	p.mu.Lock()
+	p.putInForce(p.snapshot(withRoutes(3, 4)), "b")
+	p.mu.Unlock()
+	is.True(p.sinceContact() < 2*time.Second)
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -63,7 +63,6 @@
 	m.Sent, m.Receiver = s.sent, replica.OriginOf(s.Incarnation)
 	m.Updates = p.table.Since(asked, m.Sent, replica.Followers, m.Receiver)
 	m.Follow, m.Received = follow, s.received
-	m.WantConfig = p.asksForConfig(s, m.ConfigVersion)
 	sent, address, node := p.table.Place().Version, s.Address, p.node
 	p.mu.Unlock()
 	var answer wire.ExchangeAnswer
@@ -77,15 +76,9 @@
 	if err != nil {
 		p.g.metrics.exchangeFailed(err)
 	}
-	if err != nil && m.WantConfig {
-		logline.Error(err, "config_not_received", "peer", s.Instance, "have", m.ConfigVersion, "after", p.g.clock.Now()-asked)
-	}
 	lacking := err == nil && p.takeUpdates(asked, from.Instance, answer.Updates, false)
 	p.mu.Lock()
 	s.calling = false
-	if m.WantConfig {
-		p.askedConfig = nil
-	}
 	switch {
 	case err != nil:
 		s.failedAt = p.g.clock.Now()
@@ -114,24 +107,7 @@
 // noteConfig takes in which configuration a peer has. The caller holds p.mu.
 func (p *peers) noteConfig(s *peerState, version int64) {
 	s.config = max(s.config, version)
-	if version <= p.reportedConfig {
-		return
-	}
-	p.reportedConfig = version
-	if own := p.g.configVersion(); own < version {
-		logline.Info("config_reported", "version", version, "peer", s.Instance, "own", own)
-	}
-}
-
-// asksForConfig says whether to ask this peer for its configuration: it has a
-// newer one, and no other peer is being asked. A fleet that asked everybody at
-// once would fill the small instances' links with copies. The caller holds p.mu.
-func (p *peers) asksForConfig(s *peerState, have int64) bool {
-	if s.config <= have || p.askedConfig != nil {
-		return false
-	}
-	p.askedConfig = s
-	return true
+	p.g.configs.report(version, s.Instance)
 }
 
 // serve answers a peer's message.
--- a/internal/gateway/fleetstate.go
+++ b/internal/gateway/fleetstate.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/mastictray/mastictray/internal/directory"
-	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/quota"
 	"github.com/mastictray/mastictray/internal/replica"
 	"github.com/mastictray/mastictray/internal/routing"
@@ -113,37 +112,27 @@
 	}
 	answer.Targets = g.targetNews(now, m.TargetsNext, reads || m.Follow)
 	g.mu.Unlock()
-	if t := g.table.Load(); t != nil && (m.WantConfig || m.Follow) && answer.ConfigVersion > m.ConfigVersion {
-		raw, err := routing.Encode(t.Config())
-		if err != nil {
-			logline.Error(err, "config_not_passed_on", "peer", from.Instance)
-		}
-		answer.Config = raw
-	}
 	return answer
 }
 
 // takeAnswer takes in a peer's answer to a message sent at that time. What the
 // peer knew when it answered, this instance knows now: so the peer's contact
-// with the store counts as one of its own, made that much before it asked.
+// with the store counts as one of its own, made that much before it asked, as soon
+// as the peer's configuration is here too.
 func (g *Gateway) takeAnswer(asked time.Duration, from wire.Identity, place int64, a wire.ExchangeAnswer) {
 	g.takeTargetNews(asked, place, a.Targets)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if len(a.Config) > 0 {
-		c, err := routing.Decode(a.Config)
-		if err != nil {
-			logline.Error(err, "config_unreadable", "peer", from.Instance)
-			return
-		}
-		g.putInForce(c, from.Instance)
-	}
 	for _, v := range a.Weights {
 		g.nameVersion(routing.WeightsVersion{Model: v.Model, Version: v.Version}, g.namedAt(asked, v), from.Instance, !v.Observed)
 	}
-	t := g.table.Load()
-	if a.ContactAge >= 0 && t != nil && t.Config().Version >= a.ConfigVersion {
-		g.contacts.Log(asked - time.Duration(a.ContactAge)*time.Millisecond)
+	contact := asked - time.Duration(a.ContactAge)*time.Millisecond
+	switch own := g.configVersion(); {
+	case a.ContactAge < 0 || a.ConfigVersion == 0:
+	case own >= a.ConfigVersion:
+		g.contacts.Log(contact)
+	default:
+		g.configs.contact(a.ConfigVersion, contact)
 	}
 }
 
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -91,7 +91,7 @@
 	if t := g.table.Load(); t != c.table {
 		route, ok := t.Match(c.Host, c.Path)
 		if !ok {
-			return &Refusal{Status: http.StatusNotFound, Reason: "no_route", NotRun: true}
+			return g.unknown(http.StatusNotFound, "no_route")
 		}
 		c.table, c.route = t, route
 		if !routesTo(c) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,8 +56,10 @@
 
 	feeds feedStates
 	peers *peers
-	cache *cacheStores
-	lease *sharedLease
+	// configs brings configurations here from peers, and from here to them.
+	configs *configTransfer
+	cache   *cacheStores
+	lease   *sharedLease
 	// leaseLog is where the lease is kept.
 	leaseLog *leaseLog
 	planner  *weights.Planner
@@ -112,6 +114,7 @@
 	lease := orderlease.DefaultSettings()
 	lease.Gap = s.LeaseGap
 	g.lease = &sharedLease{l: orderlease.New(g.self.Incarnation, lease).On(g.self.Instance)}
+	g.configs = newConfigTransfer(g)
 	g.peers = newPeers(g)
 	g.leaseLog = &leaseLog{direct: store, cut: g.feeds.cut, relay: g.peers.relayLease}
 	g.cache = newCacheStores(g)
@@ -167,7 +170,7 @@
 // ready says whether the balancer should send callers here: only while their
 // keys can be checked and targets are known.
 func (g *Gateway) ready() bool {
-	if g.closing.Load() || g.table.Load() == nil {
+	if g.closing.Load() || g.table.Load() == nil || g.configOverdue() {
 		return false
 	}
 	g.mu.Lock()
@@ -186,6 +189,13 @@
 	return age
 }
 
+// sinceContact is contactAge for callers that do not hold g.mu.
+func (g *Gateway) sinceContact() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.contactAge()
+}
+
 // sweep closes idle connections and looks for silent targets.
 func (g *Gateway) sweep(ctx context.Context) {
 	for sleep(ctx, sweepEvery) {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -47,6 +47,17 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`mastictray_exchange_failed_total{why=%q}`, why)).Inc()
 }
 
+// configReceived counts a configuration that came from a peer.
+func (m *gatewayMetrics) configReceived(bytes int, took time.Duration) {
+	m.set.GetOrCreateCounter(`mastictray_config_received_bytes_total`).Add(bytes)
+	m.set.GetOrCreateHistogram(`mastictray_config_transfer_seconds`).Update(took.Seconds())
+}
+
+// configPartFailed counts a call for a part of a configuration without an answer.
+func (m *gatewayMetrics) configPartFailed() {
+	m.set.GetOrCreateCounter(`mastictray_config_parts_failed_total`).Inc()
+}
+
 func (m *gatewayMetrics) left() {
 	m.set.GetOrCreateCounter(`mastictray_callers_left_total`).Inc()
 }
--- a/internal/gateway/operators.go
+++ b/internal/gateway/operators.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastictray/mastictray/internal/configsync"
 	"github.com/mastictray/mastictray/internal/feedturn"
 	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/routing"
@@ -47,12 +48,16 @@
 
 // operatorView is what the next turn at the operators' feed depends on.
 func (g *Gateway) operatorView() feedturn.View {
-	g.mu.Lock()
-	age := g.contactAge()
-	g.mu.Unlock()
+	age := g.sinceContact()
 	v := feedturn.View{Known: age < startAge, Reader: g.peers.reads(), Standby: g.peers.readsForDomain(), Fleet: g.peers.fleetSize()}
+	now := g.clock.Now()
 	if v.Known {
-		v.KnownAt = g.clock.Now() - age
+		v.KnownAt = now - age
+	}
+	// While a newer configuration comes in from a peer, a read would only compete
+	// with it for the link.
+	if contact, ok := g.configs.arriving(now); ok {
+		v.KnownAt = max(v.KnownAt, contact)
 	}
 	return v
 }
@@ -69,6 +74,7 @@
 // takeNews puts into force what a read has brought, which tells of the feed up
 // to that time.
 func (g *Gateway) takeNews(upTo time.Duration, news OperatorNews) {
+	config := g.snapshot(news.Config)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
@@ -85,8 +91,8 @@
 	}
 	estimated := silence > latest
 	g.contacts.Log(upTo)
-	if news.Config != nil {
-		g.putInForce(news.Config, "store")
+	if config != nil {
+		g.putInForce(config, "store")
 	}
 	for _, v := range news.Versions {
 		// One that peers reported before is not received as it is named.
@@ -109,15 +115,32 @@
 	estimatedShare = 0.5
 )
 
+// snapshot prepares a configuration from the store; nil where there is none to be put
+// into force.
+func (g *Gateway) snapshot(c *routing.Config) *configsync.Snapshot {
+	if c == nil || c.Version <= g.configVersion() {
+		return nil
+	}
+	s, err := configsync.NewSnapshot(c)
+	if err != nil {
+		logline.Error(err, "config_unusable", "version", c.Version)
+		return nil
+	}
+	return s
+}
+
 // putInForce takes a configuration if it is newer. Versions never go back: a
 // record read late, or from a peer that is behind, changes nothing. The caller
 // holds g.mu.
-func (g *Gateway) putInForce(c *routing.Config, from string) {
-	now := g.clock.Now()
-	if t := g.table.Load(); t != nil && t.Config().Version >= c.Version {
+func (g *Gateway) putInForce(s *configsync.Snapshot, from string) {
+	now, c := g.clock.Now(), s.Config
+	if g.configVersion() >= c.Version {
 		return
 	}
 	g.table.Store(routing.NewTable(c))
+	if contact, known := g.configs.put(s); known {
+		g.contacts.Log(contact)
+	}
 	g.quota.SetLimits(now, limitsOf(c))
 	g.updatePools()
 	logline.Info("config_in_force", "version", c.Version, "from", from, "routes", len(c.Routes),
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -74,10 +74,6 @@
 	// dropped are the announcements of peers that are gone: they stay in the
 	// store, and would bring each back whenever they are read.
 	dropped map[string]int64
-	// askedConfig is the peer that is being asked for its configuration.
-	askedConfig *peerState
-	// reportedConfig is the newest configuration that a peer has reported.
-	reportedConfig int64
 	// read is set once the announcements were read.
 	read bool
 	// announcing is set while a call to the store is under way. announcedAt is
@@ -130,6 +126,9 @@
 	if !p.start(ctx) {
 		return
 	}
+	var transfers sync.WaitGroup
+	defer transfers.Wait()
+	transfers.Go(func() { p.g.configs.run(ctx) })
 	for {
 		p.announceWhenDue(ctx)
 		p.exchangeAll(ctx)
@@ -165,6 +164,7 @@
 	node := peer.NewNode(peer.Options{Self: p.g.self, Secret: secret})
 	node.Handle(wire.KindExchange, p.serve)
 	node.Handle(wire.KindOrderLease, p.serveLease)
+	node.Handle(wire.KindConfigPart, p.g.configs.serve)
 	node.Serve(listener)
 	p.mu.Lock()
 	p.node = node
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -102,9 +102,12 @@
 	if c.table == nil {
 		return unavailable("no_configuration", notReadyRetry)
 	}
+	if g.configOverdue() {
+		return unavailable("config_overdue", configRetry)
+	}
 	route, ok := c.table.Match(c.Host, c.Path)
 	if !ok {
-		return &Refusal{Status: http.StatusNotFound, Reason: "no_route", NotRun: true}
+		return g.unknown(http.StatusNotFound, "no_route")
 	}
 	c.route = route
 	if limit := c.table.Config().Limits.MaxHeaderBytes; limit > 0 && headerBytes(c.r) > limit {
@@ -147,18 +150,39 @@
 	}
 	account, ok := c.table.KeyHolder(c.keyHash)
 	if !ok {
-		return &Refusal{Status: http.StatusUnauthorized, Reason: "unknown_key", NotRun: true}
+		return g.unknown(http.StatusUnauthorized, "unknown_key")
 	}
-	g.mu.Lock()
-	age := g.contactAge()
-	g.mu.Unlock()
-	if age > g.settings.KeyCutoff {
+	if g.sinceContact() > g.settings.KeyCutoff {
 		return unavailable("keys_stale", keysStaleRetry)
 	}
 	c.account = account
 	return nil
 }
 
+// unknown refuses a request for what the configuration in force does not have. A
+// newer one may have it.
+func (g *Gateway) unknown(status int, reason string) *Refusal {
+	if g.configs.outdated() || g.sinceContact() > g.settings.ConfigBound {
+		return unavailable("config_pending", configRetry)
+	}
+	return &Refusal{Status: status, Reason: reason, NotRun: true}
+}
+
+// configOverdue says that a newer configuration exists and may have to be in force by
+// now: it was written after this instance's last contact with the store.
+func (g *Gateway) configOverdue() bool {
+	return g.configs.outdated() && g.sinceContact() > time.Duration(overdueShare*float64(g.settings.ConfigBound))
+}
+
+const (
+	// overdueShare is the part of the time within which a configuration must be in
+	// force after which the one before is no longer used: a request takes a while to
+	// reach its target.
+	overdueShare = 0.9
+	// configRetry is the hint of an instance that waits for a newer configuration.
+	configRetry = 200 * time.Millisecond
+)
+
 // keysStaleRetry is the hint of an instance that cannot check keys: its
 // callers' next connections go to another one.
 const keysStaleRetry = 200 * time.Millisecond
@@ -283,9 +307,7 @@
 	if c.table != nil {
 		version = c.table.Config().Version
 	}
-	g.mu.Lock()
-	age := g.contactAge()
-	g.mu.Unlock()
+	age := g.sinceContact()
 	logline.Info("refused", "request", c.ID, "route", routeName(c), "account", accountName(c), "status", refusal.Status,
 		"reason", refusal.Reason, "not_run", refusal.NotRun, "sent", c.sent, "target", c.tried,
 		"after", g.clock.Now()-c.began, "retry_after", refusal.RetryAfter, "tokens", c.asked,
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -10,6 +10,8 @@
 	// Capacity is the work of hubs that the instance can do beside its own; those
 	// with more take the fleet's duties first.
 	Capacity int
+	// LinkMbps is the rate of the instance's link in Mbit/s.
+	LinkMbps float64
 
 	CallerListen  string
 	ReadyListen   string
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -72,17 +72,6 @@
 	is.Equal((&Route{}).Choose(rng), "")
 }
 
-func TestCodecKeepsTheConfiguration(t *testing.T) {
-	is := is.New(t)
-	raw, err := Encode(testTable().Config())
-	is.NoErr(err)
-	c, err := Decode(raw)
-	is.NoErr(err)
-	is.Equal(c, testTable().Config())
-	_, err = Decode([]byte("no configuration"))
-	is.True(err != nil)
-}
-
 func TestRepeatable(t *testing.T) {
 	is := is.New(t)
 	is.True((&Route{Kind: Idempotent}).Repeatable())
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -17,9 +17,6 @@
 	From Identity `msgpack:"f"`
 	// ConfigVersion is the configuration that the sender has; 0 for none.
 	ConfigVersion int64 `msgpack:"v"`
-	// WantConfig asks for the answerer's configuration, if it is newer. It is
-	// asked of one peer at a time: small links carry it to few at once.
-	WantConfig bool `msgpack:"w,omitempty"`
 	// TargetsNext is where the sender would read on in the registrations of
 	// targets; -1 before it has read them.
 	TargetsNext int64 `msgpack:"t"`
@@ -150,8 +147,6 @@
 	// ContactAge is how many milliseconds ago the answerer last heard from
 	// the store what operators wrote, by itself or from a peer; -1 for never.
 	ContactAge int64 `msgpack:"a"`
-	// Config is the answerer's configuration when the caller's is older.
-	Config []byte `msgpack:"c,omitempty"`
 	// Weights are the weights versions named last, oldest first.
 	Weights []NamedWeights `msgpack:"w,omitempty"`
 	// Targets is what is new of the registrations of targets; nil when the
