operators: reads go on where peers stand, and again at once after news

An instance that had every configuration from its peers still read on from where it had read last itself, its start, so it got each large record once more. A peer's contact now brings the place at which the peer would read on, once its configuration is here.

After news the reader's knowledge counts from the start of the wait that brought them, and its next read waits for more: 0.75 s and a slow answer or two, beyond the age at which all others read. Its next read does not wait.

--- a/internal/gateway/configtransfer.go
+++ b/internal/gateway/configtransfer.go
@@ -44,10 +44,11 @@
 }
 
 // configContact is until when an instance with a configuration knew all that
-// operators had written.
+// operators had written, and where it would have read on.
 type configContact struct {
 	version int64
 	at      time.Duration
+	next    int64
 }
 
 func newConfigTransfer(g *Gateway) *configTransfer {
@@ -87,29 +88,30 @@
 	return t.reported > t.g.configVersion()
 }
 
-// put takes in the configuration that comes into force, and gives the last contact
-// of peers that had it or an older one.
-func (t *configTransfer) put(s *configsync.Snapshot) (contact time.Duration, known bool) {
+// put takes in the configuration that comes into force, and gives the contacts of
+// peers that had it or an older one.
+func (t *configTransfer) put(s *configsync.Snapshot) (reached []configContact) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sender.Put(s)
-	for len(t.contacts) > 0 && t.contacts[0].version <= s.Ref.Version {
-		contact, known = max(contact, t.contacts[0].at), true
-		t.contacts = t.contacts[1:]
+	n := 0
+	for n < len(t.contacts) && t.contacts[n].version <= s.Ref.Version {
+		n++
 	}
-	return contact, known
+	reached, t.contacts = t.contacts[:n:n], t.contacts[n:]
+	return reached
 }
 
 // contact takes in the contact of a peer that has a newer configuration.
-func (t *configTransfer) contact(version int64, at time.Duration) {
+func (t *configTransfer) contact(c configContact) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	last := len(t.contacts) - 1
 	switch {
-	case last < 0 || t.contacts[last].version < version:
-		t.contacts = append(t.contacts, configContact{version: version, at: at})
-	case t.contacts[last].version == version:
-		t.contacts[last].at = max(t.contacts[last].at, at)
+	case last < 0 || t.contacts[last].version < c.version:
+		t.contacts = append(t.contacts, c)
+	case t.contacts[last].version == c.version:
+		t.contacts[last].at, t.contacts[last].next = max(t.contacts[last].at, c.at), max(t.contacts[last].next, c.next)
 	}
 }
 
--- a/internal/gateway/fleetstate.go
+++ b/internal/gateway/fleetstate.go
@@ -99,7 +99,9 @@
 func (g *Gateway) answer(now time.Duration, from wire.Identity, m wire.Exchange) wire.ExchangeAnswer {
 	reads := g.peers.readsForDomain()
 	g.mu.Lock()
-	answer := wire.ExchangeAnswer{ContactAge: -1, Leaving: g.closing.Load(), ConfigVersion: g.configVersion()}
+	answer := wire.ExchangeAnswer{
+		ContactAge: -1, OperatorsNext: g.operatorsNext, Leaving: g.closing.Load(), ConfigVersion: g.configVersion(),
+	}
 	if age := g.contactAge(); age < startAge {
 		answer.ContactAge = age.Milliseconds() + 1
 	}
@@ -126,16 +128,25 @@
 	for _, v := range a.Weights {
 		g.nameVersion(routing.WeightsVersion{Model: v.Model, Version: v.Version}, g.namedAt(asked, v), from.Instance, !v.Observed)
 	}
-	contact := asked - time.Duration(a.ContactAge)*time.Millisecond
+	contact := configContact{
+		version: a.ConfigVersion, at: asked - time.Duration(a.ContactAge)*time.Millisecond, next: a.OperatorsNext,
+	}
 	switch own := g.configVersion(); {
 	case a.ContactAge < 0 || a.ConfigVersion == 0:
 	case own >= a.ConfigVersion:
-		g.contacts.Log(contact)
+		g.takeContact(contact)
 	default:
-		g.configs.contact(a.ConfigVersion, contact)
+		g.configs.contact(contact)
 	}
 }
 
+// takeContact takes a contact of a peer with the store for an own one: all that the
+// peer knew by it is here. The caller holds g.mu.
+func (g *Gateway) takeContact(c configContact) {
+	g.contacts.Log(c.at)
+	g.operatorsNext = max(g.operatorsNext, c.next)
+}
+
 // namedAt is when a version was named by a peer's report. The peer took its age
 // some time between the question and now. Where there is such a report already,
 // only what is earlier for sure counts: two peers that took the earliest possible
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -41,6 +41,9 @@
 
 	mu       sync.Mutex
 	contacts *keys.Contacts
+	// operatorsNext is where to read on in what operators write; unread before that was
+	// read.
+	operatorsNext int64
 	// versions are the newest weights named, and when this instance learnt
 	// of each.
 	versions map[string]*namedVersions
@@ -102,6 +105,7 @@
 		oldest:        map[string]int64{},
 		quota:         quota.New(),
 		directory:     directory.New(),
+		operatorsNext: unread,
 		registrations: registrationFeed{next: unread, upTo: never},
 		engines:       map[string]*enginePool{},
 		services:      map[string]*servicePool{},
--- a/internal/gateway/operators.go
+++ b/internal/gateway/operators.go
@@ -24,25 +24,45 @@
 // from peers and read when they do not.
 func (g *Gateway) followOperators(ctx context.Context) {
 	turn := feedturn.New(feedturn.Settings{Bound: g.settings.ConfigBound})
-	next, known := int64(0), false
+	brought := false
 	for g.awaitTurn(ctx, turn, g.operatorView) {
+		next := g.operatorsPlace()
 		wait := time.Duration(0)
-		if known && g.operatorView().Reader && !turn.Lost() {
+		// News may have come at the start of a wait: what is known is as old as that,
+		// and a read that does not wait renews it.
+		if next != unread && !brought && g.operatorView().Reader && !turn.Lost() {
 			wait = time.Duration(operatorWaitShare * float64(g.settings.ConfigBound))
 		}
 		sent := g.clock.Now()
-		news, err := g.readOperators(ctx, next, known, wait)
+		news, err := g.readOperators(ctx, next, wait)
 		if errors.Is(err, ErrTrimmed) {
-			known = false
+			g.dropOperatorsPlace(next)
 			continue
 		}
 		g.tookTurn(ctx, turn, &g.feeds.operators, "operators", err)
 		if err != nil {
 			continue
 		}
-		none := news.Config == nil && len(news.Versions) == 0
-		known, next = true, news.Next
-		g.takeNews(feedturn.KnownUpTo(sent, g.clock.Now(), wait, !none), news)
+		brought = news.Config != nil || len(news.Versions) > 0
+		g.takeNews(feedturn.KnownUpTo(sent, g.clock.Now(), wait, brought), news)
+	}
+}
+
+// operatorsPlace is where to read on in what operators write; unread before that was
+// read.
+func (g *Gateway) operatorsPlace() int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.operatorsNext
+}
+
+// dropOperatorsPlace takes in that the store has dropped records behind a place: all is
+// to be read again, unless a peer was further.
+func (g *Gateway) dropOperatorsPlace(place int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.operatorsNext == place {
+		g.operatorsNext = unread
 	}
 }
 
@@ -62,10 +82,10 @@
 	return v
 }
 
-func (g *Gateway) readOperators(ctx context.Context, next int64, known bool, wait time.Duration) (OperatorNews, error) {
+func (g *Gateway) readOperators(ctx context.Context, next int64, wait time.Duration) (OperatorNews, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
 	defer cancel()
-	if !known {
+	if next == unread {
 		return g.store.Newest(ctx)
 	}
 	return g.store.Since(ctx, next, wait)
@@ -91,6 +111,7 @@
 	}
 	estimated := silence > latest
 	g.contacts.Log(upTo)
+	g.operatorsNext = max(g.operatorsNext, news.Next)
 	if config != nil {
 		g.putInForce(config, "store")
 	}
@@ -138,8 +159,8 @@
 		return
 	}
 	g.table.Store(routing.NewTable(c))
-	if contact, known := g.configs.put(s); known {
-		g.contacts.Log(contact)
+	for _, contact := range g.configs.put(s) {
+		g.takeContact(contact)
 	}
 	g.quota.SetLimits(now, limitsOf(c))
 	g.updatePools()
--- a/internal/gateway/registrations.go
+++ b/internal/gateway/registrations.go
@@ -30,7 +30,7 @@
 	changes directory.Changes
 }
 
-// unread is the place of an instance that has read no registrations.
+// unread is the place in a feed of an instance that has read nothing of it.
 const unread = int64(-1)
 
 // followRegistrations keeps the directory of targets up to date.
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -147,6 +147,9 @@
 	// ContactAge is how many milliseconds ago the answerer last heard from
 	// the store what operators wrote, by itself or from a peer; -1 for never.
 	ContactAge int64 `msgpack:"a"`
+	// OperatorsNext is where the answerer would read on in what operators write; -1
+	// before it has read it.
+	OperatorsNext int64 `msgpack:"o"`
 	// Weights are the weights versions named last, oldest first.
 	Weights []NamedWeights `msgpack:"w,omitempty"`
 	// Targets is what is new of the registrations of targets; nil when the
