gateway: the limits that targets state are decoded and logged

Whether no instance read it, each kept it by itself, or it was read late, could not be told apart: no line names it. No decision changes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,7 +62,9 @@
 	// configs brings configurations here from peers, and from here to them.
 	configs *configTransfer
 	cache   *cacheStores
-	lease   *sharedLease
+	// limits are the rates that targets state.
+	limits *targetLimits
+	lease  *sharedLease
 	// leaseLog is where the lease is kept.
 	leaseLog *leaseLog
 	planner  *weights.Planner
@@ -122,6 +124,7 @@
 	g.peers = newPeers(g)
 	g.leaseLog = &leaseLog{direct: store, cut: g.feeds.cut, relay: g.peers.relayLease}
 	g.cache = newCacheStores(g)
+	g.limits = newTargetLimits()
 	g.callers = newCallerServer(g)
 	return g
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -86,6 +86,9 @@
 	// Weights is the version of the weights that the answer was made on; 0
 	// when the answer does not say.
 	Weights int64
+	// Limit is the requests a second that the target takes from all instances
+	// together; 0 for any number.
+	Limit float64
 }
 
 // Refusal is a final answer of the router's own.
--- a/internal/logline/output.go
+++ b/internal/logline/output.go
@@ -28,7 +28,7 @@
 
 // kept are the events that are written over the rate, as they stand in a line.
 var kept = keptMarks(
-	"started", "config_in_force", "config_reported", "weights_named", "weights_dated", "oldest_weights", "version_record_written", "lease_taken",
+	"started", "config_in_force", "config_reported", "weights_named", "weights_dated", "oldest_weights", "version_record_written", "lease_taken", "target_limit",
 	"peer_gone", "store_lost", "store_regained",
 )
 
