configsync: silent senders last, a second for a part, no busy wait

From reading the code again: a receiver could choose a peer that is gone, and waited for its answer for two seconds, most of the bound on configurations; now peers with a fresh update come first, and a call for a part has one second. While a newer version was known and nobody could be asked, the loop looked a thousand times a second; it looks each 250 ms now.

--- a/internal/gateway/configtransfer.go
+++ b/internal/gateway/configtransfer.go
@@ -14,8 +14,9 @@
 	// configShare is the part of an instance's link that transfers of
 	// configurations may take, in each direction.
 	configShare = 0.5
-	// partTimeout bounds the call for one part.
-	partTimeout = 2 * time.Second
+	// partTimeout bounds the call for one part: a sender that is gone must leave time
+	// for another one within the bound on configurations.
+	partTimeout = time.Second
 	// sourceEvery is the pause between two looks for an instance that has the newer
 	// configuration.
 	sourceEvery = 250 * time.Millisecond
@@ -164,7 +165,10 @@
 	now := t.g.clock.Now()
 	name, call, wait := t.receiver.Next(now, t.have(), sources)
 	if name == "" {
-		return source, call, max(time.Millisecond, min(wait, sourceEvery))
+		if wait <= 0 || wait > sourceEvery {
+			wait = sourceEvery
+		}
+		return source, call, wait
 	}
 	if call.Offset == 0 {
 		t.began, t.received = now, 0
@@ -229,21 +233,30 @@
 	return t.sender.Part(t.g.clock.Now(), call)
 }
 
-// configSources are the peers that have a newer configuration.
+// configSources are the peers that have a newer configuration: those with a fresh
+// update, or where there is none of these, the others.
 func (p *peers) configSources(have int64) ([]configsync.Source, map[string]wire.Identity) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.g.clock.Now()
-	var sources []configsync.Source
+	var fresh, silent []configsync.Source
 	identities := map[string]wire.Identity{}
 	for name, s := range p.known {
 		if s.config <= have || s.state.Leaving || now-s.failedAt <= retryFailed {
 			continue
 		}
-		sources = append(sources, configsync.Source{Name: name, Version: s.config, Near: s.Domain == p.g.self.Domain})
 		identities[name] = wire.Identity{Instance: name, Address: s.Address}
+		source := configsync.Source{Name: name, Version: s.config, Near: s.Domain == p.g.self.Domain}
+		if p.fresh(now, s) {
+			fresh = append(fresh, source)
+		} else {
+			silent = append(silent, source)
+		}
+	}
+	if len(fresh) == 0 {
+		return silent, identities
 	}
-	return sources, identities
+	return fresh, identities
 }
 
 // call makes a call to a peer. A connection on which one takes too long may be silent
