targetlimit: an instance that leaves sends to no limited target

From reading the code again: others take a leaving instance out of the fleet and choose another sender in its place, while it went on with its own part for up to eight seconds. The test failed before.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -209,10 +209,13 @@
 	p.g.suspect(agreed(silent, reporting))
 }
 
-// serving are the instances that may be serving, this one too. The caller holds p.mu.
+// serving are the instances that may be serving, without those that leave. The caller
+// holds p.mu.
 func (p *peers) serving() []string {
 	names := make([]string, 0, 1+len(p.known))
-	names = append(names, p.g.self.Instance)
+	if !p.g.closing.Load() {
+		names = append(names, p.g.self.Instance)
+	}
 	for name, s := range p.known {
 		if !s.state.Leaving {
 			names = append(names, name)
--- a/internal/targetlimit/limits.go
+++ b/internal/targetlimit/limits.go
@@ -78,8 +78,9 @@
 	return &Limits{self: self, began: now, fleet: []string{self}, targets: map[directory.Incarnation]*target{}}
 }
 
-// SetFleet takes the names of all instances that may be serving, this one among them;
-// found says that the fleet was looked up since the start.
+// SetFleet takes the names of all instances that may be serving; found says that the
+// fleet was looked up since the start. One that leaves is not among them, and sends to
+// no limited target any more.
 func (l *Limits) SetFleet(now time.Duration, names []string, found bool) {
 	settled := found || now-l.began > settleTime
 	if settled == l.settled && slices.Equal(names, l.fleet) {
@@ -143,7 +144,7 @@
 	t.advance(now)
 	sent := t.sends
 	t.senders = min(len(l.fleet), max(1, int(math.Ceil(sendersPerRequest*t.Rate))))
-	t.sends = l.settled && l.rank(t.Target) < t.senders
+	t.sends = l.settled && slices.Contains(l.fleet, l.self) && l.rank(t.Target) < t.senders
 	if t.sends && !sent {
 		t.tokens, t.at = 0, now+takeoverPause
 	}
--- a/internal/targetlimit/limits_test.go
+++ b/internal/targetlimit/limits_test.go
@@ -77,6 +77,16 @@
 	is.Equal(b.targets[one].Rate, 7.0)
 }
 
+// Guards against a sender that leaves and goes on beside the one that replaces it.
+func TestLeavingInstanceSendsNothing(t *testing.T) {
+	is := is.New(t)
+	l := alone()
+	l.Observe(0, 0, one, 2)
+	is.True(l.Open(time.Minute, one))
+	l.SetFleet(time.Minute, []string{"b"}, true)
+	is.True(!l.Open(2*time.Minute, one))
+}
+
 func TestTargetThatIsGoneIsForgotten(t *testing.T) {
 	is := is.New(t)
 	l := alone()
