--- a/internal/configsync/fleet_test.go
+++ b/internal/configsync/fleet_test.go
@@ -24,7 +24,7 @@
 	simFollow  = 200 * time.Millisecond
 	simHubs    = 125 * time.Millisecond
 	simMessage = 4_000
-	simTimeout = 2 * time.Second
+	simTimeout = time.Second
 )
 
 // simEvent is something to happen.
@@ -286,9 +286,9 @@
 		{name: "large fleet, 300 routes", fleet: 195, routes: 300, allowed: time.Second},
 		{name: "large fleet, 3,000 routes", fleet: 195, routes: 3000, allowed: 1500 * ms},
 		{name: "large fleet, 30,000 routes", fleet: 195, routes: 30000, allowed: 4 * time.Second},
-		{name: "sender lost", fleet: 61, routes: 3000, allowed: 4500 * ms, trouble: func(f *simFleet) { f.nodes[0].lost = true }},
-		{name: "sender slow", fleet: 61, routes: 3000, allowed: 4500 * ms, trouble: func(f *simFleet) { f.nodes[0].link /= 40 }},
-		{name: "sender restarted", fleet: 61, routes: 3000, allowed: 4500 * ms, trouble: func(f *simFleet) { f.restart(f.nodes[3]) }},
+		{name: "sender lost", fleet: 61, routes: 3000, allowed: 3 * time.Second, trouble: func(f *simFleet) { f.nodes[0].lost = true }},
+		{name: "sender slow", fleet: 61, routes: 3000, allowed: 3 * time.Second, trouble: func(f *simFleet) { f.nodes[0].link /= 40 }},
+		{name: "sender restarted", fleet: 61, routes: 3000, allowed: 3 * time.Second, trouble: func(f *simFleet) { f.restart(f.nodes[3]) }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
