configsync: requests do not wait while a large configuration is encoded or indexed

Encoding has a lock of its own now, whether a newer configuration is known is an atomic load, and a configuration is indexed before it is put into force.

--- a/internal/configsync/sender.go
+++ b/internal/configsync/sender.go
@@ -9,10 +9,10 @@
 )
 
 const (
-	// keptSnapshots is the versions that a receiver's version may be compared with,
+	// KeptSnapshots is the versions that a receiver's version may be compared with,
 	// and that a transfer under way may go on with: more than come within the time
 	// of one transfer.
-	keptSnapshots = 4
+	KeptSnapshots = 4
 	// keptEncodings is the encodings that are kept for the next parts of them.
 	keptEncodings = 4
 	// burstTime is how long a sender's link may be used whole after a pause.
@@ -44,7 +44,7 @@
 // Put takes in a newer configuration.
 func (s *Sender) Put(next *Snapshot) {
 	s.snapshots = append(s.snapshots, next)
-	if len(s.snapshots) > keptSnapshots {
+	if len(s.snapshots) > KeptSnapshots {
 		s.snapshots = s.snapshots[1:]
 	}
 }
--- a/internal/gateway/configtransfer.go
+++ b/internal/gateway/configtransfer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/mastictray/mastictray/internal/configsync"
@@ -30,12 +31,19 @@
 	g *Gateway
 	// wake has an item when a newer configuration was reported.
 	wake chan struct{}
+	// reported is the newest configuration that an instance was reported to have.
+	reported atomic.Int64
+
+	// sending guards the sender. It is locked before mu and held while a large
+	// configuration is encoded, which no request waits for.
+	sending sync.Mutex
+	sender  *configsync.Sender
 
 	mu       sync.Mutex
-	sender   *configsync.Sender
 	receiver *configsync.Receiver
-	// reported is the newest configuration that an instance was reported to have.
-	reported int64
+	// newest is the configuration in force, unsent those that the sender is to get.
+	newest *configsync.Snapshot
+	unsent []*configsync.Snapshot
 	// contacts are the peers' last contacts with the store, by the configuration that
 	// they had: they count as own ones once that is here. The oldest version is first.
 	contacts []configContact
@@ -65,14 +73,13 @@
 	}
 }
 
-// report takes in that an instance has a configuration.
+// report takes in that an instance has a configuration. The caller holds the peers'
+// lock, so that reports come one after another.
 func (t *configTransfer) report(version int64, instance string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if version <= t.reported {
+	if version <= t.reported.Load() {
 		return
 	}
-	t.reported = version
+	t.reported.Store(version)
 	if own := t.g.configVersion(); own < version {
 		logline.Info("config_reported", "version", version, "peer", instance, "own", own)
 		select {
@@ -83,18 +90,17 @@
 }
 
 // outdated says whether there is a newer configuration than the one in force.
-func (t *configTransfer) outdated() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.reported > t.g.configVersion()
-}
+func (t *configTransfer) outdated() bool { return t.reported.Load() > t.g.configVersion() }
 
 // put takes in the configuration that comes into force, and gives the contacts of
 // peers that had it or an older one.
 func (t *configTransfer) put(s *configsync.Snapshot) (reached []configContact) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.sender.Put(s)
+	t.newest, t.unsent = s, append(t.unsent, s)
+	if len(t.unsent) > configsync.KeptSnapshots {
+		t.unsent = t.unsent[1:]
+	}
 	n := 0
 	for n < len(t.contacts) && t.contacts[n].version <= s.Ref.Version {
 		n++
@@ -178,10 +184,10 @@
 
 // have is the configuration in force. The caller holds t.mu.
 func (t *configTransfer) have() wire.ConfigRef {
-	if s := t.sender.Newest(); s != nil {
-		return s.Ref
+	if t.newest == nil {
+		return wire.ConfigRef{}
 	}
-	return wire.ConfigRef{}
+	return t.newest.Ref
 }
 
 // fetch makes a call for a part, and puts the configuration into force with the last
@@ -202,7 +208,7 @@
 	}
 	t.received += len(part.Data)
 	raw, done := t.receiver.Received(now, part)
-	base, took, bytes := t.sender.Newest(), now-t.began, t.received
+	base, took, bytes := t.newest, now-t.began, t.received
 	t.mu.Unlock()
 	if !done || base != nil && base.Ref.Version >= part.Target.Version {
 		return // more parts are to come, or the store was read meanwhile
@@ -217,9 +223,10 @@
 	}
 	t.g.metrics.configReceived(bytes, took)
 	logline.Info("config_received", "version", s.Ref.Version, "base", part.Base.Version, "peer", source.Instance, "bytes", bytes, "took", took)
+	loaded := newLoadedConfig(s)
 	t.g.mu.Lock()
 	defer t.g.mu.Unlock()
-	t.g.putInForce(s, source.Instance)
+	t.g.putInForce(loaded, source.Instance)
 }
 
 // serve answers a peer's call for a part.
@@ -228,8 +235,15 @@
 	if err := f.Into(&call); err != nil {
 		return nil, err
 	}
+	t.sending.Lock()
+	defer t.sending.Unlock()
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	unsent := t.unsent
+	t.unsent = nil
+	t.mu.Unlock()
+	for _, s := range unsent {
+		t.sender.Put(s)
+	}
 	return t.sender.Part(t.g.clock.Now(), call)
 }
 
--- a/internal/gateway/configtransfer_test.go
+++ b/internal/gateway/configtransfer_test.go
@@ -74,7 +74,7 @@
 	}
 	is.True(p.sinceContact() >= 5*time.Second)
 	p.mu.Lock()
-	p.putInForce(p.snapshot(withRoutes(3, 4)), "b")
+	p.putInForce(p.load(withRoutes(3, 4)), "b")
 	p.mu.Unlock()
 	is.True(p.sinceContact() < 2*time.Second)
 }
--- a/internal/gateway/operators.go
+++ b/internal/gateway/operators.go
@@ -94,7 +94,7 @@
 // takeNews puts into force what a read has brought, which tells of the feed up
 // to that time.
 func (g *Gateway) takeNews(upTo time.Duration, news OperatorNews) {
-	config := g.snapshot(news.Config)
+	config := g.load(news.Config)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
@@ -136,9 +136,20 @@
 	estimatedShare = 0.5
 )
 
-// snapshot prepares a configuration from the store; nil where there is none to be put
-// into force.
-func (g *Gateway) snapshot(c *routing.Config) *configsync.Snapshot {
+// loadedConfig is a configuration with all that takes long made beforehand, so that
+// requests wait for a moment only as it comes into force.
+type loadedConfig struct {
+	snapshot *configsync.Snapshot
+	table    *routing.Table
+}
+
+func newLoadedConfig(s *configsync.Snapshot) *loadedConfig {
+	return &loadedConfig{snapshot: s, table: routing.NewTable(s.Config)}
+}
+
+// load prepares a configuration from the store; nil where there is none to be put into
+// force.
+func (g *Gateway) load(c *routing.Config) *loadedConfig {
 	if c == nil || c.Version <= g.configVersion() {
 		return nil
 	}
@@ -147,19 +158,19 @@
 		logline.Error(err, "config_unusable", "version", c.Version)
 		return nil
 	}
-	return s
+	return newLoadedConfig(s)
 }
 
 // putInForce takes a configuration if it is newer. Versions never go back: a
 // record read late, or from a peer that is behind, changes nothing. The caller
 // holds g.mu.
-func (g *Gateway) putInForce(s *configsync.Snapshot, from string) {
-	now, c := g.clock.Now(), s.Config
+func (g *Gateway) putInForce(l *loadedConfig, from string) {
+	now, c := g.clock.Now(), l.table.Config()
 	if g.configVersion() >= c.Version {
 		return
 	}
-	g.table.Store(routing.NewTable(c))
-	for _, contact := range g.configs.put(s) {
+	g.table.Store(l.table)
+	for _, contact := range g.configs.put(l.snapshot) {
 		g.takeContact(contact)
 	}
 	g.quota.SetLimits(now, limitsOf(c))
