gateway: a request is admitted by the configuration in force

Admission looks whether the request's configuration is still in force, under the lock under which it changes, and else looks up route, key and account again. It is no longer left to the log reader to guess which version's limits decided.

--- a/internal/gateway/configtransfer_test.go
+++ b/internal/gateway/configtransfer_test.go
@@ -78,3 +78,22 @@
 	p.mu.Unlock()
 	is.True(p.sinceContact() < 2*time.Second)
 }
+
+// Guards against requests that are refused by the limits of one configuration and
+// logged with another: the engineer on call looks for the cause in the wrong one.
+func TestRequestIsAdmittedByTheConfigurationInForce(t *testing.T) {
+	is := is.New(t)
+	p := oldConfig(0, 1)
+	limited := withRoutes(2, 3)
+	limited.Accounts = []routing.Account{{Name: "acc", KeyHashes: []string{routing.HashKey("key")}, Rate: 1, Burst: 1}}
+	c := &call{Request: &Request{Host: "host-0.example", Path: "/p0/", Key: "key"}, r: httptest.NewRequest(http.MethodGet, "/p0/", nil)}
+	p.settings.KeyCutoff = time.Minute
+	is.Equal(p.routeCall(c), nil)
+	is.Equal(p.authorize(c), nil)
+	p.mu.Lock()
+	p.putInForce(p.load(limited), "b") // while the body comes in
+	p.mu.Unlock()
+	refusal := p.admitCurrent(c)
+	is.Equal(refusal.Reason, "over_rate") // its bucket is empty at first
+	is.Equal(c.table.Config().Version, int64(2))
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -91,12 +91,30 @@
 	if refusal := g.readBody(ctx, c); refusal != nil {
 		return refusal
 	}
-	if refusal := g.admit(c); refusal != nil {
+	if refusal := g.admitCurrent(c); refusal != nil {
 		return refusal
 	}
 	return g.forward(ctx, c)
 }
 
+// admitCurrent takes the request's part of its account's rate, by the configuration that
+// is in force then: while the body came in, there may have been another one.
+func (g *Gateway) admitCurrent(c *call) *Refusal {
+	for {
+		refusal, current := g.admit(c)
+		if current {
+			return refusal
+		}
+		c.account = nil
+		if refusal := g.routeCall(c); refusal != nil {
+			return refusal
+		}
+		if refusal := g.authorize(c); refusal != nil {
+			return refusal
+		}
+	}
+}
+
 func (g *Gateway) routeCall(c *call) *Refusal {
 	c.table = g.table.Load()
 	if c.table == nil {
@@ -240,15 +258,19 @@
 // defaultMaxBody bounds a body where the configuration does not.
 const defaultMaxBody = 4 << 20
 
-// admit takes the request's part of its account's rate.
-func (g *Gateway) admit(c *call) *Refusal {
+// admit takes the request's part of its account's rate. Where the configuration in force
+// is no longer that of the request, it does nothing and says so.
+func (g *Gateway) admit(c *call) (refusal *Refusal, current bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.table.Load() != c.table {
+		return nil, false // it changes under g.mu, together with the limits
+	}
 	if g.crashes.refused(g.clock.Now(), c.fingerprint) {
-		return &Refusal{Status: http.StatusServiceUnavailable, Reason: "crashes_targets", NotRun: true, RetryAfter: barredRetry}
+		return &Refusal{Status: http.StatusServiceUnavailable, Reason: "crashes_targets", NotRun: true, RetryAfter: barredRetry}, true
 	}
 	if c.account == nil {
-		return nil
+		return nil, true
 	}
 	c.tokens = 1
 	if c.account.CountTokens {
@@ -261,9 +283,9 @@
 	wait, ok := g.quota.Admit(g.clock.Now(), c.account.Name, c.tokens)
 	if !ok {
 		c.tokens = 0
-		return &Refusal{Status: http.StatusTooManyRequests, Reason: "over_rate", RetryAfter: max(wait, minRateRetry), NotRun: true}
+		return &Refusal{Status: http.StatusTooManyRequests, Reason: "over_rate", RetryAfter: max(wait, minRateRetry), NotRun: true}, true
 	}
-	return nil
+	return nil, true
 }
 
 const (
