operators: a process that starts leaves a large configuration to its peers

The first read stops after 100 ms of the link. The first of each domain, by what is announced, then reads on; the others wait a second for their peers. Small configurations are read as before.

--- a/internal/feedturn/feedturn.go
+++ b/internal/feedturn/feedturn.go
@@ -55,6 +55,9 @@
 	// false before it had it for the first time.
 	KnownAt time.Duration
 	Known   bool
+	// NotBefore is until when an instance that has never known the feed leaves the
+	// read to others.
+	NotBefore time.Duration
 	// Fleet is the number of instances.
 	Fleet int
 }
@@ -74,6 +77,9 @@
 // look.
 func (t *Turn) Next(now time.Duration, v View) (read bool, wait time.Duration) {
 	due := t.notBefore
+	if !v.Known {
+		due = max(due, v.NotBefore)
+	}
 	if v.Known && !(v.Reader && !t.lost) {
 		share := followShare
 		if v.Standby && !t.lost {
--- a/internal/gateway/configtransfer.go
+++ b/internal/gateway/configtransfer.go
@@ -29,6 +29,8 @@
 // here to them.
 type configTransfer struct {
 	g *Gateway
+	// link is the bytes a second that the instance's link carries.
+	link float64
 	// wake has an item when a newer configuration was reported.
 	wake chan struct{}
 	// reported is the newest configuration that an instance was reported to have.
@@ -68,7 +70,7 @@
 	const bytesPerMbit = 1e6 / 8
 	link := mbps * bytesPerMbit
 	return &configTransfer{
-		g: g, wake: make(chan struct{}, 1),
+		g: g, link: link, wake: make(chan struct{}, 1),
 		sender: configsync.NewSender(configShare * link), receiver: configsync.NewReceiver(g.self.Instance, link, transferShare),
 	}
 }
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -16,6 +16,9 @@
 // ErrTrimmed: the store no longer has the records asked for; read all again.
 var ErrTrimmed = errors.New("store: records were dropped")
 
+// ErrTooLarge: the answer has more bytes than were asked for.
+var ErrTooLarge = errors.New("store: answer too large")
+
 // OperatorNews is what operators wrote.
 type OperatorNews struct {
 	// Config is the newest configuration, or nil when there is no newer one.
@@ -28,8 +31,9 @@
 
 // OperatorFeed reads what operators write.
 type OperatorFeed interface {
-	// Newest reads the newest configuration and versions.
-	Newest(ctx context.Context) (OperatorNews, error)
+	// Newest reads the newest configuration and versions. It fails with ErrTooLarge
+	// when the answer has more bytes than limit; 0 sets none.
+	Newest(ctx context.Context, limit int64) (OperatorNews, error)
 	// Since reads on from an offset and waits up to wait for news. It fails
 	// with ErrTrimmed when the store has dropped some.
 	Since(ctx context.Context, from int64, wait time.Duration) (OperatorNews, error)
--- a/internal/gateway/operatorplace_test.go
+++ b/internal/gateway/operatorplace_test.go
@@ -22,10 +22,17 @@
 	*memoryStore
 	answers []OperatorNews
 	reads   []operatorRead
-	end     context.CancelFunc
+	// size is the bytes of all there is, limits those that reads of it allowed.
+	size   int64
+	limits []int64
+	end    context.CancelFunc
 }
 
-func (s *operatorStore) Newest(ctx context.Context) (OperatorNews, error) {
+func (s *operatorStore) Newest(ctx context.Context, limit int64) (OperatorNews, error) {
+	s.limits = append(s.limits, limit)
+	if s.size > limit && limit > 0 {
+		return OperatorNews{}, ErrTooLarge
+	}
 	return s.Since(ctx, unread, 0)
 }
 
@@ -74,3 +81,34 @@
 		g.takeAnswer(g.clock.Now(), wire.Identity{Instance: "b"}, 0, newer)
 	})[0].from, int64(8))
 }
+
+// Guards against fleets that all start together and fill every link with a large
+// configuration from the store, so that none comes from the peer that has it first.
+func TestLargeConfigurationIsLeftToPeersAtTheStart(t *testing.T) {
+	is := is.New(t)
+	s := &operatorStore{size: 1 << 30, answers: []OperatorNews{{Next: 9}}}
+	reads := s.read(t, func(g *Gateway) {
+		g.peers.known["b"] = newState(0, Announced{Announcement: Announcement{Instance: "b", Domain: "d1", Capacity: 1}})
+		time.AfterFunc(50*time.Millisecond, func() { // the peer's configuration and contact come
+			g.takeAnswer(g.clock.Now(), wire.Identity{Instance: "b"}, 0, wire.ExchangeAnswer{ConfigVersion: 2, ContactAge: 1, OperatorsNext: 8})
+			l := g.load(withRoutes(2, 3))
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			g.putInForce(l, "b")
+		})
+	})
+	is.Equal(len(s.limits), 1)
+	is.True(s.limits[0] > 0)
+	is.Equal(reads[0].from, int64(8)) // all that was left to read
+}
+
+func TestFirstOfTheDomainReadsALargeConfiguration(t *testing.T) {
+	is := is.New(t)
+	s := &operatorStore{size: 1 << 30, answers: []OperatorNews{{Next: 9}}}
+	s.read(t, func(g *Gateway) {
+		g.peers.read = true
+		g.peers.known["b"] = newState(0, Announced{Announcement: Announcement{Instance: "b", Domain: "d1"}})
+	})
+	is.Equal(len(s.limits), 2)
+	is.Equal(s.limits[1], int64(0))
+}
--- a/internal/gateway/operators.go
+++ b/internal/gateway/operators.go
@@ -24,8 +24,13 @@
 // from peers and read when they do not.
 func (g *Gateway) followOperators(ctx context.Context) {
 	turn := feedturn.New(feedturn.Settings{Bound: g.settings.ConfigBound})
-	brought := false
-	for g.awaitTurn(ctx, turn, g.operatorView) {
+	brought, limit, notBefore := false, g.startLimit(), time.Duration(0)
+	view := func() feedturn.View {
+		v := g.operatorView()
+		v.NotBefore = notBefore
+		return v
+	}
+	for g.awaitTurn(ctx, turn, view) {
 		next := g.operatorsPlace()
 		wait := time.Duration(0)
 		// News may have come at the start of a wait: what is known is as old as that,
@@ -34,10 +39,18 @@
 			wait = time.Duration(operatorWaitShare * float64(g.settings.ConfigBound))
 		}
 		sent := g.clock.Now()
-		news, err := g.readOperators(ctx, next, wait)
-		if errors.Is(err, ErrTrimmed) {
+		news, err := g.readOperators(ctx, next, wait, limit)
+		switch {
+		case errors.Is(err, ErrTrimmed):
 			g.dropOperatorsPlace(next)
 			continue
+		case errors.Is(err, ErrTooLarge) && limit > 0:
+			limit = 0
+			if !g.peers.firstOfDomain() {
+				notBefore = g.clock.Now() + startPatience
+			}
+			logline.Info("config_left_to_peers", "for", max(0, notBefore-g.clock.Now()))
+			continue
 		}
 		g.tookTurn(ctx, turn, &g.feeds.operators, "operators", err)
 		if err != nil {
@@ -82,11 +95,25 @@
 	return v
 }
 
-func (g *Gateway) readOperators(ctx context.Context, next int64, wait time.Duration) (OperatorNews, error) {
+// startLimit bounds the first read of a process in bytes. When all instances start
+// together, each would else fill its link with a large configuration from the store,
+// and nothing would come from the peer that has it first.
+func (g *Gateway) startLimit() int64 { return int64(startReadTime.Seconds() * g.configs.link) }
+
+const (
+	// startReadTime is how long the first read may take of a link that has nothing else
+	// to carry.
+	startReadTime = 100 * time.Millisecond
+	// startPatience is how long an instance that starts leaves a large configuration to
+	// its peers.
+	startPatience = time.Second
+)
+
+func (g *Gateway) readOperators(ctx context.Context, next int64, wait time.Duration, limit int64) (OperatorNews, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
 	defer cancel()
 	if next == unread {
-		return g.store.Newest(ctx)
+		return g.store.Newest(ctx, limit)
 	}
 	return g.store.Since(ctx, next, wait)
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -279,6 +279,19 @@
 // reads says whether this instance reads the store's feeds for the fleet.
 func (p *peers) reads() bool { return !p.g.closing.Load() && p.rank() == 0 }
 
+// firstOfDomain says whether this instance comes first in the order of duties among all
+// of its failure domain that are announced, also before they report.
+func (p *peers) firstOfDomain() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.known {
+		if s.Domain == p.g.self.Domain && !s.state.Leaving && hubs.Compare(s.instance(), p.instance()) < 0 {
+			return false
+		}
+	}
+	return p.read
+}
+
 // readsForDomain says whether this instance is the first of its failure domain to
 // read the store's feeds when the fleet's reader does not.
 func (p *peers) readsForDomain() bool {
