--- a/internal/targetlimit/limits_test.go
+++ b/internal/targetlimit/limits_test.go
@@ -104,12 +104,12 @@
 	simKnown  = time.Second
 	simAnswer = 20 * ms
 	// simWindow, simFactor and simSlack bound what a target may get of instances that
-	// have had its statement for simTold; simStable is the time from the first
+	// have had its statement for simNotice; simStable is the time from the first
 	// statement, or from the start of a process, before that holds.
 	simWindow = 4 * time.Second
 	simFactor = 1.5
 	simSlack  = 5
-	simTold   = 500 * ms
+	simNotice = 500 * ms
 	simStable = 3 * time.Second
 )
 
@@ -117,7 +117,7 @@
 type simProcess struct {
 	limits  *Limits
 	began   time.Duration
-	told    time.Duration   // when it first had an answer with a limit; 0 for never
+	limited time.Duration   // when it first had an answer with a limit; 0 for never
 	answers []time.Duration // when requests were sent whose answers are to come
 }
 
@@ -243,8 +243,8 @@
 	}
 	for len(x.answers) > 0 && x.answers[0]+simAnswer <= f.now {
 		x.limits.Observe(f.now, x.answers[0], one, f.rate)
-		if f.rate > 0 && x.told == 0 {
-			x.told = f.now
+		if f.rate > 0 && x.limited == 0 {
+			x.limited = f.now
 		}
 		x.answers = x.answers[1:]
 	}
@@ -266,7 +266,7 @@
 		for _, a := range f.arrivals[:i+1] {
 			p := a.from
 			settled := p.began == 0 || p.began+simStable <= a.at // a process that has just started is excused
-			if last.at-a.at < simWindow && p.told > 0 && p.told+simTold <= last.at && settled {
+			if last.at-a.at < simWindow && p.limited > 0 && p.limited+simNotice <= last.at && settled {
 				n++
 			}
 		}
