--- a/internal/configsync/receiver.go
+++ b/internal/configsync/receiver.go
@@ -108,19 +108,16 @@
 		return "", wait
 	}
 	best := slices.MinFunc(usable, func(a, b Source) int {
-		return cmp.Or(cmp.Compare(b.Version, a.Version), compareBool(b.Near, a.Near), cmp.Compare(r.order(a), r.order(b)))
+		return cmp.Or(cmp.Compare(b.Version, a.Version), cmp.Compare(distance(a), distance(b)), cmp.Compare(r.order(a), r.order(b)))
 	})
 	return best.Name, 0
 }
 
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
+func distance(s Source) int {
+	if s.Near {
 		return 0
-	case a:
-		return 1
 	}
-	return -1
+	return 1
 }
 
 // order is this receiver's own order of the sources.
--- a/internal/configsync/sender.go
+++ b/internal/configsync/sender.go
@@ -49,16 +49,16 @@
 	}
 }
 
-// Newest is the configuration that was put last; nil for none.
-func (s *Sender) Newest() *Snapshot {
+// newest is the configuration that was put last; nil for none.
+func (s *Sender) newest() *Snapshot {
 	if len(s.snapshots) == 0 {
 		return nil
 	}
 	return s.snapshots[len(s.snapshots)-1]
 }
 
-// Find finds a configuration that is still kept; nil for none.
-func (s *Sender) Find(ref wire.ConfigRef) *Snapshot {
+// find finds a configuration that is still kept; nil for none.
+func (s *Sender) find(ref wire.ConfigRef) *Snapshot {
 	for _, x := range s.snapshots {
 		if x.Ref == ref {
 			return x
@@ -97,7 +97,7 @@
 			return x
 		}
 	}
-	if n := s.Newest(); n != nil && n.Ref.Version > c.Base.Version {
+	if n := s.newest(); n != nil && n.Ref.Version > c.Base.Version {
 		return n
 	}
 	return nil
@@ -116,7 +116,7 @@
 // encoding finds or makes what a target differs by from what the caller has. Where
 // that is not kept here, the encoding is whole.
 func (s *Sender) encoding(have wire.ConfigRef, target *Snapshot) (*encoding, error) {
-	base := s.Find(have)
+	base := s.find(have)
 	if base == nil {
 		base = empty
 	}
