--- a/internal/gateway/enginepool.go
+++ b/internal/gateway/enginepool.go
@@ -91,8 +91,7 @@
 
 func newEnginePool(now func() time.Duration, domain string, prefill float64, limits *targetLimits) *enginePool {
 	p := &enginePool{
-		limits: limits,
-		now:    now, domain: domain, prefill: prefill, times: servicetime.New(prefill),
+		now: now, domain: domain, prefill: prefill, limits: limits, times: servicetime.New(prefill),
 		regs: map[string]directory.Registration{}, breakers: map[string]*overload.Breaker{},
 		silences: map[string]*overload.Silence{}, running: map[*placed]struct{}{}, silentAt: map[string]time.Duration{},
 		index:     cacheindex.New(cacheIndexBytes),
