--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -179,3 +179,24 @@
 	is.Equal(step.Sends[0].Request.Value, "fresh")
 	is.Equal(f.Waiting(), 1)
 }
+
+// Guards against several waiting requests that all go to a target which may get one.
+func TestRateLimitedTargetGetsOneRequestAtATime(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(2)
+	first := f.push("a", 1, 0).Sends[0]
+	home := f.pool.Target(first.Target)
+	for range 4 { // the same prefix, which the first target holds
+		f.push("a", 1, 0)
+	}
+	home.Load.Answered(0, pieceTokens+100)
+	home.RateLimited = true
+	sent := 0
+	for _, s := range f.Step(time.Second, f.rng).Sends {
+		if s.Target == first.Target {
+			sent++
+		}
+	}
+	is.Equal(sent, 1)
+	is.True(f.pool.Rejected(first.Target))
+}
