--- a/internal/gateway/slowlink_test.go
+++ b/internal/gateway/slowlink_test.go
@@ -18,6 +18,9 @@
 	slowLinkPart  = 5_000
 	// configPatience bounds the wait for a configuration that is sure to come.
 	configPatience = 10 * time.Second
+	// peerHost is a loopback address that outgoing connections do not use: one of these
+	// could else take a port between its choice and the start of what listens there.
+	peerHost = "127.77.0.1"
 )
 
 // slowLink listens for connections and passes them on to an address, at the rate
@@ -94,7 +97,7 @@
 // startPeers runs the exchanges of a gateway that finds these peers.
 func startPeers(t *testing.T, name string, c *routing.Config, announced ...Announced) *Gateway {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", peerHost+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
