--- a/internal/gateway/configtransfer.go
+++ b/internal/gateway/configtransfer.go
@@ -67,7 +67,6 @@
 	if mbps <= 0 {
 		mbps = unknownLinkMbps
 	}
-	const bytesPerMbit = 1e6 / 8
 	link := mbps * bytesPerMbit
 	return &configTransfer{
 		g: g, link: link, wake: make(chan struct{}, 1),
@@ -198,7 +197,7 @@
 	ctx, cancel := context.WithTimeout(ctx, partTimeout)
 	defer cancel()
 	var part wire.ConfigPart
-	err := t.g.peers.call(ctx, source.Address, wire.KindConfigPart, call, &part)
+	_, err := t.g.peers.call(ctx, source.Address, wire.KindConfigPart, call, &part)
 	t.mu.Lock()
 	now := t.g.clock.Now()
 	if err != nil {
@@ -274,16 +273,3 @@
 	}
 	return fresh, identities
 }
-
-// call makes a call to a peer. A connection on which one takes too long may be silent
-// for good.
-func (p *peers) call(ctx context.Context, address string, kind wire.Kind, body, answer any) error {
-	p.mu.Lock()
-	node := p.node
-	p.mu.Unlock()
-	_, err := node.Call(ctx, address, kind, body, answer)
-	if err != nil && ctx.Err() != nil {
-		node.Drop(address)
-	}
-	return err
-}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -63,14 +63,11 @@
 	m.Sent, m.Receiver = s.sent, replica.OriginOf(s.Incarnation)
 	m.Updates = p.table.Since(asked, m.Sent, replica.Followers, m.Receiver)
 	m.Follow, m.Received = follow, s.received
-	sent, address, node := p.table.Place().Version, s.Address, p.node
+	sent, address := p.table.Place().Version, s.Address
 	p.mu.Unlock()
 	var answer wire.ExchangeAnswer
-	from, err := node.Call(ctx, address, wire.KindExchange, m, &answer)
-	switch {
-	case err != nil && ctx.Err() != nil:
-		node.Drop(address)
-	case errors.Is(err, peer.ErrRefused):
+	from, err := p.call(ctx, address, wire.KindExchange, m, &answer)
+	if errors.Is(err, peer.ErrRefused) {
 		logline.Error(err, "exchange_refused", "peer", s.Instance)
 	}
 	if err != nil {
@@ -104,6 +101,19 @@
 	}
 }
 
+// call makes a call to a peer. A connection on which one takes too long may be silent
+// for good: the next call makes a new one.
+func (p *peers) call(ctx context.Context, address string, kind wire.Kind, body, answer any) (wire.Identity, error) {
+	p.mu.Lock()
+	node := p.node
+	p.mu.Unlock()
+	from, err := node.Call(ctx, address, kind, body, answer)
+	if err != nil && ctx.Err() != nil {
+		node.Drop(address)
+	}
+	return from, err
+}
+
 // noteConfig takes in which configuration a peer has. The caller holds p.mu.
 func (p *peers) noteConfig(s *peerState, version int64) {
 	s.config = max(s.config, version)
