logline: the last lines of a process are written before it exits

Cause: lines are written by a goroutine from a queue; the process exits without it. klog.Flush flushes klog's own buffers only, and klog hands each line to the queue at once.

Change: logline.Flush waits until the queue is written, for 200 ms at most, since a reader of the output may have stopped. The lines of a drain are written over the rate limit as well. TestFlushWritesQueuedLines failed to compile before; the same check with klog.Flush finds an empty buffer.

--- a/cmd/mastictray-gateway/main.go
+++ b/cmd/mastictray-gateway/main.go
@@ -12,7 +12,6 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
-	"k8s.io/klog/v2"
 
 	"github.com/mastictray/mastictray/internal/gateway"
 	"github.com/mastictray/mastictray/internal/logline"
@@ -45,7 +44,7 @@
 	if err := logline.SetOutput(os.Stdout); err != nil {
 		return err
 	}
-	defer klog.Flush()
+	defer logline.Flush()
 	configureMemory(s.MemoryMB)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
--- a/internal/logline/output.go
+++ b/internal/logline/output.go
@@ -30,7 +30,7 @@
 // as they appear in a line.
 var priorityMarks = eventMarks(
 	"started", "config_in_force", "config_reported", "weights_named", "weights_dated", "oldest_weights", "version_record_written", "lease_taken", "target_limit",
-	"peer_gone", "store_lost", "store_regained",
+	"peer_gone", "store_lost", "store_regained", "draining", "drain_incomplete", "stopped",
 )
 
 // eventMarks returns the byte sequences that identify events in a line. Priority
@@ -52,8 +52,11 @@
 // output writes lines from a queue and drops lines that do not fit, so that no
 // request waits for a log line.
 type output struct {
-	w       io.Writer
-	lines   chan []byte
+	w     io.Writer
+	lines chan []byte
+	// flushes receives a channel for each flush, which is closed once the queue has been
+	// written.
+	flushes chan chan struct{}
 	dropped atomic.Int64
 	// second is the Unix time of the second that written counts lines of.
 	second  atomic.Int64
@@ -70,12 +73,44 @@
 			return errors.Wrapf(err, "set log flag %s", name)
 		}
 	}
-	o := &output{w: w, lines: make(chan []byte, maxQueuedLines+reservedLines)}
+	o := newOutput(w)
 	klog.SetOutput(o)
 	go o.run()
+	flushOutput = o.flush
 	return nil
 }
 
+func newOutput(w io.Writer) *output {
+	return &output{w: w, lines: make(chan []byte, maxQueuedLines+reservedLines), flushes: make(chan chan struct{})}
+}
+
+// flushTimeout limits how long the end of a process waits for a slow reader of the output.
+const flushTimeout = 200 * time.Millisecond
+
+// flushOutput flushes the output that SetOutput has set.
+var flushOutput = func() {}
+
+// Flush writes the lines that are still queued. A process calls it before it exits.
+func Flush() {
+	klog.Flush()
+	flushOutput()
+}
+
+// flush waits until the queue has been written, for at most flushTimeout.
+func (o *output) flush() {
+	timeout := time.After(flushTimeout)
+	done := make(chan struct{})
+	select {
+	case o.flushes <- done:
+	case <-timeout:
+		return
+	}
+	select {
+	case <-done:
+	case <-timeout:
+	}
+}
+
 // Write implements io.Writer for klog, which passes one line per call.
 func (o *output) Write(line []byte) (int, error) {
 	now := time.Now().Unix()
@@ -96,15 +131,27 @@
 }
 
 func (o *output) run() {
-	for line := range o.lines {
-		if n := o.dropped.Swap(0); n > 0 {
-			fmt.Fprintf(o.w, "log_lines_left_out count=%d\n", n)
+	for {
+		select {
+		case line := <-o.lines:
+			o.writeLine(line)
+		case done := <-o.flushes:
+			for range len(o.lines) {
+				o.writeLine(<-o.lines)
+			}
+			close(done)
 		}
-		// There is nowhere else to report a failed write to.
-		_, _ = o.w.Write(line)
 	}
 }
 
+func (o *output) writeLine(line []byte) {
+	if n := o.dropped.Swap(0); n > 0 {
+		fmt.Fprintf(o.w, "log_lines_left_out count=%d\n", n)
+	}
+	// There is nowhere else to report a failed write to.
+	_, _ = o.w.Write(line)
+}
+
 var sampleCalls atomic.Int64
 
 // InfoSampled writes one of sampleInterval events. It is for frequent events of
--- a/internal/logline/output_test.go
+++ b/internal/logline/output_test.go
@@ -1,7 +1,9 @@
 package logline
 
 import (
+	"bytes"
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -12,7 +14,7 @@
 // in that second must be written: they explain its decisions.
 func TestPriorityEventsAreWrittenOverTheRateLimit(t *testing.T) {
 	is := is.New(t)
-	o := &output{lines: make(chan []byte, maxQueuedLines+reservedLines)}
+	o := newOutput(nil)
 	write := func(event string, request int) {
 		_, err := o.Write(fmt.Appendf(nil, "I0102 03:04:05.678901 1 x.go:1] %q request=%d\n", event, request))
 		is.NoErr(err)
@@ -31,3 +33,17 @@
 	write("attempt_failed", 0)
 	is.Equal(o.dropped.Load(), dropped+1)
 }
+
+// Guards against a process whose last lines, which tell how it ended, are missing.
+func TestFlushWritesQueuedLines(t *testing.T) {
+	is := is.New(t)
+	var written bytes.Buffer
+	o := newOutput(&written)
+	for i := range 100 {
+		_, err := fmt.Fprintf(o, "line %d\n", i)
+		is.NoErr(err)
+	}
+	go o.run()
+	o.flush()
+	is.True(strings.HasSuffix(written.String(), "line 99\n"))
+}
