--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -78,6 +79,57 @@
 	}
 }
 
+// Guards against a shutdown that closes a connection without a response to a request that is
+// already arriving on it.
+func TestRequestThatArrivesDuringShutdownIsAnswered(t *testing.T) {
+	for name, kept := range map[string]bool{"new connection": false, "kept connection": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			log := httptest.NewServer(logsvc.New(logsvc.Config{}).Handler())
+			defer log.Close()
+			caller, stop := startEntry(t, log.URL)
+			var conn net.Conn
+			waitFor(t, "connection", func() (ok bool) {
+				c, err := net.Dial("tcp", caller)
+				conn = c
+				return err == nil
+			})
+			defer conn.Close()
+			responses := bufio.NewReader(conn)
+			const request = "GET /v1/models HTTP/1.1\r\nHost: entry.example\r\n\r\n"
+			if kept {
+				_, err := io.WriteString(conn, request)
+				is.NoErr(err)
+				resp, err := http.ReadResponse(responses, nil)
+				is.NoErr(err)
+				_, err = io.Copy(io.Discard, resp.Body)
+				is.NoErr(err)
+			}
+			_, err := io.WriteString(conn, request[:20])
+			is.NoErr(err)
+			stopped := make(chan struct{})
+			go func() {
+				defer close(stopped)
+				stop()
+			}()
+			waitFor(t, "closed listener", func() bool {
+				c, err := net.Dial("tcp", caller)
+				if err == nil {
+					c.Close()
+				}
+				return err != nil
+			})
+			_, err = io.WriteString(conn, request[20:])
+			is.NoErr(err)
+			resp, err := http.ReadResponse(responses, nil)
+			is.NoErr(err) // an error here means that the connection was closed without a response
+			is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+			is.True(resp.Close)
+			<-stopped
+		})
+	}
+}
+
 // sendRequest sends one streaming request and reports whether the response was
 // complete.
 func sendRequest(client *http.Client, address, prompt string) bool {
