httpdrain: a shutdown answers every request that has arrived

Cause: http.Server.Shutdown. If it has begun when the head of a request has been read, net/http returns from the connection without a response. It also closes connections that it holds for idle although a request has arrived, and listeners with connections in their queue. Callers send to a draining instance for as long as they have kept connections or, with half of a domain out of rotation, new ones. An instance that gets its processor late reads such requests hundreds of milliseconds late, so that far more of them fall after the start.

Change: internal/httpdrain, for both request paths. Shutdown is called last, for HTTP/2 alone. Before it the listener closes once its queue is empty and the last accepted connection is known, and a connection between two requests is ended by its own reading goroutine: it is woken, takes what has arrived without waiting, and closes the connection only if that is nothing. So no other goroutine can close a connection under a request. The idle timeout of gateways ends connections in the same way. Entry instances answer with Connection: close from the start of a drain on, as gateways did.

--- a/internal/entry/callerserver.go
+++ b/internal/entry/callerserver.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/mastictray/mastictray/internal/httpdrain"
 	"github.com/mastictray/mastictray/internal/settings"
 )
 
@@ -17,14 +18,14 @@
 
 // callerServer is the HTTP server for the callers' requests.
 type callerServer struct {
-	http      *http.Server
+	http      *httpdrain.Server
 	openConns atomic.Int64
 	maxConns  int64
 }
 
 func newCallerServer(s *settings.Settings, h http.Handler, tlsConfig *tls.Config) *callerServer {
 	c := &callerServer{maxConns: int64(s.MaxConnections)}
-	c.http = &http.Server{
+	c.http = httpdrain.New(&http.Server{
 		Handler:           h,
 		TLSConfig:         tlsConfig,
 		ReadHeaderTimeout: headerReadTimeout,
@@ -33,7 +34,7 @@
 		MaxHeaderBytes:    s.MaxHeaderBytes,
 		ConnState:         c.countConnection,
 		ErrorLog:          newHTTPErrorLogger(),
-	}
+	})
 	return c
 }
 
@@ -53,11 +54,6 @@
 // connection would not show it.
 func (c *callerServer) overConnectionLimit() bool { return c.openConns.Load() > c.maxConns }
 
-func (c *callerServer) serve(l net.Listener) error {
-	if c.http.TLSConfig != nil {
-		return c.http.ServeTLS(l, "", "")
-	}
-	return c.http.Serve(l)
-}
+func (c *callerServer) serve(l net.Listener) error { return c.http.Serve(l) }
 
-func (c *callerServer) shutdown(ctx context.Context) error { return c.http.Shutdown(ctx) }
+func (c *callerServer) shutdown(ctx context.Context) error { return c.http.Drain(ctx) }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -181,6 +181,7 @@
 func (e *Entry) shutdown() {
 	logline.Info("drain_started", "balancer_lag", e.settings.BalancerLag)
 	e.admin.ready.Store(false)
+	e.server.draining.Store(true)
 	e.members.announceLeave()
 	time.Sleep(e.settings.BalancerLag)
 	e.drainCallers()
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -35,7 +35,9 @@
 
 	// overConnectionLimit reports whether too many connections are open.
 	overConnectionLimit func() bool
-	// shuttingDown is set when the process no longer takes requests.
+	// draining is set when a shutdown has been requested, shuttingDown when the process no
+	// longer takes requests.
+	draining     atomic.Bool
 	shuttingDown atomic.Bool
 	inFlight     sync.WaitGroup
 }
@@ -72,6 +74,10 @@
 // serve handles one request. If it returns an error, no error response has been
 // written yet.
 func (s *server) serve(c *call) error {
+	if s.draining.Load() {
+		// The caller's next request goes to another instance.
+		c.w.Header().Set("Connection", "close")
+	}
 	if s.shuttingDown.Load() {
 		return refusal(http.StatusServiceUnavailable, openai.CodeNotReady, "this instance is shutting down", time.Second)
 	}
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -4,11 +4,11 @@
 	"context"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastictray/mastictray/internal/httpdrain"
 	"github.com/mastictray/mastictray/internal/logline"
 )
 
@@ -31,19 +31,14 @@
 // and for metrics.
 type callerServer struct {
 	g       *Gateway
-	callers *http.Server
+	callers *httpdrain.Server
 	ready   *http.Server
 	metrics *http.Server
-
-	mu   sync.Mutex
-	idle map[net.Conn]time.Time
 }
 
 func newCallerServer(g *Gateway) *callerServer {
-	s := &callerServer{g: g, idle: map[net.Conn]time.Time{}}
-	s.callers = &http.Server{
-		Handler: g, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: s.trackIdle,
-	}
+	s := &callerServer{g: g}
+	s.callers = httpdrain.New(&http.Server{Handler: g, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes})
 	readyMux := http.NewServeMux()
 	readyMux.HandleFunc(g.dialect.ReadyPath(), s.answerReady)
 	s.ready = &http.Server{Handler: readyMux, ReadHeaderTimeout: readHeaderTimeout}
@@ -57,7 +52,7 @@
 func (s *callerServer) listen() error {
 	for _, l := range []struct {
 		address string
-		server  *http.Server
+		server  interface{ Serve(net.Listener) error }
 	}{
 		{s.g.settings.CallerListen, s.callers},
 		{s.g.settings.ReadyListen, s.ready},
@@ -88,38 +83,21 @@
 	}
 }
 
-// trackIdle records which connections are idle and since when. http.Server.IdleTimeout is
+// closeIdle closes connections that have been idle for too long. http.Server.IdleTimeout is
 // not used because it is fixed, while the configured limit changes at run time.
-func (s *callerServer) trackIdle(c net.Conn, state http.ConnState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if state == http.StateIdle || state == http.StateNew {
-		s.idle[c] = time.Now()
-	} else {
-		delete(s.idle, c)
-	}
-}
-
-// closeIdle closes connections that have been idle for too long.
 func (s *callerServer) closeIdle() {
 	limit := defaultCallerIdleTimeout
 	if t := s.g.table.Load(); t != nil && t.Config().Limits.IdleTimeout > 0 {
 		limit = t.Config().Limits.IdleTimeout
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c, since := range s.idle {
-		if time.Since(since) > limit+callerIdleSlack {
-			// http.Server drops its record of the connection when it is closed.
-			_ = c.Close()
-			delete(s.idle, c)
-		}
-	}
+	s.callers.CloseIdle(limit + callerIdleSlack)
 }
 
-// shutdown stops accepting connections and waits for the running requests.
+// shutdown stops accepting connections and waits until every request that has arrived is
+// answered.
 func (s *callerServer) shutdown(ctx context.Context) {
-	if err := s.callers.Shutdown(ctx); err != nil {
+	logline.Info("draining_connections", "open", s.callers.OpenConns())
+	if err := s.callers.Drain(ctx); err != nil {
 		logline.Error(err, "drain_incomplete")
 	}
 	for _, server := range []*http.Server{s.ready, s.metrics} {
--- /dev/null
+++ b/internal/httpdrain/conn.go
@@ -0,0 +1,142 @@
+package httpdrain
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+)
+
+// conn is a connection of a caller that can be ended between two requests.
+type conn struct {
+	*net.TCPConn
+	raw     syscall.RawConn
+	onClose func(*conn)
+
+	// state and since are the state that the HTTP server has reported and the time of that
+	// report. They are guarded by Server.mu.
+	state http.ConnState
+	since time.Time
+
+	mu sync.Mutex
+	// received is set if bytes have arrived since the connection was last idle.
+	received bool
+	// ending is set if the connection is to be closed unless a request arrives first.
+	ending bool
+	// readDeadline is the deadline that the HTTP server has set. interrupted is set while
+	// end has replaced it to wake a blocked read.
+	readDeadline time.Time
+	interrupted  bool
+}
+
+// interruptDeadline is a deadline in the past, which wakes a blocked read.
+var interruptDeadline = time.Unix(1, 0)
+
+// newConn wraps an accepted connection.
+func newConn(c *net.TCPConn, onClose func(*conn)) (*conn, error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return nil, errors.Wrap(err, "access accepted connection")
+	}
+	return &conn{TCPConn: c, raw: raw, onClose: onClose, state: http.StateNew, since: time.Now()}, nil
+}
+
+// end closes the connection unless a request arrives first. The closing itself is left to
+// the HTTP server, whose read fails.
+func (c *conn) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ending || c.received {
+		return
+	}
+	c.ending, c.interrupted = true, true
+	// On error the connection is closed already.
+	_ = c.TCPConn.SetReadDeadline(interruptDeadline)
+}
+
+// setIdle records that the next bytes to arrive belong to a new request.
+func (c *conn) setIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.received, c.ending = false, false
+}
+
+// Read implements net.Conn. On a connection that is being ended it returns what has arrived,
+// or a timeout error if nothing has.
+func (c *conn) Read(b []byte) (int, error) {
+	for {
+		if c.isEnding() {
+			return c.readArrived(b)
+		}
+		n, err := c.TCPConn.Read(b)
+		if n > 0 {
+			c.setReceived()
+		}
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.resume() {
+			continue
+		}
+		return n, err
+	}
+}
+
+func (c *conn) isEnding() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ending && !c.received
+}
+
+func (c *conn) setReceived() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.received = true
+}
+
+// resume reports whether a read failed only because end interrupted it. If so, it restores
+// the deadline, since the read may go on: a part of a request may have been read in between.
+func (c *conn) resume() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.interrupted {
+		return false
+	}
+	c.interrupted = false
+	return c.TCPConn.SetReadDeadline(c.readDeadline) == nil
+}
+
+// readArrived reads without waiting and regardless of the deadline.
+func (c *conn) readArrived(b []byte) (n int, err error) {
+	var readErr error
+	if err := c.raw.Control(func(fd uintptr) { n, readErr = unix.Read(int(fd), b) }); err != nil {
+		return 0, errors.Wrap(err, "read what has arrived")
+	}
+	switch {
+	case n > 0:
+		c.setReceived()
+		return n, nil
+	case readErr == nil:
+		return 0, io.EOF
+	case readErr == unix.EAGAIN:
+		return 0, os.ErrDeadlineExceeded
+	}
+	return 0, errors.Wrap(readErr, "read what has arrived")
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline, c.interrupted = t, false
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.onClose(c)
+	return c.TCPConn.Close()
+}
