gateway: refuses at the end of a drain what may outlast the process

What callers would see: a request that arrives after the balancer lag, on a kept connection or on one that waited to be accepted, used to be dropped by the shutdown. It is served now, and a stream with a deadline of 15 s would be cut off where the process ends 4.5 s later.

Evidence: TestRequestThatMayOutlastTheProcessIsRefused failed before (200 != 503): the stream was begun with 5 s to run and less than that left.

Change: once the balancer lag has passed, a request whose deadline lies behind the end of the drain is refused as not run, with a short Retry-After; its connection closes with the response, so the caller's next attempt goes to another instance. Requests that end in time are served. Within the lag nothing changes: callers are still sent here on purpose. Entry instances refuse every request at that stage already.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,7 +85,10 @@
 	loadingTargets map[string]bool
 
 	draining atomic.Bool
-	callers  *callerServer
+	// responsesDueBy is the time, in nanoseconds of clock, by which all responses must end
+	// because the process does; 0 until the balancer lag has passed.
+	responsesDueBy atomic.Int64
+	callers        *callerServer
 }
 
 // unknownFleetSize is the assumed size of the fleet until the announcements have been
@@ -164,6 +167,7 @@
 	logline.Info("draining", "balancer_lag", g.settings.BalancerLag, "drain_timeout", g.settings.DrainTimeout)
 	g.draining.Store(true)
 	time.Sleep(g.settings.BalancerLag)
+	g.responsesDueBy.Store(int64(g.clock.Now() + g.settings.DrainTimeout))
 	ctx, cancel := context.WithTimeout(context.Background(), g.settings.DrainTimeout)
 	defer cancel()
 	g.callers.shutdown(ctx)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -89,6 +89,9 @@
 	}
 	ctx, cancel := g.withDeadline(c)
 	defer cancel()
+	if g.mayOutlastProcess(c) {
+		return unavailableRefusal("draining", drainingRetryAfter)
+	}
 	if refusal := g.readBody(ctx, c); refusal != nil {
 		return refusal
 	}
@@ -222,6 +225,18 @@
 	return context.WithTimeout(c.r.Context(), timeout)
 }
 
+// mayOutlastProcess reports whether the process may end before the request's deadline. Before
+// the balancer lag has passed no request counts as such: the instance would refuse most
+// streams while callers are still sent to it.
+func (g *Gateway) mayOutlastProcess(c *call) bool {
+	due := time.Duration(g.responsesDueBy.Load())
+	return due > 0 && (c.deadline == 0 || c.deadline > due)
+}
+
+// drainingRetryAfter is the Retry-After of an instance that is about to stop. Other instances
+// can serve the request at once.
+const drainingRetryAfter = 20 * time.Millisecond
+
 // timeLeft returns the time until the deadline, or 0 if there is none.
 func (g *Gateway) timeLeft(c *call) time.Duration {
 	if c.deadline == 0 {
