gateway: sends nothing more to a target that has announced that it leaves

The store was down, so its record came 12.8 s late.

Cause: nobody read the header; the first hypothesis.

The mark belongs to the incarnation, so a restarted target is used again. It survives renewed, expired and returning records, and goes five minutes after the last of them. Only responses that are signed or say that the request has not run count.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -77,6 +77,10 @@
 	recoveredAt time.Duration
 	hadOutage   bool
 	revision    int64
+	// leaving holds the incarnations that have announced to this instance that they leave,
+	// with the time at which each was last known to be registered. A registration does not
+	// say so before the store has accepted it, and a record may expire and come back.
+	leaving map[Incarnation]time.Duration
 }
 
 type entry struct {
@@ -86,7 +90,9 @@
 }
 
 // New returns an empty directory.
-func New() *Directory { return &Directory{targets: map[string]*entry{}} }
+func New() *Directory {
+	return &Directory{targets: map[string]*entry{}, leaving: map[Incarnation]time.Duration{}}
+}
 
 // Revision increases whenever a target is added or removed, or its start time, state,
 // address, service or versions change. A heartbeat does not change it.
@@ -108,6 +114,7 @@
 		}
 	}
 	d.expireMissing(now)
+	d.expireLeaving(now)
 	return changes
 }
 
@@ -196,9 +203,40 @@
 	}
 }
 
+// MarkLeaving records that an incarnation of a target has announced in a response that it
+// leaves. It gets no new work from then on, whatever its registration says. It returns
+// whether this was new.
+func (d *Directory) MarkLeaving(now time.Duration, id Incarnation) bool {
+	_, known := d.leaving[id]
+	d.leaving[id] = now
+	if known {
+		return false
+	}
+	d.revision++
+	return true
+}
+
+// leavingRetention is how long an announcement that a target leaves is kept while the target
+// is not registered. A leaving target exits long before that.
+const leavingRetention = 5 * time.Minute
+
+func (d *Directory) expireLeaving(now time.Duration) {
+	for id, registeredAt := range d.leaving {
+		switch {
+		case d.Has(id):
+			d.leaving[id] = now
+		case now-registeredAt > leavingRetention:
+			delete(d.leaving, id)
+		}
+	}
+}
+
 // Usable returns the targets of a service that may receive new work, ordered by ID.
 func (d *Directory) Usable(service string) []Registration {
-	return d.filter(func(t *entry) bool { return t.Service == service && t.State == Ready })
+	return d.filter(func(t *entry) bool {
+		_, leaving := d.leaving[t.Incarnation()]
+		return t.Service == service && t.State == Ready && !leaving
+	})
 }
 
 // All returns all known targets, ordered by ID.
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -96,3 +96,51 @@
 	is.Equal(r.State, Draining)
 	is.Equal(len(d.All()), 1)
 }
+
+// Guards against new work for a target that has announced in a response that it leaves, when
+// its record is renewed, expires and comes back, or is read again from the beginning.
+func TestAnnouncedLeavingOutlastsRegistrations(t *testing.T) {
+	for name, renew := range map[string]func(d *Directory){
+		"renewed": func(d *Directory) { d.ApplyEvents(2*time.Second, []Event{registered("a", 1, 2, Ready)}) },
+		"expired and back": func(d *Directory) {
+			d.ApplyEvents(2*time.Second, []Event{removed("a")})
+			d.ApplyEvents(3*time.Second, []Event{registered("a", 1, 2, Ready)})
+		},
+		"back long after an outage": func(d *Directory) {
+			d.ApplyEvents(20*time.Second, []Event{removed("a")})
+			d.ApplyEvents(60*time.Second, []Event{registered("a", 1, 2, Ready)})
+		},
+		"read again": func(d *Directory) { d.ReplaceAll(2*time.Second, []Event{registered("a", 1, 2, Ready)}) },
+		"not registered yet when it announced it": func(d *Directory) {
+			*d = *New()
+			d.MarkLeaving(time.Second, Incarnation{ID: "a", StartedMs: 1})
+			d.ApplyEvents(2*time.Second, []Event{registered("a", 1, 1, Ready)})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := New()
+			d.ApplyEvents(time.Second, []Event{registered("a", 1, 1, Ready)})
+			before := d.Revision()
+			is.True(d.MarkLeaving(time.Second, Incarnation{ID: "a", StartedMs: 1}))
+			is.True(d.Revision() > before)
+			is.True(!d.MarkLeaving(time.Second, Incarnation{ID: "a", StartedMs: 1}))
+			is.Equal(usable(d), []string{})
+			renew(d)
+			is.Equal(usable(d), []string{})
+			d.ApplyEvents(70*time.Second, []Event{registered("a", 2, 1, Ready)}) // a new incarnation
+			is.Equal(usable(d), []string{"a"})
+		})
+	}
+}
+
+// Guards against a directory that grows with every target that has ever left.
+func TestAnnouncementsOfGoneTargetsExpire(t *testing.T) {
+	is := is.New(t)
+	d := New()
+	d.MarkLeaving(time.Second, Incarnation{ID: "gone", StartedMs: 1})
+	d.ApplyEvents(time.Second+leavingRetention, nil)
+	is.Equal(len(d.leaving), 1)
+	d.ApplyEvents(2*time.Second+leavingRetention, nil)
+	is.Equal(len(d.leaving), 0)
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -103,6 +103,9 @@
 	if info.RateLimit > 0 || info.Signed || info.NotRun {
 		g.limits.observe(c.placedAt, a.target.Incarnation(), info.RateLimit)
 	}
+	if info.Leaving && (info.Signed || info.NotRun) {
+		g.recordLeaving(c, a.target.Incarnation())
+	}
 	if info.WeightsVersion > 0 && c.Prompt != nil {
 		g.engineServiceOf(c).recordServedVersion(a.target.Incarnation(), c.Prompt.Model, info.WeightsVersion)
 	}
--- a/internal/gateway/registrations.go
+++ b/internal/gateway/registrations.go
@@ -106,6 +106,20 @@
 	g.updateServiceTargets()
 }
 
+// recordLeaving records that a target has announced in its response to a request that it
+// leaves.
+func (g *Gateway) recordLeaving(c *call, id directory.Incarnation) {
+	g.mu.Lock()
+	isNew := g.directory.MarkLeaving(g.clock.Now(), id)
+	if isNew {
+		g.updateServiceTargets()
+	}
+	g.mu.Unlock()
+	if isNew {
+		logline.Info("target_leaving", "target", id.ID, "born", id.StartedMs, "request", c.ID)
+	}
+}
+
 // registrationChanges returns the changes since an offset, for a peer. It returns nil
 // if the peer gets them from other instances or if changes since the offset were
 // dropped here. The caller holds g.mu.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -86,6 +86,8 @@
 	// WeightsVersion is the weights version that the response was produced with; 0 if the
 	// response does not say.
 	WeightsVersion int64
+	// Leaving is set if the target announces that it leaves: it wants no further requests.
+	Leaving bool
 	// RateLimit is the number of requests per second that the target accepts from all
 	// instances together; 0 for no limit.
 	RateLimit float64
--- a/internal/logline/output.go
+++ b/internal/logline/output.go
@@ -29,7 +29,7 @@
 // priorityMarks identify the events that are written even over the rate limit,
 // as they appear in a line.
 var priorityMarks = eventMarks(
-	"started", "config_in_force", "config_reported", "weights_named", "weights_dated", "oldest_weights", "version_record_written", "lease_taken", "target_limit",
+	"started", "config_in_force", "config_reported", "weights_named", "weights_dated", "oldest_weights", "version_record_written", "lease_taken", "target_limit", "target_leaving",
 	"peer_gone", "store_lost", "store_regained", "draining", "drain_incomplete", "stopped",
 )
 
