gateway: sends nothing to a target during the pause that it asks for

Cause: nobody read Retry-After of targets, the first hypothesis. A refusal kept a model server out of placement for 0.2 s whatever it said, and a plain service's target not at all.

Change: the adapter decodes the pause of a 503. internal/targetpause (pure) keeps the running pauses by incarnation: a later, shorter one shortens nothing, ten minutes are the most. For model servers it replaces the time of the last refusal, so the 0.2 s is a pause like others; plain services pass over paused targets too. Every send chooses from these, so retries, resumed streams and probes of breakers wait as well. While all targets of a service pause, requests are refused at once, and their Retry-After is the rest of the shortest pause, where it was 0.25 to 1 s regardless.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mastictray/mastictray/internal/directory"
+	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/overload"
 	"github.com/mastictray/mastictray/internal/targetconn"
 )
@@ -106,14 +107,14 @@
 	if info.Leaving && (info.Signed || info.NotRun) {
 		g.recordLeaving(c, a.target.Incarnation())
 	}
+	if info.NotRun || info.Signed && info.Pause > 0 {
+		g.recordRefusal(c, a.target.Incarnation(), info.Pause)
+	}
 	if info.WeightsVersion > 0 && c.Prompt != nil {
 		g.engineServiceOf(c).recordServedVersion(a.target.Incarnation(), c.Prompt.Model, info.WeightsVersion)
 	}
 	switch {
 	case info.NotRun:
-		if c.service.Engine != nil {
-			g.engineServiceOf(c).recordRefusal(a.target.Incarnation())
-		}
 		return outcomeNotRun, errors.Newf("target did not run the request: status %d", resp.StatusCode)
 	case !info.Signed:
 		return outcomeUnknown, errors.Newf("response without the target's signature: status %d", resp.StatusCode)
@@ -123,6 +124,19 @@
 	return relay.relayResponse(ctx, a, conn, resp)
 }
 
+// recordRefusal records that a target refused a request as a whole, and the pause that it asked
+// for; 0 for none.
+func (g *Gateway) recordRefusal(c *call, id directory.Incarnation, pause time.Duration) {
+	if pause > 0 {
+		logline.Info("target_paused", "target", id.ID, "born", id.StartedMs, "pause", pause, "request", c.ID)
+	}
+	if c.service.Engine != nil {
+		g.engineServiceOf(c).recordRefusal(id, pause)
+	} else if pause > 0 {
+		g.plainServiceOf(c).recordPause(id, pause)
+	}
+}
+
 // canRetryServerError reports whether a request that a target answered with a server error
 // may be retried at another target, so that the error is not relayed.
 func (g *Gateway) canRetryServerError(ctx context.Context, c *call) bool {
--- a/internal/gateway/enginefilters.go
+++ b/internal/gateway/enginefilters.go
@@ -36,23 +36,23 @@
 	return false
 }
 
-// refusalBackoff is how long a target gets no requests after it refused one as a whole. It
-// is full or about to load weights; a load will have been reported by peers within that
+// refusalBackoff is how long a target gets no requests after it refused one as a whole and
+// asked for no longer pause. It is full or about to load weights; a load will have been reported by peers within that
 // time.
 const refusalBackoff = 200 * time.Millisecond
 
 // isExcluded reports whether a target must not get requests now. The caller holds s.mu.
 func (s *engineService) isExcluded(r *directory.Registration) bool {
-	at, refused := s.refusedAt[r.ID]
-	return s.loading[r.ID] || hasOlderWeights(r, s.bounds.minToSend) || refused && s.now()-at < refusalBackoff
+	return s.loading[r.ID] || hasOlderWeights(r, s.bounds.minToSend) || s.pauses.Left(s.now(), r.Incarnation()) > 0
 }
 
-// recordRefusal records that a target refused a request as a whole.
-func (s *engineService) recordRefusal(id directory.Incarnation) {
+// recordRefusal records that a target refused a request as a whole, and the pause that it
+// asked for; 0 for none.
+func (s *engineService) recordRefusal(id directory.Incarnation, pause time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if r, ok := s.registrations[id.ID]; ok && r.Incarnation() == id {
-		s.refusedAt[id.ID] = s.now()
+	s.pauses.Pause(s.now(), id, max(pause, refusalBackoff))
+	if r, ok := s.registrations[id.ID]; ok {
 		s.refreshFilters(id.ID, &r)
 	}
 }
@@ -139,17 +139,23 @@
 	}
 }
 
-// expireRefusalBackoffs makes targets available again whose refusalBackoff has passed. The
-// caller holds s.mu.
-func (s *engineService) expireRefusalBackoffs() {
-	now := s.now()
-	for id, at := range s.refusedAt {
-		if now-at < refusalBackoff {
-			continue
-		}
-		delete(s.refusedAt, id)
-		if r, ok := s.registrations[id]; ok {
-			s.refreshFilters(id, &r)
+// expirePauses makes targets available again whose pause has ended. The caller holds s.mu.
+func (s *engineService) expirePauses() {
+	for _, id := range s.pauses.Expire(s.now()) {
+		if r, ok := s.registrations[id.ID]; ok {
+			s.refreshFilters(id.ID, &r)
 		}
 	}
 }
+
+// pauseLeft returns the time until the first target may get requests again if all of them have
+// asked for a pause, else 0.
+func (s *engineService) pauseLeft() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	targets := make([]directory.Incarnation, 0, len(s.registrations))
+	for _, r := range s.registrations {
+		targets = append(targets, r.Incarnation())
+	}
+	return s.pauses.ShortestLeft(s.now(), targets)
+}
--- a/internal/gateway/engineservice.go
+++ b/internal/gateway/engineservice.go
@@ -14,6 +14,7 @@
 	"github.com/mastictray/mastictray/internal/placement"
 	"github.com/mastictray/mastictray/internal/routing"
 	"github.com/mastictray/mastictray/internal/servicetime"
+	"github.com/mastictray/mastictray/internal/targetpause"
 )
 
 type (
@@ -88,8 +89,8 @@
 	loading     map[string]bool
 	// loadingSince is when a target was first seen to load weights.
 	loadingSince map[string]time.Duration
-	// refusedAt is when a target last refused a request as a whole.
-	refusedAt map[string]time.Duration
+	// pauses holds the targets that have refused a request as a whole.
+	pauses *targetpause.Pauses[directory.Incarnation]
 	// stepScheduled is set while a timer for the next step runs.
 	stepScheduled bool
 }
@@ -99,9 +100,9 @@
 		now: now, domain: domain, prefillRate: prefill, limits: limits, serviceTimes: servicetime.New(prefill),
 		registrations: map[string]directory.Registration{}, breakers: map[string]*overload.Breaker{},
 		stallDetectors: map[string]*overload.StallDetector{}, running: map[*enginePlacement]struct{}{}, stalledAt: map[string]time.Duration{},
-		index:     cacheindex.New(cacheIndexBytes),
-		rng:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		refusedAt: map[string]time.Duration{}, loadingSince: map[string]time.Duration{},
+		index:  cacheindex.New(cacheIndexBytes),
+		rng:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		pauses: targetpause.New[directory.Incarnation](), loadingSince: map[string]time.Duration{},
 	}
 	s.rebuild(nil)
 	o := dispatch.DefaultOptions()
@@ -186,7 +187,7 @@
 	r.ID = s.nextID
 	s.refreshBreakers()
 	s.refreshRateLimits()
-	s.expireRefusalBackoffs()
+	s.expirePauses()
 	s.applyStep(s.dispatcher.Push(s.now(), r, s.rng))
 	s.scheduleStep()
 	s.mu.Unlock()
@@ -226,7 +227,7 @@
 func (s *engineService) step() {
 	s.refreshBreakers()
 	s.refreshRateLimits()
-	s.expireRefusalBackoffs()
+	s.expirePauses()
 	s.applyStep(s.dispatcher.Step(s.now(), s.rng))
 	s.scheduleStep()
 }
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -31,7 +31,7 @@
 	case ctx.Err() != nil:
 		return &Refusal{Status: http.StatusServiceUnavailable, Reason: "deadline", NotRun: true}
 	}
-	return unavailableRefusal("targets_full", targetsFullRetry)
+	return noTargetRefusal("targets_full", g.pauseLeft(c), targetsFullRetry)
 }
 
 // targetsFullRetry is the Retry-After hint when every target tried was full. Some of their
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/mastictray/mastictray/internal/directory"
+	"github.com/mastictray/mastictray/internal/dispatch"
 	"github.com/mastictray/mastictray/internal/fairqueue"
 	"github.com/mastictray/mastictray/internal/overload"
 	"github.com/mastictray/mastictray/internal/prefix"
@@ -54,15 +55,13 @@
 	if c.service.Engine != nil {
 		return g.chooseEngineTarget(ctx, c)
 	}
-	g.mu.Lock()
-	service := g.plainServiceFor(c.service.Name)
-	g.mu.Unlock()
+	service := g.plainServiceOf(c)
 	choice, ok := service.acquire(c.lastTarget)
 	if !ok && c.lastTarget != "" {
 		choice, ok = service.acquire("")
 	}
 	if !ok {
-		return nil, unavailableRefusal("no_target", noTargetRetry)
+		return nil, noTargetRefusal("no_target", g.pauseLeft(c), noTargetRetry)
 	}
 	return &targetAttempt{
 		target: choice.target, onSend: func(func(), cancelPolicy) {}, onProgress: func() {}, onAnswer: func() {},
@@ -75,17 +74,36 @@
 // time until a target recovers or a breaker allows a probe.
 const noTargetRetry = 300 * time.Millisecond
 
+// noTargetRefusal returns the refusal of a request that no target may get now. If all targets
+// have asked for a pause, the caller is told when the first one ends.
+func noTargetRefusal(reason string, pauseLeft, otherwise time.Duration) *Refusal {
+	if pauseLeft > 0 {
+		return unavailableRefusal("targets_paused", pauseLeft)
+	}
+	return unavailableRefusal(reason, otherwise)
+}
+
+// pauseLeft returns the time until the first target of a call's service may get requests again
+// if all of them have asked for a pause, else 0.
+func (g *Gateway) pauseLeft(c *call) time.Duration {
+	if c.service.Engine != nil {
+		return g.engineServiceOf(c).pauseLeft()
+	}
+	return g.plainServiceOf(c).pauseLeft()
+}
+
 // chooseEngineTarget is chooseTarget for services of model servers.
 func (g *Gateway) chooseEngineTarget(ctx context.Context, c *call) (*targetAttempt, *Refusal) {
-	g.mu.Lock()
-	service := g.engineServiceFor(c.service.Name)
-	g.mu.Unlock()
+	service := g.engineServiceOf(c)
 	pl, refusal := service.acquire(ctx, g.newEngineRequest(c))
 	switch {
 	case refusal != nil:
 		reason := "queue_" + string(refusal.Reason)
-		if refusal.Reason == fairqueue.ReasonDeadline {
+		switch refusal.Reason {
+		case fairqueue.ReasonDeadline:
 			reason = "cannot_make_deadline"
+		case dispatch.ReasonNoTarget:
+			return nil, noTargetRefusal(reason, g.pauseLeft(c), refusal.RetryAfter)
 		}
 		return nil, unavailableRefusal(reason, refusal.RetryAfter)
 	case pl == nil:
--- a/internal/gateway/plainservice.go
+++ b/internal/gateway/plainservice.go
@@ -8,6 +8,7 @@
 	"github.com/mastictray/mastictray/internal/directory"
 	"github.com/mastictray/mastictray/internal/overload"
 	"github.com/mastictray/mastictray/internal/placement"
+	"github.com/mastictray/mastictray/internal/targetpause"
 )
 
 // plainService chooses targets for the requests of one service without model servers.
@@ -18,6 +19,7 @@
 
 	mu      sync.Mutex
 	targets []serviceTarget
+	pauses  *targetpause.Pauses[directory.Incarnation]
 	rng     *rand.Rand
 	scratch []placement.ServiceTarget
 }
@@ -29,7 +31,7 @@
 }
 
 func newPlainService(now func() time.Duration, domain string, limits *targetLimits) *plainService {
-	return &plainService{now: now, domain: domain, limits: limits, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+	return &plainService{now: now, domain: domain, limits: limits, pauses: targetpause.New[directory.Incarnation](), rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 }
 
 // updateTargets sets the usable targets of the service. The state of targets that remain is
@@ -72,10 +74,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
+	s.pauses.Expire(now)
 	s.scratch = s.scratch[:0]
 	for _, t := range s.targets {
+		id := t.registration.Incarnation()
 		s.scratch = append(s.scratch, placement.ServiceTarget{
-			Name: t.registration.ID, Domain: t.registration.Domain, Outstanding: t.inFlight, Usable: t.breaker.Ready(now) && s.limits.canSend(t.registration.Incarnation()),
+			Name: t.registration.ID, Domain: t.registration.Domain, Outstanding: t.inFlight,
+			Usable: t.breaker.Ready(now) && s.pauses.Left(now, id) == 0 && s.limits.canSend(id),
 		})
 	}
 	i, ok := placement.LeastOutstanding(s.scratch, s.domain, exclude, maxOutstanding, s.rng)
@@ -108,3 +113,22 @@
 	defer s.mu.Unlock()
 	c.breaker.Unreachable(s.now(), s.rng)
 }
+
+// recordPause records the pause that a target asked for.
+func (s *plainService) recordPause(id directory.Incarnation, pause time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pauses.Pause(s.now(), id, pause)
+}
+
+// pauseLeft returns the time until the first target may get requests again if all of them have
+// asked for a pause, else 0.
+func (s *plainService) pauseLeft() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	targets := make([]directory.Incarnation, 0, len(s.targets))
+	for _, t := range s.targets {
+		targets = append(targets, t.registration.Incarnation())
+	}
+	return s.pauses.ShortestLeft(s.now(), targets)
+}
--- a/internal/gateway/registrations.go
+++ b/internal/gateway/registrations.go
@@ -179,6 +179,13 @@
 	return g.engineServiceFor(c.service.Name)
 }
 
+// plainServiceOf returns the state of a call's service.
+func (g *Gateway) plainServiceOf(c *call) *plainService {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.plainServiceFor(c.service.Name)
+}
+
 // forEachModel calls visit for every model of every service with known weights
 // versions. The caller holds g.mu.
 func (g *Gateway) forEachModel(visit func(s *routing.Service, model string, v *namedVersions)) {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -88,6 +88,9 @@
 	WeightsVersion int64
 	// Leaving is set if the target announces that it leaves: it wants no further requests.
 	Leaving bool
+	// Pause is the time for which a target that refused the request wants no more of them from
+	// this instance; 0 if it does not say.
+	Pause time.Duration
 	// RateLimit is the number of requests per second that the target accepts from all
 	// instances together; 0 for no limit.
 	RateLimit float64
