httpdrain: late reads, stalled and pipelined requests, callers in a closed loop

What has arrived is read once more. - One to three bytes on a kept connection kept it open for good and held up a drain to its end: net/http starts its header timeout with the fourth byte. TestStalledRequestIsClosed. - The drain ended the background read of a request whose bytes were read together with the one before it, and net/http took the caller for gone. TestDrainLeavesPipelinedRequestsRunning. - A connection was ended in the moment of its response. It stays open for 250 ms now. TestKeptConnectionStaysOpenAfterAResponse.

--- a/internal/httpdrain/conn.go
+++ b/internal/httpdrain/conn.go
@@ -25,8 +25,9 @@
 	since time.Time
 
 	mu sync.Mutex
-	// received is set if bytes have arrived since the connection was last idle.
-	received bool
+	// receivedAt is the time at which the first bytes since the connection was last idle
+	// arrived; zero if none have.
+	receivedAt time.Time
 	// ending is set if the connection is to be closed unless a request arrives first.
 	ending bool
 	// readDeadline is the deadline that the HTTP server has set. interrupted is set while
@@ -48,11 +49,18 @@
 }
 
 // end closes the connection unless a request arrives first. The closing itself is left to
-// the HTTP server, whose read fails.
-func (c *conn) end() {
+// the HTTP server, whose read fails. A connection on which the head of a request has been
+// arriving for longer than stallTimeout is closed at once.
+func (c *conn) end(stallTimeout time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ending || c.received {
+	if !c.receivedAt.IsZero() {
+		if time.Since(c.receivedAt) > stallTimeout {
+			_ = c.TCPConn.SetReadDeadline(interruptDeadline)
+		}
+		return
+	}
+	if c.ending {
 		return
 	}
 	c.ending, c.interrupted = true, true
@@ -64,11 +72,12 @@
 func (c *conn) setIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.received, c.ending = false, false
+	c.receivedAt, c.ending = time.Time{}, false
 }
 
-// Read implements net.Conn. On a connection that is being ended it returns what has arrived,
-// or a timeout error if nothing has.
+// Read implements net.Conn. Between two requests it returns what has arrived also when the
+// connection is being ended or its deadline has passed, and a timeout error only if nothing has.
+// A process that reads late would otherwise drop a request that came in time.
 func (c *conn) Read(b []byte) (int, error) {
 	for {
 		if c.isEnding() {
@@ -78,23 +87,37 @@
 		if n > 0 {
 			c.setReceived()
 		}
-		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.resume() {
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		if c.resume() {
 			continue
 		}
-		return n, err
+		if c.hasReceived() {
+			return n, err
+		}
+		return c.readArrived(b)
 	}
 }
 
 func (c *conn) isEnding() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.ending && !c.received
+	return c.ending && c.receivedAt.IsZero()
+}
+
+func (c *conn) hasReceived() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.receivedAt.IsZero()
 }
 
 func (c *conn) setReceived() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.received = true
+	if c.receivedAt.IsZero() {
+		c.receivedAt = time.Now()
+	}
 }
 
 // resume reports whether a read failed only because end interrupted it. If so, it restores
--- a/internal/httpdrain/server.go
+++ b/internal/httpdrain/server.go
@@ -15,6 +15,13 @@
 	// newConnTimeout is how long a new connection without a request stays open while the
 	// server drains. Callers send their first request right after they have connected.
 	newConnTimeout = time.Second
+	// idleLinger is how long a connection stays open after a response while the server drains.
+	// Callers that send one request after the other would lose the next one: the head of the
+	// response may have been sent before the drain and not tell them to close.
+	idleLinger = 250 * time.Millisecond
+	// defaultStallTimeout is how long the head of a request may take to arrive if the server
+	// has no ReadHeaderTimeout.
+	defaultStallTimeout = 10 * time.Second
 	// drainPollInterval is the interval at which a draining server looks for connections
 	// that are to be ended.
 	drainPollInterval = 10 * time.Millisecond
@@ -90,7 +97,8 @@
 	listenErr := d.stopListening(ctx)
 	for {
 		d.endConns(func(c *conn) bool {
-			return c.state == http.StateIdle || c.state == http.StateNew && time.Since(c.since) > newConnTimeout
+			idle := time.Since(c.since)
+			return c.state == http.StateIdle && idle > idleLinger || c.state == http.StateNew && idle > newConnTimeout
 		})
 		if d.OpenConns() == 0 {
 			break
@@ -137,11 +145,15 @@
 
 // endConns ends the connections for which due returns true.
 func (d *Server) endConns(due func(*conn) bool) {
+	stallTimeout := d.ReadHeaderTimeout
+	if stallTimeout <= 0 {
+		stallTimeout = defaultStallTimeout
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for c := range d.conns {
 		if due(c) {
-			c.end()
+			c.end(stallTimeout)
 		}
 	}
 }
@@ -174,12 +186,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	c.state, c.since = state, time.Now()
-	if state != http.StateIdle {
-		return
-	}
-	c.setIdle()
-	if d.draining {
-		c.end()
+	switch state {
+	case http.StateIdle:
+		c.setIdle()
+	case http.StateActive:
+		c.setReceived() // its bytes may have been read together with the previous request
 	}
 }
 
--- a/internal/httpdrain/server_test.go
+++ b/internal/httpdrain/server_test.go
@@ -30,8 +30,8 @@
 	served  chan error
 }
 
-// startServer starts a Server. wrap may replace the listener.
-func startServer(t *testing.T, wrap func(*net.TCPListener) net.Listener) *testServer {
+// startServer starts a Server. wrap may replace the listener, configure change the HTTP server.
+func startServer(t *testing.T, wrap func(*net.TCPListener) net.Listener, configure ...func(*testServer)) *testServer {
 	t.Helper()
 	s := &testServer{t: t, is: is.New(t), started: make(chan struct{}, 16), blocked: make(chan struct{}), served: make(chan error, 1)}
 	s.Server = New(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -41,6 +41,9 @@
 		<-s.blocked
 		_, _ = io.WriteString(w, "done")
 	})})
+	for _, c := range configure {
+		c(s)
+	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	s.is.NoErr(err)
 	s.address = l.Addr().String()
@@ -156,7 +159,7 @@
 	n := 0
 	for c := range s.conns {
 		c.mu.Lock()
-		if c.received {
+		if !c.receivedAt.IsZero() {
 			n++
 		}
 		c.mu.Unlock()
@@ -228,6 +231,87 @@
 	is.NoErr(<-result)
 }
 
+// Guards against a caller that holds up a drain, or a connection for good, with the first byte of
+// a request.
+func TestStalledRequestIsClosed(t *testing.T) {
+	s := startServer(t, plainListener, func(s *testServer) { s.ReadHeaderTimeout = 50 * time.Millisecond })
+	close(s.blocked)
+	c, r := s.dial()
+	s.write(c, request)
+	s.expectResponse(r)
+	s.write(c, request[:1])
+	s.eventually(func() bool { return s.partlyReceived() == 1 })
+	s.eventually(func() bool { s.CloseIdle(0); return s.OpenConns() == 0 })
+	s.is.NoErr(<-s.drain())
+}
+
+// Guards against a request that is taken for abandoned by its caller because the drain ends its
+// connection while it runs: its bytes were read together with the request before it.
+func TestDrainLeavesPipelinedRequestsRunning(t *testing.T) {
+	first, second := make(chan struct{}), make(chan error, 1)
+	s := startServer(t, plainListener, func(s *testServer) {
+		s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/first" {
+				s.started <- struct{}{}
+				<-first
+			} else {
+				w.Header().Set("Connection", "close")
+				s.endConns(func(*conn) bool { return true })
+				select {
+				case <-r.Context().Done():
+				case <-time.After(100 * time.Millisecond): // far longer than it takes to cancel the context
+				}
+				second <- r.Context().Err()
+			}
+			_, _ = io.WriteString(w, "done")
+		})
+	})
+	c, r := s.dial()
+	s.write(c, "GET /first HTTP/1.1\r\nHost: a\r\n\r\nGET /second HTTP/1.1\r\nHost: a\r\n\r\n")
+	<-s.started
+	result := s.drain()
+	close(first)
+	s.expectResponse(r)
+	s.expectResponse(r)
+	s.is.NoErr(<-second)
+	s.is.NoErr(<-result)
+}
+
+// Guards against a process that reads late and closes a connection by its idle timeout although a
+// request has arrived in time.
+func TestExpiredDeadlineReturnsWhatHasArrived(t *testing.T) {
+	is := is.New(t)
+	c, caller := connPair(t)
+	c.setIdle()
+	_, err := io.WriteString(caller, "a")
+	is.NoErr(err)
+	is.NoErr(c.SetReadDeadline(time.Now().Add(-time.Second)))
+	buf := make([]byte, 1)
+	for n := 0; n == 0; { // until the byte is there
+		n, err = c.Read(buf)
+		is.True(err == nil || errors.Is(err, os.ErrDeadlineExceeded))
+	}
+	is.Equal(string(buf), "a")
+	_, err = c.Read(buf) // within a request the deadline holds
+	is.True(errors.Is(err, os.ErrDeadlineExceeded))
+}
+
+// Guards against callers in a closed loop that lose their next request: it arrives right after
+// a response whose head said nothing of the drain.
+func TestKeptConnectionStaysOpenAfterAResponse(t *testing.T) {
+	s := startServer(t, plainListener)
+	c, r := s.dial()
+	s.write(c, request)
+	<-s.started
+	result := s.drain()
+	close(s.blocked)
+	s.expectResponse(r)
+	s.write(c, request)
+	s.expectResponse(r)
+	c.Close()
+	s.is.NoErr(<-result)
+}
+
 // connPair returns a connection as a Server accepts it, and its other end.
 func connPair(t *testing.T) (*conn, net.Conn) {
 	t.Helper()
@@ -255,7 +339,7 @@
 	is.NoErr(err)
 	buf := make([]byte, 1)
 	for n := 0; n == 0; { // until the first byte is there
-		c.end()
+		c.end(time.Minute)
 		n, err = c.Read(buf)
 		is.True(err == nil || errors.Is(err, os.ErrDeadlineExceeded))
 	}
@@ -274,6 +358,6 @@
 		_, err := c.Read(make([]byte, 1))
 		result <- err
 	}()
-	c.end()
+	c.end(time.Minute)
 	is.True(errors.Is(<-result, os.ErrDeadlineExceeded))
 }
