gateway, entry: a response tells of a drain that began while its request ran

What callers saw: a response whose request began before the shutdown said nothing of it, so they sent their next request on a connection that was about to close and had to send it again. net/http adds the header once Shutdown has begun; httpdrain calls that last.

Change: Connection: close is set right before the head of a response is written, for served requests and refusals, on both request paths.

TestResponseDuringShutdownTellsTheCallerToReconnect failed before on both paths (resp.Close false), passes now.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -130,6 +130,58 @@
 	}
 }
 
+// Guards against callers that send their next request on a connection that is about to close: the
+// response to a request that began before the shutdown did not tell them.
+func TestResponseDuringShutdownTellsTheCallerToReconnect(t *testing.T) {
+	is := is.New(t)
+	log := httptest.NewServer(logsvc.New(logsvc.Config{}).Handler())
+	defer log.Close()
+	publishConfig(t, platform.NewHTTPLog(log.URL, nil), "127.0.0.1:1")
+	caller, stop := startEntry(t, log.URL)
+	waitFor(t, "configuration", func() bool {
+		req, err := http.NewRequest(http.MethodGet, "http://"+caller+modelsPath, nil)
+		is.NoErr(err)
+		req.Header.Set("Authorization", "Bearer "+testKey)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+	http.DefaultClient.CloseIdleConnections()
+	conn, err := net.Dial("tcp", caller)
+	is.NoErr(err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST /nowhere HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer "+testKey+"\r\nContent-Length: 4\r\nExpect: 100-continue\r\n\r\n")
+	is.NoErr(err)
+	responses := bufio.NewReader(conn)
+	interim, err := responses.ReadString('\n')
+	is.NoErr(err)
+	is.True(strings.Contains(interim, "100")) // the request has begun and waits for its body
+	_, err = responses.ReadString('\n')
+	is.NoErr(err)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		stop()
+	}()
+	waitFor(t, "closed listener", func() bool {
+		c, err := net.Dial("tcp", caller)
+		if err == nil {
+			c.Close()
+		}
+		return err != nil
+	})
+	_, err = io.WriteString(conn, "body")
+	is.NoErr(err)
+	resp, err := http.ReadResponse(responses, nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusNotFound)
+	is.True(resp.Close)
+	<-stopped
+}
+
 // sendRequest sends one streaming request and reports whether the response was
 // complete.
 func sendRequest(client *http.Client, address, prompt string) bool {
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -28,6 +28,7 @@
 	h := r.call.w.Header()
 	h.Set("Content-Type", contentType)
 	h.Set("Cache-Control", "no-cache")
+	r.server.announceDrain(r.call.w)
 	r.server.metrics.observeFirstToken(r.call.pool.Name, r.server.clock.now()-r.call.startedAt)
 }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -74,10 +74,6 @@
 // serve handles one request. If it returns an error, no error response has been
 // written yet.
 func (s *server) serve(c *call) error {
-	if s.draining.Load() {
-		// The caller's next request goes to another instance.
-		c.w.Header().Set("Connection", "close")
-	}
 	if s.shuttingDown.Load() {
 		return refusal(http.StatusServiceUnavailable, openai.CodeNotReady, "this instance is shutting down", time.Second)
 	}
@@ -213,6 +209,7 @@
 		data = append(data, model{ID: n, Object: "model", OwnedBy: "mastictray"})
 	}
 	c.w.Header().Set("Content-Type", "application/json")
+	s.announceDrain(c.w)
 	return json.NewEncoder(c.w).Encode(struct {
 		Object string  `json:"object"`
 		Data   []model `json:"data"`
@@ -229,6 +226,7 @@
 	response := *e
 	response.RequestID = c.id
 	if !c.headSent {
+		s.announceDrain(c.w)
 		response.Write(c.w)
 	}
 	s.metrics.countRefusal(c.account.Name, response.Code)
@@ -236,6 +234,14 @@
 		"route", c.route.Name, "code", response.Code, "outcome", response.Outcome, "attempts", c.attempts)
 }
 
+// announceDrain is called right before the head of a response is written. While the instance
+// drains, the caller's next request is to go to another one.
+func (s *server) announceDrain(w http.ResponseWriter) {
+	if s.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // refusal returns an error for a request that has not run.
 func refusal(status int, code openai.Code, message string, retryAfter time.Duration) *openai.Error {
 	return &openai.Error{Status: status, Code: code, Message: message, Outcome: openai.NotRun, RetryAfter: retryAfter}
--- a/internal/entry/serviceserve.go
+++ b/internal/entry/serviceserve.go
@@ -179,6 +179,7 @@
 			c.w.Header().Set(name, v)
 		}
 	}
+	s.announceDrain(c.w)
 	c.w.WriteHeader(resp.status)
 	_, _ = c.w.Write(resp.body)
 	s.metrics.countAnswer(c.account.Name, pool.Name)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -116,6 +116,7 @@
 	if length >= 0 && r.c.Method != http.MethodHead {
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
+	r.g.announceDrain(r.c.w)
 	r.c.w.WriteHeader(resp.StatusCode)
 	r.started, r.status, r.c.headWritten = true, resp.StatusCode, true
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -55,12 +55,6 @@
 // ServeHTTP implements http.Handler for callers.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{w: w, r: r, startedAt: g.clock.Now()}
-	if g.draining.Load() {
-		// The caller switches to another instance after this response. Its idle
-		// connections stay open meanwhile, since a request that is sent while its
-		// connection closes is lost.
-		w.Header().Set("Connection", "close")
-	}
 	req, err := g.dialect.Decode(r)
 	if err != nil {
 		c.Request = &Request{}
@@ -332,12 +326,23 @@
 	}
 	if !c.headWritten {
 		c.headWritten = true
+		g.announceDrain(c.w)
 		g.dialect.Refuse(c.w, c.Request, refusal)
 	}
 	g.metrics.refused(refusal)
 	g.logRefusal(c, refusal)
 }
 
+// announceDrain is called right before the head of a response is written. If the instance
+// drains, the caller learns to use another connection, which goes to another instance. Its idle
+// connections stay open meanwhile, since a request that is sent while its connection closes is
+// lost.
+func (g *Gateway) announceDrain(w http.ResponseWriter) {
+	if g.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // logRefusal logs a refusal with the data it is based on: the configuration and its
 // age, the requested tokens, and the number of reporting instances, which determines
 // the share of the account's rate.
