gateway: requests that still wait are answered before the process ends

What callers would see: at the end of the drain, requests that wait for a target or for its response lose their connection.

Change: 0.4 s before the end of the drain requests without a response stop waiting: those that reached no target are refused as not run, the others get 504. Streams that have begun go on to the end.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -140,7 +140,7 @@
 // canRetryServerError reports whether a request that a target answered with a server error
 // may be retried at another target, so that the error is not relayed.
 func (g *Gateway) canRetryServerError(ctx context.Context, c *call) bool {
-	return ctx.Err() == nil && c.route.Repeatable() && c.sendCount < c.route.MaxAttempts && !c.headWritten &&
+	return ctx.Err() == nil && c.route.Repeatable() && c.sendCount < c.route.MaxAttempts && !c.headWritten.Load() &&
 		g.retryBudget(c.service.Name).Available() >= 1
 }
 
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -22,12 +22,16 @@
 		return g.abortAnswer(c, relay)
 	}
 	switch {
+	case c.mayHaveRun && g.answering.Err() != nil:
+		return &Refusal{Status: http.StatusGatewayTimeout, Reason: "draining"}
 	case c.mayHaveRun && ctx.Err() != nil:
 		return &Refusal{Status: http.StatusGatewayTimeout, Reason: "deadline"}
 	case c.mayHaveRun:
 		return &Refusal{Status: http.StatusBadGateway, Reason: "target_failed"}
 	case refusal != nil:
 		return refusal
+	case g.answering.Err() != nil:
+		return unavailableRefusal("draining", drainingRetryAfter)
 	case ctx.Err() != nil:
 		return &Refusal{Status: http.StatusServiceUnavailable, Reason: "deadline", NotRun: true}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -88,6 +88,10 @@
 	// responsesDueBy is the time, in nanoseconds of clock, by which all responses must end
 	// because the process does; 0 until the balancer lag has passed.
 	responsesDueBy atomic.Int64
+	// answering ends shortly before the process does: requests without a response by then are
+	// refused or fail at once, while their callers can still be told.
+	answering     context.Context
+	stopAnswering context.CancelFunc
 	callers        *callerServer
 }
 
@@ -120,6 +124,7 @@
 		planner:          weights.New(weights.DefaultSettings()),
 		rolloutIdleSince: never,
 	}
+	g.answering, g.stopAnswering = context.WithCancel(context.Background())
 	g.accountLimiter.SetFleetSize(0, unknownFleetSize, ratecount.PeerTimeout)
 	leaseSettings := orderlease.DefaultSettings()
 	leaseSettings.HandoverGap = s.LeaseGap
@@ -170,6 +175,8 @@
 	g.responsesDueBy.Store(int64(g.clock.Now() + g.settings.DrainTimeout))
 	ctx, cancel := context.WithTimeout(context.Background(), g.settings.DrainTimeout)
 	defer cancel()
+	finalAnswers := time.AfterFunc(g.settings.DrainTimeout-finalAnswerTime, g.stopAnswering)
+	defer finalAnswers.Stop()
 	g.callers.shutdown(ctx)
 	leave, cancelLeave := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancelLeave()
@@ -179,6 +186,10 @@
 	}
 }
 
+// finalAnswerTime is the end of the drain that is left for the final responses to requests that
+// still wait. A process that gets little processor time may need most of it.
+const finalAnswerTime = 400 * time.Millisecond
+
 // isReady reports whether the balancer should send callers to this instance: only while
 // it can check their keys and knows the targets.
 func (g *Gateway) isReady() bool {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -118,7 +118,8 @@
 	}
 	r.g.announceDrain(r.c.w)
 	r.c.w.WriteHeader(resp.StatusCode)
-	r.started, r.status, r.c.headWritten = true, resp.StatusCode, true
+	r.started, r.status = true, resp.StatusCode
+	r.c.headWritten.Store(true)
 }
 
 // relayStream relays events as they arrive, each as a whole. The head is sent with the
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -42,7 +42,7 @@
 	// retryCharged is set if the next attempt is already charged to the retry budget.
 	retryCharged atomic.Bool
 	// headWritten is set once the response headers are written.
-	headWritten bool
+	headWritten atomic.Bool
 	// fingerprint is the same for all repeats of a request.
 	fingerprint uint64
 	// lastTarget is the target of the last attempt, choice the reason for choosing it
@@ -205,18 +205,27 @@
 // callers' next connections go to another instance.
 const keysStaleRetryAfter = 200 * time.Millisecond
 
-// withDeadline returns the context of the request. It ends when the caller disconnects
-// or the deadline passes.
+// withDeadline returns the context of the request. It ends when the caller disconnects, the
+// deadline passes, or the process is about to end and has not begun to answer.
 func (g *Gateway) withDeadline(c *call) (context.Context, context.CancelFunc) {
 	timeout := c.Timeout
 	if t := c.route.Timeout; t > 0 && (timeout == 0 || t < timeout) {
 		timeout = t
 	}
+	var ctx context.Context
+	var cancel context.CancelFunc
 	if timeout == 0 {
-		return context.WithCancel(c.r.Context())
-	}
-	c.deadline = c.startedAt + timeout
-	return context.WithTimeout(c.r.Context(), timeout)
+		ctx, cancel = context.WithCancel(c.r.Context())
+	} else {
+		c.deadline = c.startedAt + timeout
+		ctx, cancel = context.WithTimeout(c.r.Context(), timeout)
+	}
+	stop := context.AfterFunc(g.answering, func() {
+		if !c.headWritten.Load() {
+			cancel()
+		}
+	})
+	return ctx, func() { stop(); cancel() }
 }
 
 // mayOutlastProcess reports whether the process may end before the request's deadline. Before
@@ -324,8 +333,7 @@
 	if refusal.NotRun {
 		g.refund(c)
 	}
-	if !c.headWritten {
-		c.headWritten = true
+	if !c.headWritten.Swap(true) {
 		g.announceDrain(c.w)
 		g.dialect.Refuse(c.w, c.Request, refusal)
 	}
