entry: SIGHUP no longer ends the process

What callers saw: every stream through an entry instance broke off when a tool sent it SIGHUP: mastictray-entry had no handler, so the signal's default action ended it (exit status 129), while mastictray-gateway logs and ignores it.

Change: both use internal/reload.

--- a/cmd/mastictray-entry/main.go
+++ b/cmd/mastictray-entry/main.go
@@ -12,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/mastictray/mastictray/internal/entry"
+	"github.com/mastictray/mastictray/internal/reload"
 	"github.com/mastictray/mastictray/internal/settings"
 )
 
@@ -42,5 +43,6 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	reload.LogSignals()
 	return e.Run(ctx)
 }
--- a/cmd/mastictray-gateway/main.go
+++ b/cmd/mastictray-gateway/main.go
@@ -15,6 +15,7 @@
 
 	"github.com/mastictray/mastictray/internal/gateway"
 	"github.com/mastictray/mastictray/internal/logline"
+	"github.com/mastictray/mastictray/internal/reload"
 	"github.com/mastictray/mastictray/internal/settings"
 	"github.com/mastictray/mastictray/platform"
 )
@@ -48,24 +49,11 @@
 	configureMemory(s.MemoryMB)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	logReloadSignals()
+	reload.LogSignals()
 	gw := gateway.New(s.gatewaySettings(), platform.Dialect{}, platform.NewStore(s.StoreAddress), platform.NewControl())
 	return gw.Run(ctx)
 }
 
-// logReloadSignals logs each SIGHUP and otherwise ignores it. The settings are
-// addresses and limits of the platform, fixed for the lifetime of the process;
-// what operators change at run time comes from the store.
-func logReloadSignals() {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	go func() {
-		for range signals {
-			logline.Info("reload_ignored", "settings", "read at startup only")
-		}
-	}()
-}
-
 const (
 	// gcPercent trades CPU time for memory. The live heap is a few megabytes,
 	// so collecting twice as often as by default costs little.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -92,7 +92,7 @@
 	// refused or fail at once, while their callers can still be told.
 	answering     context.Context
 	stopAnswering context.CancelFunc
-	callers        *callerServer
+	callers       *callerServer
 }
 
 // unknownFleetSize is the assumed size of the fleet until the announcements have been
--- a/internal/wholepath/stream_test.go
+++ b/internal/wholepath/stream_test.go
@@ -95,6 +95,20 @@
 	is.NoErr(f.procs["entry1"].cmd.Wait())
 }
 
+// Guards against an instance that ends at once, with all its streams, when an operator's tool
+// asks it to reload.
+func TestStreamsSurviveReloadSignal(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, fleetSpec{entries: 3, engines: 3, engineFlags: []string{"--itl-ms", "20"}})
+	f.checkStreams(12, 60, func() {
+		f.waitFor("streams run", func() bool {
+			return f.runningStreams("engine0")+f.runningStreams("engine1")+f.runningStreams("engine2") >= 12
+		})
+		f.procs["entry1"].signal(syscall.SIGHUP)
+	})
+	is.True(f.isReady("entry1"))
+}
+
 // runningStreams returns the number of requests that an engine is running.
 func (f *fleet) runningStreams(name string) int {
 	var load struct {
