gateway: attempts at a leaving target are still watched

What callers would see: a request that waits for its first token at a target that leaves could begin on weights past their bound, and a stream there that falls silent waited for its deadline.

Cause: a leaving target is not among the usable ones, and with its registration went the stall detector of its attempts and the cut at the weights' bound.

Change: while attempts run at a target that is not usable any more, what was observed of it is kept, and the last known registration serves for the bound. It goes with the last attempt.

--- a/internal/gateway/enginefilters.go
+++ b/internal/gateway/enginefilters.go
@@ -84,8 +84,11 @@
 // than usual, and would then start on weights past the bound. The caller holds s.mu.
 func (s *engineService) cancelOutdatedWaits() {
 	for pl := range s.running {
-		r, known := s.registrations[pl.target.ID]
-		if pl.firstTokenSeen || !known || r.Incarnation() != pl.target.Incarnation() || !hasOlderWeights(&r, s.bounds.minToWait) {
+		r, usable := s.registrations[pl.target.ID]
+		if !usable {
+			r = pl.target // it leaves; this is what was known of it last
+		}
+		if pl.firstTokenSeen || r.Incarnation() != pl.target.Incarnation() || !hasOlderWeights(&r, s.bounds.minToWait) {
 			continue
 		}
 		logline.Info("waiting_cut", "target", r.ID, "versions", r.Versions, "oldest", s.bounds.minToWait, "waited", s.now()-pl.send.SentAt)
--- a/internal/gateway/engineservice.go
+++ b/internal/gateway/engineservice.go
@@ -138,9 +138,9 @@
 		targets = append(targets, s.targetState(r))
 	}
 	for id, old := range s.registrations {
-		if r, ok := next[id]; !ok || r.Incarnation() != old.Incarnation() {
-			delete(s.breakers, id)
-			delete(s.stallDetectors, id)
+		r, ok := next[id]
+		if ok && r.Incarnation() != old.Incarnation() || !ok && !s.hasRunning(id) {
+			s.forget(id)
 		}
 	}
 	s.registrations = next
@@ -154,6 +154,23 @@
 	s.picker = placement.NewPicker(s.pool, s.index, o)
 }
 
+// hasRunning reports whether attempts run at a target. The caller holds s.mu.
+func (s *engineService) hasRunning(id string) bool {
+	for pl := range s.running {
+		if pl.target.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// forget drops what was observed of a target that is not usable any more. While attempts run
+// there, it is kept: they have to be cancelled if the target falls silent. The caller holds s.mu.
+func (s *engineService) forget(id string) {
+	delete(s.breakers, id)
+	delete(s.stallDetectors, id)
+}
+
 // targetState returns the placement target for a registration, with the state that was
 // observed of the same incarnation.
 func (s *engineService) targetState(r directory.Registration) placement.Target {
@@ -361,6 +378,9 @@
 	pl.breaker.End(s.now(), pl.ticket, result, s.rng)
 	s.stallDetector(pl.target.ID).End(pl.stallID)
 	delete(s.running, pl)
+	if _, usable := s.registrations[pl.target.ID]; !usable && !s.hasRunning(pl.target.ID) {
+		s.forget(pl.target.ID)
+	}
 	s.step()
 }
 
--- a/internal/gateway/enginestall.go
+++ b/internal/gateway/enginestall.go
@@ -75,15 +75,22 @@
 			continue
 		}
 		b.Unreachable(now, s.rng)
-		stalled = append(stalled, s.registrations[id].Address)
 		s.stalledAt[id] = now
-		logline.Info("target_silent", "target", id, "address", s.registrations[id].Address, "domain", s.registrations[id].Domain)
+		r, usable := s.registrations[id]
 		for pl := range s.running {
+			if pl.target.ID != id {
+				continue
+			}
+			if !usable {
+				r = pl.target // it leaves, with attempts in progress
+			}
 			// Attempts that must not be repeated wait, because the target may recover.
-			if pl.target.ID == id && pl.repeatable {
+			if pl.repeatable {
 				pl.cancel()
 			}
 		}
+		stalled = append(stalled, r.Address)
+		logline.Info("target_silent", "target", id, "address", r.Address, "domain", r.Domain)
 	}
 	s.step()
 	return stalled
