gateway: only pauses that were asked for are told to callers; any 503 may ask for one

Both are about what a refusal of a target is taken for:

- Targets that are merely full count as paused for 0.2 s.
Back-offs are kept apart from pauses now, and the least Retry-After of a pause is 0.1 s.
A pause that was not meant costs little.

TestRefusalWithoutAPauseIsNotReportedAsOne (199.99 ms != 0) and TestPauseIsKeptWithoutProofThatTheRequestDidNotRun (5 != 1, both kinds) failed before, pass now.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -107,7 +107,7 @@
 	if info.Leaving && (info.Signed || info.NotRun) {
 		g.recordLeaving(c, a.target.Incarnation())
 	}
-	if info.NotRun || info.Signed && info.Pause > 0 {
+	if info.NotRun || info.Pause > 0 { // a pause that is not meant costs little
 		g.recordRefusal(c, a.target.Incarnation(), info.Pause)
 	}
 	if info.WeightsVersion > 0 && c.Prompt != nil {
--- a/internal/gateway/enginefilters.go
+++ b/internal/gateway/enginefilters.go
@@ -36,14 +36,15 @@
 	return false
 }
 
-// refusalBackoff is how long a target gets no requests after it refused one as a whole and
-// asked for no longer pause. It is full or about to load weights; a load will have been reported by peers within that
+// refusalBackoff is how long a target gets no requests after it refused one as a whole, if it
+// asks for no longer pause. It is full or about to load weights; a load will have been reported by peers within that
 // time.
 const refusalBackoff = 200 * time.Millisecond
 
 // isExcluded reports whether a target must not get requests now. The caller holds s.mu.
 func (s *engineService) isExcluded(r *directory.Registration) bool {
-	return s.loading[r.ID] || hasOlderWeights(r, s.bounds.minToSend) || s.pauses.Left(s.now(), r.Incarnation()) > 0
+	now, id := s.now(), r.Incarnation()
+	return s.loading[r.ID] || hasOlderWeights(r, s.bounds.minToSend) || s.pauses.Left(now, id) > 0 || s.backoffs.Left(now, id) > 0
 }
 
 // recordRefusal records that a target refused a request as a whole, and the pause that it
@@ -51,7 +52,9 @@
 func (s *engineService) recordRefusal(id directory.Incarnation, pause time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pauses.Pause(s.now(), id, max(pause, refusalBackoff))
+	now := s.now()
+	s.backoffs.Pause(now, id, refusalBackoff)
+	s.pauses.Pause(now, id, pause)
 	if r, ok := s.registrations[id.ID]; ok {
 		s.refreshFilters(id.ID, &r)
 	}
@@ -142,9 +145,10 @@
 	}
 }
 
-// expirePauses makes targets available again whose pause has ended. The caller holds s.mu.
+// expirePauses makes targets available again whose pause or back-off has ended. The caller holds s.mu.
 func (s *engineService) expirePauses() {
-	for _, id := range s.pauses.Expire(s.now()) {
+	now := s.now()
+	for _, id := range append(s.pauses.Expire(now), s.backoffs.Expire(now)...) {
 		if r, ok := s.registrations[id.ID]; ok {
 			s.refreshFilters(id.ID, &r)
 		}
--- a/internal/gateway/engineservice.go
+++ b/internal/gateway/engineservice.go
@@ -89,8 +89,9 @@
 	loading     map[string]bool
 	// loadingSince is when a target was first seen to load weights.
 	loadingSince map[string]time.Duration
-	// pauses holds the targets that have refused a request as a whole.
-	pauses *targetpause.Pauses[directory.Incarnation]
+	// pauses holds the targets that have refused a request as a whole and asked for a pause,
+	// backoffs all that have refused one shortly before.
+	pauses, backoffs *targetpause.Pauses[directory.Incarnation]
 	// stepScheduled is set while a timer for the next step runs.
 	stepScheduled bool
 }
@@ -102,7 +103,7 @@
 		stallDetectors: map[string]*overload.StallDetector{}, running: map[*enginePlacement]struct{}{}, stalledAt: map[string]time.Duration{},
 		index:  cacheindex.New(cacheIndexBytes),
 		rng:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		pauses: targetpause.New[directory.Incarnation](), loadingSince: map[string]time.Duration{},
+		pauses: targetpause.New[directory.Incarnation](), backoffs: targetpause.New[directory.Incarnation](), loadingSince: map[string]time.Duration{},
 	}
 	s.rebuild(nil)
 	o := dispatch.DefaultOptions()
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -78,11 +78,15 @@
 // have asked for a pause, the caller is told when the first one ends.
 func noTargetRefusal(reason string, pauseLeft, otherwise time.Duration) *Refusal {
 	if pauseLeft > 0 {
-		return unavailableRefusal("targets_paused", pauseLeft)
+		return unavailableRefusal("targets_paused", max(pauseLeft, minPausedRetryAfter))
 	}
 	return unavailableRefusal(reason, otherwise)
 }
 
+// minPausedRetryAfter keeps callers that are refused at the end of a pause from returning before
+// the target is available.
+const minPausedRetryAfter = 100 * time.Millisecond
+
 // pauseLeft returns the time until the first target of a call's service may get requests again
 // if all of them have asked for a pause, else 0.
 func (g *Gateway) pauseLeft(c *call) time.Duration {
