entry: a target that asks for a pause gets no requests until it has passed

What callers saw: a target that refused a request with 503 and Retry-After went on getting requests of the same entry instance, which it had to refuse one by one; while all targets had asked for a long pause, callers were told to come back after a second (trace of the gateway's path: docs/incidents/shedding-target.md).

Cause: entry instances did not read Retry-After of targets. A refusal by a model server counts as nothing for its breaker; one by a plain service as one failure among others.

Change: docs/PROTOCOLS.md defines the pause. Every client that speaks to targets passes its responses to `announcements`, which keeps the pauses by process (address and incarnation), apart from pools and configurations; the arithmetic is in the pure package targetpause. Pools ask it before each decision: a new filter of placement for model servers, which isolated requests and the choice of the active version see too, and both choices of servicePool.acquire. It is asked again right before a request is sent, since the checks after placement may take time, and before a stream is resumed. A request that no target can take because all pause is refused with the rest of the shortest pause, also a suspect, which would have waited for a permit. The limit is ten minutes; what is no number of seconds is ignored with a line.

Why by process: the breaker belongs to a name and an address, and ends with a success or a load report; a pause must hold whatever these say, and end with the process. An incarnation that a response shows first counts as the current one, and late responses of earlier ones do not pause their successor.

Not changed: the 503 of a plain service is passed on to its caller as before, not retried.

--- a/internal/attempt/action.go
+++ b/internal/attempt/action.go
@@ -51,6 +51,9 @@
 	CauseVersionChanged     Cause = "version_changed"
 	// CauseUnknownStream: the engine can't resume the stream.
 	CauseUnknownStream Cause = "unknown_stream"
+	// CauseNoNewRequests: the target takes no request now, not even one to resume the
+	// stream.
+	CauseNoNewRequests Cause = "no_new_requests"
 	// CauseReplayDiverged: the response to a new attempt differs from what was relayed
 	// or is shorter.
 	CauseReplayDiverged Cause = "replay_diverged"
--- a/internal/attempt/stream.go
+++ b/internal/attempt/stream.go
@@ -221,7 +221,7 @@
 // that the engine's stream is lost.
 func (s *Stream) canResume(cause Cause) bool {
 	switch cause {
-	case CauseIncarnationChanged, CauseVersionChanged, CauseUnknownStream, CauseReplayDiverged, CauseRejected:
+	case CauseIncarnationChanged, CauseVersionChanged, CauseUnknownStream, CauseNoNewRequests, CauseReplayDiverged, CauseRejected:
 		return false
 	case CauseDial:
 		// The engine may be unreachable only briefly, but trying it again is
--- a/internal/entry/engineclient.go
+++ b/internal/entry/engineclient.go
@@ -24,6 +24,9 @@
 	headerIdempotencyKey = "Idempotency-Key"
 )
 
+// streamsPath, followed by the id of an attempt, is the path of its stream at an engine.
+const streamsPath = "/v1/streams/"
+
 const (
 	targetDialTimeout     = 500 * time.Millisecond
 	maxIdleConnsPerTarget = 256
@@ -136,7 +139,7 @@
 // resume requests the rest of a stream from the process that began it, after the
 // chunk with the sequence number lastSeq.
 func (c *targetClient) resume(ctx context.Context, r attemptRequest, lastSeq int64) (*http.Response, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.address+"/v1/streams/"+r.attemptID, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.address+streamsPath+r.attemptID, nil)
 	if err != nil {
 		return nil, &sendError{op: "build resume", target: r.target, outcome: openai.MayHaveRun, cause: err}
 	}
@@ -151,7 +154,7 @@
 // cancel requests that the target stop an attempt whose response is no longer
 // needed.
 func (c *targetClient) cancel(ctx context.Context, address, attempt string) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+address+"/v1/streams/"+attempt, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+address+streamsPath+attempt, nil)
 	if err != nil {
 		return
 	}
--- a/internal/entry/engineconnection.go
+++ b/internal/entry/engineconnection.go
@@ -11,6 +11,7 @@
 	"github.com/mastictray/mastictray/internal/attempt"
 	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/openai"
+	"github.com/mastictray/mastictray/internal/overload"
 	"github.com/mastictray/mastictray/internal/sse"
 )
 
@@ -161,6 +162,10 @@
 func (r *engineRun) resume(act attempt.Action) attempt.Action {
 	r.openConnection()
 	r.conn = r.stream.BeginResume(r.server.clock.now())
+	if !r.maySend(r.placed.address) {
+		r.recordNotPrefilled(overload.Cancelled)
+		return r.stream.ConnectionFailed(r.conn, attempt.CauseNoNewRequests)
+	}
 	resp, err := r.server.targetClient.resume(r.ctx, r.newAttemptRequest(), act.LastSeq)
 	if err != nil {
 		r.recordNotPrefilled(r.resultOfBrokenExchange())
@@ -179,7 +184,7 @@
 func (r *engineRun) cancelAttempt(ref attempt.Ref) {
 	ctx, cancel := context.WithTimeout(context.Background(), cancelAttemptTimeout)
 	defer cancel()
-	if address, ok := r.pool.addressOf(ref.Target); ok {
+	if address, ok := r.pool.addressOf(ref.Target); ok && r.maySend(address) {
 		r.server.targetClient.cancel(ctx, address, ref.Attempt)
 	}
 }
--- a/internal/entry/enginecrash.go
+++ b/internal/entry/enginecrash.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastictray/mastictray/internal/dispatch"
 	"github.com/mastictray/mastictray/internal/openai"
 	"github.com/mastictray/mastictray/internal/poison"
 )
@@ -28,9 +29,14 @@
 	if r.unregistered {
 		return nil
 	}
+	targets := r.pool.availableTargets(r.call.placement.Exclude)
+	if rest := r.pool.retryAfter(0); len(targets) == 0 && rest > 0 {
+		// A suspect would wait for a permit that no target can be named for.
+		return queueRefusal(dispatch.ReasonNoTarget, rest)
+	}
 	ctx, cancel := context.WithTimeout(r.call.r.Context(), max(r.call.deadline-r.server.clock.now(), permitTimeout/2))
 	defer cancel()
-	d := r.server.poison.admit(ctx, r.call.id, r.call.fingerprint(), r.call.pool.Name, r.pool.availableTargets(r.call.placement.Exclude))
+	d := r.server.poison.admit(ctx, r.call.id, r.call.fingerprint(), r.call.pool.Name, targets)
 	r.isolatedTarget = d.Target
 	switch d.Verdict {
 	case poison.Quarantined:
--- a/internal/entry/enginepool.go
+++ b/internal/entry/enginepool.go
@@ -49,8 +49,9 @@
 // enginePool queues and places the requests of one engine pool. mu is never
 // held during I/O.
 type enginePool struct {
-	clock  clock
-	domain string
+	clock         clock
+	domain        string
+	announcements *announcements
 
 	mu         sync.Mutex
 	cfg        config.Pool
@@ -62,6 +63,8 @@
 	cacheIndex *cacheindex.Index
 	dispatcher *dispatch.Dispatcher[chan placementResult]
 	rng        *rand.Rand
+	// anyPaused is set while a target of the pool counts as paused.
+	anyPaused bool
 	// eventsRead has the targets whose retained cache events have been read.
 	eventsRead map[string]bool
 	// active is the weights version that new requests require.
@@ -82,6 +85,7 @@
 	return &enginePool{
 		clock:                 c,
 		domain:                domain,
+		announcements:         newAnnouncements(c),
 		addresses:             make(map[string]string),
 		breakers:              newBreakers(overload.BreakerConfig{}),
 		slowStartSince:        make(map[string]time.Duration),
@@ -109,7 +113,7 @@
 	placementOptions.Domain, placementOptions.CrossDomainDelay = p.domain, crossDomainDelay
 	p.picker = placement.NewPicker(p.pool, p.cacheIndex, placementOptions)
 	p.breakers.configure(targets)
-	p.refreshBreakers()
+	p.refreshTargets()
 	p.updateActiveVersion()
 	p.updateCacheStateKnown()
 	if p.dispatcher != nil {
@@ -151,7 +155,7 @@
 func (p *enginePool) updateActiveVersion() {
 	served := make(map[string]int)
 	for i := range p.pool.Len() {
-		if t := p.pool.Target(i); !t.Draining && !t.BreakerOpen {
+		if t := p.pool.Target(i); !t.Draining && !t.BreakerOpen && !t.Paused {
 			served[t.Version]++
 		}
 	}
@@ -180,7 +184,7 @@
 	p.mu.Lock()
 	p.nextID++
 	r.ID = p.nextID
-	p.refreshBreakers()
+	p.refreshTargets()
 	p.deliverStep(p.dispatcher.Push(p.clock.now(), r, p.rng))
 	p.mu.Unlock()
 	select {
@@ -203,10 +207,10 @@
 func (p *enginePool) acquireOn(name string, r *dispatchRequest) (placedAttempt, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.refreshBreakers()
+	p.refreshTargets()
 	s, ok := p.dispatcher.SendTo(p.clock.now(), r, name)
 	if !ok {
-		return placedAttempt{}, queueRefusal(dispatch.ReasonNoTarget, time.Second)
+		return placedAttempt{}, queueRefusal(dispatch.ReasonNoTarget, p.noTargetRetryAfter(time.Second))
 	}
 	return p.beginAttempt(s), nil
 }
@@ -216,7 +220,7 @@
 func (p *enginePool) availableTargets(exclude string) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.refreshBreakers()
+	p.refreshTargets()
 	names := make([]string, 0, p.pool.Len())
 	for i := range p.pool.Len() {
 		if name := p.pool.Target(i).Name; name != exclude && !p.pool.Rejected(i) {
@@ -239,7 +243,7 @@
 		}
 		p.mu.Lock()
 		if p.dispatcher.Waiting() > 0 {
-			p.refreshBreakers()
+			p.refreshTargets()
 			p.deliverStep(p.dispatcher.Step(p.clock.now(), p.rng))
 		}
 		p.mu.Unlock()
@@ -250,6 +254,9 @@
 // held.
 func (p *enginePool) deliverStep(step dispatch.Step[chan placementResult]) {
 	for _, refusal := range step.Refusals {
+		if refusal.Reason == dispatch.ReasonNoTarget {
+			refusal.RetryAfter = p.noTargetRetryAfter(refusal.RetryAfter)
+		}
 		refusal.Request.Value <- placementResult{err: queueRefusal(refusal.Reason, refusal.RetryAfter)}
 	}
 	for _, s := range step.Sends {
@@ -310,5 +317,6 @@
 	if p.picker == nil {
 		return placement.Explanation{}, errors.New("explain: pool not configured")
 	}
+	p.refreshTargets()
 	return p.picker.Explain(p.clock.now(), &req, p.rng), nil
 }
--- a/internal/entry/enginerun.go
+++ b/internal/entry/enginerun.go
@@ -106,14 +106,10 @@
 // dispatch chooses a target and sends the request. If it returns an error, no
 // byte of this attempt was sent.
 func (r *engineRun) dispatch() (attempt.Action, error) {
-	pl, err := r.chooseTarget()
+	pl, err := r.placeForDispatch()
 	if err != nil {
 		return attempt.Action{}, err
 	}
-	if err := r.server.recheckBeforeDispatch(r.call); err != nil {
-		r.pool.recordNotPrefilled(pl, overload.Cancelled)
-		return attempt.Action{}, err
-	}
 	r.closeAttempt()
 	r.call.attempts++
 	r.placed, r.attemptID, r.resultRecorded = pl, attemptID(r.call.call), false
@@ -130,6 +126,30 @@
 	return r.handleResponseHead(resp), nil
 }
 
+// placeForDispatch chooses a target and checks the request again. The checks may take time,
+// in which the target may ask for a pause; then it chooses again.
+func (r *engineRun) placeForDispatch() (placedAttempt, error) {
+	for {
+		pl, err := r.chooseTarget()
+		if err != nil {
+			return placedAttempt{}, err
+		}
+		err = r.server.recheckBeforeDispatch(r.call)
+		if err == nil && r.maySend(pl.address) {
+			return pl, nil
+		}
+		r.pool.recordNotPrefilled(pl, overload.Cancelled)
+		if err != nil {
+			return placedAttempt{}, err
+		}
+	}
+}
+
+// maySend reports whether a request may be sent to the target at the address now.
+func (r *engineRun) maySend(address string) bool {
+	return r.pool.announcements.maySend(r.server.clock.now(), address)
+}
+
 // chooseTarget checks the request against the poison registry and waits for a
 // target.
 func (r *engineRun) chooseTarget() (placedAttempt, error) {
@@ -245,6 +265,9 @@
 	if errors.As(r.lastRejection, &rejection) && act.Cause == attempt.CauseRejected {
 		e = rejection
 	}
+	if e.Outcome == openai.NotRun && e.RetryAfter > 0 {
+		e.RetryAfter = r.pool.retryAfter(e.RetryAfter)
+	}
 	if act.Cause == attempt.CauseIdle {
 		e.Status, e.Code = http.StatusGatewayTimeout, openai.CodeDeadline
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -102,6 +102,7 @@
 		clock: e.clock, config: e.config, rates: e.rates, claims: e.claims, pools: e.pools, poison: e.poison, retryBudget: overload.NewSharedRetryBudget(overload.DefaultRetryRatio, overload.DefaultRetryReserve, overload.DefaultInitialRetries),
 		targetClient: newTargetClient(), metrics: e.metrics, maxBody: s.MaxBodyBytes,
 	}
+	e.pools.announcements.follow(e.server.targetClient.pooled, e.server.targetClient.unpooled, e.pools.poller.loadClient, e.pools.poller.eventsClient, e.rollouts.httpClient)
 	e.callers = newCallerServer(s, e.server, sec.callers)
 	e.server.overConnectionLimit = e.callers.overConnectionLimit
 	e.admin = newAdminServer(e, sec.admin)
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -58,6 +58,20 @@
 // startEntry runs an entry in this process. It returns the address for callers and
 // a function that shuts the entry down and waits until Run returns.
 func startEntry(t *testing.T, logURL string) (caller string, stop func()) {
+	t.Helper()
+	is := is.New(t)
+	e := newTestEntry(t, logURL)
+	ctx, cancel := context.WithCancel(context.Background())
+	result := make(chan error, 1)
+	go func() { result <- e.Run(ctx) }()
+	return e.settings.CallerListen, func() {
+		cancel()
+		is.NoErr(<-result)
+	}
+}
+
+// newTestEntry returns an entry that does not run yet.
+func newTestEntry(t *testing.T, logURL string) *Entry {
 	t.Helper()
 	is := is.New(t)
 	secret := filepath.Join(t.TempDir(), "secret")
@@ -70,13 +84,7 @@
 	}
 	e, err := New(s)
 	is.NoErr(err)
-	ctx, cancel := context.WithCancel(context.Background())
-	result := make(chan error, 1)
-	go func() { result <- e.Run(ctx) }()
-	return s.CallerListen, func() {
-		cancel()
-		is.NoErr(<-result)
-	}
+	return e
 }
 
 // Guards against a shutdown that closes a connection without a response to a request that is
--- a/internal/entry/poolreports.go
+++ b/internal/entry/poolreports.go
@@ -50,6 +50,7 @@
 		return
 	}
 	t := p.pool.Target(i)
+	p.announcements.observeIncarnation(p.addresses[name], r.Incarnation)
 	restarted := t.Incarnation != "" && t.Incarnation != r.Incarnation
 	t.Cache = p.cacheIndex.Observe(queriedAt, cacheindex.Identity{Target: name, Incarnation: r.Incarnation, Version: r.Version})
 	if t.Incarnation != r.Incarnation || t.Version != r.Version {
--- a/internal/entry/pools.go
+++ b/internal/entry/pools.go
@@ -13,6 +13,8 @@
 	domain string
 	poller *loadPoller
 	ctx    context.Context
+	// announcements is shared by all pools.
+	announcements *announcements
 
 	mu       sync.RWMutex
 	engines  map[string]*enginePool
@@ -21,12 +23,13 @@
 
 func newPools(ctx context.Context, c clock, domain string) *pools {
 	return &pools{
-		clock:    c,
-		domain:   domain,
-		poller:   newLoadPoller(c),
-		ctx:      ctx,
-		engines:  make(map[string]*enginePool),
-		services: make(map[string]*servicePool),
+		clock:         c,
+		domain:        domain,
+		poller:        newLoadPoller(c),
+		ctx:           ctx,
+		announcements: newAnnouncements(c),
+		engines:       make(map[string]*enginePool),
+		services:      make(map[string]*servicePool),
 	}
 }
 
@@ -38,15 +41,16 @@
 	for _, t := range intent.Targets {
 		byPool[t.Pool] = append(byPool[t.Pool], t)
 	}
+	all := make([]config.Target, 0, len(intent.Targets))
+	for _, t := range intent.Targets {
+		all = append(all, t)
+	}
+	p.announcements.setTargets(all)
 	p.mu.Lock()
 	for name, cfg := range intent.Pools {
 		p.configurePool(cfg, intent.Models[cfg.Model], byPool[name], instanceCount)
 	}
 	p.mu.Unlock()
-	all := make([]config.Target, 0, len(intent.Targets))
-	for _, t := range intent.Targets {
-		all = append(all, t)
-	}
 	p.poller.setTargets(p.ctx, all, p.engine)
 }
 
@@ -54,6 +58,7 @@
 	if cfg.Kind == config.KindService {
 		if p.services[cfg.Name] == nil {
 			p.services[cfg.Name] = newServicePool(p.clock, p.domain)
+			p.services[cfg.Name].announcements = p.announcements
 		}
 		p.services[cfg.Name].configure(cfg, targets)
 		return
@@ -61,6 +66,7 @@
 	pool := p.engines[cfg.Name]
 	if pool == nil {
 		pool = newEnginePool(p.clock, p.domain)
+		pool.announcements = p.announcements
 		p.engines[cfg.Name] = pool
 	}
 	pool.configure(cfg, model, targets, instanceCount)
--- a/internal/entry/servicepool.go
+++ b/internal/entry/servicepool.go
@@ -22,8 +22,9 @@
 
 // servicePool chooses targets for the requests of one pool of plain services.
 type servicePool struct {
-	clock  clock
-	domain string
+	clock         clock
+	domain        string
+	announcements *announcements
 
 	mu        sync.Mutex
 	cfg       config.Pool
@@ -43,11 +44,12 @@
 
 func newServicePool(c clock, domain string) *servicePool {
 	return &servicePool{
-		clock:    c,
-		domain:   domain,
-		breakers: newBreakers(overload.BreakerConfig{MaxWait: serviceMaxProbeWait}),
-		draining: make(map[string]bool),
-		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		clock:         c,
+		domain:        domain,
+		announcements: newAnnouncements(c),
+		breakers:      newBreakers(overload.BreakerConfig{MaxWait: serviceMaxProbeWait}),
+		draining:      make(map[string]bool),
+		rng:           rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
 
@@ -83,7 +85,7 @@
 	if !ok {
 		return servicePlacedAttempt{}, &openai.Error{
 			Status: http.StatusServiceUnavailable, Code: openai.CodeNoTarget, Outcome: openai.NotRun,
-			Message: "no target can take the request", RetryAfter: serviceRetryAfter,
+			Message: "no target can take the request", RetryAfter: p.noTargetRetryAfter(),
 		}
 	}
 	p.targets[i].Outstanding++
@@ -91,12 +93,24 @@
 	return servicePlacedAttempt{target: name, address: p.addresses[name], ticket: p.breakers.begin(name)}, nil
 }
 
-// chooseTarget chooses among the targets whose breakers usable accepts. p.mu
-// must be held.
+// noTargetRetryAfter returns when a request that no target can take is to be sent again.
+// p.mu must be held.
+func (p *servicePool) noTargetRetryAfter() time.Duration {
+	var addresses []string
+	for _, t := range p.targets {
+		if !p.draining[t.Name] {
+			addresses = append(addresses, p.addresses[t.Name])
+		}
+	}
+	return p.announcements.retryAfter(p.clock.now(), addresses, serviceRetryAfter)
+}
+
+// chooseTarget chooses among the targets whose breakers usable accepts and that have not
+// asked for a pause. p.mu must be held.
 func (p *servicePool) chooseTarget(exclude string, usable func(*targetBreaker) bool) (int, bool) {
 	for i := range p.targets {
 		t := &p.targets[i]
-		t.Usable = !p.draining[t.Name] && usable(p.breakers.byTarget[t.Name])
+		t.Usable = !p.draining[t.Name] && usable(p.breakers.byTarget[t.Name]) && p.announcements.maySend(p.clock.now(), p.addresses[t.Name])
 	}
 	return placement.LeastOutstanding(p.targets, p.domain, exclude, p.cfg.MaxConcurrent, p.rng)
 }
--- a/internal/entry/serviceserve.go
+++ b/internal/entry/serviceserve.go
@@ -24,6 +24,10 @@
 // caller.
 var forwardedResponseHeaders = []string{"Content-Type", "Content-Language", "Location", "Retry-After"}
 
+// errTargetWithdrawn means that a target asked for a pause after it was chosen. Nothing was
+// sent there.
+var errTargetWithdrawn = errors.New("target takes no request now")
+
 // serviceResponse is the complete response of a plain service.
 type serviceResponse struct {
 	status int
@@ -76,6 +80,10 @@
 		}
 		resp, err := s.tryService(c, pl.target, pl.address, beforeSend)
 		beforeSend = nil
+		if errors.Is(err, errTargetWithdrawn) {
+			targetPool.release(pl, overload.Cancelled, false)
+			continue
+		}
 		result := resultOfServiceAttempt(c, resp, err)
 		targetPool.release(pl, result, result == overload.Failed && isUnreachableError(err))
 		if err == nil {
@@ -133,6 +141,9 @@
 			return serviceResponse{}, err
 		}
 	}
+	if !s.pools.announcements.maySend(s.clock.now(), address) {
+		return serviceResponse{}, errTargetWithdrawn
+	}
 	c.attempts++
 	ctx, cancel := s.serviceAttemptContext(c)
 	defer cancel()
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -152,6 +152,7 @@
 func (p *enginePool) targetViews() []targetView {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.refreshTargets()
 	var list []targetView
 	for i := range p.pool.Len() {
 		t := p.pool.Target(i)
@@ -175,6 +176,9 @@
 		if b := p.breakers.byTarget[t.Name]; b.blocked(p.clock.now()) {
 			v.RejectedBy = append(v.RejectedBy, "breaker")
 		}
+		if !p.announcements.maySend(p.clock.now(), v.Address) {
+			v.RejectedBy = append(v.RejectedBy, "pause")
+		}
 		list = append(list, v)
 	}
 	return list
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -44,6 +44,8 @@
 
 	Draining    bool
 	BreakerOpen bool
+	// Paused targets have asked for a pause that has not ended.
+	Paused bool
 	// Quarantined targets run requests that are suspected of crashing targets.
 	Quarantined bool
 	// Unreachable is set while the target's domain cannot be reached.
--- a/internal/standin/engine/doc.go
+++ b/internal/standin/engine/doc.go
@@ -7,7 +7,9 @@
 // Faults: kill (the process exits), freeze (responses stop, connections stay open),
 // crash_on (the process exits when a prompt contains the marker), bad_version (the
 // process exits at the first request while it serves the version in marker), slow
-// (an additional delay of ms for each prefill and each token).
+// (an additional delay of ms for each prefill and each token), shed (requests for
+// completions and streams get status 503 and Retry-After with ms, or with the marker; n
+// times).
 //
 // An import of cached pieces is rejected unless it names an account, the model and
 // the version that the engine serves, and the engine's own incarnation. Imported
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -20,6 +20,7 @@
 	FaultCrashOn    = "crash_on"
 	FaultBadVersion = "bad_version"
 	FaultSlow       = "slow"
+	FaultShed       = "shed"
 )
 
 const (
@@ -114,7 +115,7 @@
 	e := &Engine{
 		cfg:         cfg,
 		incarnation: uuid.NewString(),
-		faults:      standin.NewFaults(FaultKill, FaultFreeze, FaultCrashOn, FaultBadVersion, FaultSlow),
+		faults:      standin.NewFaults(FaultKill, FaultFreeze, FaultCrashOn, FaultBadVersion, FaultSlow, FaultShed),
 		queue:       newQueue(),
 		feed:        newEventFeed(cfg.EventLag, cfg.EventLossRate, cfg.Seed),
 		batchSlots:  make(chan struct{}, cfg.MaxBatch),
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -255,3 +255,21 @@
 	is.Equal(got, []int{9, 5, 1, 1})
 	is.Equal(arrivals, []uint64{4, 2, 1, 3})
 }
+
+// A shed request must say how long the pause is and which incarnation asks for it, and must
+// not run. Load queries are not shed.
+func TestShedRequestAsksForAPause(t *testing.T) {
+	is := is.New(t)
+	e, url := startEngine(t, nil)
+	is.True(e.Faults().Set(standin.Fault{Kind: FaultShed, DelayMillis: 2500, Count: 2}))
+	for method, path := range map[string]string{http.MethodPost: "/v1/completions", http.MethodGet: "/v1/streams/x"} {
+		resp := openResponse(t, method, url+path, nil, map[string]any{"prompt": "p"})
+		resp.Body.Close()
+		is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+		is.Equal(resp.Header.Get("Retry-After"), "2.5")
+		is.Equal(resp.Header.Get("X-Engine-Incarnation"), e.Load().Incarnation)
+	}
+	status, _ := sendRequest(t, http.MethodGet, url+"/load", nil, nil)
+	is.Equal(status, http.StatusOK)
+	is.Equal(len(complete(t, url, "a", "p").Choices), 1) // the fault's count is used up
+}
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -54,7 +54,7 @@
 
 func (e *Engine) handleCompletion(w http.ResponseWriter, r *http.Request, chat bool) {
 	var req Request
-	if !standin.ReadJSON(w, r, &req) {
+	if !standin.ReadJSON(w, r, &req) || e.shed(w) {
 		return
 	}
 	j, ok := e.newJob(r, req, chat)
@@ -70,6 +70,16 @@
 	e.writeCompletion(w, r, j.stream)
 }
 
+// shed refuses a request while the shed fault is active.
+func (e *Engine) shed(w http.ResponseWriter) bool {
+	fault, active := e.faults.Consume(FaultShed)
+	if active {
+		w.Header().Set("X-Engine-Incarnation", e.incarnation)
+		standin.WriteShed(w, fault)
+	}
+	return active
+}
+
 // newJob creates a job from a request and its headers. It returns false if the
 // engine does not serve the weights version that the router requires.
 func (e *Engine) newJob(r *http.Request, req Request, chat bool) (*job, bool) {
@@ -173,6 +183,9 @@
 }
 
 func (e *Engine) handleResume(w http.ResponseWriter, r *http.Request) {
+	if e.shed(w) {
+		return
+	}
 	s, ok := e.findStream(r.PathValue("attempt"))
 	if !ok {
 		standin.WriteError(w, http.StatusNotFound, codeUnknownStream)
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -46,6 +47,17 @@
 	WriteJSON(w, status, ErrorResponse{Error: code})
 }
 
+// WriteShed refuses a request with status 503 and asks for a pause of the fault's delay, or
+// with its marker as the value of Retry-After.
+func WriteShed(w http.ResponseWriter, f Fault) {
+	retryAfter := f.Marker
+	if retryAfter == "" {
+		retryAfter = strconv.FormatFloat(f.Delay().Seconds(), 'f', -1, 64)
+	}
+	w.Header().Set("Retry-After", retryAfter)
+	WriteError(w, http.StatusServiceUnavailable, "shed")
+}
+
 // AbortConnection closes the caller's connection without completing the response.
 // It panics, and must be called from a handler.
 func AbortConnection() { panic(http.ErrAbortHandler) }
--- a/internal/standin/service/server.go
+++ b/internal/standin/service/server.go
@@ -16,6 +16,7 @@
 	FaultSlow         = "slow"
 	FaultDropAfterRun = "drop_after_run"
 	FaultRefuse       = "refuse"
+	FaultShed         = "shed"
 )
 
 // Run is one request that the service executed.
@@ -51,9 +52,12 @@
 
 // New returns a service that includes its name in each response.
 func New(name string) *Server {
-	return &Server{name: name, faults: standin.NewFaults(FaultSlow, FaultDropAfterRun, FaultRefuse)}
+	return &Server{name: name, faults: standin.NewFaults(FaultSlow, FaultDropAfterRun, FaultRefuse, FaultShed)}
 }
 
+// Faults returns the set of active faults.
+func (s *Server) Faults() *standin.Faults { return s.faults }
+
 // Handler returns the HTTP handler of the protocol in docs/PROTOCOLS.md.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -83,6 +87,10 @@
 		standin.WriteError(w, http.StatusServiceUnavailable, "refused")
 		return
 	}
+	if f, ok := s.faults.Consume(FaultShed); ok {
+		standin.WriteShed(w, f)
+		return
+	}
 	if f, ok := s.faults.Consume(FaultSlow); ok {
 		// The run does not stop when the caller disconnects: a booking takes
 		// effect even if nobody receives the response.
--- a/internal/standin/service/server_test.go
+++ b/internal/standin/service/server_test.go
@@ -35,3 +35,20 @@
 	is.Equal(w.Code, http.StatusServiceUnavailable)
 	is.Equal(len(s.recordedRuns()), 0)
 }
+
+// A shed request must say how long the pause is, with fractions, and must not run.
+func TestShedRequestAsksForAPause(t *testing.T) {
+	is := is.New(t)
+	s := New("s")
+	for _, fault := range []standin.Fault{
+		{Kind: FaultShed, Count: 1, DelayMillis: 2500},
+		{Kind: FaultShed, Count: 1, Marker: "2.5"},
+	} {
+		is.True(s.Faults().Set(fault))
+		w := httptest.NewRecorder()
+		s.Handler().ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), "POST", "/x", strings.NewReader("")))
+		is.Equal(w.Code, http.StatusServiceUnavailable)
+		is.Equal(w.Header().Get("Retry-After"), "2.5")
+	}
+	is.Equal(len(s.recordedRuns()), 0)
+}
