--- a/internal/targetpause/pauses.go
+++ b/internal/targetpause/pauses.go
@@ -1,55 +1,94 @@
-// Package targetpause keeps the pauses that targets ask for: a target that refuses a request
-// may name a time for which it wants no more of them from this instance.
-//
-// The package does no I/O and reads no clock.
 package targetpause
 
-import "time"
+import (
+	"math"
+	"strconv"
+	"strings"
+	"time"
 
-// MaxPause limits a pause. A target that names a longer time, by mistake or because its
-// response was damaged, is tried again after this one.
+	"github.com/cockroachdb/errors"
+)
+
+// MaxPause is the longest pause that is kept. A longer one is a mistake of the target, and
+// would keep it out of use until it restarts.
 const MaxPause = 10 * time.Minute
 
-// Pauses holds the running pauses by target. It is not safe for concurrent use.
-type Pauses[K comparable] struct {
-	until map[K]time.Duration
+// ErrUnreadable means that a Retry-After value is not a number of seconds.
+var ErrUnreadable = errors.New("targetpause: Retry-After is not a number of seconds")
+
+// maxShownBytes bounds how much of an unreadable value an error shows.
+const maxShownBytes = 32
+
+// Parse returns the pause in a Retry-After value, which is in seconds and may have a
+// fraction. A value over MaxPause counts as MaxPause.
+func Parse(retryAfter string) (time.Duration, error) {
+	value := strings.TrimSpace(retryAfter)
+	seconds, err := strconv.ParseFloat(value, 64)
+	if err != nil && !errors.Is(err, strconv.ErrRange) || math.IsNaN(seconds) || seconds < 0 {
+		return 0, errors.Wrapf(ErrUnreadable, "value=%q", value[:min(len(value), maxShownBytes)])
+	}
+	if seconds >= MaxPause.Seconds() {
+		return MaxPause, nil
+	}
+	return time.Duration(seconds * float64(time.Second)), nil
 }
 
-// New returns a Pauses without any.
-func New[K comparable]() *Pauses[K] { return &Pauses[K]{until: map[K]time.Duration{}} }
+// Pauses holds the running pauses by key. The zero value has none. It is not safe for
+// concurrent use.
+type Pauses[K comparable] struct {
+	ends map[K]time.Duration
+}
 
-// Pause starts a pause of the given length, at most MaxPause. A pause that already runs is
-// never shortened.
-func (p *Pauses[K]) Pause(now time.Duration, target K, length time.Duration) {
-	until := now + min(length, MaxPause)
-	if until > max(now, p.until[target]) {
-		p.until[target] = until
+// Pause records that the target asked for a pause of d from now on, up to MaxPause. A
+// running pause never becomes shorter. The result reports whether a pause begins.
+func (p *Pauses[K]) Pause(now time.Duration, key K, d time.Duration) (begins bool) {
+	if d <= 0 {
+		return false
+	}
+	end := now + min(d, MaxPause)
+	running, ok := p.Until(now, key)
+	if ok && running >= end {
+		return false
 	}
+	if p.ends == nil {
+		p.ends = make(map[K]time.Duration)
+	}
+	p.ends[key] = end
+	return !ok
 }
 
-// Left returns how long a target's pause still lasts; 0 if there is none.
-func (p *Pauses[K]) Left(now time.Duration, target K) time.Duration {
-	return max(0, p.until[target]-now)
+// Until returns when the pause of a key ends, and whether one is running.
+func (p *Pauses[K]) Until(now time.Duration, key K) (time.Duration, bool) {
+	end, ok := p.ends[key]
+	if !ok || now >= end {
+		return 0, false
+	}
+	return end, true
 }
 
-// Expire drops the pauses that have ended and returns their targets.
-func (p *Pauses[K]) Expire(now time.Duration) []K {
-	var ended []K
-	for target, until := range p.until {
-		if until <= now {
-			delete(p.until, target)
-			ended = append(ended, target)
+// Retain forgets the pauses that have ended and those whose key is not to be kept.
+func (p *Pauses[K]) Retain(now time.Duration, keep func(K) bool) {
+	for key, end := range p.ends {
+		if now >= end || !keep(key) {
+			delete(p.ends, key)
 		}
 	}
-	return ended
 }
 
-// ShortestLeft returns the time until the first of the targets is available again; 0 if one of
-// them is not paused.
-func (p *Pauses[K]) ShortestLeft(now time.Duration, targets []K) time.Duration {
+// Empty reports whether there are no pauses, ended ones that Retain has not seen included.
+func (p *Pauses[K]) Empty() bool { return len(p.ends) == 0 }
+
+// Left returns how long the pause of a key still lasts; 0 if none is running.
+func (p *Pauses[K]) Left(now time.Duration, key K) time.Duration {
+	return max(0, p.ends[key]-now)
+}
+
+// ShortestLeft returns the time until the first of the pauses of these keys ends; 0 if one of
+// the keys has none.
+func (p *Pauses[K]) ShortestLeft(now time.Duration, keys []K) time.Duration {
 	shortest := time.Duration(0)
-	for _, target := range targets {
-		left := p.Left(now, target)
+	for _, key := range keys {
+		left := p.Left(now, key)
 		if left == 0 {
 			return 0
 		}
@@ -59,3 +98,15 @@
 	}
 	return shortest
 }
+
+// Expire forgets the pauses that have ended and returns their keys.
+func (p *Pauses[K]) Expire(now time.Duration) []K {
+	var ended []K
+	for key, end := range p.ends {
+		if now >= end {
+			delete(p.ends, key)
+			ended = append(ended, key)
+		}
+	}
+	return ended
+}
