entry: a target whose responses announce that it leaves gets no new requests

What callers saw: a target that had said in its responses that it leaves went on getting requests of entry instances for as long as the instance list showed it as live, which lags and may be away (trace of the gateway's path: docs/incidents/leaving-target.md).

Cause: the protocol had no such announcement, and entry instances knew of leaving targets from the instance list alone.

Evidence, on the code before with the stand-ins' new fault `leaving` (100 requests after the announcement):

leavingtarget_test.go:41: 53 != 0 (plain service) leavingtarget_test.go:31: timed out waiting for load report (model server) --- FAIL: TestLeavingTargetGetsNoMoreRequests (both) leavingtarget_test.go:73: 200 != 503 (both) --- FAIL: TestRequestsAreRefusedAtOnceWhileAllTargetsLeave (both)

The tests of streams wait for the same mark; they were not run to their end on the code before. TestCallersDoNotSeeThatATargetLeaves passed there: entry instances pass on listed headers only.

Change: docs/PROTOCOLS.md defines X-Target-Leaving: 1. Pools read the marks where they read the pauses: the draining filter of placement, both choices of servicePool.acquire, the check right before a request is sent, and the resume of a stream. A broken stream of a leaving target goes on at another one; streams in progress are not touched. If all targets leave or pause, a suspect is refused at once too. The choice of the active version is refreshed when it is asked for, for pauses as well.

A mark ends with the incarnation. A plain service tells none: a list as of a time after the announcement has to show it as away and a later one as live. Lists as of an earlier time are passed over, since a list that lags still shows the last restart. Without a list it ends after 30 minutes (targetleaving.Limit). Marks are kept by process, so a new configuration, another pool, or a list that still says live do not end them.

Pools look at all their targets again only when something announced has changed.

After: the tests above pass (0 of 100 requests reach the target). Trial with parts of the change taken out one at a time, 10 of them: nine failed a test. The tenth, that a late response of an ended incarnation leaves no mark (it would cost a wrong log line and memory), did not; for it TestLeavingBelongsToTheIncarnation has one more line.

--- a/internal/entry/announcements.go
+++ b/internal/entry/announcements.go
@@ -9,11 +9,16 @@
 
 	"github.com/mastictray/mastictray/internal/config"
 	"github.com/mastictray/mastictray/internal/logline"
+	"github.com/mastictray/mastictray/internal/targetleaving"
 	"github.com/mastictray/mastictray/internal/targetpause"
 )
 
-// headerRetryAfter has the pause that a target asks for, in seconds.
-const headerRetryAfter = "Retry-After"
+const (
+	// headerRetryAfter has the pause that a target asks for, in seconds.
+	headerRetryAfter = "Retry-After"
+	// headerLeaving is "1" in the responses of a target that leaves.
+	headerLeaving = "X-Target-Leaving"
+)
 
 // maxPastIncarnations is the number of earlier incarnations kept per address. Their late
 // responses say nothing about the current one.
@@ -35,8 +40,17 @@
 	current map[string]string
 	past    map[string][]string
 	pauses  targetpause.Pauses[targetProcess]
+	leaving targetleaving.Marks[targetProcess]
+	// revision changes with everything that pools read here; runningPauses is how many
+	// pauses were running then.
+	revision      uint64
+	runningPauses int
 }
 
+// listedFunc returns whether the instance list shows a target as live, as of which time, and
+// false if it does not know the target.
+type listedFunc func(target string) (live bool, asOfMillis int64, ok bool)
+
 func newAnnouncements(c clock) *announcements {
 	return &announcements{clock: c, names: make(map[string]string), current: make(map[string]string), past: make(map[string][]string)}
 }
@@ -50,7 +64,9 @@
 	for _, t := range targets {
 		a.names[t.Address] = t.Name
 	}
+	a.revision++
 	announced := make(map[string]bool)
+	a.leaving.Keys(func(p targetProcess) { announced[p.address] = true })
 	a.pauses.Retain(a.clock.now(), func(p targetProcess) bool {
 		announced[p.address] = true
 		return true
@@ -83,13 +99,19 @@
 		return p
 	}
 	a.current[address] = incarnation
+	a.revision++
 	if before != "" {
+		a.leaving.Forget(targetProcess{address, before})
 		past := append(a.past[address], before)
 		a.past[address] = past[max(0, len(past)-maxPastIncarnations):]
 		return p
 	}
 	now := a.clock.now()
 	unnamed := targetProcess{address: address}
+	if a.leaving.Leaving(unnamed) {
+		a.leaving.Forget(unnamed)
+		a.leaving.Announce(now, a.clock.wallMillis(), p)
+	}
 	if end, ok := a.pauses.Until(now, unnamed); ok {
 		a.pauses.Pause(now, p, end-now)
 	}
@@ -104,33 +126,112 @@
 	return a.pauses.Until(now, targetProcess{address, a.current[address]})
 }
 
-// empty reports whether nothing that a process has announced holds now.
-func (a *announcements) empty(now time.Duration) bool {
+// leavingNow reports whether the process at the address has announced that it leaves.
+func (a *announcements) leavingNow(address string) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.pauses.Retain(now, func(targetProcess) bool { return true })
-	return a.pauses.Empty()
+	return a.leaving.Leaving(targetProcess{address, a.current[address]})
+}
+
+// revisionAt ends what no longer holds and returns a number that changes with everything
+// that pools read here.
+func (a *announcements) revisionAt(now time.Duration) uint64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	running := 0
+	a.pauses.Retain(now, func(targetProcess) bool {
+		running++
+		return true
+	})
+	if running != a.runningPauses {
+		a.runningPauses = running
+		a.revision++
+	}
+	return a.revision
+}
+
+// applyListed applies what the instance list shows. It ends the marks of leaving processes
+// without incarnation; those with one hold until there is another one, as long as their
+// address is configured.
+func (a *announcements) applyListed(listed listedFunc) {
+	now := a.clock.now()
+	a.mu.Lock()
+	var unnamed []targetProcess
+	a.leaving.Keys(func(p targetProcess) {
+		if p.incarnation == "" {
+			unnamed = append(unnamed, p)
+		}
+	})
+	names := make([]string, len(unnamed))
+	for i, p := range unnamed {
+		names[i] = a.names[p.address]
+	}
+	a.mu.Unlock()
+	for i, p := range unnamed {
+		if live, asOf, ok := listed(names[i]); ok {
+			a.applyListedTo(p, names[i], live, asOf)
+		}
+	}
+	a.mu.Lock()
+	ended := a.leaving.Retain(now, func(p targetProcess) bool { return p.incarnation != "" && a.names[p.address] != "" })
+	if len(ended) > 0 {
+		a.revision++
+	}
+	a.mu.Unlock()
+	for _, p := range ended {
+		logline.Info("target_leaving_ended", "address", p.address, "incarnation", p.incarnation, "why", "limit")
+	}
+}
+
+// applyListedTo applies what the instance list shows of one process.
+func (a *announcements) applyListedTo(p targetProcess, name string, live bool, asOfMillis int64) {
+	a.mu.Lock()
+	ended := a.leaving.Listed(p, live, asOfMillis)
+	if ended {
+		a.revision++
+	}
+	a.mu.Unlock()
+	if ended {
+		logline.Info("target_leaving_ended", "target", name, "address", p.address, "why", "listed")
+	}
 }
 
 // learn records what a response announces.
 func (a *announcements) learn(req *http.Request, resp *http.Response) {
 	address, incarnation := req.URL.Host, resp.Header.Get(headerIncarnation)
-	if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get(headerRetryAfter) == "" {
-		if incarnation != "" {
-			a.observeIncarnation(address, incarnation)
-		}
+	leaves := resp.Header.Get(headerLeaving) == "1"
+	pauses := resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(headerRetryAfter) != ""
+	if incarnation == "" && !leaves && !pauses {
 		return
 	}
-	pause, err := targetpause.Parse(resp.Header.Get(headerRetryAfter))
 	a.mu.Lock()
 	p, name := a.observeLocked(address, incarnation), a.names[address]
+	newlyLeaves := leaves && a.current[address] == p.incarnation && a.leaving.Announce(a.clock.now(), a.clock.wallMillis(), p)
+	if newlyLeaves {
+		a.revision++
+	}
+	a.mu.Unlock()
+	if newlyLeaves {
+		logline.Info("target_leaving", "target", name, "address", address, "incarnation", p.incarnation, "request", requestOf(req))
+	}
+	if pauses {
+		a.learnPause(p, name, req, resp)
+	}
+}
+
+// learnPause records the pause that a process asks for in a response.
+func (a *announcements) learnPause(p targetProcess, name string, req *http.Request, resp *http.Response) {
+	pause, err := targetpause.Parse(resp.Header.Get(headerRetryAfter))
+	if err != nil {
+		logline.Error(err, "target_pause_ignored", "target", name, "address", p.address, "incarnation", p.incarnation, "request", requestOf(req))
+		return
+	}
+	a.mu.Lock()
 	begins := a.pauses.Pause(a.clock.now(), p, pause)
+	a.revision++
 	a.mu.Unlock()
-	switch {
-	case err != nil:
-		logline.Error(err, "target_pause_ignored", "target", name, "address", address, "incarnation", p.incarnation, "request", requestOf(req))
-	case begins:
-		logline.Info("target_paused", "target", name, "address", address, "incarnation", p.incarnation, "pause", pause, "request", requestOf(req))
+	if begins {
+		logline.Info("target_paused", "target", name, "address", p.address, "incarnation", p.incarnation, "pause", pause, "request", requestOf(req))
 	}
 }
 
--- a/internal/entry/announcements_test.go
+++ b/internal/entry/announcements_test.go
@@ -223,7 +223,8 @@
 	a.setTargets(targets)
 	is.True(!a.maySend(a.clock.now(), "a"))
 	is.True(a.maySend(a.clock.now(), "b"))
-	is.True(a.empty(a.clock.now() + 61*time.Second))
+	a.revisionAt(a.clock.now() + 61*time.Second)
+	is.True(a.pauses.Empty())
 }
 
 // Guards against a pool that waits for the weights of targets which all pause, although
--- a/internal/entry/engineconnection.go
+++ b/internal/entry/engineconnection.go
@@ -184,7 +184,7 @@
 func (r *engineRun) cancelAttempt(ref attempt.Ref) {
 	ctx, cancel := context.WithTimeout(context.Background(), cancelAttemptTimeout)
 	defer cancel()
-	if address, ok := r.pool.addressOf(ref.Target); ok && r.maySend(address) {
+	if address, ok := r.pool.addressOf(ref.Target); ok && !r.paused(address) {
 		r.server.targetClient.cancel(ctx, address, ref.Attempt)
 	}
 }
--- a/internal/entry/enginecrash.go
+++ b/internal/entry/enginecrash.go
@@ -30,7 +30,7 @@
 		return nil
 	}
 	targets := r.pool.availableTargets(r.call.placement.Exclude)
-	if rest := r.pool.retryAfter(0); len(targets) == 0 && rest > 0 {
+	if rest, withdrawn := r.pool.withdrawn(time.Second); len(targets) == 0 && withdrawn {
 		// A suspect would wait for a permit that no target can be named for.
 		return queueRefusal(dispatch.ReasonNoTarget, rest)
 	}
--- a/internal/entry/enginepool.go
+++ b/internal/entry/enginepool.go
@@ -63,8 +63,9 @@
 	cacheIndex *cacheindex.Index
 	dispatcher *dispatch.Dispatcher[chan placementResult]
 	rng        *rand.Rand
-	// anyPaused is set while a target of the pool counts as paused.
-	anyPaused bool
+	// announcedRevision is the revision of the announcements that announcedPool shows.
+	announcedRevision uint64
+	announcedPool     *placement.Pool
 	// eventsRead has the targets whose retained cache events have been read.
 	eventsRead map[string]bool
 	// active is the weights version that new requests require.
@@ -155,7 +156,7 @@
 func (p *enginePool) updateActiveVersion() {
 	served := make(map[string]int)
 	for i := range p.pool.Len() {
-		if t := p.pool.Target(i); !t.Draining && !t.BreakerOpen && !t.Paused {
+		if t := p.pool.Target(i); !t.Draining && !t.Leaving && !t.BreakerOpen && !t.Paused {
 			served[t.Version]++
 		}
 	}
@@ -167,6 +168,7 @@
 func (p *enginePool) activeVersion() string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.refreshAnnouncements()
 	return p.active
 }
 
--- a/internal/entry/enginepool_test.go
+++ b/internal/entry/enginepool_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -17,7 +18,10 @@
 		"crashed":     func(p *enginePool) { p.markUnreachable("new") },
 		"gone":        func(p *enginePool) { p.markProcessEnded("new", "i") },
 		"unanswering": func(p *enginePool) { p.markUnresponsive("new") },
-		"leaving":     func(p *enginePool) { p.setDraining(func(name string) bool { return name == "new" }) },
+		"announced": func(p *enginePool) {
+			respond(p.announcements, "127.0.0.1:1", http.StatusOK, http.Header{headerIncarnation: {"i"}, headerLeaving: {"1"}})
+		},
+		"leaving": func(p *enginePool) { p.setDraining(func(name string) bool { return name == "new" }) },
 	}
 	for name, lose := range losses {
 		t.Run(name, func(t *testing.T) {
--- a/internal/entry/enginerun.go
+++ b/internal/entry/enginerun.go
@@ -127,7 +127,7 @@
 }
 
 // placeForDispatch chooses a target and checks the request again. The checks may take time,
-// in which the target may ask for a pause; then it chooses again.
+// in which the target may ask for a pause or announce that it leaves; then it chooses again.
 func (r *engineRun) placeForDispatch() (placedAttempt, error) {
 	for {
 		pl, err := r.chooseTarget()
@@ -150,6 +150,13 @@
 	return r.pool.announcements.maySend(r.server.clock.now(), address)
 }
 
+// paused reports whether the target at the address has asked for a pause, in which not even a
+// request is cancelled there.
+func (r *engineRun) paused(address string) bool {
+	_, paused := r.pool.announcements.pausedUntil(r.server.clock.now(), address)
+	return paused
+}
+
 // chooseTarget checks the request against the poison registry and waits for a
 // target.
 func (r *engineRun) chooseTarget() (placedAttempt, error) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -94,6 +94,7 @@
 		e.rates.setAccounts(state)
 		e.pools.configure(state, e.members.liveInstanceCount())
 	})
+	e.members.updateListed = e.pools.announcements.applyListed
 	e.members.updateDraining = e.pools.setDraining
 	e.poison = newPoisonDriver(e.clock, e.node)
 	e.members.poison, e.members.claims, e.members.onReplaced = e.poison, e.claims, e.Drain
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -59,12 +59,19 @@
 // a function that shuts the entry down and waits until Run returns.
 func startEntry(t *testing.T, logURL string) (caller string, stop func()) {
 	t.Helper()
-	is := is.New(t)
 	e := newTestEntry(t, logURL)
+	return e.settings.CallerListen, runEntry(t, e)
+}
+
+// runEntry runs an entry. It returns a function that shuts it down and waits until Run
+// returns.
+func runEntry(t *testing.T, e *Entry) (stop func()) {
+	t.Helper()
+	is := is.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	result := make(chan error, 1)
 	go func() { result <- e.Run(ctx) }()
-	return e.settings.CallerListen, func() {
+	return func() {
 		cancel()
 		is.NoErr(<-result)
 	}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -38,6 +38,9 @@
 	// updateDraining is called at every heartbeat with a function that reports
 	// whether a target is draining.
 	updateDraining func(draining func(target string) bool)
+	// updateListed is called at every heartbeat with a function that returns what the
+	// instance list shows of a target.
+	updateListed func(listed listedFunc)
 	// onReplaced is called when a later process runs under this instance's name.
 	onReplaced func()
 
@@ -218,6 +221,11 @@
 	for _, p := range peers {
 		go m.exchangeHeartbeat(ctx, p.Address)
 	}
+	m.updateListed(func(name string) (bool, int64, bool) {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return m.view.Listed(name)
+	})
 	m.updateDraining(func(name string) bool {
 		m.mu.Lock()
 		defer m.mu.Unlock()
--- a/internal/entry/poolpauses.go
+++ b/internal/entry/poolannouncements.go
@@ -6,22 +6,24 @@
 // decision. p.mu must be held.
 func (p *enginePool) refreshTargets() {
 	p.refreshBreakers()
-	p.refreshPauses()
+	p.refreshAnnouncements()
 }
 
-// refreshPauses copies the running pauses to the pool's targets. p.mu must be held.
-func (p *enginePool) refreshPauses() {
+// refreshAnnouncements copies to the pool's targets what they have announced. p.mu must be
+// held.
+func (p *enginePool) refreshAnnouncements() {
 	now, changed := p.clock.now(), false
-	if !p.anyPaused && p.announcements.empty(now) {
+	revision := p.announcements.revisionAt(now)
+	if p.announcedRevision == revision && p.announcedPool == p.pool {
 		return
 	}
-	p.anyPaused = false
+	p.announcedRevision, p.announcedPool = revision, p.pool
 	for i := range p.pool.Len() {
 		t := p.pool.Target(i)
 		_, paused := p.announcements.pausedUntil(now, p.addresses[t.Name])
-		p.anyPaused = p.anyPaused || paused
-		if paused != t.Paused {
-			t.Paused, changed = paused, true
+		leaving := p.announcements.leavingNow(p.addresses[t.Name])
+		if paused != t.Paused || leaving != t.Leaving {
+			t.Paused, t.Leaving, changed = paused, leaving, true
 			p.pool.ApplyFilters(i)
 		}
 	}
@@ -30,17 +32,37 @@
 	}
 }
 
-// noTargetRetryAfter returns when a request that no target can take is to be sent again: at
-// the end of the shortest pause if all targets that take new work pause, else after the
-// usual time. p.mu must be held.
-func (p *enginePool) noTargetRetryAfter(usual time.Duration) time.Duration {
+// withdrawnLocked reports whether all targets pause or leave, and when a request is to be sent again
+// then: at the end of the shortest pause, else after the usual time. p.mu must be held.
+func (p *enginePool) withdrawnLocked(usual time.Duration) (time.Duration, bool) {
 	var addresses []string
 	for i := range p.pool.Len() {
-		if t := p.pool.Target(i); !t.Draining {
+		if t := p.pool.Target(i); !t.Draining && !t.Leaving {
 			addresses = append(addresses, p.addresses[t.Name])
 		}
 	}
-	return p.announcements.retryAfter(p.clock.now(), addresses, usual)
+	if len(addresses) == 0 {
+		return usual, p.pool.Len() > 0
+	}
+	rest := p.announcements.retryAfter(p.clock.now(), addresses, 0)
+	if rest == 0 {
+		return usual, false
+	}
+	return rest, true
+}
+
+// withdrawn is withdrawnLocked without p.mu held.
+func (p *enginePool) withdrawn(usual time.Duration) (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.withdrawnLocked(usual)
+}
+
+// noTargetRetryAfter returns when a request that no target can take is to be sent again.
+// p.mu must be held.
+func (p *enginePool) noTargetRetryAfter(usual time.Duration) time.Duration {
+	retryAfter, _ := p.withdrawnLocked(usual)
+	return retryAfter
 }
 
 // retryAfter returns noTargetRetryAfter after an attempt.
@@ -53,7 +75,7 @@
 // maySend reports whether a request may be sent to the process at the address now.
 func (a *announcements) maySend(now time.Duration, address string) bool {
 	_, paused := a.pausedUntil(now, address)
-	return !paused
+	return !paused && !a.leavingNow(address)
 }
 
 // retryAfter returns the rest of the shortest pause if the processes at all addresses pause,
--- a/internal/entry/servicepool.go
+++ b/internal/entry/servicepool.go
@@ -98,15 +98,15 @@
 func (p *servicePool) noTargetRetryAfter() time.Duration {
 	var addresses []string
 	for _, t := range p.targets {
-		if !p.draining[t.Name] {
+		if !p.draining[t.Name] && !p.announcements.leavingNow(p.addresses[t.Name]) {
 			addresses = append(addresses, p.addresses[t.Name])
 		}
 	}
 	return p.announcements.retryAfter(p.clock.now(), addresses, serviceRetryAfter)
 }
 
-// chooseTarget chooses among the targets whose breakers usable accepts and that have not
-// asked for a pause. p.mu must be held.
+// chooseTarget chooses among the targets whose breakers usable accepts and that neither
+// leave nor have asked for a pause. p.mu must be held.
 func (p *servicePool) chooseTarget(exclude string, usable func(*targetBreaker) bool) (int, bool) {
 	for i := range p.targets {
 		t := &p.targets[i]
--- a/internal/entry/targetpause_test.go
+++ b/internal/entry/targetpause_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -30,6 +31,8 @@
 	faults   atomic.Pointer[standin.Faults]
 	address  string
 	requests atomic.Int64
+	// resumes counts those of the requests that resume a stream.
+	resumes atomic.Int64
 }
 
 // setProcess makes the target answer as another process.
@@ -46,6 +49,9 @@
 		if r.Method == http.MethodPost && r.URL.Path != "/orders" || strings.HasPrefix(r.URL.Path, "/v1/streams/") {
 			rt.requests.Add(1)
 		}
+		if r.Method == http.MethodGet && strings.HasPrefix(r.URL.Path, "/v1/streams/") {
+			rt.resumes.Add(1)
+		}
 		(*rt.handler.Load()).ServeHTTP(w, r)
 	}))
 	t.Cleanup(srv.Close)
@@ -65,6 +71,7 @@
 type testSystem struct {
 	t                 *testing.T
 	logURL, caller    string
+	entry             *Entry
 	engines, services []*requestTarget
 }
 
@@ -75,9 +82,9 @@
 func startSystem(t *testing.T, targetsPerPool int) *testSystem {
 	t.Helper()
 	s := newSystem(t, targetsPerPool)
-	var stop func()
-	s.caller, stop = startEntry(t, s.logURL)
-	t.Cleanup(stop)
+	s.entry = newTestEntry(t, s.logURL)
+	s.caller = s.entry.settings.CallerListen
+	t.Cleanup(runEntry(t, s.entry))
 	for kind := range testPaths {
 		waitFor(t, kind, func() bool { return s.send(kind, "hello").status == http.StatusOK })
 	}
@@ -264,10 +271,24 @@
 	})
 }
 
+// holdStream holds the first stream of an engine after its second event until release is
+// closed.
+func holdStream(next http.Handler, release <-chan struct{}) http.Handler {
+	var held atomic.Bool
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost && r.Header.Get(headerRequestID) != "" && !held.Swap(true) {
+			w = &cuttingWriter{ResponseWriter: w, release: release, holdOnly: true}
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 type cuttingWriter struct {
 	http.ResponseWriter
 	release <-chan struct{}
 	events  int
+	// holdOnly lets the stream go on after release.
+	holdOnly bool
 }
 
 func (w *cuttingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
@@ -276,7 +297,9 @@
 	if w.events++; w.events > 2 {
 		_ = http.NewResponseController(w.ResponseWriter).Flush()
 		<-w.release
-		panic(http.ErrAbortHandler)
+		if !w.holdOnly {
+			panic(http.ErrAbortHandler)
+		}
 	}
 	return w.ResponseWriter.Write(b)
 }
@@ -286,24 +309,57 @@
 func TestStreamIsNotResumedDuringPause(t *testing.T) {
 	is := is.New(t)
 	s := startSystem(t, 2)
+	reached := int64(0)
+	broken, complete := s.startStreamThatBreaks(func(broken *requestTarget) {
+		broken.shed(t, standin.Fault{DelayMillis: int(longPause.Milliseconds()), Count: 1})
+		s.sendUntilReached("model server", broken)
+		reached = broken.requests.Load()
+	})
+	is.True(complete)
+	is.Equal(broken.requests.Load(), reached)
+}
+
+// startStreamThatBreaks starts a stream, calls during while it runs, breaks it, and returns
+// the target that began it and whether the caller got the whole response.
+func (s *testSystem) startStreamThatBreaks(during func(broken *requestTarget)) (broken *requestTarget, complete bool) {
+	s.t.Helper()
 	release := make(chan struct{})
+	breakStream := sync.OnceFunc(func() { close(release) })
+	defer breakStream()
 	for _, target := range s.engines {
 		target.setProcess(cutStream(*target.handler.Load(), release), target.faults.Load())
 	}
 	client := &http.Client{Transport: &http.Transport{}}
 	defer client.CloseIdleConnections()
 	before := []int64{s.engines[0].requests.Load(), s.engines[1].requests.Load()}
-	complete := make(chan bool)
-	go func() { complete <- sendRequest(client, s.caller, "streamed") }()
-	waitFor(t, "stream", func() bool { return s.engines[0].requests.Load()+s.engines[1].requests.Load() > before[0]+before[1] })
-	broken := s.engines[0]
+	result := make(chan bool, 1)
+	go func() { result <- sendRequest(client, s.caller, "streamed") }()
+	waitFor(s.t, "stream", func() bool { return s.engines[0].requests.Load()+s.engines[1].requests.Load() > before[0]+before[1] })
+	broken = s.engines[0]
 	if s.engines[1].requests.Load() > before[1] {
 		broken = s.engines[1]
 	}
-	broken.shed(t, standin.Fault{DelayMillis: int(longPause.Milliseconds()), Count: 1})
-	s.sendUntilReached("model server", broken)
-	reached := broken.requests.Load()
-	close(release)
-	is.True(<-complete)
-	is.Equal(broken.requests.Load(), reached)
+	during(broken)
+	breakStream()
+	return broken, <-result
+}
+
+// rejectedTargets returns the names of the targets that the entry sends no new requests.
+func (s *testSystem) rejectedTargets() []string {
+	resp, err := http.Get("http://" + s.entry.settings.AdminListen + "/admin/v1/state")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var state stateView
+	if err := json.NewDecoder(resp.Body).Decode(&state); err != nil {
+		s.t.Fatal(err)
+	}
+	var names []string
+	for _, target := range state.Targets {
+		if len(target.RejectedBy) > 0 {
+			names = append(names, target.Name)
+		}
+	}
+	return names
 }
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -170,13 +170,13 @@
 	var list []targetView
 	for _, t := range p.targets {
 		v := targetView{Name: t.Name, Pool: p.cfg.Name, Domain: t.Domain, Address: p.addresses[t.Name]}
-		if p.draining[t.Name] {
+		if p.draining[t.Name] || p.announcements.leavingNow(v.Address) {
 			v.RejectedBy = append(v.RejectedBy, "draining")
 		}
 		if b := p.breakers.byTarget[t.Name]; b.blocked(p.clock.now()) {
 			v.RejectedBy = append(v.RejectedBy, "breaker")
 		}
-		if !p.announcements.maySend(p.clock.now(), v.Address) {
+		if _, paused := p.announcements.pausedUntil(p.clock.now(), v.Address); paused {
 			v.RejectedBy = append(v.RejectedBy, "pause")
 		}
 		list = append(list, v)
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -266,6 +266,16 @@
 	return t != nil && t.record.Draining
 }
 
+// Listed returns whether the newest list that is known shows a target as live, and the time of
+// that list; ok is false if no list has shown it, or none for long.
+func (v *View) Listed(name string) (live bool, asOfMillis int64, ok bool) {
+	t := v.targets[name]
+	if t == nil || t.record.AsOfMillis == 0 {
+		return false, 0, false
+	}
+	return !t.record.Draining && !t.record.Gone, t.record.AsOfMillis, true
+}
+
 // Incarnation returns a target's current incarnation; empty if none was observed.
 func (v *View) Incarnation(name string) string {
 	if t := v.targets[name]; t != nil {
--- a/internal/placement/filter_draining.go
+++ b/internal/placement/filter_draining.go
@@ -6,4 +6,4 @@
 
 func (drainingFilter) Name() string { return "draining" }
 
-func (drainingFilter) Rejects(t *Target, _ string) bool { return t.Draining }
+func (drainingFilter) Rejects(t *Target, _ string) bool { return t.Draining || t.Leaving }
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -42,7 +42,9 @@
 	// OverRate until the rate is next checked.
 	RateLimited, OverRate bool
 
-	Draining    bool
+	Draining bool
+	// Leaving targets have announced themselves that they leave.
+	Leaving     bool
 	BreakerOpen bool
 	// Paused targets have asked for a pause that has not ended.
 	Paused bool
--- a/internal/standin/engine/doc.go
+++ b/internal/standin/engine/doc.go
@@ -9,7 +9,7 @@
 // process exits at the first request while it serves the version in marker), slow
 // (an additional delay of ms for each prefill and each token), shed (requests for
 // completions and streams get status 503 and Retry-After with ms, or with the marker; n
-// times).
+// times), leaving (all responses announce that the engine leaves).
 //
 // An import of cached pieces is rejected unless it names an account, the model and
 // the version that the engine serves, and the engine's own incarnation. Imported
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -115,7 +115,7 @@
 	e := &Engine{
 		cfg:         cfg,
 		incarnation: uuid.NewString(),
-		faults:      standin.NewFaults(FaultKill, FaultFreeze, FaultCrashOn, FaultBadVersion, FaultSlow, FaultShed),
+		faults:      standin.NewFaults(FaultKill, FaultFreeze, FaultCrashOn, FaultBadVersion, FaultSlow, FaultShed, standin.FaultLeaving),
 		queue:       newQueue(),
 		feed:        newEventFeed(cfg.EventLag, cfg.EventLossRate, cfg.Seed),
 		batchSlots:  make(chan struct{}, cfg.MaxBatch),
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -273,3 +273,23 @@
 	is.Equal(status, http.StatusOK)
 	is.Equal(len(complete(t, url, "a", "p").Choices), 1) // the fault's count is used up
 }
+
+// A leaving engine must say so in all its responses with its incarnation, also in those to
+// load queries and in streams, and serve on.
+func TestLeavingEngineAnnouncesIt(t *testing.T) {
+	is := is.New(t)
+	e, url := startEngine(t, nil)
+	for _, want := range []string{"", "1"} {
+		for path, method := range map[string]string{"/load": http.MethodGet, "/state": http.MethodGet, "/v1/streams/x": http.MethodGet, "/v1/completions": http.MethodPost} {
+			for _, stream := range []bool{false, true} {
+				resp := openResponse(t, method, url+path, nil, map[string]any{"prompt": "p", "stream": stream})
+				_, err := io.Copy(io.Discard, resp.Body)
+				is.NoErr(err)
+				resp.Body.Close()
+				is.Equal(resp.Header.Get("X-Target-Leaving"), want)
+				is.Equal(resp.Header.Get("X-Engine-Incarnation"), e.Load().Incarnation)
+			}
+		}
+		is.True(e.Faults().Set(standin.Fault{Kind: standin.FaultLeaving}))
+	}
+}
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -46,10 +46,11 @@
 	}))
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		if e.faults.WaitWhile(r.Context(), FaultFreeze) == nil {
+			w.Header().Set("X-Engine-Incarnation", e.incarnation)
 			next.ServeHTTP(w, r)
 		}
 	})
-	return mux
+	return standin.AnnounceLeaving(e.faults, mux)
 }
 
 func (e *Engine) handleCompletion(w http.ResponseWriter, r *http.Request, chat bool) {
@@ -74,7 +75,6 @@
 func (e *Engine) shed(w http.ResponseWriter) bool {
 	fault, active := e.faults.Consume(FaultShed)
 	if active {
-		w.Header().Set("X-Engine-Incarnation", e.incarnation)
 		standin.WriteShed(w, fault)
 	}
 	return active
--- a/internal/standin/service/server.go
+++ b/internal/standin/service/server.go
@@ -52,7 +52,7 @@
 
 // New returns a service that includes its name in each response.
 func New(name string) *Server {
-	return &Server{name: name, faults: standin.NewFaults(FaultSlow, FaultDropAfterRun, FaultRefuse, FaultShed)}
+	return &Server{name: name, faults: standin.NewFaults(FaultSlow, FaultDropAfterRun, FaultRefuse, FaultShed, standin.FaultLeaving)}
 }
 
 // Faults returns the set of active faults.
@@ -64,7 +64,7 @@
 	mux.HandleFunc("POST /fault", s.faults.Handler(nil))
 	mux.HandleFunc("GET /runs", s.handleRuns)
 	mux.HandleFunc("/", s.handleRequest)
-	return mux
+	return standin.AnnounceLeaving(s.faults, mux)
 }
 
 func (s *Server) handleRuns(w http.ResponseWriter, _ *http.Request) {
--- a/internal/standin/service/server_test.go
+++ b/internal/standin/service/server_test.go
@@ -52,3 +52,18 @@
 	}
 	is.Equal(len(s.recordedRuns()), 0)
 }
+
+// A leaving service must say so in all its responses, and serve on.
+func TestLeavingServiceAnnouncesIt(t *testing.T) {
+	is := is.New(t)
+	s := New("s")
+	for _, want := range []string{"", "1"} {
+		for _, path := range []string{"/x", "/runs"} {
+			w := httptest.NewRecorder()
+			s.Handler().ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), "GET", path, strings.NewReader("")))
+			is.Equal(w.Code, http.StatusOK)
+			is.Equal(w.Header().Get("X-Target-Leaving"), want)
+		}
+		is.True(s.Faults().Set(standin.Fault{Kind: standin.FaultLeaving}))
+	}
+}
