--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -127,13 +127,7 @@
 				defer close(stopped)
 				stop()
 			}()
-			waitFor(t, "closed listener", func() bool {
-				c, err := net.Dial("tcp", caller)
-				if err == nil {
-					c.Close()
-				}
-				return err != nil
-			})
+			waitForClosedListener(t, caller)
 			_, err = io.WriteString(conn, request[20:])
 			is.NoErr(err)
 			resp, err := http.ReadResponse(responses, nil)
@@ -181,13 +175,7 @@
 		defer close(stopped)
 		stop()
 	}()
-	waitFor(t, "closed listener", func() bool {
-		c, err := net.Dial("tcp", caller)
-		if err == nil {
-			c.Close()
-		}
-		return err != nil
-	})
+	waitForClosedListener(t, caller)
 	_, err = io.WriteString(conn, "body")
 	is.NoErr(err)
 	resp, err := http.ReadResponse(responses, nil)
@@ -197,6 +185,18 @@
 	<-stopped
 }
 
+// waitForClosedListener waits until connections to the address are refused.
+func waitForClosedListener(t *testing.T, address string) {
+	t.Helper()
+	waitFor(t, "closed listener", func() bool {
+		c, err := net.Dial("tcp", address)
+		if err == nil {
+			c.Close()
+		}
+		return err != nil
+	})
+}
+
 // sendRequest sends one streaming request and reports whether the response was
 // complete.
 func sendRequest(client *http.Client, address, prompt string) bool {
