--- a/internal/gateway/enginefilters.go
+++ b/internal/gateway/enginefilters.go
@@ -37,8 +37,8 @@
 }
 
 // refusalBackoff is how long a target gets no requests after it refused one as a whole, if it
-// asks for no longer pause. It is full or about to load weights; a load will have been reported by peers within that
-// time.
+// asks for no longer pause. It is full or about to load weights; a load will have been reported
+// by peers within that time.
 const refusalBackoff = 200 * time.Millisecond
 
 // isExcluded reports whether a target must not get requests now. The caller holds s.mu.
@@ -145,7 +145,8 @@
 	}
 }
 
-// expirePauses makes targets available again whose pause or back-off has ended. The caller holds s.mu.
+// expirePauses makes targets available again whose pause or back-off has ended. The caller
+// holds s.mu.
 func (s *engineService) expirePauses() {
 	now := s.now()
 	for _, id := range append(s.pauses.Expire(now), s.backoffs.Expire(now)...) {
--- a/internal/gateway/engineservice.go
+++ b/internal/gateway/engineservice.go
@@ -103,7 +103,8 @@
 		stallDetectors: map[string]*overload.StallDetector{}, running: map[*enginePlacement]struct{}{}, stalledAt: map[string]time.Duration{},
 		index:  cacheindex.New(cacheIndexBytes),
 		rng:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		pauses: &targetpause.Pauses[directory.Incarnation]{}, backoffs: &targetpause.Pauses[directory.Incarnation]{}, loadingSince: map[string]time.Duration{},
+		pauses: &targetpause.Pauses[directory.Incarnation]{}, backoffs: &targetpause.Pauses[directory.Incarnation]{},
+		loadingSince: map[string]time.Duration{},
 	}
 	s.rebuild(nil)
 	o := dispatch.DefaultOptions()
--- a/internal/gateway/plainservice.go
+++ b/internal/gateway/plainservice.go
@@ -31,7 +31,10 @@
 }
 
 func newPlainService(now func() time.Duration, domain string, limits *targetLimits) *plainService {
-	return &plainService{now: now, domain: domain, limits: limits, pauses: &targetpause.Pauses[directory.Incarnation]{}, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+	return &plainService{
+		now: now, domain: domain, limits: limits, pauses: &targetpause.Pauses[directory.Incarnation]{},
+		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
 }
 
 // updateTargets sets the usable targets of the service. The state of targets that remain is
