gateway: a stream that has begun goes on after a refused resume

Cause: the instance moved the stream off a target that was about to load weights.

Change: up to three refusals don't count as attempts of a stream that has begun: a target that refused has run nothing, so the limit on targets that run a request holds. If no other target is usable, the one of the last attempt may get the request again, as for plain services.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -58,10 +58,12 @@
 				continue
 			}
 			return g.finishUnanswered(ctx, c, relay, nil)
+		case outcomeNotRun:
+			c.refusedCount++
 		case outcomeUnknown:
 			c.mayHaveRun = true
 		}
-		if !g.takeRetry(ctx, c) {
+		if !g.takeRetry(ctx, c, relay.started) {
 			return g.finishUnanswered(ctx, c, relay, nil)
 		}
 	}
@@ -71,10 +73,19 @@
 // many, the service or the link to it is down.
 const maxUnsentAttempts = 4
 
+// maxRefusedResumes is the number of refusals that don't count as attempts of a stream that has
+// begun. It would be cut off at the first one, while other targets could resume it.
+const maxRefusedResumes = 3
+
 // takeRetry reports whether the request may be sent to another target. If so, it has taken
-// the retry from the budget, unless reserveResume has already done so.
-func (g *Gateway) takeRetry(ctx context.Context, c *call) bool {
-	if ctx.Err() != nil || c.sendCount >= max(1, c.route.MaxAttempts) {
+// the retry from the budget, unless reserveResume has already done so. begun is set if the
+// caller has a part of the response.
+func (g *Gateway) takeRetry(ctx context.Context, c *call, begun bool) bool {
+	attempts := c.sendCount
+	if begun {
+		attempts -= min(c.refusedCount, maxRefusedResumes)
+	}
+	if ctx.Err() != nil || attempts >= max(1, c.route.MaxAttempts) {
 		return false
 	}
 	if c.mayHaveRun && !c.route.Repeatable() {
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -98,8 +98,14 @@
 
 // chooseEngineTarget is chooseTarget for services of model servers.
 func (g *Gateway) chooseEngineTarget(ctx context.Context, c *call) (*targetAttempt, *Refusal) {
-	service := g.engineServiceOf(c)
-	pl, refusal := service.acquire(ctx, g.newEngineRequest(c))
+	service, r := g.engineServiceOf(c), g.newEngineRequest(c)
+	pl, refusal := service.acquire(ctx, r)
+	if refusal != nil && refusal.Reason == dispatch.ReasonNoTarget && r.Placement.Exclude != "" {
+		// The target of the last attempt is better than none.
+		r = g.newEngineRequest(c)
+		r.Placement.Exclude = ""
+		pl, refusal = service.acquire(ctx, r)
+	}
 	switch {
 	case refusal != nil:
 		reason := "queue_" + string(refusal.Reason)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -32,10 +32,11 @@
 	// chargedTokens is what the request was charged against its account's rate,
 	// requestedTokens its full cost.
 	chargedTokens, requestedTokens float64
-	// sendCount is the number of times the request was sent to a target. mayHaveRun is
-	// set if one of the targets may have run it.
-	sendCount  int
-	mayHaveRun bool
+	// sendCount is the number of times the request was sent to a target, refusedCount how
+	// often a target refused it without running it. mayHaveRun is set if one of the targets
+	// may have run it.
+	sendCount, refusedCount int
+	mayHaveRun              bool
 	// lastEventAt is the time at which the last event of a stream was sent to the
 	// caller; 0 if none was.
 	lastEventAt time.Duration
