entry: a plain service that restarts unseen is used again after two minutes

Plain services tell no incarnation, so the mark of one that has announced that it leaves ends by the instance list or by a limit. Leaving takes seconds; a target that still leaves after the limit announces it again in its next response.

--- a/internal/targetleaving/marks.go
+++ b/internal/targetleaving/marks.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// Limit is how long a mark holds that nothing else ends. It is far above the time that a
-// target takes to leave.
-const Limit = 30 * time.Minute
+// Limit is how long a mark holds that nothing else ends. It is above the time that a target takes
+// to leave; one that has restarted without a list showing it as away is out of use for that long.
+const Limit = 2 * time.Minute
 
 // Marks holds a mark for each key that has announced that it leaves. The zero value has none.
 // It is not safe for concurrent use.
