entry: redirects of targets are passed on, not followed

What callers saw: a redirect by a plain service was followed by the instance's own client, so a second request went to the address in it, past every check: also to a target that had just announced that it leaves or asked for a pause, or to no target at all, and a non-idempotent request was sent twice. Found by a review; it is older than the announcements.

TestRedirectOfATargetIsNotFollowed failed before on both clients, passes now.

--- a/internal/entry/engineclient.go
+++ b/internal/entry/engineclient.go
@@ -81,13 +81,13 @@
 func newTargetClient() *targetClient {
 	dialer := &net.Dialer{Timeout: targetDialTimeout}
 	return &targetClient{
-		pooled: &http.Client{Transport: &http.Transport{
+		pooled: &http.Client{CheckRedirect: keepRedirect, Transport: &http.Transport{
 			DialContext:         dialer.DialContext,
 			MaxIdleConnsPerHost: maxIdleConnsPerTarget,
 			IdleConnTimeout:     targetIdleConnTimeout,
 			DisableCompression:  true,
 		}},
-		unpooled: &http.Client{Transport: &http.Transport{
+		unpooled: &http.Client{CheckRedirect: keepRedirect, Transport: &http.Transport{
 			DialContext:        dialer.DialContext,
 			DisableKeepAlives:  true,
 			DisableCompression: true,
@@ -95,6 +95,10 @@
 	}
 }
 
+// keepRedirect makes a client return a redirect instead of following it: it is the target's
+// response to the caller, and its address was chosen by no pool.
+func keepRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // send makes one attempt and returns the response with its body open. A response
 // with a status of 4xx or 5xx is not an error; only a failed exchange is.
 func (c *targetClient) send(ctx context.Context, r attemptRequest) (*http.Response, error) {
