--- a/internal/entry/announcements_test.go
+++ b/internal/entry/announcements_test.go
@@ -40,6 +40,14 @@
 	return &call{id: "c", r: r, apiKey: testKey, deadline: e.clock.now() + time.Minute, attempts: 1, route: config.Route{Idempotent: true}}
 }
 
+// recordPause records that the current process at an address has asked for a pause.
+func recordPause(e *Entry, address string) {
+	a := e.pools.announcements
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.pauses.Pause(a.clock.now(), targetProcess{address: address, incarnation: a.current[address]}, longPause)
+}
+
 // Guards against a request that is sent to a target which asked for a pause after it was
 // chosen, while the request waited for its last checks.
 func TestPauseIsSeenAfterTheTargetWasChosen(t *testing.T) {
@@ -48,10 +56,13 @@
 		s := newSystem(t, 2)
 		chosen := ""
 		e := s.prepareEntry(func(e *Entry) {
-			for name, b := range e.pools.engine("p").breakers.byTarget {
+			pool := e.pools.engine("p")
+			pool.mu.Lock()
+			defer pool.mu.Unlock()
+			for name, b := range pool.breakers.byTarget {
 				if b.InFlight() > 0 {
 					chosen = name
-					e.pools.announcements.pauses.Pause(e.clock.now(), targetProcess{address: b.address, incarnation: e.pools.announcements.current[b.address]}, longPause)
+					recordPause(e, b.address)
 				}
 			}
 		})
@@ -75,10 +86,13 @@
 		s := newSystem(t, 2)
 		var chosen *requestTarget
 		e := s.prepareEntry(func(e *Entry) {
-			for _, target := range e.pools.service("s").targets {
+			pool := e.pools.service("s")
+			pool.mu.Lock()
+			defer pool.mu.Unlock()
+			for _, target := range pool.targets {
 				if target.Outstanding > 0 {
 					chosen = s.services[int(target.Name[1]-'0')]
-					e.pools.announcements.pauses.Pause(e.clock.now(), targetProcess{address: chosen.address}, longPause)
+					recordPause(e, chosen.address)
 				}
 			}
 		})
