targetconn, platform: connections to targets are established by a function that may be passed in

A test has to cut one instance off from all targets while others still reach them. All instances share the loopback interface, so this is done where connections are established. Behaviour is unchanged: without the function, the same dialers are used. The dial timeout of the pool now also bounds a function that is passed in.

--- a/cmd/mastictray-gateway/main.go
+++ b/cmd/mastictray-gateway/main.go
@@ -50,7 +50,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	reload.LogSignals()
-	gw := gateway.New(s.gatewaySettings(), platform.Dialect{}, platform.NewStore(s.StoreAddress), platform.NewControl())
+	gw := gateway.New(s.gatewaySettings(), platform.Dialect{}, platform.NewStore(s.StoreAddress), platform.NewControl(nil))
 	return gw.Run(ctx)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -107,12 +107,14 @@
 // New creates a gateway. It doesn't listen until Run is called.
 func New(s Settings, d Dialect, store Store, control TargetControl) *Gateway {
 	c := clock.New()
+	connections := targetconn.DefaultOptions()
+	connections.Dial = s.DialTarget
 	g := &Gateway{
 		settings: s, clock: c, wallClock: time.Now, dialect: d, store: store, control: control,
 		self: wire.Identity{
 			Instance: s.Instance, Incarnation: uuid.Must(uuid.NewV7()).String(), Address: s.PeerListen, Domain: s.Domain,
 		},
-		targets:          targetconn.NewPool(targetconn.DefaultOptions(), c.Now),
+		targets:          targetconn.NewPool(connections, c.Now),
 		metrics:          newGatewayMetrics(),
 		contacts:         keys.NewContactTracker(s.Domain),
 		versions:         map[string]*namedVersions{},
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"github.com/mastictray/mastictray/internal/targetconn"
+)
 
 // Settings holds the settings of a gateway.
 type Settings struct {
@@ -18,6 +22,9 @@
 	PeerListen    string
 	MetricsListen string
 
+	// DialTarget establishes connections to targets; nil for the default of targetconn.
+	DialTarget targetconn.DialFunc
+
 	// KeyCutoff is the time without contact with the store after which requests with
 	// keys are refused: a key may have been withdrawn meanwhile.
 	KeyCutoff time.Duration
--- a/internal/targetconn/pool.go
+++ b/internal/targetconn/pool.go
@@ -15,8 +15,13 @@
 // ErrNotSent marks errors of exchanges of which no byte has reached the target.
 var ErrNotSent = errors.New("target: request not sent")
 
+// DialFunc establishes a connection, like net.Dialer.DialContext.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Options configure a Pool.
 type Options struct {
+	// Dial establishes connections; nil for TCP connections with keep-alive probes.
+	Dial DialFunc
 	// DialTimeout limits the time to establish a connection.
 	DialTimeout time.Duration
 	// MaxIdle is the maximum number of idle connections per target.
@@ -47,7 +52,6 @@
 // Pool holds the connections to all targets. It is safe for concurrent use.
 type Pool struct {
 	options Options
-	dialer  net.Dialer
 	now     func() time.Duration
 
 	mu        sync.Mutex
@@ -57,15 +61,21 @@
 
 // NewPool returns an empty pool that uses now as its clock.
 func NewPool(o Options, now func() time.Duration) *Pool {
-	return &Pool{
-		options: o, now: now, idle: map[string][]*Conn{},
-		dialer: net.Dialer{
-			Timeout: o.DialTimeout,
-			KeepAliveConfig: net.KeepAliveConfig{
-				Enable: true, Idle: o.ProbeInterval, Interval: o.ProbeInterval, Count: maxFailedProbes,
-			},
-			Control: userTimeoutControl(maxFailedProbes * o.ProbeInterval),
+	if o.Dial == nil {
+		o.Dial = NewDialer(o).DialContext
+	}
+	return &Pool{options: o, now: now, idle: map[string][]*Conn{}}
+}
+
+// NewDialer returns a dialer of TCP connections that are closed when their remote side falls
+// silent.
+func NewDialer(o Options) *net.Dialer {
+	return &net.Dialer{
+		Timeout: o.DialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: o.ProbeInterval, Interval: o.ProbeInterval, Count: maxFailedProbes,
 		},
+		Control: userTimeoutControl(maxFailedProbes * o.ProbeInterval),
 	}
 }
 
@@ -114,7 +124,9 @@
 }
 
 func (p *Pool) dial(ctx context.Context, addr string) (*Conn, error) {
-	netConn, err := p.dialer.DialContext(ctx, "tcp", addr)
+	dialCtx, cancel := context.WithTimeout(ctx, p.options.DialTimeout)
+	defer cancel()
+	netConn, err := p.options.Dial(dialCtx, "tcp", addr)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "dial target=%s", addr), ErrNotSent)
 	}
