gateway: a target that can't be reached directly is reached through a peer

Cause: an instance took what it could not reach itself for down. Timeouts and resets of its own connections opened breakers, marked whole failure domains as unreachable, were reported to peers as silent targets (three instances with a path then avoided two targets), and counted as crashes of requests and as failures of new software versions.

Now the direct connection has a head start of 0.1 s, after which a peer is asked to connect to the target (RFC 8305 in kind). Whichever is established first is used. Only if neither this instance nor a peer reaches the target, it counts as down. An attempt whose connection breaks or falls silent counts against the target only after such a check. Blocked direct paths are probed twice a second and used again at once.

The peer relays bytes over a connection of its own and decides nothing: keys, rates, deadlines, limits, at-most-once and placement stay with the instance that has the request. An end of a relayed connection is stated in a frame, so that a crash of the peer does not make a cut response look complete. A peer that drains accepts no new relays, finishes those it has, and its idle ones are dropped by the others.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mastictray/mastictray/internal/canary"
+	"github.com/mastictray/mastictray/internal/connrelay"
 	"github.com/mastictray/mastictray/internal/directory"
 	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/overload"
@@ -34,7 +35,8 @@
 		g.reach.reached(a.target.Domain)
 	}
 	c.sendCount++
-	a.onSend(conn.Close, g.cancelPolicyFor(c))
+	a.relay = connrelay.RelayOf(conn.NetConn())
+	a.onSend(conn.Close, a.relay, g.cancelPolicyFor(c))
 	stop := context.AfterFunc(ctx, conn.Close)
 	result, err := g.roundTrip(ctx, c, a, relay, conn)
 	if !stop() {
@@ -42,7 +44,9 @@
 	}
 	// End the attempt before its connection returns to the pool. Cancelling it later would
 	// close a connection that may serve another request by then.
-	a.onEnd(breakerResult(ctx, result, err))
+	var counted overload.Result
+	counted, a.pathFailed = g.attemptResult(ctx, a, conn, result, err)
+	a.onEnd(counted)
 	if result == outcomeDelivered {
 		g.targets.Put(conn)
 	} else {
@@ -50,7 +54,9 @@
 	}
 	if result != outcomeDelivered {
 		g.logFailedAttempt(c, a, result.String(), err)
-		g.recordCrash(ctx, c, result, err)
+		if !a.pathFailed {
+			g.recordCrash(ctx, c, result, err)
+		}
 	}
 	return result
 }
@@ -63,6 +69,8 @@
 	switch {
 	case result == outcomeNotRun || result == outcomeNotSent:
 		return
+	case a.pathFailed || a.relay != "": // a relayed attempt has been slowed by its path
+		return
 	case a.cancelledHere() || g.answering.Err() != nil && result != outcomeDelivered:
 		return
 	case errors.Is(ctx.Err(), context.Canceled):
--- a/internal/gateway/domains.go
+++ b/internal/gateway/domains.go
@@ -82,8 +82,9 @@
 			continue
 		}
 		address := addresses[g.newRand().IntN(len(addresses))]
+		g.targets.CloseIdle(address) // they may be dead
 		go func() {
-			if g.acceptsConnections(ctx, address) {
+			if g.checkPath(ctx, address) != pathNone {
 				g.reach.reached(domain)
 				return
 			}
--- a/internal/gateway/engineservice.go
+++ b/internal/gateway/engineservice.go
@@ -46,6 +46,10 @@
 	eligibleTargets int
 	// stallID identifies the attempt to the stall detector of its target.
 	stallID uint64
+	// relay is the instance that relays the connection; empty for a direct one.
+	relay string
+	// progressAt is when data last arrived, or when the attempt was sent.
+	progressAt time.Duration
 	// cancel ends the attempt.
 	cancel func()
 	cancelPolicy
--- a/internal/gateway/enginestall.go
+++ b/internal/gateway/enginestall.go
@@ -99,12 +99,13 @@
 	return ""
 }
 
-// recordProbe records whether a stalled target accepts connections. A target that does is alive,
-// however long it takes for a first token: if each overloaded target were avoided, the others
-// would get its requests too and would be overloaded next. An unreachable one gets no requests
-// until a probe of its breaker succeeds, and the attempts there that may run at other targets are
-// cancelled.
-func (s *engineService) recordProbe(target stalledTarget, reachable bool) {
+// recordProbe records how a stalled target can be reached. A target that accepts connections is
+// alive, however long it takes for a first token: if each overloaded target were avoided, the
+// others would get its requests too and would be overloaded next. If it accepts them only from
+// peers, the attempts over direct connections are lost, and those through instances for which
+// mayRelay returns false. An unreachable one gets no requests until a probe of its breaker
+// succeeds, and the attempts there that may run at other targets are cancelled.
+func (s *engineService) recordProbe(target stalledTarget, path pathState, mayRelay func(instance string) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.probing, target.id)
@@ -112,9 +113,12 @@
 	if detector == nil || !detector.Stalled(now) {
 		return // it has answered or is gone meanwhile
 	}
-	if reachable {
+	if path != pathNone {
 		detector.Alive(now)
 		s.cancelAttempts(target.id, func(pl *enginePlacement) bool { return pl.firstTokenSeen })
+		s.cancelLostAttempts(target.address, func(pl *enginePlacement) bool {
+			return pl.relay == "" && path == pathBlocked || pl.relay != "" && !mayRelay(pl.relay)
+		})
 		return
 	}
 	s.breaker(target.id).Unreachable(now, s.rng)
@@ -134,6 +138,37 @@
 	}
 }
 
+// cancelSilentAttempts cancels the attempts over direct connections to an address, whose path is
+// blocked, from which nothing arrives.
+func (s *engineService) cancelSilentAttempts(address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	s.cancelLostAttempts(address, func(pl *enginePlacement) bool { return pl.relay == "" && now-pl.progressAt > silentAttemptTimeout })
+}
+
+// cancelLostAttempts cancels the attempts at an address that match, because of the path, and may
+// run again. The caller holds s.mu.
+func (s *engineService) cancelLostAttempts(address string, match func(*enginePlacement) bool) {
+	for pl := range s.running {
+		if pl.target.Address == address && pl.repeatable && match(pl) {
+			pl.cancelledHere = true
+			pl.cancel()
+		}
+	}
+}
+
+// runningAddresses returns the addresses of the targets at which attempts run.
+func (s *engineService) runningAddresses() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var addresses []string
+	for pl := range s.running {
+		addresses = append(addresses, pl.target.Address)
+	}
+	return addresses
+}
+
 // startAttempt records that an attempt has been sent. cancel is called if its target
 // stalls, is about to load new weights, or keeps the attempt waiting until its weights are
 // too old.
@@ -141,7 +176,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	pl.cancel, pl.cancelPolicy = cancel, policy
-	pl.stallID = s.stallDetector(pl.target.ID).Begin(s.now())
+	pl.progressAt = s.now()
+	pl.stallID = s.stallDetector(pl.target.ID).Begin(pl.progressAt)
 	s.running[pl] = struct{}{}
 }
 
@@ -172,5 +208,6 @@
 	s.reach.reached(pl.target.Domain)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.stallDetector(pl.target.ID).Progress(s.now(), pl.stallID)
+	pl.progressAt = s.now()
+	s.stallDetector(pl.target.ID).Progress(pl.progressAt, pl.stallID)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/google/uuid"
 
 	"github.com/mastictray/mastictray/internal/clock"
+	"github.com/mastictray/mastictray/internal/connrelay"
 	"github.com/mastictray/mastictray/internal/directory"
 	"github.com/mastictray/mastictray/internal/keys"
 	"github.com/mastictray/mastictray/internal/logline"
@@ -33,8 +34,14 @@
 	dialect  Dialect
 	store    Store
 	control  TargetControl
-	targets  *targetconn.Pool
-	metrics  *gatewayMetrics
+	// dialer connects to targets, also through peers; dialDirect does so only directly.
+	dialer     *connrelay.Dialer
+	dialDirect targetconn.DialFunc
+	targets    *targetconn.Pool
+	// relays relays connections of peers to targets.
+	relays     *connrelay.Server
+	pathChecks pathChecks
+	metrics    *gatewayMetrics
 
 	// table is the active configuration, or nil before the first one.
 	table atomic.Pointer[routing.Table]
@@ -107,14 +114,11 @@
 // New creates a gateway. It doesn't listen until Run is called.
 func New(s Settings, d Dialect, store Store, control TargetControl) *Gateway {
 	c := clock.New()
-	connections := targetconn.DefaultOptions()
-	connections.Dial = s.DialTarget
 	g := &Gateway{
 		settings: s, clock: c, wallClock: time.Now, dialect: d, store: store, control: control,
 		self: wire.Identity{
 			Instance: s.Instance, Incarnation: uuid.Must(uuid.NewV7()).String(), Address: s.PeerListen, Domain: s.Domain,
 		},
-		targets:          targetconn.NewPool(connections, c.Now),
 		metrics:          newGatewayMetrics(),
 		contacts:         keys.NewContactTracker(s.Domain),
 		versions:         map[string]*namedVersions{},
@@ -129,7 +133,14 @@
 		crashes:          newCrashCounts(),
 		planner:          weights.New(weights.DefaultSettings()),
 		rolloutIdleSince: never,
+		pathChecks:       pathChecks{checks: map[string]*pathCheck{}},
+		dialDirect:       s.DialTarget,
 	}
+	if g.dialDirect == nil {
+		g.dialDirect = targetconn.NewDialer(targetconn.DefaultOptions()).DialContext
+	}
+	g.dialer, g.targets = g.newTargetPool()
+	g.relays = connrelay.NewServer(g.dialDirect, g.isTargetAddress)
 	g.answering, g.stopAnswering = context.WithCancel(context.Background())
 	g.accountLimiter.SetFleetSize(0, unknownFleetSize, ratecount.PeerTimeout)
 	leaseSettings := orderlease.DefaultSettings()
@@ -179,6 +190,13 @@
 func (g *Gateway) drain() {
 	logline.Info("draining", "balancer_lag", g.settings.BalancerLag, "drain_timeout", g.settings.DrainTimeout)
 	g.draining.Store(true)
+	var relays sync.WaitGroup
+	relays.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), g.settings.BalancerLag+g.settings.DrainTimeout)
+		defer cancel()
+		g.relays.Drain(ctx)
+	})
+	defer relays.Wait()
 	time.Sleep(g.settings.BalancerLag)
 	g.responsesDueBy.Store(int64(g.clock.Now() + g.settings.DrainTimeout))
 	ctx, cancel := context.WithTimeout(context.Background(), g.settings.DrainTimeout)
@@ -239,6 +257,7 @@
 		g.mu.Unlock()
 		g.targets.CloseExpired()
 		g.callers.closeIdle()
+		g.sweepPaths(ctx)
 		g.checkSilentTargets(ctx)
 		g.probeDomains(ctx)
 	}
@@ -248,29 +267,14 @@
 func (g *Gateway) checkSilentTargets(ctx context.Context) {
 	for _, service := range g.listEngineServices() {
 		for _, target := range service.stalledTargets() {
-			go func() { service.recordProbe(target, g.acceptsConnections(ctx, target.address)) }()
+			g.targets.CloseIdle(target.address) // they may be dead
+			go func() { service.recordProbe(target, g.checkPath(ctx, target.address), g.peers.mayRelay) }()
 		}
 	}
 }
 
-// acceptsConnections reports whether a target accepts a new connection. Its idle connections are
-// closed, since they may be dead.
-func (g *Gateway) acceptsConnections(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, stallProbeTimeout)
-	defer cancel()
-	g.targets.CloseIdle(address)
-	conn, err := g.targets.Get(ctx, address, 0)
-	if err != nil {
-		return false
-	}
-	g.targets.Put(conn)
-	return true
-}
-
 const (
 	sweepInterval = 250 * time.Millisecond
-	// stallProbeTimeout bounds the connection attempt to a target that has stopped responding.
-	stallProbeTimeout = 300 * time.Millisecond
 	// storeTimeout bounds a call to the store. It is ten times the usual time of a slow
 	// response, so that calls to a slow store still succeed.
 	storeTimeout = 1500 * time.Millisecond
--- /dev/null
+++ b/internal/gateway/paths.go
@@ -0,0 +1,239 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mastictray/mastictray/internal/connrelay"
+	"github.com/mastictray/mastictray/internal/logline"
+	"github.com/mastictray/mastictray/internal/overload"
+	"github.com/mastictray/mastictray/internal/peer"
+	"github.com/mastictray/mastictray/internal/targetconn"
+	"github.com/mastictray/mastictray/internal/targetpath"
+	"github.com/mastictray/mastictray/internal/wire"
+)
+
+// pathState tells how a target can be reached from this instance.
+type pathState int
+
+const (
+	// pathOpen: directly.
+	pathOpen pathState = iota
+	// pathBlocked: only through a peer. The target is running.
+	pathBlocked
+	// pathNone: neither directly nor through a peer. The target is probably down.
+	pathNone
+)
+
+func (s pathState) String() string { return [...]string{"open", "blocked", "none"}[s] }
+
+const (
+	// pathCheckTimeout bounds one check of a path. It covers the head start of the direct path
+	// and an attempt through a peer.
+	pathCheckTimeout = 300 * time.Millisecond
+	// pathCheckValidity is how long the result of a check is used for further ones.
+	pathCheckValidity = 500 * time.Millisecond
+	// silentAttemptTimeout is the time without data after which an attempt over a direct path
+	// that is blocked counts as lost.
+	silentAttemptTimeout = 400 * time.Millisecond
+)
+
+// pathChecks coalesces concurrent checks of the path to one target.
+type pathChecks struct {
+	mu     sync.Mutex
+	checks map[string]*pathCheck
+	// pending is set when the paths to all targets in use have to be checked.
+	pending bool
+}
+
+type pathCheck struct {
+	done  chan struct{} // closed when state is set
+	state pathState
+	endAt time.Duration
+}
+
+// newTargetPool returns the dialer and the pool of the connections to targets.
+func (g *Gateway) newTargetPool() (*connrelay.Dialer, *targetconn.Pool) {
+	dialer := connrelay.NewDialer(connrelay.Options{
+		Direct: g.dialDirect, Domain: g.settings.Domain, Now: g.clock.Now, Peers: g.relayPeers, OpenStream: g.openRelayStream,
+		OnBlocked: g.handleBlockedPath,
+		// Relayed connections are not used for longer than necessary.
+		OnOpen: func(address string) { g.targets.CloseIdle(address) },
+	})
+	o := targetconn.DefaultOptions()
+	o.Dial = dialer.Dial
+	o.Usable = func(c net.Conn) bool {
+		relay := connrelay.RelayOf(c)
+		return relay == "" || g.peers.mayRelay(relay)
+	}
+	return dialer, targetconn.NewPool(o, g.clock.Now)
+}
+
+func (g *Gateway) relayPeers() []targetpath.Peer { return g.peers.relayPeers() }
+
+func (g *Gateway) openRelayStream(ctx context.Context, address string, kind wire.Kind, request, response any) (*peer.Stream, error) {
+	return g.peers.openStream(ctx, address, kind, request, response)
+}
+
+// isTargetAddress reports whether a registered target has this address.
+func (g *Gateway) isTargetAddress(address string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, t := range g.directory.All() {
+		if t.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
+// handleBlockedPath is called when the direct path to a target turns out to be blocked. If direct
+// attempts get no response, open connections are probably dead, and probably not only to this
+// target.
+func (g *Gateway) handleBlockedPath(address string, silent bool) {
+	if !silent {
+		return
+	}
+	g.targets.CloseIdle(address)
+	g.pathChecks.mu.Lock()
+	g.pathChecks.pending = true
+	g.pathChecks.mu.Unlock()
+}
+
+// checkPath returns how a target can be reached now. It keeps the connection that it establishes
+// for later requests.
+func (g *Gateway) checkPath(ctx context.Context, address string) pathState {
+	g.pathChecks.mu.Lock()
+	check := g.pathChecks.checks[address]
+	if check != nil && (check.endAt == 0 || g.clock.Now()-check.endAt < pathCheckValidity) {
+		g.pathChecks.mu.Unlock()
+		select {
+		case <-check.done:
+			return check.state
+		case <-ctx.Done():
+			return pathOpen // nothing is known against it
+		}
+	}
+	check = &pathCheck{done: make(chan struct{})}
+	g.pathChecks.checks[address] = check
+	g.pathChecks.mu.Unlock()
+	// Other callers wait for the result as well.
+	state := g.tryPath(context.WithoutCancel(ctx), address)
+	g.pathChecks.mu.Lock()
+	check.state, check.endAt = state, g.clock.Now()
+	g.pathChecks.mu.Unlock()
+	close(check.done)
+	return state
+}
+
+func (g *Gateway) tryPath(ctx context.Context, address string) pathState {
+	ctx, cancel := context.WithTimeout(ctx, pathCheckTimeout)
+	defer cancel()
+	conn, err := g.targets.Dial(ctx, address)
+	if err != nil {
+		return pathNone
+	}
+	relayed := connrelay.RelayOf(conn.NetConn()) != ""
+	g.targets.Put(conn)
+	if relayed {
+		return pathBlocked
+	}
+	return pathOpen
+}
+
+// expire drops old results.
+func (p *pathChecks) expire(now time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, check := range p.checks {
+		if check.endAt > 0 && now-check.endAt > pathCheckValidity {
+			delete(p.checks, address)
+		}
+	}
+}
+
+// takePending reports whether all paths have to be checked, once.
+func (p *pathChecks) takePending() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pending := p.pending
+	p.pending = false
+	return pending
+}
+
+// sweepPaths probes the blocked direct paths and, if another one has just been found blocked,
+// checks those to all targets in use.
+func (g *Gateway) sweepPaths(ctx context.Context) {
+	g.pathChecks.expire(g.clock.Now())
+	g.dialer.Probe(ctx, pathCheckTimeout, g.isTargetAddress, func(address string, conn net.Conn) {
+		if conn != nil {
+			g.targets.Put(g.targets.Wrap(address, conn))
+			return
+		}
+		for _, service := range g.listEngineServices() {
+			service.cancelSilentAttempts(address)
+		}
+	})
+	if !g.pathChecks.takePending() {
+		return
+	}
+	for _, address := range g.addressesInUse() {
+		if !g.dialer.Blocked(address) {
+			go g.checkPath(ctx, address)
+		}
+	}
+}
+
+// maxPathChecks bounds the paths that are checked at a time.
+const maxPathChecks = 32
+
+// addressesInUse returns the addresses of targets to which there are connections.
+func (g *Gateway) addressesInUse() []string {
+	addresses := g.targets.IdleAddresses()
+	for _, service := range g.listEngineServices() {
+		addresses = append(addresses, service.runningAddresses()...)
+	}
+	slices.Sort(addresses)
+	addresses = slices.Compact(addresses)
+	return addresses[:min(len(addresses), maxPathChecks)]
+}
+
+// pathFailed reports whether an attempt failed because of the path to its target, which says
+// nothing about the target. relay is the instance that relayed its connection, or empty.
+func (g *Gateway) pathFailed(ctx context.Context, a *targetAttempt, conn *targetconn.Conn, err error) bool {
+	if connrelay.RelayOf(conn.NetConn()) != "" {
+		return errors.Is(err, peer.ErrBroken)
+	}
+	if g.dialer.Blocked(a.target.Address) {
+		return true
+	}
+	// A connection that was just established has shown that its path is open.
+	if ctx.Err() != nil || !conn.Reused() && !connectionLost(err) {
+		return false
+	}
+	state := g.checkPath(ctx, a.target.Address)
+	logline.Info("path_checked", "target", a.target.ID, "address", a.target.Address, "state", state.String(), "error", err)
+	return state == pathBlocked
+}
+
+// isConnectionFailure reports whether an attempt failed below HTTP: its connection broke, or was
+// closed because nothing arrived.
+func isConnectionFailure(err error) bool {
+	var netErr net.Error
+	return connectionLost(err) || errors.Is(err, net.ErrClosed) || errors.Is(err, peer.ErrBroken) || errors.As(err, &netErr)
+}
+
+// attemptResult returns the result of an attempt for the target's circuit breaker, and whether it
+// failed because of the path to the target.
+func (g *Gateway) attemptResult(ctx context.Context, a *targetAttempt, conn *targetconn.Conn, result outcome, err error) (overload.Result, bool) {
+	r := breakerResult(ctx, result, err)
+	if r == overload.Failed && result != outcomeDelivered && isConnectionFailure(err) && g.pathFailed(ctx, a, conn, err) {
+		return overload.Cancelled, true
+	}
+	return r, false
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/peer"
 	"github.com/mastictray/mastictray/internal/replica"
+	"github.com/mastictray/mastictray/internal/targetpath"
 	"github.com/mastictray/mastictray/internal/wire"
 )
 
@@ -166,6 +168,7 @@
 	node.Handle(wire.KindExchange, p.handleExchange)
 	node.Handle(wire.KindOrderLease, p.handleLeaseRequest)
 	node.Handle(wire.KindConfigPart, p.g.configs.handlePartRequest)
+	node.HandleStream(wire.KindRelay, p.g.relays.Handle)
 	node.Serve(listener)
 	p.mu.Lock()
 	p.node = node
@@ -252,6 +255,49 @@
 	return n
 }
 
+// mayRelay reports whether an instance may relay connections for this one.
+func (p *peers) mayRelay(instance string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.known[instance]
+	return s != nil && p.isRelay(p.g.clock.Now(), s)
+}
+
+// isRelay is mayRelay for callers that hold p.mu.
+func (p *peers) isRelay(now time.Duration, s *peerState) bool {
+	return p.isFresh(now, s) && !s.state.Leaving
+}
+
+// relayPeers returns the instances that may relay connections for this one.
+func (p *peers) relayPeers() []targetpath.Peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.node == nil {
+		return nil
+	}
+	now := p.g.clock.Now()
+	var out []targetpath.Peer
+	for name, s := range p.known {
+		if p.isRelay(now, s) {
+			out = append(out, targetpath.Peer{Name: name, Address: s.Address, Domain: s.Domain, Partitioned: s.state.BlockedTargets > 0})
+		}
+	}
+	return out
+}
+
+// openStream opens a stream to a peer. There is a node if relayPeers has returned peers.
+func (p *peers) openStream(ctx context.Context, address string, kind wire.Kind, request, response any) (*peer.Stream, error) {
+	p.mu.Lock()
+	node := p.node
+	p.mu.Unlock()
+	return node.OpenStream(ctx, address, kind, request, response)
+}
+
+// hasDirectPaths reports whether a reporting peer reaches all targets directly.
+func (p *peers) hasDirectPaths() bool {
+	return slices.ContainsFunc(p.relayPeers(), func(peer targetpath.Peer) bool { return !peer.Partitioned })
+}
+
 // hubInstance returns this instance's properties for ranking.
 func (p *peers) hubInstance() hubs.Instance {
 	return hubs.Instance{Name: p.g.self.Instance, Domain: p.g.self.Domain, Capacity: p.g.settings.Capacity}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -28,11 +28,15 @@
 	cacheScope   string
 	// choice describes the placement decision, for the log.
 	choice placementInfo
+	// relay is the instance that relays the connection; empty for a direct one. pathFailed is
+	// set if the attempt failed because of the path to the target.
+	relay      string
+	pathFailed bool
 	// onSend is called before the request is written, with a function that cancels the
-	// attempt. onProgress is called for each part of the response that arrives and onAnswer
+	// attempt and the instance that relays it. onProgress is called for each part of the response that arrives and onAnswer
 	// for each one that is new to the caller, of which the first counts. onEnd is called
 	// once, at the end, and onUnreachable if no connection could be made.
-	onSend        func(cancel func(), policy cancelPolicy)
+	onSend        func(cancel func(), relay string, policy cancelPolicy)
 	onProgress    func()
 	onAnswer      func()
 	onEnd         func(overload.Result)
@@ -68,7 +72,7 @@
 		return nil, noTargetRefusal("no_target", g.pauseLeft(c), noTargetRetry)
 	}
 	return &targetAttempt{
-		target: choice.target, onSend: func(func(), cancelPolicy) {}, onProgress: func() {}, onAnswer: func() {},
+		target: choice.target, onSend: func(func(), string, cancelPolicy) {}, onProgress: func() {}, onAnswer: func() {},
 		onEnd:         func(r overload.Result) { service.endAttempt(choice, r) },
 		onUnreachable: func(err error) { service.recordUnreachable(choice, err) },
 		cancelledHere: func() bool { return false },
@@ -134,7 +138,10 @@
 			}
 			service.recordFirstToken(pl)
 		},
-		onSend:        func(cancel func(), policy cancelPolicy) { service.startAttempt(pl, cancel, policy) },
+		onSend: func(cancel func(), relay string, policy cancelPolicy) {
+			pl.relay = relay
+			service.startAttempt(pl, cancel, policy)
+		},
 		onProgress:    func() { service.recordProgress(pl) },
 		onEnd:         func(r overload.Result) { service.endAttempt(pl, r) },
 		onUnreachable: func(err error) { service.recordUnreachable(pl, err) },
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -118,27 +118,35 @@
 	c.mu.Unlock()
 }
 
-// run reads frames until the connection ends. serve returns the response and whether
-// one is to be sent.
-func (c *conn) run(serve func(wire.Identity, wire.Frame) (wire.Frame, bool)) {
+// run handles first, if it is not nil, and then reads frames until the connection ends.
+// serve returns the response and whether one is to be sent.
+func (c *conn) run(first *wire.Frame, serve func(wire.Identity, wire.Frame) (wire.Frame, bool)) {
 	defer c.close()
+	if first != nil {
+		c.handle(*first, serve)
+	}
 	for {
 		f, err := wire.Read(c.r)
 		if err != nil {
 			return
 		}
-		if f.IsResponse {
-			c.deliverResponse(f)
-			continue
-		}
-		c.serveSlots <- struct{}{}
-		go func() {
-			defer func() { <-c.serveSlots }()
-			if resp, ok := serve(c.remote, f); ok {
-				_ = c.write(resp)
-			}
-		}()
+		c.handle(f, serve)
+	}
+}
+
+// handle delivers a response, or has a call served in the background.
+func (c *conn) handle(f wire.Frame, serve func(wire.Identity, wire.Frame) (wire.Frame, bool)) {
+	if f.IsResponse {
+		c.deliverResponse(f)
+		return
 	}
+	c.serveSlots <- struct{}{}
+	go func() {
+		defer func() { <-c.serveSlots }()
+		if resp, ok := serve(c.remote, f); ok {
+			_ = c.write(resp)
+		}
+	}()
 }
 
 func (c *conn) deliverResponse(f wire.Frame) {
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -6,6 +6,7 @@
 	"crypto/tls"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -31,6 +32,7 @@
 type Node struct {
 	opts     Options
 	handlers map[wire.Kind]Handler
+	streams  map[wire.Kind]StreamHandler
 	ctx      context.Context
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
@@ -57,6 +59,7 @@
 	return &Node{
 		opts:     opts,
 		handlers: make(map[wire.Kind]Handler),
+		streams:  make(map[wire.Kind]StreamHandler),
 		ctx:      ctx,
 		cancel:   cancel,
 		conns:    make(map[string]*conn),
@@ -68,6 +71,9 @@
 // Handle registers the handler for a kind of message.
 func (n *Node) Handle(kind wire.Kind, h Handler) { n.handlers[kind] = h }
 
+// HandleStream registers the handler for streams that are opened with a kind of message.
+func (n *Node) HandleStream(kind wire.Kind, h StreamHandler) { n.streams[kind] = h }
+
 // Self returns this process's identity.
 func (n *Node) Self() wire.Identity { return n.opts.Self }
 
@@ -110,10 +116,21 @@
 		raw.Close()
 		return
 	}
-	c.run(n.serve)
-	n.mu.Lock()
-	delete(n.inbound, c)
-	n.mu.Unlock()
+	defer func() {
+		n.mu.Lock()
+		delete(n.inbound, c)
+		n.mu.Unlock()
+	}()
+	first, err := wire.Read(r)
+	if err != nil {
+		c.close()
+		return
+	}
+	if h, ok := n.streams[first.Kind]; ok && !first.IsResponse {
+		h(n.ctx, &Stream{raw: raw, r: r, remote: from}, first)
+		return
+	}
+	c.run(&first, n.serve)
 }
 
 func (n *Node) trackInbound(c *conn) bool {
@@ -231,7 +248,7 @@
 		n.wg.Add(1)
 		go func() {
 			defer n.wg.Done()
-			c.run(n.serve)
+			c.run(nil, n.serve)
 		}()
 	}
 	n.mu.Unlock()
@@ -240,21 +257,38 @@
 }
 
 func (n *Node) dialPeer(addr string) (*conn, error) {
-	dialer := net.Dialer{Timeout: handshakeTimeout}
-	raw, err := dialer.DialContext(n.ctx, "tcp", addr)
+	raw, r, from, err := n.dialAndAuthenticate(n.ctx, addr)
 	if err != nil {
-		return nil, errors.Wrapf(err, "dial peer=%s", addr)
+		return nil, err
+	}
+	return newConn(raw, r, from), nil
+}
+
+// streamKeepAlive makes a connection end within about four seconds after its peer's machine has
+// failed.
+var streamKeepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}
+
+// dialAndAuthenticate connects to a peer and makes the handshake.
+func (n *Node) dialAndAuthenticate(ctx context.Context, addr string) (net.Conn, *bufio.Reader, wire.Identity, error) {
+	dialer := net.Dialer{Timeout: handshakeTimeout, KeepAliveConfig: streamKeepAlive}
+	raw, err := dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, nil, wire.Identity{}, errors.Wrapf(err, "dial peer=%s", addr)
 	}
 	if n.opts.TLS != nil {
 		raw = tls.Client(raw, n.opts.TLS)
 	}
+	stop := context.AfterFunc(ctx, func() { raw.Close() })
 	r := bufio.NewReader(raw)
 	from, err := handshake(raw, r, n.opts.Self, n.opts.Secret, roleDialer)
+	if !stop() && err == nil {
+		err = ctx.Err()
+	}
 	if err != nil {
 		raw.Close()
-		return nil, err
+		return nil, nil, wire.Identity{}, err
 	}
-	return newConn(raw, r, from), nil
+	return raw, r, from, nil
 }
 
 // Close closes the listener and all connections and waits for the node's goroutines.
--- a/internal/targetconn/conn.go
+++ b/internal/targetconn/conn.go
@@ -9,11 +9,11 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sys/unix"
+
+	"github.com/mastictray/mastictray/internal/quietconn"
 )
 
 const (
@@ -195,6 +195,9 @@
 	}
 }
 
+// NetConn returns the underlying connection.
+func (c *Conn) NetConn() net.Conn { return c.netConn }
+
 // MarkBroken prevents the connection from being reused.
 func (c *Conn) MarkBroken() { c.broken = true }
 
@@ -208,20 +211,8 @@
 // On a closed connection the next request would be lost without any information
 // whether it was executed. Unexpected bytes would be read as its response.
 func (c *Conn) isReusable() bool {
-	sys, ok := c.netConn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sys.SyscallConn()
-	if err != nil {
-		return false
+	if stream, ok := c.netConn.(interface{ Idle() bool }); ok {
+		return stream.Idle()
 	}
-	empty := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		empty = err == unix.EAGAIN
-		return true
-	})
-	return err == nil && empty
+	return quietconn.IsQuiet(c.netConn)
 }
--- a/internal/targetconn/pool.go
+++ b/internal/targetconn/pool.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -22,6 +24,8 @@
 type Options struct {
 	// Dial establishes connections; nil for TCP connections with keep-alive probes.
 	Dial DialFunc
+	// Usable reports whether an idle connection may still be used; nil if all may.
+	Usable func(net.Conn) bool
 	// DialTimeout limits the time to establish a connection.
 	DialTimeout time.Duration
 	// MaxIdle is the maximum number of idle connections per target.
@@ -99,9 +103,9 @@
 	for {
 		c := p.popIdle(addr)
 		if c == nil {
-			return p.dial(ctx, addr)
+			return p.Dial(ctx, addr)
 		}
-		if p.now()-c.idleSince < min(maxIdleTime, c.idleTimeout) && c.isReusable() {
+		if p.now()-c.idleSince < min(maxIdleTime, c.idleTimeout) && p.isUsable(c) && c.isReusable() {
 			c.reused = true
 			return c, nil
 		}
@@ -123,18 +127,26 @@
 	return c
 }
 
-func (p *Pool) dial(ctx context.Context, addr string) (*Conn, error) {
+func (p *Pool) isUsable(c *Conn) bool { return p.options.Usable == nil || p.options.Usable(c.netConn) }
+
+// Dial returns a new connection. Its errors are marked with ErrNotSent.
+func (p *Pool) Dial(ctx context.Context, addr string) (*Conn, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, p.options.DialTimeout)
 	defer cancel()
 	netConn, err := p.options.Dial(dialCtx, "tcp", addr)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "dial target=%s", addr), ErrNotSent)
 	}
+	return p.Wrap(addr, netConn), nil
+}
+
+// Wrap returns a new connection to a target that was established elsewhere.
+func (p *Pool) Wrap(addr string, netConn net.Conn) *Conn {
 	p.mu.Lock()
 	p.dialCount++
 	p.mu.Unlock()
 	limited := &limitedReader{r: netConn}
-	return &Conn{addr: addr, netConn: netConn, limited: limited, r: bufio.NewReaderSize(limited, readBufferBytes), idleTimeout: p.options.IdleTimeout}, nil
+	return &Conn{addr: addr, netConn: netConn, limited: limited, r: bufio.NewReaderSize(limited, readBufferBytes), idleTimeout: p.options.IdleTimeout}
 }
 
 // Put returns a connection to the pool, or closes it if it can't be reused.
@@ -176,7 +188,15 @@
 	}
 }
 
-// CloseExpired closes the connections whose idle timeout has passed.
+// IdleAddresses returns the addresses with idle connections.
+func (p *Pool) IdleAddresses() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Collect(maps.Keys(p.idle))
+}
+
+// CloseExpired closes the connections whose idle timeout has passed or that must not be used any
+// more.
 func (p *Pool) CloseExpired() {
 	now := p.now()
 	var expired []*Conn
@@ -184,7 +204,7 @@
 	for addr, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if now-c.idleSince < c.idleTimeout {
+			if now-c.idleSince < c.idleTimeout && p.isUsable(c) {
 				kept = append(kept, c)
 			} else {
 				expired = append(expired, c)
--- /dev/null
+++ b/internal/targetpath/targetpath.go
@@ -0,0 +1,147 @@
+// Package targetpath decides by which path an instance connects to its targets: directly, or
+// through a peer while the direct path is blocked and the peer's is not. An instance that can't
+// reach a target can't tell by itself whether the target is down. Only if no peer reaches it
+// either, it counts as down.
+//
+// The package does no I/O and reads no clock.
+package targetpath
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	// HeadStart is how long a connection attempt over the preferred path may take before the
+	// other path is tried as well. It is many round trips.
+	HeadStart = 100 * time.Millisecond
+	// ProbeInterval is the interval between attempts to connect directly to a target whose
+	// direct path is blocked.
+	ProbeInterval = 500 * time.Millisecond
+	// relaySuspension is how long no peer is asked for a target that no peer could reach.
+	relaySuspension = 500 * time.Millisecond
+	// peerFailureMemory is how long a peer that could not connect to a target is asked last.
+	peerFailureMemory = time.Second
+)
+
+// Tracker holds what is known of the paths to the targets, by address. It is not safe for
+// concurrent use.
+type Tracker struct {
+	blocked        map[string]*blockedPath
+	suspendedUntil map[string]time.Duration
+	peerFailedAt   map[string]time.Duration
+}
+
+// blockedPath is a direct path over which no connection can be made.
+type blockedPath struct{ probeAt time.Duration }
+
+// New returns a Tracker for which all direct paths are open.
+func New() *Tracker {
+	return &Tracker{blocked: map[string]*blockedPath{}, suspendedUntil: map[string]time.Duration{}, peerFailedAt: map[string]time.Duration{}}
+}
+
+// Blocked reports whether the direct path to a target is blocked.
+func (t *Tracker) Blocked(address string) bool { return t.blocked[address] != nil }
+
+// BlockedCount returns the number of targets whose direct paths are blocked.
+func (t *Tracker) BlockedCount() int { return len(t.blocked) }
+
+// MayRelay reports whether peers may be asked to connect to a target.
+func (t *Tracker) MayRelay(now time.Duration, address string) bool {
+	return now >= t.suspendedUntil[address]
+}
+
+// DirectConnected records a direct connection. It returns true if the path counted as blocked;
+// the other blocked paths are probed at once then, since they usually recover together.
+func (t *Tracker) DirectConnected(now time.Duration, address string) (recovered bool) {
+	if t.blocked[address] == nil {
+		return false
+	}
+	delete(t.blocked, address)
+	for _, path := range t.blocked {
+		path.probeAt = now
+	}
+	return true
+}
+
+// Relayed records that a peer has connected to a target and a direct attempt has not. It returns
+// true if the path counted as open.
+func (t *Tracker) Relayed(now time.Duration, address string) (blocked bool) {
+	delete(t.suspendedUntil, address)
+	if t.blocked[address] != nil {
+		return false
+	}
+	t.blocked[address] = &blockedPath{probeAt: now + ProbeInterval}
+	return true
+}
+
+// Unreachable records that no peer could connect to a target.
+func (t *Tracker) Unreachable(now time.Duration, address string) {
+	t.suspendedUntil[address] = now + relaySuspension
+}
+
+// PeerFailed records that a peer could not connect to a target.
+func (t *Tracker) PeerFailed(now time.Duration, peer string) { t.peerFailedAt[peer] = now }
+
+// DueProbes returns at most limit targets to which a direct connection has to be tried now.
+func (t *Tracker) DueProbes(now time.Duration, limit int) []string {
+	var due []string
+	for address, path := range t.blocked {
+		if len(due) < limit && now >= path.probeAt {
+			path.probeAt = now + ProbeInterval
+			due = append(due, address)
+		}
+	}
+	return due
+}
+
+// Retain drops what has expired, and the targets for which exists returns false.
+func (t *Tracker) Retain(now time.Duration, exists func(address string) bool) {
+	for address := range t.blocked {
+		if !exists(address) {
+			delete(t.blocked, address)
+		}
+	}
+	for address, until := range t.suspendedUntil {
+		if now >= until {
+			delete(t.suspendedUntil, address)
+		}
+	}
+	for peer, at := range t.peerFailedAt {
+		if now-at > peerFailureMemory {
+			delete(t.peerFailedAt, peer)
+		}
+	}
+}
+
+// Peer is an instance that may relay connections.
+type Peer struct {
+	Name    string
+	Address string
+	Domain  string
+	// Partitioned is set if the peer itself reaches some targets only through others.
+	Partitioned bool
+}
+
+// Order sorts peers by the order in which they are asked: first those that are not partitioned
+// and have not failed lately, of these first the ones in the instance's own domain, otherwise at
+// random.
+func (t *Tracker) Order(now time.Duration, domain string, peers []Peer, rng *rand.Rand) {
+	rng.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	rank := func(p Peer) int {
+		r := 0
+		if p.Partitioned {
+			r += 4
+		}
+		if at, failed := t.peerFailedAt[p.Name]; failed && now-at <= peerFailureMemory {
+			r += 2
+		}
+		if p.Domain != domain {
+			r++
+		}
+		return r
+	}
+	slices.SortStableFunc(peers, func(a, b Peer) int { return cmp.Compare(rank(a), rank(b)) })
+}
--- /dev/null
+++ b/internal/targetpath/targetpath_test.go
@@ -0,0 +1,89 @@
+package targetpath
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestBlockedPathIsProbedUntilItIsOpen(t *testing.T) {
+	is := is.New(t)
+	tracker := New()
+	is.True(tracker.Relayed(0, "a"))
+	is.True(!tracker.Relayed(0, "a")) // known already
+	is.True(tracker.Blocked("a"))
+	is.Equal(len(tracker.DueProbes(ProbeInterval-1, 8)), 0)
+	is.Equal(tracker.DueProbes(ProbeInterval, 8), []string{"a"})
+	is.Equal(len(tracker.DueProbes(ProbeInterval, 8)), 0)
+	is.True(tracker.DirectConnected(ProbeInterval, "a"))
+	is.True(!tracker.Blocked("a"))
+	is.True(!tracker.DirectConnected(ProbeInterval, "a"))
+}
+
+// Guards against instances that keep using peers after a partition because each path is probed by
+// itself.
+func TestRecoveryOfOnePathHasTheOthersProbedAtOnce(t *testing.T) {
+	is := is.New(t)
+	tracker := New()
+	for _, address := range []string{"a", "b", "c"} {
+		tracker.Relayed(0, address)
+	}
+	tracker.DirectConnected(time.Millisecond, "b")
+	is.Equal(len(tracker.DueProbes(time.Millisecond, 1)), 1)
+	is.Equal(len(tracker.DueProbes(time.Millisecond, 8)), 1)
+	is.Equal(tracker.BlockedCount(), 2)
+}
+
+// Guards against asking peers for a target that is down with every connection attempt.
+func TestPeersAreNotAskedAgainAtOnceForAnUnreachableTarget(t *testing.T) {
+	is := is.New(t)
+	tracker := New()
+	is.True(tracker.MayRelay(0, "a"))
+	tracker.Unreachable(0, "a")
+	is.True(!tracker.MayRelay(relaySuspension-1, "a"))
+	is.True(tracker.MayRelay(relaySuspension-1, "b"))
+	is.True(tracker.MayRelay(relaySuspension, "a"))
+	tracker.Unreachable(0, "a")
+	tracker.Relayed(0, "a")
+	is.True(tracker.MayRelay(0, "a"))
+}
+
+func TestTargetsThatAreGoneAreForgotten(t *testing.T) {
+	is := is.New(t)
+	tracker := New()
+	tracker.Relayed(0, "a")
+	tracker.Relayed(0, "b")
+	tracker.Unreachable(0, "c")
+	tracker.PeerFailed(0, "p")
+	tracker.Retain(time.Minute, func(address string) bool { return address == "a" })
+	is.Equal(tracker.BlockedCount(), 1)
+	is.Equal(len(tracker.suspendedUntil)+len(tracker.peerFailedAt), 0)
+}
+
+func TestOrderOfPeers(t *testing.T) {
+	peers := map[string]Peer{
+		"near": {Name: "near", Domain: "d1"}, "far": {Name: "far", Domain: "d2"},
+		"near, partitioned": {Name: "near, partitioned", Domain: "d1", Partitioned: true},
+		"near, failed":      {Name: "near, failed", Domain: "d1"},
+		"far, failed":       {Name: "far, failed", Domain: "d2"},
+	}
+	want := []string{"near", "far", "near, failed", "far, failed", "near, partitioned"}
+	for seed := range uint64(20) {
+		is := is.New(t)
+		tracker := New()
+		tracker.PeerFailed(0, "near, failed")
+		tracker.PeerFailed(0, "far, failed")
+		var list []Peer
+		for _, p := range peers {
+			list = append(list, p)
+		}
+		tracker.Order(peerFailureMemory, "d1", list, rand.New(rand.NewPCG(seed, 0)))
+		var got []string
+		for _, p := range list {
+			got = append(got, p.Name)
+		}
+		is.Equal(got, want)
+	}
+}
