gateway: unreachable targets are used again once they accept connections

Callers of an instance whose links had all been reset for 10 s got 503 for whole services for up to seconds after the end.

Cause: a target that could not be reached opened its breaker, and each failed connection doubled the wait before the next, up to 10 s. Every target of a service waited for its own probe when the links were back. With silent links the failure domains were probed twice a second, which is why only resets and refusals showed it.

Now unreachable targets are probed by a direct connection twice a second; one that accepts it starts with four requests in flight. Requests that fail over open connections still open breakers as before. An attempt that breaks while no path is left marks its target as unreachable at once, so that it is probed too.

--- a/internal/gateway/engineservice.go
+++ b/internal/gateway/engineservice.go
@@ -104,6 +104,8 @@
 	// pauses holds the targets that have refused a request as a whole and asked for a pause,
 	// backoffs all that have refused one shortly before.
 	pauses, backoffs *targetpause.Pauses[directory.Incarnation]
+	// unreachable tracks the probes of unreachable targets.
+	unreachable unreachableProbes
 	// stepScheduled is set while a timer for the next step runs.
 	stepScheduled bool
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -258,6 +258,7 @@
 		g.targets.CloseExpired()
 		g.callers.closeIdle()
 		g.sweepPaths(ctx)
+		g.probeUnreachable(ctx)
 		g.checkSilentTargets(ctx)
 		g.probeDomains(ctx)
 	}
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -204,7 +204,7 @@
 }
 
 // pathFailed reports whether an attempt failed because of the path to its target, which says
-// nothing about the target. relay is the instance that relayed its connection, or empty.
+// nothing about the target. If it finds no path at all, it records that.
 func (g *Gateway) pathFailed(ctx context.Context, a *targetAttempt, conn *targetconn.Conn, err error) bool {
 	if connrelay.RelayOf(conn.NetConn()) != "" {
 		return errors.Is(err, peer.ErrBroken)
@@ -218,6 +218,9 @@
 	}
 	state := g.checkPath(ctx, a.target.Address)
 	logline.Info("path_checked", "target", a.target.ID, "address", a.target.Address, "state", state.String(), "error", err)
+	if state == pathNone {
+		a.onUnreachable(err)
+	}
 	return state == pathBlocked
 }
 
--- a/internal/gateway/plainservice.go
+++ b/internal/gateway/plainservice.go
@@ -24,6 +24,8 @@
 	pauses  *targetpause.Pauses[directory.Incarnation]
 	rng     *rand.Rand
 	scratch []placement.ServiceTarget
+	// unreachable tracks the probes of unreachable targets.
+	unreachable unreachableProbes
 }
 
 type serviceTarget struct {
--- a/internal/overload/breaker.go
+++ b/internal/overload/breaker.go
@@ -82,6 +82,8 @@
 	inFlight     int
 	openDuration time.Duration
 	probeAt      time.Duration
+	// unreachable is set while the breaker is open because no connection can be made.
+	unreachable bool
 	// epoch increases when the breaker opens or the target restarts. Results of requests
 	// from an earlier epoch are ignored, as they say nothing about the current state of
 	// the target.
@@ -165,7 +167,7 @@
 // doubles with each round of answers.
 func (b *Breaker) raiseLimit() {
 	if b.state == Open {
-		b.state, b.limit = SlowStart, 1
+		b.state, b.limit, b.unreachable = SlowStart, 1, false
 	}
 	b.limit++
 	if b.limit > b.cfg.SlowStartLimit {
@@ -210,11 +212,30 @@
 	if b.state != Open || now >= b.probeAt {
 		b.open(now, rng)
 	}
+	b.unreachable = true
+}
+
+// IsUnreachable reports whether the breaker is open because no connection could be made.
+func (b *Breaker) IsUnreachable() bool { return b.unreachable }
+
+// reachableLimit is the slow start limit of a target that accepts connections again. It has
+// probably kept running.
+const reachableLimit = 4
+
+// Reachable begins a slow start because an unreachable target accepts connections again, without
+// waiting for the next probe. It has no effect on a target that failed otherwise.
+func (b *Breaker) Reachable() {
+	if !b.unreachable {
+		return
+	}
+	b.state, b.limit, b.inFlight, b.unreachable = SlowStart, reachableLimit, 0, false
+	b.openDuration = b.cfg.FirstWait
+	b.epoch++
 }
 
 // Restarted begins a slow start because the target answers as a new incarnation, whose
 // cache is empty, even if no request has failed.
 func (b *Breaker) Restarted() {
-	b.state, b.limit, b.inFlight = SlowStart, 1, 0
+	b.state, b.limit, b.inFlight, b.unreachable = SlowStart, 1, 0, false
 	b.epoch++
 }
--- a/internal/overload/breaker_test.go
+++ b/internal/overload/breaker_test.go
@@ -176,3 +176,38 @@
 		}
 	})
 }
+
+// Guards against targets that get no requests for seconds after a partition because each failed
+// probe during it has doubled the wait.
+func TestReachableTargetIsUsedAtOnce(t *testing.T) {
+	is := is.New(t)
+	b, rng := NewBreaker(BreakerConfig{}), rand.New(rand.NewPCG(1, 1))
+	now := time.Duration(0)
+	for range 10 {
+		b.Unreachable(now, rng)
+		now += 20 * time.Second
+	}
+	b.Unreachable(now, rng)
+	is.True(b.IsUnreachable())
+	is.True(!b.Ready(now + time.Second))
+	b.Reachable()
+	is.Equal(b.State(), SlowStart)
+	for range reachableLimit {
+		is.True(b.Ready(now + time.Second))
+		b.Begin()
+	}
+	is.True(!b.Ready(now + time.Second))
+}
+
+// Guards against a target that fails its requests and is used again because it accepts
+// connections.
+func TestFailingTargetStaysOpenWhenItAcceptsConnections(t *testing.T) {
+	is := is.New(t)
+	b, rng := NewBreaker(BreakerConfig{}), rand.New(rand.NewPCG(1, 1))
+	for range 5 {
+		b.End(0, b.Begin(), Failed, rng)
+	}
+	is.Equal(b.State(), Open)
+	b.Reachable()
+	is.Equal(b.State(), Open)
+}
