gateway: a KV cache store out of this instance's reach stays in use while peers report it

An instance that polls the stores and lost its path to one had targets neither fetch from it nor save to it, although they, and the peers, reached it. It ignored the peers' reports because it counted as a poller itself.

A store whose poll fails now counts as reachable for 2 s after a peer's last report. The instance reports it no more itself, so that reports end when nobody reaches the store. TestCacheStoreOutOfReachIsUsedWhilePeersReportIt failed before at its second check.

--- a/internal/gateway/cachestore.go
+++ b/internal/gateway/cachestore.go
@@ -27,6 +27,9 @@
 	// number of requests that a store serves at once. They tell the other instances whether
 	// the store is reachable.
 	maxCacheReaders = 8
+	// cacheReportValidity is how long a store counts as reachable that a peer has reported as
+	// such and that doesn't respond to this instance.
+	cacheReportValidity = 2 * time.Second
 )
 
 // cacheStores tracks the KV cache stores that this instance tells targets to use. Each
@@ -48,8 +51,10 @@
 	// answeredAt is when the store last responded to this instance, or when a peer last
 	// reported it as reachable.
 	answeredAt time.Duration
-	// polling is set while this instance polls the store.
-	polling bool
+	// reportedAt is when a peer last reported the store as reachable.
+	reportedAt time.Duration
+	// polling is set while this instance polls the store, failing if its last poll failed.
+	polling, failing bool
 }
 
 func newCacheStores(g *Gateway) *cacheStores {
@@ -82,7 +87,7 @@
 		for _, a := range addresses {
 			next[a] = s.stores[a]
 			if next[a] == nil {
-				next[a] = &cacheStore{index: storeindex.New()}
+				next[a] = &cacheStore{index: storeindex.New(), reportedAt: never}
 			}
 		}
 		s.stores = next
@@ -134,9 +139,13 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	store.polling = false
+	store.polling, store.failing = false, err != nil
 	_, wasReachable := store.index.Reachable()
 	if err != nil {
+		store.index.StopFollowing()
+		if s.g.clock.Now()-store.reportedAt <= cacheReportValidity {
+			return // targets reach the store, as peers do
+		}
 		store.index.MarkUnreachable()
 		if wasReachable {
 			logline.Error(err, "cache_store_lost", "address", address)
@@ -233,21 +242,26 @@
 	defer s.mu.Unlock()
 	var out []wire.CacheStore
 	for address, store := range s.stores {
-		if boot, ok := store.index.Reachable(); ok && store.polling {
+		if boot, ok := store.index.Reachable(); ok && store.polling && !store.failing {
 			out = append(out, wire.CacheStore{Address: address, BootEpoch: boot})
 		}
 	}
 	return out
 }
 
-// applyPeerReports records the stores that a peer polls as reachable. Stores that this
-// instance polls itself are skipped, because its own information is better.
+// applyPeerReports records the stores that a peer polls as reachable. Stores that respond to
+// this instance are skipped, because its own information is better.
 func (s *cacheStores) applyPeerReports(stores []wire.CacheStore) {
 	now := s.g.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, report := range stores {
-		if store := s.stores[report.Address]; store != nil && !store.polling {
+		store := s.stores[report.Address]
+		if store == nil {
+			continue
+		}
+		store.reportedAt = now
+		if !store.polling || store.failing {
 			store.answeredAt = now
 			store.index.MarkReachable(report.BootEpoch)
 		}
