gateway: an instance whose orders fail checks its paths and gives up the order lease

A holder of the order lease without a path to the targets kept renewing it, and new weights were loaded by none until the path was back. Requests of its own callers tell an instance of a blocked path; a holder that gets none learned nothing from its failed orders and state queries. These now have the path checked.

TestPartitionedHolderLosesTheOrderLease passes in 4.9 s; with the lease renewed as before it fails after 20 s.

--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -236,6 +236,9 @@
 	defer cancel()
 	queriedAt := g.clock.Now()
 	o, err := g.control.State(ctx, t)
+	if err != nil {
+		g.checkPath(ctx, t.Address)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if err != nil {
@@ -267,6 +270,9 @@
 		return
 	}
 	receipt, err := g.control.Order(ctx, s.Target, s.Order)
+	if err != nil {
+		g.checkPath(ctx, s.Target.Address)
+	}
 	logline.Info("order", "target", s.Target.ID, "model", s.Order.Model, "version", s.Order.Version, "accepted_before", s.Order.ExpectedAccepted,
 		"token", s.Order.Token, "receipt", string(receipt), "error", err)
 	g.mu.Lock()
