gateway: status, metrics and logs tell of blocked paths and relayed connections

From a request's id an operator sees whether its connection was relayed, by whom, and whether an attempt failed because of the path.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -36,6 +36,7 @@
 	}
 	c.sendCount++
 	a.relay = connrelay.RelayOf(conn.NetConn())
+	c.lastRelay = a.relay
 	a.onSend(conn.Close, a.relay, g.cancelPolicyFor(c))
 	stop := context.AfterFunc(ctx, conn.Close)
 	result, err := g.roundTrip(ctx, c, a, relay, conn)
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -53,13 +53,13 @@
 
 func (g *Gateway) logFailedAttempt(c *call, a *targetAttempt, result string, err error) {
 	logline.Info("attempt_failed", "request", c.ID, "route", c.route.Name, "target", a.target.ID, "address", a.target.Address,
-		"domain", a.target.Domain, "weights", a.choice.weightsVersion, "attempt", c.sendCount, "result", result, "error", err, "after", g.clock.Now()-c.startedAt)
+		"domain", a.target.Domain, "weights", a.choice.weightsVersion, "attempt", c.sendCount, "result", result, "relay", a.relay, "path_failed", a.pathFailed, "error", err, "after", g.clock.Now()-c.startedAt)
 }
 
 func (g *Gateway) logAnswered(c *call, relay *responseRelay) {
 	total := g.clock.Now() - c.startedAt
 	g.metrics.answered(c, relay, total)
-	logline.InfoSampled("answered", "request", c.ID, "route", c.route.Name, "account", accountName(c), "target", c.lastTarget,
+	logline.InfoSampled("answered", "request", c.ID, "route", c.route.Name, "account", accountName(c), "target", c.lastTarget, "relay", c.lastRelay,
 		"weights", c.choice.weightsVersion, "status", relay.status, "attempts", c.sendCount, "events", relay.eventCount, "queued", c.placedAt-c.startedAt, "first", relay.firstByteAfter, "after", total,
 		"expected", c.choice.expectedTTFT, "cached_pieces", c.choice.cachedPieces, "uncached", c.choice.uncachedTokens, "targets", c.choice.eligibleTargets)
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -57,8 +57,10 @@
 	// lastTarget is the target of the last attempt, choice the reason for choosing it
 	// and placedAt the time of that choice.
 	lastTarget string
-	choice     placementInfo
-	placedAt   time.Duration
+	// lastRelay is the instance that relayed the last attempt's connection, or empty.
+	lastRelay string
+	choice    placementInfo
+	placedAt  time.Duration
 }
 
 // ServeHTTP implements http.Handler for callers.
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -22,6 +22,10 @@
 	Config int64 `json:"config_version"`
 	// HoldsOrders is set if the instance holds the order lease.
 	HoldsOrders bool `json:"holds_orders"`
+	// BlockedTargets is the number of targets that are reached only through peers,
+	// RelayedConnections the number of connections relayed for peers.
+	BlockedTargets     int `json:"blocked_targets"`
+	RelayedConnections int `json:"relayed_connections"`
 	// Followers are the instances whose updates arrive directly rather than through
 	// another instance.
 	Followers []string       `json:"followers"`
@@ -46,7 +50,7 @@
 	_, holds := g.lease.held(now)
 	s := Status{
 		Instance: g.self.Instance, Incarnation: g.self.Incarnation, Domain: g.self.Domain, Config: g.configVersion(),
-		HoldsOrders: holds,
+		HoldsOrders: holds, BlockedTargets: g.dialer.BlockedCount(), RelayedConnections: g.relays.Active(),
 	}
 	g.peers.addToStatus(now, &s)
 	return s
@@ -108,6 +112,8 @@
 		g.metrics.gauge(fmt.Sprintf(`mastictray_peer_update_age_seconds{domain=%q}`, d.Domain)).
 			Set((time.Duration(d.OldestUpdateMS) * time.Millisecond).Seconds())
 	}
+	g.metrics.gauge(`mastictray_blocked_targets`).Set(float64(s.BlockedTargets))
+	g.metrics.gauge(`mastictray_relayed_connections`).Set(float64(s.RelayedConnections))
 	g.metrics.gauge(`mastictray_followers`).Set(float64(len(s.Followers)))
 	for _, role := range []string{"mesh", "hub", "follower"} {
 		is := 0.0
