gateway: instances stay within the rejections that a target can bear

Class of the fault: what a target says of itself in its answers is not taken in, as with rate limits and announced departures before.

The limiter of targets' rates now also holds the stated rejections and passes them on to peers. While one is stated, the instances share the target's slots, so that there is room for what they send; and an instance that is rejected sends nothing there for (instances / rejections per second), so that all together stay within the number even if the target has less room than it registered. Model servers queue what exceeds the share; requests of plain services are refused at once.

A fleet with more instances than a target has slots may still send more than there is room for, as each instance keeps a share of one; then only the pauses bound the rejections.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -14,6 +14,7 @@
 	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/overload"
 	"github.com/mastictray/mastictray/internal/targetconn"
+	"github.com/mastictray/mastictray/internal/targetlimit"
 )
 
 // runAttempt sends the request to one target and relays its response.
@@ -154,8 +155,11 @@
 	}
 	defer resp.Body.Close()
 	info := g.dialect.Inspect(resp)
-	if info.RateLimit > 0 || info.Signed || info.NotRun {
-		g.limits.observe(c.placedAt, a.target.Incarnation(), info.RateLimit)
+	if info.Limit != (targetlimit.Limit{}) || info.Signed || info.NotRun {
+		g.limits.observe(c.placedAt, a.target.Incarnation(), info.Limit)
+	}
+	if info.NotRun {
+		g.limits.recordRejection(a.target.Incarnation())
 	}
 	if info.Leaving && (info.Signed || info.NotRun) {
 		g.recordLeaving(c, a.target.Incarnation())
--- a/internal/gateway/engineservice.go
+++ b/internal/gateway/engineservice.go
@@ -15,6 +15,7 @@
 	"github.com/mastictray/mastictray/internal/placement"
 	"github.com/mastictray/mastictray/internal/routing"
 	"github.com/mastictray/mastictray/internal/servicetime"
+	"github.com/mastictray/mastictray/internal/targetlimit"
 	"github.com/mastictray/mastictray/internal/targetpause"
 )
 
@@ -340,30 +341,36 @@
 // refreshRateLimits updates the placement filters with the targets whose advertised rate
 // limits allow a request now. The caller holds s.mu.
 func (s *engineService) refreshRateLimits() {
-	canSend := s.limits.limitedTargets()
-	if len(canSend)+len(s.rateLimited) == 0 {
+	permissions := s.limits.limitedTargets()
+	if len(permissions)+len(s.rateLimited) == 0 {
 		return
 	}
 	for id := range s.rateLimited {
-		s.setRateLimit(id, false, false)
+		s.setPermission(id, targetlimit.Permission{CanSend: true})
 	}
 	s.rateLimited = map[string]bool{}
-	for id, allowed := range canSend {
+	for id, p := range permissions {
 		if r, ok := s.registrations[id.ID]; ok && r.Incarnation() == id {
 			s.rateLimited[id.ID] = true
-			s.setRateLimit(id.ID, true, !allowed)
+			s.setPermission(id.ID, p)
 		}
 	}
 }
 
-// setRateLimit sets whether a target advertises a rate limit and whether that limit allows
-// no request now. The caller holds s.mu.
-func (s *engineService) setRateLimit(id string, limited, overRate bool) {
-	if i, ok := s.pool.Find(id); ok {
-		t := s.pool.Target(i)
-		t.RateLimited, t.OverRate = limited, overRate
-		s.pool.ApplyFilters(i)
+// setPermission sets what may be sent to a target now. The caller holds s.mu.
+func (s *engineService) setPermission(id string, p targetlimit.Permission) {
+	i, ok := s.pool.Find(id)
+	if !ok {
+		return
+	}
+	t := s.pool.Target(i)
+	t.RateLimited, t.OverRate = p.RateLimited, !p.CanSend
+	r := s.registrations[id]
+	t.Limit = r.Slots
+	if p.ShareSlots {
+		t.Limit = s.limits.slotShare(r.Incarnation(), r.Slots)
 	}
+	s.pool.ApplyFilters(i)
 }
 
 // recordFirstToken records the first token of a response. Further calls for the same
--- a/internal/gateway/plainservice.go
+++ b/internal/gateway/plainservice.go
@@ -106,7 +106,8 @@
 // another attempt. The caller holds s.mu.
 func (s *plainService) isUsable(now time.Duration, t *serviceTarget, exclude []string) bool {
 	id := t.registration.Incarnation()
-	return !slices.Contains(exclude, id.ID) && t.breaker.Ready(now) && s.pauses.Left(now, id) == 0 && s.limits.canSend(id)
+	return !slices.Contains(exclude, id.ID) && t.breaker.Ready(now) && s.pauses.Left(now, id) == 0 && s.limits.canSend(id) &&
+		s.limits.hasRoom(id, t.registration.Slots, t.inFlight)
 }
 
 // maxOutstanding bounds this instance's requests at one target. It is far above what a
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/mastictray/mastictray/internal/prefix"
+	"github.com/mastictray/mastictray/internal/targetlimit"
 )
 
 // Request is a caller's request, independent of the protocol.
@@ -91,9 +92,8 @@
 	// Pause is the time for which a target that refused the request wants no more of them from
 	// this instance; 0 if it does not say.
 	Pause time.Duration
-	// RateLimit is the number of requests per second that the target accepts from all
-	// instances together; 0 for no limit.
-	RateLimit float64
+	// Limit is what the target accepts from all instances together.
+	Limit targetlimit.Limit
 }
 
 // Refusal is a final response by the gateway itself.
--- a/internal/gateway/targetlimits.go
+++ b/internal/gateway/targetlimits.go
@@ -11,8 +11,8 @@
 	"github.com/mastictray/mastictray/internal/wire"
 )
 
-// targetLimits shares a targetlimit.Limiter between goroutines. It holds the requests per
-// second that targets accept from all instances together, as their responses state them.
+// targetLimits shares a targetlimit.Limiter between goroutines. It holds the limits that targets
+// state in their responses and that hold for all instances together.
 // Its lock is acquired after all others.
 type targetLimits struct {
 	now func() time.Duration
@@ -26,13 +26,13 @@
 }
 
 // observe records the limit that a target stated in the response to a request sent at the
-// given time; 0 for no limit.
-func (t *targetLimits) observe(sent time.Duration, id directory.Incarnation, limit float64) {
+// given time.
+func (t *targetLimits) observe(sent time.Duration, id directory.Incarnation, limit targetlimit.Limit) {
 	t.mu.Lock()
 	changed := t.limiter.Observe(t.now(), sent, id, limit)
 	t.mu.Unlock()
 	if changed {
-		logline.Info("target_limit", "target", id.ID, "born", id.StartedMs, "limit", limit)
+		logline.Info("target_limit", "target", id.ID, "born", id.StartedMs, "limit", limit.Rate, "rejections", limit.Rejections)
 	}
 }
 
@@ -52,7 +52,7 @@
 	}
 	reports := make([]targetlimit.Report, len(limits))
 	for i, l := range limits {
-		reports[i] = targetlimit.Report{Target: directory.Incarnation{ID: l.Target, StartedMs: l.Born}, Rate: l.Rate, Revision: l.Revision}
+		reports[i] = targetlimit.Report{Target: directory.Incarnation{ID: l.Target, StartedMs: l.Born}, Limit: targetlimit.Limit{Rate: l.Rate, Rejections: l.Rejections}, Revision: l.Revision}
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -65,19 +65,41 @@
 	defer t.mu.Unlock()
 	var out []wire.TargetLimit
 	for _, r := range t.limiter.Reports() {
-		out = append(out, wire.TargetLimit{Target: r.Target.ID, Born: r.Target.StartedMs, Rate: r.Rate, Revision: r.Revision})
+		out = append(out, wire.TargetLimit{Target: r.Target.ID, Born: r.Target.StartedMs, Rate: r.Rate, Rejections: r.Rejections, Revision: r.Revision})
 	}
 	return out
 }
 
-// limitedTargets returns the targets that state a limit and, for each, whether this
-// instance may send it a request now.
-func (t *targetLimits) limitedTargets() map[directory.Incarnation]bool {
+// limitedTargets returns the targets that state a limit, and what this instance may send them
+// now.
+func (t *targetLimits) limitedTargets() map[directory.Incarnation]targetlimit.Permission {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.limiter.LimitedTargets(t.now())
 }
 
+// slotShare returns this instance's share of a target's slots.
+func (t *targetLimits) slotShare(id directory.Incarnation, slots int) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.limiter.SlotShare(id, slots)
+}
+
+// hasRoom reports whether this instance may have another request in flight at a target.
+func (t *targetLimits) hasRoom(id directory.Incarnation, slots, inFlight int) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	limit := t.limiter.MaxInFlight(id, slots)
+	return limit == 0 || inFlight < limit
+}
+
+// recordRejection records that a target rejected a request.
+func (t *targetLimits) recordRejection(id directory.Incarnation) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.limiter.RecordRejection(t.now(), id)
+}
+
 // canSend reports whether this instance may send a request to a target now.
 func (t *targetLimits) canSend(id directory.Incarnation) bool {
 	t.mu.Lock()
--- a/internal/targetlimit/limiter.go
+++ b/internal/targetlimit/limiter.go
@@ -17,6 +17,11 @@
 // with each change, so that all instances, including those that join later,
 // converge on the latest change.
 //
+// A target may also state how many rejections per second it can bear for want of
+// room. The instances then share its slots, so that there is room for what they
+// send, and each one that is rejected pauses for long enough that all of them
+// together stay within that number.
+//
 // The package does no I/O and reads no clock.
 package targetlimit
 
@@ -42,13 +47,24 @@
 	// discoveryTimeout is how long after its start an instance that has not looked
 	// up the fleet yet sends nothing to limited targets.
 	discoveryTimeout = 7 * time.Second
+	// minRejectionPause and maxRejectionPause bound the pause after a rejection.
+	minRejectionPause = 200 * time.Millisecond
+	maxRejectionPause = 10 * time.Second
 )
 
+// Limit is what a target states in its answers.
+type Limit struct {
+	// Rate is the number of requests per second that it accepts; 0 means unlimited.
+	Rate float64
+	// Rejections is the number of requests per second that it can reject for want of
+	// room without failing; 0 means any number.
+	Rejections float64
+}
+
 // Report is the latest known limit of a target.
 type Report struct {
 	Target directory.Incarnation
-	// Rate is the limit in requests per second; 0 means unlimited.
-	Rate float64
+	Limit
 	// Revision is incremented by each change of the limit.
 	Revision uint64
 }
@@ -77,6 +93,8 @@
 	// tokens is the number of requests that may be sent now, at most one.
 	tokens    float64
 	updatedAt time.Duration
+	// pausedUntil is the end of the pause after a rejection.
+	pausedUntil time.Duration
 }
 
 // New returns a Limiter for the instance self, which starts at now.
@@ -98,25 +116,25 @@
 	}
 }
 
-// Observe records the limit that a target stated in its answer to a request sent
-// at the given time, and reports whether the limit changed. The answer to a
+// Observe records what a target stated in its answer to a request sent
+// at the given time, and reports whether it changed. The answer to a
 // request sent before the latest change is ignored, since it may be older than
 // that change.
-func (l *Limiter) Observe(now, sentAt time.Duration, id directory.Incarnation, rate float64) (changed bool) {
+func (l *Limiter) Observe(now, sentAt time.Duration, id directory.Incarnation, limit Limit) (changed bool) {
 	t := l.targets[id]
 	switch {
-	case t == nil && rate == 0:
+	case t == nil && limit == Limit{}:
 		return false
 	case t == nil:
 		t = &target{Report: Report{Target: id}, updatedAt: now}
 		l.targets[id] = t
-	case t.Rate == rate:
+	case t.Limit == limit:
 		t.observed = true
 		return false
 	case sentAt < t.changedAt:
 		return false
 	}
-	l.setLimit(now, t, Report{Target: id, Rate: rate, Revision: t.Revision + 1})
+	l.setLimit(now, t, Report{Target: id, Limit: limit, Revision: t.Revision + 1})
 	t.observed = true
 	return true
 }
@@ -130,14 +148,24 @@
 			t = &target{updatedAt: now}
 			l.targets[r.Target] = t
 		}
-		if r.Revision > t.Revision || r.Revision == t.Revision && stricter(r.Rate, t.Rate) {
+		if r.Revision > t.Revision || r.Revision == t.Revision && r.Limit.stricter(t.Limit) {
 			l.setLimit(now, t, r)
 			t.observed = false
 		}
 	}
 }
 
-func stricter(a, b float64) bool { return a > 0 && (b == 0 || a < b) }
+// stricter reports whether a is stricter than b by rate or, if the rates are equal, by
+// rejections.
+func (a Limit) stricter(b Limit) bool {
+	if a.Rate != b.Rate {
+		return lower(a.Rate, b.Rate)
+	}
+	return lower(a.Rejections, b.Rejections)
+}
+
+// lower reports whether a is the lower bound; 0 is none.
+func lower(a, b float64) bool { return a > 0 && (b == 0 || a < b) }
 
 // setLimit replaces the limit of a target.
 func (l *Limiter) setLimit(now time.Duration, t *target, r Report) {
@@ -186,20 +214,63 @@
 	t.updatedAt = now
 }
 
-// LimitedTargets returns the targets that have a limit and, for each of them,
-// whether this instance may send it a request now. The result covers a single
-// request; call it again for the next one.
-func (l *Limiter) LimitedTargets(now time.Duration) (sendable map[directory.Incarnation]bool) {
+// Permission tells what this instance may send to a target.
+type Permission struct {
+	// CanSend is set if it may send a request now. With RateLimited set, that covers a
+	// single request.
+	CanSend, RateLimited bool
+	// ShareSlots is set if the instance may use only its share of the target's slots;
+	// see SlotShare.
+	ShareSlots bool
+}
+
+// LimitedTargets returns the targets that have stated a limit, and what may be sent to
+// them now.
+func (l *Limiter) LimitedTargets(now time.Duration) map[directory.Incarnation]Permission {
+	var out map[directory.Incarnation]Permission
 	for id, t := range l.targets {
-		if t.Rate == 0 {
+		if t.Limit == (Limit{}) {
 			continue
 		}
-		if sendable == nil {
-			sendable = map[directory.Incarnation]bool{}
+		if out == nil {
+			out = map[directory.Incarnation]Permission{}
 		}
-		sendable[id] = t.canSend(now)
+		out[id] = Permission{CanSend: t.canSend(now), RateLimited: t.Rate > 0, ShareSlots: t.Rejections > 0}
+	}
+	return out
+}
+
+// SlotShare returns this instance's share of the slots of a target that must reject
+// little, at least one. The first instances in the target's rendezvous order get the
+// slots that remain after equal shares.
+func (l *Limiter) SlotShare(id directory.Incarnation, slots int) int {
+	instances := max(1, len(l.members))
+	share := slots / instances
+	if l.rank(id) < slots%instances {
+		share++
+	}
+	return max(1, share)
+}
+
+// MaxInFlight returns how many requests this instance may have in flight at a target with
+// the given number of slots; 0 means any number.
+func (l *Limiter) MaxInFlight(id directory.Incarnation, slots int) int {
+	if t := l.targets[id]; t == nil || t.Rejections == 0 {
+		return 0
+	}
+	return l.SlotShare(id, slots)
+}
+
+// RecordRejection records that a target rejected a request for want of room. If each
+// instance pauses for that long after each of its rejections, they stay within what the
+// target can bear.
+func (l *Limiter) RecordRejection(now time.Duration, id directory.Incarnation) {
+	t := l.targets[id]
+	if t == nil || t.Rejections == 0 {
+		return
 	}
-	return sendable
+	pause := time.Duration(float64(len(l.members)) / t.Rejections * float64(time.Second))
+	t.pausedUntil = max(t.pausedUntil, now+min(max(pause, minRejectionPause), maxRejectionPause))
 }
 
 // CanSend reports whether this instance may send a request to a target now.
@@ -209,6 +280,9 @@
 }
 
 func (t *target) canSend(now time.Duration) bool {
+	if t.Rejections > 0 && now < t.pausedUntil {
+		return false
+	}
 	if t.Rate == 0 {
 		return true
 	}
--- a/internal/targetlimit/limiter_test.go
+++ b/internal/targetlimit/limiter_test.go
@@ -26,20 +26,20 @@
 func TestLimitHoldsUntilTargetStatesAnother(t *testing.T) {
 	is := is.New(t)
 	l := newSingleInstance()
-	is.True(!l.Observe(0, 0, testTarget, 0))
+	is.True(!l.Observe(0, 0, testTarget, Limit{Rate: 0}))
 	is.True(l.CanSend(0, testTarget))
-	is.True(l.Observe(ms, 0, testTarget, 2))
+	is.True(l.Observe(ms, 0, testTarget, Limit{Rate: 2}))
 	is.True(!l.CanSend(ms, testTarget))
-	is.True(!l.Observe(2*ms, 0, testTarget, 0)) // sent before the limit was known
+	is.True(!l.Observe(2*ms, 0, testTarget, Limit{Rate: 0})) // sent before the limit was known
 	is.True(!l.CanSend(2*ms, testTarget))
-	is.True(l.Observe(time.Minute, time.Minute, testTarget, 0))
+	is.True(l.Observe(time.Minute, time.Minute, testTarget, Limit{Rate: 0}))
 	is.True(l.CanSend(time.Minute, testTarget))
 }
 
 func TestSenderKeepsItsShareOfTheLimit(t *testing.T) {
 	is := is.New(t)
 	l := newSingleInstance()
-	l.Observe(0, 0, testTarget, 2)
+	l.Observe(0, 0, testTarget, Limit{Rate: 2})
 	sent := 0
 	for now := time.Duration(0); now < 12*time.Second; now += ms {
 		if l.CanSend(now, testTarget) {
@@ -58,9 +58,9 @@
 func TestLastChangeCountsAtAllInstances(t *testing.T) {
 	is := is.New(t)
 	a, b, c := newSingleInstance(), newSingleInstance(), newSingleInstance()
-	a.Observe(0, 0, testTarget, 2)
+	a.Observe(0, 0, testTarget, Limit{Rate: 2})
 	b.ApplyReports(0, a.Reports())
-	b.Observe(time.Second, time.Second, testTarget, 5)
+	b.Observe(time.Second, time.Second, testTarget, Limit{Rate: 5})
 	c.ApplyReports(0, b.Reports())
 	c.ApplyReports(0, a.Reports())
 	a.ApplyReports(0, b.Reports())
@@ -68,8 +68,8 @@
 		is.Equal(l.targets[testTarget].Rate, 5.0)
 	}
 	// Two concurrent changes: the stricter limit wins.
-	a.Observe(2*time.Second, 2*time.Second, testTarget, 0)
-	b.Observe(2*time.Second, 2*time.Second, testTarget, 7)
+	a.Observe(2*time.Second, 2*time.Second, testTarget, Limit{Rate: 0})
+	b.Observe(2*time.Second, 2*time.Second, testTarget, Limit{Rate: 7})
 	reportsA, reportsB := a.Reports(), b.Reports()
 	a.ApplyReports(0, reportsB)
 	b.ApplyReports(0, reportsA)
@@ -81,7 +81,7 @@
 func TestLeavingInstanceSendsNothing(t *testing.T) {
 	is := is.New(t)
 	l := newSingleInstance()
-	l.Observe(0, 0, testTarget, 2)
+	l.Observe(0, 0, testTarget, Limit{Rate: 2})
 	is.True(l.CanSend(time.Minute, testTarget))
 	l.SetFleet(time.Minute, []string{"b"}, true)
 	is.True(!l.CanSend(2*time.Minute, testTarget))
@@ -90,12 +90,49 @@
 func TestTargetThatIsGoneIsForgotten(t *testing.T) {
 	is := is.New(t)
 	l := newSingleInstance()
-	l.Observe(0, 0, testTarget, 2)
+	l.Observe(0, 0, testTarget, Limit{Rate: 2})
 	l.Retain(func(directory.Incarnation) bool { return false })
 	is.True(l.CanSend(0, testTarget))
 	is.Equal(len(l.Reports()), 0)
 }
 
+// Guards against targets that fall over because the instances together are rejected more often
+// than the target can bear.
+func TestInstancesStayWithinTheRejectionsOfATarget(t *testing.T) {
+	is := is.New(t)
+	const rejections, slots = 3.0, 10
+	names := []string{"a", "b", "c", "d"}
+	var limiters []*Limiter
+	inFlight := 0
+	for _, name := range names {
+		l := New(0, name)
+		l.SetFleet(0, names, true)
+		is.Equal(l.MaxInFlight(testTarget, slots), 0)
+		is.True(l.Observe(0, 0, testTarget, Limit{Rejections: rejections}))
+		inFlight += l.MaxInFlight(testTarget, slots)
+		is.Equal(l.MaxInFlight(testTarget, 1), 1)
+		limiters = append(limiters, l)
+	}
+	is.Equal(inFlight, slots)
+	var rejectedAt []time.Duration
+	for now := time.Duration(0); now < time.Minute; now += ms {
+		for _, l := range limiters { // the target rejects everything
+			if l.CanSend(now, testTarget) {
+				l.RecordSend(now, testTarget)
+				l.RecordRejection(now, testTarget)
+				rejectedAt = append(rejectedAt, now)
+			}
+		}
+	}
+	perSecond := float64(len(rejectedAt)) / time.Minute.Seconds()
+	is.True(perSecond <= rejections+float64(len(names))/time.Minute.Seconds())
+	is.True(perSecond > rejections/2) // they do try again
+	permissions := limiters[0].LimitedTargets(time.Hour)
+	is.Equal(permissions[testTarget], Permission{CanSend: true, ShareSlots: true})
+	is.True(limiters[0].Observe(time.Hour, time.Hour, testTarget, Limit{}))
+	is.Equal(len(limiters[0].LimitedTargets(time.Hour)), 0)
+}
+
 const (
 	simStep = 5 * ms
 	// simReportInterval is the time between two reports of an instance;
@@ -245,7 +282,7 @@
 		x.views = x.views[1:]
 	}
 	for len(x.pendingAnswers) > 0 && x.pendingAnswers[0]+simResponseTime <= f.now {
-		x.limiter.Observe(f.now, x.pendingAnswers[0], testTarget, f.rate)
+		x.limiter.Observe(f.now, x.pendingAnswers[0], testTarget, Limit{Rate: f.rate})
 		if f.rate > 0 && x.limitedAt == 0 {
 			x.limitedAt = f.now
 		}
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -140,6 +140,9 @@
 	// Rate is the number of requests per second that it accepts from all instances
 	// together; 0 for no limit.
 	Rate float64 `msgpack:"r,omitempty"`
+	// Rejections is the number of requests per second that it can reject for want of
+	// room; 0 for any number.
+	Rejections float64 `msgpack:"j,omitempty"`
 	// Revision is incremented with each change of the rate.
 	Revision uint64 `msgpack:"c"`
 }
