overload: a pause of a second doesn't count as a stall

A stream without data for one second was cancelled and resumed at another target, which reads its prompt again and takes a retry from the budget, while the first target was about to go on.

Streams now count as stalled after 1.5 s. With the check of the path (up to 0.25 s until it starts, 0.3 s for itself) an attempt is moved 2.05 s after its last event at the latest; callers leave after 4 s where the accepted pause is 0.5 s. Requests without a first token wait 2 s as before. TestPauseOfASecondIsNoStall failed before.

--- a/internal/overload/stalldetector.go
+++ b/internal/overload/stalldetector.go
@@ -22,9 +22,9 @@
 
 const (
 	// streamStallTimeout is the time without data after which a target with active streams
-	// counts as stalled. It is many times the pause between two events, even under load,
-	// and twice the pause that callers still accept as on time.
-	streamStallTimeout = time.Second
+	// counts as stalled. Sound targets may pause for about a second. Streams that are resumed
+	// after it still continue before callers give up.
+	streamStallTimeout = 1500 * time.Millisecond
 	// firstByteStallTimeout is that time for a target that only has requests whose answers
 	// have not begun. A busy engine may need almost as long for a first token.
 	firstByteStallTimeout = 2 * time.Second
--- a/internal/overload/stalldetector_test.go
+++ b/internal/overload/stalldetector_test.go
@@ -35,3 +35,14 @@
 	is.True(!d.Stalled(time.Minute + firstByteStallTimeout))
 	is.True(d.Stalled(time.Minute + firstByteStallTimeout + 1))
 }
+
+// Guards against streams that are cancelled and repeated elsewhere because their target paused for
+// a second.
+func TestPauseOfASecondIsNoStall(t *testing.T) {
+	is := is.New(t)
+	var d StallDetector
+	id := d.Begin(0)
+	d.Progress(100*time.Millisecond, id)
+	is.True(!d.Stalled(1400 * time.Millisecond))
+	is.True(d.Stalled(1700 * time.Millisecond))
+}
