targetconn: what TCP_USER_TIMEOUT decides

The kernel ends a silent connection at that timeout, whatever the count of keep-alive probes; comments said that three unanswered probes do. Nothing else depends on the count. No library that the programs link sets the option (searched in the sources of all dependencies of the commands).

--- a/internal/targetconn/pool.go
+++ b/internal/targetconn/pool.go
@@ -34,8 +34,9 @@
 	// announce its own timeout in a Keep-Alive header.
 	IdleTimeout time.Duration
 	// ProbeInterval is the interval between TCP keep-alive probes of a silent
-	// connection, which is closed after three unanswered ones. A partition drops
-	// packets without a reset, so the loss would not be detected otherwise.
+	// connection. It is closed after three intervals in which nothing was acknowledged.
+	// A partition drops packets without a reset, so the loss would not be detected
+	// otherwise.
 	ProbeInterval time.Duration
 }
 
@@ -45,7 +46,7 @@
 		DialTimeout:   500 * time.Millisecond, // many round trips; a lost packet is sent again later
 		MaxIdle:       64,                     // one for each slot of a typical engine
 		IdleTimeout:   4 * time.Second,        // below the shortest idle timeout of common servers
-		ProbeInterval: time.Second,            // a lost connection is detected after about four seconds
+		ProbeInterval: time.Second,            // a lost connection is detected after three to four seconds
 	}
 }
 
@@ -86,7 +87,8 @@
 // userTimeoutControl returns a net.Dialer.Control function that sets
 // TCP_USER_TIMEOUT: the kernel closes a connection whose sent bytes are not
 // acknowledged in time. It sends no keep-alive probes while bytes are
-// unacknowledged.
+// unacknowledged. The timeout also decides when unanswered probes end a connection,
+// whatever their number.
 func userTimeoutControl(timeout time.Duration) func(string, string, syscall.RawConn) error {
 	return func(_, _ string, raw syscall.RawConn) error {
 		var optErr error
