connrelay: checks of paths are part of the dialer

The gateway coalesced checks of the path to a target; entry instances need the same. Moved without a change of behaviour, except that the connection of a probe is now handed over in one place.

--- a/internal/connrelay/connrelay_test.go
+++ b/internal/connrelay/connrelay_test.go
@@ -138,15 +138,11 @@
 				conn.Close()
 			}
 			a.setDirect(dialTCP)
-			opened := make(chan net.Conn)
 			for a.dialer.Blocked(address) {
-				a.dialer.Probe(t.Context(), time.Second, anyTarget, func(_ string, c net.Conn) { opened <- c })
-				select {
-				case conn := <-opened:
-					is.Equal(RelayOf(conn), "")
-				case <-time.After(time.Millisecond):
-				}
+				a.dialer.Probe(t.Context(), anyTarget, func(string) {})
+				time.Sleep(time.Millisecond)
 			}
+			is.Equal(a.dialer.Check(t.Context(), address), Open)
 		})
 	}
 }
--- a/internal/connrelay/dialer.go
+++ b/internal/connrelay/dialer.go
@@ -49,11 +49,14 @@
 	// OnOpen is called when it is open again. Either may be nil.
 	OnBlocked func(address string, silent bool)
 	OnOpen    func(address string)
+	// Keep gets the connections that Check and Probe establish; nil to close them.
+	Keep func(address string, c net.Conn)
 }
 
 // Dialer establishes connections to targets. It is safe for concurrent use.
 type Dialer struct {
 	options Options
+	checks  checks
 
 	mu      sync.Mutex
 	tracker *targetpath.Tracker
@@ -62,7 +65,10 @@
 
 // NewDialer returns a Dialer.
 func NewDialer(o Options) *Dialer {
-	return &Dialer{options: o, tracker: targetpath.New(), rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+	return &Dialer{
+		options: o, tracker: targetpath.New(), rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		checks: checks{byAddress: map[string]*check{}},
+	}
 }
 
 // RelayOf returns the name of the instance that relays a connection; empty for a direct one.
@@ -309,9 +315,9 @@
 const maxProbes = 8
 
 // Probe tries direct connections to targets whose direct paths are blocked, as far as they are
-// due, and hands the results to done: the connection, or nil if there is none. It does not wait
-// for them. exists reports whether an address is still that of a target.
-func (d *Dialer) Probe(ctx context.Context, timeout time.Duration, exists func(address string) bool, done func(address string, c net.Conn)) {
+// due. It does not wait for them; stillBlocked is called for those that fail. exists reports
+// whether an address is still that of a target.
+func (d *Dialer) Probe(ctx context.Context, exists func(address string) bool, stillBlocked func(address string)) {
 	d.mu.Lock()
 	now := d.options.Now()
 	d.tracker.Retain(now, exists)
@@ -319,13 +325,15 @@
 	d.mu.Unlock()
 	for _, address := range due {
 		go func() {
-			ctx, cancel := context.WithTimeout(ctx, timeout)
+			ctx, cancel := context.WithTimeout(ctx, CheckTimeout)
 			defer cancel()
 			conn, err := d.options.Direct(ctx, "tcp", address)
-			if err == nil {
-				d.record(address, attempt{conn: conn, direct: true}, nil)
+			if err != nil {
+				stillBlocked(address)
+				return
 			}
-			done(address, conn)
+			d.record(address, attempt{conn: conn, direct: true}, nil)
+			d.keep(address, conn)
 		}()
 	}
 }
--- a/internal/gateway/domains.go
+++ b/internal/gateway/domains.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastictray/mastictray/internal/connrelay"
 	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/overload"
 )
@@ -84,7 +85,7 @@
 		address := addresses[g.newRand().IntN(len(addresses))]
 		g.targets.CloseIdle(address) // they may be dead
 		go func() {
-			if g.checkPath(ctx, address) != pathNone {
+			if g.dialer.Check(ctx, address) != connrelay.Unreached {
 				g.reach.reached(domain)
 				return
 			}
--- a/internal/gateway/enginestall.go
+++ b/internal/gateway/enginestall.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/mastictray/mastictray/internal/connrelay"
 	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/overload"
 )
@@ -105,7 +106,7 @@
 // peers, the attempts over direct connections are lost, and those through instances for which
 // mayRelay returns false. An unreachable one gets no requests until a probe of its breaker
 // succeeds, and the attempts there that may run at other targets are cancelled.
-func (s *engineService) recordProbe(target stalledTarget, path pathState, mayRelay func(instance string) bool) {
+func (s *engineService) recordProbe(target stalledTarget, path connrelay.State, mayRelay func(instance string) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.probing, target.id)
@@ -113,11 +114,11 @@
 	if detector == nil || !detector.Stalled(now) {
 		return // it has answered or is gone meanwhile
 	}
-	if path != pathNone {
+	if path != connrelay.Unreached {
 		detector.Alive(now)
 		s.cancelAttempts(target.id, func(pl *enginePlacement) bool { return pl.firstTokenSeen })
 		s.cancelLostAttempts(target.address, func(pl *enginePlacement) bool {
-			return pl.relay == "" && path == pathBlocked || pl.relay != "" && !mayRelay(pl.relay)
+			return pl.relay == "" && path == connrelay.Blocked || pl.relay != "" && !mayRelay(pl.relay)
 		})
 		return
 	}
--- a/internal/gateway/enginestall_test.go
+++ b/internal/gateway/enginestall_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/mastictray/mastictray/internal/connrelay"
 )
 
 // Guards against avoiding targets that are only overloaded: the others get their requests too and
@@ -25,9 +27,9 @@
 	stalled := service.stalledTargets()
 	is.Equal(len(stalled), 3)
 	is.Equal(len(service.stalledTargets()), 0) // a probe of each is under way
-	service.recordProbe(stalled[0], pathOpen, p.peers.mayRelay)
-	service.recordProbe(stalled[1], pathOpen, p.peers.mayRelay)
-	service.recordProbe(stalled[2], pathNone, p.peers.mayRelay)
+	service.recordProbe(stalled[0], connrelay.Open, p.peers.mayRelay)
+	service.recordProbe(stalled[1], connrelay.Open, p.peers.mayRelay)
+	service.recordProbe(stalled[2], connrelay.Unreached, p.peers.mayRelay)
 	is.Equal(len(service.openBreakers()), 1)
 	is.True(service.openBreakers()[stalled[2].id])
 	is.Equal(service.recentlyStalled(), []string{stalled[2].id})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -39,9 +39,10 @@
 	dialDirect targetconn.DialFunc
 	targets    *targetconn.Pool
 	// relays relays connections of peers to targets.
-	relays     *connrelay.Server
-	pathChecks pathChecks
-	metrics    *gatewayMetrics
+	relays *connrelay.Server
+	// checkAllPaths is set when the paths to all targets in use have to be checked.
+	checkAllPaths atomic.Bool
+	metrics       *gatewayMetrics
 
 	// table is the active configuration, or nil before the first one.
 	table atomic.Pointer[routing.Table]
@@ -133,7 +134,6 @@
 		crashes:          newCrashCounts(),
 		planner:          weights.New(weights.DefaultSettings()),
 		rolloutIdleSince: never,
-		pathChecks:       pathChecks{checks: map[string]*pathCheck{}},
 		dialDirect:       s.DialTarget,
 	}
 	if g.dialDirect == nil {
@@ -269,7 +269,7 @@
 	for _, service := range g.listEngineServices() {
 		for _, target := range service.stalledTargets() {
 			g.targets.CloseIdle(target.address) // they may be dead
-			go func() { service.recordProbe(target, g.checkPath(ctx, target.address), g.peers.mayRelay) }()
+			go func() { service.recordProbe(target, g.dialer.Check(ctx, target.address), g.peers.mayRelay) }()
 		}
 	}
 }
--- a/internal/gateway/leavingtarget_test.go
+++ b/internal/gateway/leavingtarget_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/mastictray/mastictray/internal/connrelay"
 	"github.com/mastictray/mastictray/internal/directory"
 	"github.com/mastictray/mastictray/internal/overload"
 	"github.com/mastictray/mastictray/internal/wire"
@@ -63,7 +64,7 @@
 			for range 20 {
 				now += time.Second
 				for _, target := range service.stalledTargets() {
-					service.recordProbe(target, pathNone, p.peers.mayRelay)
+					service.recordProbe(target, connrelay.Unreached, p.peers.mayRelay)
 				}
 			}
 			is.True(cancelled)
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,45 +17,12 @@
 	"github.com/mastictray/mastictray/internal/wire"
 )
 
-// pathState tells how a target can be reached from this instance.
-type pathState int
-
-const (
-	// pathOpen: directly.
-	pathOpen pathState = iota
-	// pathBlocked: only through a peer. The target is running.
-	pathBlocked
-	// pathNone: neither directly nor through a peer. The target is probably down.
-	pathNone
-)
-
-func (s pathState) String() string { return [...]string{"open", "blocked", "none"}[s] }
-
 const (
-	// pathCheckTimeout bounds one check of a path. It covers the head start of the direct path
-	// and an attempt through a peer.
-	pathCheckTimeout = 300 * time.Millisecond
-	// pathCheckValidity is how long the result of a check is used for further ones.
-	pathCheckValidity = 500 * time.Millisecond
 	// silentAttemptTimeout is the time without data after which an attempt over a direct path
 	// that is blocked counts as lost.
 	silentAttemptTimeout = 400 * time.Millisecond
 )
 
-// pathChecks coalesces concurrent checks of the path to one target.
-type pathChecks struct {
-	mu     sync.Mutex
-	checks map[string]*pathCheck
-	// pending is set when the paths to all targets in use have to be checked.
-	pending bool
-}
-
-type pathCheck struct {
-	done  chan struct{} // closed when state is set
-	state pathState
-	endAt time.Duration
-}
-
 // newTargetPool returns the dialer and the pool of the connections to targets.
 func (g *Gateway) newTargetPool() (*connrelay.Dialer, *targetconn.Pool) {
 	dialer := connrelay.NewDialer(connrelay.Options{
@@ -64,6 +30,7 @@
 		OnBlocked: g.handleBlockedPath,
 		// Relayed connections are not used for longer than necessary.
 		OnOpen: func(address string) { g.targets.CloseIdle(address) },
+		Keep:   func(address string, c net.Conn) { g.targets.Put(g.targets.Wrap(address, c)) },
 	})
 	o := targetconn.DefaultOptions()
 	o.Dial = dialer.Dial
@@ -100,91 +67,23 @@
 		return
 	}
 	g.targets.CloseIdle(address)
-	g.pathChecks.mu.Lock()
-	g.pathChecks.pending = true
-	g.pathChecks.mu.Unlock()
-}
-
-// checkPath returns how a target can be reached now. It keeps the connection that it establishes
-// for later requests.
-func (g *Gateway) checkPath(ctx context.Context, address string) pathState {
-	g.pathChecks.mu.Lock()
-	check := g.pathChecks.checks[address]
-	if check != nil && (check.endAt == 0 || g.clock.Now()-check.endAt < pathCheckValidity) {
-		g.pathChecks.mu.Unlock()
-		select {
-		case <-check.done:
-			return check.state
-		case <-ctx.Done():
-			return pathOpen // nothing is known against it
-		}
-	}
-	check = &pathCheck{done: make(chan struct{})}
-	g.pathChecks.checks[address] = check
-	g.pathChecks.mu.Unlock()
-	// Other callers wait for the result as well.
-	state := g.tryPath(context.WithoutCancel(ctx), address)
-	g.pathChecks.mu.Lock()
-	check.state, check.endAt = state, g.clock.Now()
-	g.pathChecks.mu.Unlock()
-	close(check.done)
-	return state
-}
-
-func (g *Gateway) tryPath(ctx context.Context, address string) pathState {
-	ctx, cancel := context.WithTimeout(ctx, pathCheckTimeout)
-	defer cancel()
-	conn, err := g.targets.Dial(ctx, address)
-	if err != nil {
-		return pathNone
-	}
-	relayed := connrelay.RelayOf(conn.NetConn()) != ""
-	g.targets.Put(conn)
-	if relayed {
-		return pathBlocked
-	}
-	return pathOpen
-}
-
-// expire drops old results.
-func (p *pathChecks) expire(now time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for address, check := range p.checks {
-		if check.endAt > 0 && now-check.endAt > pathCheckValidity {
-			delete(p.checks, address)
-		}
-	}
-}
-
-// takePending reports whether all paths have to be checked, once.
-func (p *pathChecks) takePending() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	pending := p.pending
-	p.pending = false
-	return pending
+	g.checkAllPaths.Store(true)
 }
 
 // sweepPaths probes the blocked direct paths and, if another one has just been found blocked,
 // checks those to all targets in use.
 func (g *Gateway) sweepPaths(ctx context.Context) {
-	g.pathChecks.expire(g.clock.Now())
-	g.dialer.Probe(ctx, pathCheckTimeout, g.isTargetAddress, func(address string, conn net.Conn) {
-		if conn != nil {
-			g.targets.Put(g.targets.Wrap(address, conn))
-			return
-		}
+	g.dialer.Probe(ctx, g.isTargetAddress, func(address string) {
 		for _, service := range g.listEngineServices() {
 			service.cancelSilentAttempts(address)
 		}
 	})
-	if !g.pathChecks.takePending() {
+	if !g.checkAllPaths.Swap(false) {
 		return
 	}
 	for _, address := range g.addressesInUse() {
 		if !g.dialer.Blocked(address) {
-			go g.checkPath(ctx, address)
+			go g.dialer.Check(ctx, address)
 		}
 	}
 }
@@ -216,12 +115,12 @@
 	if ctx.Err() != nil || !conn.Reused() && !connectionLost(err) {
 		return false
 	}
-	state := g.checkPath(ctx, a.target.Address)
+	state := g.dialer.Check(ctx, a.target.Address)
 	logline.Info("path_checked", "target", a.target.ID, "address", a.target.Address, "state", state.String(), "error", err)
-	if state == pathNone {
+	if state == connrelay.Unreached {
 		a.onUnreachable(err)
 	}
-	return state == pathBlocked
+	return state == connrelay.Blocked
 }
 
 // isConnectionFailure reports whether an attempt failed below HTTP: its connection broke, or was
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -237,7 +237,7 @@
 	queriedAt := g.clock.Now()
 	o, err := g.control.State(ctx, t)
 	if err != nil {
-		g.checkPath(ctx, t.Address)
+		g.dialer.Check(ctx, t.Address)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -271,7 +271,7 @@
 	}
 	receipt, err := g.control.Order(ctx, s.Target, s.Order)
 	if err != nil {
-		g.checkPath(ctx, s.Target.Address)
+		g.dialer.Check(ctx, s.Target.Address)
 	}
 	logline.Info("order", "target", s.Target.ID, "model", s.Order.Model, "version", s.Order.Version, "accepted_before", s.Order.ExpectedAccepted,
 		"token", s.Order.Token, "receipt", string(receipt), "error", err)
--- a/internal/gateway/unreachable.go
+++ b/internal/gateway/unreachable.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/mastictray/mastictray/internal/connrelay"
 	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/overload"
 )
@@ -122,7 +123,7 @@
 }
 
 func (g *Gateway) probeTarget(ctx context.Context, s targetService, t probeTarget) {
-	ctx, cancel := context.WithTimeout(ctx, pathCheckTimeout)
+	ctx, cancel := context.WithTimeout(ctx, connrelay.CheckTimeout)
 	defer cancel()
 	conn, err := g.dialDirect(ctx, "tcp", t.address)
 	if err != nil {
