entry: an instance without a path to targets serves through a peer

An instance that could not reach its targets refused its callers: idempotent requests of plain services waited for their deadlines on dead connections, model servers counted as unresponsive after two missed load queries, and breakers opened.

Requests, load queries and cache events use the dialer that asks a peer when the direct path is blocked. When a path turns out to be silent, idle connections are closed and responses that are expected over it are cancelled, so that streams go on elsewhere. An idempotent request of a plain service without a response for a second has the path checked. Failures by a blocked path don't count against the target; while a path is blocked, failures of its target other than refused connections don't count either, which its load queries and the next refusal make up for. Orders of rollouts are not relayed.

--- a/internal/entry/announcements.go
+++ b/internal/entry/announcements.go
@@ -79,6 +79,13 @@
 	}
 }
 
+// isTarget reports whether the configuration in force has a target at the address.
+func (a *announcements) isTarget(address string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.names[address] != ""
+}
+
 // observeIncarnation records the incarnation that a process at the address has stated, and
 // returns the process.
 func (a *announcements) observeIncarnation(address, incarnation string) targetProcess {
--- a/internal/entry/announcements_test.go
+++ b/internal/entry/announcements_test.go
@@ -161,7 +161,7 @@
 // that a new configuration ends, also one that moves the target to another pool.
 func TestPauseHoldsForIsolatedRequestsAndNewConfigurations(t *testing.T) {
 	is := is.New(t)
-	ps := newPools(t.Context(), newClock(), "d")
+	ps := newPools(t.Context(), newClock(), "d", nil)
 	model := config.Model{Name: "m", Version: "1", PieceBytes: 1, BytesPerToken: 1}
 	targets := []config.Target{{Name: "a", Address: "a"}, {Name: "b", Address: "b"}}
 	ps.configurePool(config.Pool{Name: "p", Model: "m", PrefillTokensPerSecond: 1e6}, model, targets, 1)
--- a/internal/entry/engineclient.go
+++ b/internal/entry/engineclient.go
@@ -4,13 +4,13 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/mastictray/mastictray/internal/openai"
 	"github.com/mastictray/mastictray/internal/platform"
+	"github.com/mastictray/mastictray/internal/targetconn"
 )
 
 // Headers of requests to targets and of their responses; see docs/PROTOCOLS.md.
@@ -78,17 +78,16 @@
 // turns out to be closed, net/http retries some requests by itself, for example
 // those with an Idempotency-Key header, and a target could run them twice. It
 // never does so on a new connection.
-func newTargetClient() *targetClient {
-	dialer := &net.Dialer{Timeout: targetDialTimeout}
+func newTargetClient(dial targetconn.DialFunc) *targetClient {
 	return &targetClient{
 		pooled: &http.Client{CheckRedirect: keepRedirect, Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext:         dial,
 			MaxIdleConnsPerHost: maxIdleConnsPerTarget,
 			IdleConnTimeout:     targetIdleConnTimeout,
 			DisableCompression:  true,
 		}},
 		unpooled: &http.Client{CheckRedirect: keepRedirect, Transport: &http.Transport{
-			DialContext:        dialer.DialContext,
+			DialContext:        dial,
 			DisableKeepAlives:  true,
 			DisableCompression: true,
 		}},
--- a/internal/entry/engineclient_test.go
+++ b/internal/entry/engineclient_test.go
@@ -22,7 +22,7 @@
 				http.Redirect(w, r, "/other", http.StatusSeeOther)
 			}))
 			defer target.Close()
-			resp, err := newTargetClient().send(t.Context(), attemptRequest{
+			resp, err := newTargetClient(nil).send(t.Context(), attemptRequest{
 				attemptID: "a", target: "t", address: strings.TrimPrefix(target.URL, "http://"), method: http.MethodPost, path: "/x", sendOnce: sendOnce,
 			})
 			is.NoErr(err)
--- a/internal/entry/enginerun.go
+++ b/internal/entry/enginerun.go
@@ -223,9 +223,9 @@
 }
 
 // resultOfBrokenExchange returns what a broken exchange means for the target's
-// breaker. It means nothing if the caller disconnected.
+// breaker. It means nothing if the caller disconnected or the path to the target failed.
 func (r *engineRun) resultOfBrokenExchange() overload.Result {
-	if r.call.r.Context().Err() != nil {
+	if ctx := r.call.r.Context(); ctx.Err() != nil || r.server.pathFailed(ctx, r.placed.address) {
 		return overload.Cancelled
 	}
 	return overload.Failed
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 
 	"github.com/mastictray/mastictray/internal/config"
+	"github.com/mastictray/mastictray/internal/connrelay"
 	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/logrec"
 	"github.com/mastictray/mastictray/internal/overload"
@@ -18,6 +19,7 @@
 	"github.com/mastictray/mastictray/internal/platform"
 	"github.com/mastictray/mastictray/internal/rollout"
 	"github.com/mastictray/mastictray/internal/settings"
+	"github.com/mastictray/mastictray/internal/targetconn"
 	"github.com/mastictray/mastictray/internal/wire"
 )
 
@@ -36,9 +38,14 @@
 	pools    *pools
 	poison   *poisonDriver
 	server   *server
-	callers  *callerServer
-	admin    *adminServer
-	metrics  *entryMetrics
+	// dialer connects to targets, also through peers; dialDirect does so only directly.
+	dialer     *connrelay.Dialer
+	dialDirect targetconn.DialFunc
+	// relays relays connections of peers to targets.
+	relays  *connrelay.Server
+	callers *callerServer
+	admin   *adminServer
+	metrics *entryMetrics
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -60,6 +67,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Entry{settings: s, clock: newClock(), ctx: ctx, cancel: cancel, metrics: newEntryMetrics(), drainRequested: make(chan struct{})}
+	e.dialDirect = (&net.Dialer{Timeout: targetDialTimeout}).DialContext
 	self := wire.Identity{Instance: s.InstanceID, Incarnation: uuid.Must(uuid.NewV7()).String(), Address: s.PeerListen, Domain: s.Domain}
 	e.node = peer.NewNode(peer.Options{Self: self, Secret: secret, TLS: sec.peers})
 	e.platform = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdlePlatformConns}}
@@ -78,6 +86,7 @@
 		lister = platform.NewHTTPInstances(s.InstancesURL, e.platform)
 	}
 	e.members = newMembers(e.clock, e.node, lister, s.Peers)
+	e.buildTargetPaths()
 	e.rates = newRateDriver(e.clock, e.node, e.log, fleetLayout{domains: s.FleetDomains, slotsPerDomain: s.MintSlots})
 	e.members.rates = e.rates
 	e.config = newConfigDriver(e.ctx, e.clock, e.node, e.log, s.Domain, e.members.peerAddresses)
@@ -89,7 +98,7 @@
 		duty, _ := e.rates.holder.Table().State(dutyRollout)
 		e.rollouts.applyRecord(offset, env, duty.Token)
 	})
-	e.pools = newPools(e.ctx, e.clock, s.Domain)
+	e.pools = newPools(e.ctx, e.clock, s.Domain, e.dialTarget)
 	e.config.onChange(func(state *config.State) {
 		e.rates.setAccounts(state)
 		e.pools.configure(state, e.members.liveInstanceCount())
@@ -101,7 +110,7 @@
 	e.pools.poller.onIncarnation = e.members.observeIncarnation
 	e.server = &server{
 		clock: e.clock, config: e.config, rates: e.rates, claims: e.claims, pools: e.pools, poison: e.poison, retryBudget: overload.NewSharedRetryBudget(overload.DefaultRetryRatio, overload.DefaultRetryReserve, overload.DefaultInitialRetries),
-		targetClient: newTargetClient(), metrics: e.metrics, maxBody: s.MaxBodyBytes,
+		targetClient: newTargetClient(e.dialTarget), dialer: e.dialer, metrics: e.metrics, maxBody: s.MaxBodyBytes,
 	}
 	e.pools.announcements.follow(e.server.targetClient.pooled, e.server.targetClient.unpooled, e.pools.poller.loadClient, e.pools.poller.eventsClient, e.rollouts.httpClient)
 	e.callers = newCallerServer(s, e.server, sec.callers)
@@ -128,6 +137,7 @@
 	e.startBackground(func() { e.rollouts.run(e.ctx) })
 	e.startBackground(func() { e.members.run(e.ctx) })
 	e.startBackground(func() { e.poison.run(e.ctx) })
+	e.startBackground(func() { e.probePaths(e.ctx) })
 	snapshots := &snapshotter{clock: e.clock, config: e.config, rates: e.rates, log: e.log, incarnation: e.node.Self().Incarnation}
 	e.startBackground(func() { snapshots.run(e.ctx) })
 	e.startBackground(func() { e.admin.serve(listeners.admin) })
@@ -185,8 +195,16 @@
 	e.admin.ready.Store(false)
 	e.server.draining.Store(true)
 	e.members.announceLeave()
+	relaysDrained := make(chan struct{})
+	go func() {
+		defer close(relaysDrained)
+		ctx, cancel := context.WithTimeout(context.Background(), e.settings.BalancerLag+e.settings.DrainTimeout)
+		defer cancel()
+		e.relays.Drain(ctx)
+	}()
 	time.Sleep(e.settings.BalancerLag)
 	e.drainCallers()
+	<-relaysDrained
 	leaveCtx, cancel := context.WithTimeout(context.Background(), appendTimeout)
 	defer cancel()
 	e.rates.releaseLeases(leaveCtx)
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"runtime"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -79,12 +80,31 @@
 
 // newTestEntry returns an entry that does not run yet.
 func newTestEntry(t *testing.T, logURL string) *Entry {
+	t.Helper()
+	return newTestFleet(t, logURL, 1)[0]
+}
+
+// newTestFleet returns entries that know each other and do not run yet.
+func newTestFleet(t *testing.T, logURL string, n int) []*Entry {
+	t.Helper()
+	var addresses []string
+	for range n {
+		addresses = append(addresses, freeAddress(t))
+	}
+	var entries []*Entry
+	for i := range n {
+		entries = append(entries, newFleetEntry(t, logURL, "i"+strconv.Itoa(i), addresses[i], addresses))
+	}
+	return entries
+}
+
+func newFleetEntry(t *testing.T, logURL, instance, address string, peers []string) *Entry {
 	t.Helper()
 	is := is.New(t)
 	secret := filepath.Join(t.TempDir(), "secret")
 	is.NoErr(os.WriteFile(secret, []byte("a secret of the fleet"), 0o600))
 	s := &settings.Settings{
-		InstanceID: "i", Domain: "d", CallerListen: freeAddress(t), PeerListen: freeAddress(t), AdminListen: freeAddress(t),
+		InstanceID: instance, Domain: "d", CallerListen: freeAddress(t), PeerListen: address, Peers: peers, AdminListen: freeAddress(t),
 		LogURL: logURL, PeerSecretFile: secret, FleetDomains: []string{"d"}, MintSlots: 1,
 		MaxBodyBytes: 1 << 20, MaxHeaderBytes: 1 << 16, MaxConnections: 1000,
 		IdleTimeout: time.Minute, ReadTimeout: time.Minute, DrainTimeout: time.Minute,
--- a/internal/entry/loadpoller.go
+++ b/internal/entry/loadpoller.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/mastictray/mastictray/internal/config"
+	"github.com/mastictray/mastictray/internal/targetconn"
 )
 
 const (
@@ -38,11 +39,11 @@
 	stop    context.CancelFunc
 }
 
-func newLoadPoller(c clock) *loadPoller {
+func newLoadPoller(c clock, dial targetconn.DialFunc) *loadPoller {
 	return &loadPoller{
 		clock:        c,
-		loadClient:   &http.Client{Timeout: loadPollTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
-		eventsClient: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+		loadClient:   &http.Client{Timeout: loadPollTimeout, Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 1}},
+		eventsClient: &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 1}},
 		running:      make(map[string]polledTarget),
 	}
 }
--- a/internal/entry/poolreports.go
+++ b/internal/entry/poolreports.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/mastictray/mastictray/internal/cacheindex"
@@ -75,9 +77,22 @@
 func (p *enginePool) markUnresponsive(name string) {
 	p.mu.Lock()
 	p.markUnresponsiveLocked(name)
-	callbacks := make([]func(), 0, len(p.unresponsiveCallbacks[name]))
-	for _, callback := range p.unresponsiveCallbacks[name] {
-		callbacks = append(callbacks, callback)
+	callbacks := slices.Collect(maps.Values(p.unresponsiveCallbacks[name]))
+	p.mu.Unlock()
+	for _, callback := range callbacks {
+		callback()
+	}
+}
+
+// cancelResponses cancels the responses that are expected from the target at an address. The
+// target itself stays in use.
+func (p *enginePool) cancelResponses(address string) {
+	p.mu.Lock()
+	var callbacks []func()
+	for name, a := range p.addresses {
+		if a == address {
+			callbacks = append(callbacks, slices.Collect(maps.Values(p.unresponsiveCallbacks[name]))...)
+		}
 	}
 	p.mu.Unlock()
 	for _, callback := range callbacks {
--- a/internal/entry/pools.go
+++ b/internal/entry/pools.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"github.com/mastictray/mastictray/internal/config"
+	"github.com/mastictray/mastictray/internal/targetconn"
 )
 
 // pools holds the engine and service pools of the configuration in force.
@@ -21,11 +22,11 @@
 	services map[string]*servicePool
 }
 
-func newPools(ctx context.Context, c clock, domain string) *pools {
+func newPools(ctx context.Context, c clock, domain string, dial targetconn.DialFunc) *pools {
 	return &pools{
 		clock:         c,
 		domain:        domain,
-		poller:        newLoadPoller(c),
+		poller:        newLoadPoller(c, dial),
 		ctx:           ctx,
 		announcements: newAnnouncements(c),
 		engines:       make(map[string]*enginePool),
@@ -82,6 +83,15 @@
 	return p.engines[name]
 }
 
+// cancelResponses cancels the responses that are expected from the engine at an address.
+func (p *pools) cancelResponses(address string) {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	for _, pool := range p.engines {
+		pool.cancelResponses(address)
+	}
+}
+
 func (p *pools) service(name string) *servicePool {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -14,6 +14,7 @@
 	"github.com/google/uuid"
 
 	"github.com/mastictray/mastictray/internal/config"
+	"github.com/mastictray/mastictray/internal/connrelay"
 	"github.com/mastictray/mastictray/internal/keys"
 	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/openai"
@@ -30,6 +31,7 @@
 	poison       *poisonDriver
 	retryBudget  *overload.SharedRetryBudget
 	targetClient *targetClient
+	dialer       *connrelay.Dialer
 	metrics      *entryMetrics
 	maxBody      int64
 
--- a/internal/entry/serviceserve.go
+++ b/internal/entry/serviceserve.go
@@ -85,7 +85,11 @@
 			continue
 		}
 		result := resultOfServiceAttempt(c, resp, err)
-		targetPool.release(pl, result, result == overload.Failed && isUnreachableError(err))
+		unreachable := result == overload.Failed && isUnreachableError(err)
+		if result == overload.Failed && err != nil && !unreachable && s.pathFailed(c.r.Context(), pl.address) {
+			result = overload.Cancelled
+		}
+		targetPool.release(pl, result, unreachable)
 		if err == nil {
 			s.metrics.countAttempt(pool.Name, "answered")
 			return resp, nil
@@ -147,6 +151,11 @@
 	c.attempts++
 	ctx, cancel := s.serviceAttemptContext(c)
 	defer cancel()
+	if c.route.Idempotent {
+		var responded func()
+		ctx, responded = s.watchPath(ctx, address)
+		defer responded()
+	}
 	resp, err := s.targetClient.send(ctx, attemptRequest{
 		attemptID: attemptID(c), target: name, address: address, method: c.r.Method, path: c.r.URL.Path,
 		query: c.r.URL.RawQuery, account: c.account.Name, priority: c.route.Priority,
--- a/platform/platformtest/links.go
+++ b/internal/standin/links.go
@@ -1,4 +1,4 @@
-package platformtest
+package standin
 
 import (
 	"context"
