platform/soak: partitions of instances from all targets, weak and silent targets

Real processes whose links to the targets a test controls: silent, reset, or refusing new connections while open ones go on; one instance, all of a failure domain, or all but one. Then partitions overlap with the faults of TestSoak, and at most once, rates of withdrawn keys, pauses and recovery are checked as before.

The program is mastictray-gateway with another dialer; for this its main function has moved to internal/gatewaycmd, unchanged.

--- a/cmd/mastictray-gateway/settings.go
+++ b/internal/gatewaycmd/settings.go
@@ -1,4 +1,4 @@
-package main
+package gatewaycmd
 
 import (
 	"time"
