targetpath, gateway: recovered paths to many targets are found at once

While a partition lasts, eight blocked paths are probed at a time.

Whether an address is that of a target is looked up without copying and sorting all registrations, for probes only for those that are due.

--- a/internal/connrelay/dialer.go
+++ b/internal/connrelay/dialer.go
@@ -311,6 +311,12 @@
 	return nil, errors.Wrapf(err, "relay peer=%s target=%s", p.Name, address)
 }
 
+func (d *Dialer) forget(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.tracker.Forget(address)
+}
+
 // maxProbes bounds the direct connections that Probe tries at a time.
 const maxProbes = 8
 
@@ -320,10 +326,14 @@
 func (d *Dialer) Probe(ctx context.Context, exists func(address string) bool, stillBlocked func(address string)) {
 	d.mu.Lock()
 	now := d.options.Now()
-	d.tracker.Retain(now, exists)
+	d.tracker.Expire(now)
 	due := d.tracker.DueProbes(now, maxProbes)
 	d.mu.Unlock()
 	for _, address := range due {
+		if !exists(address) {
+			d.forget(address)
+			continue
+		}
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, CheckTimeout)
 			defer cancel()
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -246,6 +246,16 @@
 	return d.filter(func(*entry) bool { return true })
 }
 
+// HasAddress reports whether a target is registered at an address.
+func (d *Directory) HasAddress(address string) bool {
+	for _, t := range d.targets {
+		if t.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
 func (d *Directory) filter(keep func(*entry) bool) []Registration {
 	var out []Registration
 	for _, t := range d.targets {
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -144,3 +144,11 @@
 	d.ApplyEvents(2*time.Second+leavingRetention, nil)
 	is.Equal(len(d.leaving), 0)
 }
+
+func TestAddressesOfRegisteredTargetsAreKnown(t *testing.T) {
+	is := is.New(t)
+	d := New()
+	d.ApplyEvents(0, []Event{registered("a", 1, 1, Ready)})
+	is.True(d.HasAddress("10.0.0.1:80"))
+	is.True(!d.HasAddress("10.0.0.2:80"))
+}
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -51,12 +51,7 @@
 func (g *Gateway) isTargetAddress(address string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, t := range g.directory.All() {
-		if t.Address == address {
-			return true
-		}
-	}
-	return false
+	return g.directory.HasAddress(address)
 }
 
 // handleBlockedPath is called when the direct path to a target turns out to be blocked. If direct
@@ -73,11 +68,7 @@
 // sweepPaths probes the blocked direct paths and, if another one has just been found blocked,
 // checks those to all targets in use.
 func (g *Gateway) sweepPaths(ctx context.Context) {
-	g.dialer.Probe(ctx, g.isTargetAddress, func(address string) {
-		for _, service := range g.listEngineServices() {
-			service.cancelSilentAttempts(address)
-		}
-	})
+	g.dialer.Probe(ctx, g.isTargetAddress, g.cancelSilentAttempts)
 	if !g.checkAllPaths.Swap(false) {
 		return
 	}
@@ -88,6 +79,14 @@
 	}
 }
 
+// cancelSilentAttempts cancels the attempts at an address whose direct path is still blocked and
+// from which nothing arrives.
+func (g *Gateway) cancelSilentAttempts(address string) {
+	for _, service := range g.listEngineServices() {
+		service.cancelSilentAttempts(address)
+	}
+}
+
 // maxPathChecks bounds the paths that are checked at a time.
 const maxPathChecks = 32
 
--- a/internal/targetpath/targetpath.go
+++ b/internal/targetpath/targetpath.go
@@ -22,6 +22,10 @@
 	ProbeInterval = 500 * time.Millisecond
 	// relaySuspension is how long no peer is asked for a target that no peer could reach.
 	relaySuspension = 500 * time.Millisecond
+	// recoveryTime is how long after a path has recovered more of the others are probed at a
+	// time, by recoveryFactor.
+	recoveryTime   = time.Second
+	recoveryFactor = 16
 	// peerFailureMemory is how long a peer that could not connect to a target is asked last.
 	peerFailureMemory = time.Second
 )
@@ -32,6 +36,8 @@
 	blocked        map[string]*blockedPath
 	suspendedUntil map[string]time.Duration
 	peerFailedAt   map[string]time.Duration
+	// recoveringUntil is the end of recoveryTime.
+	recoveringUntil time.Duration
 }
 
 // blockedPath is a direct path over which no connection can be made.
@@ -60,6 +66,7 @@
 		return false
 	}
 	delete(t.blocked, address)
+	t.recoveringUntil = now + recoveryTime
 	for _, path := range t.blocked {
 		path.probeAt = now
 	}
@@ -85,8 +92,12 @@
 // PeerFailed records that a peer could not connect to a target.
 func (t *Tracker) PeerFailed(now time.Duration, peer string) { t.peerFailedAt[peer] = now }
 
-// DueProbes returns at most limit targets to which a direct connection has to be tried now.
+// DueProbes returns the targets to which a direct connection has to be tried now: at most limit,
+// and more after another path has recovered.
 func (t *Tracker) DueProbes(now time.Duration, limit int) []string {
+	if now < t.recoveringUntil {
+		limit *= recoveryFactor
+	}
 	var due []string
 	for address, path := range t.blocked {
 		if len(due) < limit && now >= path.probeAt {
@@ -97,13 +108,11 @@
 	return due
 }
 
-// Retain drops what has expired, and the targets for which exists returns false.
-func (t *Tracker) Retain(now time.Duration, exists func(address string) bool) {
-	for address := range t.blocked {
-		if !exists(address) {
-			delete(t.blocked, address)
-		}
-	}
+// Forget drops what is known of the path to a target that is gone.
+func (t *Tracker) Forget(address string) { delete(t.blocked, address) }
+
+// Expire drops what is too old to count.
+func (t *Tracker) Expire(now time.Duration) {
 	for address, until := range t.suspendedUntil {
 		if now >= until {
 			delete(t.suspendedUntil, address)
