--- a/internal/connrelay/connrelay_test.go
+++ b/internal/connrelay/connrelay_test.go
@@ -44,7 +44,7 @@
 	return nil, ctx.Err()
 }
 
-func newInstance(t *testing.T, name string, isTarget func(string) bool) *instance {
+func newInstance(t testing.TB, name string, isTarget func(string) bool) *instance {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -79,14 +79,14 @@
 func anyTarget(string) bool { return true }
 
 // newPair returns an instance and its peer.
-func newPair(t *testing.T) (a, b *instance) {
+func newPair(t testing.TB) (a, b *instance) {
 	a, b = newInstance(t, "a", anyTarget), newInstance(t, "b", anyTarget)
 	a.meet(b)
 	return a, b
 }
 
 // startTarget accepts connections and hands them to serve.
-func startTarget(t *testing.T, serve func(*net.TCPConn)) string {
+func startTarget(t testing.TB, serve func(*net.TCPConn)) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/connrelay/server.go
+++ b/internal/connrelay/server.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// maxRelayed bounds the connections that an instance relays at a time. Each takes two file
-	// descriptors and about 20 KB.
+	// maxRelayed bounds the connections that an instance relays at a time: each takes two file
+	// descriptors, two goroutines and two buffers.
 	maxRelayed = 256
 	// relayDialTimeout bounds the connection attempt to a target. The peer that asked gives up
 	// after the dial timeout of its pool, which is longer.
