targetlimit: instances that were rejected don't try again together

Traced: four instances paused for the same 1.3 s after their rejections, so they tried again together, some with two requests at a time.

Pauses now differ by the instances' ranks in the target's rendezvous order and add up to half of what the target can bear; the first one after an accepted request is one to two units, further ones multiples of it. Until a request is accepted the instance has one in flight there.

--- a/internal/gateway/targetlimits.go
+++ b/internal/gateway/targetlimits.go
@@ -93,11 +93,15 @@
 	return limit == 0 || inFlight < limit
 }
 
-// recordRejection records that a target rejected a request.
-func (t *targetLimits) recordRejection(id directory.Incarnation) {
+// recordAdmission records whether a target accepted a request or rejected it.
+func (t *targetLimits) recordAdmission(id directory.Incarnation, accepted bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.limiter.RecordRejection(t.now(), id)
+	if accepted {
+		t.limiter.RecordAccepted(id)
+	} else {
+		t.limiter.RecordRejection(t.now(), id)
+	}
 }
 
 // canSend reports whether this instance may send a request to a target now.
--- a/internal/targetlimit/limiter.go
+++ b/internal/targetlimit/limiter.go
@@ -47,9 +47,12 @@
 	// discoveryTimeout is how long after its start an instance that has not looked
 	// up the fleet yet sends nothing to limited targets.
 	discoveryTimeout = 7 * time.Second
-	// minRejectionPause and maxRejectionPause bound the pause after a rejection.
-	minRejectionPause = 200 * time.Millisecond
-	maxRejectionPause = 10 * time.Second
+	// rejectionShare is the share of the rejections that a target can bear which the
+	// instances cause on average, so that few seconds have more than it can bear.
+	rejectionShare = 0.5
+	// minRejectionPause and maxRejectionPause bound the pauses after a rejection.
+	minRejectionPause = time.Second
+	maxRejectionPause = 30 * time.Second
 )
 
 // Limit is what a target states in its answers.
@@ -93,8 +96,10 @@
 	// tokens is the number of requests that may be sent now, at most one.
 	tokens    float64
 	updatedAt time.Duration
-	// pausedUntil is the end of the pause after a rejection.
+	// pausedUntil is the end of the pause after a rejection. rejecting is set from a
+	// rejection until a request is accepted.
 	pausedUntil time.Duration
+	rejecting   bool
 }
 
 // New returns a Limiter for the instance self, which starts at now.
@@ -242,8 +247,11 @@
 
 // SlotShare returns this instance's share of the slots of a target that must reject
 // little, at least one. The first instances in the target's rendezvous order get the
-// slots that remain after equal shares.
+// slots that remain after equal shares. While the target rejects, the share is one.
 func (l *Limiter) SlotShare(id directory.Incarnation, slots int) int {
+	if t := l.targets[id]; t != nil && t.rejecting {
+		return 1
+	}
 	instances := max(1, len(l.members))
 	share := slots / instances
 	if l.rank(id) < slots%instances {
@@ -261,16 +269,34 @@
 	return l.SlotShare(id, slots)
 }
 
-// RecordRejection records that a target rejected a request for want of room. If each
-// instance pauses for that long after each of its rejections, they stay within what the
-// target can bear.
+// RecordRejection records that a target rejected a request for want of room. After a first
+// rejection the instances pause for one to two units, and for multiples of it after further
+// ones, by their ranks, so that they don't try again together. The unit is chosen such that
+// the multiples cause rejectionShare of what the target can bear.
 func (l *Limiter) RecordRejection(now time.Duration, id directory.Incarnation) {
 	t := l.targets[id]
 	if t == nil || t.Rejections == 0 {
 		return
 	}
-	pause := time.Duration(float64(len(l.members)) / t.Rejections * float64(time.Second))
-	t.pausedUntil = max(t.pausedUntil, now+min(max(pause, minRejectionPause), maxRejectionPause))
+	attempts := 0.0 // per unit of pause, by all instances
+	for rank := range l.members {
+		attempts += 1 / float64(1+rank)
+	}
+	unit := max(minRejectionPause, time.Duration(attempts/(rejectionShare*t.Rejections)*float64(time.Second)))
+	rank := time.Duration(l.rank(id))
+	pause := unit + unit*rank/time.Duration(len(l.members))
+	if t.rejecting {
+		pause = min((1+rank)*unit, maxRejectionPause)
+	}
+	t.rejecting = true
+	t.pausedUntil = max(t.pausedUntil, now+pause)
+}
+
+// RecordAccepted records that a target accepted a request.
+func (l *Limiter) RecordAccepted(id directory.Incarnation) {
+	if t := l.targets[id]; t != nil {
+		t.rejecting = false
+	}
 }
 
 // CanSend reports whether this instance may send a request to a target now.
