targetpath, gateway: partitioned peers are asked last, also if they have found no relay

An instance that had asked only partitioned peers counted the targets as down; as it had no relayed connection, it didn't count as partitioned to its peers, and the breakers of its targets waited longer and longer before they asked others. A whole domain of a large site would have met the same, since peers of the own domain were asked first.

Instances publish how many targets they don't reach at all. Peers are asked in the order of what they miss, by orders of magnitude, and the first ones alternate between domains. While a peer misses at most half as many, unreachable targets are probed through peers too.

A peer relays up to 1024 connections instead of 256: 47 instances with connections to seven targets need more. Pauses after rejections follow the number of instances.

--- a/internal/connrelay/server.go
+++ b/internal/connrelay/server.go
@@ -18,7 +18,7 @@
 const (
 	// maxRelayed bounds the connections that an instance relays at a time: each takes two file
 	// descriptors, two goroutines and two buffers.
-	maxRelayed = 256
+	maxRelayed = 1024
 	// relayDialTimeout bounds the connection attempt to a target. The peer that asked gives up
 	// after the dial timeout of its pool, which is longer.
 	relayDialTimeout = 300 * time.Millisecond
--- a/internal/gateway/fleetstate.go
+++ b/internal/gateway/fleetstate.go
@@ -18,6 +18,9 @@
 		ConfigVersion: g.configVersion(), Loads: map[string]wire.TargetLoad{}, CacheStores: g.cache.reachableStores(),
 		TargetLimits: g.limits.reports(),
 	}
+	for _, service := range g.listServices() {
+		state.UnreachableTargets += service.unreachableCount()
+	}
 	state.Rollouts = g.canaries.published(state.OrderLease != nil)
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -279,7 +279,7 @@
 	var out []targetpath.Peer
 	for name, s := range p.known {
 		if p.isRelay(now, s) {
-			out = append(out, targetpath.Peer{Name: name, Address: s.Address, Domain: s.Domain, Partitioned: s.state.BlockedTargets > 0})
+			out = append(out, targetpath.Peer{Name: name, Address: s.Address, Domain: s.Domain, Unreached: s.state.BlockedTargets + s.state.UnreachableTargets})
 		}
 	}
 	return out
@@ -293,11 +293,31 @@
 	return node.OpenStream(ctx, address, kind, request, response)
 }
 
-// hasDirectPaths reports whether a reporting peer reaches all targets directly.
+// hasDirectPaths reports whether a reporting peer needs no relays.
 func (p *peers) hasDirectPaths() bool {
-	return slices.ContainsFunc(p.relayPeers(), func(peer targetpath.Peer) bool { return !peer.Partitioned })
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.g.clock.Now()
+	for _, s := range p.known {
+		if p.isRelay(now, s) && s.state.BlockedTargets == 0 {
+			return true
+		}
+	}
+	return false
 }
 
+// reachMore reports whether a reporting peer reaches clearly more targets than this instance,
+// which does not reach the given number.
+func (p *peers) reachMore(unreached int) bool {
+	return unreached >= minPartitionedTargets && slices.ContainsFunc(p.relayPeers(), func(peer targetpath.Peer) bool {
+		return peer.Unreached <= unreached/2
+	})
+}
+
+// minPartitionedTargets is the number of unreachable targets from which an instance suspects that
+// it is partitioned.
+const minPartitionedTargets = 3
+
 // hubInstance returns this instance's properties for ranking.
 func (p *peers) hubInstance() hubs.Instance {
 	return hubs.Instance{Name: p.g.self.Instance, Domain: p.g.self.Domain, Capacity: p.g.settings.Capacity}
--- a/internal/gateway/unreachable.go
+++ b/internal/gateway/unreachable.go
@@ -59,6 +59,19 @@
 	return due
 }
 
+// unreachableCount returns the number of targets that can't be reached.
+func (s *engineService) unreachableCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for id, b := range s.breakers {
+		if _, usable := s.registrations[id]; usable && b.IsUnreachable() {
+			n++
+		}
+	}
+	return n
+}
+
 // recordReachable records that an unreachable target accepts connections again.
 func (s *engineService) recordReachable(id string) {
 	s.mu.Lock()
@@ -86,6 +99,19 @@
 	return due
 }
 
+// unreachableCount returns the number of targets that can't be reached.
+func (s *plainService) unreachableCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for i := range s.targets {
+		if s.targets[i].breaker.IsUnreachable() {
+			n++
+		}
+	}
+	return n
+}
+
 // recordReachable records that an unreachable target accepts connections again.
 func (s *plainService) recordReachable(id string) {
 	s.mu.Lock()
@@ -100,28 +126,55 @@
 // targetService is what both kinds of service have in common.
 type targetService interface {
 	unreachableTargets() []probeTarget
+	unreachableCount() int
 	recordReachable(id string)
 }
 
-// probeUnreachable tries to connect to the targets that could not be reached. Peers are not
-// asked: requests that probe the breakers do that.
-func (g *Gateway) probeUnreachable(ctx context.Context) {
-	var services []targetService
+// listServices returns all services, for calls that are made without g.mu.
+func (g *Gateway) listServices() []targetService {
 	g.mu.Lock()
+	defer g.mu.Unlock()
+	var services []targetService
 	for _, s := range g.engineServices {
 		services = append(services, s)
 	}
 	for _, s := range g.plainServices {
 		services = append(services, s)
 	}
-	g.mu.Unlock()
+	return services
+}
+
+// probeUnreachable tries to connect to the targets that could not be reached. Peers are asked only
+// if they reach clearly more targets; otherwise each target that is down would have all instances
+// ask their peers twice a second.
+func (g *Gateway) probeUnreachable(ctx context.Context) {
+	services, unreached := g.listServices(), 0
+	for _, s := range services {
+		unreached += s.unreachableCount()
+	}
+	askPeers := g.peers.reachMore(unreached)
 	for _, s := range services {
 		for _, t := range s.unreachableTargets() {
-			go g.probeTarget(ctx, s, t)
+			if askPeers {
+				go g.probeThroughPeers(ctx, s, t)
+			} else {
+				go g.probeTarget(ctx, s, t)
+			}
 		}
 	}
 }
 
+func (g *Gateway) probeThroughPeers(ctx context.Context, s targetService, t probeTarget) {
+	if g.dialer.Check(ctx, t.address) != connrelay.Unreached {
+		g.recordReachable(s, t)
+	}
+}
+
+func (g *Gateway) recordReachable(s targetService, t probeTarget) {
+	logline.Info("target_reachable", "target", t.id, "address", t.address)
+	s.recordReachable(t.id)
+}
+
 func (g *Gateway) probeTarget(ctx context.Context, s targetService, t probeTarget) {
 	ctx, cancel := context.WithTimeout(ctx, connrelay.CheckTimeout)
 	defer cancel()
@@ -130,6 +183,5 @@
 		return // still unreachable
 	}
 	g.targets.Put(g.targets.Wrap(t.address, conn))
-	logline.Info("target_reachable", "target", t.id, "address", t.address)
-	s.recordReachable(t.id)
+	g.recordReachable(s, t)
 }
--- a/internal/targetlimit/limiter.go
+++ b/internal/targetlimit/limiter.go
@@ -269,27 +269,20 @@
 	return l.SlotShare(id, slots)
 }
 
-// RecordRejection records that a target rejected a request for want of room. After a first
-// rejection the instances pause for one to two units, and for multiples of it after further
-// ones, by their ranks, so that they don't try again together. The unit is chosen such that
-// the multiples cause rejectionShare of what the target can bear.
+// RecordRejection records that a target rejected a request for want of room. The instance
+// sends nothing there for a time in which all instances may be rejected once, at
+// rejectionShare of what the target can bear. The times differ by the instances' ranks, so
+// that they don't try again together.
 func (l *Limiter) RecordRejection(now time.Duration, id directory.Incarnation) {
 	t := l.targets[id]
 	if t == nil || t.Rejections == 0 {
 		return
 	}
-	attempts := 0.0 // per unit of pause, by all instances
-	for rank := range l.members {
-		attempts += 1 / float64(1+rank)
-	}
-	unit := max(minRejectionPause, time.Duration(attempts/(rejectionShare*t.Rejections)*float64(time.Second)))
-	rank := time.Duration(l.rank(id))
-	pause := unit + unit*rank/time.Duration(len(l.members))
-	if t.rejecting {
-		pause = min((1+rank)*unit, maxRejectionPause)
-	}
 	t.rejecting = true
-	t.pausedUntil = max(t.pausedUntil, now+pause)
+	instances := float64(len(l.members))
+	mean := instances / (rejectionShare * t.Rejections) * float64(time.Second)
+	pause := time.Duration(mean * (0.5 + (float64(l.rank(id))+0.5)/instances))
+	t.pausedUntil = max(t.pausedUntil, now+min(max(pause, minRejectionPause), maxRejectionPause))
 }
 
 // RecordAccepted records that a target accepted a request.
--- a/internal/targetpath/targetpath.go
+++ b/internal/targetpath/targetpath.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -156,27 +157,35 @@
 	Name    string
 	Address string
 	Domain  string
-	// Partitioned is set if the peer itself reaches some targets only through others.
-	Partitioned bool
+	// Unreached is the number of targets that the peer itself does not reach directly.
+	Unreached int
 }
 
-// Order sorts peers by the order in which they are asked: first those that are not partitioned
-// and have not failed lately, of these first the ones in the instance's own domain, otherwise at
-// random.
+// Order sorts peers by the order in which they are asked: first those that reach the most targets,
+// by orders of magnitude, and have not failed lately. Among equals, one of the instance's own
+// domain is first, and the next ones are of other domains: a whole domain may be partitioned
+// without knowing it yet.
 func (t *Tracker) Order(now time.Duration, domain string, peers []Peer, rng *rand.Rand) {
 	rng.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	rank := func(p Peer) int {
-		r := 0
-		if p.Partitioned {
-			r += 4
-		}
+	class := func(p Peer) int {
+		c := 2 * bits.Len(uint(p.Unreached))
 		if at, failed := t.peerFailedAt[p.Name]; failed && now-at <= peerFailureMemory {
-			r += 2
+			c++
 		}
-		if p.Domain != domain {
-			r++
+		return c
+	}
+	slices.SortStableFunc(peers, func(a, b Peer) int { return cmp.Compare(class(a), class(b)) })
+	last := domain
+	for i := range min(len(peers), maxDiverse) {
+		for j := i; j < len(peers) && class(peers[j]) == class(peers[i]); j++ {
+			if (peers[j].Domain == last) == (i == 0) {
+				peers[i], peers[j] = peers[j], peers[i]
+				break
+			}
 		}
-		return r
+		last = peers[i].Domain
 	}
-	slices.SortStableFunc(peers, func(a, b Peer) int { return cmp.Compare(rank(a), rank(b)) })
 }
+
+// maxDiverse is the number of peers in an order for which the domains alternate.
+const maxDiverse = 4
--- a/internal/targetpath/targetpath_test.go
+++ b/internal/targetpath/targetpath_test.go
@@ -80,7 +80,7 @@
 func TestOrderOfPeers(t *testing.T) {
 	peers := map[string]Peer{
 		"near": {Name: "near", Domain: "d1"}, "far": {Name: "far", Domain: "d2"},
-		"near, partitioned": {Name: "near, partitioned", Domain: "d1", Partitioned: true},
+		"near, partitioned": {Name: "near, partitioned", Domain: "d1", Unreached: 12},
 		"near, failed":      {Name: "near, failed", Domain: "d1"},
 		"far, failed":       {Name: "far, failed", Domain: "d2"},
 	}
@@ -102,3 +102,17 @@
 		is.Equal(got, want)
 	}
 }
+
+// Guards against asking only peers of the own failure domain while all of it is partitioned.
+func TestPeersOfOtherDomainsAreAskedNext(t *testing.T) {
+	is := is.New(t)
+	var list []Peer
+	for i := range 30 {
+		list = append(list, Peer{Name: string(rune('a' + i)), Domain: []string{"d1", "d2", "d3"}[i%3]})
+	}
+	New().Order(0, "d1", list, rand.New(rand.NewPCG(1, 0)))
+	is.Equal(list[0].Domain, "d1")
+	for i := range maxDiverse - 1 {
+		is.True(list[i].Domain != list[i+1].Domain)
+	}
+}
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -77,6 +77,8 @@
 	StoreUnreachable bool
 	// BlockedTargets is the number of targets that the origin reaches only through peers.
 	BlockedTargets int
+	// UnreachableTargets is the number of targets that it does not reach at all.
+	UnreachableTargets int
 	// OrderLease is the record of the order lease if the origin holds it.
 	OrderLease *OrderLeaseRecord
 	// ConfigVersion is the version of the origin's configuration; 0 for none.
@@ -106,7 +108,7 @@
 	if (s.OrderLease == nil) != (o.OrderLease == nil) || s.OrderLease != nil && *s.OrderLease != *o.OrderLease {
 		return false
 	}
-	return s.Capacity == o.Capacity && s.Leaving == o.Leaving && s.StoreUnreachable == o.StoreUnreachable && s.BlockedTargets == o.BlockedTargets && s.ConfigVersion == o.ConfigVersion &&
+	return s.Capacity == o.Capacity && s.Leaving == o.Leaving && s.StoreUnreachable == o.StoreUnreachable && s.BlockedTargets == o.BlockedTargets && s.UnreachableTargets == o.UnreachableTargets && s.ConfigVersion == o.ConfigVersion &&
 		maps.Equal(s.Loads, o.Loads) && maps.Equal(s.OverdueInstances, o.OverdueInstances) && slices.Equal(s.LoadingTargets, o.LoadingTargets) &&
 		slices.Equal(s.CacheStores, o.CacheStores) && slices.Equal(s.SilentTargets, o.SilentTargets) &&
 		slices.Equal(s.TargetLimits, o.TargetLimits) && slices.Equal(s.Rollouts, o.Rollouts)
--- a/internal/wire/update.go
+++ b/internal/wire/update.go
@@ -32,13 +32,14 @@
 	Limits  []TargetLimit     `msgpack:"m,omitempty"`
 	Rolls   []Rollout         `msgpack:"c,omitempty"`
 	Blocked int               `msgpack:"p,omitempty"`
+	Unreach int               `msgpack:"u,omitempty"`
 }
 
 func (s *InstanceState) optional() *optionalState {
-	if !s.Leaving && !s.StoreUnreachable && s.BlockedTargets == 0 && s.OrderLease == nil && len(s.LoadingTargets)+len(s.CacheStores)+len(s.SilentTargets)+len(s.OverdueInstances)+len(s.TargetLimits)+len(s.Rollouts) == 0 {
+	if !s.Leaving && !s.StoreUnreachable && s.BlockedTargets+s.UnreachableTargets == 0 && s.OrderLease == nil && len(s.LoadingTargets)+len(s.CacheStores)+len(s.SilentTargets)+len(s.OverdueInstances)+len(s.TargetLimits)+len(s.Rollouts) == 0 {
 		return nil
 	}
-	return &optionalState{s.Leaving, s.StoreUnreachable, s.OrderLease, s.LoadingTargets, s.CacheStores, s.SilentTargets, s.OverdueInstances, s.TargetLimits, s.Rollouts, s.BlockedTargets}
+	return &optionalState{s.Leaving, s.StoreUnreachable, s.OrderLease, s.LoadingTargets, s.CacheStores, s.SilentTargets, s.OverdueInstances, s.TargetLimits, s.Rollouts, s.BlockedTargets, s.UnreachableTargets}
 }
 
 // EncodeMsgpack implements msgpack.CustomEncoder.
@@ -169,7 +170,7 @@
 	if s := decodePointer[optionalState](r); s != nil {
 		u.State.Leaving, u.State.StoreUnreachable, u.State.OrderLease = s.Leaving, s.Cut, s.Orders
 		u.State.LoadingTargets, u.State.CacheStores, u.State.SilentTargets, u.State.OverdueInstances = s.Loading, s.Stores, s.Silent, s.Overdue
-		u.State.TargetLimits, u.State.Rollouts, u.State.BlockedTargets = s.Limits, s.Rolls, s.Blocked
+		u.State.TargetLimits, u.State.Rollouts, u.State.BlockedTargets, u.State.UnreachableTargets = s.Limits, s.Rolls, s.Blocked, s.Unreach
 	}
 	u.Spent = r.spent()
 	u.FirstEvent, u.Events = r.events()
