entry: polls of targets leave relayed connections once the direct path is open

Cause: idle connections were closed at the moment when the path opened. A long poll for cache events is in progress nearly all the time and reuses its connection right after, so it was never idle at that moment and went on through the peer; load queries and requests could meet the same by chance.

Relayed connections of the clients that poll are closed when the path opens, and idle ones of all clients at each look for five seconds after it.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -41,6 +42,10 @@
 	// dialer connects to targets, also through peers; dialDirect does so only directly.
 	dialer     *connrelay.Dialer
 	dialDirect targetconn.DialFunc
+	// polls holds the relayed connections of polls. pathOpenedAt is when a blocked path last
+	// opened, in nanoseconds of clock; 0 if none has.
+	polls        relayedPolls
+	pathOpenedAt atomic.Int64
 	// relays relays connections of peers to targets.
 	relays  *connrelay.Server
 	callers *callerServer
@@ -68,6 +73,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Entry{settings: s, clock: newClock(), ctx: ctx, cancel: cancel, metrics: newEntryMetrics(), drainRequested: make(chan struct{})}
 	e.dialDirect = (&net.Dialer{Timeout: targetDialTimeout}).DialContext
+	e.polls.conns = map[string][]net.Conn{}
 	self := wire.Identity{Instance: s.InstanceID, Incarnation: uuid.Must(uuid.NewV7()).String(), Address: s.PeerListen, Domain: s.Domain}
 	e.node = peer.NewNode(peer.Options{Self: self, Secret: secret, TLS: sec.peers})
 	e.platform = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdlePlatformConns}}
@@ -98,7 +104,7 @@
 		duty, _ := e.rates.holder.Table().State(dutyRollout)
 		e.rollouts.applyRecord(offset, env, duty.Token)
 	})
-	e.pools = newPools(e.ctx, e.clock, s.Domain, e.dialTarget)
+	e.pools = newPools(e.ctx, e.clock, s.Domain, e.dialPoll)
 	e.config.onChange(func(state *config.State) {
 		e.rates.setAccounts(state)
 		e.pools.configure(state, e.members.liveInstanceCount())
--- a/internal/entry/paths.go
+++ b/internal/entry/paths.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +19,9 @@
 const (
 	// pathProbeInterval is the interval at which blocked direct paths are looked at.
 	pathProbeInterval = 250 * time.Millisecond
+	// relayDrainTime is how long after a path has opened idle connections are closed at each
+	// look, as relayed ones that were in use become idle.
+	relayDrainTime = 5 * time.Second
 	// silentResponseTimeout is the time without a response after which the path to the target of
 	// an idempotent request is checked.
 	silentResponseTimeout = time.Second
@@ -34,8 +38,7 @@
 	e.dialer = connrelay.NewDialer(connrelay.Options{
 		Direct: direct, Domain: e.settings.Domain, Now: e.clock.now, Peers: e.members.relayPeers, OpenStream: e.node.OpenStream,
 		OnBlocked: e.handleBlockedPath,
-		// Relayed connections are not used for longer than necessary.
-		OnOpen: func(string) { e.closeIdleTargetConnections() },
+		OnOpen:    e.handleOpenPath,
 	})
 	e.relays = connrelay.NewServer(direct, func(address string) bool { return e.pools.announcements.isTarget(address) })
 	e.node.HandleStream(wire.KindRelay, e.relays.Handle)
@@ -48,6 +51,42 @@
 	return e.dialer.Dial(ctx, network, address)
 }
 
+// relayedPolls holds the relayed connections of the clients that poll targets, by address.
+type relayedPolls struct {
+	mu    sync.Mutex
+	conns map[string][]net.Conn
+}
+
+// dialPoll is dialTarget for the clients that poll targets.
+func (e *Entry) dialPoll(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := e.dialTarget(ctx, network, address)
+	if err == nil && connrelay.RelayOf(conn) != "" {
+		e.polls.mu.Lock()
+		e.polls.conns[address] = append(e.polls.conns[address], conn)
+		e.polls.mu.Unlock()
+	}
+	return conn, err
+}
+
+// closeAll closes the connections to an address. Polls in progress fail and are repeated.
+func (r *relayedPolls) closeAll(address string) {
+	r.mu.Lock()
+	conns := r.conns[address]
+	delete(r.conns, address)
+	r.mu.Unlock()
+	for _, conn := range conns {
+		conn.Close()
+	}
+}
+
+// handleOpenPath is called when a direct path that was blocked is open again. Relayed connections
+// are not used for longer than necessary; those of polls would never become idle.
+func (e *Entry) handleOpenPath(address string) {
+	e.pathOpenedAt.Store(int64(e.clock.now()))
+	e.polls.closeAll(address)
+	e.closeIdleTargetConnections()
+}
+
 // handleBlockedPath is called when the direct path to a target turns out to be blocked. If direct
 // attempts get no response, open connections are probably dead.
 func (e *Entry) handleBlockedPath(address string, silent bool) {
@@ -67,6 +106,9 @@
 func (e *Entry) probePaths(ctx context.Context) {
 	for ctx.Err() == nil {
 		e.dialer.Probe(ctx, e.pools.announcements.isTarget, func(string) {})
+		if at := time.Duration(e.pathOpenedAt.Load()); at > 0 && e.clock.now()-at < relayDrainTime {
+			e.closeIdleTargetConnections()
+		}
 		sleep(ctx, pathProbeInterval)
 	}
 }
