wire, settings: rows and switches for the parts under contention, of unequal targets, continued runs and bounded memory

Interfaces agreed before the parts are built side by side. InstanceState gets demand by account and urgency, requests in flight at plain targets, measured capacities and slow targets; all are optional fields that no instance fills yet, so messages stay as they were byte for byte.

No behaviour changes. go test ./internal/wire ./internal/gateway ./internal/routing ./internal/configsync ./internal/gatewaycmd: ok.

--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -22,6 +22,11 @@
 	PeerListen    string
 	MetricsListen string
 
+	// Features are the optional parts that the deployment calls for.
+	Features Features
+	// MemoryBytes is the memory of the instance; 0 means no limit.
+	MemoryBytes int64
+
 	// DialTarget establishes connections to targets; nil for the default of targetconn.
 	DialTarget targetconn.DialFunc
 
@@ -61,3 +66,13 @@
 	BalancerLag  time.Duration
 	DrainTimeout time.Duration
 }
+
+// Features are the optional parts that a deployment calls for.
+type Features struct {
+	// Contention is set where callers compete for too little room: requests are admitted by
+	// urgency and fair share over all instances.
+	Contention bool
+	// BoundedMemory is set where callers and targets may read slowly and targets fail if the
+	// requests that they hold exceed their memory.
+	BoundedMemory bool
+}
--- a/internal/gatewaycmd/settings.go
+++ b/internal/gatewaycmd/settings.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mastictray/mastictray/internal/gateway"
+	"github.com/mastictray/mastictray/platform"
 )
 
 // Settings are the settings of a gateway process. Each field can be set in the
@@ -24,6 +25,8 @@
 
 	StoreAddress string `required:"" help:"ip:port of the platform's store." group:"platform"`
 
+	Contracts []string `help:"Parts of the platform's rules that are in force. They switch on the features that serve them." group:"platform"`
+
 	CPUShare float64 `name:"cpu-share" default:"1" help:"CPU cores that the instance may use; may be a fraction." group:"limits"`
 	CPUSpeed float64 `name:"cpu-speed" default:"1" help:"Speed of a core as a multiple of a usual core's speed." group:"limits"`
 	LinkMbps float64 `name:"link-mbps" default:"1000" help:"Bandwidth of the instance's network link in Mbit/s." group:"limits"`
@@ -107,6 +110,7 @@
 		WeightsBound: s.WeightsBound, ConfigBound: s.ConfigBound, DrainBound: s.DrainBound, LeaseGap: time.Duration(leaseGapFactor * float64(s.LeaseGap)),
 		ExposureShare: s.ExposureShare, ExposureSlack: s.ExposureSlack, RollbackBound: s.RollbackBound,
 		PrefillTokensPerSecond: s.PrefillRate,
-		BalancerLag:            s.BalancerLag, DrainTimeout: s.Grace - s.BalancerLag - exitMargin,
+		Features:               platform.FeaturesOf(s.Contracts), MemoryBytes: int64(s.MemoryMB) << 20,
+		BalancerLag: s.BalancerLag, DrainTimeout: s.Grace - s.BalancerLag - exitMargin,
 	}
 }
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -101,6 +101,33 @@
 	// announcement in the store. Only the instance of highest rank (hubs.Compare)
 	// reports them.
 	OverdueInstances map[string]int64
+	// Demand is what the origin's callers have asked for recently.
+	Demand []AccountDemand
+	// PlainLoads is the number of requests that the origin has in flight at targets of plain
+	// services.
+	PlainLoads map[string]int
+	// TargetRates are the capacities of targets that the origin has measured.
+	TargetRates []TargetRate
+	// SlowTargets are the targets that answer the origin far later than they usually do.
+	SlowTargets []string
+}
+
+// AccountDemand is the demand of one account in one class of urgency.
+type AccountDemand struct {
+	Account string `msgpack:"a"`
+	// Urgency is from 0, the most urgent, upwards.
+	Urgency int `msgpack:"u"`
+	// TokensPerSecond is the rate of prompt tokens to prefill.
+	TokensPerSecond int `msgpack:"t"`
+}
+
+// TargetRate is the measured capacity of one incarnation of a target.
+type TargetRate struct {
+	Target string `msgpack:"t"`
+	Born   int64  `msgpack:"b"`
+	// PrefillTokensPerSecond is its prefill rate, Samples the number of responses measured.
+	PrefillTokensPerSecond int `msgpack:"r"`
+	Samples                int `msgpack:"n"`
 }
 
 // Equal reports whether two states are the same.
@@ -111,7 +138,9 @@
 	return s.Capacity == o.Capacity && s.Leaving == o.Leaving && s.StoreUnreachable == o.StoreUnreachable && s.BlockedTargets == o.BlockedTargets && s.UnreachableTargets == o.UnreachableTargets && s.ConfigVersion == o.ConfigVersion &&
 		maps.Equal(s.Loads, o.Loads) && maps.Equal(s.OverdueInstances, o.OverdueInstances) && slices.Equal(s.LoadingTargets, o.LoadingTargets) &&
 		slices.Equal(s.CacheStores, o.CacheStores) && slices.Equal(s.SilentTargets, o.SilentTargets) &&
-		slices.Equal(s.TargetLimits, o.TargetLimits) && slices.Equal(s.Rollouts, o.Rollouts)
+		slices.Equal(s.TargetLimits, o.TargetLimits) && slices.Equal(s.Rollouts, o.Rollouts) &&
+		slices.Equal(s.Demand, o.Demand) && maps.Equal(s.PlainLoads, o.PlainLoads) &&
+		slices.Equal(s.TargetRates, o.TargetRates) && slices.Equal(s.SlowTargets, o.SlowTargets)
 }
 
 // InstanceEvent is a prefilled prompt, outcomes of attempts, or a request that lost the
--- a/internal/wire/update.go
+++ b/internal/wire/update.go
@@ -33,13 +33,24 @@
 	Rolls   []Rollout         `msgpack:"c,omitempty"`
 	Blocked int               `msgpack:"p,omitempty"`
 	Unreach int               `msgpack:"u,omitempty"`
+	Demand  []AccountDemand   `msgpack:"n,omitempty"`
+	Plain   map[string]int    `msgpack:"i,omitempty"`
+	Rates   []TargetRate      `msgpack:"r,omitempty"`
+	Slow    []string          `msgpack:"w,omitempty"`
 }
 
 func (s *InstanceState) optional() *optionalState {
-	if !s.Leaving && !s.StoreUnreachable && s.BlockedTargets+s.UnreachableTargets == 0 && s.OrderLease == nil && len(s.LoadingTargets)+len(s.CacheStores)+len(s.SilentTargets)+len(s.OverdueInstances)+len(s.TargetLimits)+len(s.Rollouts) == 0 {
+	lists := len(s.LoadingTargets) + len(s.CacheStores) + len(s.SilentTargets) + len(s.OverdueInstances) + len(s.TargetLimits) + len(s.Rollouts) +
+		len(s.Demand) + len(s.PlainLoads) + len(s.TargetRates) + len(s.SlowTargets)
+	if !s.Leaving && !s.StoreUnreachable && s.BlockedTargets+s.UnreachableTargets == 0 && s.OrderLease == nil && lists == 0 {
 		return nil
 	}
-	return &optionalState{s.Leaving, s.StoreUnreachable, s.OrderLease, s.LoadingTargets, s.CacheStores, s.SilentTargets, s.OverdueInstances, s.TargetLimits, s.Rollouts, s.BlockedTargets, s.UnreachableTargets}
+	return &optionalState{
+		Leaving: s.Leaving, Cut: s.StoreUnreachable, Orders: s.OrderLease, Loading: s.LoadingTargets, Stores: s.CacheStores,
+		Silent: s.SilentTargets, Overdue: s.OverdueInstances, Limits: s.TargetLimits, Rolls: s.Rollouts,
+		Blocked: s.BlockedTargets, Unreach: s.UnreachableTargets,
+		Demand: s.Demand, Plain: s.PlainLoads, Rates: s.TargetRates, Slow: s.SlowTargets,
+	}
 }
 
 // EncodeMsgpack implements msgpack.CustomEncoder.
@@ -171,6 +182,7 @@
 		u.State.Leaving, u.State.StoreUnreachable, u.State.OrderLease = s.Leaving, s.Cut, s.Orders
 		u.State.LoadingTargets, u.State.CacheStores, u.State.SilentTargets, u.State.OverdueInstances = s.Loading, s.Stores, s.Silent, s.Overdue
 		u.State.TargetLimits, u.State.Rollouts, u.State.BlockedTargets, u.State.UnreachableTargets = s.Limits, s.Rolls, s.Blocked, s.Unreach
+		u.State.Demand, u.State.PlainLoads, u.State.TargetRates, u.State.SlowTargets = s.Demand, s.Plain, s.Rates, s.Slow
 	}
 	u.Spent = r.spent()
 	u.FirstEvent, u.Events = r.events()
--- a/internal/wire/update_test.go
+++ b/internal/wire/update_test.go
@@ -35,6 +35,8 @@
 			Loads: map[string]TargetLoad{"t": {PendingPromptTokens: 1000, KVCacheTokens: 2000}}, LoadingTargets: []string{"x"},
 			CacheStores: []CacheStore{{Address: "s", BootEpoch: 2}}, SilentTargets: []string{"y"}, OverdueInstances: map[string]int64{"z": 5},
 			TargetLimits: []TargetLimit{{Target: "t", Born: 3, Rate: 1.5, Revision: 2}},
+			Demand:       []AccountDemand{{Account: "acc", Urgency: 2, TokensPerSecond: 9000}}, PlainLoads: map[string]int{"p": 4},
+			TargetRates: []TargetRate{{Target: "t", Born: 3, PrefillTokensPerSecond: 87000, Samples: 12}}, SlowTargets: []string{"w"},
 		},
 		Spent: map[string]float64{"acc": 1.5}, FirstEvent: 40,
 		Events: []InstanceEvent{
