placement: slots of targets are shared between instances where callers compete for them

Callers saw a prompt of the most urgent route wait 1 to 2.5 s at a target whose slots were full while others had some free. Cause: an instance compared only its own requests in flight with a target's slots (12), beside 75 other instances; peers reported prompt tokens without a first token and held memory, but streams that keep a slot for seconds showed in neither.

Instances now report their requests in flight by target (one more number in each row of TargetLoad). Where the deployment calls for it (Features.Contention), targets without a free slot are passed over while others have one, a target that is nearly full costs the expected wait for a slot, and once all have a quarter of their slots waiting, requests wait at the instance, where the fair queue orders them.

--- a/internal/gateway/enginepeers.go
+++ b/internal/gateway/enginepeers.go
@@ -11,9 +11,10 @@
 type targetLoad struct {
 	// PendingPromptTokens is the number of prompt tokens of requests whose first token has
 	// not arrived, KVCacheTokens the number of tokens that running requests occupy in the
-	// target's memory.
+	// target's memory. Requests is the number of requests in flight.
 	PendingPromptTokens float64
 	KVCacheTokens       int
+	Requests            int
 }
 
 // targetLoads returns the work of this instance at each target that has any.
@@ -23,7 +24,7 @@
 	out := map[string]targetLoad{}
 	for i := range s.pool.Len() {
 		t := s.pool.Target(i)
-		if l := (targetLoad{PendingPromptTokens: t.Load.Unanswered(), KVCacheTokens: t.HeldTokens}); l != (targetLoad{}) {
+		if l := (targetLoad{PendingPromptTokens: t.Load.Unanswered(), KVCacheTokens: t.HeldTokens, Requests: t.InFlight}); l != (targetLoad{}) {
 			out[t.Name] = l
 		}
 	}
@@ -42,6 +43,7 @@
 		l := peers[t.Name]
 		t.PeersHeldTokens = l.KVCacheTokens
 		t.Load.SetPeerUnanswered(l.PendingPromptTokens)
+		s.pool.SetPeersInFlight(i, l.Requests)
 	}
 }
 
--- a/internal/gateway/engineservice.go
+++ b/internal/gateway/engineservice.go
@@ -67,6 +67,11 @@
 	now         func() time.Duration
 	domain      string
 	prefillRate float64
+	// sharesSlots is set if the targets' slots are shared with the other instances; see
+	// placement.Target.SharedSlots.
+	sharesSlots bool
+	// slotTime is the mean time for which requests keep a slot; 0 until one has ended.
+	slotTime time.Duration
 	// transferRate is the number of tokens per second that one target can fetch from
 	// another.
 	transferRate float64
@@ -169,6 +174,7 @@
 	o.QueueSlack = queueSlack
 	o.Domain, o.OutdatedPenalty = s.domain, outdatedWeightsPenalty
 	o.TransferTokensPerSecond, o.TransferSetup = s.transferRate, transferSetup
+	o.SlotTime = func() time.Duration { return s.slotTime }
 	s.picker = placement.NewPicker(s.pool, s.index, o)
 }
 
@@ -203,6 +209,9 @@
 	t.Domain, t.Incarnation, t.Version = r.Domain, id.Incarnation, id.Version
 	t.Unreachable = s.avoidedDomains[r.Domain]
 	t.Limit, t.MemoryTokens, t.Canary = r.Slots, s.memoryTokens, s.isCanary[r.ID]
+	if s.sharesSlots {
+		t.SharedSlots = r.Slots
+	}
 	t.Outdated, t.Loading = hasOlderWeights(&r, s.bounds.preferred), s.isExcluded(&r)
 	t.Cache = s.index.Observe(s.now(), id)
 	return t
@@ -415,10 +424,12 @@
 	if !pl.firstTokenSeen {
 		pl.firstTokenSeen = true
 		s.dispatcher.Failed(&pl.send)
+	} else {
+		s.observeSlotTime(pl)
 	}
 	if i, ok := s.pool.Find(pl.target.ID); ok && s.registrations[pl.target.ID].Incarnation() == pl.target.Incarnation() {
 		t := s.pool.Target(i)
-		t.InFlight--
+		s.pool.AddInFlight(i, -1)
 		t.HeldTokens -= pl.heldTokens
 	}
 	pl.breaker.End(s.now(), pl.ticket, result, s.rng)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -214,7 +214,10 @@
 		}
 		for target, l := range s.state.Loads {
 			sum := loads[target]
-			loads[target] = targetLoad{PendingPromptTokens: sum.PendingPromptTokens + float64(l.PendingPromptTokens), KVCacheTokens: sum.KVCacheTokens + l.KVCacheTokens}
+			loads[target] = targetLoad{
+				PendingPromptTokens: sum.PendingPromptTokens + float64(l.PendingPromptTokens),
+				KVCacheTokens:       sum.KVCacheTokens + l.KVCacheTokens, Requests: sum.Requests + l.Requests,
+			}
 		}
 		for _, id := range s.state.LoadingTargets {
 			loading[id] = true
--- a/internal/gateway/fleetstate.go
+++ b/internal/gateway/fleetstate.go
@@ -27,7 +27,7 @@
 	state.LoadingTargets = g.orderedTargets
 	for _, service := range g.engineServices {
 		for id, l := range service.targetLoads() {
-			state.Loads[id] = wire.TargetLoad{PendingPromptTokens: int(l.PendingPromptTokens), KVCacheTokens: l.KVCacheTokens}
+			state.Loads[id] = wire.TargetLoad{PendingPromptTokens: int(l.PendingPromptTokens), KVCacheTokens: l.KVCacheTokens, Requests: l.Requests}
 		}
 		state.SilentTargets = append(state.SilentTargets, service.recentlyStalled()...)
 	}
--- a/internal/placement/options.go
+++ b/internal/placement/options.go
@@ -39,6 +39,9 @@
 	// OutdatedPenalty is the additional time to first token that is accepted for an
 	// answer from the newest weights instead of older ones.
 	OutdatedPenalty time.Duration
+	// SlotTime returns the mean time for which a request keeps a slot; nil if slots aren't
+	// shared.
+	SlotTime func() time.Duration
 	// NearTie is the difference in cost below which candidates are considered equal.
 	NearTie time.Duration
 	// QueueSlack is the queueing time that is ignored because load information
--- a/internal/placement/picker.go
+++ b/internal/placement/picker.go
@@ -112,13 +112,19 @@
 // queue of the first target costs more than recomputing the prefix, every instance
 // selects the next target in the same order.
 func (p *Picker) selectCandidates(r *Request, rng *rand.Rand) {
-	p.ranked = topRanked(p.ranked[:0], p.affinityKey(r, rng), p.pool.seeds, p.pool.excluded[cohort(r.Canary)], p.options.MaxCandidates)
-	p.scored = p.scored[:0]
-	for _, k := range p.ranked {
-		if r.Exclude != "" && p.pool.targets[k.index].Name == r.Exclude {
-			continue
+	key, excluded := p.affinityKey(r, rng), p.pool.excluded[cohort(r.Canary)]
+	for _, ignored := range [...]Rejection{0, noFreeSlot} {
+		p.ranked = topRanked(p.ranked[:0], key, p.pool.seeds, excluded, ignored, p.options.MaxCandidates)
+		p.scored = p.scored[:0]
+		for _, k := range p.ranked {
+			if r.Exclude != "" && p.pool.targets[k.index].Name == r.Exclude {
+				continue
+			}
+			p.scored = append(p.scored, Candidate{Index: int(k.index), Rank: len(p.scored)})
+		}
+		if len(p.scored) > 0 {
+			return
 		}
-		p.scored = append(p.scored, Candidate{Index: int(k.index), Rank: len(p.scored)})
 	}
 }
 
--- a/internal/placement/score.go
+++ b/internal/placement/score.go
@@ -39,5 +39,6 @@
 		homeScorer{recomputeFactor: o.RecomputeFactor},
 		linkScorer{domain: o.Domain, delay: o.CrossDomainDelay},
 		outdatedScorer{penalty: o.OutdatedPenalty},
+		slotScorer{slotTime: o.SlotTime},
 	}
 }
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -26,6 +26,10 @@
 	// Limit is the maximum number of requests of this instance in flight at the
 	// target, InFlight the current number; a Limit of 0 means no limit.
 	Limit, InFlight int
+	// SharedSlots is the number of requests that the target runs at the same time, of which
+	// all instances together should keep no more in flight; 0 if it is far above what they
+	// send. PeersInFlight is the number of the other instances' requests, as last reported.
+	SharedSlots, PeersInFlight int
 
 	// MemoryTokens is the capacity in tokens that running requests and cached pieces
 	// share on the target; 0 if unknown. HeldTokens is the part held by running
@@ -72,10 +76,23 @@
 	if t.Limit > 0 && t.InFlight >= t.Limit {
 		return true
 	}
+	if t.SharedSlots > 0 && float64(t.InFlight+t.PeersInFlight) >= (1+queuedSlotFraction)*float64(t.SharedSlots) {
+		return true
+	}
 	held := t.HeldTokens + t.PeersHeldTokens
 	return t.MemoryTokens > 0 && float64(held) >= maxMemoryUtilization*float64(t.MemoryTokens)
 }
 
+// queuedSlotFraction is the number of requests that may wait at a target for its slots, as a
+// fraction of the slots. They take the slots that become free before this instance learns of
+// it. Further ones wait at the instances, where the most urgent one is next.
+const queuedSlotFraction = 0.25
+
+// slotsTaken reports whether a request would have to wait at the target for a slot.
+func (t *Target) slotsTaken() bool {
+	return t.SharedSlots > 0 && t.InFlight+t.PeersInFlight >= t.SharedSlots
+}
+
 // prefillRate returns the usable prefill rate in tokens per second.
 func (t *Target) prefillRate() float64 {
 	r := t.PrefillTokensPerSecond
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -161,6 +161,8 @@
 	PendingPromptTokens int
 	// KVCacheTokens is the KV cache memory of running requests, in tokens.
 	KVCacheTokens int
+	// Requests is the number of requests in flight.
+	Requests int
 }
 
 // TargetLimit is the rate limit that a target reports.
--- a/internal/wire/update.go
+++ b/internal/wire/update.go
@@ -11,7 +11,7 @@
 // Lengths of the encoded arrays.
 const (
 	updateFields = 10
-	loadFields   = 3
+	loadFields   = 4
 	promptFields = 6
 	// evidenceFields is the length of an event with outcomes, sampleFields the number of
 	// items per sample in its flat array.
@@ -80,7 +80,7 @@
 func encodeLoads(e *msgpack.Encoder, loads map[string]TargetLoad) error {
 	err := e.EncodeArrayLen(loadFields * len(loads))
 	for target, l := range loads {
-		err = firstError(err, e.EncodeString(target), e.EncodeInt(int64(l.PendingPromptTokens)), e.EncodeInt(int64(l.KVCacheTokens)))
+		err = firstError(err, e.EncodeString(target), e.EncodeInt(int64(l.PendingPromptTokens)), e.EncodeInt(int64(l.KVCacheTokens)), e.EncodeInt(int64(l.Requests)))
 	}
 	return err
 }
@@ -217,7 +217,7 @@
 	out := make(map[string]TargetLoad, min(n, maxPreallocated))
 	for range n {
 		target := readField(r, r.d.DecodeString)
-		l := TargetLoad{PendingPromptTokens: readField(r, r.d.DecodeInt), KVCacheTokens: readField(r, r.d.DecodeInt)}
+		l := TargetLoad{PendingPromptTokens: readField(r, r.d.DecodeInt), KVCacheTokens: readField(r, r.d.DecodeInt), Requests: readField(r, r.d.DecodeInt)}
 		if r.err != nil {
 			return nil
 		}
