gateway: targets that no instance can connect to are reported to peers as silent

Callers' requests ended late while a quarter of the targets had lost power. Only targets that fall silent after a connection were told to peers.

Where services have large pools (the platform's contract pool), a target whose connection attempt timed out, directly and through peers, counts as silent in the state that instances exchange for the two seconds that such reports last; with reports of 7 in 100 instances the others pass it over, as before for silent targets. Refused connections and cut-off domains are not reported: they cost no time, or say nothing of the target. Probes twice a second end it, as before.

--- a/internal/gateway/domains.go
+++ b/internal/gateway/domains.go
@@ -30,8 +30,7 @@
 
 // failed records that a connection to a target could not be made.
 func (d *domainReach) failed(domain, target string, err error) {
-	var netErr net.Error
-	if !errors.As(err, &netErr) || !netErr.Timeout() {
+	if !isTimeout(err) {
 		return // its machine has answered
 	}
 	d.mu.Lock()
@@ -42,6 +41,12 @@
 	}
 }
 
+// isTimeout reports whether a connection attempt got no response in time.
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
 // reached records that a target of a domain accepted a connection or sent data.
 func (d *domainReach) reached(domain string) {
 	d.mu.Lock()
--- a/internal/gateway/engineservice.go
+++ b/internal/gateway/engineservice.go
@@ -70,6 +70,10 @@
 	// sharesSlots is set if the targets' slots are shared with the other instances; see
 	// placement.Target.SharedSlots.
 	sharesSlots bool
+	// reportsTimeouts is set if targets that no instance has reached are reported to peers as
+	// silent. In a large fleet each instance would otherwise lose a request to the timeout of
+	// each such target.
+	reportsTimeouts bool
 	// slotTime is the mean time for which requests keep a slot; 0 until one has ended.
 	slotTime time.Duration
 	// transferRate is the number of tokens per second that one target can fetch from
@@ -447,6 +451,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	pl.breaker.Unreachable(s.now(), s.rng)
+	if s.reportsTimeouts && isTimeout(err) && !s.avoidedDomains[pl.target.Domain] {
+		s.stalledAt[pl.target.ID] = s.now()
+	}
 }
 
 // wasCancelledHere reports whether this instance cancelled an attempt for a reason that says
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -304,7 +304,7 @@
 	s := g.engineServices[name]
 	if s == nil {
 		s = newEngineService(g.clock.Now, g.settings.Domain, g.settings.PrefillTokensPerSecond, g.limits, g.reach)
-		s.sharesSlots = g.settings.Features.Contention
+		s.sharesSlots, s.reportsTimeouts = g.settings.Features.Contention, g.settings.Features.LargePools
 		g.engineServices[name] = s
 	}
 	return s
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -75,4 +75,7 @@
 	// BoundedMemory is set where callers and targets may read slowly and targets fail if the
 	// requests that they hold exceed their memory.
 	BoundedMemory bool
+	// LargePools is set where services have many targets, so that an instance seldom sends to
+	// the same one: instances tell each other which targets accept no connections.
+	LargePools bool
 }
--- a/internal/gateway/unreachable_test.go
+++ b/internal/gateway/unreachable_test.go
@@ -62,3 +62,32 @@
 	}
 	is.Equal(states(), []overload.BreakerState{overload.SlowStart, overload.SlowStart})
 }
+
+// Guards against a large fleet in which each instance loses a request to the timeout of each
+// target that has lost power.
+func TestTargetsThatAcceptNoConnectionsAreReported(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		features Features
+		err      error
+		domain   string
+		reported int
+	}{
+		{name: "timeout", features: Features{LargePools: true}, err: timeoutError{}, reported: 1},
+		{name: "not called for", err: timeoutError{}},
+		{name: "the machine answers", features: Features{LargePools: true}, err: syscall.ECONNREFUSED},
+		{name: "the domain is cut off", features: Features{LargePools: true}, err: timeoutError{}, domain: "d1"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p := startTestGateway(&memoryStore{newest: 2, targets: targetsOnVersions(2)}, "a")
+			service := p.engineServiceFor("engines")
+			service.reportsTimeouts = c.features.LargePools
+			service.avoidedDomains = map[string]bool{c.domain: true}
+			target := p.targets[0]
+			target.Domain = "d1"
+			service.recordUnreachable(&enginePlacement{target: target, breaker: service.breaker(target.ID)}, c.err)
+			is.Equal(len(service.recentlyStalled()), c.reported)
+		})
+	}
+}
