--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -60,6 +60,6 @@
 	total := g.clock.Now() - c.startedAt
 	g.metrics.answered(c, relay, total)
 	logline.InfoSampled("answered", "request", c.ID, "route", c.route.Name, "account", accountName(c), "target", c.lastTarget, "relay", c.lastRelay,
-		"weights", c.choice.weightsVersion, "status", relay.status, "attempts", c.sendCount, "events", relay.eventCount, "queued", c.placedAt-c.startedAt, "first", relay.firstByteAfter, "after", total,
+		"weights", c.choice.weightsVersion, "status", relay.status, "attempts", c.sendCount, "events", relay.eventCount, "queued", c.placedAt-c.startedAt, "first", relay.firstByteAfter, "longest_gap", relay.longestGap, "after", total,
 		"expected", c.choice.expectedTTFT, "cached_pieces", c.choice.cachedPieces, "uncached", c.choice.uncachedTokens, "targets", c.choice.eligibleTargets)
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -28,6 +28,8 @@
 	// lastEventID is the ID of the last event relayed.
 	lastEventID    string
 	firstByteAfter time.Duration
+	// longestGap is the longest time between two events.
+	longestGap time.Duration
 }
 
 // resumeAfter returns the ID of the event after which a target is to resume the stream;
@@ -152,8 +154,11 @@
 		if err := flush.Flush(); err != nil {
 			return outcomeTruncated, errors.Wrap(err, "flush to caller")
 		}
-		r.eventCount++
-		r.c.lastEventAt = r.g.clock.Now()
+		now := r.g.clock.Now()
+		if r.eventCount++; r.eventCount > 1 {
+			r.longestGap = max(r.longestGap, now-r.c.lastEventAt)
+		}
+		r.c.lastEventAt = now
 		if e.ID != "" {
 			r.lastEventID = e.ID
 		}
