targetcapacity, placement: targets of unequal speed get prompts by their capacity

Cause: each instance learns targets' prefill rates from its own answers, starts from one configured rate for all, and homes of prefixes ignore rates. With dozens of instances a target that is 2.4 times slower than its neighbours is home to as many prefixes, and its queue looks half as long as it is.

Change: instances publish at most two measured rates at a time, those that the fleet lacks; each merges them by the two-thirds quantile over instances, bound to a target's incarnation (internal/targetcapacity). Where the rates of fast and slow targets differ by 1.5 for 2 s, the agreed rates replace what servicetime has learnt and rendezvous order is weighted by them (-ln(u)/w, weights in steps with hysteresis). Below that ratio nothing changes. Picker.PrefillTime takes the mean rate of the pool instead of its first target's.

--- a/internal/gateway/enginepeers.go
+++ b/internal/gateway/enginepeers.go
@@ -37,6 +37,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.dispatcher.SetMaxTargetBacklog(maxTargetBacklog + delay - exchangeInterval)
+	s.updateCapacitiesIfDue()
 	for i := range s.pool.Len() {
 		t := s.pool.Target(i)
 		l := peers[t.Name]
--- a/internal/gateway/engineservice.go
+++ b/internal/gateway/engineservice.go
@@ -15,6 +15,7 @@
 	"github.com/mastictray/mastictray/internal/placement"
 	"github.com/mastictray/mastictray/internal/routing"
 	"github.com/mastictray/mastictray/internal/servicetime"
+	"github.com/mastictray/mastictray/internal/targetcapacity"
 	"github.com/mastictray/mastictray/internal/targetlimit"
 	"github.com/mastictray/mastictray/internal/targetpause"
 )
@@ -91,8 +92,10 @@
 	nextID     uint64
 	// serviceTimes estimates the targets' times to first token.
 	serviceTimes *servicetime.Estimator
-	bounds       versionBounds
-	reach        *domainReach
+	// capacities are the targets' rates as all instances measure them.
+	capacities targetCapacities
+	bounds     versionBounds
+	reach      *domainReach
 	// avoidedDomains are the unreachable domains as the placement filters know them.
 	avoidedDomains map[string]bool
 	// limits are the rate limits that targets advertise, rateLimited the targets that have
@@ -114,6 +117,7 @@
 func newEngineService(now func() time.Duration, domain string, prefill float64, limits *targetLimits, reach *domainReach) *engineService {
 	s := &engineService{
 		now: now, domain: domain, prefillRate: prefill, limits: limits, reach: reach, serviceTimes: servicetime.New(prefill),
+		capacities:    targetCapacities{table: targetcapacity.New(), updatedAt: never},
 		registrations: map[string]directory.Registration{}, breakers: map[string]*overload.Breaker{},
 		stallDetectors: map[string]*overload.StallDetector{}, running: map[*enginePlacement]struct{}{}, stalledAt: map[string]time.Duration{},
 		index:  cacheindex.New(cacheIndexBytes),
@@ -164,6 +168,7 @@
 	s.registrations = next
 	s.serviceTimes.Retain(func(id string) bool { _, exists := next[id]; return exists })
 	s.pool = placement.NewPool(targets, "", placement.DefaultFilters())
+	s.replaceCapacityTargets(regs)
 	o := placement.DefaultOptions()
 	o.MaxCandidates, o.EquivalentTokens = maxCandidates, s.serviceTimes.EquivalentTokens
 	o.QueueSlack = queueSlack
@@ -392,16 +397,18 @@
 // The caller holds s.mu.
 func (s *engineService) observeFirstToken(pl *enginePlacement) {
 	now, r := s.now(), &pl.send.Request.Placement
-	s.serviceTimes.Observe(pl.target.ID, servicetime.Sample{
+	sample := servicetime.Sample{
 		At: now, Elapsed: now - pl.send.SentAt, PromptTokens: float64(r.PromptTokens),
 		UncachedTokens: max(0, float64(r.PromptTokens-r.LeadingTokens(max(pl.send.Decision.CachedPieces, pl.fetchSourcePieces)))),
 		NoOtherWork:    pl.send.Decision.Queued == 0,
-	})
+	}
+	s.measureCapacity(pl, sample)
+	s.serviceTimes.Observe(pl.target.ID, sample)
 	if l := s.serviceTimes.Latency(); l > 0 {
 		s.dispatcher.SetLatency(l)
 	}
 	if i, ok := s.pool.Find(pl.target.ID); ok {
-		s.pool.Target(i).PrefillTokensPerSecond = s.serviceTimes.Rate(pl.target.ID)
+		s.pool.SetPrefillRate(i, s.serviceTimes.Rate(pl.target.ID))
 	}
 }
 
--- a/internal/gateway/fleetstate.go
+++ b/internal/gateway/fleetstate.go
@@ -30,6 +30,7 @@
 			state.Loads[id] = wire.TargetLoad{PendingPromptTokens: int(l.PendingPromptTokens), KVCacheTokens: l.KVCacheTokens}
 		}
 		state.SilentTargets = append(state.SilentTargets, service.recentlyStalled()...)
+		state.TargetRates = append(state.TargetRates, service.capacityReports()...)
 	}
 	return state, g.accountLimiter.ReportSpent()
 }
@@ -78,6 +79,11 @@
 	services := g.listEngineServices()
 	for i := range changes {
 		g.limits.applyReports(changes[i].State.TargetLimits)
+		if rates := changes[i].State.TargetRates; len(rates) > 0 && changes[i].Identity.Instance != g.self.Instance {
+			for _, service := range services {
+				service.applyCapacityReports(changes[i].At, changes[i].Identity.Instance, rates)
+			}
+		}
 		if rows := changes[i].State.Rollouts; len(rows) > 0 {
 			g.canaries.applyPublished(changes[i].At, changes[i].Identity.Instance, rows)
 		}
--- a/internal/placement/picker.go
+++ b/internal/placement/picker.go
@@ -57,13 +57,14 @@
 	}
 }
 
-// PrefillTime returns the time that a target of the pool takes to prefill the given
-// number of prompt tokens.
+// PrefillTime returns the time that a target of the pool's mean prefill rate takes for the
+// given number of prompt tokens.
 func (p *Picker) PrefillTime(tokens float64) time.Duration {
-	if len(p.pool.targets) == 0 {
+	rate := p.pool.MeanPrefillRate()
+	if rate == 0 {
 		return 0
 	}
-	return processingTime(tokens, p.pool.targets[0].prefillRate())
+	return processingTime(tokens, rate)
 }
 
 // SetCacheStateKnown tells the picker that this process follows the cache events of
@@ -112,7 +113,12 @@
 // queue of the first target costs more than recomputing the prefix, every instance
 // selects the next target in the same order.
 func (p *Picker) selectCandidates(r *Request, rng *rand.Rand) {
-	p.ranked = topRanked(p.ranked[:0], p.affinityKey(r, rng), p.pool.seeds, p.pool.excluded[cohort(r.Canary)], p.options.MaxCandidates)
+	key, rejected := p.affinityKey(r, rng), p.pool.excluded[cohort(r.Canary)]
+	if inverse := p.pool.inverseWeights; inverse != nil {
+		p.ranked = topRankedWeighted(p.ranked[:0], key, p.pool.seeds, inverse, rejected, p.options.MaxCandidates)
+	} else {
+		p.ranked = topRanked(p.ranked[:0], key, p.pool.seeds, rejected, p.options.MaxCandidates)
+	}
 	p.scored = p.scored[:0]
 	for _, k := range p.ranked {
 		if r.Exclude != "" && p.pool.targets[k.index].Name == r.Exclude {
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -14,6 +14,11 @@
 	excluded       [2][]Rejection
 	filters        []Filter
 	desiredVersion string
+	// inverseWeights are the reciprocals of the targets' capacity weights; nil while all
+	// weights are equal.
+	inverseWeights []float64
+	// rateSum is the sum of the targets' prefill rates.
+	rateSum float64
 }
 
 // NewPool returns a pool of targets that should serve the desired version; an empty
@@ -31,6 +36,7 @@
 	for i := range targets {
 		p.byName[targets[i].Name] = i
 		p.seeds[i] = targetSeed(targets[i].Name)
+		p.rateSum += targets[i].nominalRate()
 		p.ApplyFilters(i)
 	}
 	return p
@@ -49,6 +55,49 @@
 	return i, ok
 }
 
+// SetPrefillRate sets the prefill rate of the i-th target, in tokens per second.
+func (p *Pool) SetPrefillRate(i int, tokensPerSecond float64) {
+	t := &p.targets[i]
+	p.rateSum -= t.nominalRate()
+	t.PrefillTokensPerSecond = tokensPerSecond
+	p.rateSum += t.nominalRate()
+}
+
+// MeanPrefillRate returns the mean prefill rate of the targets, or 0 if there are none.
+func (p *Pool) MeanPrefillRate() float64 {
+	if len(p.targets) == 0 {
+		return 0
+	}
+	return p.rateSum / float64(len(p.targets))
+}
+
+// SetCapacityWeights sets the weights by which targets are the home of prefixes. Targets
+// without a positive weight get the mean of the others; nil makes all targets equal.
+func (p *Pool) SetCapacityWeights(weights map[string]float64) {
+	sum, known := 0.0, 0
+	for i := range p.targets {
+		if w := weights[p.targets[i].Name]; w > 0 {
+			sum += w
+			known++
+		}
+	}
+	p.inverseWeights = nil
+	if known == 0 {
+		return
+	}
+	inverse, equal := make([]float64, len(p.targets)), true
+	for i := range p.targets {
+		inverse[i] = float64(known) / sum
+		if w := weights[p.targets[i].Name]; w > 0 {
+			inverse[i] = 1 / w
+		}
+		equal = equal && inverse[i] == inverse[0]
+	}
+	if !equal {
+		p.inverseWeights = inverse
+	}
+}
+
 // ApplyFilters runs the filters again for the i-th target.
 func (p *Pool) ApplyFilters(i int) {
 	t := &p.targets[i]
--- a/internal/placement/rendezvous.go
+++ b/internal/placement/rendezvous.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"math"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/mastictray/mastictray/internal/prefix"
@@ -47,6 +49,46 @@
 	return dst
 }
 
+// topRankedWeighted is topRanked for targets with capacity weights, which are passed as
+// their reciprocals: a target is first for a share of the keys in proportion to its weight.
+// For a key, each target draws an exponentially distributed value whose rate is its weight,
+// and the lowest value is first. When one weight changes, only keys of its target move;
+// with equal weights the order is that of topRanked.
+func topRankedWeighted(dst []ranked, key prefix.Hash, seeds []uint64, inverseWeights []float64, rejected []Rejection, limit int) []ranked {
+	start := len(dst)
+	worst := math.Inf(1)
+	for i, seed := range seeds {
+		if rejected[i] != 0 {
+			continue
+		}
+		x := float64(int64(^mix(uint64(key)^seed)>>hashShift)) * hashUnit
+		// As -ln(1-x) >= x, most targets are passed over without a logarithm.
+		if x*inverseWeights[i] >= worst {
+			continue
+		}
+		draw := -math.Log1p(-x) * inverseWeights[i]
+		if draw >= worst {
+			continue
+		}
+		if len(dst)-start < limit {
+			dst = append(dst, ranked{})
+		}
+		// The bits of numbers that are not negative are in the order of the numbers.
+		insertRanked(dst[start:], ranked{index: int32(i), weight: ^math.Float64bits(draw)})
+		if len(dst)-start == limit {
+			worst = math.Float64frombits(^dst[len(dst)-1].weight)
+		}
+	}
+	return dst
+}
+
+const (
+	// hashShift leaves as many bits of a hash as a float64 holds exactly, hashUnit scales
+	// them to numbers from 0 up to 1.
+	hashShift = 11
+	hashUnit  = 1.0 / (1 << (64 - hashShift))
+)
+
 // insertRanked inserts r in order into list, whose last element is unused.
 func insertRanked(list []ranked, r ranked) {
 	at := len(list) - 1
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -15,7 +15,7 @@
 	Version string
 	// Cache refers to the target's entries in the cache index.
 	Cache cacheindex.Ref
-	// PrefillTokensPerSecond is the target's prefill rate.
+	// PrefillTokensPerSecond is the target's prefill rate; see Pool.SetPrefillRate.
 	PrefillTokensPerSecond float64
 	// Load estimates the work queued at the target.
 	Load Load
@@ -78,16 +78,21 @@
 
 // prefillRate returns the usable prefill rate in tokens per second.
 func (t *Target) prefillRate() float64 {
-	r := t.PrefillTokensPerSecond
-	if r <= 0 {
-		r = defaultPrefillRate
-	}
+	r := t.nominalRate()
 	if t.SlowStartFactor > 0 && t.SlowStartFactor < 1 {
 		r *= t.SlowStartFactor
 	}
 	return r
 }
 
+// nominalRate returns the prefill rate without slow start.
+func (t *Target) nominalRate() float64 {
+	if t.PrefillTokensPerSecond <= 0 {
+		return defaultPrefillRate
+	}
+	return t.PrefillTokensPerSecond
+}
+
 // defaultPrefillRate is the rate in tokens per second of a pool without a configured
 // one.
 const defaultPrefillRate = 8000
--- a/internal/servicetime/servicetime.go
+++ b/internal/servicetime/servicetime.go
@@ -21,6 +21,9 @@
 	// Shorter prefills take no longer than one engine step and are samples of the
 	// latency.
 	minRateTokens = 1500
+	// minMeasuredTokens is the prefill size from which MeasuredRate returns a rate. It is
+	// lower than minRateTokens, since an agreed rate is a quantile of many samples.
+	minMeasuredTokens = 500
 	// minSlopeTokens is the prefill size from which an answer is a sample of the
 	// context slope.
 	minSlopeTokens = 8000
@@ -48,6 +51,8 @@
 	// configuredRate is the configured prefill rate in tokens per second.
 	configuredRate float64
 	rates          map[string]float64
+	// agreed are the rates that all instances have agreed on; they outweigh rates.
+	agreed map[string]float64
 	// contextSlope is the fraction by which each token of context lengthens the prefill
 	// of a token.
 	contextSlope float64
@@ -67,12 +72,29 @@
 
 // Rate returns the prefill rate of a target for short prompts, in tokens per second.
 func (e *Estimator) Rate(target string) float64 {
+	if r, known := e.agreed[target]; known {
+		return r
+	}
 	if r, known := e.rates[target]; known {
 		return r
 	}
 	return e.configuredRate
 }
 
+// SetAgreedRates sets the rates that all instances have agreed on, in tokens per second.
+// Targets without one keep the rate that this estimator has learnt.
+func (e *Estimator) SetAgreedRates(rates map[string]float64) { e.agreed = rates }
+
+// MeasuredRate returns the prefill rate of a target as measured by one answer. It returns
+// false for answers that say little about it.
+func (e *Estimator) MeasuredRate(s Sample) (tokensPerSecond float64, ok bool) {
+	prefillTime := (s.Elapsed - e.latency).Seconds()
+	if !s.NoOtherWork || e.latency == 0 || prefillTime <= 0 || s.UncachedTokens < minMeasuredTokens || s.UncachedTokens >= minSlopeTokens {
+		return 0, false
+	}
+	return e.EquivalentTokens(s.PromptTokens, s.UncachedTokens) / prefillTime, true
+}
+
 // EquivalentTokens returns the number of tokens of a short prompt that take as long to
 // prefill as the uncached tokens of this prompt.
 func (e *Estimator) EquivalentTokens(prompt, uncached float64) float64 {
@@ -89,6 +111,11 @@
 			delete(e.rates, t)
 		}
 	}
+	for t := range e.agreed {
+		if !exists(t) {
+			delete(e.agreed, t)
+		}
+	}
 }
 
 // Observe updates the estimates with the first token of an answer from the target.
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -106,7 +106,8 @@
 	// PlainLoads is the number of requests that the origin has in flight at targets of plain
 	// services.
 	PlainLoads map[string]int
-	// TargetRates are the capacities of targets that the origin has measured.
+	// TargetRates are a few of the capacities of targets that the origin has measured.
+	// Receivers keep them.
 	TargetRates []TargetRate
 	// SlowTargets are the targets that answer the origin far later than they usually do.
 	SlowTargets []string
@@ -121,13 +122,17 @@
 	TokensPerSecond int `msgpack:"t"`
 }
 
-// TargetRate is the measured capacity of one incarnation of a target.
+// TargetRate is the capacity of one incarnation of a target as its origin has measured it.
 type TargetRate struct {
-	Target string `msgpack:"t"`
-	Born   int64  `msgpack:"b"`
+	//lint:ignore U1000 the codec reads its tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Target string
+	// Born is the target's start time, which distinguishes its incarnations.
+	Born int64
 	// PrefillTokensPerSecond is its prefill rate, Samples the number of responses measured.
-	PrefillTokensPerSecond int `msgpack:"r"`
-	Samples                int `msgpack:"n"`
+	PrefillTokensPerSecond int
+	Samples                int
 }
 
 // Equal reports whether two states are the same.
