--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"github.com/mastictray/mastictray/internal/prefix"
+)
 
 // Pool is the set of targets that serve the same model, with the filter results and
 // hash seeds that decisions need. It is not safe for concurrent use.
@@ -14,6 +18,11 @@
 	excluded       [2][]Rejection
 	filters        []Filter
 	desiredVersion string
+	// inverseWeights are the reciprocals of the targets' capacity weights; nil while all
+	// weights are equal.
+	inverseWeights []float64
+	// rateSum is the sum of the targets' prefill rates.
+	rateSum float64
 }
 
 // NewPool returns a pool of targets that should serve the desired version; an empty
@@ -31,6 +40,7 @@
 	for i := range targets {
 		p.byName[targets[i].Name] = i
 		p.seeds[i] = targetSeed(targets[i].Name)
+		p.rateSum += targets[i].nominalRate()
 		p.ApplyFilters(i)
 	}
 	return p
@@ -49,6 +59,49 @@
 	return i, ok
 }
 
+// SetPrefillRate sets the prefill rate of the i-th target, in tokens per second.
+func (p *Pool) SetPrefillRate(i int, tokensPerSecond float64) {
+	t := &p.targets[i]
+	p.rateSum -= t.nominalRate()
+	t.PrefillTokensPerSecond = tokensPerSecond
+	p.rateSum += t.nominalRate()
+}
+
+// MeanPrefillRate returns the mean prefill rate of the targets, or 0 if there are none.
+func (p *Pool) MeanPrefillRate() float64 {
+	if len(p.targets) == 0 {
+		return 0
+	}
+	return p.rateSum / float64(len(p.targets))
+}
+
+// SetCapacityWeights sets the weights by which targets are the home of prefixes. Targets
+// without a positive weight get the mean of the others; nil makes all targets equal.
+func (p *Pool) SetCapacityWeights(weights map[string]float64) {
+	sum, known := 0.0, 0
+	for i := range p.targets {
+		if w := weights[p.targets[i].Name]; w > 0 {
+			sum += w
+			known++
+		}
+	}
+	p.inverseWeights = nil
+	if known == 0 {
+		return
+	}
+	inverse, equal := make([]float64, len(p.targets)), true
+	for i := range p.targets {
+		inverse[i] = float64(known) / sum
+		if w := weights[p.targets[i].Name]; w > 0 {
+			inverse[i] = 1 / w
+		}
+		equal = equal && inverse[i] == inverse[0]
+	}
+	if !equal {
+		p.inverseWeights = inverse
+	}
+}
+
 // ApplyFilters runs the filters again for the i-th target.
 func (p *Pool) ApplyFilters(i int) {
 	t := &p.targets[i]
@@ -64,6 +117,14 @@
 	p.updateSlots(i)
 }
 
+// rank appends to dst the first limit targets in the rendezvous order of a key; see topRanked.
+func (p *Pool) rank(dst []ranked, key prefix.Hash, rejected []Rejection, ignored Rejection, limit int) []ranked {
+	if p.inverseWeights != nil {
+		return topRankedWeighted(dst, key, p.seeds, p.inverseWeights, rejected, ignored, limit)
+	}
+	return topRanked(dst, key, p.seeds, rejected, ignored, limit)
+}
+
 // AddInFlight adds n to the number of this instance's requests in flight at the i-th target.
 func (p *Pool) AddInFlight(i, n int) {
 	p.targets[i].InFlight += n
