fairqueue: urgency first across accounts, with a floor for each less urgent class

Accounts were ordered first and priority only within an account, so an account with little urgent work had its other requests served before another account's urgent ones. With Options.UrgencyFirst (Features.Contention) the queue has one class per priority and one for late items. What a class can't serve by its deadline is refused on arrival, or when it becomes late.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -135,11 +135,14 @@
 		d.refuseNoTarget(r)
 		return d.step
 	}
-	refused := d.queue.Push(now, fairqueue.Item[*Request[T]]{
+	it := fairqueue.Item[*Request[T]]{
 		ID: r.ID, Account: r.Account, Weight: r.Weight, Priority: r.Priority,
 		Cost: cost, Deadline: r.Deadline, SoftDeadline: d.softDeadline(r, cost), Value: r,
-	})
-	d.addRefusals(refused)
+	}
+	if d.options.Queue.UrgencyFirst {
+		it.MinServiceTime = d.picker.PrefillTime(cost)
+	}
+	d.addRefusals(d.queue.Push(now, it))
 	d.scan(now, rng)
 	return d.step
 }
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -202,3 +202,13 @@
 	is.Equal(sent, 1)
 	is.True(f.pool.Rejected(first.Target))
 }
+
+// Guards against holding a request whose prefill alone takes longer than its caller waits.
+func TestRequestWithLongerPrefillThanDeadlineIsRefused(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(1, func(o *Options, _ *placement.Options) { o.Queue.UrgencyFirst = true })
+	refused := f.push("a", 1, 300*time.Millisecond).Refusals // the prefill takes 410 ms
+	is.Equal(len(refused), 1)
+	is.Equal(refused[0].Reason, fairqueue.ReasonDeadline)
+	is.Equal(len(f.push("a", 1, 500*time.Millisecond).Sends), 1)
+}
--- a/internal/fairqueue/flow.go
+++ b/internal/fairqueue/flow.go
@@ -86,7 +86,7 @@
 func (f *flow[T]) demoteLate(now time.Duration) {
 	for l := MaxPriority; l > demotedLevel; l-- {
 		for i := 0; i < len(f.levels[l]); {
-			if softDeadline := f.levels[l][i].SoftDeadline; softDeadline == 0 || now <= softDeadline {
+			if !f.levels[l][i].isLate(now) {
 				i++
 				continue
 			}
--- a/internal/fairqueue/item.go
+++ b/internal/fairqueue/item.go
@@ -12,15 +12,17 @@
 	Account string
 	// Weight is the account's weight in fair queueing; 0 means 1.
 	Weight float64
-	// Priority orders the items of one account, highest first.
+	// Priority orders the items of one account, with Options.UrgencyFirst those of all
+	// accounts, highest first.
 	Priority int
 	// Cost is the number of tokens charged when the request is served.
 	Cost float64
 	// Deadline is when the first byte of the answer is due; 0 means no deadline.
 	Deadline time.Duration
 	// SoftDeadline is the latest time at which the request should be served; 0 means
-	// no soft deadline. After it, the item waits behind all others of its account, so
-	// that in overload some requests are served on time instead of all of them late.
+	// no soft deadline. After it, the item waits behind all others of its account, with
+	// Options.UrgencyFirst of all accounts, so that in overload some requests are served
+	// on time instead of all of them late.
 	SoftDeadline time.Duration
 	// MinServiceTime is the shortest time from Pop to the first byte of the answer.
 	MinServiceTime time.Duration
@@ -36,6 +38,11 @@
 
 func (it *Item[T]) level() int { return min(max(it.Priority, 0), MaxPriority) }
 
+// isLate reports whether the soft deadline has passed.
+func (it *Item[T]) isLate(now time.Duration) bool {
+	return it.SoftDeadline != 0 && now > it.SoftDeadline
+}
+
 // missesDeadline reports whether the item cannot meet its deadline if it is served
 // after the given wait.
 func (it *Item[T]) missesDeadline(now, wait time.Duration) bool {
--- a/internal/fairqueue/rate.go
+++ b/internal/fairqueue/rate.go
@@ -34,14 +34,30 @@
 	m.seconds = m.seconds*decay + dt
 }
 
+// rate returns the measured rate in tokens per second.
+func (m *rateMeter) rate() float64 {
+	if m.seconds <= 0 {
+		return m.minRate
+	}
+	return max(m.minRate, m.tokens/m.seconds)
+}
+
 // wait returns the expected time until the given number of tokens has left the queue.
 func (m *rateMeter) wait(tokens float64) time.Duration {
-	rate := m.minRate
-	if m.seconds > 0 {
-		rate = max(rate, m.tokens/m.seconds)
-	}
+	rate := m.rate()
 	if rate <= 0 {
 		return 0
 	}
+	return secondsFor(tokens, rate)
+}
+
+// secondsFor returns the time to serve tokens at a rate.
+func secondsFor(tokens, rate float64) time.Duration {
+	if tokens <= 0 {
+		return 0
+	}
+	if rate <= 0 {
+		return math.MaxInt32 * time.Second
+	}
 	return time.Duration(min(tokens/rate, math.MaxInt32) * float64(time.Second))
 }
--- a/internal/fairqueue/scan.go
+++ b/internal/fairqueue/scan.go
@@ -19,51 +19,42 @@
 // and applies the returned verdict to each. Skipped items keep their position: an item
 // whose target is at capacity must not block the items behind it.
 func (q *Queue[T]) Scan(now time.Duration, limit int, visit func(*Item[T]) Verdict) {
-	for _, f := range q.active {
-		f.resetCursor()
+	q.updateFloors(now)
+	for _, c := range q.classes {
+		c.startScan()
 	}
+	work := q.work // as if all items before the cursors had been served
 	for ; limit > 0; limit-- {
-		f, it := q.nextToScan()
+		c, f, it := q.nextToScan(work)
 		if f == nil {
 			return
 		}
-		step := it.Cost / f.weight
+		cost := it.Cost
 		switch visit(it) {
 		case Serve:
-			q.serve(now, f, it.Cost)
-			f.cursor.startTag += step
+			q.serve(now, c, f, cost)
 		case Refuse:
-			cost := it.Cost
 			f.remove(f.cursor.level, f.cursor.index)
-			q.itemRemoved(f, cost)
+			q.itemRemoved(c, f, cost)
+			continue
 		case Skip:
 			f.cursor.index++
-			f.cursor.startTag += step
 		}
+		work += cost
+		f.cursor.startTag += cost / f.weight
+		c.cursorTag = c.nextFloorTag(c.cursorTag, work, cost)
 	}
 }
 
-// nextToScan returns the flow with the lowest virtual time among those with an item at
-// their cursor, and that item.
-func (q *Queue[T]) nextToScan() (*flow[T], *Item[T]) {
-	var next *flow[T]
-	var item *Item[T]
-	for _, f := range q.active {
-		if next != nil && f.cursor.startTag >= next.cursor.startTag {
-			continue
-		}
-		if it := f.peek(); it != nil {
-			next, item = f, it
-		}
+// serve removes the item at a flow's cursor and charges the flow and its class.
+func (q *Queue[T]) serve(now time.Duration, c *class[T], f *flow[T], cost float64) {
+	c.serve(f, cost)
+	q.count--
+	q.cost -= cost
+	if q.count == 0 {
+		q.cost = 0
 	}
-	return next, item
-}
-
-// serve removes the item at a flow's cursor and charges the flow.
-func (q *Queue[T]) serve(now time.Duration, f *flow[T], cost float64) {
-	f.remove(f.cursor.level, f.cursor.index)
-	q.virtualTime = max(q.virtualTime, f.startTag)
-	f.startTag += cost / f.weight
-	q.itemRemoved(f, cost)
+	q.work += cost
+	c.floorTag = c.nextFloorTag(c.floorTag, q.work, cost)
 	q.meter.served(now, cost)
 }
--- a/internal/gateway/engineservice.go
+++ b/internal/gateway/engineservice.go
@@ -111,7 +111,7 @@
 	stepScheduled bool
 }
 
-func newEngineService(now func() time.Duration, domain string, prefill float64, limits *targetLimits, reach *domainReach) *engineService {
+func newEngineService(now func() time.Duration, domain string, prefill float64, limits *targetLimits, reach *domainReach, urgencyFirst bool) *engineService {
 	s := &engineService{
 		now: now, domain: domain, prefillRate: prefill, limits: limits, reach: reach, serviceTimes: servicetime.New(prefill),
 		registrations: map[string]directory.Registration{}, breakers: map[string]*overload.Breaker{},
@@ -127,6 +127,7 @@
 	o.RecomputeBacklogUnit, o.MaxRecomputeFactor = recomputeBacklogUnit, maxRecomputeFactor
 	o.Queue.MaxItems = maxQueuedRequests
 	o.Queue.MinRate = prefill
+	o.Queue.UrgencyFirst = urgencyFirst
 	s.dispatcher = dispatch.New[chan placementResult](s.pool, s.index, s.picker, o)
 	return s
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -303,7 +303,7 @@
 func (g *Gateway) engineServiceFor(name string) *engineService {
 	s := g.engineServices[name]
 	if s == nil {
-		s = newEngineService(g.clock.Now, g.settings.Domain, g.settings.PrefillTokensPerSecond, g.limits, g.reach)
+		s = newEngineService(g.clock.Now, g.settings.Domain, g.settings.PrefillTokensPerSecond, g.limits, g.reach, g.settings.Features.Contention)
 		g.engineServices[name] = s
 	}
 	return s
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -190,18 +190,17 @@
 	switch {
 	case c.resumed():
 		// The caller has a part of the answer already, and the objective for the next event
-		// is shorter than the one for the first.
+		// is shorter than the one for the first. Under contention the request never yields
+		// as late: what its targets have done for it would be lost.
 		q.Priority = fairqueue.MaxPriority
-		if c.route.GapObjective > 0 {
+		if c.route.GapObjective > 0 && !g.settings.Features.Contention {
 			q.Objective = c.lastEventAt + c.route.GapObjective
 		}
 	case c.route.LatencyObjective > 0:
 		q.Objective = c.startedAt + c.route.LatencyObjective
 	}
 	q.Placement.Exclude, q.Placement.Canary = c.lastTarget, c.toCanary
-	if c.account != nil && c.account.Rate > 0 {
-		q.Weight = c.account.Rate
-	}
+	q.Weight = g.accountWeight(c)
 	if c.Prompt == nil {
 		return q
 	}
