admission: bound what the fleet admits, by urgency and weighted shares of the room

Nobody knew what the fleet is asked for and what its targets can do, so every instance admitted all and urgent requests queued behind others. With Features.Contention instances exchange their demand by account and urgency (at most 12 named rows and one for each urgency) and compute how much of each class the eligible targets have room for, in slots or prefill, whichever binds. The rest is refused at once, with a time to come back at which there is room; callers that keep to it go ahead of new ones.

--- /dev/null
+++ b/internal/admission/report.go
@@ -0,0 +1,58 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// MaxNamedRows is the maximum number of rows of a report that name an account.
+	MaxNamedRows = 12
+	// namedUtilization is the ratio of demand to room from which reports name accounts.
+	// Below, shares are not about to be needed.
+	namedUtilization = 0.6
+)
+
+// Report returns this instance's demand for the next exchange: the largest accounts by
+// name if room is about to be scarce, and all others as one account for each urgency.
+func (c *Controller) Report(now time.Duration) []Demand {
+	c.rows = nil
+	var rest [MaxUrgency + 1]Demand
+	named := c.state.Room > 0 && c.state.Asked >= namedUtilization*c.state.Room
+	var rows []Demand
+	for class, d := range c.own {
+		d.advance(now)
+		if d.idle() {
+			delete(c.own, class)
+			continue
+		}
+		perSecond, _ := d.perSecond()
+		if named && class.Account != "" {
+			rows = append(rows, Demand{Class: class, PerSecond: perSecond, Waiting: d.waiting})
+			continue
+		}
+		rest[class.Urgency].add(perSecond, d.waiting)
+	}
+	resource := c.state.Resource
+	slices.SortFunc(rows, func(a, b Demand) int {
+		return cmp.Or(cmp.Compare(resource.of(b.PerSecond), resource.of(a.PerSecond)), cmp.Compare(a.Account, b.Account), cmp.Compare(a.Urgency, b.Urgency))
+	})
+	for len(rows) > MaxNamedRows {
+		last := rows[len(rows)-1]
+		rest[last.Urgency].add(last.PerSecond, last.Waiting)
+		rows = rows[:len(rows)-1]
+	}
+	for u, d := range rest {
+		if d.PerSecond != (Work{}) || d.Waiting != (Work{}) {
+			d.Urgency = u
+			rows = append(rows, d)
+		}
+	}
+	c.rows = rows
+	return rows
+}
+
+func (d *Demand) add(perSecond, waiting Work) {
+	d.PerSecond, d.Waiting = d.PerSecond.Add(perSecond), d.Waiting.Add(waiting)
+}
--- /dev/null
+++ b/internal/gateway/contention_test.go
@@ -0,0 +1,108 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/mastictray/mastictray/internal/admission"
+	"github.com/mastictray/mastictray/internal/overload"
+	"github.com/mastictray/mastictray/internal/replica"
+	"github.com/mastictray/mastictray/internal/routing"
+	"github.com/mastictray/mastictray/internal/wire"
+)
+
+// startContendedGateway starts a gateway with two targets that prefill 1,000 tokens a second
+// each.
+func startContendedGateway(t *testing.T) *testGateway {
+	t.Helper()
+	p := startTestGateway(&memoryStore{newest: 2, targets: targetsOnVersions(2, 2)}, "a")
+	p.settings.Features.Contention = true
+	p.contention = newContention(p.Gateway)
+	pool := p.engineServiceFor("engines").pool
+	for i := range pool.Len() {
+		pool.Target(i).PrefillTokensPerSecond = 1000
+	}
+	return p
+}
+
+func contendedCall(p *testGateway, account string, priority, tokens int, fingerprint uint64) *call {
+	return &call{
+		Request:   &Request{Prompt: &Prompt{Tokens: tokens, Pieces: []Piece{{Tokens: tokens}}}},
+		route:     &routing.Route{Kind: routing.Stream, Priority: priority},
+		service:   &routing.Service{Name: "engines", Engine: &routing.Engine{}},
+		account:   &routing.Account{Name: account, Rate: 100},
+		startedAt: p.clock.Now(), deadline: p.clock.Now() + time.Minute, fingerprint: fingerprint,
+	}
+}
+
+func (p *testGateway) exchangeDemand(peer string, rows []wire.AccountDemand) {
+	now := p.clock.Now()
+	p.publishedState()
+	p.applyPeerChanges(now, []replica.Change{{Identity: wire.Identity{Instance: peer, Incarnation: peer}, At: now, State: wire.InstanceState{Demand: rows}}})
+	p.applyFleetState(now, 2, minUpdateMaxAge, exchangeInterval, nil, nil)
+}
+
+// Guards against a part that acts on a deployment which doesn't call for it.
+func TestWithoutContentionNothingIsMeasuredOrRefused(t *testing.T) {
+	is := is.New(t)
+	p := startTestGateway(&memoryStore{newest: 2, targets: targetsOnVersions(2, 2)}, "a")
+	c := contendedCall(p, "acc", 0, 1e6, 1)
+	p.exchangeDemand("b", []wire.AccountDemand{{TokensPerSecond: 1e9}})
+	is.Equal(p.admitToService(c), nil)
+	p.contention.beginWait(c.admission)()
+	p.contention.observePrefill(c.admission, 1)
+	p.contention.observeEnd(c.admission, overload.Succeeded, 1)
+	is.Equal(c.admission, nil)
+	is.Equal(len(c.admission.logFields()), 0)
+	state, _ := p.publishedState()
+	is.Equal(len(state.Demand), 0)
+	is.Equal(p.accountWeight(&call{account: &routing.Account{Name: "unlimited"}}), 0.0)
+}
+
+// Guards against serving less urgent requests while another instance's urgent callers lack room:
+// their demand is known here, and the less urgent are refused with the figures in the log.
+func TestLessUrgentYieldToUrgentCallersOfOtherInstances(t *testing.T) {
+	is := is.New(t)
+	p := startContendedGateway(t)
+	p.exchangeDemand("b", nil) // before the first request, all is admitted
+	for id := range uint64(20) {
+		is.Equal(p.admitToService(contendedCall(p, "acc", 3, 100, id+1)), nil)
+	}
+	p.exchangeDemand("b", []wire.AccountDemand{{Account: "other", Urgency: 0, TokensPerSecond: 1900}})
+	refused := 0
+	for id := range uint64(20) {
+		c := contendedCall(p, "acc", 3, 100, 100+id)
+		if refusal := p.admitToService(c); refusal != nil {
+			refused++
+			is.Equal(refusal.Reason, "no_room")
+			is.True(refusal.NotRun && refusal.RetryAfter >= 250*time.Millisecond)
+			is.Equal(p.admitToService(c), refusal) // the decision on a call is made once
+			is.True(len(c.admission.logFields()) > 0)
+			is.Equal(c.admission.state.Resource, admission.Prefill)
+		}
+	}
+	is.True(refused >= 10 && refused < 20)
+	is.Equal(p.admitToService(contendedCall(p, "acc", 0, 100, 999)), nil)
+	resumed := contendedCall(p, "acc", 9, 100, 1000)
+	resumed.LastEventID = "4"
+	is.Equal(p.admitToService(resumed), nil)
+}
+
+// Guards against counting the demand of an earlier process of this instance.
+func TestOwnEarlierReportIsIgnored(t *testing.T) {
+	is := is.New(t)
+	p := startContendedGateway(t)
+	p.exchangeDemand("a", []wire.AccountDemand{{TokensPerSecond: 1e6}})
+	is.Equal(p.contention.services["engines"].controller.State().Reporting, 1)
+	is.Equal(p.contention.services["engines"].controller.State().Asked, 0.0)
+}
+
+func TestAccountWeights(t *testing.T) {
+	is := is.New(t)
+	w := accountWeights([]routing.Account{{Name: "a", Rate: 100}, {Name: "b", Rate: 300}, {Name: "unlimited"}})
+	is.Equal(w.Default, 200.0)
+	is.Equal(w.Total, 600.0)
+	is.Equal(accountWeights(nil).Default, 1.0)
+}
--- a/internal/gateway/fleetstate.go
+++ b/internal/gateway/fleetstate.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/mastictray/mastictray/internal/admission"
 	"github.com/mastictray/mastictray/internal/directory"
 	"github.com/mastictray/mastictray/internal/ratecount"
 	"github.com/mastictray/mastictray/internal/replica"
@@ -16,7 +17,7 @@
 	state := wire.InstanceState{
 		Capacity: g.settings.Capacity, Leaving: g.draining.Load(), StoreUnreachable: g.feeds.anyUnreachable(), BlockedTargets: g.dialer.ConfirmedCount(), OrderLease: g.heldLeaseRecord(),
 		ConfigVersion: g.configVersion(), Loads: map[string]wire.TargetLoad{}, CacheStores: g.cache.reachableStores(),
-		TargetLimits: g.limits.reports(),
+		TargetLimits: g.limits.reports(), Demand: g.contention.report(),
 	}
 	for _, service := range g.listServices() {
 		state.UnreachableTargets += service.unreachableCount()
@@ -78,6 +79,7 @@
 	services := g.listEngineServices()
 	for i := range changes {
 		g.limits.applyReports(changes[i].State.TargetLimits)
+		g.contention.applyReport(&changes[i])
 		if rows := changes[i].State.Rollouts; len(rows) > 0 {
 			g.canaries.applyPublished(changes[i].At, changes[i].Identity.Instance, rows)
 		}
@@ -208,4 +210,5 @@
 	for _, service := range g.engineServices {
 		service.setPeerLoads(updateDelay, loads)
 	}
+	g.updateContention(now, admission.Fleet{Size: fleetSize, MaxAge: updateMaxAge}, updateDelay)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,6 +73,8 @@
 	// limits holds the request rate limits that targets state.
 	limits *targetLimits
 	lease  *sharedLease
+	// contention is nil unless the deployment calls for it.
+	contention *contention
 	// reach tells which failure domains can be reached.
 	reach *domainReach
 	// canaries are the rollouts of new software versions that operators order.
@@ -153,6 +155,7 @@
 	g.reach = newDomainReach(c.Now)
 	g.canaries = newCanaries(s, c.Now)
 	g.limits = newTargetLimits(c.Now, s.Instance)
+	g.contention = newContention(g)
 	g.callers = newCallerServer(g)
 	return g
 }
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -107,6 +107,11 @@
 
 // chooseEngineTarget is chooseTarget for services of model servers.
 func (g *Gateway) chooseEngineTarget(ctx context.Context, c *call) (*targetAttempt, *Refusal) {
+	if refusal := g.admitToService(c); refusal != nil {
+		return nil, refusal
+	}
+	endWait := g.contention.beginWait(c.admission)
+	defer endWait()
 	service, r := g.engineServiceOf(c), g.newEngineRequest(c)
 	pl, refusal := service.acquire(ctx, r)
 	if refusal != nil && refusal.Reason == dispatch.ReasonNoTarget && r.Placement.Exclude != "" {
@@ -128,12 +133,14 @@
 	case pl == nil:
 		return nil, nil
 	}
-	a := &targetAttempt{}
+	a, firstTokenAt := &targetAttempt{}, time.Duration(0)
 	*a = targetAttempt{
 		target: pl.target, fetchSource: pl.fetchSource, fetchSourcePieces: pl.fetchSourcePieces,
 		choice: placementInfo{cachedPieces: pl.send.Decision.CachedPieces, uncachedTokens: int(pl.send.Decision.UncachedTokens), expectedTTFT: pl.send.Decision.Expected, eligibleTargets: pl.eligibleTargets, weightsVersion: expectedWeights(c, &pl.target)},
 		onAnswer: func() {
 			if !pl.firstTokenSeen {
+				firstTokenAt = g.clock.Now()
+				g.contention.observePrefill(c.admission, pl.send.Decision.UncachedTokens)
 				g.recordPrefill(c, a, pl)
 			}
 			service.recordFirstToken(pl)
@@ -142,8 +149,11 @@
 			pl.relay = relay
 			service.startAttempt(pl, cancel, policy)
 		},
-		onProgress:    func() { service.recordProgress(pl) },
-		onEnd:         func(r overload.Result) { service.endAttempt(pl, r) },
+		onProgress: func() { service.recordProgress(pl) },
+		onEnd: func(r overload.Result) {
+			g.contention.observeEnd(c.admission, r, firstTokenAt)
+			service.endAttempt(pl, r)
+		},
 		onUnreachable: func(err error) { service.recordUnreachable(pl, err) },
 		cancelledHere: func() bool { return service.wasCancelledHere(pl) },
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -61,6 +61,8 @@
 	lastRelay string
 	choice    placementInfo
 	placedAt  time.Duration
+	// admission is the decision whether the call may use its service, once it is made.
+	admission *callAdmission
 }
 
 // ServeHTTP implements http.Handler for callers.
@@ -371,10 +373,13 @@
 		version = c.table.Config().Version
 	}
 	age := g.contactAge()
-	logline.Info("refused", "request", c.ID, "route", routeName(c), "account", accountName(c), "status", refusal.Status,
+	fields := []any{
+		"request", c.ID, "route", routeName(c), "account", accountName(c), "status", refusal.Status,
 		"reason", refusal.Reason, "not_run", refusal.NotRun, "sent", c.sendCount, "target", c.lastTarget,
-		"after", g.clock.Now()-c.startedAt, "retry_after", refusal.RetryAfter, "tokens", c.requestedTokens,
-		"config", version, "config_age", age, "fleet", g.peers.fleetSize(), "reporting", g.peers.reportingCount())
+		"after", g.clock.Now() - c.startedAt, "retry_after", refusal.RetryAfter, "tokens", c.requestedTokens,
+		"config", version, "config_age", age, "fleet", g.peers.fleetSize(), "reporting", g.peers.reportingCount(),
+	}
+	logline.Info("refused", append(fields, c.admission.logFields()...)...)
 }
 
 func unavailableRefusal(reason string, retryAfter time.Duration) *Refusal {
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -114,11 +114,21 @@
 
 // AccountDemand is the demand of one account in one class of urgency.
 type AccountDemand struct {
-	Account string `msgpack:"a"`
+	//lint:ignore U1000 the codec reads its tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	// Service is empty if there is one service of model servers only.
+	Service string
+	// Account is empty for all accounts that the update doesn't name.
+	Account string
 	// Urgency is from 0, the most urgent, upwards.
-	Urgency int `msgpack:"u"`
-	// TokensPerSecond is the rate of prompt tokens to prefill.
-	TokensPerSecond int `msgpack:"t"`
+	Urgency int
+	// TokensPerSecond is the rate of prompt tokens to prefill, MilliSlots the mean number of
+	// slots that the requests occupy, in thousandths.
+	TokensPerSecond, MilliSlots int
+	// WaitingTokens are the prompt tokens of the requests that wait for a target,
+	// WaitingMilliSlots the milliseconds for which they will occupy slots.
+	WaitingTokens, WaitingMilliSlots int
 }
 
 // TargetRate is the measured capacity of one incarnation of a target.
