ratecount: an account over its rate loses its less urgent requests first

An account short of tokens lost urgent requests as readily as those that can wait: its bucket was empty for both. With Features.Contention instances report by urgency what an account that is short has been asked for, and keep the tokens of the next second of more urgent demand.

--- a/internal/gateway/contention.go
+++ b/internal/gateway/contention.go
@@ -8,6 +8,7 @@
 
 	"github.com/mastictray/mastictray/internal/admission"
 	"github.com/mastictray/mastictray/internal/overload"
+	"github.com/mastictray/mastictray/internal/ratecount"
 	"github.com/mastictray/mastictray/internal/replica"
 	"github.com/mastictray/mastictray/internal/routing"
 	"github.com/mastictray/mastictray/internal/wire"
@@ -191,6 +192,34 @@
 	}
 }
 
+func toWireRateDemand(demand []ratecount.Demand) []wire.AccountDemand {
+	out := make([]wire.AccountDemand, 0, len(demand))
+	for _, d := range demand {
+		out = append(out, wire.AccountDemand{ChargedToRate: true, Account: d.Account, Urgency: d.Urgency, TokensPerSecond: int(d.TokensPerSecond)})
+	}
+	return out
+}
+
+func fromWireRateDemand(rows []wire.AccountDemand) []ratecount.Demand {
+	var out []ratecount.Demand
+	for i := range rows {
+		if d := &rows[i]; d.ChargedToRate {
+			out = append(out, ratecount.Demand{Account: d.Account, Urgency: d.Urgency, TokensPerSecond: float64(d.TokensPerSecond)})
+		}
+	}
+	return out
+}
+
+// chargeAccount charges a call to its account's rate. If there are too few tokens it returns
+// how long until there are enough. The caller holds g.mu.
+func (g *Gateway) chargeAccount(c *call) (wait time.Duration, ok bool) {
+	now, name := g.clock.Now(), c.account.Name
+	if g.contention == nil {
+		return g.accountLimiter.Admit(now, name, c.chargedTokens)
+	}
+	return g.accountLimiter.AdmitByUrgency(now, name, urgency(c), c.chargedTokens)
+}
+
 // applyReport records the demand that a peer has published.
 func (k *contention) applyReport(change *replica.Change) {
 	if k == nil || change.Identity.Instance == k.self {
@@ -201,7 +230,7 @@
 	for name, s := range k.services {
 		var rows []admission.Demand
 		for i := range change.State.Demand {
-			if d := &change.State.Demand[i]; d.Service == k.wireServiceName(name) {
+			if d := &change.State.Demand[i]; !d.ChargedToRate && d.Service == k.wireServiceName(name) {
 				rows = append(rows, fromWireDemand(d))
 			}
 		}
@@ -330,6 +359,15 @@
 	return s.pool.Target(i).OverRate && len(s.pool.RejectedBy(i)) == 1
 }
 
+// contentionFields returns the fields of a refusal's log line that say on what the order of
+// requests was based.
+func (g *Gateway) contentionFields(c *call) []any {
+	if g.contention == nil || c.route == nil {
+		return nil
+	}
+	return append([]any{"urgency", urgency(c)}, c.admission.logFields()...)
+}
+
 // logFields returns what the decision on a refused call was based on, for its log line.
 func (a *callAdmission) logFields() []any {
 	if a == nil {
@@ -338,7 +376,7 @@
 	s := &a.state
 	age := a.decidedAt - s.UpdatedAt
 	return []any{
-		"urgency", a.request.Urgency, "share", a.decision.Share, "resource", s.Resource, "asked", s.Asked, "room", s.Room,
+		"share", a.decision.Share, "resource", s.Resource, "asked", s.Asked, "room", s.Room,
 		"wait", s.Wait, "demand_age", s.DemandAge + age, "room_age", s.RoomAge + age, "sharing", s.Reporting,
 		"returned", a.decision.Returned, "early", a.decision.Early, "promised", a.decision.Promised,
 	}
--- a/internal/gateway/fleetstate.go
+++ b/internal/gateway/fleetstate.go
@@ -32,6 +32,9 @@
 		}
 		state.SilentTargets = append(state.SilentTargets, service.recentlyStalled()...)
 	}
+	if g.contention != nil {
+		state.Demand = append(state.Demand, toWireRateDemand(g.accountLimiter.ReportDemand(g.clock.Now()))...)
+	}
 	return state, g.accountLimiter.ReportSpent()
 }
 
@@ -67,7 +70,7 @@
 	g.mu.Lock()
 	for i := range changes {
 		c := &changes[i]
-		reports = append(reports, ratecount.Report{Incarnation: c.Identity.Incarnation, At: c.At, Spent: c.Spent})
+		reports = append(reports, ratecount.Report{Incarnation: c.Identity.Incarnation, At: c.At, Spent: c.Spent, Demand: fromWireRateDemand(c.State.Demand)})
 		for _, e := range c.Events {
 			if e.CrashFingerprint != 0 {
 				g.crashes.add(now, e.CrashFingerprint)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -314,7 +314,7 @@
 		}
 	}
 	c.requestedTokens = c.chargedTokens
-	wait, ok := g.accountLimiter.Admit(g.clock.Now(), c.account.Name, c.chargedTokens)
+	wait, ok := g.chargeAccount(c)
 	if !ok {
 		c.chargedTokens = 0
 		return &Refusal{Status: http.StatusTooManyRequests, Reason: "over_rate", RetryAfter: max(wait, minRateRetryAfter), NotRun: true}, true
@@ -379,7 +379,7 @@
 		"after", g.clock.Now() - c.startedAt, "retry_after", refusal.RetryAfter, "tokens", c.requestedTokens,
 		"config", version, "config_age", age, "fleet", g.peers.fleetSize(), "reporting", g.peers.reportingCount(),
 	}
-	logline.Info("refused", append(fields, c.admission.logFields()...)...)
+	logline.Info("refused", append(fields, g.contentionFields(c)...)...)
 }
 
 func unavailableRefusal(reason string, retryAfter time.Duration) *Refusal {
--- a/internal/ratecount/limiter.go
+++ b/internal/ratecount/limiter.go
@@ -64,6 +64,8 @@
 	recentLocal, recentFleet float64
 	// depletedUntil is when the account stops counting as depleted.
 	depletedUntil time.Duration
+	// urgencies is nil until AdmitByUrgency is called for the account.
+	urgencies *urgencies
 }
 
 const (
@@ -95,6 +97,7 @@
 	// lastReportAt is when the peer made its latest report.
 	lastReportAt time.Duration
 	spent        map[string]float64
+	demand       []Demand
 }
 
 // New returns a Limiter without limits for a fleet of one instance.
@@ -131,6 +134,8 @@
 	// account. Counts that are unchanged since its previous report may be left
 	// out.
 	Spent map[string]float64
+	// Demand is the demand of accounts that are short of tokens at the instance.
+	Demand []Demand
 }
 
 // ApplyReports deducts what peers report as spent. The first report of a peer
@@ -151,7 +156,7 @@
 			}
 			p.spent[name] = total
 		}
-		p.lastReportAt = r.At
+		p.lastReportAt, p.demand = r.At, r.Demand
 	}
 }
 
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -117,13 +117,17 @@
 	//lint:ignore U1000 the codec reads its tag
 	_msgpack struct{} `msgpack:",as_array"`
 
+	// ChargedToRate is set if the row is the demand for tokens of the account's rate, and
+	// not that for targets of a service.
+	ChargedToRate bool
 	// Service is empty if there is one service of model servers only.
 	Service string
 	// Account is empty for all accounts that the update doesn't name.
 	Account string
 	// Urgency is from 0, the most urgent, upwards.
 	Urgency int
-	// TokensPerSecond is the rate of prompt tokens to prefill, MilliSlots the mean number of
+	// TokensPerSecond is the rate of prompt tokens to prefill or, of an account's rate, of
+	// the tokens charged. MilliSlots is the mean number of
 	// slots that the requests occupy, in thousandths.
 	TokensPerSecond, MilliSlots int
 	// WaitingTokens are the prompt tokens of the requests that wait for a target,
