--- a/internal/gateway/engineservice.go
+++ b/internal/gateway/engineservice.go
@@ -123,8 +123,9 @@
 	stepScheduled bool
 }
 
-func newEngineService(now func() time.Duration, domain string, prefill float64, limits *targetLimits, reach *domainReach) *engineService {
+func newEngineService(now func() time.Duration, domain string, prefill float64, limits *targetLimits, reach *domainReach, features Features) *engineService {
 	s := &engineService{
+		sharesSlots: features.Contention, reportsTimeouts: features.LargePools,
 		now: now, domain: domain, prefillRate: prefill, limits: limits, reach: reach, serviceTimes: servicetime.New(prefill),
 		capacities:    targetCapacities{table: targetcapacity.New(), updatedAt: never},
 		registrations: map[string]directory.Registration{}, breakers: map[string]*overload.Breaker{},
@@ -140,6 +141,7 @@
 	o.RecomputeBacklogUnit, o.MaxRecomputeFactor = recomputeBacklogUnit, maxRecomputeFactor
 	o.Queue.MaxItems = maxQueuedRequests
 	o.Queue.MinRate = prefill
+	o.Queue.UrgencyFirst = features.Contention
 	s.dispatcher = dispatch.New[chan placementResult](s.pool, s.index, s.picker, o)
 	return s
 }
--- a/internal/gateway/fleetstate.go
+++ b/internal/gateway/fleetstate.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/mastictray/mastictray/internal/admission"
 	"github.com/mastictray/mastictray/internal/directory"
 	"github.com/mastictray/mastictray/internal/ratecount"
 	"github.com/mastictray/mastictray/internal/replica"
@@ -16,7 +17,7 @@
 	state := wire.InstanceState{
 		Capacity: g.settings.Capacity, Leaving: g.draining.Load(), StoreUnreachable: g.feeds.anyUnreachable(), BlockedTargets: g.dialer.ConfirmedCount(), OrderLease: g.heldLeaseRecord(),
 		ConfigVersion: g.configVersion(), Loads: map[string]wire.TargetLoad{}, CacheStores: g.cache.reachableStores(),
-		TargetLimits: g.limits.reports(),
+		TargetLimits: g.limits.reports(), Demand: g.contention.report(),
 	}
 	for _, service := range g.listServices() {
 		state.UnreachableTargets += service.unreachableCount()
@@ -32,6 +33,9 @@
 		state.SilentTargets = append(state.SilentTargets, service.recentlyStalled()...)
 		state.TargetRates = append(state.TargetRates, service.capacityReports()...)
 	}
+	if g.contention != nil {
+		state.Demand = append(state.Demand, toWireRateDemand(g.accountLimiter.ReportDemand(g.clock.Now()))...)
+	}
 	return state, g.accountLimiter.ReportSpent()
 }
 
@@ -67,7 +71,7 @@
 	g.mu.Lock()
 	for i := range changes {
 		c := &changes[i]
-		reports = append(reports, ratecount.Report{Incarnation: c.Identity.Incarnation, At: c.At, Spent: c.Spent})
+		reports = append(reports, ratecount.Report{Incarnation: c.Identity.Incarnation, At: c.At, Spent: c.Spent, Demand: fromWireRateDemand(c.State.Demand)})
 		for _, e := range c.Events {
 			if e.CrashFingerprint != 0 {
 				g.crashes.add(now, e.CrashFingerprint)
@@ -84,6 +88,7 @@
 				service.applyCapacityReports(changes[i].At, changes[i].Identity.Instance, rates)
 			}
 		}
+		g.contention.applyReport(&changes[i])
 		if rows := changes[i].State.Rollouts; len(rows) > 0 {
 			g.canaries.applyPublished(changes[i].At, changes[i].Identity.Instance, rows)
 		}
@@ -214,4 +219,5 @@
 	for _, service := range g.engineServices {
 		service.setPeerLoads(updateDelay, loads)
 	}
+	g.updateContention(now, admission.Fleet{Size: fleetSize, MaxAge: updateMaxAge}, updateDelay)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,6 +73,8 @@
 	// limits holds the request rate limits that targets state.
 	limits *targetLimits
 	lease  *sharedLease
+	// contention is nil unless the deployment calls for it.
+	contention *contention
 	// reach tells which failure domains can be reached.
 	reach *domainReach
 	// canaries are the rollouts of new software versions that operators order.
@@ -153,6 +155,7 @@
 	g.reach = newDomainReach(c.Now)
 	g.canaries = newCanaries(s, c.Now)
 	g.limits = newTargetLimits(c.Now, s.Instance)
+	g.contention = newContention(g)
 	g.callers = newCallerServer(g)
 	return g
 }
@@ -303,8 +306,7 @@
 func (g *Gateway) engineServiceFor(name string) *engineService {
 	s := g.engineServices[name]
 	if s == nil {
-		s = newEngineService(g.clock.Now, g.settings.Domain, g.settings.PrefillTokensPerSecond, g.limits, g.reach)
-		s.sharesSlots, s.reportsTimeouts = g.settings.Features.Contention, g.settings.Features.LargePools
+		s = newEngineService(g.clock.Now, g.settings.Domain, g.settings.PrefillTokensPerSecond, g.limits, g.reach, g.settings.Features)
 		g.engineServices[name] = s
 	}
 	return s
