placement, gateway: instances share the memory of targets by claims

A target fails if the requests that it holds exceed its memory. What it held counted, but not the size of the next request nor what peers send until it is known.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -284,7 +284,7 @@
 		return fairqueue.Refuse
 	}
 	t := d.pool.Target(choice.Index)
-	if t.Full() || d.pool.Backlog(choice.Index, now) >= d.options.MaxTargetBacklog {
+	if d.pool.Backlog(choice.Index, now) >= d.options.MaxTargetBacklog || t.Full(now, &r.Placement) {
 		t.Load.AddPending(choice.UncachedTokens)
 		return fairqueue.Skip
 	}
--- a/internal/gateway/engineservice.go
+++ b/internal/gateway/engineservice.go
@@ -74,8 +74,11 @@
 	mu            sync.Mutex
 	registrations map[string]directory.Registration
 	// isCanary holds the targets that are canaries.
-	isCanary       map[string]bool
-	memoryTokens   int
+	isCanary     map[string]bool
+	memoryTokens int
+	// sharesMemoryAs is the name under which this instance claims room in the targets' memory;
+	// empty if instances don't share it.
+	sharesMemoryAs string
 	breakers       map[string]*overload.Breaker
 	stallDetectors map[string]*overload.StallDetector
 	running        map[*enginePlacement]struct{}
@@ -202,6 +205,9 @@
 	id := cacheIdentity(&r)
 	t.Domain, t.Incarnation, t.Version = r.Domain, id.Incarnation, id.Version
 	t.Unreachable = s.avoidedDomains[r.Domain]
+	if s.sharesMemoryAs != "" && t.Memory == nil {
+		t.Memory = placement.NewMemoryShare(s.sharesMemoryAs)
+	}
 	t.Limit, t.MemoryTokens, t.Canary = r.Slots, s.memoryTokens, s.isCanary[r.ID]
 	t.Outdated, t.Loading = hasOlderWeights(&r, s.bounds.preferred), s.isExcluded(&r)
 	t.Cache = s.index.Observe(s.now(), id)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/mastictray/mastictray/internal/hubs"
 	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/peer"
+	"github.com/mastictray/mastictray/internal/placement"
 	"github.com/mastictray/mastictray/internal/prefix"
 	"github.com/mastictray/mastictray/internal/replica"
 	"github.com/mastictray/mastictray/internal/wire"
@@ -200,15 +201,18 @@
 	now := p.g.clock.Now()
 	loads := map[string]targetLoad{}
 	loading := map[string]bool{}
+	claims := map[string][]placement.MemoryClaim{}
 	p.mu.Lock()
+	memoryDelay := p.propagationTime() + 2*p.callIntervalLocked()
 	fleetSize, updateMaxAge, updateDelay := p.fleetSizeLocked(), p.updateMaxAge(), p.propagationTime()
 	instances, announcementsRead := p.servingInstances(), p.announcementsRead
 	reporting, silent := 0, map[string]int{}
-	for _, s := range p.known {
+	for name, s := range p.known {
 		if !p.isFresh(now, s) {
 			continue
 		}
 		reporting++
+		addMemoryClaims(claims, name, s.state.MemoryClaims)
 		for _, id := range s.state.SilentTargets {
 			silent[id]++
 		}
@@ -223,6 +227,7 @@
 	p.mu.Unlock()
 	p.g.limits.setFleet(instances, announcementsRead)
 	p.g.applyFleetState(now, fleetSize, updateMaxAge, updateDelay, loads, loading)
+	p.g.applyMemoryClaims(memoryDelay, claims)
 	p.g.suspectTargets(confirmedSilent(silent, reporting))
 }
 
--- a/internal/gateway/fleetstate.go
+++ b/internal/gateway/fleetstate.go
@@ -26,6 +26,8 @@
 	defer g.mu.Unlock()
 	state.LoadingTargets = g.orderedTargets
 	for _, service := range g.engineServices {
+		// Before the loads: a claim that is used in between counts twice rather than not at all.
+		state.MemoryClaims = append(state.MemoryClaims, service.publishMemoryClaims()...)
 		for id, l := range service.targetLoads() {
 			state.Loads[id] = wire.TargetLoad{PendingPromptTokens: int(l.PendingPromptTokens), KVCacheTokens: l.KVCacheTokens}
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -304,6 +304,9 @@
 	s := g.engineServices[name]
 	if s == nil {
 		s = newEngineService(g.clock.Now, g.settings.Domain, g.settings.PrefillTokensPerSecond, g.limits, g.reach)
+		if g.settings.Features.BoundedMemory {
+			s.sharesMemoryAs = g.settings.Instance
+		}
 		g.engineServices[name] = s
 	}
 	return s
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -30,6 +30,8 @@
 	// another instance.
 	Followers []string       `json:"followers"`
 	Domains   []DomainStatus `json:"domains"`
+	// TargetMemory is what is known of the targets' memory, by target, if instances share it.
+	TargetMemory map[string]TargetMemory `json:"target_memory,omitempty"`
 }
 
 // DomainStatus is what an instance knows of the other instances of one failure domain.
@@ -98,7 +100,9 @@
 // serveState serves the state as JSON.
 func (g *Gateway) serveState(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(g.status()); err != nil {
+	s := g.status()
+	s.TargetMemory = g.targetMemory()
+	if err := json.NewEncoder(w).Encode(s); err != nil {
 		logline.Error(err, "state_write_failed")
 	}
 }
@@ -114,6 +118,7 @@
 	}
 	g.metrics.gauge(`mastictray_blocked_targets`).Set(float64(s.BlockedTargets))
 	g.metrics.gauge(`mastictray_relayed_connections`).Set(float64(s.RelayedConnections))
+	g.updateMemoryGauges()
 	g.metrics.gauge(`mastictray_followers`).Set(float64(len(s.Followers)))
 	for _, role := range []string{"mesh", "hub", "follower"} {
 		is := 0.0
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -32,6 +32,9 @@
 	// requests of this instance, PeersHeldTokens by those of other instances.
 	MemoryTokens                int
 	HeldTokens, PeersHeldTokens int
+	// Memory is set if the target fails when its memory is exceeded. It replaces the limit by
+	// maxMemoryUtilization.
+	Memory *MemoryShare
 
 	// Outdated targets serve older weights than the newest named version.
 	Outdated bool
@@ -66,14 +69,20 @@
 // of requests and requests of other instances that are not known yet.
 const maxMemoryUtilization = 0.8
 
-// Full reports whether the target can take no further request until one has been
-// answered. Requests for it wait.
-func (t *Target) Full() bool {
+// Full reports whether the target can't take the request until another one has been answered.
+// Requests for it wait.
+func (t *Target) Full(now time.Duration, r *Request) bool {
 	if t.Limit > 0 && t.InFlight >= t.Limit {
 		return true
 	}
 	held := t.HeldTokens + t.PeersHeldTokens
-	return t.MemoryTokens > 0 && float64(held) >= maxMemoryUtilization*float64(t.MemoryTokens)
+	switch {
+	case t.MemoryTokens == 0:
+		return false
+	case t.Memory != nil:
+		return !t.Memory.Admit(now, t.MemoryTokens, held, r.HeldTokens)
+	}
+	return float64(held) >= maxMemoryUtilization*float64(t.MemoryTokens)
 }
 
 // prefillRate returns the usable prefill rate in tokens per second.
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -110,6 +110,15 @@
 	TargetRates []TargetRate
 	// SlowTargets are the targets that answer the origin far later than they usually do.
 	SlowTargets []string
+	// MemoryClaims are the origin's claims to room in the memory of targets.
+	MemoryClaims []MemoryClaim
+}
+
+// MemoryClaim is a claim to room in the memory of a target; see placement.MemoryClaim.
+type MemoryClaim struct {
+	Target string `msgpack:"t"`
+	Tokens int    `msgpack:"n"`
+	Ticket uint64 `msgpack:"k"`
 }
 
 // AccountDemand is the demand of one account in one class of urgency.
@@ -140,7 +149,8 @@
 		slices.Equal(s.CacheStores, o.CacheStores) && slices.Equal(s.SilentTargets, o.SilentTargets) &&
 		slices.Equal(s.TargetLimits, o.TargetLimits) && slices.Equal(s.Rollouts, o.Rollouts) &&
 		slices.Equal(s.Demand, o.Demand) && maps.Equal(s.PlainLoads, o.PlainLoads) &&
-		slices.Equal(s.TargetRates, o.TargetRates) && slices.Equal(s.SlowTargets, o.SlowTargets)
+		slices.Equal(s.TargetRates, o.TargetRates) && slices.Equal(s.SlowTargets, o.SlowTargets) &&
+		slices.Equal(s.MemoryClaims, o.MemoryClaims)
 }
 
 // InstanceEvent is a prefilled prompt, outcomes of attempts, or a request that lost the
--- a/internal/wire/update.go
+++ b/internal/wire/update.go
@@ -37,11 +37,12 @@
 	Plain   map[string]int    `msgpack:"i,omitempty"`
 	Rates   []TargetRate      `msgpack:"r,omitempty"`
 	Slow    []string          `msgpack:"w,omitempty"`
+	Claims  []MemoryClaim     `msgpack:"g,omitempty"`
 }
 
 func (s *InstanceState) optional() *optionalState {
 	lists := len(s.LoadingTargets) + len(s.CacheStores) + len(s.SilentTargets) + len(s.OverdueInstances) + len(s.TargetLimits) + len(s.Rollouts) +
-		len(s.Demand) + len(s.PlainLoads) + len(s.TargetRates) + len(s.SlowTargets)
+		len(s.Demand) + len(s.PlainLoads) + len(s.TargetRates) + len(s.SlowTargets) + len(s.MemoryClaims)
 	if !s.Leaving && !s.StoreUnreachable && s.BlockedTargets+s.UnreachableTargets == 0 && s.OrderLease == nil && lists == 0 {
 		return nil
 	}
@@ -49,7 +50,7 @@
 		Leaving: s.Leaving, Cut: s.StoreUnreachable, Orders: s.OrderLease, Loading: s.LoadingTargets, Stores: s.CacheStores,
 		Silent: s.SilentTargets, Overdue: s.OverdueInstances, Limits: s.TargetLimits, Rolls: s.Rollouts,
 		Blocked: s.BlockedTargets, Unreach: s.UnreachableTargets,
-		Demand: s.Demand, Plain: s.PlainLoads, Rates: s.TargetRates, Slow: s.SlowTargets,
+		Demand: s.Demand, Plain: s.PlainLoads, Rates: s.TargetRates, Slow: s.SlowTargets, Claims: s.MemoryClaims,
 	}
 }
 
@@ -183,6 +184,7 @@
 		u.State.LoadingTargets, u.State.CacheStores, u.State.SilentTargets, u.State.OverdueInstances = s.Loading, s.Stores, s.Silent, s.Overdue
 		u.State.TargetLimits, u.State.Rollouts, u.State.BlockedTargets, u.State.UnreachableTargets = s.Limits, s.Rolls, s.Blocked, s.Unreach
 		u.State.Demand, u.State.PlainLoads, u.State.TargetRates, u.State.SlowTargets = s.Demand, s.Plain, s.Rates, s.Slow
+		u.State.MemoryClaims = s.Claims
 	}
 	u.Spent = r.spent()
 	u.FirstEvent, u.Events = r.events()
--- a/internal/wire/update_test.go
+++ b/internal/wire/update_test.go
@@ -37,6 +37,7 @@
 			TargetLimits: []TargetLimit{{Target: "t", Born: 3, Rate: 1.5, Revision: 2}},
 			Demand:       []AccountDemand{{Account: "acc", Urgency: 2, TokensPerSecond: 9000}}, PlainLoads: map[string]int{"p": 4},
 			TargetRates: []TargetRate{{Target: "t", Born: 3, PrefillTokensPerSecond: 87000, Samples: 12}}, SlowTargets: []string{"w"},
+			MemoryClaims: []MemoryClaim{{Target: "t", Tokens: 12000, Ticket: 7}},
 		},
 		Spent: map[string]float64{"acc": 1.5}, FirstEvent: 40,
 		Events: []InstanceEvent{
