--- a/internal/placement/slots_test.go
+++ b/internal/placement/slots_test.go
@@ -125,7 +125,7 @@
 	is := is.New(t)
 	p := NewPool([]Target{{Name: "a", Limit: 12}}, "", DefaultFilters())
 	p.SetPeersInFlight(0, 500)
-	is.True(!p.Target(0).Full())
+	is.True(!p.Target(0).Full(0, &Request{}))
 	is.Equal(p.excluded[0][0], Rejection(0))
 }
 
@@ -137,8 +137,8 @@
 	p.SetPeersInFlight(1, 4)
 	d, err := picker.Pick(0, &Request{PromptTokens: 100}, rand.New(rand.NewPCG(1, 1)))
 	is.NoErr(err)
-	is.True(!p.Target(d.Index).Full()) // one may wait there for the next free slot
+	is.True(!p.Target(d.Index).Full(0, &Request{})) // one may wait there for the next free slot
 	p.AddInFlight(d.Index, 1)
-	is.True(p.Target(d.Index).Full())
+	is.True(p.Target(d.Index).Full(0, &Request{}))
 	is.Equal(p.EligibleCount(), 2)
 }
