placement: prompts go where memory is free before they claim it where it isn't

A claim matures after twice the time in which instances learn of each other, longer than the objective of an urgent prompt; other targets have room meanwhile. The wait for a claim is now a term of the cost.

--- a/internal/placement/memory.go
+++ b/internal/placement/memory.go
@@ -124,6 +124,16 @@
 	return false
 }
 
+// expectedWait returns how long a request would wait for a claim to mature; 0 if it could be sent
+// at once. Unlike Admit, it makes no claim.
+func (m *MemoryShare) expectedWait(memory, held, tokens int) time.Duration {
+	usable := usableMemory * float64(memory)
+	if float64(held+m.peersTotal+tokens) <= openMemory*usable {
+		return 0
+	}
+	return 2 * m.delay
+}
+
 // use ends the claim if the request that is sent is its claimant.
 func (m *MemoryShare) use(isClaimant bool) {
 	if isClaimant {
--- a/internal/placement/score.go
+++ b/internal/placement/score.go
@@ -40,5 +40,6 @@
 		linkScorer{domain: o.Domain, delay: o.CrossDomainDelay},
 		outdatedScorer{penalty: o.OutdatedPenalty},
 		slotScorer{slotTime: o.SlotTime},
+		memoryScorer{},
 	}
 }
