runmove, gateway, weights: runs move before their target loads weights or leaves

Cause: a stream that may not run again keeps its target until its end. Loads of new weights wait for it (1 to 5 s for a load of 0.76 s, docs/design/0019) and a target that leaves may end before it.

Change: where the configuration lets model servers copy runs (engine.moves), the instance that relays such a stream has the run copied to another target of the same weights, then stopped, and lets the request go on there with the copy and the last event that its caller has, in the same response. runmove holds the decisions: the state of one generation, the destination, the budget of copies. The planner of loads leaves running requests up to 0.5 s more before it orders. Copies that nobody uses are freed.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -38,9 +38,11 @@
 	c.sendCount++
 	a.relay = connrelay.RelayOf(conn.NetConn())
 	c.lastRelay = a.relay
+	c.generation.begin(a)
 	a.onSend(conn.Close, a.relay, g.cancelPolicyFor(c))
 	stop := context.AfterFunc(ctx, conn.Close)
 	result, err := g.roundTrip(ctx, c, a, relay, conn)
+	result = c.generation.resolve(ctx, result)
 	if !stop() {
 		conn.MarkBroken()
 	}
@@ -54,7 +56,7 @@
 	} else {
 		conn.Close()
 	}
-	if result != outcomeDelivered {
+	if result != outcomeDelivered && result != outcomeStopped {
 		g.logFailedAttempt(c, a, result.String(), err)
 		if !a.pathFailed {
 			g.recordCrash(ctx, c, result, err)
@@ -69,7 +71,7 @@
 func (g *Gateway) observeAttempt(ctx context.Context, c *call, a *targetAttempt, relay *responseRelay, eventsBefore int, result outcome) {
 	sample := canary.Sample{Route: hashID(c.route.Name), Target: hashID(a.target.ID)}
 	switch {
-	case result == outcomeNotRun || result == outcomeNotSent:
+	case result == outcomeNotRun || result == outcomeNotSent || result == outcomeStopped:
 		return
 	case a.pathFailed || a.relay != "": // a relayed attempt has been slowed by its path
 		return
@@ -115,7 +117,7 @@
 		return overload.Succeeded
 	case ctx.Err() != nil && errors.Is(ctx.Err(), context.Canceled):
 		return overload.Cancelled
-	case result == outcomeNotRun:
+	case result == outcomeNotRun || result == outcomeStopped:
 		// The target is full or leaving, not failing.
 		return overload.Cancelled
 	}
@@ -242,7 +244,7 @@
 func (g *Gateway) targetParams(c *call, a *targetAttempt, relay *responseRelay) TargetParams {
 	params := TargetParams{
 		Target: a.target.ID, Account: accountName(c), Timeout: g.timeLeft(c), Urgency: urgency(c),
-		FetchFrom: a.fetchSource, LastEventID: relay.resumeAfter(),
+		FetchFrom: a.fetchSource, LastEventID: relay.resumeAfter(), ContinueFrom: a.continueFrom,
 	}
 	if c.Prompt != nil {
 		// Pieces computed with one weights version must not be used with another, nor those
@@ -251,6 +253,9 @@
 		// version that the scope names.
 		params.WeightsVersion = expectedWeights(c, &a.target)
 		params.CacheScope = strconv.FormatInt(params.WeightsVersion, 10) + "/" + cacheScope(c)
+		if a.continueFrom != "" {
+			return params // the copy has the whole prompt
+		}
 		plan := g.cache.plan(params.CacheScope, sharedPieceHashes(c), pieceTokens(c))
 		// All targets share the link of the store, while each target has a link of its own.
 		// The store is therefore used only if it is known to have more pieces than the
--- a/internal/gateway/enginefilters.go
+++ b/internal/gateway/enginefilters.go
@@ -63,6 +63,8 @@
 // versionBounds are the weights versions, by model, that restrict the use of targets with
 // older ones.
 type versionBounds struct {
+	// newest are the newest named versions.
+	newest map[string]int64
 	// Placement prefers targets that have at least the versions in preferred. No request is
 	// sent to a target with older versions than minToSend, and none keeps waiting for its
 	// first token at a target with older versions than minToWait.
--- a/internal/gateway/engineservice.go
+++ b/internal/gateway/engineservice.go
@@ -14,6 +14,7 @@
 	"github.com/mastictray/mastictray/internal/overload"
 	"github.com/mastictray/mastictray/internal/placement"
 	"github.com/mastictray/mastictray/internal/routing"
+	"github.com/mastictray/mastictray/internal/runmove"
 	"github.com/mastictray/mastictray/internal/servicetime"
 	"github.com/mastictray/mastictray/internal/targetlimit"
 	"github.com/mastictray/mastictray/internal/targetpause"
@@ -59,6 +60,15 @@
 	cancelledHere bool
 	// firstTokenSeen is set once the first token has arrived.
 	firstTokenSeen bool
+	// continued is set if the run goes on here with memory from another target.
+	continued bool
+	// firstEventAt is when the first part of the response arrived, laterEvents the number of
+	// parts since.
+	firstEventAt time.Duration
+	laterEvents  int
+	// withdrawnAt is when the target was first seen to take no new requests for good; 0 if it
+	// does.
+	withdrawnAt time.Duration
 }
 
 // engineService schedules the requests of one service of model servers. Its lock is held
@@ -105,6 +115,12 @@
 	// pauses holds the targets that have refused a request as a whole and asked for a pause,
 	// backoffs all that have refused one shortly before.
 	pauses, backoffs *targetpause.Pauses[directory.Incarnation]
+	// copies is the budget of copies of runs.
+	copies *runmove.Copies
+	// leaveMoveDelay is how long a run stays at a target that leaves until it is moved.
+	leaveMoveDelay time.Duration
+	// tokensPerEvent is the number of output tokens in one event of a stream; 0 if unknown.
+	tokensPerEvent int
 	// unreachable tracks the probes of unreachable targets.
 	unreachable unreachableProbes
 	// stepScheduled is set while a timer for the next step runs.
@@ -119,7 +135,7 @@
 		index:  cacheindex.New(cacheIndexBytes),
 		rng:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		pauses: &targetpause.Pauses[directory.Incarnation]{}, backoffs: &targetpause.Pauses[directory.Incarnation]{},
-		loadingSince: map[string]time.Duration{}, probing: map[string]bool{},
+		loadingSince: map[string]time.Duration{}, probing: map[string]bool{}, copies: runmove.NewCopies(),
 	}
 	s.rebuild(nil)
 	o := dispatch.DefaultOptions()
@@ -137,7 +153,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.isCanary = isCanary
-	s.memoryTokens = e.MemoryTokens
+	s.memoryTokens, s.tokensPerEvent = e.MemoryTokens, e.TokensPerEvent
 	s.index.SetCapacity(cacheMemoryShare * float64(e.MemoryTokens))
 	if e.BytesPerToken > 0 {
 		s.transferRate = transferLinkShare * e.LinkMbps * bytesPerMbit / float64(e.BytesPerToken)
@@ -382,7 +398,9 @@
 		return
 	}
 	pl.firstTokenSeen = true
-	s.observeFirstToken(pl)
+	if !pl.continued {
+		s.observeFirstToken(pl)
+	}
 	s.dispatcher.Answered(&pl.send)
 	s.index.AddInsertedTokens(pl.send.Identity, float64(pl.newlyCachedTokens()))
 	s.step()
--- a/internal/gateway/enginestall.go
+++ b/internal/gateway/enginestall.go
@@ -210,5 +210,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	pl.progressAt = s.now()
+	if pl.firstEventAt == 0 {
+		pl.firstEventAt = pl.progressAt
+	} else {
+		pl.laterEvents++
+	}
 	s.stallDetector(pl.target.ID).Progress(pl.progressAt, pl.stallID)
 }
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -10,6 +10,7 @@
 	"github.com/mastictray/mastictray/internal/directory"
 	"github.com/mastictray/mastictray/internal/orderlease"
 	"github.com/mastictray/mastictray/internal/routing"
+	"github.com/mastictray/mastictray/internal/runmove"
 	"github.com/mastictray/mastictray/internal/storeindex"
 	"github.com/mastictray/mastictray/internal/weights"
 )
@@ -85,6 +86,22 @@
 	// CacheEvents requests the changes of a KV cache store since an event number and
 	// waits up to wait for new ones.
 	CacheEvents(ctx context.Context, address string, since int64, wait time.Duration) (storeindex.EventBatch, error)
+	// CopyRun asks a target to copy the memory of a run to another target, and returns once the
+	// copy is complete. A copy is found under its handle, at its destination or, if the run has
+	// stopped, also at the target.
+	CopyRun(ctx context.Context, t directory.Registration, c RunCopy) (result runmove.Result, handle string, err error)
+	// FreeCopy frees a copy that nobody will use, at both ends.
+	FreeCopy(ctx context.Context, t directory.Registration, handle string) error
+}
+
+// RunCopy describes a copy of the memory of a run.
+type RunCopy struct {
+	// RequestID is the ID of the request that is running.
+	RequestID string
+	// Destination is the address of the target to copy to.
+	Destination string
+	// Stop makes the target stop the run before it copies the rest, and close its stream.
+	Stop bool
 }
 
 // RolloutStore keeps the decisions on ordered rollouts and reports them to operators.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -26,6 +26,8 @@
 	outcomeNotSent
 	// outcomeNoTarget: no target was chosen.
 	outcomeNoTarget
+	// outcomeStopped: the target has stopped the run so that it goes on at another target.
+	outcomeStopped
 )
 
 // forward sends the request to one target after another until one has answered.
@@ -38,9 +40,14 @@
 	c.service = service
 	g.retryBudget(name).AddRequest()
 	relay := &responseRelay{g: g, c: c}
+	c.generation = g.newGeneration(c)
+	defer c.generation.end()
 	unsent := 0
 	for {
 		result, refusal := g.attemptOnce(ctx, c, relay)
+		for result == outcomeStopped {
+			result = g.continueRun(ctx, c, relay)
+		}
 		switch result {
 		case outcomeNoTarget:
 			return g.finishUnanswered(ctx, c, relay, refusal)
@@ -111,7 +118,10 @@
 }
 
 // attempts returns the number of times the request was sent that count towards its route's limit.
-func (c *call) attempts() int { return c.sendCount - min(c.refusedCount, maxRefusals) }
+// A run that goes on at another target is still the same run.
+func (c *call) attempts() int {
+	return c.sendCount - c.continuationCount - min(c.refusedCount, maxRefusals)
+}
 
 // takeRetry reports whether the request may be sent to another target. If so, it has taken
 // the retry from the budget, unless reserveResume has already done so.
@@ -163,5 +173,5 @@
 }
 
 func (o outcome) String() string {
-	return [...]string{"delivered", "broken", "not_run", "unknown", "not_sent", "no_target"}[o]
+	return [...]string{"delivered", "broken", "not_run", "unknown", "not_sent", "no_target", "stopped"}[o]
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -304,6 +304,7 @@
 	s := g.engineServices[name]
 	if s == nil {
 		s = newEngineService(g.clock.Now, g.settings.Domain, g.settings.PrefillTokensPerSecond, g.limits, g.reach)
+		s.leaveMoveDelay = time.Duration(leaveMoveShare * float64(g.settings.DrainBound))
 		g.engineServices[name] = s
 	}
 	return s
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -26,6 +26,8 @@
 	// cacheScope.
 	savesToStore bool
 	cacheScope   string
+	// continueFrom is where the run's memory is if the run goes on here; empty for a new run.
+	continueFrom string
 	// choice describes the placement decision, for the log.
 	choice placementInfo
 	// relay is the instance that relays the connection; empty for a direct one. pathFailed is
@@ -128,12 +130,17 @@
 	case pl == nil:
 		return nil, nil
 	}
+	return g.newEngineAttempt(c, service, pl), nil
+}
+
+// newEngineAttempt returns the attempt at a model server that was chosen.
+func (g *Gateway) newEngineAttempt(c *call, service *engineService, pl *enginePlacement) *targetAttempt {
 	a := &targetAttempt{}
 	*a = targetAttempt{
 		target: pl.target, fetchSource: pl.fetchSource, fetchSourcePieces: pl.fetchSourcePieces,
 		choice: placementInfo{cachedPieces: pl.send.Decision.CachedPieces, uncachedTokens: int(pl.send.Decision.UncachedTokens), expectedTTFT: pl.send.Decision.Expected, eligibleTargets: pl.eligibleTargets, weightsVersion: expectedWeights(c, &pl.target)},
 		onAnswer: func() {
-			if !pl.firstTokenSeen {
+			if !pl.firstTokenSeen && !pl.continued {
 				g.recordPrefill(c, a, pl)
 			}
 			service.recordFirstToken(pl)
@@ -147,7 +154,7 @@
 		onUnreachable: func(err error) { service.recordUnreachable(pl, err) },
 		cancelledHere: func() bool { return service.wasCancelledHere(pl) },
 	}
-	return a, nil
+	return a
 }
 
 // recordPrefill records that a target has prefilled the prompt and, if the request
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -178,6 +178,10 @@
 func (r *responseRelay) endStream(conn *targetconn.Conn, resp *http.Response) (outcome, error) {
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		conn.MarkBroken() // the end of the connection marked the end of the body
+		if r.c.generation.mayBeStopped() {
+			// A target that stops a run ends its connection in the same way.
+			return r.interruptedOutcome(), errors.New("stream ended while its run was being moved")
+		}
 	}
 	conn.FinishExchange()
 	if !r.started {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -75,6 +75,9 @@
 	CacheScope string
 	// LastEventID resumes a stream after this event; empty for none.
 	LastEventID string
+	// ContinueFrom is the address of a target and the handle of a copied run, separated by a
+	// slash: the request goes on with that run. Empty for none.
+	ContinueFrom string
 }
 
 // ResponseInfo is what the head of a target's response states.
--- a/internal/gateway/restart_test.go
+++ b/internal/gateway/restart_test.go
@@ -13,6 +13,7 @@
 	"github.com/mastictray/mastictray/internal/keys"
 	"github.com/mastictray/mastictray/internal/orderlease"
 	"github.com/mastictray/mastictray/internal/routing"
+	"github.com/mastictray/mastictray/internal/runmove"
 	"github.com/mastictray/mastictray/internal/storeindex"
 	"github.com/mastictray/mastictray/internal/weights"
 	"github.com/mastictray/mastictray/internal/wire"
@@ -391,3 +392,11 @@
 func (unresponsiveTargets) CacheEvents(context.Context, string, int64, time.Duration) (storeindex.EventBatch, error) {
 	return storeindex.EventBatch{}, errNoAnswer
 }
+
+func (unresponsiveTargets) CopyRun(context.Context, directory.Registration, RunCopy) (runmove.Result, string, error) {
+	return runmove.Unanswered, "", errNoAnswer
+}
+
+func (unresponsiveTargets) FreeCopy(context.Context, directory.Registration, string) error {
+	return errNoAnswer
+}
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -109,6 +109,9 @@
 		if service := g.engineServices[s.Name]; service != nil {
 			goal.Unreachable = service.openBreakers()
 		}
+		if s.Engine.MovesRuns {
+			goal.MoveTime = runMoveTime
+		}
 		if g.planner.HasPending(goal, targets) {
 			pending = append(pending, pendingRollout{goal: goal, targets: targets, namedAt: newest.namedAt})
 		}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -39,6 +39,10 @@
 	// may have run it.
 	sendCount, refusedCount int
 	mayHaveRun              bool
+	// continuationCount is how often its run was sent on to go on at another target.
+	continuationCount int
+	// generation moves the run of the request; nil if runs of its kind are not moved.
+	generation *generation
 	// refusedBy holds the targets that refused the request.
 	refusedBy []string
 	// lastEventAt is the time at which the last event of a stream was sent to the
--- a/internal/gateway/streammove.go
+++ b/internal/gateway/streammove.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/mastictray/mastictray/internal/logline"
+	"github.com/mastictray/mastictray/internal/overload"
 )
 
 // streamMoveDelay is the time from the announcement of a weights load until the streams
@@ -21,24 +22,46 @@
 	// When several streams are to be moved at once, only those that got a retry are
 	// cancelled.
 	reserveResume func() bool
+	// generation moves the run with its memory; nil if that isn't possible.
+	generation *generation
 }
 
 // cancelPolicyFor returns the policy for the attempt that is being sent.
 func (g *Gateway) cancelPolicyFor(c *call) cancelPolicy {
-	policy := cancelPolicy{repeatable: c.route.Repeatable()}
+	policy := cancelPolicy{repeatable: c.route.Repeatable(), generation: c.generation}
 	lastAttempt := c.attempts() >= c.route.MaxAttempts
-	budget := g.retryBudget(c.service.Name)
-	reserve := streamMoveReserve * g.retryReserve(g.peers.fleetSize())
+	budget := g.newMoveBudget(c)
 	policy.reserveResume = func() bool {
-		if !policy.repeatable || lastAttempt || g.draining.Load() || !g.resumeAllowed(c) || !budget.TakeRetryAbove(reserve) {
-			return false
-		}
-		c.retryCharged.Store(true)
-		return true
+		return policy.repeatable && !lastAttempt && !g.draining.Load() && g.resumeAllowed(c) && budget.take()
 	}
 	return policy
 }
 
+// moveBudget takes the retries of a stream that is moved from the budget of its service. It needs
+// no lock of the gateway.
+type moveBudget struct {
+	c       *call
+	retries *overload.SharedRetryBudget
+	// reserve is the number of retries that are left for failures.
+	reserve float64
+}
+
+func (g *Gateway) newMoveBudget(c *call) moveBudget {
+	return moveBudget{c: c, retries: g.retryBudget(c.service.Name), reserve: streamMoveReserve * g.retryReserve(g.peers.fleetSize())}
+}
+
+// available reports whether take would succeed now.
+func (b moveBudget) available() bool { return b.retries.Available() >= b.reserve+1 }
+
+// take takes a retry for the next attempt.
+func (b moveBudget) take() bool {
+	if !b.retries.TakeRetryAbove(b.reserve) {
+		return false
+	}
+	b.c.retryCharged.Store(true)
+	return true
+}
+
 // resumeAllowed reports whether the configuration in force still allows the request. Since
 // it was sent, its key may have been withdrawn or its route may lead to another service.
 func (g *Gateway) resumeAllowed(c *call) bool {
@@ -76,13 +99,17 @@
 }
 
 // moveStreams cancels the streams on targets that are about to load weights if they can be
-// resumed at another target. A load waits for everything that runs on its target, which
-// takes several times as long as the load itself. The caller holds s.mu.
+// resumed at another target, and moves others with their memory. A load waits for everything that
+// runs on its target, which takes several times as long as the load itself. The caller holds s.mu.
 func (s *engineService) moveStreams() {
 	now := s.now()
 	for pl := range s.running {
-		since, loads := s.loadingSince[pl.target.ID]
-		if !loads || now-since < streamMoveDelay || !pl.firstTokenSeen || s.pool.EligibleCount() == 0 || !pl.reserveResume() {
+		reason := s.moveReason(now, pl)
+		if reason == "" || !pl.firstTokenSeen {
+			continue
+		}
+		if reason != moveBeforeLoad || s.pool.EligibleCount() == 0 || !pl.reserveResume() {
+			s.moveRun(now, pl, reason)
 			continue
 		}
 		logline.Info("stream_moved", "target", pl.target.ID, "ran", now-pl.send.SentAt)
--- a/internal/gateway/weightbounds.go
+++ b/internal/gateway/weightbounds.go
@@ -36,9 +36,10 @@
 	g.forEachModel(func(s *routing.Service, model string, v *namedVersions) {
 		b := bounds[s.Name]
 		if b == nil {
-			b = &versionBounds{preferred: map[string]int64{}, minToSend: map[string]int64{}, minToWait: map[string]int64{}}
+			b = &versionBounds{newest: map[string]int64{}, preferred: map[string]int64{}, minToSend: map[string]int64{}, minToWait: map[string]int64{}}
 			bounds[s.Name] = b
 		}
+		b.newest[model] = v.newest().version
 		b.preferred[model] = v.newestNamedBy(now - outdatedGrace)
 		estimated := v.newestEstimateNamedBy(now - boundAge(estimatedBoundShare))
 		b.minToWait[model] = max(v.newestNamedBy(now-boundAge(waitBoundShare)), estimated)
--- a/internal/weights/planner.go
+++ b/internal/weights/planner.go
@@ -29,6 +29,8 @@
 	Busy bool
 	// AcceptedOrders is the number of orders accepted since the target started.
 	AcceptedOrders int64
+	// RunningRequests is the number of requests that the target runs.
+	RunningRequests int
 }
 
 // Order tells a target to load a version.
@@ -131,6 +133,9 @@
 	Deadlines []Deadline
 	// Unreachable holds the targets that currently answer no instance.
 	Unreachable map[string]bool
+	// MoveTime is how long the order to a target may wait, after the announcement, for running
+	// requests to move to other targets; 0 if they can't be moved.
+	MoveTime time.Duration
 }
 
 // Deadline is the time from which targets with weights older than Version get
@@ -269,7 +274,7 @@
 // raised when a deadline has passed for some targets or would pass with the
 // usual number.
 func (p *Planner) loadLimit(now time.Duration, g Goal, targets []directory.Registration) int {
-	usual := max(1, len(targets)/p.settings.ParallelDivisor)
+	usual := usualLoadLimit(len(targets), p.settings.ParallelDivisor)
 	raised := 1 + (len(targets)+p.settings.ParallelDivisor-1)/p.settings.ParallelDivisor
 	if p.countOlder(g, targets, g.OldestServing) > 0 {
 		return raised
@@ -329,24 +334,51 @@
 // that no domain loses all its servers at once.
 func (p *Planner) candidates(now time.Duration, g Goal, targets []directory.Registration) []directory.Registration {
 	var out []directory.Registration
-	perDomain := map[string]int{}
-	rank := map[string]int{}
 	for _, t := range targets {
 		if prog := p.progressOf(&t); prog.phase != idle || now < prog.nextQueryAt || !p.needsLoad(g, &t) {
 			continue
 		}
-		rank[t.ID] = perDomain[t.Domain]
-		perDomain[t.Domain]++
 		out = append(out, t)
 	}
-	slices.SortStableFunc(out, func(a, b directory.Registration) int {
-		oldA, _ := p.servedVersion(&a, g.Model)
-		oldB, _ := p.servedVersion(&b, g.Model)
-		return cmp.Or(cmp.Compare(oldA, oldB), cmp.Compare(rank[a.ID], rank[b.ID]))
+	sortByLoadOrder(out, func(t *directory.Registration) int64 {
+		version, _ := p.servedVersion(t, g.Model)
+		return version
 	})
 	return out
 }
 
+// sortByLoadOrder sorts targets, which are ordered by ID, by the order in which they load.
+func sortByLoadOrder(targets []directory.Registration, version func(*directory.Registration) int64) {
+	perDomain, rank := map[string]int{}, map[string]int{}
+	for _, t := range targets {
+		rank[t.ID] = perDomain[t.Domain]
+		perDomain[t.Domain]++
+	}
+	slices.SortStableFunc(targets, func(a, b directory.Registration) int {
+		return cmp.Or(cmp.Compare(version(&a), version(&b)), cmp.Compare(rank[a.ID], rank[b.ID]))
+	})
+}
+
+// NextToLoad returns those of the targets of a service that a planner with default settings
+// chooses next, as far as their registrations show. targets are ordered by ID.
+func NextToLoad(targets []directory.Registration, model string, newest int64, loading map[string]bool) map[string]bool {
+	var waiting []directory.Registration
+	for _, t := range targets {
+		if v, known := t.Versions[model]; known && v < newest && !loading[t.ID] {
+			waiting = append(waiting, t)
+		}
+	}
+	sortByLoadOrder(waiting, func(t *directory.Registration) int64 { return t.Versions[model] })
+	next := map[string]bool{}
+	for _, t := range waiting[:min(len(waiting), usualLoadLimit(len(targets), DefaultSettings().ParallelDivisor))] {
+		next[t.ID] = true
+	}
+	return next
+}
+
+// usualLoadLimit returns the usual number of loads at the same time.
+func usualLoadLimit(targets, parallelDivisor int) int { return max(1, targets/parallelDivisor) }
+
 // prune drops targets that are gone once many are remembered. Since a call
 // passes only the targets of one service, those of other services may be
 // dropped too and are then queried again.
--- a/internal/weights/planner_test.go
+++ b/internal/weights/planner_test.go
@@ -459,3 +459,71 @@
 		}
 	})
 }
+
+// Guards against a load that begins while the runs of its target are being moved, and against one
+// that waits for runs which can't be moved.
+func TestOrderLeavesRunsTimeToMove(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		moveTime time.Duration
+		// runningUntil is when the last run has moved.
+		runningUntil time.Duration
+		// orderedFrom and orderedBy bound the time of the order.
+		orderedFrom, orderedBy time.Duration
+	}{
+		{"no moves", 0, time.Hour, 300 * time.Millisecond, 400 * time.Millisecond},
+		{"nothing runs", 500 * time.Millisecond, 0, 300 * time.Millisecond, 400 * time.Millisecond},
+		{"runs have moved", 500 * time.Millisecond, 450 * time.Millisecond, 450 * time.Millisecond, 800 * time.Millisecond},
+		{"runs stay", 500 * time.Millisecond, time.Hour, 800 * time.Millisecond, 900 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p, targets := New(DefaultSettings()), newSimulation(1).registrations()
+			goal := Goal{Service: "s", Model: "m", Version: 2, MoveTime: c.moveTime}
+			ordered := time.Duration(-1)
+			for now := time.Duration(0); ordered < 0 && now < 2*time.Second; now += testTick {
+				actions := p.Tick(now, goal, targets)
+				for range actions.Queries {
+					o := &Observation{QueriedAt: now, Versions: map[string]int64{"m": 1}}
+					if now < c.runningUntil {
+						o.RunningRequests = 1
+					}
+					p.HandleObservation(now, targets[0].Incarnation(), o)
+				}
+				if len(actions.Orders) > 0 {
+					ordered = now
+				}
+			}
+			is.True(ordered >= c.orderedFrom)
+			is.True(ordered <= c.orderedBy)
+		})
+	}
+}
+
+// Guards against moving runs to a target that has to give them up next.
+func TestNextToLoadIsWhatThePlannerChooses(t *testing.T) {
+	is := is.New(t)
+	targets := newSimulation(30).registrations()
+	p, loading := New(DefaultSettings()), map[string]bool{}
+	goal := Goal{Service: "s", Model: "m", Version: 2}
+	for range 3 { // later ones aren't bounded by the usual number alone
+		next := NextToLoad(targets, "m", 2, loading)
+		is.Equal(len(next), 6)
+		p.Tick(0, goal, targets)
+		for _, id := range p.LoadingTargets() {
+			if !loading[id] {
+				is.True(next[id])
+				loading[id] = true
+			}
+		}
+		for id := range loading { // they have loaded
+			for i := range targets {
+				if targets[i].ID == id {
+					targets[i].Versions = map[string]int64{"m": 2}
+				}
+			}
+		}
+		is.Equal(len(loading)%6, 0)
+	}
+	is.Equal(len(NextToLoad(targets, "m", 1, nil)), 0)
+}
--- a/internal/weights/progress.go
+++ b/internal/weights/progress.go
@@ -71,7 +71,7 @@
 		*prog = progress{incarnation: prog.incarnation, nextQueryAt: now + p.settings.RetryAfter}
 		return
 	}
-	if prog.phase == querying && prog.observation != nil && !prog.observation.Busy && (p.excluded(g, t) || now-prog.startedAt >= p.settings.LeadTime) && now-prog.observation.QueriedAt < p.settings.RetryAfter {
+	if prog.phase == querying && prog.observation != nil && !prog.observation.Busy && (p.excluded(g, t) || p.announced(now, g, prog)) && now-prog.observation.QueriedAt < p.settings.RetryAfter {
 		p.sendOrder(now, g, t, prog, out)
 		return
 	}
@@ -89,6 +89,17 @@
 	}
 }
 
+// announced reports whether a target has been announced for long enough to be ordered. Requests
+// that run there may need more time than others to learn of it: they move to other targets. A load
+// waits for those that are left, so the order does not wait for them as well.
+func (p *Planner) announced(now time.Duration, g Goal, prog *progress) bool {
+	since := now - prog.startedAt
+	if since < p.settings.LeadTime {
+		return false
+	}
+	return g.MoveTime == 0 || prog.observation.RunningRequests == 0 || since >= p.settings.LeadTime+g.MoveTime
+}
+
 // recordLoadTime updates the mean load time with one that has ended.
 func (p *Planner) recordLoadTime(took time.Duration) {
 	p.loadTime += time.Duration(loadTimeWeight * float64(min(took, p.settings.LoadTimeout)-p.loadTime))
