--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -310,6 +310,7 @@
 		if g.settings.Features.BoundedMemory {
 			s.sharesMemoryAs = g.settings.Instance
 		}
+		s.leaveMoveDelay = time.Duration(leaveMoveShare * float64(g.settings.DrainBound))
 		g.engineServices[name] = s
 	}
 	return s
--- a/internal/gateway/retrybudget.go
+++ b/internal/gateway/retrybudget.go
@@ -30,6 +30,6 @@
 // holds g.mu.
 func (g *Gateway) updateRetryReserves(fleet int) {
 	for _, b := range g.retryBudgets {
-		b.SetReserve(g.retryReserve(fleet))
+		b.SetReserveForTraffic(g.clock.Now(), g.retryReserve(fleet), g.settings.RetryCarry)
 	}
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -40,6 +40,9 @@
 	// RetryReserve the maximum number of retries saved up over the whole fleet.
 	RetryRatio   float64
 	RetryReserve float64
+	// RetryCarry is the number of retries that may be saved up in addition for each request of
+	// about the last 10 s.
+	RetryCarry float64
 	// WeightsBound is the time after the naming of a version within which the last
 	// request on older weights may begin.
 	WeightsBound time.Duration
--- a/internal/overload/retrybudget_test.go
+++ b/internal/overload/retrybudget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -50,3 +51,22 @@
 		is.True(b.TakeRetry())
 	}
 }
+
+// Guards against fleets whose instances are too many for the fixed reserve: no instance could
+// save up the two retries that it must have before it moves a stream.
+func TestReserveGrowsWithTraffic(t *testing.T) {
+	is := is.New(t)
+	const base, ratio, perRequest, perSecond = 1.5, 0.14, 0.03, 20
+	b := NewRetryBudget(ratio, base, 1)
+	for second := range 60 {
+		for range perSecond {
+			b.AddRequest()
+		}
+		b.SetReserveForTraffic(time.Duration(second)*time.Second, base, perRequest)
+	}
+	most := base + perRequest*perSecond*reserveWindow.Seconds()
+	is.True(b.Available() > most/2+1) // a stream may be moved, half of the reserve is left
+	is.True(b.Available() < most*1.1)
+	b.SetReserveForTraffic(10*time.Minute, base, perRequest)
+	is.True(b.Available() <= base*1.01) // what was saved up ends with the traffic
+}
