--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -29,8 +29,8 @@
 }
 
 const (
-	// minRetryAfter keeps refused callers from returning before the shares change.
-	minRetryAfter = 250 * time.Millisecond
+	// minRetryAfter keeps refused callers from returning before the peers know of them.
+	minRetryAfter = 400 * time.Millisecond
 	// returnShare is the fraction of a class's room that is promised to callers that come
 	// back.
 	returnShare = 0.5
@@ -51,7 +51,7 @@
 	r.Urgency = clampUrgency(r.Urgency)
 	share := c.shareOf(r.Class)
 	due, returned := c.returning.find(now, r.Fingerprint)
-	if returned && now < due && share < 1 {
+	if returned && now < due-returnTolerance && share < 1 {
 		return Decision{Share: share, RetryAfter: due - now, Early: true, Promised: true}
 	}
 	d := c.localDemand(r.Class, r.Jitter)
@@ -70,10 +70,26 @@
 	wait, promised := d.retryAfter(now, share, r)
 	if promised {
 		c.returning.add(now, r.Fingerprint, now+wait)
+		if len(c.returning.unsent) < maxUnsentReturns {
+			c.returning.unsent = append(c.returning.unsent, Return{r.Fingerprint, now + wait})
+		}
 	}
 	return Decision{Share: share, RetryAfter: wait, Promised: promised, Returned: returned}
 }
 
+// TakeReturns returns the requests that were asked to come back since the last call, for the
+// peers: callers that come back reach other instances.
+func (c *Controller) TakeReturns() []Return {
+	out := c.returning.unsent
+	c.returning.unsent = nil
+	return out
+}
+
+// AddReturn records a request that a peer has asked to come back.
+func (c *Controller) AddReturn(now time.Duration, r Return) {
+	c.returning.add(now, r.Fingerprint, r.Due)
+}
+
 // retryAfter returns when a refused caller should come back, and whether there will be
 // room for it then. Each refused caller gets a later time, so that they don't come back
 // together. If there is no room within the time that the caller can wait, the time is the
--- a/internal/gateway/contention.go
+++ b/internal/gateway/contention.go
@@ -238,6 +238,42 @@
 	}
 }
 
+// takeReturns returns the refused calls that were asked to come back since the last call, for
+// the peers.
+func (k *contention) takeReturns() []wire.ReturningRequest {
+	if k == nil {
+		return nil
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var out []wire.ReturningRequest
+	now := k.now()
+	for _, s := range k.services {
+		for _, r := range s.controller.TakeReturns() {
+			out = append(out, wire.ReturningRequest{Fingerprint: r.Fingerprint, AfterMillis: uint64(max(0, r.Due-now).Milliseconds())})
+		}
+	}
+	return out
+}
+
+// applyReturns records the calls that a peer has asked to come back by its update.
+func (k *contention) applyReturns(now, madeAt time.Duration, returns []wire.ReturningRequest) {
+	if k == nil || len(returns) == 0 {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, r := range returns {
+		due := madeAt + time.Duration(min(r.AfterMillis, maxReturnMillis))*time.Millisecond
+		for _, s := range k.services {
+			s.controller.AddReturn(now, admission.Return{Fingerprint: r.Fingerprint, Due: due})
+		}
+	}
+}
+
+// maxReturnMillis bounds the time to a return that a peer may state.
+const maxReturnMillis = 60_000
+
 // updateContention computes the shares from the peers' reports and from the state of the
 // targets, which is up to age old. The caller holds g.mu.
 func (g *Gateway) updateContention(now time.Duration, fleet admission.Fleet, age time.Duration) {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -20,6 +20,7 @@
 	p.g.canaries.judge()
 	state, spent := p.g.publishedState()
 	evidence := p.g.canaries.takeEvidence()
+	returns := p.g.contention.takeReturns()
 	request := p.g.exchangeRequest()
 	p.mu.Lock()
 	now := p.g.clock.Now()
@@ -29,6 +30,9 @@
 	for _, e := range evidence {
 		p.table.AddEvent(wire.InstanceEvent{Evidence: e})
 	}
+	if len(returns) > 0 {
+		p.table.AddEvent(wire.InstanceEvent{Returns: returns})
+	}
 	p.table.Publish(now, state, spent)
 	p.planCalls(now)
 	request.Hub = p.plan.Hub
--- a/internal/gateway/fleetstate.go
+++ b/internal/gateway/fleetstate.go
@@ -96,6 +96,7 @@
 			if e.Evidence != nil {
 				g.canaries.applyEvidence(e.Evidence)
 			}
+			g.contention.applyReturns(now, changes[i].At, e.Returns)
 			if e.Prompt != nil {
 				g.applyPrefilledPrompt(services, e.Prompt)
 			}
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -157,10 +157,12 @@
 		slices.Equal(s.TargetRates, o.TargetRates) && slices.Equal(s.SlowTargets, o.SlowTargets)
 }
 
-// InstanceEvent is a prefilled prompt, outcomes of attempts, or a request that lost the
-// connection to its target.
+// InstanceEvent is a prefilled prompt, outcomes of attempts, requests that were asked to come
+// back, or a request that lost the connection to its target.
 type InstanceEvent struct {
 	Prompt *PrefilledPrompt
+	// Returns is set for refused requests that have been promised room.
+	Returns []ReturningRequest
 	// Evidence is set for outcomes of attempts during an ordered rollout.
 	Evidence *RolloutEvidence
 	// CrashFingerprint is the fingerprint of a request that lost the connection to its
@@ -168,6 +170,13 @@
 	CrashFingerprint uint64
 }
 
+// ReturningRequest is a refused request that goes ahead of new ones when it comes back.
+type ReturningRequest struct {
+	Fingerprint uint64
+	// AfterMillis is how long after the update it was asked to come back.
+	AfterMillis uint64
+}
+
 // TargetLoad is the load that one instance's requests put on a target.
 type TargetLoad struct {
 	// PendingPromptTokens is the number of prompt tokens of requests without a first
--- a/internal/wire/update.go
+++ b/internal/wire/update.go
@@ -17,6 +17,10 @@
 	// items per sample in its flat array.
 	evidenceFields = 2
 	sampleFields   = 4
+	// returnsFields is the length of an event with returning requests, returnFields the
+	// number of items per request in its flat array.
+	returnsFields = 1
+	returnFields  = 2
 )
 
 // optionalState holds the fields of InstanceState that are empty for most
@@ -94,8 +98,8 @@
 }
 
 // encodeEvents writes an array of the first event's number and the events. An
-// event is an array for a prompt or outcomes, of different lengths, and an integer for a
-// crash.
+// event is an array for a prompt, outcomes or returning requests, of different lengths, and
+// an integer for a crash.
 func encodeEvents(e *msgpack.Encoder, first uint64, events []InstanceEvent) error {
 	err := firstError(e.EncodeArrayLen(1+len(events)), e.EncodeUint(first))
 	for _, event := range events {
@@ -103,6 +107,10 @@
 			err = firstError(err, encodeEvidence(e, event.Evidence))
 			continue
 		}
+		if len(event.Returns) > 0 {
+			err = firstError(err, encodeReturns(e, event.Returns))
+			continue
+		}
 		if event.Prompt == nil {
 			err = firstError(err, e.EncodeUint(event.CrashFingerprint))
 			continue
@@ -129,6 +137,14 @@
 	return firstError(e.EncodeArrayLen(evidenceFields), e.EncodeInt(evidence.Revision), encodeNumbers(e, numbers))
 }
 
+func encodeReturns(e *msgpack.Encoder, returns []ReturningRequest) error {
+	numbers := make([]uint64, 0, returnFields*len(returns))
+	for _, r := range returns {
+		numbers = append(numbers, r.Fingerprint, r.AfterMillis)
+	}
+	return firstError(e.EncodeArrayLen(returnsFields), encodeNumbers(e, numbers))
+}
+
 func encodeNumbers(e *msgpack.Encoder, numbers []uint64) error {
 	err := e.EncodeArrayLen(len(numbers))
 	for _, n := range numbers {
@@ -261,6 +277,8 @@
 	switch n := r.length(r.d.DecodeArrayLen); {
 	case r.err != nil:
 		return InstanceEvent{}
+	case n == returnsFields:
+		return InstanceEvent{Returns: r.returns()}
 	case n == evidenceFields:
 		return InstanceEvent{Evidence: r.evidence()}
 	case n != promptFields:
@@ -284,6 +302,14 @@
 	return out
 }
 
+func (r *updateReader) returns() []ReturningRequest {
+	var out []ReturningRequest
+	for numbers := r.numbers(); len(numbers) >= returnFields; numbers = numbers[returnFields:] {
+		out = append(out, ReturningRequest{Fingerprint: numbers[0], AfterMillis: numbers[1]})
+	}
+	return out
+}
+
 func (r *updateReader) numbers() []uint64 {
 	n := r.length(r.d.DecodeArrayLen)
 	if n == 0 {
--- a/internal/wire/update_test.go
+++ b/internal/wire/update_test.go
@@ -42,6 +42,7 @@
 		Events: []InstanceEvent{
 			{Prompt: &PrefilledPrompt{Target: "t", Born: -1, SharedPieces: []uint64{1, 1 << 63}, CachedTokens: 9, CacheScope: "2/", SavedPieces: []uint64{7}}},
 			{CrashFingerprint: 1 << 62},
+			{Returns: []ReturningRequest{{Fingerprint: 1 << 61, AfterMillis: 250}, {Fingerprint: 3}}},
 		},
 	}
 	f, err := NewFrame(1, KindExchange, Exchange{Updates: []InstanceUpdate{full, {Origin: 2, Seq: 1}}})
