--- a/internal/gateway/contention_test.go
+++ b/internal/gateway/contention_test.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/mastictray/mastictray/internal/admission"
 	"github.com/mastictray/mastictray/internal/overload"
@@ -106,3 +108,22 @@
 	is.Equal(w.Total, 600.0)
 	is.Equal(accountWeights(nil).Default, 1.0)
 }
+
+// Guards against rows of demand that crowd the exchanges of a large fleet: the fullest report
+// stays under 600 bytes, whatever the number of accounts.
+func TestDemandReportIsBoundedInBytes(t *testing.T) {
+	is := is.New(t)
+	p := startContendedGateway(t)
+	for range 2 { // the service is known after the first exchange
+		p.exchangeDemand("b", []wire.AccountDemand{{TokensPerSecond: 1e6}})
+	}
+	for id := range uint64(5000) {
+		p.admitToService(contendedCall(p, fmt.Sprintf("account-%04d", id%1000), int(id%3), 9000, id+1))
+	}
+	rows := p.contention.report()
+	is.Equal(len(rows), admission.MaxNamedRows+3)
+	raw, err := msgpack.Marshal(rows)
+	is.NoErr(err)
+	t.Log(len(raw))
+	is.True(len(raw) < 600)
+}
