callerconn, gateway: responses are kept for callers that read slowly

A slow caller made its target's response unread: the target kept a slot and memory for it, cut it off, and was taken for silent.

Also without the feature, a failed write to a caller ends its request, so that it isn't counted as a failure of the target in between.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastictray/mastictray/internal/callerconn"
 	"github.com/mastictray/mastictray/internal/httpdrain"
 	"github.com/mastictray/mastictray/internal/logline"
 )
@@ -39,6 +40,11 @@
 func newCallerServer(g *Gateway) *callerServer {
 	s := &callerServer{g: g}
 	s.callers = httpdrain.New(&http.Server{Handler: g, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes})
+	if g.settings.Features.BoundedMemory {
+		options := g.slowCallerOptions()
+		s.callers.WrapConn = func(c net.Conn) net.Conn { return callerconn.New(c, options) }
+		s.callers.ConnContext = callerconn.WithConn
+	}
 	readyMux := http.NewServeMux()
 	readyMux.HandleFunc(g.dialect.ReadyPath(), s.answerReady)
 	s.ready = &http.Server{Handler: readyMux, ReadHeaderTimeout: readHeaderTimeout}
--- a/internal/gateway/crashcount.go
+++ b/internal/gateway/crashcount.go
@@ -82,9 +82,9 @@
 }
 
 // recordCrash counts an attempt if its connection was lost, so that the target could not
-// state why it failed.
+// state why it failed. Targets cut off responses that remain unread, which doesn't count.
 func (g *Gateway) recordCrash(ctx context.Context, c *call, result outcome, err error) {
-	if ctx.Err() != nil || err == nil || result != outcomeUnknown && result != outcomeTruncated || !connectionLost(err) {
+	if ctx.Err() != nil || err == nil || c.callerPaused || result != outcomeUnknown && result != outcomeTruncated || !connectionLost(err) {
 		return
 	}
 	g.mu.Lock()
--- a/internal/gateway/engineservice.go
+++ b/internal/gateway/engineservice.go
@@ -59,6 +59,9 @@
 	cancelledHere bool
 	// firstTokenSeen is set once the first token has arrived.
 	firstTokenSeen bool
+	// paused is set while the response isn't read because its caller takes nothing, and
+	// wasPaused once that has happened.
+	paused, wasPaused bool
 }
 
 // engineService schedules the requests of one service of model servers. Its lock is held
@@ -415,7 +418,7 @@
 func (s *engineService) endAttempt(pl *enginePlacement, result overload.Result) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if pl.cancelledHere {
+	if pl.cancelledHere || pl.wasPaused && result == overload.Failed {
 		result = overload.Cancelled
 	}
 	if !pl.firstTokenSeen {
--- a/internal/gateway/enginestall.go
+++ b/internal/gateway/enginestall.go
@@ -116,7 +116,7 @@
 	}
 	if path != connrelay.Unreached {
 		detector.Alive(now)
-		s.cancelAttempts(target.id, func(pl *enginePlacement) bool { return pl.firstTokenSeen })
+		s.cancelAttempts(target.id, func(pl *enginePlacement) bool { return pl.firstTokenSeen && !pl.paused })
 		s.cancelLostAttempts(target.address, func(pl *enginePlacement) bool {
 			return pl.relay == "" && path == connrelay.Blocked || pl.relay != "" && !mayRelay(pl.relay)
 		})
@@ -145,7 +145,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
-	s.cancelLostAttempts(address, func(pl *enginePlacement) bool { return pl.relay == "" && now-pl.progressAt > silentAttemptTimeout })
+	s.cancelLostAttempts(address, func(pl *enginePlacement) bool {
+		return pl.relay == "" && !pl.paused && now-pl.progressAt > silentAttemptTimeout
+	})
 }
 
 // cancelLostAttempts cancels the attempts at an address that match, because of the path, and may
@@ -212,3 +214,19 @@
 	pl.progressAt = s.now()
 	s.stallDetector(pl.target.ID).Progress(pl.progressAt, pl.stallID)
 }
+
+// recordPause records that the response of an attempt is not read for a while because its caller
+// takes nothing, or that reading goes on. The target is not expected to send anything meanwhile.
+func (s *engineService) recordPause(pl *enginePlacement, paused bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	detector := s.stallDetector(pl.target.ID)
+	pl.paused = paused
+	if paused {
+		pl.wasPaused = true
+		detector.End(pl.stallID)
+		return
+	}
+	pl.progressAt = s.now()
+	pl.stallID = detector.Begin(pl.progressAt)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/mastictray/mastictray/internal/callerconn"
 	"github.com/mastictray/mastictray/internal/clock"
 	"github.com/mastictray/mastictray/internal/connrelay"
 	"github.com/mastictray/mastictray/internal/directory"
@@ -105,6 +106,8 @@
 	answering     context.Context
 	stopAnswering context.CancelFunc
 	callers       *callerServer
+	// slowCallers counts the callers that read slowly, if memory is bounded.
+	slowCallers callerconn.Stats
 }
 
 // unknownFleetSize is the assumed size of the fleet until the announcements have been
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -2,11 +2,14 @@
 
 import (
 	"cmp"
+	"net"
 	"slices"
 	"time"
 
+	"github.com/mastictray/mastictray/internal/callerconn"
 	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/placement"
+	"github.com/mastictray/mastictray/internal/sendbuffer"
 	"github.com/mastictray/mastictray/internal/wire"
 )
 
@@ -70,6 +73,15 @@
 	}
 }
 
+// slowCallerOptions returns how responses are kept for callers that read slowly.
+func (g *Gateway) slowCallerOptions() *callerconn.Options {
+	return &callerconn.Options{Now: g.clock.Now, Stats: &g.slowCallers, OnGiveUp: logCallerGivenUp}
+}
+
+func logCallerGivenUp(remote net.Addr, bytes int) {
+	logline.Info("caller_given_up", "caller", remote.String(), "kept_bytes", bytes, "after", sendbuffer.DefaultStallTimeout)
+}
+
 // TargetMemory is what is known of a target's memory, in tokens.
 type TargetMemory struct {
 	Memory int `json:"memory"`
@@ -115,7 +127,7 @@
 	return out
 }
 
-// updateMemoryGauges sets the gauges of the targets' memory.
+// updateMemoryGauges sets the gauges of the targets' memory and of slow callers.
 func (g *Gateway) updateMemoryGauges() {
 	if !g.settings.Features.BoundedMemory {
 		return
@@ -135,4 +147,8 @@
 	g.metrics.gauge(`mastictray_target_memory_claimed_tokens`).Set(float64(claimed))
 	g.metrics.gauge(`mastictray_target_memory_claims`).Set(float64(claims))
 	g.metrics.gauge(`mastictray_target_memory_fullest_ratio`).Set(fullest)
+	g.metrics.gauge(`mastictray_slow_callers`).Set(float64(g.slowCallers.Slow.Load()))
+	g.metrics.gauge(`mastictray_slow_callers_kept_bytes`).Set(float64(g.slowCallers.Bytes.Load()))
+	g.metrics.gauge(`mastictray_slow_callers_paused_responses`).Set(float64(g.slowCallers.Paused.Load()))
+	g.metrics.gauge(`mastictray_slow_callers_given_up`).Set(float64(g.slowCallers.GivenUp.Load()))
 }
--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/mastictray/mastictray/internal/connrelay"
+	"github.com/mastictray/mastictray/internal/overload"
 	"github.com/mastictray/mastictray/internal/placement"
 )
 
@@ -56,3 +58,51 @@
 	state, _ := p.publishedState()
 	is.Equal(len(state.MemoryClaims), 0)
 }
+
+// startStream returns an attempt that streams, at a service whose clock the test sets.
+func startStream(t *testing.T, cancel func()) (service *engineService, pl *enginePlacement, now *time.Duration) {
+	t.Helper()
+	_, service = startMemoryGateway("a")
+	now = new(time.Duration)
+	*now = service.now()
+	service.now = func() time.Duration { return *now }
+	pl, _ = service.acquire(t.Context(), promptOf(100))
+	service.startAttempt(pl, cancel, cancelPolicy{repeatable: true})
+	service.recordProgress(pl)
+	return service, pl, now
+}
+
+// Guards against a target that counts as stalled or failing because a caller reads slowly and its
+// response is not read meanwhile.
+func TestPauseOfCallerDoesNotCountAgainstTarget(t *testing.T) {
+	is := is.New(t)
+	service, pl, now := startStream(t, func() {})
+	service.recordPause(pl, true)
+	*now += 5 * time.Second
+	is.Equal(len(service.stalledTargets()), 0)
+	service.recordPause(pl, false)
+	is.Equal(len(service.stalledTargets()), 0)
+	*now += 5 * time.Second // now the target itself is silent
+	is.Equal(len(service.stalledTargets()), 1)
+	for range 20 { // it cuts off the unread responses
+		service.endAttempt(pl, overload.Failed)
+	}
+	is.True(service.breaker(pl.target.ID).Ready(*now))
+}
+
+// Guards against the streams of slow callers that are repeated elsewhere when their target is
+// found to be alive but silent.
+func TestPausedStreamIsNotMoved(t *testing.T) {
+	is := is.New(t)
+	cancelled := false
+	service, pl, now := startStream(t, func() { cancelled = true })
+	pl.firstTokenSeen = true
+	other, _ := service.acquire(t.Context(), promptOf(100))
+	service.startAttempt(other, func() {}, cancelPolicy{})
+	service.recordPause(pl, true)
+	*now += 5 * time.Second
+	stalled := service.stalledTargets()
+	is.Equal(len(stalled), 1)
+	service.recordProbe(stalled[0], connrelay.Open, func(string) bool { return true })
+	is.True(!cancelled)
+}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -41,6 +41,9 @@
 	onAnswer      func()
 	onEnd         func(overload.Result)
 	onUnreachable func(error)
+	// onPause, if set, is called when the response is not read for a while because its caller
+	// takes nothing, and when reading goes on.
+	onPause func(paused bool)
 	// cancelledHere reports whether this instance ended the attempt for a reason that says
 	// nothing about the target.
 	cancelledHere func() bool
@@ -143,6 +146,7 @@
 			service.startAttempt(pl, cancel, policy)
 		},
 		onProgress:    func() { service.recordProgress(pl) },
+		onPause:       func(paused bool) { service.recordPause(pl, paused) },
 		onEnd:         func(r overload.Result) { service.endAttempt(pl, r) },
 		onUnreachable: func(err error) { service.recordUnreachable(pl, err) },
 		cancelledHere: func() bool { return service.wasCancelledHere(pl) },
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastictray/mastictray/internal/callerconn"
 	"github.com/mastictray/mastictray/internal/sse"
 	"github.com/mastictray/mastictray/internal/targetconn"
 )
@@ -85,7 +86,7 @@
 	}
 	r.writeHead(resp, resp.ContentLength)
 	if _, err := r.c.w.Write(body); err != nil {
-		return outcomeTruncated, errors.Wrap(err, "write to caller")
+		return r.callerFailed(err)
 	}
 	if _, err := io.Copy(r.c.w, resp.Body); err != nil {
 		return outcomeTruncated, errors.Wrap(err, "relay response body")
@@ -125,6 +126,13 @@
 // relayStream relays events as they arrive, each as a whole. The head is sent with the
 // first event; until then a failure can still be answered with an error status.
 func (r *responseRelay) relayStream(ctx context.Context, a *targetAttempt, conn *targetconn.Conn, resp *http.Response) (outcome, error) {
+	callerconn.OnPause(r.c.r.Context(), func(paused bool) {
+		r.c.callerPaused = true
+		if a.onPause != nil {
+			a.onPause(paused)
+		}
+	})
+	defer callerconn.OnPause(r.c.r.Context(), nil)
 	events := sse.NewRawReader(resp.Body, 0)
 	flush := http.NewResponseController(r.c.w)
 	for {
@@ -147,10 +155,10 @@
 			r.writeHead(resp, -1)
 		}
 		if _, err := r.c.w.Write(e.Bytes); err != nil {
-			return outcomeTruncated, errors.Wrap(err, "write to caller")
+			return r.callerFailed(err)
 		}
 		if err := flush.Flush(); err != nil {
-			return outcomeTruncated, errors.Wrap(err, "flush to caller")
+			return r.callerFailed(err)
 		}
 		r.eventCount++
 		r.c.lastEventAt = r.g.clock.Now()
@@ -163,6 +171,13 @@
 	}
 }
 
+// callerFailed returns the outcome of an attempt whose response the caller doesn't take. It ends
+// the request, so that the failure doesn't count against the target.
+func (r *responseRelay) callerFailed(err error) (outcome, error) {
+	r.c.cancel()
+	return outcomeTruncated, errors.Wrap(err, "write to caller")
+}
+
 // alreadySent reports whether the caller has the event already. A resumed stream may start
 // too early, and a repeated event would corrupt the answer.
 func (r *responseRelay) alreadySent(id string) bool {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -57,6 +57,11 @@
 	// lastTarget is the target of the last attempt, choice the reason for choosing it
 	// and placedAt the time of that choice.
 	lastTarget string
+	// cancel ends the request: its caller has left or takes no data.
+	cancel context.CancelFunc
+	// callerPaused is set once a response was not read from its target for a while because the
+	// caller took nothing.
+	callerPaused bool
 	// lastRelay is the instance that relayed the last attempt's connection, or empty.
 	lastRelay string
 	choice    placementInfo
@@ -94,6 +99,7 @@
 	}
 	ctx, cancel := g.withDeadline(c)
 	defer cancel()
+	c.cancel = cancel
 	if g.mayOutlastProcess(c) {
 		return unavailableRefusal("draining", drainingRetryAfter)
 	}
--- a/internal/httpdrain/listener.go
+++ b/internal/httpdrain/listener.go
@@ -31,6 +31,9 @@
 			continue
 		}
 		l.server.add(c)
+		if l.server.WrapConn != nil {
+			return l.server.WrapConn(c), nil
+		}
 		return c, nil
 	}
 }
--- a/internal/httpdrain/server.go
+++ b/internal/httpdrain/server.go
@@ -34,7 +34,10 @@
 // Server is an http.Server whose Drain loses no request.
 type Server struct {
 	*http.Server
-	onState func(net.Conn, http.ConnState)
+	// WrapConn, if set before Serve, wraps each accepted connection for the HTTP server. The
+	// wrapper needs a method NetConn that returns what it wraps, and must close it in the end.
+	WrapConn func(net.Conn) net.Conn
+	onState  func(net.Conn, http.ConnState)
 
 	mu       sync.Mutex
 	listener *listener
@@ -194,12 +197,18 @@
 	}
 }
 
-// unwrap returns the connection below TLS, and whether it uses HTTP/2.
+// unwrap returns the connection below TLS and other wrappers, and whether it uses HTTP/2.
 func unwrap(nc net.Conn) (c *conn, isHTTP2 bool) {
 	if t, ok := nc.(*tls.Conn); ok {
-		nc = t.NetConn()
 		isHTTP2 = t.ConnectionState().NegotiatedProtocol == "h2"
 	}
+	for {
+		wrapper, ok := nc.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
+		nc = wrapper.NetConn()
+	}
 	c, _ = nc.(*conn)
 	return c, isHTTP2
 }
