membudget, gateway: the memory of an instance is a budget of four classes

Bodies, kept responses and connections grew with the work that was accepted, without a bound. Where the deployment bounds memory, requests are now refused before their bodies are read once the instance's memory is used up; responses kept for slow callers and relayed connections have shares of their own.

--- a/internal/connrelay/server.go
+++ b/internal/connrelay/server.go
@@ -30,6 +30,10 @@
 	direct targetconn.DialFunc
 	// isTarget reports whether an address is that of a target.
 	isTarget func(address string) bool
+	// TakeMemory reports whether there is memory for another connection and ReturnMemory ends
+	// its use. Both are nil, or set before the server is used.
+	TakeMemory   func() bool
+	ReturnMemory func()
 
 	mu       sync.Mutex
 	active   int
@@ -70,7 +74,7 @@
 func (s *Server) begin() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.draining || s.active >= maxRelayed {
+	if s.draining || s.active >= maxRelayed || s.TakeMemory != nil && !s.TakeMemory() {
 		return false
 	}
 	s.active++
@@ -81,6 +85,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.active--
+	if s.ReturnMemory != nil {
+		s.ReturnMemory()
+	}
 	if s.draining && s.active == 0 {
 		close(s.idle)
 	}
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -39,7 +39,11 @@
 
 func newCallerServer(g *Gateway) *callerServer {
 	s := &callerServer{g: g}
-	s.callers = httpdrain.New(&http.Server{Handler: g, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes})
+	callers := &http.Server{Handler: g, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
+	if g.memory != nil {
+		callers.ConnState = g.memory.trackConn
+	}
+	s.callers = httpdrain.New(callers)
 	if g.settings.Features.BoundedMemory {
 		options := g.slowCallerOptions()
 		s.callers.WrapConn = func(c net.Conn) net.Conn { return callerconn.New(c, options) }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/mastictray/mastictray/internal/directory"
 	"github.com/mastictray/mastictray/internal/keys"
 	"github.com/mastictray/mastictray/internal/logline"
+	"github.com/mastictray/mastictray/internal/membudget"
 	"github.com/mastictray/mastictray/internal/orderlease"
 	"github.com/mastictray/mastictray/internal/overload"
 	"github.com/mastictray/mastictray/internal/ratecount"
@@ -106,6 +107,8 @@
 	answering     context.Context
 	stopAnswering context.CancelFunc
 	callers       *callerServer
+	// memory bounds the memory of this instance's work; nil if it isn't bounded.
+	memory *memoryBudget
 	// slowCallers counts the callers that read slowly, if memory is bounded.
 	slowCallers callerconn.Stats
 }
@@ -143,7 +146,12 @@
 		g.dialDirect = targetconn.NewDialer(targetconn.DefaultOptions()).DialContext
 	}
 	g.dialer, g.targets = g.newTargetPool()
+	g.memory = newMemoryBudget(&g.settings)
 	g.relays = connrelay.NewServer(g.dialDirect, g.isTargetAddress)
+	if g.memory != nil {
+		g.relays.TakeMemory = func() bool { return g.memory.take(membudget.Relays, relayedConnBytes) }
+		g.relays.ReturnMemory = func() { g.memory.giveBack(membudget.Relays, relayedConnBytes) }
+	}
 	g.answering, g.stopAnswering = context.WithCancel(context.Background())
 	g.accountLimiter.SetFleetSize(0, unknownFleetSize, ratecount.PeerTimeout)
 	leaseSettings := orderlease.DefaultSettings()
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -75,7 +75,9 @@
 
 // slowCallerOptions returns how responses are kept for callers that read slowly.
 func (g *Gateway) slowCallerOptions() *callerconn.Options {
-	return &callerconn.Options{Now: g.clock.Now, Stats: &g.slowCallers, OnGiveUp: logCallerGivenUp}
+	return &callerconn.Options{
+		Now: g.clock.Now, Budget: responseBudget{g.memory}, Stats: &g.slowCallers, OnGiveUp: logCallerGivenUp,
+	}
 }
 
 func logCallerGivenUp(remote net.Addr, bytes int) {
@@ -132,6 +134,7 @@
 	if !g.settings.Features.BoundedMemory {
 		return
 	}
+	g.updateBudgetGauges()
 	held, claimed, claims, fullest := 0, 0, 0, 0.0
 	for _, m := range g.targetMemory() {
 		held += m.Held
--- /dev/null
+++ b/internal/gateway/memorybudget_test.go
@@ -0,0 +1,90 @@
+package gateway
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/mastictray/mastictray/internal/membudget"
+	"github.com/mastictray/mastictray/internal/routing"
+)
+
+const testInstanceMemory = 144 << 20
+
+// startBudgetGateway returns a gateway with the given memory; 0 for no bound.
+func startBudgetGateway(memory int64) *Gateway {
+	return New(Settings{Instance: "a", Features: Features{BoundedMemory: true}, MemoryBytes: memory}, stubDialect{}, &memoryStore{}, unresponsiveTargets{})
+}
+
+// arrive returns a request with a body that is about to be read.
+func arrive(g *Gateway, body string, contentLength int64) *call {
+	r := httptest.NewRequest(http.MethodPost, "/", strings.NewReader(body))
+	r.ContentLength = contentLength
+	return &call{Request: &Request{}, r: r, w: httptest.NewRecorder(), table: routing.NewTable(&routing.Config{})}
+}
+
+// Guards against a process that ends because more requests arrive than its memory holds: new ones
+// are refused before their bodies are read, until others have been answered.
+func TestRequestsBeyondMemoryAreRefused(t *testing.T) {
+	is := is.New(t)
+	g := startBudgetGateway(testInstanceMemory)
+	const bodyBytes = 1 << 20
+	var accepted []*call
+	var refusal *Refusal
+	for refusal == nil {
+		c := arrive(g, strings.Repeat("x", bodyBytes), bodyBytes)
+		if refusal = g.readBody(t.Context(), c); refusal == nil {
+			is.Equal(len(c.Body), bodyBytes)
+			accepted = append(accepted, c)
+		}
+		is.True(len(accepted) < testInstanceMemory/bodyBytes/bodyCopies)
+	}
+	is.Equal(refusal.Status, http.StatusServiceUnavailable)
+	is.Equal(refusal.Reason, "memory_full")
+	is.True(refusal.NotRun && refusal.RetryAfter > 0)
+	is.True(len(accepted) > 10)
+	is.True(responseBudget{g.memory}.Take(1 << 20)) // responses under way have their share
+	accepted[0].memory.release()
+	is.True(g.readBody(t.Context(), arrive(g, strings.Repeat("x", bodyBytes), bodyBytes)) == nil)
+}
+
+// Guards against a body of unknown size that is not charged, and one that is refused and stays
+// charged.
+func TestBodyOfUnknownSizeIsCharged(t *testing.T) {
+	is := is.New(t)
+	g := startBudgetGateway(testInstanceMemory)
+	c := arrive(g, strings.Repeat("x", 100_000), -1)
+	is.True(g.readBody(t.Context(), c) == nil)
+	is.Equal(len(c.Body), 100_000)
+	is.Equal(g.memory.budget.Used(membudget.Requests), int64(requestBytes+bodyCopies*100_000))
+	c.memory.release()
+	is.Equal(g.memory.budget.Used(membudget.Requests), int64(0))
+	for g.memory.take(membudget.Requests, 1<<20) {
+	}
+	before := g.memory.budget.Used(membudget.Requests)
+	c = arrive(g, strings.Repeat("x", 3<<20), -1)
+	refusal := g.readBody(t.Context(), c)
+	is.True(refusal != nil)
+	is.Equal(refusal.Reason, "memory_full")
+	c.memory.release()
+	is.Equal(g.memory.budget.Used(membudget.Requests), before)
+}
+
+// An instance without a bound, or without the feature, refuses nothing.
+func TestMemoryIsNotBoundedByDefault(t *testing.T) {
+	for name, g := range map[string]*Gateway{
+		"no memory":  startBudgetGateway(0),
+		"no feature": New(Settings{Instance: "a", MemoryBytes: testInstanceMemory}, stubDialect{}, &memoryStore{}, unresponsiveTargets{}),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.True(g.memory == nil)
+			for range 200 {
+				is.True(g.readBody(t.Context(), arrive(g, strings.Repeat("x", 1<<20), 1<<20)) == nil)
+			}
+		})
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -59,6 +58,8 @@
 	lastTarget string
 	// cancel ends the request: its caller has left or takes no data.
 	cancel context.CancelFunc
+	// memory is what the request is charged to the instance's memory.
+	memory requestMemory
 	// callerPaused is set once a response was not read from its target for a while because the
 	// caller took nothing.
 	callerPaused bool
@@ -103,6 +104,7 @@
 	if g.mayOutlastProcess(c) {
 		return unavailableRefusal("draining", drainingRetryAfter)
 	}
+	defer c.memory.release()
 	if refusal := g.readBody(ctx, c); refusal != nil {
 		return refusal
 	}
@@ -273,16 +275,21 @@
 	if c.r.ContentLength > limit {
 		return &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: "body_too_large", NotRun: true}
 	}
+	if refusal := g.reserveMemory(c); refusal != nil {
+		return refusal
+	}
 	if deadline, ok := ctx.Deadline(); ok {
 		// On error, the server's own read timeout stays in effect.
 		_ = http.NewResponseController(c.w).SetReadDeadline(deadline)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	body, err := g.readAll(c, limit)
 	_ = http.NewResponseController(c.w).SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: "body_too_large", NotRun: true}
+	case errors.Is(err, errMemoryFull):
+		return g.memoryRefusal(c)
 	case ctx.Err() != nil:
 		return &Refusal{Status: http.StatusRequestTimeout, Reason: "body_too_slow", NotRun: true}
 	case err != nil:
--- a/internal/gatewaycmd/gatewaycmd.go
+++ b/internal/gatewaycmd/gatewaycmd.go
@@ -47,11 +47,11 @@
 		return err
 	}
 	defer logline.Flush()
-	configureMemory(s.MemoryMB)
+	gs := s.gatewaySettings()
+	configureMemory(s.MemoryMB, gs.Features.BoundedMemory)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	reload.LogSignals()
-	gs := s.gatewaySettings()
 	gs.DialTarget = dialTarget
 	gw := gateway.New(gs, platform.Dialect{}, platform.NewStore(s.StoreAddress), platform.NewControl(dialTarget))
 	return gw.Run(ctx)
@@ -65,13 +65,20 @@
 	// runtime may use. Kernel buffers count toward the instance's memory and
 	// take the rest.
 	memoryFraction = 0.6
+	// boundedMemoryFraction replaces memoryFraction where the work is bounded: all that is
+	// accepted may take more, and collecting garbage all the time would only slow it down.
+	boundedMemoryFraction = 0.75
 )
 
 // configureMemory sets the garbage collection target and, unless megabytes is 0,
 // the memory limit of the Go runtime.
-func configureMemory(megabytes int) {
+func configureMemory(megabytes int, bounded bool) {
 	debug.SetGCPercent(gcPercent)
+	fraction := memoryFraction
+	if bounded {
+		fraction = boundedMemoryFraction
+	}
 	if megabytes > 0 {
-		debug.SetMemoryLimit(int64(memoryFraction * float64(megabytes<<20)))
+		debug.SetMemoryLimit(int64(fraction * float64(megabytes<<20)))
 	}
 }
