gateway: a target that ran out of memory is not at fault, nor are its requests

A target that exceeds its memory loses all its connections at once: its requests counted as crashing targets and the target as failing. Where memory is bounded, a connection lost by a target that was known to be nearly full counts as neither, and what returns at its address starts slowly.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -56,7 +56,7 @@
 	}
 	if result != outcomeDelivered {
 		g.logFailedAttempt(c, a, result.String(), err)
-		if !a.pathFailed {
+		if !a.pathFailed && !a.memoryFailed {
 			g.recordCrash(ctx, c, result, err)
 		}
 	}
--- a/internal/gateway/engineservice.go
+++ b/internal/gateway/engineservice.go
@@ -113,6 +113,8 @@
 	pauses, backoffs *targetpause.Pauses[directory.Incarnation]
 	// unreachable tracks the probes of unreachable targets.
 	unreachable unreachableProbes
+	// memoryFailures are the targets that ran out of memory.
+	memoryFailures memoryFailures
 	// stepScheduled is set while a timer for the next step runs.
 	stepScheduled bool
 }
@@ -205,6 +207,7 @@
 		}
 	}
 	t.PrefillTokensPerSecond = s.serviceTimes.Rate(r.ID)
+	t.SlowStartFactor = s.memoryFailures.slowStartFactor(s.now(), &r)
 	id := cacheIdentity(&r)
 	t.Domain, t.Incarnation, t.Version = r.Domain, id.Incarnation, id.Version
 	t.Unreachable = s.avoidedDomains[r.Domain]
@@ -302,6 +305,7 @@
 	s.refreshDomains()
 	s.refreshRateLimits()
 	s.expirePauses()
+	s.refreshSlowStarts()
 }
 
 // refreshDomains updates the placement filters with the domains that can't be reached. The caller
--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -8,8 +8,10 @@
 	"github.com/matryer/is"
 
 	"github.com/mastictray/mastictray/internal/connrelay"
+	"github.com/mastictray/mastictray/internal/directory"
 	"github.com/mastictray/mastictray/internal/overload"
 	"github.com/mastictray/mastictray/internal/placement"
+	"github.com/mastictray/mastictray/internal/routing"
 )
 
 // startMemoryGateway returns a gateway that bounds memory, with one target.
@@ -106,3 +108,33 @@
 	service.recordProbe(stalled[0], connrelay.Open, func(string) bool { return true })
 	is.True(!cancelled)
 }
+
+// Guards against a target that runs out of memory and then counts as failing, and against its
+// requests that count as crashing targets. It returns with an empty cache and starts slowly.
+func TestTargetOutOfMemory(t *testing.T) {
+	is := is.New(t)
+	p, service := startMemoryGateway("a")
+	now := service.now()
+	service.now = func() time.Duration { return now }
+	old := p.targets[0]
+	is.True(!service.recordLostConnection(&old)) // it was empty
+	service.setPeerLoads(exchangeInterval, map[string]targetLoad{old.ID: {KVCacheTokens: 95_000}})
+	p.applyMemoryClaims(time.Second, nil)
+	now += time.Second
+	service.setPeerLoads(exchangeInterval, nil) // the others have noticed first
+	p.applyMemoryClaims(time.Second, nil)
+	is.True(service.recordLostConnection(&old))
+
+	back := old
+	back.StartedMs, back.ID = 2, "returned"
+	service.updateTargets([]directory.Registration{back}, nil, &routing.Engine{Slots: 8, MemoryTokens: 100_000})
+	is.True(service.recordLostConnection(&old)) // the last of its requests
+	is.True(!service.recordLostConnection(&back))
+	is.True(service.pool.Target(0).SlowStartFactor < 0.5)
+	now += 10 * time.Second
+	service.refreshEligibility()
+	is.Equal(service.pool.Target(0).SlowStartFactor, 1.0)
+	now += memoryFailureRetention
+	service.refreshEligibility()
+	is.Equal(service.pool.Target(0).SlowStartFactor, 0.0)
+}
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -127,5 +127,9 @@
 	if r == overload.Failed && result != outcomeDelivered && isConnectionFailure(err) && g.pathFailed(ctx, a, conn, err) {
 		return overload.Cancelled, true
 	}
+	if r == overload.Failed && connectionLost(err) && a.failedForMemory != nil && a.failedForMemory() {
+		a.memoryFailed = true
+		return overload.Cancelled, false
+	}
 	return r, false
 }
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -32,6 +32,10 @@
 	// set if the attempt failed because of the path to the target.
 	relay      string
 	pathFailed bool
+	// memoryFailed is set if the attempt failed because its target ran out of memory.
+	// failedForMemory, if set, reports whether a target that has lost the connection did.
+	memoryFailed    bool
+	failedForMemory func() bool
 	// onSend is called before the request is written, with a function that cancels the
 	// attempt and the instance that relays it. onProgress is called for each part of the response that arrives and onAnswer
 	// for each one that is new to the caller, of which the first counts. onEnd is called
@@ -145,11 +149,13 @@
 			pl.relay = relay
 			service.startAttempt(pl, cancel, policy)
 		},
-		onProgress:    func() { service.recordProgress(pl) },
-		onPause:       func(paused bool) { service.recordPause(pl, paused) },
-		onEnd:         func(r overload.Result) { service.endAttempt(pl, r) },
-		onUnreachable: func(err error) { service.recordUnreachable(pl, err) },
-		cancelledHere: func() bool { return service.wasCancelledHere(pl) },
+		onProgress: func() { service.recordProgress(pl) },
+		onPause:    func(paused bool) { service.recordPause(pl, paused) },
+
+		failedForMemory: func() bool { return service.recordLostConnection(&pl.target) },
+		onEnd:           func(r overload.Result) { service.endAttempt(pl, r) },
+		onUnreachable:   func(err error) { service.recordUnreachable(pl, err) },
+		cancelledHere:   func() bool { return service.wasCancelledHere(pl) },
 	}
 	return a, nil
 }
--- a/internal/placement/memory.go
+++ b/internal/placement/memory.go
@@ -46,6 +46,9 @@
 	// delay is 0 until the state of the others is known.
 	delay time.Duration
 	peers []MemoryClaim
+	// fullest is the most that the target was known to hold since fullestAt.
+	fullest   int
+	fullestAt time.Duration
 	// peersTotal is the sum of the peers' claims, peersAt when they were last set.
 	peersTotal int
 	peersAt    time.Duration
@@ -62,6 +65,12 @@
 	claimMatch = 0.5
 	// claimTimeout is how long a claim stays that no request needs any more.
 	claimTimeout = 250 * time.Millisecond
+	// nearlyFull is the fraction of a target's memory from which a failure of the target is put
+	// down to its memory: instances know of each other's requests late and estimate their sizes.
+	nearlyFull = 0.85
+	// fullnessPeriod is how long a target counts as nearly full after it was: the requests that
+	// it loses when it fails end one after the other.
+	fullnessPeriod = 2 * time.Second
 )
 
 // NewMemoryShare returns the state of an instance for one target.
@@ -100,6 +109,18 @@
 // PeersClaimed returns what the other instances have claimed.
 func (m *MemoryShare) PeersClaimed() int { return m.peersTotal }
 
+// Observe records what the requests of all instances are known to occupy.
+func (m *MemoryShare) Observe(now time.Duration, held int) {
+	if held >= m.fullest || now-m.fullestAt > fullnessPeriod {
+		m.fullest, m.fullestAt = held, now
+	}
+}
+
+// WasNearlyFull reports whether the target was nearly full shortly before.
+func (m *MemoryShare) WasNearlyFull(now time.Duration, memory int) bool {
+	return memory > 0 && now-m.fullestAt <= fullnessPeriod && float64(m.fullest) >= nearlyFull*float64(memory)
+}
+
 // Admit reports whether a request may be sent to the target now. If not, it claims the room for
 // it. held is what the requests of all instances are known to occupy.
 func (m *MemoryShare) Admit(now time.Duration, memory, held, tokens int) bool {
@@ -113,11 +134,13 @@
 	}
 	if float64(held+otherClaims+tokens) <= openMemory*float64(usable) {
 		m.use(isClaimant)
+		m.Observe(now, held+tokens)
 		return true
 	}
 	if isClaimant && tokens <= own.Tokens && m.isMature(now) &&
 		held+m.earlierClaims()+tokens <= usable {
 		m.use(true)
+		m.Observe(now, held+tokens)
 		return true
 	}
 	m.claim(now, tokens)
--- a/internal/placement/memory_test.go
+++ b/internal/placement/memory_test.go
@@ -297,6 +297,21 @@
 	is.True(admit(5*testDelay, 25_000))
 }
 
+// Guards against a failure for want of memory that is not recognised because the requests that
+// were lost have ended already, and against one that is put down to memory long after.
+func TestNearlyFullTargetIsRemembered(t *testing.T) {
+	is := is.New(t)
+	m := NewMemoryShare("a")
+	m.Observe(0, 60_000)
+	is.True(!m.WasNearlyFull(0, testMemory))
+	m.Observe(time.Second, 90_000)
+	m.Observe(time.Second+1, 10_000)
+	is.True(m.WasNearlyFull(2*time.Second, testMemory))
+	is.True(!m.WasNearlyFull(time.Second+fullnessPeriod+1, testMemory))
+	m.Observe(5*time.Second, 10_000)
+	is.True(!m.WasNearlyFull(5*time.Second, testMemory))
+}
+
 // Where a target's memory isn't shared, only what it holds already decides.
 func TestFullWithoutSharedMemory(t *testing.T) {
 	is := is.New(t)
