--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -58,7 +58,7 @@
 	}
 	if result != outcomeDelivered && result != outcomeStopped {
 		g.logFailedAttempt(c, a, result.String(), err)
-		if !a.pathFailed {
+		if !a.pathFailed && !a.memoryFailed {
 			g.recordCrash(ctx, c, result, err)
 		}
 	}
--- a/internal/gateway/engineservice.go
+++ b/internal/gateway/engineservice.go
@@ -70,6 +70,9 @@
 	// withdrawnAt is when the target was first seen to take no new requests for good; 0 if it
 	// does.
 	withdrawnAt time.Duration
+	// paused is set while the response isn't read because its caller takes nothing, and
+	// wasPaused once that has happened.
+	paused, wasPaused bool
 }
 
 // engineService schedules the requests of one service of model servers. Its lock is held
@@ -138,6 +141,8 @@
 	tokensPerEvent int
 	// unreachable tracks the probes of unreachable targets.
 	unreachable unreachableProbes
+	// memoryFailures are the targets that ran out of memory.
+	memoryFailures memoryFailures
 	// stepScheduled is set while a timer for the next step runs.
 	stepScheduled bool
 }
@@ -235,6 +240,7 @@
 		}
 	}
 	t.PrefillTokensPerSecond = s.serviceTimes.Rate(r.ID)
+	t.SlowStartFactor = s.memoryFailures.slowStartFactor(s.now(), &r)
 	id := cacheIdentity(&r)
 	t.Domain, t.Incarnation, t.Version = r.Domain, id.Incarnation, id.Version
 	t.Unreachable = s.avoidedDomains[r.Domain]
@@ -335,6 +341,7 @@
 	s.refreshDomains()
 	s.refreshRateLimits()
 	s.expirePauses()
+	s.refreshSlowStarts()
 }
 
 // refreshDomains updates the placement filters with the domains that can't be reached. The caller
@@ -455,7 +462,7 @@
 func (s *engineService) endAttempt(pl *enginePlacement, result overload.Result) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if pl.cancelledHere {
+	if pl.cancelledHere || pl.wasPaused && result == overload.Failed {
 		result = overload.Cancelled
 	}
 	if !pl.firstTokenSeen {
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -34,6 +34,10 @@
 	// set if the attempt failed because of the path to the target.
 	relay      string
 	pathFailed bool
+	// memoryFailed is set if the attempt failed because its target ran out of memory.
+	// failedForMemory, if set, reports whether a target that has lost the connection did.
+	memoryFailed    bool
+	failedForMemory func() bool
 	// onSend is called before the request is written, with a function that cancels the
 	// attempt and the instance that relays it. onProgress is called for each part of the response that arrives and onAnswer
 	// for each one that is new to the caller, of which the first counts. onEnd is called
@@ -43,6 +47,9 @@
 	onAnswer      func()
 	onEnd         func(overload.Result)
 	onUnreachable func(error)
+	// onPause, if set, is called when the response is not read for a while because its caller
+	// takes nothing, and when reading goes on.
+	onPause func(paused bool)
 	// cancelledHere reports whether this instance ended the attempt for a reason that says
 	// nothing about the target.
 	cancelledHere func() bool
@@ -157,12 +164,14 @@
 			service.startAttempt(pl, cancel, policy)
 		},
 		onProgress: func() { service.recordProgress(pl) },
+		onPause:    func(paused bool) { service.recordPause(pl, paused) },
 		onEnd: func(r overload.Result) {
 			g.contention.observeEnd(c.admission, r, firstTokenAt)
 			service.endAttempt(pl, r)
 		},
-		onUnreachable: func(err error) { service.recordUnreachable(pl, err) },
-		cancelledHere: func() bool { return service.wasCancelledHere(pl) },
+		failedForMemory: func() bool { return service.recordLostConnection(&pl.target) },
+		onUnreachable:   func(err error) { service.recordUnreachable(pl, err) },
+		cancelledHere:   func() bool { return service.wasCancelledHere(pl) },
 	}
 	return a
 }
