--- a/internal/gateway/contention_test.go
+++ b/internal/gateway/contention_test.go
@@ -72,7 +72,7 @@
 	for id := range uint64(20) {
 		is.Equal(p.admitToService(contendedCall(p, "acc", 3, 100, id+1)), nil)
 	}
-	p.exchangeDemand("b", []wire.AccountDemand{{Account: "other", Urgency: 0, TokensPerSecond: 1900}})
+	p.exchangeDemand("b", []wire.AccountDemand{{Account: "other", Urgency: 0, TokensPerSecond: 1300}})
 	refused := 0
 	for id := range uint64(20) {
 		c := contendedCall(p, "acc", 3, 100, 100+id)
