targetlimit: the fleet shares what a target that bears few rejections has room for

With more instances than slots each instance kept a share of one and learned of rejections only by its own.

Only as many instances as a target has slots have a share now, by rendezvous hashing. A rejection halves the room that the fleet assumes; it goes with the limit's report and recovers by steps. Instances without a share anywhere in a service may have one request in flight at targets whose room is not lowered, so that a service with fewer slots than the fleet has instances still serves all callers.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -158,8 +158,8 @@
 	if info.Limit != (targetlimit.Limit{}) || info.Signed || info.NotRun {
 		g.limits.observe(c.placedAt, a.target.Incarnation(), info.Limit)
 	}
-	if info.Signed || info.NotRun {
-		g.limits.recordAdmission(a.target.Incarnation(), !info.NotRun)
+	if info.NotRun {
+		g.limits.recordRejection(c.placedAt, &a.target)
 	}
 	if info.Leaving && (info.Signed || info.NotRun) {
 		g.recordLeaving(c, a.target.Incarnation())
--- a/internal/gateway/plainservice.go
+++ b/internal/gateway/plainservice.go
@@ -82,17 +82,12 @@
 func (s *plainService) acquire(exclude []string, isCanary bool) (*serviceChoice, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now, unreachable := s.now(), s.reach.unreachableDomains()
+	now := s.now()
 	s.pauses.Expire(now)
-	s.scratch = s.scratch[:0]
-	for i := range s.targets {
-		t := &s.targets[i]
-		s.scratch = append(s.scratch, placement.ServiceTarget{
-			Name: t.registration.ID, Domain: t.registration.Domain, Outstanding: t.inFlight,
-			Usable: t.canary == isCanary && !unreachable[t.registration.Domain] && s.isUsable(now, t, exclude),
-		})
+	i, ok := s.leastOutstanding(now, exclude, isCanary, false)
+	if !ok {
+		i, ok = s.leastOutstanding(now, exclude, isCanary, true)
 	}
-	i, ok := placement.LeastOutstanding(s.scratch, s.domain, "", maxOutstanding, s.rng)
 	if !ok {
 		return nil, false
 	}
@@ -102,12 +97,27 @@
 	return &serviceChoice{target: t.registration, breaker: t.breaker, ticket: t.breaker.Begin()}, true
 }
 
+// leastOutstanding returns the target that acquire chooses. onlyChoice is set if this instance has
+// a share of the slots of no other target. The caller holds s.mu.
+func (s *plainService) leastOutstanding(now time.Duration, exclude []string, isCanary, onlyChoice bool) (int, bool) {
+	unreachable := s.reach.unreachableDomains()
+	s.scratch = s.scratch[:0]
+	for i := range s.targets {
+		t := &s.targets[i]
+		s.scratch = append(s.scratch, placement.ServiceTarget{
+			Name: t.registration.ID, Domain: t.registration.Domain, Outstanding: t.inFlight,
+			Usable: t.canary == isCanary && !unreachable[t.registration.Domain] && s.isUsable(now, t, exclude, onlyChoice),
+		})
+	}
+	return placement.LeastOutstanding(s.scratch, s.domain, "", maxOutstanding, s.rng)
+}
+
 // isUsable reports whether a target may get a request of which the targets in exclude must not get
 // another attempt. The caller holds s.mu.
-func (s *plainService) isUsable(now time.Duration, t *serviceTarget, exclude []string) bool {
+func (s *plainService) isUsable(now time.Duration, t *serviceTarget, exclude []string, onlyChoice bool) bool {
 	id := t.registration.Incarnation()
 	return !slices.Contains(exclude, id.ID) && t.breaker.Ready(now) && s.pauses.Left(now, id) == 0 && s.limits.canSend(id) &&
-		s.limits.hasRoom(id, t.registration.Slots, t.inFlight)
+		s.limits.hasRoom(id, t.registration.Slots, t.inFlight, onlyChoice)
 }
 
 // maxOutstanding bounds this instance's requests at one target. It is far above what a
--- a/internal/gateway/targetlimits.go
+++ b/internal/gateway/targetlimits.go
@@ -52,7 +52,7 @@
 	}
 	reports := make([]targetlimit.Report, len(limits))
 	for i, l := range limits {
-		reports[i] = targetlimit.Report{Target: directory.Incarnation{ID: l.Target, StartedMs: l.Born}, Limit: targetlimit.Limit{Rate: l.Rate, Rejections: l.Rejections}, Revision: l.Revision}
+		reports[i] = targetlimit.Report{Target: directory.Incarnation{ID: l.Target, StartedMs: l.Born}, Limit: targetlimit.Limit{Rate: l.Rate, Rejections: l.Rejections}, Revision: l.Revision, Room: l.Room, RoomRevision: l.RoomRevision}
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -65,7 +65,7 @@
 	defer t.mu.Unlock()
 	var out []wire.TargetLimit
 	for _, r := range t.limiter.Reports() {
-		out = append(out, wire.TargetLimit{Target: r.Target.ID, Born: r.Target.StartedMs, Rate: r.Rate, Rejections: r.Rejections, Revision: r.Revision})
+		out = append(out, wire.TargetLimit{Target: r.Target.ID, Born: r.Target.StartedMs, Rate: r.Rate, Rejections: r.Rejections, Revision: r.Revision, Room: r.Room, RoomRevision: r.RoomRevision})
 	}
 	return out
 }
@@ -78,29 +78,41 @@
 	return t.limiter.LimitedTargets(t.now())
 }
 
-// slotShare returns this instance's share of a target's slots.
+// slotShare returns this instance's share of a target's slots, 0 if it has none.
 func (t *targetLimits) slotShare(id directory.Incarnation, slots int) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.limiter.SlotShare(id, slots)
+	return t.limiter.SlotShare(t.now(), id, slots)
 }
 
-// hasRoom reports whether this instance may have another request in flight at a target.
-func (t *targetLimits) hasRoom(id directory.Incarnation, slots, inFlight int) bool {
+// allowsOneEach reports whether instances without a share of a target's slots may each have a
+// request in flight there.
+func (t *targetLimits) allowsOneEach(id directory.Incarnation, slots int) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	limit := t.limiter.MaxInFlight(id, slots)
-	return limit == 0 || inFlight < limit
+	return t.limiter.AllowsOneEach(t.now(), id, slots)
 }
 
-// recordAdmission records whether a target accepted a request or rejected it.
-func (t *targetLimits) recordAdmission(id directory.Incarnation, accepted bool) {
+// hasRoom reports whether this instance may have another request in flight at a target.
+// onlyChoice is set if it may have none at the other targets of the service.
+func (t *targetLimits) hasRoom(id directory.Incarnation, slots, inFlight int, onlyChoice bool) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if accepted {
-		t.limiter.RecordAccepted(id)
-	} else {
-		t.limiter.RecordRejection(t.now(), id)
+	now := t.now()
+	limit, limited := t.limiter.MaxInFlight(now, id, slots)
+	if onlyChoice && t.limiter.AllowsOneEach(now, id, slots) {
+		limit = max(1, limit)
+	}
+	return !limited || inFlight < limit
+}
+
+// recordRejection records that a target rejected a request sent at the given time.
+func (t *targetLimits) recordRejection(sent time.Duration, target *directory.Registration) {
+	t.mu.Lock()
+	room, lowered := t.limiter.RecordRejection(t.now(), sent, target.Incarnation(), target.Slots)
+	t.mu.Unlock()
+	if lowered {
+		logline.Info("target_room", "target", target.ID, "born", target.StartedMs, "room", room, "slots", target.Slots)
 	}
 }
 
--- a/internal/targetlimit/limiter.go
+++ b/internal/targetlimit/limiter.go
@@ -18,9 +18,19 @@
 // converge on the latest change.
 //
 // A target may also state how many rejections per second it can bear for want of
-// room. The instances then share its slots, so that there is room for what they
-// send, and each one that is rejected pauses for long enough that all of them
-// together stay within that number.
+// room. The instances then share its slots. If there are more instances than slots,
+// only as many as there are slots have a share, chosen by rendezvous hashing like
+// senders. A rejection halves the room that the fleet assumes at the target, and the
+// room then recovers step by step. Each instance that is rejected also pauses for
+// long enough that all of them together stay within the number stated.
+//
+// An instance that has a share at no target of a service may have one request in
+// flight at those whose room is not lowered: only a rejection shows that the slots
+// are too few for that.
+//
+// The room has a revision number like the limit. It adds two numbers to a report. A
+// view that is late by some hundred milliseconds costs at most one rejection for each
+// share that was in excess: whoever is rejected has paused by then.
 //
 // The package does no I/O and reads no clock.
 package targetlimit
@@ -53,6 +63,10 @@
 	// minRejectionPause and maxRejectionPause bound the pauses after a rejection.
 	minRejectionPause = time.Second
 	maxRejectionPause = 30 * time.Second
+	// roomRecoveryInterval is the time between two steps in which a lowered room recovers.
+	// It covers the second over which rejections are counted and the time until all
+	// instances know of one.
+	roomRecoveryInterval = 2 * time.Second
 )
 
 // Limit is what a target states in its answers.
@@ -70,6 +84,10 @@
 	Limit
 	// Revision is incremented by each change of the limit.
 	Revision uint64
+	// Room is the number of requests that the target had room for after the latest
+	// rejection known; 0 if none is. RoomRevision is incremented by each change of it.
+	Room         int
+	RoomRevision uint64
 }
 
 // Limiter holds the limits of all targets as one instance knows them. It is not
@@ -96,10 +114,13 @@
 	// tokens is the number of requests that may be sent now, at most one.
 	tokens    float64
 	updatedAt time.Duration
-	// pausedUntil is the end of the pause after a rejection. rejecting is set from a
-	// rejection until a request is accepted.
+	// rank is the number of instances that precede this one in the target's rendezvous
+	// order.
+	rank int
+	// pausedUntil is the end of the pause after a rejection.
 	pausedUntil time.Duration
-	rejecting   bool
+	// roomChangedAt is when this instance learned of the current room.
+	roomChangedAt time.Duration
 }
 
 // New returns a Limiter for the instance self, which starts at now.
@@ -139,7 +160,7 @@
 	case sentAt < t.changedAt:
 		return false
 	}
-	l.setLimit(now, t, Report{Target: id, Limit: limit, Revision: t.Revision + 1})
+	l.setLimit(now, t, limit, t.Revision+1)
 	t.observed = true
 	return true
 }
@@ -150,13 +171,16 @@
 	for _, r := range reports {
 		t := l.targets[r.Target]
 		if t == nil {
-			t = &target{updatedAt: now}
+			t = &target{Report: Report{Target: r.Target}, updatedAt: now}
 			l.targets[r.Target] = t
 		}
 		if r.Revision > t.Revision || r.Revision == t.Revision && r.Limit.stricter(t.Limit) {
-			l.setLimit(now, t, r)
+			l.setLimit(now, t, r.Limit, r.Revision)
 			t.observed = false
 		}
+		if r.RoomRevision > t.RoomRevision || r.RoomRevision == t.RoomRevision && r.Room < t.Room {
+			t.Room, t.RoomRevision, t.roomChangedAt = r.Room, r.RoomRevision, now
+		}
 	}
 }
 
@@ -173,9 +197,9 @@
 func lower(a, b float64) bool { return a > 0 && (b == 0 || a < b) }
 
 // setLimit replaces the limit of a target.
-func (l *Limiter) setLimit(now time.Duration, t *target, r Report) {
+func (l *Limiter) setLimit(now time.Duration, t *target, limit Limit, revision uint64) {
 	t.advance(now)
-	t.Report, t.changedAt = r, now
+	t.Limit, t.Revision, t.changedAt = limit, revision, now
 	l.assignSenders(now, t)
 }
 
@@ -184,12 +208,18 @@
 	t.advance(now)
 	wasSender := t.isSender
 	t.senderCount = min(len(l.members), max(1, int(math.Ceil(sendersPerUnitRate*t.Rate))))
-	t.isSender = l.membershipKnown && slices.Contains(l.members, l.self) && l.rank(t.Target) < t.senderCount
+	t.rank = l.rank(t.Target)
+	t.isSender = l.mayHaveShare() && t.rank < t.senderCount
 	if t.isSender && !wasSender {
 		t.tokens, t.updatedAt = 0, now+takeoverDelay
 	}
 }
 
+// mayHaveShare reports whether this instance counts as one of the fleet at its peers.
+func (l *Limiter) mayHaveShare() bool {
+	return l.membershipKnown && slices.Contains(l.members, l.self)
+}
+
 // rank returns how many instances precede this one in the rendezvous order of a
 // target.
 func (l *Limiter) rank(id directory.Incarnation) int {
@@ -246,50 +276,70 @@
 }
 
 // SlotShare returns this instance's share of the slots of a target that must reject
-// little, at least one. The first instances in the target's rendezvous order get the
-// slots that remain after equal shares. While the target rejects, the share is one.
-func (l *Limiter) SlotShare(id directory.Incarnation, slots int) int {
-	if t := l.targets[id]; t != nil && t.rejecting {
-		return 1
+// little; 0 if it has none. The first instances in the target's rendezvous order get the
+// slots that remain after equal shares.
+func (l *Limiter) SlotShare(now time.Duration, id directory.Incarnation, slots int) int {
+	t := l.targets[id]
+	if t == nil {
+		return slots
+	}
+	if !l.mayHaveShare() {
+		return 0
 	}
-	instances := max(1, len(l.members))
-	share := slots / instances
-	if l.rank(id) < slots%instances {
+	room := t.room(now, slots)
+	share := room / len(l.members)
+	if t.rank < room%len(l.members) {
 		share++
 	}
-	return max(1, share)
+	return share
+}
+
+// AllowsOneEach reports whether the instances without a share of a target's slots may each
+// have one request in flight there.
+func (l *Limiter) AllowsOneEach(now time.Duration, id directory.Incarnation, slots int) bool {
+	t := l.targets[id]
+	return t == nil || t.room(now, slots) >= slots
+}
+
+// room returns the number of requests that a target with the given number of slots is
+// assumed to have room for.
+func (t *target) room(now time.Duration, slots int) int {
+	if t.Room == 0 || t.Rejections == 0 {
+		return slots
+	}
+	step := max(1, int(rejectionShare*t.Rejections))
+	return min(slots, t.Room+step*int(max(0, now-t.roomChangedAt)/roomRecoveryInterval))
 }
 
 // MaxInFlight returns how many requests this instance may have in flight at a target with
-// the given number of slots; 0 means any number.
-func (l *Limiter) MaxInFlight(id directory.Incarnation, slots int) int {
+// the given number of slots, if that is limited.
+func (l *Limiter) MaxInFlight(now time.Duration, id directory.Incarnation, slots int) (limit int, limited bool) {
 	if t := l.targets[id]; t == nil || t.Rejections == 0 {
-		return 0
+		return 0, false
 	}
-	return l.SlotShare(id, slots)
+	return l.SlotShare(now, id, slots), true
 }
 
-// RecordRejection records that a target rejected a request for want of room. The instance
-// sends nothing there for a time in which all instances may be rejected once, at
-// rejectionShare of what the target can bear. The times differ by the instances' ranks, so
-// that they don't try again together.
-func (l *Limiter) RecordRejection(now time.Duration, id directory.Incarnation) {
+// RecordRejection records that a target with the given number of slots rejected a request
+// for want of room that was sent at the given time. The instance sends nothing there for a
+// time in which all that have a share may be rejected once, at rejectionShare of what the
+// target can bear. The times differ by the instances' ranks, so that they don't try again
+// together. It reports whether that lowered the room, and to what.
+func (l *Limiter) RecordRejection(now, sentAt time.Duration, id directory.Incarnation, slots int) (room int, lowered bool) {
 	t := l.targets[id]
 	if t == nil || t.Rejections == 0 {
-		return
+		return slots, false
 	}
-	t.rejecting = true
-	instances := float64(len(l.members))
-	mean := instances / (rejectionShare * t.Rejections) * float64(time.Second)
-	pause := time.Duration(mean * (0.5 + (float64(l.rank(id))+0.5)/instances))
-	t.pausedUntil = max(t.pausedUntil, now+min(max(pause, minRejectionPause), maxRejectionPause))
-}
-
-// RecordAccepted records that a target accepted a request.
-func (l *Limiter) RecordAccepted(id directory.Incarnation) {
-	if t := l.targets[id]; t != nil {
-		t.rejecting = false
+	// A request sent before the latest change says nothing about what is sent since.
+	if lowered = sentAt >= max(t.changedAt, t.roomChangedAt); lowered {
+		t.Room, t.roomChangedAt = max(1, t.room(now, slots)/2), now
+		t.RoomRevision++
 	}
+	senders := max(1, min(len(l.members), t.Room))
+	mean := float64(senders) / (rejectionShare * t.Rejections) * float64(time.Second)
+	pause := time.Duration(mean * (0.5 + (float64(min(t.rank, senders-1))+0.5)/float64(senders)))
+	t.pausedUntil = max(t.pausedUntil, now+min(max(pause, minRejectionPause), maxRejectionPause))
+	return t.Room, lowered
 }
 
 // CanSend reports whether this instance may send a request to a target now.
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -176,6 +176,10 @@
 	Rejections float64 `msgpack:"j,omitempty"`
 	// Revision is incremented with each change of the rate.
 	Revision uint64 `msgpack:"c"`
+	// Room is the number of requests that the target had room for after its latest
+	// rejection; 0 if it has rejected none. RoomRevision is incremented with each change.
+	Room         int    `msgpack:"o,omitempty"`
+	RoomRevision uint64 `msgpack:"v,omitempty"`
 }
 
 // Rollout is what one instance knows of an ordered rollout and does for it.
