gateway: rates of targets are measured only while these have few requests

Cause: prompts that wait for a slot, or behind prefills that other instances have just sent, looked like slow prefill. Under load the rates stay as they were.

--- a/internal/gateway/engineservice.go
+++ b/internal/gateway/engineservice.go
@@ -47,6 +47,8 @@
 	fetchSourcePieces int
 	// eligibleTargets is the number of targets that could be chosen.
 	eligibleTargets int
+	// isQuiet is set if the target had few other requests when the attempt was sent.
+	isQuiet bool
 	// stallID identifies the attempt to the stall detector of its target.
 	stallID uint64
 	// relay is the instance that relays the connection; empty for a direct one.
@@ -326,6 +328,8 @@
 		if from, n, ok := s.picker.FetchSource(send.Decision, &send.Request.Placement); ok {
 			pl.fetchSource, pl.fetchSourcePieces = s.registrations[s.pool.Target(from).Name].Address, n
 		}
+		t := s.pool.Target(send.Target)
+		pl.isQuiet = float64(t.InFlight+t.PeersInFlight-1) <= quietFraction*float64(t.Limit)
 		send.Request.Value <- placementResult{placed: pl}
 	}
 	for i := range step.Refusals {
@@ -459,6 +463,11 @@
 	s.step()
 }
 
+// quietFraction is the number of other requests at a target, as a fraction of its slots, up to
+// which a first token tells its rate. With more, prompts wait for slots and for prefills that
+// aren't known here yet, and all targets would seem slow, each by another factor.
+const quietFraction = 0.125
+
 // observeFirstToken updates the service time estimates with the first token of a response.
 // The caller holds s.mu.
 func (s *engineService) observeFirstToken(pl *enginePlacement) {
@@ -466,9 +475,11 @@
 	sample := servicetime.Sample{
 		At: now, Elapsed: now - pl.send.SentAt, PromptTokens: float64(r.PromptTokens),
 		UncachedTokens: max(0, float64(r.PromptTokens-r.LeadingTokens(max(pl.send.Decision.CachedPieces, pl.fetchSourcePieces)))),
-		NoOtherWork:    pl.send.Decision.Queued == 0,
+		NoOtherWork:    pl.send.Decision.Queued == 0 && (pl.isQuiet || !s.sharesSlots),
+	}
+	if pl.isQuiet {
+		s.measureCapacity(pl, sample)
 	}
-	s.measureCapacity(pl, sample)
 	s.serviceTimes.Observe(pl.target.ID, sample)
 	if l := s.serviceTimes.Latency(); l > 0 {
 		s.dispatcher.SetLatency(l)
--- a/internal/gateway/targetcapacity_test.go
+++ b/internal/gateway/targetcapacity_test.go
@@ -109,3 +109,31 @@
 	is.Equal(f.service.capacities.weights, nil)
 	is.Equal(f.rate(0), 80_000.0)
 }
+
+// Guards against an overload in which all targets seem slow, each by another factor: prompts that
+// wait for slots tell nothing of a target's rate.
+func TestRatesAreMeasuredAtQuietTargetsOnly(t *testing.T) {
+	is := is.New(t)
+	f := newCapacityFixture()
+	answer := func(quiet bool, tokens int, after time.Duration) {
+		pl := &enginePlacement{target: f.regs[0], isQuiet: quiet}
+		pl.send.Request = &engineRequest{}
+		pl.send.Request.Placement.PromptTokens = tokens
+		pl.send.SentAt = f.now
+		f.now += after
+		f.service.mu.Lock()
+		defer f.service.mu.Unlock()
+		f.service.observeFirstToken(pl)
+	}
+	answer(true, 100, 40*time.Millisecond) // the latency
+	for range 10 {
+		answer(false, 4000, 2*time.Second)
+	}
+	is.Equal(len(f.service.capacityReports()), 0)
+	for range 10 {
+		answer(true, 4000, 90*time.Millisecond)
+	}
+	reports := f.service.capacityReports()
+	is.Equal(len(reports), 1)
+	is.True(reports[0].PrefillTokensPerSecond > 70_000 && reports[0].PrefillTokensPerSecond < 90_000)
+}
