admission: reports name the accounts that are largest in the fleet, fewer in large fleets

Instances that named their own largest accounts named different ones, and the sums of a fleet's large accounts were incomplete.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -422,6 +422,16 @@
 	is.Equal(len(c.own), 0)
 }
 
+// Guards against reports that fill the links of a very large fleet.
+func TestReportsAreShorterInLargeFleets(t *testing.T) {
+	is := is.New(t)
+	for fleet, want := range map[int]int{1: 12, 30: 12, 100: 12, 300: 4, 2400: 2} {
+		c := New()
+		c.state.Fleet = fleet
+		is.Equal(c.maxNamedRows(), want)
+	}
+}
+
 // Guards against the accounts' shares of a class depending on how much each asks for.
 func TestDivideByWeight(t *testing.T) {
 	for name, c := range map[string]struct {
@@ -477,17 +487,22 @@
 	}
 }
 
-func BenchmarkUpdate80Instances16Accounts(b *testing.B) {
-	c := New()
-	rows := make([]Demand, MaxNamedRows)
-	for i := range rows {
-		rows[i] = Demand{Class: Class{fmt.Sprint("account-", i), 3 * (i % 2)}, PerSecond: Work{Tokens: 1000, SlotSeconds: 1}}
-	}
-	for j := range 79 {
-		c.ApplyReport(fmt.Sprint(j), 0, rows)
-	}
-	b.ReportAllocs()
-	for range b.N {
-		c.Update(0, Room{Reachable: Work{SlotSeconds: 16}, Total: Work{SlotSeconds: 16}}, Fleet{Size: 80, MaxAge: time.Second})
+func BenchmarkUpdate(b *testing.B) {
+	for _, instances := range []int{30, 100, 300, 2400} {
+		b.Run(fmt.Sprint(instances), func(b *testing.B) {
+			c := New()
+			c.state.Fleet = instances
+			rows := make([]Demand, c.maxNamedRows())
+			for i := range rows {
+				rows[i] = Demand{Class: Class{fmt.Sprint("account-", i), 3 * (i % 2)}, PerSecond: Work{Tokens: 1000, SlotSeconds: 1}}
+			}
+			for j := range instances - 1 {
+				c.ApplyReport(fmt.Sprint(j), 0, rows)
+			}
+			b.ReportAllocs()
+			for range b.N {
+				c.Update(0, Room{Reachable: Work{SlotSeconds: 16}, Total: Work{SlotSeconds: 16}}, Fleet{Size: instances, MaxAge: time.Second})
+			}
+		})
 	}
 }
--- a/internal/admission/report.go
+++ b/internal/admission/report.go
@@ -7,8 +7,13 @@
 )
 
 const (
-	// MaxNamedRows is the maximum number of rows of a report that name an account.
+	// MaxNamedRows is the maximum number of rows of a report that name an account,
+	// minNamedRows that of a very large fleet.
 	MaxNamedRows = 12
+	minNamedRows = 2
+	// maxFleetRows bounds the rows of all reports that name an account: each instance gets
+	// the reports of all others.
+	maxFleetRows = 1200
 	// namedUtilization is the ratio of demand to room from which reports name accounts.
 	// Below, shares are not about to be needed.
 	namedUtilization = 0.6
@@ -34,11 +39,10 @@
 		}
 		rest[class.Urgency].add(perSecond, d.waiting)
 	}
-	resource := c.state.Resource
 	slices.SortFunc(rows, func(a, b Demand) int {
-		return cmp.Or(cmp.Compare(resource.of(b.PerSecond), resource.of(a.PerSecond)), cmp.Compare(a.Account, b.Account), cmp.Compare(a.Urgency, b.Urgency))
+		return cmp.Or(cmp.Compare(c.fleetDemand(&b), c.fleetDemand(&a)), cmp.Compare(a.Account, b.Account), cmp.Compare(a.Urgency, b.Urgency))
 	})
-	for len(rows) > MaxNamedRows {
+	for len(rows) > c.maxNamedRows() {
 		last := rows[len(rows)-1]
 		rest[last.Urgency].add(last.PerSecond, last.Waiting)
 		rows = rows[:len(rows)-1]
@@ -53,6 +57,17 @@
 	return rows
 }
 
+// fleetDemand returns the demand of a class in the fleet: what reports name, or an estimate
+// from the demand here. Instances that name the same accounts know their sums exactly.
+func (c *Controller) fleetDemand(d *Demand) float64 {
+	resource := c.state.Resource
+	return max(resource.of(c.demand[d.Class]), float64(c.state.Reporting)*resource.of(d.PerSecond))
+}
+
+func (c *Controller) maxNamedRows() int {
+	return max(minNamedRows, min(MaxNamedRows, maxFleetRows/max(1, c.state.Fleet)))
+}
+
 func (d *Demand) add(perSecond, waiting Work) {
 	d.PerSecond, d.Waiting = d.PerSecond.Add(perSecond), d.Waiting.Add(waiting)
 }
--- a/internal/gateway/contention_test.go
+++ b/internal/gateway/contention_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/mastictray/mastictray/internal/admission"
 	"github.com/mastictray/mastictray/internal/overload"
+	"github.com/mastictray/mastictray/internal/ratecount"
 	"github.com/mastictray/mastictray/internal/replica"
 	"github.com/mastictray/mastictray/internal/routing"
 	"github.com/mastictray/mastictray/internal/wire"
@@ -127,3 +128,20 @@
 	t.Log(len(raw))
 	is.True(len(raw) < 600)
 }
+
+// Guards against an account over its rate whose peers don't learn what its urgent callers ask for.
+func TestDemandOfAccountOverItsRateIsPublished(t *testing.T) {
+	is := is.New(t)
+	p := startContendedGateway(t)
+	p.accountLimiter.SetLimits(p.clock.Now(), map[string]ratecount.Limit{"acc": {Rate: 100, Burst: 100}})
+	c := contendedCall(p, "acc", 1, 500, 1)
+	c.chargedTokens = 500
+	_, ok := p.chargeAccount(c) // a new bucket is empty
+	is.True(!ok)
+	state, _ := p.publishedState()
+	rows := fromWireRateDemand(state.Demand)
+	is.Equal(len(rows), 1)
+	is.Equal(rows[0].Account, "acc")
+	is.Equal(rows[0].Urgency, 1)
+	is.True(rows[0].TokensPerSecond > 0)
+}
