--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -152,15 +152,15 @@
 // waitForRoom waits until data was taken. The caller holds c.mu.
 func (c *Conn) waitForRoom() {
 	onPause := c.onPause
-	c.options.Stats.Paused.Add(1)
 	if onPause != nil {
 		onPause(true)
 	}
+	c.options.Stats.Paused.Add(1)
 	c.room.Wait()
+	c.options.Stats.Paused.Add(-1)
 	if onPause != nil {
 		onPause(false)
 	}
-	c.options.Stats.Paused.Add(-1)
 }
 
 // send sends what is kept until there is nothing left or the caller is given up.
