runmove, gateway: runs whose target ends go on at a backup

Cause: a stream that may not run again ends with its target. Drafts whose target went dark wait for nothing until their deadline.

The run goes on at the backup only if the target is known not to work on it.

--- a/internal/gateway/streammove.go
+++ b/internal/gateway/streammove.go
@@ -22,7 +22,7 @@
 	// When several streams are to be moved at once, only those that got a retry are
 	// cancelled.
 	reserveResume func() bool
-	// generation moves the run with its memory; nil if that isn't possible.
+	// generation lets the run go on elsewhere with its memory; nil if that isn't possible.
 	generation *generation
 }
 
--- a/internal/runmove/destination.go
+++ b/internal/runmove/destination.go
@@ -46,17 +46,24 @@
 	return a.FreeTokens > b.FreeTokens
 }
 
-const (
-	// maxCopiesInProgress bounds the copies that one instance has in progress, and
-	// maxCopiesPerTarget those to one destination: moves queue at the links of both ends, and a
-	// stopped run waits behind those before it.
-	maxCopiesInProgress = 32
-	maxCopiesPerTarget  = 2
+// Limits bound the copies of one instance.
+type Limits struct {
+	// Total is the number at a time, PerTarget that to one destination.
+	Total, PerTarget int
+}
+
+var (
+	// MoveLimits bound the copies in progress: they queue at the links of both ends, and a stopped
+	// run waits behind those before it.
+	MoveLimits = Limits{Total: 32, PerTarget: 2}
+	// BackupLimits bound the backups of running requests.
+	BackupLimits = Limits{Total: 64, PerTarget: 4}
 )
 
-// Copies is the budget of the copies that one instance has in progress. It is not safe for
+// Copies is the budget of the copies that one instance has at other targets. It is not safe for
 // concurrent use.
 type Copies struct {
+	limits     Limits
 	inProgress map[string]usage
 	total      int
 }
@@ -64,13 +71,13 @@
 type usage struct{ copies, tokens int }
 
 // NewCopies returns an unused budget.
-func NewCopies() *Copies { return &Copies{inProgress: map[string]usage{}} }
+func NewCopies(l Limits) *Copies { return &Copies{limits: l, inProgress: map[string]usage{}} }
 
 // Allowed reports whether another copy of a size may be made to a target with this much free
 // memory, of which the copies in progress take a part.
 func (c *Copies) Allowed(target string, tokens, freeTokens int) bool {
 	u := c.inProgress[target]
-	return c.total < maxCopiesInProgress && u.copies < maxCopiesPerTarget && u.tokens+tokens <= freeTokens
+	return c.total < c.limits.Total && u.copies < c.limits.PerTarget && u.tokens+tokens <= freeTokens
 }
 
 // Begin counts a copy to a target.
@@ -91,8 +98,12 @@
 	c.inProgress[target] = usage{copies: u.copies - 1, tokens: u.tokens - tokens}
 }
 
-// InProgress returns the number of copies in progress.
-func (c *Copies) InProgress() int { return c.total }
+// WorthBackup reports whether a run is worth a backup: it makes at least minBackupOutput tokens. A
+// shorter one ends so soon after its first token that a failure rarely meets it.
+func WorthBackup(maxOutputTokens int) bool { return maxOutputTokens >= minBackupOutput }
+
+// minBackupOutput is about a tenth of a second of generation.
+const minBackupOutput = 16
 
 // Progress is how far a generation has come.
 type Progress struct {
--- a/internal/runmove/run.go
+++ b/internal/runmove/run.go
@@ -71,13 +71,31 @@
 	copies, stops       int
 	// copiedAt is when the last copy was begun.
 	copiedAt time.Duration
+	// backup is the target to which the run's memory is copied while it grows; empty for none.
+	backup Place
 	// places are where a stopped run may go on, in the order in which they are tried.
-	places []Place
+	places []Continuation
+}
+
+// Continuation is a way for a stopped run to go on.
+type Continuation struct {
+	// At is the target that goes on with the run.
+	At Place
+	// Owner is the target that names the memory: the source of a copy under its handle, or the
+	// target of a backup under the ID of the request, for which Handle is empty.
+	Owner  Place
+	Handle string
 }
 
 // New returns the state of a generation that a target runs.
 func New(source Place) *Run { return &Run{source: source} }
 
+// SetBackup records that the memory of the run is copied to a target while it grows.
+func (r *Run) SetBackup(at Place) { r.backup = at }
+
+// HasBackup reports whether the run may go on at a backup.
+func (r *Run) HasBackup() bool { return r.backup != Place{} && r.phase != ended }
+
 // BeginCopy starts a copy to a destination. It returns false if a move is under way, or if the
 // run is not to be moved (any more).
 func (r *Run) BeginCopy(now time.Duration, destination Place) bool {
@@ -142,11 +160,11 @@
 	}
 	switch {
 	case result == Copied:
-		r.stopAt(r.destination, r.source)
+		r.stopAt(r.copyAt(r.destination), r.copyAt(r.source))
 	case result == NoRoom && handle != "":
-		r.stopAt(r.source)
+		r.stopAt(r.copyAt(r.source))
 	case result == NoRun:
-		r.stopAt(r.destination)
+		r.stopAt(r.copyAt(r.destination))
 	case r.stops < maxStops:
 		return true
 	default:
@@ -155,7 +173,43 @@
 	return false
 }
 
-func (r *Run) stopAt(places ...Place) { r.phase, r.places = stopped, places }
+func (r *Run) stopAt(places ...Continuation) { r.phase, r.places = stopped, places }
+
+func (r *Run) copyAt(at Place) Continuation {
+	return Continuation{At: at, Owner: r.source, Handle: r.handle}
+}
+
+// SourceState is what is known of the target of a run whose stream has broken off.
+type SourceState struct {
+	// Gone is set if the target runs nothing of before: it refuses connections, has restarted, or
+	// nobody reaches it.
+	Gone bool
+	// Result and Handle are its response to the request to stop the run and to copy it to its
+	// backup.
+	Result Result
+	Handle string
+}
+
+// TakeOver decides whether a run whose stream has broken off goes on at its backup. It does only if
+// its target is known not to work on it any more.
+func (r *Run) TakeOver(s SourceState) bool {
+	if !r.HasBackup() || r.phase == stopped {
+		return false
+	}
+	backup := Continuation{At: r.backup, Owner: r.backup}
+	r.handle = s.Handle
+	switch {
+	case s.Gone || s.Result == NoRun:
+		r.stopAt(backup)
+	case s.Result == Copied && s.Handle != "":
+		r.stopAt(r.copyAt(r.backup))
+	case s.Result == NoRoom && s.Handle != "":
+		r.stopAt(backup)
+	default:
+		return false
+	}
+	return true
+}
 
 // Stopping reports whether the target may have stopped the run without this being known.
 func (r *Run) Stopping() bool { return r.phase == stopping }
@@ -163,15 +217,14 @@
 // Stopped reports whether the target has stopped the run, so that it may go on elsewhere.
 func (r *Run) Stopped() bool { return r.phase == stopped }
 
-// Next returns the next place at which a stopped run may go on, and the target and the handle
-// under which its memory is found there. Each place is returned once.
-func (r *Run) Next() (at, source Place, handle string, ok bool) {
+// Next returns the next way for a stopped run to go on. Each is returned once.
+func (r *Run) Next() (next Continuation, ok bool) {
 	if r.phase != stopped || len(r.places) == 0 {
-		return Place{}, Place{}, "", false
+		return Continuation{}, false
 	}
-	at = r.places[0]
+	next = r.places[0]
 	r.places = r.places[1:]
-	return at, r.source, r.handle, true
+	return next, true
 }
 
 // ContinueAt returns the state of the run at the place at which it goes on.
--- a/internal/runmove/runmove_test.go
+++ b/internal/runmove/runmove_test.go
@@ -43,10 +43,10 @@
 			is.True(!r.HandleStop(c.result, c.handle))
 			is.True(r.Stopped())
 			var got []Place
-			for at, from, handle, ok := r.Next(); ok; at, from, handle, ok = r.Next() {
-				is.Equal(from, source)
-				is.Equal(handle, "h1")
-				got = append(got, at)
+			for next, ok := r.Next(); ok; next, ok = r.Next() {
+				is.Equal(next.Owner, source)
+				is.Equal(next.Handle, "h1")
+				got = append(got, next.At)
 			}
 			is.Equal(got, c.want)
 		})
@@ -58,7 +58,7 @@
 func TestRunGoesOnNowhereUntilItHasStopped(t *testing.T) {
 	is := is.New(t)
 	r := startedStop(t)
-	_, _, _, ok := r.Next()
+	_, ok := r.Next()
 	is.True(!ok)
 	is.True(r.HandleStop(Unanswered, ""))
 	is.True(r.BeginStop())
@@ -66,7 +66,7 @@
 	is.True(r.BeginStop())
 	is.True(!r.HandleStop(Unanswered, ""))
 	is.True(!r.Stopped())
-	_, _, _, ok = r.Next()
+	_, ok = r.Next()
 	is.True(!ok)
 }
 
@@ -137,8 +137,8 @@
 		{Place: Place{ID: "next"}, SameDomain: true, FreeSlots: 4, FreeTokens: 5000, LoadsSoon: true},
 		{Place: Place{ID: "good"}, FreeSlots: 4, FreeTokens: 5000},
 	}
-	copies := NewCopies()
-	for range maxCopiesPerTarget {
+	copies := NewCopies(MoveLimits)
+	for range MoveLimits.PerTarget {
 		i, ok := Choose(candidates, 1000, copies, rng)
 		is.True(ok)
 		is.Equal(candidates[i].ID, "good")
@@ -164,7 +164,7 @@
 	}
 	chosen := map[int]int{}
 	for i := range uint64(instances) {
-		rng, copies := rand.New(rand.NewPCG(i, 7)), NewCopies()
+		rng, copies := rand.New(rand.NewPCG(i, 7)), NewCopies(MoveLimits)
 		for range runs {
 			c, ok := Choose(candidates, 7000, copies, rng)
 			is.True(ok)
@@ -188,3 +188,35 @@
 	is.True(Progress{Events: 10, Elapsed: time.Second}.WorthMoving())
 	is.True(Progress{MaxEvents: 48}.WorthMoving())
 }
+
+// Guards against a run that works at two targets after its stream has broken off, and against one
+// that is given up although its target is known to have ended.
+func TestBackupTakesOverOnlyFromATargetThatHasStopped(t *testing.T) {
+	backup := Place{ID: "b", Address: "10.0.0.3:1"}
+	for _, c := range []struct {
+		name  string
+		state SourceState
+		want  []Continuation
+	}{
+		{"gone", SourceState{Gone: true}, []Continuation{{At: backup, Owner: backup}}},
+		{"runs nothing of it", SourceState{Result: NoRun}, []Continuation{{At: backup, Owner: backup}}},
+		{"has stopped and copied it", SourceState{Result: Copied, Handle: "h"}, []Continuation{{At: backup, Owner: source, Handle: "h"}}},
+		{"has stopped it", SourceState{Result: NoRoom, Handle: "h"}, []Continuation{{At: backup, Owner: backup}}},
+		{"doesn't answer", SourceState{Result: Unanswered}, nil},
+		{"copies it", SourceState{Result: InProgress}, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			r := New(source)
+			is.True(!r.TakeOver(c.state)) // no backup
+			r.SetBackup(backup)
+			is.Equal(r.TakeOver(c.state), c.want != nil)
+			var got []Continuation
+			for next, ok := r.Next(); ok; next, ok = r.Next() {
+				got = append(got, next)
+			}
+			is.Equal(got, c.want)
+			is.True(!r.ContinueAt(backup).HasBackup()) // it has been used
+		})
+	}
+}
