gateway, runmove: runs move in large fleets too

Streams that may be resumed have the same reserve; it stays.

Change: the reserve of moved runs is half of what exceeds one retry. A backup needs a maximum of 256 tokens.

--- a/internal/gateway/runmoves.go
+++ b/internal/gateway/runmoves.go
@@ -74,7 +74,7 @@
 	if e == nil || !e.MovesRuns && !e.BacksUpRuns || c.route.Kind != routing.Stream || c.route.Repeatable() || c.Prompt == nil {
 		return nil
 	}
-	return &generation{g: g, c: c, engine: e, budget: g.newMoveBudget(c)}
+	return &generation{g: g, c: c, engine: e, budget: g.newRunMoveBudget(c)}
 }
 
 // begin is called before the request is sent to a target.
@@ -228,8 +228,11 @@
 
 // progressOf returns how far the run of an attempt has come. The caller holds s.mu.
 func (s *engineService) progressOf(now time.Duration, pl *enginePlacement) runmove.Progress {
-	// Each event has one token at least.
-	return runmove.Progress{Events: pl.laterEvents, Elapsed: now - pl.firstEventAt, MaxEvents: pl.generation.c.Prompt.MaxOutputTokens}
+	tokensPerEvent := max(1, pl.generation.engine.TokensPerEvent)
+	return runmove.Progress{
+		Events: pl.laterEvents, Elapsed: now - pl.firstEventAt,
+		MaxEvents: (pl.generation.c.Prompt.MaxOutputTokens + tokensPerEvent - 1) / tokensPerEvent,
+	}
 }
 
 // moveDestination returns the target to which the run of an attempt is copied. The caller holds
--- a/internal/gateway/streammove.go
+++ b/internal/gateway/streammove.go
@@ -50,6 +50,14 @@
 	return moveBudget{c: c, retries: g.retryBudget(c.service.Name), reserve: streamMoveReserve * g.retryReserve(g.peers.fleetSize())}
 }
 
+// newRunMoveBudget returns the budget for moves of a run. In a large fleet an instance may save up
+// less than two retries: the reserve is a part of what exceeds one.
+func (g *Gateway) newRunMoveBudget(c *call) moveBudget {
+	b := g.newMoveBudget(c)
+	b.reserve = streamMoveReserve * (g.retryReserve(g.peers.fleetSize()) - 1)
+	return b
+}
+
 // available reports whether take would succeed now.
 func (b moveBudget) available() bool { return b.retries.Available() >= b.reserve+1 }
 
--- a/internal/runmove/destination.go
+++ b/internal/runmove/destination.go
@@ -98,12 +98,12 @@
 	c.inProgress[target] = usage{copies: u.copies - 1, tokens: u.tokens - tokens}
 }
 
-// WorthBackup reports whether a run is worth a backup: it makes at least minBackupOutput tokens. A
+// WorthBackup reports whether a run is worth a backup: it may make minBackupOutput tokens or more. A
 // shorter one ends so soon after its first token that a failure rarely meets it.
 func WorthBackup(maxOutputTokens int) bool { return maxOutputTokens >= minBackupOutput }
 
-// minBackupOutput is about a tenth of a second of generation.
-const minBackupOutput = 16
+// minBackupOutput is about a second of generation.
+const minBackupOutput = 256
 
 // Progress is how far a generation has come.
 type Progress struct {
