--- a/internal/gateway/streammove.go
+++ b/internal/gateway/streammove.go
@@ -48,8 +48,9 @@
 	return moveBudget{c: c, retries: g.retryBudget(c.service.Name)}
 }
 
-// reserve returns the number of retries that are left for failures.
-func (b moveBudget) reserve() float64 { return streamMoveReserve * b.retries.Reserve() }
+// reserve returns the number of retries that are left for failures. In a large fleet an instance may
+// save up less than two retries: the reserve is a part of what exceeds one.
+func (b moveBudget) reserve() float64 { return streamMoveReserve * max(0, b.retries.Reserve()-1) }
 
 // available reports whether take would succeed now.
 func (b moveBudget) available() bool { return b.retries.Available() >= b.reserve()+1 }
