--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -7,10 +7,9 @@
 	// Reachable is the work per second that they can do, Total that of all registered
 	// targets, also of those that this instance doesn't reach.
 	Reachable, Total Work
-	// Backlog is the mean time of work that is queued at them.
+	// Backlog is the time for which a request is expected to wait at its target.
 	Backlog time.Duration
-	// TolerableWait is the wait from which less than their rate is admitted. It comes from
-	// the latency objective of the service's least urgent requests.
+	// TolerableWait is the wait from which less than their rate is admitted.
 	TolerableWait time.Duration
 	// Age is how old the reports of the targets' load may be.
 	Age time.Duration
--- a/internal/gateway/contention.go
+++ b/internal/gateway/contention.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,7 +33,7 @@
 	estimator  *admission.Estimator
 	// prefillRate is the mean prefill rate of its targets, in tokens per second.
 	prefillRate float64
-	// tolerableWait is a part of the latency objective of the least urgent requests.
+	// tolerableWait is a part of the shortest latency objective.
 	tolerableWait time.Duration
 }
 
@@ -125,14 +126,20 @@
 	}
 }
 
-// observePrefill records the tokens that a call's target had to prefill.
-func (k *contention) observePrefill(a *callAdmission, uncachedTokens float64) {
+// observeFirstToken records what a call's target had to prefill and how long the call waited
+// there. latency is the time to a first token without work.
+func (k *contention) observeFirstToken(a *callAdmission, send *engineSend, latency time.Duration) {
 	if a == nil {
 		return
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	a.service.estimator.ObservePrefill(a.prompt, uncachedTokens)
+	s, uncached := a.service, send.Decision.UncachedTokens
+	s.estimator.ObservePrefill(a.prompt, uncached)
+	if s.prefillRate > 0 {
+		prefill := time.Duration(uncached / s.prefillRate * float64(time.Second))
+		s.estimator.ObserveWait(k.now() - send.SentAt - prefill - latency)
+	}
 }
 
 // observeEnd records the end of an attempt whose first token arrived at the given time.
@@ -173,6 +180,7 @@
 		s := k.service(name)
 		room.TolerableWait, room.Age = s.tolerableWait, age
 		s.prefillRate = room.prefillRate
+		room.Backlog = max(room.Backlog, s.estimator.Wait())
 		s.controller.Update(now, room.Room, fleet)
 		k.metrics.contention(name, s.controller)
 	}
@@ -202,15 +210,16 @@
 const tolerableWaitFraction = 0.25
 
 // tolerableWait returns the wait at a service from which less is admitted. It follows from
-// the longest objective: requests with shorter ones are more urgent and wait less.
+// the shortest objective: an urgent request goes ahead of others that wait at its target, but
+// waits for a slot as they do.
 func tolerableWait(routes []routing.Route, service string) time.Duration {
-	longest := time.Duration(0)
+	shortest := time.Duration(0)
 	for i := range routes {
-		if routeIncludes(&routes[i], service) {
-			longest = max(longest, routes[i].LatencyObjective)
+		if r := &routes[i]; r.LatencyObjective > 0 && routeIncludes(r, service) && (shortest == 0 || r.LatencyObjective < shortest) {
+			shortest = r.LatencyObjective
 		}
 	}
-	return time.Duration(tolerableWaitFraction * float64(longest))
+	return time.Duration(tolerableWaitFraction * float64(shortest))
 }
 
 // accountWeights returns the accounts' weights: their rates, and for accounts without one the
@@ -255,18 +264,23 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var room targetRoom
+	var backlogs []time.Duration
 	for i := range s.pool.Len() {
 		t := s.pool.Target(i)
 		work := admission.Work{Tokens: t.PrefillTokensPerSecond, SlotSeconds: float64(s.registrations[t.Name].Slots)}
 		room.Total = room.Total.Add(work)
 		if !s.pool.Rejected(i) || s.isOverRateOnly(i) {
 			room.Reachable = room.Reachable.Add(work)
+			backlogs = append(backlogs, s.pool.Backlog(i, now))
 		}
 	}
 	if n := s.pool.Len(); n > 0 {
 		room.prefillRate = room.Total.Tokens / float64(n)
 	}
-	room.Backlog = s.pool.MeanBacklog(now)
+	if len(backlogs) > 0 { // not the mean: a few targets that hang don't make requests wait
+		slices.Sort(backlogs)
+		room.Backlog = backlogs[len(backlogs)/2]
+	}
 	return room
 }
 
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -140,7 +140,7 @@
 		onAnswer: func() {
 			if !pl.firstTokenSeen {
 				firstTokenAt = g.clock.Now()
-				g.contention.observePrefill(c.admission, pl.send.Decision.UncachedTokens)
+				g.contention.observeFirstToken(c.admission, &pl.send, service.firstTokenLatency())
 				g.recordPrefill(c, a, pl)
 			}
 			service.recordFirstToken(pl)
