--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -19,6 +19,9 @@
 	Admitted bool
 	// Share is the fraction of the class's requests that is admitted.
 	Share float64
+	// Asked is the fleet's demand of the class for the resource that binds, if a report
+	// names it, else that of its urgency's unnamed accounts.
+	Asked float64
 	// RetryAfter is when there will be room for the caller of a refused request.
 	RetryAfter time.Duration
 	// Returned is set if the caller had been refused and has come back when it was told
@@ -48,6 +51,12 @@
 // that the fleet has room for. Callers that come back when they were told to go ahead of
 // new ones; those that come back before are refused until then.
 func (c *Controller) Admit(now time.Duration, r *Request) Decision {
+	d := c.admit(now, r)
+	d.Asked = c.askedBy(r.Class)
+	return d
+}
+
+func (c *Controller) admit(now time.Duration, r *Request) Decision {
 	r.Urgency = clampUrgency(r.Urgency)
 	share := c.shareOf(r.Class)
 	due, returned := c.returning.find(now, r.Fingerprint)
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -262,6 +262,15 @@
 	}
 }
 
+// askedBy returns the demand of a class for the resource that binds.
+func (c *Controller) askedBy(class Class) float64 {
+	w, named := c.demand[class]
+	if !named {
+		w = c.demand[Class{Urgency: class.Urgency}]
+	}
+	return c.state.Resource.of(w)
+}
+
 // shareOf returns the fraction of a class's requests that is admitted.
 func (c *Controller) shareOf(class Class) float64 {
 	if !c.state.Scarce {
--- a/internal/gateway/contention.go
+++ b/internal/gateway/contention.go
@@ -307,7 +307,7 @@
 	s := &a.state
 	age := a.decidedAt - s.UpdatedAt
 	return []any{
-		"share", a.decision.Share, "resource", s.Resource, "asked", s.Asked, "room", s.Room,
+		"share", a.decision.Share, "class_asked", a.decision.Asked, "resource", s.Resource, "asked", s.Asked, "room", s.Room,
 		"wait", s.Wait, "demand_age", s.DemandAge + age, "room_age", s.RoomAge + age, "sharing", s.Reporting,
 		"returned", a.decision.Returned, "early", a.decision.Early, "promised", a.decision.Promised,
 	}
