--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -156,7 +156,7 @@
 		onAnswer: func() {
 			if !pl.firstTokenSeen && !pl.continued {
 				firstTokenAt = g.clock.Now()
-				g.contention.observePrefill(c.admission, pl.send.Decision.UncachedTokens)
+				g.contention.observeFirstToken(c.admission, &pl.send, service.firstTokenLatency())
 				g.recordPrefill(c, a, pl)
 			}
 			service.recordFirstToken(pl)
--- a/internal/gateway/runmoves_test.go
+++ b/internal/gateway/runmoves_test.go
@@ -123,7 +123,7 @@
 	is := is.New(t)
 	p := startTestGateway(&memoryStore{newest: 2, targets: targetsOnVersions(2, 2)}, "a")
 	p.settings.RetryReserve, p.settings.RetryRatio = 1.7*unknownFleetSize, 1
-	budget := p.newRunMoveBudget(&call{service: &routing.Service{Name: "engines"}})
+	budget := p.newMoveBudget(&call{service: &routing.Service{Name: "engines"}})
 	budget.retries.SetReserve(p.retryReserve(unknownFleetSize))
 	is.True(!budget.available())
 	for range 100 {
