placement: with unequal targets the order by capacity decides; cautious test for inequality

Cause: with weighted homes a choice by the earliest expected first token counts speed twice, and instances, which know each other's work 0.3 s late, crowd on the target that was free last.

Change: while weights differ, prefill counts at the mean rate, only the part of a queue beyond the delay of peers' reports counts, and the first of equally cheap targets is taken. Targets count as unequal by cautious estimates: the median report of a fast target against the second highest of a slow one. Agreed rates are the 85% quantile of up to 17 reports, published for 0.6 s each.

--- a/internal/gateway/engineservice.go
+++ b/internal/gateway/engineservice.go
@@ -171,7 +171,7 @@
 	s.replaceCapacityTargets(regs)
 	o := placement.DefaultOptions()
 	o.MaxCandidates, o.EquivalentTokens = maxCandidates, s.serviceTimes.EquivalentTokens
-	o.QueueSlack = queueSlack
+	o.QueueSlack, o.UnequalQueueSlack = queueSlack, unequalQueueSlack
 	o.Domain, o.OutdatedPenalty = s.domain, outdatedWeightsPenalty
 	o.TransferTokensPerSecond, o.TransferSetup = s.transferRate, transferSetup
 	s.picker = placement.NewPicker(s.pool, s.index, o)
--- a/internal/gateway/enginetuning.go
+++ b/internal/gateway/enginetuning.go
@@ -29,6 +29,9 @@
 	// queueSlack is the queueing time at a target that placement ignores, because peers'
 	// reports of their work are late.
 	queueSlack = 60 * time.Millisecond
+	// unequalQueueSlack is that time while targets have different capacity weights: the time by
+	// which instances know each other's work late. A shorter queue may be gone by then.
+	unequalQueueSlack = exchangeInterval + followInterval
 	// cacheMemoryShare is the fraction of a target's memory that holds cached pieces.
 	// Running requests use the rest.
 	cacheMemoryShare = 0.8
--- a/internal/placement/explain.go
+++ b/internal/placement/explain.go
@@ -61,7 +61,7 @@
 func (p *Picker) explainTarget(c *Candidate) ExplainedTarget {
 	t := &p.pool.targets[c.Index]
 	x := ExplainedTarget{Target: t.Name, Domain: t.Domain, Rank: c.Rank, CachedPieces: c.CachedPieces, Cost: c.Cost}
-	for i, s := range p.scorers {
+	for i, s := range p.activeScorers() {
 		x.Terms = append(x.Terms, Term{Scorer: s.Name(), Cost: c.Terms[i]})
 	}
 	return x
@@ -84,5 +84,8 @@
 		return fmt.Sprintf("%v sooner than %s, known to hold %d pieces against %d",
 			diff.Round(time.Microsecond), name, d.CachedPieces, other.CachedPieces)
 	}
+	if p.pool.inverseWeights != nil {
+		return fmt.Sprintf("before %s in the order by capacity (%v apart)", name, (other.Cost - d.Cost).Round(time.Microsecond))
+	}
 	return fmt.Sprintf("drawn among near ties with %s (%v apart)", name, (other.Cost - d.Cost).Round(time.Microsecond))
 }
--- a/internal/placement/options.go
+++ b/internal/placement/options.go
@@ -44,6 +44,10 @@
 	// QueueSlack is the queueing time that is ignored because load information
 	// about a target is out of date.
 	QueueSlack time.Duration
+	// UnequalQueueSlack replaces QueueSlack while targets have different capacity weights.
+	// Their order then already distributes work by capacity, and only a target whose queue
+	// outlasts the delay of load information is passed over.
+	UnequalQueueSlack time.Duration
 }
 
 // DefaultOptions returns the default options; see docs/measurements.
--- a/internal/placement/picker.go
+++ b/internal/placement/picker.go
@@ -39,8 +39,10 @@
 	index   *cacheindex.Index
 	options Options
 	scorers []Scorer
-	ranked  []ranked
-	scored  []Candidate
+	// unequalScorers replace scorers while targets have different capacity weights.
+	unequalScorers []Scorer
+	ranked         []ranked
+	scored         []Candidate
 	// cacheStateKnown is set once cache events are followed.
 	cacheStateKnown bool
 }
@@ -52,8 +54,10 @@
 		index:   index,
 		options: o,
 		scorers: DefaultScorers(o),
-		ranked:  make([]ranked, 0, o.MaxCandidates+1),
-		scored:  make([]Candidate, 0, o.MaxCandidates+1),
+
+		unequalScorers: unequalScorers(o, pool),
+		ranked:         make([]ranked, 0, o.MaxCandidates+1),
+		scored:         make([]Candidate, 0, o.MaxCandidates+1),
 	}
 }
 
@@ -85,7 +89,24 @@
 	for i := range p.scored {
 		p.score(now, r, &p.scored[i])
 	}
-	return p.decision(now, r, &p.scored[choose(p.scored, p.options.NearTie, rng)]), nil
+	return p.decision(now, r, &p.scored[p.choose(rng)]), nil
+}
+
+// choose returns the index of the chosen candidate. With different weights it is the first of
+// nearly equal ones, since a random choice among them would not be by weight.
+func (p *Picker) choose(rng *rand.Rand) int {
+	if p.pool.inverseWeights != nil {
+		return chooseFirst(p.scored, p.options.NearTie)
+	}
+	return choose(p.scored, p.options.NearTie, rng)
+}
+
+// activeScorers returns the scorers in use.
+func (p *Picker) activeScorers() []Scorer {
+	if p.pool.inverseWeights != nil {
+		return p.unequalScorers
+	}
+	return p.scorers
 }
 
 // decision describes the choice of candidate c for the request.
@@ -180,7 +201,7 @@
 		full := float64(r.fullTokens())
 		c.AssumedCachedTokens = max(0, p.homeCachedFraction()*full-float64(r.LeadingTokens(max(c.CachedPieces, r.FetchablePieces))))
 	}
-	for i, s := range p.scorers {
+	for i, s := range p.activeScorers() {
 		c.Terms[i] = s.Cost(now, r, t, c)
 		c.Cost += c.Terms[i]
 	}
@@ -199,15 +220,32 @@
 	return p.options.UnobservedHomeCachedFraction
 }
 
-// choose picks at random among the candidates whose cost is within nearTie of the
-// lowest.
-func choose(scored []Candidate, nearTie time.Duration, rng *rand.Rand) int {
+// cheapest returns the index of the candidate with the lowest cost.
+func cheapest(scored []Candidate) int {
 	best := 0
 	for i := range scored {
 		if scored[i].Cost < scored[best].Cost {
 			best = i
 		}
 	}
+	return best
+}
+
+// chooseFirst picks the first candidate whose cost is within nearTie of the lowest.
+func chooseFirst(scored []Candidate, nearTie time.Duration) int {
+	best := cheapest(scored)
+	for i := range scored[:best] {
+		if scored[i].Cost <= scored[best].Cost+nearTie {
+			return i
+		}
+	}
+	return best
+}
+
+// choose picks at random among the candidates whose cost is within nearTie of the
+// lowest.
+func choose(scored []Candidate, nearTie time.Duration, rng *rand.Rand) int {
+	best := cheapest(scored)
 	limit := scored[best].Cost + nearTie
 	chosen, ties := best, 0
 	for i := range scored {
--- a/internal/placement/picker_test.go
+++ b/internal/placement/picker_test.go
@@ -164,7 +164,7 @@
 	is := is.New(t)
 	o := DefaultOptions()
 	o.TransferTokensPerSecond = 100000
-	s := prefillScorer{recomputeFactor: 1, transferRate: o.TransferTokensPerSecond, transferSetup: 10 * time.Millisecond}
+	s := prefillScorer{recomputeFactor: 1, transferRate: o.TransferTokensPerSecond, transferSetup: 10 * time.Millisecond, rate: (*Target).prefillRate}
 	target := testTargets(1)[0]
 	r := request(1, 1)
 	r.PromptTokens = testPieceTokens
--- a/internal/placement/score.go
+++ b/internal/placement/score.go
@@ -33,10 +33,21 @@
 
 // DefaultScorers returns the scorers that every pool uses.
 func DefaultScorers(o Options) []Scorer {
+	return scorers(o, o.QueueSlack, (*Target).prefillRate)
+}
+
+// unequalScorers returns the scorers for targets with different capacity weights. The order of the
+// candidates gives fast targets more requests. If the scores preferred them as well, they would be
+// overloaded, so prefill counts at the same rate everywhere.
+func unequalScorers(o Options, pool *Pool) []Scorer {
+	return scorers(o, o.UnequalQueueSlack, func(*Target) float64 { return pool.MeanPrefillRate() })
+}
+
+func scorers(o Options, queueSlack time.Duration, prefillRate func(*Target) float64) []Scorer {
 	return []Scorer{
-		queueScorer{slack: o.QueueSlack},
-		prefillScorer{recomputeFactor: o.RecomputeFactor, transferRate: o.TransferTokensPerSecond, transferSetup: o.TransferSetup},
-		homeScorer{recomputeFactor: o.RecomputeFactor},
+		queueScorer{slack: queueSlack},
+		prefillScorer{recomputeFactor: o.RecomputeFactor, transferRate: o.TransferTokensPerSecond, transferSetup: o.TransferSetup, rate: prefillRate},
+		homeScorer{recomputeFactor: o.RecomputeFactor, rate: prefillRate},
 		linkScorer{domain: o.Domain, delay: o.CrossDomainDelay},
 		outdatedScorer{penalty: o.OutdatedPenalty},
 	}
--- a/internal/placement/score_home.go
+++ b/internal/placement/score_home.go
@@ -7,10 +7,11 @@
 // like recomputed tokens.
 type homeScorer struct {
 	recomputeFactor float64
+	rate            func(*Target) float64
 }
 
 func (homeScorer) Name() string { return "home" }
 
 func (s homeScorer) Cost(_ time.Duration, r *Request, t *Target, c *Candidate) time.Duration {
-	return -time.Duration(r.recomputeFactor(s.recomputeFactor) * float64(processingTime(c.AssumedCachedTokens, t.prefillRate())))
+	return -time.Duration(r.recomputeFactor(s.recomputeFactor) * float64(processingTime(c.AssumedCachedTokens, s.rate(t))))
 }
--- a/internal/placement/score_prefill.go
+++ b/internal/placement/score_prefill.go
@@ -8,6 +8,8 @@
 	recomputeFactor float64
 	transferRate    float64
 	transferSetup   time.Duration
+	// rate returns the prefill rate at which tokens count.
+	rate func(*Target) float64
 }
 
 func (prefillScorer) Name() string { return "prefill" }
@@ -17,7 +19,7 @@
 	available := max(c.CachedPieces, r.FetchablePieces)
 	missing := float64(r.fullTokens() - r.LeadingTokens(available))
 	transferred := float64(r.LeadingTokens(available) - r.LeadingTokens(c.CachedPieces))
-	rate, factor := t.prefillRate(), r.recomputeFactor(s.recomputeFactor)
+	rate, factor := s.rate(t), r.recomputeFactor(s.recomputeFactor)
 	cost := time.Duration(factor * float64(processingTime(missing, rate)))
 	if transferred > 0 {
 		cost += min(
--- a/internal/targetcapacity/table.go
+++ b/internal/targetcapacity/table.go
@@ -27,14 +27,14 @@
 	MaxPublished = 2
 	// publishPeriod is how long a report is published: longer than an update takes to
 	// reach all instances.
-	publishPeriod = time.Second
+	publishPeriod = 600 * time.Millisecond
 	// maxSamples is the number of an instance's latest own samples that are kept for each
 	// target, maxReporters the number of other instances.
-	maxSamples, maxReporters = 8, 8
+	maxSamples, maxReporters = 8, 16
 	// rateQuantile is the quantile of samples and of reports that is used. Unknown work at
-	// a target can only make an answer later, so a rate above the median is nearer to the
-	// truth; one wrong report of three or more must not be chosen.
-	rateQuantile = 2.0 / 3
+	// a target can only make an answer later, so high rates are nearer to the truth. The
+	// highest is not used, as it may be wrong.
+	rateQuantile = 0.85
 	// reportFreshness is the age up to which a report makes further ones unnecessary,
 	// reportExpiry the age at which it no longer counts.
 	reportFreshness, reportExpiry = 10 * time.Second, 2 * time.Minute
@@ -46,6 +46,9 @@
 // Rate is the prefill rate of a target as agreed by the instances.
 type Rate struct {
 	TokensPerSecond float64
+	// Low and High are cautious estimates: the median of the reports, and the highest one that
+	// can't be that of a single wrong instance.
+	Low, High float64
 	// Reporters is the number of instances whose reports count, Samples the number of
 	// responses that they have measured.
 	Reporters, Samples int
@@ -198,15 +201,22 @@
 	}
 	switch {
 	case out.Reporters >= minReporters && out.Samples >= minSamples:
-		out.TokensPerSecond = quantile(list, rateQuantile)
+		out.setRates(list)
 	case ownCount >= minSamples && now-s.own.at < reportExpiry:
-		out.TokensPerSecond, out.Reporters, out.Samples, out.Age = own, 1, ownCount, now-s.own.at
+		rates := s.own.rates
+		out.setRates(rates[:ownCount])
+		out.Reporters, out.Samples, out.Age = 1, ownCount, now-s.own.at
 	default:
 		return Rate{}, false
 	}
 	return out, true
 }
 
+// setRates sets the estimates from a list of rates, which it sorts.
+func (r *Rate) setRates(list []float64) {
+	r.TokensPerSecond, r.Low, r.High = quantile(list, rateQuantile), quantile(list, 0.5), quantile(list, 1)
+}
+
 // rate returns the own estimate and the number of samples that it is of.
 func (o *ownSamples) rate() (tokensPerSecond float64, samples int) {
 	samples = min(o.count, maxSamples)
@@ -217,10 +227,12 @@
 	return quantile(rates[:samples], rateQuantile), samples
 }
 
-// quantile returns the q-quantile of a list that is not empty, and sorts the list.
+// quantile returns the q-quantile of a list that is not empty, but not the highest of several
+// values. It sorts the list.
 func quantile(list []float64, q float64) float64 {
 	slices.Sort(list)
-	return list[max(0, int(math.Ceil(q*float64(len(list))))-1)]
+	n := len(list)
+	return list[max(0, min(int(math.Ceil(q*float64(n)))-1, n-2))]
 }
 
 // Reports returns the reports that this instance publishes now: own measurements of
--- a/internal/targetcapacity/table_test.go
+++ b/internal/targetcapacity/table_test.go
@@ -23,6 +23,8 @@
 	ids       []directory.Incarnation
 	rates     []float64
 	instances []*Table
+	// queueShare returns the share of a target's answers that wait for unknown work.
+	queueShare func(target int) float64
 	// cut instances send and receive no reports.
 	cut map[int]bool
 	// inFlight are the reports published at the last steps.
@@ -41,13 +43,13 @@
 	// samplesPerTarget is the number of usable answers per second and target, of all
 	// instances together.
 	samplesPerTarget = 3.0
-	// In spells, for spellShare of the time, a target is spellFactor times slower;
-	// queueShare of the answers wait for unknown work.
-	spellShare, spellFactor, queueShare = 0.15, 2.5, 0.2
+	// In spells, for spellShare of the time, a target is spellFactor times slower.
+	spellShare, spellFactor = 0.15, 2.5
 )
 
 func newFleet(instances int, rates []float64) *fleet {
 	f := &fleet{rng: rand.New(rand.NewPCG(7, 7)), rates: rates, cut: map[int]bool{}}
+	f.queueShare = func(int) float64 { return 0.2 }
 	for i := range rates {
 		f.ids = append(f.ids, incarnation(fmt.Sprintf("t%04d", i), 1))
 	}
@@ -79,7 +81,7 @@
 	for now := from; now < to; now += fleetStep {
 		for i, rate := range f.rates {
 			if f.rng.Float64() < samplesPerTarget*fleetStep.Seconds() {
-				f.instances[f.rng.IntN(len(f.instances))].Observe(now, f.ids[i], f.sample(rate))
+				f.instances[f.rng.IntN(len(f.instances))].Observe(now, f.ids[i], f.sample(i, rate))
 			}
 		}
 		var sent []published
@@ -99,12 +101,12 @@
 	}
 }
 
-func (f *fleet) sample(rate float64) float64 {
+func (f *fleet) sample(target int, rate float64) float64 {
 	rate *= 0.93 + 0.14*f.rng.Float64()
 	if f.rng.Float64() < spellShare {
 		rate /= spellFactor
 	}
-	if f.rng.Float64() < queueShare {
+	if f.rng.Float64() < f.queueShare(target) {
 		rate *= f.rng.Float64()
 	}
 	return rate
@@ -184,6 +186,29 @@
 	}
 }
 
+// Guards against targets of nearly equal speed being treated as unequal because some of them
+// are overloaded.
+func TestOverloadedTargetsCountAsEqual(t *testing.T) {
+	for _, instances := range []int{6, 80} {
+		t.Run(fmt.Sprint(instances), func(t *testing.T) {
+			is := is.New(t)
+			rates := make([]float64, 60)
+			for i := range rates {
+				rates[i] = []float64{100_000, 100_000, 130_000}[i%3]
+			}
+			f := newFleet(instances, rates)
+			f.queueShare = func(target int) float64 { return 0.3 + 0.6*float64(target%7)/6 }
+			for second := range 25 {
+				now := time.Duration(second) * time.Second
+				f.run(now, now+time.Second)
+				for _, table := range f.instances {
+					is.True(!table.Spread().Unequal)
+				}
+			}
+		})
+	}
+}
+
 // Guards against one instance that publishes wrong rates and so draws requests to a target,
 // or keeps them away.
 func TestWrongInstanceDoesNotSetRate(t *testing.T) {
@@ -280,6 +305,14 @@
 	is.True(s.updateWeight(70_000) < first)
 }
 
+func ratesOf(values ...float64) []Rate {
+	rates := make([]Rate, len(values))
+	for i, v := range values {
+		rates[i] = Rate{TokensPerSecond: v, Low: v, High: v}
+	}
+	return rates
+}
+
 // Guards against alternation between weighted and unweighted homes while the ratio of the
 // rates is near the limit.
 func TestUnequalHasHysteresis(t *testing.T) {
@@ -291,7 +324,7 @@
 		if i%2 == 0 {
 			ratio = 1.52
 		}
-		s.update(time.Duration(i)*time.Second, []float64{1, 1, ratio, ratio}, 4)
+		s.update(time.Duration(i)*time.Second, ratesOf(1, 1, ratio, ratio), 4)
 		if s.unequal != last {
 			changes++
 		}
@@ -299,11 +332,11 @@
 	}
 	is.True(changes <= 1)
 	s = spread{}
-	s.update(0, []float64{1, 1, 2, 2}, 4)
+	s.update(0, ratesOf(1, 1, 2, 2), 4)
 	is.True(!s.unequal)
-	s.update(unequalAfter, []float64{1, 1, 2, 2}, 4)
+	s.update(unequalAfter, ratesOf(1, 1, 2, 2), 4)
 	is.True(s.unequal)
-	s.update(unequalAfter, []float64{1, 1, 1, 1}, 4)
-	s.update(2*unequalAfter, []float64{1, 1, 1, 1}, 4)
+	s.update(unequalAfter, ratesOf(1, 1, 1, 1), 4)
+	s.update(2*unequalAfter, ratesOf(1, 1, 1, 1), 4)
 	is.True(!s.unequal)
 }
--- a/internal/targetcapacity/weights.go
+++ b/internal/targetcapacity/weights.go
@@ -8,7 +8,9 @@
 
 const (
 	// unequalRatio is the ratio of the rates of fast to slow targets from which a service's
-	// targets count as unequal, equalRatio the one below which they no longer do.
+	// targets count as unequal, by cautious estimates: under overload, answers of equal targets
+	// differ by as much. equalRatio is the one below which they no longer do, by the agreed
+	// rates.
 	unequalRatio, equalRatio = 1.5, 1.35
 	// slowQuantile and fastQuantile define slow and fast targets. Fewer than a fifth of the
 	// targets, which may be slow by a fault and for a while, make no service unequal.
@@ -28,8 +30,9 @@
 // spread tracks by how much the rates of a service's targets differ.
 type spread struct {
 	unequal bool
-	ratio   float64
-	known   int
+	// ratio is that of the agreed rates.
+	ratio float64
+	known int
 	// since is when the ratio began to call for a change of unequal; pending is set while
 	// it does.
 	since   time.Duration
@@ -54,20 +57,19 @@
 // Update evaluates the reports and returns the rates and weights by target. It returns nil unless
 // targets are unequal. A target whose rate isn't agreed gets the median weight.
 func (t *Table) Update(now time.Duration) map[string]Weighted {
-	rates := make([]float64, 0, len(t.targets))
+	rates := make([]Rate, 0, len(t.targets))
 	out := make(map[string]Weighted, len(t.targets))
 	for id, s := range t.targets {
 		if r, ok := s.rate(now); ok {
-			rates = append(rates, r.TokensPerSecond)
+			rates = append(rates, r)
 			out[id] = Weighted{Rate: r, Weight: s.updateWeight(r.TokensPerSecond)}
 		}
 	}
-	slices.Sort(rates)
 	t.spread.update(now, rates, len(t.targets))
 	if !t.spread.unequal || len(rates) == 0 {
 		return nil
 	}
-	middle := rates[len(rates)/2]
+	middle := quantileBy(rates, 0.5, agreedRate)
 	for id, s := range t.targets {
 		if _, known := out[id]; !known {
 			s.weightStep = 0
@@ -95,18 +97,31 @@
 func stepOf(rate float64) float64       { return math.Log(rate) / math.Log(weightStepRatio) }
 func weightOfStep(step float64) float64 { return math.Pow(weightStepRatio, step) }
 
-// update takes the sorted agreed rates of a service with the given number of targets.
-func (s *spread) update(now time.Duration, rates []float64, targets int) {
+// quantileBy returns the q-quantile of an estimate over targets.
+func quantileBy(rates []Rate, q float64, estimate func(*Rate) float64) float64 {
+	list := make([]float64, len(rates))
+	for i := range rates {
+		list[i] = estimate(&rates[i])
+	}
+	slices.Sort(list)
+	return list[int(math.Round(q*float64(len(list)-1)))]
+}
+
+func agreedRate(r *Rate) float64 { return r.TokensPerSecond }
+func lowRate(r *Rate) float64    { return r.Low }
+func highRate(r *Rate) float64   { return r.High }
+
+// update takes the agreed rates of a service with the given number of targets.
+func (s *spread) update(now time.Duration, rates []Rate, targets int) {
 	s.known, s.ratio = len(rates), 0
 	if len(rates) < 2 || float64(len(rates)) < minKnownShare*float64(targets) {
 		s.pending = false // what was found before holds
 		return
 	}
-	last := float64(len(rates) - 1)
-	s.ratio = rates[int(math.Ceil(fastQuantile*last))] / rates[int(slowQuantile*last)]
-	differs := s.ratio > unequalRatio
-	if s.unequal {
-		differs = s.ratio >= equalRatio
+	s.ratio = quantileBy(rates, fastQuantile, agreedRate) / quantileBy(rates, slowQuantile, agreedRate)
+	differs := s.ratio >= equalRatio
+	if !s.unequal {
+		differs = quantileBy(rates, fastQuantile, lowRate)/quantileBy(rates, slowQuantile, highRate) > unequalRatio
 	}
 	switch {
 	case differs == s.unequal:
