--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -138,3 +138,26 @@
 	service.refreshEligibility()
 	is.Equal(service.pool.Target(0).SlowStartFactor, 0.0)
 }
+
+// Guards against a target that restarts and still counts as full: what this instance had sent and
+// claimed there is gone with the old incarnation.
+func TestRestartedTargetStartsEmpty(t *testing.T) {
+	is := is.New(t)
+	p, service := startMemoryGateway("a")
+	old := p.targets[0]
+	service.setPeerLoads(exchangeInterval, map[string]targetLoad{old.ID: {KVCacheTokens: 30_000}})
+	pl, _ := service.acquire(t.Context(), promptOf(28_000))
+	is.True(pl != nil)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	service.acquire(ctx, promptOf(50_000))
+	is.Equal(len(service.publishMemoryClaims()), 1)
+
+	back := old
+	back.StartedMs = 2
+	service.updateTargets([]directory.Registration{back}, nil, &routing.Engine{Slots: 8, MemoryTokens: 100_000})
+	is.Equal(len(service.publishMemoryClaims()), 0)
+	service.setPeerLoads(exchangeInterval, nil) // the others have noticed too
+	pl, _ = service.acquire(t.Context(), promptOf(50_000))
+	is.True(pl != nil)
+}
