placement: more of a target's memory is used without claims

A request is now sent at once if it leaves twice its size, up to 90% of the memory; large ones, which fill a target unnoticed, need more room than small ones.

--- a/internal/placement/memory.go
+++ b/internal/placement/memory.go
@@ -19,8 +19,8 @@
 // if the requests of all instances together exceed it. Each instance learns of the others'
 // requests and claims late, up to a bounded delay.
 //
-// While a target is known to be less full than openMemory, requests are sent at once. The rest
-// of its memory is given to claims, in the order of their tickets: a request claims the room
+// While a target is known to have plenty of room, requests are sent at once. The rest of its
+// memory is given to claims, in the order of their tickets: a request claims the room
 // that it needs, and is sent once the claim has been known to all instances for long enough and
 // there is room for it after all earlier claims. Later claims leave it that room, so that large
 // requests are not passed by small ones forever.
@@ -29,7 +29,7 @@
 // so each waits until it knows of all claims made before its own was known everywhere: twice
 // the delay. From then on, of any two claims the later one has counted the earlier one. What is
 // sent for claims therefore never exceeds the memory. What is sent at once exceeds it only if
-// the instances together send more than the rest above openMemory within the delay.
+// the instances together send more than the room that is left open within the delay.
 //
 // While the state of the others is older than the delay, as after this instance was suspended,
 // nothing is sent for claims. The requests and claims of an instance that falls silent count as
@@ -59,7 +59,12 @@
 	// The rest covers what their sizes don't include, such as partly filled blocks.
 	usableMemory = 0.97
 	// openMemory is the fraction of the usable memory up to which requests are sent at once.
-	openMemory = 0.6
+	// Each has to leave a reserve of openReserveFactor times its size, but at most
+	// maxOpenReserve of the usable memory: large requests that others send in the meantime are
+	// what fills a target unnoticed.
+	openMemory        = 0.9
+	openReserveFactor = 2
+	maxOpenReserve    = 0.2
 	// claimMatch is the fraction of a claim that a request must need to be sent for it.
 	// Otherwise the small requests of an instance would use up the claims of its large ones.
 	claimMatch = 0.5
@@ -132,7 +137,8 @@
 	if claimed && !isClaimant {
 		otherClaims += own.Tokens
 	}
-	if float64(held+otherClaims+tokens) <= openMemory*float64(usable) {
+	reserve := min(openReserveFactor*float64(tokens), maxOpenReserve*float64(usable))
+	if float64(held+otherClaims+tokens)+reserve <= openMemory*float64(usable) {
 		m.use(isClaimant)
 		m.Observe(now, held+tokens)
 		return true
