placement: claims take less time and end sooner

A claim needs to be known for two delays from its publication on, not from the send that precedes it; and it ends 0.1 s after its request has gone elsewhere, so that a request that considers several targets doesn't block them.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -203,7 +203,7 @@
 	loading := map[string]bool{}
 	claims := map[string][]placement.MemoryClaim{}
 	p.mu.Lock()
-	memoryDelay := p.propagationTime() + 2*p.callIntervalLocked()
+	memoryDelay := p.propagationTime() + p.callIntervalLocked()
 	fleetSize, updateMaxAge, updateDelay := p.fleetSizeLocked(), p.updateMaxAge(), p.propagationTime()
 	instances, announcementsRead := p.servingInstances(), p.announcementsRead
 	reporting, silent := 0, map[string]int{}
--- a/internal/placement/memory.go
+++ b/internal/placement/memory.go
@@ -39,10 +39,10 @@
 	instance string
 	// own is this instance's claim; its Tokens are 0 if there is none.
 	own MemoryClaim
-	// claimedAt is when the claim last grew, wantedAt when a request last needed it.
-	claimedAt, wantedAt time.Duration
-	// published is set once the claim in its present size has been handed out to be sent.
-	published bool
+	// published is set once the claim in its present size was handed out to be sent, and
+	// publishedAt is when that was. wantedAt is when a request last needed it.
+	published             bool
+	publishedAt, wantedAt time.Duration
 	// delay is 0 until the state of the others is known.
 	delay time.Duration
 	peers []MemoryClaim
@@ -69,7 +69,7 @@
 	// Otherwise the small requests of an instance would use up the claims of its large ones.
 	claimMatch = 0.5
 	// claimTimeout is how long a claim stays that no request needs any more.
-	claimTimeout = 250 * time.Millisecond
+	claimTimeout = 100 * time.Millisecond
 	// nearlyFull is the fraction of a target's memory from which a failure of the target is put
 	// down to its memory: instances know of each other's requests late and estimate their sizes.
 	nearlyFull = 0.85
@@ -82,7 +82,7 @@
 func NewMemoryShare(instance string) *MemoryShare { return &MemoryShare{instance: instance} }
 
 // SetPeers sets the claims of the other instances and the time within which each instance
-// learns of what another one has sent or claimed.
+// knows what another one has published.
 func (m *MemoryShare) SetPeers(now, delay time.Duration, claims []MemoryClaim) {
 	m.peersAt, m.delay, m.peers, m.peersTotal = now, delay, claims, 0
 	for _, c := range claims {
@@ -107,7 +107,9 @@
 // with each further update until it ends.
 func (m *MemoryShare) Publish(now time.Duration) (MemoryClaim, bool) {
 	c, ok := m.Claim(now)
-	m.published = ok
+	if ok && !m.published {
+		m.published, m.publishedAt = true, now
+	}
 	return c, ok
 }
 
@@ -162,7 +164,7 @@
 
 // isMature reports whether all earlier claims are known here and this claim is known to all.
 func (m *MemoryShare) isMature(now time.Duration) bool {
-	return m.published && m.delay > 0 && now-m.peersAt <= m.delay && now-m.claimedAt >= 2*m.delay
+	return m.published && m.delay > 0 && now-m.peersAt <= m.delay && now-m.publishedAt >= 2*m.delay
 }
 
 // claim makes or enlarges the claim for a request, or keeps it.
@@ -174,7 +176,7 @@
 		}
 	}
 	if tokens > m.own.Tokens {
-		m.own.Tokens, m.claimedAt, m.published = tokens, now, false
+		m.own.Tokens, m.published = tokens, false
 	}
 	if float64(tokens) >= claimMatch*float64(m.own.Tokens) {
 		m.wantedAt = now
