--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -149,13 +149,13 @@
 			pl.relay = relay
 			service.startAttempt(pl, cancel, policy)
 		},
-		onProgress: func() { service.recordProgress(pl) },
-		onPause:    func(paused bool) { service.recordPause(pl, paused) },
+		onProgress:    func() { service.recordProgress(pl) },
+		onEnd:         func(r overload.Result) { service.endAttempt(pl, r) },
+		onUnreachable: func(err error) { service.recordUnreachable(pl, err) },
+		cancelledHere: func() bool { return service.wasCancelledHere(pl) },
+		onPause:       func(paused bool) { service.recordPause(pl, paused) },
 
 		failedForMemory: func() bool { return service.recordLostConnection(&pl.target) },
-		onEnd:           func(r overload.Result) { service.endAttempt(pl, r) },
-		onUnreachable:   func(err error) { service.recordUnreachable(pl, err) },
-		cancelledHere:   func() bool { return service.wasCancelledHere(pl) },
 	}
 	return a, nil
 }
