plainqueue, gateway: targets of small plain services are shared by the fleet's demand

With fewer slots than instances, an instance's own counts say little about how full the targets are. Instances now publish their arrivals and what they have in flight at such services, draw targets by shares computed from the demand of all domains and the learned speeds, and have requests wait briefly, the most urgent first, if the demand is more than the targets can serve. Other services are as before.

--- a/internal/gateway/fleetstate.go
+++ b/internal/gateway/fleetstate.go
@@ -16,7 +16,7 @@
 	state := wire.InstanceState{
 		Capacity: g.settings.Capacity, Leaving: g.draining.Load(), StoreUnreachable: g.feeds.anyUnreachable(), BlockedTargets: g.dialer.ConfirmedCount(), OrderLease: g.heldLeaseRecord(),
 		ConfigVersion: g.configVersion(), Loads: map[string]wire.TargetLoad{}, CacheStores: g.cache.reachableStores(),
-		TargetLimits: g.limits.reports(),
+		TargetLimits: g.limits.reports(), PlainLoads: g.publishedPlainLoads(g.listPlainServices()),
 	}
 	for _, service := range g.listServices() {
 		state.UnreachableTargets += service.unreachableCount()
@@ -78,6 +78,7 @@
 	services := g.listEngineServices()
 	for i := range changes {
 		g.limits.applyReports(changes[i].State.TargetLimits)
+		g.plainLoads.apply(changes[i].At, changes[i].Identity, changes[i].State.PlainLoads)
 		if rows := changes[i].State.Rollouts; len(rows) > 0 {
 			g.canaries.applyPublished(changes[i].At, changes[i].Identity.Instance, rows)
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,7 +72,9 @@
 	cache   *cacheStores
 	// limits holds the request rate limits that targets state.
 	limits *targetLimits
-	lease  *sharedLease
+	// plainLoads holds what peers have in flight at plain services.
+	plainLoads *plainLoads
+	lease      *sharedLease
 	// reach tells which failure domains can be reached.
 	reach *domainReach
 	// canaries are the rollouts of new software versions that operators order.
@@ -153,6 +155,7 @@
 	g.reach = newDomainReach(c.Now)
 	g.canaries = newCanaries(s, c.Now)
 	g.limits = newTargetLimits(c.Now, s.Instance)
+	g.plainLoads = &plainLoads{now: c.Now, limits: g.limits}
 	g.callers = newCallerServer(g)
 	return g
 }
@@ -322,7 +325,7 @@
 func (g *Gateway) plainServiceFor(name string) *plainService {
 	s := g.plainServices[name]
 	if s == nil {
-		s = newPlainService(g.clock.Now, g.settings.Domain, g.limits, g.reach)
+		s = newPlainService(g.clock.Now, name, g.settings.Domain, g.limits, g.reach, g.plainLoads)
 		g.plainServices[name] = s
 	}
 	return s
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -64,6 +64,9 @@
 		return g.chooseEngineTarget(ctx, c)
 	}
 	service := g.plainServiceOf(c)
+	if refusal, ok := g.awaitPlainTarget(ctx, c, service); !ok {
+		return nil, refusal
+	}
 	choice, ok := service.acquire(append(slices.Clip(c.refusedBy), c.lastTarget), c.toCanary)
 	if !ok && c.lastTarget != "" {
 		choice, ok = service.acquire(nil, c.toCanary)
--- a/internal/gateway/plainservice.go
+++ b/internal/gateway/plainservice.go
@@ -9,6 +9,7 @@
 	"github.com/mastictray/mastictray/internal/directory"
 	"github.com/mastictray/mastictray/internal/overload"
 	"github.com/mastictray/mastictray/internal/placement"
+	"github.com/mastictray/mastictray/internal/plainqueue"
 	"github.com/mastictray/mastictray/internal/targetpause"
 )
 
@@ -16,14 +17,23 @@
 type plainService struct {
 	now    func() time.Duration
 	domain string
+	name   string
 	limits *targetLimits
 	reach  *domainReach
+	loads  *plainLoads
 
 	mu      sync.Mutex
 	targets []serviceTarget
 	pauses  *targetpause.Pauses[directory.Incarnation]
 	rng     *rand.Rand
 	scratch []placement.ServiceTarget
+	// averages and queue are used if the service shares its targets; see sharesTargets.
+	averages       plainqueue.Averages
+	arrivals       plainqueue.Meter
+	queue          plainqueue.Queue[chan queueVerdict]
+	queueScheduled bool
+	// objective is the latency objective of the latest request.
+	objective time.Duration
 	// unreachable tracks the probes of unreachable targets.
 	unreachable unreachableProbes
 }
@@ -33,11 +43,12 @@
 	canary       bool
 	inFlight     int
 	breaker      *overload.Breaker
+	serviceTime  plainqueue.ServiceTime
 }
 
-func newPlainService(now func() time.Duration, domain string, limits *targetLimits, reach *domainReach) *plainService {
+func newPlainService(now func() time.Duration, name, domain string, limits *targetLimits, reach *domainReach, loads *plainLoads) *plainService {
 	return &plainService{
-		now: now, domain: domain, limits: limits, reach: reach, pauses: &targetpause.Pauses[directory.Incarnation]{},
+		now: now, name: name, domain: domain, limits: limits, reach: reach, loads: loads, pauses: &targetpause.Pauses[directory.Incarnation]{},
 		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
@@ -51,7 +62,7 @@
 	for _, r := range regs {
 		t := serviceTarget{registration: r, canary: isCanary[r.ID]}
 		if old := s.find(r.Incarnation()); old != nil {
-			t.inFlight, t.breaker = old.inFlight, old.breaker
+			t.inFlight, t.breaker, t.serviceTime = old.inFlight, old.breaker, old.serviceTime
 		} else {
 			t.breaker = overload.NewBreaker(overload.BreakerConfig{})
 		}
@@ -74,9 +85,14 @@
 	target  directory.Registration
 	breaker *overload.Breaker
 	ticket  overload.Ticket
+	// startedAt is when it was chosen, measured is set if its time tells the target's speed: it
+	// doesn't wait for others there.
+	startedAt time.Duration
+	measured  bool
 }
 
-// acquire chooses the target with the fewest requests of this instance and, among equals,
+// acquire chooses a target by the shares of the fleet's demand if the service shares its targets;
+// see sharesTargets. Otherwise, or if none can be chosen so, it chooses the target with the fewest requests of this instance and, among equals,
 // one in its own domain; those in exclude are passed over. It chooses among canaries or among stable
 // targets and returns false if none may get a request.
 func (s *plainService) acquire(exclude []string, isCanary bool) (*serviceChoice, bool) {
@@ -84,17 +100,24 @@
 	defer s.mu.Unlock()
 	now := s.now()
 	s.pauses.Expire(now)
-	i, ok := s.leastOutstanding(now, exclude, isCanary, false)
-	if !ok {
-		i, ok = s.leastOutstanding(now, exclude, isCanary, true)
+	i, ok, shared := 0, false, !isCanary && s.sharesTargets()
+	if shared {
+		p := s.plan(now, exclude)
+		i, ok = p.Draw(s.objective, s.rng.Float64)
+	}
+	for _, onlyChoice := range []bool{false, true} {
+		if !ok {
+			i, ok = s.leastOutstanding(now, exclude, isCanary, onlyChoice)
+		}
 	}
 	if !ok {
 		return nil, false
 	}
 	t := &s.targets[i]
+	measured := shared && s.targetLoad(t) < float64(t.registration.Slots)
 	t.inFlight++
 	s.limits.recordSend(t.registration.Incarnation())
-	return &serviceChoice{target: t.registration, breaker: t.breaker, ticket: t.breaker.Begin()}, true
+	return &serviceChoice{target: t.registration, breaker: t.breaker, ticket: t.breaker.Begin(), startedAt: now, measured: measured}, true
 }
 
 // leastOutstanding returns the target that acquire chooses. onlyChoice is set if this instance has
@@ -130,6 +153,9 @@
 	defer s.mu.Unlock()
 	if t := s.find(c.target.Incarnation()); t != nil {
 		t.inFlight--
+		if c.measured && result == overload.Succeeded {
+			t.serviceTime.Observe(s.now() - c.startedAt)
+		}
 	}
 	c.breaker.End(s.now(), c.ticket, result, s.rng)
 }
--- a/internal/gateway/targetlimits.go
+++ b/internal/gateway/targetlimits.go
@@ -45,6 +45,13 @@
 	t.limiter.SetFleet(t.now(), names, discovered)
 }
 
+// fleetSize returns the number of instances that may be serving.
+func (t *targetLimits) fleetSize() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.limiter.FleetSize()
+}
+
 // applyReports merges the limits that another instance reports.
 func (t *targetLimits) applyReports(limits []wire.TargetLimit) {
 	if len(limits) == 0 {
--- a/internal/targetlimit/limiter.go
+++ b/internal/targetlimit/limiter.go
@@ -142,6 +142,9 @@
 	}
 }
 
+// FleetSize returns the number of instances that may be serving, at least 1.
+func (l *Limiter) FleetSize() int { return max(1, len(l.members)) }
+
 // Observe records what a target stated in its answer to a request sent
 // at the given time, and reports whether it changed. The answer to a
 // request sent before the latest change is ignored, since it may be older than
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -104,7 +104,8 @@
 	// Demand is what the origin's callers have asked for recently.
 	Demand []AccountDemand
 	// PlainLoads is the number of requests that the origin has in flight at targets of plain
-	// services.
+	// services, by target, and of those that arrive in ten seconds, by "*" and the service. Only
+	// services with fewer slots than the fleet has instances are included.
 	PlainLoads map[string]int
 	// TargetRates are the capacities of targets that the origin has measured.
 	TargetRates []TargetRate
