plainqueue: a bound on sends only after a target has rejected a request; less urgent requests leave a reserve

The times include the way to the targets. Waits are also shorter now: with half of the objective, answers of full targets were late.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -189,8 +189,8 @@
 	}
 	if c.service.Engine != nil {
 		g.engineServiceOf(c).recordRefusal(id, pause)
-	} else if pause > 0 {
-		g.plainServiceOf(c).recordPause(id, pause)
+	} else {
+		g.plainServiceOf(c).recordRefusal(id, pause)
 	}
 }
 
--- a/internal/gateway/plainqueue.go
+++ b/internal/gateway/plainqueue.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/mastictray/mastictray/internal/directory"
 	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/plainqueue"
 	"github.com/mastictray/mastictray/internal/wire"
@@ -64,7 +65,7 @@
 			counts[t.registration.ID] = t.inFlight
 		}
 	}
-	if n := int(s.arrivals.Rate(s.now())*plainqueue.ReportedSeconds + 0.5); n > 0 {
+	if n := int(s.throttle.Arrivals(s.now())*plainqueue.ReportedSeconds + 0.5); n > 0 {
 		counts[arrivalsKey(s.name)] = n
 	}
 	return counts
@@ -73,7 +74,7 @@
 // plan returns the shares of the stable targets that may get a request, except those in exclude.
 // The caller holds s.mu.
 func (s *plainService) plan(now time.Duration, exclude []string) plainqueue.Plan {
-	s.loads.update(&s.averages, s.targetIDs(), arrivalsKey(s.name), s.domain, s.arrivals.Rate(now))
+	s.loads.update(&s.averages, s.targetIDs(), arrivalsKey(s.name), s.domain, s.throttle.Arrivals(now))
 	unreachable := s.reach.unreachableDomains()
 	targets := make([]plainqueue.Target, len(s.targets))
 	for i := range s.targets {
@@ -114,8 +115,18 @@
 	retryAfter time.Duration
 }
 
-// await waits until a request may be sent to the service. It returns at once unless the fleet has
-// more requests than the targets serve in time; report is nil then. If the context ends it returns
+// recordRefusal records that a target refused a request, and the pause that it asked for; 0 for none.
+func (s *plainService) recordRefusal(id directory.Incarnation, pause time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.throttle.Rejected(s.now())
+	if pause > 0 {
+		s.pauses.Pause(s.now(), id, pause)
+	}
+}
+
+// await waits until a request may be sent to the service. It returns at once unless targets have
+// rejected requests and the fleet has more than they can serve; report is nil then. If the context ends it returns
 // with the verdict plainqueue.Wait.
 func (s *plainService) await(ctx context.Context, urgency int, deadline, objective time.Duration) (report *queueReport) {
 	s.mu.Lock()
@@ -127,7 +138,7 @@
 	s.objective = objective
 	now := s.now()
 	p := s.updateRate(now)
-	s.arrivals.Observe(now) // after the rate has been set: with itself included it would be biased
+	s.throttle.Arrived(now) // after the rate has been set: with itself included it would be biased
 	granted := make(chan queueVerdict, 1)
 	v, retryAfter := s.queue.Admit(now, plainqueue.Request[chan queueVerdict]{Urgency: urgency, Deadline: deadline, MaxWait: plainqueue.MaxWait(objective), Value: granted})
 	if v == plainqueue.Send {
@@ -158,7 +169,7 @@
 // s.mu.
 func (s *plainService) updateRate(now time.Duration) plainqueue.Plan {
 	p := s.plan(now, nil)
-	s.queue.SetRate(now, p.Rate(s.arrivals.Rate(now)), p.TimeAtTarget(s.objective))
+	s.queue.SetRate(now, s.throttle.Rate(now, &p), p.TimeAtTarget(s.objective))
 	return p
 }
 
--- a/internal/gateway/plainqueue_test.go
+++ b/internal/gateway/plainqueue_test.go
@@ -56,6 +56,7 @@
 	for i := range f.targets { // all three are known
 		f.serve(is, 10, 15*time.Millisecond, f.targets[i].registration.ID)
 	}
+	f.recordRefusal(f.targets[0].registration.Incarnation(), 0)
 	for i := range 20 {
 		f.clock.Add(int64(10 * time.Millisecond))
 		f.loads.apply(f.now(), wire.Identity{Instance: fmt.Sprintf("p%d", i), Domain: "b"}, map[string]int{"*desk": 100 * plainqueue.ReportedSeconds})
--- a/internal/gateway/plainservice.go
+++ b/internal/gateway/plainservice.go
@@ -29,7 +29,7 @@
 	scratch []placement.ServiceTarget
 	// averages and queue are used if the service shares its targets; see sharesTargets.
 	averages       plainqueue.Averages
-	arrivals       plainqueue.Meter
+	throttle       plainqueue.Throttle
 	queue          plainqueue.Queue[chan queueVerdict]
 	queueScheduled bool
 	// objective is the latency objective of the latest request.
@@ -157,6 +157,9 @@
 			t.serviceTime.Observe(s.now() - c.startedAt)
 		}
 	}
+	if result == overload.Succeeded {
+		s.throttle.Accepted(s.now())
+	}
 	c.breaker.End(s.now(), c.ticket, result, s.rng)
 }
 
@@ -168,13 +171,6 @@
 	c.breaker.Unreachable(s.now(), s.rng)
 }
 
-// recordPause records the pause that a target asked for.
-func (s *plainService) recordPause(id directory.Incarnation, pause time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.pauses.Pause(s.now(), id, pause)
-}
-
 // pauseLeft returns the time until the first target may get requests again if all of them have
 // asked for a pause, else 0.
 func (s *plainService) pauseLeft() time.Duration {
--- a/internal/plainqueue/loads.go
+++ b/internal/plainqueue/loads.go
@@ -109,6 +109,40 @@
 	return m.rate * math.Exp(-float64(now-m.updatedAt)/float64(smoothingTime))
 }
 
+// Throttle bounds what an instance sends to a service. Slots and service times alone don't show that
+// the targets are full: the times include the way to them. A bound is therefore set only after a
+// target has rejected a request, and is never less than what the targets accept.
+type Throttle struct {
+	arrivals, accepted Meter
+	rejectedAt         time.Duration
+	rejected           bool
+}
+
+const (
+	// rejectionMemory is the time after a rejection for which sends are bounded.
+	rejectionMemory = 10 * time.Second
+)
+
+// Arrived records a request of a caller, Accepted and Rejected what a target did with one.
+func (t *Throttle) Arrived(now time.Duration) { t.arrivals.Observe(now) }
+
+// Accepted records that a target has served a request.
+func (t *Throttle) Accepted(now time.Duration) { t.accepted.Observe(now) }
+
+// Rejected records that a target has refused to run a request.
+func (t *Throttle) Rejected(now time.Duration) { t.rejectedAt, t.rejected = now, true }
+
+// Arrivals returns the number of requests per second that arrive.
+func (t *Throttle) Arrivals(now time.Duration) float64 { return t.arrivals.Rate(now) }
+
+// Rate returns the number of requests per second that may be sent; 0 if no bound is needed.
+func (t *Throttle) Rate(now time.Duration, p *Plan) float64 {
+	if !t.rejected || now-t.rejectedAt > rejectionMemory || !p.reliable || p.Demand <= p.Capacity {
+		return 0
+	}
+	return max(t.Arrivals(now)*p.Capacity/p.Demand, t.accepted.Rate(now))
+}
+
 // blend moves the averages towards the values by weight.
 func blend(averages, values map[string]float64, weight float64) map[string]float64 {
 	for key, old := range averages {
--- a/internal/plainqueue/queue.go
+++ b/internal/plainqueue/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -13,6 +14,9 @@
 	// maxTokens is the number of requests that an instance may send at once while there is a
 	// bound on the rate. With one, the part of the rate is lost that accrues between arrivals.
 	maxTokens = 2
+	// reservedTokens is what less urgent requests leave. It is less than maxTokens-1 allows, so
+	// that they are served too while the most urgent take all of the rate.
+	reservedTokens = 0.5
 	// minRetryAfter and maxRetryAfter bound the time after which refused callers return.
 	minRetryAfter, maxRetryAfter = 100 * time.Millisecond, 5 * time.Second
 )
@@ -58,13 +62,15 @@
 	tokens       float64
 	updatedAt    time.Duration
 	timeAtTarget time.Duration
+	// mostUrgent is the most urgent of the requests since there is a bound on the rate.
+	mostUrgent int
 }
 
 // SetRate sets the number of requests per second that may be sent, 0 for no bound, and how long
 // a request is at a target.
 func (q *Queue[T]) SetRate(now time.Duration, rate float64, timeAtTarget time.Duration) {
 	if q.rate == 0 {
-		q.tokens = maxTokens
+		q.tokens, q.mostUrgent = maxTokens, math.MaxInt
 	} else {
 		q.tokens = min(maxTokens, q.tokens+q.rate*(now-q.updatedAt).Seconds())
 	}
@@ -77,6 +83,7 @@
 	if q.rate == 0 && len(q.waiting) == 0 {
 		return Send, 0
 	}
+	q.mostUrgent = min(q.mostUrgent, r.Urgency)
 	i, _ := slices.BinarySearchFunc(q.waiting, r, func(a, b Request[T]) int {
 		if order := a.compare(&b); order != 0 {
 			return order
@@ -84,7 +91,7 @@
 		return -1 // after those of the same rank
 	})
 	switch {
-	case i == 0 && q.takeToken():
+	case i == 0 && q.takeToken(r.Urgency):
 		return Send, 0
 	case q.isLate(now+q.waitFor(i), &r):
 		return RefuseDeadline, q.retryAfter()
@@ -129,11 +136,17 @@
 	return min(max(q.waitFor(len(q.waiting)), minRetryAfter), maxRetryAfter)
 }
 
-func (q *Queue[T]) takeToken() bool {
+// takeToken takes the right to send a request. Less urgent ones leave reservedTokens for the next of
+// the most urgent.
+func (q *Queue[T]) takeToken(urgency int) bool {
+	needed := 1.0
+	if urgency > q.mostUrgent {
+		needed += reservedTokens
+	}
 	if q.rate == 0 {
 		return true
 	}
-	if q.tokens < 1 {
+	if q.tokens < needed {
 		return false
 	}
 	q.tokens--
@@ -156,7 +169,7 @@
 		q.waiting = slices.Delete(q.waiting, i, i+1)
 		return r.Value, refusal, q.retryAfter(), true
 	}
-	if len(q.waiting) == 0 || !q.takeToken() {
+	if len(q.waiting) == 0 || !q.takeToken(q.waiting[0].Urgency) {
 		return value, Wait, 0, false
 	}
 	value = q.waiting[0].Value
--- a/internal/plainqueue/shares.go
+++ b/internal/plainqueue/shares.go
@@ -26,6 +26,9 @@
 	minSpeed, maxSpeed = 0.25, 4
 	// objectiveShare is the part of a latency objective that requests may spend at a target.
 	objectiveShare = 0.5
+	// waitShare is the part that they may wait before they are sent. With more, answers of full
+	// targets are late.
+	waitShare = 0.25
 )
 
 // Target is a target of the service.
@@ -214,7 +217,7 @@
 	if objective == 0 {
 		return defaultMaxWait
 	}
-	return time.Duration((1 - objectiveShare) * float64(objective))
+	return time.Duration(waitShare * float64(objective))
 }
 
 // defaultMaxWait is the longest wait without an objective.
@@ -224,12 +227,3 @@
 func (p *Plan) TimeAtTarget(objective time.Duration) time.Duration {
 	return time.Duration(Patience(objective, p.ServiceTime) * float64(p.ServiceTime))
 }
-
-// Rate returns the number of requests per second that an instance may send to which the given
-// number arrive; 0 if no bound is needed.
-func (p *Plan) Rate(arrivals float64) float64 {
-	if !p.reliable || p.Demand <= p.Capacity {
-		return 0
-	}
-	return arrivals * p.Capacity / p.Demand
-}
