--- a/internal/placement/memory.go
+++ b/internal/placement/memory.go
@@ -139,8 +139,7 @@
 	if claimed && !isClaimant {
 		otherClaims += own.Tokens
 	}
-	reserve := min(openReserveFactor*float64(tokens), maxOpenReserve*float64(usable))
-	if float64(held+otherClaims+tokens)+reserve <= openMemory*float64(usable) {
+	if hasOpenRoom(usable, held+otherClaims, tokens) {
 		m.use(isClaimant)
 		m.Observe(now, held+tokens)
 		return true
@@ -158,13 +157,20 @@
 // expectedWait returns how long a request would wait for a claim to mature; 0 if it could be sent
 // at once. Unlike Admit, it makes no claim.
 func (m *MemoryShare) expectedWait(memory, held, tokens int) time.Duration {
-	usable := usableMemory * float64(memory)
-	if float64(held+m.peersTotal+tokens) <= openMemory*usable {
+	usable := int(usableMemory * float64(memory))
+	if hasOpenRoom(usable, held+m.peersTotal, min(tokens, usable)) {
 		return 0
 	}
 	return 2 * m.delay
 }
 
+// hasOpenRoom reports whether a request may be sent at once to a target whose usable memory is
+// taken up to the given number of tokens.
+func hasOpenRoom(usable, taken, tokens int) bool {
+	reserve := min(openReserveFactor*float64(tokens), maxOpenReserve*float64(usable))
+	return float64(taken+tokens)+reserve <= openMemory*float64(usable)
+}
+
 // use ends the claim if the request that is sent is its claimant.
 func (m *MemoryShare) use(isClaimant bool) {
 	if isClaimant {
