--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -287,7 +287,7 @@
 		return fairqueue.Refuse
 	}
 	t := d.pool.Target(choice.Index)
-	if t.Full() || d.pool.Backlog(choice.Index, now) >= d.options.MaxTargetBacklog {
+	if d.pool.Backlog(choice.Index, now) >= d.options.MaxTargetBacklog || t.Full(now, &r.Placement) {
 		t.Load.AddPending(choice.UncachedTokens)
 		return fairqueue.Skip
 	}
@@ -318,7 +318,7 @@
 		t.OverRate = true
 		d.pool.ApplyFilters(choice.Index)
 	}
-	t.InFlight++
+	d.pool.AddInFlight(choice.Index, 1)
 	t.HeldTokens += r.Placement.HeldTokens
 	stamp := d.index.AddExpected(id, r.Placement.Chain)
 	d.step.Sends = append(d.step.Sends, Send[T]{
--- a/internal/gateway/engineservice.go
+++ b/internal/gateway/engineservice.go
@@ -14,7 +14,9 @@
 	"github.com/mastictray/mastictray/internal/overload"
 	"github.com/mastictray/mastictray/internal/placement"
 	"github.com/mastictray/mastictray/internal/routing"
+	"github.com/mastictray/mastictray/internal/runmove"
 	"github.com/mastictray/mastictray/internal/servicetime"
+	"github.com/mastictray/mastictray/internal/targetcapacity"
 	"github.com/mastictray/mastictray/internal/targetlimit"
 	"github.com/mastictray/mastictray/internal/targetpause"
 )
@@ -45,6 +47,8 @@
 	fetchSourcePieces int
 	// eligibleTargets is the number of targets that could be chosen.
 	eligibleTargets int
+	// isQuiet is set if the target had few other requests when the attempt was sent.
+	isQuiet bool
 	// stallID identifies the attempt to the stall detector of its target.
 	stallID uint64
 	// relay is the instance that relays the connection; empty for a direct one.
@@ -59,6 +63,20 @@
 	cancelledHere bool
 	// firstTokenSeen is set once the first token has arrived.
 	firstTokenSeen bool
+	// foundUnreached is set if the attempt was ended because nobody reaches its target.
+	foundUnreached bool
+	// continued is set if the run goes on here with memory from another target.
+	continued bool
+	// firstEventAt is when the first part of the response arrived, laterEvents the number of
+	// parts since.
+	firstEventAt time.Duration
+	laterEvents  int
+	// withdrawnAt is when the target was first seen to take no new requests for good; 0 if it
+	// does.
+	withdrawnAt time.Duration
+	// paused is set while the response isn't read because its caller takes nothing, and
+	// wasPaused once that has happened.
+	paused, wasPaused bool
 }
 
 // engineService schedules the requests of one service of model servers. Its lock is held
@@ -67,6 +85,15 @@
 	now         func() time.Duration
 	domain      string
 	prefillRate float64
+	// sharesSlots is set if the targets' slots are shared with the other instances; see
+	// placement.Target.SharedSlots.
+	sharesSlots bool
+	// reportsTimeouts is set if targets that no instance has reached are reported to peers as
+	// silent. In a large fleet each instance would otherwise lose a request to the timeout of
+	// each such target.
+	reportsTimeouts bool
+	// slotTime is the mean time for which requests keep a slot; 0 until one has ended.
+	slotTime time.Duration
 	// transferRate is the number of tokens per second that one target can fetch from
 	// another.
 	transferRate float64
@@ -74,8 +101,11 @@
 	mu            sync.Mutex
 	registrations map[string]directory.Registration
 	// isCanary holds the targets that are canaries.
-	isCanary       map[string]bool
-	memoryTokens   int
+	isCanary     map[string]bool
+	memoryTokens int
+	// sharesMemoryAs is the name under which this instance claims room in the targets' memory;
+	// empty if instances don't share it.
+	sharesMemoryAs string
 	breakers       map[string]*overload.Breaker
 	stallDetectors map[string]*overload.StallDetector
 	running        map[*enginePlacement]struct{}
@@ -91,8 +121,10 @@
 	nextID     uint64
 	// serviceTimes estimates the targets' times to first token.
 	serviceTimes *servicetime.Estimator
-	bounds       versionBounds
-	reach        *domainReach
+	// capacities are the targets' rates as all instances measure them.
+	capacities targetCapacities
+	bounds     versionBounds
+	reach      *domainReach
 	// avoidedDomains are the unreachable domains as the placement filters know them.
 	avoidedDomains map[string]bool
 	// limits are the rate limits that targets advertise, rateLimited the targets that have
@@ -105,21 +137,30 @@
 	// pauses holds the targets that have refused a request as a whole and asked for a pause,
 	// backoffs all that have refused one shortly before.
 	pauses, backoffs *targetpause.Pauses[directory.Incarnation]
+	// copies and backups are the budgets of the copies that are being made for moves, and of the
+	// backups of running requests.
+	copies, backups *runmove.Copies
+	// leaveMoveDelay is how long a run stays at a target that leaves until it is moved.
+	leaveMoveDelay time.Duration
 	// unreachable tracks the probes of unreachable targets.
 	unreachable unreachableProbes
+	// memoryFailures are the targets that ran out of memory.
+	memoryFailures memoryFailures
 	// stepScheduled is set while a timer for the next step runs.
 	stepScheduled bool
 }
 
-func newEngineService(now func() time.Duration, domain string, prefill float64, limits *targetLimits, reach *domainReach, urgencyFirst bool) *engineService {
+func newEngineService(now func() time.Duration, domain string, prefill float64, limits *targetLimits, reach *domainReach, features Features) *engineService {
 	s := &engineService{
+		sharesSlots: features.Contention, reportsTimeouts: features.LargePools,
 		now: now, domain: domain, prefillRate: prefill, limits: limits, reach: reach, serviceTimes: servicetime.New(prefill),
+		capacities:    targetCapacities{table: targetcapacity.New(), updatedAt: never},
 		registrations: map[string]directory.Registration{}, breakers: map[string]*overload.Breaker{},
 		stallDetectors: map[string]*overload.StallDetector{}, running: map[*enginePlacement]struct{}{}, stalledAt: map[string]time.Duration{},
 		index:  cacheindex.New(cacheIndexBytes),
 		rng:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		pauses: &targetpause.Pauses[directory.Incarnation]{}, backoffs: &targetpause.Pauses[directory.Incarnation]{},
-		loadingSince: map[string]time.Duration{}, probing: map[string]bool{},
+		loadingSince: map[string]time.Duration{}, probing: map[string]bool{}, copies: runmove.NewCopies(runmove.MoveLimits), backups: runmove.NewCopies(runmove.BackupLimits),
 	}
 	s.rebuild(nil)
 	o := dispatch.DefaultOptions()
@@ -127,7 +168,7 @@
 	o.RecomputeBacklogUnit, o.MaxRecomputeFactor = recomputeBacklogUnit, maxRecomputeFactor
 	o.Queue.MaxItems = maxQueuedRequests
 	o.Queue.MinRate = prefill
-	o.Queue.UrgencyFirst = urgencyFirst
+	o.Queue.UrgencyFirst = features.Contention
 	s.dispatcher = dispatch.New[chan placementResult](s.pool, s.index, s.picker, o)
 	return s
 }
@@ -165,11 +206,13 @@
 	s.registrations = next
 	s.serviceTimes.Retain(func(id string) bool { _, exists := next[id]; return exists })
 	s.pool = placement.NewPool(targets, "", placement.DefaultFilters())
+	s.replaceCapacityTargets(regs)
 	o := placement.DefaultOptions()
 	o.MaxCandidates, o.EquivalentTokens = maxCandidates, s.serviceTimes.EquivalentTokens
 	o.QueueSlack = queueSlack
 	o.Domain, o.OutdatedPenalty = s.domain, outdatedWeightsPenalty
 	o.TransferTokensPerSecond, o.TransferSetup = s.transferRate, transferSetup
+	o.SlotTime = func() time.Duration { return s.slotTime }
 	s.picker = placement.NewPicker(s.pool, s.index, o)
 }
 
@@ -200,10 +243,17 @@
 		}
 	}
 	t.PrefillTokensPerSecond = s.serviceTimes.Rate(r.ID)
+	t.SlowStartFactor = s.memoryFailures.slowStartFactor(s.now(), &r)
 	id := cacheIdentity(&r)
 	t.Domain, t.Incarnation, t.Version = r.Domain, id.Incarnation, id.Version
 	t.Unreachable = s.avoidedDomains[r.Domain]
+	if s.sharesMemoryAs != "" && t.Memory == nil {
+		t.Memory = placement.NewMemoryShare(s.sharesMemoryAs)
+	}
 	t.Limit, t.MemoryTokens, t.Canary = r.Slots, s.memoryTokens, s.isCanary[r.ID]
+	if s.sharesSlots {
+		t.SharedSlots = r.Slots
+	}
 	t.Outdated, t.Loading = hasOlderWeights(&r, s.bounds.preferred), s.isExcluded(&r)
 	t.Cache = s.index.Observe(s.now(), id)
 	return t
@@ -279,6 +329,8 @@
 		if from, n, ok := s.picker.FetchSource(send.Decision, &send.Request.Placement); ok {
 			pl.fetchSource, pl.fetchSourcePieces = s.registrations[s.pool.Target(from).Name].Address, n
 		}
+		t := s.pool.Target(send.Target)
+		pl.isQuiet = float64(t.InFlight+t.PeersInFlight-1) <= quietFraction*float64(t.Limit)
 		send.Request.Value <- placementResult{placed: pl}
 	}
 	for i := range step.Refusals {
@@ -294,6 +346,7 @@
 	s.refreshDomains()
 	s.refreshRateLimits()
 	s.expirePauses()
+	s.refreshSlowStarts()
 }
 
 // refreshDomains updates the placement filters with the domains that can't be reached. The caller
@@ -350,19 +403,37 @@
 		s.setPermission(id, targetlimit.Permission{CanSend: true})
 	}
 	s.rateLimited = map[string]bool{}
+	permitted := 0
 	for id, p := range permissions {
 		if r, ok := s.registrations[id.ID]; ok && r.Incarnation() == id {
 			s.rateLimited[id.ID] = true
+			if s.setPermission(id.ID, p) {
+				permitted++
+			}
+		}
+	}
+	if permitted > 0 || len(s.rateLimited) < len(s.registrations) {
+		return
+	}
+	for id, p := range permissions {
+		r := s.registrations[id.ID]
+		if s.rateLimited[id.ID] && p.ShareSlots && s.limits.allowsOneEach(r.Incarnation(), r.Slots) {
+			p.ShareSlots = false
 			s.setPermission(id.ID, p)
+			if i, ok := s.pool.Find(id.ID); ok {
+				s.pool.Target(i).Limit = 1
+				s.pool.ApplyFilters(i)
+			}
 		}
 	}
 }
 
-// setPermission sets what may be sent to a target now. The caller holds s.mu.
-func (s *engineService) setPermission(id string, p targetlimit.Permission) {
+// setPermission sets what may be sent to a target now, and reports whether that is anything.
+// The caller holds s.mu.
+func (s *engineService) setPermission(id string, p targetlimit.Permission) bool {
 	i, ok := s.pool.Find(id)
 	if !ok {
-		return
+		return false
 	}
 	t := s.pool.Target(i)
 	t.RateLimited, t.OverRate = p.RateLimited, !p.CanSend
@@ -370,8 +441,10 @@
 	t.Limit = r.Slots
 	if p.ShareSlots {
 		t.Limit = s.limits.slotShare(r.Incarnation(), r.Slots)
+		t.OverRate = t.OverRate || t.Limit == 0
 	}
 	s.pool.ApplyFilters(i)
+	return !t.OverRate
 }
 
 // recordFirstToken records the first token of a response. Further calls for the same
@@ -383,26 +456,37 @@
 		return
 	}
 	pl.firstTokenSeen = true
-	s.observeFirstToken(pl)
+	if !pl.continued {
+		s.observeFirstToken(pl)
+	}
 	s.dispatcher.Answered(&pl.send)
 	s.index.AddInsertedTokens(pl.send.Identity, float64(pl.newlyCachedTokens()))
 	s.step()
 }
 
+// quietFraction is the number of other requests at a target, as a fraction of its slots, up to
+// which a first token tells its rate. With more, prompts wait for slots and for prefills that
+// aren't known here yet, and all targets would seem slow, each by another factor.
+const quietFraction = 0.125
+
 // observeFirstToken updates the service time estimates with the first token of a response.
 // The caller holds s.mu.
 func (s *engineService) observeFirstToken(pl *enginePlacement) {
 	now, r := s.now(), &pl.send.Request.Placement
-	s.serviceTimes.Observe(pl.target.ID, servicetime.Sample{
+	sample := servicetime.Sample{
 		At: now, Elapsed: now - pl.send.SentAt, PromptTokens: float64(r.PromptTokens),
 		UncachedTokens: max(0, float64(r.PromptTokens-r.LeadingTokens(max(pl.send.Decision.CachedPieces, pl.fetchSourcePieces)))),
-		NoOtherWork:    pl.send.Decision.Queued == 0,
-	})
+		NoOtherWork:    pl.send.Decision.Queued == 0 && (pl.isQuiet || !s.sharesSlots),
+	}
+	if pl.isQuiet {
+		s.measureCapacity(pl, sample)
+	}
+	s.serviceTimes.Observe(pl.target.ID, sample)
 	if l := s.serviceTimes.Latency(); l > 0 {
 		s.dispatcher.SetLatency(l)
 	}
 	if i, ok := s.pool.Find(pl.target.ID); ok {
-		s.pool.Target(i).PrefillTokensPerSecond = s.serviceTimes.Rate(pl.target.ID)
+		s.pool.SetPrefillRate(i, s.serviceTimes.Rate(pl.target.ID))
 	}
 }
 
@@ -410,16 +494,18 @@
 func (s *engineService) endAttempt(pl *enginePlacement, result overload.Result) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if pl.cancelledHere {
+	if pl.cancelledHere || pl.wasPaused && result == overload.Failed {
 		result = overload.Cancelled
 	}
 	if !pl.firstTokenSeen {
 		pl.firstTokenSeen = true
 		s.dispatcher.Failed(&pl.send)
+	} else {
+		s.observeSlotTime(pl)
 	}
 	if i, ok := s.pool.Find(pl.target.ID); ok && s.registrations[pl.target.ID].Incarnation() == pl.target.Incarnation() {
 		t := s.pool.Target(i)
-		t.InFlight--
+		s.pool.AddInFlight(i, -1)
 		t.HeldTokens -= pl.heldTokens
 	}
 	pl.breaker.End(s.now(), pl.ticket, result, s.rng)
@@ -437,6 +523,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	pl.breaker.Unreachable(s.now(), s.rng)
+	if s.reportsTimeouts && isTimeout(err) && !s.avoidedDomains[pl.target.Domain] {
+		s.stalledAt[pl.target.ID] = s.now()
+	}
 }
 
 // wasCancelledHere reports whether this instance cancelled an attempt for a reason that says
--- a/internal/gateway/enginestall.go
+++ b/internal/gateway/enginestall.go
@@ -116,7 +116,7 @@
 	}
 	if path != connrelay.Unreached {
 		detector.Alive(now)
-		s.cancelAttempts(target.id, func(pl *enginePlacement) bool { return pl.firstTokenSeen })
+		s.cancelAttempts(target.id, func(pl *enginePlacement) bool { return pl.firstTokenSeen && !pl.paused })
 		s.cancelLostAttempts(target.address, func(pl *enginePlacement) bool {
 			return pl.relay == "" && path == connrelay.Blocked || pl.relay != "" && !mayRelay(pl.relay)
 		})
@@ -124,11 +124,22 @@
 	}
 	s.breaker(target.id).Unreachable(now, s.rng)
 	s.stalledAt[target.id] = now
-	s.cancelAttempts(target.id, func(*enginePlacement) bool { return true })
+	s.cancelUnreached(target.id)
 	logline.Info("target_silent", "target", target.id, "address", target.address)
 	s.step()
 }
 
+// cancelUnreached cancels the attempts at a target that nobody reaches, if they may run at another
+// one or go on at a backup. The caller holds s.mu.
+func (s *engineService) cancelUnreached(id string) {
+	for pl := range s.running {
+		if pl.target.ID == id && (pl.repeatable || pl.generation.hasBackup()) {
+			pl.foundUnreached = true
+			pl.cancel()
+		}
+	}
+}
+
 // cancelAttempts cancels the attempts at a target that match and may run at another one. The
 // others wait, because the target may recover. The caller holds s.mu.
 func (s *engineService) cancelAttempts(id string, match func(*enginePlacement) bool) {
@@ -145,7 +156,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
-	s.cancelLostAttempts(address, func(pl *enginePlacement) bool { return pl.relay == "" && now-pl.progressAt > silentAttemptTimeout })
+	s.cancelLostAttempts(address, func(pl *enginePlacement) bool {
+		return pl.relay == "" && !pl.paused && now-pl.progressAt > silentAttemptTimeout
+	})
 }
 
 // cancelLostAttempts cancels the attempts at an address that match, because of the path, and may
@@ -197,9 +210,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for pl := range s.running {
-		if pl.target.Domain == domain && pl.repeatable {
+		switch {
+		case pl.target.Domain != domain:
+		case pl.repeatable:
 			pl.cancelledHere = true
 			pl.cancel()
+		case pl.generation.hasBackup():
+			pl.cancelledHere, pl.foundUnreached = true, true
+			pl.cancel()
 		}
 	}
 }
@@ -210,5 +228,26 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	pl.progressAt = s.now()
+	if pl.firstEventAt == 0 {
+		pl.firstEventAt = pl.progressAt
+	} else {
+		pl.laterEvents++
+	}
 	s.stallDetector(pl.target.ID).Progress(pl.progressAt, pl.stallID)
 }
+
+// recordPause records that the response of an attempt is not read for a while because its caller
+// takes nothing, or that reading goes on. The target is not expected to send anything meanwhile.
+func (s *engineService) recordPause(pl *enginePlacement, paused bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	detector := s.stallDetector(pl.target.ID)
+	pl.paused = paused
+	if paused {
+		pl.wasPaused = true
+		detector.End(pl.stallID)
+		return
+	}
+	pl.progressAt = s.now()
+	pl.stallID = detector.Begin(pl.progressAt)
+}
--- a/internal/gateway/fleetstate.go
+++ b/internal/gateway/fleetstate.go
@@ -27,10 +27,13 @@
 	defer g.mu.Unlock()
 	state.LoadingTargets = g.orderedTargets
 	for _, service := range g.engineServices {
+		// Before the loads: a claim that is used in between counts twice rather than not at all.
+		state.MemoryClaims = append(state.MemoryClaims, service.publishMemoryClaims()...)
 		for id, l := range service.targetLoads() {
-			state.Loads[id] = wire.TargetLoad{PendingPromptTokens: int(l.PendingPromptTokens), KVCacheTokens: l.KVCacheTokens}
+			state.Loads[id] = wire.TargetLoad{PendingPromptTokens: int(l.PendingPromptTokens), KVCacheTokens: l.KVCacheTokens, Requests: l.Requests}
 		}
 		state.SilentTargets = append(state.SilentTargets, service.recentlyStalled()...)
+		state.TargetRates = append(state.TargetRates, service.capacityReports()...)
 	}
 	if g.contention != nil {
 		state.Demand = append(state.Demand, toWireRateDemand(g.accountLimiter.ReportDemand(g.clock.Now()))...)
@@ -82,6 +85,11 @@
 	services := g.listEngineServices()
 	for i := range changes {
 		g.limits.applyReports(changes[i].State.TargetLimits)
+		if rates := changes[i].State.TargetRates; len(rates) > 0 && changes[i].Identity.Instance != g.self.Instance {
+			for _, service := range services {
+				service.applyCapacityReports(changes[i].At, changes[i].Identity.Instance, rates)
+			}
+		}
 		g.contention.applyReport(&changes[i])
 		if rows := changes[i].State.Rollouts; len(rows) > 0 {
 			g.canaries.applyPublished(changes[i].At, changes[i].Identity.Instance, rows)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,11 +12,13 @@
 
 	"github.com/google/uuid"
 
+	"github.com/mastictray/mastictray/internal/callerconn"
 	"github.com/mastictray/mastictray/internal/clock"
 	"github.com/mastictray/mastictray/internal/connrelay"
 	"github.com/mastictray/mastictray/internal/directory"
 	"github.com/mastictray/mastictray/internal/keys"
 	"github.com/mastictray/mastictray/internal/logline"
+	"github.com/mastictray/mastictray/internal/membudget"
 	"github.com/mastictray/mastictray/internal/orderlease"
 	"github.com/mastictray/mastictray/internal/overload"
 	"github.com/mastictray/mastictray/internal/ratecount"
@@ -107,6 +109,10 @@
 	answering     context.Context
 	stopAnswering context.CancelFunc
 	callers       *callerServer
+	// memory bounds the memory of this instance's work; nil if it isn't bounded.
+	memory *memoryBudget
+	// slowCallers counts the callers that read slowly, if memory is bounded.
+	slowCallers callerconn.Stats
 }
 
 // unknownFleetSize is the assumed size of the fleet until the announcements have been
@@ -142,7 +148,12 @@
 		g.dialDirect = targetconn.NewDialer(targetconn.DefaultOptions()).DialContext
 	}
 	g.dialer, g.targets = g.newTargetPool()
+	g.memory = newMemoryBudget(&g.settings)
 	g.relays = connrelay.NewServer(g.dialDirect, g.isTargetAddress)
+	if g.memory != nil {
+		g.relays.TakeMemory = func() bool { return g.memory.take(membudget.Relays, relayedConnBytes) }
+		g.relays.ReturnMemory = func() { g.memory.giveBack(membudget.Relays, relayedConnBytes) }
+	}
 	g.answering, g.stopAnswering = context.WithCancel(context.Background())
 	g.accountLimiter.SetFleetSize(0, unknownFleetSize, ratecount.PeerTimeout)
 	leaseSettings := orderlease.DefaultSettings()
@@ -306,7 +317,11 @@
 func (g *Gateway) engineServiceFor(name string) *engineService {
 	s := g.engineServices[name]
 	if s == nil {
-		s = newEngineService(g.clock.Now, g.settings.Domain, g.settings.PrefillTokensPerSecond, g.limits, g.reach, g.settings.Features.Contention)
+		s = newEngineService(g.clock.Now, g.settings.Domain, g.settings.PrefillTokensPerSecond, g.limits, g.reach, g.settings.Features)
+		if g.settings.Features.BoundedMemory {
+			s.sharesMemoryAs = g.settings.Instance
+		}
+		s.leaveMoveDelay = time.Duration(leaveMoveShare * float64(g.settings.DrainBound))
 		g.engineServices[name] = s
 	}
 	return s
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -26,12 +26,20 @@
 	// cacheScope.
 	savesToStore bool
 	cacheScope   string
+	// placement is the placement at a model server; nil for other targets.
+	placement *enginePlacement
+	// continueFrom is where the run's memory is if the run goes on here; empty for a new run.
+	continueFrom string
 	// choice describes the placement decision, for the log.
 	choice placementInfo
 	// relay is the instance that relays the connection; empty for a direct one. pathFailed is
 	// set if the attempt failed because of the path to the target.
 	relay      string
 	pathFailed bool
+	// memoryFailed is set if the attempt failed because its target ran out of memory.
+	// failedForMemory, if set, reports whether a target that has lost the connection did.
+	memoryFailed    bool
+	failedForMemory func() bool
 	// onSend is called before the request is written, with a function that cancels the
 	// attempt and the instance that relays it. onProgress is called for each part of the response that arrives and onAnswer
 	// for each one that is new to the caller, of which the first counts. onEnd is called
@@ -41,6 +49,9 @@
 	onAnswer      func()
 	onEnd         func(overload.Result)
 	onUnreachable func(error)
+	// onPause, if set, is called when the response is not read for a while because its caller
+	// takes nothing, and when reading goes on.
+	onPause func(paused bool)
 	// cancelledHere reports whether this instance ended the attempt for a reason that says
 	// nothing about the target.
 	cancelledHere func() bool
@@ -133,12 +144,17 @@
 	case pl == nil:
 		return nil, nil
 	}
+	return g.newEngineAttempt(c, service, pl), nil
+}
+
+// newEngineAttempt returns the attempt at a model server that was chosen.
+func (g *Gateway) newEngineAttempt(c *call, service *engineService, pl *enginePlacement) *targetAttempt {
 	a, firstTokenAt := &targetAttempt{}, time.Duration(0)
 	*a = targetAttempt{
-		target: pl.target, fetchSource: pl.fetchSource, fetchSourcePieces: pl.fetchSourcePieces,
+		placement: pl, target: pl.target, fetchSource: pl.fetchSource, fetchSourcePieces: pl.fetchSourcePieces,
 		choice: placementInfo{cachedPieces: pl.send.Decision.CachedPieces, uncachedTokens: int(pl.send.Decision.UncachedTokens), expectedTTFT: pl.send.Decision.Expected, eligibleTargets: pl.eligibleTargets, weightsVersion: expectedWeights(c, &pl.target)},
 		onAnswer: func() {
-			if !pl.firstTokenSeen {
+			if !pl.firstTokenSeen && !pl.continued {
 				firstTokenAt = g.clock.Now()
 				g.contention.observeFirstToken(c.admission, &pl.send, service.firstTokenLatency())
 				g.recordPrefill(c, a, pl)
@@ -150,14 +166,16 @@
 			service.startAttempt(pl, cancel, policy)
 		},
 		onProgress: func() { service.recordProgress(pl) },
+		onPause:    func(paused bool) { service.recordPause(pl, paused) },
 		onEnd: func(r overload.Result) {
 			g.contention.observeEnd(c.admission, r, firstTokenAt)
 			service.endAttempt(pl, r)
 		},
-		onUnreachable: func(err error) { service.recordUnreachable(pl, err) },
-		cancelledHere: func() bool { return service.wasCancelledHere(pl) },
+		failedForMemory: func() bool { return service.recordLostConnection(&pl.target) },
+		onUnreachable:   func(err error) { service.recordUnreachable(pl, err) },
+		cancelledHere:   func() bool { return service.wasCancelledHere(pl) },
 	}
-	return a, nil
+	return a
 }
 
 // recordPrefill records that a target has prefilled the prompt and, if the request
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -40,6 +40,9 @@
 	// RetryReserve the maximum number of retries saved up over the whole fleet.
 	RetryRatio   float64
 	RetryReserve float64
+	// RetryCarry is the number of retries that may be saved up in addition for each request of
+	// about the last 10 s.
+	RetryCarry float64
 	// WeightsBound is the time after the naming of a version within which the last
 	// request on older weights may begin.
 	WeightsBound time.Duration
@@ -75,4 +78,7 @@
 	// BoundedMemory is set where callers and targets may read slowly and targets fail if the
 	// requests that they hold exceed their memory.
 	BoundedMemory bool
+	// LargePools is set where services have many targets, so that an instance seldom sends to
+	// the same one: instances tell each other which targets accept no connections.
+	LargePools bool
 }
--- a/internal/gatewaycmd/settings.go
+++ b/internal/gatewaycmd/settings.go
@@ -80,6 +80,10 @@
 	// instance derives its share from the fleet size that it sees, so while
 	// instances join and leave the shares can add up to more than the whole.
 	retryBudgetFraction = 0.7
+	// retryCarryFraction is the fraction of RetryRatio by which the retries of the last
+	// requests may be saved up, in fleets whose instances have a small share of RetryReserve.
+	// Together with retryBudgetFraction it stays below the whole.
+	retryCarryFraction = 0.15
 	// leaseGapFactor lengthens LeaseGap, the pause between the orders of two lease
 	// holders, to allow for clocks that run at different rates.
 	leaseGapFactor = 1.1
@@ -98,6 +102,14 @@
 	return int(min(s.CPUShare*s.CPUSpeed/hubCores, s.LinkMbps/hubMbps))
 }
 
+// retryCarry returns the retries that may be saved up for each recent request.
+func (s *Settings) retryCarry() float64 {
+	if !platform.FeaturesOf(s.Contracts).LargePools {
+		return 0
+	}
+	return retryCarryFraction * s.RetryRatio
+}
+
 // gatewaySettings converts s to the settings of package gateway, with safety margins
 // applied to the limits.
 func (s *Settings) gatewaySettings() gateway.Settings {
@@ -107,6 +119,7 @@
 		KeyCutoff:   s.KeyBound - keyMargin,
 		KeyReadyAge: time.Duration(keyReadyFraction * float64(s.KeyBound)),
 		RetryRatio:  retryBudgetFraction * s.RetryRatio, RetryReserve: retryBudgetFraction * s.RetryReserve,
+		RetryCarry:   s.retryCarry(),
 		WeightsBound: s.WeightsBound, ConfigBound: s.ConfigBound, DrainBound: s.DrainBound, LeaseGap: time.Duration(leaseGapFactor * float64(s.LeaseGap)),
 		ExposureShare: s.ExposureShare, ExposureSlack: s.ExposureSlack, RollbackBound: s.RollbackBound,
 		PrefillTokensPerSecond: s.PrefillRate,
--- a/internal/overload/retrybudget.go
+++ b/internal/overload/retrybudget.go
@@ -1,5 +1,10 @@
 package overload
 
+import (
+	"math"
+	"time"
+)
+
 // Defaults of a RetryBudget.
 const (
 	// DefaultRetryRatio is the number of retries that each request adds to the budget.
@@ -18,8 +23,15 @@
 	ratio     float64
 	reserve   float64
 	available float64
+	// recent is the number of requests of about the last reserveWindow, up to countedAt. uncounted
+	// is the number of those since.
+	recent, uncounted float64
+	countedAt         time.Duration
 }
 
+// reserveWindow is the time over which retries are limited in relation to requests.
+const reserveWindow = 10 * time.Second
+
 // NewRetryBudget returns a budget to which each request adds ratio retries, up to reserve.
 // It starts with initial retries.
 func NewRetryBudget(ratio, reserve, initial float64) *RetryBudget {
@@ -33,8 +45,21 @@
 	b.available = min(b.available, reserve)
 }
 
+// SetReserveForTraffic sets the maximum number of accumulated retries to base plus perRequest
+// for each request of about the last reserveWindow. The share of one of many instances in a fixed
+// number is too small to accumulate even the retries that its own requests allow.
+func (b *RetryBudget) SetReserveForTraffic(now time.Duration, base, perRequest float64) {
+	elapsed := max(0, now-b.countedAt)
+	b.recent = b.recent*math.Exp(-elapsed.Seconds()/reserveWindow.Seconds()) + b.uncounted
+	b.countedAt, b.uncounted = now, 0
+	b.SetReserve(base + perRequest*b.recent)
+}
+
 // AddRequest counts the first attempt of a request.
-func (b *RetryBudget) AddRequest() { b.available = min(b.reserve, b.available+b.ratio) }
+func (b *RetryBudget) AddRequest() {
+	b.uncounted++
+	b.available = min(b.reserve, b.available+b.ratio)
+}
 
 // TakeRetry takes one retry from the budget. It returns false if none is available; the
 // request must then not be retried.
--- a/internal/overload/sharedretrybudget.go
+++ b/internal/overload/sharedretrybudget.go
@@ -1,6 +1,9 @@
 package overload
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // SharedRetryBudget is a RetryBudget that is safe for concurrent use.
 type SharedRetryBudget struct {
@@ -41,6 +44,21 @@
 	return s.b.Available()
 }
 
+// SetReserveForTraffic adapts the maximum number of accumulated retries to the requests; see
+// RetryBudget.SetReserveForTraffic.
+func (s *SharedRetryBudget) SetReserveForTraffic(now time.Duration, base, perRequest float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.b.SetReserveForTraffic(now, base, perRequest)
+}
+
+// Reserve returns the maximum number of accumulated retries.
+func (s *SharedRetryBudget) Reserve() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.reserve
+}
+
 // SetReserve changes the maximum number of accumulated retries.
 func (s *SharedRetryBudget) SetReserve(reserve float64) {
 	s.mu.Lock()
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -15,7 +15,7 @@
 	Version string
 	// Cache refers to the target's entries in the cache index.
 	Cache cacheindex.Ref
-	// PrefillTokensPerSecond is the target's prefill rate.
+	// PrefillTokensPerSecond is the target's prefill rate; see Pool.SetPrefillRate.
 	PrefillTokensPerSecond float64
 	// Load estimates the work queued at the target.
 	Load Load
@@ -26,12 +26,19 @@
 	// Limit is the maximum number of requests of this instance in flight at the
 	// target, InFlight the current number; a Limit of 0 means no limit.
 	Limit, InFlight int
+	// SharedSlots is the number of requests that the target runs at the same time, of which
+	// all instances together should keep no more in flight; 0 if it is far above what they
+	// send. PeersInFlight is the number of the other instances' requests, as last reported.
+	SharedSlots, PeersInFlight int
 
 	// MemoryTokens is the capacity in tokens that running requests and cached pieces
 	// share on the target; 0 if unknown. HeldTokens is the part held by running
 	// requests of this instance, PeersHeldTokens by those of other instances.
 	MemoryTokens                int
 	HeldTokens, PeersHeldTokens int
+	// Memory is set if the target fails when its memory is exceeded. It replaces the limit by
+	// maxMemoryUtilization.
+	Memory *MemoryShare
 
 	// Outdated targets serve older weights than the newest named version.
 	Outdated bool
@@ -66,28 +73,52 @@
 // of requests and requests of other instances that are not known yet.
 const maxMemoryUtilization = 0.8
 
-// Full reports whether the target can take no further request until one has been
-// answered. Requests for it wait.
-func (t *Target) Full() bool {
+// Full reports whether the target can't take the request until another one has been answered.
+// Requests for it wait.
+func (t *Target) Full(now time.Duration, r *Request) bool {
 	if t.Limit > 0 && t.InFlight >= t.Limit {
 		return true
 	}
+	if t.SharedSlots > 0 && float64(t.InFlight+t.PeersInFlight) >= (1+queuedSlotFraction)*float64(t.SharedSlots) {
+		return true
+	}
 	held := t.HeldTokens + t.PeersHeldTokens
-	return t.MemoryTokens > 0 && float64(held) >= maxMemoryUtilization*float64(t.MemoryTokens)
+	switch {
+	case t.MemoryTokens == 0:
+		return false
+	case t.Memory != nil:
+		return !t.Memory.Admit(now, t.MemoryTokens, held, r.HeldTokens)
+	}
+	return float64(held) >= maxMemoryUtilization*float64(t.MemoryTokens)
+}
+
+// queuedSlotFraction is the number of requests that may wait at a target for its slots, as a
+// fraction of the slots. They take the slots that become free before this instance learns of
+// it. Further ones wait at the instances, where the most urgent one is next.
+const queuedSlotFraction = 0.25
+
+// slotsTaken reports whether a request would have to wait at the target for a slot.
+func (t *Target) slotsTaken() bool {
+	return t.SharedSlots > 0 && t.InFlight+t.PeersInFlight >= t.SharedSlots
 }
 
 // prefillRate returns the usable prefill rate in tokens per second.
 func (t *Target) prefillRate() float64 {
-	r := t.PrefillTokensPerSecond
-	if r <= 0 {
-		r = defaultPrefillRate
-	}
+	r := t.nominalRate()
 	if t.SlowStartFactor > 0 && t.SlowStartFactor < 1 {
 		r *= t.SlowStartFactor
 	}
 	return r
 }
 
+// nominalRate returns the prefill rate without slow start.
+func (t *Target) nominalRate() float64 {
+	if t.PrefillTokensPerSecond <= 0 {
+		return defaultPrefillRate
+	}
+	return t.PrefillTokensPerSecond
+}
+
 // defaultPrefillRate is the rate in tokens per second of a pool without a configured
 // one.
 const defaultPrefillRate = 8000
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -106,10 +106,20 @@
 	// PlainLoads is the number of requests that the origin has in flight at targets of plain
 	// services.
 	PlainLoads map[string]int
-	// TargetRates are the capacities of targets that the origin has measured.
+	// TargetRates are a few of the capacities of targets that the origin has measured.
+	// Receivers keep them.
 	TargetRates []TargetRate
 	// SlowTargets are the targets that answer the origin far later than they usually do.
 	SlowTargets []string
+	// MemoryClaims are the origin's claims to room in the memory of targets.
+	MemoryClaims []MemoryClaim
+}
+
+// MemoryClaim is a claim to room in the memory of a target; see placement.MemoryClaim.
+type MemoryClaim struct {
+	Target string `msgpack:"t"`
+	Tokens int    `msgpack:"n"`
+	Ticket uint64 `msgpack:"k"`
 }
 
 // AccountDemand is the demand of one account in one class of urgency.
@@ -135,13 +145,17 @@
 	WaitingTokens, WaitingMilliSlots int
 }
 
-// TargetRate is the measured capacity of one incarnation of a target.
+// TargetRate is the capacity of one incarnation of a target as its origin has measured it.
 type TargetRate struct {
-	Target string `msgpack:"t"`
-	Born   int64  `msgpack:"b"`
+	//lint:ignore U1000 the codec reads its tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Target string
+	// Born is the target's start time, which distinguishes its incarnations.
+	Born int64
 	// PrefillTokensPerSecond is its prefill rate, Samples the number of responses measured.
-	PrefillTokensPerSecond int `msgpack:"r"`
-	Samples                int `msgpack:"n"`
+	PrefillTokensPerSecond int
+	Samples                int
 }
 
 // Equal reports whether two states are the same.
@@ -154,7 +168,8 @@
 		slices.Equal(s.CacheStores, o.CacheStores) && slices.Equal(s.SilentTargets, o.SilentTargets) &&
 		slices.Equal(s.TargetLimits, o.TargetLimits) && slices.Equal(s.Rollouts, o.Rollouts) &&
 		slices.Equal(s.Demand, o.Demand) && maps.Equal(s.PlainLoads, o.PlainLoads) &&
-		slices.Equal(s.TargetRates, o.TargetRates) && slices.Equal(s.SlowTargets, o.SlowTargets)
+		slices.Equal(s.TargetRates, o.TargetRates) && slices.Equal(s.SlowTargets, o.SlowTargets) &&
+		slices.Equal(s.MemoryClaims, o.MemoryClaims)
 }
 
 // InstanceEvent is a prefilled prompt, outcomes of attempts, requests that were asked to come
@@ -184,6 +199,8 @@
 	PendingPromptTokens int
 	// KVCacheTokens is the KV cache memory of running requests, in tokens.
 	KVCacheTokens int
+	// Requests is the number of requests in flight.
+	Requests int
 }
 
 // TargetLimit is the rate limit that a target reports.
@@ -199,6 +216,10 @@
 	Rejections float64 `msgpack:"j,omitempty"`
 	// Revision is incremented with each change of the rate.
 	Revision uint64 `msgpack:"c"`
+	// Room is the number of requests that the target had room for after its latest
+	// rejection; 0 if it has rejected none. RoomRevision is incremented with each change.
+	Room         int    `msgpack:"o,omitempty"`
+	RoomRevision uint64 `msgpack:"v,omitempty"`
 }
 
 // Rollout is what one instance knows of an ordered rollout and does for it.
--- a/internal/wire/update.go
+++ b/internal/wire/update.go
@@ -11,7 +11,7 @@
 // Lengths of the encoded arrays.
 const (
 	updateFields = 10
-	loadFields   = 3
+	loadFields   = 4
 	promptFields = 6
 	// evidenceFields is the length of an event with outcomes, sampleFields the number of
 	// items per sample in its flat array.
@@ -41,11 +41,12 @@
 	Plain   map[string]int    `msgpack:"i,omitempty"`
 	Rates   []TargetRate      `msgpack:"r,omitempty"`
 	Slow    []string          `msgpack:"w,omitempty"`
+	Claims  []MemoryClaim     `msgpack:"g,omitempty"`
 }
 
 func (s *InstanceState) optional() *optionalState {
 	lists := len(s.LoadingTargets) + len(s.CacheStores) + len(s.SilentTargets) + len(s.OverdueInstances) + len(s.TargetLimits) + len(s.Rollouts) +
-		len(s.Demand) + len(s.PlainLoads) + len(s.TargetRates) + len(s.SlowTargets)
+		len(s.Demand) + len(s.PlainLoads) + len(s.TargetRates) + len(s.SlowTargets) + len(s.MemoryClaims)
 	if !s.Leaving && !s.StoreUnreachable && s.BlockedTargets+s.UnreachableTargets == 0 && s.OrderLease == nil && lists == 0 {
 		return nil
 	}
@@ -53,7 +54,7 @@
 		Leaving: s.Leaving, Cut: s.StoreUnreachable, Orders: s.OrderLease, Loading: s.LoadingTargets, Stores: s.CacheStores,
 		Silent: s.SilentTargets, Overdue: s.OverdueInstances, Limits: s.TargetLimits, Rolls: s.Rollouts,
 		Blocked: s.BlockedTargets, Unreach: s.UnreachableTargets,
-		Demand: s.Demand, Plain: s.PlainLoads, Rates: s.TargetRates, Slow: s.SlowTargets,
+		Demand: s.Demand, Plain: s.PlainLoads, Rates: s.TargetRates, Slow: s.SlowTargets, Claims: s.MemoryClaims,
 	}
 }
 
@@ -84,7 +85,7 @@
 func encodeLoads(e *msgpack.Encoder, loads map[string]TargetLoad) error {
 	err := e.EncodeArrayLen(loadFields * len(loads))
 	for target, l := range loads {
-		err = firstError(err, e.EncodeString(target), e.EncodeInt(int64(l.PendingPromptTokens)), e.EncodeInt(int64(l.KVCacheTokens)))
+		err = firstError(err, e.EncodeString(target), e.EncodeInt(int64(l.PendingPromptTokens)), e.EncodeInt(int64(l.KVCacheTokens)), e.EncodeInt(int64(l.Requests)))
 	}
 	return err
 }
@@ -199,6 +200,7 @@
 		u.State.LoadingTargets, u.State.CacheStores, u.State.SilentTargets, u.State.OverdueInstances = s.Loading, s.Stores, s.Silent, s.Overdue
 		u.State.TargetLimits, u.State.Rollouts, u.State.BlockedTargets, u.State.UnreachableTargets = s.Limits, s.Rolls, s.Blocked, s.Unreach
 		u.State.Demand, u.State.PlainLoads, u.State.TargetRates, u.State.SlowTargets = s.Demand, s.Plain, s.Rates, s.Slow
+		u.State.MemoryClaims = s.Claims
 	}
 	u.Spent = r.spent()
 	u.FirstEvent, u.Events = r.events()
@@ -233,7 +235,7 @@
 	out := make(map[string]TargetLoad, min(n, maxPreallocated))
 	for range n {
 		target := readField(r, r.d.DecodeString)
-		l := TargetLoad{PendingPromptTokens: readField(r, r.d.DecodeInt), KVCacheTokens: readField(r, r.d.DecodeInt)}
+		l := TargetLoad{PendingPromptTokens: readField(r, r.d.DecodeInt), KVCacheTokens: readField(r, r.d.DecodeInt), Requests: readField(r, r.d.DecodeInt)}
 		if r.err != nil {
 			return nil
 		}
