admission: slot time by urgency, also of requests that don't state their size

Requests that don't state the size of their answer counted as if they needed no slot once the prompt is read. The mean time of answers by urgency needs no statement.

--- a/internal/admission/estimate.go
+++ b/internal/admission/estimate.go
@@ -7,10 +7,10 @@
 type Estimator struct {
 	// missRatio is the fraction of shared prompt tokens that targets had to prefill.
 	missRatio float64
-	// outputSeconds and outputTokens are decaying sums over complete answers. Their ratio is
-	// the time per output token; a mean of ratios would follow the many short answers, whose
-	// first event is their last.
-	outputSeconds, outputTokens float64
+	// outputSeconds is the mean time from the first token to the end of an answer, by
+	// urgency; 0 without samples. Not all requests state the size of their answers, and
+	// those of one urgency are alike.
+	outputSeconds [MaxUrgency + 1]float64
 	// wait is the mean time for which requests waited at their targets.
 	wait time.Duration
 }
@@ -32,7 +32,7 @@
 
 // NewEstimator returns an estimator without samples.
 func NewEstimator() *Estimator {
-	return &Estimator{missRatio: initialMissRatio, outputSeconds: initialSecondsPerToken, outputTokens: 1}
+	return &Estimator{missRatio: initialMissRatio}
 }
 
 // Prompt describes a request's prompt and the maximum size of its answer, in tokens.
@@ -47,9 +47,12 @@
 
 // Work predicts the work of a request at targets with the given prefill rate, in tokens
 // per second.
-func (e *Estimator) Work(p Prompt, prefillRate float64) Work {
+func (e *Estimator) Work(p Prompt, urgency int, prefillRate float64) Work {
 	w := Work{Tokens: float64(p.Unshared) + e.missRatio*p.shared()}
-	w.SlotSeconds = float64(p.MaxOutput) * e.outputSeconds / e.outputTokens
+	w.SlotSeconds = e.outputSeconds[clampUrgency(urgency)]
+	if w.SlotSeconds == 0 {
+		w.SlotSeconds = float64(p.MaxOutput) * initialSecondsPerToken
+	}
 	if prefillRate > 0 {
 		w.SlotSeconds += w.Tokens / prefillRate
 	}
@@ -67,12 +70,13 @@
 
 // ObserveOutput records how long a target has taken from the first token to the end of a
 // complete answer.
-func (e *Estimator) ObserveOutput(p Prompt, seconds float64) {
-	if p.MaxOutput <= 0 {
+func (e *Estimator) ObserveOutput(urgency int, seconds float64) {
+	mean := &e.outputSeconds[clampUrgency(urgency)]
+	if *mean == 0 {
+		*mean = seconds
 		return
 	}
-	e.outputSeconds = (1-sampleWeight)*e.outputSeconds + seconds
-	e.outputTokens = (1-sampleWeight)*e.outputTokens + float64(p.MaxOutput)
+	*mean += sampleWeight * (seconds - *mean)
 }
 
 // ObserveWait records the time to a first token beyond the latency and the prefill: the
--- a/internal/admission/estimate_test.go
+++ b/internal/admission/estimate_test.go
@@ -8,23 +8,25 @@
 	"github.com/matryer/is"
 )
 
-// Guards against underestimating long answers beside many short ones, whose first event is
-// their last: then more of the long ones are admitted than there are slots for.
+// Guards against underestimating long answers, of which many don't state their size, beside
+// many short ones: then more of the long ones are admitted than there are slots for.
 func TestWorkOfLongAnswersBesideManyShortOnes(t *testing.T) {
 	is := is.New(t)
 	e := NewEstimator()
-	long, short := Prompt{Tokens: 12000, Unshared: 6600, MaxOutput: 384}, Prompt{Tokens: 2400, Unshared: 1800, MaxOutput: 24}
+	long, short := Prompt{Tokens: 12000, Unshared: 6600}, Prompt{Tokens: 2400, Unshared: 1800, MaxOutput: 24}
 	for range 100 {
 		for range 9 {
-			e.ObserveOutput(short, 0)
+			e.ObserveOutput(2, 0.1)
 			e.ObservePrefill(short, 1800)
 		}
-		e.ObserveOutput(long, 4)
+		e.ObserveOutput(0, 4)
 		e.ObservePrefill(long, 6600+540)
 	}
-	w := e.Work(long, 68000)
-	is.True(w.SlotSeconds >= 2.4 && w.SlotSeconds <= 4.2)
+	w := e.Work(long, 0, 68000)
+	is.True(w.SlotSeconds >= 4 && w.SlotSeconds <= 4.2)
 	is.True(math.Abs(w.Tokens-6600) < 600)
+	is.True(e.Work(short, 2, 68000).SlotSeconds < 0.2)
+	is.True(e.Work(short, 5, 68000).SlotSeconds > 0.2) // without samples, from its size
 }
 
 // Guards against a target that hangs and makes the whole service look busy.
--- a/internal/gateway/contention.go
+++ b/internal/gateway/contention.go
@@ -78,7 +78,7 @@
 	s := k.service(c.service.Name)
 	a := &callAdmission{service: s, prompt: admissionPrompt(c), decidedAt: k.now()}
 	a.request = admission.Request{
-		Class: admission.Class{Account: accountName(c), Urgency: urgency(c)}, Work: s.estimator.Work(a.prompt, s.prefillRate),
+		Class: admission.Class{Account: accountName(c), Urgency: urgency(c)}, Work: s.estimator.Work(a.prompt, urgency(c), s.prefillRate),
 		Fingerprint: c.fingerprint, TimeLeft: timeLeft, Jitter: rand.Float64(),
 	}
 	a.state = s.controller.State()
@@ -149,7 +149,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	a.service.estimator.ObserveOutput(a.prompt, (k.now() - firstTokenAt).Seconds())
+	a.service.estimator.ObserveOutput(a.request.Urgency, (k.now() - firstTokenAt).Seconds())
 }
 
 // chargeAccount charges a call to its account's rate. If there are too few tokens it returns
