--- a/internal/admission/estimate.go
+++ b/internal/admission/estimate.go
@@ -8,8 +8,8 @@
 	// missRatio is the fraction of shared prompt tokens that targets had to prefill.
 	missRatio float64
 	// outputSeconds is the mean time from the first token to the end of an answer, by
-	// urgency; 0 without samples. Not all requests state the size of their answers, and
-	// those of one urgency are alike.
+	// urgency; 0 without samples. Answers of one urgency are alike, and may be far shorter
+	// than the requests allow.
 	outputSeconds [MaxUrgency + 1]float64
 	// wait is the mean time for which requests waited at their targets.
 	wait time.Duration
--- a/internal/admission/estimate_test.go
+++ b/internal/admission/estimate_test.go
@@ -8,8 +8,8 @@
 	"github.com/matryer/is"
 )
 
-// Guards against underestimating long answers, of which many don't state their size, beside
-// many short ones: then more of the long ones are admitted than there are slots for.
+// Guards against underestimating long answers beside many short ones: then more of the long
+// ones are admitted than there are slots for.
 func TestWorkOfLongAnswersBesideManyShortOnes(t *testing.T) {
 	is := is.New(t)
 	e := NewEstimator()
