plainqueue, gateway: further attempts of a request don't wait; less urgent requests wake the queue once

A retry counted as another arrival, and the step of a queue whose first request is a less urgent one ran every millisecond until the reserve had accrued.

--- a/internal/gateway/plainqueue.go
+++ b/internal/gateway/plainqueue.go
@@ -126,8 +126,8 @@
 }
 
 // await waits until a request may be sent to the service. It returns at once unless targets have
-// rejected requests and the fleet has more than they can serve; report is nil then. If the context ends it returns
-// with the verdict plainqueue.Wait.
+// rejected requests and the fleet has more than they can serve; report is nil then. If the context
+// ends it returns with the verdict plainqueue.Wait.
 func (s *plainService) await(ctx context.Context, urgency int, deadline, objective time.Duration) (report *queueReport) {
 	s.mu.Lock()
 	if !s.sharesTargets() {
@@ -165,8 +165,7 @@
 	return report
 }
 
-// updateRate sets the rate of the queue. The caller holds
-// s.mu.
+// updateRate sets the rate of the queue. The caller holds s.mu.
 func (s *plainService) updateRate(now time.Duration) plainqueue.Plan {
 	p := s.plan(now, nil)
 	s.queue.SetRate(now, s.throttle.Rate(now, &p), p.TimeAtTarget(s.objective))
@@ -219,8 +218,8 @@
 // it had to wait or is refused. ok is false if it may not be sent, without a refusal if the context
 // has ended.
 func (g *Gateway) awaitPlainTarget(ctx context.Context, c *call, s *plainService) (refusal *Refusal, ok bool) {
-	if c.toCanary {
-		return nil, true
+	if c.toCanary || c.sendCount > 0 {
+		return nil, true // the retry budget bounds further attempts
 	}
 	report := s.await(ctx, urgency(c), c.nextEventDeadline(), c.route.LatencyObjective)
 	if report == nil {
--- a/internal/plainqueue/queue.go
+++ b/internal/plainqueue/queue.go
@@ -139,14 +139,10 @@
 // takeToken takes the right to send a request. Less urgent ones leave reservedTokens for the next of
 // the most urgent.
 func (q *Queue[T]) takeToken(urgency int) bool {
-	needed := 1.0
-	if urgency > q.mostUrgent {
-		needed += reservedTokens
-	}
 	if q.rate == 0 {
 		return true
 	}
-	if q.tokens < needed {
+	if q.tokens < q.tokensNeeded(urgency) {
 		return false
 	}
 	q.tokens--
@@ -185,5 +181,18 @@
 // Len returns the number of requests that wait.
 func (q *Queue[T]) Len() int { return len(q.waiting) }
 
-// NextIn returns the time until the next request may be sent.
-func (q *Queue[T]) NextIn() time.Duration { return q.waitFor(0) }
+// tokensNeeded returns the tokens from which a request may be sent.
+func (q *Queue[T]) tokensNeeded(urgency int) float64 {
+	if urgency > q.mostUrgent {
+		return 1 + reservedTokens
+	}
+	return 1
+}
+
+// NextIn returns the time until the next request may be sent; 0 if none waits or there is no bound.
+func (q *Queue[T]) NextIn() time.Duration {
+	if q.rate == 0 || len(q.waiting) == 0 {
+		return 0
+	}
+	return time.Duration(max(0, q.tokensNeeded(q.waiting[0].Urgency)-q.tokens) / q.rate * float64(time.Second))
+}
