--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -69,7 +69,7 @@
 	defer s.mu.Unlock()
 	for i := range s.pool.Len() {
 		t := s.pool.Target(i)
-		t.Memory.SetPeers(s.now(), delay, byTarget[t.Name])
+		t.Memory.SetPeers(s.now(), delay, t.PeersHeldTokens, byTarget[t.Name])
 		t.Memory.Observe(s.now(), t.HeldTokens+t.PeersHeldTokens)
 	}
 }
--- a/internal/placement/memory.go
+++ b/internal/placement/memory.go
@@ -52,6 +52,9 @@
 	// peersTotal is the sum of the peers' claims, peersAt when they were last set.
 	peersTotal int
 	peersAt    time.Duration
+	// peersHeld is what the others' requests held when that was last set, and growth how much
+	// more than the time before.
+	peersHeld, growth int
 }
 
 const (
@@ -65,6 +68,10 @@
 	openMemory        = 0.9
 	openReserveFactor = 2
 	maxOpenReserve    = 0.2
+	// unseenGrowth is how much the requests of the others are expected to have grown since
+	// their last reports, as a multiple of the growth between the last two: reports are about
+	// one and a half intervals old on average. It matters when many requests come at once.
+	unseenGrowth = 1.5
 	// claimMatch is the fraction of a claim that a request must need to be sent for it.
 	// Otherwise the small requests of an instance would use up the claims of its large ones.
 	claimMatch = 0.5
@@ -81,9 +88,10 @@
 // NewMemoryShare returns the state of an instance for one target.
 func NewMemoryShare(instance string) *MemoryShare { return &MemoryShare{instance: instance} }
 
-// SetPeers sets the claims of the other instances and the time within which each instance
-// knows what another one has published.
-func (m *MemoryShare) SetPeers(now, delay time.Duration, claims []MemoryClaim) {
+// SetPeers sets what the requests of the other instances are known to hold, their claims, and the
+// time within which each instance knows what another one has published.
+func (m *MemoryShare) SetPeers(now, delay time.Duration, held int, claims []MemoryClaim) {
+	m.growth, m.peersHeld = max(0, held-m.peersHeld), held
 	m.peersAt, m.delay, m.peers, m.peersTotal = now, delay, claims, 0
 	for _, c := range claims {
 		m.peersTotal += c.Tokens
@@ -139,7 +147,7 @@
 	if claimed && !isClaimant {
 		otherClaims += own.Tokens
 	}
-	reserve := min(openReserveFactor*float64(tokens), maxOpenReserve*float64(usable))
+	reserve := min(openReserveFactor*float64(tokens), maxOpenReserve*float64(usable)) + unseenGrowth*float64(m.growth)
 	if float64(held+otherClaims+tokens)+reserve <= openMemory*float64(usable) {
 		m.use(isClaimant)
 		m.Observe(now, held+tokens)
--- a/internal/placement/memory_test.go
+++ b/internal/placement/memory_test.go
@@ -173,7 +173,7 @@
 			claims = append(claims, c)
 		}
 	}
-	viewer.share.SetPeers(s.now, s.links.maxDelay(), claims)
+	viewer.share.SetPeers(s.now, s.links.maxDelay(), viewer.peersHeld, claims)
 }
 
 func (s *memorySim) meanUse() float64 { return s.heldSum / float64(s.steps) / simMemory }
@@ -210,6 +210,24 @@
 	}
 }
 
+// Guards against a target that fails in the first second of a burst of three times what it holds,
+// when the instances know least of each other.
+func TestBurstDoesNotExceedMemory(t *testing.T) {
+	for name, links := range map[string]simLinks{
+		"mesh": {125 * time.Millisecond, 5 * time.Millisecond, 125 * time.Millisecond},
+		"hubs": {200 * time.Millisecond, 130 * time.Millisecond, 200 * time.Millisecond},
+	} {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprint(name, " seed ", seed), func(t *testing.T) {
+				s := newMemorySim(80, links, seed)
+				s.run(5*time.Second, 3)
+				t.Logf("peak=%.3f use=%.3f", float64(s.peakHeld)/simMemory, s.meanUse())
+				is.New(t).True(s.peakHeld <= simMemory)
+			})
+		}
+	}
+}
+
 const (
 	testDelay  = 300 * time.Millisecond
 	testMemory = 100_000
@@ -220,13 +238,13 @@
 func TestLaterClaimsLeaveRoomForEarlierOne(t *testing.T) {
 	is := is.New(t)
 	m := NewMemoryShare("b")
-	m.SetPeers(0, testDelay, []MemoryClaim{{Instance: "c", Tokens: 50_000, Ticket: 3}})
+	m.SetPeers(0, testDelay, 0, []MemoryClaim{{Instance: "c", Tokens: 50_000, Ticket: 3}})
 	is.True(!m.Admit(0, testMemory, 45_000, 5_000))
 	claim, ok := m.Publish(0)
 	is.True(ok)
 	is.Equal(claim, MemoryClaim{Instance: "b", Tokens: 5_000, Ticket: 4})
 	admit := func(now time.Duration, peers ...MemoryClaim) bool {
-		m.SetPeers(now, testDelay, peers)
+		m.SetPeers(now, testDelay, 0, peers)
 		return m.Admit(now, testMemory, 45_000, 5_000)
 	}
 	for now := time.Duration(0); now <= 3*testDelay; now += 50 * time.Millisecond {
@@ -242,9 +260,9 @@
 func TestClaimOfStoppedInstanceEnds(t *testing.T) {
 	is := is.New(t)
 	m := NewMemoryShare("b")
-	m.SetPeers(0, testDelay, []MemoryClaim{{Instance: "a", Tokens: 90_000, Ticket: 1}})
+	m.SetPeers(0, testDelay, 0, []MemoryClaim{{Instance: "a", Tokens: 90_000, Ticket: 1}})
 	is.True(!m.Admit(0, testMemory, 0, 5_000))
-	m.SetPeers(time.Second, testDelay, nil)
+	m.SetPeers(time.Second, testDelay, 0, nil)
 	is.True(m.Admit(time.Second, testMemory, 0, 5_000))
 }
 
@@ -253,7 +271,7 @@
 func TestClaimIsNotUsedAfterSuspension(t *testing.T) {
 	is := is.New(t)
 	m := NewMemoryShare("b")
-	m.SetPeers(0, testDelay, nil)
+	m.SetPeers(0, testDelay, 0, nil)
 	is.True(!m.Admit(0, testMemory, 80_000, 10_000))
 	m.Publish(0)
 	is.True(!m.Admit(8*time.Second, testMemory, 80_000, 10_000))
@@ -266,11 +284,11 @@
 	is := is.New(t)
 	m := NewMemoryShare("b")
 	for now := time.Duration(0); now < 2*testDelay; now += 50 * time.Millisecond {
-		m.SetPeers(now, testDelay, nil)
+		m.SetPeers(now, testDelay, 0, nil)
 		is.True(!m.Admit(now, testMemory, 0, 2*testMemory))
 		m.Publish(now)
 	}
-	m.SetPeers(2*testDelay, testDelay, nil)
+	m.SetPeers(2*testDelay, testDelay, 0, nil)
 	is.True(m.Admit(2*testDelay, testMemory, 0, 2*testMemory))
 }
 
@@ -279,7 +297,7 @@
 	is := is.New(t)
 	m := NewMemoryShare("b")
 	admit := func(now time.Duration, tokens int) bool {
-		m.SetPeers(now, testDelay, nil)
+		m.SetPeers(now, testDelay, 0, nil)
 		return m.Admit(now, testMemory, 60_000, tokens)
 	}
 	for now := time.Duration(0); now <= 3*testDelay; now += 50 * time.Millisecond {
