--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -171,12 +171,10 @@
 		c.mu.Unlock()
 		n, err := c.writeFor(c.kept.Timeout(), next)
 		c.mu.Lock()
-		c.kept.Taken(c.options.Now(), n)
-		c.options.Stats.Bytes.Add(int64(-n))
-		c.room.Broadcast()
+		c.taken(n)
 		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			c.err = err
-		} else if c.kept.Stalled(c.options.Now()) {
+		} else if c.kept.Stalled(c.options.Now()) && !c.takesMore() {
 			c.giveUp()
 		}
 	}
@@ -195,6 +193,25 @@
 	}
 }
 
+// taken records that the caller has taken the first n bytes that are kept. The caller of taken
+// holds c.mu.
+func (c *Conn) taken(n int) {
+	c.kept.Taken(c.options.Now(), n)
+	c.options.Stats.Bytes.Add(int64(-n))
+	c.room.Broadcast()
+}
+
+// takesMore reports whether the socket takes data now. The time in which it took none may be that
+// in which this process was suspended. The caller holds c.mu.
+func (c *Conn) takesMore() bool {
+	if c.SetWriteDeadline(time.Time{}) != nil {
+		return false
+	}
+	n, err := c.writeNow(c.kept.Next())
+	c.taken(n)
+	return err == nil && n > 0
+}
+
 // writeFor writes for at most the given time and returns how much was taken.
 func (c *Conn) writeFor(timeout time.Duration, b []byte) (int, error) {
 	if err := c.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
--- a/internal/callerconn/callerconn_test.go
+++ b/internal/callerconn/callerconn_test.go
@@ -163,3 +163,35 @@
 	defer cancel()
 	is.True(s.server.Drain(ctx) != nil)
 }
+
+// Guards against callers that are given up because this process was suspended: what the socket
+// takes now counts.
+func TestSuspensionIsNoStall(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	caller, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer caller.Close()
+	accepted, err := l.Accept()
+	is.NoErr(err)
+	defer accepted.Close()
+	now := time.Duration(0)
+	c := New(accepted, &Options{Now: func() time.Duration { return now }, Stats: &Stats{}}).(*Conn)
+	c.kept.Add(now, make([]byte, eventBytes))
+	now = time.Hour
+	is.NoErr(c.SetWriteDeadline(time.Unix(1, 0))) // it has passed
+	is.True(c.kept.Stalled(now))
+	is.True(c.takesMore())
+	is.True(!c.kept.Stalled(now))
+	for { // until the sockets are full
+		n, err := c.writeNow(make([]byte, 1<<20))
+		is.NoErr(err)
+		if n == 0 {
+			break
+		}
+	}
+	c.kept.Add(now, make([]byte, eventBytes))
+	is.True(!c.takesMore())
+}
