--- a/internal/gateway/runmoves.go
+++ b/internal/gateway/runmoves.go
@@ -278,12 +278,20 @@
 // beginCopy records the start of a copy. It returns false if the run is not to be moved now. It
 // takes no lock of the gateway or of a service.
 func (m *generation) beginCopy(to runmove.Place) bool {
-	if m.g.draining.Load() || !m.g.resumeAllowed(m.c) || !m.budget.available() {
+	if m.g.draining.Load() || !m.g.resumeAllowed(m.c) {
 		return false
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.run.BeginCopy(m.g.clock.Now(), to)
+	now := m.g.clock.Now()
+	if !m.run.MayCopy(now) {
+		return false
+	}
+	// A retry that was taken for an earlier copy is still there.
+	if !m.c.retryCharged.Load() && !m.budget.take() {
+		return false
+	}
+	return m.run.BeginCopy(now, to)
 }
 
 // move copies the run of an attempt to another target while it goes on, then stops it and copies
@@ -319,7 +327,7 @@
 
 // stop stops a run of which a copy exists, and reports whether it has stopped.
 func (m *generation) stop(pl *enginePlacement, run *runmove.Run, to directory.Registration) (runmove.Result, bool) {
-	if !m.g.resumeAllowed(m.c) || !m.budget.take() {
+	if !m.g.resumeAllowed(m.c) {
 		return runmove.Copied, false
 	}
 	resolved := make(chan struct{})
--- a/internal/gateway/runmoves_test.go
+++ b/internal/gateway/runmoves_test.go
@@ -125,11 +125,10 @@
 	p.settings.RetryReserve, p.settings.RetryRatio = 1.7*unknownFleetSize, 1
 	budget := p.newRunMoveBudget(&call{service: &routing.Service{Name: "engines"}})
 	budget.retries.SetReserve(p.retryReserve(unknownFleetSize))
-	is.True(!budget.available())
+	is.True(!budget.take())
 	for range 100 {
 		budget.retries.AddRequest()
 	}
-	is.True(budget.available())
 	is.True(budget.take())
 	is.True(!budget.take())
 }
--- a/internal/gateway/streammove.go
+++ b/internal/gateway/streammove.go
@@ -58,9 +58,6 @@
 	return b
 }
 
-// available reports whether take would succeed now.
-func (b moveBudget) available() bool { return b.retries.Available() >= b.reserve+1 }
-
 // take takes a retry for the next attempt.
 func (b moveBudget) take() bool {
 	if !b.retries.TakeRetryAbove(b.reserve) {
--- a/internal/runmove/run.go
+++ b/internal/runmove/run.go
@@ -96,10 +96,15 @@
 // HasBackup reports whether the run may go on at a backup.
 func (r *Run) HasBackup() bool { return r.backup != Place{} && r.phase != ended }
 
-// BeginCopy starts a copy to a destination. It returns false if a move is under way, or if the
-// run is not to be moved (any more).
+// MayCopy reports whether a copy may be started: no move is under way, and the run may be moved
+// (again) now.
+func (r *Run) MayCopy(now time.Duration) bool {
+	return r.phase == running && r.copies < MaxCopies && (r.copies == 0 || now >= r.copiedAt+copyRetryDelay)
+}
+
+// BeginCopy starts a copy to a destination. It returns false if that may not be done now.
 func (r *Run) BeginCopy(now time.Duration, destination Place) bool {
-	if r.phase != running || r.copies >= MaxCopies || r.copies > 0 && now < r.copiedAt+copyRetryDelay {
+	if !r.MayCopy(now) {
 		return false
 	}
 	r.copies++
