--- a/internal/gateway/runmoves.go
+++ b/internal/gateway/runmoves.go
@@ -217,7 +217,7 @@
 	}
 	to, found := s.moveDestination(pl)
 	if !found || !pl.generation.beginCopy(placeOf(&to)) {
-		return found && pl.generation.mayCopy()
+		return found && pl.generation.hasCopiesLeft()
 	}
 	s.copies.Begin(to.ID, pl.heldTokens)
 	go func() {
@@ -285,22 +285,30 @@
 	return m.run.Idle()
 }
 
-// mayCopy reports whether another destination may be tried, now or later.
-func (m *generation) mayCopy() bool {
+// hasCopiesLeft reports whether another destination may be tried, now or later.
+func (m *generation) hasCopiesLeft() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.run.MayCopy()
+	return m.run.HasCopiesLeft()
 }
 
 // beginCopy records the start of a copy. It returns false if the run is not to be moved now. It
 // takes no lock of the gateway or of a service.
 func (m *generation) beginCopy(to runmove.Place) bool {
-	if m.g.draining.Load() || !m.g.resumeAllowed(m.c) || !m.budget.available() {
+	if m.g.draining.Load() || !m.g.resumeAllowed(m.c) {
 		return false
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.run.BeginCopy(m.g.clock.Now(), to)
+	now := m.g.clock.Now()
+	if !m.run.MayCopy(now) {
+		return false
+	}
+	// A retry that was taken for an earlier copy is still there.
+	if !m.c.retryCharged.Load() && !m.budget.take() {
+		return false
+	}
+	return m.run.BeginCopy(now, to)
 }
 
 // move copies the run of an attempt to another target while it goes on, then stops it and copies
@@ -336,7 +344,7 @@
 
 // stop stops a run of which a copy exists, and reports whether it has stopped.
 func (m *generation) stop(pl *enginePlacement, run *runmove.Run, to directory.Registration) (runmove.Result, bool) {
-	if !m.g.resumeAllowed(m.c) || !m.budget.take() {
+	if !m.g.resumeAllowed(m.c) {
 		return runmove.Copied, false
 	}
 	resolved := make(chan struct{})
--- a/internal/gateway/streammove.go
+++ b/internal/gateway/streammove.go
@@ -52,9 +52,6 @@
 // save up less than two retries: the reserve is a part of what exceeds one.
 func (b moveBudget) reserve() float64 { return streamMoveReserve * max(0, b.retries.Reserve()-1) }
 
-// available reports whether take would succeed now.
-func (b moveBudget) available() bool { return b.retries.Available() >= b.reserve()+1 }
-
 // take takes a retry for the next attempt.
 func (b moveBudget) take() bool {
 	if !b.retries.TakeRetryAbove(b.reserve()) {
--- a/internal/placement/score_memory_test.go
+++ b/internal/placement/score_memory_test.go
@@ -27,7 +27,7 @@
 	home, err := picker.Pick(0, r, rng)
 	is.NoErr(err)
 	for i := range pool.Len() {
-		pool.Target(i).Memory.SetPeers(0, delay, nil)
+		pool.Target(i).Memory.SetPeers(0, delay, 0, nil)
 	}
 	pool.Target(home.Index).PeersHeldTokens = memory * 8 / 10
 	other, err := picker.Pick(0, r, rng)
