--- a/internal/targetcapacity/table.go
+++ b/internal/targetcapacity/table.go
@@ -35,9 +35,9 @@
 	// a target can only make an answer later, so high rates are nearer to the truth. The
 	// highest is not used, as it may be wrong.
 	rateQuantile = 0.85
-	// reportFreshness is the age up to which a report makes further ones unnecessary,
-	// reportExpiry the age at which it no longer counts.
-	reportFreshness, reportExpiry = 10 * time.Second, 2 * time.Minute
+	// reportExpiry is the age at which a report no longer counts. The rate of an incarnation
+	// seldom changes.
+	reportExpiry = time.Minute
 	// minReporters and minSamples are the numbers of instances and of their samples from
 	// which a rate is agreed. With fewer instances, minSamples own ones are enough.
 	minReporters, minSamples = 3, 5
@@ -46,9 +46,6 @@
 // Rate is the prefill rate of a target as agreed by the instances.
 type Rate struct {
 	TokensPerSecond float64
-	// Low and High are cautious estimates: the median of the reports, and the highest one that
-	// can't be that of a single wrong instance.
-	Low, High float64
 	// Reporters is the number of instances whose reports count, Samples the number of
 	// responses that they have measured.
 	Reporters, Samples int
@@ -74,7 +71,7 @@
 type target struct {
 	id  directory.Incarnation
 	own ownSamples
-	// peers are the last reports of other instances.
+	// peers are reports of other instances, the highest ones if there are many.
 	peers []peerReport
 	// weightStep is the logarithm of the weight in use, to the base weightStepRatio; 0 if
 	// none is.
@@ -138,35 +135,31 @@
 	own.at = now
 }
 
-// Apply records the report of another instance, made at the given time. An instance
-// repeats a report for as long as it publishes it.
+// Apply records the report of another instance, made at the given time. If there are many, the
+// highest are kept: as unknown work makes answers late, the latest ones would be too low for as
+// long as a target is overloaded. An instance repeats a report for as long as it publishes it.
 func (t *Table) Apply(at time.Duration, instance string, r Report) {
 	known := t.find(r.Target)
 	if known == nil || r.TokensPerSecond <= 0 || r.Samples <= 0 {
 		return
 	}
 	report := peerReport{instance: instance, rate: float64(r.TokensPerSecond), samples: min(r.Samples, maxSamples), at: at}
+	known.peers = slices.DeleteFunc(known.peers, func(p peerReport) bool { return at-p.at >= reportExpiry })
+	replace := -1
 	for i, p := range known.peers {
-		if p.instance != instance {
-			continue
+		if p.instance == instance {
+			replace = i
+			break
 		}
-		if at > p.at && (p.rate != report.rate || p.samples != report.samples || at-p.at > 2*publishPeriod) {
-			known.peers[i] = report
+		if len(known.peers) == maxReporters && (replace < 0 || p.rate < known.peers[replace].rate) {
+			replace = i
 		}
-		return
 	}
-	if len(known.peers) < maxReporters {
+	switch {
+	case replace < 0:
 		known.peers = append(known.peers, report)
-		return
-	}
-	oldest := 0
-	for i, p := range known.peers {
-		if p.at < known.peers[oldest].at {
-			oldest = i
-		}
-	}
-	if known.peers[oldest].at < at {
-		known.peers[oldest] = report
+	case known.peers[replace].rate < report.rate:
+		known.peers[replace] = report
 	}
 }
 
@@ -201,22 +194,15 @@
 	}
 	switch {
 	case out.Reporters >= minReporters && out.Samples >= minSamples:
-		out.setRates(list)
+		out.TokensPerSecond = quantile(list, rateQuantile)
 	case ownCount >= minSamples && now-s.own.at < reportExpiry:
-		rates := s.own.rates
-		out.setRates(rates[:ownCount])
-		out.Reporters, out.Samples, out.Age = 1, ownCount, now-s.own.at
+		out.TokensPerSecond, out.Reporters, out.Samples, out.Age = own, 1, ownCount, now-s.own.at
 	default:
 		return Rate{}, false
 	}
 	return out, true
 }
 
-// setRates sets the estimates from a list of rates, which it sorts.
-func (r *Rate) setRates(list []float64) {
-	r.TokensPerSecond, r.Low, r.High = quantile(list, rateQuantile), quantile(list, 0.5), quantile(list, 1)
-}
-
 // rate returns the own estimate and the number of samples that it is of.
 func (o *ownSamples) rate() (tokensPerSecond float64, samples int) {
 	samples = min(o.count, maxSamples)
@@ -235,8 +221,8 @@
 	return list[max(0, min(int(math.Ceil(q*float64(n)))-1, n-2))]
 }
 
-// Reports returns the reports that this instance publishes now: own measurements of
-// targets of which the fleet has few fresh reports.
+// Reports returns the reports that this instance publishes now: own measurements that add to
+// what the fleet knows.
 func (t *Table) Reports(now time.Duration) []Report {
 	t.published = slices.DeleteFunc(t.published, func(p publishedReport) bool { return now >= p.until })
 	for len(t.published) < MaxPublished {
@@ -260,24 +246,30 @@
 	return out
 }
 
-// mostWanted returns the target with the fewest fresh reports among those with own
-// samples that haven't been published, or nil if no target needs a report. Of several it
-// returns the one measured last, as instances that chose by name would all choose the same.
+// mostWanted returns the target with the fewest reports among those of which this instance has
+// something to publish, or nil if there is none. Of several it returns the one measured last, as
+// instances that chose by name would all choose the same.
 func (t *Table) mostWanted(now time.Duration) *target {
 	var best *target
-	bestFresh := maxReporters
 	for _, s := range t.targets {
-		if s.own.count == 0 || s.own.at <= s.own.publishedAt {
+		if s.own.count == 0 || s.own.at <= s.own.publishedAt || !s.adds(now) {
 			continue
 		}
-		fresh := s.freshReports(now)
-		if fresh < bestFresh || best != nil && fresh == bestFresh && s.measuredAfter(best) {
-			best, bestFresh = s, fresh
+		if best == nil || len(s.peers) < len(best.peers) || len(s.peers) == len(best.peers) && s.measuredAfter(best) {
+			best = s
 		}
 	}
 	return best
 }
 
+// adds reports whether other instances would keep a report of the own rate.
+func (s *target) adds(now time.Duration) bool {
+	rate, _ := s.own.rate()
+	return len(s.peers) < maxReporters || slices.ContainsFunc(s.peers, func(p peerReport) bool {
+		return p.rate < rate || now-p.at >= reportExpiry/2
+	})
+}
+
 // measuredAfter orders targets by their last own sample, and by name if these are of the same
 // time.
 func (s *target) measuredAfter(other *target) bool {
@@ -286,13 +278,3 @@
 	}
 	return s.id.ID < other.id.ID
 }
-
-func (s *target) freshReports(now time.Duration) int {
-	n := 0
-	for _, p := range s.peers {
-		if now-p.at < reportFreshness {
-			n++
-		}
-	}
-	return n
-}
