slowspell: targets whose answers are overdue get no new work for as long as that lasts

Cause: a spell of slowness is over before an estimate has moved, and a target without any answer gets requests for two seconds until it is declared silent.

Change: internal/slowspell compares waits for first tokens with what was expected, against what is usual in the service; a new placement filter passes such targets over, at most a quarter of the available ones. SlowTargets tell peers, two of which are needed. It acts only while the service's targets count as unequal. applyToGateway in exchange.go counts the reports.

--- a/internal/gateway/engineservice.go
+++ b/internal/gateway/engineservice.go
@@ -15,6 +15,7 @@
 	"github.com/mastictray/mastictray/internal/placement"
 	"github.com/mastictray/mastictray/internal/routing"
 	"github.com/mastictray/mastictray/internal/servicetime"
+	"github.com/mastictray/mastictray/internal/slowspell"
 	"github.com/mastictray/mastictray/internal/targetcapacity"
 	"github.com/mastictray/mastictray/internal/targetlimit"
 	"github.com/mastictray/mastictray/internal/targetpause"
@@ -94,8 +95,10 @@
 	serviceTimes *servicetime.Estimator
 	// capacities are the targets' rates as all instances measure them.
 	capacities targetCapacities
-	bounds     versionBounds
-	reach      *domainReach
+	// slow are the targets that are slow for a while.
+	slow   slowTargets
+	bounds versionBounds
+	reach  *domainReach
 	// avoidedDomains are the unreachable domains as the placement filters know them.
 	avoidedDomains map[string]bool
 	// limits are the rate limits that targets advertise, rateLimited the targets that have
@@ -118,6 +121,7 @@
 	s := &engineService{
 		now: now, domain: domain, prefillRate: prefill, limits: limits, reach: reach, serviceTimes: servicetime.New(prefill),
 		capacities:    targetCapacities{table: targetcapacity.New(), updatedAt: never},
+		slow:          slowTargets{detector: slowspell.New(), checkedAt: never},
 		registrations: map[string]directory.Registration{}, breakers: map[string]*overload.Breaker{},
 		stallDetectors: map[string]*overload.StallDetector{}, running: map[*enginePlacement]struct{}{}, stalledAt: map[string]time.Duration{},
 		index:  cacheindex.New(cacheIndexBytes),
@@ -166,7 +170,9 @@
 		}
 	}
 	s.registrations = next
-	s.serviceTimes.Retain(func(id string) bool { _, exists := next[id]; return exists })
+	exists := func(id string) bool { _, ok := next[id]; return ok }
+	s.serviceTimes.Retain(exists)
+	s.slow.detector.Retain(exists)
 	s.pool = placement.NewPool(targets, "", placement.DefaultFilters())
 	s.replaceCapacityTargets(regs)
 	o := placement.DefaultOptions()
@@ -298,6 +304,7 @@
 	s.refreshDomains()
 	s.refreshRateLimits()
 	s.expirePauses()
+	s.refreshSlowTargetsIfDue()
 }
 
 // refreshDomains updates the placement filters with the domains that can't be reached. The caller
@@ -403,6 +410,7 @@
 		NoOtherWork:    pl.send.Decision.Queued == 0,
 	}
 	s.measureCapacity(pl, sample)
+	s.slow.detector.Answered(now, s.waitOf(now, pl))
 	s.serviceTimes.Observe(pl.target.ID, sample)
 	if l := s.serviceTimes.Latency(); l > 0 {
 		s.dispatcher.SetLatency(l)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -203,7 +203,7 @@
 	p.mu.Lock()
 	fleetSize, updateMaxAge, updateDelay := p.fleetSizeLocked(), p.updateMaxAge(), p.propagationTime()
 	instances, announcementsRead := p.servingInstances(), p.announcementsRead
-	reporting, silent := 0, map[string]int{}
+	reporting, silent, slow := 0, map[string]int{}, map[string]int{}
 	for _, s := range p.known {
 		if !p.isFresh(now, s) {
 			continue
@@ -212,6 +212,9 @@
 		for _, id := range s.state.SilentTargets {
 			silent[id]++
 		}
+		for _, id := range s.state.SlowTargets {
+			slow[id]++
+		}
 		for target, l := range s.state.Loads {
 			sum := loads[target]
 			loads[target] = targetLoad{PendingPromptTokens: sum.PendingPromptTokens + float64(l.PendingPromptTokens), KVCacheTokens: sum.KVCacheTokens + l.KVCacheTokens}
@@ -222,7 +225,7 @@
 	}
 	p.mu.Unlock()
 	p.g.limits.setFleet(instances, announcementsRead)
-	p.g.applyFleetState(now, fleetSize, updateMaxAge, updateDelay, loads, loading)
+	p.g.applyFleetState(now, fleetSize, updateMaxAge, updateDelay, loads, loading, slow)
 	p.g.suspectTargets(confirmedSilent(silent, reporting))
 }
 
--- a/internal/gateway/fleetstate.go
+++ b/internal/gateway/fleetstate.go
@@ -30,6 +30,7 @@
 			state.Loads[id] = wire.TargetLoad{PendingPromptTokens: int(l.PendingPromptTokens), KVCacheTokens: l.KVCacheTokens}
 		}
 		state.SilentTargets = append(state.SilentTargets, service.recentlyStalled()...)
+		state.SlowTargets = append(state.SlowTargets, service.reportedSlowTargets()...)
 		state.TargetRates = append(state.TargetRates, service.capacityReports()...)
 	}
 	return state, g.accountLimiter.ReportSpent()
@@ -198,9 +199,9 @@
 	}
 }
 
-// applyFleetState applies the peers' loads, the targets that load, and the size of the
-// fleet. Updates of peers arrive after updateDelay.
-func (g *Gateway) applyFleetState(now time.Duration, fleetSize int, updateMaxAge, updateDelay time.Duration, loads map[string]targetLoad, loading map[string]bool) {
+// applyFleetState applies the peers' loads, the targets that load, the numbers of peers that
+// report a target as slow, and the size of the fleet. Updates of peers arrive after updateDelay.
+func (g *Gateway) applyFleetState(now time.Duration, fleetSize int, updateMaxAge, updateDelay time.Duration, loads map[string]targetLoad, loading map[string]bool, slowReports map[string]int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.accountLimiter.SetFleetSize(now, fleetSize, updateMaxAge)
@@ -213,5 +214,6 @@
 	g.updateVersionBounds()
 	for _, service := range g.engineServices {
 		service.setPeerLoads(updateDelay, loads)
+		service.setSlowReports(slowReports)
 	}
 }
--- a/internal/gateway/targetcapacity.go
+++ b/internal/gateway/targetcapacity.go
@@ -127,6 +127,7 @@
 		}
 		g.metrics.gauge(fmt.Sprintf(`mastictray_target_rates_agreed{service=%q}`, name)).Set(float64(spread.Known))
 		g.metrics.gauge(fmt.Sprintf(`mastictray_target_rate_ratio{service=%q}`, name)).Set(spread.Ratio)
+		g.metrics.gauge(fmt.Sprintf(`mastictray_slow_targets{service=%q}`, name)).Set(float64(service.slowTargetCount()))
 		g.metrics.gauge(fmt.Sprintf(`mastictray_targets_weighted{service=%q}`, name)).Set(unequal)
 	}
 }
--- a/internal/placement/filter.go
+++ b/internal/placement/filter.go
@@ -15,5 +15,5 @@
 
 // DefaultFilters returns the filters that every pool uses.
 func DefaultFilters() []Filter {
-	return []Filter{drainingFilter{}, versionFilter{}, breakerFilter{}, quarantineFilter{}, reachabilityFilter{}, loadingFilter{}, rateFilter{}, pauseFilter{}}
+	return []Filter{drainingFilter{}, versionFilter{}, breakerFilter{}, quarantineFilter{}, reachabilityFilter{}, loadingFilter{}, rateFilter{}, pauseFilter{}, slowFilter{}}
 }
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -146,6 +146,21 @@
 	return n
 }
 
+// RejectedOnlyAsSlow reports whether the i-th target would be eligible if it weren't slow.
+func (p *Pool) RejectedOnlyAsSlow(i int) bool {
+	t := p.targets[i]
+	if !t.Slow {
+		return false
+	}
+	t.Slow = false
+	for _, f := range p.filters {
+		if f.Rejects(&t, p.desiredVersion) {
+			return false
+		}
+	}
+	return true
+}
+
 // Rejected reports whether a filter rejects the i-th target.
 func (p *Pool) Rejected(i int) bool { return p.rejected[i] != 0 }
 
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -52,6 +52,8 @@
 	BreakerOpen bool
 	// Paused targets have asked for a pause that has not ended.
 	Paused bool
+	// Slow targets answer far later than they usually do.
+	Slow bool
 	// Quarantined targets run requests that are suspected of crashing targets.
 	Quarantined bool
 	// Unreachable is set while the target's domain cannot be reached.
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -109,7 +109,7 @@
 	// TargetRates are a few of the capacities of targets that the origin has measured.
 	// Receivers keep them.
 	TargetRates []TargetRate
-	// SlowTargets are the targets that answer the origin far later than they usually do.
+	// SlowTargets are a few targets that answer the origin far later than they usually do.
 	SlowTargets []string
 }
 
