--- a/internal/gateway/contention_test.go
+++ b/internal/gateway/contention_test.go
@@ -44,7 +44,7 @@
 	now := p.clock.Now()
 	p.publishedState()
 	p.applyPeerChanges(now, []replica.Change{{Identity: wire.Identity{Instance: peer, Incarnation: peer}, At: now, State: wire.InstanceState{Demand: rows}}})
-	p.applyFleetState(now, 2, minUpdateMaxAge, exchangeInterval, nil, nil)
+	p.applyFleetState(now, 2, minUpdateMaxAge, exchangeInterval, nil, nil, nil)
 }
 
 // Guards against a part that acts on a deployment which doesn't call for it.
