placement: few free slots cost a wait; targets without any are neither passed over nor held back

Counts in flight are 0.3 s old: passed over by all at once, targets idle and lose their prefixes, and requests held at an instance wait while a slot is free.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -318,7 +318,7 @@
 		t.OverRate = true
 		d.pool.ApplyFilters(choice.Index)
 	}
-	d.pool.AddInFlight(choice.Index, 1)
+	t.InFlight++
 	t.HeldTokens += r.Placement.HeldTokens
 	stamp := d.index.AddExpected(id, r.Placement.Chain)
 	d.step.Sends = append(d.step.Sends, Send[T]{
--- a/internal/gateway/enginepeers.go
+++ b/internal/gateway/enginepeers.go
@@ -44,7 +44,7 @@
 		l := peers[t.Name]
 		t.PeersHeldTokens = l.KVCacheTokens
 		t.Load.SetPeerUnanswered(l.PendingPromptTokens)
-		s.pool.SetPeersInFlight(i, l.Requests)
+		t.PeersInFlight = l.Requests
 	}
 }
 
--- a/internal/gateway/engineservice.go
+++ b/internal/gateway/engineservice.go
@@ -513,7 +513,7 @@
 	}
 	if i, ok := s.pool.Find(pl.target.ID); ok && s.registrations[pl.target.ID].Incarnation() == pl.target.Incarnation() {
 		t := s.pool.Target(i)
-		s.pool.AddInFlight(i, -1)
+		t.InFlight--
 		t.HeldTokens -= pl.heldTokens
 	}
 	pl.breaker.End(s.now(), pl.ticket, result, s.rng)
--- a/internal/gateway/runmoves.go
+++ b/internal/gateway/runmoves.go
@@ -471,7 +471,7 @@
 	}
 	r.Placement.PromptTokens, r.Placement.Chain, r.Placement.PieceEnds = 0, nil, nil // nothing is left to prefill
 	t, b := s.pool.Target(i), s.breaker(at.ID)
-	s.pool.AddInFlight(i, 1)
+	t.InFlight++
 	t.HeldTokens += r.Placement.HeldTokens
 	s.limits.recordSend(target.Incarnation())
 	return &enginePlacement{
--- a/internal/placement/picker.go
+++ b/internal/placement/picker.go
@@ -135,18 +135,13 @@
 // selects the next target in the same order.
 func (p *Picker) selectCandidates(r *Request, rng *rand.Rand) {
 	key, rejected := p.affinityKey(r, rng), p.pool.excluded[cohort(r.Canary)]
-	for _, ignored := range [...]Rejection{0, noFreeSlot} {
-		p.ranked = p.pool.rank(p.ranked[:0], key, rejected, ignored, p.options.MaxCandidates)
-		p.scored = p.scored[:0]
-		for _, k := range p.ranked {
-			if r.Exclude != "" && p.pool.targets[k.index].Name == r.Exclude {
-				continue
-			}
-			p.scored = append(p.scored, Candidate{Index: int(k.index), Rank: len(p.scored)})
-		}
-		if len(p.scored) > 0 {
-			return
+	p.ranked = p.pool.rank(p.ranked[:0], key, rejected, p.options.MaxCandidates)
+	p.scored = p.scored[:0]
+	for _, k := range p.ranked {
+		if r.Exclude != "" && p.pool.targets[k.index].Name == r.Exclude {
+			continue
 		}
+		p.scored = append(p.scored, Candidate{Index: int(k.index), Rank: len(p.scored)})
 	}
 }
 
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -114,44 +114,16 @@
 	p.rejected[i] = t.rejectedBy
 	p.excluded[0][i], p.excluded[1][i] = t.rejectedBy, t.rejectedBy
 	p.excluded[cohort(!t.Canary)][i] |= otherCohort
-	p.updateSlots(i)
 }
 
 // rank appends to dst the first limit targets in the rendezvous order of a key; see topRanked.
-func (p *Pool) rank(dst []ranked, key prefix.Hash, rejected []Rejection, ignored Rejection, limit int) []ranked {
+func (p *Pool) rank(dst []ranked, key prefix.Hash, rejected []Rejection, limit int) []ranked {
 	if p.inverseWeights != nil {
-		return topRankedWeighted(dst, key, p.seeds, p.inverseWeights, rejected, ignored, limit)
+		return topRankedWeighted(dst, key, p.seeds, p.inverseWeights, rejected, limit)
 	}
-	return topRanked(dst, key, p.seeds, rejected, ignored, limit)
+	return topRanked(dst, key, p.seeds, rejected, limit)
 }
 
-// AddInFlight adds n to the number of this instance's requests in flight at the i-th target.
-func (p *Pool) AddInFlight(i, n int) {
-	p.targets[i].InFlight += n
-	p.updateSlots(i)
-}
-
-// SetPeersInFlight sets the number of the other instances' requests in flight at the i-th
-// target, as last reported.
-func (p *Pool) SetPeersInFlight(i, n int) {
-	p.targets[i].PeersInFlight = n
-	p.updateSlots(i)
-}
-
-// updateSlots updates whether requests pass over the i-th target for want of a free slot.
-func (p *Pool) updateSlots(i int) {
-	for c := range p.excluded {
-		p.excluded[c][i] &^= noFreeSlot
-		if p.targets[i].slotsTaken() {
-			p.excluded[c][i] |= noFreeSlot
-		}
-	}
-}
-
-// noFreeSlot marks targets whose shared slots are taken. They get requests only if all
-// eligible targets are marked. It is beyond the bits of filters.
-const noFreeSlot Rejection = 1 << 30
-
 // otherCohort is the rejection of a canary for a request to stable targets, and the reverse. It
 // is beyond the bits of filters.
 const otherCohort Rejection = 1 << 31
--- a/internal/placement/rendezvous.go
+++ b/internal/placement/rendezvous.go
@@ -28,12 +28,12 @@
 }
 
 // topRanked appends to dst the limit targets with the highest weights among those
-// that no filter rejects, in descending order. Rejections in ignored don't count. When a target leaves, only the keys
+// that no filter rejects, in descending order. When a target leaves, only the keys
 // for which it ranked highest move, each to its next target.
-func topRanked(dst []ranked, key prefix.Hash, seeds []uint64, rejected []Rejection, ignored Rejection, limit int) []ranked {
+func topRanked(dst []ranked, key prefix.Hash, seeds []uint64, rejected []Rejection, limit int) []ranked {
 	start := len(dst)
 	for i, seed := range seeds {
-		if rejected[i]&^ignored != 0 {
+		if rejected[i] != 0 {
 			continue
 		}
 		w := mix(uint64(key) ^ seed)
@@ -54,11 +54,11 @@
 // For a key, each target draws an exponentially distributed value whose rate is its weight,
 // and the lowest value is first. When one weight changes, only keys of its target move;
 // with equal weights the order is that of topRanked.
-func topRankedWeighted(dst []ranked, key prefix.Hash, seeds []uint64, inverseWeights []float64, rejected []Rejection, ignored Rejection, limit int) []ranked {
+func topRankedWeighted(dst []ranked, key prefix.Hash, seeds []uint64, inverseWeights []float64, rejected []Rejection, limit int) []ranked {
 	start := len(dst)
 	worst := math.Inf(1)
 	for i, seed := range seeds {
-		if rejected[i]&^ignored != 0 {
+		if rejected[i] != 0 {
 			continue
 		}
 		x := float64(int64(^mix(uint64(key)^seed)>>hashShift)) * hashUnit
@@ -110,7 +110,7 @@
 			rejected[i] = 1
 		}
 	}
-	ranked := topRanked(nil, key, seeds, rejected, 0, len(names))
+	ranked := topRanked(nil, key, seeds, rejected, len(names))
 	order := make([]int, len(ranked))
 	for i, r := range ranked {
 		order[i] = int(r.index)
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -26,9 +26,9 @@
 	// Limit is the maximum number of requests of this instance in flight at the
 	// target, InFlight the current number; a Limit of 0 means no limit.
 	Limit, InFlight int
-	// SharedSlots is the number of requests that the target runs at the same time, of which
-	// all instances together should keep no more in flight; 0 if it is far above what they
-	// send. PeersInFlight is the number of the other instances' requests, as last reported.
+	// SharedSlots is the number of requests that the target runs at the same time, if requests
+	// of all instances may wait for them; 0 if it is far above what they send. PeersInFlight is
+	// the number of the other instances' requests, as last reported.
 	SharedSlots, PeersInFlight int
 
 	// MemoryTokens is the capacity in tokens that running requests and cached pieces
@@ -81,9 +81,6 @@
 	if t.Limit > 0 && t.InFlight >= t.Limit {
 		return true
 	}
-	if t.SharedSlots > 0 && float64(t.InFlight+t.PeersInFlight) >= (1+queuedSlotFraction)*float64(t.SharedSlots) {
-		return true
-	}
 	held := t.HeldTokens + t.PeersHeldTokens
 	switch {
 	case t.MemoryTokens == 0:
@@ -94,16 +91,6 @@
 	return float64(held) >= maxMemoryUtilization*float64(t.MemoryTokens)
 }
 
-// queuedSlotFraction is the number of requests that may wait at a target for its slots, as a
-// fraction of the slots. They take the slots that become free before this instance learns of
-// it. Further ones wait at the instances, where the most urgent one is next.
-const queuedSlotFraction = 0.25
-
-// slotsTaken reports whether a request would have to wait at the target for a slot.
-func (t *Target) slotsTaken() bool {
-	return t.SharedSlots > 0 && t.InFlight+t.PeersInFlight >= t.SharedSlots
-}
-
 // prefillRate returns the usable prefill rate in tokens per second.
 func (t *Target) prefillRate() float64 {
 	r := t.nominalRate()
