--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -61,9 +61,6 @@
 		if !a.pathFailed {
 			g.recordCrash(ctx, c, result, err)
 		}
-		if c.generation.takeOver(ctx, a, relay, result, err) {
-			return outcomeTakenOver
-		}
 	}
 	return result
 }
@@ -255,7 +252,6 @@
 		// when they fetch pieces, so the scope names both, and the target must have the
 		// version that the scope names.
 		params.WeightsVersion = expectedWeights(c, &a.target)
-		params.BackupTo = c.generation.backupAddress()
 		params.CacheScope = strconv.FormatInt(params.WeightsVersion, 10) + "/" + cacheScope(c)
 		if a.continueFrom != "" {
 			return params // the copy has the whole prompt
--- a/internal/gateway/engineservice.go
+++ b/internal/gateway/engineservice.go
@@ -60,8 +60,6 @@
 	cancelledHere bool
 	// firstTokenSeen is set once the first token has arrived.
 	firstTokenSeen bool
-	// foundUnreached is set if the attempt was ended because nobody reaches its target.
-	foundUnreached bool
 	// continued is set if the run goes on here with memory from another target.
 	continued bool
 	// firstEventAt is when the first part of the response arrived, laterEvents the number of
@@ -117,9 +115,8 @@
 	// pauses holds the targets that have refused a request as a whole and asked for a pause,
 	// backoffs all that have refused one shortly before.
 	pauses, backoffs *targetpause.Pauses[directory.Incarnation]
-	// copies and backups are the budgets of the copies that are being made for moves, and of the
-	// backups of running requests.
-	copies, backups *runmove.Copies
+	// copies is the budget of copies of runs.
+	copies *runmove.Copies
 	// leaveMoveDelay is how long a run stays at a target that leaves until it is moved.
 	leaveMoveDelay time.Duration
 	// unreachable tracks the probes of unreachable targets.
@@ -136,7 +133,7 @@
 		index:  cacheindex.New(cacheIndexBytes),
 		rng:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		pauses: &targetpause.Pauses[directory.Incarnation]{}, backoffs: &targetpause.Pauses[directory.Incarnation]{},
-		loadingSince: map[string]time.Duration{}, probing: map[string]bool{}, copies: runmove.NewCopies(runmove.MoveLimits), backups: runmove.NewCopies(runmove.BackupLimits),
+		loadingSince: map[string]time.Duration{}, probing: map[string]bool{}, copies: runmove.NewCopies(runmove.MoveLimits),
 	}
 	s.rebuild(nil)
 	o := dispatch.DefaultOptions()
--- a/internal/gateway/enginestall.go
+++ b/internal/gateway/enginestall.go
@@ -124,22 +124,11 @@
 	}
 	s.breaker(target.id).Unreachable(now, s.rng)
 	s.stalledAt[target.id] = now
-	s.cancelUnreached(target.id)
+	s.cancelAttempts(target.id, func(*enginePlacement) bool { return true })
 	logline.Info("target_silent", "target", target.id, "address", target.address)
 	s.step()
 }
 
-// cancelUnreached cancels the attempts at a target that nobody reaches, if they may run at another
-// one or go on at a backup. The caller holds s.mu.
-func (s *engineService) cancelUnreached(id string) {
-	for pl := range s.running {
-		if pl.target.ID == id && (pl.repeatable || pl.generation.hasBackup()) {
-			pl.foundUnreached = true
-			pl.cancel()
-		}
-	}
-}
-
 // cancelAttempts cancels the attempts at a target that match and may run at another one. The
 // others wait, because the target may recover. The caller holds s.mu.
 func (s *engineService) cancelAttempts(id string, match func(*enginePlacement) bool) {
@@ -208,14 +197,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for pl := range s.running {
-		switch {
-		case pl.target.Domain != domain:
-		case pl.repeatable:
+		if pl.target.Domain == domain && pl.repeatable {
 			pl.cancelledHere = true
 			pl.cancel()
-		case pl.generation.hasBackup():
-			pl.cancelledHere, pl.foundUnreached = true, true
-			pl.cancel()
 		}
 	}
 }
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -94,10 +94,6 @@
 	FreeCopy(ctx context.Context, t directory.Registration, handle string) error
 }
 
-// ErrOtherIncarnation means that another incarnation of a target, or another target, has its
-// address.
-var ErrOtherIncarnation = errors.New("target: another incarnation has the address")
-
 // RunCopy describes a copy of the memory of a run.
 type RunCopy struct {
 	// RequestID is the ID of the request that is running.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -28,8 +28,6 @@
 	outcomeNoTarget
 	// outcomeStopped: the target has stopped the run so that it goes on at another target.
 	outcomeStopped
-	// outcomeTakenOver: the attempt has failed, and the run goes on at its backup.
-	outcomeTakenOver
 )
 
 // forward sends the request to one target after another until one has answered.
@@ -43,19 +41,17 @@
 	g.retryBudget(name).AddRequest()
 	relay := &responseRelay{g: g, c: c}
 	c.generation = g.newGeneration(c)
-	complete := false
-	defer func() { c.generation.end(complete) }()
+	defer c.generation.end()
 	unsent := 0
 	for {
 		result, refusal := g.attemptOnce(ctx, c, relay)
-		for result == outcomeStopped || result == outcomeTakenOver {
+		for result == outcomeStopped {
 			result = g.continueRun(ctx, c, relay)
 		}
 		switch result {
 		case outcomeNoTarget:
 			return g.finishUnanswered(ctx, c, relay, refusal)
 		case outcomeDelivered:
-			complete = true
 			g.logAnswered(c, relay)
 			return nil
 		case outcomeTruncated:
@@ -177,5 +173,5 @@
 }
 
 func (o outcome) String() string {
-	return [...]string{"delivered", "broken", "not_run", "unknown", "not_sent", "no_target", "stopped", "taken_over"}[o]
+	return [...]string{"delivered", "broken", "not_run", "unknown", "not_sent", "no_target", "stopped"}[o]
 }
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -26,8 +26,6 @@
 	// cacheScope.
 	savesToStore bool
 	cacheScope   string
-	// placement is the placement at a model server; nil for other targets.
-	placement *enginePlacement
 	// continueFrom is where the run's memory is if the run goes on here; empty for a new run.
 	continueFrom string
 	// choice describes the placement decision, for the log.
@@ -139,7 +137,7 @@
 func (g *Gateway) newEngineAttempt(c *call, service *engineService, pl *enginePlacement) *targetAttempt {
 	a := &targetAttempt{}
 	*a = targetAttempt{
-		placement: pl, target: pl.target, fetchSource: pl.fetchSource, fetchSourcePieces: pl.fetchSourcePieces,
+		target: pl.target, fetchSource: pl.fetchSource, fetchSourcePieces: pl.fetchSourcePieces,
 		choice: placementInfo{cachedPieces: pl.send.Decision.CachedPieces, uncachedTokens: int(pl.send.Decision.UncachedTokens), expectedTTFT: pl.send.Decision.Expected, eligibleTargets: pl.eligibleTargets, weightsVersion: expectedWeights(c, &pl.target)},
 		onAnswer: func() {
 			if !pl.firstTokenSeen && !pl.continued {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -78,9 +78,6 @@
 	// ContinueFrom is the address of a target and the handle of a copied run, separated by a
 	// slash: the request goes on with that run. Empty for none.
 	ContinueFrom string
-	// BackupTo is the address of a target to which the run's memory is copied while it grows;
-	// empty for none.
-	BackupTo string
 }
 
 // ResponseInfo is what the head of a target's response states.
--- a/internal/gateway/runmoves.go
+++ b/internal/gateway/runmoves.go
@@ -63,15 +63,13 @@
 	// resolved is closed once it is known whether the run has stopped; nil if that was not asked
 	// for.
 	resolved chan struct{}
-	// backup is the copy that is made while the run goes on; nil for none.
-	backup *runBackup
 }
 
 // newGeneration returns the state of a request's run, or nil if its service moves no runs or the
 // request may simply run again.
 func (g *Gateway) newGeneration(c *call) *generation {
 	e := c.service.Engine
-	if e == nil || !e.MovesRuns && !e.BacksUpRuns || c.route.Kind != routing.Stream || c.route.Repeatable() || c.Prompt == nil {
+	if e == nil || !e.MovesRuns || c.route.Kind != routing.Stream || c.route.Repeatable() || c.Prompt == nil {
 		return nil
 	}
 	return &generation{g: g, c: c, engine: e, budget: g.newRunMoveBudget(c)}
@@ -82,58 +80,36 @@
 	if m == nil {
 		return
 	}
-	if a.continueFrom != "" {
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		m.resolved = nil
-		return
-	}
-	backup := m.beginBackup(a)
 	m.mu.Lock()
-	previous := m.backup
-	m.run, m.at, m.resolved, m.backup = runmove.New(placeOf(&a.target)), a.target, nil, backup
-	if backup != nil {
-		m.run.SetBackup(placeOf(&backup.at))
+	defer m.mu.Unlock()
+	m.resolved = nil
+	if a.continueFrom == "" {
+		m.run, m.at = runmove.New(placeOf(&a.target)), a.target
 	}
-	m.mu.Unlock()
-	previous.release() // the target before has not run the request
 }
 
 // continued is called when a target has answered that goes on with a run.
 func (m *generation) continued(at directory.Registration) {
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.run, m.at = m.run.ContinueAt(placeOf(&at)), at
-	backup := m.backup
-	m.mu.Unlock()
-	if backup != nil && backup.at.ID == at.ID {
-		backup.release() // it has been used
-		return
-	}
-	backup.releaseAfter(m.engine.CopyExpiry)
 }
 
 func placeOf(r *directory.Registration) runmove.Place {
 	return runmove.Place{ID: r.ID, Address: r.Address}
 }
 
-// end is called when the request has ended. It frees a copy that was not used. A backup is freed by
-// its target at once if the answer was complete, else when it expires.
-func (m *generation) end(complete bool) {
+// end is called when the request has ended. It frees a copy that was not used.
+func (m *generation) end() {
 	if m == nil {
 		return
 	}
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	if m.run != nil {
 		handle, _ := m.run.End()
 		m.free(m.at, handle)
 	}
-	backup := m.backup
-	m.mu.Unlock()
-	if complete {
-		backup.release()
-		return
-	}
-	backup.releaseAfter(m.engine.CopyExpiry)
 }
 
 // free frees a copy of which a target is the source.
@@ -210,7 +186,7 @@
 // moveRun starts to move the run of an attempt to another target if that is possible and worth it.
 // The caller holds s.mu.
 func (s *engineService) moveRun(now time.Duration, pl *enginePlacement, reason moveReason) {
-	if pl.generation == nil || !pl.generation.engine.MovesRuns || !s.progressOf(now, pl).WorthMoving() {
+	if pl.generation == nil || !s.progressOf(now, pl).WorthMoving() {
 		return
 	}
 	to, found := s.moveDestination(pl)
@@ -238,13 +214,7 @@
 // moveDestination returns the target to which the run of an attempt is copied. The caller holds
 // s.mu.
 func (s *engineService) moveDestination(pl *enginePlacement) (directory.Registration, bool) {
-	return s.copyDestination(pl, pl.generation.c.Prompt.Model, s.copies, copyMemoryShare)
-}
-
-// copyDestination returns the target to which the run of an attempt is copied within a budget, if
-// that leaves it below a share of its memory. The caller holds s.mu.
-func (s *engineService) copyDestination(pl *enginePlacement, model string, budget *runmove.Copies, memoryShare float64) (directory.Registration, bool) {
-	next := s.nextToLoad(model)
+	next := s.nextToLoad(pl.generation.c.Prompt.Model)
 	var candidates []runmove.Candidate
 	for i := range s.pool.Len() {
 		t := s.pool.Target(i)
@@ -254,10 +224,10 @@
 		}
 		candidates = append(candidates, runmove.Candidate{
 			Place: placeOf(&r), SameDomain: r.Domain == pl.target.Domain, LoadsSoon: next[r.ID], FreeSlots: t.Limit - t.InFlight,
-			FreeTokens: int(memoryShare*float64(t.MemoryTokens)) - t.HeldTokens - t.PeersHeldTokens,
+			FreeTokens: int(copyMemoryShare*float64(t.MemoryTokens)) - t.HeldTokens - t.PeersHeldTokens,
 		})
 	}
-	i, ok := runmove.Choose(candidates, pl.heldTokens, budget, s.rng)
+	i, ok := runmove.Choose(candidates, pl.heldTokens, s.copies, s.rng)
 	if !ok {
 		return directory.Registration{}, false
 	}
@@ -411,7 +381,7 @@
 
 // nextAttempt returns the attempt at the next place at which the stopped run may go on, or nil.
 func (m *generation) nextAttempt(relay *responseRelay) *targetAttempt {
-	if relay.started && relay.lastEventID == "" {
+	if relay.lastEventID == "" {
 		return nil // it is unknown after which event the run would go on
 	}
 	service := m.g.engineServiceOf(m.c)
@@ -426,9 +396,6 @@
 		if !ok {
 			continue
 		}
-		if next.Handle == "" {
-			next.Handle = m.c.ID // a backup
-		}
 		a := m.g.newEngineAttempt(m.c, service, pl)
 		a.continueFrom = next.Owner.Address + "/" + next.Handle
 		onAnswer := a.onAnswer
@@ -467,14 +434,6 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`mastictray_run_moves_total{reason=%q,result=%q,stopped="%t"}`, string(reason), result.String(), stopped)).Inc()
 }
 
-func (m *gatewayMetrics) runBackedUp() {
-	m.set.GetOrCreateCounter(`mastictray_run_backups_total`).Inc()
-}
-
-func (m *gatewayMetrics) runTakenOver(taken, unreached bool) {
-	m.set.GetOrCreateCounter(fmt.Sprintf(`mastictray_run_take_overs_total{taken="%t",unreached="%t"}`, taken, unreached)).Inc()
-}
-
 func (m *gatewayMetrics) runContinued(result outcome) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`mastictray_run_continuations_total{outcome=%q}`, result.String())).Inc()
 }
--- a/internal/runmove/destination.go
+++ b/internal/runmove/destination.go
@@ -52,13 +52,9 @@
 	Total, PerTarget int
 }
 
-var (
-	// MoveLimits bound the copies in progress: they queue at the links of both ends, and a stopped
-	// run waits behind those before it.
-	MoveLimits = Limits{Total: 32, PerTarget: 2}
-	// BackupLimits bound the backups of running requests.
-	BackupLimits = Limits{Total: 64, PerTarget: 4}
-)
+// MoveLimits bound the copies in progress: they queue at the links of both ends, and a stopped run
+// waits behind those before it.
+var MoveLimits = Limits{Total: 32, PerTarget: 2}
 
 // Copies is the budget of the copies that one instance has at other targets. It is not safe for
 // concurrent use.
@@ -98,13 +94,6 @@
 	c.inProgress[target] = usage{copies: u.copies - 1, tokens: u.tokens - tokens}
 }
 
-// WorthBackup reports whether a run is worth a backup: it may make minBackupOutput tokens or more. A
-// shorter one ends so soon after its first token that a failure rarely meets it.
-func WorthBackup(maxOutputTokens int) bool { return maxOutputTokens >= minBackupOutput }
-
-// minBackupOutput is about a second of generation.
-const minBackupOutput = 256
-
 // Progress is how far a generation has come.
 type Progress struct {
 	// Events is the number of events since the first one, which arrived Elapsed ago.
--- a/internal/runmove/run.go
+++ b/internal/runmove/run.go
@@ -71,8 +71,6 @@
 	copies, stops       int
 	// copiedAt is when the last copy was begun.
 	copiedAt time.Duration
-	// backup is the target to which the run's memory is copied while it grows; empty for none.
-	backup Place
 	// places are where a stopped run may go on, in the order in which they are tried.
 	places []Continuation
 }
@@ -81,8 +79,7 @@
 type Continuation struct {
 	// At is the target that goes on with the run.
 	At Place
-	// Owner is the target that names the memory: the source of a copy under its handle, or the
-	// target of a backup under the ID of the request, for which Handle is empty.
+	// Owner is the source of the copy, which is found under its handle.
 	Owner  Place
 	Handle string
 }
@@ -90,12 +87,6 @@
 // New returns the state of a generation that a target runs.
 func New(source Place) *Run { return &Run{source: source} }
 
-// SetBackup records that the memory of the run is copied to a target while it grows.
-func (r *Run) SetBackup(at Place) { r.backup = at }
-
-// HasBackup reports whether the run may go on at a backup.
-func (r *Run) HasBackup() bool { return r.backup != Place{} && r.phase != ended }
-
 // MayCopy reports whether a copy may be started: no move is under way, and the run may be moved
 // (again) now.
 func (r *Run) MayCopy(now time.Duration) bool {
@@ -184,38 +175,6 @@
 	return Continuation{At: at, Owner: r.source, Handle: r.handle}
 }
 
-// SourceState is what is known of the target of a run whose stream has broken off.
-type SourceState struct {
-	// Gone is set if the target runs nothing of before: it refuses connections, has restarted, or
-	// nobody reaches it.
-	Gone bool
-	// Result and Handle are its response to the request to stop the run and to copy it to its
-	// backup.
-	Result Result
-	Handle string
-}
-
-// TakeOver decides whether a run whose stream has broken off goes on at its backup. It does only if
-// its target is known not to work on it any more.
-func (r *Run) TakeOver(s SourceState) bool {
-	if !r.HasBackup() || r.phase == stopped {
-		return false
-	}
-	backup := Continuation{At: r.backup, Owner: r.backup}
-	r.handle = s.Handle
-	switch {
-	case s.Gone || s.Result == NoRun:
-		r.stopAt(backup)
-	case s.Result == Copied && s.Handle != "":
-		r.stopAt(r.copyAt(r.backup))
-	case s.Result == NoRoom && s.Handle != "":
-		r.stopAt(backup)
-	default:
-		return false
-	}
-	return true
-}
-
 // Stopping reports whether the target may have stopped the run without this being known.
 func (r *Run) Stopping() bool { return r.phase == stopping }
 
--- a/internal/runmove/runmove_test.go
+++ b/internal/runmove/runmove_test.go
@@ -188,35 +188,3 @@
 	is.True(Progress{Events: 10, Elapsed: time.Second}.WorthMoving())
 	is.True(Progress{MaxEvents: 48}.WorthMoving())
 }
-
-// Guards against a run that works at two targets after its stream has broken off, and against one
-// that is given up although its target is known to have ended.
-func TestBackupTakesOverOnlyFromATargetThatHasStopped(t *testing.T) {
-	backup := Place{ID: "b", Address: "10.0.0.3:1"}
-	for _, c := range []struct {
-		name  string
-		state SourceState
-		want  []Continuation
-	}{
-		{"gone", SourceState{Gone: true}, []Continuation{{At: backup, Owner: backup}}},
-		{"runs nothing of it", SourceState{Result: NoRun}, []Continuation{{At: backup, Owner: backup}}},
-		{"has stopped and copied it", SourceState{Result: Copied, Handle: "h"}, []Continuation{{At: backup, Owner: source, Handle: "h"}}},
-		{"has stopped it", SourceState{Result: NoRoom, Handle: "h"}, []Continuation{{At: backup, Owner: backup}}},
-		{"doesn't answer", SourceState{Result: Unanswered}, nil},
-		{"copies it", SourceState{Result: InProgress}, nil},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			is := is.New(t)
-			r := New(source)
-			is.True(!r.TakeOver(c.state)) // no backup
-			r.SetBackup(backup)
-			is.Equal(r.TakeOver(c.state), c.want != nil)
-			var got []Continuation
-			for next, ok := r.Next(); ok; next, ok = r.Next() {
-				got = append(got, next)
-			}
-			is.Equal(got, c.want)
-			is.True(!r.ContinueAt(backup).HasBackup()) // it has been used
-		})
-	}
-}
