--- a/internal/gateway/runmoves.go
+++ b/internal/gateway/runmoves.go
@@ -231,8 +231,11 @@
 
 // progressOf returns how far the run of an attempt has come. The caller holds s.mu.
 func (s *engineService) progressOf(now time.Duration, pl *enginePlacement) runmove.Progress {
-	// Each event has one token at least.
-	return runmove.Progress{Events: pl.laterEvents, Elapsed: now - pl.firstEventAt, MaxEvents: pl.generation.c.Prompt.MaxOutputTokens}
+	tokensPerEvent := max(1, pl.generation.engine.TokensPerEvent)
+	return runmove.Progress{
+		Events: pl.laterEvents, Elapsed: now - pl.firstEventAt,
+		MaxEvents: (pl.generation.c.Prompt.MaxOutputTokens + tokensPerEvent - 1) / tokensPerEvent,
+	}
 }
 
 // moveDestination returns the target to which the run of an attempt is copied. The caller holds
--- a/internal/placement/memory.go
+++ b/internal/placement/memory.go
@@ -19,8 +19,8 @@
 // if the requests of all instances together exceed it. Each instance learns of the others'
 // requests and claims late, up to a bounded delay.
 //
-// While a target is known to be less full than openMemory, requests are sent at once. The rest
-// of its memory is given to claims, in the order of their tickets: a request claims the room
+// While a target is known to have plenty of room, requests are sent at once. The rest of its
+// memory is given to claims, in the order of their tickets: a request claims the room
 // that it needs, and is sent once the claim has been known to all instances for long enough and
 // there is room for it after all earlier claims. Later claims leave it that room, so that large
 // requests are not passed by small ones forever.
@@ -29,7 +29,7 @@
 // so each waits until it knows of all claims made before its own was known everywhere: twice
 // the delay. From then on, of any two claims the later one has counted the earlier one. What is
 // sent for claims therefore never exceeds the memory. What is sent at once exceeds it only if
-// the instances together send more than the rest above openMemory within the delay.
+// the instances together send more than the room that is left open within the delay.
 //
 // While the state of the others is older than the delay, as after this instance was suspended,
 // nothing is sent for claims. The requests and claims of an instance that falls silent count as
@@ -39,10 +39,10 @@
 	instance string
 	// own is this instance's claim; its Tokens are 0 if there is none.
 	own MemoryClaim
-	// claimedAt is when the claim last grew, wantedAt when a request last needed it.
-	claimedAt, wantedAt time.Duration
-	// published is set once the claim in its present size has been handed out to be sent.
-	published bool
+	// published is set once the claim in its present size was handed out to be sent, and
+	// publishedAt is when that was. wantedAt is when a request last needed it.
+	published             bool
+	publishedAt, wantedAt time.Duration
 	// delay is 0 until the state of the others is known.
 	delay time.Duration
 	peers []MemoryClaim
@@ -59,12 +59,17 @@
 	// The rest covers what their sizes don't include, such as partly filled blocks.
 	usableMemory = 0.97
 	// openMemory is the fraction of the usable memory up to which requests are sent at once.
-	openMemory = 0.6
+	// Each has to leave a reserve of openReserveFactor times its size, but at most
+	// maxOpenReserve of the usable memory: large requests that others send in the meantime are
+	// what fills a target unnoticed.
+	openMemory        = 0.9
+	openReserveFactor = 2
+	maxOpenReserve    = 0.2
 	// claimMatch is the fraction of a claim that a request must need to be sent for it.
 	// Otherwise the small requests of an instance would use up the claims of its large ones.
 	claimMatch = 0.5
 	// claimTimeout is how long a claim stays that no request needs any more.
-	claimTimeout = 250 * time.Millisecond
+	claimTimeout = 100 * time.Millisecond
 	// nearlyFull is the fraction of a target's memory from which a failure of the target is put
 	// down to its memory: instances know of each other's requests late and estimate their sizes.
 	nearlyFull = 0.85
@@ -77,7 +82,7 @@
 func NewMemoryShare(instance string) *MemoryShare { return &MemoryShare{instance: instance} }
 
 // SetPeers sets the claims of the other instances and the time within which each instance
-// learns of what another one has sent or claimed.
+// knows what another one has published.
 func (m *MemoryShare) SetPeers(now, delay time.Duration, claims []MemoryClaim) {
 	m.peersAt, m.delay, m.peers, m.peersTotal = now, delay, claims, 0
 	for _, c := range claims {
@@ -102,7 +107,9 @@
 // with each further update until it ends.
 func (m *MemoryShare) Publish(now time.Duration) (MemoryClaim, bool) {
 	c, ok := m.Claim(now)
-	m.published = ok
+	if ok && !m.published {
+		m.published, m.publishedAt = true, now
+	}
 	return c, ok
 }
 
@@ -132,7 +139,7 @@
 	if claimed && !isClaimant {
 		otherClaims += own.Tokens
 	}
-	if float64(held+otherClaims+tokens) <= openMemory*float64(usable) {
+	if hasOpenRoom(usable, held+otherClaims, tokens) {
 		m.use(isClaimant)
 		m.Observe(now, held+tokens)
 		return true
@@ -150,13 +157,20 @@
 // expectedWait returns how long a request would wait for a claim to mature; 0 if it could be sent
 // at once. Unlike Admit, it makes no claim.
 func (m *MemoryShare) expectedWait(memory, held, tokens int) time.Duration {
-	usable := usableMemory * float64(memory)
-	if float64(held+m.peersTotal+tokens) <= openMemory*usable {
+	usable := int(usableMemory * float64(memory))
+	if hasOpenRoom(usable, held+m.peersTotal, min(tokens, usable)) {
 		return 0
 	}
 	return 2 * m.delay
 }
 
+// hasOpenRoom reports whether a request may be sent at once to a target whose usable memory is
+// taken up to the given number of tokens.
+func hasOpenRoom(usable, taken, tokens int) bool {
+	reserve := min(openReserveFactor*float64(tokens), maxOpenReserve*float64(usable))
+	return float64(taken+tokens)+reserve <= openMemory*float64(usable)
+}
+
 // use ends the claim if the request that is sent is its claimant.
 func (m *MemoryShare) use(isClaimant bool) {
 	if isClaimant {
@@ -166,7 +180,7 @@
 
 // isMature reports whether all earlier claims are known here and this claim is known to all.
 func (m *MemoryShare) isMature(now time.Duration) bool {
-	return m.published && m.delay > 0 && now-m.peersAt <= m.delay && now-m.claimedAt >= 2*m.delay
+	return m.published && m.delay > 0 && now-m.peersAt <= m.delay && now-m.publishedAt >= 2*m.delay
 }
 
 // claim makes or enlarges the claim for a request, or keeps it.
@@ -178,7 +192,7 @@
 		}
 	}
 	if tokens > m.own.Tokens {
-		m.own.Tokens, m.claimedAt, m.published = tokens, now, false
+		m.own.Tokens, m.published = tokens, false
 	}
 	if float64(tokens) >= claimMatch*float64(m.own.Tokens) {
 		m.wantedAt = now
