--- a/internal/gateway/contention.go
+++ b/internal/gateway/contention.go
@@ -267,7 +267,10 @@
 	var backlogs []time.Duration
 	for i := range s.pool.Len() {
 		t := s.pool.Target(i)
-		work := admission.Work{Tokens: t.PrefillTokensPerSecond, SlotSeconds: float64(s.registrations[t.Name].Slots)}
+		// A learned rate may include waits for slots. One that is too low would refuse requests
+		// that there is room for; the wait corrects one that is too high.
+		rate := max(t.PrefillTokensPerSecond, s.prefillRate)
+		work := admission.Work{Tokens: rate, SlotSeconds: float64(s.registrations[t.Name].Slots)}
 		room.Total = room.Total.Add(work)
 		if !s.pool.Rejected(i) || s.isOverRateOnly(i) {
 			room.Reachable = room.Reachable.Add(work)
