--- a/internal/gateway/contention_test.go
+++ b/internal/gateway/contention_test.go
@@ -86,7 +86,7 @@
 			is.Equal(c.admission.state.Resource, admission.Prefill)
 		}
 	}
-	is.True(refused >= 8 && refused < 20)
+	is.True(refused >= 10 && refused < 20)
 	is.Equal(p.admitToService(contendedCall(p, "acc", 0, 100, 999)), nil)
 	resumed := contendedCall(p, "acc", 9, 100, 1000)
 	resumed.LastEventID = "4"
