gateway: of requests whose accounts have equal priority, those of the more urgent route go first

An account's priority still decides first; among equals the route's does. Only where callers compete for room (Features.Contention).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -243,7 +243,7 @@
 // targetParams returns what is sent to the target with the request.
 func (g *Gateway) targetParams(c *call, a *targetAttempt, relay *responseRelay) TargetParams {
 	params := TargetParams{
-		Target: a.target.ID, Account: accountName(c), Timeout: g.timeLeft(c), Urgency: urgency(c),
+		Target: a.target.ID, Account: accountName(c), Timeout: g.timeLeft(c), Urgency: g.urgency(c),
 		FetchFrom: a.fetchSource, LastEventID: relay.resumeAfter(), ContinueFrom: a.continueFrom,
 	}
 	if c.Prompt != nil {
--- a/internal/gateway/contention.go
+++ b/internal/gateway/contention.go
@@ -78,7 +78,7 @@
 	s := k.service(c.service.Name)
 	a := &callAdmission{service: s, prompt: admissionPrompt(c), decidedAt: k.now()}
 	a.request = admission.Request{
-		Class: admission.Class{Account: accountName(c), Urgency: urgency(c)}, Work: s.estimator.Work(a.prompt, urgency(c), s.prefillRate),
+		Class: admission.Class{Account: accountName(c), Urgency: contendedUrgency(c)}, Work: s.estimator.Work(a.prompt, contendedUrgency(c), s.prefillRate),
 		Fingerprint: c.fingerprint, TimeLeft: timeLeft, Jitter: rand.Float64(),
 	}
 	a.state = s.controller.State()
@@ -159,7 +159,7 @@
 	if g.contention == nil {
 		return g.accountLimiter.Admit(now, name, c.chargedTokens)
 	}
-	return g.accountLimiter.AdmitByUrgency(now, name, urgency(c), c.chargedTokens)
+	return g.accountLimiter.AdmitByUrgency(now, name, contendedUrgency(c), c.chargedTokens)
 }
 
 // updateContention computes the shares from the peers' reports and from the state of the
@@ -299,7 +299,7 @@
 	if g.contention == nil || c.route == nil {
 		return nil
 	}
-	return append([]any{"urgency", urgency(c)}, c.admission.logFields()...)
+	return append([]any{"urgency", contendedUrgency(c)}, c.admission.logFields()...)
 }
 
 // logFields returns what the decision on a refused call was based on, for its log line.
--- a/internal/gateway/contention_test.go
+++ b/internal/gateway/contention_test.go
@@ -9,6 +9,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/mastictray/mastictray/internal/admission"
+	"github.com/mastictray/mastictray/internal/fairqueue"
 	"github.com/mastictray/mastictray/internal/overload"
 	"github.com/mastictray/mastictray/internal/ratecount"
 	"github.com/mastictray/mastictray/internal/replica"
@@ -145,3 +146,22 @@
 	is.Equal(rows[0].Urgency, 1)
 	is.True(rows[0].TokensPerSecond > 0)
 }
+
+// Guards against serving a less urgent route before a more urgent one because their accounts have
+// the same priority: an account's own setting decides first, then the route's.
+func TestRoutesRankRequestsOfEqualAccounts(t *testing.T) {
+	is := is.New(t)
+	call := func(account *routing.Account, route int) *call {
+		return &call{account: account, route: &routing.Route{Priority: route}}
+	}
+	first, second := &routing.Account{HasPriority: true}, &routing.Account{HasPriority: true, Priority: 1}
+	order := []*call{call(first, 0), call(first, 2), call(second, 0), call(second, 2), call(nil, 2)}
+	for i := range order[1:] {
+		is.True(contendedUrgency(order[i]) < contendedUrgency(order[i+1]))
+	}
+	is.Equal(contendedUrgency(call(&routing.Account{HasPriority: true, Priority: 9}, 2)), fairqueue.MaxPriority)
+
+	p := startTestGateway(&memoryStore{newest: 2, targets: targetsOnVersions(2)}, "a")
+	is.Equal(p.urgency(call(second, 2)), 1) // where the deployment doesn't call for it
+	is.Equal(p.urgency(call(nil, 2)), 2)
+}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -215,7 +215,7 @@
 
 // newEngineRequest describes the request to the queue and to placement.
 func (g *Gateway) newEngineRequest(c *call) *engineRequest {
-	q := &engineRequest{Account: accountName(c), Priority: fairqueue.MaxPriority - urgency(c), Deadline: c.nextEventDeadline()}
+	q := &engineRequest{Account: accountName(c), Priority: fairqueue.MaxPriority - g.urgency(c), Deadline: c.nextEventDeadline()}
 	switch {
 	case c.resumed():
 		// The caller has a part of the answer already, and the objective for the next event
@@ -294,10 +294,28 @@
 
 // urgency returns the urgency of a request, from 0, the most urgent, to MaxPriority. An
 // account's own setting overrides that of the route.
-func urgency(c *call) int {
-	p := c.route.Priority
+func (g *Gateway) urgency(c *call) int {
+	if g.settings.Features.Contention {
+		return contendedUrgency(c)
+	}
+	return clampUrgency(priorityOf(c))
+}
+
+// contendedUrgency is urgency where callers compete for room: of two requests that the setting of
+// their accounts makes equal, the one with the more urgent route goes first.
+func contendedUrgency(c *call) int {
+	return clampUrgency(routeRanks*priorityOf(c) + min(max(c.route.Priority, 0), routeRanks-1))
+}
+
+// routeRanks is the number of route priorities that are told apart among requests of equal
+// accounts.
+const routeRanks = 3
+
+func priorityOf(c *call) int {
 	if c.account != nil && c.account.HasPriority {
-		p = c.account.Priority
+		return c.account.Priority
 	}
-	return min(max(p, 0), fairqueue.MaxPriority)
+	return c.route.Priority
 }
+
+func clampUrgency(u int) int { return min(max(u, 0), fairqueue.MaxPriority) }
--- a/internal/gateway/plainqueue.go
+++ b/internal/gateway/plainqueue.go
@@ -221,7 +221,7 @@
 	if c.toCanary || c.sendCount > 0 {
 		return nil, true // the retry budget bounds further attempts
 	}
-	report := s.await(ctx, urgency(c), c.nextEventDeadline(), c.route.LatencyObjective)
+	report := s.await(ctx, g.urgency(c), c.nextEventDeadline(), c.route.LatencyObjective)
 	if report == nil {
 		return nil, true
 	}
