--- a/internal/gateway/contention_test.go
+++ b/internal/gateway/contention_test.go
@@ -151,17 +151,17 @@
 // the same priority: an account's own setting decides first, then the route's.
 func TestRoutesRankRequestsOfEqualAccounts(t *testing.T) {
 	is := is.New(t)
-	call := func(account *routing.Account, route int) *call {
+	newCall := func(account *routing.Account, route int) *call {
 		return &call{account: account, route: &routing.Route{Priority: route}}
 	}
 	first, second := &routing.Account{HasPriority: true}, &routing.Account{HasPriority: true, Priority: 1}
-	order := []*call{call(first, 0), call(first, 2), call(second, 0), call(second, 2), call(nil, 2)}
+	order := []*call{newCall(first, 0), newCall(first, 2), newCall(second, 0), newCall(second, 2), newCall(nil, 2)}
 	for i := range order[1:] {
 		is.True(contendedUrgency(order[i]) < contendedUrgency(order[i+1]))
 	}
-	is.Equal(contendedUrgency(call(&routing.Account{HasPriority: true, Priority: 9}, 2)), fairqueue.MaxPriority)
+	is.Equal(contendedUrgency(newCall(&routing.Account{HasPriority: true, Priority: 9}, 2)), fairqueue.MaxPriority)
 
 	p := startTestGateway(&memoryStore{newest: 2, targets: targetsOnVersions(2)}, "a")
-	is.Equal(p.urgency(call(second, 2)), 1) // where the deployment doesn't call for it
-	is.Equal(p.urgency(call(nil, 2)), 2)
+	is.Equal(p.urgency(newCall(second, 2)), 1) // where the deployment doesn't call for it
+	is.Equal(p.urgency(newCall(nil, 2)), 2)
 }
