--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -91,14 +91,8 @@
 	// server accepts.
 	MaxEventReaders int
 	Models          []string
-	// MovesRuns is set if the memory of a running request can be moved to another server,
-	// BacksUpRuns if it can be copied to another server while the request runs.
-	MovesRuns, BacksUpRuns bool
-	// CopyExpiry is how long a server keeps the copy of a run that nobody has continued.
-	CopyExpiry time.Duration
-	// MaxReservation is the longest time for which a slot and memory can be reserved at a
-	// server; 0 if none can.
-	MaxReservation time.Duration
+	// MovesRuns is set if the memory of a running request can be moved to another server.
+	MovesRuns bool
 	// TokensPerEvent is the number of output tokens in one event of a stream; 0 if unknown.
 	TokensPerEvent int
 }
