--- a/internal/gateway/streammove.go
+++ b/internal/gateway/streammove.go
@@ -99,8 +99,8 @@
 
 // moveStreams moves the streams on targets that are about to load weights or leave with their
 // memory. Before a load, those that can't be moved are cancelled if they can be resumed at
-// another target. A load waits for everything that
-// runs on its target, which takes several times as long as the load itself. The caller holds s.mu.
+// another target. A load waits for everything that runs on its target, which takes several times
+// as long as the load itself. The caller holds s.mu.
 func (s *engineService) moveStreams() {
 	now := s.now()
 	for pl := range s.running {
