gateway: log and metrics of the age of the configuration

The logs could not tell an instance that hears nothing from one that hears only outdated peers: without a newer version nothing was written at all. config_contact_stale is written once the last contact with the store is 0.9 of the bound old, with the newest version that any instance was reported to have, whether own reads end, and how many peers report, of the fleet and of the failure domain. Gauges have the versions and the age at all times.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -102,6 +102,10 @@
 	// loadingTargets are the targets that are loading weights on any instance's orders.
 	loadingTargets map[string]bool
 
+	// configAgeLogged is set while the last contact with the store was logged as stale. Only
+	// sweep uses it.
+	configAgeLogged bool
+
 	draining atomic.Bool
 	// responsesDueBy is the time, in nanoseconds of clock, by which all responses must end
 	// because the process does; 0 until the balancer lag has passed.
@@ -272,6 +276,7 @@
 		}
 		g.updateVersionBounds() // bounds also pass while no peer reports
 		g.mu.Unlock()
+		g.logConfigAge()
 		g.targets.CloseExpired()
 		g.callers.closeIdle()
 		g.sweepPaths(ctx)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -213,7 +213,7 @@
 // configOverdue reports whether a newer configuration exists and may have to be active
 // by now. It was written after this instance's last contact with the store.
 func (g *Gateway) configOverdue() bool {
-	return g.configs.isOutdated() && g.contactAge() > time.Duration(configOverdueFraction*float64(g.settings.ConfigBound))
+	return g.configs.isOutdated() && g.contactAge() > g.configOverdueAge()
 }
 
 const (
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -116,6 +116,7 @@
 		g.metrics.gauge(fmt.Sprintf(`mastictray_peer_update_age_seconds{domain=%q}`, d.Domain)).
 			Set((time.Duration(d.OldestUpdateMS) * time.Millisecond).Seconds())
 	}
+	g.setConfigGauges()
 	g.setCapacityGauges()
 	g.metrics.gauge(`mastictray_blocked_targets`).Set(float64(s.BlockedTargets))
 	g.metrics.gauge(`mastictray_relayed_connections`).Set(float64(s.RelayedConnections))
