gateway: failing test of instances that hear nothing of newer configurations

An instance whose store and peers have been silent for the configuration bound answers requests by its last configuration without a limit, if they need no key. Two of the seven cases fail; the other five state what must go on: service during an outage of the store and in a partitioned domain.

--- a/internal/gateway/configtransfer_test.go
+++ b/internal/gateway/configtransfer_test.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -97,3 +99,48 @@
 	is.Equal(refusal.Reason, "over_rate") // its bucket starts empty
 	is.Equal(c.table.Config().Version, int64(2))
 }
+
+// withPeers makes peers known, some of them with a fresh update. Their names start with
+// their failure domain.
+func (p *testGateway) withPeers(reporting, silent []string) *testGateway {
+	p.peers.mu.Lock()
+	defer p.peers.mu.Unlock()
+	now := p.clock.Now()
+	for _, name := range slices.Concat(reporting, silent) {
+		domain, _, _ := strings.Cut(name, "-")
+		s := newPeerState(now, Announced{Announcement: Announcement{Instance: name, Domain: domain}})
+		if slices.Contains(reporting, name) {
+			s.updatedAt = now
+		}
+		p.peers.known[name] = s
+	}
+	return p
+}
+
+// Guards against an instance that hears neither the store nor its peers and goes on with a
+// replaced configuration, since it knows of no newer one.
+func TestInstanceThatHearsNothingStopsServing(t *testing.T) {
+	const bound = 2 * time.Second // as in startTestGateway
+	for name, c := range map[string]struct {
+		contactAge        time.Duration
+		reporting, silent []string
+		status            int
+	}{
+		"within the bound":             {contactAge: bound / 2, silent: []string{"d1-b", "d2-c"}},
+		"all peers silent":             {contactAge: bound, silent: []string{"d1-b", "d1-c", "d2-d", "d2-e"}, status: 503},
+		"peers of its domain silent":   {contactAge: bound, reporting: []string{"d2-d"}, silent: []string{"d1-b", "d1-c", "d2-e"}, status: 503},
+		"store silent, peers report":   {contactAge: bound, reporting: []string{"d1-b", "d1-c", "d2-d", "d2-e"}},
+		"domain partitioned":           {contactAge: bound, reporting: []string{"d1-b", "d1-c"}, silent: []string{"d2-d", "d2-e", "d3-f", "d3-g"}},
+		"half of its domain is lost":   {contactAge: bound, reporting: []string{"d1-c", "d1-d"}, silent: []string{"d1-b", "d1-e", "d2-d"}},
+		"its only peer there was lost": {contactAge: bound, reporting: []string{"d2-d", "d2-e"}, silent: []string{"d1-b"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newOutdatedGateway(c.contactAge, 1).withPeers(c.reporting, c.silent)
+			p.settings.KeyReadyAge = time.Minute
+			_, status := p.matchRequest("host-0.example", "/p0/")
+			is.Equal(status, c.status)
+			is.Equal(p.isReady(), c.status == 0)
+		})
+	}
+}
