gateway: an instance that hears neither store nor peers stops using its configuration

What callers saw: requests handled as only a replaced configuration allows, more than the bound after the newer one was acknowledged, at instances that had long reported that they were not ready.

Cause: the safeguard (503 config_overdue, not ready) needed two things: a contact with the store 0.9 of the bound old, and a newer version that is known. An instance whose exchanges and reads all fail knows of none. Only keys had a bound of their own, so requests on routes without keys went on by the old version for as long as that lasted. Class: a safeguard against missing news that depends on news.

Change: beyond 0.9 of the bound the configuration needs evidence that an outage or a partition is the reason (internal/configvalidity, pure): the store has answered with an error since the last contact, or half of the fleet, or half of the own domain or its first instance, report. An instance alone in its domain may go on if no other domain's targets are reachable. Otherwise 503 config_unconfirmed and not ready. Peers removed for their silence meanwhile still count.

Why it works: who hears the first instance of its domain, or half of it, learns the newest version that they have within an exchange, and is then bound by config_overdue; who hears less refuses. In an outage of the store the peers go on reporting.

Ruled out: refusing whenever the contact is old. Each outage of the store over 2.7 s would refuse all requests, also those without keys, for which an outage excuses nothing. Also ruled out: a successful exchange as evidence; in an overload small instances take their hubs for lost and hear only each other.

--- /dev/null
+++ b/internal/configvalidity/fleet.go
@@ -0,0 +1,62 @@
+package configvalidity
+
+import "github.com/mastictray/mastictray/internal/hubs"
+
+// Peer is another instance as this one sees it.
+type Peer struct {
+	hubs.Instance
+	// Reporting is set if there is a recent update of the peer.
+	Reporting bool
+}
+
+// Fleet is the state of the peers as seen by one instance.
+type Fleet struct {
+	// Domain is the instance's own failure domain.
+	Domain string
+	// Peers are all other instances that may be alive, including those that have been
+	// removed for their silence during the loss of contact with the store.
+	Peers []Peer
+	// UnreachableDomains are the failure domains whose targets the instance can't reach.
+	UnreachableDomains map[string]bool
+}
+
+// Hears reports whether the instance hears enough of the fleet to learn of a newer
+// configuration that it could get. It must not depend on a few peers that may be as
+// overloaded as the instance itself, nor on peers behind a partition.
+func (f *Fleet) Hears() bool {
+	var all, domain share
+	var first *Peer
+	partitioned := true
+	for i := range f.Peers {
+		p := &f.Peers[i]
+		all.add(p.Reporting)
+		if p.Domain != f.Domain {
+			partitioned = partitioned && f.UnreachableDomains[p.Domain]
+			continue
+		}
+		domain.add(p.Reporting)
+		if first == nil || hubs.Compare(p.Instance, first.Instance) < 0 {
+			first = p
+		}
+	}
+	switch {
+	case all.atLeastHalf():
+		return true
+	case domain.total == 0:
+		return partitioned // alone on its side of a partition
+	}
+	// The first instance of a domain is the one that reads the store if others fail to.
+	return first.Reporting || domain.atLeastHalf()
+}
+
+// share counts peers and those of them that report.
+type share struct{ total, reporting int }
+
+func (s *share) add(reporting bool) {
+	s.total++
+	if reporting {
+		s.reporting++
+	}
+}
+
+func (s *share) atLeastHalf() bool { return 2*s.reporting >= s.total }
--- a/internal/gateway/announce.go
+++ b/internal/gateway/announce.go
@@ -229,6 +229,7 @@
 		case s.state.Leaving && !p.isFresh(now, s):
 			p.removePeer(now, name, "left")
 		case now-max(s.updatedAt, s.announcedAt) > peerExpiry:
+			p.lost[name] = s.hubInstance()
 			p.removePeer(now, name, "silent")
 		}
 	}
--- a/internal/gateway/configage.go
+++ b/internal/gateway/configage.go
@@ -1,15 +1,81 @@
 package gateway
 
 import (
+	"sync"
 	"time"
 
+	"github.com/mastictray/mastictray/internal/configvalidity"
 	"github.com/mastictray/mastictray/internal/logline"
 )
 
-// configOverdueAge returns the age of the last contact with the store from which a newer
-// configuration may have to be active by now.
-func (g *Gateway) configOverdueAge() time.Duration {
-	return time.Duration(configOverdueFraction * float64(g.settings.ConfigBound))
+// configVerdict returns whether requests may be handled by the active configuration.
+func (g *Gateway) configVerdict() configvalidity.Verdict {
+	age := g.contactAge()
+	if age <= configvalidity.OverdueAge(g.settings.ConfigBound) {
+		return configvalidity.Valid
+	}
+	return configvalidity.Judge(configvalidity.Evidence{
+		NewerKnown:   g.configs.isOutdated(),
+		StoreRefused: g.feeds.refusedSince(g.clock.Now() - age),
+		HearsFleet:   g.fleetView.hears(g.clock.Now(), g.hearsFleet),
+	})
+}
+
+// fleetViewMaxAge is how long the result of hearsFleet is reused. Without contact with the
+// store each request needs it, and it takes time in proportion to the fleet.
+const fleetViewMaxAge = 100 * time.Millisecond
+
+// fleetView keeps the last result of hearsFleet.
+type fleetView struct {
+	mu     sync.Mutex
+	known  bool
+	at     time.Duration
+	result bool
+}
+
+// hears returns the result of compute as of at most fleetViewMaxAge ago.
+func (v *fleetView) hears(now time.Duration, compute func() bool) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.known || now-v.at > fleetViewMaxAge {
+		v.known, v.at, v.result = true, now, compute()
+	}
+	return v.result
+}
+
+// hearsFleet reports whether this instance hears enough of its peers to learn of a newer
+// configuration.
+func (g *Gateway) hearsFleet() bool {
+	fleet := configvalidity.Fleet{Domain: g.self.Domain, Peers: g.peers.possiblyAlive(), UnreachableDomains: g.reach.unreachableDomains()}
+	return fleet.Hears()
+}
+
+// possiblyAlive returns the peers that have not left, including those that were removed
+// for their silence since the contact with the store was lost.
+func (p *peers) possiblyAlive() []configvalidity.Peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.g.clock.Now()
+	out := make([]configvalidity.Peer, 0, len(p.known)+len(p.lost))
+	for _, s := range p.known {
+		if !s.state.Leaving {
+			out = append(out, configvalidity.Peer{Instance: s.hubInstance(), Reporting: p.isFresh(now, s)})
+		}
+	}
+	for name, instance := range p.lost {
+		if p.known[name] == nil {
+			out = append(out, configvalidity.Peer{Instance: instance})
+		}
+	}
+	return out
+}
+
+// clearLost forgets the removed peers. It is called while the contact with the store is
+// recent.
+func (p *peers) clearLost() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	clear(p.lost)
 }
 
 // logConfigAge logs when the last contact with the store becomes too old to tell whether
@@ -19,7 +85,10 @@
 	if g.table.Load() == nil || age >= noContactAge {
 		return
 	}
-	stale := age > g.configOverdueAge()
+	stale := age > configvalidity.OverdueAge(g.settings.ConfigBound)
+	if !stale {
+		g.peers.clearLost()
+	}
 	if stale == g.configAgeLogged {
 		return
 	}
@@ -30,7 +99,7 @@
 	}
 	fleet, domain := g.peers.reportingShares()
 	logline.Info(name, "version", g.configVersion(), "newest_reported", g.configs.newestReported.Load(), "age", age,
-		"store_reachable", !g.feeds.anyUnreachable(), "known", fleet.known, "reporting", fleet.reporting,
+		"verdict", g.configVerdict().String(), "store_reachable", !g.feeds.anyUnreachable(), "known", fleet.known, "reporting", fleet.reporting,
 		"domain_known", domain.known, "domain_reporting", domain.reporting)
 }
 
--- a/internal/gateway/configtransfer_test.go
+++ b/internal/gateway/configtransfer_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -8,8 +9,11 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
+	"github.com/mastictray/mastictray/internal/configvalidity"
+	"github.com/mastictray/mastictray/internal/feedturn"
 	"github.com/mastictray/mastictray/internal/routing"
 	"github.com/mastictray/mastictray/internal/wire"
 )
@@ -144,3 +148,33 @@
 		})
 	}
 }
+
+// Guards against an instance that hears nothing and serves again once it has removed its
+// peers for their silence, as if it were the only one.
+func TestRemovedPeersStillCountWithoutContact(t *testing.T) {
+	is := is.New(t)
+	p := newOutdatedGateway(2*time.Second, 1).withPeers(nil, []string{"d1-b", "d2-c"})
+	p.peers.mu.Lock()
+	p.peers.expirePeers(p.clock.Now() + 2*peerExpiry)
+	is.Equal(len(p.peers.known), 0)
+	p.peers.mu.Unlock()
+	is.Equal(p.configVerdict(), configvalidity.Unconfirmed)
+	p.contacts = contactAt(p.clock.Now())
+	p.logConfigAge()
+	p.contacts = contactAt(p.clock.Now() - 2*time.Second)
+	p.fleetView.known = false
+	is.Equal(p.configVerdict(), configvalidity.Valid) // removed before the contact was lost
+}
+
+// Guards against instances that refuse callers during an outage in which the store answers
+// with errors, although no configuration can be replaced meanwhile.
+func TestStoreThatRefusesKeepsConfigValid(t *testing.T) {
+	is := is.New(t)
+	p := newOutdatedGateway(2*time.Second, 1).withPeers(nil, []string{"d1-b", "d2-c"})
+	scheduler := feedturn.New(feedturn.Settings{StalenessBound: 2 * time.Second})
+	unreachable := false
+	p.recordRead(t.Context(), scheduler, &unreachable, "operators", context.DeadlineExceeded)
+	is.Equal(p.configVerdict(), configvalidity.Unconfirmed)
+	p.recordRead(t.Context(), scheduler, &unreachable, "operators", errors.New("status 503"))
+	is.Equal(p.configVerdict(), configvalidity.Valid)
+}
--- a/internal/gateway/feedstate.go
+++ b/internal/gateway/feedstate.go
@@ -14,6 +14,16 @@
 type feedReachability struct {
 	mu                                             sync.Mutex
 	operatorsUnreachable, registrationsUnreachable bool
+	// refusedAt is the time of the last answer of the store that was an error, or never; it
+	// may also have been a refused or reset connection.
+	refusedAt time.Duration
+}
+
+// refusedSince reports whether the store has answered with an error since then.
+func (s *feedReachability) refusedSince(since time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refusedAt != never && s.refusedAt > since
 }
 
 // anyUnreachable reports whether at least one feed is unreachable.
@@ -55,6 +65,9 @@
 	}
 	g.feeds.mu.Lock()
 	*unreachable = scheduler.LastReadFailed()
+	if err != nil && !isTimeout(err) {
+		g.feeds.refusedAt = g.clock.Now()
+	}
 	g.feeds.mu.Unlock()
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 	"github.com/mastictray/mastictray/internal/callerconn"
 	"github.com/mastictray/mastictray/internal/clock"
+	"github.com/mastictray/mastictray/internal/configvalidity"
 	"github.com/mastictray/mastictray/internal/connrelay"
 	"github.com/mastictray/mastictray/internal/directory"
 	"github.com/mastictray/mastictray/internal/keys"
@@ -102,6 +103,7 @@
 	// loadingTargets are the targets that are loading weights on any instance's orders.
 	loadingTargets map[string]bool
 
+	fleetView fleetView
 	// configAgeLogged is set while the last contact with the store was logged as stale. Only
 	// sweep uses it.
 	configAgeLogged bool
@@ -141,6 +143,7 @@
 		accountLimiter:   ratecount.New(),
 		directory:        directory.New(),
 		operatorsOffset:  unreadOffset,
+		feeds:            feedReachability{refusedAt: never},
 		registrations:    registrationState{nextOffset: unreadOffset, knownUpTo: never},
 		engineServices:   map[string]*engineService{},
 		plainServices:    map[string]*plainService{},
@@ -240,7 +243,7 @@
 // isReady reports whether the balancer should send callers to this instance: only while
 // it can check their keys and knows the targets.
 func (g *Gateway) isReady() bool {
-	if g.draining.Load() || g.table.Load() == nil || g.configOverdue() {
+	if g.draining.Load() || g.table.Load() == nil || g.configVerdict() != configvalidity.Valid {
 		return false
 	}
 	g.mu.Lock()
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -75,6 +75,9 @@
 	// removedRevisions holds the revisions of the announcements of removed peers. These
 	// stay in the store and would add the peer again on every read.
 	removedRevisions map[string]int64
+	// lost holds the peers that were removed for their silence while the contact with the
+	// store was not recent. They may be alive.
+	lost map[string]hubs.Instance
 	// announcementsRead is set once the announcements have been read.
 	announcementsRead bool
 	// announcing is set while an announcement is in flight. announcedAt is the time at
@@ -121,7 +124,7 @@
 }
 
 func newPeers(g *Gateway) *peers {
-	return &peers{g: g, table: replica.New(g.self, minUpdateMaxAge), known: map[string]*peerState{}, removedRevisions: map[string]int64{}}
+	return &peers{g: g, table: replica.New(g.self, minUpdateMaxAge), known: map[string]*peerState{}, removedRevisions: map[string]int64{}, lost: map[string]hubs.Instance{}}
 }
 
 // run discovers the peers and exchanges state with them until ctx ends.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mastictray/mastictray/internal/canary"
+	"github.com/mastictray/mastictray/internal/configvalidity"
 	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/ratecount"
 	"github.com/mastictray/mastictray/internal/routing"
@@ -143,8 +144,8 @@
 	if c.table == nil {
 		return unavailableRefusal("no_configuration", notReadyRetryAfter)
 	}
-	if g.configOverdue() {
-		return unavailableRefusal("config_overdue", configRetryAfter)
+	if v := g.configVerdict(); v != configvalidity.Valid {
+		return unavailableRefusal(v.String(), configRetryAfter)
 	}
 	route, ok := c.table.Match(c.Host, c.Path)
 	if !ok {
@@ -210,21 +211,9 @@
 	return &Refusal{Status: status, Reason: reason, NotRun: true}
 }
 
-// configOverdue reports whether a newer configuration exists and may have to be active
-// by now. It was written after this instance's last contact with the store.
-func (g *Gateway) configOverdue() bool {
-	return g.configs.isOutdated() && g.contactAge() > g.configOverdueAge()
-}
-
-const (
-	// configOverdueFraction is the fraction of the configuration bound after which the
-	// previous configuration is no longer used. The rest is for the request's way to
-	// its target.
-	configOverdueFraction = 0.9
-	// configRetryAfter is the Retry-After of an instance that waits for a newer
-	// configuration.
-	configRetryAfter = 200 * time.Millisecond
-)
+// configRetryAfter is the Retry-After of an instance that waits for a newer
+// configuration, or can't know of one.
+const configRetryAfter = 200 * time.Millisecond
 
 // keysStaleRetryAfter is the Retry-After of an instance that can't check keys. Its
 // callers' next connections go to another instance.
