gateway: logs and metrics of streams that go on

No line told the software version of a target, and none that a stream had gone on at another one: neither within an answer nor when its caller took it up again.

--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -53,7 +53,7 @@
 
 func (g *Gateway) logFailedAttempt(c *call, a *targetAttempt, result string, err error) {
 	logline.Info("attempt_failed", "request", c.ID, "route", c.route.Name, "target", a.target.ID, "address", a.target.Address,
-		"domain", a.target.Domain, "weights", a.choice.weightsVersion, "attempt", c.sendCount, "result", result, "relay", a.relay, "path_failed", a.pathFailed, "error", err, "after", g.clock.Now()-c.startedAt)
+		"domain", a.target.Domain, "software", a.target.SoftwareVersion, "weights", a.choice.weightsVersion, "attempt", c.sendCount, "result", result, "relay", a.relay, "path_failed", a.pathFailed, "error", err, "after", g.clock.Now()-c.startedAt)
 }
 
 func (g *Gateway) logAnswered(c *call, relay *responseRelay) {
@@ -63,3 +63,11 @@
 		"weights", c.choice.weightsVersion, "status", relay.status, "attempts", c.sendCount, "events", relay.eventCount, "queued", c.placedAt-c.startedAt, "first", relay.firstByteAfter, "longest_gap", relay.longestGap, "after", total,
 		"expected", c.choice.expectedTTFT, "cached_pieces", c.choice.cachedPieces, "uncached", c.choice.uncachedTokens, "targets", c.choice.eligibleTargets)
 }
+
+// logStreamContinued logs the first event of an attempt that continues a stream of which the caller
+// has a part, from this attempt of the caller or an earlier one.
+func (g *Gateway) logStreamContinued(c *call, relay *responseRelay, a *targetAttempt) {
+	g.metrics.streamContinued(c)
+	logline.Info("stream_continued", "request", c.ID, "resumes", c.Resumes, "route", c.route.Name, "target", a.target.ID, "service", a.target.Service,
+		"software", a.target.SoftwareVersion, "after_event", relay.resumeAfter(), "moved", a.continueFrom != "", "after", g.clock.Now()-c.startedAt)
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -63,6 +63,15 @@
 	m.set.GetOrCreateCounter(`mastictray_callers_left_total`).Inc()
 }
 
+// streamContinued counts a stream that goes on, within an answer or taken up by its caller.
+func (m *gatewayMetrics) streamContinued(c *call) {
+	by := "instance"
+	if c.Resumes != "" || c.LastEventID != "" {
+		by = "caller"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(`mastictray_streams_continued_total{by=%q}`, by)).Inc()
+}
+
 func (m *gatewayMetrics) answerAborted() {
 	m.set.GetOrCreateCounter(`mastictray_broken_off_total`).Inc()
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -136,6 +136,7 @@
 	})
 	defer callerconn.OnPause(r.c.r.Context(), nil)
 	events := sse.NewRawReader(resp.Body, 0)
+	continues := r.resumeAfter() != ""
 	flush := http.NewResponseController(r.c.w)
 	for {
 		e, err := events.Next()
@@ -149,6 +150,10 @@
 		if r.alreadySent(e.ID) {
 			continue
 		}
+		if continues {
+			r.g.logStreamContinued(r.c, r, a)
+			continues = false
+		}
 		if r.eventCount == 0 {
 			r.firstByteAfter = r.g.clock.Now() - r.c.startedAt
 		}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -29,6 +29,9 @@
 	Prompt *Prompt
 	// LastEventID resumes a stream after this event; empty for none.
 	LastEventID string
+	// Resumes is the ID of the caller's attempt that brought the first event of the stream that
+	// this request takes up again; empty for none.
+	Resumes string
 }
 
 // Prompt describes the prompt of a request.
