gateway: a broken stream goes on only at targets with the same software

Cause: the attempt that continues a stream is placed like a new prompt. Filters look at a target's state and weights; its software counts only in ordered rollouts, and none was ordered. Class: a decision for one attempt that forgets what earlier attempts of the same request have fixed.

Change: the call keeps the software that made the first event passed on to its caller, and placement (of model servers and of plain targets) takes only targets with it from then on, stable ones and canaries alike. Attempts that have brought no event yet are free. Streams are no longer cancelled at a silent or unreachable target, or before a load, while no other target has their software: elsewhere they would only break off.

Why it works: every later attempt of a call goes through the same placement request. The requirement is a rejection mask over all targets, so that it holds also where the first candidates of the prompt's order are of another version.

--- a/internal/gateway/engineservice.go
+++ b/internal/gateway/engineservice.go
@@ -248,7 +248,7 @@
 	t.PrefillTokensPerSecond = s.serviceTimes.Rate(r.ID)
 	t.SlowStartFactor = s.memoryFailures.slowStartFactor(s.now(), &r)
 	id := cacheIdentity(&r)
-	t.Domain, t.Incarnation, t.Version = r.Domain, id.Incarnation, id.Version
+	t.Domain, t.Incarnation, t.Version, t.Software = r.Domain, id.Incarnation, id.Version, r.SoftwareVersion
 	t.Unreachable = s.avoidedDomains[r.Domain]
 	if s.sharesMemoryAs != "" && t.Memory == nil {
 		t.Memory = placement.NewMemoryShare(s.sharesMemoryAs)
--- a/internal/gateway/enginestall.go
+++ b/internal/gateway/enginestall.go
@@ -133,7 +133,7 @@
 // others wait, because the target may recover. The caller holds s.mu.
 func (s *engineService) cancelAttempts(id string, match func(*enginePlacement) bool) {
 	for pl := range s.running {
-		if pl.target.ID == id && pl.repeatable && match(pl) {
+		if pl.target.ID == id && s.mayRunElsewhere(pl) && match(pl) {
 			pl.cancel()
 		}
 	}
@@ -154,7 +154,7 @@
 // run again. The caller holds s.mu.
 func (s *engineService) cancelLostAttempts(address string, match func(*enginePlacement) bool) {
 	for pl := range s.running {
-		if pl.target.Address == address && pl.repeatable && match(pl) {
+		if pl.target.Address == address && s.mayRunElsewhere(pl) && match(pl) {
 			pl.cancelledHere = true
 			pl.cancel()
 		}
@@ -199,7 +199,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for pl := range s.running {
-		if pl.target.Domain == domain && pl.repeatable {
+		if pl.target.Domain == domain && s.mayRunElsewhere(pl) {
 			pl.cancelledHere = true
 			pl.cancel()
 		}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -76,9 +76,9 @@
 	if refusal, ok := g.awaitPlainTarget(ctx, c, service); !ok {
 		return nil, refusal
 	}
-	choice, ok := service.acquire(append(slices.Clip(c.refusedBy), c.lastTarget), c.toCanary)
+	choice, ok := service.acquire(append(slices.Clip(c.refusedBy), c.lastTarget), c.toCanary, c.requiredSoftware())
 	if !ok && c.lastTarget != "" {
-		choice, ok = service.acquire(nil, c.toCanary)
+		choice, ok = service.acquire(nil, c.toCanary, c.requiredSoftware())
 	}
 	if !ok {
 		return nil, noTargetRefusal("no_target", g.pauseLeft(c), noTargetRetry)
@@ -228,7 +228,7 @@
 	case c.route.LatencyObjective > 0:
 		q.Objective = c.startedAt + c.route.LatencyObjective
 	}
-	q.Placement.Exclude, q.Placement.Canary = c.lastTarget, c.toCanary
+	q.Placement.Exclude, q.Placement.Canary, q.Placement.Software = c.lastTarget, c.toCanary, c.requiredSoftware()
 	q.Weight = g.accountWeight(c)
 	if c.Prompt == nil {
 		return q
--- a/internal/gateway/plainqueue_test.go
+++ b/internal/gateway/plainqueue_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/mastictray/mastictray/internal/directory"
 	"github.com/mastictray/mastictray/internal/overload"
+	"github.com/mastictray/mastictray/internal/placement"
 	"github.com/mastictray/mastictray/internal/plainqueue"
 	"github.com/mastictray/mastictray/internal/wire"
 )
@@ -44,7 +45,7 @@
 func (f *plainFixture) serve(is *is.I, n int, took time.Duration, target string) {
 	others := slices.DeleteFunc([]string{"t0", "t1", "t2"}, func(id string) bool { return id == target })
 	for range n {
-		c, ok := f.acquire(others, false)
+		c, ok := f.acquire(others, false, placement.SoftwareRequirement{})
 		is.True(ok)
 		f.clock.Add(int64(took))
 		f.endAttempt(c, overload.Succeeded)
@@ -77,7 +78,7 @@
 	f.overloadFleet(is)
 	for i := range 60 {
 		is.True(f.await(t.Context(), 0, 0, 120*time.Millisecond) == nil)
-		c, ok := f.acquire(nil, false)
+		c, ok := f.acquire(nil, false, placement.SoftwareRequirement{})
 		is.True(ok)
 		if i%3 == 0 {
 			is.Equal(c.target.ID, "t0") // the own domain among equals
@@ -96,7 +97,7 @@
 	is.Equal(len(f.publishedLoads()), 0)
 	for range 2 {
 		is.True(f.await(t.Context(), 0, 0, 120*time.Millisecond) == nil)
-		_, ok := f.acquire(nil, false)
+		_, ok := f.acquire(nil, false, placement.SoftwareRequirement{})
 		is.True(ok)
 	}
 	published := f.publishedLoads()
--- a/internal/gateway/plainservice.go
+++ b/internal/gateway/plainservice.go
@@ -94,20 +94,20 @@
 // acquire chooses a target by the shares of the fleet's demand if the service shares its targets;
 // see sharesTargets. Otherwise, or if none can be chosen so, it chooses the target with the fewest requests of this instance and, among equals,
 // one in its own domain; those in exclude are passed over. It chooses among canaries or among stable
-// targets and returns false if none may get a request.
-func (s *plainService) acquire(exclude []string, isCanary bool) (*serviceChoice, bool) {
+// targets, or among all of the required software, and returns false if none may get a request.
+func (s *plainService) acquire(exclude []string, isCanary bool, software placement.SoftwareRequirement) (*serviceChoice, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
 	s.pauses.Expire(now)
-	i, ok, shared := 0, false, !isCanary && s.sharesTargets()
+	i, ok, shared := 0, false, !isCanary && !software.Required && s.sharesTargets()
 	if shared {
 		p := s.plan(now, exclude)
 		i, ok = p.Draw(s.objective, s.rng.Float64)
 	}
 	for _, onlyChoice := range []bool{false, true} {
 		if !ok {
-			i, ok = s.leastOutstanding(now, exclude, isCanary, onlyChoice)
+			i, ok = s.leastOutstanding(now, exclude, isCanary, onlyChoice, software)
 		}
 	}
 	if !ok {
@@ -122,14 +122,14 @@
 
 // leastOutstanding returns the target that acquire chooses. onlyChoice is set if this instance has
 // a share of the slots of no other target. The caller holds s.mu.
-func (s *plainService) leastOutstanding(now time.Duration, exclude []string, isCanary, onlyChoice bool) (int, bool) {
+func (s *plainService) leastOutstanding(now time.Duration, exclude []string, isCanary, onlyChoice bool, software placement.SoftwareRequirement) (int, bool) {
 	unreachable := s.reach.unreachableDomains()
 	s.scratch = s.scratch[:0]
 	for i := range s.targets {
 		t := &s.targets[i]
 		s.scratch = append(s.scratch, placement.ServiceTarget{
 			Name: t.registration.ID, Domain: t.registration.Domain, Outstanding: t.inFlight,
-			Usable: t.canary == isCanary && !unreachable[t.registration.Domain] && s.isUsable(now, t, exclude, onlyChoice),
+			Usable: (software.Required || t.canary == isCanary) && software.Allows(t.registration.SoftwareVersion) && !unreachable[t.registration.Domain] && s.isUsable(now, t, exclude, onlyChoice),
 		})
 	}
 	return placement.LeastOutstanding(s.scratch, s.domain, "", maxOutstanding, s.rng)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -158,6 +158,7 @@
 			r.firstByteAfter = r.g.clock.Now() - r.c.startedAt
 		}
 		a.onAnswer()
+		r.c.recordOrigin(a)
 		if !r.started {
 			r.writeHead(resp, -1)
 		}
--- a/internal/gateway/streammove.go
+++ b/internal/gateway/streammove.go
@@ -108,7 +108,7 @@
 		if reason == "" || !pl.firstTokenSeen {
 			continue
 		}
-		if s.moveRun(now, pl, reason) || reason != moveBeforeLoad || s.pool.EligibleCount() == 0 || !pl.reserveResume() {
+		if s.moveRun(now, pl, reason) || reason != moveBeforeLoad || !s.hasReplacement(pl) || !pl.reserveResume() {
 			continue
 		}
 		logline.Info("stream_moved", "target", pl.target.ID, "ran", now-pl.send.SentAt)
--- a/internal/placement/picker.go
+++ b/internal/placement/picker.go
@@ -43,6 +43,8 @@
 	unequalScorers []Scorer
 	ranked         []ranked
 	scored         []Candidate
+	// rejected is the buffer of rejections.
+	rejected []Rejection
 	// cacheStateKnown is set once cache events are followed.
 	cacheStateKnown bool
 }
@@ -134,7 +136,7 @@
 // queue of the first target costs more than recomputing the prefix, every instance
 // selects the next target in the same order.
 func (p *Picker) selectCandidates(r *Request, rng *rand.Rand) {
-	key, rejected := p.affinityKey(r, rng), p.pool.excluded[cohort(r.Canary)]
+	key, rejected := p.affinityKey(r, rng), p.rejections(r)
 	p.ranked = p.pool.rank(p.ranked[:0], key, rejected, p.options.MaxCandidates)
 	p.scored = p.scored[:0]
 	for _, k := range p.ranked {
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -27,6 +27,8 @@
 	Exclude string
 	// Canary is set if the request goes to a canary, otherwise it goes to a stable target.
 	Canary bool
+	// Software restricts the targets by the version of their software.
+	Software SoftwareRequirement
 	// RecomputeFactor overrides the picker's factor unless it is 0.
 	RecomputeFactor float64
 }
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -13,6 +13,8 @@
 	Incarnation string
 	// Version is the weights version that the target last reported.
 	Version string
+	// Software is the version of the target's software; empty if it states none.
+	Software string
 	// Cache refers to the target's entries in the cache index.
 	Cache cacheindex.Ref
 	// PrefillTokensPerSecond is the target's prefill rate; see Pool.SetPrefillRate.
