gateway: runs move only to targets with the same software

What callers saw: a stream that began at one software version and went on at another after its run had been moved, with its memory, from a target that leaves or loads weights.

Cause: destinations were compared by the weights that they serve; the software of a target was not looked at, neither when a copy begins nor when a stopped run is placed.

The unit test has a second target of the same version.

Change: one comparison, mayTakeRun, of weights and software, used at both places. The second look is needed: a target may restart under its address, with other software, while the run stops.

--- a/internal/gateway/runmoves.go
+++ b/internal/gateway/runmoves.go
@@ -214,6 +214,12 @@
 	}
 }
 
+// mayTakeRun reports whether a run that started at another target may go on at this one: its memory
+// belongs to the weights there, its events to the software.
+func mayTakeRun(r, startedAt *directory.Registration) bool {
+	return r.SoftwareVersion == startedAt.SoftwareVersion && maps.Equal(r.Versions, startedAt.Versions)
+}
+
 // moveDestination returns the target to which the run of an attempt is copied. The caller holds
 // s.mu.
 func (s *engineService) moveDestination(pl *enginePlacement) (directory.Registration, bool) {
@@ -222,7 +228,7 @@
 	for i := range s.pool.Len() {
 		t := s.pool.Target(i)
 		r := s.registrations[t.Name]
-		if s.pool.Rejected(i) || t.Name == pl.target.ID || !maps.Equal(r.Versions, pl.target.Versions) || t.Canary != s.isCanary[pl.target.ID] {
+		if s.pool.Rejected(i) || t.Name == pl.target.ID || !mayTakeRun(&r, &pl.target) || t.Canary != s.isCanary[pl.target.ID] {
 			continue
 		}
 		candidates = append(candidates, runmove.Candidate{
@@ -427,13 +433,13 @@
 }
 
 // placeRun places a run at a target that has its memory. It returns false if the target doesn't
-// take requests any more or has other weights than the one where the run started.
+// take requests any more or may not take the run from the one where it started.
 func (s *engineService) placeRun(r *engineRequest, at runmove.Place, startedAt directory.Registration) (*enginePlacement, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	target, usable := s.registrations[at.ID]
 	i, known := s.pool.Find(at.ID)
-	if !usable || !known || target.Address != at.Address || !maps.Equal(target.Versions, startedAt.Versions) {
+	if !usable || !known || target.Address != at.Address || !mayTakeRun(&target, &startedAt) {
 		return nil, false
 	}
 	r.Placement.PromptTokens, r.Placement.Chain, r.Placement.PieceEnds = 0, nil, nil // nothing is left to prefill
--- a/internal/gateway/runmoves_test.go
+++ b/internal/gateway/runmoves_test.go
@@ -46,6 +46,27 @@
 	is.True(!found)
 }
 
+// Guards against runs that are copied to a target with another software version, or go on there.
+func TestRunsMoveToTargetsWithTheirSoftware(t *testing.T) {
+	is := is.New(t)
+	targets := targetsOnVersions(2, 2, 2)
+	targets[0].SoftwareVersion, targets[1].SoftwareVersion, targets[2].SoftwareVersion = "v1", "v2", "v1"
+	p := startTestGateway(&memoryStore{newest: 2, targets: targets}, "a")
+	p.useAllVersions()
+	service := p.engineServiceFor("engines")
+	pl := movablePlacement(t, p, "a")
+	for range 50 {
+		to, found := service.moveDestination(pl)
+		is.True(found)
+		is.Equal(to.ID, "c")
+	}
+	b, c := service.registrations["b"], service.registrations["c"]
+	_, ok := service.placeRun(&engineRequest{}, placeOf(&b), pl.target)
+	is.True(!ok)
+	_, ok = service.placeRun(&engineRequest{}, placeOf(&c), pl.target)
+	is.True(ok)
+}
+
 // Guards against runs that go on at a target with other weights, or at another target that has
 // taken the address.
 func TestRunsGoOnOnlyWhereTheirCopyIs(t *testing.T) {
