gateway: streams are taken up at the software version that began them

Cause: the instance that gets the request doesn't know where the stream began. The attempt that the caller names (Resumes) was not read, and nothing told other instances. Class: state of a conversation that lives in the process that happened to serve its beginning.

A request that takes up a stream gets its origin from the table, from there having been one version only, or from peers within 0.7 s, and is 503 stream_origin_unknown otherwise. It also stays at its service where a route is split. A stream waits up to 1 s for a target of its version that takes requests; if no such target is registered it ends at once.

Why it works: the origin is fixed before the first event leaves, and every later request for the stream either finds it or is refused. A new process and one out of contact conclude nothing from what they don't know.

Ruled out: the version by a hash of the attempt (loses cached prompts), peers asked only (loses the streams of a killed instance).

The test's comparison of updates treats the new event's empty list like the others' nil.

--- a/internal/gateway/engineservice.go
+++ b/internal/gateway/engineservice.go
@@ -25,12 +25,13 @@
 type (
 	engineRequest = dispatch.Request[chan placementResult]
 	engineSend    = dispatch.Send[chan placementResult]
+	engineRefusal = dispatch.Refusal[chan placementResult]
 )
 
 // placementResult is the outcome of a queued request: exactly one field is set.
 type placementResult struct {
 	placed  *enginePlacement
-	refusal *dispatch.Refusal[chan placementResult]
+	refusal *engineRefusal
 }
 
 // enginePlacement is a target chosen for one attempt.
@@ -270,7 +271,7 @@
 
 // acquire waits for a target. It returns a refusal if there is none, and neither a target
 // nor a refusal if ctx ended.
-func (s *engineService) acquire(ctx context.Context, r *engineRequest) (*enginePlacement, *dispatch.Refusal[chan placementResult]) {
+func (s *engineService) acquire(ctx context.Context, r *engineRequest) (*enginePlacement, *engineRefusal) {
 	r.Value = make(chan placementResult, 1)
 	s.mu.Lock()
 	s.nextID++
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -22,6 +22,7 @@
 	state, spent := p.g.publishedState()
 	evidence := p.g.canaries.takeEvidence()
 	returns := p.g.contention.takeReturns()
+	streams := p.g.origins.takeForPeers(p.g.clock.Now(), p.fleetSize())
 	request := p.g.exchangeRequest()
 	p.mu.Lock()
 	now := p.g.clock.Now()
@@ -31,6 +32,9 @@
 	for _, e := range evidence {
 		p.table.AddEvent(wire.InstanceEvent{Evidence: e})
 	}
+	for _, s := range streams {
+		p.table.AddEvent(wire.InstanceEvent{Streams: s})
+	}
 	if len(returns) > 0 {
 		p.table.AddEvent(wire.InstanceEvent{Returns: returns})
 	}
--- a/internal/gateway/fleetstate.go
+++ b/internal/gateway/fleetstate.go
@@ -8,6 +8,7 @@
 	"github.com/mastictray/mastictray/internal/ratecount"
 	"github.com/mastictray/mastictray/internal/replica"
 	"github.com/mastictray/mastictray/internal/routing"
+	"github.com/mastictray/mastictray/internal/streamorigin"
 	"github.com/mastictray/mastictray/internal/wire"
 )
 
@@ -106,6 +107,9 @@
 			if e.Evidence != nil {
 				g.canaries.applyEvidence(e.Evidence)
 			}
+			if s := e.Streams; s != nil {
+				g.origins.learn(now, streamorigin.Origin{Service: s.Service, Software: s.Software}, s.Streams)
+			}
 			g.contention.applyReturns(now, changes[i].At, e.Returns)
 			if e.Prompt != nil {
 				g.applyPrefilledPrompt(services, e.Prompt)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -32,14 +32,13 @@
 
 // forward sends the request to one target after another until one has answered.
 func (g *Gateway) forward(ctx context.Context, c *call) *Refusal {
-	name := c.route.ChooseService(g.newRand())
-	service, ok := c.table.Service(name)
-	if !ok {
-		return unavailableRefusal("no_service", notReadyRetryAfter)
+	if refusal := g.findOrigin(ctx, c); refusal != nil {
+		return refusal
 	}
-	c.service = service
-	g.retryBudget(name).AddRequest()
+	g.retryBudget(c.service.Name).AddRequest()
 	relay := &responseRelay{g: g, c: c}
+	complete := false
+	defer func() { g.endStream(c, complete) }()
 	c.generation = g.newGeneration(c)
 	defer c.generation.end()
 	unsent := 0
@@ -52,6 +51,7 @@
 		case outcomeNoTarget:
 			return g.finishUnanswered(ctx, c, relay, refusal)
 		case outcomeDelivered:
+			complete = true
 			g.logAnswered(c, relay)
 			return nil
 		case outcomeTruncated:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -84,6 +84,8 @@
 	reach *domainReach
 	// canaries are the rollouts of new software versions that operators order.
 	canaries *canaries
+	// origins holds where streams began.
+	origins *streamOrigins
 	// leaseStore reads and writes the order lease in the store.
 	leaseStore *leaseStore
 	planner    *weights.Planner
@@ -174,6 +176,7 @@
 	g.cache = newCacheStores(g)
 	g.reach = newDomainReach(c.Now)
 	g.canaries = newCanaries(s, c.Now)
+	g.origins = newStreamOrigins()
 	g.limits = newTargetLimits(c.Now, s.Instance)
 	g.contention = newContention(g)
 	g.plainLoads = &plainLoads{now: c.Now, limits: g.limits}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"time"
 
@@ -126,11 +127,14 @@
 	defer endWait()
 	service, r := g.engineServiceOf(c), g.newEngineRequest(c)
 	pl, refusal := service.acquire(ctx, r)
-	if refusal != nil && refusal.Reason == dispatch.ReasonNoTarget && r.Placement.Exclude != "" {
-		// The target of the last attempt is better than none.
-		r = g.newEngineRequest(c)
-		r.Placement.Exclude = ""
-		pl, refusal = service.acquire(ctx, r)
+	if isNoTarget(refusal) && r.Placement.Exclude != "" {
+		pl, refusal = g.acquireAnyEngine(ctx, c, service) // the target of the last attempt is better than none
+	}
+	if isNoTarget(refusal) && c.stream.known {
+		if !service.hasSoftware(c.stream.Software) {
+			return nil, &Refusal{Status: http.StatusServiceUnavailable, Reason: "stream_version_gone", NotRun: true}
+		}
+		pl, refusal = g.awaitEngineOfStream(ctx, c, service, refusal)
 	}
 	switch {
 	case refusal != nil:
@@ -148,6 +152,32 @@
 	return g.newEngineAttempt(c, service, pl), nil
 }
 
+func isNoTarget(r *engineRefusal) bool { return r != nil && r.Reason == dispatch.ReasonNoTarget }
+
+// acquireAnyEngine acquires a target without leaving out that of the last attempt.
+func (g *Gateway) acquireAnyEngine(ctx context.Context, c *call, service *engineService) (*enginePlacement, *engineRefusal) {
+	r := g.newEngineRequest(c)
+	r.Placement.Exclude = ""
+	return service.acquire(ctx, r)
+}
+
+// awaitEngineOfStream waits until a target with the software of the call's stream takes requests.
+// It returns the last refusal if none does in time.
+func (g *Gateway) awaitEngineOfStream(ctx context.Context, c *call, service *engineService, refusal *engineRefusal) (pl *enginePlacement, _ *engineRefusal) {
+	waitUntil := min(c.nextEventDeadline(), g.clock.Now()+softwareWait)
+	for isNoTarget(refusal) && g.clock.Now() < waitUntil && sleep(ctx, softwarePollInterval) {
+		pl, refusal = g.acquireAnyEngine(ctx, c, service)
+	}
+	return pl, refusal
+}
+
+const (
+	// softwareWait is how long a stream waits for a target with its software to take requests
+	// again, for example after loading weights. There may be only one such target.
+	softwareWait         = time.Second
+	softwarePollInterval = 50 * time.Millisecond
+)
+
 // newEngineAttempt returns the attempt at a model server that was chosen.
 func (g *Gateway) newEngineAttempt(c *call, service *engineService, pl *enginePlacement) *targetAttempt {
 	a, firstTokenAt := &targetAttempt{}, time.Duration(0)
--- a/internal/gateway/registrations.go
+++ b/internal/gateway/registrations.go
@@ -160,11 +160,13 @@
 	if t == nil {
 		return
 	}
+	now, registered := g.clock.Now(), g.directory.All()
 	for i := range t.Config().Services {
 		s := &t.Config().Services[i]
 		if s.Cache != nil && s.Engine == nil {
 			continue
 		}
+		g.origins.updateVersions(now, g.wallClock(), s.Name, registered)
 		targets, isCanary := g.canaries.classify(s.Name, g.directory.Usable(s.Name), g.clock.Now()-g.contactAgeLocked())
 		if s.Engine != nil {
 			g.engineServiceFor(s.Name).updateTargets(targets, isCanary, s.Engine)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -158,7 +158,7 @@
 			r.firstByteAfter = r.g.clock.Now() - r.c.startedAt
 		}
 		a.onAnswer()
-		r.c.recordOrigin(a)
+		r.g.beginStream(r.c, a)
 		if !r.started {
 			r.writeHead(resp, -1)
 		}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -41,8 +41,8 @@
 	mayHaveRun              bool
 	// continuationCount is how often its run was sent on to go on at another target.
 	continuationCount int
-	// origin is where the caller's stream began, once it has.
-	origin streamOrigin
+	// stream is where the caller's stream began, once that is known.
+	stream callerStream
 	// generation moves the run of the request; nil if runs of its kind are not moved.
 	generation *generation
 	// refusedBy holds the targets that refused the request.
--- /dev/null
+++ b/internal/gateway/takeup.go
@@ -0,0 +1,183 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/mastictray/mastictray/internal/logline"
+	"github.com/mastictray/mastictray/internal/routing"
+	"github.com/mastictray/mastictray/internal/streamorigin"
+	"github.com/mastictray/mastictray/internal/wire"
+)
+
+const (
+	// originWait is how long a request that takes up a stream waits for the stream's origin. The
+	// instance at which it broke off tells its peers within about half of that.
+	originWait = 700 * time.Millisecond
+	// originPollInterval is the interval at which it looks for the origin.
+	originPollInterval = 20 * time.Millisecond
+	// originCallTimeout bounds the call that asks a peer.
+	originCallTimeout = 300 * time.Millisecond
+	// maxOriginCalls is the number of peers that are asked. In a mesh these are all.
+	maxOriginCalls = 20
+	// originUnknownRetryAfter is the Retry-After of an instance that doesn't know where a stream
+	// began. Another one may.
+	originUnknownRetryAfter = 50 * time.Millisecond
+	// registrationsMaxAgeFraction is the age of the knowledge of targets, as a fraction of the
+	// drain bound, up to which a new software version would be known.
+	registrationsMaxAgeFraction = 0.75
+)
+
+// findOrigin finds out where the stream that a call takes up began, and chooses the service. A
+// returned refusal means that the stream can't go on here.
+func (g *Gateway) findOrigin(ctx context.Context, c *call) *Refusal {
+	routed := c.route.ChooseService(g.newRand())
+	if !c.takesUp() || c.route.Kind != routing.Stream {
+		return g.setService(c, routed)
+	}
+	startedAt := g.clock.Now()
+	origin, from, ok := g.awaitOrigin(ctx, c, routed)
+	if !ok {
+		logline.Info("stream_origin_unknown", "request", c.ID, "resumes", c.Resumes, "waited", g.clock.Now()-startedAt)
+		return unavailableRefusal("stream_origin_unknown", originUnknownRetryAfter)
+	}
+	c.stream.known, c.stream.Origin = true, origin
+	logline.InfoSampled("stream_origin", "request", c.ID, "resumes", c.Resumes, "service", origin.Service, "software", origin.Software,
+		"from", from, "waited", g.clock.Now()-startedAt)
+	if !routeIncludes(c.route, origin.Service) {
+		return &Refusal{Status: http.StatusServiceUnavailable, Reason: "stream_service_changed", NotRun: true}
+	}
+	return g.setService(c, origin.Service)
+}
+
+// setService sets the service of a call.
+func (g *Gateway) setService(c *call, name string) *Refusal {
+	service, ok := c.table.Service(name)
+	if !ok {
+		return unavailableRefusal("no_service", notReadyRetryAfter)
+	}
+	c.service = service
+	return nil
+}
+
+// awaitOrigin returns the origin of the stream that a call takes up and who knew it. It waits for
+// it if the instance at which the stream broke off may still tell.
+func (g *Gateway) awaitOrigin(ctx context.Context, c *call, routed string) (origin streamorigin.Origin, from string, ok bool) {
+	if origin, ok := g.knownOrigin(c); ok {
+		return origin, "table", true
+	}
+	if software, ok := g.soleVersion(c, routed); ok {
+		return streamorigin.Origin{Service: routed, Software: software}, "sole_version", true
+	}
+	ctx, cancel := context.WithTimeout(ctx, originWait)
+	defer cancel()
+	answers := g.askForOrigin(ctx, c, routed)
+	for {
+		select {
+		case <-ctx.Done():
+			return streamorigin.Origin{}, "", false
+		case answer := <-answers:
+			return answer.Origin, answer.peer, true
+		case <-time.After(originPollInterval):
+		}
+		if origin, ok := g.knownOrigin(c); ok {
+			return origin, "told", true
+		}
+	}
+}
+
+func (g *Gateway) knownOrigin(c *call) (streamorigin.Origin, bool) {
+	if c.Resumes == "" {
+		return streamorigin.Origin{}, false // the caller doesn't say which stream it is
+	}
+	return g.origins.find(c.streamKey())
+}
+
+// soleVersion returns the version at which all streams of the route have begun. An instance that
+// may not have heard of a newer version doesn't know it.
+func (g *Gateway) soleVersion(c *call, service string) (string, bool) {
+	if len(c.route.Split) > 1 || !g.knowsTargets() {
+		return "", false
+	}
+	return g.origins.sole(g.clock.Now(), service)
+}
+
+// knowsTargets reports whether this instance knows of all targets, except during an outage of the
+// store that its peers share, in which no target can register.
+func (g *Gateway) knowsTargets() bool {
+	g.mu.Lock()
+	age := g.clock.Now() - g.registrations.knownUpTo
+	g.mu.Unlock()
+	return age <= time.Duration(registrationsMaxAgeFraction*float64(g.settings.DrainBound)) || g.hearsFleet()
+}
+
+// toldOrigin is an origin that a peer has told.
+type toldOrigin struct {
+	streamorigin.Origin
+	peer string
+}
+
+// askForOrigin asks peers for the origin of the stream that a call takes up. The first answers are
+// sent to the channel that it returns.
+func (g *Gateway) askForOrigin(ctx context.Context, c *call, routed string) <-chan toldOrigin {
+	answers := make(chan toldOrigin, maxOriginCalls)
+	request := wire.StreamOriginRequest{Service: routed}
+	if c.Resumes != "" {
+		request.Stream = uint64(c.streamKey())
+	}
+	single := len(c.route.Split) <= 1
+	for _, to := range g.peers.originSources() {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, originCallTimeout)
+			defer cancel()
+			var response wire.StreamOriginResponse
+			if _, err := g.peers.call(ctx, to.Address, wire.KindStreamOrigin, request, &response); err != nil {
+				if ctx.Err() == nil {
+					logline.Error(err, "stream_origin_call_failed", "request", c.ID, "peer", to.Instance)
+				}
+				return
+			}
+			if response.Known || response.Sole && single {
+				answers <- toldOrigin{Origin: streamorigin.Origin{Service: response.Service, Software: response.Software}, peer: to.Instance}
+			}
+		}()
+	}
+	return answers
+}
+
+// originSources returns the peers to ask for the origin of a stream: all in a mesh, otherwise a few,
+// since most origins are told to all.
+func (p *peers) originSources() []wire.Identity {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.node == nil {
+		return nil
+	}
+	now := p.g.clock.Now()
+	var out []wire.Identity
+	for name, s := range p.known { // in random order
+		if len(out) < maxOriginCalls && p.isFresh(now, s) {
+			out = append(out, wire.Identity{Instance: name, Address: s.Address})
+		}
+	}
+	return out
+}
+
+// handleOriginRequest handles a peer's request for the origin of a stream.
+func (g *Gateway) handleOriginRequest(_ context.Context, _ wire.Identity, f wire.Frame) (any, error) {
+	var request wire.StreamOriginRequest
+	if err := f.DecodeBody(&request); err != nil {
+		return nil, err
+	}
+	if request.Stream != 0 {
+		if origin, ok := g.origins.find(streamorigin.Key(request.Stream)); ok {
+			return wire.StreamOriginResponse{Known: true, Service: origin.Service, Software: origin.Software}, nil
+		}
+	}
+	if !g.knowsTargets() {
+		return wire.StreamOriginResponse{}, nil
+	}
+	software, ok := g.origins.sole(g.clock.Now(), request.Service)
+	return wire.StreamOriginResponse{Sole: ok, Service: request.Service, Software: software}, nil
+}
--- /dev/null
+++ b/internal/gateway/takeup_test.go
@@ -0,0 +1,124 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/mastictray/mastictray/internal/directory"
+	"github.com/mastictray/mastictray/internal/routing"
+	"github.com/mastictray/mastictray/internal/streamorigin"
+)
+
+// newTakeUpGateway returns an instance that has just started, with targets of the given software
+// versions that started at the given time before it.
+func newTakeUpGateway(startedBefore time.Duration, software ...string) *testGateway {
+	targets := make([]directory.Registration, len(software))
+	for i, version := range software {
+		targets[i] = targetsOnVersions(2, 2, 2)[i]
+		targets[i].SoftwareVersion, targets[i].StartedMs = version, time.Now().Add(-startedBefore).UnixMilli()
+	}
+	p := startTestGateway(&memoryStore{newest: 2, targets: targets}, "a")
+	p.settings.DrainBound = 2 * time.Second
+	return p
+}
+
+// takeUp is what an instance decides on a request that takes up a stream.
+func (p *testGateway) takeUp(t *testing.T, resumes, lastEvent string, split ...routing.WeightedService) (*call, string) {
+	t.Helper()
+	if len(split) == 0 {
+		split = []routing.WeightedService{{Service: "engines", Weight: 1}}
+	}
+	c := &call{
+		Request: &Request{ID: "later", Resumes: resumes, LastEventID: lastEvent}, table: p.table.Load(),
+		route: &routing.Route{Kind: routing.Stream, Resumable: true, Split: split},
+	}
+	if refusal := p.findOrigin(t.Context(), c); refusal != nil {
+		return c, refusal.Reason
+	}
+	return c, ""
+}
+
+// Guards against instances that join a stream over versions because they don't know where it began:
+// they have just started, have heard of no newer version, or their peers don't know either.
+func TestTakenUpStreamNeedsItsOrigin(t *testing.T) {
+	const long = time.Minute
+	told := func(p *testGateway) {
+		p.origins.learn(p.clock.Now(), streamorigin.Origin{Service: "engines", Software: "v1"}, []uint64{uint64(streamorigin.KeyOf("first"))})
+	}
+	nothing := func(*testGateway) {}
+	for name, c := range map[string]struct {
+		software           []string
+		startedBefore      time.Duration
+		prepare            func(*testGateway)
+		resumes, lastEvent string
+		reason, want       string
+	}{
+		"new stream":                         {software: []string{"v1", "v2"}, startedBefore: long, prepare: nothing},
+		"told by a peer":                     {software: []string{"v1", "v2"}, startedBefore: long, prepare: told, resumes: "first", lastEvent: "3", want: "v1"},
+		"told, its version is gone":          {software: []string{"v2"}, startedBefore: long, prepare: told, resumes: "first", lastEvent: "3", want: "v1"},
+		"several versions, unknown":          {software: []string{"v1", "v2"}, startedBefore: long, prepare: nothing, resumes: "first", lastEvent: "3", reason: "stream_origin_unknown"},
+		"one version for long":               {software: []string{"v1", "v1"}, startedBefore: long, prepare: nothing, resumes: "first", lastEvent: "3", want: "v1"},
+		"one version, caller doesn't say":    {software: []string{"v1", "v1"}, startedBefore: long, prepare: nothing, lastEvent: "3", want: "v1"},
+		"several, caller doesn't say":        {software: []string{"v1", "v2"}, startedBefore: long, prepare: told, lastEvent: "3", reason: "stream_origin_unknown"},
+		"one version, its targets are new":   {software: []string{"v1", "v1"}, startedBefore: time.Second, prepare: nothing, resumes: "first", lastEvent: "3", reason: "stream_origin_unknown"},
+		"one version, a peer told of others": {software: []string{"v2", "v2"}, startedBefore: long, prepare: told, resumes: "second", lastEvent: "3", reason: "stream_origin_unknown"},
+		"one version, hears nothing": {software: []string{"v1", "v1"}, startedBefore: long, prepare: func(p *testGateway) {
+			p.registrations.knownUpTo -= 2 * time.Second
+			p.withPeers(nil, []string{"d1-b", "d2-c"})
+		}, resumes: "first", lastEvent: "3", reason: "stream_origin_unknown"},
+		"one version, outage of the store": {software: []string{"v1", "v1"}, startedBefore: long, prepare: func(p *testGateway) {
+			p.registrations.knownUpTo -= 2 * time.Second
+			p.withPeers([]string{"d1-b", "d2-c"}, nil)
+		}, resumes: "first", lastEvent: "3", want: "v1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			p := newTakeUpGateway(c.startedBefore, c.software...)
+			c.prepare(p)
+			call, reason := p.takeUp(t, c.resumes, c.lastEvent)
+			is.Equal(reason, c.reason)
+			is.Equal(call.stream.Software, c.want)
+			is.Equal(call.stream.known, c.want != "")
+		})
+	}
+}
+
+// Guards against streams that go on at another service of a split route.
+func TestTakenUpStreamStaysAtItsService(t *testing.T) {
+	is := is.New(t)
+	p := newTakeUpGateway(time.Minute, "v1", "v1")
+	p.origins.learn(p.clock.Now(), streamorigin.Origin{Service: "engines", Software: "v1"}, []uint64{uint64(streamorigin.KeyOf("first"))})
+	split := []routing.WeightedService{{Service: "others", Weight: 1000}, {Service: "engines", Weight: 1}}
+	for range 20 {
+		c, reason := p.takeUp(t, "first", "3", split...)
+		is.Equal(reason, "")
+		is.Equal(c.service.Name, "engines")
+	}
+	_, reason := p.takeUp(t, "first", "3", split[0])
+	is.Equal(reason, "stream_service_changed")
+	_, reason = p.takeUp(t, "second", "3", split...)
+	is.Equal(reason, "stream_origin_unknown") // it may have begun at either service
+}
+
+// Guards against peers that hear of no origin while two versions serve, and against telling all
+// streams of a large fleet.
+func TestOriginsAreToldWhileSeveralVersionsServe(t *testing.T) {
+	is := is.New(t)
+	p := newTakeUpGateway(time.Minute, "v1", "v1")
+	origin := streamorigin.Origin{Service: "engines", Software: "v1"}
+	for i := range 1000 {
+		p.origins.begin(p.clock.Now(), streamorigin.Key(i+1), origin)
+	}
+	p.origins.end(p.clock.Now(), 7, false)
+	is.Equal(len(p.origins.takeForPeers(p.clock.Now()+time.Second, 4)), 0)
+	p.origins.learn(p.clock.Now(), streamorigin.Origin{Service: "engines", Software: "v2"}, nil)
+	told := p.origins.takeForPeers(p.clock.Now()+2*time.Second, 2400)
+	is.Equal(len(told), 1)
+	is.Equal(len(told[0].Streams), minOriginsPerUpdate)
+	is.Equal(told[0].Streams[0], uint64(7)) // the broken one first
+	told = p.origins.takeForPeers(p.clock.Now()+3*time.Second, 4)
+	is.Equal(len(told[0].Streams), fleetOriginsPerSecond/4)
+}
--- /dev/null
+++ b/internal/streamorigin/streamorigin_test.go
@@ -0,0 +1,121 @@
+package streamorigin
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var (
+	v1 = Origin{Service: "engines", Software: "v1"}
+	v2 = Origin{Service: "engines", Software: "v2"}
+)
+
+func all(string) bool { return true }
+
+// Guards against origins that are forgotten while callers may still take their streams up, or
+// replaced by that of a later part.
+func TestTableKeepsFirstOriginForRetention(t *testing.T) {
+	is := is.New(t)
+	table, key := NewTable(), KeyOf("a")
+	table.Record(0, key, v1)
+	for now := time.Duration(0); now <= Retention; now += time.Second {
+		table.Record(now, KeyOf(fmt.Sprint(now)), v2)
+		table.Record(now, key, v2)
+		o, ok := table.Find(key)
+		is.True(ok)
+		is.Equal(o, v1)
+	}
+	table.Record(10*Retention, KeyOf("b"), v2)
+	table.Record(11*Retention, KeyOf("c"), v2)
+	_, ok := table.Find(key)
+	is.True(!ok)
+}
+
+// Guards against a table that grows without a bound.
+func TestTableIsBounded(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	for i := range 3 * maxGeneration {
+		table.Record(0, Key(i), v1)
+	}
+	is.True(len(table.current)+len(table.previous) <= 2*maxGeneration)
+	_, ok := table.Find(Key(3*maxGeneration - 1))
+	is.True(ok)
+}
+
+// Guards against broken streams that peers hear of after those that still run, and against
+// streams that are told twice or needlessly.
+func TestOutboxTellsBrokenStreamsFirst(t *testing.T) {
+	is := is.New(t)
+	b := NewOutbox()
+	for i := range 10 {
+		b.Begin(Key(i), v1)
+	}
+	b.End(0, 3, false)
+	b.End(0, 4, true)
+	b.End(0, 99, false) // already told
+	is.Equal(b.Take(0, 5, func(service string) bool { return service == "other" }), map[Origin][]Key{})
+	is.Equal(b.Take(0, 1, all), map[Origin][]Key{v1: {3}})
+	is.Equal(len(b.Take(0, 100, all)[v1]), 8)
+	is.Equal(len(b.Take(0, 100, all)), 0)
+	b.End(0, 5, false) // its peers have it
+	is.Equal(len(b.Take(0, 100, all)), 0)
+	b.Begin(20, v2)
+	b.End(0, 20, false)
+	is.Equal(len(b.Take(Retention+1, 100, all)), 0)
+}
+
+// Guards against taking one version for the only one while streams of another may be taken up.
+func TestSoleVersion(t *testing.T) {
+	const start, second = time.Hour, time.Second
+	set := func(versions ...string) map[string]bool {
+		out := map[string]bool{}
+		for _, v := range versions {
+			out[v] = true
+		}
+		return out
+	}
+	for name, c := range map[string]struct {
+		play    func(v *Versions)
+		at      time.Duration
+		sole    string
+		several bool
+	}{
+		"tracked for long":              {play: func(v *Versions) { v.Update(start, "engines", set("v1"), false) }, at: start + Retention, sole: "v1"},
+		"just started":                  {play: func(v *Versions) { v.Update(start, "engines", set("v1"), false) }, at: start + Retention - 1},
+		"just started, targets haven't": {play: func(v *Versions) { v.Update(start, "engines", set("v1"), true) }, at: start, sole: "v1"},
+		"targets read later": {play: func(v *Versions) {
+			v.Update(start, "engines", set(), true)
+			v.Update(start+second, "engines", set("v1"), false)
+		}, at: start + Retention},
+		"two":             {play: func(v *Versions) { v.Update(start, "engines", set("v1", "v2"), true) }, at: start, several: true},
+		"unknown service": {play: func(*Versions) {}, at: start},
+		"other one just gone": {play: func(v *Versions) {
+			v.Update(start, "engines", set("v1", "v2"), true)
+			v.Update(start+second, "engines", set("v2"), true)
+		}, at: start + second + Retention, several: true},
+		"other one gone for long": {play: func(v *Versions) {
+			v.Update(start, "engines", set("v1", "v2"), true)
+			v.Update(start+second, "engines", set("v2"), true)
+		}, at: start + second + Retention + 1, sole: "v2"},
+		"peer tells of another one": {play: func(v *Versions) {
+			v.Update(start, "engines", set("v1"), true)
+			v.Note(start+second, v2)
+			v.Note(start+second, v1)
+		}, at: start + second, several: true},
+		"no version stated": {play: func(v *Versions) { v.Update(start, "engines", set(""), true) }, at: start},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			v := NewVersions()
+			c.play(v)
+			sole, ok := v.Sole(c.at, "engines")
+			is.Equal(sole, c.sole)
+			is.Equal(ok, c.sole != "" || name == "no version stated")
+			is.Equal(v.Several(c.at, "engines"), c.several)
+		})
+	}
+}
--- /dev/null
+++ b/internal/streamorigin/versions.go
@@ -0,0 +1,88 @@
+package streamorigin
+
+import (
+	"time"
+)
+
+// Versions tracks the software versions that have targets. It is not safe for concurrent use.
+type Versions struct {
+	services map[string]*serviceVersions
+}
+
+type serviceVersions struct {
+	trackedSince time.Duration
+	present      map[string]bool
+	// goneAt is when the last target of a version was gone.
+	goneAt map[string]time.Duration
+}
+
+// NewVersions returns a tracker without any service.
+func NewVersions() *Versions { return &Versions{services: map[string]*serviceVersions{}} }
+
+// Update sets the versions of a service's targets, those that leave included. oldEnough is set if
+// all of them started longer than Retention ago: a version that was replaced since would have
+// left younger ones.
+func (v *Versions) Update(now time.Duration, service string, present map[string]bool, oldEnough bool) {
+	s := v.services[service]
+	if s == nil && len(present) == 0 {
+		return // its targets are not known yet
+	}
+	if s == nil {
+		s = &serviceVersions{trackedSince: now, goneAt: map[string]time.Duration{}}
+		if oldEnough {
+			s.trackedSince = now - Retention
+		}
+		v.services[service] = s
+	}
+	for version := range s.present {
+		if !present[version] {
+			s.goneAt[version] = now
+		}
+	}
+	s.present = present
+}
+
+// Note records that a stream began at a version, which may have no target any more.
+func (v *Versions) Note(now time.Duration, o Origin) {
+	if s := v.services[o.Service]; s != nil && !s.present[o.Software] {
+		s.goneAt[o.Software] = now
+	}
+}
+
+// recent returns the versions that may have begun streams within Retention.
+func (s *serviceVersions) recent(now time.Duration) map[string]bool {
+	versions := map[string]bool{}
+	for version := range s.present {
+		versions[version] = true
+	}
+	for version, at := range s.goneAt {
+		if now-at <= Retention {
+			versions[version] = true
+		} else {
+			delete(s.goneAt, version)
+		}
+	}
+	return versions
+}
+
+// Several reports whether streams of a service may have begun at more than one version.
+func (v *Versions) Several(now time.Duration, service string) bool {
+	s := v.services[service]
+	return s != nil && len(s.recent(now)) > 1
+}
+
+// Sole returns the version at which all streams of a service that may be taken up have begun, and
+// false if there are several or the service has not been tracked for long enough.
+func (v *Versions) Sole(now time.Duration, service string) (version string, ok bool) {
+	s := v.services[service]
+	if s == nil || now-s.trackedSince < Retention {
+		return "", false
+	}
+	versions := s.recent(now)
+	if len(versions) != 1 {
+		return "", false
+	}
+	for version = range versions {
+	}
+	return version, true
+}
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -174,9 +174,11 @@
 }
 
 // InstanceEvent is a prefilled prompt, outcomes of attempts, requests that were asked to come
-// back, or a request that lost the connection to its target.
+// back, streams that began, or a request that lost the connection to its target.
 type InstanceEvent struct {
 	Prompt *PrefilledPrompt
+	// Streams is set for streams that began at one software version of a service.
+	Streams *BegunStreams
 	// Returns is set for refused requests that have been promised room.
 	Returns []ReturningRequest
 	// Evidence is set for outcomes of attempts during an ordered rollout.
@@ -193,6 +195,13 @@
 	AfterMillis uint64
 }
 
+// BegunStreams are streams with the same origin; see streamorigin.
+type BegunStreams struct {
+	Service  string
+	Software string
+	Streams  []uint64
+}
+
 // TargetLoad is the load that one instance's requests put on a target.
 type TargetLoad struct {
 	// PendingPromptTokens is the number of prompt tokens of requests without a first
--- a/internal/wire/update.go
+++ b/internal/wire/update.go
@@ -21,6 +21,8 @@
 	// number of items per request in its flat array.
 	returnsFields = 1
 	returnFields  = 2
+	// streamsFields is the length of an event with streams that began.
+	streamsFields = 3
 )
 
 // optionalState holds the fields of InstanceState that are empty for most
@@ -99,8 +101,8 @@
 }
 
 // encodeEvents writes an array of the first event's number and the events. An
-// event is an array for a prompt, outcomes or returning requests, of different lengths, and
-// an integer for a crash.
+// event is an array for a prompt, outcomes, returning requests or streams, of different lengths,
+// and an integer for a crash.
 func encodeEvents(e *msgpack.Encoder, first uint64, events []InstanceEvent) error {
 	err := firstError(e.EncodeArrayLen(1+len(events)), e.EncodeUint(first))
 	for _, event := range events {
@@ -112,6 +114,10 @@
 			err = firstError(err, encodeReturns(e, event.Returns))
 			continue
 		}
+		if s := event.Streams; s != nil {
+			err = firstError(err, e.EncodeArrayLen(streamsFields), e.EncodeString(s.Service), e.EncodeString(s.Software), encodeNumbers(e, s.Streams))
+			continue
+		}
 		if event.Prompt == nil {
 			err = firstError(err, e.EncodeUint(event.CrashFingerprint))
 			continue
@@ -283,6 +289,10 @@
 		return InstanceEvent{Returns: r.returns()}
 	case n == evidenceFields:
 		return InstanceEvent{Evidence: r.evidence()}
+	case n == streamsFields:
+		return InstanceEvent{Streams: &BegunStreams{
+			Service: readField(r, r.d.DecodeString), Software: readField(r, r.d.DecodeString), Streams: r.numbers(),
+		}}
 	case n != promptFields:
 		r.err = errors.Wrapf(ErrFrameMalformed, "event with %d fields", n)
 		return InstanceEvent{}
--- a/internal/wire/update_test.go
+++ b/internal/wire/update_test.go
@@ -43,6 +43,7 @@
 		Events: []InstanceEvent{
 			{Prompt: &PrefilledPrompt{Target: "t", Born: -1, SharedPieces: []uint64{1, 1 << 63}, CachedTokens: 9, CacheScope: "2/", SavedPieces: []uint64{7}}},
 			{CrashFingerprint: 1 << 62},
+			{Streams: &BegunStreams{Service: "engines", Software: "v2", Streams: []uint64{1 << 63, 7}}},
 			{Returns: []ReturningRequest{{Fingerprint: 1 << 61, AfterMillis: 250}, {Fingerprint: 3}}},
 		},
 	}
@@ -111,6 +112,9 @@
 					CachedTokens: rapid.Int().Draw(rt, "tokens"), CacheScope: word.Draw(rt, "scope"), SavedPieces: numbers.Draw(rt, "pieces"),
 				}}
 			}
+			if rapid.Bool().Draw(rt, "streams") {
+				e = InstanceEvent{Streams: &BegunStreams{Service: word.Draw(rt, "service"), Software: word.Draw(rt, "software"), Streams: numbers.Draw(rt, "streams begun")}}
+			}
 			u.Events = append(u.Events, e)
 		}
 		f, err := NewFrame(1, KindExchange, Exchange{Updates: []InstanceUpdate{u, u}})
@@ -144,6 +148,11 @@
 				p.SharedPieces, p.SavedPieces = append([]uint64(nil), p.SharedPieces...), append([]uint64(nil), p.SavedPieces...)
 				u.Events[i].Prompt = &p
 			}
+			if e.Streams != nil {
+				begun := *e.Streams
+				begun.Streams = append([]uint64(nil), begun.Streams...)
+				u.Events[i].Streams = &begun
+			}
 		}
 		u.State.LoadingTargets, u.State.SilentTargets = append([]string(nil), u.State.LoadingTargets...), append([]string(nil), u.State.SilentTargets...)
 		u.State.TargetLimits = append([]TargetLimit(nil), u.State.TargetLimits...)
