--- a/cmd/mastictray-standin/main.go
+++ b/cmd/mastictray-standin/main.go
@@ -35,6 +35,7 @@
 	listen
 	Model         string  `default:"demo" help:"Model served."`
 	Version       string  `default:"1" help:"Weights version served at the start."`
+	Software      string  `help:"Version of the engine's software; if empty, none is stated."`
 	Role          string  `default:"mixed" help:"Role at the start."`
 	PieceBytes    int     `default:"16384" help:"Prompt bytes per cached piece."`
 	CachePieces   int     `default:"256" help:"Capacity of the cache in pieces."`
@@ -57,7 +58,7 @@
 
 func (c *engineCmd) Run() error {
 	e := engine.New(engine.Config{
-		Model: c.Model, Version: c.Version, Role: c.Role,
+		Model: c.Model, Version: c.Version, Software: c.Software, Role: c.Role,
 		PieceBytes: c.PieceBytes, CachePieces: c.CachePieces,
 		PrefillTPS: c.PrefillTPS, DecodeTPS: c.DecodeTPS, MinTokenInterval: millis(c.ITLMillis),
 		MaxBatch: c.MaxBatch, ResumeGrace: millis(c.GraceMillis), LoadReportLag: millis(c.LoadLagMillis),
--- a/internal/entry/poolreports.go
+++ b/internal/entry/poolreports.go
@@ -38,6 +38,7 @@
 type loadReport struct {
 	Incarnation         string  `json:"incarnation"`
 	Version             string  `json:"version"`
+	Software            string  `json:"software"`
 	QueuedPrefillTokens float64 `json:"queued_prefill_tokens"`
 	AsOfMS              int64   `json:"as_of_ms"`
 }
@@ -67,6 +68,7 @@
 	if since, ok := p.slowStartSince[name]; ok {
 		t.SlowStartFactor = placement.SlowStartFactor(queriedAt - since)
 	}
+	t.Software = r.Software
 	t.Load.Report(asOf, r.QueuedPrefillTokens)
 	p.markResponsiveLocked(name, restarted)
 }
--- a/internal/entry/targetpause_test.go
+++ b/internal/entry/targetpause_test.go
@@ -331,14 +331,20 @@
 	}
 	client := &http.Client{Transport: &http.Transport{}}
 	defer client.CloseIdleConnections()
-	before := []int64{s.engines[0].requests.Load(), s.engines[1].requests.Load()}
+	before := map[*requestTarget]int64{}
+	for _, target := range s.engines {
+		before[target] = target.requests.Load()
+	}
 	result := make(chan bool, 1)
 	go func() { result <- sendRequest(client, s.caller, "streamed") }()
-	waitFor(s.t, "stream", func() bool { return s.engines[0].requests.Load()+s.engines[1].requests.Load() > before[0]+before[1] })
-	broken = s.engines[0]
-	if s.engines[1].requests.Load() > before[1] {
-		broken = s.engines[1]
-	}
+	waitFor(s.t, "stream", func() bool {
+		for _, target := range s.engines {
+			if target.requests.Load() > before[target] {
+				broken = target
+			}
+		}
+		return broken != nil
+	})
 	during(broken)
 	breakStream()
 	return broken, <-result
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -35,7 +35,9 @@
 type Config struct {
 	Model   string
 	Version string
-	Role    string
+	// Software is the version of the engine's software; empty for an engine that states none.
+	Software string
+	Role     string
 	// PieceBytes is the number of prompt bytes in a cached piece.
 	PieceBytes int
 	// CachePieces is the capacity of the cache in pieces.
--- a/internal/standin/engine/load.go
+++ b/internal/standin/engine/load.go
@@ -11,6 +11,7 @@
 	Incarnation         string `json:"incarnation"`
 	Model               string `json:"model"`
 	Version             string `json:"version"`
+	Software            string `json:"software,omitempty"`
 	QueuedPrefillTokens int    `json:"queued_prefill_tokens"`
 	Running             int    `json:"running"`
 	Waiting             int    `json:"waiting"`
@@ -38,6 +39,7 @@
 		Incarnation:         e.incarnation,
 		Model:               e.model.name,
 		Version:             e.model.version,
+		Software:            e.cfg.Software,
 		QueuedPrefillTokens: tokens + e.prefillingTokens,
 		Running:             len(e.batchSlots),
 		Waiting:             waiting,
@@ -66,7 +68,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if len(e.loadReports.samples) == 0 {
-		return Load{Incarnation: e.incarnation, Model: e.model.name, Version: e.model.version}
+		return Load{Incarnation: e.incarnation, Model: e.model.name, Version: e.model.version, Software: e.cfg.Software}
 	}
 	return e.loadReports.samples[0]
 }
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -47,6 +47,9 @@
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		if e.faults.WaitWhile(r.Context(), FaultFreeze) == nil {
 			w.Header().Set("X-Engine-Incarnation", e.incarnation)
+			if e.cfg.Software != "" {
+				w.Header().Set("X-Engine-Software", e.cfg.Software)
+			}
 			next.ServeHTTP(w, r)
 		}
 	})
