entry, attempt: a response goes on only at engines with the same software

What callers saw on entry instances: a stream that broke off was replayed at an engine with another software version, and went on there if the part they had agreed.

Cause: the replay compares the chunks relayed so far. That shows that two responses begin alike, not that they go on alike; what two versions write doesn't fit together.

Change: the software that an engine states in the head of its response is part of the attempt's state machine. With the first relayed chunk it is fixed: dispatches require it in placement, and a response of another version (a load report was late) is cut before its first chunk counts, cancelled and sent elsewhere.

--- a/internal/attempt/action.go
+++ b/internal/attempt/action.go
@@ -49,6 +49,8 @@
 	CauseCrossed            Cause = "crossed_answer"
 	CauseIncarnationChanged Cause = "incarnation_changed"
 	CauseVersionChanged     Cause = "version_changed"
+	// CauseSoftwareChanged: the engine's software differs from that of the chunks relayed.
+	CauseSoftwareChanged Cause = "software_changed"
 	// CauseUnknownStream: the engine can't resume the stream.
 	CauseUnknownStream Cause = "unknown_stream"
 	// CauseNoNewRequests: the target takes no request now, not even one to resume the
--- a/internal/attempt/events.go
+++ b/internal/attempt/events.go
@@ -46,6 +46,9 @@
 	if err != nil {
 		return s.failConnection(CauseMalformed)
 	}
+	if s.relayed == 0 {
+		s.relayedSoftware = s.software
+	}
 	s.relayed, s.relayedHash = s.received, s.receivedHash
 	return Action{Kind: Relay, Seq: s.relayed - 1, Data: s.buf}
 }
--- a/internal/attempt/stream.go
+++ b/internal/attempt/stream.go
@@ -34,11 +34,12 @@
 
 // ResponseHead holds the headers of a target's response that the relay depends on.
 type ResponseHead struct {
-	// Attempt, Incarnation and Version are the X-Request-Id,
-	// X-Engine-Incarnation and X-Weights-Version headers.
+	// Attempt, Incarnation, Version and Software are the X-Request-Id,
+	// X-Engine-Incarnation, X-Weights-Version and X-Engine-Software headers.
 	Attempt     string
 	Incarnation string
 	Version     string
+	Software    string
 }
 
 // Stream is the state of one request and its response. It is not safe for concurrent use.
@@ -64,6 +65,9 @@
 	// its response has started.
 	incarnation string
 	version     string
+	// software is that of the engine whose response has started last, relayedSoftware that
+	// of the one whose chunk was relayed first.
+	software, relayedSoftware string
 	// nextSeq is the expected sequence number. received and receivedHash are the number
 	// and the hash of the current attempt's chunks.
 	nextSeq      int64
@@ -151,11 +155,20 @@
 		return s.failConnection(CauseIncarnationChanged)
 	case s.version != "" && h.Version != s.version:
 		return s.failConnection(CauseVersionChanged)
+	case s.relayed > 0 && h.Software != s.relayedSoftware:
+		// What it sends may agree with the chunks relayed so far and not with the rest.
+		return s.failConnection(CauseSoftwareChanged)
 	}
-	s.incarnation, s.version = h.Incarnation, h.Version
+	s.incarnation, s.version, s.software = h.Incarnation, h.Version, h.Software
 	return Action{}
 }
 
+// RequiredSoftware returns the software of the engines at which the response may go on; ok is
+// false while that may be any.
+func (s *Stream) RequiredSoftware() (software string, ok bool) {
+	return s.relayedSoftware, s.relayed > 0
+}
+
 // Tick fails the current connection if no data arrived for the idle timeout.
 func (s *Stream) Tick(now time.Duration) Action {
 	if !s.connected || s.finished || now-s.lastReceived < s.policy.IdleTimeout {
@@ -221,7 +234,7 @@
 // that the engine's stream is lost.
 func (s *Stream) canResume(cause Cause) bool {
 	switch cause {
-	case CauseIncarnationChanged, CauseVersionChanged, CauseUnknownStream, CauseNoNewRequests, CauseReplayDiverged, CauseRejected:
+	case CauseIncarnationChanged, CauseVersionChanged, CauseSoftwareChanged, CauseUnknownStream, CauseNoNewRequests, CauseReplayDiverged, CauseRejected:
 		return false
 	case CauseDial:
 		// The engine may be unreachable only briefly, but trying it again is
--- a/internal/entry/engineclient.go
+++ b/internal/entry/engineclient.go
@@ -18,6 +18,7 @@
 	headerRequestID      = "X-Request-Id"
 	headerAccount        = "X-Client-Account"
 	headerVersion        = "X-Weights-Version"
+	headerSoftware       = "X-Engine-Software"
 	headerPriority       = "X-Priority"
 	headerIncarnation    = "X-Engine-Incarnation"
 	headerLastEventID    = "Last-Event-ID"
--- a/internal/entry/engineconnection.go
+++ b/internal/entry/engineconnection.go
@@ -89,6 +89,7 @@
 		Attempt:     resp.Header.Get(headerRequestID),
 		Incarnation: resp.Header.Get(headerIncarnation),
 		Version:     resp.Header.Get(headerVersion),
+		Software:    resp.Header.Get(headerSoftware),
 	})
 }
 
--- a/internal/entry/enginerun.go
+++ b/internal/entry/enginerun.go
@@ -176,7 +176,9 @@
 		}
 		r.releaseIsolatedTarget()
 	}
-	pl, err := r.pool.acquire(r.call.r.Context(), r.call.newDispatchRequest())
+	request := r.call.newDispatchRequest()
+	request.Placement.Software.Version, request.Placement.Software.Required = r.stream.RequiredSoftware()
+	pl, err := r.pool.acquire(r.call.r.Context(), request)
 	if err != nil {
 		return placedAttempt{}, acquireError(err)
 	}
