--- a/internal/entry/announcements_test.go
+++ b/internal/entry/announcements_test.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
+	"github.com/mastictray/mastictray/internal/attempt"
 	"github.com/mastictray/mastictray/internal/config"
 	"github.com/mastictray/mastictray/internal/openai"
 	"github.com/mastictray/mastictray/internal/platform"
@@ -75,7 +76,7 @@
 			return true
 		})
 		pool := e.pools.engine("p")
-		r := &engineRun{server: e.server, pool: pool, call: &engineCall{call: s.newTestCall(e), pool: pool.cfg}}
+		r := &engineRun{server: e.server, pool: pool, stream: attempt.NewStream(attempt.Policy{}), call: &engineCall{call: s.newTestCall(e), pool: pool.cfg}}
 		pl, err := r.placeForDispatch()
 		is.NoErr(err)
 		is.True(chosen != "")
@@ -114,7 +115,7 @@
 		pauseTarget(e.pools.announcements, target.address, "", "300")
 	}
 	pool := e.pools.engine("p")
-	r := &engineRun{server: e.server, pool: pool, call: &engineCall{call: s.newTestCall(e), pool: pool.cfg}}
+	r := &engineRun{server: e.server, pool: pool, stream: attempt.NewStream(attempt.Policy{}), call: &engineCall{call: s.newTestCall(e), pool: pool.cfg}}
 	e.poison.registerRunning("crashed", r.call.fingerprint(), "p", "e0", nil)
 	e.poison.registry.TargetCrashed(e.clock.now(), "e0", "first", []string{"crashed"})
 	is.True(!e.poison.noSuspects())
