gateway: one peer's word is not enough for a service having one software version

Found in reading, not seen: a peer whose registrations lag would say that all streams of a service began at version 1, while the one that began the stream, or the asking instance itself, knows of version 2. The first answer counted. Now a peer that knows the stream decides at once; the word of those that know of one version only counts when all that were asked have answered and agree, and if this instance knows of no other one.

--- a/internal/gateway/streamorigin.go
+++ b/internal/gateway/streamorigin.go
@@ -112,6 +112,12 @@
 	return o.versions.Sole(now, service)
 }
 
+func (o *streamOrigins) several(now time.Duration, service string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.versions.Several(now, service)
+}
+
 // takeForPeers returns the streams to tell peers now, in a fleet of the given size. It returns
 // only those of services with several software versions.
 func (o *streamOrigins) takeForPeers(now time.Duration, fleetSize int) []*wire.BegunStreams {
--- a/internal/gateway/takeup.go
+++ b/internal/gateway/takeup.go
@@ -72,14 +72,18 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, originWait)
 	defer cancel()
-	answers := g.askForOrigin(ctx, c, routed)
+	asked := g.askForOrigin(ctx, c, routed)
+	poll := time.NewTicker(originPollInterval)
+	defer poll.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return streamorigin.Origin{}, "", false
-		case answer := <-answers:
-			return answer.Origin, answer.peer, true
-		case <-time.After(originPollInterval):
+		case answer := <-asked.answers:
+			if origin, ok := asked.add(answer); ok && (answer.Known || !g.origins.several(g.clock.Now(), routed)) {
+				return origin, answer.peer, true
+			}
+		case <-poll.C:
 		}
 		if origin, ok := g.knownOrigin(c); ok {
 			return origin, "told", true
@@ -112,38 +116,61 @@
 	return age <= time.Duration(registrationsMaxAgeFraction*float64(g.settings.DrainBound)) || g.hearsFleet()
 }
 
-// toldOrigin is an origin that a peer has told.
-type toldOrigin struct {
-	streamorigin.Origin
+// originAnswer is a peer's answer; it is empty if the peer didn't answer.
+type originAnswer struct {
+	wire.StreamOriginResponse
 	peer string
 }
 
-// askForOrigin asks peers for the origin of the stream that a call takes up. The first answers are
-// sent to the channel that it returns.
-func (g *Gateway) askForOrigin(ctx context.Context, c *call, routed string) <-chan toldOrigin {
-	answers := make(chan toldOrigin, maxOriginCalls)
+// askedPeers collects the answers of peers that were asked for the origin of a stream.
+type askedPeers struct {
+	answers chan originAnswer
+	// pending is the number of answers to come.
+	pending int
+	// sole has the versions that peers take for the only one.
+	sole map[streamorigin.Origin]bool
+}
+
+// add adds an answer and returns the origin once it is certain: a peer knows it, or all have
+// answered and those that know of only one version agree on it.
+func (a *askedPeers) add(answer originAnswer) (streamorigin.Origin, bool) {
+	a.pending--
+	origin := streamorigin.Origin{Service: answer.Service, Software: answer.Software}
+	if answer.Known {
+		return origin, true
+	}
+	if answer.Sole {
+		a.sole[origin] = true
+	}
+	if a.pending > 0 || len(a.sole) != 1 {
+		return streamorigin.Origin{}, false
+	}
+	for origin = range a.sole {
+	}
+	return origin, true
+}
+
+// askForOrigin asks peers for the origin of the stream that a call takes up.
+func (g *Gateway) askForOrigin(ctx context.Context, c *call, routed string) *askedPeers {
+	sources := g.peers.originSources()
+	asked := &askedPeers{answers: make(chan originAnswer, len(sources)), pending: len(sources), sole: map[streamorigin.Origin]bool{}}
 	request := wire.StreamOriginRequest{Service: routed}
 	if c.Resumes != "" {
 		request.Stream = uint64(c.streamKey())
 	}
-	single := len(c.route.Split) <= 1
-	for _, to := range g.peers.originSources() {
+	for _, to := range sources {
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, originCallTimeout)
 			defer cancel()
-			var response wire.StreamOriginResponse
-			if _, err := g.peers.call(ctx, to.Address, wire.KindStreamOrigin, request, &response); err != nil {
-				if ctx.Err() == nil {
-					logline.Error(err, "stream_origin_call_failed", "request", c.ID, "peer", to.Instance)
-				}
-				return
-			}
-			if response.Known || response.Sole && single {
-				answers <- toldOrigin{Origin: streamorigin.Origin{Service: response.Service, Software: response.Software}, peer: to.Instance}
+			answer := originAnswer{peer: to.Instance}
+			if _, err := g.peers.call(ctx, to.Address, wire.KindStreamOrigin, request, &answer.StreamOriginResponse); err != nil {
+				logline.Error(err, "stream_origin_call_failed", "request", c.ID, "peer", to.Instance)
 			}
+			answer.Sole = answer.Sole && len(c.route.Split) <= 1
+			asked.answers <- answer
 		}()
 	}
-	return answers
+	return asked
 }
 
 // originSources returns the peers to ask for the origin of a stream: all in a mesh, otherwise a few,
--- a/internal/gateway/takeup_test.go
+++ b/internal/gateway/takeup_test.go
@@ -9,6 +9,7 @@
 	"github.com/mastictray/mastictray/internal/directory"
 	"github.com/mastictray/mastictray/internal/routing"
 	"github.com/mastictray/mastictray/internal/streamorigin"
+	"github.com/mastictray/mastictray/internal/wire"
 )
 
 // newTakeUpGateway returns an instance that has just started, with targets of the given software
@@ -122,3 +123,31 @@
 	told = p.origins.takeForPeers(p.clock.Now()+3*time.Second, 4)
 	is.Equal(len(told[0].Streams), fleetOriginsPerSecond/4)
 }
+
+// Guards against the word of a peer that has not heard of a newer version yet.
+func TestSoleVersionNeedsAllPeers(t *testing.T) {
+	is := is.New(t)
+	asked := func(n int) *askedPeers { return &askedPeers{pending: n, sole: map[streamorigin.Origin]bool{}} }
+	sole := func(software string) originAnswer {
+		return originAnswer{StreamOriginResponse: wire.StreamOriginResponse{Sole: true, Service: "engines", Software: software}}
+	}
+	known := originAnswer{StreamOriginResponse: wire.StreamOriginResponse{Known: true, Service: "engines", Software: "v2"}}
+	a := asked(3)
+	_, ok := a.add(sole("v1"))
+	is.True(!ok)
+	origin, ok := a.add(known)
+	is.True(ok)
+	is.Equal(origin.Software, "v2")
+
+	a = asked(3)
+	a.add(sole("v1"))
+	a.add(originAnswer{}) // no answer
+	origin, ok = a.add(sole("v1"))
+	is.True(ok)
+	is.Equal(origin.Software, "v1")
+
+	a = asked(2)
+	a.add(sole("v1"))
+	_, ok = a.add(sole("v2"))
+	is.True(!ok)
+}
