--- a/internal/gateway/configage.go
+++ b/internal/gateway/configage.go
@@ -17,7 +17,7 @@
 	return configvalidity.Judge(configvalidity.Evidence{
 		NewerKnown:   g.configs.isOutdated(),
 		StoreRefused: g.feeds.refusedSince(g.clock.Now() - age),
-		HearsFleet:   g.fleetView.hears(g.clock.Now(), g.hearsFleet),
+		HearsFleet:   g.hearsFleet(),
 	})
 }
 
@@ -33,7 +33,7 @@
 	result bool
 }
 
-// hears returns the result of compute as of at most fleetViewMaxAge ago.
+// hears returns the result of compute, or the last one if that is not older than fleetViewMaxAge.
 func (v *fleetView) hears(now time.Duration, compute func() bool) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -46,8 +46,10 @@
 // hearsFleet reports whether this instance hears enough of its peers to learn of a newer
 // configuration.
 func (g *Gateway) hearsFleet() bool {
-	fleet := configvalidity.Fleet{Domain: g.self.Domain, Peers: g.peers.possiblyAlive(), UnreachableDomains: g.reach.unreachableDomains()}
-	return fleet.Hears()
+	return g.fleetView.hears(g.clock.Now(), func() bool {
+		fleet := configvalidity.Fleet{Domain: g.self.Domain, Peers: g.peers.possiblyAlive(), UnreachableDomains: g.reach.unreachableDomains()}
+		return fleet.Hears()
+	})
 }
 
 // possiblyAlive returns the peers that have not left, including those that were removed
--- a/internal/gateway/contention.go
+++ b/internal/gateway/contention.go
@@ -82,7 +82,7 @@
 		Fingerprint: c.fingerprint, TimeLeft: timeLeft, Jitter: rand.Float64(),
 	}
 	a.state = s.controller.State()
-	if c.resumed() || c.LastEventID != "" {
+	if c.resumed() || c.takesUp() {
 		a.decision = admission.Decision{Admitted: true, Share: 1}
 		return a
 	}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -32,7 +32,7 @@
 
 // forward sends the request to one target after another until one has answered.
 func (g *Gateway) forward(ctx context.Context, c *call) *Refusal {
-	if refusal := g.findOrigin(ctx, c); refusal != nil {
+	if refusal := g.chooseService(ctx, c); refusal != nil {
 		return refusal
 	}
 	g.retryBudget(c.service.Name).AddRequest()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -66,7 +66,7 @@
 // streamContinued counts a stream that goes on, within an answer or taken up by its caller.
 func (m *gatewayMetrics) streamContinued(c *call) {
 	by := "instance"
-	if c.Resumes != "" || c.LastEventID != "" {
+	if c.takesUp() {
 		by = "caller"
 	}
 	m.set.GetOrCreateCounter(fmt.Sprintf(`mastictray_streams_continued_total{by=%q}`, by)).Inc()
--- a/internal/gateway/takeup.go
+++ b/internal/gateway/takeup.go
@@ -29,9 +29,9 @@
 	registrationsMaxAgeFraction = 0.75
 )
 
-// findOrigin finds out where the stream that a call takes up began, and chooses the service. A
-// returned refusal means that the stream can't go on here.
-func (g *Gateway) findOrigin(ctx context.Context, c *call) *Refusal {
+// chooseService chooses the service of a call: for a stream that the caller takes up the one where
+// it began, which it finds out. A returned refusal means that the stream can't go on here.
+func (g *Gateway) chooseService(ctx context.Context, c *call) *Refusal {
 	routed := c.route.ChooseService(g.newRand())
 	if !c.takesUp() || c.route.Kind != routing.Stream {
 		return g.setService(c, routed)
--- a/internal/gateway/takeup_test.go
+++ b/internal/gateway/takeup_test.go
@@ -35,7 +35,7 @@
 		Request: &Request{ID: "later", Resumes: resumes, LastEventID: lastEvent}, table: p.table.Load(),
 		route: &routing.Route{Kind: routing.Stream, Resumable: true, Split: split},
 	}
-	if refusal := p.findOrigin(t.Context(), c); refusal != nil {
+	if refusal := p.chooseService(t.Context(), c); refusal != nil {
 		return c, refusal.Reason
 	}
 	return c, ""
