--- a/internal/streamorigin/streamorigin_test.go
+++ b/internal/streamorigin/streamorigin_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"runtime"
+	"strconv"
 	"testing"
 	"time"
 
@@ -119,3 +121,24 @@
 		})
 	}
 }
+
+// BenchmarkFullTable reports the memory of a full table and the time of a record.
+func BenchmarkFullTable(b *testing.B) {
+	for range b.N {
+		b.StopTimer()
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		table := NewTable()
+		b.StartTimer()
+		for i := range 2 * maxGeneration {
+			table.Record(0, KeyOf(strconv.Itoa(i)), v1)
+		}
+		b.StopTimer()
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1e6, "MB")
+		b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(2*maxGeneration), "ns/record")
+		runtime.KeepAlive(table)
+	}
+}
