gateway, streamorigin: versions of services are looked at once for each update to peers

Each live stream asked for the versions of its service, with two maps made for each question. Single elements are taken from lists instead of by a loop over a map. No change of behaviour.

--- a/internal/gateway/streamorigin.go
+++ b/internal/gateway/streamorigin.go
@@ -125,8 +125,12 @@
 	defer o.mu.Unlock()
 	limit := max(minOriginsPerUpdate, int(fleetOriginsPerSecond*min(now-o.toldAt, time.Second).Seconds()/float64(fleetSize)))
 	o.toldAt = now
+	several := map[string]bool{}
+	for _, service := range o.versions.Services() {
+		several[service] = o.versions.Several(now, service)
+	}
 	var out []*wire.BegunStreams
-	for origin, keys := range o.outbox.Take(now, limit, func(service string) bool { return o.versions.Several(now, service) }) {
+	for origin, keys := range o.outbox.Take(now, limit, func(service string) bool { return several[service] }) {
 		told := &wire.BegunStreams{Service: origin.Service, Software: origin.Software}
 		for _, key := range keys {
 			told.Streams = append(told.Streams, uint64(key))
--- a/internal/gateway/takeup.go
+++ b/internal/gateway/takeup.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/mastictray/mastictray/internal/logline"
@@ -127,8 +128,8 @@
 	answers chan originAnswer
 	// pending is the number of answers to come.
 	pending int
-	// sole has the versions that peers take for the only one.
-	sole map[streamorigin.Origin]bool
+	// sole has the versions that peers take for the only one, without repeats.
+	sole []streamorigin.Origin
 }
 
 // add adds an answer and returns the origin once it is certain: a peer knows it, or all have
@@ -139,21 +140,19 @@
 	if answer.Known {
 		return origin, true
 	}
-	if answer.Sole {
-		a.sole[origin] = true
+	if answer.Sole && !slices.Contains(a.sole, origin) {
+		a.sole = append(a.sole, origin)
 	}
 	if a.pending > 0 || len(a.sole) != 1 {
 		return streamorigin.Origin{}, false
 	}
-	for origin = range a.sole {
-	}
-	return origin, true
+	return a.sole[0], true
 }
 
 // askForOrigin asks peers for the origin of the stream that a call takes up.
 func (g *Gateway) askForOrigin(ctx context.Context, c *call, routed string) *askedPeers {
 	sources := g.peers.originSources()
-	asked := &askedPeers{answers: make(chan originAnswer, len(sources)), pending: len(sources), sole: map[streamorigin.Origin]bool{}}
+	asked := &askedPeers{answers: make(chan originAnswer, len(sources)), pending: len(sources)}
 	request := wire.StreamOriginRequest{Service: routed}
 	if c.Resumes != "" {
 		request.Stream = uint64(c.streamKey())
--- a/internal/gateway/takeup_test.go
+++ b/internal/gateway/takeup_test.go
@@ -127,7 +127,7 @@
 // Guards against the word of a peer that has not heard of a newer version yet.
 func TestSoleVersionNeedsAllPeers(t *testing.T) {
 	is := is.New(t)
-	asked := func(n int) *askedPeers { return &askedPeers{pending: n, sole: map[streamorigin.Origin]bool{}} }
+	asked := func(n int) *askedPeers { return &askedPeers{pending: n} }
 	sole := func(software string) originAnswer {
 		return originAnswer{StreamOriginResponse: wire.StreamOriginResponse{Sole: true, Service: "engines", Software: software}}
 	}
--- a/internal/streamorigin/versions.go
+++ b/internal/streamorigin/versions.go
@@ -1,6 +1,8 @@
 package streamorigin
 
 import (
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -65,6 +67,9 @@
 	return versions
 }
 
+// Services returns the services that are tracked.
+func (v *Versions) Services() []string { return slices.Collect(maps.Keys(v.services)) }
+
 // Several reports whether streams of a service may have begun at more than one version.
 func (v *Versions) Several(now time.Duration, service string) bool {
 	s := v.services[service]
@@ -78,11 +83,9 @@
 	if s == nil || now-s.trackedSince < Retention {
 		return "", false
 	}
-	versions := s.recent(now)
+	versions := slices.Collect(maps.Keys(s.recent(now)))
 	if len(versions) != 1 {
 		return "", false
 	}
-	for version = range versions {
-	}
-	return version, true
+	return versions[0], true
 }
