gateway: calls for the origin of a stream are not cancelled once it is known

A request that takes up a stream asks up to 20 peers; with the first one that knows the stream the others' calls were cancelled with its context. peers.call takes a call that ends with its context for one on a dead connection and drops that, so that each such request closed the connections to most sound peers, those of exchanges among them, and logged a failure for each.

The test fails before: with the request's context ended the peer's answer was lost.

--- a/internal/gateway/takeup.go
+++ b/internal/gateway/takeup.go
@@ -159,7 +159,8 @@
 	}
 	for _, to := range sources {
 		go func() {
-			ctx, cancel := context.WithTimeout(ctx, originCallTimeout)
+			// Not cancelled once the origin is known: that would drop the peer's connection.
+			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), originCallTimeout)
 			defer cancel()
 			answer := originAnswer{peer: to.Instance}
 			if _, err := g.peers.call(ctx, to.Address, wire.KindStreamOrigin, request, &answer.StreamOriginResponse); err != nil {
--- a/internal/gateway/takeup_test.go
+++ b/internal/gateway/takeup_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -151,3 +152,23 @@
 	_, ok = a.add(sole("v2"))
 	is.True(!ok)
 }
+
+// Guards against connections to sound peers that are dropped because a stream's origin was found
+// before all of them had answered.
+func TestCallsForOriginsOutlastTheirRequest(t *testing.T) {
+	is := is.New(t)
+	other := startPeers(t, "other", configWithRoutes(1, 3))
+	asking := startPeers(t, "asking", configWithRoutes(1, 3), Announced{Announcement: Announcement{
+		Instance: "other", Incarnation: other.self.Incarnation, Address: other.self.Address, Domain: "d1",
+	}, Revision: 1})
+	for end := time.Now().Add(configWaitTimeout); len(asking.peers.originSources()) == 0 && time.Now().Before(end); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	other.origins.begin(other.clock.Now(), streamorigin.KeyOf("first"), streamorigin.Origin{Service: "engines", Software: "v1"})
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	asked := asking.askForOrigin(ctx, &call{Request: &Request{ID: "later", Resumes: "first"}, route: &routing.Route{}}, "engines")
+	answer := <-asked.answers
+	is.True(answer.Known)
+	is.Equal(answer.Software, "v1")
+}
