configvalidity, gateway: peers that report are counted in one place

The log line of a stale contact counted the reporting peers by itself, beside the decision that it explains. Both use Fleet.Shares now. Decisions are unchanged; the line's figures are those that decide: peers removed for their silence count as known, those that leave don't. The comment on StoreRefused says what is compared.

--- a/internal/configvalidity/fleet.go
+++ b/internal/configvalidity/fleet.go
@@ -24,39 +24,47 @@
 // configuration that it could get. It must not depend on a few peers that may be as
 // overloaded as the instance itself, nor on peers behind a partition.
 func (f *Fleet) Hears() bool {
-	var all, domain share
 	var first *Peer
 	partitioned := true
 	for i := range f.Peers {
 		p := &f.Peers[i]
-		all.add(p.Reporting)
 		if p.Domain != f.Domain {
 			partitioned = partitioned && f.UnreachableDomains[p.Domain]
-			continue
-		}
-		domain.add(p.Reporting)
-		if first == nil || hubs.Compare(p.Instance, first.Instance) < 0 {
+		} else if first == nil || hubs.Compare(p.Instance, first.Instance) < 0 {
 			first = p
 		}
 	}
+	all, domain := f.Shares()
 	switch {
 	case all.atLeastHalf():
 		return true
-	case domain.total == 0:
+	case first == nil:
 		return partitioned // alone on its side of a partition
 	}
 	// The first instance of a domain is the one that reads the store if others fail to.
 	return first.Reporting || domain.atLeastHalf()
 }
 
-// share counts peers and those of them that report.
-type share struct{ total, reporting int }
+// Shares returns the shares of all peers and of those in the own failure domain that report.
+func (f *Fleet) Shares() (all, domain Share) {
+	for i := range f.Peers {
+		p := &f.Peers[i]
+		all.add(p.Reporting)
+		if p.Domain == f.Domain {
+			domain.add(p.Reporting)
+		}
+	}
+	return all, domain
+}
+
+// Share counts peers and those of them that report.
+type Share struct{ Total, Reporting int }
 
-func (s *share) add(reporting bool) {
-	s.total++
+func (s *Share) add(reporting bool) {
+	s.Total++
 	if reporting {
-		s.reporting++
+		s.Reporting++
 	}
 }
 
-func (s *share) atLeastHalf() bool { return 2*s.reporting >= s.total }
+func (s *Share) atLeastHalf() bool { return 2*s.Reporting >= s.Total }
--- a/internal/configvalidity/verdict.go
+++ b/internal/configvalidity/verdict.go
@@ -33,8 +33,8 @@
 type Evidence struct {
 	// NewerKnown is set if a newer configuration is known to exist.
 	NewerKnown bool
-	// StoreRefused is set if the store's last answer to this instance was an error: it
-	// is reachable but doesn't serve.
+	// StoreRefused is set if the store has answered this instance with an error since the
+	// last contact: it is reachable but doesn't serve.
 	StoreRefused bool
 	// HearsFleet is set if the instance receives its peers' updates; see Fleet.Hears.
 	HearsFleet bool
--- a/internal/gateway/configage.go
+++ b/internal/gateway/configage.go
@@ -46,10 +46,12 @@
 // hearsFleet reports whether this instance hears enough of its peers to learn of a newer
 // configuration.
 func (g *Gateway) hearsFleet() bool {
-	return g.fleetView.hears(g.clock.Now(), func() bool {
-		fleet := configvalidity.Fleet{Domain: g.self.Domain, Peers: g.peers.possiblyAlive(), UnreachableDomains: g.reach.unreachableDomains()}
-		return fleet.Hears()
-	})
+	return g.fleetView.hears(g.clock.Now(), func() bool { return g.fleetAsSeen().Hears() })
+}
+
+// fleetAsSeen returns what this instance sees of its peers.
+func (g *Gateway) fleetAsSeen() *configvalidity.Fleet {
+	return &configvalidity.Fleet{Domain: g.self.Domain, Peers: g.peers.possiblyAlive(), UnreachableDomains: g.reach.unreachableDomains()}
 }
 
 // possiblyAlive returns the peers that have not left, including those that were removed
@@ -99,34 +101,10 @@
 	if stale {
 		name = "config_contact_stale"
 	}
-	fleet, domain := g.peers.reportingShares()
+	fleet, domain := g.fleetAsSeen().Shares()
 	logline.Info(name, "version", g.configVersion(), "newest_reported", g.configs.newestReported.Load(), "age", age,
-		"verdict", g.configVerdict().String(), "store_reachable", !g.feeds.anyUnreachable(), "known", fleet.known, "reporting", fleet.reporting,
-		"domain_known", domain.known, "domain_reporting", domain.reporting)
-}
-
-// reportingShare is a number of peers and how many of them have a fresh update.
-type reportingShare struct{ known, reporting int }
-
-// reportingShares returns the shares of all peers and of those in the own failure domain.
-func (p *peers) reportingShares() (fleet, domain reportingShare) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.g.clock.Now()
-	for _, s := range p.known {
-		fleet.add(p.isFresh(now, s))
-		if s.Domain == p.g.self.Domain {
-			domain.add(p.isFresh(now, s))
-		}
-	}
-	return fleet, domain
-}
-
-func (r *reportingShare) add(reporting bool) {
-	r.known++
-	if reporting {
-		r.reporting++
-	}
+		"verdict", g.configVerdict().String(), "store_reachable", !g.feeds.anyUnreachable(), "known", fleet.Total, "reporting", fleet.Reporting,
+		"domain_known", domain.Total, "domain_reporting", domain.Reporting)
 }
 
 // setConfigGauges sets the gauges of the configuration's age.
