gateway, peer: logs tell connections that carry nothing from a slow peer

config_contact_stale said how many peers report, not whether any of them has contact with the store itself, and a failed exchange only counted in a metric.

exchange_failed and config_part_failed carry the time since data last arrived on the connection; an instance publishes whether its own contact is too old (one optional field), and config_contact_stale counts the reporting peers with a recent one. No decision uses it yet.

--- a/internal/configvalidity/fleet.go
+++ b/internal/configvalidity/fleet.go
@@ -5,8 +5,9 @@
 // Peer is another instance as this one sees it.
 type Peer struct {
 	hubs.Instance
-	// Reporting is set if there is a recent update of the peer.
-	Reporting bool
+	// Reporting is set if there is a recent update of the peer, InContact if the peer's last
+	// contact with the store was recent according to its last update.
+	Reporting, InContact bool
 }
 
 // Fleet is the state of the peers as seen by one instance.
@@ -49,21 +50,25 @@
 func (f *Fleet) Shares() (all, domain Share) {
 	for i := range f.Peers {
 		p := &f.Peers[i]
-		all.add(p.Reporting)
+		all.add(p)
 		if p.Domain == f.Domain {
-			domain.add(p.Reporting)
+			domain.add(p)
 		}
 	}
 	return all, domain
 }
 
-// Share counts peers and those of them that report.
-type Share struct{ Total, Reporting int }
+// Share counts peers, those of them that report, and those that report a recent contact with
+// the store.
+type Share struct{ Total, Reporting, InContact int }
 
-func (s *Share) add(reporting bool) {
+func (s *Share) add(p *Peer) {
 	s.Total++
-	if reporting {
+	if p.Reporting {
 		s.Reporting++
+		if p.InContact {
+			s.InContact++
+		}
 	}
 }
 
--- a/internal/gateway/configage.go
+++ b/internal/gateway/configage.go
@@ -8,6 +8,12 @@
 	"github.com/mastictray/mastictray/internal/logline"
 )
 
+// contactIsStale reports whether the last contact with the store is too old to tell whether
+// the active configuration is the newest.
+func (g *Gateway) contactIsStale() bool {
+	return g.contactAge() > configvalidity.OverdueAge(g.settings.ConfigBound)
+}
+
 // configVerdict returns whether requests may be handled by the active configuration.
 func (g *Gateway) configVerdict() configvalidity.Verdict {
 	age := g.contactAge()
@@ -63,7 +69,7 @@
 	out := make([]configvalidity.Peer, 0, len(p.known)+len(p.lost))
 	for _, s := range p.known {
 		if !s.state.Leaving {
-			out = append(out, configvalidity.Peer{Instance: s.hubInstance(), Reporting: p.isFresh(now, s)})
+			out = append(out, configvalidity.Peer{Instance: s.hubInstance(), Reporting: p.isFresh(now, s), InContact: !s.state.StoreContactStale})
 		}
 	}
 	for name, instance := range p.lost {
@@ -103,7 +109,7 @@
 	}
 	fleet, domain := g.fleetAsSeen().Shares()
 	logline.Info(name, "version", g.configVersion(), "newest_reported", g.configs.newestReported.Load(), "age", age,
-		"verdict", g.configVerdict().String(), "store_reachable", !g.feeds.anyUnreachable(), "known", fleet.Total, "reporting", fleet.Reporting,
+		"verdict", g.configVerdict().String(), "store_reachable", !g.feeds.anyUnreachable(), "known", fleet.Total, "reporting", fleet.Reporting, "in_contact", fleet.InContact,
 		"domain_known", domain.Total, "domain_reporting", domain.Reporting)
 }
 
--- a/internal/gateway/configtransfer.go
+++ b/internal/gateway/configtransfer.go
@@ -201,14 +201,14 @@
 	ctx, cancel := context.WithTimeout(ctx, configPartTimeout)
 	defer cancel()
 	var part wire.ConfigPart
-	_, err := t.g.peers.call(ctx, source.Address, wire.KindConfigPart, request, &part)
+	_, quiet, err := t.g.peers.call(ctx, source.Address, wire.KindConfigPart, request, &part)
 	t.mu.Lock()
 	now := t.g.clock.Now()
 	if err != nil {
 		t.receiver.HandleFailure(now)
 		t.mu.Unlock()
 		t.g.metrics.configPartFailed()
-		logline.Error(err, "config_part_failed", "peer", source.Instance, "have", request.Base.Version, "target", request.Target, "offset", request.Offset)
+		logline.Error(err, "config_part_failed", "peer", source.Instance, "have", request.Base.Version, "target", request.Target, "offset", request.Offset, "quiet", quiet)
 		return
 	}
 	t.receivedBytes += len(part.Data)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -80,12 +80,13 @@
 	ownVersion, address := p.table.Cursor().Version, s.Address
 	p.mu.Unlock()
 	var response wire.ExchangeResponse
-	from, err := p.call(ctx, address, wire.KindExchange, request, &response)
+	from, quiet, err := p.call(ctx, address, wire.KindExchange, request, &response)
 	if errors.Is(err, peer.ErrRefused) {
 		logline.Error(err, "exchange_refused", "peer", s.Instance)
 	}
 	if err != nil {
 		p.g.metrics.exchangeFailed(err)
+		logline.Info("exchange_failed", "peer", s.Instance, "follow", follow, "after", p.g.clock.Now()-sentAt, "quiet", quiet, "error", err)
 	}
 	needsResync := err == nil && p.mergeUpdates(sentAt, from.Instance, response.Updates, false)
 	p.mu.Lock()
@@ -116,16 +117,21 @@
 }
 
 // call calls a peer. It drops the connection if the call times out, since the
-// connection may be dead; the next call dials a new one.
-func (p *peers) call(ctx context.Context, address string, kind wire.Kind, body, response any) (wire.Identity, error) {
+// connection may be dead; the next call dials a new one. quiet is the time since data last
+// arrived on a connection on which a call failed.
+func (p *peers) call(ctx context.Context, address string, kind wire.Kind, body, response any) (from wire.Identity, quiet time.Duration, err error) {
 	p.mu.Lock()
 	node := p.node
 	p.mu.Unlock()
-	from, err := node.Call(ctx, address, kind, body, response)
-	if err != nil && ctx.Err() != nil {
+	from, err = node.Call(ctx, address, kind, body, response)
+	if err == nil {
+		return from, 0, nil
+	}
+	quiet, _ = node.QuietFor(address)
+	if ctx.Err() != nil {
 		node.Drop(address)
 	}
-	return from, err
+	return from, quiet, err
 }
 
 // recordPeerConfig records the version of a peer's configuration. The caller holds
--- a/internal/gateway/fleetstate.go
+++ b/internal/gateway/fleetstate.go
@@ -16,7 +16,7 @@
 // has admitted by account.
 func (g *Gateway) publishedState() (wire.InstanceState, map[string]float64) {
 	state := wire.InstanceState{
-		Capacity: g.settings.Capacity, Leaving: g.draining.Load(), StoreUnreachable: g.feeds.anyUnreachable(), BlockedTargets: g.dialer.ConfirmedCount(), OrderLease: g.heldLeaseRecord(),
+		Capacity: g.settings.Capacity, Leaving: g.draining.Load(), StoreUnreachable: g.feeds.anyUnreachable(), StoreContactStale: g.contactIsStale(), BlockedTargets: g.dialer.ConfirmedCount(), OrderLease: g.heldLeaseRecord(),
 		ConfigVersion: g.configVersion(), Loads: map[string]wire.TargetLoad{}, CacheStores: g.cache.reachableStores(),
 		TargetLimits: g.limits.reports(), Demand: g.contention.report(), PlainLoads: g.publishedPlainLoads(g.listPlainServices()),
 	}
--- a/internal/gateway/takeup.go
+++ b/internal/gateway/takeup.go
@@ -163,7 +163,7 @@
 			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), originCallTimeout)
 			defer cancel()
 			answer := originAnswer{peer: to.Instance}
-			if _, err := g.peers.call(ctx, to.Address, wire.KindStreamOrigin, request, &answer.StreamOriginResponse); err != nil {
+			if _, _, err := g.peers.call(ctx, to.Address, wire.KindStreamOrigin, request, &answer.StreamOriginResponse); err != nil {
 				logline.Error(err, "stream_origin_call_failed", "request", c.ID, "peer", to.Instance)
 			}
 			answer.Sole = answer.Sole && len(c.route.Split) <= 1
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -34,6 +34,7 @@
 type conn struct {
 	raw    net.Conn
 	r      *bufio.Reader
+	source *timedReader // under r
 	remote wire.Identity
 
 	writeMu sync.Mutex
@@ -48,10 +49,11 @@
 	done       chan struct{}
 }
 
-func newConn(raw net.Conn, r *bufio.Reader, from wire.Identity) *conn {
+func newConn(raw net.Conn, r *bufio.Reader, source *timedReader, from wire.Identity) *conn {
 	return &conn{
 		raw:        raw,
 		r:          r,
+		source:     source,
 		remote:     from,
 		pending:    make(map[uint64]chan wire.Frame),
 		serveSlots: make(chan struct{}, maxConcurrentCalls),
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -104,14 +104,15 @@
 	if n.opts.TLS != nil {
 		raw = tls.Server(raw, n.opts.TLS)
 	}
-	r := bufio.NewReader(raw)
+	source := &timedReader{r: raw}
+	r := bufio.NewReader(source)
 	from, err := handshake(raw, r, n.opts.Self, n.opts.Secret, roleListener)
 	if err != nil {
 		logline.Error(err, "peer_refused", "peer", raw.RemoteAddr())
 		raw.Close()
 		return
 	}
-	c := newConn(raw, r, from)
+	c := newConn(raw, r, source, from)
 	if !n.trackInbound(c) {
 		raw.Close()
 		return
@@ -257,19 +258,20 @@
 }
 
 func (n *Node) dialPeer(addr string) (*conn, error) {
-	raw, r, from, err := n.dialAndAuthenticate(n.ctx, addr)
+	source := &timedReader{}
+	raw, r, from, err := n.dialAndAuthenticate(n.ctx, addr, source)
 	if err != nil {
 		return nil, err
 	}
-	return newConn(raw, r, from), nil
+	return newConn(raw, r, source, from), nil
 }
 
 // streamKeepAlive makes a connection end within about four seconds after its peer's machine has
 // failed.
 var streamKeepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}
 
-// dialAndAuthenticate connects to a peer and makes the handshake.
-func (n *Node) dialAndAuthenticate(ctx context.Context, addr string) (net.Conn, *bufio.Reader, wire.Identity, error) {
+// dialAndAuthenticate connects to a peer and makes the handshake. Data is read through source.
+func (n *Node) dialAndAuthenticate(ctx context.Context, addr string, source *timedReader) (net.Conn, *bufio.Reader, wire.Identity, error) {
 	dialer := net.Dialer{Timeout: handshakeTimeout, KeepAliveConfig: streamKeepAlive}
 	raw, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
@@ -279,7 +281,8 @@
 		raw = tls.Client(raw, n.opts.TLS)
 	}
 	stop := context.AfterFunc(ctx, func() { raw.Close() })
-	r := bufio.NewReader(raw)
+	source.r = raw
+	r := bufio.NewReader(source)
 	from, err := handshake(raw, r, n.opts.Self, n.opts.Secret, roleDialer)
 	if !stop() && err == nil {
 		err = ctx.Err()
@@ -309,6 +312,18 @@
 	n.wg.Wait()
 }
 
+// QuietFor returns the time since data last arrived on the connection to an address, and false
+// if there is no such connection.
+func (n *Node) QuietFor(addr string) (time.Duration, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	c := n.conns[addr]
+	if c == nil || !c.isOpen() {
+		return 0, false
+	}
+	return time.Since(c.source.lastRead()), true
+}
+
 // Drop closes the connection to an address. After a call that timed out, the
 // connection may be dead although a new one would work.
 func (n *Node) Drop(addr string) {
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -154,7 +154,7 @@
 // OpenStream opens a stream to the peer at addr over a connection of its own and decodes the
 // peer's response to the request.
 func (n *Node) OpenStream(ctx context.Context, addr string, kind wire.Kind, request, response any) (*Stream, error) {
-	raw, r, from, err := n.dialAndAuthenticate(ctx, addr)
+	raw, r, from, err := n.dialAndAuthenticate(ctx, addr, &timedReader{})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -75,6 +75,9 @@
 	Leaving bool
 	// StoreUnreachable is set by an instance that cannot reach the store.
 	StoreUnreachable bool
+	// StoreContactStale is set by an instance whose last contact with the store is too old
+	// to tell whether its configuration is the newest.
+	StoreContactStale bool
 	// BlockedTargets is the number of targets that the origin reaches only through peers.
 	BlockedTargets int
 	// UnreachableTargets is the number of targets that it does not reach at all.
@@ -164,7 +167,7 @@
 	if (s.OrderLease == nil) != (o.OrderLease == nil) || s.OrderLease != nil && *s.OrderLease != *o.OrderLease {
 		return false
 	}
-	return s.Capacity == o.Capacity && s.Leaving == o.Leaving && s.StoreUnreachable == o.StoreUnreachable && s.BlockedTargets == o.BlockedTargets && s.UnreachableTargets == o.UnreachableTargets && s.ConfigVersion == o.ConfigVersion &&
+	return s.Capacity == o.Capacity && s.Leaving == o.Leaving && s.StoreUnreachable == o.StoreUnreachable && s.StoreContactStale == o.StoreContactStale && s.BlockedTargets == o.BlockedTargets && s.UnreachableTargets == o.UnreachableTargets && s.ConfigVersion == o.ConfigVersion &&
 		maps.Equal(s.Loads, o.Loads) && maps.Equal(s.OverdueInstances, o.OverdueInstances) && slices.Equal(s.LoadingTargets, o.LoadingTargets) &&
 		slices.Equal(s.CacheStores, o.CacheStores) && slices.Equal(s.SilentTargets, o.SilentTargets) &&
 		slices.Equal(s.TargetLimits, o.TargetLimits) && slices.Equal(s.Rollouts, o.Rollouts) &&
--- a/internal/wire/update.go
+++ b/internal/wire/update.go
@@ -30,6 +30,7 @@
 type optionalState struct {
 	Leaving bool              `msgpack:"x,omitempty"`
 	Cut     bool              `msgpack:"y,omitempty"`
+	Stale   bool              `msgpack:"z,omitempty"`
 	Orders  *OrderLeaseRecord `msgpack:"o,omitempty"`
 	Loading []string          `msgpack:"l,omitempty"`
 	Stores  []CacheStore      `msgpack:"k,omitempty"`
@@ -49,11 +50,11 @@
 func (s *InstanceState) optional() *optionalState {
 	lists := len(s.LoadingTargets) + len(s.CacheStores) + len(s.SilentTargets) + len(s.OverdueInstances) + len(s.TargetLimits) + len(s.Rollouts) +
 		len(s.Demand) + len(s.PlainLoads) + len(s.TargetRates) + len(s.SlowTargets) + len(s.MemoryClaims)
-	if !s.Leaving && !s.StoreUnreachable && s.BlockedTargets+s.UnreachableTargets == 0 && s.OrderLease == nil && lists == 0 {
+	if !s.Leaving && !s.StoreUnreachable && !s.StoreContactStale && s.BlockedTargets+s.UnreachableTargets == 0 && s.OrderLease == nil && lists == 0 {
 		return nil
 	}
 	return &optionalState{
-		Leaving: s.Leaving, Cut: s.StoreUnreachable, Orders: s.OrderLease, Loading: s.LoadingTargets, Stores: s.CacheStores,
+		Leaving: s.Leaving, Cut: s.StoreUnreachable, Stale: s.StoreContactStale, Orders: s.OrderLease, Loading: s.LoadingTargets, Stores: s.CacheStores,
 		Silent: s.SilentTargets, Overdue: s.OverdueInstances, Limits: s.TargetLimits, Rolls: s.Rollouts,
 		Blocked: s.BlockedTargets, Unreach: s.UnreachableTargets,
 		Demand: s.Demand, Plain: s.PlainLoads, Rates: s.TargetRates, Slow: s.SlowTargets, Claims: s.MemoryClaims,
@@ -202,7 +203,7 @@
 	u.State.Capacity, u.State.ConfigVersion = readField(r, d.DecodeInt), readField(r, d.DecodeInt64)
 	u.State.Loads = r.loads()
 	if s := decodePointer[optionalState](r); s != nil {
-		u.State.Leaving, u.State.StoreUnreachable, u.State.OrderLease = s.Leaving, s.Cut, s.Orders
+		u.State.Leaving, u.State.StoreUnreachable, u.State.StoreContactStale, u.State.OrderLease = s.Leaving, s.Cut, s.Stale, s.Orders
 		u.State.LoadingTargets, u.State.CacheStores, u.State.SilentTargets, u.State.OverdueInstances = s.Loading, s.Stores, s.Silent, s.Overdue
 		u.State.TargetLimits, u.State.Rollouts, u.State.BlockedTargets, u.State.UnreachableTargets = s.Limits, s.Rolls, s.Blocked, s.Unreach
 		u.State.Demand, u.State.PlainLoads, u.State.TargetRates, u.State.SlowTargets = s.Demand, s.Plain, s.Rates, s.Slow
