peer: a connection that carries nothing is replaced, and calls on it are sent again

Callers saw most of a fleet become unready at once and refuse requests for two to five seconds; instances that knew of no newer configuration served on with the old one.

Cause: when open connections go silent, each call to a hub waited out its timeout of 0.8 s, and a hub that had not answered was left alone for 2 s, so that a follower had none left. New connections would have worked at once. Class: a timeout of a call is taken for the failure of its peer, though only the connection has failed.

Change: silentconn (pure) says when a connection on which a call waits is silent: nothing arrived for twice the recent latency, 0.3 to 0.5 s. The node then dials a second one in the background, beside the wait. Once that is authenticated the silent one is closed, unless data came meanwhile, and calls of kinds that may be executed twice are sent again on the new one: an exchange, a part of a configuration, a look-up of a stream's origin. Updates are numbered by their origin, so a repeated exchange changes nothing. Calls about the order lease are not sent again, but end at once. Inbound connections get the keep-alive that outbound ones had, so that the other half of a replaced connection ends.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"net"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/mastictray/mastictray/internal/feedturn"
 	"github.com/mastictray/mastictray/internal/hubs"
 	"github.com/mastictray/mastictray/internal/logline"
@@ -162,12 +159,14 @@
 			}
 		}
 	}
-	listener, err := net.Listen("tcp", p.g.self.Address)
+	listener, err := peer.Listen(ctx, p.g.self.Address)
 	if err != nil {
-		logline.Error(errors.Wrapf(err, "listen for peers at %s", p.g.self.Address), "peer_listen_failed")
+		logline.Error(err, "peer_listen_failed")
 		return false
 	}
-	node := peer.NewNode(peer.Options{Self: p.g.self, Secret: secret})
+	node := peer.NewNode(peer.Options{
+		Self: p.g.self, Secret: secret, Idempotent: []wire.Kind{wire.KindExchange, wire.KindConfigPart, wire.KindStreamOrigin},
+	})
 	node.Handle(wire.KindExchange, p.handleExchange)
 	node.Handle(wire.KindOrderLease, p.handleLeaseRequest)
 	node.Handle(wire.KindConfigPart, p.g.configs.handlePartRequest)
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -5,10 +5,12 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastictray/mastictray/internal/silentconn"
 	"github.com/mastictray/mastictray/internal/wire"
 )
 
@@ -26,6 +28,9 @@
 	// ErrBroken: the connection ended before the response arrived; the peer may
 	// have executed the call.
 	ErrBroken = errors.New("peer: connection broken")
+	// ErrSilent: the connection carried nothing any more and was replaced; the peer may have
+	// executed the call.
+	ErrSilent = errors.New("peer: connection replaced after silence")
 	// ErrRefused: the peer responded with an error.
 	ErrRefused = errors.New("peer: refused")
 )
@@ -44,6 +49,11 @@
 	nextID  uint64
 	pending map[uint64]chan wire.Frame
 	broken  bool
+	latency silentconn.Latency
+
+	// replacing is set while a new connection is dialled to replace this one, replaced once
+	// it was.
+	replacing, replaced atomic.Bool
 
 	serveSlots chan struct{}
 	done       chan struct{}
@@ -84,36 +94,65 @@
 
 // call sends a frame and waits for the response with its ID. IDs are not reused: a
 // response that arrives after the caller gave up is dropped and cannot be taken
-// for that to a later call.
-func (c *conn) call(ctx context.Context, f wire.Frame) (wire.Frame, error) {
+// for that to a later call. onSilent is called if the connection seems silent.
+func (c *conn) call(ctx context.Context, f wire.Frame, onSilent func()) (wire.Frame, error) {
 	wait := make(chan wire.Frame, 1)
 	c.mu.Lock()
 	if c.broken {
 		c.mu.Unlock()
-		return wire.Frame{}, errors.Wrapf(ErrBroken, "peer=%s", c.remote.Address)
+		return wire.Frame{}, errors.Wrapf(c.endError(), "peer=%s", c.remote.Address)
 	}
 	c.nextID++
 	f.ID = c.nextID
 	c.pending[f.ID] = wait
+	timeout := c.latency.Timeout()
 	c.mu.Unlock()
 	defer c.removePending(f.ID)
 
+	sentAt := time.Now()
+	silence := time.NewTimer(timeout)
+	defer silence.Stop()
+
 	if err := c.write(f); err != nil {
 		return wire.Frame{}, errors.Mark(err, ErrBroken)
 	}
-	select {
-	case resp := <-wait:
-		if resp.Err != "" {
-			return resp, errors.Wrapf(ErrRefused, "kind=%s peer=%s: %s", f.Kind, c.remote.Address, resp.Err)
+	for {
+		select {
+		case resp := <-wait:
+			c.observeLatency(time.Since(sentAt))
+			if resp.Err != "" {
+				return resp, errors.Wrapf(ErrRefused, "kind=%s peer=%s: %s", f.Kind, c.remote.Address, resp.Err)
+			}
+			return resp, nil
+		case <-silence.C:
+			silent, recheckAfter := silentconn.Check(time.Now(), sentAt, c.source.lastRead(), timeout)
+			if silent {
+				onSilent()
+			} else {
+				silence.Reset(recheckAfter)
+			}
+		case <-c.done:
+			return wire.Frame{}, errors.Wrapf(c.endError(), "kind=%s peer=%s", f.Kind, c.remote.Address)
+		case <-ctx.Done():
+			return wire.Frame{}, errors.Wrapf(ctx.Err(), "kind=%s peer=%s", f.Kind, c.remote.Address)
 		}
-		return resp, nil
-	case <-c.done:
-		return wire.Frame{}, errors.Wrapf(ErrBroken, "kind=%s peer=%s", f.Kind, c.remote.Address)
-	case <-ctx.Done():
-		return wire.Frame{}, errors.Wrapf(ctx.Err(), "kind=%s peer=%s", f.Kind, c.remote.Address)
 	}
 }
 
+// endError returns the reason for which the connection has ended.
+func (c *conn) endError() error {
+	if c.replaced.Load() {
+		return errors.Mark(ErrSilent, ErrBroken)
+	}
+	return ErrBroken
+}
+
+func (c *conn) observeLatency(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.latency.Observe(d)
+}
+
 func (c *conn) removePending(id uint64) {
 	c.mu.Lock()
 	delete(c.pending, id)
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,6 +27,9 @@
 	Secret []byte
 	// TLS, if set, secures both inbound and outbound connections.
 	TLS *tls.Config
+	// Idempotent are the kinds of calls that may be executed twice. They are sent again on a
+	// new connection if the first one goes silent.
+	Idempotent []wire.Kind
 }
 
 // Node is this process's endpoint of the peer network.
@@ -169,10 +173,20 @@
 }
 
 // Call makes a call to the peer at addr and decodes the response unless that is nil.
-// It fails with ErrBroken (the peer may have executed the call), ErrRefused, the
+// It fails with ErrBroken or ErrSilent (the peer may have executed the call), ErrRefused, the
 // context's error, or an error of dialling or of the codec. It returns the identity
 // of the responder, since a new incarnation may have taken over the address.
 func (n *Node) Call(ctx context.Context, addr string, kind wire.Kind, body, response any) (wire.Identity, error) {
+	for {
+		from, err := n.callOnce(ctx, addr, kind, body, response)
+		if !errors.Is(err, ErrSilent) || ctx.Err() != nil || !slices.Contains(n.opts.Idempotent, kind) {
+			return from, err
+		}
+	}
+}
+
+// callOnce makes a call on one connection.
+func (n *Node) callOnce(ctx context.Context, addr string, kind wire.Kind, body, response any) (wire.Identity, error) {
 	c, err := n.connect(ctx, addr)
 	if err != nil {
 		return wire.Identity{}, err
@@ -181,7 +195,7 @@
 	if err != nil {
 		return c.remote, err
 	}
-	resp, err := c.call(ctx, f)
+	resp, err := c.call(ctx, f, func() { n.replace(addr, c) })
 	if err != nil {
 		return c.remote, err
 	}
@@ -191,6 +205,58 @@
 	return c.remote, resp.DecodeBody(response)
 }
 
+// replace dials a new connection in the background and uses it instead of one that seems
+// silent, unless data arrives on that one meanwhile. The calls on the silent one fail with
+// ErrSilent.
+func (n *Node) replace(addr string, silent *conn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed || n.conns[addr] != silent || !silent.replacing.CompareAndSwap(false, true) {
+		return
+	}
+	n.wg.Add(1)
+	go func() {
+		defer n.wg.Done()
+		defer silent.replacing.Store(false)
+		quietSince := silent.source.lastRead()
+		c, err := n.dialPeer(addr)
+		if err != nil {
+			logline.InfoSampled("peer_conn_not_replaced", "peer", addr, "quiet", time.Since(quietSince), "error", err)
+			return
+		}
+		if !n.swap(addr, silent, c, quietSince) {
+			c.raw.Close()
+			return
+		}
+		logline.Info("peer_conn_silent", "peer", addr, "instance", c.remote.Instance, "quiet", time.Since(quietSince))
+		silent.replaced.Store(true)
+		silent.close()
+	}()
+}
+
+// swap makes c the connection to an address instead of old. It returns false if old is no
+// longer in use, or is not silent.
+func (n *Node) swap(addr string, old, c *conn, quietSince time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed || n.conns[addr] != old || old.source.lastRead().After(quietSince) {
+		return false
+	}
+	c.latency = old.latency
+	n.use(addr, c)
+	return true
+}
+
+// use makes c the connection to an address. The caller holds n.mu.
+func (n *Node) use(addr string, c *conn) {
+	n.conns[addr] = c
+	n.wg.Add(1)
+	go func() {
+		defer n.wg.Done()
+		c.run(nil, n.serve)
+	}()
+}
+
 // Send sends a one-way message. A nil error means only that it was written to the
 // connection.
 func (n *Node) Send(ctx context.Context, addr string, kind wire.Kind, body any) error {
@@ -245,12 +311,7 @@
 		c.raw.Close()
 	}
 	if err == nil {
-		n.conns[addr] = c
-		n.wg.Add(1)
-		go func() {
-			defer n.wg.Done()
-			c.run(nil, n.serve)
-		}()
+		n.use(addr, c)
 	}
 	n.mu.Unlock()
 	attempt.c, attempt.err = c, err
@@ -266,13 +327,21 @@
 	return newConn(raw, r, source, from), nil
 }
 
-// streamKeepAlive makes a connection end within about four seconds after its peer's machine has
+// Listen listens for peers. Connections that the other side gave up as silent end by their
+// keep-alive.
+func Listen(ctx context.Context, addr string) (net.Listener, error) {
+	config := net.ListenConfig{KeepAliveConfig: keepAlive}
+	l, err := config.Listen(ctx, "tcp", addr)
+	return l, errors.Wrapf(err, "listen for peers at %s", addr)
+}
+
+// keepAlive makes a connection end within about four seconds after its peer's machine has
 // failed.
-var streamKeepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}
 
 // dialAndAuthenticate connects to a peer and makes the handshake. Data is read through source.
 func (n *Node) dialAndAuthenticate(ctx context.Context, addr string, source *timedReader) (net.Conn, *bufio.Reader, wire.Identity, error) {
-	dialer := net.Dialer{Timeout: handshakeTimeout, KeepAliveConfig: streamKeepAlive}
+	dialer := net.Dialer{Timeout: handshakeTimeout, KeepAliveConfig: keepAlive}
 	raw, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, nil, wire.Identity{}, errors.Wrapf(err, "dial peer=%s", addr)
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -19,7 +19,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	n := NewNode(Options{Self: wire.Identity{Instance: name, Address: l.Addr().String()}, Secret: []byte(secret)})
+	n := NewNode(Options{Self: wire.Identity{Instance: name, Address: l.Addr().String()}, Secret: []byte(secret), Idempotent: []wire.Kind{kindEcho}})
 	n.Handle(kindEcho, func(_ context.Context, from wire.Identity, f wire.Frame) (any, error) {
 		var s string
 		if err := f.DecodeBody(&s); err != nil {
