readretry, platform: a read on a silent connection is sent again on a new one

A read waited for 1.5 s, the next one could meet another silent connection of the pool, and a failed read is followed by a pause that grows with the fleet (1.8 to 5.5 s at 61 instances).

Change: a RoundTripper for reads. If no response has begun after the wait that the read asks for and 0.3 to 0.5 s (silentconn), idle connections are closed and the read is sent once more on a new connection; the first response counts. The second read asks for no wait. Writes are never sent again; one that timed out makes the next call use a new connection.

The same cause elsewhere: mastictray-entry's calls to its log, its list of instances and its peers (heartbeats, configuration, claims) use the same two pieces.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/mastictray/mastictray/internal/overload"
 	"github.com/mastictray/mastictray/internal/peer"
 	"github.com/mastictray/mastictray/internal/platform"
+	"github.com/mastictray/mastictray/internal/readretry"
 	"github.com/mastictray/mastictray/internal/rollout"
 	"github.com/mastictray/mastictray/internal/settings"
 	"github.com/mastictray/mastictray/internal/targetconn"
@@ -75,8 +76,12 @@
 	e.dialDirect = (&net.Dialer{Timeout: targetDialTimeout}).DialContext
 	e.polls.conns = map[string][]net.Conn{}
 	self := wire.Identity{Instance: s.InstanceID, Incarnation: uuid.Must(uuid.NewV7()).String(), Address: s.PeerListen, Domain: s.Domain}
-	e.node = peer.NewNode(peer.Options{Self: self, Secret: secret, TLS: sec.peers})
-	e.platform = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdlePlatformConns}}
+	e.node = peer.NewNode(peer.Options{
+		Self: self, Secret: secret, TLS: sec.peers, Idempotent: []wire.Kind{wire.KindHeartbeat, wire.KindConfigRequest, wire.KindClaimSnapshot},
+	})
+	e.platform = &http.Client{Transport: &readretry.Transport{
+		Base: &http.Transport{MaxIdleConnsPerHost: maxIdlePlatformConns}, WaitParam: platform.WaitParam,
+	}}
 	e.log = platform.NewHTTPLog(s.LogURL, e.platform)
 	e.buildComponents(sec)
 	return e, nil
@@ -176,12 +181,14 @@
 func (e *Entry) listen() (listeners, error) {
 	var l listeners
 	var err error
+	if l.peer, err = peer.Listen(e.ctx, e.settings.PeerListen); err != nil {
+		return l, err
+	}
 	for _, spec := range []struct {
 		name string
 		addr string
 		dst  *net.Listener
 	}{
-		{"peers", e.settings.PeerListen, &l.peer},
 		{"admin", e.settings.AdminListen, &l.admin},
 		{"callers", e.settings.CallerListen, &l.caller},
 	} {
--- a/internal/platform/httplog.go
+++ b/internal/platform/httplog.go
@@ -19,6 +19,9 @@
 // maxResponseBytes limits how much of a response body is read.
 const maxResponseBytes = 64 << 20
 
+// WaitParam is the query parameter with the milliseconds for which a read may wait for records.
+const WaitParam = "wait_ms"
+
 // HTTPLog is an HTTP client of the log service. It implements Log.
 type HTTPLog struct {
 	base   string
@@ -92,7 +95,7 @@
 
 // Read implements Log.
 func (l *HTTPLog) Read(ctx context.Context, stream string, from Offset, limit int, wait time.Duration) (Batch, error) {
-	u := fmt.Sprintf("%s?from=%d&limit=%d&wait_ms=%d", l.recordsURL(stream), from, limit, wait.Milliseconds())
+	u := fmt.Sprintf("%s?from=%d&limit=%d&%s=%d", l.recordsURL(stream), from, limit, WaitParam, wait.Milliseconds())
 	httpReq, err := http.NewRequestWithContext(ctx, http.MethodGet, u, nil)
 	if err != nil {
 		return Batch{}, errors.Wrapf(err, "read stream=%s peer=%s", stream, l.base)
