gateway: crash_counted names the shared parts of the prompt

The log told which request lost its target, but not what lost requests have in common, nor whether their answers had begun: a part of prompts that crashes targets could not be told from targets that crash by themselves.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -59,7 +59,7 @@
 	if result != outcomeDelivered && result != outcomeStopped {
 		g.logFailedAttempt(c, a, result.String(), err)
 		if !a.pathFailed && !a.memoryFailed {
-			g.recordCrash(ctx, c, result, err)
+			g.recordCrash(ctx, c, relay, result, err)
 		}
 	}
 	return result
--- a/internal/gateway/crashcount.go
+++ b/internal/gateway/crashcount.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -83,7 +84,7 @@
 
 // recordCrash counts an attempt if its connection was lost, so that the target could not
 // state why it failed. Targets cut off responses that remain unread, which doesn't count.
-func (g *Gateway) recordCrash(ctx context.Context, c *call, result outcome, err error) {
+func (g *Gateway) recordCrash(ctx context.Context, c *call, relay *responseRelay, result outcome, err error) {
 	if ctx.Err() != nil || err == nil || c.callerPaused || result != outcomeUnknown && result != outcomeTruncated || !connectionLost(err) {
 		return
 	}
@@ -91,7 +92,20 @@
 	defer g.mu.Unlock()
 	n := g.crashes.add(g.clock.Now(), c.fingerprint)
 	g.crashes.unreported = append(g.crashes.unreported, c.fingerprint)
-	logline.Info("crash_counted", "request", c.ID, "target", c.lastTarget, "crashes", n, "of", maxCrashes)
+	logline.Info("crash_counted", "request", c.ID, "target", c.lastTarget, "crashes", n, "of", maxCrashes,
+		"shared_parts", sharedParts(c), "events", relay.eventCount, "ran", g.clock.Now()-c.placedAt)
+}
+
+// sharedParts returns the IDs of the parts that the request's prompt may share with others.
+func sharedParts(c *call) []string {
+	if c.Prompt == nil || len(c.Prompt.Pieces) < 2 {
+		return nil
+	}
+	var ids []string
+	for _, p := range c.Prompt.Pieces[:len(c.Prompt.Pieces)-1] {
+		ids = append(ids, strconv.FormatUint(uint64(p.Hash), 16))
+	}
+	return ids
 }
 
 // connectionLost reports whether an attempt failed because its connection was lost, as when
