--- a/internal/linkproxy/proxy.go
+++ b/internal/linkproxy/proxy.go
@@ -24,13 +24,15 @@
 	Slow
 	// Resetting resets all connections, and new ones at once.
 	Resetting
+	// Down resets all connections and refuses new ones, like a machine without the process.
+	Down
 )
 
 // SlowDelay is the delay of each chunk on a slow link.
 const SlowDelay = 150 * time.Millisecond
 
 func (s State) String() string {
-	return [...]string{"passing", "silent", "one_way", "slow", "reset"}[s]
+	return [...]string{"passing", "silent", "one_way", "slow", "reset", "down"}[s]
 }
 
 // Change is a change of the state of a link.
@@ -41,13 +43,15 @@
 
 // Proxy forwards the connections to one address.
 type Proxy struct {
-	listener net.Listener
-	backend  string
+	t       testing.TB
+	address string
+	backend string
 
-	mu      sync.Mutex
-	state   State
-	changed *sync.Cond
-	conns   map[*net.TCPConn]struct{}
+	mu       sync.Mutex
+	listener net.Listener
+	state    State
+	changed  *sync.Cond
+	conns    map[*net.TCPConn]struct{}
 	// silent holds the connections that carry nothing any more.
 	silent  map[*net.TCPConn]struct{}
 	changes []Change
@@ -56,30 +60,40 @@
 // New starts a proxy that forwards to backend until the test ends.
 func New(t testing.TB, backend string) *Proxy {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	p := &Proxy{listener: l, backend: backend, conns: map[*net.TCPConn]struct{}{}, silent: map[*net.TCPConn]struct{}{}}
+	p := &Proxy{t: t, address: "127.0.0.1:0", backend: backend, conns: map[*net.TCPConn]struct{}{}, silent: map[*net.TCPConn]struct{}{}}
 	p.changed = sync.NewCond(&p.mu)
-	go p.accept()
-	t.Cleanup(func() {
-		l.Close()
-		p.Set(Resetting)
-	})
+	p.listen()
+	t.Cleanup(func() { p.Set(Down) })
 	return p
 }
 
+// listen accepts connections at the proxy's address. The caller holds p.mu or is New.
+func (p *Proxy) listen() {
+	l, err := net.Listen("tcp", p.address)
+	if err != nil {
+		p.t.Errorf("listen for %s: %v", p.backend, err)
+		return
+	}
+	p.listener, p.address = l, l.Addr().String()
+	go p.accept(l)
+}
+
 // Address returns the address of the proxy, an ip:port.
-func (p *Proxy) Address() string { return p.listener.Addr().String() }
+func (p *Proxy) Address() string { return p.address }
 
 // Set changes the state of the link.
 func (p *Proxy) Set(s State) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	switch {
+	case s == Down && p.state != Down:
+		p.listener.Close()
+	case s != Down && p.state == Down:
+		p.listen()
+	}
 	p.state = s
 	p.changes = append(p.changes, Change{At: time.Now(), State: s})
-	if s == Resetting {
+	if s == Resetting || s == Down {
 		for conn := range p.conns {
 			resetConn(conn)
 		}
@@ -113,9 +127,9 @@
 	return slices.Clone(p.changes)
 }
 
-func (p *Proxy) accept() {
+func (p *Proxy) accept(l net.Listener) {
 	for {
-		conn, err := p.listener.Accept()
+		conn, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -147,7 +161,7 @@
 func (p *Proxy) track(conn *net.TCPConn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.state == Resetting {
+	if p.state == Resetting || p.state == Down {
 		resetConn(conn)
 		return false
 	}
