crashparts, gateway: prompts with a part that crashes targets are refused everywhere

Callers saw target after target go down: requests that shared one part of their prompt, no two alike otherwise, each took one with it, and up to three with their retries. Streams beside them broke off for as long as such requests came.

Cause: crashes were counted by request, over the whole body. Class: a counter keyed by what the caller can vary.

Why it works: sound parts are answered somewhere between two crashes, which clears them at all instances; the part that crashes targets never is. What always comes together is told apart by one request, sent after two seconds.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -52,6 +52,9 @@
 	counted, a.pathFailed = g.attemptResult(ctx, a, conn, result, err)
 	a.onEnd(counted)
 	if result == outcomeDelivered {
+		if err == nil {
+			g.noteAnswer(c, a, true)
+		}
 		g.targets.Put(conn)
 	} else {
 		conn.Close()
@@ -59,7 +62,7 @@
 	if result != outcomeDelivered && result != outcomeStopped {
 		g.logFailedAttempt(c, a, result.String(), err)
 		if !a.pathFailed && !a.memoryFailed {
-			g.recordCrash(ctx, c, relay, result, err)
+			g.recordCrash(ctx, c, a, relay, result, err)
 		}
 	}
 	return result
--- a/internal/gateway/crashcount.go
+++ b/internal/gateway/crashcount.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"strconv"
 	"syscall"
 	"time"
 
@@ -84,10 +83,13 @@
 
 // recordCrash counts an attempt if its connection was lost, so that the target could not
 // state why it failed. Targets cut off responses that remain unread, which doesn't count.
-func (g *Gateway) recordCrash(ctx context.Context, c *call, relay *responseRelay, result outcome, err error) {
+func (g *Gateway) recordCrash(ctx context.Context, c *call, a *targetAttempt, relay *responseRelay, result outcome, err error) {
 	if ctx.Err() != nil || err == nil || c.callerPaused || result != outcomeUnknown && result != outcomeTruncated || !connectionLost(err) {
 		return
 	}
+	if !a.answerSound {
+		g.parts.lost(g.clock.Now(), a.target.ID, partsOf(c))
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	n := g.crashes.add(g.clock.Now(), c.fingerprint)
@@ -98,12 +100,9 @@
 
 // sharedParts returns the IDs of the parts that the request's prompt may share with others.
 func sharedParts(c *call) []string {
-	if c.Prompt == nil || len(c.Prompt.Pieces) < 2 {
-		return nil
-	}
 	var ids []string
-	for _, p := range c.Prompt.Pieces[:len(c.Prompt.Pieces)-1] {
-		ids = append(ids, strconv.FormatUint(uint64(p.Hash), 16))
+	for _, p := range partsOf(c) {
+		ids = append(ids, partText(p))
 	}
 	return ids
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -67,6 +67,8 @@
 	plainServices  map[string]*plainService
 	retryBudgets   map[string]*overload.SharedRetryBudget
 	crashes        crashCounts
+	// parts finds the parts of prompts that crash targets. It has a lock of its own.
+	parts *crashingParts
 
 	feeds feedReachability
 	peers *peers
@@ -151,6 +153,7 @@
 		plainServices:    map[string]*plainService{},
 		retryBudgets:     map[string]*overload.SharedRetryBudget{},
 		crashes:          newCrashCounts(),
+		parts:            newCrashingParts(),
 		planner:          weights.New(weights.DefaultSettings()),
 		rolloutIdleSince: never,
 		dialDirect:       s.DialTarget,
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -147,6 +147,7 @@
 			return r.interruptedOutcome(), errors.Wrapf(err, "stream after %d events", r.eventCount)
 		}
 		a.onProgress()
+		r.g.noteAnswer(r.c, a, false)
 		if r.alreadySent(e.ID) {
 			continue
 		}
--- a/internal/readretry/transport_test.go
+++ b/internal/readretry/transport_test.go
@@ -87,7 +87,9 @@
 		}
 	})
 	ended := make(chan error)
-	go func() { ended <- send(t, client, http.MethodGet, "http://"+link.Address()+"?from=7&wait=400", readTimeout) }()
+	go func() {
+		ended <- send(t, client, http.MethodGet, "http://"+link.Address()+"?from=7&wait=400", readTimeout)
+	}()
 	<-arrived
 	link.SilenceOpen()
 	is.NoErr(<-ended)
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -117,6 +117,26 @@
 	SlowTargets []string
 	// MemoryClaims are the origin's claims to room in the memory of targets.
 	MemoryClaims []MemoryClaim
+	// BlockedParts are the parts of prompts that the origin blocks, or has released, because
+	// targets crash.
+	BlockedParts []BlockedPart
+}
+
+// BlockedPart is a part of prompts that is blocked; see crashparts.Block. Ages are at the time of
+// the update.
+type BlockedPart struct {
+	Part             uint64 `msgpack:"p"`
+	FirstCrashMillis int64  `msgpack:"f"`
+	CrashMillis      int64  `msgpack:"c"`
+	SeenMillis       int64  `msgpack:"s"`
+	FailedProbes     int    `msgpack:"n,omitempty"`
+	Released         bool   `msgpack:"r,omitempty"`
+}
+
+// sameBlock reports whether two states of a block differ in their ages only. These are published
+// with other changes.
+func sameBlock(a, b BlockedPart) bool {
+	return a.Part == b.Part && a.FailedProbes == b.FailedProbes && a.Released == b.Released
 }
 
 // MemoryClaim is a claim to room in the memory of a target; see placement.MemoryClaim.
@@ -173,11 +193,12 @@
 		slices.Equal(s.TargetLimits, o.TargetLimits) && slices.Equal(s.Rollouts, o.Rollouts) &&
 		slices.Equal(s.Demand, o.Demand) && maps.Equal(s.PlainLoads, o.PlainLoads) &&
 		slices.Equal(s.TargetRates, o.TargetRates) && slices.Equal(s.SlowTargets, o.SlowTargets) &&
-		slices.Equal(s.MemoryClaims, o.MemoryClaims)
+		slices.Equal(s.MemoryClaims, o.MemoryClaims) && slices.EqualFunc(s.BlockedParts, o.BlockedParts, sameBlock)
 }
 
 // InstanceEvent is a prefilled prompt, outcomes of attempts, requests that were asked to come
-// back, streams that began, or a request that lost the connection to its target.
+// back, streams that began, evidence on parts of prompts, or a request that lost the connection to
+// its target.
 type InstanceEvent struct {
 	Prompt *PrefilledPrompt
 	// Streams is set for streams that began at one software version of a service.
@@ -186,11 +207,26 @@
 	Returns []ReturningRequest
 	// Evidence is set for outcomes of attempts during an ordered rollout.
 	Evidence *RolloutEvidence
+	// Parts is set for evidence on parts of prompts under which targets crash.
+	Parts *PartReport
 	// CrashFingerprint is the fingerprint of a request that lost the connection to its
 	// target, probably by a crash; 0 for none.
 	CrashFingerprint uint64
 }
 
+// PartReport is a crash of a target, with the parts of prompts that count against, and the last
+// sound answers to parts; see crashparts. Ages are at the time of the update.
+type PartReport struct {
+	// Target identifies the target that crashed; 0 if there are sound answers only.
+	Target    uint64
+	AgeMillis uint64
+	Lost      []PartValue // with the number of requests lost
+	Sound     []PartValue // with the milliseconds since the answer began
+}
+
+// PartValue is a part of prompts with a number.
+type PartValue struct{ Part, Value uint64 }
+
 // ReturningRequest is a refused request that goes ahead of new ones when it comes back.
 type ReturningRequest struct {
 	Fingerprint uint64
--- a/internal/wire/update.go
+++ b/internal/wire/update.go
@@ -23,6 +23,10 @@
 	returnFields  = 2
 	// streamsFields is the length of an event with streams that began.
 	streamsFields = 3
+	// partReportFields is the length of an event with evidence on parts of prompts,
+	// partValueFields the number of items per part in its flat arrays.
+	partReportFields = 4
+	partValueFields  = 2
 )
 
 // optionalState holds the fields of InstanceState that are empty for most
@@ -45,11 +49,12 @@
 	Rates   []TargetRate      `msgpack:"r,omitempty"`
 	Slow    []string          `msgpack:"w,omitempty"`
 	Claims  []MemoryClaim     `msgpack:"g,omitempty"`
+	Parts   []BlockedPart     `msgpack:"b,omitempty"`
 }
 
 func (s *InstanceState) optional() *optionalState {
 	lists := len(s.LoadingTargets) + len(s.CacheStores) + len(s.SilentTargets) + len(s.OverdueInstances) + len(s.TargetLimits) + len(s.Rollouts) +
-		len(s.Demand) + len(s.PlainLoads) + len(s.TargetRates) + len(s.SlowTargets) + len(s.MemoryClaims)
+		len(s.Demand) + len(s.PlainLoads) + len(s.TargetRates) + len(s.SlowTargets) + len(s.MemoryClaims) + len(s.BlockedParts)
 	if !s.Leaving && !s.StoreUnreachable && !s.StoreContactStale && s.BlockedTargets+s.UnreachableTargets == 0 && s.OrderLease == nil && lists == 0 {
 		return nil
 	}
@@ -57,7 +62,7 @@
 		Leaving: s.Leaving, Cut: s.StoreUnreachable, Stale: s.StoreContactStale, Orders: s.OrderLease, Loading: s.LoadingTargets, Stores: s.CacheStores,
 		Silent: s.SilentTargets, Overdue: s.OverdueInstances, Limits: s.TargetLimits, Rolls: s.Rollouts,
 		Blocked: s.BlockedTargets, Unreach: s.UnreachableTargets,
-		Demand: s.Demand, Plain: s.PlainLoads, Rates: s.TargetRates, Slow: s.SlowTargets, Claims: s.MemoryClaims,
+		Demand: s.Demand, Plain: s.PlainLoads, Rates: s.TargetRates, Slow: s.SlowTargets, Claims: s.MemoryClaims, Parts: s.BlockedParts,
 	}
 }
 
@@ -102,8 +107,8 @@
 }
 
 // encodeEvents writes an array of the first event's number and the events. An
-// event is an array for a prompt, outcomes, returning requests or streams, of different lengths,
-// and an integer for a crash.
+// event is an array for a prompt, outcomes, returning requests, streams or evidence on parts, of
+// different lengths, and an integer for a crash.
 func encodeEvents(e *msgpack.Encoder, first uint64, events []InstanceEvent) error {
 	err := firstError(e.EncodeArrayLen(1+len(events)), e.EncodeUint(first))
 	for _, event := range events {
@@ -119,6 +124,10 @@
 			err = firstError(err, e.EncodeArrayLen(streamsFields), e.EncodeString(s.Service), e.EncodeString(s.Software), encodeNumbers(e, s.Streams))
 			continue
 		}
+		if event.Parts != nil {
+			err = firstError(err, encodePartReport(e, event.Parts))
+			continue
+		}
 		if event.Prompt == nil {
 			err = firstError(err, e.EncodeUint(event.CrashFingerprint))
 			continue
@@ -153,6 +162,19 @@
 	return firstError(e.EncodeArrayLen(returnsFields), encodeNumbers(e, numbers))
 }
 
+func encodePartReport(e *msgpack.Encoder, r *PartReport) error {
+	return firstError(e.EncodeArrayLen(partReportFields), e.EncodeUint(r.Target), e.EncodeUint(r.AgeMillis),
+		encodePartValues(e, r.Lost), encodePartValues(e, r.Sound))
+}
+
+func encodePartValues(e *msgpack.Encoder, values []PartValue) error {
+	numbers := make([]uint64, 0, partValueFields*len(values))
+	for _, v := range values {
+		numbers = append(numbers, v.Part, v.Value)
+	}
+	return encodeNumbers(e, numbers)
+}
+
 func encodeNumbers(e *msgpack.Encoder, numbers []uint64) error {
 	err := e.EncodeArrayLen(len(numbers))
 	for _, n := range numbers {
@@ -207,7 +229,7 @@
 		u.State.LoadingTargets, u.State.CacheStores, u.State.SilentTargets, u.State.OverdueInstances = s.Loading, s.Stores, s.Silent, s.Overdue
 		u.State.TargetLimits, u.State.Rollouts, u.State.BlockedTargets, u.State.UnreachableTargets = s.Limits, s.Rolls, s.Blocked, s.Unreach
 		u.State.Demand, u.State.PlainLoads, u.State.TargetRates, u.State.SlowTargets = s.Demand, s.Plain, s.Rates, s.Slow
-		u.State.MemoryClaims = s.Claims
+		u.State.MemoryClaims, u.State.BlockedParts = s.Claims, s.Parts
 	}
 	u.Spent = r.spent()
 	u.FirstEvent, u.Events = r.events()
@@ -294,6 +316,10 @@
 		return InstanceEvent{Streams: &BegunStreams{
 			Service: readField(r, r.d.DecodeString), Software: readField(r, r.d.DecodeString), Streams: r.numbers(),
 		}}
+	case n == partReportFields:
+		return InstanceEvent{Parts: &PartReport{
+			Target: readField(r, r.d.DecodeUint64), AgeMillis: readField(r, r.d.DecodeUint64), Lost: r.partValues(), Sound: r.partValues(),
+		}}
 	case n != promptFields:
 		r.err = errors.Wrapf(ErrFrameMalformed, "event with %d fields", n)
 		return InstanceEvent{}
@@ -315,6 +341,14 @@
 	return out
 }
 
+func (r *updateReader) partValues() []PartValue {
+	var out []PartValue
+	for numbers := r.numbers(); len(numbers) >= partValueFields; numbers = numbers[partValueFields:] {
+		out = append(out, PartValue{Part: numbers[0], Value: numbers[1]})
+	}
+	return out
+}
+
 func (r *updateReader) returns() []ReturningRequest {
 	var out []ReturningRequest
 	for numbers := r.numbers(); len(numbers) >= returnFields; numbers = numbers[returnFields:] {
