--- a/internal/wholepath/poison_test.go
+++ b/internal/wholepath/poison_test.go
@@ -1,10 +1,16 @@
 package wholepath
 
 import (
+	"fmt"
+	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/mastictray/mastictray/internal/config"
+	"github.com/mastictray/mastictray/internal/crashparts"
 )
 
 const poisonMarker = "POISON"
@@ -104,3 +110,29 @@
 	is.True(ok)
 	is.Equal(s.Poison.Crashes, int64(0)) // the request counts as a suspect
 }
+
+// Guards against prompts that share their first piece, under which engines crash, and are not alike
+// otherwise: each would crash two engines.
+func TestPromptsThatShareACrashingPieceAreRefused(t *testing.T) {
+	const (
+		prompts = 7
+		// Each prompt crashes two engines at once, until as many prompts as crashes are needed
+		// to find the piece have done so.
+		maxCrashed = 2 * crashparts.MinCrashes
+	)
+	is := is.New(t)
+	f := newFleet(t, fleetSpec{entries: 3, engines: 2 * prompts, engineFlags: []string{"--crash-on", poisonMarker}})
+	piece := poisonMarker + strings.Repeat(" dossier", config.DefaultPieceBytes/len(" dossier"))
+	send := func(entry string, n int) response {
+		return f.send(entry, "office", "/v1/chat/completions", chatBody(fmt.Sprintf("%s and question %d", piece, n), 5))
+	}
+	for n := range prompts {
+		is.True(send(f.entries[n%len(f.entries)], n).status != 200)
+		time.Sleep(crashparts.SoundAfter) // the crashes of one prompt count as one
+	}
+	is.True(f.crashedEngines() <= maxCrashed)
+	for i, e := range f.entries {
+		f.waitFor(e+" refuses the piece", func() bool { return send(e, 100+i).code == "request_quarantined" })
+	}
+	f.checkStreams(12, 5, func() {})
+}
