entry, crashparts: prompts that share a piece under which engines crash are refused

The same cause as in the gateway: poison counts the crashes of one request. The pieces of a prompt go to the same tracker; evidence goes to the live peers each 0.1 s, blocks each second. The answer is 503 request_quarantined, before the first and before each further attempt. The conversion between tracker and messages moves to crashparts, since both paths use it.

--- /dev/null
+++ b/internal/entry/crashingparts.go
@@ -0,0 +1,168 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/mastictray/mastictray/internal/crashparts"
+	"github.com/mastictray/mastictray/internal/logline"
+	"github.com/mastictray/mastictray/internal/openai"
+	"github.com/mastictray/mastictray/internal/peer"
+	"github.com/mastictray/mastictray/internal/wire"
+)
+
+const (
+	// partEvidenceInterval is the time between two messages with evidence, partBlocksInterval
+	// that between two messages without news, which repeat the blocks.
+	partEvidenceInterval = 100 * time.Millisecond
+	partBlocksInterval   = time.Second
+	partEvidenceTimeout  = 200 * time.Millisecond
+	// blockedPartRetryAfter is the Retry-After of a prompt with a piece that crashes engines.
+	blockedPartRetryAfter = 10 * time.Second
+)
+
+// crashingParts applies crashparts to the pieces of the prompts of this instance.
+type crashingParts struct {
+	clock clock
+	node  *peer.Node
+	peers func() []wire.Identity
+
+	mu      sync.Mutex
+	tracker *crashparts.Tracker
+}
+
+func newCrashingParts(c clock, node *peer.Node, peers func() []wire.Identity) *crashingParts {
+	p := &crashingParts{clock: c, node: node, peers: peers, tracker: crashparts.New()}
+	node.Handle(wire.KindPartEvidence, p.receive)
+	return p
+}
+
+// update applies a change and logs the blocks that begin or end with it.
+func (p *crashingParts) update(change func(*crashparts.Tracker)) {
+	p.mu.Lock()
+	change(p.tracker)
+	changes := p.tracker.TakeChanges()
+	p.mu.Unlock()
+	for _, c := range changes {
+		event := "part_released"
+		if c.Blocked {
+			event = "part_blocked"
+		}
+		logline.Info(event, "part", strconv.FormatUint(uint64(c.Part), 16), "crashes", c.Crashes, "lost", c.Lost)
+	}
+}
+
+// run tells the peers of the evidence of this instance until ctx ends.
+func (p *crashingParts) run(ctx context.Context) {
+	sentAt := time.Duration(0)
+	for ctx.Err() == nil {
+		sleep(ctx, partEvidenceInterval)
+		peers, now := p.peers(), p.clock.now()
+		if message := p.message(now, len(peers)+1); len(message.Reports) > 0 || len(message.Blocks) > 0 && now-sentAt >= partBlocksInterval {
+			sentAt = now
+			p.send(ctx, peers, message)
+		}
+	}
+}
+
+func (p *crashingParts) message(now time.Duration, fleetSize int) wire.PartEvidence {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	reports := p.tracker.TakeReports(now, fleetSize, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	m := wire.PartEvidence{Blocks: p.tracker.BlocksToWire(now)}
+	for _, r := range reports.ToWire(now) {
+		m.Reports = append(m.Reports, *r)
+	}
+	return m
+}
+
+func (p *crashingParts) send(ctx context.Context, peers []wire.Identity, message wire.PartEvidence) {
+	for _, to := range peers {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, partEvidenceTimeout)
+			defer cancel()
+			if err := p.node.Send(ctx, to.Address, wire.KindPartEvidence, message); err != nil {
+				logline.Error(err, "part_evidence_lost", "peer", to.Address)
+			}
+		}()
+	}
+}
+
+// receive applies the evidence of a peer. Its delay on the way is neglected.
+func (p *crashingParts) receive(_ context.Context, _ wire.Identity, f wire.Frame) (any, error) {
+	var m wire.PartEvidence
+	if err := f.DecodeBody(&m); err != nil {
+		return nil, err
+	}
+	now := p.clock.now()
+	p.update(func(t *crashparts.Tracker) {
+		for i := range m.Reports {
+			t.ApplyReport(now, now, &m.Reports[i])
+		}
+		t.ApplyBlocks(now, now, m.Blocks)
+	})
+	return nil, nil
+}
+
+// mayProbe reports whether this instance probes blocked parts: the first one in the order of their
+// names.
+func (p *crashingParts) mayProbe() bool {
+	return !slices.ContainsFunc(p.peers(), func(id wire.Identity) bool { return id.Instance < p.node.Self().Instance })
+}
+
+// parts returns the pieces that the prompt may share with others. The chain holds whole pieces only
+// and not the end of the prompt.
+func (e *engineCall) parts() []crashparts.Part {
+	parts := make([]crashparts.Part, len(e.placement.Chain))
+	for i, h := range e.placement.Chain {
+		parts[i] = crashparts.Part(h)
+	}
+	return parts
+}
+
+// checkParts refuses a prompt with a piece that crashes engines.
+func (r *engineRun) checkParts() error {
+	if r.probesPart {
+		return nil
+	}
+	var v crashparts.Verdict
+	p := r.server.parts
+	p.update(func(t *crashparts.Tracker) { v = t.Check(p.clock.now(), r.call.parts(), p.mayProbe) })
+	r.probesPart = v.Probe
+	if !v.Blocked {
+		return nil
+	}
+	return &openai.Error{
+		Status: http.StatusServiceUnavailable, Code: openai.CodeQuarantined, Outcome: r.outcome(),
+		Message: "prompts that share a piece with this one have crashed the targets that ran them", RetryAfter: blockedPartRetryAfter,
+	}
+}
+
+// notePartsLost records that the current target crashed while it may have been running the request.
+func (r *engineRun) notePartsLost() {
+	if r.answerSound {
+		return
+	}
+	target := crashparts.Target(xxhash.Sum64String(r.placed.target))
+	r.server.parts.update(func(t *crashparts.Tracker) { t.Lost(r.server.clock.now(), target, r.call.parts()) })
+}
+
+// noteAnswer records an event of the answer, or its end.
+func (r *engineRun) noteAnswer(complete bool) {
+	now := r.server.clock.now()
+	if r.answerBegunAt == 0 {
+		r.answerBegunAt = now
+	}
+	if r.answerSound || !complete && now-r.answerBegunAt < crashparts.SoundAfter {
+		return
+	}
+	r.answerSound = true
+	r.server.parts.update(func(t *crashparts.Tracker) { t.Answered(r.call.parts(), r.answerBegunAt) })
+}
--- a/internal/entry/enginerun.go
+++ b/internal/entry/enginerun.go
@@ -56,6 +56,12 @@
 	// request was not registered in the poison registry.
 	unregistered   bool
 	isolatedTarget string
+	// answerBegunAt is when the first event of the current attempt's answer arrived; 0 before.
+	// answerSound is set once the answer shows that the prompt doesn't crash engines.
+	answerBegunAt time.Duration
+	answerSound   bool
+	// probesPart is set if the request shows whether a blocked piece still crashes engines.
+	probesPart bool
 	// lastRejection is the last rejection by a target, to be returned to the
 	// caller.
 	lastRejection error
@@ -74,6 +80,9 @@
 }
 
 func (r *engineRun) runAttempts() error {
+	if err := r.checkParts(); err != nil {
+		return err
+	}
 	r.server.retryBudget.AddRequest()
 	act, err := r.dispatch()
 	for err == nil {
@@ -82,6 +91,7 @@
 		}
 		switch act.Kind {
 		case attempt.Relay:
+			r.noteAnswer(false)
 			r.writeEvent(act)
 			if act.Done {
 				return r.recordSuccess()
@@ -113,6 +123,7 @@
 	r.closeAttempt()
 	r.call.attempts++
 	r.placed, r.attemptID, r.resultRecorded = pl, attemptID(r.call.call), false
+	r.answerBegunAt, r.answerSound = 0, false
 	r.incarnation = pl.Identity.Incarnation
 	r.conn = r.stream.Dispatch(r.server.clock.now(), r.attemptID, pl.target)
 	r.openConnection()
@@ -134,7 +145,9 @@
 		if err != nil {
 			return placedAttempt{}, err
 		}
-		err = r.server.recheckBeforeDispatch(r.call)
+		if err = r.checkParts(); err == nil {
+			err = r.server.recheckBeforeDispatch(r.call)
+		}
 		if err == nil && r.maySend(pl.address) {
 			return pl, nil
 		}
@@ -251,6 +264,7 @@
 }
 
 func (r *engineRun) recordSuccess() error {
+	r.noteAnswer(true)
 	r.server.metrics.countAttempt(r.call.pool.Name, "answered")
 	r.server.metrics.countAnswer(r.call.account.Name, r.call.pool.Name)
 	r.recordPrefilled()
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -29,6 +29,7 @@
 	claims       *claimDriver
 	pools        *pools
 	poison       *poisonDriver
+	parts        *crashingParts
 	retryBudget  *overload.SharedRetryBudget
 	targetClient *targetClient
 	dialer       *connrelay.Dialer
--- a/internal/gateway/crashingparts.go
+++ b/internal/gateway/crashingparts.go
@@ -81,79 +81,27 @@
 // takeReports returns the evidence of this instance that peers don't have yet.
 func (p *crashingParts) takeReports(now time.Duration, fleetSize int, rng *rand.Rand) []*wire.PartReport {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	reports := p.tracker.TakeReports(now, fleetSize, rng)
-	p.mu.Unlock()
-	var out []*wire.PartReport
-	for _, c := range reports.Crashes {
-		r := &wire.PartReport{Target: uint64(c.Target), AgeMillis: ageMillis(now, c.At)}
-		for part, n := range c.Lost {
-			r.Lost = append(r.Lost, wire.PartValue{Part: uint64(part), Value: uint64(n)})
-		}
-		out = append(out, r)
-	}
-	if len(reports.Sound) > 0 {
-		r := &wire.PartReport{}
-		for _, s := range reports.Sound {
-			r.Sound = append(r.Sound, wire.PartValue{Part: uint64(s.Part), Value: ageMillis(now, s.BegunAt)})
-		}
-		out = append(out, r)
-	}
-	return out
-}
-
-func ageMillis(now, at time.Duration) uint64 { return uint64(max(0, now-at).Milliseconds()) }
-
-func timeOf(now time.Duration, ageMillis uint64) time.Duration {
-	return now - time.Duration(ageMillis)*time.Millisecond
+	return reports.ToWire(now)
 }
 
 // published returns the blocks for the published state.
 func (p *crashingParts) published(now time.Duration) []wire.BlockedPart {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	blocks := p.tracker.Blocks()
-	if len(blocks) == 0 {
-		return nil
-	}
-	out := make([]wire.BlockedPart, len(blocks))
-	for i, b := range blocks {
-		out[i] = wire.BlockedPart{
-			Part: uint64(b.Part), FirstCrashMillis: (now - b.FirstCrashAt).Milliseconds(), CrashMillis: (now - b.CrashAt).Milliseconds(),
-			SeenMillis: (now - b.SeenAt).Milliseconds(), FailedProbes: b.FailedProbes, Released: b.Released,
-		}
-	}
-	return out
+	return p.tracker.BlocksToWire(now)
 }
 
 // applyPublished applies what a peer has published.
 func (p *crashingParts) applyPublished(now time.Duration, c *replica.Change) {
 	for _, e := range c.Events {
 		if e.Parts != nil {
-			p.update(func(t *crashparts.Tracker) { applyPartReport(now, t, c.At, e.Parts) })
-		}
-	}
-	for _, b := range c.State.BlockedParts {
-		at := func(millis int64) time.Duration { return c.At - time.Duration(millis)*time.Millisecond }
-		p.update(func(t *crashparts.Tracker) {
-			t.ApplyBlock(now, crashparts.Block{
-				Part: crashparts.Part(b.Part), FirstCrashAt: at(b.FirstCrashMillis), CrashAt: at(b.CrashMillis), SeenAt: at(b.SeenMillis),
-				FailedProbes: b.FailedProbes, Released: b.Released,
-			})
-		})
-	}
-}
-
-// applyPartReport applies a report that was made at madeAt.
-func applyPartReport(now time.Duration, t *crashparts.Tracker, madeAt time.Duration, r *wire.PartReport) {
-	if r.Target != 0 {
-		c := &crashparts.Crash{Target: crashparts.Target(r.Target), At: timeOf(madeAt, r.AgeMillis), Lost: map[crashparts.Part]int{}}
-		for _, v := range r.Lost {
-			c.Lost[crashparts.Part(v.Part)] = int(v.Value)
+			p.update(func(t *crashparts.Tracker) { t.ApplyReport(now, c.At, e.Parts) })
 		}
-		t.ApplyCrash(now, c)
 	}
-	for _, v := range r.Sound {
-		t.ApplySound(crashparts.Sound{Part: crashparts.Part(v.Part), BegunAt: timeOf(madeAt, v.Value)})
+	if len(c.State.BlockedParts) > 0 {
+		p.update(func(t *crashparts.Tracker) { t.ApplyBlocks(now, c.At, c.State.BlockedParts) })
 	}
 }
 
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -218,14 +218,19 @@
 // sound answers to parts; see crashparts. Ages are at the time of the update.
 type PartReport struct {
 	// Target identifies the target that crashed; 0 if there are sound answers only.
-	Target    uint64
-	AgeMillis uint64
-	Lost      []PartValue // with the number of requests lost
-	Sound     []PartValue // with the milliseconds since the answer began
+	Target    uint64      `msgpack:"t,omitempty"`
+	AgeMillis uint64      `msgpack:"a,omitempty"`
+	Lost      []PartValue `msgpack:"l,omitempty"` // with the number of requests lost
+	Sound     []PartValue `msgpack:"s,omitempty"` // with the milliseconds since the answer began
 }
 
 // PartValue is a part of prompts with a number.
-type PartValue struct{ Part, Value uint64 }
+type PartValue struct {
+	//lint:ignore U1000 the codec reads its tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Part, Value uint64
+}
 
 // ReturningRequest is a refused request that goes ahead of new ones when it comes back.
 type ReturningRequest struct {
