ratelease: a process that has just started waits for its peers before it refuses

Cause: a new process has no tokens. It waits 0.3 s for those of its peers; beside load, the first request for them timed out after 0.2 s, and its peer was left alone for 1 s.

Change: until some peer has reported its tokens of an account, and for 1 s after the account is known, requests go on waiting, peers are asked in spite of the backoff, and a request is not taken for unsatisfiable. TestNewProcessWaitsForItsPeers fails without it (refused at 0.22 s).

--- a/internal/ratelease/limiter.go
+++ b/internal/ratelease/limiter.go
@@ -89,7 +89,8 @@
 	pendingTokenRequests int           // not answered yet
 	lastRoundAt          time.Duration // of the last round of token requests
 	lastRequestAt        time.Duration // of the last request by a caller
-	typicalCost          float64       // moving average of the cost of a request
+	createdAt            time.Duration
+	typicalCost          float64 // moving average of the cost of a request
 	peerHints            map[string]hint
 }
 
@@ -110,7 +111,7 @@
 	l.advanceShare(now)
 	a := l.accounts[name]
 	if a == nil {
-		a = &account{name: name, peerHints: map[string]hint{}, lastRoundAt: -l.settings.TokenRequestInterval}
+		a = &account{name: name, peerHints: map[string]hint{}, lastRoundAt: -l.settings.TokenRequestInterval, createdAt: now}
 		a.factor.nextAt = never
 		a.bucket.updatedAt = now
 		a.factor.value = l.factorOf(name)
@@ -158,7 +159,7 @@
 		return Outcome{Err: ErrTooManyWaiting, RetryAfter: l.retryAfter(a, cost)}
 	}
 	l.lastTicket++
-	w := waiter{ticket: l.lastTicket, cost: cost, since: now, until: min(deadline, now+l.settings.MaxWait)}
+	w := waiter{ticket: l.lastTicket, cost: cost, since: now, until: min(deadline, now+l.settings.MaxWait), deadline: deadline}
 	a.waiters = append(a.waiters, w)
 	return Outcome{Ticket: w.ticket, Waiting: true}
 }
--- a/internal/ratelease/limiter_test.go
+++ b/internal/ratelease/limiter_test.go
@@ -232,3 +232,43 @@
 	is.True(request("b", 30, 140*time.Millisecond) == 30) // b has all it needs
 	is.True(request("c", 5, 20*time.Millisecond) == 5)
 }
+
+// Guards against a process that refuses requests within their account's rate because it has just
+// started, before any peer has told it of the account's tokens.
+func TestNewProcessWaitsForItsPeers(t *testing.T) {
+	for name, c := range map[string]struct {
+		answeredAt time.Duration // 0 for never
+		refusedAt  time.Duration // 0 for never
+	}{
+		"peers are late":  {answeredAt: 700 * time.Millisecond},
+		"no peer answers": {refusedAt: time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l := New(DefaultSettings("i1"))
+			l.SetPeers([]Peer{{ID: "i2", Share: 1}})
+			l.SetAccount(0, "acct", 1000, 5000)
+			waiting := l.Admit(10*time.Millisecond, "acct", 100, 20*time.Second)
+			is.True(waiting.Waiting)
+			admitted, refusedAt := false, time.Duration(0)
+			for now := 20 * time.Millisecond; now < 3*time.Second; now += 20 * time.Millisecond {
+				ready := l.Tick(now)
+				for _, o := range ready.Done {
+					admitted = o.Err == nil
+					if o.Err != nil {
+						refusedAt = now
+					}
+				}
+				for _, req := range ready.TokenRequests {
+					if c.answeredAt > 0 && now >= c.answeredAt {
+						l.HandleGrant(now, "i2", req.ID, wire.RateGrant{From: "i2", Items: []wire.RateGrantItem{{Account: "acct", Tokens: 1000, Remaining: 3000}}})
+					} else {
+						l.TokenRequestFailed(now, req.ID)
+					}
+				}
+			}
+			is.Equal(admitted, c.answeredAt > 0)
+			is.Equal(refusedAt, c.refusedAt)
+		})
+	}
+}
--- a/internal/ratelease/settings.go
+++ b/internal/ratelease/settings.go
@@ -14,6 +14,10 @@
 	MaxClockDrift float64
 	// MaxWait bounds how long a request waits for tokens.
 	MaxWait time.Duration
+	// StartWait is the age of an account's state below which a request goes on waiting for tokens
+	// while no peer has reported its own. A process that has just started has none, and would
+	// refuse requests within the account's rate.
+	StartWait time.Duration
 	// TokenRequestInterval is the least time between two rounds of token requests
 	// for one account while a request waits.
 	TokenRequestInterval time.Duration
@@ -31,6 +35,7 @@
 		GrantLifetime:        200 * time.Millisecond,
 		MaxClockDrift:        0.001,
 		MaxWait:              300 * time.Millisecond,
+		StartWait:            time.Second,
 		TokenRequestInterval: 20 * time.Millisecond,
 		FanOut:               5,
 		MaxDispatchDelay:     100 * time.Millisecond,
--- a/internal/ratelease/tokenrequests.go
+++ b/internal/ratelease/tokenrequests.go
@@ -101,7 +101,7 @@
 func (l *Limiter) candidatePeers(a *account, now time.Duration) []tokenSource {
 	var candidates []tokenSource
 	for _, p := range l.peers {
-		if p.backoffUntil > now {
+		if p.backoffUntil > now && !l.awaitsPeers(a) {
 			continue
 		}
 		candidates = append(candidates, tokenSource{
--- a/internal/ratelease/waiter.go
+++ b/internal/ratelease/waiter.go
@@ -10,7 +10,9 @@
 	ticket Ticket
 	cost   float64
 	since  time.Duration
-	until  time.Duration
+	// until is the end of the wait, deadline that of the request.
+	until    time.Duration
+	deadline time.Duration
 }
 
 func (w waiter) waited(now time.Duration) time.Duration { return now - w.since }
@@ -41,7 +43,7 @@
 		l.planTokenRequests(a, now, batch)
 		if len(a.waiters) > 0 {
 			next := now + l.settings.TokenRequestInterval
-			next = min(next, a.waiters[0].until)
+			next = min(next, l.waitEnd(a, a.waiters[0]))
 			if r.NextTick == 0 || next < r.NextTick {
 				r.NextTick = next
 			}
@@ -86,7 +88,7 @@
 			done = append(done, Outcome{Ticket: w.ticket, Err: ErrTooLarge})
 		case len(kept) == 0 && a.bucket.available() >= w.cost:
 			done = append(done, Outcome{Ticket: w.ticket, Reservation: l.debit(a, now, w.cost)})
-		case now >= w.until || l.unsatisfiable(a, now, w, kept):
+		case now >= l.waitEnd(a, w) || l.unsatisfiable(a, now, w, kept):
 			done = append(done, Outcome{Ticket: w.ticket, Err: ErrOverRate, RetryAfter: l.retryAfter(a, w.cost)})
 		default:
 			kept = append(kept, w)
@@ -96,12 +98,23 @@
 	return done
 }
 
+// waitEnd returns the time at which a request is refused if it has not been admitted.
+func (l *Limiter) waitEnd(a *account, w waiter) time.Duration {
+	if !l.awaitsPeers(a) {
+		return w.until
+	}
+	return max(w.until, min(w.deadline, a.createdAt+l.settings.StartWait))
+}
+
+// awaitsPeers reports whether there are peers, and none has reported its tokens yet.
+func (l *Limiter) awaitsPeers(a *account) bool { return len(l.peers) > 0 && len(a.peerHints) == 0 }
+
 // unsatisfiable reports whether a request is expected to time out: all peers
 // have just answered, and even with all their tokens and all that is refilled
 // until its deadline it would not be admitted. It is then better refused at
 // once.
 func (l *Limiter) unsatisfiable(a *account, now time.Duration, w waiter, ahead []waiter) bool {
-	if len(l.peers) == 0 || !l.hintsFresh(a, now) {
+	if len(l.peers) == 0 || !l.hintsFresh(a, now) || l.awaitsPeers(a) && now < a.createdAt+l.settings.StartWait {
 		return false
 	}
 	need := w.cost
