partguard, crashparts: one piece of code around the tracker serves both request paths

The gateway and mastictray-entry each had a lock, the log lines of blocks, and the state of an answer until it shows that its prompt is sound. The parts of a prompt are listed once for each answer instead of for each of its events. Behaviour is the same; the tests of both paths pass.

--- a/internal/entry/crashingparts.go
+++ b/internal/entry/crashingparts.go
@@ -5,15 +5,12 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strconv"
-	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/mastictray/mastictray/internal/crashparts"
 	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/openai"
+	"github.com/mastictray/mastictray/internal/partguard"
 	"github.com/mastictray/mastictray/internal/peer"
 	"github.com/mastictray/mastictray/internal/wire"
 )
@@ -28,37 +25,20 @@
 	blockedPartRetryAfter = 10 * time.Second
 )
 
-// crashingParts applies crashparts to the pieces of the prompts of this instance.
+// crashingParts finds the pieces of prompts that crash engines, together with the peers.
 type crashingParts struct {
+	*partguard.Guard
 	clock clock
 	node  *peer.Node
 	peers func() []wire.Identity
-
-	mu      sync.Mutex
-	tracker *crashparts.Tracker
 }
 
 func newCrashingParts(c clock, node *peer.Node, peers func() []wire.Identity) *crashingParts {
-	p := &crashingParts{clock: c, node: node, peers: peers, tracker: crashparts.New()}
+	p := &crashingParts{Guard: partguard.New(), clock: c, node: node, peers: peers}
 	node.Handle(wire.KindPartEvidence, p.receive)
 	return p
 }
 
-// update applies a change and logs the blocks that begin or end with it.
-func (p *crashingParts) update(change func(*crashparts.Tracker)) {
-	p.mu.Lock()
-	change(p.tracker)
-	changes := p.tracker.TakeChanges()
-	p.mu.Unlock()
-	for _, c := range changes {
-		event := "part_released"
-		if c.Blocked {
-			event = "part_blocked"
-		}
-		logline.Info(event, "part", strconv.FormatUint(uint64(c.Part), 16), "crashes", c.Crashes, "lost", c.Lost)
-	}
-}
-
 // run tells the peers of the evidence of this instance until ctx ends.
 func (p *crashingParts) run(ctx context.Context) {
 	sentAt := time.Duration(0)
@@ -72,14 +52,12 @@
 	}
 }
 
-func (p *crashingParts) message(now time.Duration, fleetSize int) wire.PartEvidence {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	reports := p.tracker.TakeReports(now, fleetSize, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	m := wire.PartEvidence{Blocks: p.tracker.BlocksToWire(now)}
-	for _, r := range reports.ToWire(now) {
-		m.Reports = append(m.Reports, *r)
-	}
+func (p *crashingParts) message(now time.Duration, fleetSize int) (m wire.PartEvidence) {
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	p.Update(func(t *crashparts.Tracker) {
+		reports := t.TakeReports(now, fleetSize, rng)
+		m.Reports, m.Blocks = reports.ToWire(now), t.BlocksToWire(now)
+	})
 	return m
 }
 
@@ -102,9 +80,9 @@
 		return nil, err
 	}
 	now := p.clock.now()
-	p.update(func(t *crashparts.Tracker) {
-		for i := range m.Reports {
-			t.ApplyReport(now, now, &m.Reports[i])
+	p.Update(func(t *crashparts.Tracker) {
+		for _, r := range m.Reports {
+			t.ApplyReport(now, now, r)
 		}
 		t.ApplyBlocks(now, now, m.Blocks)
 	})
@@ -132,9 +110,7 @@
 	if r.probesPart {
 		return nil
 	}
-	var v crashparts.Verdict
-	p := r.server.parts
-	p.update(func(t *crashparts.Tracker) { v = t.Check(p.clock.now(), r.call.parts(), p.mayProbe) })
+	v := r.server.parts.Check(r.server.clock.now(), r.call.id, r.call.parts(), r.server.parts.mayProbe)
 	r.probesPart = v.Probe
 	if !v.Blocked {
 		return nil
@@ -145,24 +121,9 @@
 	}
 }
 
-// notePartsLost records that the current target crashed while it may have been running the request.
-func (r *engineRun) notePartsLost() {
-	if r.answerSound {
-		return
-	}
-	target := crashparts.Target(xxhash.Sum64String(r.placed.target))
-	r.server.parts.update(func(t *crashparts.Tracker) { t.Lost(r.server.clock.now(), target, r.call.parts()) })
-}
-
 // noteAnswer records an event of the answer, or its end.
 func (r *engineRun) noteAnswer(complete bool) {
-	now := r.server.clock.now()
-	if r.answerBegunAt == 0 {
-		r.answerBegunAt = now
-	}
-	if r.answerSound || !complete && now-r.answerBegunAt < crashparts.SoundAfter {
-		return
+	if r.answer.Note(r.server.clock.now(), complete) {
+		r.server.parts.Answered(&r.answer, r.call.parts())
 	}
-	r.answerSound = true
-	r.server.parts.update(func(t *crashparts.Tracker) { t.Answered(r.call.parts(), r.answerBegunAt) })
 }
--- a/internal/entry/enginecrash.go
+++ b/internal/entry/enginecrash.go
@@ -89,7 +89,7 @@
 		return nil
 	}
 	r.pool.markProcessEnded(r.placed.target, r.incarnation)
-	r.notePartsLost()
+	r.server.parts.Lost(r.server.clock.now(), r.placed.target, &r.answer, r.call.parts())
 	crash := poison.CrashID{Target: r.placed.target, Incarnation: r.incarnation}
 	if r.unregistered {
 		r.server.poison.registerRunning(r.call.id, r.call.fingerprint(), r.call.pool.Name, r.placed.target, r.pool.availableTargets(r.placed.target))
--- a/internal/entry/enginerun.go
+++ b/internal/entry/enginerun.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mastictray/mastictray/internal/attempt"
+	"github.com/mastictray/mastictray/internal/crashparts"
 	"github.com/mastictray/mastictray/internal/openai"
 	"github.com/mastictray/mastictray/internal/overload"
 	"github.com/mastictray/mastictray/internal/sse"
@@ -56,10 +57,8 @@
 	// request was not registered in the poison registry.
 	unregistered   bool
 	isolatedTarget string
-	// answerBegunAt is when the first event of the current attempt's answer arrived; 0 before.
-	// answerSound is set once the answer shows that the prompt doesn't crash engines.
-	answerBegunAt time.Duration
-	answerSound   bool
+	// answer is that of the current attempt.
+	answer crashparts.Answer
 	// probesPart is set if the request shows whether a blocked piece still crashes engines.
 	probesPart bool
 	// lastRejection is the last rejection by a target, to be returned to the
@@ -123,7 +122,7 @@
 	r.closeAttempt()
 	r.call.attempts++
 	r.placed, r.attemptID, r.resultRecorded = pl, attemptID(r.call.call), false
-	r.answerBegunAt, r.answerSound = 0, false
+	r.answer = crashparts.Answer{}
 	r.incarnation = pl.Identity.Incarnation
 	r.conn = r.stream.Dispatch(r.server.clock.now(), r.attemptID, pl.target)
 	r.openConnection()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/mastictray/mastictray/internal/membudget"
 	"github.com/mastictray/mastictray/internal/orderlease"
 	"github.com/mastictray/mastictray/internal/overload"
+	"github.com/mastictray/mastictray/internal/partguard"
 	"github.com/mastictray/mastictray/internal/ratecount"
 	"github.com/mastictray/mastictray/internal/routing"
 	"github.com/mastictray/mastictray/internal/targetconn"
@@ -68,7 +69,7 @@
 	retryBudgets   map[string]*overload.SharedRetryBudget
 	crashes        crashCounts
 	// parts finds the parts of prompts that crash targets. It has a lock of its own.
-	parts *crashingParts
+	parts crashingParts
 
 	newConns newConnections
 
@@ -155,7 +156,7 @@
 		plainServices:    map[string]*plainService{},
 		retryBudgets:     map[string]*overload.SharedRetryBudget{},
 		crashes:          newCrashCounts(),
-		parts:            newCrashingParts(),
+		parts:            crashingParts{partguard.New()},
 		planner:          weights.New(weights.DefaultSettings()),
 		rolloutIdleSince: never,
 		dialDirect:       s.DialTarget,
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/mastictray/mastictray/internal/crashparts"
 	"github.com/mastictray/mastictray/internal/directory"
 	"github.com/mastictray/mastictray/internal/dispatch"
 	"github.com/mastictray/mastictray/internal/fairqueue"
@@ -39,10 +40,8 @@
 	// failedForMemory, if set, reports whether a target that has lost the connection did.
 	memoryFailed    bool
 	failedForMemory func() bool
-	// answerBegunAt is when the first event of the answer arrived; 0 before. answerSound is set
-	// once the answer shows that the prompt doesn't crash targets.
-	answerBegunAt time.Duration
-	answerSound   bool
+	// answer is the answer of the target.
+	answer crashparts.Answer
 	// onSend is called before the request is written, with a function that cancels the
 	// attempt and the instance that relays it. onProgress is called for each part of the response that arrives and onAnswer
 	// for each one that is new to the caller, of which the first counts. onEnd is called
--- a/internal/wire/parts.go
+++ b/internal/wire/parts.go
@@ -6,6 +6,6 @@
 
 // PartEvidence is what an instance has learned since its last message, and its blocks.
 type PartEvidence struct {
-	Reports []PartReport  `msgpack:"r,omitempty"`
+	Reports []*PartReport `msgpack:"r,omitempty"`
 	Blocks  []BlockedPart `msgpack:"b,omitempty"`
 }
