--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -147,6 +147,13 @@
 	return ErrBroken
 }
 
+// recentLatency returns the latency of the connection's calls.
+func (c *conn) recentLatency() silentconn.Latency {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.latency
+}
+
 func (c *conn) observeLatency(d time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -242,7 +242,7 @@
 	if n.closed || n.conns[addr] != old || old.source.lastRead().After(quietSince) {
 		return false
 	}
-	c.latency = old.latency
+	c.latency = old.recentLatency()
 	n.use(addr, c)
 	return true
 }
