--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -136,8 +136,8 @@
 }
 
 // revalidate checks again what may have changed while the request waited: the
-// configuration, the key, the deadline, and the parts of prompts that crash targets. The clock shows whether the deadline has passed
-// while the machine was suspended.
+// configuration, the key, the deadline, and the parts of prompts that crash targets. The
+// clock shows whether the deadline has passed while the machine was suspended.
 func (g *Gateway) revalidate(c *call) *Refusal {
 	if c.deadline > 0 && g.clock.Now() >= c.deadline {
 		return &Refusal{Status: http.StatusServiceUnavailable, Reason: "deadline", NotRun: true}
