crashparts: a release is not undone by the same crash at another time

Found by reading: instances differ by some milliseconds in the time of a crash, so the block of a peer that had not heard of a release could bring it back. Times within the window of one crash count as the same. A probe without an outcome, such as one refused for its rate, is awaited for 5 s instead of 30 s, so that a part blocked by mistake is not held up.

--- a/internal/crashparts/block.go
+++ b/internal/crashparts/block.go
@@ -17,7 +17,7 @@
 	// blockRetention is how long a block is kept after the last request with its part.
 	blockRetention = 10 * time.Minute
 	// probeTimeout is how long the outcome of the one request is awaited.
-	probeTimeout = 30 * time.Second
+	probeTimeout = 5 * time.Second
 	// maxBlocks bounds the parts that are blocked; the one that was seen least recently goes.
 	maxBlocks = 64
 )
@@ -173,7 +173,7 @@
 	switch {
 	case now-b.SeenAt > blockRetention:
 	case b.Released:
-		if known != nil && known.CrashAt <= b.CrashAt {
+		if known != nil && !isLater(known.CrashAt, b.CrashAt) {
 			t.release(known)
 		}
 	case t.sound.since(b.Part, b.FirstCrashAt):
@@ -181,7 +181,7 @@
 	case known == nil:
 		t.addBlock(now, b)
 		t.changes = append(t.changes, Change{Part: b.Part, Blocked: true})
-	case known.Released && b.CrashAt > known.CrashAt:
+	case known.Released && isLater(b.CrashAt, known.CrashAt):
 		known.Block = b
 		t.changes = append(t.changes, Change{Part: b.Part, Blocked: true})
 	case !known.Released:
@@ -191,6 +191,10 @@
 	}
 }
 
+// isLater reports whether the crash at a is another one than that at b, and later. Instances differ in
+// the time of the same crash.
+func isLater(a, b time.Duration) bool { return a >= b+sameCrashWindow }
+
 // TakeChanges returns the blocks that began or ended since the last call.
 func (t *Tracker) TakeChanges() []Change {
 	out := t.changes
--- a/internal/crashparts/tracker_test.go
+++ b/internal/crashparts/tracker_test.go
@@ -185,6 +185,33 @@
 	is.True(!restarted.isBlocked(now+4, bad))
 }
 
+// Guards against a released part that is blocked again by a peer that does not know of the release,
+// and against one that stays released although it has crashed targets since.
+func TestReleaseOutlivesOldBlocks(t *testing.T) {
+	for name, c := range map[string]struct {
+		crashedLater time.Duration
+		blocked      bool
+	}{
+		"the same crash, timed otherwise": {crashedLater: sameCrashWindow - 1},
+		"a later crash":                   {crashedLater: sameCrashWindow, blocked: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			tracker := New()
+			block := Block{Part: bad, FirstCrashAt: seconds, CrashAt: 5 * seconds, SeenAt: 5 * seconds}
+			tracker.ApplyBlock(5*seconds, block)
+			is.True(tracker.isBlocked(5*seconds, bad))
+			released := block
+			released.Released, released.CrashAt = true, 5*seconds-sameCrashWindow+1
+			tracker.ApplyBlock(6*seconds, released)
+			is.True(!tracker.isBlocked(6*seconds, bad))
+			block.CrashAt += c.crashedLater
+			tracker.ApplyBlock(7*seconds, block)
+			is.Equal(tracker.isBlocked(7*seconds, bad), c.blocked)
+		})
+	}
+}
+
 func rng() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
 
 // Guards against parts that each instance sees crash too rarely to block them, and against sound
