--- a/internal/crashparts/bench_test.go
+++ b/internal/crashparts/bench_test.go
@@ -32,6 +32,19 @@
 	}
 }
 
+// All crashes have as many parts as possible, none of them in common.
+func BenchmarkCrashOfManyParts(b *testing.B) {
+	t := fullTracker()
+	b.ResetTimer()
+	for i := range b.N {
+		parts := make([]Part, maxPartsPerCrash)
+		for j := range parts {
+			parts[j] = Part(1e12 + 1000*i + j)
+		}
+		t.Lost(time.Minute+time.Duration(i)*time.Millisecond, Target(1e6+i), parts)
+	}
+}
+
 func BenchmarkCheckAndAnswer(b *testing.B) {
 	t := fullTracker()
 	parts := []Part{1e9, 1e9 + 1, 1e9 + 2}
