--- a/internal/crashparts/judge.go
+++ b/internal/crashpieces/judge.go
@@ -1,4 +1,4 @@
-package crashparts
+package crashpieces
 
 import (
 	"cmp"
@@ -7,11 +7,11 @@
 	"time"
 )
 
-// suspicion is the evidence against one part.
+// suspicion is the evidence against one piece.
 type suspicion struct {
-	part Part
-	// crashes is the number of separate crashes since the last sound answer, lost the number
-	// of requests with the part that were lost in them.
+	piece Piece
+	// crashes is the number of separate crashes since the last healthy answer, lost the number
+	// of requests with the piece that were lost in them.
 	crashes, lost int
 	// targets are those that crashed.
 	targets map[Target]bool
@@ -19,8 +19,8 @@
 	firstAt, lastAt time.Duration
 }
 
-// isEnough reports whether the evidence suffices to block the part. A single target may crash by
-// itself again and again, and requests with the same parts go to the same target.
+// isEnough reports whether the evidence suffices to block the piece. A single target may crash by
+// itself again and again, and requests with the same pieces go to the same target.
 func (s *suspicion) isEnough() bool {
 	return s.crashes >= MinCrashes && len(s.targets) > 1 || s.crashes >= 2*MinCrashes
 }
@@ -31,20 +31,20 @@
 	return cmp.Or(
 		cmp.Compare(s.crashes*s.crashes*o.lost, o.crashes*o.crashes*s.lost),
 		cmp.Compare(s.crashes*o.lost, o.crashes*s.lost),
-		cmp.Compare(o.part, s.part),
+		cmp.Compare(o.piece, s.piece),
 	)
 }
 
-// judge decides anew which parts explain the known crashes. It blocks these, and ends the blocks of
-// parts whose crashes are explained by others.
+// judge decides anew which pieces explain the known crashes. It blocks these, and ends the blocks of
+// pieces whose crashes are explained by others.
 func (t *Tracker) judge(now time.Duration) {
-	guilty := map[Part]*suspicion{}
+	guilty := map[Piece]*suspicion{}
 	for {
 		s := t.bestExplanation(guilty)
 		if s == nil {
 			break
 		}
-		guilty[s.part] = s
+		guilty[s.piece] = s
 	}
 	for p, s := range guilty {
 		if b := t.blocks[p]; b == nil || b.Released {
@@ -58,10 +58,10 @@
 	}
 }
 
-// bestExplanation returns the part that explains the crashes best in which no guilty part was
-// lost; nil if no part was present at enough of them. A part that explains them better, but was
+// bestExplanation returns the piece that explains the crashes best in which no guilty piece was
+// lost; nil if no piece was present at enough of them. A piece that explains them better, but was
 // present at fewer of them so far, is waited for.
-func (t *Tracker) bestExplanation(guilty map[Part]*suspicion) *suspicion {
+func (t *Tracker) bestExplanation(guilty map[Piece]*suspicion) *suspicion {
 	suspicions := slices.DeleteFunc(t.suspicions(guilty), func(s *suspicion) bool { return s.crashes < 2 })
 	if len(suspicions) == 0 {
 		return nil
@@ -73,21 +73,21 @@
 	return best
 }
 
-// suspicions returns the evidence against all parts, from the crashes in which no guilty part was
+// suspicions returns the evidence against all pieces, from the crashes in which no guilty piece was
 // lost.
-func (t *Tracker) suspicions(guilty map[Part]*suspicion) []*suspicion {
+func (t *Tracker) suspicions(guilty map[Piece]*suspicion) []*suspicion {
 	open := slices.DeleteFunc(slices.Clone(t.crashes), func(c *Crash) bool { return t.isExplained(c, guilty) })
 	slices.SortFunc(open, func(a, b *Crash) int { return cmp.Compare(a.At, b.At) })
-	byPart := map[Part]*suspicion{}
+	byPiece := map[Piece]*suspicion{}
 	for _, c := range open {
 		for p, lost := range c.Lost {
 			if !t.countsAgainst(c, p) {
 				continue
 			}
-			s := byPart[p]
+			s := byPiece[p]
 			if s == nil {
-				s = &suspicion{part: p, targets: map[Target]bool{}, firstAt: c.At, lastAt: c.At - crashSpacing}
-				byPart[p] = s
+				s = &suspicion{piece: p, targets: map[Target]bool{}, firstAt: c.At, lastAt: c.At - crashSpacing}
+				byPiece[p] = s
 			}
 			s.lost += lost
 			s.targets[c.Target] = true
@@ -97,11 +97,11 @@
 			}
 		}
 	}
-	return slices.Collect(maps.Values(byPart))
+	return slices.Collect(maps.Values(byPiece))
 }
 
-// isExplained reports whether a guilty part was lost in the crash.
-func (t *Tracker) isExplained(c *Crash, guilty map[Part]*suspicion) bool {
+// isExplained reports whether a guilty piece was lost in the crash.
+func (t *Tracker) isExplained(c *Crash, guilty map[Piece]*suspicion) bool {
 	for p := range guilty {
 		if t.countsAgainst(c, p) {
 			return true
@@ -110,8 +110,8 @@
 	return false
 }
 
-// explainedByOthers reports whether guilty parts explain the crashes of another part.
-func (t *Tracker) explainedByOthers(p Part, guilty map[Part]*suspicion) bool {
+// explainedByOthers reports whether guilty pieces explain the crashes of another piece.
+func (t *Tracker) explainedByOthers(p Piece, guilty map[Piece]*suspicion) bool {
 	crashes, explained := 0, 0
 	for _, c := range t.crashes {
 		if !t.countsAgainst(c, p) {
@@ -125,7 +125,7 @@
 	return explained > 0 && crashes-explained < 2
 }
 
-// countsAgainst reports whether a part was lost in the crash, and not cleared of it.
-func (t *Tracker) countsAgainst(c *Crash, p Part) bool {
-	return c.Lost[p] > 0 && !t.sound.since(p, c.At)
+// countsAgainst reports whether a piece was lost in the crash, and not cleared of it.
+func (t *Tracker) countsAgainst(c *Crash, p Piece) bool {
+	return c.Lost[p] > 0 && !t.healthy.since(p, c.At)
 }
--- a/internal/crashparts/storm_test.go
+++ b/internal/crashpieces/storm_test.go
@@ -1,33 +1,33 @@
-package crashparts
+package crashpieces
 
 import (
 	"math/rand/v2"
 	"time"
 )
 
-// storm simulates targets that answer prompts, some of which share a part that crashes them.
+// storm simulates targets that answer prompts, some of which share a piece that crashes them.
 type storm struct {
 	stormPrompts
 	rng     *rand.Rand
 	tracker *Tracker
 	targets []stormTarget
 	pending []stormAnswer
-	// crashes holds the times of the crashes by the part, lastTarget numbers the targets'
+	// crashes holds the times of the crashes by the piece, lastTarget numbers the targets'
 	// processes.
 	crashes    []time.Duration
 	lastTarget Target
-	// lateBad counts the prompts with the part sent later than blockBound after the fifth
-	// crash, lateSound the sound ones from twice that time on, and refusedSound those of them
+	// lateBad counts the prompts with the piece sent later than blockBound after the fifth
+	// crash, lateHealthy the healthy ones from twice that time on, and refusedHealthy those of them
 	// that were refused.
-	lateBad, lateSound, refusedSound int
+	lateBad, lateHealthy, refusedHealthy int
 }
 
 // stormPrompts describes the prompts of a storm.
 type stormPrompts struct {
-	// position is the place of the part that crashes targets; negative for any place.
+	// position is the place of the piece that crashes targets; negative for any place.
 	position int
-	// badParts is the number of such parts.
-	badParts int
+	// badPieces is the number of such pieces.
+	badPieces int
 	// badShare is the probability of such a prompt in each step.
 	badShare float64
 }
@@ -40,7 +40,7 @@
 type stormAnswer struct {
 	target         int
 	process        Target
-	parts          []Part
+	pieces         []Piece
 	begunAt, endAt time.Duration
 	crashes        bool
 }
@@ -55,10 +55,10 @@
 	stormMaxStart   = 200 * time.Millisecond
 	stormCrashDelay = 30 * time.Millisecond
 	stormMaxAnswer  = 1500 * time.Millisecond
-	// blockBound is the time after the fifth crash from which the part must be blocked.
+	// blockBound is the time after the fifth crash from which the piece must be blocked.
 	blockBound = 3 * time.Second
-	// stormSoundShare is the probability of a sound prompt in each step.
-	stormSoundShare = 0.4
+	// stormHealthyShare is the probability of a healthy prompt in each step.
+	stormHealthyShare = 0.4
 )
 
 func newStorm(seed uint64, p stormPrompts) *storm {
@@ -75,27 +75,27 @@
 		if s.rng.Float64() < s.badShare {
 			s.send(now, s.crashingPrompt(), true)
 		}
-		if s.rng.Float64() < stormSoundShare {
-			s.send(now, []Part{shared, common + Part(s.rng.IntN(8)), 0x1000 + Part(s.rng.IntN(100))}, false)
+		if s.rng.Float64() < stormHealthyShare {
+			s.send(now, []Piece{shared, common + Piece(s.rng.IntN(8)), 0x1000 + Piece(s.rng.IntN(100))}, false)
 		}
 		s.advance(now)
 	}
 }
 
-// crashingPrompt returns the parts of a prompt that crashes its target.
-func (s *storm) crashingPrompt() []Part {
-	parts := []Part{shared, common + Part(s.rng.IntN(8)), 0x1000 + Part(s.rng.IntN(100))}
+// crashingPrompt returns the pieces of a prompt that crashes its target.
+func (s *storm) crashingPrompt() []Piece {
+	pieces := []Piece{shared, common + Piece(s.rng.IntN(8)), 0x1000 + Piece(s.rng.IntN(100))}
 	position := s.position
 	if position < 0 {
-		position = s.rng.IntN(len(parts))
+		position = s.rng.IntN(len(pieces))
 	}
-	parts[position] = bad + Part(s.rng.IntN(s.badParts))
-	return parts
+	pieces[position] = bad + Piece(s.rng.IntN(s.badPieces))
+	return pieces
 }
 
 // send sends a prompt to a target that is up.
-func (s *storm) send(now time.Duration, parts []Part, crashes bool) {
-	blocked := s.tracker.Check(now, parts, func() bool { return true }).Blocked
+func (s *storm) send(now time.Duration, pieces []Piece, crashes bool) {
+	blocked := s.tracker.Check(now, pieces, func() bool { return true }).Blocked
 	s.count(now, blocked, crashes)
 	if blocked {
 		return
@@ -109,7 +109,7 @@
 	if crashes {
 		endAt = begunAt + stormCrashDelay
 	}
-	s.pending = append(s.pending, stormAnswer{target: i, process: s.targets[i].process, parts: parts, begunAt: begunAt, endAt: endAt, crashes: crashes})
+	s.pending = append(s.pending, stormAnswer{target: i, process: s.targets[i].process, pieces: pieces, begunAt: begunAt, endAt: endAt, crashes: crashes})
 }
 
 // count counts a prompt for the checks.
@@ -121,9 +121,9 @@
 	case crashes && !blocked:
 		s.lateBad++
 	case !crashes && now >= s.crashes[4]+2*blockBound:
-		s.lateSound++
+		s.lateHealthy++
 		if blocked {
-			s.refusedSound++
+			s.refusedHealthy++
 		}
 	}
 }
@@ -141,7 +141,7 @@
 			s.targets[a.target] = stormTarget{process: s.lastTarget, backAt: now + stormDowntime}
 			open = append(open, a)
 		default:
-			s.tracker.Answered(a.parts, a.begunAt)
+			s.tracker.Answered(a.pieces, a.begunAt)
 		}
 	}
 	s.pending = nil
@@ -149,11 +149,11 @@
 		switch {
 		case a.process == s.targets[a.target].process:
 			s.pending = append(s.pending, a)
-			if now-a.begunAt >= SoundAfter {
-				s.tracker.Answered(a.parts, a.begunAt)
+			if now-a.begunAt >= HealthyAfter {
+				s.tracker.Answered(a.pieces, a.begunAt)
 			}
-		case now-a.begunAt < SoundAfter:
-			s.tracker.Lost(now, a.process, a.parts)
+		case now-a.begunAt < HealthyAfter:
+			s.tracker.Lost(now, a.process, a.pieces)
 		}
 	}
 }
--- a/internal/crashparts/tracker.go
+++ b/internal/crashpieces/tracker.go
@@ -1,22 +1,22 @@
-package crashparts
+package crashpieces
 
 import (
 	"slices"
 	"time"
 )
 
-// Part identifies a part of prompts.
-type Part uint64
+// Piece identifies a piece of prompts.
+type Piece uint64
 
 // Target identifies a target. It may keep its identity when its process restarts.
 type Target uint64
 
 const (
-	// MinCrashes is the number of crashes without a sound answer at which a part is blocked.
+	// MinCrashes is the number of crashes without a healthy answer at which a piece is blocked.
 	MinCrashes = 4
-	// SoundAfter is how long an answer must have gone on for its parts to be sound. A target
-	// that crashes on a part does so while it writes the first events.
-	SoundAfter = 300 * time.Millisecond
+	// HealthyAfter is how long an answer must have gone on for its pieces to be healthy. A target
+	// that crashes on a piece does so while it writes the first events.
+	HealthyAfter = 300 * time.Millisecond
 	// crashSpacing is the minimum time between two crashes that count separately. Targets that
 	// crash at the same moment have a common cause other than a request.
 	crashSpacing = 100 * time.Millisecond
@@ -25,51 +25,51 @@
 	sameCrashWindow = 500 * time.Millisecond
 	// crashRetention is how long a crash is remembered.
 	crashRetention = time.Minute
-	// maxCrashes bounds the crashes that are remembered, maxPartsPerCrash the parts of each.
-	maxCrashes       = 64
-	maxPartsPerCrash = 64
+	// maxCrashes bounds the crashes that are remembered, maxPiecesPerCrash the pieces of each.
+	maxCrashes        = 64
+	maxPiecesPerCrash = 64
 )
 
 // Crash is the loss of a target, as seen by one instance.
 type Crash struct {
 	Target Target
 	At     time.Duration
-	// Lost is the number of requests lost with the target that count against each part.
-	Lost map[Part]int
+	// Lost is the number of requests lost with the target that count against each piece.
+	Lost map[Piece]int
 }
 
-// Sound is a sound answer to a prompt with a part.
-type Sound struct {
-	Part Part
+// HealthyAnswer is a healthy answer to a prompt with a piece.
+type HealthyAnswer struct {
+	Piece Piece
 	// BegunAt is the time at which the answer began.
 	BegunAt time.Duration
 }
 
-// Tracker holds what one instance knows of crashes and parts. It is not safe for concurrent use.
+// Tracker holds what one instance knows of crashes and pieces. It is not safe for concurrent use.
 type Tracker struct {
 	crashes []*Crash // in the order of their arrival
-	sound   soundAnswers
-	blocks  map[Part]*block
+	healthy healthyAnswers
+	blocks  map[Piece]*block
 	// unreported are the crashes seen by this instance since the last call of TakeReports,
-	// unreportedSound the parts whose sound answers contradict the block of a peer.
-	unreported      []*Crash
-	unreportedSound []Part
-	// reportedSound is the last sound answer to each part that this instance or a peer has
+	// unreportedHealthy the pieces whose healthy answers contradict the block of a peer.
+	unreported        []*Crash
+	unreportedHealthy []Piece
+	// reportedHealthy is the last healthy answer to each piece that this instance or a peer has
 	// reported.
-	reportedSound map[Part]time.Duration
-	changes       []Change
+	reportedHealthy map[Piece]time.Duration
+	changes         []Change
 }
 
 // New returns a Tracker without any evidence.
 func New() *Tracker {
-	return &Tracker{sound: newSoundAnswers(), blocks: map[Part]*block{}, reportedSound: map[Part]time.Duration{}}
+	return &Tracker{healthy: newHealthyAnswers(), blocks: map[Piece]*block{}, reportedHealthy: map[Piece]time.Duration{}}
 }
 
 // Lost records that a request was lost with its target before its answer had gone on for
-// SoundAfter. parts are those that its prompt may share with others.
-func (t *Tracker) Lost(now time.Duration, target Target, parts []Part) {
-	c := &Crash{Target: target, At: now, Lost: map[Part]int{}}
-	for _, p := range parts {
+// HealthyAfter. pieces are those that its prompt may share with others.
+func (t *Tracker) Lost(now time.Duration, target Target, pieces []Piece) {
+	c := &Crash{Target: target, At: now, Lost: map[Piece]int{}}
+	for _, p := range pieces {
 		c.Lost[p]++
 	}
 	t.unreported = merge(t.unreported, c)
@@ -91,7 +91,7 @@
 		return known.Target == c.Target && (known.At-c.At).Abs() < sameCrashWindow
 	})
 	if i < 0 {
-		crashes = append(crashes, &Crash{Target: c.Target, At: c.At, Lost: map[Part]int{}})
+		crashes = append(crashes, &Crash{Target: c.Target, At: c.At, Lost: map[Piece]int{}})
 		if len(crashes) > maxCrashes {
 			crashes = crashes[1:]
 		}
@@ -100,30 +100,30 @@
 	known := crashes[i]
 	known.At = min(known.At, c.At)
 	for p, n := range c.Lost {
-		if _, ok := known.Lost[p]; ok || len(known.Lost) < maxPartsPerCrash {
+		if _, ok := known.Lost[p]; ok || len(known.Lost) < maxPiecesPerCrash {
 			known.Lost[p] += n
 		}
 	}
 	return crashes
 }
 
-// Answered records a sound answer that this instance has relayed to a prompt with these parts.
-func (t *Tracker) Answered(parts []Part, begunAt time.Duration) {
-	for _, p := range parts {
-		t.recordSound(Sound{Part: p, BegunAt: begunAt})
+// Answered records a healthy answer that this instance has relayed to a prompt with these pieces.
+func (t *Tracker) Answered(pieces []Piece, begunAt time.Duration) {
+	for _, p := range pieces {
+		t.recordHealthy(HealthyAnswer{Piece: p, BegunAt: begunAt})
 	}
 }
 
-// ApplySound records a sound answer that a peer has reported.
-func (t *Tracker) ApplySound(s Sound) {
-	t.reportedSound[s.Part] = max(t.reportedSound[s.Part], s.BegunAt)
-	t.recordSound(s)
+// ApplyHealthy records a healthy answer that a peer has reported.
+func (t *Tracker) ApplyHealthy(s HealthyAnswer) {
+	t.reportedHealthy[s.Piece] = max(t.reportedHealthy[s.Piece], s.BegunAt)
+	t.recordHealthy(s)
 }
 
-// recordSound clears the part of the crashes before the answer began, and ends its block if that
+// recordHealthy clears the piece of the crashes before the answer began, and ends its block if that
 // was after the first crash of it.
-func (t *Tracker) recordSound(s Sound) {
-	if t.sound.record(s) {
+func (t *Tracker) recordHealthy(s HealthyAnswer) {
+	if t.healthy.record(s) {
 		t.endBlock(s)
 	}
 }
@@ -131,9 +131,9 @@
 // expire forgets crashes and reports that are too old to count.
 func (t *Tracker) expire(now time.Duration) {
 	t.crashes = slices.DeleteFunc(t.crashes, func(c *Crash) bool { return now-c.At > crashRetention })
-	for p, at := range t.reportedSound {
+	for p, at := range t.reportedHealthy {
 		if now-at > crashRetention {
-			delete(t.reportedSound, p)
+			delete(t.reportedHealthy, p)
 		}
 	}
 }
--- a/internal/crashparts/wire.go
+++ b/internal/crashpieces/wire.go
@@ -1,4 +1,4 @@
-package crashparts
+package crashpieces
 
 import (
 	"time"
@@ -7,31 +7,31 @@
 )
 
 // ToWire returns the messages for reports made at now.
-func (r *Reports) ToWire(now time.Duration) []*wire.PartReport {
-	var out []*wire.PartReport
+func (r *Reports) ToWire(now time.Duration) []*wire.PieceReport {
+	var out []*wire.PieceReport
 	for _, c := range r.Crashes {
-		m := &wire.PartReport{Target: uint64(c.Target), AgeMillis: millis(now, c.At)}
-		for part, n := range c.Lost {
-			m.Lost = append(m.Lost, wire.PartValue{Part: uint64(part), Value: uint64(n)})
+		m := &wire.PieceReport{Target: uint64(c.Target), AgeMillis: millis(now, c.At)}
+		for piece, n := range c.Lost {
+			m.Lost = append(m.Lost, wire.PieceValue{Piece: uint64(piece), Value: uint64(n)})
 		}
 		out = append(out, m)
 	}
-	if len(r.Sound) == 0 {
+	if len(r.Healthy) == 0 {
 		return out
 	}
-	m := &wire.PartReport{}
-	for _, s := range r.Sound {
-		m.Sound = append(m.Sound, wire.PartValue{Part: uint64(s.Part), Value: millis(now, s.BegunAt)})
+	m := &wire.PieceReport{}
+	for _, s := range r.Healthy {
+		m.Healthy = append(m.Healthy, wire.PieceValue{Piece: uint64(s.Piece), Value: millis(now, s.BegunAt)})
 	}
 	return append(out, m)
 }
 
 // BlocksToWire returns the blocks as state that is published at now.
-func (t *Tracker) BlocksToWire(now time.Duration) []wire.BlockedPart {
-	var out []wire.BlockedPart
+func (t *Tracker) BlocksToWire(now time.Duration) []wire.BlockedPiece {
+	var out []wire.BlockedPiece
 	for _, b := range t.Blocks() {
-		out = append(out, wire.BlockedPart{
-			Part: uint64(b.Part), FirstCrashMillis: int64(millis(now, b.FirstCrashAt)), CrashMillis: int64(millis(now, b.CrashAt)),
+		out = append(out, wire.BlockedPiece{
+			Piece: uint64(b.Piece), FirstCrashMillis: int64(millis(now, b.FirstCrashAt)), CrashMillis: int64(millis(now, b.CrashAt)),
 			SeenMillis: int64(millis(now, b.SeenAt)), FailedProbes: b.FailedProbes, Released: b.Released,
 		})
 	}
@@ -39,24 +39,24 @@
 }
 
 // ApplyReport merges a message that a peer made at madeAt.
-func (t *Tracker) ApplyReport(now, madeAt time.Duration, m *wire.PartReport) {
+func (t *Tracker) ApplyReport(now, madeAt time.Duration, m *wire.PieceReport) {
 	if m.Target != 0 {
-		c := &Crash{Target: Target(m.Target), At: before(madeAt, m.AgeMillis), Lost: map[Part]int{}}
+		c := &Crash{Target: Target(m.Target), At: before(madeAt, m.AgeMillis), Lost: map[Piece]int{}}
 		for _, v := range m.Lost {
-			c.Lost[Part(v.Part)] = int(v.Value)
+			c.Lost[Piece(v.Piece)] = int(v.Value)
 		}
 		t.ApplyCrash(now, c)
 	}
-	for _, v := range m.Sound {
-		t.ApplySound(Sound{Part: Part(v.Part), BegunAt: before(madeAt, v.Value)})
+	for _, v := range m.Healthy {
+		t.ApplyHealthy(HealthyAnswer{Piece: Piece(v.Piece), BegunAt: before(madeAt, v.Value)})
 	}
 }
 
 // ApplyBlocks adopts the blocks that a peer published at madeAt.
-func (t *Tracker) ApplyBlocks(now, madeAt time.Duration, blocks []wire.BlockedPart) {
+func (t *Tracker) ApplyBlocks(now, madeAt time.Duration, blocks []wire.BlockedPiece) {
 	for _, b := range blocks {
 		t.ApplyBlock(now, Block{
-			Part: Part(b.Part), FirstCrashAt: before(madeAt, uint64(b.FirstCrashMillis)), CrashAt: before(madeAt, uint64(b.CrashMillis)),
+			Piece: Piece(b.Piece), FirstCrashAt: before(madeAt, uint64(b.FirstCrashMillis)), CrashAt: before(madeAt, uint64(b.CrashMillis)),
 			SeenAt: before(madeAt, uint64(b.SeenMillis)), FailedProbes: b.FailedProbes, Released: b.Released,
 		})
 	}
--- a/internal/entry/enginecrash.go
+++ b/internal/entry/enginecrash.go
@@ -89,13 +89,13 @@
 		return nil
 	}
 	r.pool.markProcessEnded(r.placed.target, r.incarnation)
-	r.server.parts.Lost(r.server.clock.now(), r.placed.target, &r.answer, r.call.parts())
+	r.server.pieces.Lost(r.server.clock.now(), r.placed.target, &r.answer, r.call.pieces())
 	crash := poison.CrashID{Target: r.placed.target, Incarnation: r.incarnation}
 	if r.unregistered {
 		r.server.poison.registerRunning(r.call.id, r.call.fingerprint(), r.call.pool.Name, r.placed.target, r.pool.availableTargets(r.placed.target))
 	}
 	r.admitted = false
-	if d := r.server.poison.reportCrash(r.call.r.Context(), r.call.id, crash); d.Verdict == poison.Quarantined || r.probesPart {
+	if d := r.server.poison.reportCrash(r.call.r.Context(), r.call.id, crash); d.Verdict == poison.Quarantined || r.probesPiece {
 		return quarantineError()
 	}
 	return nil
--- a/internal/entry/enginerun.go
+++ b/internal/entry/enginerun.go
@@ -8,7 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mastictray/mastictray/internal/attempt"
-	"github.com/mastictray/mastictray/internal/crashparts"
+	"github.com/mastictray/mastictray/internal/crashpieces"
 	"github.com/mastictray/mastictray/internal/openai"
 	"github.com/mastictray/mastictray/internal/overload"
 	"github.com/mastictray/mastictray/internal/sse"
@@ -58,9 +58,9 @@
 	unregistered   bool
 	isolatedTarget string
 	// answer is that of the current attempt.
-	answer crashparts.Answer
-	// probesPart is set if the request shows whether a blocked piece still crashes engines.
-	probesPart bool
+	answer crashpieces.Answer
+	// probesPiece is set if the request shows whether a blocked piece still crashes engines.
+	probesPiece bool
 	// lastRejection is the last rejection by a target, to be returned to the
 	// caller.
 	lastRejection error
@@ -79,7 +79,7 @@
 }
 
 func (r *engineRun) runAttempts() error {
-	if err := r.checkParts(); err != nil {
+	if err := r.checkPieces(); err != nil {
 		return err
 	}
 	r.server.retryBudget.AddRequest()
@@ -122,7 +122,7 @@
 	r.closeAttempt()
 	r.call.attempts++
 	r.placed, r.attemptID, r.resultRecorded = pl, attemptID(r.call.call), false
-	r.answer = crashparts.Answer{}
+	r.answer = crashpieces.Answer{}
 	r.incarnation = pl.Identity.Incarnation
 	r.conn = r.stream.Dispatch(r.server.clock.now(), r.attemptID, pl.target)
 	r.openConnection()
@@ -144,7 +144,7 @@
 		if err != nil {
 			return placedAttempt{}, err
 		}
-		if err = r.checkParts(); err == nil {
+		if err = r.checkPieces(); err == nil {
 			err = r.server.recheckBeforeDispatch(r.call)
 		}
 		if err == nil && r.maySend(pl.address) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -39,7 +39,7 @@
 	members  *members
 	pools    *pools
 	poison   *poisonDriver
-	parts    *crashingParts
+	pieces   *crashingPieces
 	server   *server
 	// dialer connects to targets, also through peers; dialDirect does so only directly.
 	dialer     *connrelay.Dialer
@@ -118,11 +118,11 @@
 	e.members.updateListed = e.pools.announcements.applyListed
 	e.members.updateDraining = e.pools.setDraining
 	e.poison = newPoisonDriver(e.clock, e.node)
-	e.parts = newCrashingParts(e.clock, e.node, e.members.livePeers)
+	e.pieces = newCrashingPieces(e.clock, e.node, e.members.livePeers)
 	e.members.poison, e.members.claims, e.members.onReplaced = e.poison, e.claims, e.Drain
 	e.pools.poller.onIncarnation = e.members.observeIncarnation
 	e.server = &server{
-		clock: e.clock, config: e.config, rates: e.rates, claims: e.claims, pools: e.pools, poison: e.poison, parts: e.parts, retryBudget: overload.NewSharedRetryBudget(overload.DefaultRetryRatio, overload.DefaultRetryReserve, overload.DefaultInitialRetries),
+		clock: e.clock, config: e.config, rates: e.rates, claims: e.claims, pools: e.pools, poison: e.poison, pieces: e.pieces, retryBudget: overload.NewSharedRetryBudget(overload.DefaultRetryRatio, overload.DefaultRetryReserve, overload.DefaultInitialRetries),
 		targetClient: newTargetClient(e.dialTarget), dialer: e.dialer, metrics: e.metrics, maxBody: s.MaxBodyBytes,
 	}
 	e.pools.announcements.follow(e.server.targetClient.pooled, e.server.targetClient.unpooled, e.pools.poller.loadClient, e.pools.poller.eventsClient, e.rollouts.httpClient)
@@ -150,7 +150,7 @@
 	e.startBackground(func() { e.rollouts.run(e.ctx) })
 	e.startBackground(func() { e.members.run(e.ctx) })
 	e.startBackground(func() { e.poison.run(e.ctx) })
-	e.startBackground(func() { e.parts.run(e.ctx) })
+	e.startBackground(func() { e.pieces.run(e.ctx) })
 	e.startBackground(func() { e.probePaths(e.ctx) })
 	snapshots := &snapshotter{clock: e.clock, config: e.config, rates: e.rates, log: e.log, incarnation: e.node.Self().Incarnation}
 	e.startBackground(func() { snapshots.run(e.ctx) })
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -29,7 +29,7 @@
 	claims       *claimDriver
 	pools        *pools
 	poison       *poisonDriver
-	parts        *crashingParts
+	pieces       *crashingPieces
 	retryBudget  *overload.SharedRetryBudget
 	targetClient *targetClient
 	dialer       *connrelay.Dialer
--- a/internal/gateway/crashcount.go
+++ b/internal/gateway/crashcount.go
@@ -87,13 +87,13 @@
 	if ctx.Err() != nil || err == nil || c.callerPaused || result != outcomeUnknown && result != outcomeTruncated || !connectionLost(err) {
 		return
 	}
-	g.parts.Lost(g.clock.Now(), a.target.ID, &a.answer, partsOf(c))
+	g.pieces.Lost(g.clock.Now(), a.target.ID, &a.answer, piecesOf(c))
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	n := g.crashes.add(g.clock.Now(), c.fingerprint)
 	g.crashes.unreported = append(g.crashes.unreported, c.fingerprint)
 	logline.Info("crash_counted", "request", c.ID, "target", c.lastTarget, "crashes", n, "of", maxCrashes,
-		"shared_parts", partTexts(partsOf(c)), "events", relay.eventCount, "ran", g.clock.Now()-c.placedAt)
+		"shared_pieces", pieceTexts(piecesOf(c)), "events", relay.eventCount, "ran", g.clock.Now()-c.placedAt)
 }
 
 // connectionLost reports whether an attempt failed because its connection was lost, as when
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -23,7 +23,7 @@
 	evidence := p.g.canaries.takeEvidence()
 	returns := p.g.contention.takeReturns()
 	streams := p.g.origins.takeForPeers(p.g.clock.Now(), p.fleetSize())
-	parts := p.g.parts.takeReports(p.g.clock.Now(), p.fleetSize(), p.g.newRand())
+	pieces := p.g.pieces.takeReports(p.g.clock.Now(), p.fleetSize(), p.g.newRand())
 	request := p.g.exchangeRequest()
 	p.mu.Lock()
 	now := p.g.clock.Now()
@@ -36,8 +36,8 @@
 	for _, s := range streams {
 		p.table.AddEvent(wire.InstanceEvent{Streams: s})
 	}
-	for _, r := range parts {
-		p.table.AddEvent(wire.InstanceEvent{Parts: r})
+	for _, r := range pieces {
+		p.table.AddEvent(wire.InstanceEvent{Pieces: r})
 	}
 	if len(returns) > 0 {
 		p.table.AddEvent(wire.InstanceEvent{Returns: returns})
--- a/internal/gateway/fleetstate.go
+++ b/internal/gateway/fleetstate.go
@@ -24,7 +24,7 @@
 		state.UnreachableTargets += service.unreachableCount()
 	}
 	state.Rollouts = g.canaries.published(state.OrderLease != nil)
-	state.BlockedParts = g.parts.published(g.clock.Now())
+	state.BlockedPieces = g.pieces.published(g.clock.Now())
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	state.LoadingTargets = g.orderedTargets
@@ -94,7 +94,7 @@
 			}
 		}
 		g.contention.applyReport(&changes[i])
-		g.parts.applyPublished(now, &changes[i])
+		g.pieces.applyPublished(now, &changes[i])
 		g.plainLoads.apply(changes[i].At, changes[i].Identity, changes[i].State.PlainLoads)
 		if rows := changes[i].State.Rollouts; len(rows) > 0 {
 			g.canaries.applyPublished(changes[i].At, changes[i].Identity.Instance, rows)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -129,14 +129,14 @@
 	if ctx.Err() != nil || c.attempts() >= max(1, c.route.MaxAttempts) {
 		return false
 	}
-	if c.mayHaveRun && (!c.route.Repeatable() || c.probesPart) {
+	if c.mayHaveRun && (!c.route.Repeatable() || c.probesPiece) {
 		return false
 	}
 	return c.retryCharged.Swap(false) || g.retryBudget(c.service.Name).TakeRetry()
 }
 
 // revalidate checks again what may have changed while the request waited: the
-// configuration, the key, the deadline, and the parts of prompts that crash targets. The
+// configuration, the key, the deadline, and the pieces of prompts that crash targets. The
 // clock shows whether the deadline has passed while the machine was suspended.
 func (g *Gateway) revalidate(c *call) *Refusal {
 	if c.deadline > 0 && g.clock.Now() >= c.deadline {
@@ -152,7 +152,7 @@
 			return unavailableRefusal("route_moved", routeMovedRetry)
 		}
 	}
-	if refusal := g.checkParts(c); refusal != nil {
+	if refusal := g.checkPieces(c); refusal != nil {
 		return refusal
 	}
 	return g.authorize(c)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,7 +22,7 @@
 	"github.com/mastictray/mastictray/internal/membudget"
 	"github.com/mastictray/mastictray/internal/orderlease"
 	"github.com/mastictray/mastictray/internal/overload"
-	"github.com/mastictray/mastictray/internal/partguard"
+	"github.com/mastictray/mastictray/internal/pieceguard"
 	"github.com/mastictray/mastictray/internal/ratecount"
 	"github.com/mastictray/mastictray/internal/routing"
 	"github.com/mastictray/mastictray/internal/targetconn"
@@ -68,8 +68,8 @@
 	plainServices  map[string]*plainService
 	retryBudgets   map[string]*overload.SharedRetryBudget
 	crashes        crashCounts
-	// parts finds the parts of prompts that crash targets. It has a lock of its own.
-	parts crashingParts
+	// pieces finds the pieces of prompts that crash targets. It has a lock of its own.
+	pieces crashingPieces
 
 	newConns newConnections
 
@@ -156,7 +156,7 @@
 		plainServices:    map[string]*plainService{},
 		retryBudgets:     map[string]*overload.SharedRetryBudget{},
 		crashes:          newCrashCounts(),
-		parts:            crashingParts{partguard.New()},
+		pieces:           crashingPieces{pieceguard.New()},
 		planner:          weights.New(weights.DefaultSettings()),
 		rolloutIdleSince: never,
 		dialDirect:       s.DialTarget,
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/mastictray/mastictray/internal/crashparts"
+	"github.com/mastictray/mastictray/internal/crashpieces"
 	"github.com/mastictray/mastictray/internal/directory"
 	"github.com/mastictray/mastictray/internal/dispatch"
 	"github.com/mastictray/mastictray/internal/fairqueue"
@@ -41,7 +41,7 @@
 	memoryFailed    bool
 	failedForMemory func() bool
 	// answer is the answer of the target.
-	answer crashparts.Answer
+	answer crashpieces.Answer
 	// onSend is called before the request is written, with a function that cancels the
 	// attempt and the instance that relays it. onProgress is called for each part of the response that arrives and onAnswer
 	// for each one that is new to the caller, of which the first counts. onEnd is called
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -60,8 +60,8 @@
 	headWritten atomic.Bool
 	// fingerprint is the same for all repeats of a request.
 	fingerprint uint64
-	// probesPart is set if the request shows whether a blocked part still crashes targets.
-	probesPart bool
+	// probesPiece is set if the request shows whether a blocked piece still crashes targets.
+	probesPiece bool
 	// lastTarget is the target of the last attempt, choice the reason for choosing it
 	// and placedAt the time of that choice.
 	lastTarget string
@@ -119,7 +119,7 @@
 	if refusal := g.readBody(ctx, c); refusal != nil {
 		return refusal
 	}
-	if refusal := g.checkParts(c); refusal != nil {
+	if refusal := g.checkPieces(c); refusal != nil {
 		return refusal
 	}
 	if refusal := g.admitWithCurrentConfig(c); refusal != nil {
--- a/internal/wholepath/poison_test.go
+++ b/internal/wholepath/poison_test.go
@@ -10,7 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/mastictray/mastictray/internal/config"
-	"github.com/mastictray/mastictray/internal/crashparts"
+	"github.com/mastictray/mastictray/internal/crashpieces"
 )
 
 const poisonMarker = "POISON"
@@ -118,7 +118,7 @@
 		prompts = 7
 		// Each prompt crashes two engines at once, until as many prompts as crashes are needed
 		// to find the piece have done so.
-		maxCrashed = 2 * crashparts.MinCrashes
+		maxCrashed = 2 * crashpieces.MinCrashes
 	)
 	is := is.New(t)
 	f := newFleet(t, fleetSpec{entries: 3, engines: 2 * prompts, engineFlags: []string{"--crash-on", poisonMarker}})
@@ -128,7 +128,7 @@
 	}
 	for n := range prompts {
 		is.True(send(f.entries[n%len(f.entries)], n).status != 200)
-		time.Sleep(crashparts.SoundAfter) // the crashes of one prompt count as one
+		time.Sleep(crashpieces.HealthyAfter) // the crashes of one prompt count as one
 	}
 	is.True(f.crashedEngines() <= maxCrashed)
 	for i, e := range f.entries {
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -117,18 +117,18 @@
 	SlowTargets []string
 	// MemoryClaims are the origin's claims to room in the memory of targets.
 	MemoryClaims []MemoryClaim
-	// BlockedParts are the parts of prompts that the origin blocks, or has released, because
+	// BlockedPieces are the pieces of prompts that the origin blocks, or has released, because
 	// targets crash.
-	BlockedParts []BlockedPart
+	BlockedPieces []BlockedPiece
 	// NewConnections is the rate of new connections of callers per second, rounded down to a
 	// power of two; 0 for few.
 	NewConnections int
 }
 
-// BlockedPart is a part of prompts that is blocked; see crashparts.Block. Ages are at the time of
+// BlockedPiece is a piece of prompts that is blocked; see crashpieces.Block. Ages are at the time of
 // the update.
-type BlockedPart struct {
-	Part             uint64 `msgpack:"p"`
+type BlockedPiece struct {
+	Piece            uint64 `msgpack:"p"`
 	FirstCrashMillis int64  `msgpack:"f"`
 	CrashMillis      int64  `msgpack:"c"`
 	SeenMillis       int64  `msgpack:"s"`
@@ -138,8 +138,8 @@
 
 // sameBlock reports whether two states of a block differ in their ages only. These are published
 // with other changes.
-func sameBlock(a, b BlockedPart) bool {
-	return a.Part == b.Part && a.FailedProbes == b.FailedProbes && a.Released == b.Released
+func sameBlock(a, b BlockedPiece) bool {
+	return a.Piece == b.Piece && a.FailedProbes == b.FailedProbes && a.Released == b.Released
 }
 
 // MemoryClaim is a claim to room in the memory of a target; see placement.MemoryClaim.
@@ -196,11 +196,11 @@
 		slices.Equal(s.TargetLimits, o.TargetLimits) && slices.Equal(s.Rollouts, o.Rollouts) &&
 		slices.Equal(s.Demand, o.Demand) && maps.Equal(s.PlainLoads, o.PlainLoads) &&
 		slices.Equal(s.TargetRates, o.TargetRates) && slices.Equal(s.SlowTargets, o.SlowTargets) &&
-		slices.Equal(s.MemoryClaims, o.MemoryClaims) && slices.EqualFunc(s.BlockedParts, o.BlockedParts, sameBlock)
+		slices.Equal(s.MemoryClaims, o.MemoryClaims) && slices.EqualFunc(s.BlockedPieces, o.BlockedPieces, sameBlock)
 }
 
 // InstanceEvent is a prefilled prompt, outcomes of attempts, requests that were asked to come
-// back, streams that began, evidence on parts of prompts, or a request that lost the connection to
+// back, streams that began, evidence on pieces of prompts, or a request that lost the connection to
 // its target.
 type InstanceEvent struct {
 	Prompt *PrefilledPrompt
@@ -210,29 +210,29 @@
 	Returns []ReturningRequest
 	// Evidence is set for outcomes of attempts during an ordered rollout.
 	Evidence *RolloutEvidence
-	// Parts is set for evidence on parts of prompts under which targets crash.
-	Parts *PartReport
+	// Pieces is set for evidence on pieces of prompts under which targets crash.
+	Pieces *PieceReport
 	// CrashFingerprint is the fingerprint of a request that lost the connection to its
 	// target, probably by a crash; 0 for none.
 	CrashFingerprint uint64
 }
 
-// PartReport is a crash of a target, with the parts of prompts that count against, and the last
-// sound answers to parts; see crashparts. Ages are at the time of the update.
-type PartReport struct {
-	// Target identifies the target that crashed; 0 if there are sound answers only.
-	Target    uint64      `msgpack:"t,omitempty"`
-	AgeMillis uint64      `msgpack:"a,omitempty"`
-	Lost      []PartValue `msgpack:"l,omitempty"` // with the number of requests lost
-	Sound     []PartValue `msgpack:"s,omitempty"` // with the milliseconds since the answer began
+// PieceReport is a crash of a target, with the pieces of prompts that count against, and the last
+// healthy answers to pieces; see crashpieces. Ages are at the time of the update.
+type PieceReport struct {
+	// Target identifies the target that crashed; 0 if there are healthy answers only.
+	Target    uint64       `msgpack:"t,omitempty"`
+	AgeMillis uint64       `msgpack:"a,omitempty"`
+	Lost      []PieceValue `msgpack:"l,omitempty"` // with the number of requests lost
+	Healthy   []PieceValue `msgpack:"s,omitempty"` // with the milliseconds since the answer began
 }
 
-// PartValue is a part of prompts with a number.
-type PartValue struct {
+// PieceValue is a piece of prompts with a number.
+type PieceValue struct {
 	//lint:ignore U1000 the codec reads its tag
 	_msgpack struct{} `msgpack:",as_array"`
 
-	Part, Value uint64
+	Piece, Value uint64
 }
 
 // ReturningRequest is a refused request that goes ahead of new ones when it comes back.
--- a/internal/wire/update.go
+++ b/internal/wire/update.go
@@ -23,10 +23,10 @@
 	returnFields  = 2
 	// streamsFields is the length of an event with streams that began.
 	streamsFields = 3
-	// partReportFields is the length of an event with evidence on parts of prompts,
-	// partValueFields the number of items per part in its flat arrays.
-	partReportFields = 4
-	partValueFields  = 2
+	// pieceReportFields is the length of an event with evidence on pieces of prompts,
+	// pieceValueFields the number of items per piece in its flat arrays.
+	pieceReportFields = 4
+	pieceValueFields  = 2
 )
 
 // optionalState holds the fields of InstanceState that are empty for most
@@ -49,13 +49,13 @@
 	Rates   []TargetRate      `msgpack:"r,omitempty"`
 	Slow    []string          `msgpack:"w,omitempty"`
 	Claims  []MemoryClaim     `msgpack:"g,omitempty"`
-	Parts   []BlockedPart     `msgpack:"b,omitempty"`
+	Pieces  []BlockedPiece    `msgpack:"b,omitempty"`
 	Conns   int               `msgpack:"h,omitempty"`
 }
 
 func (s *InstanceState) optional() *optionalState {
 	lists := len(s.LoadingTargets) + len(s.CacheStores) + len(s.SilentTargets) + len(s.OverdueInstances) + len(s.TargetLimits) + len(s.Rollouts) +
-		len(s.Demand) + len(s.PlainLoads) + len(s.TargetRates) + len(s.SlowTargets) + len(s.MemoryClaims) + len(s.BlockedParts)
+		len(s.Demand) + len(s.PlainLoads) + len(s.TargetRates) + len(s.SlowTargets) + len(s.MemoryClaims) + len(s.BlockedPieces)
 	if !s.Leaving && !s.StoreUnreachable && !s.StoreContactStale && s.BlockedTargets+s.UnreachableTargets+s.NewConnections == 0 && s.OrderLease == nil && lists == 0 {
 		return nil
 	}
@@ -63,7 +63,7 @@
 		Leaving: s.Leaving, Cut: s.StoreUnreachable, Stale: s.StoreContactStale, Orders: s.OrderLease, Loading: s.LoadingTargets, Stores: s.CacheStores,
 		Silent: s.SilentTargets, Overdue: s.OverdueInstances, Limits: s.TargetLimits, Rolls: s.Rollouts,
 		Blocked: s.BlockedTargets, Unreach: s.UnreachableTargets,
-		Demand: s.Demand, Plain: s.PlainLoads, Rates: s.TargetRates, Slow: s.SlowTargets, Claims: s.MemoryClaims, Parts: s.BlockedParts, Conns: s.NewConnections,
+		Demand: s.Demand, Plain: s.PlainLoads, Rates: s.TargetRates, Slow: s.SlowTargets, Claims: s.MemoryClaims, Pieces: s.BlockedPieces, Conns: s.NewConnections,
 	}
 }
 
@@ -108,7 +108,7 @@
 }
 
 // encodeEvents writes an array of the first event's number and the events. An
-// event is an array for a prompt, outcomes, returning requests, streams or evidence on parts, of
+// event is an array for a prompt, outcomes, returning requests, streams or evidence on pieces, of
 // different lengths, and an integer for a crash.
 func encodeEvents(e *msgpack.Encoder, first uint64, events []InstanceEvent) error {
 	err := firstError(e.EncodeArrayLen(1+len(events)), e.EncodeUint(first))
@@ -125,8 +125,8 @@
 			err = firstError(err, e.EncodeArrayLen(streamsFields), e.EncodeString(s.Service), e.EncodeString(s.Software), encodeNumbers(e, s.Streams))
 			continue
 		}
-		if event.Parts != nil {
-			err = firstError(err, encodePartReport(e, event.Parts))
+		if event.Pieces != nil {
+			err = firstError(err, encodePieceReport(e, event.Pieces))
 			continue
 		}
 		if event.Prompt == nil {
@@ -163,15 +163,15 @@
 	return firstError(e.EncodeArrayLen(returnsFields), encodeNumbers(e, numbers))
 }
 
-func encodePartReport(e *msgpack.Encoder, r *PartReport) error {
-	return firstError(e.EncodeArrayLen(partReportFields), e.EncodeUint(r.Target), e.EncodeUint(r.AgeMillis),
-		encodePartValues(e, r.Lost), encodePartValues(e, r.Sound))
+func encodePieceReport(e *msgpack.Encoder, r *PieceReport) error {
+	return firstError(e.EncodeArrayLen(pieceReportFields), e.EncodeUint(r.Target), e.EncodeUint(r.AgeMillis),
+		encodePieceValues(e, r.Lost), encodePieceValues(e, r.Healthy))
 }
 
-func encodePartValues(e *msgpack.Encoder, values []PartValue) error {
-	numbers := make([]uint64, 0, partValueFields*len(values))
+func encodePieceValues(e *msgpack.Encoder, values []PieceValue) error {
+	numbers := make([]uint64, 0, pieceValueFields*len(values))
 	for _, v := range values {
-		numbers = append(numbers, v.Part, v.Value)
+		numbers = append(numbers, v.Piece, v.Value)
 	}
 	return encodeNumbers(e, numbers)
 }
@@ -230,7 +230,7 @@
 		u.State.LoadingTargets, u.State.CacheStores, u.State.SilentTargets, u.State.OverdueInstances = s.Loading, s.Stores, s.Silent, s.Overdue
 		u.State.TargetLimits, u.State.Rollouts, u.State.BlockedTargets, u.State.UnreachableTargets = s.Limits, s.Rolls, s.Blocked, s.Unreach
 		u.State.Demand, u.State.PlainLoads, u.State.TargetRates, u.State.SlowTargets = s.Demand, s.Plain, s.Rates, s.Slow
-		u.State.MemoryClaims, u.State.BlockedParts, u.State.NewConnections = s.Claims, s.Parts, s.Conns
+		u.State.MemoryClaims, u.State.BlockedPieces, u.State.NewConnections = s.Claims, s.Pieces, s.Conns
 	}
 	u.Spent = r.spent()
 	u.FirstEvent, u.Events = r.events()
@@ -317,9 +317,9 @@
 		return InstanceEvent{Streams: &BegunStreams{
 			Service: readField(r, r.d.DecodeString), Software: readField(r, r.d.DecodeString), Streams: r.numbers(),
 		}}
-	case n == partReportFields:
-		return InstanceEvent{Parts: &PartReport{
-			Target: readField(r, r.d.DecodeUint64), AgeMillis: readField(r, r.d.DecodeUint64), Lost: r.partValues(), Sound: r.partValues(),
+	case n == pieceReportFields:
+		return InstanceEvent{Pieces: &PieceReport{
+			Target: readField(r, r.d.DecodeUint64), AgeMillis: readField(r, r.d.DecodeUint64), Lost: r.pieceValues(), Healthy: r.pieceValues(),
 		}}
 	case n != promptFields:
 		r.err = errors.Wrapf(ErrFrameMalformed, "event with %d fields", n)
@@ -342,10 +342,10 @@
 	return out
 }
 
-func (r *updateReader) partValues() []PartValue {
-	var out []PartValue
-	for numbers := r.numbers(); len(numbers) >= partValueFields; numbers = numbers[partValueFields:] {
-		out = append(out, PartValue{Part: numbers[0], Value: numbers[1]})
+func (r *updateReader) pieceValues() []PieceValue {
+	var out []PieceValue
+	for numbers := r.numbers(); len(numbers) >= pieceValueFields; numbers = numbers[pieceValueFields:] {
+		out = append(out, PieceValue{Piece: numbers[0], Value: numbers[1]})
 	}
 	return out
 }
