--- a/internal/linkproxy/proxy.go
+++ b/internal/linkproxy/proxy.go
@@ -6,8 +6,11 @@
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // State is how a proxy treats the data that it forwards.
@@ -67,15 +70,31 @@
 	return p
 }
 
-// listen accepts connections at the proxy's address. The caller holds p.mu or is New.
+// listen accepts connections at the proxy's address. While an outgoing connection of the machine
+// uses the port, the link stays down. The caller holds p.mu or is New.
 func (p *Proxy) listen() {
 	l, err := net.Listen("tcp", p.address)
-	if err != nil {
+	switch {
+	case err == nil:
+		p.listener, p.address = l, l.Addr().String()
+		go p.accept(l)
+	case errors.Is(err, syscall.EADDRINUSE):
+		time.AfterFunc(listenRetryInterval, p.listenAgain)
+	default:
 		p.t.Errorf("listen for %s: %v", p.backend, err)
-		return
 	}
-	p.listener, p.address = l, l.Addr().String()
-	go p.accept(l)
+}
+
+// listenRetryInterval is the time between two attempts to listen at a port that is in use.
+const listenRetryInterval = 50 * time.Millisecond
+
+// listenAgain listens unless the link is down again.
+func (p *Proxy) listenAgain() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.state != Down && p.listener == nil {
+		p.listen()
+	}
 }
 
 // Address returns the address of the proxy, an ip:port.
@@ -86,9 +105,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch {
-	case s == Down && p.state != Down:
+	case s == Down && p.listener != nil:
 		p.listener.Close()
-	case s != Down && p.state == Down:
+		p.listener = nil
+	case s != Down && p.state == Down && p.listener == nil:
 		p.listen()
 	}
 	p.state = s
