gateway: one instance probes a blocked piece also while the store is down

Cause: the prober was the instance of rank 0 among those that reach the store; if none does, each one has that rank. Change: the first of all that report, whatever reaches the store.

--- a/internal/gateway/crashingpieces.go
+++ b/internal/gateway/crashingpieces.go
@@ -70,7 +70,7 @@
 	if c.probesPiece {
 		return nil
 	}
-	v := g.pieces.Check(g.clock.Now(), c.ID, piecesOf(c), func() bool { return g.peers.rank() == 0 })
+	v := g.pieces.Check(g.clock.Now(), c.ID, piecesOf(c), g.peers.isFirstReporting)
 	c.probesPiece = v.Probe
 	if !v.Blocked {
 		return nil
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -351,6 +351,20 @@
 	return rank
 }
 
+// isFirstReporting reports whether this instance ranks before all peers with a fresh update,
+// whether or not they reach the store.
+func (p *peers) isFirstReporting() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now, self := p.g.clock.Now(), p.hubInstance()
+	for _, s := range p.known {
+		if !s.state.Leaving && p.isFresh(now, s) && hubs.Compare(s.hubInstance(), self) < 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // isFleetReader reports whether this instance reads the store's feeds for the fleet.
 func (p *peers) isFleetReader() bool { return !p.g.draining.Load() && p.rank() == 0 }
 
