review: three lost answers refuse a page to all its readers

CONFIG (added routes in steady state): one of three servers loses one answer in 20 for 4 s. All clients of an added safe route read the same page. It takes the place of the case of a config without routes, which may not be valid for the store.

--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -31,7 +31,7 @@
 
 // book sends a booking, which may run at most once.
 func book(c *client, g *gateway) *request {
-	return c.do(g, http.MethodPost, "/pose/rdv", key, []byte("flue 7"), bookBudget)
+	return c.do(g, http.MethodPost, "/pose/rdv", key, fmt.Appendf(nil, "flue %d", c.w.nextID.Load()), bookBudget)
 }
 
 // playForeignEntry: another writer leaves an entry with fields missing beside that of a server, which
@@ -156,6 +156,29 @@
 	return pages * int64(os.Getpagesize())
 }
 
+// unreadBytes returns what has arrived for a process and was not read yet, by the local port.
+func unreadBytes(address string) int64 {
+	raw, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		return 0
+	}
+	_, port, _ := net.SplitHostPort(address)
+	number, _ := strconv.Atoi(port)
+	local := fmt.Sprintf(":%04X", number)
+	total := int64(0)
+	for _, line := range strings.Split(string(raw), "\n") {
+		fields := strings.Fields(line)
+		const stateField, queueField, established, closeWait = 3, 4, "01", "08"
+		if len(fields) <= queueField || !strings.HasSuffix(fields[1], local) || fields[stateField] != established && fields[stateField] != closeWait {
+			continue
+		}
+		_, unread, _ := strings.Cut(fields[queueField], ":")
+		n, _ := strconv.ParseInt(unread, 16, 64)
+		total += n
+	}
+	return total
+}
+
 // enforceMemory kills the process of a machine when it has more than its memory, and starts it again
 // a little later, as the platform does, until done is closed. It returns how often.
 func (w *world) enforceMemory(g *gateway, limit int64, done <-chan struct{}) (killed int, peak int64) {
@@ -165,7 +188,7 @@
 			return killed, peak
 		case <-time.After(2 * time.Millisecond):
 		}
-		m := residentBytes(g.pid())
+		m := residentBytes(g.pid()) + unreadBytes(g.front)
 		peak = max(peak, m)
 		if m <= limit || g.hasExited() {
 			continue
@@ -361,8 +384,27 @@
 	return exitHeld, nil
 }
 
-// playRoutesEmptied: a config removes the last route.
-func playRoutesEmptied(folder string, trouble bool) (int, error) {
+const (
+	boardPath = "/tableau/jour"
+	// loseTime is how long one of the three servers loses one answer in loseOneIn (for_s 4, x 0.05
+	// in the site file).
+	loseTime  = 4 * time.Second
+	loseOneIn = 20
+	// stableTime is stable-ms, watchTime how long the steady state is looked at after that.
+	stableTime = 3 * time.Second
+	watchTime  = 30 * time.Second
+	// minAsked is the number of requests on added routes from which the rule applies.
+	minAsked = 20
+)
+
+// readBoard reads the board of the day, which is the same for all.
+func readBoard(c *client, g *gateway) *request {
+	return c.do(g, http.MethodGet, boardPath, key, nil, bookBudget)
+}
+
+// playLostReads: all clients read one page of a route that was added, and one server loses some of
+// its answers for a while.
+func playLostReads(folder string, trouble bool) (int, error) {
 	w, err := newWorld(folder, trouble, ocfvMemoryMB)
 	if w != nil {
 		defer w.close()
@@ -370,40 +412,55 @@
 	if err != nil {
 		return exitNotRun, err
 	}
-	stop := w.load(8, 100*time.Millisecond, book)
-	time.Sleep(4 * time.Second)
 	next := config(2, []any{tenant(tenantName, key)})
-	if routes := next["routes"].([]any); trouble {
-		next["routes"] = []any{}
-	} else {
-		next["routes"] = routes[1:] // without the route of the bookings
-	}
+	next["routes"] = append(next["routes"].([]any), map[string]any{
+		"name": "tableau", "host": "rdv.example", "path-prefix": "/tableau/", "kind": "safe", "timeout-ms": 600,
+		"target-latency-ms": 100, "priority": 2, "service": "portail", "max-attempts": 2, "allow-anonymous": false,
+	})
 	w.store.put("keyed.op", "config", next)
-	removedAt := time.Now()
-	w.note("config 2 without the route of the bookings is acknowledged")
-	time.Sleep(configBound + 4*time.Second)
-	requests := stop()
-	w.noteAll(requests)
-	ran := map[string]arrival{}
-	for _, a := range w.arrivals() {
-		if a.ran {
-			ran[a.id] = a
+	w.note("config 2 adds the route tableau, acknowledged")
+	time.Sleep(configBound + stableTime)
+	stopBookings := w.load(6, 100*time.Millisecond, book)
+	stopReads := w.load(24, 300*time.Millisecond, readBoard)
+	time.Sleep(4 * time.Second)
+	if trouble {
+		s := w.servers[0]
+		s.loseAnswers(loseOneIn)
+		w.note("%s loses one answer in %d", s.id, loseOneIn)
+		time.Sleep(loseTime)
+		s.loseAnswers(0)
+		w.note("%s loses no more answers", s.id)
+	}
+	time.Sleep(stableTime)
+	steadyAt := time.Now()
+	w.note("steady state begins")
+	time.Sleep(watchTime)
+	reads, bookings := stopReads(), stopBookings()
+	w.noteAll(append(append([]*request{}, bookings...), reads...))
+	share := func(name string, requests []*request) (asked int, served float64) {
+		ends := map[string]int{}
+		for _, r := range requests {
+			if r.sentAt.Before(steadyAt) {
+				continue
+			}
+			asked++
+			if r.status == http.StatusOK && r.err == nil {
+				served++
+			}
+			ends[strconv.Itoa(r.status)]++
 		}
+		w.note("steady state, %s: %d asked, %.0f served, by status %v", name, asked, served, ends)
+		fmt.Printf("%s asked=%d served=%.0f %v\n", name, asked, served, ends)
+		return asked, served / float64(max(1, asked))
 	}
-	late, after := 0, 0
-	for _, r := range requests {
-		if r.sentAt.Sub(removedAt) <= configBound {
-			continue
-		}
-		after++
-		if a, ok := ran[r.id]; ok {
-			late++
-			w.note("ran: %s sent %.3f s after the acknowledgement, at %s, the client gets %s", r.id, r.sentAt.Sub(removedAt).Seconds(), a.server, r.end())
+	asked, added := share("added route", reads)
+	_, first := share("first route", bookings)
+	for _, g := range w.gateways {
+		for _, line := range g.logLines("crash_counted") {
+			w.note("log of %s: %s", g.name, line)
 		}
 	}
-	w.note("%d bookings sent later than config-apply-ms, %d of them ran", after, late)
-	fmt.Printf("after=%d ran=%d\n", after, late)
-	if late > 0 {
+	if asked >= minAsked && added < first/4 {
 		return exitBroken, nil
 	}
 	return exitHeld, nil
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -249,7 +249,7 @@
 	"tenants-emptied": playTenantsEmptied,
 	"stalled-upload":  playStalledUpload,
 	"uploads":         playUploads,
-	"routes-emptied":  playRoutesEmptied,
+	"lost-reads":      playLostReads,
 }
 
 func main() {
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -34,6 +34,8 @@
 	state    string
 	arrivals []arrival
 	stopped  bool
+	// loseOneIn is how many answers there are for each that is lost; ranSince counts them.
+	loseOneIn, ranSince int
 }
 
 const (
@@ -93,6 +95,33 @@
 	return time.Now()
 }
 
+// loseAnswers makes the server lose one answer in so many, by a reset of the channel; 0 for none.
+func (s *server) loseAnswers(oneIn int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loseOneIn, s.ranSince = oneIn, 0
+}
+
+// losesAnswer reports whether the answer to a request that ran is lost.
+func (s *server) losesAnswer() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ranSince++
+	return s.loseOneIn > 0 && s.ranSince%s.loseOneIn == 0
+}
+
+// resetChannel ends the channel of a request with a reset.
+func resetChannel(w http.ResponseWriter) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // leave ends the server: its channels end and its entry is removed.
 func (s *server) leave() {
 	s.mu.Lock()
@@ -158,6 +187,10 @@
 	s.record(a)
 	time.Sleep(s.work)
 	<-s.slots
+	if s.losesAnswer() {
+		resetChannel(w)
+		return
+	}
 	if leaving {
 		w.Header().Set("Connection", "close")
 	}
