gateway: a line and a counter for each rejection by a target that bears few

The hypotheses on silent targets differ in what share of the target's slots the rejected instances have, in the fleet by which they count, and in whether they had given up requests there. target_room tells only that the room was lowered, by the first of them.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -164,7 +164,7 @@
 		g.limits.observe(c.placedAt, a.target.Incarnation(), info.Limit)
 	}
 	if info.NotRun {
-		g.limits.recordRejection(c.placedAt, &a.target)
+		g.recordRejection(c, &a.target)
 	}
 	if info.Leaving && (info.Signed || info.NotRun) {
 		g.recordLeaving(c, a.target.Incarnation())
@@ -186,6 +186,17 @@
 	return relay.relayResponse(ctx, a, conn, resp)
 }
 
+// recordRejection records that a target had no room for a request.
+func (g *Gateway) recordRejection(c *call, target *directory.Registration) {
+	v := g.limits.recordRejection(c.placedAt, target)
+	if !v.limited {
+		return
+	}
+	g.metrics.limitedTargetRejected(v)
+	logline.Info("target_rejected", "target", target.ID, "born", target.StartedMs, "request", c.ID, "sent", g.clock.Now()-c.placedAt,
+		"share", v.share, "slots", target.Slots, "fleet", v.fleet)
+}
+
 // recordRefusal records that a target refused a request as a whole, and the pause that it asked
 // for; 0 for none.
 func (g *Gateway) recordRefusal(c *call, id directory.Incarnation, pause time.Duration) {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -72,6 +72,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`mastictray_streams_continued_total{by=%q}`, by)).Inc()
 }
 
+// limitedTargetRejected counts a request that was rejected by a target that bears few rejections.
+func (m *gatewayMetrics) limitedTargetRejected(v rejectionView) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`mastictray_limited_target_rejections_total{share="%t"}`, v.share > 0)).Inc()
+}
+
 func (m *gatewayMetrics) answerAborted() {
 	m.set.GetOrCreateCounter(`mastictray_broken_off_total`).Inc()
 }
--- a/internal/gateway/targetlimits.go
+++ b/internal/gateway/targetlimits.go
@@ -113,14 +113,29 @@
 	return !limited || inFlight < limit
 }
 
-// recordRejection records that a target rejected a request sent at the given time.
-func (t *targetLimits) recordRejection(sent time.Duration, target *directory.Registration) {
+// rejectionView is what this instance assumed of a target that rejected a request.
+type rejectionView struct {
+	// limited is set if the target has stated how many rejections it can bear.
+	limited bool
+	// share is the instance's share of its slots, fleet the number of instances by which they
+	// were divided.
+	share, fleet int
+}
+
+// recordRejection records that a target rejected a request sent at the given time, and returns
+// what was assumed when it did.
+func (t *targetLimits) recordRejection(sent time.Duration, target *directory.Registration) rejectionView {
+	id := target.Incarnation()
 	t.mu.Lock()
-	room, lowered := t.limiter.RecordRejection(t.now(), sent, target.Incarnation(), target.Slots)
+	var v rejectionView
+	v.share, v.limited = t.limiter.MaxInFlight(t.now(), id, target.Slots)
+	v.fleet = t.limiter.FleetSize()
+	room, lowered := t.limiter.RecordRejection(t.now(), sent, id, target.Slots)
 	t.mu.Unlock()
 	if lowered {
 		logline.Info("target_room", "target", target.ID, "born", target.StartedMs, "room", room, "slots", target.Slots)
 	}
+	return v
 }
 
 // canSend reports whether this instance may send a request to a target now.
