gateway: a request that was given up takes room until its target has seen that

What callers saw: targets that had been silent for a second failed, and took what they ran with them.

For targets that state how many rejections they can bear, an attempt now ends in two steps. Cancelling it closes the sending side of the connection only. The request goes on to take its part of the share until the target closes its side, or for 10 s. A target that drops requests whose connection closes does so within milliseconds; one that stands still can't.

Class: a bound that is kept only while answers come.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -39,8 +39,11 @@
 	a.relay = connrelay.RelayOf(conn.NetConn())
 	c.lastRelay = a.relay
 	c.generation.begin(a)
-	a.onSend(conn.Close, a.relay, g.cancelPolicyFor(c))
-	stop := context.AfterFunc(ctx, conn.Close)
+	if g.limits.bearsFewRejections(a.target.Incarnation()) {
+		conn.KeepReceiving()
+	}
+	a.onSend(conn.Cancel, a.relay, g.cancelPolicyFor(c))
+	stop := context.AfterFunc(ctx, conn.Cancel)
 	result, err := g.roundTrip(ctx, c, a, relay, conn)
 	result = c.generation.resolve(ctx, result)
 	if !stop() {
@@ -50,13 +53,17 @@
 	// close a connection that may serve another request by then.
 	var counted overload.Result
 	counted, a.pathFailed = g.attemptResult(ctx, a, conn, result, err)
+	abandoned := result != outcomeDelivered && result != outcomeNotRun && g.limits.abandon(a.target.Incarnation())
 	a.onEnd(counted)
-	if result == outcomeDelivered {
+	switch {
+	case abandoned:
+		go g.releaseAbandoned(conn, a.target.Incarnation())
+	case result == outcomeDelivered:
 		if err == nil {
 			g.noteAnswer(c, a, true)
 		}
 		g.targets.Put(conn)
-	} else {
+	default:
 		conn.Close()
 	}
 	if result != outcomeDelivered && result != outcomeStopped {
@@ -68,6 +75,23 @@
 	return result
 }
 
+// abandonedTimeout is how long a request that was given up takes room at a target that does not
+// close its connection.
+const abandonedTimeout = 10 * time.Second
+
+// releaseAbandoned closes the connection of a request that was given up, and releases the room that
+// it takes at its target.
+func (g *Gateway) releaseAbandoned(conn *targetconn.Conn, id directory.Incarnation) {
+	startedAt := g.clock.Now()
+	if !conn.AwaitClose(abandonedTimeout) {
+		logline.InfoSampled("abandoned_unconfirmed", "target", id.ID, "born", id.StartedMs, "waited", g.clock.Now()-startedAt)
+		if left := startedAt + abandonedTimeout - g.clock.Now(); left > 0 {
+			time.Sleep(left) // a relayed connection doesn't tell
+		}
+	}
+	g.limits.release(id)
+}
+
 // observeAttempt records the outcome of an attempt for a rollout of its service's software.
 // Outcomes that say nothing about the software don't count: the target did not get the request or
 // did not run it, or the caller or this instance ended it.
@@ -222,7 +246,7 @@
 // would otherwise take all the time until the deadline.
 func (g *Gateway) send(ctx context.Context, c *call, conn *targetconn.Conn, req *targetconn.Request) (*http.Response, error) {
 	if wait := g.attemptTimeout(c); wait > 0 {
-		t := time.AfterFunc(wait, conn.Close)
+		t := time.AfterFunc(wait, conn.Cancel)
 		defer t.Stop()
 	}
 	return conn.Send(ctx, req, func(resp *http.Response) bool { return g.dialect.MatchesRequest(c.Request, resp) })
--- a/internal/gateway/targetlimits.go
+++ b/internal/gateway/targetlimits.go
@@ -138,6 +138,29 @@
 	return v
 }
 
+// bearsFewRejections reports whether a target has stated how many rejections it can bear.
+func (t *targetLimits) bearsFewRejections(id directory.Incarnation) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, limited := t.limiter.MaxInFlight(t.now(), id, 0)
+	return limited
+}
+
+// abandon records that a request was given up that its target may still have; see
+// targetlimit.Limiter.Abandon.
+func (t *targetLimits) abandon(id directory.Incarnation) (ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.limiter.Abandon(id)
+}
+
+// release records that a target no longer has an abandoned request.
+func (t *targetLimits) release(id directory.Incarnation) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.limiter.Release(id)
+}
+
 // canSend reports whether this instance may send a request to a target now.
 func (t *targetLimits) canSend(id directory.Incarnation) bool {
 	t.mu.Lock()
--- a/internal/targetconn/conn.go
+++ b/internal/targetconn/conn.go
@@ -49,7 +49,9 @@
 	idleTimeout time.Duration
 	reused      bool
 	broken      bool
-	writeDone   chan error // receives the result of a concurrent write; nil after an inline write
+	// keepReceiving makes Cancel close the sending side only.
+	keepReceiving bool
+	writeDone     chan error // receives the result of a concurrent write; nil after an inline write
 }
 
 // limitedReader fails after remaining bytes if bounded is set.
@@ -99,7 +101,7 @@
 
 // Send writes the request and reads the head of its response. It skips responses
 // for which matches returns false: they belong to earlier requests on this
-// connection. Send does not observe the context; Close cancels the exchange.
+// connection. Send does not observe the context; Cancel ends the exchange.
 func (c *Conn) Send(ctx context.Context, r *Request, matches func(*http.Response) bool) (*http.Response, error) {
 	if err := c.write(r.encode()); err != nil {
 		return nil, err
@@ -207,6 +209,48 @@
 	_ = c.netConn.Close()
 }
 
+// KeepReceiving makes Cancel leave the receiving side of the connection open, so that AwaitClose can
+// tell when the target has seen that the exchange is cancelled.
+func (c *Conn) KeepReceiving() { c.keepReceiving = true }
+
+// Cancel makes the exchange fail and closes the connection, or only its sending side after
+// KeepReceiving. It may be called at any time, also during an exchange.
+func (c *Conn) Cancel() {
+	half, ok := c.netConn.(interface{ CloseWrite() error })
+	if !c.keepReceiving || !ok {
+		c.Close()
+		return
+	}
+	// An error means that the connection is closed, which makes the exchange fail as well.
+	_ = half.CloseWrite()
+	_ = c.netConn.SetReadDeadline(longAgo)
+}
+
+// longAgo makes pending reads fail.
+var longAgo = time.Unix(1, 0)
+
+// maxDiscardedBytes bounds what AwaitClose reads. A target that sends that much is not silent, and
+// fails to write once the connection is closed.
+const maxDiscardedBytes = 1 << 20
+
+// AwaitClose closes the sending side of the connection, waits until the target has closed its own or
+// the timeout is over, and closes the connection. It reports whether the target has seen that the
+// exchange is over: a target that stands still has not, and will still read the request.
+func (c *Conn) AwaitClose(timeout time.Duration) bool {
+	defer c.Close()
+	half, ok := c.netConn.(interface{ CloseWrite() error })
+	if !ok {
+		return false
+	}
+	_ = half.CloseWrite() // after an error, the read tells more
+	if err := c.netConn.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+		return errors.Is(err, net.ErrClosed)
+	}
+	_, err := io.CopyN(io.Discard, c.netConn, maxDiscardedBytes)
+	var netErr net.Error
+	return !errors.As(err, &netErr) || !netErr.Timeout()
+}
+
 // isReusable reports whether an idle connection is open and has nothing to read.
 // On a closed connection the next request would be lost without any information
 // whether it was executed. Unexpected bytes would be read as its response.
--- a/internal/targetlimit/limiter.go
+++ b/internal/targetlimit/limiter.go
@@ -24,6 +24,9 @@
 // room then recovers step by step. Each instance that is rejected also pauses for
 // long enough that all of them together stay within the number stated.
 //
+// A request that is given up keeps its part of the share until the target is seen to have closed
+// its connection: a target that is silent still has it, and rejects it once it goes on.
+//
 // An instance that has a share at no target of a service may have one request in
 // flight at those whose room is not lowered: only a rejection shows that the slots
 // are too few for that.
@@ -121,6 +124,9 @@
 	pausedUntil time.Duration
 	// roomChangedAt is when this instance learned of the current room.
 	roomChangedAt time.Duration
+	// abandoned is the number of requests of this instance that were given up and that the target
+	// may still have.
+	abandoned int
 }
 
 // New returns a Limiter for the instance self, which starts at now.
@@ -278,9 +284,28 @@
 	return out
 }
 
+// Abandon records that a request to a target that must reject little was given up, before it was
+// known whether the target has seen that. Until Release it takes room there, since a silent target
+// goes on with all that it was sent. ok is false if the target bears any number of rejections.
+func (l *Limiter) Abandon(id directory.Incarnation) (ok bool) {
+	t := l.targets[id]
+	if t == nil || t.Rejections == 0 {
+		return false
+	}
+	t.abandoned++
+	return true
+}
+
+// Release records that a target no longer has an abandoned request.
+func (l *Limiter) Release(id directory.Incarnation) {
+	if t := l.targets[id]; t != nil && t.abandoned > 0 {
+		t.abandoned--
+	}
+}
+
 // SlotShare returns this instance's share of the slots of a target that must reject
-// little; 0 if it has none. The first instances in the target's rendezvous order get the
-// slots that remain after equal shares.
+// little, less those that abandoned requests may still take; 0 if it has none. The first instances
+// in the target's rendezvous order get the slots that remain after equal shares.
 func (l *Limiter) SlotShare(now time.Duration, id directory.Incarnation, slots int) int {
 	t := l.targets[id]
 	if t == nil {
@@ -294,7 +319,7 @@
 	if t.rank < room%len(l.members) {
 		share++
 	}
-	return share
+	return max(0, share-t.abandoned)
 }
 
 // AllowsOneEach reports whether the instances without a share of a target's slots may each
--- a/internal/targetlimit/limiter_test.go
+++ b/internal/targetlimit/limiter_test.go
@@ -200,6 +200,25 @@
 	is.Equal(b.SlotShare(time.Hour, testTarget, slots), slots)
 }
 
+// Guards against requests that are given up and sent again while a silent target still has them.
+func TestAbandonedRequestsTakeRoomUntilTheTargetHasSeenIt(t *testing.T) {
+	is := is.New(t)
+	const slots = 4
+	l := newSingleInstance()
+	is.True(!l.Abandon(testTarget)) // it bears any number of rejections
+	l.Observe(0, 0, testTarget, Limit{Rejections: 2})
+	for held := 1; held <= slots+1; held++ {
+		is.True(l.Abandon(testTarget))
+		is.Equal(l.SlotShare(time.Hour, testTarget, slots), max(0, slots-held))
+	}
+	for held := slots; held >= 0; held-- {
+		l.Release(testTarget)
+		is.Equal(l.SlotShare(time.Hour, testTarget, slots), slots-held)
+	}
+	l.Release(testTarget)
+	is.Equal(l.SlotShare(time.Hour, testTarget, slots), slots)
+}
+
 const (
 	simStep = 5 * ms
 	// simReportInterval is the time between two reports of an instance;
