targetlimit: an instance without room borrows a slot instead of sending all the same

What callers saw: targets that had been silent for a second failed, and took what they ran with them. The cause, hypothesis 1 of docs/incidents/silent-targets.md: with more instances than a target has slots, each instance without a share could have one request in flight there until the target had rejected something. While targets answer, these requests are not there at the same time, which hid it; a target that is silent gets one from each, and rejects nearly all of them in the moment in which it goes on.

Nothing is sent any more without a part of the room. An instance without one asks up to three of those that have a share for a slot for one request (slot.loan), and returns it at the end. The lender decides from its own count, so that over the fleet the sum of shares, loans and abandoned requests is never more than the room; TestInstancesWithoutAShareBorrowSlots plays that at random. Requests that get no slot are refused at once. docs/design/0023-plain-targets.md.

TestInstancesWithoutAShareStopAfterARejection asserted that each instance without a share may have one request in flight: that was the fault. The new test asserts more: no instance goes without a share, no request is refused while there is room, and never are there more than the slots.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -57,7 +57,7 @@
 	a.onEnd(counted)
 	switch {
 	case abandoned:
-		go g.releaseAbandoned(conn, a.target.Incarnation())
+		go g.releaseAbandoned(conn, &loanTarget{c.service.Name, a.target})
 	case result == outcomeDelivered:
 		if err == nil {
 			g.noteAnswer(c, a, true)
@@ -81,15 +81,16 @@
 
 // releaseAbandoned closes the connection of a request that was given up, and releases the room that
 // it takes at its target.
-func (g *Gateway) releaseAbandoned(conn *targetconn.Conn, id directory.Incarnation) {
+func (g *Gateway) releaseAbandoned(conn *targetconn.Conn, t *loanTarget) {
 	startedAt := g.clock.Now()
 	if !conn.AwaitClose(abandonedTimeout) {
-		logline.InfoSampled("abandoned_unconfirmed", "target", id.ID, "born", id.StartedMs, "waited", g.clock.Now()-startedAt)
+		logline.InfoSampled("abandoned_unconfirmed", "target", t.ID, "born", t.StartedMs, "waited", g.clock.Now()-startedAt)
 		if left := startedAt + abandonedTimeout - g.clock.Now(); left > 0 {
 			time.Sleep(left) // a relayed connection doesn't tell
 		}
 	}
-	g.limits.release(id)
+	g.limits.release(t.Incarnation())
+	g.returnUnusedLoans(t)
 }
 
 // observeAttempt records the outcome of an attempt for a rollout of its service's software.
--- a/internal/gateway/engineservice.go
+++ b/internal/gateway/engineservice.go
@@ -408,37 +408,19 @@
 		s.setPermission(id, targetlimit.Permission{CanSend: true})
 	}
 	s.rateLimited = map[string]bool{}
-	permitted := 0
 	for id, p := range permissions {
 		if r, ok := s.registrations[id.ID]; ok && r.Incarnation() == id {
 			s.rateLimited[id.ID] = true
-			if s.setPermission(id.ID, p) {
-				permitted++
-			}
-		}
-	}
-	if permitted > 0 || len(s.rateLimited) < len(s.registrations) {
-		return
-	}
-	for id, p := range permissions {
-		r := s.registrations[id.ID]
-		if s.rateLimited[id.ID] && p.ShareSlots && s.limits.allowsOneEach(r.Incarnation(), r.Slots) {
-			p.ShareSlots = false
 			s.setPermission(id.ID, p)
-			if i, ok := s.pool.Find(id.ID); ok {
-				s.pool.Target(i).Limit = 1
-				s.pool.ApplyFilters(i)
-			}
 		}
 	}
 }
 
-// setPermission sets what may be sent to a target now, and reports whether that is anything.
-// The caller holds s.mu.
-func (s *engineService) setPermission(id string, p targetlimit.Permission) bool {
+// setPermission sets what may be sent to a target now. The caller holds s.mu.
+func (s *engineService) setPermission(id string, p targetlimit.Permission) {
 	i, ok := s.pool.Find(id)
 	if !ok {
-		return false
+		return
 	}
 	t := s.pool.Target(i)
 	t.RateLimited, t.OverRate = p.RateLimited, !p.CanSend
@@ -449,7 +431,6 @@
 		t.OverRate = t.OverRate || t.Limit == 0
 	}
 	s.pool.ApplyFilters(i)
-	return !t.OverRate
 }
 
 // recordFirstToken records the first token of a response. Further calls for the same
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,6 +42,7 @@
 	dialer     *connrelay.Dialer
 	dialDirect targetconn.DialFunc
 	targets    *targetconn.Pool
+	loans      slotLoans
 	// relays relays connections of peers to targets.
 	relays *connrelay.Server
 	// checkAllPaths is set when the paths to all targets in use have to be checked.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -77,6 +77,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`mastictray_limited_target_rejections_total{share="%t"}`, v.share > 0)).Inc()
 }
 
+// slotLoan counts a request to a peer for a slot of a target.
+func (m *gatewayMetrics) slotLoan(granted bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`mastictray_slot_loans_total{granted="%t"}`, granted)).Inc()
+}
+
 func (m *gatewayMetrics) answerAborted() {
 	m.set.GetOrCreateCounter(`mastictray_broken_off_total`).Inc()
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -174,6 +174,7 @@
 	node.Handle(wire.KindOrderLease, p.handleLeaseRequest)
 	node.Handle(wire.KindConfigPart, p.g.configs.handlePartRequest)
 	node.Handle(wire.KindStreamOrigin, p.g.handleOriginRequest)
+	node.Handle(wire.KindSlotLoan, p.g.handleLoanRequest)
 	node.HandleStream(wire.KindRelay, p.g.relays.Handle)
 	node.Serve(listener)
 	p.mu.Lock()
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -84,12 +84,18 @@
 	if !ok && c.lastTarget != "" {
 		choice, ok = service.acquire(nil, c.toCanary, c.requiredSoftware())
 	}
+	if !ok && g.borrowSlot(ctx, c, service.withoutRoom(c.refusedBy, c.toCanary, c.requiredSoftware())) {
+		choice, ok = service.acquire(c.refusedBy, c.toCanary, c.requiredSoftware())
+	}
 	if !ok {
 		return nil, noTargetRefusal("no_target", g.pauseLeft(c), noTargetRetry)
 	}
 	return &targetAttempt{
 		target: choice.target, onSend: func(func(), string, cancelPolicy) {}, onProgress: func() {}, onAnswer: func() {},
-		onEnd:         func(r overload.Result) { service.endAttempt(choice, r) },
+		onEnd: func(r overload.Result) {
+			service.endAttempt(choice, r)
+			g.returnUnusedLoans(&loanTarget{c.service.Name, choice.target})
+		},
 		onUnreachable: func(err error) { service.recordUnreachable(choice, err) },
 		cancelledHere: func() bool { return false },
 	}, nil
@@ -133,6 +139,9 @@
 	if isNoTarget(refusal) && r.Placement.Exclude != "" {
 		pl, refusal = g.acquireAnyEngine(ctx, c, service) // the target of the last attempt is better than none
 	}
+	if isNoTarget(refusal) && g.borrowSlot(ctx, c, service.withoutRoom(c.requiredSoftware())) {
+		pl, refusal = g.acquireAnyEngine(ctx, c, service)
+	}
 	if isNoTarget(refusal) && c.stream.known {
 		if !service.hasSoftware(c.stream.Software) {
 			return nil, &Refusal{Status: http.StatusServiceUnavailable, Reason: "stream_version_gone", NotRun: true}
@@ -204,6 +213,7 @@
 		onEnd: func(r overload.Result) {
 			g.contention.observeEnd(c.admission, r, firstTokenAt)
 			service.endAttempt(pl, r)
+			g.returnUnusedLoans(&loanTarget{c.service.Name, pl.target})
 		},
 		failedForMemory: func() bool { return service.recordLostConnection(&pl.target) },
 		onUnreachable:   func(err error) { service.recordUnreachable(pl, err) },
--- a/internal/gateway/plainqueue.go
+++ b/internal/gateway/plainqueue.go
@@ -81,7 +81,8 @@
 		t := &s.targets[i]
 		targets[i] = plainqueue.Target{
 			Domain: t.registration.Domain, Slots: t.registration.Slots, ServiceTime: t.serviceTime.Value(),
-			Usable:   !t.canary && !unreachable[t.registration.Domain] && t.inFlight < maxOutstanding && s.isUsable(now, t, exclude, false),
+			Usable:   !t.canary && !unreachable[t.registration.Domain] && t.inFlight < maxOutstanding && s.isUsable(now, t, exclude),
+			NoRoom:   !s.hasRoom(t),
 			InFlight: t.inFlight, Load: s.targetLoad(t),
 		}
 	}
--- a/internal/gateway/plainservice.go
+++ b/internal/gateway/plainservice.go
@@ -105,10 +105,8 @@
 		p := s.plan(now, exclude)
 		i, ok = p.Draw(s.objective, s.rng.Float64)
 	}
-	for _, onlyChoice := range []bool{false, true} {
-		if !ok {
-			i, ok = s.leastOutstanding(now, exclude, isCanary, onlyChoice, software)
-		}
+	if !ok {
+		i, ok = s.leastOutstanding(now, exclude, isCanary, software)
 	}
 	if !ok {
 		return nil, false
@@ -120,27 +118,51 @@
 	return &serviceChoice{target: t.registration, breaker: t.breaker, ticket: t.breaker.Begin(), startedAt: now, measured: measured}, true
 }
 
-// leastOutstanding returns the target that acquire chooses. onlyChoice is set if this instance has
-// a share of the slots of no other target. The caller holds s.mu.
-func (s *plainService) leastOutstanding(now time.Duration, exclude []string, isCanary, onlyChoice bool, software placement.SoftwareRequirement) (int, bool) {
+// leastOutstanding returns the target that acquire chooses. The caller holds s.mu.
+func (s *plainService) leastOutstanding(now time.Duration, exclude []string, isCanary bool, software placement.SoftwareRequirement) (int, bool) {
 	unreachable := s.reach.unreachableDomains()
 	s.scratch = s.scratch[:0]
 	for i := range s.targets {
 		t := &s.targets[i]
 		s.scratch = append(s.scratch, placement.ServiceTarget{
 			Name: t.registration.ID, Domain: t.registration.Domain, Outstanding: t.inFlight,
-			Usable: (software.Required || t.canary == isCanary) && software.Allows(t.registration.SoftwareVersion) && !unreachable[t.registration.Domain] && s.isUsable(now, t, exclude, onlyChoice),
+			Usable: s.isEligible(now, t, exclude, isCanary, software) && !unreachable[t.registration.Domain] && s.hasRoom(t),
 		})
 	}
 	return placement.LeastOutstanding(s.scratch, s.domain, "", maxOutstanding, s.rng)
 }
 
-// isUsable reports whether a target may get a request of which the targets in exclude must not get
-// another attempt. The caller holds s.mu.
-func (s *plainService) isUsable(now time.Duration, t *serviceTarget, exclude []string, onlyChoice bool) bool {
+// isEligible reports whether a target may get a request of this kind if there is room for it; see
+// acquire. The caller holds s.mu.
+func (s *plainService) isEligible(now time.Duration, t *serviceTarget, exclude []string, isCanary bool, software placement.SoftwareRequirement) bool {
+	return (software.Required || t.canary == isCanary) && software.Allows(t.registration.SoftwareVersion) && s.isUsable(now, t, exclude)
+}
+
+// isUsable reports whether a target may get a request if there is room for it. The targets in
+// exclude must not get another attempt of it. The caller holds s.mu.
+func (s *plainService) isUsable(now time.Duration, t *serviceTarget, exclude []string) bool {
 	id := t.registration.Incarnation()
-	return !slices.Contains(exclude, id.ID) && t.breaker.Ready(now) && s.pauses.Left(now, id) == 0 && s.limits.canSend(id) &&
-		s.limits.hasRoom(id, t.registration.Slots, t.inFlight, onlyChoice)
+	return !slices.Contains(exclude, id.ID) && t.breaker.Ready(now) && s.pauses.Left(now, id) == 0 && s.limits.canSend(id)
+}
+
+// hasRoom reports whether this instance may have another request at a target. The caller holds s.mu.
+func (s *plainService) hasRoom(t *serviceTarget) bool {
+	return s.limits.hasRoom(t.registration.Incarnation(), t.registration.Slots, t.inFlight)
+}
+
+// withoutRoom returns the targets that may get a request but for this instance's lack of room
+// there; see acquire.
+func (s *plainService) withoutRoom(exclude []string, isCanary bool, software placement.SoftwareRequirement) (out []directory.Registration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now, unreachable := s.now(), s.reach.unreachableDomains()
+	for i := range s.targets {
+		t := &s.targets[i]
+		if s.isEligible(now, t, exclude, isCanary, software) && !unreachable[t.registration.Domain] && !s.hasRoom(t) {
+			out = append(out, t.registration)
+		}
+	}
+	return out
 }
 
 // maxOutstanding bounds this instance's requests at one target. It is far above what a
--- a/internal/gateway/targetlimits.go
+++ b/internal/gateway/targetlimits.go
@@ -92,24 +92,11 @@
 	return t.limiter.SlotShare(t.now(), id, slots)
 }
 
-// allowsOneEach reports whether instances without a share of a target's slots may each have a
-// request in flight there.
-func (t *targetLimits) allowsOneEach(id directory.Incarnation, slots int) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.limiter.AllowsOneEach(t.now(), id, slots)
-}
-
 // hasRoom reports whether this instance may have another request in flight at a target.
-// onlyChoice is set if it may have none at the other targets of the service.
-func (t *targetLimits) hasRoom(id directory.Incarnation, slots, inFlight int, onlyChoice bool) bool {
+func (t *targetLimits) hasRoom(id directory.Incarnation, slots, inFlight int) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := t.now()
-	limit, limited := t.limiter.MaxInFlight(now, id, slots)
-	if onlyChoice && t.limiter.AllowsOneEach(now, id, slots) {
-		limit = max(1, limit)
-	}
+	limit, limited := t.limiter.MaxInFlight(t.now(), id, slots)
 	return !limited || inFlight < limit
 }
 
@@ -138,6 +125,49 @@
 	return v
 }
 
+// lenders returns the other instances that have a share of a target's slots.
+func (t *targetLimits) lenders(id directory.Incarnation, slots int) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.limiter.Lenders(t.now(), id, slots)
+}
+
+// lend lends a slot of a target, of which this instance uses the given number, if one is free.
+func (t *targetLimits) lend(id directory.Incarnation, slots, inUse int, borrower string, loan uint64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.limiter.Lend(t.now(), id, slots, inUse, borrower, loan)
+}
+
+// endLoan ends a loan to a borrower.
+func (t *targetLimits) endLoan(id directory.Incarnation, borrower string, loan uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.limiter.EndLoan(id, borrower, loan)
+}
+
+// borrow records a slot that a lender has granted.
+func (t *targetLimits) borrow(id directory.Incarnation, lender string, loan uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.limiter.Borrow(t.now(), id, lender, loan)
+}
+
+// hasBorrowed reports whether this instance has borrowed slots of a target.
+func (t *targetLimits) hasBorrowed(id directory.Incarnation) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.limiter.HasBorrowed(id)
+}
+
+// takeUnusedLoans removes and returns the borrowed slots of a target that this instance, which uses
+// the given number, doesn't need.
+func (t *targetLimits) takeUnusedLoans(id directory.Incarnation, slots, inUse int) []targetlimit.Loan {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.limiter.TakeUnusedLoans(t.now(), id, slots, inUse)
+}
+
 // bearsFewRejections reports whether a target has stated how many rejections it can bear.
 func (t *targetLimits) bearsFewRejections(id directory.Incarnation) bool {
 	t.mu.Lock()
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mastictray/mastictray/internal/prefix"
@@ -161,16 +162,23 @@
 // RejectedOnlyAsSlow reports whether the i-th target would be eligible if it weren't slow.
 func (p *Pool) RejectedOnlyAsSlow(i int) bool {
 	t := p.targets[i]
-	if !t.Slow {
-		return false
-	}
+	rejected := t.Slow
 	t.Slow = false
-	for _, f := range p.filters {
-		if f.Rejects(&t, p.desiredVersion) {
-			return false
-		}
-	}
-	return true
+	return rejected && !p.rejects(&t)
+}
+
+// RejectedOnlyAsOverRate reports whether the i-th target would be eligible if it weren't over its
+// rate.
+func (p *Pool) RejectedOnlyAsOverRate(i int) bool {
+	t := p.targets[i]
+	rejected := t.OverRate
+	t.OverRate = false
+	return rejected && !p.rejects(&t)
+}
+
+// rejects reports whether a filter rejects a target.
+func (p *Pool) rejects(t *Target) bool {
+	return slices.ContainsFunc(p.filters, func(f Filter) bool { return f.Rejects(t, p.desiredVersion) })
 }
 
 // Rejected reports whether a filter rejects the i-th target.
--- a/internal/plainqueue/shares.go
+++ b/internal/plainqueue/shares.go
@@ -38,6 +38,9 @@
 	// ServiceTime is the time that a request takes; 0 if unknown.
 	ServiceTime time.Duration
 	Usable      bool
+	// NoRoom is set if the target isn't drawn, since it has no room for this instance. It still
+	// counts towards the capacity.
+	NoRoom bool
 	// InFlight is the number of requests that this instance has in flight there, Load that
 	// of the whole fleet.
 	InFlight int
@@ -183,7 +186,7 @@
 	for _, passFull := range []bool{true, false} {
 		total, chosen := 0.0, -1
 		for i, t := range p.targets {
-			if !t.Usable || t.Slots == 0 {
+			if !t.Usable || t.NoRoom || t.Slots == 0 {
 				continue
 			}
 			limit := max(patience, (load-t.Load)/float64(max(1, slots-t.Slots)))
--- a/internal/targetlimit/limiter.go
+++ b/internal/targetlimit/limiter.go
@@ -27,9 +27,10 @@
 // A request that is given up keeps its part of the share until the target is seen to have closed
 // its connection: a target that is silent still has it, and rejects it once it goes on.
 //
-// An instance that has a share at no target of a service may have one request in
-// flight at those whose room is not lowered: only a rejection shows that the slots
-// are too few for that.
+// An instance without room of its own borrows a slot from one that has a free one, for one
+// request. Every request that a target may have takes part of a share, also while it answers
+// nothing: with a bound that only a rejection lowers, a silent target would get one request from
+// each instance and reject most of them when it goes on.
 //
 // The room has a revision number like the limit. It adds two numbers to a report. A
 // view that is late by some hundred milliseconds costs at most one rejection for each
@@ -124,6 +125,8 @@
 	pausedUntil time.Duration
 	// roomChangedAt is when this instance learned of the current room.
 	roomChangedAt time.Duration
+	// lent are the slots that other instances use, borrowed those of others that this one uses.
+	lent, borrowed []Loan
 	// abandoned is the number of requests of this instance that were given up and that the target
 	// may still have.
 	abandoned int
@@ -303,14 +306,21 @@
 	}
 }
 
-// SlotShare returns this instance's share of the slots of a target that must reject
-// little, less those that abandoned requests may still take; 0 if it has none. The first instances
-// in the target's rendezvous order get the slots that remain after equal shares.
+// SlotShare returns how many slots of a target that must reject little this instance may use now:
+// its share with what it has borrowed, less what it has lent and what abandoned requests may
+// still take. The first instances in the target's rendezvous order get the slots that remain after
+// equal shares.
 func (l *Limiter) SlotShare(now time.Duration, id directory.Incarnation, slots int) int {
 	t := l.targets[id]
 	if t == nil {
 		return slots
 	}
+	t.expireLoans(now)
+	return max(0, l.ownShare(now, t, slots)+len(t.borrowed)-len(t.lent)-t.abandoned)
+}
+
+// ownShare returns this instance's share of the slots of a target.
+func (l *Limiter) ownShare(now time.Duration, t *target, slots int) int {
 	if !l.mayHaveShare() {
 		return 0
 	}
@@ -319,14 +329,7 @@
 	if t.rank < room%len(l.members) {
 		share++
 	}
-	return max(0, share-t.abandoned)
-}
-
-// AllowsOneEach reports whether the instances without a share of a target's slots may each
-// have one request in flight there.
-func (l *Limiter) AllowsOneEach(now time.Duration, id directory.Incarnation, slots int) bool {
-	t := l.targets[id]
-	return t == nil || t.room(now, slots) >= slots
+	return share
 }
 
 // room returns the number of requests that a target with the given number of slots is
