targetconn: test that a cancelled connection is not used again

TestCancelledConnectionIsNotReused passes on the code as it is; a flag for the same that was tried first changed nothing and is left out.

--- a/internal/targetconn/awaitclose_test.go
+++ b/internal/targetconn/awaitclose_test.go
@@ -59,3 +59,32 @@
 		})
 	}
 }
+
+// Guards against a connection that is used again although its exchange was cancelled just after the
+// response had arrived.
+func TestCancelledConnectionIsNotReused(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		<-t.Context().Done() // it doesn't notice that the other side is closed
+	}()
+	pool := NewPool(DefaultOptions(), func() time.Duration { return 0 })
+	conn, err := pool.Get(t.Context(), l.Addr().String(), time.Minute)
+	is.NoErr(err)
+	conn.KeepReceiving()
+	_, err = conn.Send(t.Context(), &Request{Method: http.MethodGet, URI: "/", Host: "x"}, func(*http.Response) bool { return true })
+	is.NoErr(err)
+	conn.Cancel()
+	pool.Put(conn)
+	again, err := pool.Get(t.Context(), l.Addr().String(), time.Minute)
+	is.NoErr(err)
+	is.True(!again.Reused())
+}
