--- a/internal/linkproxy/proxy.go
+++ b/internal/linkproxy/proxy.go
@@ -2,6 +2,7 @@
 package linkproxy
 
 import (
+	"io"
 	"maps"
 	"net"
 	"slices"
@@ -172,8 +173,18 @@
 		resetConn(from)
 		return
 	}
-	go p.copy(to, from, OneWay)
-	p.copy(from, to, Forwarding)
+	var directions sync.WaitGroup
+	directions.Go(func() { p.copy(to, from, OneWay) })
+	directions.Go(func() { p.copy(from, to, Forwarding) })
+	directions.Wait()
+	_ = to.Close()
+	_ = from.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, conn := range []*net.TCPConn{from, to} {
+		delete(p.conns, conn)
+		delete(p.silent, conn)
+	}
 }
 
 // track registers a connection. If the link is Resetting, it resets the connection instead and
@@ -189,7 +200,7 @@
 	return true
 }
 
-// copy forwards one direction of a connection. It is blocked in state Blackholed, and also in
+// copy forwards one direction of a connection until it ends, and passes the end on. It is blocked in state Blackholed, and also in
 // state blockedBy unless that is Forwarding.
 func (p *Proxy) copy(from, to *net.TCPConn, blockedBy State) {
 	buffer := make([]byte, 16<<10)
@@ -208,17 +219,15 @@
 				_ = from.Close() // the other side hears nothing of it
 				return
 			}
+			if err == io.EOF {
+				_ = to.CloseWrite()
+				return
+			}
 			break
 		}
 	}
 	_ = to.Close()
 	_ = from.Close()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, conn := range []*net.TCPConn{from, to} {
-		delete(p.conns, conn)
-		delete(p.silent, conn)
-	}
 }
 
 // waitToForward waits while the direction is blocked, and for SlowDelay on a slow link. It
