--- a/internal/gateway/streamorigin.go
+++ b/internal/gateway/streamorigin.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/mastictray/mastictray/internal/directory"
+	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/placement"
 	"github.com/mastictray/mastictray/internal/streamorigin"
 	"github.com/mastictray/mastictray/internal/wire"
@@ -152,5 +154,9 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	before, known := o.versions.Tracked(service)
 	o.versions.Update(now, service, present, oldEnough)
+	if after, ok := o.versions.Tracked(service); ok && (!known || !slices.Equal(before.Present, after.Present)) {
+		logline.Info("software_versions", "service", service, "versions", after.Present, "known_for", now-after.Since)
+	}
 }
--- a/internal/streamorigin/versions.go
+++ b/internal/streamorigin/versions.go
@@ -70,6 +70,22 @@
 // Services returns the services that are tracked.
 func (v *Versions) Services() []string { return slices.Collect(maps.Keys(v.services)) }
 
+// Tracked describes how the versions of a service are known, for the log.
+type Tracked struct {
+	Present []string
+	// Since is when all versions are known from.
+	Since time.Duration
+}
+
+// Tracked returns how the versions of a service are known.
+func (v *Versions) Tracked(service string) (t Tracked, ok bool) {
+	s := v.services[service]
+	if s == nil {
+		return Tracked{}, false
+	}
+	return Tracked{Present: slices.Sorted(maps.Keys(s.present)), Since: s.trackedSince}, true
+}
+
 // Several reports whether streams of a service may have begun at more than one version.
 func (v *Versions) Several(now time.Duration, service string) bool {
 	s := v.services[service]
