streamorigin: what versions there were outlives a restart of all instances

What callers saw (reported from a system like ours): streams that they took up after all instances had been killed came whole, with the first part from one software version and the rest from another.

The first-ranked instance now keeps a record of the versions in the store (keyed.software), as it does of the times at which weights are named. Each process reads it once, and takes a version for the only one only if the record says so; targets' ages tell nothing any more. A version of the record without targets counts as just gone. Class: knowledge inferred from what is present, while what it is about has left.

TestSoleVersion and TestTakenUpStreamNeedsItsOrigin had cases that asserted the inference; these need the record now.

--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -12,6 +12,7 @@
 	"github.com/mastictray/mastictray/internal/routing"
 	"github.com/mastictray/mastictray/internal/runmove"
 	"github.com/mastictray/mastictray/internal/storeindex"
+	"github.com/mastictray/mastictray/internal/streamorigin"
 	"github.com/mastictray/mastictray/internal/weights"
 )
 
@@ -123,5 +124,6 @@
 	InstanceFeed
 	orderlease.Store
 	weights.VersionStore
+	streamorigin.RecordStore
 	RolloutStore
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -99,6 +99,7 @@
 	// orders.
 	orderedTargets []string
 	versionRecord  versionRecord
+	softwareRecord softwareRecord
 	suspension     suspensionDetector
 	// wallClock returns the time of day.
 	wallClock func() time.Time
@@ -202,7 +203,7 @@
 	defer stop()
 	var loops sync.WaitGroup
 	for _, loop := range []func(context.Context){
-		g.followOperators, g.followRegistrations, g.peers.run, g.cache.run, g.runRollouts, g.maintainVersionRecord, g.sweep,
+		g.followOperators, g.followRegistrations, g.peers.run, g.cache.run, g.runRollouts, g.maintainVersionRecord, g.maintainSoftwareRecord, g.sweep,
 	} {
 		loops.Add(1)
 		go func() {
--- a/internal/gateway/registrations.go
+++ b/internal/gateway/registrations.go
@@ -166,7 +166,7 @@
 		if s.Cache != nil && s.Engine == nil {
 			continue
 		}
-		g.origins.updateVersions(now, g.wallClock(), s.Name, registered)
+		g.origins.updateVersions(now, s.Name, registered)
 		targets, isCanary := g.canaries.classify(s.Name, g.directory.Usable(s.Name), g.clock.Now()-g.contactAgeLocked())
 		if s.Engine != nil {
 			g.engineServiceFor(s.Name).updateTargets(targets, isCanary, s.Engine)
--- a/internal/gateway/restart_test.go
+++ b/internal/gateway/restart_test.go
@@ -15,6 +15,7 @@
 	"github.com/mastictray/mastictray/internal/routing"
 	"github.com/mastictray/mastictray/internal/runmove"
 	"github.com/mastictray/mastictray/internal/storeindex"
+	"github.com/mastictray/mastictray/internal/streamorigin"
 	"github.com/mastictray/mastictray/internal/weights"
 	"github.com/mastictray/mastictray/internal/wire"
 )
@@ -322,6 +323,7 @@
 	Store              // nil: methods that tests do not need
 	newest             int64
 	targets            []directory.Registration
+	softwareRecord     streamorigin.Record
 	versionRecord      weights.VersionRecord
 	versionRecordCalls int // calls that read or write versionRecord
 
@@ -350,6 +352,18 @@
 	return events, int64(len(events)), nil
 }
 
+func (s *memoryStore) ReadSoftwareRecord(context.Context) (streamorigin.Record, error) {
+	return s.softwareRecord, nil
+}
+
+func (s *memoryStore) WriteSoftwareRecord(_ context.Context, at int64, list []streamorigin.RecordedVersion) (bool, error) {
+	if at != s.softwareRecord.NextOffset {
+		return false, nil
+	}
+	s.softwareRecord = streamorigin.Record{Versions: list, NextOffset: at + 1}
+	return true, nil
+}
+
 func (s *memoryStore) ReadVersionRecord(context.Context) (weights.VersionRecord, error) {
 	s.versionRecordCalls++
 	return s.versionRecord, nil
--- a/internal/gateway/streamorigin.go
+++ b/internal/gateway/streamorigin.go
@@ -142,20 +142,18 @@
 	return out
 }
 
-// updateVersions records the software versions of a service's targets, those that leave
-// included. wallClock is the time of day.
-func (o *streamOrigins) updateVersions(now time.Duration, wallClock time.Time, service string, targets []directory.Registration) {
-	present, oldEnough := map[string]bool{}, true
+// updateVersions records the software versions of a service's targets, those that leave included.
+func (o *streamOrigins) updateVersions(now time.Duration, service string, targets []directory.Registration) {
+	present := map[string]bool{}
 	for i := range targets {
 		if t := &targets[i]; t.Service == service {
 			present[t.SoftwareVersion] = true
-			oldEnough = oldEnough && wallClock.Sub(time.UnixMilli(t.StartedMs)) >= streamorigin.Retention
 		}
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	before, known := o.versions.Tracked(service)
-	o.versions.Update(now, service, present, oldEnough)
+	o.versions.Update(now, service, present)
 	if after, ok := o.versions.Tracked(service); ok && (!known || !slices.Equal(before.Present, after.Present)) {
 		logline.Info("software_versions", "service", service, "versions", after.Present, "known_for", now-after.Since)
 	}
--- a/internal/gateway/takeup.go
+++ b/internal/gateway/takeup.go
@@ -85,6 +85,10 @@
 				return origin, answer.peer, true
 			}
 		case <-poll.C:
+			// A process that has just started reads the record of versions meanwhile.
+			if software, ok := g.soleVersion(c, routed); ok {
+				return streamorigin.Origin{Service: routed, Software: software}, "sole_version", true
+			}
 		}
 		if origin, ok := g.knownOrigin(c); ok {
 			return origin, "told", true
--- a/internal/gateway/takeup_test.go
+++ b/internal/gateway/takeup_test.go
@@ -14,15 +14,21 @@
 )
 
 // newTakeUpGateway returns an instance that has just started, with targets of the given software
-// versions that started at the given time before it.
-func newTakeUpGateway(startedBefore time.Duration, software ...string) *testGateway {
+// versions. They started a minute ago. The store has a record of the versions in recorded.
+func newTakeUpGateway(t *testing.T, recorded, software []string) *testGateway {
+	t.Helper()
 	targets := make([]directory.Registration, len(software))
 	for i, version := range software {
 		targets[i] = targetsOnVersions(2, 2, 2)[i]
-		targets[i].SoftwareVersion, targets[i].StartedMs = version, time.Now().Add(-startedBefore).UnixMilli()
+		targets[i].SoftwareVersion, targets[i].StartedMs = version, time.Now().Add(-time.Minute).UnixMilli()
+	}
+	store := &memoryStore{newest: 2, targets: targets}
+	for _, version := range recorded {
+		store.softwareRecord.Versions = append(store.softwareRecord.Versions, streamorigin.RecordedVersion{Service: "engines", Software: version})
 	}
-	p := startTestGateway(&memoryStore{newest: 2, targets: targets}, "a")
+	p := startTestGateway(store, "a")
 	p.settings.DrainBound = 2 * time.Second
+	p.softwareRecordStep(t.Context())
 	return p
 }
 
@@ -45,32 +51,31 @@
 // Guards against instances that join a stream over versions because they don't know where it began:
 // they have just started, have heard of no newer version, or their peers don't know either.
 func TestTakenUpStreamNeedsItsOrigin(t *testing.T) {
-	const long = time.Minute
 	told := func(p *testGateway) {
 		p.origins.learn(p.clock.Now(), streamorigin.Origin{Service: "engines", Software: "v1"}, []uint64{uint64(streamorigin.KeyOf("first"))})
 	}
 	nothing := func(*testGateway) {}
 	for name, c := range map[string]struct {
-		software           []string
-		startedBefore      time.Duration
+		software, recorded []string
 		prepare            func(*testGateway)
 		resumes, lastEvent string
 		reason, want       string
 	}{
-		"new stream":                         {software: []string{"v1", "v2"}, startedBefore: long, prepare: nothing},
-		"told by a peer":                     {software: []string{"v1", "v2"}, startedBefore: long, prepare: told, resumes: "first", lastEvent: "3", want: "v1"},
-		"told, its version is gone":          {software: []string{"v2"}, startedBefore: long, prepare: told, resumes: "first", lastEvent: "3", want: "v1"},
-		"several versions, unknown":          {software: []string{"v1", "v2"}, startedBefore: long, prepare: nothing, resumes: "first", lastEvent: "3", reason: "stream_origin_unknown"},
-		"one version for long":               {software: []string{"v1", "v1"}, startedBefore: long, prepare: nothing, resumes: "first", lastEvent: "3", want: "v1"},
-		"one version, caller doesn't say":    {software: []string{"v1", "v1"}, startedBefore: long, prepare: nothing, lastEvent: "3", want: "v1"},
-		"several, caller doesn't say":        {software: []string{"v1", "v2"}, startedBefore: long, prepare: told, lastEvent: "3", reason: "stream_origin_unknown"},
-		"one version, its targets are new":   {software: []string{"v1", "v1"}, startedBefore: time.Second, prepare: nothing, resumes: "first", lastEvent: "3", reason: "stream_origin_unknown"},
-		"one version, a peer told of others": {software: []string{"v2", "v2"}, startedBefore: long, prepare: told, resumes: "second", lastEvent: "3", reason: "stream_origin_unknown"},
-		"one version, hears nothing": {software: []string{"v1", "v1"}, startedBefore: long, prepare: func(p *testGateway) {
+		"new stream":                         {software: []string{"v1", "v2"}, recorded: []string{"v1", "v2"}, prepare: nothing},
+		"told by a peer":                     {software: []string{"v1", "v2"}, recorded: []string{"v1", "v2"}, prepare: told, resumes: "first", lastEvent: "3", want: "v1"},
+		"told, its version is gone":          {software: []string{"v2"}, recorded: []string{"v2"}, prepare: told, resumes: "first", lastEvent: "3", want: "v1"},
+		"several versions, unknown":          {software: []string{"v1", "v2"}, recorded: []string{"v1", "v2"}, prepare: nothing, resumes: "first", lastEvent: "3", reason: "stream_origin_unknown"},
+		"one version for long":               {software: []string{"v1", "v1"}, recorded: []string{"v1", "v1"}, prepare: nothing, resumes: "first", lastEvent: "3", want: "v1"},
+		"one version, caller doesn't say":    {software: []string{"v1", "v1"}, recorded: []string{"v1", "v1"}, prepare: nothing, lastEvent: "3", want: "v1"},
+		"several, caller doesn't say":        {software: []string{"v1", "v2"}, recorded: []string{"v1", "v2"}, prepare: told, lastEvent: "3", reason: "stream_origin_unknown"},
+		"one version, no record":             {software: []string{"v1", "v1"}, prepare: nothing, resumes: "first", lastEvent: "3", reason: "stream_origin_unknown"},
+		"one version, another had targets":   {software: []string{"v2", "v2"}, recorded: []string{"v1", "v2"}, prepare: nothing, resumes: "first", lastEvent: "3", reason: "stream_origin_unknown"},
+		"one version, a peer told of others": {software: []string{"v2", "v2"}, recorded: []string{"v2", "v2"}, prepare: told, resumes: "second", lastEvent: "3", reason: "stream_origin_unknown"},
+		"one version, hears nothing": {software: []string{"v1", "v1"}, recorded: []string{"v1", "v1"}, prepare: func(p *testGateway) {
 			p.registrations.knownUpTo -= 2 * time.Second
 			p.withPeers(nil, []string{"d1-b", "d2-c"})
 		}, resumes: "first", lastEvent: "3", reason: "stream_origin_unknown"},
-		"one version, outage of the store": {software: []string{"v1", "v1"}, startedBefore: long, prepare: func(p *testGateway) {
+		"one version, outage of the store": {software: []string{"v1", "v1"}, recorded: []string{"v1", "v1"}, prepare: func(p *testGateway) {
 			p.registrations.knownUpTo -= 2 * time.Second
 			p.withPeers([]string{"d1-b", "d2-c"}, nil)
 		}, resumes: "first", lastEvent: "3", want: "v1"},
@@ -78,7 +83,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			p := newTakeUpGateway(c.startedBefore, c.software...)
+			p := newTakeUpGateway(t, c.recorded, c.software)
 			c.prepare(p)
 			call, reason := p.takeUp(t, c.resumes, c.lastEvent)
 			is.Equal(reason, c.reason)
@@ -91,7 +96,7 @@
 // Guards against streams that go on at another service of a split route.
 func TestTakenUpStreamStaysAtItsService(t *testing.T) {
 	is := is.New(t)
-	p := newTakeUpGateway(time.Minute, "v1", "v1")
+	p := newTakeUpGateway(t, []string{"v1"}, []string{"v1", "v1"})
 	p.origins.learn(p.clock.Now(), streamorigin.Origin{Service: "engines", Software: "v1"}, []uint64{uint64(streamorigin.KeyOf("first"))})
 	split := []routing.WeightedService{{Service: "others", Weight: 1000}, {Service: "engines", Weight: 1}}
 	for range 20 {
@@ -109,7 +114,7 @@
 // streams of a large fleet.
 func TestOriginsAreToldWhileSeveralVersionsServe(t *testing.T) {
 	is := is.New(t)
-	p := newTakeUpGateway(time.Minute, "v1", "v1")
+	p := newTakeUpGateway(t, []string{"v1"}, []string{"v1", "v1"})
 	origin := streamorigin.Origin{Service: "engines", Software: "v1"}
 	for i := range 1000 {
 		p.origins.begin(p.clock.Now(), streamorigin.Key(i+1), origin)
--- /dev/null
+++ b/internal/streamorigin/record_test.go
@@ -0,0 +1,78 @@
+package streamorigin
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a process that has just started and takes the one version with targets for the only
+// one of which callers may take up streams.
+func TestSoleVersionAfterARestartFollowsFromTheRecord(t *testing.T) {
+	const start, margin = time.Hour, time.Second
+	wallStart := time.Unix(1_000_000, 0)
+	gone := func(ago time.Duration) time.Time { return wallStart.Add(-ago) }
+	for name, c := range map[string]struct {
+		record []RecordedVersion
+		read   bool
+		at     time.Duration // since the start
+		sole   bool
+	}{
+		"not read":              {},
+		"not read, long ago":    {at: Retention, sole: true},
+		"only one":              {read: true, record: []RecordedVersion{{"engines", "v2", time.Time{}}}, sole: true},
+		"service not recorded":  {read: true, record: []RecordedVersion{{"desk", "v2", time.Time{}}}},
+		"empty":                 {read: true},
+		"other had targets":     {read: true, record: []RecordedVersion{{"engines", "v1", time.Time{}}, {"engines", "v2", time.Time{}}}, at: Retention},
+		"other had, long ago":   {read: true, record: []RecordedVersion{{"engines", "v1", time.Time{}}, {"engines", "v2", time.Time{}}}, at: Retention + 1, sole: true},
+		"only the other had":    {read: true, record: []RecordedVersion{{"engines", "v1", time.Time{}}}},
+		"other just gone":       {read: true, record: []RecordedVersion{{"engines", "v1", gone(Retention)}, {"engines", "v2", time.Time{}}}},
+		"other gone for long":   {read: true, record: []RecordedVersion{{"engines", "v1", gone(Retention + margin + 1)}, {"engines", "v2", time.Time{}}}, sole: true},
+		"clock was set back":    {read: true, record: []RecordedVersion{{"engines", "v1", gone(-time.Hour)}, {"engines", "v2", time.Time{}}}},
+		"other service's other": {read: true, record: []RecordedVersion{{"desk", "v1", time.Time{}}, {"engines", "v2", time.Time{}}}, sole: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			v := NewVersions()
+			v.Update(start, "engines", map[string]bool{"v2": true})
+			if c.read {
+				v.ApplyRecord(start, wallStart, margin, c.record)
+			}
+			sole, ok := v.Sole(start+c.at, "engines")
+			is.Equal(ok, c.sole)
+			is.Equal(sole == "v2", c.sole)
+		})
+	}
+}
+
+// Guards against a record that misses a version that comes or goes, and against writes without a
+// change.
+func TestRecordFollowsTheVersions(t *testing.T) {
+	is := is.New(t)
+	v, wall := NewVersions(), time.Unix(1_000_000, 0)
+	var r Record
+	record := func(now time.Duration) (changed bool) {
+		list := v.Recorded(now, wall.Add(now))
+		changed = !r.HasSamePresent(list)
+		if changed {
+			r.Versions = list
+		}
+		return changed
+	}
+	is.True(!record(0))
+	v.Update(0, "engines", map[string]bool{"v1": true})
+	is.True(record(0))
+	is.True(!record(time.Second))
+	v.Update(2*time.Second, "engines", map[string]bool{"v1": true, "v2": true})
+	is.True(record(2 * time.Second))
+	v.Update(3*time.Second, "engines", map[string]bool{"v2": true})
+	is.True(record(4 * time.Second))
+	is.Equal(r.Versions, []RecordedVersion{{"engines", "v1", wall.Add(3 * time.Second)}, {"engines", "v2", time.Time{}}})
+	is.True(!record(3*time.Second + 2*Retention)) // that it no longer matters is no change
+
+	// A process that takes over keeps what it knows itself.
+	v.ApplyRecord(5*time.Second, wall.Add(5*time.Second), 0, []RecordedVersion{{"engines", "v1", time.Time{}}})
+	_, ok := v.Sole(3*time.Second+Retention, "engines")
+	is.True(!ok)
+}
--- a/internal/streamorigin/streamorigin_test.go
+++ b/internal/streamorigin/streamorigin_test.go
@@ -86,29 +86,35 @@
 		sole    string
 		several bool
 	}{
-		"tracked for long":              {play: func(v *Versions) { v.Update(start, "engines", set("v1"), false) }, at: start + Retention, sole: "v1"},
-		"just started":                  {play: func(v *Versions) { v.Update(start, "engines", set("v1"), false) }, at: start + Retention - 1},
-		"just started, targets haven't": {play: func(v *Versions) { v.Update(start, "engines", set("v1"), true) }, at: start, sole: "v1"},
+		"tracked for long": {play: func(v *Versions) { v.Update(start, "engines", set("v1")) }, at: start + Retention, sole: "v1"},
+		"just started":     {play: func(v *Versions) { v.Update(start, "engines", set("v1")) }, at: start + Retention - 1},
+		"just started, with the record": {play: func(v *Versions) {
+			v.Update(start, "engines", set("v1"))
+			v.ApplyRecord(start, time.Time{}, 0, []RecordedVersion{{Service: "engines", Software: "v1"}})
+		}, at: start, sole: "v1"},
 		"targets read later": {play: func(v *Versions) {
-			v.Update(start, "engines", set(), true)
-			v.Update(start+second, "engines", set("v1"), false)
+			v.Update(start, "engines", set())
+			v.Update(start+second, "engines", set("v1"))
 		}, at: start + Retention},
-		"two":             {play: func(v *Versions) { v.Update(start, "engines", set("v1", "v2"), true) }, at: start, several: true},
+		"two":             {play: func(v *Versions) { v.Update(start, "engines", set("v1", "v2")) }, at: start, several: true},
 		"unknown service": {play: func(*Versions) {}, at: start},
 		"other one just gone": {play: func(v *Versions) {
-			v.Update(start, "engines", set("v1", "v2"), true)
-			v.Update(start+second, "engines", set("v2"), true)
+			v.Update(start, "engines", set("v1", "v2"))
+			v.Update(start+second, "engines", set("v2"))
 		}, at: start + second + Retention, several: true},
 		"other one gone for long": {play: func(v *Versions) {
-			v.Update(start, "engines", set("v1", "v2"), true)
-			v.Update(start+second, "engines", set("v2"), true)
+			v.Update(start, "engines", set("v1", "v2"))
+			v.Update(start+second, "engines", set("v2"))
 		}, at: start + second + Retention + 1, sole: "v2"},
 		"peer tells of another one": {play: func(v *Versions) {
-			v.Update(start, "engines", set("v1"), true)
+			v.Update(start, "engines", set("v1"))
 			v.Note(start+second, v2)
 			v.Note(start+second, v1)
 		}, at: start + second, several: true},
-		"no version stated": {play: func(v *Versions) { v.Update(start, "engines", set(""), true) }, at: start},
+		"no version stated": {play: func(v *Versions) {
+			v.Update(start, "engines", set(""))
+			v.ApplyRecord(start, time.Time{}, 0, []RecordedVersion{{Service: "engines"}})
+		}, at: start},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/streamorigin/versions.go
+++ b/internal/streamorigin/versions.go
@@ -21,19 +21,16 @@
 // NewVersions returns a tracker without any service.
 func NewVersions() *Versions { return &Versions{services: map[string]*serviceVersions{}} }
 
-// Update sets the versions of a service's targets, those that leave included. oldEnough is set if
-// all of them started longer than Retention ago: a version that was replaced since would have
-// left younger ones.
-func (v *Versions) Update(now time.Duration, service string, present map[string]bool, oldEnough bool) {
+// Update sets the versions of a service's targets, those that leave included. What there was before
+// the first look follows from the record only; see ApplyRecord. The targets don't tell: those of a
+// version that is gone may have left without being replaced.
+func (v *Versions) Update(now time.Duration, service string, present map[string]bool) {
 	s := v.services[service]
 	if s == nil && len(present) == 0 {
 		return // its targets are not known yet
 	}
 	if s == nil {
 		s = &serviceVersions{trackedSince: now, goneAt: map[string]time.Duration{}}
-		if oldEnough {
-			s.trackedSince = now - Retention
-		}
 		v.services[service] = s
 	}
 	for version := range s.present {
