gateway: a peer that knows of several versions outweighs one that knows of one

An answer says now whether there are several versions, and then none is concluded.

TestSoleVersionNeedsAllPeers has the two orders of such answers; it failed before.

--- a/internal/gateway/takeup.go
+++ b/internal/gateway/takeup.go
@@ -132,8 +132,10 @@
 	answers chan originAnswer
 	// pending is the number of answers to come.
 	pending int
-	// sole has the versions that peers take for the only one, without repeats.
-	sole []streamorigin.Origin
+	// sole has the versions that peers take for the only one, without repeats. several is set if
+	// one knows that there is more than one.
+	sole    []streamorigin.Origin
+	several bool
 }
 
 // add adds an answer and returns the origin once it is certain: a peer knows it, or all have
@@ -144,10 +146,11 @@
 	if answer.Known {
 		return origin, true
 	}
+	a.several = a.several || answer.Several
 	if answer.Sole && !slices.Contains(a.sole, origin) {
 		a.sole = append(a.sole, origin)
 	}
-	if a.pending > 0 || len(a.sole) != 1 {
+	if a.pending > 0 || a.several || len(a.sole) != 1 {
 		return streamorigin.Origin{}, false
 	}
 	return a.sole[0], true
@@ -206,9 +209,11 @@
 			return wire.StreamOriginResponse{Known: true, Service: origin.Service, Software: origin.Software}, nil
 		}
 	}
-	if !g.knowsTargets() {
-		return wire.StreamOriginResponse{}, nil
+	now := g.clock.Now()
+	several := g.origins.several(now, request.Service)
+	if several || !g.knowsTargets() {
+		return wire.StreamOriginResponse{Several: several}, nil
 	}
-	software, ok := g.origins.sole(g.clock.Now(), request.Service)
+	software, ok := g.origins.sole(now, request.Service)
 	return wire.StreamOriginResponse{Sole: ok, Service: request.Service, Software: software}, nil
 }
--- a/internal/gateway/takeup_test.go
+++ b/internal/gateway/takeup_test.go
@@ -156,6 +156,14 @@
 	a.add(sole("v1"))
 	_, ok = a.add(sole("v2"))
 	is.True(!ok)
+
+	several := originAnswer{StreamOriginResponse: wire.StreamOriginResponse{Several: true}}
+	for _, answers := range [][]originAnswer{{several, sole("v1")}, {sole("v1"), several}} {
+		a = asked(2)
+		a.add(answers[0])
+		_, ok = a.add(answers[1])
+		is.True(!ok)
+	}
 }
 
 // Guards against connections to sound peers that are dropped because a stream's origin was found
--- a/internal/wire/streamorigin.go
+++ b/internal/wire/streamorigin.go
@@ -15,9 +15,10 @@
 // StreamOriginResponse is the response to a StreamOriginRequest.
 type StreamOriginResponse struct {
 	// Known is set if the responder knows the stream, Sole if all streams of the service have
-	// begun at the same version.
+	// begun at the same version, Several if they may have begun at different ones.
 	Known    bool   `msgpack:"k,omitempty"`
 	Sole     bool   `msgpack:"o,omitempty"`
+	Several  bool   `msgpack:"m,omitempty"`
 	Service  string `msgpack:"s,omitempty"`
 	Software string `msgpack:"v,omitempty"`
 }
