streamorigin: a version counts until the last stream that began there can be taken up

Origins were kept, and versions counted as recent, for 15 s after the last target of a version was gone: the longest time limit of callers. But new streams may begin there until the drain bound has passed, 2 to 5 s on the deployments known, and be taken up 15 s later. TestGoneVersionCountsAsLongAsItsStreams fails with 15 s.

The table of origins keeps two generations of 20 s instead of 15 s; its bound in entries is the same.

--- a/internal/streamorigin/doc.go
+++ b/internal/streamorigin/doc.go
@@ -14,10 +14,17 @@
 
 import "time"
 
-// Retention is how long the origin of a stream is kept at least. It exceeds the time for
-// which callers try to take up a stream, and that for which a target goes on serving once
-// its registration is gone.
-const Retention = 15 * time.Second
+// maxStreamTime is the longest time from the first attempt of a caller to the last take-up of its
+// stream: callers' time limits are shorter.
+const maxStreamTime = 15 * time.Second
+
+// maxDepartureTime is how long after the registrations of a version are gone new streams may begin
+// there: the drain bounds of deployments are shorter.
+const maxDepartureTime = 5 * time.Second
+
+// Retention is how long the origin of a stream is kept at least, and how long after its last target
+// was gone a version counts.
+const Retention = maxStreamTime + maxDepartureTime
 
 // Origin is where a stream began.
 type Origin struct {
--- a/internal/streamorigin/record_test.go
+++ b/internal/streamorigin/record_test.go
@@ -76,3 +76,15 @@
 	_, ok := v.Sole(3*time.Second+Retention, "engines")
 	is.True(!ok)
 }
+
+// Guards against forgetting a version while callers may still take up streams that began there just
+// before its targets stopped to get new ones.
+func TestGoneVersionCountsAsLongAsItsStreams(t *testing.T) {
+	const drainBound, callerTimeLimit = 5 * time.Second, 15 * time.Second
+	is := is.New(t)
+	v := NewVersions()
+	v.Update(0, "engines", map[string]bool{"v1": true, "v2": true})
+	v.Update(time.Hour, "engines", map[string]bool{"v2": true})
+	_, ok := v.Sole(time.Hour+drainBound+callerTimeLimit, "engines")
+	is.True(!ok)
+}
