gateway: a software version that comes and goes between two reads counts

Each registration read is noted now, also if a later one removes it. TestVersionBetweenTwoReadsCounts failed before.

--- a/internal/gateway/registrations.go
+++ b/internal/gateway/registrations.go
@@ -103,6 +103,7 @@
 		logRegistrationEvent(e)
 	}
 	g.limits.retain(g.directory.Has)
+	g.origins.noteTargets(g.clock.Now(), events)
 	g.updateServiceTargets()
 }
 
--- a/internal/gateway/streamorigin.go
+++ b/internal/gateway/streamorigin.go
@@ -142,6 +142,18 @@
 	return out
 }
 
+// noteTargets records the software versions of registrations, of which some may have been removed again
+// by later events.
+func (o *streamOrigins) noteTargets(now time.Duration, events []directory.Event) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, e := range events {
+		if r := e.Registration; r != nil {
+			o.versions.Note(now, streamorigin.Origin{Service: r.Service, Software: r.SoftwareVersion})
+		}
+	}
+}
+
 // updateVersions records the software versions of a service's targets, those that leave included.
 func (o *streamOrigins) updateVersions(now time.Duration, service string, targets []directory.Registration) {
 	present := map[string]bool{}
--- a/internal/gateway/takeup_test.go
+++ b/internal/gateway/takeup_test.go
@@ -93,6 +93,21 @@
 	}
 }
 
+// Guards against an instance that takes a version for the only one although another had a target
+// between two reads of the registrations.
+func TestVersionBetweenTwoReadsCounts(t *testing.T) {
+	is := is.New(t)
+	p := newTakeUpGateway(t, []string{"v1"}, []string{"v1", "v1"})
+	_, reason := p.takeUp(t, "first", "3")
+	is.Equal(reason, "")
+	short := targetsOnVersions(2, 2, 2)[2]
+	short.SoftwareVersion = "v2"
+	from := p.registrations.nextOffset
+	p.applyRegistrations(p.clock.Now(), from, from+2, []directory.Event{{ID: short.ID, Registration: &short}, {ID: short.ID}}, false)
+	_, reason = p.takeUp(t, "second", "3")
+	is.Equal(reason, "stream_origin_unknown")
+}
+
 // Guards against streams that go on at another service of a split route.
 func TestTakenUpStreamStaysAtItsService(t *testing.T) {
 	is := is.New(t)
