gateway: the body of a response that is not relayed is not read

What callers saw: requests whose target answered with an endless body, without its signature or with the statement that it had not run them, got 504 or 503 at their deadline though another target was idle, and the instance read up to 1.2 GB meanwhile. The cause: http.Response reads a body in chunks to its end when it is closed, and it was closed before the attempt ended. Nothing needs that: a connection is used again only after its response has been delivered whole, and closed otherwise.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -183,7 +183,8 @@
 	if err != nil {
 		return outcomeUnknown, err
 	}
-	defer resp.Body.Close()
+	// The body is not closed: that would read it to its end, which may never come. Unless the response
+	// is delivered whole, the connection is closed.
 	info := g.dialect.Inspect(resp)
 	if info.Limit != (targetlimit.Limit{}) || info.Signed || info.NotRun {
 		g.limits.observe(c.placedAt, a.target.Incarnation(), info.Limit)
