targetconn: the body of a response that is skipped is bounded

A response to an earlier request is skipped; its body was read to its end, which may never come. Beyond 1 MiB the connection counts as malformed now and the attempt fails at once.

--- a/internal/targetconn/conn.go
+++ b/internal/targetconn/conn.go
@@ -30,6 +30,8 @@
 	// maxStaleResponses limits the responses to earlier requests that are
 	// skipped before the expected one.
 	maxStaleResponses = 2
+	// maxStaleBodyBytes limits the body of such a response.
+	maxStaleBodyBytes = 1 << 20
 	// keepAliveMargin is subtracted from the idle timeout that a target
 	// announces. It covers network latency and late timers.
 	keepAliveMargin = time.Second
@@ -116,7 +118,7 @@
 			c.updateKeepAlive(resp)
 			return resp, nil
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		if err := skipBody(resp); err != nil {
 			c.broken = true
 			return nil, errors.Wrapf(err, "skip response to an earlier request target=%s", c.addr)
 		}
@@ -125,6 +127,18 @@
 	return nil, errors.Wrapf(ErrMalformed, "no response matches the request target=%s", c.addr)
 }
 
+// skipBody reads a body to its end, which must come soon.
+func skipBody(resp *http.Response) error {
+	_, err := io.CopyN(io.Discard, resp.Body, maxStaleBodyBytes)
+	switch {
+	case err == io.EOF:
+		return nil
+	case err == nil:
+		return errors.Wrapf(ErrMalformed, "response body exceeds %d bytes", maxStaleBodyBytes)
+	}
+	return err
+}
+
 // write sends an encoded request. After an error, the target may have received
 // a part of it.
 func (c *Conn) write(raw []byte) error {
