targetconn: informational responses count towards the limit of a head

Each 1xx response before the real one had the whole limit of 64 KiB for itself, and their number had none: a target that sends nothing else kept an attempt, and a processor, busy until its deadline (TestBytesWithoutEndAreNotRead, endless_informational: 504 after 1 and 5 s, 40 to 154 MB read). They share one limit now.

--- a/internal/targetconn/conn.go
+++ b/internal/targetconn/conn.go
@@ -158,17 +158,15 @@
 	return nil
 }
 
-// readHead reads the head of a response and skips informational (1xx) ones.
+// readHead reads the head of a response and skips informational (1xx) ones, which count towards the
+// limit of its size.
 func (c *Conn) readHead(method string) (*http.Response, error) {
+	c.limited.bounded, c.limited.remaining = true, maxHeadBytes
+	defer func() { c.limited.bounded = false }()
 	for {
-		c.limited.bounded, c.limited.remaining = true, maxHeadBytes
 		resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
-		c.limited.bounded = false
-		if err != nil {
-			return nil, err
-		}
-		if resp.StatusCode >= http.StatusOK {
-			return resp, nil
+		if err != nil || resp.StatusCode >= http.StatusOK {
+			return resp, err
 		}
 	}
 }
