entry: a response that exceeds the limit is no answer, and heads are limited to 64 KiB

Answers of more than 64 MiB, of plain services and of engines that don't stream, were cut there and passed on as whole; with a body without end that is what callers got. They fail now. The head of a target's response was limited to net/http's 10 MiB; 64 KiB now, as in the gateway. net/http closes connections without reading bodies to their end, and bounds informational responses.

--- a/internal/entry/engineclient.go
+++ b/internal/entry/engineclient.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/mastictray/mastictray/internal/openai"
 	"github.com/mastictray/mastictray/internal/platform"
 	"github.com/mastictray/mastictray/internal/targetconn"
@@ -34,6 +36,8 @@
 	targetIdleConnTimeout = 60 * time.Second
 	maxErrorBodyBytes     = 16 << 10
 	maxResponseBodyBytes  = 64 << 20
+	// maxResponseHeadBytes limits the head of a target's response.
+	maxResponseHeadBytes = 64 << 10
 )
 
 // sendError is a failed exchange with a target. outcome states whether the
@@ -82,15 +86,17 @@
 func newTargetClient(dial targetconn.DialFunc) *targetClient {
 	return &targetClient{
 		pooled: &http.Client{CheckRedirect: keepRedirect, Transport: &http.Transport{
-			DialContext:         dial,
-			MaxIdleConnsPerHost: maxIdleConnsPerTarget,
-			IdleConnTimeout:     targetIdleConnTimeout,
-			DisableCompression:  true,
+			DialContext:            dial,
+			MaxIdleConnsPerHost:    maxIdleConnsPerTarget,
+			MaxResponseHeaderBytes: maxResponseHeadBytes,
+			IdleConnTimeout:        targetIdleConnTimeout,
+			DisableCompression:     true,
 		}},
 		unpooled: &http.Client{CheckRedirect: keepRedirect, Transport: &http.Transport{
-			DialContext:        dial,
-			DisableKeepAlives:  true,
-			DisableCompression: true,
+			DialContext:            dial,
+			DisableKeepAlives:      true,
+			MaxResponseHeaderBytes: maxResponseHeadBytes,
+			DisableCompression:     true,
 		}},
 	}
 }
@@ -167,6 +173,18 @@
 	}
 }
 
+// errBodyTooLarge means that a target's response exceeds maxResponseBodyBytes, or has no end.
+var errBodyTooLarge = errors.New("response body too large")
+
+// readWholeBody reads a body of up to maxResponseBodyBytes.
+func readWholeBody(resp *http.Response) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBodyBytes+1))
+	if err == nil && len(body) > maxResponseBodyBytes {
+		return nil, errors.Wrapf(errBodyTooLarge, "limit=%d", maxResponseBodyBytes)
+	}
+	return body, err
+}
+
 // drainBody closes the body after reading up to maxErrorBodyBytes of what is
 // left, so that the connection can be reused.
 func drainBody(resp *http.Response) {
--- a/internal/entry/engineconnection.go
+++ b/internal/entry/engineconnection.go
@@ -130,7 +130,7 @@
 // readFullResponse reads a response that is not a stream. Nothing is relayed
 // before it is complete.
 func (r *engineRun) readFullResponse() attempt.Action {
-	body, err := io.ReadAll(io.LimitReader(r.resp.Body, maxResponseBodyBytes))
+	body, err := readWholeBody(r.resp)
 	if err != nil {
 		return r.handleReadError(err)
 	}
--- a/internal/entry/serviceserve.go
+++ b/internal/entry/serviceserve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -165,7 +164,7 @@
 		return serviceResponse{}, exchangeError(err)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBodyBytes))
+	body, err := readWholeBody(resp)
 	if err != nil {
 		return serviceResponse{}, exchangeError(&sendError{op: "read response", target: name, outcome: openai.MayHaveRun, cause: err})
 	}
