routing: an empty list of accounts admits nobody

The cause: whether requests need a key followed from the number of accounts, and an empty list was taken for none. A list that is there, also an empty one or null, requires keys now; only its absence opens the routes. The flag goes with deltas between instances; the digest changes for empty lists only, so that instances of both versions of the program agree on all other configurations.

The same question for the other lists is in docs/design/0011-configuration.md, read from the code; a configuration without routes is passed over, as before: not decided here.

--- a/internal/configsync/delta.go
+++ b/internal/configsync/delta.go
@@ -33,6 +33,7 @@
 	Routes       []segment[routing.Route]
 	Services     []segment[routing.Service]
 	Accounts     []segment[routing.Account]
+	KeysRequired bool
 }
 
 // segment is a part of a list: a run of Count items of the base, then new items. It is
@@ -45,7 +46,7 @@
 // encodeDelta encodes and compresses the difference between base and next.
 func encodeDelta(base, next *Snapshot) ([]byte, error) {
 	d := delta{
-		Base: base.Ref, Target: next.Ref, Limits: next.Config.Limits,
+		Base: base.Ref, Target: next.Ref, Limits: next.Config.Limits, KeysRequired: next.Config.KeysRequired,
 		Routes:   diff(base.routes, next.routes, next.Config.Routes),
 		Services: diff(base.services, next.services, next.Config.Services),
 		Accounts: diff(base.accounts, next.accounts, next.Config.Accounts),
@@ -104,7 +105,7 @@
 	if base == nil || d.Base != base.Ref {
 		return nil, errors.Wrapf(ErrBaseMismatch, "version=%d", d.Base.Version)
 	}
-	s := &Snapshot{Config: &routing.Config{Version: d.Target.Version, Limits: d.Limits}}
+	s := &Snapshot{Config: &routing.Config{Version: d.Target.Version, Limits: d.Limits, KeysRequired: d.KeysRequired}}
 	if s.Config.Routes, s.routes, err = applySegments(base.Config.Routes, base.routes, d.Routes); err != nil {
 		return nil, err
 	}
--- a/internal/configsync/delta_test.go
+++ b/internal/configsync/delta_test.go
@@ -59,6 +59,9 @@
 		if rapid.Bool().Draw(rt, "accounts") {
 			next.Accounts = next.Accounts[:1]
 		}
+		if rapid.Bool().Draw(rt, "no accounts") {
+			next.Accounts, next.KeysRequired = nil, rapid.Bool().Draw(rt, "keys required")
+		}
 		from, to := snapshotOf(t, base), snapshotOf(t, &next)
 		for name, have := range map[string]*Snapshot{"delta": from, "complete": nil} {
 			encodeBase := have
--- a/internal/configsync/snapshot.go
+++ b/internal/configsync/snapshot.go
@@ -47,8 +47,13 @@
 	if err != nil {
 		return err
 	}
+	lists := [][]uint64{{uint64(s.Config.Version), limits}, s.routes, s.services, s.accounts}
+	if s.Config.KeysRequired && len(s.accounts) == 0 {
+		// Other digests stay as instances with an older version of the program compute them.
+		lists = append(lists, []uint64{1})
+	}
 	h := xxhash.New()
-	for _, list := range [][]uint64{{uint64(s.Config.Version), limits}, s.routes, s.services, s.accounts} {
+	for _, list := range lists {
 		// The lengths separate the lists: moving an item between two of them must
 		// change the digest.
 		_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(list))))
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -23,7 +23,10 @@
 	Routes   []Route
 	Services []Service
 	Accounts []Account
-	Limits   Limits
+	// KeysRequired is set if operators have listed accounts, even none: only keys of listed
+	// accounts are accepted then. Without a list, requests need no key.
+	KeysRequired bool
+	Limits       Limits
 }
 
 // Route maps requests with a host and a path prefix to services.
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -81,7 +81,7 @@
 
 // RequiresKey reports whether requests to the route must have an API key.
 func (t *Table) RequiresKey(r *Route) bool {
-	return len(t.accounts) > 0 && !r.Anonymous
+	return (t.config.KeysRequired || len(t.accounts) > 0) && !r.Anonymous
 }
 
 // AccountByKeyHash returns the account that owns the API key with the given hash.
