routing: the scope of shared cached pieces changes with the isolated accounts

The cause: the isolated account got a scope of its own, and the scope of all others stayed the same, with what it had made there. The shared scope is derived from the names of the isolated accounts now, on each instance from the configuration alone.

Not measured: the pieces that are read again after such a change; where no account's isolation changes, nothing is.

--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -327,12 +327,12 @@
 }
 
 // cacheScope returns the scope that separates the pieces of an isolated account from those
-// of all others; empty for the shared scope.
+// of all others.
 func cacheScope(c *call) string {
 	if c.account != nil && c.account.Isolated {
 		return "account/" + c.account.Name
 	}
-	return ""
+	return c.table.SharedCacheScope()
 }
 
 // urgency returns the urgency of a request, from 0, the most urgent, to MaxPriority. An
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -4,8 +4,11 @@
 	"crypto/subtle"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/mastictray/mastictray/internal/keys"
 )
 
@@ -16,6 +19,7 @@
 	services     map[string]*Service
 	accounts     map[string]*Account
 	byKey        map[string]*Account // by the hash of the API key
+	sharedScope  string
 }
 
 // NewTable indexes a configuration, which must not be modified afterwards.
@@ -40,9 +44,30 @@
 	for i := range c.Accounts {
 		t.addAccount(&c.Accounts[i])
 	}
+	t.sharedScope = sharedScope(c.Accounts)
 	return t
 }
 
+// sharedScope returns the scope of cached pieces that all accounts share which are not isolated.
+func sharedScope(accounts []Account) string {
+	var isolated []string
+	for i := range accounts {
+		if accounts[i].Isolated {
+			isolated = append(isolated, accounts[i].Name)
+		}
+	}
+	if len(isolated) == 0 {
+		return ""
+	}
+	slices.Sort(isolated)
+	h := xxhash.New()
+	for _, name := range isolated {
+		_, _ = h.WriteString(name)
+		_, _ = h.Write([]byte{0})
+	}
+	return "shared/" + strconv.FormatUint(h.Sum64(), 16)
+}
+
 func (t *Table) addAccount(a *Account) {
 	t.accounts[a.Name] = a
 	for _, hash := range a.KeyHashes {
@@ -73,6 +98,11 @@
 	return s, ok
 }
 
+// SharedCacheScope returns the scope of cached pieces of the accounts that are not isolated; empty if
+// none is. It changes with the isolated accounts, so that pieces which one of these has made before
+// are not used any more.
+func (t *Table) SharedCacheScope() string { return t.sharedScope }
+
 // Account returns the client account with the given name.
 func (t *Table) Account(name string) (*Account, bool) {
 	a, ok := t.accounts[name]
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -79,3 +80,19 @@
 	is.True(!(&Route{Kind: Stream}).Repeatable())
 	is.True((&Route{Kind: Stream, Resumable: true}).Repeatable())
 }
+
+// Guards against cached pieces that an account has made while it shared them, and that others use
+// after it has been isolated.
+func TestSharedCacheScopeChangesWithTheIsolatedAccounts(t *testing.T) {
+	is := is.New(t)
+	scopeOf := func(accounts ...Account) string { return NewTable(&Config{Accounts: accounts}).SharedCacheScope() }
+	a, b := Account{Name: "a"}, Account{Name: "b"}
+	isolatedA, isolatedB := Account{Name: "a", Isolated: true}, Account{Name: "b", Isolated: true}
+	scopes := []string{scopeOf(a, b), scopeOf(isolatedA, b), scopeOf(a, isolatedB), scopeOf(isolatedA, isolatedB)}
+	for i, scope := range scopes {
+		is.True(!slices.Contains(scopes[:i], scope))
+	}
+	is.Equal(scopes[0], "")
+	is.Equal(scopeOf(isolatedB, isolatedA), scopes[3]) // the order of the list doesn't matter
+	is.True(scopeOf(Account{Name: "ab", Isolated: true}, Account{Name: "c", Isolated: true}) != scopeOf(Account{Name: "a", Isolated: true}, Account{Name: "bc", Isolated: true}))
+}
