--- a/internal/entry/endless_test.go
+++ b/internal/entry/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -15,15 +16,27 @@
 // Guards against reading without end what a target sends in place of an answer, and against an answer
 // that is cut at the limit and looks complete.
 func TestBytesWithoutEndAreNotAnAnswer(t *testing.T) {
-	const socketBuffers = 16 << 20
+	const (
+		socketBuffer = 64 << 10
+		// inBuffers bounds what the target can send beyond what is read: both buffers, which the
+		// kernel doubles, and one write.
+		inBuffers = 1 << 20
+	)
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := new(net.Dialer).DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return conn, conn.(*net.TCPConn).SetReadBuffer(socketBuffer)
+	}
 	for name, c := range map[string]struct {
 		head    string
 		maxSent int64
 	}{
-		"head without end":                   {head: "HTTP/1.1 200 OK\r\nX-Filler: ", maxSent: maxResponseHeadBytes + socketBuffers},
-		"body that ends with its connection": {head: "HTTP/1.1 200 OK\r\n\r\n", maxSent: maxResponseBodyBytes + socketBuffers},
-		"chunk without end":                  {head: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7fffffff\r\n", maxSent: maxResponseBodyBytes + socketBuffers},
-		"informational responses":            {head: strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 1000), maxSent: socketBuffers},
+		"head without end":                   {head: "HTTP/1.1 200 OK\r\nX-Filler: ", maxSent: maxResponseHeadBytes + inBuffers},
+		"body that ends with its connection": {head: "HTTP/1.1 200 OK\r\n\r\n", maxSent: maxResponseBodyBytes + inBuffers},
+		"chunk without end":                  {head: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7fffffff\r\n", maxSent: maxResponseBodyBytes + inBuffers},
+		"informational responses":            {head: strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 1000), maxSent: inBuffers},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -39,6 +52,7 @@
 					return
 				}
 				defer conn.Close()
+				_ = conn.(*net.TCPConn).SetWriteBuffer(socketBuffer)
 				filler := bytes.Repeat([]byte("x"), 64<<10)
 				for next := []byte(c.head); ; next = filler {
 					n, err := conn.Write(next)
@@ -48,7 +62,7 @@
 					}
 				}
 			}()
-			resp, err := newTargetClient(nil).send(t.Context(), attemptRequest{
+			resp, err := newTargetClient(dial).send(t.Context(), attemptRequest{
 				attemptID: "a", target: "t", address: l.Addr().String(), method: http.MethodPost, path: "/x", sendOnce: true,
 			})
 			if err == nil {
