--- a/internal/gateway/slotloans.go
+++ b/internal/gateway/slotloans.go
@@ -165,17 +165,19 @@
 		g.limits.endLoan(id, from.Instance, request.Loan)
 		return wire.SlotLoanResponse{Granted: true}, nil
 	}
-	return wire.SlotLoanResponse{Granted: g.slotUser(request.Service).lendSlot(id, from.Instance, request.Loan)}, nil
+	service, ok := g.slotUser(request.Service)
+	return wire.SlotLoanResponse{Granted: ok && service.lendSlot(id, from.Instance, request.Loan)}, nil
 }
 
-// slotUser returns the state of a service.
-func (g *Gateway) slotUser(name string) slotUser {
+// slotUser returns the state of a service, and false if this instance has none.
+func (g *Gateway) slotUser(name string) (slotUser, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if s := g.engineServices[name]; s != nil {
-		return s
+		return s, true
 	}
-	return g.plainServiceFor(name)
+	s := g.plainServices[name]
+	return s, s != nil
 }
 
 // lendSlot implements slotUser.
@@ -236,7 +238,11 @@
 	if !g.limits.hasBorrowed(id) {
 		return
 	}
-	for _, loan := range g.slotUser(t.service).takeUnusedLoans(id) {
+	service, ok := g.slotUser(t.service)
+	if !ok {
+		return
+	}
+	for _, loan := range service.takeUnusedLoans(id) {
 		go g.returnLoan(t, loan)
 	}
 }
