--- a/internal/linkproxy/proxy.go
+++ b/internal/linkproxy/proxy.go
@@ -200,8 +200,8 @@
 	return true
 }
 
-// copy forwards one direction of a connection until it ends, and passes the end on. It is blocked in state Blackholed, and also in
-// state blockedBy unless that is Forwarding.
+// copy forwards one direction of a connection until it ends, and passes the end on. It is blocked in
+// state Blackholed, and also in state blockedBy unless that is Forwarding.
 func (p *Proxy) copy(from, to *net.TCPConn, blockedBy State) {
 	buffer := make([]byte, 16<<10)
 	for {
