gateway: the record of software versions waits for the configuration

A process reads and writes the record once it knows both, and keeps what the record says of services that it doesn't know. TestRecordOfVersionsWaitsForTheConfiguration and TestRecordIsKeptUntilItsServicesAreKnown failed before.

--- a/internal/gateway/softwarerecord.go
+++ b/internal/gateway/softwarerecord.go
@@ -41,7 +41,7 @@
 // instance and a version has come or gone.
 func (g *Gateway) softwareRecordStep(ctx context.Context) {
 	r := &g.softwareRecord
-	if g.clock.Now() < r.notBefore || !g.hasReadRegistrations() {
+	if g.clock.Now() < r.notBefore || !g.knowsServiceTargets() {
 		return
 	}
 	if !r.upToDate {
@@ -61,10 +61,12 @@
 	}
 }
 
-func (g *Gateway) hasReadRegistrations() bool {
+// knowsServiceTargets reports whether this process has read both the configuration and the
+// registrations, without which it knows no versions.
+func (g *Gateway) knowsServiceTargets() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.registrations.nextOffset != unreadOffset
+	return g.registrations.nextOffset != unreadOffset && g.table.Load() != nil
 }
 
 func (g *Gateway) readSoftwareRecord(ctx context.Context) error {
--- a/internal/gateway/takeup_test.go
+++ b/internal/gateway/takeup_test.go
@@ -93,6 +93,24 @@
 	}
 }
 
+// Guards against an instance that has no configuration yet and replaces the record of versions by an
+// empty one.
+func TestRecordOfVersionsWaitsForTheConfiguration(t *testing.T) {
+	is := is.New(t)
+	p := newTakeUpGateway(t, nil, []string{"v2", "v2"})
+	store := p.store
+	store.softwareRecord = streamorigin.Record{NextOffset: 1, Versions: []streamorigin.RecordedVersion{{Service: "engines", Software: "v1"}}}
+	p.softwareRecord, p.origins = softwareRecord{}, newStreamOrigins()
+	table := p.table.Swap(nil)
+	p.softwareRecordStep(t.Context())
+	is.Equal(len(store.softwareRecord.Versions), 1)
+	p.table.Store(table)
+	p.updateServiceTargets()
+	p.softwareRecordStep(t.Context())
+	_, reason := p.takeUp(t, "first", "3")
+	is.Equal(reason, "stream_origin_unknown")
+}
+
 // Guards against an instance that takes a version for the only one although another had a target
 // between two reads of the registrations.
 func TestVersionBetweenTwoReadsCounts(t *testing.T) {
--- a/internal/streamorigin/record.go
+++ b/internal/streamorigin/record.go
@@ -69,7 +69,8 @@
 	for _, entry := range list {
 		s := v.services[entry.Service]
 		if s == nil {
-			continue
+			s = &serviceVersions{trackedSince: now, goneAt: map[string]time.Duration{}}
+			v.services[entry.Service] = s
 		}
 		s.trackedSince = min(s.trackedSince, now-Retention)
 		if s.present[entry.Software] {
--- a/internal/streamorigin/record_test.go
+++ b/internal/streamorigin/record_test.go
@@ -46,6 +46,22 @@
 	}
 }
 
+// Guards against a process that reads the record before it knows its services, and forgets what it read
+// or writes a record without it.
+func TestRecordIsKeptUntilItsServicesAreKnown(t *testing.T) {
+	const start = time.Hour
+	is, wall := is.New(t), time.Unix(1_000_000, 0)
+	v, list := NewVersions(), []RecordedVersion{{"engines", "v1", time.Time{}}, {"engines", "v2", time.Time{}}}
+	v.ApplyRecord(start, wall, 0, list)
+	is.Equal(len(v.Recorded(start, wall)), len(list))
+	v.Update(start+time.Second, "engines", map[string]bool{"v2": true})
+	_, ok := v.Sole(start+Retention, "engines")
+	is.True(!ok)
+	sole, ok := v.Sole(start+Retention+1, "engines")
+	is.True(ok)
+	is.Equal(sole, "v2")
+}
+
 // Guards against a record that misses a version that comes or goes, and against writes without a
 // change.
 func TestRecordFollowsTheVersions(t *testing.T) {
