streamorigin: a record tells since when its writers have known the versions

Traced in its logs: the store was unavailable from the fleet's first start on, so that its record was never written; after the restart the first-ranked process wrote what it saw, one version, and its peers took the record for knowledge of the past.

A record has the time since when its writers have known all versions of a service, and a reader knows no more than they did. TestSoleVersionAfterARestartFollowsFromTheRecord has the case; with the code before, it doesn't build.

--- a/internal/streamorigin/record.go
+++ b/internal/streamorigin/record.go
@@ -12,6 +12,9 @@
 	Service, Software string
 	// GoneAt is zero while the version has targets.
 	GoneAt time.Time
+	// KnownSince is when the writer, or those whose record it has read, began to know all versions
+	// of the service.
+	KnownSince time.Time
 }
 
 // Record is what the store keeps of software versions. It is all that remains of them when all
@@ -38,7 +41,12 @@
 
 // presentIn returns the versions of a list that have targets, in order.
 func presentIn(list []RecordedVersion) []RecordedVersion {
-	out := slices.DeleteFunc(slices.Clone(list), func(v RecordedVersion) bool { return !v.GoneAt.IsZero() })
+	var out []RecordedVersion
+	for _, v := range list {
+		if v.GoneAt.IsZero() {
+			out = append(out, RecordedVersion{Service: v.Service, Software: v.Software})
+		}
+	}
 	slices.SortFunc(out, compareVersions)
 	return out
 }
@@ -51,7 +59,7 @@
 func (v *Versions) Recorded(now time.Duration, wallNow time.Time) (list []RecordedVersion) {
 	for service, s := range v.services {
 		for version := range s.recent(now) {
-			entry := RecordedVersion{Service: service, Software: version}
+			entry := RecordedVersion{Service: service, Software: version, KnownSince: wallNow.Add(s.trackedSince - now)}
 			if !s.present[version] {
 				entry.GoneAt = wallNow.Add(s.goneAt[version] - now)
 			}
@@ -64,7 +72,7 @@
 
 // ApplyRecord applies the record, as it was read after the targets: a version that it has and that no
 // longer has targets may have begun streams until now, and the versions of a service that it names
-// are known for the past as well. margin is the error of the time of day.
+// are known for as long as they were to its writers. margin is the error of the time of day.
 func (v *Versions) ApplyRecord(now time.Duration, wallNow time.Time, margin time.Duration, list []RecordedVersion) {
 	for _, entry := range list {
 		s := v.services[entry.Service]
@@ -72,7 +80,7 @@
 			s = &serviceVersions{trackedSince: now, goneAt: map[string]time.Duration{}}
 			v.services[entry.Service] = s
 		}
-		s.trackedSince = min(s.trackedSince, now-Retention)
+		s.trackedSince = min(s.trackedSince, now-min(max(0, wallNow.Sub(entry.KnownSince)-margin), Retention))
 		if s.present[entry.Software] {
 			continue
 		}
