gateway: a rejection's log line tells whether the bound was known when it was sent

target_rejected told the instance's share and the size of its fleet, which can't tell the incident's first two hypotheses from the third: it was logged after the answer had been taken in, so the bound always looked known. Now the line and the counter tell whether the request was sent before this instance learned what the target can bear, for how long it has known, and for how long the process runs.

No logic has changed.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -218,9 +218,11 @@
 	if !v.limited {
 		return
 	}
-	g.metrics.limitedTargetRejected(v)
-	logline.Info("target_rejected", "target", target.ID, "born", target.StartedMs, "request", c.ID, "sent", g.clock.Now()-c.placedAt,
-		"share", v.share, "slots", target.Slots, "fleet", v.fleet)
+	boundKnown := c.placedAt > v.boundSince
+	g.metrics.limitedTargetRejected(v, boundKnown)
+	now := g.clock.Now()
+	logline.Info("target_rejected", "target", target.ID, "born", target.StartedMs, "request", c.ID, "sent", now-c.placedAt,
+		"share", v.share, "slots", target.Slots, "fleet", v.fleet, "bound_known", boundKnown, "bound_age", now-v.boundSince, "uptime", now)
 }
 
 // recordRefusal records that a target refused a request as a whole, and the pause that it asked
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -73,8 +73,9 @@
 }
 
 // limitedTargetRejected counts a request that was rejected by a target that bears few rejections.
-func (m *gatewayMetrics) limitedTargetRejected(v rejectionView) {
-	m.set.GetOrCreateCounter(fmt.Sprintf(`mastictray_limited_target_rejections_total{share="%t"}`, v.share > 0)).Inc()
+// boundKnown is set if that was known when the request was sent.
+func (m *gatewayMetrics) limitedTargetRejected(v rejectionView, boundKnown bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`mastictray_limited_target_rejections_total{share="%t",bound_known="%t"}`, v.share > 0, boundKnown)).Inc()
 }
 
 // slotLoan counts a request to a peer for a slot of a target.
--- a/internal/gateway/targetlimits.go
+++ b/internal/gateway/targetlimits.go
@@ -107,6 +107,8 @@
 	// share is the instance's share of its slots, fleet the number of instances by which they
 	// were divided.
 	share, fleet int
+	// boundSince is when this instance learned what the target can bear.
+	boundSince time.Duration
 }
 
 // recordRejection records that a target rejected a request sent at the given time, and returns
@@ -117,6 +119,7 @@
 	var v rejectionView
 	v.share, v.limited = t.limiter.MaxInFlight(t.now(), id, target.Slots)
 	v.fleet = t.limiter.FleetSize()
+	v.boundSince, _ = t.limiter.BoundSince(id)
 	room, lowered := t.limiter.RecordRejection(t.now(), sent, id, target.Slots)
 	t.mu.Unlock()
 	if lowered {
--- a/internal/targetlimit/limiter.go
+++ b/internal/targetlimit/limiter.go
@@ -373,6 +373,16 @@
 	return t.Room, lowered
 }
 
+// BoundSince returns when this instance learned how many rejections a target can bear, and whether it
+// knows.
+func (l *Limiter) BoundSince(id directory.Incarnation) (since time.Duration, known bool) {
+	t := l.targets[id]
+	if t == nil || t.Rejections == 0 {
+		return 0, false
+	}
+	return t.changedAt, true
+}
+
 // CanSend reports whether this instance may send a request to a target now.
 func (l *Limiter) CanSend(now time.Duration, id directory.Incarnation) bool {
 	t := l.targets[id]
