targetlimit: a target that has not answered yet bears as few rejections as its service's others

What callers and operators saw: targets that restart or join got a request from each instance at once, had to reject more than they can bear, and crash again (LIMIT).

Cause: what a target can bear was known by target and start. One that had just started counted as one that bears any number of rejections, until its first answers had gone round. Evidence: of the rejections by such targets, 29 of 31 were of requests sent before the instance knew of a bound (bound_known=false), with one fleet size at all instances.

Change: the limiter knows the service of each target, also in the reports of peers. Until a target has answered it counts by the lowest number that the others of its service state, or that they stated last if none is left. Its slots are shared and lent from its first request on. Its own answer overrides that, also if it states nothing.

The tests of the limiter call it with whole targets instead of ids and slots; their assertions are the same.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -39,7 +39,7 @@
 	a.relay = connrelay.RelayOf(conn.NetConn())
 	c.lastRelay = a.relay
 	c.generation.begin(a)
-	if g.limits.bearsFewRejections(a.target.Incarnation()) {
+	if g.limits.bearsFewRejections(&a.target) {
 		conn.KeepReceiving()
 	}
 	a.onSend(conn.Cancel, a.relay, g.cancelPolicyFor(c))
@@ -53,7 +53,7 @@
 	// close a connection that may serve another request by then.
 	var counted overload.Result
 	counted, a.pathFailed = g.attemptResult(ctx, a, conn, result, err)
-	abandoned := result != outcomeDelivered && result != outcomeNotRun && g.limits.abandon(a.target.Incarnation())
+	abandoned := result != outcomeDelivered && result != outcomeNotRun && g.limits.abandon(&a.target)
 	a.onEnd(counted)
 	switch {
 	case abandoned:
@@ -187,7 +187,7 @@
 	// is delivered whole, the connection is closed.
 	info := g.dialect.Inspect(resp)
 	if info.Limit != (targetlimit.Limit{}) || info.Signed || info.NotRun {
-		g.limits.observe(c.placedAt, a.target.Incarnation(), info.Limit)
+		g.limits.observe(c.placedAt, &a.target, info.Limit)
 	}
 	if info.NotRun {
 		g.recordRejection(c, &a.target)
--- a/internal/gateway/engineservice.go
+++ b/internal/gateway/engineservice.go
@@ -83,6 +83,7 @@
 // for decisions only, never during I/O.
 type engineService struct {
 	now         func() time.Duration
+	name        string
 	domain      string
 	prefillRate float64
 	// sharesSlots is set if the targets' slots are shared with the other instances; see
@@ -151,10 +152,10 @@
 	stepScheduled bool
 }
 
-func newEngineService(now func() time.Duration, domain string, prefill float64, limits *targetLimits, reach *domainReach, features Features) *engineService {
+func newEngineService(now func() time.Duration, name, domain string, prefill float64, limits *targetLimits, reach *domainReach, features Features) *engineService {
 	s := &engineService{
 		sharesSlots: features.Contention, reportsTimeouts: features.LargePools,
-		now: now, domain: domain, prefillRate: prefill, limits: limits, reach: reach, serviceTimes: servicetime.New(prefill),
+		now: now, name: name, domain: domain, prefillRate: prefill, limits: limits, reach: reach, serviceTimes: servicetime.New(prefill),
 		capacities:    targetCapacities{table: targetcapacity.New(), updatedAt: never},
 		slow:          slowTargets{detector: slowspell.New(), checkedAt: never},
 		registrations: map[string]directory.Registration{}, breakers: map[string]*overload.Breaker{},
@@ -400,7 +401,7 @@
 // refreshRateLimits updates the placement filters with the targets whose advertised rate
 // limits allow a request now. The caller holds s.mu.
 func (s *engineService) refreshRateLimits() {
-	permissions := s.limits.limitedTargets()
+	permissions := s.limits.limitedTargets(s.name, s.registrations)
 	if len(permissions)+len(s.rateLimited) == 0 {
 		return
 	}
@@ -427,7 +428,7 @@
 	r := s.registrations[id]
 	t.Limit = r.Slots
 	if p.ShareSlots {
-		t.Limit = s.limits.slotShare(r.Incarnation(), r.Slots)
+		t.Limit, _ = s.limits.maxInFlight(&r)
 		t.OverRate = t.OverRate || t.Limit == 0
 	}
 	s.pool.ApplyFilters(i)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -339,7 +339,7 @@
 func (g *Gateway) engineServiceFor(name string) *engineService {
 	s := g.engineServices[name]
 	if s == nil {
-		s = newEngineService(g.clock.Now, g.settings.Domain, g.settings.PrefillTokensPerSecond, g.limits, g.reach, g.settings.Features)
+		s = newEngineService(g.clock.Now, name, g.settings.Domain, g.settings.PrefillTokensPerSecond, g.limits, g.reach, g.settings.Features)
 		if g.settings.Features.BoundedMemory {
 			s.sharesMemoryAs = g.settings.Instance
 		}
--- a/internal/gateway/plainservice.go
+++ b/internal/gateway/plainservice.go
@@ -147,7 +147,7 @@
 
 // hasRoom reports whether this instance may have another request at a target. The caller holds s.mu.
 func (s *plainService) hasRoom(t *serviceTarget) bool {
-	return s.limits.hasRoom(t.registration.Incarnation(), t.registration.Slots, t.inFlight)
+	return s.limits.hasRoom(&t.registration, t.inFlight)
 }
 
 // withoutRoom returns the targets that may get a request but for this instance's lack of room
--- a/internal/gateway/slotloans.go
+++ b/internal/gateway/slotloans.go
@@ -66,7 +66,7 @@
 	lendSlot(id directory.Incarnation, borrower string, loan uint64) bool
 	// takeUnusedLoans removes and returns the borrowed slots of a target that this instance
 	// doesn't use.
-	takeUnusedLoans(id directory.Incarnation) []targetlimit.Loan
+	takeUnusedLoans(target directory.Registration) []targetlimit.Loan
 }
 
 // borrowSlot borrows a slot of one of the targets, at which this instance has no room of its own. It
@@ -95,7 +95,7 @@
 
 // chooseLender chooses a peer that has a share of a target's slots.
 func (g *Gateway) chooseLender(t *loanTarget) (wire.Identity, bool) {
-	names := g.limits.lenders(t.Incarnation(), t.Slots)
+	names := g.limits.lenders(&t.Registration)
 	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
 	return g.peers.firstServing(names)
 }
@@ -121,7 +121,7 @@
 	go func() {
 		ok := g.callLender(ctx, t, lender.Address, loan, false)
 		if ok {
-			g.limits.borrow(t.Incarnation(), lender.Instance, loan)
+			g.limits.borrow(&t.Registration, lender.Instance, loan)
 		}
 		granted <- ok
 	}()
@@ -185,17 +185,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.find(id)
-	return t != nil && s.limits.lend(id, t.registration.Slots, t.inFlight, borrower, loan)
+	return t != nil && s.limits.lend(&t.registration, t.inFlight, borrower, loan)
 }
 
 // takeUnusedLoans implements slotUser.
-func (s *plainService) takeUnusedLoans(id directory.Incarnation) []targetlimit.Loan {
+func (s *plainService) takeUnusedLoans(target directory.Registration) []targetlimit.Loan {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if t := s.find(id); t != nil {
-		return s.limits.takeUnusedLoans(id, t.registration.Slots, t.inFlight)
+	if t := s.find(target.Incarnation()); t != nil {
+		return s.limits.takeUnusedLoans(&t.registration, t.inFlight)
 	}
-	return s.limits.takeUnusedLoans(id, 0, 0) // the target has left
+	target.Slots = 0 // it has left
+	return s.limits.takeUnusedLoans(&target, 0)
 }
 
 // lendSlot implements slotUser.
@@ -204,18 +205,19 @@
 	defer s.mu.Unlock()
 	i, ok := s.pool.Find(id.ID)
 	r := s.registrations[id.ID]
-	return ok && r.Incarnation() == id && s.limits.lend(id, r.Slots, s.pool.Target(i).InFlight, borrower, loan)
+	return ok && r.Incarnation() == id && s.limits.lend(&r, s.pool.Target(i).InFlight, borrower, loan)
 }
 
 // takeUnusedLoans implements slotUser.
-func (s *engineService) takeUnusedLoans(id directory.Incarnation) []targetlimit.Loan {
+func (s *engineService) takeUnusedLoans(target directory.Registration) []targetlimit.Loan {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r := s.registrations[id.ID]
-	if i, ok := s.pool.Find(id.ID); ok && r.Incarnation() == id {
-		return s.limits.takeUnusedLoans(id, r.Slots, s.pool.Target(i).InFlight)
+	r := s.registrations[target.ID]
+	if i, ok := s.pool.Find(target.ID); ok && r.Incarnation() == target.Incarnation() {
+		return s.limits.takeUnusedLoans(&r, s.pool.Target(i).InFlight)
 	}
-	return s.limits.takeUnusedLoans(id, 0, 0) // the target has left
+	target.Slots = 0 // it has left
+	return s.limits.takeUnusedLoans(&target, 0)
 }
 
 // withoutRoom returns the targets that may get a request but for this instance's lack of room there.
@@ -242,7 +244,7 @@
 	if !ok {
 		return
 	}
-	for _, loan := range service.takeUnusedLoans(id) {
+	for _, loan := range service.takeUnusedLoans(t.Registration) {
 		go g.returnLoan(t, loan)
 	}
 }
--- a/internal/gateway/targetlimits.go
+++ b/internal/gateway/targetlimits.go
@@ -25,14 +25,19 @@
 	return &targetLimits{now: now, limiter: targetlimit.New(now(), instance)}
 }
 
+// limitedTarget returns a target as the limiter knows it.
+func limitedTarget(r *directory.Registration) targetlimit.Target {
+	return targetlimit.Target{Incarnation: r.Incarnation(), Service: r.Service, Slots: r.Slots}
+}
+
 // observe records the limit that a target stated in the response to a request sent at the
 // given time.
-func (t *targetLimits) observe(sent time.Duration, id directory.Incarnation, limit targetlimit.Limit) {
+func (t *targetLimits) observe(sent time.Duration, target *directory.Registration, limit targetlimit.Limit) {
 	t.mu.Lock()
-	changed := t.limiter.Observe(t.now(), sent, id, limit)
+	changed := t.limiter.Observe(t.now(), sent, limitedTarget(target), limit)
 	t.mu.Unlock()
 	if changed {
-		logline.Info("target_limit", "target", id.ID, "born", id.StartedMs, "limit", limit.Rate, "rejections", limit.Rejections)
+		logline.Info("target_limit", "target", target.ID, "born", target.StartedMs, "limit", limit.Rate, "rejections", limit.Rejections)
 	}
 }
 
@@ -59,7 +64,7 @@
 	}
 	reports := make([]targetlimit.Report, len(limits))
 	for i, l := range limits {
-		reports[i] = targetlimit.Report{Target: directory.Incarnation{ID: l.Target, StartedMs: l.Born}, Limit: targetlimit.Limit{Rate: l.Rate, Rejections: l.Rejections}, Revision: l.Revision, Room: l.Room, RoomRevision: l.RoomRevision}
+		reports[i] = targetlimit.Report{Target: directory.Incarnation{ID: l.Target, StartedMs: l.Born}, Service: l.Service, Limit: targetlimit.Limit{Rate: l.Rate, Rejections: l.Rejections}, Revision: l.Revision, Room: l.Room, RoomRevision: l.RoomRevision}
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -72,31 +77,36 @@
 	defer t.mu.Unlock()
 	var out []wire.TargetLimit
 	for _, r := range t.limiter.Reports() {
-		out = append(out, wire.TargetLimit{Target: r.Target.ID, Born: r.Target.StartedMs, Rate: r.Rate, Rejections: r.Rejections, Revision: r.Revision, Room: r.Room, RoomRevision: r.RoomRevision})
+		out = append(out, wire.TargetLimit{Target: r.Target.ID, Born: r.Target.StartedMs, Service: r.Service, Rate: r.Rate, Rejections: r.Rejections, Revision: r.Revision, Room: r.Room, RoomRevision: r.RoomRevision})
 	}
 	return out
 }
 
-// limitedTargets returns the targets that state a limit, and what this instance may send them
-// now.
-func (t *targetLimits) limitedTargets() map[directory.Incarnation]targetlimit.Permission {
+// limitedTargets returns those of a service's targets that have a limit, and what this instance may
+// send them now.
+func (t *targetLimits) limitedTargets(service string, targets map[string]directory.Registration) map[directory.Incarnation]targetlimit.Permission {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.limiter.LimitedTargets(t.now())
+	return t.limiter.LimitedTargets(t.now(), service, func(yield func(targetlimit.Target) bool) {
+		for _, r := range targets {
+			if !yield(limitedTarget(&r)) {
+				return
+			}
+		}
+	})
 }
 
-// slotShare returns this instance's share of a target's slots, 0 if it has none.
-func (t *targetLimits) slotShare(id directory.Incarnation, slots int) int {
+// maxInFlight returns how many requests this instance may have in flight at a target, if that is
+// limited because the target must reject little.
+func (t *targetLimits) maxInFlight(target *directory.Registration) (limit int, limited bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.limiter.SlotShare(t.now(), id, slots)
+	return t.limiter.MaxInFlight(t.now(), limitedTarget(target))
 }
 
 // hasRoom reports whether this instance may have another request in flight at a target.
-func (t *targetLimits) hasRoom(id directory.Incarnation, slots, inFlight int) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	limit, limited := t.limiter.MaxInFlight(t.now(), id, slots)
+func (t *targetLimits) hasRoom(target *directory.Registration, inFlight int) bool {
+	limit, limited := t.maxInFlight(target)
 	return !limited || inFlight < limit
 }
 
@@ -114,13 +124,13 @@
 // recordRejection records that a target rejected a request sent at the given time, and returns
 // what was assumed when it did.
 func (t *targetLimits) recordRejection(sent time.Duration, target *directory.Registration) rejectionView {
-	id := target.Incarnation()
+	id := limitedTarget(target)
 	t.mu.Lock()
 	var v rejectionView
-	v.share, v.limited = t.limiter.MaxInFlight(t.now(), id, target.Slots)
+	v.share, v.limited = t.limiter.MaxInFlight(t.now(), id)
 	v.fleet = t.limiter.FleetSize()
 	v.boundSince, _ = t.limiter.BoundSince(id)
-	room, lowered := t.limiter.RecordRejection(t.now(), sent, id, target.Slots)
+	room, lowered := t.limiter.RecordRejection(t.now(), sent, id)
 	t.mu.Unlock()
 	if lowered {
 		logline.Info("target_room", "target", target.ID, "born", target.StartedMs, "room", room, "slots", target.Slots)
@@ -129,17 +139,17 @@
 }
 
 // lenders returns the other instances that have a share of a target's slots.
-func (t *targetLimits) lenders(id directory.Incarnation, slots int) []string {
+func (t *targetLimits) lenders(target *directory.Registration) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.limiter.Lenders(t.now(), id, slots)
+	return t.limiter.Lenders(t.now(), limitedTarget(target))
 }
 
 // lend lends a slot of a target, of which this instance uses the given number, if one is free.
-func (t *targetLimits) lend(id directory.Incarnation, slots, inUse int, borrower string, loan uint64) bool {
+func (t *targetLimits) lend(target *directory.Registration, inUse int, borrower string, loan uint64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.limiter.Lend(t.now(), id, slots, inUse, borrower, loan)
+	return t.limiter.Lend(t.now(), limitedTarget(target), inUse, borrower, loan)
 }
 
 // endLoan ends a loan to a borrower.
@@ -150,10 +160,10 @@
 }
 
 // borrow records a slot that a lender has granted.
-func (t *targetLimits) borrow(id directory.Incarnation, lender string, loan uint64) {
+func (t *targetLimits) borrow(target *directory.Registration, lender string, loan uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.limiter.Borrow(t.now(), id, lender, loan)
+	t.limiter.Borrow(t.now(), limitedTarget(target), lender, loan)
 }
 
 // hasBorrowed reports whether this instance has borrowed slots of a target.
@@ -165,26 +175,24 @@
 
 // takeUnusedLoans removes and returns the borrowed slots of a target that this instance, which uses
 // the given number, doesn't need.
-func (t *targetLimits) takeUnusedLoans(id directory.Incarnation, slots, inUse int) []targetlimit.Loan {
+func (t *targetLimits) takeUnusedLoans(target *directory.Registration, inUse int) []targetlimit.Loan {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.limiter.TakeUnusedLoans(t.now(), id, slots, inUse)
+	return t.limiter.TakeUnusedLoans(t.now(), limitedTarget(target), inUse)
 }
 
-// bearsFewRejections reports whether a target has stated how many rejections it can bear.
-func (t *targetLimits) bearsFewRejections(id directory.Incarnation) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	_, limited := t.limiter.MaxInFlight(t.now(), id, 0)
+// bearsFewRejections reports whether a target can bear only a limited number of rejections.
+func (t *targetLimits) bearsFewRejections(target *directory.Registration) bool {
+	_, limited := t.maxInFlight(target)
 	return limited
 }
 
 // abandon records that a request was given up that its target may still have; see
 // targetlimit.Limiter.Abandon.
-func (t *targetLimits) abandon(id directory.Incarnation) (ok bool) {
+func (t *targetLimits) abandon(target *directory.Registration) (ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.limiter.Abandon(id)
+	return t.limiter.Abandon(t.now(), limitedTarget(target))
 }
 
 // release records that a target no longer has an abandoned request.
--- a/internal/targetlimit/limiter.go
+++ b/internal/targetlimit/limiter.go
@@ -24,6 +24,10 @@
 // room then recovers step by step. Each instance that is rejected also pauses for
 // long enough that all of them together stay within the number stated.
 //
+// What a target can bear is known of its service before it is known of the target: one that has not
+// answered yet counts as like the others. Otherwise a target that starts would get as many requests
+// as there are, from every instance, until its first answers have gone round.
+//
 // A request that is given up keeps its part of the share until the target is seen to have closed
 // its connection: a target that is silent still has it, and rejects it once it goes on.
 //
@@ -41,6 +45,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"math"
 	"slices"
 	"time"
@@ -84,9 +89,10 @@
 
 // Report is the latest known limit of a target.
 type Report struct {
-	Target directory.Incarnation
+	Target  directory.Incarnation
+	Service string
 	Limit
-	// Revision is incremented by each change of the limit.
+	// Revision is incremented by each change of the limit; 0 before the target's first answer.
 	Revision uint64
 	// Room is the number of requests that the target had room for after the latest
 	// rejection known; 0 if none is. RoomRevision is incremented by each change of it.
@@ -102,6 +108,7 @@
 	membershipKnown bool
 	startedAt       time.Duration
 	targets         map[directory.Incarnation]*target
+	services        map[string]*service
 }
 
 type target struct {
@@ -134,7 +141,7 @@
 
 // New returns a Limiter for the instance self, which starts at now.
 func New(now time.Duration, self string) *Limiter {
-	return &Limiter{self: self, startedAt: now, members: []string{self}, targets: map[directory.Incarnation]*target{}}
+	return &Limiter{self: self, startedAt: now, members: []string{self}, targets: map[directory.Incarnation]*target{}, services: map[string]*service{}}
 }
 
 // SetFleet sets the names of all instances that may be serving. discovered is
@@ -158,15 +165,15 @@
 // at the given time, and reports whether it changed. The answer to a
 // request sent before the latest change is ignored, since it may be older than
 // that change.
-func (l *Limiter) Observe(now, sentAt time.Duration, id directory.Incarnation, limit Limit) (changed bool) {
-	t := l.targets[id]
+func (l *Limiter) Observe(now, sentAt time.Duration, id Target, limit Limit) (changed bool) {
+	t := l.targets[id.Incarnation]
+	stated := t != nil && t.hasStated()
 	switch {
-	case t == nil && limit == Limit{}:
+	case !stated && limit == Limit{} && l.bound(id) == 0:
 		return false
 	case t == nil:
-		t = &target{Report: Report{Target: id}, updatedAt: now}
-		l.targets[id] = t
-	case t.Limit == limit:
+		t = l.add(now, id.Incarnation, id.Service)
+	case stated && t.Limit == limit:
 		t.observed = true
 		return false
 	case sentAt < t.changedAt:
@@ -177,14 +184,33 @@
 	return true
 }
 
+// add adds a target of which nothing is known.
+func (l *Limiter) add(now time.Duration, id directory.Incarnation, service string) *target {
+	t := &target{Report: Report{Target: id, Service: service}, updatedAt: now}
+	l.targets[id] = t
+	l.assignSenders(now, t)
+	l.serviceOf(service).records++
+	return t
+}
+
+// bounded returns the state of a target that bears few rejections, or nil if it bears any number.
+func (l *Limiter) bounded(now time.Duration, id Target) (t *target, rejections float64) {
+	if rejections = l.bound(id); rejections == 0 {
+		return nil, 0
+	}
+	if t = l.targets[id.Incarnation]; t == nil {
+		t = l.add(now, id.Incarnation, id.Service)
+	}
+	return t, rejections
+}
+
 // ApplyReports merges the reports of another instance. Of two changes with the
 // same revision the stricter limit wins.
 func (l *Limiter) ApplyReports(now time.Duration, reports []Report) {
 	for _, r := range reports {
 		t := l.targets[r.Target]
 		if t == nil {
-			t = &target{Report: Report{Target: r.Target}, updatedAt: now}
-			l.targets[r.Target] = t
+			t = l.add(now, r.Target, r.Service)
 		}
 		if r.Revision > t.Revision || r.Revision == t.Revision && r.Limit.stricter(t.Limit) {
 			l.setLimit(now, t, r.Limit, r.Revision)
@@ -211,8 +237,15 @@
 // setLimit replaces the limit of a target.
 func (l *Limiter) setLimit(now time.Duration, t *target, limit Limit, revision uint64) {
 	t.advance(now)
+	before := l.bound(Target{Incarnation: t.Target, Service: t.Service})
 	t.Limit, t.Revision, t.changedAt = limit, revision, now
+	if limit.Rejections == 0 {
+		t.pausedUntil = 0
+	}
 	l.assignSenders(now, t)
+	if limit.Rejections != before {
+		l.updateService(t.Service)
+	}
 }
 
 // assignSenders determines the target's senders.
@@ -267,22 +300,23 @@
 	// single request.
 	CanSend, RateLimited bool
 	// ShareSlots is set if the instance may use only its share of the target's slots;
-	// see SlotShare.
+	// see MaxInFlight.
 	ShareSlots bool
 }
 
-// LimitedTargets returns the targets that have stated a limit, and what may be sent to
+// LimitedTargets returns those of a service's targets that have a limit, and what may be sent to
 // them now.
-func (l *Limiter) LimitedTargets(now time.Duration) map[directory.Incarnation]Permission {
-	var out map[directory.Incarnation]Permission
-	for id, t := range l.targets {
-		if t.Limit == (Limit{}) {
-			continue
-		}
-		if out == nil {
-			out = map[directory.Incarnation]Permission{}
+func (l *Limiter) LimitedTargets(now time.Duration, service string, targets iter.Seq[Target]) map[directory.Incarnation]Permission {
+	s := l.services[service]
+	if s == nil || s.records == 0 && s.rejections == 0 {
+		return nil
+	}
+	out := map[directory.Incarnation]Permission{}
+	for id := range targets {
+		rejections, t := l.bound(id), l.targets[id.Incarnation]
+		if limited := rejections > 0 || t != nil && t.Rate > 0; limited {
+			out[id.Incarnation] = Permission{CanSend: t == nil || t.canSend(now), RateLimited: t != nil && t.Rate > 0, ShareSlots: rejections > 0}
 		}
-		out[id] = Permission{CanSend: t.canSend(now), RateLimited: t.Rate > 0, ShareSlots: t.Rejections > 0}
 	}
 	return out
 }
@@ -290,9 +324,9 @@
 // Abandon records that a request to a target that must reject little was given up, before it was
 // known whether the target has seen that. Until Release it takes room there, since a silent target
 // goes on with all that it was sent. ok is false if the target bears any number of rejections.
-func (l *Limiter) Abandon(id directory.Incarnation) (ok bool) {
-	t := l.targets[id]
-	if t == nil || t.Rejections == 0 {
+func (l *Limiter) Abandon(now time.Duration, id Target) (ok bool) {
+	t, _ := l.bounded(now, id)
+	if t == nil {
 		return false
 	}
 	t.abandoned++
@@ -306,25 +340,25 @@
 	}
 }
 
-// SlotShare returns how many slots of a target that must reject little this instance may use now:
-// its share with what it has borrowed, less what it has lent and what abandoned requests may
-// still take. The first instances in the target's rendezvous order get the slots that remain after
-// equal shares.
-func (l *Limiter) SlotShare(now time.Duration, id directory.Incarnation, slots int) int {
-	t := l.targets[id]
+// MaxInFlight returns how many requests this instance may have in flight at a target, if that is
+// limited because the target must reject little: its share of the slots with what it has borrowed,
+// less what it has lent and what abandoned requests may still take.
+func (l *Limiter) MaxInFlight(now time.Duration, id Target) (limit int, limited bool) {
+	t, _ := l.bounded(now, id)
 	if t == nil {
-		return slots
+		return 0, false
 	}
 	t.expireLoans(now)
-	return max(0, l.ownShare(now, t, slots)+len(t.borrowed)-len(t.lent)-t.abandoned)
+	return max(0, l.ownShare(now, t, id)+len(t.borrowed)-len(t.lent)-t.abandoned), true
 }
 
-// ownShare returns this instance's share of the slots of a target.
-func (l *Limiter) ownShare(now time.Duration, t *target, slots int) int {
+// ownShare returns this instance's share of the slots of a target. The first instances in the target's
+// rendezvous order get the slots that remain after equal shares.
+func (l *Limiter) ownShare(now time.Duration, t *target, id Target) int {
 	if !l.mayHaveShare() {
 		return 0
 	}
-	room := t.room(now, slots)
+	room := t.room(now, id.Slots, l.bound(id))
 	share := room / len(l.members)
 	if t.rank < room%len(l.members) {
 		share++
@@ -332,55 +366,48 @@
 	return share
 }
 
-// room returns the number of requests that a target with the given number of slots is
-// assumed to have room for.
-func (t *target) room(now time.Duration, slots int) int {
-	if t.Room == 0 || t.Rejections == 0 {
+// room returns the number of requests that a target with the given number of slots, which can bear
+// the given number of rejections per second, is assumed to have room for.
+func (t *target) room(now time.Duration, slots int, rejections float64) int {
+	if t.Room == 0 || rejections == 0 {
 		return slots
 	}
-	step := max(1, int(rejectionShare*t.Rejections))
+	step := max(1, int(rejectionShare*rejections))
 	return min(slots, t.Room+step*int(max(0, now-t.roomChangedAt)/roomRecoveryInterval))
 }
 
-// MaxInFlight returns how many requests this instance may have in flight at a target with
-// the given number of slots, if that is limited.
-func (l *Limiter) MaxInFlight(now time.Duration, id directory.Incarnation, slots int) (limit int, limited bool) {
-	if t := l.targets[id]; t == nil || t.Rejections == 0 {
-		return 0, false
-	}
-	return l.SlotShare(now, id, slots), true
-}
-
-// RecordRejection records that a target with the given number of slots rejected a request
+// RecordRejection records that a target rejected a request
 // for want of room that was sent at the given time. The instance sends nothing there for a
 // time in which all that have a share may be rejected once, at rejectionShare of what the
 // target can bear. The times differ by the instances' ranks, so that they don't try again
 // together. It reports whether that lowered the room, and to what.
-func (l *Limiter) RecordRejection(now, sentAt time.Duration, id directory.Incarnation, slots int) (room int, lowered bool) {
-	t := l.targets[id]
-	if t == nil || t.Rejections == 0 {
-		return slots, false
+func (l *Limiter) RecordRejection(now, sentAt time.Duration, id Target) (room int, lowered bool) {
+	t, rejections := l.bounded(now, id)
+	if t == nil {
+		return id.Slots, false
 	}
 	// A request sent before the latest change says nothing about what is sent since.
 	if lowered = sentAt >= max(t.changedAt, t.roomChangedAt); lowered {
-		t.Room, t.roomChangedAt = max(1, t.room(now, slots)/2), now
+		t.Room, t.roomChangedAt = max(1, t.room(now, id.Slots, rejections)/2), now
 		t.RoomRevision++
 	}
 	senders := max(1, min(len(l.members), t.Room))
-	mean := float64(senders) / (rejectionShare * t.Rejections) * float64(time.Second)
+	mean := float64(senders) / (rejectionShare * rejections) * float64(time.Second)
 	pause := time.Duration(mean * (0.5 + (float64(min(t.rank, senders-1))+0.5)/float64(senders)))
 	t.pausedUntil = max(t.pausedUntil, now+min(max(pause, minRejectionPause), maxRejectionPause))
 	return t.Room, lowered
 }
 
-// BoundSince returns when this instance learned how many rejections a target can bear, and whether it
-// knows.
-func (l *Limiter) BoundSince(id directory.Incarnation) (since time.Duration, known bool) {
-	t := l.targets[id]
-	if t == nil || t.Rejections == 0 {
+// BoundSince returns when this instance learned what a target states, and whether it knows a bound
+// for its rejections. The time is 0 if that is taken from the others of its service.
+func (l *Limiter) BoundSince(id Target) (since time.Duration, known bool) {
+	if l.bound(id) == 0 {
 		return 0, false
 	}
-	return t.changedAt, true
+	if t := l.targets[id.Incarnation]; t != nil {
+		since = t.changedAt
+	}
+	return since, true
 }
 
 // CanSend reports whether this instance may send a request to a target now.
@@ -390,7 +417,7 @@
 }
 
 func (t *target) canSend(now time.Duration) bool {
-	if t.Rejections > 0 && now < t.pausedUntil {
+	if now < t.pausedUntil {
 		return false
 	}
 	if t.Rate == 0 {
@@ -414,7 +441,7 @@
 func (l *Limiter) Reports() []Report {
 	var out []Report
 	for _, t := range l.targets {
-		if t.observed || t.isSender {
+		if (t.observed || t.isSender) && (t.hasStated() || t.RoomRevision > 0) {
 			out = append(out, t.Report)
 		}
 	}
@@ -426,9 +453,15 @@
 
 // Retain drops all targets for which exists returns false.
 func (l *Limiter) Retain(exists func(directory.Incarnation) bool) {
-	for id := range l.targets {
+	changed := map[string]bool{}
+	for id, t := range l.targets {
 		if !exists(id) {
 			delete(l.targets, id)
+			l.serviceOf(t.Service).records--
+			changed[t.Service] = true
 		}
 	}
+	for name := range changed {
+		l.updateService(name)
+	}
 }
--- a/internal/targetlimit/limiter_test.go
+++ b/internal/targetlimit/limiter_test.go
@@ -14,7 +14,22 @@
 
 const ms = time.Millisecond
 
-var testTarget = directory.Incarnation{ID: "one", StartedMs: 1}
+var testTarget = Target{Incarnation: directory.Incarnation{ID: "one", StartedMs: 1}, Service: "desk"}
+
+// withSlots returns testTarget with a number of slots.
+func withSlots(n int) Target {
+	t := testTarget
+	t.Slots = n
+	return t
+}
+
+// slotShare returns how many of the slots of testTarget an instance may use.
+func slotShare(l *Limiter, now time.Duration, slots int) int {
+	if limit, limited := l.MaxInFlight(now, withSlots(slots)); limited {
+		return limit
+	}
+	return slots
+}
 
 // newSingleInstance returns a limiter that knows that it is the only instance.
 func newSingleInstance() *Limiter {
@@ -27,13 +42,13 @@
 	is := is.New(t)
 	l := newSingleInstance()
 	is.True(!l.Observe(0, 0, testTarget, Limit{Rate: 0}))
-	is.True(l.CanSend(0, testTarget))
+	is.True(l.CanSend(0, testTarget.Incarnation))
 	is.True(l.Observe(ms, 0, testTarget, Limit{Rate: 2}))
-	is.True(!l.CanSend(ms, testTarget))
+	is.True(!l.CanSend(ms, testTarget.Incarnation))
 	is.True(!l.Observe(2*ms, 0, testTarget, Limit{Rate: 0})) // sent before the limit was known
-	is.True(!l.CanSend(2*ms, testTarget))
+	is.True(!l.CanSend(2*ms, testTarget.Incarnation))
 	is.True(l.Observe(time.Minute, time.Minute, testTarget, Limit{Rate: 0}))
-	is.True(l.CanSend(time.Minute, testTarget))
+	is.True(l.CanSend(time.Minute, testTarget.Incarnation))
 }
 
 func TestSenderKeepsItsShareOfTheLimit(t *testing.T) {
@@ -42,15 +57,15 @@
 	l.Observe(0, 0, testTarget, Limit{Rate: 2})
 	sent := 0
 	for now := time.Duration(0); now < 12*time.Second; now += ms {
-		if l.CanSend(now, testTarget) {
-			l.RecordSend(now, testTarget)
+		if l.CanSend(now, testTarget.Incarnation) {
+			l.RecordSend(now, testTarget.Incarnation)
 			sent++
 		}
 	}
 	is.Equal(sent, 20) // 2 per second after the first 1.5 s, with at most one request saved up
-	is.True(l.CanSend(time.Hour, testTarget))
-	l.RecordSend(time.Hour, testTarget)
-	is.True(!l.CanSend(time.Hour, testTarget))
+	is.True(l.CanSend(time.Hour, testTarget.Incarnation))
+	l.RecordSend(time.Hour, testTarget.Incarnation)
+	is.True(!l.CanSend(time.Hour, testTarget.Incarnation))
 }
 
 // Guards against instances that receive changes in different orders and end up
@@ -65,7 +80,7 @@
 	c.ApplyReports(0, a.Reports())
 	a.ApplyReports(0, b.Reports())
 	for _, l := range []*Limiter{a, b, c} {
-		is.Equal(l.targets[testTarget].Rate, 5.0)
+		is.Equal(l.targets[testTarget.Incarnation].Rate, 5.0)
 	}
 	// Two concurrent changes: the stricter limit wins.
 	a.Observe(2*time.Second, 2*time.Second, testTarget, Limit{Rate: 0})
@@ -73,8 +88,8 @@
 	reportsA, reportsB := a.Reports(), b.Reports()
 	a.ApplyReports(0, reportsB)
 	b.ApplyReports(0, reportsA)
-	is.Equal(a.targets[testTarget].Rate, 7.0)
-	is.Equal(b.targets[testTarget].Rate, 7.0)
+	is.Equal(a.targets[testTarget.Incarnation].Rate, 7.0)
+	is.Equal(b.targets[testTarget.Incarnation].Rate, 7.0)
 }
 
 // Guards against a leaving sender that keeps sending next to its replacement.
@@ -82,9 +97,9 @@
 	is := is.New(t)
 	l := newSingleInstance()
 	l.Observe(0, 0, testTarget, Limit{Rate: 2})
-	is.True(l.CanSend(time.Minute, testTarget))
+	is.True(l.CanSend(time.Minute, testTarget.Incarnation))
 	l.SetFleet(time.Minute, []string{"b"}, true)
-	is.True(!l.CanSend(2*time.Minute, testTarget))
+	is.True(!l.CanSend(2*time.Minute, testTarget.Incarnation))
 }
 
 func TestTargetThatIsGoneIsForgotten(t *testing.T) {
@@ -92,7 +107,7 @@
 	l := newSingleInstance()
 	l.Observe(0, 0, testTarget, Limit{Rate: 2})
 	l.Retain(func(directory.Incarnation) bool { return false })
-	is.True(l.CanSend(0, testTarget))
+	is.True(l.CanSend(0, testTarget.Incarnation))
 	is.Equal(len(l.Reports()), 0)
 }
 
@@ -105,7 +120,7 @@
 	var limiters []*Limiter
 	maxInFlight := func(now time.Duration, slots int) (sum int) {
 		for _, l := range limiters {
-			limit, limited := l.MaxInFlight(now, testTarget, slots)
+			limit, limited := l.MaxInFlight(now, withSlots(slots))
 			is.True(limited)
 			sum += limit
 		}
@@ -114,7 +129,7 @@
 	for _, name := range names {
 		l := New(0, name)
 		l.SetFleet(0, names, true)
-		_, limited := l.MaxInFlight(0, testTarget, slots)
+		_, limited := l.MaxInFlight(0, withSlots(slots))
 		is.True(!limited)
 		is.True(l.Observe(0, 0, testTarget, Limit{Rejections: rejections}))
 		limiters = append(limiters, l)
@@ -125,9 +140,9 @@
 	now := time.Duration(0)
 	for ; now < time.Minute; now += ms {
 		for _, l := range limiters { // the target rejects everything
-			if limit, _ := l.MaxInFlight(now, testTarget, slots); limit > 0 && l.CanSend(now, testTarget) {
-				l.RecordSend(now, testTarget)
-				l.RecordRejection(now, now, testTarget, slots)
+			if limit, _ := l.MaxInFlight(now, withSlots(slots)); limit > 0 && l.CanSend(now, testTarget.Incarnation) {
+				l.RecordSend(now, testTarget.Incarnation)
+				l.RecordRejection(now, now, withSlots(slots))
 				rejectedAt = append(rejectedAt, now)
 			}
 		}
@@ -145,10 +160,10 @@
 	is.True(maxInFlight(now, slots) < len(names))
 	now += slots * roomRecoveryInterval
 	is.Equal(maxInFlight(now, slots), slots)
-	permissions := limiters[0].LimitedTargets(time.Hour)
-	is.Equal(permissions[testTarget], Permission{CanSend: true, ShareSlots: true})
+	permissions := limiters[0].LimitedTargets(time.Hour, "desk", slices.Values([]Target{testTarget}))
+	is.Equal(permissions[testTarget.Incarnation], Permission{CanSend: true, ShareSlots: true})
 	is.True(limiters[0].Observe(time.Hour, time.Hour, testTarget, Limit{}))
-	is.Equal(len(limiters[0].LimitedTargets(time.Hour)), 0)
+	is.Equal(len(limiters[0].LimitedTargets(time.Hour, "desk", slices.Values([]Target{testTarget}))), 0)
 }
 
 // Guards against rejections that lower the room once for each of several instances that saw the
@@ -159,20 +174,20 @@
 	a, b := newSingleInstance(), newSingleInstance()
 	for _, l := range []*Limiter{a, b} {
 		l.Observe(0, 0, testTarget, Limit{Rejections: 3})
-		l.RecordRejection(2*ms, ms, testTarget, slots)
-		l.RecordRejection(3*ms, ms, testTarget, slots) // sent before the first one was known
-		is.Equal(l.SlotShare(3*ms, testTarget, slots), slots/2)
+		l.RecordRejection(2*ms, ms, withSlots(slots))
+		l.RecordRejection(3*ms, ms, withSlots(slots)) // sent before the first one was known
+		is.Equal(slotShare(l, 3*ms, slots), slots/2)
 	}
 	old := a.Reports()
 	a.ApplyReports(4*ms, b.Reports())
-	is.Equal(a.SlotShare(4*ms, testTarget, slots), slots/2)
-	a.RecordRejection(6*ms, 5*ms, testTarget, slots)
-	is.Equal(a.SlotShare(6*ms, testTarget, slots), slots/4)
+	is.Equal(slotShare(a, 4*ms, slots), slots/2)
+	a.RecordRejection(6*ms, 5*ms, withSlots(slots))
+	is.Equal(slotShare(a, 6*ms, slots), slots/4)
 	b.ApplyReports(7*ms, a.Reports())
 	b.ApplyReports(7*ms, old)
-	is.Equal(b.SlotShare(7*ms, testTarget, slots), slots/4)
-	is.Equal(b.SlotShare(7*ms+2*roomRecoveryInterval, testTarget, slots), slots/4+2)
-	is.Equal(b.SlotShare(time.Hour, testTarget, slots), slots)
+	is.Equal(slotShare(b, 7*ms, slots), slots/4)
+	is.Equal(slotShare(b, 7*ms+2*roomRecoveryInterval, slots), slots/4+2)
+	is.Equal(slotShare(b, time.Hour, slots), slots)
 }
 
 // Guards against requests that are given up and sent again while a silent target still has them.
@@ -180,18 +195,18 @@
 	is := is.New(t)
 	const slots = 4
 	l := newSingleInstance()
-	is.True(!l.Abandon(testTarget)) // it bears any number of rejections
+	is.True(!l.Abandon(0, testTarget)) // it bears any number of rejections
 	l.Observe(0, 0, testTarget, Limit{Rejections: 2})
 	for held := 1; held <= slots+1; held++ {
-		is.True(l.Abandon(testTarget))
-		is.Equal(l.SlotShare(time.Hour, testTarget, slots), max(0, slots-held))
+		is.True(l.Abandon(0, testTarget))
+		is.Equal(slotShare(l, time.Hour, slots), max(0, slots-held))
 	}
 	for held := slots; held >= 0; held-- {
-		l.Release(testTarget)
-		is.Equal(l.SlotShare(time.Hour, testTarget, slots), slots-held)
+		l.Release(testTarget.Incarnation)
+		is.Equal(slotShare(l, time.Hour, slots), slots-held)
 	}
-	l.Release(testTarget)
-	is.Equal(l.SlotShare(time.Hour, testTarget, slots), slots)
+	l.Release(testTarget.Incarnation)
+	is.Equal(slotShare(l, time.Hour, slots), slots)
 }
 
 const (
@@ -349,8 +364,8 @@
 		}
 		x.pendingAnswers = x.pendingAnswers[1:]
 	}
-	if f.rng.Float64() < probability && x.limiter.CanSend(f.now, testTarget) {
-		x.limiter.RecordSend(f.now, testTarget)
+	if f.rng.Float64() < probability && x.limiter.CanSend(f.now, testTarget.Incarnation) {
+		x.limiter.RecordSend(f.now, testTarget.Incarnation)
 		x.pendingAnswers = append(x.pendingAnswers, f.now)
 		f.arrivals = append(f.arrivals, simArrival{at: f.now, from: x.simProcess})
 	}
@@ -494,18 +509,18 @@
 		x.inFlight--
 		x.Observe(now, a.sentAt, testTarget, Limit{Rejections: roomSimRejections})
 		if a.rejected {
-			x.RecordRejection(now, a.sentAt, testTarget, roomSimSlots)
+			x.RecordRejection(now, a.sentAt, withSlots(roomSimSlots))
 		} else {
 			s.running--
 			s.served++
 		}
 		return true
 	})
-	limit, limited := x.MaxInFlight(now, testTarget, roomSimSlots)
+	limit, limited := x.MaxInFlight(now, withSlots(roomSimSlots))
 	if !limited {
 		limit = 1
 	}
-	for x.inFlight < limit && x.CanSend(now, testTarget) {
+	for x.inFlight < limit && x.CanSend(now, testTarget.Incarnation) {
 		x.inFlight++
 		if s.running >= s.room {
 			s.rejectedAt = append(s.rejectedAt, now)
--- a/internal/targetlimit/loan.go
+++ b/internal/targetlimit/loan.go
@@ -22,8 +22,8 @@
 }
 
 // Lenders returns the other instances that have a share of a target's slots.
-func (l *Limiter) Lenders(now time.Duration, id directory.Incarnation, slots int) []string {
-	t := l.targets[id]
+func (l *Limiter) Lenders(now time.Duration, id Target) []string {
+	t, rejections := l.bounded(now, id)
 	if t == nil {
 		return nil
 	}
@@ -33,13 +33,13 @@
 	}
 	candidates := make([]candidate, len(l.members))
 	for i, name := range l.members {
-		candidates[i] = candidate{name, rendezvousWeight(id, name)}
+		candidates[i] = candidate{name, rendezvousWeight(id.Incarnation, name)}
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.name, b.name))
 	})
 	var out []string
-	for _, c := range candidates[:min(len(candidates), t.room(now, slots))] {
+	for _, c := range candidates[:min(len(candidates), t.room(now, id.Slots, rejections))] {
 		if c.name != l.self {
 			out = append(out, c.name)
 		}
@@ -49,10 +49,16 @@
 
 // Lend lends a slot of a target, of which this instance uses the given number, and reports whether
 // one is free. The answer to a repeated request is the same.
-func (l *Limiter) Lend(now time.Duration, id directory.Incarnation, slots, inUse int, borrower string, loan uint64) bool {
-	t := l.targets[id]
-	if t == nil || t.Rejections == 0 || !t.canSend(now) || inUse >= l.SlotShare(now, id, slots) {
-		return t != nil && slices.ContainsFunc(t.lent, func(o Loan) bool { return o.ID == loan && o.Peer == borrower })
+func (l *Limiter) Lend(now time.Duration, id Target, inUse int, borrower string, loan uint64) bool {
+	t, _ := l.bounded(now, id)
+	if t == nil {
+		return false
+	}
+	if slices.ContainsFunc(t.lent, func(o Loan) bool { return o.ID == loan && o.Peer == borrower }) {
+		return true
+	}
+	if limit, _ := l.MaxInFlight(now, id); !t.canSend(now) || inUse >= limit {
+		return false
 	}
 	t.lent = append(t.lent, Loan{ID: loan, Peer: borrower, endsAt: now + loanTerm})
 	return true
@@ -66,8 +72,8 @@
 }
 
 // Borrow records a slot that a lender has granted to this instance.
-func (l *Limiter) Borrow(now time.Duration, id directory.Incarnation, lender string, loan uint64) {
-	if t := l.targets[id]; t != nil {
+func (l *Limiter) Borrow(now time.Duration, id Target, lender string, loan uint64) {
+	if t, _ := l.bounded(now, id); t != nil {
 		t.borrowed = append(t.borrowed, Loan{ID: loan, Peer: lender, endsAt: now + loanTerm})
 	}
 }
@@ -80,13 +86,13 @@
 
 // TakeUnusedLoans removes and returns the borrowed slots of a target that this instance, which uses
 // the given number, doesn't need. They are to be returned to their lenders.
-func (l *Limiter) TakeUnusedLoans(now time.Duration, id directory.Incarnation, slots, inUse int) []Loan {
-	t := l.targets[id]
+func (l *Limiter) TakeUnusedLoans(now time.Duration, id Target, inUse int) []Loan {
+	t := l.targets[id.Incarnation]
 	if t == nil || len(t.borrowed) == 0 {
 		return nil
 	}
 	t.expireLoans(now)
-	needed := max(0, inUse+t.abandoned-max(0, l.ownShare(now, t, slots)-len(t.lent)))
+	needed := max(0, inUse+t.abandoned-max(0, l.ownShare(now, t, id)-len(t.lent)))
 	unused := slices.Clone(t.borrowed[min(needed, len(t.borrowed)):])
 	t.borrowed = t.borrowed[:len(t.borrowed)-len(unused)]
 	return unused
--- a/internal/targetlimit/loan_test.go
+++ b/internal/targetlimit/loan_test.go
@@ -35,15 +35,15 @@
 // any.
 func (f *loanFleet) send(now time.Duration, name string, loan uint64) bool {
 	l := f.limiters[name]
-	if f.inUse[name] >= l.SlotShare(now, testTarget, f.slots) {
-		for _, lender := range l.Lenders(now, testTarget, f.slots) {
-			if f.limiters[lender].Lend(now, testTarget, f.slots, f.inUse[lender], name, loan) {
+	if f.inUse[name] >= slotShare(l, now, f.slots) {
+		for _, lender := range l.Lenders(now, withSlots(f.slots)) {
+			if f.limiters[lender].Lend(now, withSlots(f.slots), f.inUse[lender], name, loan) {
 				l.Borrow(now, testTarget, lender, loan)
 				break
 			}
 		}
 	}
-	if f.inUse[name] >= l.SlotShare(now, testTarget, f.slots) {
+	if f.inUse[name] >= slotShare(l, now, f.slots) {
 		return false
 	}
 	f.inUse[name]++
@@ -53,15 +53,15 @@
 // end ends a request of an instance and returns what it doesn't need any more.
 func (f *loanFleet) end(now time.Duration, name string) {
 	f.inUse[name]--
-	for _, loan := range f.limiters[name].TakeUnusedLoans(now, testTarget, f.slots, f.inUse[name]) {
-		f.limiters[loan.Peer].EndLoan(testTarget, name, loan.ID)
+	for _, loan := range f.limiters[name].TakeUnusedLoans(now, withSlots(f.slots), f.inUse[name]) {
+		f.limiters[loan.Peer].EndLoan(testTarget.Incarnation, name, loan.ID)
 	}
 }
 
 // total returns the requests that the target may have.
 func (f *loanFleet) total() (n int) {
 	for name, l := range f.limiters {
-		n += f.inUse[name] + l.targets[testTarget].abandoned
+		n += f.inUse[name] + l.targets[testTarget.Incarnation].abandoned
 	}
 	return n
 }
@@ -88,10 +88,10 @@
 		case f.inUse[name] > 0 && action < 8:
 			f.end(now, name)
 		case f.inUse[name] > 0:
-			is.True(l.Abandon(testTarget))
+			is.True(l.Abandon(0, testTarget))
 			f.end(now, name)
-		case l.targets[testTarget].abandoned > 0:
-			l.Release(testTarget)
+		case l.targets[testTarget.Incarnation].abandoned > 0:
+			l.Release(testTarget.Incarnation)
 			f.inUse[name]++ // end returns what was kept for it
 			f.end(now, name)
 		}
@@ -107,27 +107,27 @@
 	is := is.New(t)
 	const slots = 2
 	f := newLoanFleet(5, slots)
-	lender := f.limiters["i00"].Lenders(0, testTarget, slots)[0]
+	lender := f.limiters["i00"].Lenders(0, withSlots(slots))[0]
 	l := f.limiters[lender]
-	is.True(l.Lend(0, testTarget, slots, 0, "borrower", 7))
-	is.Equal(l.SlotShare(0, testTarget, slots), 0)
-	is.True(l.Lend(0, testTarget, slots, 0, "borrower", 7)) // the same one
-	is.True(!l.Lend(0, testTarget, slots, 0, "borrower", 8))
-	l.EndLoan(testTarget, "another", 7)
-	is.Equal(l.SlotShare(0, testTarget, slots), 0)
-	l.EndLoan(testTarget, "borrower", 7)
-	is.Equal(l.SlotShare(0, testTarget, slots), 1)
-	is.True(l.Lend(0, testTarget, slots, 0, "borrower", 9))
-	is.Equal(l.SlotShare(loanTerm, testTarget, slots), 1)
+	is.True(l.Lend(0, withSlots(slots), 0, "borrower", 7))
+	is.Equal(slotShare(l, 0, slots), 0)
+	is.True(l.Lend(0, withSlots(slots), 0, "borrower", 7)) // the same one
+	is.True(!l.Lend(0, withSlots(slots), 0, "borrower", 8))
+	l.EndLoan(testTarget.Incarnation, "another", 7)
+	is.Equal(slotShare(l, 0, slots), 0)
+	l.EndLoan(testTarget.Incarnation, "borrower", 7)
+	is.Equal(slotShare(l, 0, slots), 1)
+	is.True(l.Lend(0, withSlots(slots), 0, "borrower", 9))
+	is.Equal(slotShare(l, loanTerm, slots), 1)
 
 	var borrower *Limiter
 	for name, candidate := range f.limiters {
-		if candidate.SlotShare(0, testTarget, slots) == 0 && name != lender {
+		if slotShare(candidate, 0, slots) == 0 && name != lender {
 			borrower = candidate
 		}
 	}
 	borrower.Borrow(0, testTarget, lender, 9)
-	is.Equal(borrower.SlotShare(loanTerm-1, testTarget, slots), 1)
-	is.Equal(borrower.SlotShare(loanTerm, testTarget, slots), 0)
-	is.True(!borrower.HasBorrowed(testTarget))
+	is.Equal(slotShare(borrower, loanTerm-1, slots), 1)
+	is.Equal(slotShare(borrower, loanTerm, slots), 0)
+	is.True(!borrower.HasBorrowed(testTarget.Incarnation))
 }
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -265,6 +265,8 @@
 	Target string `msgpack:"t"`
 	// Born is the target's start time, which distinguishes its incarnations.
 	Born int64 `msgpack:"b"`
+	// Service is the service of the target.
+	Service string `msgpack:"s,omitempty"`
 	// Rate is the number of requests per second that it accepts from all instances
 	// together; 0 for no limit.
 	Rate float64 `msgpack:"r,omitempty"`
--- a/internal/wire/update_test.go
+++ b/internal/wire/update_test.go
@@ -34,7 +34,7 @@
 			Capacity: 3, Leaving: true, StoreUnreachable: true, OrderLease: &OrderLeaseRecord{Holder: "h", Token: 4, End: 9}, ConfigVersion: 7,
 			Loads: map[string]TargetLoad{"t": {PendingPromptTokens: 1000, KVCacheTokens: 2000, Requests: 3}}, LoadingTargets: []string{"x"},
 			CacheStores: []CacheStore{{Address: "s", BootEpoch: 2}}, SilentTargets: []string{"y"}, OverdueInstances: map[string]int64{"z": 5},
-			TargetLimits: []TargetLimit{{Target: "t", Born: 3, Rate: 1.5, Revision: 2}},
+			TargetLimits: []TargetLimit{{Target: "t", Born: 3, Service: "s", Rate: 1.5, Revision: 2}},
 			Demand:       []AccountDemand{{Account: "acc", Urgency: 2, TokensPerSecond: 9000}}, PlainLoads: map[string]int{"p": 4},
 			TargetRates: []TargetRate{{Target: "t", Born: 3, PrefillTokensPerSecond: 87000, Samples: 12}}, SlowTargets: []string{"w"},
 			MemoryClaims:   []MemoryClaim{{Target: "t", Tokens: 12000, Ticket: 7}},
