targetconn: whether a cancelled exchange keeps its receiving side is set for each exchange

A pooled connection that once carried a request to a target that bears few rejections kept the mode for good: a later cancel closed only its sending side, also once the target bore any number. Callers saw nothing of it on real links, where the read deadline ends the exchange.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -39,9 +39,7 @@
 	a.relay = connrelay.RelayOf(conn.NetConn())
 	c.lastRelay = a.relay
 	c.generation.begin(a)
-	if g.limits.bearsFewRejections(&a.target) {
-		conn.KeepReceiving()
-	}
+	conn.KeepReceiving(g.limits.bearsFewRejections(&a.target))
 	a.onSend(conn.Cancel, a.relay, g.cancelPolicyFor(c))
 	stop := context.AfterFunc(ctx, conn.Cancel)
 	result, err := g.roundTrip(ctx, c, a, relay, conn)
--- a/internal/targetconn/awaitclose_test.go
+++ b/internal/targetconn/awaitclose_test.go
@@ -45,7 +45,7 @@
 			}()
 			conn, err := NewPool(DefaultOptions(), func() time.Duration { return 0 }).Dial(t.Context(), l.Addr().String())
 			is.NoErr(err)
-			conn.KeepReceiving()
+			conn.KeepReceiving(true)
 			ended := make(chan error)
 			go func() {
 				_, err := conn.Send(t.Context(), &Request{Method: http.MethodGet, URI: "/", Host: "x"}, func(*http.Response) bool { return true })
@@ -79,7 +79,7 @@
 	pool := NewPool(DefaultOptions(), func() time.Duration { return 0 })
 	conn, err := pool.Get(t.Context(), l.Addr().String(), time.Minute)
 	is.NoErr(err)
-	conn.KeepReceiving()
+	conn.KeepReceiving(true)
 	_, err = conn.Send(t.Context(), &Request{Method: http.MethodGet, URI: "/", Host: "x"}, func(*http.Response) bool { return true })
 	is.NoErr(err)
 	conn.Cancel()
--- a/internal/targetconn/conn.go
+++ b/internal/targetconn/conn.go
@@ -221,9 +221,9 @@
 	_ = c.netConn.Close()
 }
 
-// KeepReceiving makes Cancel leave the receiving side of the connection open, so that AwaitClose can
-// tell when the target has seen that the exchange is cancelled.
-func (c *Conn) KeepReceiving() { c.keepReceiving = true }
+// KeepReceiving sets whether Cancel leaves the receiving side of the connection open in the next
+// exchange, so that AwaitClose can tell when the target has seen that the exchange is cancelled.
+func (c *Conn) KeepReceiving(keep bool) { c.keepReceiving = keep }
 
 // Cancel makes the exchange fail and closes the connection, or only its sending side after
 // KeepReceiving. It may be called at any time, also during an exchange.
