targetlimit, gateway: while a service is unknown its targets count as such that bear few rejections

What callers and operators saw: when instances restart, targets that bear few rejections get more than they have room for from the new processes (LIMIT).

Cause: a process that has just started knew of no bound and took that for "any number". It served before it had looked up the fleet. Evidence: 61 of 76 rejections after a restart of half of the instances were of requests by processes with bound_known=false and a fleet of 1.

Change: nothing known of a service is a state of its own. In it an instance uses its share of the targets' slots by its own view of the fleet, and borrows others, until an answer of one of the service's targets has arrived, or a peer has told: an exchange names the unknown services, the response has their bounds, nothing is sent otherwise. After 3 s without either the targets count as before. An instance is ready once it knows the fleet (or 1 s after its start), which the limiter now learns as soon as the announcements are read.

Tests of the gateway's parts run without a fleet or answers: learnFleet gives them both. One assertion of the limiter's tests said that nothing is bounded before the first answer; it now says that all is, as this is the fault. One of Abandon gets an answer first.

--- a/internal/gateway/announce.go
+++ b/internal/gateway/announce.go
@@ -59,6 +59,7 @@
 		return
 	}
 	p.applyAnnouncements(now, all)
+	p.g.limits.setFleet(p.servingInstances(), true)
 	p.announcedAt, p.announceAt = now, now+p.announceDelay(now)
 }
 
--- a/internal/gateway/fleetstate.go
+++ b/internal/gateway/fleetstate.go
@@ -67,7 +67,7 @@
 func (g *Gateway) exchangeRequest() wire.Exchange {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return wire.Exchange{From: g.self, ConfigVersion: g.configVersion(), RegistrationsOffset: g.registrations.nextOffset}
+	return wire.Exchange{From: g.self, ConfigVersion: g.configVersion(), RegistrationsOffset: g.registrations.nextOffset, UnknownServices: g.limits.unknownServices()}
 }
 
 // applyPeerChanges applies changes that other instances have published.
@@ -150,6 +150,7 @@
 		}
 	}
 	response.Rollouts = g.canaries.orders()
+	response.ServiceBounds = g.limits.serviceBounds(request.UnknownServices)
 	response.Registrations = g.registrationChanges(now, request.RegistrationsOffset, isReader || request.Follow)
 	g.mu.Unlock()
 	return response
@@ -162,6 +163,7 @@
 // request.
 func (g *Gateway) applyExchangeResponse(sentAt time.Duration, from wire.Identity, offset int64, response wire.ExchangeResponse) {
 	g.canaries.applyOrders(sentAt, from.Instance, response.Rollouts)
+	g.limits.applyServiceBounds(from.Instance, response.ServiceBounds)
 	g.applyRegistrationChanges(sentAt, offset, response.Registrations)
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -254,7 +254,7 @@
 // isReady reports whether the balancer should send callers to this instance: only while
 // it can check their keys, knows the targets, and can take all new connections.
 func (g *Gateway) isReady() bool {
-	if g.draining.Load() || g.newConns.isLimited() || g.table.Load() == nil || g.configVerdict() != configvalidity.Valid {
+	if g.draining.Load() || g.newConns.isLimited() || g.table.Load() == nil || g.configVerdict() != configvalidity.Valid || !g.peers.isDiscovered() {
 		return false
 	}
 	g.mu.Lock()
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -192,6 +192,19 @@
 	}
 }
 
+// discoveryWait is how long an instance is not ready after its start because it knows no peer and
+// could not look up whether there are any.
+const discoveryWait = time.Second
+
+// isDiscovered reports whether this instance knows the fleet, of which it takes its part, or has
+// tried for discoveryWait.
+func (p *peers) isDiscovered() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.g.clock.Now()
+	return p.announcementsRead || now > discoveryWait || p.reportingCountLocked(now) > 0
+}
+
 // fleetSize returns the number of instances that may be serving, including this one.
 func (p *peers) fleetSize() int {
 	p.mu.Lock()
--- a/internal/gateway/plainqueue_test.go
+++ b/internal/gateway/plainqueue_test.go
@@ -32,10 +32,11 @@
 		names[i] = fmt.Sprintf("i%02d", i)
 	}
 	limits.setFleet(names, true)
+	learnBounds(limits)
 	f.plainService = newPlainService(now, "desk", "a", limits, newDomainReach(now), &plainLoads{now: now, limits: limits})
 	var targets []directory.Registration
 	for i, domain := range []string{"a", "b", "b"} {
-		targets = append(targets, directory.Registration{ID: fmt.Sprintf("t%d", i), StartedMs: 1, Domain: domain, Slots: 6})
+		targets = append(targets, directory.Registration{ID: fmt.Sprintf("t%d", i), Service: "desk", StartedMs: 1, Domain: domain, Slots: 6})
 	}
 	f.updateTargets(targets, nil)
 	return f
--- a/internal/gateway/registrations.go
+++ b/internal/gateway/registrations.go
@@ -168,6 +168,7 @@
 			continue
 		}
 		g.origins.updateVersions(now, s.Name, registered)
+		g.limits.addService(s.Name)
 		targets, isCanary := g.canaries.classify(s.Name, g.directory.Usable(s.Name), g.clock.Now()-g.contactAgeLocked())
 		if s.Engine != nil {
 			g.engineServiceFor(s.Name).updateTargets(targets, isCanary, s.Engine)
--- a/internal/gateway/restart_test.go
+++ b/internal/gateway/restart_test.go
@@ -274,12 +274,25 @@
 	targets []directory.Registration
 }
 
-// startTestGateway returns a gateway that has just read the store.
+// learnFleet has a gateway know that it is alone, and that targets bear any number of rejections.
+func learnFleet(g *Gateway) {
+	g.peers.announcementsRead = true
+	learnBounds(g.limits)
+}
+
+// learnBounds has an instance know that targets bear any number of rejections.
+func learnBounds(limits *targetLimits) {
+	limits.applyServiceBounds("peer", []wire.ServiceBound{{Service: "engines"}, {Service: "desk"}})
+}
+
+// startTestGateway returns a gateway that has just read the store and knows that targets bear any
+// number of rejections.
 func startTestGateway(store *memoryStore, instance string) *testGateway {
 	g := New(Settings{Instance: instance, Domain: "d1", WeightsBound: 10 * time.Second, ConfigBound: 2 * time.Second, LeaseGap: 3300 * time.Millisecond}, stubDialect{}, store, unresponsiveTargets{})
 	g.applyOperatorUpdate(g.clock.Now(), store.operatorUpdate())
 	events, next, _ := store.AllRegistrations(context.Background()) // never fails
 	g.applyRegistrations(g.clock.Now(), 0, next, events, true)
+	learnFleet(g)
 	return &testGateway{Gateway: g, store: store, targets: store.targets}
 }
 
--- a/internal/gateway/slowcaller_test.go
+++ b/internal/gateway/slowcaller_test.go
@@ -86,6 +86,7 @@
 	env.g.applyOperatorUpdate(env.g.clock.Now(), update)
 	registrations, next, _ := store.AllRegistrations(context.Background()) // never fails
 	env.g.applyRegistrations(env.g.clock.Now(), 0, next, registrations, true)
+	learnFleet(env.g)
 
 	server := env.g.callers.callers
 	options := env.g.slowCallerOptions()
--- a/internal/gateway/targetcapacity_test.go
+++ b/internal/gateway/targetcapacity_test.go
@@ -22,7 +22,9 @@
 func newCapacityFixture() *capacityFixture {
 	f := &capacityFixture{now: time.Second}
 	clock := func() time.Duration { return f.now }
-	f.service = newEngineService(clock, "engines", "d", 80_000, newTargetLimits(clock, "self"), newDomainReach(clock), Features{})
+	limits := newTargetLimits(clock, "self")
+	learnBounds(limits)
+	f.service = newEngineService(clock, "engines", "d", 80_000, limits, newDomainReach(clock), Features{})
 	for i := range 9 {
 		f.regs = append(f.regs, directory.Registration{ID: fmt.Sprint("t", i), Domain: "d", Slots: 8, StartedMs: 5})
 	}
--- a/internal/gateway/targetlimits.go
+++ b/internal/gateway/targetlimits.go
@@ -50,6 +50,44 @@
 	t.limiter.SetFleet(t.now(), names, discovered)
 }
 
+// addService records that a service exists.
+func (t *targetLimits) addService(name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.limiter.AddService(t.now(), name)
+}
+
+// unknownServices returns the services of which this instance doesn't know yet how few rejections their
+// targets can bear.
+func (t *targetLimits) unknownServices() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.limiter.UnknownServices(t.now())
+}
+
+// serviceBounds returns what is known of services that a peer asks for.
+func (t *targetLimits) serviceBounds(names []string) (bounds []wire.ServiceBound) {
+	if len(names) == 0 {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, b := range t.limiter.ServiceBounds(names) {
+		bounds = append(bounds, wire.ServiceBound{Service: b.Service, Rejections: b.Rejections})
+	}
+	return bounds
+}
+
+// applyServiceBounds applies what a peer knows of services that are unknown here.
+func (t *targetLimits) applyServiceBounds(from string, bounds []wire.ServiceBound) {
+	for _, b := range bounds {
+		t.mu.Lock()
+		t.limiter.ApplyServiceBounds(t.now(), []targetlimit.ServiceBound{{Service: b.Service, Rejections: b.Rejections}})
+		t.mu.Unlock()
+		logline.Info("service_bound", "service", b.Service, "rejections", b.Rejections, "peer", from)
+	}
+}
+
 // fleetSize returns the number of instances that may be serving.
 func (t *targetLimits) fleetSize() int {
 	t.mu.Lock()
@@ -129,7 +167,7 @@
 	var v rejectionView
 	v.share, v.limited = t.limiter.MaxInFlight(t.now(), id)
 	v.fleet = t.limiter.FleetSize()
-	v.boundSince, _ = t.limiter.BoundSince(id)
+	v.boundSince, _ = t.limiter.BoundSince(t.now(), id)
 	room, lowered := t.limiter.RecordRejection(t.now(), sent, id)
 	t.mu.Unlock()
 	if lowered {
--- a/internal/targetlimit/limiter.go
+++ b/internal/targetlimit/limiter.go
@@ -25,8 +25,10 @@
 // long enough that all of them together stay within the number stated.
 //
 // What a target can bear is known of its service before it is known of the target: one that has not
-// answered yet counts as like the others. Otherwise a target that starts would get as many requests
-// as there are, from every instance, until its first answers have gone round.
+// answered yet counts as like the others, and while nothing is known of a service its targets count
+// as such that bear few rejections. Otherwise a target that starts, or an instance, would come with as
+// many requests as there are, until the first answers have gone round. An instance asks its peers for
+// the bounds of services of which it knows nothing.
 //
 // A request that is given up keeps its part of the share until the target is seen to have closed
 // its connection: a target that is silent still has it, and rejects it once it goes on.
@@ -168,8 +170,10 @@
 func (l *Limiter) Observe(now, sentAt time.Duration, id Target, limit Limit) (changed bool) {
 	t := l.targets[id.Incarnation]
 	stated := t != nil && t.hasStated()
+	s := l.serviceOf(now, id.Service)
+	s.known = true
 	switch {
-	case !stated && limit == Limit{} && l.bound(id) == 0:
+	case !stated && limit == Limit{} && s.rejections == 0:
 		return false
 	case t == nil:
 		t = l.add(now, id.Incarnation, id.Service)
@@ -189,13 +193,13 @@
 	t := &target{Report: Report{Target: id, Service: service}, updatedAt: now}
 	l.targets[id] = t
 	l.assignSenders(now, t)
-	l.serviceOf(service).records++
+	l.serviceOf(now, service).records++
 	return t
 }
 
 // bounded returns the state of a target that bears few rejections, or nil if it bears any number.
 func (l *Limiter) bounded(now time.Duration, id Target) (t *target, rejections float64) {
-	if rejections = l.bound(id); rejections == 0 {
+	if rejections = l.bound(now, id); rejections == 0 {
 		return nil, 0
 	}
 	if t = l.targets[id.Incarnation]; t == nil {
@@ -237,7 +241,10 @@
 // setLimit replaces the limit of a target.
 func (l *Limiter) setLimit(now time.Duration, t *target, limit Limit, revision uint64) {
 	t.advance(now)
-	before := l.bound(Target{Incarnation: t.Target, Service: t.Service})
+	before := t.Rejections
+	if s := l.services[t.Service]; !t.hasStated() && s.known {
+		before = s.rejections
+	}
 	t.Limit, t.Revision, t.changedAt = limit, revision, now
 	if limit.Rejections == 0 {
 		t.pausedUntil = 0
@@ -307,13 +314,13 @@
 // LimitedTargets returns those of a service's targets that have a limit, and what may be sent to
 // them now.
 func (l *Limiter) LimitedTargets(now time.Duration, service string, targets iter.Seq[Target]) map[directory.Incarnation]Permission {
-	s := l.services[service]
-	if s == nil || s.records == 0 && s.rejections == 0 {
+	s := l.serviceOf(now, service)
+	if s.records == 0 && s.rejections == 0 && !l.isUnknown(now, s) {
 		return nil
 	}
 	out := map[directory.Incarnation]Permission{}
 	for id := range targets {
-		rejections, t := l.bound(id), l.targets[id.Incarnation]
+		rejections, t := l.bound(now, id), l.targets[id.Incarnation]
 		if limited := rejections > 0 || t != nil && t.Rate > 0; limited {
 			out[id.Incarnation] = Permission{CanSend: t == nil || t.canSend(now), RateLimited: t != nil && t.Rate > 0, ShareSlots: rejections > 0}
 		}
@@ -355,12 +362,17 @@
 // ownShare returns this instance's share of the slots of a target. The first instances in the target's
 // rendezvous order get the slots that remain after equal shares.
 func (l *Limiter) ownShare(now time.Duration, t *target, id Target) int {
-	if !l.mayHaveShare() {
+	sharing := len(l.members)
+	switch {
+	case l.mayHaveShare():
+	case l.membershipKnown && !t.hasStated() && l.isUnknown(now, l.serviceOf(now, id.Service)):
+		sharing++ // it leaves, and can't know whether there is a bound at all
+	default:
 		return 0
 	}
-	room := t.room(now, id.Slots, l.bound(id))
-	share := room / len(l.members)
-	if t.rank < room%len(l.members) {
+	room := t.room(now, id.Slots, l.bound(now, id))
+	share := room / sharing
+	if t.rank < room%sharing {
 		share++
 	}
 	return share
@@ -400,8 +412,8 @@
 
 // BoundSince returns when this instance learned what a target states, and whether it knows a bound
 // for its rejections. The time is 0 if that is taken from the others of its service.
-func (l *Limiter) BoundSince(id Target) (since time.Duration, known bool) {
-	if l.bound(id) == 0 {
+func (l *Limiter) BoundSince(now time.Duration, id Target) (since time.Duration, known bool) {
+	if l.bound(now, id) == 0 {
 		return 0, false
 	}
 	if t := l.targets[id.Incarnation]; t != nil {
@@ -457,7 +469,7 @@
 	for id, t := range l.targets {
 		if !exists(id) {
 			delete(l.targets, id)
-			l.serviceOf(t.Service).records--
+			l.services[t.Service].records--
 			changed[t.Service] = true
 		}
 	}
--- a/internal/targetlimit/limiter_test.go
+++ b/internal/targetlimit/limiter_test.go
@@ -130,7 +130,7 @@
 		l := New(0, name)
 		l.SetFleet(0, names, true)
 		_, limited := l.MaxInFlight(0, withSlots(slots))
-		is.True(!limited)
+		is.True(limited) // until an answer has told
 		is.True(l.Observe(0, 0, testTarget, Limit{Rejections: rejections}))
 		limiters = append(limiters, l)
 	}
@@ -195,6 +195,7 @@
 	is := is.New(t)
 	const slots = 4
 	l := newSingleInstance()
+	l.Observe(0, 0, testTarget, Limit{})
 	is.True(!l.Abandon(0, testTarget)) // it bears any number of rejections
 	l.Observe(0, 0, testTarget, Limit{Rejections: 2})
 	for held := 1; held <= slots+1; held++ {
--- a/internal/targetlimit/loan.go
+++ b/internal/targetlimit/loan.go
@@ -52,7 +52,7 @@
 func (l *Limiter) Lend(now time.Duration, id Target, inUse int, borrower string, loan uint64) bool {
 	t, _ := l.bounded(now, id)
 	if t == nil {
-		return false
+		return true // there is no bound; the borrower doesn't know that yet
 	}
 	if slices.ContainsFunc(t.lent, func(o Loan) bool { return o.ID == loan && o.Peer == borrower }) {
 		return true
--- a/internal/targetlimit/service_test.go
+++ b/internal/targetlimit/service_test.go
@@ -30,6 +30,9 @@
 		other := second
 		other.Service = "another"
 		_, limited = x.MaxInFlight(0, other)
+		is.True(limited) // no answer has told
+		x.Observe(0, 0, other, Limit{})
+		_, limited = x.MaxInFlight(0, other)
 		is.True(!limited)
 	}
 
@@ -73,3 +76,64 @@
 	}
 	is.Equal(sum, joined.Slots)
 }
+
+// Guards against an instance that has just started and sends as many requests as it has, because no
+// answer has told it yet how few rejections targets can bear.
+func TestNewInstanceIsBoundedUntilTheServiceIsKnown(t *testing.T) {
+	const start = time.Minute
+	names := []string{"a", "b", "c", "d"}
+	target := deskTarget("one", 1)
+	newInstance := func() *Limiter {
+		l := New(start, "a")
+		l.SetFleet(start, names, true)
+		l.AddService(start, target.Service)
+		return l
+	}
+	experienced := newSingleInstance()
+	experienced.Observe(0, 0, target, Limit{})
+	fragile := newSingleInstance()
+	fragile.Observe(0, 0, target, Limit{Rejections: 2})
+	const anyNumber = -1
+	for name, c := range map[string]struct {
+		learn func(l *Limiter)
+		after time.Duration
+		limit int // of the requests in flight
+	}{
+		"nothing is known":       {learn: func(*Limiter) {}, limit: 1},
+		"nothing for long":       {learn: func(*Limiter) {}, after: unknownTimeout + 1, limit: anyNumber},
+		"its own answer":         {learn: func(l *Limiter) { l.Observe(start, start, target, Limit{}) }, limit: anyNumber},
+		"another target's":       {learn: func(l *Limiter) { l.Observe(start, start, deskTarget("two", 1), Limit{}) }, limit: anyNumber},
+		"its own, with a bound":  {learn: func(l *Limiter) { l.Observe(start, start, target, Limit{Rejections: 2}) }, after: time.Hour, limit: 1},
+		"a peer knows of none":   {learn: func(l *Limiter) { l.ApplyServiceBounds(start, experienced.ServiceBounds(l.UnknownServices(start))) }, limit: anyNumber},
+		"a peer knows the bound": {learn: func(l *Limiter) { l.ApplyServiceBounds(start, fragile.ServiceBounds(l.UnknownServices(start))) }, after: time.Hour, limit: 1},
+		"a peer's report":        {learn: func(l *Limiter) { l.ApplyReports(start, fragile.Reports()) }, after: time.Hour, limit: 1},
+		"a peer is as new":       {learn: func(l *Limiter) { l.ApplyServiceBounds(start, newInstance().ServiceBounds(l.UnknownServices(start))) }, limit: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l := newInstance()
+			c.learn(l)
+			limit, limited := l.MaxInFlight(start+c.after, target)
+			is.Equal(limited, c.limit != anyNumber)
+			if limited {
+				is.Equal(limit, c.limit)
+			}
+			if unbounded := newSingleInstance(); !limited {
+				unbounded.Observe(0, 0, target, Limit{})
+				is.True(unbounded.Lend(0, target, 9, "a", 1)) // a borrower that doesn't know yet
+			}
+		})
+	}
+}
+
+// Guards against a peer's older knowledge that overrides an instance's own.
+func TestPeersBoundIsTakenOnlyForUnknownServices(t *testing.T) {
+	is := is.New(t)
+	target := deskTarget("one", 1)
+	l := newSingleInstance()
+	l.Observe(0, 0, target, Limit{Rejections: 2})
+	is.Equal(len(l.UnknownServices(0)), 0)
+	l.ApplyServiceBounds(0, []ServiceBound{{Service: target.Service}})
+	_, limited := l.MaxInFlight(0, deskTarget("two", 1))
+	is.True(limited)
+}
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -20,6 +20,9 @@
 	// RegistrationsOffset is the offset up to which the sender has read the target
 	// registrations; -1 if it has not read them yet.
 	RegistrationsOffset int64 `msgpack:"t"`
+	// UnknownServices are the services of which the sender doesn't know yet how few rejections their
+	// targets can bear.
+	UnknownServices []string `msgpack:"q,omitempty"`
 	// Updates are the changes in the state of the sender and its followers since
 	// the last exchange that the receiver answered.
 	Updates []InstanceUpdate `msgpack:"u,omitempty"`
@@ -363,6 +366,8 @@
 	Weights []NamedWeights `msgpack:"w,omitempty"`
 	// Rollouts are the newest ordered rollout of each service.
 	Rollouts []RolloutOrder `msgpack:"c,omitempty"`
+	// ServiceBounds are those of the caller's unknown services.
+	ServiceBounds []ServiceBound `msgpack:"b,omitempty"`
 	// Registrations are the new target registrations; nil if the caller is to get
 	// them from another instance.
 	Registrations *RegistrationChanges `msgpack:"t,omitempty"`
@@ -380,6 +385,14 @@
 	NeedsResync bool `msgpack:"l,omitempty"`
 }
 
+// ServiceBound is what the targets of a service are taken to bear that have not answered yet.
+type ServiceBound struct {
+	Service string `msgpack:"s"`
+	// Rejections is the number of requests per second that each can reject for want of room; 0 for
+	// any number.
+	Rejections float64 `msgpack:"j,omitempty"`
+}
+
 // RegistrationChanges are the changes in the target registrations since the offset
 // in the request.
 type RegistrationChanges struct {
