targetlimit: a share that grows by a change of the fleet counts only once the others know of it

What operators saw: while instances restart, targets that bear few rejections get more than they have room for also from instances that know of the bound (LIMIT): a new process takes its share by its own view of the fleet while the others still divide the slots among fewer, or an instance takes the share of one that is only stopping.

Change: a share is the smallest of those by the views that were replaced less than 1.5 s ago, the time that a new sender waits as well; a new process has none for 1.5 s from its start, and borrows. So one instance's share shrinks before another's grows, as long as all learn of a change within that time.

TestSharesOfDifferentViewsDoNotAddUpToMore failed in all four cases, passes. Tests of the limiter start their instances 1.5 s earlier.

--- a/internal/targetlimit/limiter.go
+++ b/internal/targetlimit/limiter.go
@@ -11,7 +11,9 @@
 //
 // Two instances with different views of the fleet choose different senders for a
 // while. A new sender therefore starts with no tokens and waits until the sender
-// that it replaces has learned of the change.
+// that it replaces has learned of the change. For the same reason a share of slots
+// that grows by a change of the fleet counts only after that time, and one that
+// shrinks at once.
 //
 // Instances pass a limit on together with a revision number, which increases
 // with each change, so that all instances, including those that join later,
@@ -62,8 +64,9 @@
 	// second of its limit. After an idle period each sender may send one request
 	// at once, so this also bounds the burst that the target receives.
 	sendersPerUnitRate = 1.5
-	// takeoverDelay is how long a new sender waits before it accrues tokens. By
-	// then the sender that it replaces has learned of the change.
+	// takeoverDelay is how long a new sender waits before it accrues tokens, and an
+	// instance before it uses a larger share of slots. By then the others have learned
+	// of the change.
 	takeoverDelay = 1500 * time.Millisecond
 	// discoveryTimeout is how long after its start an instance that has not looked
 	// up the fleet yet sends nothing to limited targets.
@@ -109,8 +112,10 @@
 	members         []string
 	membershipKnown bool
 	startedAt       time.Duration
-	targets         map[directory.Incarnation]*target
-	services        map[string]*service
+	// earlierViews are the views of the fleet that were replaced less than takeoverDelay ago.
+	earlierViews []view
+	targets      map[directory.Incarnation]*target
+	services     map[string]*service
 }
 
 type target struct {
@@ -130,6 +135,8 @@
 	// rank is the number of instances that precede this one in the target's rendezvous
 	// order.
 	rank int
+	// earlierShares are what this instance has by the limiter's earlier views.
+	earlierShares []earlierShare
 	// pausedUntil is the end of the pause after a rejection.
 	pausedUntil time.Duration
 	// roomChangedAt is when this instance learned of the current room.
@@ -154,6 +161,7 @@
 	if known == l.membershipKnown && slices.Equal(names, l.members) {
 		return
 	}
+	l.keepView(now)
 	l.members, l.membershipKnown = slices.Clone(names), known
 	for _, t := range l.targets {
 		l.assignSenders(now, t)
@@ -192,6 +200,9 @@
 func (l *Limiter) add(now time.Duration, id directory.Incarnation, service string) *target {
 	t := &target{Report: Report{Target: id, Service: service}, updatedAt: now}
 	l.targets[id] = t
+	for _, v := range l.earlierViews {
+		t.earlierShares = append(t.earlierShares, earlierShare{view: v, rank: rank(id, l.self, v.members)})
+	}
 	l.assignSenders(now, t)
 	l.serviceOf(now, service).records++
 	return t
@@ -260,7 +271,7 @@
 	t.advance(now)
 	wasSender := t.isSender
 	t.senderCount = min(len(l.members), max(1, int(math.Ceil(sendersPerUnitRate*t.Rate))))
-	t.rank = l.rank(t.Target)
+	t.rank = rank(t.Target, l.self, l.members)
 	t.isSender = l.mayHaveShare() && t.rank < t.senderCount
 	if t.isSender && !wasSender {
 		t.tokens, t.updatedAt = 0, now+takeoverDelay
@@ -272,13 +283,12 @@
 	return l.membershipKnown && slices.Contains(l.members, l.self)
 }
 
-// rank returns how many instances precede this one in the rendezvous order of a
-// target.
-func (l *Limiter) rank(id directory.Incarnation) int {
-	own, n := rendezvousWeight(id, l.self), 0
-	for _, name := range l.members {
+// rank returns how many of the members precede an instance in the rendezvous order of a target.
+func rank(id directory.Incarnation, self string, members []string) int {
+	own, n := rendezvousWeight(id, self), 0
+	for _, name := range members {
 		w := rendezvousWeight(id, name)
-		if w > own || w == own && name < l.self {
+		if w > own || w == own && name < self {
 			n++
 		}
 	}
@@ -359,25 +369,6 @@
 	return max(0, l.ownShare(now, t, id)+len(t.borrowed)-len(t.lent)-t.abandoned), true
 }
 
-// ownShare returns this instance's share of the slots of a target. The first instances in the target's
-// rendezvous order get the slots that remain after equal shares.
-func (l *Limiter) ownShare(now time.Duration, t *target, id Target) int {
-	sharing := len(l.members)
-	switch {
-	case l.mayHaveShare():
-	case l.membershipKnown && !t.hasStated() && l.isUnknown(now, l.serviceOf(now, id.Service)):
-		sharing++ // it leaves, and can't know whether there is a bound at all
-	default:
-		return 0
-	}
-	room := t.room(now, id.Slots, l.bound(now, id))
-	share := room / sharing
-	if t.rank < room%sharing {
-		share++
-	}
-	return share
-}
-
 // room returns the number of requests that a target with the given number of slots, which can bear
 // the given number of rejections per second, is assumed to have room for.
 func (t *target) room(now time.Duration, slots int, rejections float64) int {
--- a/internal/targetlimit/limiter_test.go
+++ b/internal/targetlimit/limiter_test.go
@@ -33,7 +33,7 @@
 
 // newSingleInstance returns a limiter that knows that it is the only instance.
 func newSingleInstance() *Limiter {
-	l := New(0, "a")
+	l := New(-takeoverDelay, "a")
 	l.SetFleet(0, []string{"a"}, true)
 	return l
 }
@@ -127,7 +127,7 @@
 		return sum
 	}
 	for _, name := range names {
-		l := New(0, name)
+		l := New(-takeoverDelay, name)
 		l.SetFleet(0, names, true)
 		_, limited := l.MaxInFlight(0, withSlots(slots))
 		is.True(limited) // until an answer has told
@@ -469,7 +469,7 @@
 		names = append(names, fmt.Sprintf("n%03d", i))
 	}
 	for _, name := range names {
-		l := New(0, name)
+		l := New(-takeoverDelay, name)
 		l.SetFleet(0, names, true)
 		s.instances = append(s.instances, &roomSimInstance{Limiter: l})
 	}
--- a/internal/targetlimit/loan_test.go
+++ b/internal/targetlimit/loan_test.go
@@ -23,7 +23,7 @@
 		names = append(names, fmt.Sprintf("i%02d", i))
 	}
 	for _, name := range names {
-		l := New(0, name)
+		l := New(-takeoverDelay, name)
 		l.SetFleet(0, names, true)
 		l.Observe(0, 0, testTarget, Limit{Rejections: 3})
 		f.limiters[name] = l
--- a/internal/targetlimit/service_test.go
+++ b/internal/targetlimit/service_test.go
@@ -1,6 +1,8 @@
 package targetlimit
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -137,3 +139,64 @@
 	_, limited := l.MaxInFlight(0, deskTarget("two", 1))
 	is.True(limited)
 }
+
+// Guards against instances with different views of the fleet whose shares of a target's slots add up to
+// more than it has: one that joins or restarts has its share before the others have given it up.
+func TestSharesOfDifferentViewsDoNotAddUpToMore(t *testing.T) {
+	const slots, settled = 12, time.Minute
+	target := deskTarget("one", 1)
+	target.Slots = slots
+	names := func(n int) (out []string) {
+		for i := range n {
+			out = append(out, fmt.Sprintf("i%02d", i))
+		}
+		return out
+	}
+	for name, c := range map[string]struct {
+		before, after int
+		started       bool // the last instance is a new process
+	}{
+		"one joins":      {before: 5, after: 6, started: true},
+		"one is removed": {before: 6, after: 5},
+		"many joined":    {before: 20, after: 40, started: true},
+		"half are gone":  {before: 40, after: 20},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			rng := rand.New(rand.NewPCG(1, 1))
+			limiters, learnsAt := map[string]*Limiter{}, map[string]time.Duration{}
+			for i, instance := range names(max(c.before, c.after)) {
+				start, learns := time.Duration(0), settled+time.Duration(rng.Int64N(int64(takeoverDelay)))
+				if c.started && i >= c.before {
+					start, learns = settled, settled
+				}
+				l := New(start, instance)
+				l.ApplyReports(start, []Report{{Target: target.Incarnation, Service: target.Service, Limit: Limit{Rejections: 2}, Revision: 1}})
+				if start == 0 {
+					l.SetFleet(0, names(c.before), true)
+				}
+				limiters[instance], learnsAt[instance] = l, learns
+			}
+			sum := func(now time.Duration) (n int) {
+				for _, l := range limiters {
+					limit, _ := l.MaxInFlight(now, target)
+					n += limit
+				}
+				return n
+			}
+			is.Equal(sum(settled-ms), slots)
+			now := settled
+			for ; now < settled+2*takeoverDelay; now += ms {
+				for instance, l := range limiters {
+					if now >= learnsAt[instance] {
+						l.SetFleet(now, names(c.after), true)
+					}
+				}
+				is.True(sum(now) <= slots)
+			}
+			if c.after > c.before {
+				is.Equal(sum(now), slots)
+			}
+		})
+	}
+}
