targetlimit, gateway: slots lent to a process that has ended are free once that is known

With more instances than slots a few killed borrowers leave little of a target's room (not measured by itself). A restarted borrower also began its loan numbers anew, so that its first request for a slot could be taken for a repeat of one of the process before.

Change: a loan names the process that borrowed, not the instance; the loans of a process end when a peer learns that it has been replaced or removed. Its connections have ended by then, so its targets are free as well.

--- a/internal/gateway/announce.go
+++ b/internal/gateway/announce.go
@@ -190,6 +190,9 @@
 	s := p.known[a.Instance]
 	switch {
 	case s == nil, s.Incarnation != a.Incarnation && a.Revision > s.Revision:
+		if s != nil {
+			p.g.limits.endLoansOf(a.Instance, s.Incarnation)
+		}
 		p.known[a.Instance] = newPeerState(now, a)
 		logline.InfoSampled("peer_found", "peer", a.Instance, "address", a.Address, "incarnation", a.Incarnation)
 	case s.Incarnation == a.Incarnation && a.Revision != s.Revision:
@@ -240,5 +243,6 @@
 	s := p.known[name]
 	delete(p.known, name)
 	p.removedRevisions[name] = s.Revision
+	p.g.limits.endLoansOf(name, s.Incarnation)
 	logline.Info("peer_gone", "peer", name, "why", why, "silent_for", now-max(s.updatedAt, s.announcedAt))
 }
--- a/internal/gateway/announce_test.go
+++ b/internal/gateway/announce_test.go
@@ -11,7 +11,8 @@
 )
 
 func newTestPeers(name string) *peers {
-	g := &Gateway{clock: clock.New(), self: wire.Identity{Instance: name, Incarnation: "1", Domain: "d1"}}
+	c := clock.New()
+	g := &Gateway{clock: c, self: wire.Identity{Instance: name, Incarnation: "1", Domain: "d1"}, limits: newTargetLimits(c.Now, name)}
 	g.peers = newPeers(g)
 	return g.peers
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -203,6 +203,9 @@
 		if now-c.At > p.updateMaxAge() {
 			return
 		}
+		if s != nil {
+			p.g.limits.endLoansOf(id.Instance, s.Incarnation)
+		}
 		s = newPeerState(now, Announced{Announcement: Announcement{
 			Instance: id.Instance, Incarnation: id.Incarnation, Address: id.Address, Domain: id.Domain,
 		}})
--- a/internal/gateway/slotloans.go
+++ b/internal/gateway/slotloans.go
@@ -162,11 +162,11 @@
 	}
 	id := directory.Incarnation{ID: request.Target, StartedMs: request.Born}
 	if request.Return {
-		g.limits.endLoan(id, from.Instance, request.Loan)
+		g.limits.endLoan(id, from.Incarnation, request.Loan)
 		return wire.SlotLoanResponse{Granted: true}, nil
 	}
 	service, ok := g.slotUser(request.Service)
-	return wire.SlotLoanResponse{Granted: ok && service.lendSlot(id, from.Instance, request.Loan)}, nil
+	return wire.SlotLoanResponse{Granted: ok && service.lendSlot(id, from.Incarnation, request.Loan)}, nil
 }
 
 // slotUser returns the state of a service, and false if this instance has none.
--- a/internal/gateway/targetlimits.go
+++ b/internal/gateway/targetlimits.go
@@ -190,6 +190,16 @@
 	return t.limiter.Lend(t.now(), limitedTarget(target), inUse, borrower, loan)
 }
 
+// endLoansOf ends the loans to a process of a peer that has ended.
+func (t *targetLimits) endLoansOf(peer, incarnation string) {
+	t.mu.Lock()
+	ended := t.limiter.EndLoansOf(incarnation)
+	t.mu.Unlock()
+	if ended > 0 {
+		logline.Info("slot_loans_ended", "peer", peer, "incarnation", incarnation, "loans", ended)
+	}
+}
+
 // endLoan ends a loan to a borrower.
 func (t *targetLimits) endLoan(id directory.Incarnation, borrower string, loan uint64) {
 	t.mu.Lock()
--- a/internal/targetlimit/loan.go
+++ b/internal/targetlimit/loan.go
@@ -16,7 +16,7 @@
 type Loan struct {
 	// ID is chosen by the borrower.
 	ID uint64
-	// Peer is the other instance.
+	// Peer is the other instance: the name of a lender, the incarnation of a borrower.
 	Peer   string
 	endsAt time.Duration
 }
@@ -64,6 +64,16 @@
 	return true
 }
 
+// EndLoansOf ends all loans to a borrower, which has ended.
+func (l *Limiter) EndLoansOf(borrower string) (ended int) {
+	for _, t := range l.targets {
+		before := len(t.lent)
+		t.lent = slices.DeleteFunc(t.lent, func(o Loan) bool { return o.Peer == borrower })
+		ended += before - len(t.lent)
+	}
+	return ended
+}
+
 // EndLoan ends a loan to a borrower.
 func (l *Limiter) EndLoan(id directory.Incarnation, borrower string, loan uint64) {
 	if t := l.targets[id]; t != nil {
