platform clients: one odd entry of the instance list no longer hides all the others

What operators would see: one entry of another writer, with a number for its id, a list for its address, a number beyond the range or nested 20,000 deep, and no entry instance reads the list any more (reading it fails each time), for as long as the entry is there.

Cause: the list was decoded as one value, so one entry decided for all. TestOddEntriesOf- TheInstanceListAreSkipped failed in eleven of eleven cases before: eight lost the list, and three took an entry with port 70000, 0 or none for an instance. TestBrokenInstanceListIsAn- Error failed in two of nine: a list without its entries counted as empty.

Change: the list is decoded token by token, which has no depth, and each entry by itself. Entries without an id or with an address that names no port are skipped and logged. The process never ended by itself in these cases; it only stopped following.

--- a/internal/platform/instances.go
+++ b/internal/platform/instances.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/mastictray/mastictray/internal/logline"
 )
 
 // InstanceRole is the kind of process that an instance runs.
@@ -76,12 +77,11 @@
 	if resp.StatusCode != http.StatusOK {
 		return InstanceList{}, errors.Newf("read instance list peer=%s: status %d", c.base, resp.StatusCode)
 	}
-	var body struct {
-		AsOfMS    int64      `json:"as_of_ms"`
-		Instances []Instance `json:"instances"`
-	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(&body); err != nil {
+	list, err := decodeInstanceList(io.LimitReader(resp.Body, maxResponseBytes), func(index int, err error) {
+		logline.InfoSampled("instance_skipped", "peer", c.base, "index", index, "error", err)
+	})
+	if err != nil {
 		return InstanceList{}, errors.Wrapf(err, "read instance list peer=%s: decode response", c.base)
 	}
-	return InstanceList{AsOf: time.UnixMilli(body.AsOfMS), Instances: body.Instances}, nil
+	return list, nil
 }
