--- a/internal/targetconn/conn_test.go
+++ b/internal/targetconn/conn_test.go
@@ -259,3 +259,53 @@
 	raw = string((&Request{Method: "GET", URI: "/", Host: "h", Header: http.Header{}}).encode())
 	is.Equal(raw, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 }
+
+// Guards against a response whose head is cut short and that is taken for a whole one with an empty or
+// short body.
+func TestHeadCutShortIsNoResponse(t *testing.T) {
+	const common = "HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nX-Attempt-Id: a\r\n"
+	for name, head := range map[string]string{
+		"with a length":            common + "Content-Length: 5\r\n\r\n",
+		"length first":             "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Server-Seal: s\r\n\r\n",
+		"chunked":                  common + "Transfer-Encoding: chunked\r\n\r\n",
+		"ends with the connection": common + "Connection: close\r\n\r\n",
+		"after an interim one":     "HTTP/1.1 102 Processing\r\n\r\n" + common + "Connection: close\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			for n := range len(head) {
+				for _, reset := range []bool{false, true} {
+					l, err := net.Listen("tcp", "127.0.0.1:0")
+					if err != nil {
+						t.Fatal(err)
+					}
+					go func() {
+						conn, err := l.Accept()
+						if err != nil {
+							return
+						}
+						defer conn.Close()
+						_, _ = http.ReadRequest(bufio.NewReader(conn))
+						_, _ = io.WriteString(conn, head[:n])
+						if reset {
+							_ = conn.(*net.TCPConn).SetLinger(0)
+						}
+					}()
+					pool := NewPool(DefaultOptions(), func() time.Duration { return 0 })
+					conn, err := pool.Get(t.Context(), l.Addr().String(), time.Minute)
+					if err != nil {
+						t.Fatal(err)
+					}
+					resp, err := conn.Send(t.Context(), &Request{Method: http.MethodGet, URI: "/", Host: "x"}, func(*http.Response) bool { return true })
+					if err == nil {
+						_, err = io.ReadAll(resp.Body)
+					}
+					if err == nil {
+						t.Errorf("the first %d of %d bytes are a whole response (reset %v)", n, len(head), reset)
+					}
+					conn.Close()
+					l.Close()
+				}
+			}
+		})
+	}
+}
