gateway: the end of one target counts once against the requests that were lost with it

What callers saw: when one of several targets crashes, every request that equals one of those it held is refused by all instances as crashes_targets for the next minute and longer, though the other targets are well. With requests that all equal each other nothing is served.

Cause: crashes were counted by attempts. Three equal requests in flight at one target, from one instance or from three, were three crashes, and so "a request that crashes each target that runs it". Counts that had expired also counted on until the table was swept.

Change: what counts is the number of targets, by their start, at which a request lost its connection; reports to peers name the target. A request that crashes each target that runs it crashes another one each time, and is refused after the third as before (TestRequestIsRefusedAfterThirdCrash). An event of a crash has five fields on the wire, as the lengths tell the kinds of events apart.

--- a/internal/gateway/crashcount.go
+++ b/internal/gateway/crashcount.go
@@ -3,18 +3,21 @@
 import (
 	"context"
 	"io"
+	"slices"
+	"strconv"
 	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastictray/mastictray/internal/directory"
 	"github.com/mastictray/mastictray/internal/logline"
 )
 
 const (
-	// maxCrashes is the number of attempts ending with a lost connection, over all repeats
-	// of a request and all instances, at which the request is refused. Two can be a
+	// maxCrashes is the number of targets at which a request lost its connection, over all
+	// repeats of it and all instances, at which the request is refused. Two can be a
 	// coincidence, because every request at a target fails when the target crashes. The
 	// third means that the request itself crashes its targets.
 	maxCrashes = 3
@@ -25,32 +28,53 @@
 	maxTrackedRequests = 4096
 )
 
-// crashCounts counts the attempts that ended with a lost connection, by request
+// crashCounts counts the targets at which requests lost their connections, by request
 // fingerprint. Otherwise a request that crashes every target that runs it would take down
 // one target after another as its caller repeats it.
 type crashCounts struct {
 	byRequest map[uint64]crashCount
 	// unreported lists the crashes seen by this instance since its last update to the
 	// peers.
-	unreported []uint64
+	unreported []crash
+}
+
+// crash is a request that lost its connection to an incarnation of a target.
+type crash struct {
+	fingerprint uint64
+	// target is the hash of the incarnation.
+	target uint64
 }
 
 type crashCount struct {
-	count  int
-	lastAt time.Duration
+	// targets are those that count: the end of one of them ends all equal requests there, but says
+	// only once that such a request may be its cause.
+	targets []uint64
+	lastAt  time.Duration
+}
+
+func crashOf(fingerprint uint64, id directory.Incarnation) crash {
+	return crash{fingerprint, xxhash.Sum64String(id.ID + "/" + strconv.FormatInt(id.StartedMs, 10))}
 }
 
 func newCrashCounts() crashCounts { return crashCounts{byRequest: map[uint64]crashCount{}} }
 
-// add counts a crash of a request and returns the request's count.
-func (s *crashCounts) add(now time.Duration, fingerprint uint64) int {
+// add counts a crash of a request, and returns the request's count and whether the target is a
+// further one.
+func (s *crashCounts) add(now time.Duration, c crash) (count int, isNew bool) {
 	if len(s.byRequest) >= maxTrackedRequests {
 		s.expire(now)
 	}
-	entry := s.byRequest[fingerprint]
-	entry.count, entry.lastAt = entry.count+1, now
-	s.byRequest[fingerprint] = entry
-	return entry.count
+	entry := s.byRequest[c.fingerprint]
+	if now-entry.lastAt > crashRetention {
+		entry.targets = nil
+	}
+	isNew = !slices.Contains(entry.targets, c.target)
+	if isNew && len(entry.targets) < maxCrashes {
+		entry.targets = append(entry.targets, c.target)
+	}
+	entry.lastAt = now
+	s.byRequest[c.fingerprint] = entry
+	return len(entry.targets), isNew
 }
 
 // expire removes the requests whose last crash is older than crashRetention.
@@ -65,7 +89,7 @@
 // isBlocked reports whether the request must be refused.
 func (s *crashCounts) isBlocked(now time.Duration, fingerprint uint64) bool {
 	entry := s.byRequest[fingerprint]
-	return entry.count >= maxCrashes && now-entry.lastAt <= crashRetention
+	return len(entry.targets) >= maxCrashes && now-entry.lastAt <= crashRetention
 }
 
 // requestFingerprint identifies the repeats of a request: those with the same account,
@@ -90,8 +114,11 @@
 	g.pieces.Lost(g.clock.Now(), a.target.ID, &a.answer, piecesOf(c))
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	n := g.crashes.add(g.clock.Now(), c.fingerprint)
-	g.crashes.unreported = append(g.crashes.unreported, c.fingerprint)
+	lost := crashOf(c.fingerprint, a.target.Incarnation())
+	n, isNew := g.crashes.add(g.clock.Now(), lost)
+	if isNew {
+		g.crashes.unreported = append(g.crashes.unreported, lost)
+	}
 	logline.Info("crash_counted", "request", c.ID, "target", c.lastTarget, "crashes", n, "of", maxCrashes,
 		"shared_pieces", pieceTexts(piecesOf(c)), "events", relay.eventCount, "ran", g.clock.Now()-c.placedAt)
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -323,9 +323,9 @@
 	return out
 }
 
-// publishCrash publishes to the peers the fingerprint of a request that broke off.
-func (p *peers) publishCrash(fingerprint uint64) {
+// publishCrash publishes to the peers a request that lost its connection to a target.
+func (p *peers) publishCrash(c crash) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.table.AddEvent(wire.InstanceEvent{CrashFingerprint: fingerprint})
+	p.table.AddEvent(wire.InstanceEvent{CrashFingerprint: c.fingerprint, CrashTarget: c.target})
 }
--- a/internal/gateway/fleetstate.go
+++ b/internal/gateway/fleetstate.go
@@ -79,7 +79,7 @@
 		reports = append(reports, ratecount.Report{Incarnation: c.Identity.Incarnation, At: c.At, Spent: c.Spent, Demand: fromWireRateDemand(c.State.Demand)})
 		for _, e := range c.Events {
 			if e.CrashFingerprint != 0 {
-				g.crashes.add(now, e.CrashFingerprint)
+				g.crashes.add(now, crash{e.CrashFingerprint, e.CrashTarget})
 			}
 		}
 	}
@@ -223,8 +223,8 @@
 	defer g.mu.Unlock()
 	g.accountLimiter.SetFleetSize(now, fleetSize, updateMaxAge)
 	g.updateRetryReserves(fleetSize)
-	for _, f := range g.crashes.unreported {
-		g.peers.publishCrash(f)
+	for _, c := range g.crashes.unreported {
+		g.peers.publishCrash(c)
 	}
 	g.crashes.unreported = nil
 	g.loadingTargets = union(loading, g.orderedTargets)
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -218,6 +218,8 @@
 	// CrashFingerprint is the fingerprint of a request that lost the connection to its
 	// target, probably by a crash; 0 for none.
 	CrashFingerprint uint64
+	// CrashTarget is the hash of the target's incarnation.
+	CrashTarget uint64
 }
 
 // PieceReport is a crash of a target, with the pieces of prompts that count against, and the last
--- a/internal/wire/update.go
+++ b/internal/wire/update.go
@@ -20,7 +20,10 @@
 	// returnsFields is the length of an event with returning requests, returnFields the
 	// number of items per request in its flat array.
 	returnsFields = 1
-	returnFields  = 2
+	// crashFields is the length of an event with a crash: two numbers, and three that are not used,
+	// as the length tells the kinds of events apart.
+	crashFields  = 5
+	returnFields = 2
 	// streamsFields is the length of an event with streams that began.
 	streamsFields = 3
 	// pieceReportFields is the length of an event with evidence on pieces of prompts,
@@ -130,7 +133,7 @@
 			continue
 		}
 		if event.Prompt == nil {
-			err = firstError(err, e.EncodeUint(event.CrashFingerprint))
+			err = firstError(err, e.EncodeArrayLen(crashFields), e.EncodeUint(event.CrashFingerprint), e.EncodeUint(event.CrashTarget), e.EncodeNil(), e.EncodeNil(), e.EncodeNil())
 			continue
 		}
 		p := event.Prompt
@@ -300,15 +303,21 @@
 	return first, out
 }
 
-func (r *updateReader) event() InstanceEvent {
-	code := readField(r, r.d.PeekCode)
-	const firstArray, lastArray = 0x90, 0x9f
-	if code < firstArray || code > lastArray {
-		return InstanceEvent{CrashFingerprint: readField(r, r.d.DecodeUint64)}
+// skip reads n values that are not used.
+func (r *updateReader) skip(n int) {
+	for i := 0; i < n && r.err == nil; i++ {
+		r.err = r.d.Skip()
 	}
+}
+
+func (r *updateReader) event() InstanceEvent {
 	switch n := r.length(r.d.DecodeArrayLen); {
 	case r.err != nil:
 		return InstanceEvent{}
+	case n == crashFields:
+		e := InstanceEvent{CrashFingerprint: readField(r, r.d.DecodeUint64), CrashTarget: readField(r, r.d.DecodeUint64)}
+		r.skip(crashFields - 2)
+		return e
 	case n == returnsFields:
 		return InstanceEvent{Returns: r.returns()}
 	case n == evidenceFields:
