targetlimit: ranks cost little at thousands of targets and instances, and go once they are not needed

While a service is unknown each of its targets gets a state with this instance's rank among all others. With 10,000 targets and 2,400 instances that are 24 million hashes of strings at the start of a process, under the lock of the service, and the states stayed after the service was known to bear any number of rejections, so that each scheduling step went over all targets. Found by reading, not measured at that size.

Ranks are now by two multiplications from hashes that are kept, a scheduling step looks at the targets only where one of them states a limit or the service is unknown, and states without content go with the next change of the registrations.

--- a/internal/targetlimit/limiter.go
+++ b/internal/targetlimit/limiter.go
@@ -108,18 +108,23 @@
 // Limiter holds the limits of all targets as one instance knows them. It is not
 // safe for concurrent use.
 type Limiter struct {
-	self            string
-	members         []string
+	self     string
+	selfHash uint64
+	members  []string
+	// view is that of the members.
+	view            view
 	membershipKnown bool
 	startedAt       time.Duration
 	// earlierViews are the views of the fleet that were replaced less than takeoverDelay ago.
-	earlierViews []view
+	earlierViews []earlierView
 	targets      map[directory.Incarnation]*target
 	services     map[string]*service
 }
 
 type target struct {
 	Report
+	// hash is that of its ID.
+	hash uint64
 	// changedAt is when this instance learned of the current limit.
 	changedAt time.Duration
 	// observed is true if an answer to a request of this instance stated the
@@ -150,7 +155,7 @@
 
 // New returns a Limiter for the instance self, which starts at now.
 func New(now time.Duration, self string) *Limiter {
-	return &Limiter{self: self, startedAt: now, members: []string{self}, targets: map[directory.Incarnation]*target{}, services: map[string]*service{}}
+	return &Limiter{self: self, selfHash: xxhash.Sum64String(self), startedAt: now, members: []string{self}, view: newView([]string{self}), targets: map[directory.Incarnation]*target{}, services: map[string]*service{}}
 }
 
 // SetFleet sets the names of all instances that may be serving. discovered is
@@ -162,7 +167,7 @@
 		return
 	}
 	l.keepView(now)
-	l.members, l.membershipKnown = slices.Clone(names), known
+	l.members, l.membershipKnown, l.view = slices.Clone(names), known, newView(names)
 	for _, t := range l.targets {
 		l.assignSenders(now, t)
 	}
@@ -200,11 +205,9 @@
 func (l *Limiter) add(now time.Duration, id directory.Incarnation, service string) *target {
 	t := &target{Report: Report{Target: id, Service: service}, updatedAt: now}
 	l.targets[id] = t
-	for _, v := range l.earlierViews {
-		t.earlierShares = append(t.earlierShares, earlierShare{view: v, rank: rank(id, l.self, v.members)})
-	}
+	t.hash = xxhash.Sum64String(id.ID)
+	t.earlierShares = l.earlierSharesOf(t.hash)
 	l.assignSenders(now, t)
-	l.serviceOf(now, service).records++
 	return t
 }
 
@@ -252,10 +255,11 @@
 // setLimit replaces the limit of a target.
 func (l *Limiter) setLimit(now time.Duration, t *target, limit Limit, revision uint64) {
 	t.advance(now)
-	before := t.Rejections
-	if s := l.services[t.Service]; !t.hasStated() && s.known {
+	s, before := l.serviceOf(now, t.Service), t.Rejections
+	if !t.hasStated() && s.known {
 		before = s.rejections
 	}
+	s.limited += limited(limit) - limited(t.Limit)
 	t.Limit, t.Revision, t.changedAt = limit, revision, now
 	if limit.Rejections == 0 {
 		t.pausedUntil = 0
@@ -266,12 +270,20 @@
 	}
 }
 
+// limited returns 1 if a target with the given limit counts as limited, else 0.
+func limited(l Limit) int {
+	if l == (Limit{}) {
+		return 0
+	}
+	return 1
+}
+
 // assignSenders determines the target's senders.
 func (l *Limiter) assignSenders(now time.Duration, t *target) {
 	t.advance(now)
 	wasSender := t.isSender
 	t.senderCount = min(len(l.members), max(1, int(math.Ceil(sendersPerUnitRate*t.Rate))))
-	t.rank = rank(t.Target, l.self, l.members)
+	t.rank = l.view.rank(t.hash, l.selfHash)
 	t.isSender = l.mayHaveShare() && t.rank < t.senderCount
 	if t.isSender && !wasSender {
 		t.tokens, t.updatedAt = 0, now+takeoverDelay
@@ -283,22 +295,6 @@
 	return l.membershipKnown && slices.Contains(l.members, l.self)
 }
 
-// rank returns how many of the members precede an instance in the rendezvous order of a target.
-func rank(id directory.Incarnation, self string, members []string) int {
-	own, n := rendezvousWeight(id, self), 0
-	for _, name := range members {
-		w := rendezvousWeight(id, name)
-		if w > own || w == own && name < self {
-			n++
-		}
-	}
-	return n
-}
-
-func rendezvousWeight(id directory.Incarnation, name string) uint64 {
-	return xxhash.Sum64String(id.ID + "/" + name)
-}
-
 // advance accrues this sender's share of the limit up to now, capped at one
 // request.
 func (t *target) advance(now time.Duration) {
@@ -325,7 +321,7 @@
 // them now.
 func (l *Limiter) LimitedTargets(now time.Duration, service string, targets iter.Seq[Target]) map[directory.Incarnation]Permission {
 	s := l.serviceOf(now, service)
-	if s.records == 0 && s.rejections == 0 && !l.isUnknown(now, s) {
+	if s.limited == 0 && s.rejections == 0 && !l.isUnknown(now, s) {
 		return nil
 	}
 	out := map[directory.Incarnation]Permission{}
@@ -413,6 +409,11 @@
 	return since, true
 }
 
+// isIdle reports whether nothing has been learned of a target and no slot of it is lent or in use.
+func (t *target) isIdle() bool {
+	return !t.hasStated() && t.RoomRevision == 0 && t.pausedUntil == 0 && len(t.lent)+len(t.borrowed)+t.abandoned == 0
+}
+
 // CanSend reports whether this instance may send a request to a target now.
 func (l *Limiter) CanSend(now time.Duration, id directory.Incarnation) bool {
 	t := l.targets[id]
@@ -454,13 +455,14 @@
 	return out
 }
 
-// Retain drops all targets for which exists returns false.
+// Retain drops all targets for which exists returns false, and those that were added while their service
+// was unknown and that have no state of their own.
 func (l *Limiter) Retain(exists func(directory.Incarnation) bool) {
 	changed := map[string]bool{}
 	for id, t := range l.targets {
-		if !exists(id) {
+		if !exists(id) || t.isIdle() && l.services[t.Service].known {
 			delete(l.targets, id)
-			l.services[t.Service].records--
+			l.services[t.Service].limited -= limited(t.Limit)
 			changed[t.Service] = true
 		}
 	}
--- a/internal/targetlimit/loan.go
+++ b/internal/targetlimit/loan.go
@@ -33,7 +33,7 @@
 	}
 	candidates := make([]candidate, len(l.members))
 	for i, name := range l.members {
-		candidates[i] = candidate{name, rendezvousWeight(id.Incarnation, name)}
+		candidates[i] = candidate{name, rendezvousWeight(t.hash, l.view[i])}
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.name, b.name))
--- a/internal/targetlimit/service.go
+++ b/internal/targetlimit/service.go
@@ -33,8 +33,8 @@
 	known bool
 	// seenAt is when this instance learned of the service.
 	seenAt time.Duration
-	// records is the number of its targets in Limiter.targets.
-	records int
+	// limited is the number of its targets that state a limit.
+	limited int
 }
 
 // bound returns the number of rejections per second that a target can bear; 0 for any number.
--- a/internal/targetlimit/service_test.go
+++ b/internal/targetlimit/service_test.go
@@ -200,3 +200,37 @@
 		})
 	}
 }
+
+// Guards against shares of an unknown service's targets that add up to more than their slots, or to less,
+// so that slots are idle.
+func TestSharesOfUnknownServiceAddUpToTheSlots(t *testing.T) {
+	is := is.New(t)
+	for _, instances := range []int{1, 3, 20} {
+		var names []string
+		for i := range instances {
+			names = append(names, fmt.Sprintf("i%02d", i))
+		}
+		for i := range 30 {
+			target, sum, holders := deskTarget(fmt.Sprintf("t%d", i), 1), 0, map[string]bool{}
+			for _, name := range names {
+				l := New(0, name)
+				l.SetFleet(0, names, true)
+				limit, limited := l.MaxInFlight(0, target)
+				is.True(limited)
+				l.ApplyServiceBounds(0, []ServiceBound{{Service: target.Service}})
+				l.Retain(func(directory.Incarnation) bool { return true })
+				is.Equal(len(l.targets), 0) // a large service has thousands
+				sum += limit
+				if limit > 0 {
+					holders[name] = true
+				}
+			}
+			is.Equal(sum, target.Slots)
+			l := New(0, "other")
+			l.SetFleet(0, names, true)
+			for _, lender := range l.Lenders(0, target) {
+				is.True(holders[lender])
+			}
+		}
+	}
+}
