--- a/internal/targetconn/conn.go
+++ b/internal/targetconn/conn.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -52,7 +53,7 @@
 	reused      bool
 	broken      bool
 	// keepReceiving makes Cancel close the sending side only.
-	keepReceiving bool
+	keepReceiving atomic.Bool
 	writeDone     chan error // receives the result of a concurrent write; nil after an inline write
 }
 
@@ -223,13 +224,13 @@
 
 // KeepReceiving sets whether Cancel leaves the receiving side of the connection open in the next
 // exchange, so that AwaitClose can tell when the target has seen that the exchange is cancelled.
-func (c *Conn) KeepReceiving(keep bool) { c.keepReceiving = keep }
+func (c *Conn) KeepReceiving(keep bool) { c.keepReceiving.Store(keep) }
 
 // Cancel makes the exchange fail and closes the connection, or only its sending side after
 // KeepReceiving. It may be called at any time, also during an exchange.
 func (c *Conn) Cancel() {
 	half, ok := c.netConn.(interface{ CloseWrite() error })
-	if !c.keepReceiving || !ok {
+	if !c.keepReceiving.Load() || !ok {
 		c.Close()
 		return
 	}
