--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -81,16 +81,16 @@
 	request.BaseVersion, request.ExpectedReceiver = s.ackedVersion, replica.OriginID(s.Incarnation)
 	request.Updates = p.table.UpdatesSince(sentAt, request.BaseVersion, replica.ScopeFollowers, request.ExpectedReceiver)
 	request.Follow, request.ReceivedCursor = follow, s.receivedCursor
-	ownVersion, address := p.table.Cursor().Version, s.Address
+	ownVersion, address, name := p.table.Cursor().Version, s.Address, s.Instance
 	p.mu.Unlock()
 	var response wire.ExchangeResponse
 	from, quiet, err := p.call(ctx, address, wire.KindExchange, request, &response)
 	if errors.Is(err, peer.ErrRefused) {
-		logline.Error(err, "exchange_refused", "peer", s.Instance)
+		logline.Error(err, "exchange_refused", "peer", name)
 	}
 	if err != nil {
 		p.g.metrics.exchangeFailed(err)
-		logline.Info("exchange_failed", "peer", s.Instance, "follow", follow, "after", p.g.clock.Now()-sentAt, "quiet", quiet, "error", err)
+		logline.Info("exchange_failed", "peer", name, "follow", follow, "after", p.g.clock.Now()-sentAt, "quiet", quiet, "error", err)
 	}
 	needsResync := err == nil && p.mergeUpdates(sentAt, from.Instance, response.Updates, false)
 	p.mu.Lock()
