targetlimit: a fleet that starts as a whole has its shares at once

What callers would see: in the first 1.5 s after a restart of all instances every request to targets that bear few rejections is refused.

Cause: the mend of growing shares gave a new process none for 1.5 s, as others may have its share until they learn of it; where all are new nobody has it.

Change: the answer to a question for a service's bound tells whether the peer has served for longer than that time. A process waits if one has, or as long as no peer has answered; not if those that answered are as new as it is.

--- a/internal/gateway/targetlimits.go
+++ b/internal/gateway/targetlimits.go
@@ -72,8 +72,8 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, b := range t.limiter.ServiceBounds(names) {
-		bounds = append(bounds, wire.ServiceBound{Service: b.Service, Rejections: b.Rejections})
+	for _, b := range t.limiter.ServiceBounds(t.now(), names) {
+		bounds = append(bounds, wire.ServiceBound{Service: b.Service, Rejections: b.Rejections, Settled: b.Settled})
 	}
 	return bounds
 }
@@ -82,9 +82,9 @@
 func (t *targetLimits) applyServiceBounds(from string, bounds []wire.ServiceBound) {
 	for _, b := range bounds {
 		t.mu.Lock()
-		t.limiter.ApplyServiceBounds(t.now(), []targetlimit.ServiceBound{{Service: b.Service, Rejections: b.Rejections}})
+		t.limiter.ApplyServiceBounds(t.now(), []targetlimit.ServiceBound{{Service: b.Service, Rejections: b.Rejections, Settled: b.Settled}})
 		t.mu.Unlock()
-		logline.Info("service_bound", "service", b.Service, "rejections", b.Rejections, "peer", from)
+		logline.Info("service_bound", "service", b.Service, "rejections", b.Rejections, "settled", b.Settled, "peer", from)
 	}
 }
 
--- a/internal/targetlimit/limiter.go
+++ b/internal/targetlimit/limiter.go
@@ -115,6 +115,9 @@
 	view            view
 	membershipKnown bool
 	startedAt       time.Duration
+	// joined is set once a peer has told that it served before this instance started, startedTogether
+	// once one has told that it did not.
+	joined, startedTogether bool
 	// earlierViews are the views of the fleet that were replaced less than takeoverDelay ago.
 	earlierViews []earlierView
 	targets      map[directory.Incarnation]*target
--- a/internal/targetlimit/service.go
+++ b/internal/targetlimit/service.go
@@ -60,12 +60,16 @@
 	// Rejections is the number of requests per second that each can reject for want of room; 0 for
 	// any number.
 	Rejections float64
+	// Settled is set if the instance has served for so long that the slots are divided among those
+	// that it knows.
+	Settled bool
 }
 
-// UnknownServices returns the services of which nothing is known yet.
+// UnknownServices returns the services of which nothing is known yet, and all of them while this instance
+// doesn't know whether it has joined others.
 func (l *Limiter) UnknownServices(now time.Duration) (names []string) {
 	for name, s := range l.services {
-		if l.isUnknown(now, s) {
+		if l.isUnknown(now, s) || !l.joined && now-l.startedAt < takeoverDelay {
 			names = append(names, name)
 		}
 	}
@@ -73,10 +77,10 @@
 }
 
 // ServiceBounds returns the bounds of those of the given services that are known here.
-func (l *Limiter) ServiceBounds(names []string) (bounds []ServiceBound) {
+func (l *Limiter) ServiceBounds(now time.Duration, names []string) (bounds []ServiceBound) {
 	for _, name := range names {
 		if s := l.services[name]; s != nil && s.known {
-			bounds = append(bounds, ServiceBound{name, s.rejections})
+			bounds = append(bounds, ServiceBound{name, s.rejections, now-l.startedAt >= takeoverDelay})
 		}
 	}
 	return bounds
@@ -86,6 +90,7 @@
 // taken from others may be older than what is known here, which therefore stays.
 func (l *Limiter) ApplyServiceBounds(now time.Duration, bounds []ServiceBound) {
 	for _, b := range bounds {
+		l.joined, l.startedTogether = l.joined || b.Settled, l.startedTogether || !b.Settled
 		if s := l.serviceOf(now, b.Service); !s.known {
 			s.known, s.rejections = true, b.Rejections
 		}
--- a/internal/targetlimit/service_test.go
+++ b/internal/targetlimit/service_test.go
@@ -101,15 +101,19 @@
 		after time.Duration
 		limit int // of the requests in flight
 	}{
-		"nothing is known":       {learn: func(*Limiter) {}, limit: 1},
-		"nothing for long":       {learn: func(*Limiter) {}, after: unknownTimeout + 1, limit: anyNumber},
-		"its own answer":         {learn: func(l *Limiter) { l.Observe(start, start, target, Limit{}) }, limit: anyNumber},
-		"another target's":       {learn: func(l *Limiter) { l.Observe(start, start, deskTarget("two", 1), Limit{}) }, limit: anyNumber},
-		"its own, with a bound":  {learn: func(l *Limiter) { l.Observe(start, start, target, Limit{Rejections: 2}) }, after: time.Hour, limit: 1},
-		"a peer knows of none":   {learn: func(l *Limiter) { l.ApplyServiceBounds(start, experienced.ServiceBounds(l.UnknownServices(start))) }, limit: anyNumber},
-		"a peer knows the bound": {learn: func(l *Limiter) { l.ApplyServiceBounds(start, fragile.ServiceBounds(l.UnknownServices(start))) }, after: time.Hour, limit: 1},
+		"nothing is known":      {learn: func(*Limiter) {}, limit: 1},
+		"nothing for long":      {learn: func(*Limiter) {}, after: unknownTimeout + 1, limit: anyNumber},
+		"its own answer":        {learn: func(l *Limiter) { l.Observe(start, start, target, Limit{}) }, limit: anyNumber},
+		"another target's":      {learn: func(l *Limiter) { l.Observe(start, start, deskTarget("two", 1), Limit{}) }, limit: anyNumber},
+		"its own, with a bound": {learn: func(l *Limiter) { l.Observe(start, start, target, Limit{Rejections: 2}) }, after: time.Hour, limit: 1},
+		"a peer knows of none": {learn: func(l *Limiter) {
+			l.ApplyServiceBounds(start, experienced.ServiceBounds(start, l.UnknownServices(start)))
+		}, limit: anyNumber},
+		"a peer knows the bound": {learn: func(l *Limiter) { l.ApplyServiceBounds(start, fragile.ServiceBounds(start, l.UnknownServices(start))) }, after: time.Hour, limit: 1},
 		"a peer's report":        {learn: func(l *Limiter) { l.ApplyReports(start, fragile.Reports()) }, after: time.Hour, limit: 1},
-		"a peer is as new":       {learn: func(l *Limiter) { l.ApplyServiceBounds(start, newInstance().ServiceBounds(l.UnknownServices(start))) }, limit: 1},
+		"a peer is as new": {learn: func(l *Limiter) {
+			l.ApplyServiceBounds(start, newInstance().ServiceBounds(start, l.UnknownServices(start)))
+		}, limit: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -174,6 +178,8 @@
 				l.ApplyReports(start, []Report{{Target: target.Incarnation, Service: target.Service, Limit: Limit{Rejections: 2}, Revision: 1}})
 				if start == 0 {
 					l.SetFleet(0, names(c.before), true)
+				} else {
+					l.ApplyServiceBounds(start, []ServiceBound{{Service: target.Service, Rejections: 2, Settled: true}})
 				}
 				limiters[instance], learnsAt[instance] = l, learns
 			}
@@ -234,3 +240,26 @@
 		}
 	}
 }
+
+// Guards against a fleet that starts as a whole and sends nothing to targets that bear few rejections for
+// a while, as each instance takes the others for earlier ones.
+func TestFleetThatStartsHasItsShares(t *testing.T) {
+	is := is.New(t)
+	names, sum := []string{"a", "b", "c"}, 0
+	target := deskTarget("one", 1)
+	var limiters []*Limiter
+	for _, name := range names {
+		l := New(0, name)
+		l.SetFleet(0, names, true)
+		l.Observe(0, 0, target, Limit{Rejections: 2})
+		limiters = append(limiters, l)
+	}
+	for _, l := range limiters {
+		for _, peer := range limiters {
+			l.ApplyServiceBounds(ms, peer.ServiceBounds(ms, l.UnknownServices(ms)))
+		}
+		limit, _ := l.MaxInFlight(ms, target)
+		sum += limit
+	}
+	is.Equal(sum, target.Slots)
+}
--- a/internal/targetlimit/share.go
+++ b/internal/targetlimit/share.go
@@ -45,12 +45,15 @@
 	view
 	// until is when all others have learned of the change.
 	until time.Duration
+	// initial is set for the time before this instance knew the fleet.
+	initial bool
 }
 
 // earlierShare is an instance's rank in the rendezvous order of a target by an earlier view.
 type earlierShare struct {
 	rank, instances int
 	until           time.Duration
+	initial         bool
 }
 
 // keepView keeps the view of the fleet that is about to be replaced for as long as others may act by it.
@@ -60,12 +63,12 @@
 		v.view = l.view
 	}
 	if !l.membershipKnown {
-		v.until = l.startedAt + takeoverDelay // the others may have taken its share while it was down
+		v.until, v.initial = l.startedAt+takeoverDelay, true // the others may have taken its share while it was down
 	}
 	l.earlierViews = append(slices.DeleteFunc(l.earlierViews, func(v earlierView) bool { return now >= v.until }), v)
 	for _, t := range l.targets {
 		t.earlierShares = slices.DeleteFunc(t.earlierShares, func(s earlierShare) bool { return now >= s.until })
-		t.earlierShares = append(t.earlierShares, earlierShare{t.rank, len(v.view), v.until})
+		t.earlierShares = append(t.earlierShares, earlierShare{t.rank, len(v.view), v.until, v.initial})
 	}
 }
 
@@ -73,7 +76,7 @@
 func (l *Limiter) earlierSharesOf(target uint64) []earlierShare {
 	var shares []earlierShare
 	for _, v := range l.earlierViews {
-		shares = append(shares, earlierShare{v.rank(target, l.selfHash), len(v.view), v.until})
+		shares = append(shares, earlierShare{v.rank(target, l.selfHash), len(v.view), v.until, v.initial})
 	}
 	return shares
 }
@@ -90,13 +93,19 @@
 	}
 	share := shareOf(room, t.rank, len(l.members))
 	for _, s := range t.earlierShares {
-		if now < s.until {
+		if now < s.until && (!s.initial || l.mayHaveJoined()) {
 			share = min(share, shareOf(room, s.rank, s.instances))
 		}
 	}
 	return share
 }
 
+// mayHaveJoined reports whether others may have served before this instance started, which have its share
+// until they learn of it.
+func (l *Limiter) mayHaveJoined() bool {
+	return l.joined || !l.startedTogether && len(l.members) > 1
+}
+
 // unknownShare returns this instance's share of the slots of a target of which nothing is known, by the
 // newest view of the fleet: after a restart of all instances nobody would have one by all views. An
 // instance that leaves has one too, as it can't know whether there is a bound at all.
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -393,6 +393,8 @@
 	// Rejections is the number of requests per second that each can reject for want of room; 0 for
 	// any number.
 	Rejections float64 `msgpack:"j,omitempty"`
+	// Settled is set if the responder served before the caller may have started.
+	Settled bool `msgpack:"e,omitempty"`
 }
 
 // RegistrationChanges are the changes in the target registrations since the offset
