crowds: failing tests of callers that keep to no limits, on both request paths

They check that the process lives, that its resident memory together with what its callers' ports hold unread stays under its memory, that descriptors are left, and that an ordinary request is answered beside the crowd and afterwards. internal/crowd plays the callers and measures. The entry reads its memory from an environment variable that this code ignores.

They run apart from other load: the package of the gateway by itself, those of the entry before the tests that run in parallel.

--- a/Makefile
+++ b/Makefile
@@ -18,11 +18,12 @@
 RED := $(shell sed -n "s/^go test .*-run \([A-Za-z0-9_]*\)[ ;|].*/\1/p" KNOWN-RED.txt | paste -sd "|")
 SKIP := $(if $(RED),-skip '^($(RED))$$')
 
-# The whole-path tests and the soak run by themselves: their processes would
+# The whole-path tests, the soak and the crowds run by themselves: their processes would
 # compete with the other packages' tests for the machine.
 unit:
-	$(GO) test -race $(SKIP) $$($(GO) list ./... | grep -v -e /internal/wholepath -e /platform/soak)
-	$(GO) test -count=1 -parallel 4 $(SKIP) ./internal/wholepath
+	$(GO) test -race $(SKIP) $$($(GO) list ./... | grep -v -e /internal/wholepath -e /platform/soak -e /platform/crowds)
+	$(GO) test -count=1 -timeout 20m $(SKIP) ./platform/crowds
+	$(GO) test -count=1 -timeout 20m -parallel 4 $(SKIP) ./internal/wholepath
 	$(GO) test -count=1 $(SKIP) ./platform/soak
 
 test: lint build unit
--- /dev/null
+++ b/internal/wholepath/crowds_test.go
@@ -0,0 +1,330 @@
+package wholepath
+
+import (
+	"crypto/tls"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/mastictray/mastictray/internal/crowd"
+)
+
+// The limits of an entry instance in these tests, which hold it to them.
+const (
+	crowdMemoryMB    = 128
+	crowdDescriptors = 1024
+	crowdMaxBody     = 1 << 20
+	crowdFarAbove    = 1 << 30
+	// bodyCallers send bodies, headCallers only heads or a few bytes of a body.
+	bodyCallers, headCallers, endlessCallers = 300, 1324, 100
+	crowdStay                                = 3 * time.Second
+)
+
+// crowdFleet is a fleet whose instance entry0 meets crowds.
+type crowdFleet struct {
+	*fleet
+	t *testing.T
+	// dial connects to the callers' port of entry0.
+	dial func() (net.Conn, error)
+}
+
+func newCrowdFleet(t *testing.T, flags ...string) *crowdFleet {
+	t.Helper()
+	f := newFleet(t, fleetSpec{
+		entries: 3, engines: 1, services: 1, alone: true, entryDescriptors: crowdDescriptors, entryFlags: flags,
+		entryEnv: []string{fmt.Sprintf("MASTICTRAY_MEMORY_MB=%d", crowdMemoryMB), fmt.Sprintf("MASTICTRAY_MAX_BODY_BYTES=%d", crowdMaxBody)},
+	})
+	return &crowdFleet{fleet: f, t: t, dial: crowd.Dial(f.addressOf("entry0"))}
+}
+
+// Paths of the routes: to engines, and to a plain service whose requests run at most once.
+const (
+	chatRoute    = "/v1/chat/completions"
+	bookingRoute = "/bookings"
+)
+
+func (f *crowdFleet) head(path, key string, headers ...string) crowd.Head {
+	return func(framing string) string {
+		return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer %s\r\nContent-Type: application/json\r\n%s%s\r\n",
+			path, key, strings.Join(headers, ""), framing)
+	}
+}
+
+func (f *crowdFleet) officeHead(path string) crowd.Head { return f.head(path, f.keys["office"]) }
+
+// exchange sends a request on a new connection and returns the response, or the error.
+func (f *crowdFleet) exchange(request string) string {
+	c, err := f.dial()
+	if err != nil {
+		return err.Error()
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(waitTimeout / 3))
+	if _, err := io.WriteString(c, request); err != nil {
+		return err.Error()
+	}
+	answer, err := io.ReadAll(c)
+	if err != nil {
+		return err.Error()
+	}
+	return string(answer)
+}
+
+func (f *crowdFleet) request(path, body string) string {
+	return f.head(path, f.keys["office"], "Connection: close\r\n")(fmt.Sprintf("Content-Length: %d\r\n", len(body))) + body
+}
+
+// servesAll waits until an ordinary request to each route has been answered.
+func (f *crowdFleet) servesAll(when string) {
+	f.t.Helper()
+	for path, body := range map[string]string{chatRoute: chatBody("hello", 3), bookingRoute: `{"seat":1}`} {
+		answers := map[string]int{}
+		f.t.Cleanup(func() {
+			if f.t.Failed() {
+				f.t.Logf("answers to ordinary requests to %s %s: %v", path, when, answers)
+			}
+		})
+		f.waitFor("an ordinary request to "+path+" is answered "+when, func() bool {
+			answer := f.exchange(f.request(path, body))
+			answers[fmt.Sprintf("%.12s", answer)]++
+			return strings.HasPrefix(answer, "HTTP/1.1 200")
+		})
+	}
+}
+
+// withstand lets a crowd loose on entry0 for a while. The process must live and stay within its
+// limits, and answer ordinary requests while the crowd is there and afterwards.
+func (f *crowdFleet) withstand(callers int, dial func() (net.Conn, error), script crowd.Script) {
+	f.t.Helper()
+	watch := crowd.StartWatch(f.procs["entry0"].cmd.Process.Pid, f.addressOf("entry0"), f.addressOf("entry0.admin"))
+	c := crowd.Start(callers, dial, script)
+	time.Sleep(crowdStay)
+	f.servesAll("beside the crowd")
+	c.Stop()
+	f.servesAll("afterwards")
+	f.waitFor("entry0 is ready afterwards", func() bool { return f.isReady("entry0") })
+	memory, descriptors, err := watch.Stop()
+	f.t.Logf("connections=%d resident_kb=%d unread_kb=%d descriptors=%d", c.Connections.Load(), memory.Resident>>10, memory.Unread>>10, descriptors.Descriptors)
+	if err != nil || memory.Resident == 0 {
+		f.t.Errorf("the process has ended: %v", err)
+	}
+	if memory.Memory() > crowdMemoryMB<<20 {
+		f.t.Errorf("memory: %d kB, of these %d kB unread; %d MB allowed", memory.Memory()>>10, memory.Unread>>10, crowdMemoryMB)
+	}
+	if descriptors.Descriptors >= crowdDescriptors {
+		f.t.Errorf("descriptors: all %d in use", descriptors.Descriptors)
+	}
+}
+
+// crowdCase is a crowd of callers that send requests to a route.
+type crowdCase struct {
+	name    string
+	callers int
+	script  func(crowd.Head) crowd.Script
+}
+
+func sendBody(b crowd.Body) func(crowd.Head) crowd.Script {
+	return func(h crowd.Head) crowd.Script { return crowd.Send(h, b) }
+}
+
+var bodyCrowds = []crowdCase{
+	{"sized/one_byte_short", bodyCallers, sendBody(crowd.Body{Announced: crowdMaxBody, Sent: crowdMaxBody - 1, Piece: 64 << 10})},
+	{"sized/whole", bodyCallers, sendBody(crowd.Body{Announced: crowdMaxBody, Sent: crowdMaxBody, Piece: 64 << 10})},
+	{"sized/in_pieces_one_byte_short", bodyCallers, sendBody(crowd.Body{Announced: crowdMaxBody, Sent: crowdMaxBody - 1, Piece: 32 << 10, Pause: 20 * time.Millisecond})},
+	{"chunked/64_KiB_without_end", bodyCallers, sendBody(crowd.Body{Announced: -1, Sent: crowdMaxBody - 1, Piece: 64 << 10})},
+	{"chunked/bytes_without_end", bodyCallers, func(h crowd.Head) crowd.Script { return crowd.ChunksOfOneByte(h, 256<<10) }},
+	{"far_above_limit/announced", endlessCallers, sendBody(crowd.Body{Announced: crowdFarAbove, Sent: crowdFarAbove, Piece: 64 << 10})},
+	{"far_above_limit/chunked", endlessCallers, sendBody(crowd.Body{Announced: -1, Sent: -1, Piece: 64 << 10})},
+	{"announced_only", bodyCallers, sendBody(crowd.Body{Announced: crowdMaxBody})},
+	{"slow/byte_of_small_body", headCallers, sendBody(crowd.Body{Announced: 1000, Sent: 1, Piece: 1})},
+	{"many_headers", bodyCallers, func(h crowd.Head) crowd.Script {
+		return crowd.Send(func(framing string) string { return h(crowd.ManyHeaders(60<<10) + framing) }, crowd.Body{Announced: 1000, Sent: 999, Piece: 999})
+	}},
+	{"pipelined/responses_unread", bodyCallers, func(h crowd.Head) crowd.Script {
+		return crowd.Unread(h("Content-Length: 4\r\n") + "body")
+	}},
+}
+
+// Guards against callers whose bodies end the process, or keep others out.
+func TestCrowdsWithBodies(t *testing.T) {
+	for _, path := range []string{chatRoute, bookingRoute} {
+		for _, c := range bodyCrowds {
+			t.Run(path[strings.LastIndexByte(path, '/')+1:]+"/"+c.name, func(t *testing.T) {
+				f := newCrowdFleet(t)
+				f.withstand(c.callers, f.dial, c.script(f.officeHead(path)))
+			})
+		}
+	}
+}
+
+// Guards against a body of a legal size that takes many times its size once it is parsed.
+func TestCrowdWithManySmallMessages(t *testing.T) {
+	f := newCrowdFleet(t)
+	start, end := `{"model":"m","messages":[`, `{"role":"user","content":"x"}]}`
+	messages := strings.Repeat(`{},`, (crowdMaxBody-len(start)-len(end))/3)
+	f.withstand(bodyCallers, f.dial, crowd.Whole(f.request(chatRoute, start+messages+end)))
+}
+
+// Guards against callers without a valid key whose bodies, which nobody reads, fill the memory or
+// whose refused connections take all descriptors.
+func TestCrowdsThatAreRefused(t *testing.T) {
+	body := crowd.Body{Announced: crowdMaxBody, Sent: crowdMaxBody, Piece: 64 << 10}
+	f := newCrowdFleet(t)
+	f.withstand(bodyCallers, f.dial, crowd.Send(f.head(chatRoute, "key-unknown"), body))
+}
+
+// Guards against heads that don't end and take memory or places, in few long lines or many short
+// ones.
+func TestCrowdsWithUnendedHeads(t *testing.T) {
+	start := "POST /bookings HTTP/1.1\r\nHost: entry\r\n"
+	for kind, valueBytes := range map[string]int{"long_lines": 4000, "short_lines": 0} {
+		t.Run(kind, func(t *testing.T) {
+			f := newCrowdFleet(t)
+			f.withstand(800, f.dial, crowd.UnendedHead(start, 60<<10, valueBytes))
+		})
+	}
+	t.Run("nothing", func(t *testing.T) {
+		f := newCrowdFleet(t)
+		f.withstand(headCallers, f.dial, crowd.UnendedHead("", 0, 0))
+	})
+}
+
+// Guards against a crowd at the port of operators and health checks, which shares the descriptors
+// and the memory of the process.
+func TestCrowdsAtAdminPort(t *testing.T) {
+	head := func(framing string) string {
+		return "POST /admin/v1/explain HTTP/1.1\r\nHost: a\r\nContent-Type: application/json\r\n" + framing + "\r\n"
+	}
+	for name, c := range map[string]struct {
+		callers int
+		script  crowd.Script
+	}{
+		"unended_heads":  {headCallers, crowd.UnendedHead("GET /metrics HTTP/1.1\r\nHost: a\r\n", 60<<10, 0)},
+		"unended_bodies": {headCallers, crowd.Send(head, crowd.Body{Announced: crowdMaxBody, Sent: 1, Piece: 1})},
+		"large_bodies":   {endlessCallers, crowd.Send(head, crowd.Body{Announced: -1, Sent: -1, Piece: 64 << 10})},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newCrowdFleet(t)
+			f.withstand(c.callers, crowd.Dial(f.addressOf("entry0.admin")), c.script)
+		})
+	}
+}
+
+// Guards against crowds over TLS, by HTTP/1.1 and with bodies over HTTP/2, whose buffers are those of
+// another server.
+func TestCrowdsOverTLS(t *testing.T) {
+	_, cert, key := writeCertificates(t)
+	flags := []string{"--caller-tls-cert", cert, "--caller-tls-key", key}
+	config := &tls.Config{InsecureSkipVerify: true} // the certificate is that of the test
+	start := func(t *testing.T) *crowdFleet {
+		f := newCrowdFleet(t, flags...)
+		plain := f.dial
+		f.dial = func() (net.Conn, error) {
+			c, err := plain()
+			if err != nil {
+				return nil, err
+			}
+			return tls.Client(c, config), nil
+		}
+		return f
+	}
+	for _, c := range bodyCrowds[:1] {
+		t.Run(c.name, func(t *testing.T) {
+			f := start(t)
+			f.withstand(c.callers, f.dial, c.script(f.officeHead(bookingRoute)))
+		})
+	}
+	t.Run("unended_heads", func(t *testing.T) {
+		f := start(t)
+		f.withstand(300, f.dial, crowd.UnendedHead("POST /bookings HTTP/1.1\r\nHost: entry\r\n", 60<<10, 0))
+	})
+	t.Run("http2", func(t *testing.T) {
+		f := start(t)
+		f.withstand(bodyCallers/10, f.dial, http2Uploads(f.addressOf("entry0"), f.keys["office"]))
+	})
+}
+
+// http2Uploads returns a script that, on a connection of its own, sends many bodies at once over
+// HTTP/2 which stop before their end.
+func http2Uploads(address, key string) crowd.Script {
+	const streams = 100
+	return func(_ net.Conn, stop <-chan struct{}) {
+		transport := &http.Transport{ForceAttemptHTTP2: true, TLSClientConfig: &tls.Config{InsecureSkipVerify: true}}
+		defer transport.CloseIdleConnections()
+		ended := make(chan struct{}, streams)
+		for range streams {
+			go func() {
+				defer func() { ended <- struct{}{} }()
+				body, sender := io.Pipe()
+				defer sender.Close()
+				go func() {
+					_, _ = sender.Write([]byte(strings.Repeat("x", crowdMaxBody-1)))
+					<-stop
+					sender.Close()
+				}()
+				req, err := http.NewRequest(http.MethodPost, "https://"+address+"/bookings", body)
+				if err != nil {
+					return
+				}
+				req.ContentLength = crowdMaxBody
+				req.Header.Set("Authorization", "Bearer "+key)
+				if resp, err := transport.RoundTrip(req); err == nil {
+					resp.Body.Close()
+				}
+			}()
+		}
+		for range streams {
+			<-ended
+		}
+	}
+}
+
+// Guards against a refusal that breaks its promise: a large body that is refused, or stalls, gets a
+// whole response with a status that says so.
+func TestRefusedBodiesGetTheirStatus(t *testing.T) {
+	for name, c := range map[string]struct {
+		body   crowd.Body
+		status string
+	}{
+		"announced_far_above_limit": {crowd.Body{Announced: crowdFarAbove, Sent: 1, Piece: 1}, "413"},
+		"chunked_above_limit":       {crowd.Body{Announced: -1, Sent: 2 * crowdMaxBody, Piece: 64 << 10}, "413"},
+		"stalled":                   {crowd.Body{Announced: 2000, Sent: 1000, Piece: 1000}, "408"},
+		"stalled_chunked":           {crowd.Body{Announced: -1, Sent: 1000, Piece: 1000}, "408"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newCrowdFleet(t, "--read-timeout", "2s")
+			conn, err := f.dial()
+			f.must(err)
+			defer conn.Close()
+			_ = conn.SetReadDeadline(time.Now().Add(waitTimeout))
+			go crowd.Send(f.officeHead(bookingRoute), c.body)(silent{conn}, make(chan struct{}))
+			line := make([]byte, len("HTTP/1.1 400"))
+			if _, err := io.ReadFull(conn, line); err != nil || string(line) != "HTTP/1.1 "+c.status {
+				t.Errorf("status line %q, %s wanted: %v", line, c.status, err)
+			}
+		})
+	}
+}
+
+// silent is a connection whose responses somebody else reads.
+type silent struct{ net.Conn }
+
+// Read implements net.Conn.
+func (silent) Read([]byte) (int, error) { select {} }
+
+// Guards against a large body inside the limits that is refused in calm.
+func TestLargestBodyIsServedInCalm(t *testing.T) {
+	f := newCrowdFleet(t)
+	body := strings.Repeat("x", crowdMaxBody)
+	if answer := f.exchange(f.request(bookingRoute, body)); !strings.HasPrefix(answer, "HTTP/1.1 200") {
+		t.Errorf("answer %.80q", answer)
+	}
+	prompt := strings.Repeat("word ", 100_000)
+	if answer := f.exchange(f.request(chatRoute, chatBody(prompt, 3))); !strings.HasPrefix(answer, "HTTP/1.1 200") {
+		t.Errorf("answer %.80q", answer)
+	}
+}
--- a/internal/wholepath/fleet_test.go
+++ b/internal/wholepath/fleet_test.go
@@ -49,8 +49,11 @@
 	t       testing.TB
 	name    string
 	args    []string
+	env     []string
 	logPath string
-	cmd     *exec.Cmd
+	// descriptors limits the file descriptors of the process; 0 for no limit of its own.
+	descriptors int
+	cmd         *exec.Cmd
 }
 
 // fleet is a running deployment: the platform's stand-ins, targets and entry
@@ -79,11 +82,17 @@
 	accounts map[string][2]int
 	// logFlags are passed to the log service, entryFlags to every entry instance.
 	logFlags, entryFlags []string
+	// entryEnv is added to the environment of every entry instance, and entryDescriptors limits
+	// their file descriptors if it is not 0.
+	entryEnv         []string
+	entryDescriptors int
+	// alone is set for tests that run apart from all others, which run in parallel.
+	alone bool
 }
 
 func newFleet(t testing.TB, s fleetSpec) *fleet {
 	t.Helper()
-	if test, ok := t.(*testing.T); ok {
+	if test, ok := t.(*testing.T); ok && !s.alone {
 		test.Parallel()
 	}
 	f := &fleet{
@@ -166,7 +175,7 @@
 		"--peers", strings.Join(peers, ","), "--peer-secret-file", filepath.Join(f.dir, "secret"),
 		"--fleet-domains", strings.Join(f.domains, ","), "--mint-slots", "1", "--balancer-lag", "100ms",
 	}
-	f.startProcess(name, append(args, s.entryFlags...)...)
+	f.run(&process{t: f.t, name: name, args: append(args, s.entryFlags...), env: s.entryEnv, descriptors: s.entryDescriptors})
 }
 
 // nextPort allocates ports below the kernel's ephemeral range: an outgoing connection
@@ -197,14 +206,19 @@
 
 func (f *fleet) startProcess(name string, args ...string) {
 	f.t.Helper()
-	p := &process{t: f.t, name: name, args: args, logPath: filepath.Join(f.dir, name+".log")}
-	f.procs[name] = p
+	f.run(&process{t: f.t, name: name, args: args})
+}
+
+// run starts a process and stops it at the end of the test.
+func (f *fleet) run(p *process) {
+	p.logPath = filepath.Join(f.dir, p.name+".log")
+	f.procs[p.name] = p
 	p.start()
 	f.t.Cleanup(func() {
 		p.kill()
 		if f.t.Failed() {
 			raw, _ := os.ReadFile(p.logPath)
-			f.t.Logf("--- %s\n%s", name, lastBytes(raw, 3000))
+			f.t.Logf("--- %s\n%s", p.name, lastBytes(raw, 3000))
 		}
 	})
 }
@@ -215,7 +229,14 @@
 		p.t.Fatal(err)
 	}
 	defer out.Close()
-	p.cmd = exec.Command(filepath.Join(binaryDir, p.args[0]), p.args[1:]...)
+	path := filepath.Join(binaryDir, p.args[0])
+	if p.descriptors > 0 {
+		limited := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, p.descriptors)
+		p.cmd = exec.Command("bash", append([]string{"-c", limited, path}, p.args[1:]...)...)
+	} else {
+		p.cmd = exec.Command(path, p.args[1:]...)
+	}
+	p.cmd.Env = append(os.Environ(), p.env...)
 	p.cmd.Stdout, p.cmd.Stderr = out, out
 	if err := p.cmd.Start(); err != nil {
 		p.t.Fatal(err)
