callerlimit: bodies are charged as they arrive, on both request paths

What callers saw: an instance ended and all that it served with it, while clients sent bodies of a legal size that stop just short of their end; or, with the contract `pressure`, requests were refused for bodies that were announced and never came.

Cause: `gateway` bounded the memory of requests only under that contract, `entry` not at all and read an announced body that is far too large up to its limit. io.ReadAll grows by copies that nothing counted, and an announced body was charged before a byte of it.

Change: package callerlimit, used by both. A request is charged for itself and for each part of its body that has arrived, with the copies that it needs until it is answered; parts grow with what has arrived, whatever is announced. Where there is no room it is refused (503, not run). An announced body above the limit is refused by its length. Large bodies leave a part of the memory of requests to small ones. Classes that an instance has no use for keep nothing from others: with 64 MB it has room for the 431 streams of docs/CAPACITY.md.

One test of the gateway said that without the contract there is no bound. It is replaced by one that says that there is, and one that only an instance without memory-mb has none.

--- a/cmd/mastictray-entry/main.go
+++ b/cmd/mastictray-entry/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alecthomas/kong"
@@ -35,12 +36,19 @@
 	}
 }
 
+// memoryFraction is the fraction of the process's memory that the Go runtime may use. Its code and
+// buffers of the kernel take the rest.
+const memoryFraction = 0.7
+
 func run(s *settings.Settings) error {
 	defer klog.Flush()
 	e, err := entry.New(s)
 	if err != nil {
 		return err
 	}
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryFraction * float64(s.MemoryMB<<20)))
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	reload.LogSignals()
--- /dev/null
+++ b/internal/callerlimit/body.go
@@ -0,0 +1,123 @@
+package callerlimit
+
+import (
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mastictray/mastictray/internal/membudget"
+)
+
+// Errors of bodies that are not read to their end.
+var (
+	// ErrMemoryFull: the budget has no room.
+	ErrMemoryFull = errors.New("caller limit: memory budget is used up")
+	// ErrBodyTooLarge: the body is larger than the limit.
+	ErrBodyTooLarge = errors.New("caller limit: body too large")
+)
+
+const (
+	// RequestBytes is the memory of a request without its body: the connection to its target and
+	// the stacks of their goroutines.
+	RequestBytes = 16 << 10
+	// smallBodyBytes is the part of a body for which all memory of requests may be used.
+	smallBodyBytes = 64 << 10
+	// firstPartBytes and maxPartBytes bound the parts in which a body is read; each is as large as all
+	// before it.
+	firstPartBytes = 4 << 10
+	maxPartBytes   = 256 << 10
+)
+
+// Charge is what one request is charged. The zero Charge is one of a request that nothing bounds.
+type Charge struct {
+	memory *Memory
+	bytes  int64
+}
+
+// NewCharge returns the charge of a request.
+func NewCharge(memory *Memory) Charge { return Charge{memory: memory} }
+
+// Take charges the memory of a request without its body. It returns false if there is no room.
+func (c *Charge) Take() bool { return c.take(RequestBytes, c.memory.Take) }
+
+func (c *Charge) take(n int64, from func(membudget.Class, int64) bool) bool {
+	if !from(membudget.Requests, n) {
+		return false
+	}
+	c.bytes += n
+	return true
+}
+
+// Release ends the charge.
+func (c *Charge) Release() {
+	c.memory.Return(membudget.Requests, c.bytes)
+	c.bytes = 0
+}
+
+// ReadBody reads the body of a request of at most limit bytes. What arrives is charged copies times,
+// for what the request needs of it until it is answered.
+func (c *Charge) ReadBody(r *http.Request, limit, copies int64) ([]byte, error) {
+	if r.ContentLength > limit {
+		return nil, ErrBodyTooLarge
+	}
+	var parts [][]byte
+	total := int64(0)
+	for {
+		part := make([]byte, nextPartBytes(total, r.ContentLength))
+		n, err := c.fill(r.Body, part, total, limit, copies)
+		parts, total = append(parts, part[:n]), total+int64(n)
+		switch {
+		case err == io.EOF:
+			return join(parts, total), nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
+// nextPartBytes returns the size of the next part of a body of which total bytes have arrived. It
+// doesn't depend on what is announced but for the end, where the part has one byte more, which is
+// never filled.
+func nextPartBytes(total, announced int64) int64 {
+	size := min(max(firstPartBytes, total), maxPartBytes)
+	if announced < 0 {
+		return size
+	}
+	return min(size, announced-total+1)
+}
+
+// fill reads until the part is full or the body ends.
+func (c *Charge) fill(body io.Reader, part []byte, total, limit, copies int64) (int, error) {
+	n := 0
+	for n < len(part) {
+		k, err := body.Read(part[n:])
+		n += k
+		received := total + int64(n)
+		if received > limit {
+			return n, ErrBodyTooLarge
+		}
+		from := c.memory.Take
+		if received > smallBodyBytes {
+			from = c.memory.takeLarge
+		}
+		if k > 0 && !c.take(int64(k)*copies, from) {
+			return n, ErrMemoryFull
+		}
+		if err != nil {
+			return n, err
+		}
+	}
+	return n, nil
+}
+
+func join(parts [][]byte, total int64) []byte {
+	if len(parts) == 1 {
+		return parts[0]
+	}
+	all := make([]byte, 0, total)
+	for _, p := range parts {
+		all = append(all, p...)
+	}
+	return all
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,10 +11,12 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
+	"github.com/mastictray/mastictray/internal/callerlimit"
 	"github.com/mastictray/mastictray/internal/config"
 	"github.com/mastictray/mastictray/internal/connrelay"
 	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/logrec"
+	"github.com/mastictray/mastictray/internal/membudget"
 	"github.com/mastictray/mastictray/internal/overload"
 	"github.com/mastictray/mastictray/internal/peer"
 	"github.com/mastictray/mastictray/internal/platform"
@@ -53,6 +55,8 @@
 	callers *callerServer
 	admin   *adminServer
 	metrics *entryMetrics
+	// memory bounds the memory of callers' connections and requests; nil if it isn't bounded.
+	memory *callerlimit.Memory
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -72,8 +76,12 @@
 	if err != nil {
 		return nil, err
 	}
+	memory := callerlimit.NewMemory(int64(s.MemoryMB)<<20, membudget.Responses, membudget.Relays)
+	if !memory.HoldsBody(s.MaxBodyBytes, engineBodyCopies) {
+		return nil, errors.Newf("memory-mb=%d has no room for one request of max-body-bytes=%d", s.MemoryMB, s.MaxBodyBytes)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
-	e := &Entry{settings: s, clock: newClock(), ctx: ctx, cancel: cancel, metrics: newEntryMetrics(), drainRequested: make(chan struct{})}
+	e := &Entry{settings: s, memory: memory, clock: newClock(), ctx: ctx, cancel: cancel, metrics: newEntryMetrics(), drainRequested: make(chan struct{})}
 	e.dialDirect = (&net.Dialer{Timeout: targetDialTimeout}).DialContext
 	e.polls.conns = map[string][]net.Conn{}
 	self := wire.Identity{Instance: s.InstanceID, Incarnation: uuid.Must(uuid.NewV7()).String(), Address: s.PeerListen, Domain: s.Domain}
@@ -123,7 +131,7 @@
 	e.pools.poller.onIncarnation = e.members.observeIncarnation
 	e.server = &server{
 		clock: e.clock, config: e.config, rates: e.rates, claims: e.claims, pools: e.pools, poison: e.poison, pieces: e.pieces, retryBudget: overload.NewSharedRetryBudget(overload.DefaultRetryRatio, overload.DefaultRetryReserve, overload.DefaultInitialRetries),
-		targetClient: newTargetClient(e.dialTarget), dialer: e.dialer, metrics: e.metrics, maxBody: s.MaxBodyBytes,
+		targetClient: newTargetClient(e.dialTarget), dialer: e.dialer, metrics: e.metrics, memory: e.memory, maxBody: s.MaxBodyBytes,
 	}
 	e.pools.announcements.follow(e.server.targetClient.pooled, e.server.targetClient.unpooled, e.pools.poller.loadClient, e.pools.poller.eventsClient, e.rollouts.httpClient)
 	e.callers = newCallerServer(s, e.server, sec.callers)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
 	"sort"
 	"strings"
@@ -13,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
+	"github.com/mastictray/mastictray/internal/callerlimit"
 	"github.com/mastictray/mastictray/internal/config"
 	"github.com/mastictray/mastictray/internal/connrelay"
 	"github.com/mastictray/mastictray/internal/keys"
@@ -34,6 +34,7 @@
 	targetClient *targetClient
 	dialer       *connrelay.Dialer
 	metrics      *entryMetrics
+	memory       *callerlimit.Memory
 	maxBody      int64
 
 	// overConnectionLimit reports whether too many connections are open.
@@ -57,6 +58,8 @@
 	account   config.Account
 	route     config.Route
 	body      []byte
+	// memory is what the request is charged to the memory of the instance.
+	memory callerlimit.Charge
 	// attempts is the number of attempts so far.
 	attempts int
 	// headSent is set once the head of the response was sent to the caller.
@@ -95,10 +98,16 @@
 	if c.r.URL.Path == modelsPath {
 		return s.listModels(c, intent)
 	}
-	if err := s.readBody(c); err != nil {
+	routes := routesForPath(intent, c.r.URL.Path)
+	copies := int64(serviceBodyCopies)
+	if len(routes) > 0 && intent.Pools[routes[0].Pool].Kind != config.KindService {
+		copies = engineBodyCopies
+	}
+	defer c.memory.Release()
+	if err := s.readBody(c, copies); err != nil {
 		return err
 	}
-	return s.dispatchByRoute(c, intent)
+	return s.dispatchByRoute(c, intent, routes)
 }
 
 // authorize checks the call's key against the configuration in force.
@@ -123,19 +132,37 @@
 	return strings.TrimSpace(key)
 }
 
-func (s *server) readBody(c *call) error {
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, s.maxBody))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return refusal(http.StatusRequestEntityTooLarge, openai.CodeTooLarge, "the body is too large", 0)
+const (
+	// serviceBodyCopies is how often the body of a request to a plain service is in memory, and
+	// engineBodyCopies that of one to an engine: its parts, the prompt, and the body for the engine.
+	serviceBodyCopies = 2
+	engineBodyCopies  = 6
+)
+
+// readBody reads the body of a request, which needs the given number of copies of it.
+func (s *server) readBody(c *call, copies int64) error {
+	c.memory = callerlimit.NewCharge(s.memory)
+	if !c.memory.Take() {
+		return memoryRefusal()
 	}
-	if err != nil {
+	body, err := c.memory.ReadBody(c.r, s.maxBody, copies)
+	switch {
+	case errors.Is(err, callerlimit.ErrBodyTooLarge):
+		return refusal(http.StatusRequestEntityTooLarge, openai.CodeTooLarge, "the body is too large", 0)
+	case errors.Is(err, callerlimit.ErrMemoryFull):
+		return memoryRefusal()
+	case err != nil:
 		return refusal(http.StatusBadRequest, openai.CodeBadRequest, "the body could not be read", 0)
 	}
 	c.body = body
 	return nil
 }
 
+// memoryRefusal refuses a request for which the instance has no memory. Another instance may have.
+func memoryRefusal() error {
+	return refusal(http.StatusServiceUnavailable, openai.CodeMemoryFull, "the memory of this instance is used up", time.Second)
+}
+
 // Paths of the OpenAI API.
 const (
 	chatPath       = "/v1/chat/completions"
@@ -143,10 +170,9 @@
 	modelsPath     = "/v1/models"
 )
 
-// dispatchByRoute finds the route of a request. Several routes may have the
+// dispatchByRoute selects the route of a request among those with its path. Several may have the
 // same OpenAI path; the model named in the body selects one of them.
-func (s *server) dispatchByRoute(c *call, intent *config.Intent) error {
-	routes := routesForPath(intent, c.r.URL.Path)
+func (s *server) dispatchByRoute(c *call, intent *config.Intent, routes []config.Route) error {
 	if len(routes) == 0 {
 		return refusal(http.StatusNotFound, openai.CodeNotFound, "no route has this path", 0)
 	}
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -39,11 +39,7 @@
 
 func newCallerServer(g *Gateway) *callerServer {
 	s := &callerServer{g: g}
-	callers := &http.Server{Handler: g, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
-	if g.memory != nil {
-		callers.ConnState = g.memory.trackConn
-	}
-	s.callers = httpdrain.New(callers)
+	s.callers = httpdrain.New(&http.Server{Handler: g, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.trackConn})
 	s.callers.Admit = func() bool { return g.newConns.admit(g.clock.Now()) }
 	if g.settings.Features.BoundedMemory {
 		options := g.slowCallerOptions()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/google/uuid"
 
 	"github.com/mastictray/mastictray/internal/callerconn"
+	"github.com/mastictray/mastictray/internal/callerlimit"
 	"github.com/mastictray/mastictray/internal/clock"
 	"github.com/mastictray/mastictray/internal/configvalidity"
 	"github.com/mastictray/mastictray/internal/connrelay"
@@ -127,7 +128,7 @@
 	stopAnswering context.CancelFunc
 	callers       *callerServer
 	// memory bounds the memory of this instance's work; nil if it isn't bounded.
-	memory *memoryBudget
+	memory *callerlimit.Memory
 	// slowCallers counts the callers that read slowly, if memory is bounded.
 	slowCallers callerconn.Stats
 }
@@ -167,11 +168,11 @@
 		g.dialDirect = targetconn.NewDialer(targetconn.DefaultOptions()).DialContext
 	}
 	g.dialer, g.targets = g.newTargetPool()
-	g.memory = newMemoryBudget(&g.settings)
+	g.memory = newMemory(&g.settings)
 	g.relays = connrelay.NewServer(g.dialDirect, g.isTargetAddress)
 	if g.memory != nil {
-		g.relays.TakeMemory = func() bool { return g.memory.take(membudget.Relays, relayedConnBytes) }
-		g.relays.ReturnMemory = func() { g.memory.giveBack(membudget.Relays, relayedConnBytes) }
+		g.relays.TakeMemory = func() bool { return g.memory.Take(membudget.Relays, relayedConnBytes) }
+		g.relays.ReturnMemory = func() { g.memory.Return(membudget.Relays, relayedConnBytes) }
 	}
 	g.answering, g.stopAnswering = context.WithCancel(context.Background())
 	g.accountLimiter.SetFleetSize(0, unknownFleetSize, ratecount.PeerTimeout)
--- a/internal/gateway/memorybudget_test.go
+++ b/internal/gateway/memorybudget_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/mastictray/mastictray/internal/callerlimit"
 	"github.com/mastictray/mastictray/internal/membudget"
 	"github.com/mastictray/mastictray/internal/routing"
 )
@@ -47,7 +48,7 @@
 	is.True(refusal.NotRun && refusal.RetryAfter > 0)
 	is.True(len(accepted) > 10)
 	is.True(responseBudget{g.memory}.Take(1 << 20)) // responses under way have their share
-	accepted[0].memory.release()
+	accepted[0].memory.Release()
 	is.True(g.readBody(t.Context(), arrive(g, strings.Repeat("x", bodyBytes), bodyBytes)) == nil)
 }
 
@@ -59,33 +60,40 @@
 	c := arrive(g, strings.Repeat("x", 100_000), -1)
 	is.True(g.readBody(t.Context(), c) == nil)
 	is.Equal(len(c.Body), 100_000)
-	is.Equal(g.memory.budget.Used(membudget.Requests), int64(requestBytes+bodyCopies*100_000))
-	c.memory.release()
-	is.Equal(g.memory.budget.Used(membudget.Requests), int64(0))
-	for g.memory.take(membudget.Requests, 1<<20) {
+	is.Equal(g.memory.Use().Used[membudget.Requests], int64(callerlimit.RequestBytes+bodyCopies*100_000))
+	c.memory.Release()
+	is.Equal(g.memory.Use().Used[membudget.Requests], int64(0))
+	for g.memory.Take(membudget.Requests, 1<<20) {
 	}
-	before := g.memory.budget.Used(membudget.Requests)
+	before := g.memory.Use().Used[membudget.Requests]
 	c = arrive(g, strings.Repeat("x", 3<<20), -1)
 	refusal := g.readBody(t.Context(), c)
 	is.True(refusal != nil)
 	is.Equal(refusal.Reason, "memory_full")
-	c.memory.release()
-	is.Equal(g.memory.budget.Used(membudget.Requests), before)
+	c.memory.Release()
+	is.Equal(g.memory.Use().Used[membudget.Requests], before)
 }
 
-// An instance without a bound, or without the feature, refuses nothing.
-func TestMemoryIsNotBoundedByDefault(t *testing.T) {
+// Guards against a budget that only some deployments have: without optional features too, requests
+// beyond the memory are refused.
+func TestMemoryIsBoundedWithoutFeatures(t *testing.T) {
+	is := is.New(t)
+	g := New(Settings{Instance: "a", MemoryBytes: testInstanceMemory}, stubDialect{}, &memoryStore{}, unresponsiveTargets{})
 	body := strings.Repeat("x", 1<<20)
-	for name, g := range map[string]*Gateway{
-		"no memory":  startBudgetGateway(0),
-		"no feature": New(Settings{Instance: "a", MemoryBytes: testInstanceMemory}, stubDialect{}, &memoryStore{}, unresponsiveTargets{}),
-	} {
-		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			is.True(g.memory == nil)
-			for range testInstanceMemory / bodyCopies / (1 << 20) {
-				is.True(g.readBody(t.Context(), arrive(g, body, 1<<20)) == nil)
-			}
-		})
+	accepted := 0
+	for g.readBody(t.Context(), arrive(g, body, 1<<20)) == nil {
+		accepted++
+		is.True(accepted < testInstanceMemory/bodyCopies/(1<<20))
+	}
+	is.True(accepted > 10)
+}
+
+// An instance without a bound refuses nothing.
+func TestMemoryIsNotBoundedByDefault(t *testing.T) {
+	is := is.New(t)
+	g := startBudgetGateway(0)
+	is.True(g.memory == nil)
+	for range testInstanceMemory / bodyCopies / (1 << 20) {
+		is.True(g.readBody(t.Context(), arrive(g, strings.Repeat("x", 1<<20), 1<<20)) == nil)
 	}
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastictray/mastictray/internal/callerlimit"
 	"github.com/mastictray/mastictray/internal/canary"
 	"github.com/mastictray/mastictray/internal/configvalidity"
 	"github.com/mastictray/mastictray/internal/logline"
@@ -68,7 +69,7 @@
 	// cancel ends the request: its caller has left or takes no data.
 	cancel context.CancelFunc
 	// memory is what the request is charged to the instance's memory.
-	memory requestMemory
+	memory callerlimit.Charge
 	// callerPaused is set once a response was not read from its target for a while because the
 	// caller took nothing.
 	callerPaused bool
@@ -115,7 +116,7 @@
 	if g.mayOutlastProcess(c) {
 		return unavailableRefusal("draining", drainingRetryAfter)
 	}
-	defer c.memory.release()
+	defer c.memory.Release()
 	if refusal := g.readBody(ctx, c); refusal != nil {
 		return refusal
 	}
@@ -277,20 +278,20 @@
 	if c.r.ContentLength > limit {
 		return &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: "body_too_large", NotRun: true}
 	}
-	if refusal := g.reserveMemory(c); refusal != nil {
-		return refusal
+	c.memory = callerlimit.NewCharge(g.memory)
+	if !c.memory.Take() {
+		return g.memoryRefusal(c)
 	}
 	if deadline, ok := ctx.Deadline(); ok {
 		// On error, the server's own read timeout stays in effect.
 		_ = http.NewResponseController(c.w).SetReadDeadline(deadline)
 	}
-	body, err := g.readAll(c, limit)
+	body, err := c.memory.ReadBody(c.r, limit, bodyCopies)
 	_ = http.NewResponseController(c.w).SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
 	switch {
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, callerlimit.ErrBodyTooLarge):
 		return &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: "body_too_large", NotRun: true}
-	case errors.Is(err, errMemoryFull):
+	case errors.Is(err, callerlimit.ErrMemoryFull):
 		return g.memoryRefusal(c)
 	case ctx.Err() != nil:
 		return &Refusal{Status: http.StatusRequestTimeout, Reason: "body_too_slow", NotRun: true}
--- a/internal/gateway/slowcaller_test.go
+++ b/internal/gateway/slowcaller_test.go
@@ -145,9 +145,7 @@
 }
 
 func (env *slowCallerEnv) requestMemory() int64 {
-	env.g.memory.mu.Lock()
-	defer env.g.memory.mu.Unlock()
-	return env.g.memory.budget.Used(membudget.Requests)
+	return env.g.memory.Use().Used[membudget.Requests]
 }
 
 // Guards against a target whose slot and memory are held until a slow caller has read the
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -53,17 +53,28 @@
 	Relays:      {0.05, 0.25},
 }
 
+// largeShare is the fraction of the greatest share of a class that large requests may use. The
+// rest is left to small ones.
+const largeShare = 0.55
+
 // Budget is the accountant of one instance. It is not safe for concurrent use.
 type Budget struct {
 	total int64
-	used  [classCount]int64
-	peak  int64
+	// unused classes have no guaranteed share.
+	unused [classCount]bool
+	used   [classCount]int64
+	peak   int64
 }
 
-// New returns the budget of an instance with the given memory in bytes.
-func New(memory int64) *Budget {
+// New returns the budget of an instance with the given memory in bytes, which has no use for some of
+// the classes.
+func New(memory int64, unused ...Class) *Budget {
 	m := float64(memory)
-	return &Budget{total: int64(max(maxUse*m-reservedBytes, minBudgetFraction*m))}
+	b := &Budget{total: int64(max(maxUse*m-reservedBytes, minBudgetFraction*m))}
+	for _, c := range unused {
+		b.unused[c] = true
+	}
+	return b
 }
 
 // Total returns the budget in bytes.
@@ -84,6 +95,14 @@
 	return true
 }
 
+// TakeLarge is Take for a large request: it leaves a part of the class to small ones.
+func (b *Budget) TakeLarge(c Class, bytes int64) bool {
+	if b.used[c]+bytes > int64(largeShare*float64(b.most(c))) {
+		return false
+	}
+	return b.Take(c, bytes)
+}
+
 // Charge charges bytes to a class in any case: they are in use already.
 func (b *Budget) Charge(c Class, bytes int64) {
 	b.used[c] += bytes
@@ -93,8 +112,14 @@
 // Return ends a charge.
 func (b *Budget) Return(c Class, bytes int64) { b.used[c] = max(0, b.used[c]-bytes) }
 
-func (b *Budget) most(c Class) int64       { return int64(shares[c].most * float64(b.total)) }
-func (b *Budget) guaranteed(c Class) int64 { return int64(shares[c].guaranteed * float64(b.total)) }
+func (b *Budget) most(c Class) int64 { return int64(shares[c].most * float64(b.total)) }
+
+func (b *Budget) guaranteed(c Class) int64 {
+	if b.unused[c] {
+		return 0
+	}
+	return int64(shares[c].guaranteed * float64(b.total))
+}
 
 func (b *Budget) usedAll() int64 {
 	sum := int64(0)
--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -92,3 +92,30 @@
 		}
 	})
 }
+
+// Guards against large requests that keep small ones out: a part of the class is left to these.
+func TestLargeRequestsLeaveRoomForSmallOnes(t *testing.T) {
+	is := is.New(t)
+	b := New(96 * megabyte)
+	for b.TakeLarge(Requests, megabyte) {
+	}
+	is.True(b.Used(Requests) > 0)
+	small := 0
+	for b.Take(Requests, 64<<10) {
+		small++
+	}
+	is.True(small >= 64)
+	is.True(b.Peak() <= b.Total())
+}
+
+// Guards against a small instance that refuses streams because of memory that is kept for what it
+// never does: 431 of them are served at a time with 64 MB.
+func TestUnusedClassesKeepNothing(t *testing.T) {
+	is := is.New(t)
+	const streams, connectionBytes, requestBytes = 431, 16 << 10, 16 << 10
+	b := New(64*megabyte, Responses)
+	for range streams {
+		is.True(b.Take(Connections, connectionBytes))
+		is.True(b.Take(Requests, requestBytes))
+	}
+}
--- a/internal/openai/error.go
+++ b/internal/openai/error.go
@@ -45,6 +45,7 @@
 	CodeClaimsUnavailable  Code = "claims_unavailable"
 	CodeNotReady           Code = "not_ready"
 	CodeTooManyConnections Code = "too_many_connections"
+	CodeMemoryFull         Code = "memory_full"
 )
 
 // Error is an error response to a caller.
