callerlimit: connections have a bound, and who sends least gives way

What callers saw: 1,324 connections that send one byte of a small body took all 1,024 descriptors, and no ordinary request was answered for 40 s (entry: 30 s). Large bodies that stop just short of their end kept their memory until their deadline, or for ever where there is none.

Cause: nothing bounded the connections by the descriptors of the process, and the newest waited.

Where there is no room, the connection with the least merit gives way: what it has sent lately for each byte of memory that it holds. A request that has arrived whole never does. For the memory of bodies, the request is refused (503, not run) rather than its connection closed. If all are busy, a new connection is reset; `entry` answers 503 up to its descriptors, as before.

Why this works: a new caller ranks above one that has stopped, whatever that has sent before; a small request ranks above large ones, and needs a few milliseconds until it has arrived.

Tried before: rank by what was sent alone.

--- a/internal/callerlimit/body.go
+++ b/internal/callerlimit/body.go
@@ -4,19 +4,9 @@
 	"io"
 	"net/http"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/mastictray/mastictray/internal/membudget"
 )
 
-// Errors of bodies that are not read to their end.
-var (
-	// ErrMemoryFull: the budget has no room.
-	ErrMemoryFull = errors.New("caller limit: memory budget is used up")
-	// ErrBodyTooLarge: the body is larger than the limit.
-	ErrBodyTooLarge = errors.New("caller limit: body too large")
-)
-
 const (
 	// RequestBytes is the memory of a request without its body: the connection to its target and
 	// the stacks of their goroutines.
@@ -32,26 +22,35 @@
 // Charge is what one request is charged. The zero Charge is one of a request that nothing bounds.
 type Charge struct {
 	memory *Memory
+	member *Member
 	bytes  int64
 }
 
-// NewCharge returns the charge of a request.
-func NewCharge(memory *Memory) Charge { return Charge{memory: memory} }
+// NewCharge returns the charge of a request whose connection is member, which may be nil.
+func NewCharge(memory *Memory, member *Member) Charge { return Charge{memory: memory, member: member} }
 
-// Take charges the memory of a request without its body. It returns false if there is no room.
+// Take charges the memory of a request without its body. It returns false if there is no room, also
+// after others have given way.
 func (c *Charge) Take() bool { return c.take(RequestBytes, c.memory.Take) }
 
 func (c *Charge) take(n int64, from func(membudget.Class, int64) bool) bool {
-	if !from(membudget.Requests, n) {
+	try := func() bool { return from(membudget.Requests, n) }
+	if !try() && (c.member == nil || !c.member.limiter.takeBody(c.member, n, try)) {
 		return false
 	}
 	c.bytes += n
+	if c.member != nil {
+		c.member.chargeBody(n)
+	}
 	return true
 }
 
 // Release ends the charge.
 func (c *Charge) Release() {
 	c.memory.Return(membudget.Requests, c.bytes)
+	if c.member != nil {
+		c.member.chargeBody(-c.bytes)
+	}
 	c.bytes = 0
 }
 
@@ -61,6 +60,14 @@
 	if r.ContentLength > limit {
 		return nil, ErrBodyTooLarge
 	}
+	body, err := c.readParts(r, limit, copies)
+	if !c.member.finishBodyUnless(err) {
+		return nil, ErrMemoryFull
+	}
+	return body, err
+}
+
+func (c *Charge) readParts(r *http.Request, limit, copies int64) ([]byte, error) {
 	var parts [][]byte
 	total := int64(0)
 	for {
@@ -121,3 +128,12 @@
 	}
 	return all
 }
+
+// finishBodyUnless is finishBody for a body that was read without an error. It returns false if the
+// request had to give way.
+func (m *Member) finishBodyUnless(err error) bool {
+	if err == nil {
+		return m.finishBody()
+	}
+	return m == nil || !m.givesWay()
+}
--- a/internal/callerlimit/body_test.go
+++ b/internal/callerlimit/body_test.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
@@ -14,8 +16,6 @@
 	"github.com/mastictray/mastictray/internal/membudget"
 )
 
-const megabyte = 1 << 20
-
 func request(body io.Reader, announced int64) *http.Request {
 	return &http.Request{Body: io.NopCloser(body), ContentLength: announced}
 }
@@ -39,7 +39,7 @@
 			announced = -1
 		}
 		memory := NewMemory(1 << 30)
-		charge := NewCharge(memory)
+		charge := NewCharge(memory, nil)
 		got, err := charge.ReadBody(request(r, announced), int64(size), copies)
 		if err != nil || !bytes.Equal(got, want) {
 			rt.Fatalf("read %d bytes of %d: %v", len(got), size, err)
@@ -60,7 +60,7 @@
 	const limit = 100_000
 	for _, announced := range []int64{limit + 1, -1} {
 		body := &countingReader{}
-		charge := NewCharge(nil)
+		charge := NewCharge(nil, nil)
 		_, err := charge.ReadBody(request(body, announced), limit, 1)
 		is.True(errors.Is(err, ErrBodyTooLarge))
 		is.True(body.read <= 2*limit)
@@ -78,15 +78,15 @@
 // Guards against announcements that take the memory: nothing is charged for a body that has not
 // arrived.
 func TestAnnouncedBodiesTakeNoMemory(t *testing.T) {
-	is := is.New(t)
-	memory := NewMemory(96 * megabyte)
+	l := newTestLimiter(t, 96, 0)
 	for range 300 {
-		charge := NewCharge(memory)
-		is.True(charge.Take())
+		m, _ := l.connect()
+		charge := NewCharge(l.Memory, m)
+		l.is.True(charge.Take())
 		_, err := charge.ReadBody(request(iotest.ErrReader(io.ErrUnexpectedEOF), megabyte), megabyte, 2)
-		is.Equal(err, io.ErrUnexpectedEOF)
+		l.is.Equal(err, io.ErrUnexpectedEOF)
 	}
-	is.Equal(memory.Use().Used[membudget.Requests], int64(300*RequestBytes))
+	l.is.Equal(l.Memory.Use().Used[membudget.Requests], int64(300*RequestBytes))
 }
 
 // Guards against announcements for which memory is taken though it is not charged.
@@ -98,3 +98,87 @@
 	}
 	is.Equal(nextPartBytes(90, 100), int64(11)) // the last byte makes the end of the body known
 }
+
+// arriving is a large body that arrives on a connection.
+type arriving struct {
+	member *Member
+	socket *fakeSocket
+	charge Charge
+}
+
+// stall fills the memory for large bodies with such that have stopped just short of their end.
+func (l *testLimiter) stall() (all []*arriving) {
+	for {
+		m, s := l.connect()
+		m.StateChanged(http.StateActive)
+		m.beginRequest(&http.Request{ContentLength: megabyte})
+		a := &arriving{m, s, NewCharge(l.Memory, m)}
+		l.is.NoErr(m.Received(make([]byte, megabyte-1)))
+		if !l.Memory.takeLarge(membudget.Requests, 2*megabyte) {
+			return all
+		}
+		a.charge.bytes = 2 * megabyte
+		m.chargeBody(2 * megabyte)
+		all = append(all, a)
+	}
+}
+
+// Guards against large bodies that stop just short of their end and keep others out: one gives way
+// to another that arrives, and its request is told so.
+func TestStalledBodyGivesWay(t *testing.T) {
+	l := newTestLimiter(t, 96, 0)
+	stalled := l.stall()
+	l.is.True(len(stalled) > 1)
+	l.now = 30 * time.Second
+	m, _ := l.connect()
+	m.StateChanged(http.StateActive)
+	m.beginRequest(&http.Request{ContentLength: megabyte})
+	charge := NewCharge(l.Memory, m)
+	go func() { // the request that gives way ends
+		for {
+			for _, a := range stalled {
+				if a.member.givesWay() {
+					a.charge.Release()
+					return
+				}
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	body, err := charge.ReadBody(request(progressing{strings.NewReader(strings.Repeat("x", megabyte)), m}, megabyte), megabyte, 2)
+	l.is.NoErr(err)
+	l.is.Equal(len(body), megabyte)
+	interrupted := 0
+	for _, a := range stalled {
+		if a.socket.interrupted {
+			interrupted++
+			l.is.True(!a.member.finishBody())
+		}
+	}
+	l.is.Equal(interrupted, 1)
+}
+
+// progressing is a body whose bytes come from a connection.
+type progressing struct {
+	io.Reader
+	member *Member
+}
+
+func (r progressing) Read(b []byte) (int, error) {
+	n, err := r.Reader.Read(b)
+	if n > 0 && r.member.Received(b[:n]) != nil {
+		return 0, ErrMemoryFull
+	}
+	return n, err
+}
+
+// Guards against small requests that large bodies keep out.
+func TestLargeBodiesLeaveRoomForSmallOnes(t *testing.T) {
+	l := newTestLimiter(t, 96, 0)
+	l.stall()
+	m, _ := l.connect()
+	charge := NewCharge(l.Memory, m)
+	l.is.True(charge.Take())
+	_, err := charge.ReadBody(request(strings.NewReader(strings.Repeat("x", 10_000)), 10_000), megabyte, 2)
+	l.is.NoErr(err)
+}
--- a/internal/callerlimit/doc.go
+++ b/internal/callerlimit/doc.go
@@ -1,6 +1,11 @@
-// Package callerlimit bounds what the requests of callers take of an instance, so that callers that
-// keep to no limits do not end the process.
+// Package callerlimit bounds what the connections and requests of callers take of an instance, so
+// that callers that keep to no limits neither end the process nor shut others out.
 //
-// Requests and their bodies are charged to a budget of memory. Nothing is charged before it has
-// arrived: what a caller announces takes no room. A request for which there is none is refused.
+// A Limiter counts the connections of one or more servers and charges them, with the heads and
+// bodies that they send, to a budget of memory. Nothing is charged before it has arrived: what a
+// caller announces takes no room. When room is short, the caller that has sent least lately gives
+// way: its body is refused, or its connection is closed. Requests that have arrived whole are never
+// among them.
+//
+// The choice is made by pure functions; the connections are those of package httpdrain.
 package callerlimit
--- /dev/null
+++ b/internal/callerlimit/limiter.go
@@ -0,0 +1,181 @@
+package callerlimit
+
+import (
+	"math"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/mastictray/mastictray/internal/httpdrain"
+	"github.com/mastictray/mastictray/internal/logline"
+	"github.com/mastictray/mastictray/internal/membudget"
+)
+
+const (
+	// connectionBytes is the memory of a connection: the buffers of the HTTP server, the stack of
+	// its goroutine and one block for a slow caller.
+	connectionBytes = 16 << 10
+)
+
+// Options configure a Limiter.
+type Options struct {
+	Now func() time.Duration
+	// Memory is the budget to which connections are charged; nil for none.
+	Memory *Memory
+	// MaxConnections is the number of connections above which callers give way; 0 for no limit.
+	MaxConnections int
+	// HardLimit, if it is higher, is the number up to which connections are still kept when nobody
+	// may give way, so that their requests can be told why they are refused.
+	HardLimit int
+}
+
+// Limiter bounds the connections of a server.
+type Limiter struct {
+	Options
+	// GaveWay counts the callers that gave way, Refused the connections for which nobody did.
+	GaveWay, Refused atomic.Int64
+
+	mu      sync.Mutex
+	members map[*Member]struct{}
+}
+
+// New returns a Limiter.
+func New(o Options) *Limiter {
+	o.HardLimit = max(o.HardLimit, o.MaxConnections)
+	return &Limiter{Options: o, members: map[*Member]struct{}{}}
+}
+
+// Attach makes the Limiter bound the connections of a server that doesn't serve yet.
+func (l *Limiter) Attach(s *httpdrain.Server) {
+	s.Accepted = l.accept
+	s.Handler = l.handler(s.Handler)
+}
+
+// Connections returns the number of open connections.
+func (l *Limiter) Connections() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.members)
+}
+
+// accept decides whether a new connection is kept. Another one gives way for it if there is one
+// that may.
+func (l *Limiter) accept(socket httpdrain.Socket) (httpdrain.Guard, bool) {
+	m, victims := l.admit(socket)
+	for _, v := range victims {
+		v.socket.Abort()
+	}
+	return m, m != nil
+}
+
+// admit returns the member for a new connection, or nil if there is no room for it, and the members
+// that gave way, which the caller has to close without l.mu.
+func (l *Limiter) admit(socket httpdrain.Socket) (m *Member, victims []*Member) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for !l.takeConnectionLocked(l.MaxConnections) {
+		victim, _ := l.leastLocked(nil, 0, func(*Member) bool { return true })
+		if victim == nil && l.takeConnectionLocked(l.HardLimit) {
+			break
+		}
+		if victim == nil {
+			l.Refused.Add(1)
+			logline.InfoSampled("connection_refused", "caller", socket.RemoteAddr(), "connections", len(l.members), "limit", l.MaxConnections)
+			return nil, victims
+		}
+		l.giveWayLocked(victim, "connections")
+		l.removeLocked(victim)
+		victims = append(victims, victim)
+	}
+	m = &Member{limiter: l, socket: socket, progress: newProgress(l.Now())}
+	l.members[m] = struct{}{}
+	return m, victims
+}
+
+func (l *Limiter) takeConnectionLocked(limit int) bool {
+	if limit > 0 && len(l.members) >= limit {
+		return false
+	}
+	return l.Memory.Take(membudget.Connections, connectionBytes)
+}
+
+// leastLocked returns the connection that gives way first among those that may and rank below the
+// merit of asker with n bytes more; a nil asker is a new connection, for which any gives way. pending is set if
+// one of them is giving way already. The caller holds l.mu.
+func (l *Limiter) leastLocked(asker *Member, n int64, may func(*Member) bool) (victim *Member, pending bool) {
+	now := l.Now()
+	least := math.Inf(1)
+	if asker != nil {
+		least = asker.merit(now, n)
+	}
+	for m := range l.members {
+		if m == asker || !may(m) {
+			continue
+		}
+		if m.givesWay() {
+			pending = true
+			continue
+		}
+		if r, ok := m.rank(now); ok && r < least {
+			victim, least = m, r
+		}
+	}
+	return victim, pending
+}
+
+// giveWayLocked counts and logs that a caller gives way. The caller holds l.mu.
+func (l *Limiter) giveWayLocked(m *Member, shortOf string) {
+	l.GaveWay.Add(1)
+	s, held := m.state()
+	logline.InfoSampled("caller_gave_way", "caller", m.socket.RemoteAddr(), "short_of", shortOf, "stage", s, "body_bytes", held, "connections", len(l.members))
+}
+
+// removeLocked forgets a connection and ends its charges. The caller holds l.mu.
+func (l *Limiter) removeLocked(m *Member) {
+	if _, ok := l.members[m]; !ok {
+		return
+	}
+	delete(l.members, m)
+	l.Memory.Return(membudget.Connections, connectionBytes)
+}
+
+func (l *Limiter) remove(m *Member) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.removeLocked(m)
+}
+
+// bodyRoomTimeout bounds the wait for the memory of a caller that gives way.
+const bodyRoomTimeout = 500 * time.Millisecond
+
+// takeBody calls take, for n bytes, until there is room. Requests whose bodies are arriving and rank
+// lower give way; if there is none, take has failed.
+func (l *Limiter) takeBody(m *Member, n int64, take func() bool) bool {
+	end := l.Now() + bodyRoomTimeout
+	for !take() {
+		l.mu.Lock()
+		victim, pending := l.leastLocked(m, n, (*Member).holdsBody)
+		if victim != nil {
+			l.giveWayLocked(victim, "memory")
+			victim.interrupt()
+		}
+		l.mu.Unlock()
+		left := end - l.Now()
+		if victim == nil && !pending || left <= 0 {
+			return false
+		}
+		l.Memory.awaitReturn(left)
+	}
+	return true
+}
+
+var _ httpdrain.Guard = (*Member)(nil)
+
+// handler marks the stages of requests.
+func (l *Limiter) handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		FromContext(r.Context()).beginRequest(r)
+		next.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/internal/callerlimit/limiter_test.go
@@ -0,0 +1,126 @@
+package callerlimit
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const megabyte = 1 << 20
+
+// fakeSocket is a connection that only records what is done to it.
+type fakeSocket struct {
+	aborted, interrupted bool
+}
+
+func (s *fakeSocket) RemoteAddr() net.Addr { return &net.TCPAddr{} }
+func (s *fakeSocket) Abort()               { s.aborted = true }
+func (s *fakeSocket) InterruptRead()       { s.interrupted = true }
+
+// testLimiter is a Limiter with a clock that the test sets.
+type testLimiter struct {
+	*Limiter
+	is  *is.I
+	now time.Duration
+}
+
+func newTestLimiter(t *testing.T, memoryMB int64, maxConnections int) *testLimiter {
+	l := &testLimiter{is: is.New(t)}
+	l.Limiter = New(Options{Now: func() time.Duration { return l.now }, Memory: NewMemory(memoryMB * megabyte), MaxConnections: maxConnections})
+	return l
+}
+
+// connect opens a connection; nil if it is refused.
+func (l *testLimiter) connect() (*Member, *fakeSocket) {
+	s := &fakeSocket{}
+	if g, ok := l.accept(s); ok {
+		return g.(*Member), s
+	}
+	return nil, s
+}
+
+// serve makes a connection busy with a request that has arrived whole.
+func (l *testLimiter) serve(m *Member) {
+	l.is.NoErr(m.Received([]byte("GET / HTTP/1.1\r\n\r\n")))
+	m.StateChanged(http.StateActive)
+	m.beginRequest(&http.Request{})
+}
+
+// Guards against a crowd that holds all connections: the one that has sent least lately gives way to
+// a new one, and none that waits for its answer.
+func TestLeastProgressGivesWay(t *testing.T) {
+	l := newTestLimiter(t, 0, 3)
+	busy, busySocket := l.connect()
+	l.serve(busy)
+	_, slow := l.connect()
+	fast, fastSocket := l.connect()
+	l.now = 10 * time.Second
+	l.is.NoErr(fast.Received([]byte(strings.Repeat("x", 1000))))
+	m, _ := l.connect()
+	l.is.True(m != nil)
+	l.is.True(slow.aborted && !fastSocket.aborted && !busySocket.aborted)
+	l.is.Equal(l.Connections(), 3)
+}
+
+// Guards against a connection that is closed although its request has arrived.
+func TestBusyConnectionsStay(t *testing.T) {
+	l := newTestLimiter(t, 0, 2)
+	for range 2 {
+		m, _ := l.connect()
+		l.serve(m)
+	}
+	m, _ := l.connect()
+	l.is.True(m == nil)
+	l.is.Equal(l.Refused.Load(), int64(1))
+}
+
+// Guards against connections whose requests cannot be told why they are refused: up to the hard limit
+// they are kept if nobody gives way.
+func TestHardLimitKeepsConnectionsForARefusal(t *testing.T) {
+	l := newTestLimiter(t, 0, 1)
+	l.HardLimit = 2
+	for i := range 3 {
+		m, _ := l.connect()
+		l.is.Equal(m != nil, i < 2)
+		if m != nil {
+			l.serve(m)
+		}
+	}
+}
+
+func TestRankOrdersWhoGivesWay(t *testing.T) {
+	for name, c := range map[string]struct {
+		first, second struct {
+			stage stage
+			sent  float64
+			held  int64
+		}
+	}{
+		"much memory for the same progress":     {first: row(stageBody, 1e4, 2e6), second: row(stageBody, 1e4, 3e4)},
+		"little progress for the same memory":   {first: row(stageBody, 10, 3e4), second: row(stageIdle, 1e3, 3e4)},
+		"a new small request after a large one": {first: row(stageBody, 5e5, 3e6), second: row(stageBody, startBytes, 3e4)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			a, okA := rank(c.first.stage, c.first.sent, c.first.held)
+			b, okB := rank(c.second.stage, c.second.sent, c.second.held)
+			is.True(okA && okB && a < b)
+		})
+	}
+}
+
+func row(s stage, sent float64, held int64) struct {
+	stage stage
+	sent  float64
+	held  int64
+} {
+	return struct {
+		stage stage
+		sent  float64
+		held  int64
+	}{s, sent, held}
+}
--- /dev/null
+++ b/internal/callerlimit/member.go
@@ -0,0 +1,142 @@
+package callerlimit
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mastictray/mastictray/internal/httpdrain"
+)
+
+// Errors of bodies that are not read to their end.
+var (
+	// ErrMemoryFull: the budget has no room, or the caller had to give way to others.
+	ErrMemoryFull = errors.New("caller limit: memory budget is used up")
+	// ErrBodyTooLarge: the body is larger than the limit.
+	ErrBodyTooLarge = errors.New("caller limit: body too large")
+)
+
+// Member is a connection that a Limiter bounds. A nil *Member is one that nothing bounds.
+type Member struct {
+	limiter *Limiter
+	socket  httpdrain.Socket
+
+	mu       sync.Mutex
+	stage    stage
+	progress progress
+	// body is what the body that is arriving is charged.
+	body int64
+	// interrupted is set once the request has given way.
+	interrupted bool
+}
+
+// FromContext returns the member whose connection a request came on, or nil.
+func FromContext(ctx context.Context) *Member {
+	m, _ := httpdrain.GuardOf(ctx).(*Member)
+	return m
+}
+
+// Received implements httpdrain.Guard.
+func (m *Member) Received(b []byte) error {
+	now := m.limiter.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.progress.add(now, len(b))
+	if m.stage == stageIdle {
+		m.stage = stageHead
+	}
+	return nil
+}
+
+// StateChanged implements httpdrain.Guard.
+func (m *Member) StateChanged(state http.ConnState) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case state == http.StateActive && (m.stage == stageHead || m.stage == stageIdle):
+		m.stage = stageBody
+	case state == http.StateIdle:
+		m.stage, m.progress, m.interrupted = stageIdle, newProgress(m.limiter.Now()), false
+	}
+}
+
+// Closed implements httpdrain.Guard.
+func (m *Member) Closed() { m.limiter.remove(m) }
+
+// merit is the merit of the connection if it held more bytes.
+func (m *Member) merit(now time.Duration, more int64) float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return merit(m.progress.value(now), connectionBytes+m.body+more)
+}
+
+func (m *Member) rank(now time.Duration) (r float64, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return rank(m.stage, m.progress.value(now), connectionBytes+m.body)
+}
+
+func (m *Member) state() (s stage, body int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.stage, m.body
+}
+
+func (m *Member) holdsBody() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.stage == stageBody && m.body > 0
+}
+
+func (m *Member) givesWay() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.interrupted
+}
+
+// interrupt ends the reading of a body. Its request is refused.
+func (m *Member) interrupt() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.stage == stageBody && !m.interrupted {
+		m.interrupted = true
+		m.socket.InterruptRead()
+	}
+}
+
+func (m *Member) beginRequest(r *http.Request) {
+	if m == nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.stage = stageBody
+	if r.ContentLength == 0 {
+		m.stage = stageBusy
+	}
+}
+
+// finishBody records that the body has arrived whole. It returns false if the request had to give
+// way before.
+func (m *Member) finishBody() bool {
+	if m == nil {
+		return true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.interrupted {
+		return false
+	}
+	m.stage = stageBusy
+	return true
+}
+
+// chargeBody adds to what the body of the present request is charged.
+func (m *Member) chargeBody(n int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.body += n
+}
--- a/internal/callerlimit/memory.go
+++ b/internal/callerlimit/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/mastictray/mastictray/internal/membudget"
 )
@@ -10,6 +11,9 @@
 type Memory struct {
 	mu     sync.Mutex
 	budget *membudget.Budget
+	// returned is closed, and replaced, when memory is returned that somebody waits for.
+	returned chan struct{}
+	waiting  int
 }
 
 // NewMemory returns the budget of an instance with the given memory in bytes; nil for 0. Nothing is
@@ -18,7 +22,7 @@
 	if bytes == 0 {
 		return nil
 	}
-	return &Memory{budget: membudget.New(bytes, unused...)}
+	return &Memory{budget: membudget.New(bytes, unused...), returned: make(chan struct{})}
 }
 
 // Take charges bytes to a class if it may use them, and reports whether it did.
@@ -56,16 +60,6 @@
 	return m.budget.TakeLarge(c, n)
 }
 
-// Charge charges bytes to a class in any case.
-func (m *Memory) Charge(c membudget.Class, n int64) {
-	if m == nil {
-		return
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.budget.Charge(c, n)
-}
-
 // Return ends a charge.
 func (m *Memory) Return(c membudget.Class, n int64) {
 	if m == nil || n == 0 {
@@ -74,6 +68,24 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.budget.Return(c, n)
+	if m.waiting > 0 {
+		close(m.returned)
+		m.returned, m.waiting = make(chan struct{}), 0
+	}
+}
+
+// awaitReturn waits until memory is returned, or for the given time.
+func (m *Memory) awaitReturn(timeout time.Duration) {
+	m.mu.Lock()
+	returned := m.returned
+	m.waiting++
+	m.mu.Unlock()
+	t := time.NewTimer(timeout)
+	defer t.Stop()
+	select {
+	case <-returned:
+	case <-t.C:
+	}
 }
 
 // MemoryUse is the use of a Memory, in bytes.
--- /dev/null
+++ b/internal/callerlimit/progress.go
@@ -0,0 +1,58 @@
+package callerlimit
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// progressHalfLife is the time after which what a caller has sent counts half.
+	progressHalfLife = 2 * time.Second
+	// startBytes is what a caller counts as having sent when its connection or its next request
+	// begins, so that it has time to send it.
+	startBytes = 16 << 10
+)
+
+// progress is how much a caller has sent lately.
+type progress struct {
+	bytes float64
+	at    time.Duration
+}
+
+func newProgress(now time.Duration) progress { return progress{startBytes, now} }
+
+func (p progress) value(now time.Duration) float64 {
+	return p.bytes * math.Exp2(-float64(now-p.at)/float64(progressHalfLife))
+}
+
+func (p *progress) add(now time.Duration, bytes int) {
+	*p = progress{p.value(now) + float64(bytes), now}
+}
+
+// stage is what a connection does.
+type stage int
+
+const (
+	// stageHead: the head of a request is awaited or arrives.
+	stageHead stage = iota
+	// stageBody: the body of a request arrives.
+	stageBody
+	// stageBusy: the request has arrived whole and is served.
+	stageBusy
+	// stageIdle: the connection is kept open between two requests.
+	stageIdle
+)
+
+func (s stage) String() string { return [...]string{"head", "body", "busy", "idle"}[s] }
+
+// rank orders connections by who gives way first, lowest first. ok is false for one that doesn't give
+// way.
+func rank(s stage, sent float64, held int64) (r float64, ok bool) {
+	if s == stageBusy {
+		return 0, false
+	}
+	return merit(sent, held), true
+}
+
+// merit is what a caller has sent lately for each byte of memory that it holds.
+func merit(sent float64, held int64) float64 { return sent / float64(max(1, held)) }
--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -80,6 +80,7 @@
 }
 
 func (a *adminServer) handleMetrics(ctx iris.Context) {
+	a.entry.callers.limit.SetGauges(a.entry.metrics.setGauge)
 	a.entry.metrics.set.WritePrometheus(ctx.ResponseWriter())
 	metrics.WriteProcessMetrics(ctx.ResponseWriter())
 }
--- a/internal/entry/callerserver.go
+++ b/internal/entry/callerserver.go
@@ -5,9 +5,9 @@
 	"crypto/tls"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
+	"github.com/mastictray/mastictray/internal/callerlimit"
 	"github.com/mastictray/mastictray/internal/httpdrain"
 	"github.com/mastictray/mastictray/internal/settings"
 )
@@ -18,13 +18,15 @@
 
 // callerServer is the HTTP server for the callers' requests.
 type callerServer struct {
-	http      *httpdrain.Server
-	openConns atomic.Int64
-	maxConns  int64
+	http  *httpdrain.Server
+	limit *callerlimit.Limiter
+	// maxConns is the number of connections above which requests are refused.
+	maxConns int
 }
 
-func newCallerServer(s *settings.Settings, h http.Handler, tlsConfig *tls.Config) *callerServer {
-	c := &callerServer{maxConns: int64(s.MaxConnections)}
+func newCallerServer(s *settings.Settings, clock clock, memory *callerlimit.Memory, h http.Handler, tlsConfig *tls.Config) *callerServer {
+	descriptors := callerlimit.ConnectionsFor(0)
+	c := &callerServer{maxConns: min(s.MaxConnections, descriptors)}
 	c.http = httpdrain.New(&http.Server{
 		Handler:           h,
 		TLSConfig:         tlsConfig,
@@ -32,27 +34,20 @@
 		ReadTimeout:       s.ReadTimeout,
 		IdleTimeout:       s.IdleTimeout,
 		MaxHeaderBytes:    s.MaxHeaderBytes,
-		ConnState:         c.countConnection,
 		ErrorLog:          newHTTPErrorLogger(),
 	})
+	c.limit = callerlimit.New(callerlimit.Options{
+		Now: clock.now, Memory: memory, MaxConnections: c.maxConns, HardLimit: descriptors,
+	})
+	c.limit.Attach(c.http)
 	return c
 }
 
-// countConnection is the ConnState hook that counts open connections.
-func (c *callerServer) countConnection(_ net.Conn, state http.ConnState) {
-	switch state {
-	case http.StateNew:
-		c.openConns.Add(1)
-	case http.StateClosed, http.StateHijacked:
-		c.openConns.Add(-1)
-	}
-}
-
 // overConnectionLimit reports whether more than the maximum number of
-// connections are open. Excess connections are accepted and their requests
-// refused with an error response, so that the caller learns the reason; a reset
+// connections are open. Excess connections for which no other caller gives way are accepted and
+// their requests refused with an error response, so that the caller learns the reason; a reset
 // connection would not show it.
-func (c *callerServer) overConnectionLimit() bool { return c.openConns.Load() > c.maxConns }
+func (c *callerServer) overConnectionLimit() bool { return c.limit.Connections() > c.maxConns }
 
 func (c *callerServer) serve(l net.Listener) error { return c.http.Serve(l) }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -134,7 +134,7 @@
 		targetClient: newTargetClient(e.dialTarget), dialer: e.dialer, metrics: e.metrics, memory: e.memory, maxBody: s.MaxBodyBytes,
 	}
 	e.pools.announcements.follow(e.server.targetClient.pooled, e.server.targetClient.unpooled, e.pools.poller.loadClient, e.pools.poller.eventsClient, e.rollouts.httpClient)
-	e.callers = newCallerServer(s, e.server, sec.callers)
+	e.callers = newCallerServer(s, e.clock, e.memory, e.server, sec.callers)
 	e.server.overConnectionLimit = e.callers.overConnectionLimit
 	e.admin = newAdminServer(e, sec.admin)
 }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -15,6 +15,11 @@
 
 func newEntryMetrics() *entryMetrics { return &entryMetrics{set: metrics.NewSet()} }
 
+// setGauge sets a gauge, which is created if needed.
+func (m *entryMetrics) setGauge(name string, value float64) {
+	m.set.GetOrCreateGauge(name, nil).Set(value)
+}
+
 func (m *entryMetrics) countRefusal(account string, code openai.Code) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`mastictray_refusals_total{account=%q,code=%q}`, account, code)).Inc()
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -141,7 +141,7 @@
 
 // readBody reads the body of a request, which needs the given number of copies of it.
 func (s *server) readBody(c *call, copies int64) error {
-	c.memory = callerlimit.NewCharge(s.memory)
+	c.memory = callerlimit.NewCharge(s.memory, callerlimit.FromContext(c.r.Context()))
 	if !c.memory.Take() {
 		return memoryRefusal()
 	}
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mastictray/mastictray/internal/callerconn"
+	"github.com/mastictray/mastictray/internal/callerlimit"
 	"github.com/mastictray/mastictray/internal/httpdrain"
 	"github.com/mastictray/mastictray/internal/logline"
 )
@@ -33,13 +34,17 @@
 type callerServer struct {
 	g       *Gateway
 	callers *httpdrain.Server
+	// limit bounds what callers take of the instance.
+	limit   *callerlimit.Limiter
 	ready   *http.Server
 	metrics *http.Server
 }
 
 func newCallerServer(g *Gateway) *callerServer {
 	s := &callerServer{g: g}
-	s.callers = httpdrain.New(&http.Server{Handler: g, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.trackConn})
+	s.callers = httpdrain.New(&http.Server{Handler: g, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes})
+	s.limit = callerlimit.New(callerlimit.Options{Now: g.clock.Now, Memory: g.memory, MaxConnections: g.settings.MaxCallerConnections})
+	s.limit.Attach(s.callers)
 	s.callers.Admit = func() bool { return g.newConns.admit(g.clock.Now()) }
 	if g.settings.Features.BoundedMemory {
 		options := g.slowCallerOptions()
--- a/internal/gateway/memorybudget.go
+++ b/internal/gateway/memorybudget.go
@@ -1,9 +1,6 @@
 package gateway
 
 import (
-	"fmt"
-	"net"
-	"net/http"
 	"time"
 
 	"github.com/mastictray/mastictray/internal/callerlimit"
@@ -12,9 +9,6 @@
 )
 
 const (
-	// connectionBytes is the memory of a caller's connection: the buffers of the HTTP server,
-	// the stack of its goroutine and one block for a slow caller.
-	connectionBytes = 16 << 10
 	// bodyCopies is how often a body is in memory while it is sent: as received, and encoded
 	// for the target.
 	bodyCopies = 2
@@ -48,26 +42,3 @@
 		"responses", use.Used[membudget.Responses], "relays", use.Used[membudget.Relays])
 	return unavailableRefusal("memory_full", memoryRetryAfter)
 }
-
-// trackConn is an http.Server.ConnState that charges open connections.
-func (g *Gateway) trackConn(_ net.Conn, state http.ConnState) {
-	switch state {
-	case http.StateNew:
-		g.memory.Charge(membudget.Connections, connectionBytes)
-	case http.StateClosed, http.StateHijacked:
-		g.memory.Return(membudget.Connections, connectionBytes)
-	}
-}
-
-// updateBudgetGauges sets the gauges of the memory budget.
-func (g *Gateway) updateBudgetGauges() {
-	if g.memory == nil {
-		return
-	}
-	use := g.memory.Use()
-	g.metrics.gauge(`mastictray_memory_budget_bytes`).Set(float64(use.Total))
-	g.metrics.gauge(`mastictray_memory_peak_bytes`).Set(float64(use.Peak))
-	for class, bytes := range use.Used {
-		g.metrics.gauge(fmt.Sprintf(`mastictray_memory_used_bytes{class=%q}`, class)).Set(float64(bytes))
-	}
-}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -278,7 +278,7 @@
 	if c.r.ContentLength > limit {
 		return &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: "body_too_large", NotRun: true}
 	}
-	c.memory = callerlimit.NewCharge(g.memory)
+	c.memory = callerlimit.NewCharge(g.memory, callerlimit.FromContext(c.r.Context()))
 	if !c.memory.Take() {
 		return g.memoryRefusal(c)
 	}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -26,6 +26,9 @@
 	Features Features
 	// MemoryBytes is the memory of the instance; 0 means no limit.
 	MemoryBytes int64
+	// MaxCallerConnections is the number of connections above which callers give way to others; 0
+	// means no limit.
+	MaxCallerConnections int
 
 	// DialTarget establishes connections to targets; nil for the default of targetconn.
 	DialTarget targetconn.DialFunc
--- a/internal/gatewaycmd/settings.go
+++ b/internal/gatewaycmd/settings.go
@@ -6,6 +6,7 @@
 	"github.com/alecthomas/kong"
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastictray/mastictray/internal/callerlimit"
 	"github.com/mastictray/mastictray/internal/gateway"
 	"github.com/mastictray/mastictray/platform"
 )
@@ -32,6 +33,7 @@
 	LinkMbps float64 `name:"link-mbps" default:"1000" help:"Bandwidth of the instance's network link in Mbit/s." group:"limits"`
 
 	MemoryMB      int           `name:"memory-mb" help:"Memory of the instance in MB; 0 means no limit." group:"limits"`
+	MaxFDs        int           `name:"max-fds" help:"File descriptors of the process; 0 means its limit at the start." group:"limits"`
 	KeyBound      time.Duration `default:"5s" help:"Longest time for which a withdrawn key may still be accepted." group:"limits"`
 	RetryRatio    float64       `default:"0.2" help:"Maximum ratio of retries to requests of a service, over all instances." group:"limits"`
 	RetryReserve  float64       `default:"50" help:"Burst of retries allowed in addition, over all instances." group:"limits"`
@@ -124,6 +126,7 @@
 		ExposureShare: s.ExposureShare, ExposureSlack: s.ExposureSlack, RollbackBound: s.RollbackBound,
 		PrefillTokensPerSecond: s.PrefillRate,
 		Features:               platform.FeaturesOf(s.Contracts), MemoryBytes: int64(s.MemoryMB) << 20,
-		BalancerLag: s.BalancerLag, DrainTimeout: s.Grace - s.BalancerLag - exitMargin,
+		MaxCallerConnections: callerlimit.ConnectionsFor(s.MaxFDs),
+		BalancerLag:          s.BalancerLag, DrainTimeout: s.Grace - s.BalancerLag - exitMargin,
 	}
 }
--- a/internal/httpdrain/conn.go
+++ b/internal/httpdrain/conn.go
@@ -18,6 +18,8 @@
 	*net.TCPConn
 	raw     syscall.RawConn
 	onClose func(*conn)
+	// guard bounds what the connection uses; nil if nothing does.
+	guard Guard
 
 	// state and since are the state that the HTTP server has reported and the time of that
 	// report. They are guarded by Server.mu.
@@ -86,6 +88,9 @@
 		n, err := c.TCPConn.Read(b)
 		if n > 0 {
 			c.setReceived()
+			if guardErr := c.received(b[:n]); guardErr != nil {
+				return 0, guardErr
+			}
 		}
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
@@ -141,7 +146,7 @@
 	switch {
 	case n > 0:
 		c.setReceived()
-		return n, nil
+		return n, c.received(b[:n])
 	case readErr == nil:
 		return 0, io.EOF
 	case readErr == unix.EAGAIN:
@@ -150,6 +155,22 @@
 	return 0, errors.Wrap(readErr, "read what has arrived")
 }
 
+func (c *conn) received(b []byte) error {
+	if c.guard == nil {
+		return nil
+	}
+	return c.guard.Received(b)
+}
+
+// Abort closes the connection at once. What its caller has sent is discarded.
+func (c *conn) Abort() {
+	_ = c.TCPConn.SetLinger(0) // on error the connection is closed already
+	_ = c.Close()
+}
+
+// InterruptRead makes the read of a request that is arriving fail.
+func (c *conn) InterruptRead() { _ = c.SetReadDeadline(interruptDeadline) }
+
 // SetReadDeadline implements net.Conn.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
@@ -161,5 +182,8 @@
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.onClose(c)
+	if c.guard != nil {
+		c.guard.Closed()
+	}
 	return c.TCPConn.Close()
 }
--- a/internal/httpdrain/listener.go
+++ b/internal/httpdrain/listener.go
@@ -34,6 +34,10 @@
 			_ = tcp.Close() // the caller has disconnected
 			continue
 		}
+		if !l.server.guard(c) {
+			refuse(tcp)
+			continue
+		}
 		l.server.add(c)
 		if l.server.WrapConn != nil {
 			return l.server.WrapConn(c), nil
--- a/internal/httpdrain/server.go
+++ b/internal/httpdrain/server.go
@@ -39,8 +39,11 @@
 	WrapConn func(net.Conn) net.Conn
 	// Admit, if set before Serve, decides whether an accepted connection is kept. One that isn't
 	// is reset before anything is read from it.
-	Admit   func() bool
-	onState func(net.Conn, http.ConnState)
+	Admit func() bool
+	// Accepted, if set before Serve, returns what bounds a connection that Admit has let in. One
+	// for which it returns false is reset.
+	Accepted func(Socket) (Guard, bool)
+	onState  func(net.Conn, http.ConnState)
 
 	mu       sync.Mutex
 	listener *listener
@@ -51,6 +54,45 @@
 	draining bool
 }
 
+// Socket is a connection as its Guard sees it.
+type Socket interface {
+	RemoteAddr() net.Addr
+	// Abort closes the connection at once.
+	Abort()
+	// InterruptRead makes the reading of a request that is arriving fail.
+	InterruptRead()
+}
+
+// Guard bounds what a connection uses.
+type Guard interface {
+	// Received is called with what was read. An error ends the connection.
+	Received(b []byte) error
+	// StateChanged is called with the states that the HTTP server reports.
+	StateChanged(http.ConnState)
+	// Closed is called when the connection is closed, possibly more than once.
+	Closed()
+}
+
+// guard reports whether a connection is kept.
+func (d *Server) guard(c *conn) bool {
+	if d.Accepted == nil {
+		return true
+	}
+	g, ok := d.Accepted(c)
+	if ok {
+		c.guard = g
+	}
+	return ok
+}
+
+type guardKey struct{}
+
+// GuardOf returns what bounds the connection on which a request came; nil for nothing.
+func GuardOf(ctx context.Context) Guard {
+	g, _ := ctx.Value(guardKey{}).(Guard)
+	return g
+}
+
 // New returns a Server for the given server, whose ConnState hook it replaces by one that
 // calls it.
 func New(s *http.Server) *Server {
@@ -59,6 +101,21 @@
 	return d
 }
 
+// addGuard makes the guard of a connection available to GuardOf. Context functions that were set
+// before apply too.
+func (d *Server) addGuard() {
+	before := d.ConnContext
+	d.ConnContext = func(ctx context.Context, nc net.Conn) context.Context {
+		if before != nil {
+			ctx = before(ctx, nc)
+		}
+		if c, _ := unwrap(nc); c != nil && c.guard != nil {
+			ctx = context.WithValue(ctx, guardKey{}, c.guard)
+		}
+		return ctx
+	}
+}
+
 // Serve accepts connections until the server drains or fails; like http.Server.Serve, it
 // always returns an error, and http.ErrServerClosed after a drain. It uses TLS if the server
 // has a TLS configuration.
@@ -66,6 +123,9 @@
 	tracked := &listener{Listener: l, server: d}
 	ended := make(chan struct{})
 	defer close(ended)
+	if d.Accepted != nil {
+		d.addGuard()
+	}
 	d.mu.Lock()
 	d.listener, d.serveEnded = tracked, ended
 	d.mu.Unlock()
@@ -185,6 +245,9 @@
 	if c == nil {
 		return
 	}
+	if c.guard != nil {
+		c.guard.StateChanged(state)
+	}
 	if isHTTP2 || state == http.StateHijacked {
 		d.remove(c)
 		return
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -47,7 +47,7 @@
 
 	MaxBodyBytes   int64         `default:"33554432" env:"MASTICTRAY_MAX_BODY_BYTES" help:"Largest request body in bytes." group:"limits"`
 	MaxHeaderBytes int           `default:"65536" env:"MASTICTRAY_MAX_HEADER_BYTES" help:"Largest request header in bytes." group:"limits"`
-	MaxConnections int           `default:"20000" env:"MASTICTRAY_MAX_CONNECTIONS" help:"Maximum number of caller connections." group:"limits"`
+	MaxConnections int           `default:"20000" env:"MASTICTRAY_MAX_CONNECTIONS" help:"Maximum number of caller connections; fewer if the process may open fewer files." group:"limits"`
 	MemoryMB       int           `name:"memory-mb" default:"1024" env:"MASTICTRAY_MEMORY_MB" help:"Memory that the process may use in MB; 0 means no limit." group:"limits"`
 	IdleTimeout    time.Duration `default:"90s" env:"MASTICTRAY_IDLE_TIMEOUT" help:"Time after which an idle caller connection is closed." group:"limits"`
 	ReadTimeout    time.Duration `default:"30s" env:"MASTICTRAY_READ_TIMEOUT" help:"Time limit for reading a whole request." group:"limits"`
