callerlimit: a refusal is sent before the rest of its body has come, and reaches its caller

What callers saw: a request whose small body of known length stalls got no answer at all; its 408 was only in the log. entry answered 400 after its read timeout. Callers without a valid key that came back again and again took all descriptors.

Cause: before net/http sends a response it reads up to 256 KiB of a body that the handler left, here without a deadline, as that had been cleared. With more left than that it keeps the connection for half a second without reading, then closes it with unread bytes, which resets it: the caller may lose the response.

Change: before a refusal is written, a body of up to 4 KB is read, which has usually arrived with its head; for any other the response ends its connection, so that net/http sends it at once. The rest of the body is then read and discarded for 0.5 s or 8 MB, and the connection gives way before all others meanwhile. entry answers 408 body_too_slow.

--- a/internal/callerlimit/body.go
+++ b/internal/callerlimit/body.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/mastictray/mastictray/internal/membudget"
 )
@@ -137,3 +138,53 @@
 	}
 	return m == nil || !m.givesWay()
 }
+
+const (
+	// refusedBodyTimeout and maxRefusedBytes bound the time for which, and the size up to which, the
+	// rest of a refused body is discarded. A caller that sends all of its body before it reads the
+	// response would lose that to a reset of the connection.
+	refusedBodyTimeout = 500 * time.Millisecond
+	maxRefusedBytes    = 8 << 20
+	// shortBodyBytes is the size of a body that has usually arrived with the head of its request,
+	// and shortBodyTimeout bounds the wait for it.
+	shortBodyBytes   = 4 << 10
+	shortBodyTimeout = 50 * time.Millisecond
+)
+
+// PrepareRefusal is called before a response is written. If the body of the request has not arrived
+// whole, the connection ends with the response: net/http would otherwise wait for the rest before it
+// sends the response.
+func PrepareRefusal(w http.ResponseWriter, r *http.Request) {
+	m := FromContext(r.Context())
+	if m.hasUnreadBody() && !skipShortBody(m, w, r) {
+		w.Header().Set("Connection", "close")
+	}
+}
+
+// skipShortBody reads a short body, so that the connection can be kept, and reports whether it did.
+func skipShortBody(m *Member, w http.ResponseWriter, r *http.Request) bool {
+	if r.ContentLength < 0 || r.ContentLength > shortBodyBytes || r.Header.Get("Expect") != "" {
+		return false
+	}
+	control := http.NewResponseController(w)
+	if control.SetReadDeadline(time.Now().Add(shortBodyTimeout)) != nil {
+		return false // the caller has disconnected
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return false
+	}
+	return control.SetReadDeadline(time.Time{}) == nil && m.finishBody()
+}
+
+// discardBody sends the response and reads what its caller still sends for a while.
+func discardBody(w http.ResponseWriter, r *http.Request) {
+	control := http.NewResponseController(w)
+	// The deadline comes first: net/http may read the rest of the body before it sends a response.
+	if control.SetReadDeadline(time.Now().Add(refusedBodyTimeout)) != nil || control.Flush() != nil {
+		return // the caller has disconnected
+	}
+	if r.Header.Get("Expect") != "" {
+		return // its caller waits for leave to send the body
+	}
+	_, _ = io.CopyN(io.Discard, r.Body, maxRefusedBytes)
+}
--- a/internal/callerlimit/limiter.go
+++ b/internal/callerlimit/limiter.go
@@ -172,10 +172,14 @@
 
 var _ httpdrain.Guard = (*Member)(nil)
 
-// handler marks the stages of requests.
+// handler marks the stages of requests and discards what is left of refused bodies.
 func (l *Limiter) handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		FromContext(r.Context()).beginRequest(r)
+		m := FromContext(r.Context())
+		m.beginRequest(r)
 		next.ServeHTTP(w, r)
+		if m.endRequest() {
+			discardBody(w, r)
+		}
 	})
 }
--- a/internal/callerlimit/limiter_test.go
+++ b/internal/callerlimit/limiter_test.go
@@ -100,9 +100,10 @@
 			held  int64
 		}
 	}{
-		"much memory for the same progress":     {first: row(stageBody, 1e4, 2e6), second: row(stageBody, 1e4, 3e4)},
-		"little progress for the same memory":   {first: row(stageBody, 10, 3e4), second: row(stageIdle, 1e3, 3e4)},
-		"a new small request after a large one": {first: row(stageBody, 5e5, 3e6), second: row(stageBody, startBytes, 3e4)},
+		"a refused body before one that arrives": {first: row(stageClosing, 1e6, 1), second: row(stageBody, 0, 1000)},
+		"much memory for the same progress":      {first: row(stageBody, 1e4, 2e6), second: row(stageBody, 1e4, 3e4)},
+		"little progress for the same memory":    {first: row(stageBody, 10, 3e4), second: row(stageIdle, 1e3, 3e4)},
+		"a new small request after a large one":  {first: row(stageBody, 5e5, 3e6), second: row(stageBody, startBytes, 3e4)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/callerlimit/member.go
+++ b/internal/callerlimit/member.go
@@ -134,6 +134,28 @@
 	return true
 }
 
+// endRequest reports whether a part of the body was not read.
+func (m *Member) endRequest() bool {
+	if m == nil {
+		return false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	unread := m.stage == stageBody
+	if unread {
+		m.stage = stageClosing
+	}
+	return unread
+}
+
+func (m *Member) hasUnreadBody() bool {
+	if m == nil {
+		return false
+	}
+	s, _ := m.state()
+	return s == stageBody
+}
+
 // chargeBody adds to what the body of the present request is charged.
 func (m *Member) chargeBody(n int64) {
 	m.mu.Lock()
--- a/internal/callerlimit/progress.go
+++ b/internal/callerlimit/progress.go
@@ -41,14 +41,19 @@
 	stageBusy
 	// stageIdle: the connection is kept open between two requests.
 	stageIdle
+	// stageClosing: the request was refused and what its caller still sends is discarded.
+	stageClosing
 )
 
-func (s stage) String() string { return [...]string{"head", "body", "busy", "idle"}[s] }
+func (s stage) String() string { return [...]string{"head", "body", "busy", "idle", "closing"}[s] }
 
 // rank orders connections by who gives way first, lowest first. ok is false for one that doesn't give
 // way.
 func rank(s stage, sent float64, held int64) (r float64, ok bool) {
-	if s == stageBusy {
+	switch {
+	case s == stageClosing:
+		return -1, true
+	case s == stageBusy:
 		return 0, false
 	}
 	return merit(sent, held), true
--- a/internal/callerlimit/server_test.go
+++ b/internal/callerlimit/server_test.go
@@ -1,6 +1,8 @@
 package callerlimit
 
 import (
+	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -8,14 +10,20 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"github.com/mastictray/mastictray/internal/httpdrain"
 )
 
-const serverBodyLimit = 1 << 20
+const (
+	serverBodyLimit = 1 << 20
+	// waitTimeout limits the wait for a response that is certain to come.
+	waitTimeout = 20 * time.Second
+)
 
-// startServer starts a server that reads bodies within the given time. It returns its address and its Limiter.
+// startServer starts a server that reads bodies, refuses those at /refuse without reading them, and
+// gives them the given time. It returns its address and its Limiter.
 func startServer(t *testing.T, bodyTimeout time.Duration, maxConnections int) (string, *Limiter) {
 	t.Helper()
 	start := time.Now()
@@ -24,11 +32,19 @@
 		status := http.StatusOK
 		charge := NewCharge(l.Memory, FromContext(r.Context()))
 		defer charge.Release()
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
-		if _, err := charge.ReadBody(r, serverBodyLimit, 1); err != nil {
-			status = http.StatusRequestTimeout
+		if r.URL.Path == "/refuse" {
+			status = http.StatusUnauthorized
+		} else {
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
+			switch _, err := charge.ReadBody(r, serverBodyLimit, 1); {
+			case errors.Is(err, ErrBodyTooLarge):
+				status = http.StatusRequestEntityTooLarge
+			case err != nil:
+				status = http.StatusRequestTimeout
+			}
+			_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 		}
-		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+		PrepareRefusal(w, r)
 		w.Header().Set("Content-Length", "0")
 		w.WriteHeader(status)
 	})})
@@ -42,6 +58,43 @@
 	return listener.Addr().String(), l
 }
 
+// Guards against a refusal that its caller never sees, whether the body stalls, is too large or is not
+// read at all: net/http waits for the rest of a body before it responds, and a connection that is
+// closed with unread bytes is reset.
+func TestRefusalReachesItsCaller(t *testing.T) {
+	for name, c := range map[string]struct {
+		path            string
+		announced, sent int
+		status          int
+		kept            bool
+	}{
+		"stalled small body":        {"/", 2000, 1000, http.StatusRequestTimeout, false},
+		"stalled large body":        {"/", 500_000, 1000, http.StatusRequestTimeout, false},
+		"announced above the limit": {"/", serverBodyLimit + 1, 0, http.StatusRequestEntityTooLarge, false},
+		"sent above the limit":      {"/", 2 * serverBodyLimit, 2 * serverBodyLimit, http.StatusRequestEntityTooLarge, false},
+		"large body not read":       {"/refuse", serverBodyLimit, serverBodyLimit, http.StatusUnauthorized, false},
+		"small body not read":       {"/refuse", 100, 100, http.StatusUnauthorized, true},
+		"no body":                   {"/refuse", 0, 0, http.StatusUnauthorized, true},
+		"served":                    {"/", serverBodyLimit, serverBodyLimit, http.StatusOK, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address, _ := startServer(t, 200*time.Millisecond, 0)
+			conn, err := net.Dial("tcp", address)
+			is.NoErr(err)
+			defer conn.Close()
+			_ = conn.SetDeadline(time.Now().Add(waitTimeout))
+			// The caller sends all that it has before it reads.
+			_, err = io.WriteString(conn, fmt.Sprintf("POST %s HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", c.path, c.announced, strings.Repeat("x", c.sent)))
+			is.NoErr(err)
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, c.status)
+			is.Equal(resp.Close, !c.kept)
+		})
+	}
+}
+
 // Guards against connections that a crowd holds with a part of a request each: a new caller is
 // served.
 func TestNewCallerIsServedBesideStalledOnes(t *testing.T) {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"os"
 	"sort"
 	"strings"
 	"sync"
@@ -151,6 +152,8 @@
 		return refusal(http.StatusRequestEntityTooLarge, openai.CodeTooLarge, "the body is too large", 0)
 	case errors.Is(err, callerlimit.ErrMemoryFull):
 		return memoryRefusal()
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return refusal(http.StatusRequestTimeout, openai.CodeBodyTooSlow, "the body did not arrive in time", 0)
 	case err != nil:
 		return refusal(http.StatusBadRequest, openai.CodeBadRequest, "the body could not be read", 0)
 	}
@@ -256,6 +259,7 @@
 	response.RequestID = c.id
 	if !c.headSent {
 		s.announceDrain(c.w)
+		callerlimit.PrepareRefusal(c.w, c.r)
 		response.Write(c.w)
 	}
 	s.metrics.countRefusal(c.account.Name, response.Code)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -362,6 +362,7 @@
 	}
 	if !c.headWritten.Swap(true) {
 		g.announceDrain(c.w)
+		callerlimit.PrepareRefusal(c.w, c.r)
 		g.dialect.Refuse(c.w, c.Request, refusal)
 	}
 	g.metrics.refused(refusal)
--- a/internal/openai/error.go
+++ b/internal/openai/error.go
@@ -46,6 +46,7 @@
 	CodeNotReady           Code = "not_ready"
 	CodeTooManyConnections Code = "too_many_connections"
 	CodeMemoryFull         Code = "memory_full"
+	CodeBodyTooSlow        Code = "body_too_slow"
 )
 
 // Error is an error response to a caller.
