callerlimit: what the kernel holds unread of a connection is bounded

What callers saw: none of what the process read was too much any more, yet its machine held up to 57 MB of bytes that it had not read beside 67 MB that it had; they count towards its memory.

Cause: the kernel takes up to 6 MB of a connection before anyone reads it (tcp_rmem, 32 MB here).

Change: listeners for callers set a receive buffer of 8 KB; it is 64 KB while a body arrives. Measured on loopback, a buffer of 16 KB holds at most 39 KB unread with the sender's (176 KB before), and a window that was opened later grows. Connections get the small one from their listener, so that it holds before they are accepted.

Evidence: TestCrowdsOnPlainRoutes failed with 99 to 124 MB and passes; TestCrowdsThatAreRefused passes on both paths: 31 MB with 2 unread (gateway, 183 before), 49 MB with 3 unread (entry, 180 before).

Price: a body of 64 KB needs some eight round trips instead of three (by the size of the windows, not measured).

--- a/internal/callerlimit/body.go
+++ b/internal/callerlimit/body.go
@@ -115,6 +115,9 @@
 		if err != nil {
 			return n, err
 		}
+		if received > shortBodyBytes {
+			c.member.widen()
+		}
 	}
 	return n, nil
 }
--- a/internal/callerlimit/body_test.go
+++ b/internal/callerlimit/body_test.go
@@ -182,3 +182,15 @@
 	_, err := charge.ReadBody(request(strings.NewReader(strings.Repeat("x", 10_000)), 10_000), megabyte, 2)
 	l.is.NoErr(err)
 }
+
+// Guards against a wide receive buffer that outlasts its body: it could be filled while the request
+// is served.
+func TestReceiveBufferIsWideForALargeBodyOnly(t *testing.T) {
+	l := newTestLimiter(t, 96, 0)
+	m, s := l.connect()
+	m.beginRequest(&http.Request{ContentLength: megabyte})
+	m.widen()
+	l.is.Equal(s.readBuffer, bodyBufferBytes)
+	l.is.True(m.finishBody())
+	l.is.Equal(s.readBuffer, ReceiveBufferBytes)
+}
--- a/internal/callerlimit/limiter.go
+++ b/internal/callerlimit/limiter.go
@@ -13,8 +13,12 @@
 )
 
 const (
+	// ReceiveBufferBytes is the size of the kernel's receive buffer of a connection.
+	ReceiveBufferBytes = 8 << 10
+	// bodyBufferBytes replaces it while a body arrives that is not short, and charged.
+	bodyBufferBytes = 64 << 10
 	// connectionBytes is the memory of a connection: the buffers of the HTTP server, the stack of
-	// its goroutine and one block for a slow caller.
+	// its goroutine, and one block for a slow caller or what the kernel holds unread.
 	connectionBytes = 16 << 10
 )
 
--- a/internal/callerlimit/limiter_test.go
+++ b/internal/callerlimit/limiter_test.go
@@ -15,11 +15,13 @@
 // fakeSocket is a connection that only records what is done to it.
 type fakeSocket struct {
 	aborted, interrupted bool
+	readBuffer           int
 }
 
-func (s *fakeSocket) RemoteAddr() net.Addr { return &net.TCPAddr{} }
-func (s *fakeSocket) Abort()               { s.aborted = true }
-func (s *fakeSocket) InterruptRead()       { s.interrupted = true }
+func (s *fakeSocket) RemoteAddr() net.Addr      { return &net.TCPAddr{} }
+func (s *fakeSocket) Abort()                    { s.aborted = true }
+func (s *fakeSocket) InterruptRead()            { s.interrupted = true }
+func (s *fakeSocket) SetReadBuffer(n int) error { s.readBuffer = n; return nil }
 
 // testLimiter is a Limiter with a clock that the test sets.
 type testLimiter struct {
--- a/internal/callerlimit/member.go
+++ b/internal/callerlimit/member.go
@@ -29,6 +29,8 @@
 	progress progress
 	// body is what the body that is arriving is charged.
 	body int64
+	// widened is set while the receive buffer is that of a large body.
+	widened bool
 	// interrupted is set once the request has given way.
 	interrupted bool
 }
@@ -131,9 +133,33 @@
 		return false
 	}
 	m.stage = stageBusy
+	m.setBuffer(false)
 	return true
 }
 
+// widen lets more of a large body arrive at a time.
+func (m *Member) widen() {
+	if m == nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.setBuffer(true)
+}
+
+// setBuffer sets the receive buffer for a large body or for all else. The caller holds m.mu.
+func (m *Member) setBuffer(large bool) {
+	if m.widened == large {
+		return
+	}
+	m.widened = large
+	size := ReceiveBufferBytes
+	if large {
+		size = bodyBufferBytes
+	}
+	_ = m.socket.SetReadBuffer(size) // on error the caller has disconnected
+}
+
 // endRequest reports whether a part of the body was not read.
 func (m *Member) endRequest() bool {
 	if m == nil {
@@ -144,6 +170,7 @@
 	unread := m.stage == stageBody
 	if unread {
 		m.stage = stageClosing
+		m.setBuffer(false)
 	}
 	return unread
 }
--- a/internal/callerlimit/server_test.go
+++ b/internal/callerlimit/server_test.go
@@ -49,7 +49,8 @@
 		w.WriteHeader(status)
 	})})
 	l.Attach(s)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	config := net.ListenConfig{Control: BoundReceiveBuffer}
+	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -203,7 +203,8 @@
 		{"admin", e.settings.AdminListen, &l.admin},
 		{"callers", e.settings.CallerListen, &l.caller},
 	} {
-		if *spec.dst, err = net.Listen("tcp", spec.addr); err != nil {
+		config := net.ListenConfig{Control: callerlimit.BoundReceiveBuffer}
+		if *spec.dst, err = config.Listen(e.ctx, "tcp", spec.addr); err != nil {
 			return l, errors.Wrapf(err, "listen for %s at %s", spec.name, spec.addr)
 		}
 	}
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -73,7 +73,7 @@
 		if l.address == "" {
 			continue
 		}
-		config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
+		config := net.ListenConfig{Control: callerlimit.BoundReceiveBuffer, KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: callerKeepAliveInterval, Interval: callerKeepAliveInterval, Count: 3,
 		}}
 		listener, err := config.Listen(context.Background(), "tcp", l.address)
--- a/internal/httpdrain/server.go
+++ b/internal/httpdrain/server.go
@@ -61,6 +61,8 @@
 	Abort()
 	// InterruptRead makes the reading of a request that is arriving fail.
 	InterruptRead()
+	// SetReadBuffer sets the size of the kernel's receive buffer.
+	SetReadBuffer(bytes int) error
 }
 
 // Guard bounds what a connection uses.
