callerlimit: heads are charged as they arrive

Cause: a line of five bytes takes hundreds: entries in the maps of net/http and in two copies of them. A head of 64 KiB takes 1.3 MB before its handler runs.

Change: what arrives of a head is charged to the connection: four times its text and 320 bytes a line, beyond 8 KB that are part of the connection's own charge. If there is no room, connections whose heads take memory give way by merit; else the head's own connection is closed. Over TLS lines can't be counted, so each byte counts 32 times. Callers over TLS use HTTP/1.1: HTTP/2 has a hundred requests a connection, each with a buffer and a head that this rule doesn't see (594 MB for 30 connections before).

An ordinary request's head (500 bytes, ten lines) takes no charge of its own.

--- a/internal/callerlimit/limiter.go
+++ b/internal/callerlimit/limiter.go
@@ -20,6 +20,15 @@
 	// connectionBytes is the memory of a connection: the buffers of the HTTP server, the stack of
 	// its goroutine, and one block for a slow caller or what the kernel holds unread.
 	connectionBytes = 16 << 10
+	// includedHeadBytes is the part of a head that is in the memory of the connection.
+	includedHeadBytes = 8 << 10
+	// headCopies is how often a head is in memory: as received, parsed, and encoded for the target.
+	headCopies = 4
+	// headerLineBytes is the memory of a header line beside its text: entries in three maps.
+	headerLineBytes = 320
+	// encryptedHeadFactor is the memory of a byte of a head that arrives encrypted, so that its
+	// lines can't be counted.
+	encryptedHeadFactor = 32
 )
 
 // Options configure a Limiter.
@@ -32,6 +41,8 @@
 	// HardLimit, if it is higher, is the number up to which connections are still kept when nobody
 	// may give way, so that their requests can be told why they are refused.
 	HardLimit int
+	// Encrypted is set if the connections use TLS.
+	Encrypted bool
 }
 
 // Limiter bounds the connections of a server.
@@ -92,7 +103,7 @@
 		l.removeLocked(victim)
 		victims = append(victims, victim)
 	}
-	m = &Member{limiter: l, socket: socket, progress: newProgress(l.Now())}
+	m = &Member{limiter: l, socket: socket, progress: newProgress(l.Now()), charged: connectionBytes}
 	l.members[m] = struct{}{}
 	return m, victims
 }
@@ -141,7 +152,7 @@
 		return
 	}
 	delete(l.members, m)
-	l.Memory.Return(membudget.Connections, connectionBytes)
+	l.Memory.Return(membudget.Connections, m.end())
 }
 
 func (l *Limiter) remove(m *Member) {
@@ -150,6 +161,25 @@
 	l.removeLocked(m)
 }
 
+// takeHead charges bytes of a head. Connections whose heads take memory and that have sent less give
+// way.
+func (l *Limiter) takeHead(m *Member, n int64) bool {
+	for !l.Memory.Take(membudget.Connections, n) {
+		l.mu.Lock()
+		victim, _ := l.leastLocked(m, n, (*Member).holdsHead)
+		if victim != nil {
+			l.giveWayLocked(victim, "memory")
+			l.removeLocked(victim)
+		}
+		l.mu.Unlock()
+		if victim == nil {
+			return false
+		}
+		victim.socket.Abort()
+	}
+	return true
+}
+
 // bodyRoomTimeout bounds the wait for the memory of a caller that gives way.
 const bodyRoomTimeout = 500 * time.Millisecond
 
@@ -174,6 +204,20 @@
 	return true
 }
 
+// headCost returns the memory that a part of a head takes.
+func (l *Limiter) headCost(b []byte) int64 {
+	if l.Encrypted {
+		return int64(len(b)) * encryptedHeadFactor
+	}
+	lines := int64(0)
+	for _, x := range b {
+		if x == '\n' {
+			lines++
+		}
+	}
+	return int64(len(b))*headCopies + lines*headerLineBytes
+}
+
 var _ httpdrain.Guard = (*Member)(nil)
 
 // handler marks the stages of requests and discards what is left of refused bodies.
--- a/internal/callerlimit/limiter_test.go
+++ b/internal/callerlimit/limiter_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/mastictray/mastictray/internal/membudget"
 )
 
 const megabyte = 1 << 20
@@ -94,6 +96,59 @@
 	}
 }
 
+// Guards against heads, in few long lines or many short ones, that take more than the budget, and
+// against charges that outlast their connection.
+func TestHeadsStayWithinBudget(t *testing.T) {
+	for name, line := range map[string]string{"long": strings.Repeat("x", 4000) + "\r\n", "short": "a:\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			l := newTestLimiter(t, 96, 0)
+			for range 300 {
+				m, _ := l.connect()
+				if m == nil {
+					continue
+				}
+				for sent := 0; sent < 60<<10; sent += len(line) {
+					if m.Received([]byte(line)) != nil {
+						m.Closed()
+						break
+					}
+				}
+			}
+			use := l.Memory.Use()
+			l.is.True(use.Peak <= use.Total)
+			l.is.True(l.GaveWay.Load() > 0 || l.Connections() < 300)
+			for len(l.members) > 0 {
+				for m := range l.members {
+					m.Closed()
+					m.Closed() // a connection may be closed more than once
+					break
+				}
+			}
+			l.is.Equal(l.Memory.Use().Used[membudget.Connections], int64(0))
+		})
+	}
+}
+
+// Guards against a head that stays charged while its connection is idle.
+func TestHeadIsChargedUntilItsRequestEnds(t *testing.T) {
+	l := newTestLimiter(t, 96, 0)
+	m, _ := l.connect()
+	l.is.NoErr(m.Received([]byte(strings.Repeat("x", 20<<10))))
+	l.is.True(l.Memory.Use().Used[membudget.Connections] > connectionBytes)
+	m.StateChanged(http.StateActive)
+	m.StateChanged(http.StateIdle)
+	l.is.Equal(l.Memory.Use().Used[membudget.Connections], int64(connectionBytes))
+}
+
+// Guards against lines that arrive encrypted and are not counted: short ones take many times their
+// size, so all bytes are charged alike.
+func TestEncryptedHeadsAreChargedMore(t *testing.T) {
+	l := newTestLimiter(t, 96, 0)
+	plain := l.headCost([]byte(strings.Repeat("x", 1000)))
+	l.Encrypted = true
+	l.is.True(l.headCost([]byte(strings.Repeat("x", 1000))) > 4*plain)
+}
+
 func TestRankOrdersWhoGivesWay(t *testing.T) {
 	for name, c := range map[string]struct {
 		first, second struct {
--- a/internal/callerlimit/member.go
+++ b/internal/callerlimit/member.go
@@ -9,9 +9,10 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mastictray/mastictray/internal/httpdrain"
+	"github.com/mastictray/mastictray/internal/membudget"
 )
 
-// Errors of bodies that are not read to their end.
+// Errors of bodies and heads that are not read to their end.
 var (
 	// ErrMemoryFull: the budget has no room, or the caller had to give way to others.
 	ErrMemoryFull = errors.New("caller limit: memory budget is used up")
@@ -27,12 +28,16 @@
 	mu       sync.Mutex
 	stage    stage
 	progress progress
+	// headCost is what the head of the present request takes, charged what the connection is
+	// charged in all.
+	headCost, charged int64
 	// body is what the body that is arriving is charged.
 	body int64
 	// widened is set while the receive buffer is that of a large body.
 	widened bool
 	// interrupted is set once the request has given way.
 	interrupted bool
+	ended       bool
 }
 
 // FromContext returns the member whose connection a request came on, or nil.
@@ -45,11 +50,30 @@
 func (m *Member) Received(b []byte) error {
 	now := m.limiter.Now()
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	m.progress.add(now, len(b))
 	if m.stage == stageIdle {
 		m.stage = stageHead
 	}
+	if m.stage != stageHead {
+		m.mu.Unlock()
+		return nil
+	}
+	m.headCost += m.limiter.headCost(b)
+	more := max(0, m.headCost-includedHeadBytes-(m.charged-connectionBytes))
+	m.mu.Unlock()
+	if more == 0 {
+		return nil
+	}
+	if !m.limiter.takeHead(m, more) {
+		return ErrMemoryFull
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.ended {
+		m.limiter.Memory.Return(membudget.Connections, more)
+		return ErrMemoryFull
+	}
+	m.charged += more
 	return nil
 }
 
@@ -61,24 +85,36 @@
 	case state == http.StateActive && (m.stage == stageHead || m.stage == stageIdle):
 		m.stage = stageBody
 	case state == http.StateIdle:
-		m.stage, m.progress, m.interrupted = stageIdle, newProgress(m.limiter.Now()), false
+		m.stage, m.progress, m.headCost, m.interrupted = stageIdle, newProgress(m.limiter.Now()), 0, false
+		if !m.ended {
+			m.limiter.Memory.Return(membudget.Connections, m.charged-connectionBytes)
+			m.charged = connectionBytes
+		}
 	}
 }
 
 // Closed implements httpdrain.Guard.
 func (m *Member) Closed() { m.limiter.remove(m) }
 
+// end returns what the connection is charged, once.
+func (m *Member) end() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.ended = true
+	return m.charged
+}
+
 // merit is the merit of the connection if it held more bytes.
 func (m *Member) merit(now time.Duration, more int64) float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return merit(m.progress.value(now), connectionBytes+m.body+more)
+	return merit(m.progress.value(now), m.charged+m.body+more)
 }
 
 func (m *Member) rank(now time.Duration) (r float64, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return rank(m.stage, m.progress.value(now), connectionBytes+m.body)
+	return rank(m.stage, m.progress.value(now), m.charged+m.body)
 }
 
 func (m *Member) state() (s stage, body int64) {
@@ -87,6 +123,12 @@
 	return m.stage, m.body
 }
 
+func (m *Member) holdsHead() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.stage != stageBusy && m.charged > connectionBytes
+}
+
 func (m *Member) holdsBody() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/entry/callerserver.go
+++ b/internal/entry/callerserver.go
@@ -35,14 +35,22 @@
 		IdleTimeout:       s.IdleTimeout,
 		MaxHeaderBytes:    s.MaxHeaderBytes,
 		ErrorLog:          newHTTPErrorLogger(),
+		Protocols:         http1(),
 	})
 	c.limit = callerlimit.New(callerlimit.Options{
-		Now: clock.now, Memory: memory, MaxConnections: c.maxConns, HardLimit: descriptors,
+		Now: clock.now, Memory: memory, MaxConnections: c.maxConns, HardLimit: descriptors, Encrypted: tlsConfig != nil,
 	})
 	c.limit.Attach(c.http)
 	return c
 }
 
+// http1 returns HTTP/1.1 alone: the limits of callers count connections, each with one request.
+func http1() *http.Protocols {
+	p := &http.Protocols{}
+	p.SetHTTP1(true)
+	return p
+}
+
 // overConnectionLimit reports whether more than the maximum number of
 // connections are open. Excess connections for which no other caller gives way are accepted and
 // their requests refused with an error response, so that the caller learns the reason; a reset
