entry: the objects of a JSON body are charged before it is parsed

What callers would see: a body of 1 MiB that is a list of empty messages takes 27 times its size while it is parsed.

Change: 80 bytes for each object are charged before parsing, with the same rule of who gives way.

Found on the way: charged as a large body's, small requests were refused whenever large ones had taken their part; by size now.

--- a/internal/callerlimit/body.go
+++ b/internal/callerlimit/body.go
@@ -34,6 +34,14 @@
 // after others have given way.
 func (c *Charge) Take() bool { return c.take(RequestBytes, c.memory.Take) }
 
+// TakeMore charges what a request needs beside the copies of its body.
+func (c *Charge) TakeMore(n int64) bool {
+	if n > smallBodyBytes {
+		return c.take(n, c.memory.takeLarge)
+	}
+	return c.take(n, c.memory.Take)
+}
+
 func (c *Charge) take(n int64, from func(membudget.Class, int64) bool) bool {
 	try := func() bool { return from(membudget.Requests, n) }
 	if !try() && (c.member == nil || !c.member.limiter.takeBody(c.member, n, try)) {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"os"
@@ -138,6 +139,8 @@
 	// engineBodyCopies that of one to an engine: its parts, the prompt, and the body for the engine.
 	serviceBodyCopies = 2
 	engineBodyCopies  = 6
+	// objectBytes is the memory of a JSON object in a body beside its text.
+	objectBytes = 80
 )
 
 // readBody reads the body of a request, which needs the given number of copies of it.
@@ -185,6 +188,9 @@
 	if c.r.Method != http.MethodPost {
 		return refusal(http.StatusMethodNotAllowed, openai.CodeBadRequest, "expected POST", 0)
 	}
+	if !c.memory.TakeMore(objectBytes * int64(bytes.Count(c.body, []byte{'{'}))) {
+		return memoryRefusal()
+	}
 	req, err := parseRequestBody(c.r.URL.Path, c.body)
 	if err != nil {
 		return refusal(http.StatusBadRequest, openai.CodeBadRequest, err.Error(), 0)
