httpdrain, callerlimit: callers that take nothing of their responses are given up

What callers would see: callers that send requests one after another and read no response hold their connections and what their requests hold for ever, on `entry` and, without `pressure`, on `gateway`: a write to them has no deadline, and a request that is being answered gives way to nobody.

Evidence: callerlimit.TestCallerThatTakesNothingGivesWay (the rule did not exist).

--- a/internal/callerlimit/limiter_test.go
+++ b/internal/callerlimit/limiter_test.go
@@ -82,6 +82,22 @@
 	l.is.Equal(l.Refused.Load(), int64(1))
 }
 
+// Guards against callers that send requests and take nothing of the responses for ever: they may
+// give way after a while.
+func TestCallerThatTakesNothingGivesWay(t *testing.T) {
+	l := newTestLimiter(t, 0, 1)
+	m, socket := l.connect()
+	l.serve(m)
+	l.now = time.Second
+	m.Sending(true)
+	l.now += sendStallTimeout
+	refused, _ := l.connect()
+	l.is.True(refused == nil)
+	l.now += time.Millisecond
+	admitted, _ := l.connect()
+	l.is.True(admitted != nil && socket.aborted)
+}
+
 // Guards against connections whose requests cannot be told why they are refused: up to the hard limit
 // they are kept if nobody gives way.
 func TestHardLimitKeepsConnectionsForARefusal(t *testing.T) {
@@ -164,8 +180,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			a, okA := rank(c.first.stage, c.first.sent, c.first.held)
-			b, okB := rank(c.second.stage, c.second.sent, c.second.held)
+			a, okA := rank(c.first.stage, c.first.sent, c.first.held, 0)
+			b, okB := rank(c.second.stage, c.second.sent, c.second.held, 0)
 			is.True(okA && okB && a < b)
 		})
 	}
--- a/internal/callerlimit/member.go
+++ b/internal/callerlimit/member.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,6 +25,9 @@
 type Member struct {
 	limiter *Limiter
 	socket  httpdrain.Socket
+	// sendingSince is when the write that is going on began, in nanoseconds of the clock; 0 for
+	// none.
+	sendingSince atomic.Int64
 
 	mu       sync.Mutex
 	stage    stage
@@ -93,6 +97,15 @@
 	}
 }
 
+// Sending implements httpdrain.Guard.
+func (m *Member) Sending(active bool) {
+	since := int64(0)
+	if active {
+		since = int64(m.limiter.Now())
+	}
+	m.sendingSince.Store(since)
+}
+
 // Closed implements httpdrain.Guard.
 func (m *Member) Closed() { m.limiter.remove(m) }
 
@@ -112,9 +125,13 @@
 }
 
 func (m *Member) rank(now time.Duration) (r float64, ok bool) {
+	stalled := time.Duration(0)
+	if since := time.Duration(m.sendingSince.Load()); since > 0 {
+		stalled = now - since
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return rank(m.stage, m.progress.value(now), m.charged+m.body)
+	return rank(m.stage, m.progress.value(now), m.charged+m.body, stalled)
 }
 
 func (m *Member) state() (s stage, body int64) {
--- a/internal/callerlimit/progress.go
+++ b/internal/callerlimit/progress.go
@@ -47,14 +47,18 @@
 
 func (s stage) String() string { return [...]string{"head", "body", "busy", "idle", "closing"}[s] }
 
-// rank orders connections by who gives way first, lowest first. ok is false for one that doesn't give
+// sendStallTimeout is the time after which a caller that takes nothing of its response may give
 // way.
-func rank(s stage, sent float64, held int64) (r float64, ok bool) {
+const sendStallTimeout = 5 * time.Second
+
+// rank orders connections by who gives way first, lowest first. ok is false for one that doesn't give
+// way. stalled is the time for which the caller has taken nothing of a response.
+func rank(s stage, sent float64, held int64, stalled time.Duration) (r float64, ok bool) {
 	switch {
 	case s == stageClosing:
 		return -1, true
 	case s == stageBusy:
-		return 0, false
+		return 0, stalled > sendStallTimeout
 	}
 	return merit(sent, held), true
 }
--- a/internal/entry/callerserver.go
+++ b/internal/entry/callerserver.go
@@ -12,9 +12,14 @@
 	"github.com/mastictray/mastictray/internal/settings"
 )
 
-// headerReadTimeout bounds the time to read a request's header. Without it, a
-// caller that sends one byte a minute could hold a connection indefinitely.
-const headerReadTimeout = 10 * time.Second
+const (
+	// headerReadTimeout bounds the time to read a request's header. Without it, a
+	// caller that sends one byte a minute could hold a connection indefinitely.
+	headerReadTimeout = 10 * time.Second
+	// callerSendTimeout is the time after which a caller that takes nothing of its response is given
+	// up.
+	callerSendTimeout = 30 * time.Second
+)
 
 // callerServer is the HTTP server for the callers' requests.
 type callerServer struct {
@@ -37,6 +42,7 @@
 		ErrorLog:          newHTTPErrorLogger(),
 		Protocols:         http1(),
 	})
+	c.http.SendTimeout = callerSendTimeout
 	c.limit = callerlimit.New(callerlimit.Options{
 		Now: clock.now, Memory: memory, MaxConnections: c.maxConns, HardLimit: descriptors, Encrypted: tlsConfig != nil,
 	})
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -27,6 +27,9 @@
 	// caller whose connection was cut must not occupy targets for long.
 	callerKeepAliveInterval = time.Second
 	maxHeaderBytes          = 64 << 10
+	// callerSendTimeout is the time after which a caller that takes nothing of its response is given
+	// up.
+	callerSendTimeout = 30 * time.Second
 )
 
 // callerServer holds the HTTP servers for callers, for the load balancer's readiness checks
@@ -50,6 +53,8 @@
 		options := g.slowCallerOptions()
 		s.callers.WrapConn = func(c net.Conn) net.Conn { return callerconn.New(c, options) }
 		s.callers.ConnContext = callerconn.WithConn
+	} else {
+		s.callers.SendTimeout = callerSendTimeout
 	}
 	readyMux := http.NewServeMux()
 	readyMux.HandleFunc(g.dialect.ReadyPath(), s.answerReady)
--- a/internal/httpdrain/conn.go
+++ b/internal/httpdrain/conn.go
@@ -20,6 +20,8 @@
 	onClose func(*conn)
 	// guard bounds what the connection uses; nil if nothing does.
 	guard Guard
+	// sendTimeout is the time after which a caller that takes nothing is given up; 0 for never.
+	sendTimeout time.Duration
 
 	// state and since are the state that the HTTP server has reported and the time of that
 	// report. They are guarded by Server.mu.
@@ -162,6 +164,31 @@
 	return c.guard.Received(b)
 }
 
+// maxWrite is the size of a write that must make progress within the send timeout.
+const maxWrite = 64 << 10
+
+// Write implements net.Conn.
+func (c *conn) Write(b []byte) (int, error) {
+	if c.guard != nil {
+		c.guard.Sending(true)
+		defer c.guard.Sending(false)
+	}
+	if c.sendTimeout == 0 {
+		return c.TCPConn.Write(b)
+	}
+	written := 0
+	for {
+		if err := c.TCPConn.SetWriteDeadline(time.Now().Add(c.sendTimeout)); err != nil {
+			return written, err
+		}
+		n, err := c.TCPConn.Write(b[written:min(len(b), written+maxWrite)])
+		written += n
+		if err != nil || written == len(b) {
+			return written, err
+		}
+	}
+}
+
 // Abort closes the connection at once. What its caller has sent is discarded.
 func (c *conn) Abort() {
 	_ = c.TCPConn.SetLinger(0) // on error the connection is closed already
--- a/internal/httpdrain/server.go
+++ b/internal/httpdrain/server.go
@@ -43,7 +43,10 @@
 	// Accepted, if set before Serve, returns what bounds a connection that Admit has let in. One
 	// for which it returns false is reset.
 	Accepted func(Socket) (Guard, bool)
-	onState  func(net.Conn, http.ConnState)
+	// SendTimeout, if set before Serve, is the time after which a caller that takes nothing of its
+	// response is given up.
+	SendTimeout time.Duration
+	onState     func(net.Conn, http.ConnState)
 
 	mu       sync.Mutex
 	listener *listener
@@ -69,6 +72,8 @@
 type Guard interface {
 	// Received is called with what was read. An error ends the connection.
 	Received(b []byte) error
+	// Sending is called when a write begins and when it ends.
+	Sending(active bool)
 	// StateChanged is called with the states that the HTTP server reports.
 	StateChanged(http.ConnState)
 	// Closed is called when the connection is closed, possibly more than once.
@@ -77,6 +82,7 @@
 
 // guard reports whether a connection is kept.
 func (d *Server) guard(c *conn) bool {
+	c.sendTimeout = d.SendTimeout
 	if d.Accepted == nil {
 		return true
 	}
