gateway, entry: the ports for the platform and operators have the limits of callers, too

What callers saw: a crowd at the port of readiness or metrics took all descriptors and up to 857 MB (1,347 MB at the admin port of entry); no time limit applied to a body there, and explain read one of any size.

Change: these servers have a Limiter of their own for 32 connections on the same budget, smaller heads, and a time limit for the whole request; the body of explain is bounded and charged. A health check that connects anew takes the place of the connection that sends least.

--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -11,8 +11,11 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
 	"github.com/kataras/iris/v12"
 
+	"github.com/mastictray/mastictray/internal/callerlimit"
+	"github.com/mastictray/mastictray/internal/httpdrain"
 	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/openai"
 )
@@ -21,7 +24,7 @@
 type adminServer struct {
 	entry  *Entry
 	app    *iris.Application
-	http   *http.Server
+	http   *httpdrain.Server
 	tokens adminTokens
 	// ready is false once the process drains.
 	ready atomic.Bool
@@ -39,10 +42,23 @@
 	a.app.Get("/admin/v1/audit", read, a.handleAudit)
 	a.app.Post("/admin/v1/explain", read, a.handleExplain)
 	a.app.Post("/admin/v1/drain", operate, a.handleDrain)
-	a.http = &http.Server{Handler: a.app, ReadHeaderTimeout: headerReadTimeout, ErrorLog: newHTTPErrorLogger()}
+	a.http = httpdrain.New(&http.Server{
+		Handler: a.app, ReadHeaderTimeout: headerReadTimeout, ReadTimeout: adminReadTimeout, MaxHeaderBytes: maxAdminHeaderBytes, ErrorLog: newHTTPErrorLogger(),
+	})
+	a.http.SendTimeout = callerSendTimeout
+	callerlimit.New(callerlimit.Options{Now: e.clock.now, Memory: e.memory, MaxConnections: maxAdminConnections}).Attach(a.http)
 	return a
 }
 
+// The limits of the admin server, which operators and health checks use.
+const (
+	adminReadTimeout    = 30 * time.Second
+	maxAdminHeaderBytes = 16 << 10
+	maxAdminConnections = 32
+	// explainOverheadBytes is what a request to explain a placement has beside the caller's body.
+	explainOverheadBytes = 64 << 10
+)
+
 func (a *adminServer) serve(l net.Listener) {
 	if err := a.app.Build(); err != nil {
 		logline.Error(err, "admin_failed")
@@ -114,8 +130,15 @@
 
 // handleExplain computes the placement of a request without sending it.
 func (a *adminServer) handleExplain(ctx iris.Context) {
+	memory := callerlimit.NewCharge(a.entry.memory, callerlimit.FromContext(ctx.Request().Context()))
+	defer memory.Release()
+	raw, err := memory.ReadBody(ctx.Request(), a.entry.settings.MaxBodyBytes+explainOverheadBytes, engineBodyCopies)
+	if errors.Is(err, callerlimit.ErrMemoryFull) {
+		ctx.StopWithText(http.StatusServiceUnavailable, "the memory of this instance is used up\n")
+		return
+	}
 	var query explainRequest
-	if err := ctx.ReadJSON(&query); err != nil {
+	if err != nil || json.Unmarshal(raw, &query) != nil {
 		ctx.StopWithText(http.StatusBadRequest, "invalid body: expected a JSON object with path, account and body\n")
 		return
 	}
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -30,6 +30,10 @@
 	// callerSendTimeout is the time after which a caller that takes nothing of its response is given
 	// up.
 	callerSendTimeout = 30 * time.Second
+	// The limits of the servers for the platform and operators.
+	internalReadTimeout    = 5 * time.Second
+	maxInternalHeaderBytes = 8 << 10
+	maxInternalConnections = 32
 )
 
 // callerServer holds the HTTP servers for callers, for the load balancer's readiness checks
@@ -39,8 +43,8 @@
 	callers *httpdrain.Server
 	// limit bounds what callers take of the instance.
 	limit   *callerlimit.Limiter
-	ready   *http.Server
-	metrics *http.Server
+	ready   *httpdrain.Server
+	metrics *httpdrain.Server
 }
 
 func newCallerServer(g *Gateway) *callerServer {
@@ -58,11 +62,22 @@
 	}
 	readyMux := http.NewServeMux()
 	readyMux.HandleFunc(g.dialect.ReadyPath(), s.answerReady)
-	s.ready = &http.Server{Handler: readyMux, ReadHeaderTimeout: readHeaderTimeout}
+	s.ready = g.newInternalServer(readyMux)
 	metricsMux := http.NewServeMux()
 	metricsMux.HandleFunc("GET /metrics", g.serveMetrics)
 	metricsMux.HandleFunc("GET /admin/v1/state", g.serveState)
-	s.metrics = &http.Server{Handler: metricsMux, ReadHeaderTimeout: readHeaderTimeout}
+	s.metrics = g.newInternalServer(metricsMux)
+	return s
+}
+
+// newInternalServer returns a server for the platform and operators, which have few connections.
+// Others that reach its port must not take what callers need.
+func (g *Gateway) newInternalServer(h http.Handler) *httpdrain.Server {
+	s := httpdrain.New(&http.Server{
+		Handler: h, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: internalReadTimeout, MaxHeaderBytes: maxInternalHeaderBytes,
+	})
+	s.SendTimeout = callerSendTimeout
+	callerlimit.New(callerlimit.Options{Now: g.clock.Now, Memory: g.memory, MaxConnections: maxInternalConnections}).Attach(s)
 	return s
 }
 
@@ -117,7 +132,7 @@
 	if err := s.callers.Drain(ctx); err != nil {
 		logline.Error(err, "drain_incomplete")
 	}
-	for _, server := range []*http.Server{s.ready, s.metrics} {
+	for _, server := range []*httpdrain.Server{s.ready, s.metrics} {
 		if err := server.Close(); err != nil {
 			logline.Error(err, "listener_close_failed")
 		}
