peer: peers are accepted again after the process was out of descriptors

What callers would see: after a crowd has taken all descriptors once, the instance never accepts a peer again. Its peers miss its state, its rates and its configuration until it is restarted.

Cause: the loop that accepts peers ended with the first error, also with EMFILE.

Change: it ends when the listener is closed, and tries again after 50 ms else.

Evidence: TestNodeAcceptsPeersAfterFailures failed (the call timed out) and passes.

--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -92,9 +92,15 @@
 		defer n.wg.Done()
 		for {
 			raw, err := l.Accept()
-			if err != nil {
+			if errors.Is(err, net.ErrClosed) {
 				return
 			}
+			if err != nil {
+				// The process may be out of descriptors for a while.
+				logline.Error(err, "peer_accept_failed", "retry", acceptRetryDelay)
+				time.Sleep(acceptRetryDelay)
+				continue
+			}
 			n.wg.Add(1)
 			go func() {
 				defer n.wg.Done()
@@ -104,6 +110,9 @@
 	}()
 }
 
+// acceptRetryDelay is the pause after a connection could not be accepted.
+const acceptRetryDelay = 50 * time.Millisecond
+
 func (n *Node) accept(raw net.Conn) {
 	if n.opts.TLS != nil {
 		raw = tls.Server(raw, n.opts.TLS)
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
+	"syscall"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -82,3 +84,34 @@
 	is.NoErr(err)
 	is.Equal(got, "new")
 }
+
+// flakyListener fails to accept a few times, as a process does that is out of descriptors.
+type flakyListener struct {
+	net.Listener
+	failures atomic.Int32
+}
+
+func (l *flakyListener) Accept() (net.Conn, error) {
+	if l.failures.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against a node that accepts no peer any more once it was out of descriptors.
+func TestNodeAcceptsPeersAfterFailures(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	flaky := &flakyListener{Listener: l}
+	flaky.failures.Store(3)
+	n := NewNode(Options{Self: wire.Identity{Instance: "b", Address: l.Addr().String()}, Secret: []byte("0123456789abcdef")})
+	n.Handle(kindEcho, func(context.Context, wire.Identity, wire.Frame) (any, error) { return "ok", nil })
+	n.Serve(flaky)
+	t.Cleanup(n.Close)
+	a, _ := startNode(t, "a", "0123456789abcdef")
+	var got string
+	_, err = a.Call(context.Background(), l.Addr().String(), kindEcho, "hi", &got)
+	is.NoErr(err)
+	is.Equal(got, "ok")
+}
