peer: connections that have proved nothing have a bound

What callers saw: 300 connections to the peers' port that announce a frame of 4 MiB took 1,254 MB, and 1,324 that send nothing all descriptors.

Cause: the memory of a frame is taken when its length arrives, also before the handshake; handshakes last 2 s and were not counted.

Change: frames of a handshake have 4 KB at most, and 256 connections may be in their handshake; the oldest is closed for a new one. A peer proves itself within milliseconds, so that a restart of a whole fleet fits.

They are counted before the next one is accepted now.

--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -16,6 +16,8 @@
 const (
 	nonceBytes       = 32
 	handshakeTimeout = 2 * time.Second
+	// maxHandshakeBytes bounds a frame of a process that has proved nothing yet.
+	maxHandshakeBytes = 4 << 10
 )
 
 // ErrUntrusted: the remote side did not prove knowledge of the shared secret.
@@ -97,7 +99,7 @@
 }
 
 func readMessage(r *bufio.Reader, kind wire.Kind, body any) error {
-	f, err := wire.Read(r)
+	f, err := wire.ReadAtMost(r, maxHandshakeBytes)
 	if err != nil {
 		return err
 	}
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -37,9 +37,11 @@
 	opts     Options
 	handlers map[wire.Kind]Handler
 	streams  map[wire.Kind]StreamHandler
-	ctx      context.Context
-	cancel   context.CancelFunc
-	wg       sync.WaitGroup
+	// strangers are the connections whose other side has not proved that it is a peer.
+	strangers strangers
+	ctx       context.Context
+	cancel    context.CancelFunc
+	wg        sync.WaitGroup
 
 	mu       sync.Mutex
 	conns    map[string]*conn // outbound, by address
@@ -101,10 +103,11 @@
 				time.Sleep(acceptRetryDelay)
 				continue
 			}
+			proved := n.strangers.add(raw)
 			n.wg.Add(1)
 			go func() {
 				defer n.wg.Done()
-				n.accept(raw)
+				n.accept(raw, proved)
 			}()
 		}
 	}()
@@ -113,7 +116,10 @@
 // acceptRetryDelay is the pause after a connection could not be accepted.
 const acceptRetryDelay = 50 * time.Millisecond
 
-func (n *Node) accept(raw net.Conn) {
+// accept serves a connection. proved is called once its other side has proved that it is a peer, or
+// has failed to.
+func (n *Node) accept(raw net.Conn, proved func()) {
+	defer proved()
 	if n.opts.TLS != nil {
 		raw = tls.Server(raw, n.opts.TLS)
 	}
@@ -125,6 +131,7 @@
 		raw.Close()
 		return
 	}
+	proved()
 	c := newConn(raw, r, source, from)
 	if !n.trackInbound(c) {
 		raw.Close()
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/binary"
+	"io"
 	"net"
 	"sync/atomic"
 	"syscall"
@@ -115,3 +117,30 @@
 	is.NoErr(err)
 	is.Equal(got, "ok")
 }
+
+// Guards against connections without a proof that take all descriptors, and against memory for a
+// frame that such a one announces: the oldest is closed, a large frame is refused, and peers connect.
+func TestStrangersTakeNoRoomOfPeers(t *testing.T) {
+	is := is.New(t)
+	b, addr := startNode(t, "b", "0123456789abcdef")
+	var strangers []net.Conn
+	for range maxStrangers + 8 {
+		c, err := net.Dial("tcp", addr)
+		is.NoErr(err)
+		defer c.Close()
+		strangers = append(strangers, c)
+	}
+	_, err := io.Copy(io.Discard, strangers[0])
+	is.NoErr(err)
+	b.strangers.mu.Lock()
+	is.True(b.strangers.conns.Len() <= maxStrangers)
+	b.strangers.mu.Unlock()
+	large := strangers[len(strangers)-1]
+	_, err = large.Write(binary.BigEndian.AppendUint32(nil, maxHandshakeBytes+1))
+	is.NoErr(err)
+	_, _ = io.Copy(io.Discard, large) // closed, possibly with a reset
+	a, _ := startNode(t, "a", "0123456789abcdef")
+	var got string
+	_, err = a.Call(context.Background(), addr, kindEcho, "hi", &got)
+	is.NoErr(err)
+}
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -74,14 +74,17 @@
 }
 
 // Read reads one frame. It returns io.EOF if the stream ended between frames.
-func Read(r io.Reader) (Frame, error) {
+func Read(r io.Reader) (Frame, error) { return ReadAtMost(r, MaxFrameBytes) }
+
+// ReadAtMost is Read for a frame of at most limit bytes.
+func ReadAtMost(r io.Reader, limit uint32) (Frame, error) {
 	var f Frame
 	var head [headerBytes]byte
 	if _, err := io.ReadFull(r, head[:]); err != nil {
 		return f, err
 	}
 	n := binary.BigEndian.Uint32(head[:])
-	if n > MaxFrameBytes {
+	if n > limit {
 		return f, errors.Wrapf(ErrFrameTooLarge, "bytes=%d", n)
 	}
 	raw := make([]byte, n)
