callerlimit: bodies that make progress keep their room, others wait for it

Cause: a body that found no room was refused at once if nobody ranked lower, and of several that had each a part of their memory all but a few had to give way. One that waits for room sends nothing, and so ranked low.

Change: a large body gives way to another only if it has stalled: no byte for a second, or under 4 KB lately; what counts as sent lately has a maximum, so that a caller that stops soon counts as stalled. A body waits for room for 0.5 s at most. Once 64 KB of a body have arrived, all of its announced length is charged: bodies with a part each would wait for each other.

--- a/internal/callerlimit/body.go
+++ b/internal/callerlimit/body.go
@@ -32,19 +32,18 @@
 
 // Take charges the memory of a request without its body. It returns false if there is no room, also
 // after others have given way.
-func (c *Charge) Take() bool { return c.take(RequestBytes, c.memory.Take) }
+func (c *Charge) Take() bool { return c.take(RequestBytes, false) }
 
 // TakeMore charges what a request needs beside the copies of its body.
-func (c *Charge) TakeMore(n int64) bool {
-	if n > smallBodyBytes {
-		return c.take(n, c.memory.takeLarge)
-	}
-	return c.take(n, c.memory.Take)
-}
+func (c *Charge) TakeMore(n int64) bool { return c.take(n, n > smallBodyBytes) }
 
-func (c *Charge) take(n int64, from func(membudget.Class, int64) bool) bool {
+func (c *Charge) take(n int64, large bool) bool {
+	from := c.memory.Take
+	if large {
+		from = c.memory.takeLarge
+	}
 	try := func() bool { return from(membudget.Requests, n) }
-	if !try() && (c.member == nil || !c.member.limiter.takeBody(c.member, n, try)) {
+	if c.member == nil && !try() || c.member != nil && !c.member.limiter.takeBody(c.member, n, large, try) {
 		return false
 	}
 	c.bytes += n
@@ -64,34 +63,82 @@
 }
 
 // ReadBody reads the body of a request of at most limit bytes. What arrives is charged copies times,
-// for what the request needs of it until it is answered.
+// for what the request needs of it until it is answered. Once more than a small part of a body has
+// arrived, all that is announced is charged: bodies that have a part of their memory each would
+// wait for each other.
 func (c *Charge) ReadBody(r *http.Request, limit, copies int64) ([]byte, error) {
 	if r.ContentLength > limit {
 		return nil, ErrBodyTooLarge
 	}
-	body, err := c.readParts(r, limit, copies)
+	b := bodyReader{charge: c, body: r.Body, announced: r.ContentLength, limit: limit, copies: copies}
+	body, err := b.readAll()
 	if !c.member.finishBodyUnless(err) {
 		return nil, ErrMemoryFull
 	}
 	return body, err
 }
 
-func (c *Charge) readParts(r *http.Request, limit, copies int64) ([]byte, error) {
+// bodyReader reads one body.
+type bodyReader struct {
+	charge *Charge
+	body   io.Reader
+	// announced is the length of the body, negative if it isn't known; limit the most that is read.
+	announced, limit int64
+	// copies is how often the body is charged, charged the number of its bytes that are.
+	copies, charged int64
+	total           int64
+}
+
+func (b *bodyReader) readAll() ([]byte, error) {
 	var parts [][]byte
-	total := int64(0)
 	for {
-		part := make([]byte, nextPartBytes(total, r.ContentLength))
-		n, err := c.fill(r.Body, part, total, limit, copies)
-		parts, total = append(parts, part[:n]), total+int64(n)
+		part := make([]byte, nextPartBytes(b.total, b.announced))
+		n, err := b.fill(part)
+		parts = append(parts, part[:n])
 		switch {
 		case err == io.EOF:
-			return join(parts, total), nil
+			return join(parts, b.total), nil
 		case err != nil:
 			return nil, err
 		}
 	}
 }
 
+// fill reads until the part is full or the body ends.
+func (b *bodyReader) fill(part []byte) (n int, err error) {
+	for n < len(part) && err == nil {
+		var k int
+		k, err = b.body.Read(part[n:])
+		n += k
+		b.total += int64(k)
+		if chargeErr := b.chargeArrived(); chargeErr != nil {
+			return n, chargeErr
+		}
+	}
+	return n, err
+}
+
+func (b *bodyReader) chargeArrived() error {
+	if b.total > b.limit {
+		return ErrBodyTooLarge
+	}
+	large, needed := b.total > smallBodyBytes, b.total
+	if large {
+		needed = max(needed, b.announced)
+	}
+	if needed <= b.charged {
+		return nil
+	}
+	if !b.charge.take((needed-b.charged)*b.copies, large) {
+		return ErrMemoryFull
+	}
+	b.charged = needed
+	if large {
+		b.charge.member.widen()
+	}
+	return nil
+}
+
 // nextPartBytes returns the size of the next part of a body of which total bytes have arrived. It
 // doesn't depend on what is announced but for the end, where the part has one byte more, which is
 // never filled.
@@ -103,33 +150,6 @@
 	return min(size, announced-total+1)
 }
 
-// fill reads until the part is full or the body ends.
-func (c *Charge) fill(body io.Reader, part []byte, total, limit, copies int64) (int, error) {
-	n := 0
-	for n < len(part) {
-		k, err := body.Read(part[n:])
-		n += k
-		received := total + int64(n)
-		if received > limit {
-			return n, ErrBodyTooLarge
-		}
-		from := c.memory.Take
-		if received > smallBodyBytes {
-			from = c.memory.takeLarge
-		}
-		if k > 0 && !c.take(int64(k)*copies, from) {
-			return n, ErrMemoryFull
-		}
-		if err != nil {
-			return n, err
-		}
-		if received > shortBodyBytes {
-			c.member.widen()
-		}
-	}
-	return n, nil
-}
-
 func join(parts [][]byte, total int64) []byte {
 	if len(parts) == 1 {
 		return parts[0]
--- a/internal/callerlimit/limiter.go
+++ b/internal/callerlimit/limiter.go
@@ -15,7 +15,7 @@
 const (
 	// ReceiveBufferBytes is the size of the kernel's receive buffer of a connection.
 	ReceiveBufferBytes = 8 << 10
-	// bodyBufferBytes replaces it while a body arrives that is not short, and charged.
+	// bodyBufferBytes replaces it while a large body arrives for which there is room.
 	bodyBufferBytes = 64 << 10
 	// connectionBytes is the memory of a connection: the buffers of the HTTP server, the stack of
 	// its goroutine, and one block for a slow caller or what the kernel holds unread.
@@ -90,7 +90,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for !l.takeConnectionLocked(l.MaxConnections) {
-		victim, _ := l.leastLocked(nil, 0, func(*Member) bool { return true })
+		victim := l.leastLocked(nil, 0, func(*Member) bool { return true })
 		if victim == nil && l.takeConnectionLocked(l.HardLimit) {
 			break
 		}
@@ -116,9 +116,9 @@
 }
 
 // leastLocked returns the connection that gives way first among those that may and rank below the
-// merit of asker with n bytes more; a nil asker is a new connection, for which any gives way. pending is set if
-// one of them is giving way already. The caller holds l.mu.
-func (l *Limiter) leastLocked(asker *Member, n int64, may func(*Member) bool) (victim *Member, pending bool) {
+// merit of asker with n bytes more; nil if none does, or one is giving way already. A nil asker is a
+// new connection, for which any gives way. The caller holds l.mu.
+func (l *Limiter) leastLocked(asker *Member, n int64, may func(*Member) bool) (victim *Member) {
 	now := l.Now()
 	least := math.Inf(1)
 	if asker != nil {
@@ -129,14 +129,16 @@
 			continue
 		}
 		if m.givesWay() {
-			pending = true
+			if asker != nil {
+				return nil // its memory is on the way
+			}
 			continue
 		}
 		if r, ok := m.rank(now); ok && r < least {
 			victim, least = m, r
 		}
 	}
-	return victim, pending
+	return victim
 }
 
 // giveWayLocked counts and logs that a caller gives way. The caller holds l.mu.
@@ -166,7 +168,7 @@
 func (l *Limiter) takeHead(m *Member, n int64) bool {
 	for !l.Memory.Take(membudget.Connections, n) {
 		l.mu.Lock()
-		victim, _ := l.leastLocked(m, n, (*Member).holdsHead)
+		victim := l.leastLocked(m, n, (*Member).holdsHead)
 		if victim != nil {
 			l.giveWayLocked(victim, "memory")
 			l.removeLocked(victim)
@@ -180,28 +182,41 @@
 	return true
 }
 
-// bodyRoomTimeout bounds the wait for the memory of a caller that gives way.
+// bodyRoomTimeout bounds the wait for memory: of a caller that gives way, or of a request that ends.
 const bodyRoomTimeout = 500 * time.Millisecond
 
-// takeBody calls take, for n bytes, until there is room. Requests whose bodies are arriving and rank
-// lower give way; if there is none, take has failed.
-func (l *Limiter) takeBody(m *Member, n int64, take func() bool) bool {
-	end := l.Now() + bodyRoomTimeout
-	for !take() {
+// bodyRoomInterval is the longest time until callers are looked at again that may give way.
+const bodyRoomInterval = 100 * time.Millisecond
+
+// takeBody calls take, for n bytes of a request, until there is room. Requests whose bodies are
+// arriving and rank lower give way, for a large one only if they have stalled. It returns false if
+// there is still no room after a while.
+func (l *Limiter) takeBody(m *Member, n int64, large bool, take func() bool) bool {
+	if take() {
+		return true
+	}
+	m.setWaiting(true)
+	defer m.setWaiting(false)
+	may := (*Member).holdsBody
+	if large {
+		may = (*Member).stalls
+	}
+	for end := l.Now() + bodyRoomTimeout; ; {
 		l.mu.Lock()
-		victim, pending := l.leastLocked(m, n, (*Member).holdsBody)
-		if victim != nil {
+		if victim := l.leastLocked(m, n, may); victim != nil {
 			l.giveWayLocked(victim, "memory")
 			victim.interrupt()
 		}
 		l.mu.Unlock()
 		left := end - l.Now()
-		if victim == nil && !pending || left <= 0 {
+		if left <= 0 {
 			return false
 		}
-		l.Memory.awaitReturn(left)
+		l.Memory.awaitReturn(min(left, bodyRoomInterval))
+		if take() {
+			return true
+		}
 	}
-	return true
 }
 
 // headCost returns the memory that a part of a head takes.
--- a/internal/callerlimit/member.go
+++ b/internal/callerlimit/member.go
@@ -39,6 +39,8 @@
 	body int64
 	// widened is set while the receive buffer is that of a large body.
 	widened bool
+	// waiting is set while the body is not read because there is no room for it.
+	waiting bool
 	// interrupted is set once the request has given way.
 	interrupted bool
 	ended       bool
@@ -152,6 +154,20 @@
 	return m.stage == stageBody && m.body > 0
 }
 
+// stalls reports whether a body that holds memory does not arrive.
+func (m *Member) stalls() bool {
+	now := m.limiter.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.stage == stageBody && m.body > 0 && !m.waiting && m.progress.stalled(now)
+}
+
+func (m *Member) setWaiting(waiting bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.waiting = waiting
+}
+
 func (m *Member) givesWay() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/callerlimit/progress.go
+++ b/internal/callerlimit/progress.go
@@ -13,6 +13,16 @@
 	startBytes = 16 << 10
 )
 
+const (
+	// maxProgressBytes bounds what counts as sent lately, so that a caller that stops soon ranks below
+	// others however much it has sent.
+	maxProgressBytes = 64 << 10
+	// stallTimeout is the time without a byte after which a caller has stalled, and stalledBytes what
+	// it must have sent lately else.
+	stallTimeout = time.Second
+	stalledBytes = 4 << 10
+)
+
 // progress is how much a caller has sent lately.
 type progress struct {
 	bytes float64
@@ -26,7 +36,12 @@
 }
 
 func (p *progress) add(now time.Duration, bytes int) {
-	*p = progress{p.value(now) + float64(bytes), now}
+	*p = progress{min(p.value(now)+float64(bytes), maxProgressBytes), now}
+}
+
+// stalled reports whether the caller sends next to nothing.
+func (p progress) stalled(now time.Duration) bool {
+	return now-p.at > stallTimeout || p.value(now) < stalledBytes
 }
 
 // stage is what a connection does.
