--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -280,3 +280,18 @@
 	buf := make([]byte, 1<<20)
 	t.Fatalf("timed out waiting for %s\n%s", what, buf[:runtime.Stack(buf, true)])
 }
+
+// Guards against an instance that never serves a request of a legal size: its memory has no room for
+// it.
+func TestMemoryMustHoldLargestBody(t *testing.T) {
+	is := is.New(t)
+	secret := filepath.Join(t.TempDir(), "secret")
+	is.NoErr(os.WriteFile(secret, []byte("a secret of the fleet"), 0o600))
+	for memoryMB, fits := range map[int]bool{0: true, 683: false, 684: true} {
+		_, err := New(&settings.Settings{
+			InstanceID: "i", Domain: "d", PeerSecretFile: secret, FleetDomains: []string{"d"}, MintSlots: 1,
+			MaxBodyBytes: 32 << 20, MaxHeaderBytes: 1 << 16, MaxConnections: 1000, MemoryMB: memoryMB,
+		})
+		is.Equal(err == nil, fits)
+	}
+}
