callerlimit, peer: the usual names

Callers are evicted, in the order of a score; connections in their handshake are unauthenticated. The log line is caller_evicted, the metric mastictray_callers_evicted. No behaviour changes.

--- a/internal/callerlimit/body.go
+++ b/internal/callerlimit/body.go
@@ -162,12 +162,12 @@
 }
 
 // finishBodyUnless is finishBody for a body that was read without an error. It returns false if the
-// request had to give way.
+// request was evicted.
 func (m *Member) finishBodyUnless(err error) bool {
 	if err == nil {
 		return m.finishBody()
 	}
-	return m == nil || !m.givesWay()
+	return m == nil || !m.isEvicted()
 }
 
 const (
--- a/internal/callerlimit/body_test.go
+++ b/internal/callerlimit/body_test.go
@@ -123,8 +123,8 @@
 	}
 }
 
-// Guards against large bodies that stop just short of their end and keep others out: one gives way
-// to another that arrives, and its request is told so.
+// Guards against large bodies that stop just short of their end and keep others out: one is evicted
+// for another that arrives, and its request is told so.
 func TestStalledBodyGivesWay(t *testing.T) {
 	l := newTestLimiter(t, 96, 0)
 	stalled := l.stall()
@@ -134,10 +134,10 @@
 	m.StateChanged(http.StateActive)
 	m.beginRequest(&http.Request{ContentLength: megabyte})
 	charge := NewCharge(l.Memory, m)
-	go func() { // the request that gives way ends
+	go func() { // the evicted request ends
 		for {
 			for _, a := range stalled {
-				if a.member.givesWay() {
+				if a.member.isEvicted() {
 					a.charge.Release()
 					return
 				}
--- a/internal/callerlimit/gauges.go
+++ b/internal/callerlimit/gauges.go
@@ -5,7 +5,7 @@
 // SetGauges passes the state of the Limiter and of its Memory to set.
 func (l *Limiter) SetGauges(set func(name string, value float64)) {
 	set(`mastictray_caller_connections`, float64(l.Connections()))
-	set(`mastictray_callers_gave_way`, float64(l.GaveWay.Load()))
+	set(`mastictray_callers_evicted`, float64(l.Evicted.Load()))
 	set(`mastictray_connections_refused`, float64(l.Refused.Load()))
 	if l.Memory == nil {
 		return
--- a/internal/callerlimit/limiter.go
+++ b/internal/callerlimit/limiter.go
@@ -36,10 +36,10 @@
 	Now func() time.Duration
 	// Memory is the budget to which connections are charged; nil for none.
 	Memory *Memory
-	// MaxConnections is the number of connections above which callers give way; 0 for no limit.
+	// MaxConnections is the number of connections above which callers are evicted; 0 for no limit.
 	MaxConnections int
 	// HardLimit, if it is higher, is the number up to which connections are still kept when nobody
-	// may give way, so that their requests can be told why they are refused.
+	// may be evicted, so that their requests can be told why they are refused.
 	HardLimit int
 	// Encrypted is set if the connections use TLS.
 	Encrypted bool
@@ -48,8 +48,8 @@
 // Limiter bounds the connections of a server.
 type Limiter struct {
 	Options
-	// GaveWay counts the callers that gave way, Refused the connections for which nobody did.
-	GaveWay, Refused atomic.Int64
+	// Evicted counts the callers that were evicted, Refused the connections for which nobody could be.
+	Evicted, Refused atomic.Int64
 
 	mu      sync.Mutex
 	members map[*Member]struct{}
@@ -74,8 +74,8 @@
 	return len(l.members)
 }
 
-// accept decides whether a new connection is kept. Another one gives way for it if there is one
-// that may.
+// accept decides whether a new connection is kept. Another one is evicted for it if there is one
+// that may be.
 func (l *Limiter) accept(socket httpdrain.Socket) (httpdrain.Guard, bool) {
 	m, victims := l.admit(socket)
 	for _, v := range victims {
@@ -85,7 +85,7 @@
 }
 
 // admit returns the member for a new connection, or nil if there is no room for it, and the members
-// that gave way, which the caller has to close without l.mu.
+// that were evicted, which the caller has to close without l.mu.
 func (l *Limiter) admit(socket httpdrain.Socket) (m *Member, victims []*Member) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -99,7 +99,7 @@
 			logline.InfoSampled("connection_refused", "caller", socket.RemoteAddr(), "connections", len(l.members), "limit", l.MaxConnections)
 			return nil, victims
 		}
-		l.giveWayLocked(victim, "connections")
+		l.recordEvictionLocked(victim, "connections")
 		l.removeLocked(victim)
 		victims = append(victims, victim)
 	}
@@ -115,20 +115,20 @@
 	return l.Memory.Take(membudget.Connections, connectionBytes)
 }
 
-// leastLocked returns the connection that gives way first among those that may and rank below the
-// merit of asker with n bytes more; nil if none does, or one is giving way already. A nil asker is a
-// new connection, for which any gives way. The caller holds l.mu.
+// leastLocked returns the connection to evict first among those that may be and rank below the
+// score of asker with n bytes more; nil if none does, or one is being evicted already. A nil asker is a
+// new connection, for which any may be evicted. The caller holds l.mu.
 func (l *Limiter) leastLocked(asker *Member, n int64, may func(*Member) bool) (victim *Member) {
 	now := l.Now()
 	least := math.Inf(1)
 	if asker != nil {
-		least = asker.merit(now, n)
+		least = asker.score(now, n)
 	}
 	for m := range l.members {
 		if m == asker || !may(m) {
 			continue
 		}
-		if m.givesWay() {
+		if m.isEvicted() {
 			if asker != nil {
 				return nil // its memory is on the way
 			}
@@ -141,11 +141,11 @@
 	return victim
 }
 
-// giveWayLocked counts and logs that a caller gives way. The caller holds l.mu.
-func (l *Limiter) giveWayLocked(m *Member, shortOf string) {
-	l.GaveWay.Add(1)
+// recordEvictionLocked counts and logs an eviction. The caller holds l.mu.
+func (l *Limiter) recordEvictionLocked(m *Member, shortOf string) {
+	l.Evicted.Add(1)
 	s, held := m.state()
-	logline.InfoSampled("caller_gave_way", "caller", m.socket.RemoteAddr(), "short_of", shortOf, "stage", s, "body_bytes", held, "connections", len(l.members))
+	logline.InfoSampled("caller_evicted", "caller", m.socket.RemoteAddr(), "short_of", shortOf, "stage", s, "body_bytes", held, "connections", len(l.members))
 }
 
 // removeLocked forgets a connection and ends its charges. The caller holds l.mu.
@@ -170,7 +170,7 @@
 		l.mu.Lock()
 		victim := l.leastLocked(m, n, (*Member).holdsHead)
 		if victim != nil {
-			l.giveWayLocked(victim, "memory")
+			l.recordEvictionLocked(victim, "memory")
 			l.removeLocked(victim)
 		}
 		l.mu.Unlock()
@@ -182,14 +182,14 @@
 	return true
 }
 
-// bodyRoomTimeout bounds the wait for memory: of a caller that gives way, or of a request that ends.
+// bodyRoomTimeout bounds the wait for memory: of an evicted caller, or of a request that ends.
 const bodyRoomTimeout = 500 * time.Millisecond
 
-// bodyRoomInterval is the longest time until callers are looked at again that may give way.
+// bodyRoomInterval is the longest time until callers to evict are looked for again.
 const bodyRoomInterval = 100 * time.Millisecond
 
 // takeBody calls take, for n bytes of a request, until there is room. Requests whose bodies are
-// arriving and rank lower give way, for a large one only if they have stalled. It returns false if
+// arriving and rank lower are evicted, for a large one only if they have stalled. It returns false if
 // there is still no room after a while.
 func (l *Limiter) takeBody(m *Member, n int64, large bool, take func() bool) bool {
 	if take() {
@@ -204,7 +204,7 @@
 	for end := l.Now() + bodyRoomTimeout; ; {
 		l.mu.Lock()
 		if victim := l.leastLocked(m, n, may); victim != nil {
-			l.giveWayLocked(victim, "memory")
+			l.recordEvictionLocked(victim, "memory")
 			victim.interrupt()
 		}
 		l.mu.Unlock()
--- a/internal/callerlimit/limiter_test.go
+++ b/internal/callerlimit/limiter_test.go
@@ -54,7 +54,7 @@
 	m.beginRequest(&http.Request{})
 }
 
-// Guards against a crowd that holds all connections: the one that has sent least lately gives way to
+// Guards against a crowd that holds all connections: the one that has sent least lately is evicted for
 // a new one, and none that waits for its answer.
 func TestLeastProgressGivesWay(t *testing.T) {
 	l := newTestLimiter(t, 0, 3)
@@ -83,7 +83,7 @@
 }
 
 // Guards against callers that send requests and take nothing of the responses for ever: they may
-// give way after a while.
+// be evicted after a while.
 func TestCallerThatTakesNothingGivesWay(t *testing.T) {
 	l := newTestLimiter(t, 0, 1)
 	m, socket := l.connect()
@@ -99,7 +99,7 @@
 }
 
 // Guards against connections whose requests cannot be told why they are refused: up to the hard limit
-// they are kept if nobody gives way.
+// they are kept if nobody can be evicted.
 func TestHardLimitKeepsConnectionsForARefusal(t *testing.T) {
 	l := newTestLimiter(t, 0, 1)
 	l.HardLimit = 2
@@ -132,7 +132,7 @@
 			}
 			use := l.Memory.Use()
 			l.is.True(use.Peak <= use.Total)
-			l.is.True(l.GaveWay.Load() > 0 || l.Connections() < 300)
+			l.is.True(l.Evicted.Load() > 0 || l.Connections() < 300)
 			for len(l.members) > 0 {
 				for m := range l.members {
 					m.Closed()
--- a/internal/callerlimit/member.go
+++ b/internal/callerlimit/member.go
@@ -15,7 +15,7 @@
 
 // Errors of bodies and heads that are not read to their end.
 var (
-	// ErrMemoryFull: the budget has no room, or the caller had to give way to others.
+	// ErrMemoryFull: the budget has no room, or the caller was evicted.
 	ErrMemoryFull = errors.New("caller limit: memory budget is used up")
 	// ErrBodyTooLarge: the body is larger than the limit.
 	ErrBodyTooLarge = errors.New("caller limit: body too large")
@@ -119,11 +119,11 @@
 	return m.charged
 }
 
-// merit is the merit of the connection if it held more bytes.
-func (m *Member) merit(now time.Duration, more int64) float64 {
+// score is the score of the connection if it held more bytes.
+func (m *Member) score(now time.Duration, more int64) float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return merit(m.progress.value(now), m.charged+m.body+more)
+	return score(m.progress.value(now), m.charged+m.body+more)
 }
 
 func (m *Member) rank(now time.Duration) (r float64, ok bool) {
@@ -168,7 +168,7 @@
 	m.waiting = waiting
 }
 
-func (m *Member) givesWay() bool {
+func (m *Member) isEvicted() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.interrupted
--- a/internal/callerlimit/progress.go
+++ b/internal/callerlimit/progress.go
@@ -66,8 +66,8 @@
 // way.
 const sendStallTimeout = 5 * time.Second
 
-// rank orders connections by who gives way first, lowest first. ok is false for one that doesn't give
-// way. stalled is the time for which the caller has taken nothing of a response.
+// rank orders connections by who is evicted first, lowest first. ok is false for one that isn't
+// evicted. stalled is the time for which the caller has taken nothing of a response.
 func rank(s stage, sent float64, held int64, stalled time.Duration) (r float64, ok bool) {
 	switch {
 	case s == stageClosing:
@@ -75,8 +75,8 @@
 	case s == stageBusy:
 		return 0, stalled > sendStallTimeout
 	}
-	return merit(sent, held), true
+	return score(sent, held), true
 }
 
-// merit is what a caller has sent lately for each byte of memory that it holds.
-func merit(sent float64, held int64) float64 { return sent / float64(max(1, held)) }
+// score is what a caller has sent lately for each byte of memory that it holds.
+func score(sent float64, held int64) float64 { return sent / float64(max(1, held)) }
--- a/internal/entry/callerserver.go
+++ b/internal/entry/callerserver.go
@@ -58,7 +58,7 @@
 }
 
 // overConnectionLimit reports whether more than the maximum number of
-// connections are open. Excess connections for which no other caller gives way are accepted and
+// connections are open. Excess connections for which no other caller can be evicted are accepted and
 // their requests refused with an error response, so that the caller learns the reason; a reset
 // connection would not show it.
 func (c *callerServer) overConnectionLimit() bool { return c.limit.Connections() > c.maxConns }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -26,7 +26,7 @@
 	Features Features
 	// MemoryBytes is the memory of the instance; 0 means no limit.
 	MemoryBytes int64
-	// MaxCallerConnections is the number of connections above which callers give way to others; 0
+	// MaxCallerConnections is the number of connections above which callers are evicted; 0
 	// means no limit.
 	MaxCallerConnections int
 
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -37,11 +37,11 @@
 	opts     Options
 	handlers map[wire.Kind]Handler
 	streams  map[wire.Kind]StreamHandler
-	// strangers are the connections whose other side has not proved that it is a peer.
-	strangers strangers
-	ctx       context.Context
-	cancel    context.CancelFunc
-	wg        sync.WaitGroup
+	// unauthenticated are the connections whose other side has not proved that it is a peer.
+	unauthenticated unauthenticated
+	ctx             context.Context
+	cancel          context.CancelFunc
+	wg              sync.WaitGroup
 
 	mu       sync.Mutex
 	conns    map[string]*conn // outbound, by address
@@ -103,7 +103,7 @@
 				time.Sleep(acceptRetryDelay)
 				continue
 			}
-			proved := n.strangers.add(raw)
+			proved := n.unauthenticated.add(raw)
 			n.wg.Add(1)
 			go func() {
 				defer n.wg.Done()
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -120,22 +120,22 @@
 
 // Guards against connections without a proof that take all descriptors, and against memory for a
 // frame that such a one announces: the oldest is closed, a large frame is refused, and peers connect.
-func TestStrangersTakeNoRoomOfPeers(t *testing.T) {
+func TestUnauthenticatedConnectionsAreBounded(t *testing.T) {
 	is := is.New(t)
 	b, addr := startNode(t, "b", "0123456789abcdef")
-	var strangers []net.Conn
-	for range maxStrangers + 8 {
+	var conns []net.Conn
+	for range maxUnauthenticated + 8 {
 		c, err := net.Dial("tcp", addr)
 		is.NoErr(err)
 		defer c.Close()
-		strangers = append(strangers, c)
+		conns = append(conns, c)
 	}
-	_, err := io.Copy(io.Discard, strangers[0])
+	_, err := io.Copy(io.Discard, conns[0])
 	is.NoErr(err)
-	b.strangers.mu.Lock()
-	is.True(b.strangers.conns.Len() <= maxStrangers)
-	b.strangers.mu.Unlock()
-	large := strangers[len(strangers)-1]
+	b.unauthenticated.mu.Lock()
+	is.True(b.unauthenticated.conns.Len() <= maxUnauthenticated)
+	b.unauthenticated.mu.Unlock()
+	large := conns[len(conns)-1]
 	_, err = large.Write(binary.BigEndian.AppendUint32(nil, maxHandshakeBytes+1))
 	is.NoErr(err)
 	_, _ = io.Copy(io.Discard, large) // closed, possibly with a reset
