callerlimit: an evicted connection is charged until its goroutine ends

Cause: the charge of an evicted connection was returned when its socket was closed.

Change: the charge is returned when the HTTP server closes the connection, which its goroutine does at its end; a head waits for that as a body does. The connection doesn't count as open meanwhile, so that a new one can be accepted at once.

Tried before: evict nobody while another eviction is on its way.

--- a/internal/callerlimit/limiter.go
+++ b/internal/callerlimit/limiter.go
@@ -53,6 +53,9 @@
 
 	mu      sync.Mutex
 	members map[*Member]struct{}
+	// aborted is the number of members whose connections are closed and whose goroutines are not known
+	// to have ended.
+	aborted int
 }
 
 // New returns a Limiter.
@@ -71,53 +74,44 @@
 func (l *Limiter) Connections() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.members)
+	return l.openLocked()
 }
 
+func (l *Limiter) openLocked() int { return len(l.members) - l.aborted }
+
 // accept decides whether a new connection is kept. Another one is evicted for it if there is one
 // that may be.
 func (l *Limiter) accept(socket httpdrain.Socket) (httpdrain.Guard, bool) {
-	m, victims := l.admit(socket)
-	for _, v := range victims {
-		v.socket.Abort()
-	}
-	return m, m != nil
-}
-
-// admit returns the member for a new connection, or nil if there is no room for it, and the members
-// that were evicted, which the caller has to close without l.mu.
-func (l *Limiter) admit(socket httpdrain.Socket) (m *Member, victims []*Member) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for !l.takeConnectionLocked(l.MaxConnections) {
+	if !l.takeConnectionLocked(l.MaxConnections) {
 		victim := l.leastLocked(nil, 0, func(*Member) bool { return true })
-		if victim == nil && l.takeConnectionLocked(l.HardLimit) {
-			break
-		}
-		if victim == nil {
+		if victim == nil && !l.takeConnectionLocked(l.HardLimit) {
 			l.Refused.Add(1)
-			logline.InfoSampled("connection_refused", "caller", socket.RemoteAddr(), "connections", len(l.members), "limit", l.MaxConnections)
-			return nil, victims
+			logline.InfoSampled("connection_refused", "caller", socket.RemoteAddr(), "connections", l.openLocked(), "limit", l.MaxConnections)
+			return nil, false
+		}
+		if victim != nil {
+			l.abortLocked(victim, "connections")
+			// The charge of the victim ends when its goroutine does.
+			l.Memory.charge(membudget.Connections, connectionBytes)
 		}
-		l.recordEvictionLocked(victim, "connections")
-		l.removeLocked(victim)
-		victims = append(victims, victim)
 	}
-	m = &Member{limiter: l, socket: socket, progress: newProgress(l.Now()), charged: connectionBytes}
+	m := &Member{limiter: l, socket: socket, progress: newProgress(l.Now()), charged: connectionBytes}
 	l.members[m] = struct{}{}
-	return m, victims
+	return m, true
 }
 
 func (l *Limiter) takeConnectionLocked(limit int) bool {
-	if limit > 0 && len(l.members) >= limit {
+	if limit > 0 && l.openLocked() >= limit {
 		return false
 	}
 	return l.Memory.Take(membudget.Connections, connectionBytes)
 }
 
 // leastLocked returns the connection to evict first among those that may be and rank below the
-// score of asker with n bytes more; nil if none does, or one is being evicted already. A nil asker is a
-// new connection, for which any may be evicted. The caller holds l.mu.
+// score of asker with n bytes more; nil if none does. A nil asker is a new connection, for which any may
+// be evicted. The caller holds l.mu.
 func (l *Limiter) leastLocked(asker *Member, n int64, may func(*Member) bool) (victim *Member) {
 	now := l.Now()
 	least := math.Inf(1)
@@ -125,13 +119,7 @@
 		least = asker.score(now, n)
 	}
 	for m := range l.members {
-		if m == asker || !may(m) {
-			continue
-		}
-		if m.isEvicted() {
-			if asker != nil {
-				return nil // its memory is on the way
-			}
+		if m == asker || m.isEvicted() || !may(m) {
 			continue
 		}
 		if r, ok := m.rank(now); ok && r < least {
@@ -141,78 +129,84 @@
 	return victim
 }
 
+// abortLocked closes a connection. What it is charged is returned once its goroutine has ended, which
+// may be in the middle of a head. The caller holds l.mu.
+func (l *Limiter) abortLocked(m *Member, shortOf string) {
+	l.recordEvictionLocked(m, shortOf)
+	m.setAborted()
+	l.aborted++
+	m.socket.Abort()
+}
+
 // recordEvictionLocked counts and logs an eviction. The caller holds l.mu.
 func (l *Limiter) recordEvictionLocked(m *Member, shortOf string) {
 	l.Evicted.Add(1)
 	s, held := m.state()
-	logline.InfoSampled("caller_evicted", "caller", m.socket.RemoteAddr(), "short_of", shortOf, "stage", s, "body_bytes", held, "connections", len(l.members))
+	logline.InfoSampled("caller_evicted", "caller", m.socket.RemoteAddr(), "short_of", shortOf, "stage", s, "body_bytes", held, "connections", l.openLocked())
 }
 
-// removeLocked forgets a connection and ends its charges. The caller holds l.mu.
-func (l *Limiter) removeLocked(m *Member) {
+// remove forgets a connection that is closed and ends its charges.
+func (l *Limiter) remove(m *Member) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if _, ok := l.members[m]; !ok {
 		return
 	}
 	delete(l.members, m)
-	l.Memory.Return(membudget.Connections, m.end())
+	charged, aborted := m.end()
+	if aborted {
+		l.aborted--
+	}
+	l.Memory.Return(membudget.Connections, charged)
 }
 
-func (l *Limiter) remove(m *Member) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.removeLocked(m)
-}
+const (
+	// roomTimeout bounds the wait for memory: of an evicted caller, or of a request that ends.
+	roomTimeout = 500 * time.Millisecond
+	// roomInterval is the longest time until callers to evict are looked for again.
+	roomInterval = 100 * time.Millisecond
+)
 
-// takeHead charges bytes of a head. Connections whose heads take memory and that have sent less give
-// way.
+// takeHead charges bytes of a head. Connections whose heads take memory and that rank lower are
+// closed. It returns false if there is still no room after a while.
 func (l *Limiter) takeHead(m *Member, n int64) bool {
-	for !l.Memory.Take(membudget.Connections, n) {
-		l.mu.Lock()
-		victim := l.leastLocked(m, n, (*Member).holdsHead)
-		if victim != nil {
-			l.recordEvictionLocked(victim, "memory")
-			l.removeLocked(victim)
-		}
-		l.mu.Unlock()
-		if victim == nil {
-			return false
-		}
-		victim.socket.Abort()
-	}
-	return true
+	take := func() bool { return l.Memory.Take(membudget.Connections, n) }
+	return l.awaitRoom(m, n, (*Member).holdsHead, take, func(victim *Member) { l.abortLocked(victim, "memory") })
 }
 
-// bodyRoomTimeout bounds the wait for memory: of an evicted caller, or of a request that ends.
-const bodyRoomTimeout = 500 * time.Millisecond
-
-// bodyRoomInterval is the longest time until callers to evict are looked for again.
-const bodyRoomInterval = 100 * time.Millisecond
-
 // takeBody calls take, for n bytes of a request, until there is room. Requests whose bodies are
 // arriving and rank lower are evicted, for a large one only if they have stalled. It returns false if
 // there is still no room after a while.
 func (l *Limiter) takeBody(m *Member, n int64, large bool, take func() bool) bool {
+	may := (*Member).holdsBody
+	if large {
+		may = (*Member).stalls
+	}
+	return l.awaitRoom(m, n, may, take, func(victim *Member) {
+		l.recordEvictionLocked(victim, "memory")
+		victim.interrupt()
+	})
+}
+
+// awaitRoom calls take, for n bytes of m, until it succeeds or the time is over. It evicts members that
+// may be and rank lower, one after the other. evict is called with l.mu.
+func (l *Limiter) awaitRoom(m *Member, n int64, may func(*Member) bool, take func() bool, evict func(*Member)) bool {
 	if take() {
 		return true
 	}
 	m.setWaiting(true)
 	defer m.setWaiting(false)
-	may := (*Member).holdsBody
-	if large {
-		may = (*Member).stalls
-	}
-	for end := l.Now() + bodyRoomTimeout; ; {
+	for end := l.Now() + roomTimeout; ; {
 		l.mu.Lock()
 		if victim := l.leastLocked(m, n, may); victim != nil {
-			l.recordEvictionLocked(victim, "memory")
-			victim.interrupt()
+			evict(victim)
 		}
 		l.mu.Unlock()
 		left := end - l.Now()
-		if left <= 0 {
+		if left <= 0 || m.isEvicted() {
 			return false
 		}
-		l.Memory.awaitReturn(min(left, bodyRoomInterval))
+		l.Memory.awaitReturn(min(left, roomInterval))
 		if take() {
 			return true
 		}
--- a/internal/callerlimit/limiter_test.go
+++ b/internal/callerlimit/limiter_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -113,38 +114,52 @@
 }
 
 // Guards against heads, in few long lines or many short ones, that take more than the budget, and
-// against charges that outlast their connection.
+// against charges that outlast their connection or end before its goroutine does.
 func TestHeadsStayWithinBudget(t *testing.T) {
 	for name, line := range map[string]string{"long": strings.Repeat("x", 4000) + "\r\n", "short": "a:\r\n"} {
 		t.Run(name, func(t *testing.T) {
-			l := newTestLimiter(t, 96, 0)
-			for range 300 {
-				m, _ := l.connect()
-				if m == nil {
-					continue
-				}
-				for sent := 0; sent < 60<<10; sent += len(line) {
-					if m.Received([]byte(line)) != nil {
-						m.Closed()
-						break
+			is := is.New(t)
+			start := time.Now()
+			l := New(Options{Now: func() time.Duration { return time.Since(start) }, Memory: NewMemory(96 * megabyte)})
+			var callers sync.WaitGroup
+			for range 100 {
+				callers.Go(func() {
+					g, ok := l.accept(&fakeSocket{})
+					if !ok {
+						return
+					}
+					for sent := 0; sent < 60<<10 && g.Received([]byte(line)) == nil; sent += len(line) {
 					}
-				}
+					g.Closed()
+					g.Closed() // a connection may be closed more than once
+				})
 			}
+			callers.Wait()
 			use := l.Memory.Use()
-			l.is.True(use.Peak <= use.Total)
-			l.is.True(l.Evicted.Load() > 0 || l.Connections() < 300)
-			for len(l.members) > 0 {
-				for m := range l.members {
-					m.Closed()
-					m.Closed() // a connection may be closed more than once
-					break
-				}
-			}
-			l.is.Equal(l.Memory.Use().Used[membudget.Connections], int64(0))
+			is.True(use.Peak <= use.Total)
+			is.Equal(use.Used[membudget.Connections], int64(0))
+			is.Equal(l.Connections(), 0)
 		})
 	}
 }
 
+// Guards against memory that is given to others while the goroutine of an evicted connection still
+// holds it: it may be in the middle of a large head.
+func TestEvictedConnectionIsChargedUntilItsGoroutineEnds(t *testing.T) {
+	l := newTestLimiter(t, 96, 1)
+	evicted, socket := l.connect()
+	l.is.NoErr(evicted.Received([]byte(strings.Repeat("x", 20<<10))))
+	held := l.Memory.Use().Used[membudget.Connections]
+	m, _ := l.connect()
+	l.is.True(m != nil && socket.aborted)
+	l.is.Equal(l.Connections(), 1)
+	l.is.Equal(l.Memory.Use().Used[membudget.Connections], held+connectionBytes)
+	l.is.True(evicted.Received([]byte("x")) != nil)
+	evicted.Closed()
+	l.is.Equal(l.Memory.Use().Used[membudget.Connections], int64(connectionBytes))
+	l.is.Equal(l.Connections(), 1)
+}
+
 // Guards against a head that stays charged while its connection is idle.
 func TestHeadIsChargedUntilItsRequestEnds(t *testing.T) {
 	l := newTestLimiter(t, 96, 0)
--- a/internal/callerlimit/member.go
+++ b/internal/callerlimit/member.go
@@ -41,9 +41,9 @@
 	widened bool
 	// waiting is set while the body is not read because there is no room for it.
 	waiting bool
-	// interrupted is set once the request has given way.
-	interrupted bool
-	ended       bool
+	// interrupted is set once the request was evicted, aborted once the connection was.
+	interrupted, aborted bool
+	ended                bool
 }
 
 // FromContext returns the member whose connection a request came on, or nil.
@@ -56,6 +56,10 @@
 func (m *Member) Received(b []byte) error {
 	now := m.limiter.Now()
 	m.mu.Lock()
+	if m.aborted {
+		m.mu.Unlock()
+		return ErrMemoryFull
+	}
 	m.progress.add(now, len(b))
 	if m.stage == stageIdle {
 		m.stage = stageHead
@@ -111,12 +115,18 @@
 // Closed implements httpdrain.Guard.
 func (m *Member) Closed() { m.limiter.remove(m) }
 
-// end returns what the connection is charged, once.
-func (m *Member) end() int64 {
+// end returns what the connection is charged, once it has ended, and whether it was aborted.
+func (m *Member) end() (charged int64, aborted bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.ended = true
-	return m.charged
+	return m.charged, m.aborted
+}
+
+func (m *Member) setAborted() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.aborted = true
 }
 
 // score is the score of the connection if it held more bytes.
@@ -171,7 +181,7 @@
 func (m *Member) isEvicted() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.interrupted
+	return m.interrupted || m.aborted
 }
 
 // interrupt ends the reading of a body. Its request is refused.
--- a/internal/callerlimit/memory.go
+++ b/internal/callerlimit/memory.go
@@ -60,6 +60,16 @@
 	return m.budget.TakeLarge(c, n)
 }
 
+// charge charges bytes to a class in any case.
+func (m *Memory) charge(c membudget.Class, n int64) {
+	if m == nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.budget.Charge(c, n)
+}
+
 // Return ends a charge.
 func (m *Memory) Return(c membudget.Class, n int64) {
 	if m == nil || n == 0 {
--- a/internal/httpdrain/conn.go
+++ b/internal/httpdrain/conn.go
@@ -189,10 +189,11 @@
 	}
 }
 
-// Abort closes the connection at once. What its caller has sent is discarded.
+// Abort closes the connection at once. What its caller has sent is discarded. The HTTP server, whose
+// read fails, closes it once more when its goroutine ends.
 func (c *conn) Abort() {
 	_ = c.TCPConn.SetLinger(0) // on error the connection is closed already
-	_ = c.Close()
+	_ = c.TCPConn.Close()
 }
 
 // InterruptRead makes the read of a request that is arriving fail.
