callerlimit: what follows a head is not charged as one

What callers would see: where connections are short of memory, a request is closed whose body begins with many lines, 4 KB of them as 1.3 MB of headers.

Cause: the HTTP server reads the first part of a body together with the head, and both were counted.

Change: the count ends with the head. TestBodyBehindAHeadIsNotChargedAsOne failed before.

--- a/internal/callerlimit/doc.go
+++ b/internal/callerlimit/doc.go
@@ -3,9 +3,9 @@
 //
 // A Limiter counts the connections of one or more servers and charges them, with the heads and
 // bodies that they send, to a budget of memory. Nothing is charged before it has arrived: what a
-// caller announces takes no room. When room is short, the caller that has sent least lately gives
-// way: its body is refused, or its connection is closed. Requests that have arrived whole are never
-// among them.
+// caller announces takes no room. When room is short, the caller that has sent least lately for
+// the memory that it holds is evicted: its body is refused, or its connection is closed. A request
+// that has arrived whole is not.
 //
-// The choice is made by pure functions; the connections are those of package httpdrain.
+// Whom to evict is decided by pure functions; the connections are those of package httpdrain.
 package callerlimit
--- a/internal/callerlimit/limiter.go
+++ b/internal/callerlimit/limiter.go
@@ -1,6 +1,7 @@
 package callerlimit
 
 import (
+	"bytes"
 	"math"
 	"net/http"
 	"sync"
@@ -213,18 +214,13 @@
 	}
 }
 
-// headCost returns the memory that a part of a head takes.
+// headCost returns the memory that a part of a head takes. What follows the head is not part of it.
 func (l *Limiter) headCost(b []byte) int64 {
 	if l.Encrypted {
 		return int64(len(b)) * encryptedHeadFactor
 	}
-	lines := int64(0)
-	for _, x := range b {
-		if x == '\n' {
-			lines++
-		}
-	}
-	return int64(len(b))*headCopies + lines*headerLineBytes
+	head, _, _ := bytes.Cut(b, []byte("\r\n\r\n"))
+	return int64(len(head)*headCopies + bytes.Count(head, []byte{'\n'})*headerLineBytes)
 }
 
 var _ httpdrain.Guard = (*Member)(nil)
--- a/internal/callerlimit/limiter_test.go
+++ b/internal/callerlimit/limiter_test.go
@@ -180,6 +180,15 @@
 	l.is.True(l.headCost([]byte(strings.Repeat("x", 1000))) > 4*plain)
 }
 
+// Guards against a body that is charged as a head because both arrive together: its lines are no
+// headers.
+func TestBodyBehindAHeadIsNotChargedAsOne(t *testing.T) {
+	l := newTestLimiter(t, 96, 0)
+	m, _ := l.connect()
+	l.is.NoErr(m.Received([]byte("POST / HTTP/1.1\r\nHost: a\r\n\r\n" + strings.Repeat("\n", 3000))))
+	l.is.Equal(l.Memory.Use().Used[membudget.Connections], int64(connectionBytes))
+}
+
 func TestRankOrdersWhoGivesWay(t *testing.T) {
 	for name, c := range map[string]struct {
 		first, second struct {
--- a/internal/callerlimit/member.go
+++ b/internal/callerlimit/member.go
@@ -39,7 +39,7 @@
 	body int64
 	// widened is set while the receive buffer is that of a large body.
 	widened bool
-	// waiting is set while the body is not read because there is no room for it.
+	// waiting is set while nothing is read because there is no room for it.
 	waiting bool
 	// interrupted is set once the request was evicted, aborted once the connection was.
 	interrupted, aborted bool
