callerlimit: evicted connections take no room of new ones

What callers would see: a crowd with unended bodies at the metrics port, which connects again 6,000 times a second, has callers' connections refused at another port: none was open there, all were reset.

Cause: kept the whole charge of an evicted connection until its goroutine ends. net/http keeps one whose body was not read for half a second: some 3,000 of them took the memory of connections.

Change: only the head of an evicted connection stays charged: its goroutine ends as soon as it has parsed what it has. An evicted connection leaves the list at once. A server keeps up to 32 connections whatever others have taken of the memory that they share. The error responses of entry state their length: without it their end was sent with the end of their handler, after what is left of a refused body.

The test of the charge is exact as before, for the head alone; TestEvictedConnectionsTakeNoRoom and TestEachServerHasAFewConnections failed before.

--- a/internal/callerlimit/limiter.go
+++ b/internal/callerlimit/limiter.go
@@ -52,11 +52,9 @@
 	// Evicted counts the callers that were evicted, Refused the connections for which nobody could be.
 	Evicted, Refused atomic.Int64
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// members are the open connections.
 	members map[*Member]struct{}
-	// aborted is the number of members whose connections are closed and whose goroutines are not known
-	// to have ended.
-	aborted int
 }
 
 // New returns a Limiter.
@@ -75,11 +73,9 @@
 func (l *Limiter) Connections() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.openLocked()
+	return len(l.members)
 }
 
-func (l *Limiter) openLocked() int { return len(l.members) - l.aborted }
-
 // accept decides whether a new connection is kept. Another one is evicted for it if there is one
 // that may be.
 func (l *Limiter) accept(socket httpdrain.Socket) (httpdrain.Guard, bool) {
@@ -87,15 +83,18 @@
 	defer l.mu.Unlock()
 	if !l.takeConnectionLocked(l.MaxConnections) {
 		victim := l.leastLocked(nil, 0, func(*Member) bool { return true })
-		if victim == nil && !l.takeConnectionLocked(l.HardLimit) {
-			l.Refused.Add(1)
-			logline.InfoSampled("connection_refused", "caller", socket.RemoteAddr(), "connections", l.openLocked(), "limit", l.MaxConnections)
-			return nil, false
-		}
-		if victim != nil {
+		switch {
+		case victim != nil:
 			l.abortLocked(victim, "connections")
-			// The charge of the victim ends when its goroutine does.
+			// A head of the victim may still take what the connections have together.
+			l.Memory.charge(membudget.Connections, connectionBytes)
+		case l.isBelow(min(l.MaxConnections, minConnections)):
+			// Connections of other servers have taken the memory.
 			l.Memory.charge(membudget.Connections, connectionBytes)
+		case !l.takeConnectionLocked(l.HardLimit):
+			l.Refused.Add(1)
+			logline.InfoSampled("connection_refused", "caller", socket.RemoteAddr(), "connections", len(l.members), "limit", l.MaxConnections)
+			return nil, false
 		}
 	}
 	m := &Member{limiter: l, socket: socket, progress: newProgress(l.Now()), charged: connectionBytes}
@@ -104,12 +103,11 @@
 }
 
 func (l *Limiter) takeConnectionLocked(limit int) bool {
-	if limit > 0 && l.openLocked() >= limit {
-		return false
-	}
-	return l.Memory.Take(membudget.Connections, connectionBytes)
+	return (limit == 0 || l.isBelow(limit)) && l.Memory.Take(membudget.Connections, connectionBytes)
 }
 
+func (l *Limiter) isBelow(limit int) bool { return len(l.members) < limit }
+
 // leastLocked returns the connection to evict first among those that may be and rank below the
 // score of asker with n bytes more; nil if none does. A nil asker is a new connection, for which any may
 // be evicted. The caller holds l.mu.
@@ -130,12 +128,13 @@
 	return victim
 }
 
-// abortLocked closes a connection. What it is charged is returned once its goroutine has ended, which
-// may be in the middle of a head. The caller holds l.mu.
+// abortLocked closes a connection. What its head is charged is returned once its goroutine has ended,
+// which may be in the middle of the head. The caller holds l.mu.
 func (l *Limiter) abortLocked(m *Member, shortOf string) {
 	l.recordEvictionLocked(m, shortOf)
+	delete(l.members, m)
 	m.setAborted()
-	l.aborted++
+	l.Memory.Return(membudget.Connections, connectionBytes)
 	m.socket.Abort()
 }
 
@@ -143,22 +142,15 @@
 func (l *Limiter) recordEvictionLocked(m *Member, shortOf string) {
 	l.Evicted.Add(1)
 	s, held := m.state()
-	logline.InfoSampled("caller_evicted", "caller", m.socket.RemoteAddr(), "short_of", shortOf, "stage", s, "body_bytes", held, "connections", l.openLocked())
+	logline.InfoSampled("caller_evicted", "caller", m.socket.RemoteAddr(), "short_of", shortOf, "stage", s, "body_bytes", held, "connections", len(l.members))
 }
 
-// remove forgets a connection that is closed and ends its charges.
+// remove forgets a connection whose goroutine ends, and ends its charges. Further calls have no effect.
 func (l *Limiter) remove(m *Member) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if _, ok := l.members[m]; !ok {
-		return
-	}
 	delete(l.members, m)
-	charged, aborted := m.end()
-	if aborted {
-		l.aborted--
-	}
-	l.Memory.Return(membudget.Connections, charged)
+	l.Memory.Return(membudget.Connections, m.end())
 }
 
 const (
--- a/internal/callerlimit/member.go
+++ b/internal/callerlimit/member.go
@@ -79,7 +79,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.ended {
+	if m.ended || m.aborted {
 		m.limiter.Memory.Return(membudget.Connections, more)
 		return ErrMemoryFull
 	}
@@ -96,7 +96,7 @@
 		m.stage = stageBody
 	case state == http.StateIdle:
 		m.stage, m.progress, m.headCost, m.interrupted = stageIdle, newProgress(m.limiter.Now()), 0, false
-		if !m.ended {
+		if !m.ended && !m.aborted {
 			m.limiter.Memory.Return(membudget.Connections, m.charged-connectionBytes)
 			m.charged = connectionBytes
 		}
@@ -115,18 +115,23 @@
 // Closed implements httpdrain.Guard.
 func (m *Member) Closed() { m.limiter.remove(m) }
 
-// end returns what the connection is charged, once it has ended, and whether it was aborted.
-func (m *Member) end() (charged int64, aborted bool) {
+// end returns what the connection is still charged, once.
+func (m *Member) end() int64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.ended {
+		return 0
+	}
 	m.ended = true
-	return m.charged, m.aborted
+	return m.charged
 }
 
+// setAborted records that the connection is closed, so that only its head is still charged.
 func (m *Member) setAborted() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.aborted = true
+	m.charged -= connectionBytes
 }
 
 // score is the score of the connection if it held more bytes.
--- a/internal/openai/error.go
+++ b/internal/openai/error.go
@@ -100,8 +100,11 @@
 	if e.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatInt(ceilSeconds(e.RetryAfter), 10))
 	}
+	body := e.JSON()
+	// Without it, the response would end only with its handler.
+	h.Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(e.Status)
-	_, _ = w.Write(e.JSON())
+	_, _ = w.Write(body)
 }
 
 // ceilSeconds rounds up to whole seconds: a caller that retries too early is
