callerlimit: the goroutines of evicted connections end

Cause: a handler that answers without a look at the body (/metrics, ready) leaves more than 256 KiB announced and unread. net/http then waits for half a second before the goroutine of the connection ends, also if the connection was evicted meanwhile. Nothing is charged for it, so memory grew with the rate at which a crowd connects: 17,000 a second, half a second, some 10 KB each.

Change: the handler ends the goroutine (http.ErrAbortHandler) if the connection was evicted or its caller has closed its direction: nobody is left to wait for. The wait of net/http remains for callers of which more may come; those have lived for half a second as a charged connection.

TestEvictedConnectionsTakeNoRoom demanded that 10,000 evicted connections live on at no charge, which is this fault.

TestRefusalReachesHalfClosedCaller fails without the change (the connection is still counted).

--- a/internal/callerlimit/body.go
+++ b/internal/callerlimit/body.go
@@ -2,9 +2,12 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/mastictray/mastictray/internal/membudget"
 )
 
@@ -207,15 +210,19 @@
 	return control.SetReadDeadline(time.Time{}) == nil && m.finishBody()
 }
 
-// discardBody sends the response and reads what its caller still sends for a while.
-func discardBody(w http.ResponseWriter, r *http.Request) {
+// discardBody sends the response and reads what its caller still sends for a while. It returns false
+// if the caller has disconnected.
+func discardBody(w http.ResponseWriter, r *http.Request) bool {
 	control := http.NewResponseController(w)
 	// The deadline comes first: net/http may read the rest of the body before it sends a response.
 	if control.SetReadDeadline(time.Now().Add(refusedBodyTimeout)) != nil || control.Flush() != nil {
-		return // the caller has disconnected
+		return false
 	}
 	if r.Header.Get("Expect") != "" {
-		return // its caller waits for leave to send the body
+		return true // its caller waits for leave to send the body
 	}
-	_, _ = io.CopyN(io.Discard, r.Body, maxRefusedBytes)
+	_, err := io.CopyN(io.Discard, r.Body, maxRefusedBytes)
+	var netErr net.Error
+	disconnected := errors.As(err, &netErr) && !netErr.Timeout()
+	return !disconnected && !(r.ContentLength > 0 && errors.Is(err, io.ErrUnexpectedEOF))
 }
--- a/internal/callerlimit/limiter.go
+++ b/internal/callerlimit/limiter.go
@@ -52,6 +52,8 @@
 	// Evicted counts the callers that were evicted, Refused the connections for which nobody could be.
 	Evicted, Refused atomic.Int64
 
+	ending *ending
+
 	mu sync.Mutex
 	// members are the open connections.
 	members map[*Member]struct{}
@@ -60,7 +62,7 @@
 // New returns a Limiter.
 func New(o Options) *Limiter {
 	o.HardLimit = max(o.HardLimit, o.MaxConnections)
-	return &Limiter{Options: o, members: map[*Member]struct{}{}}
+	return &Limiter{Options: o, ending: newEnding(maxEnding), members: map[*Member]struct{}{}}
 }
 
 // Attach makes the Limiter bound the connections of a server that doesn't serve yet.
@@ -79,6 +81,11 @@
 // accept decides whether a new connection is kept. Another one is evicted for it if there is one
 // that may be.
 func (l *Limiter) accept(socket httpdrain.Socket) (httpdrain.Guard, bool) {
+	if !l.ending.await(endingTimeout) {
+		l.Refused.Add(1)
+		logline.InfoSampled("connection_refused", "caller", socket.RemoteAddr(), "ending", l.ending.limit)
+		return nil, false
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.takeConnectionLocked(l.MaxConnections) {
@@ -134,6 +141,7 @@
 	l.recordEvictionLocked(m, shortOf)
 	delete(l.members, m)
 	m.setAborted()
+	l.ending.add()
 	l.Memory.Return(membudget.Connections, connectionBytes)
 	m.socket.Abort()
 }
@@ -150,7 +158,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.members, m)
-	l.Memory.Return(membudget.Connections, m.end())
+	charged, evicted := m.end()
+	l.Memory.Return(membudget.Connections, charged)
+	if evicted {
+		l.ending.remove()
+	}
 }
 
 const (
@@ -223,8 +235,9 @@
 		m := FromContext(r.Context())
 		m.beginRequest(r)
 		next.ServeHTTP(w, r)
-		if m.endRequest() {
-			discardBody(w, r)
+		if m.endRequest() && (!discardBody(w, r) || m.isAborted()) {
+			// net/http would wait before it ends the goroutine.
+			panic(http.ErrAbortHandler)
 		}
 	})
 }
--- a/internal/callerlimit/limiter_test.go
+++ b/internal/callerlimit/limiter_test.go
@@ -164,14 +164,45 @@
 // of new ones: a crowd that connects again and again at one port would close the others.
 func TestEvictedConnectionsTakeNoRoom(t *testing.T) {
 	l := newTestLimiter(t, 96, 1)
-	for range 10_000 { // none of them has ended
+	var evicted []*Member
+	for range 10_000 {
 		m, _ := l.connect()
 		l.is.True(m != nil)
+		evicted = append(evicted, m)
+		if len(evicted) > maxEnding { // as many as may linger do, and the last one is open
+			evicted[0].Closed()
+			evicted = evicted[1:]
+		}
 	}
 	l.is.Equal(l.Memory.Use().Used[membudget.Connections], int64(connectionBytes))
 	l.is.Equal(l.Connections(), 1)
 }
 
+// Guards against a crowd that connects so often that the goroutines of evicted connections, which
+// nothing is charged for, take the memory.
+func TestNewConnectionsWaitForEvictedOnesToEnd(t *testing.T) {
+	l := newTestLimiter(t, 96, 1)
+	evicted, _ := l.connect()
+	for range maxEnding {
+		_, _ = l.connect()
+	}
+	l.is.Equal(l.Evicted.Load(), int64(maxEnding))
+	m, _ := l.connect() // none has ended in time
+	l.is.True(m == nil)
+	l.is.Equal(l.Refused.Load(), int64(1))
+
+	accepted := make(chan *Member)
+	go func() {
+		m, _ := l.connect()
+		accepted <- m
+	}()
+	evicted.Closed()
+	evicted.Closed() // net/http may close it again
+	l.is.True(<-accepted != nil)
+	m, _ = l.connect()
+	l.is.True(m == nil)
+}
+
 // Guards against a server whose callers are all refused because those of another one have taken the
 // memory of connections.
 func TestEachServerHasAFewConnections(t *testing.T) {
--- a/internal/callerlimit/member.go
+++ b/internal/callerlimit/member.go
@@ -115,15 +115,15 @@
 // Closed implements httpdrain.Guard.
 func (m *Member) Closed() { m.limiter.remove(m) }
 
-// end returns what the connection is still charged, once.
-func (m *Member) end() int64 {
+// end returns what the connection is still charged, and whether it was evicted, once.
+func (m *Member) end() (charged int64, evicted bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.ended {
-		return 0
+		return 0, false
 	}
 	m.ended = true
-	return m.charged
+	return m.charged, m.aborted
 }
 
 // setAborted records that the connection is closed, so that only its head is still charged.
@@ -189,6 +189,12 @@
 	return m.interrupted || m.aborted
 }
 
+func (m *Member) isAborted() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.aborted
+}
+
 // interrupt ends the reading of a body. Its request is refused.
 func (m *Member) interrupt() {
 	m.mu.Lock()
--- a/internal/callerlimit/server_test.go
+++ b/internal/callerlimit/server_test.go
@@ -22,8 +22,8 @@
 	waitTimeout = 20 * time.Second
 )
 
-// startServer starts a server that reads bodies, refuses those at /refuse without reading them, and
-// gives them the given time. It returns its address and its Limiter.
+// startServer starts a server that reads bodies, refuses those at /refuse without reading them, answers
+// at /unprepared like a handler that expects no bodies, and gives them the given time. It returns its address and its Limiter.
 func startServer(t *testing.T, bodyTimeout time.Duration, maxConnections int) (string, *Limiter) {
 	t.Helper()
 	start := time.Now()
@@ -32,9 +32,14 @@
 		status := http.StatusOK
 		charge := NewCharge(l.Memory, FromContext(r.Context()))
 		defer charge.Release()
-		if r.URL.Path == "/refuse" {
+		switch r.URL.Path {
+		case "/unprepared":
+			w.Header().Set("Content-Length", "0")
+			w.WriteHeader(status)
+			return
+		case "/refuse":
 			status = http.StatusUnauthorized
-		} else {
+		default:
 			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
 			switch _, err := charge.ReadBody(r, serverBodyLimit, 1); {
 			case errors.Is(err, ErrBodyTooLarge):
@@ -96,6 +101,34 @@
 	}
 }
 
+// Guards against a refusal that is lost to a caller which stops in the middle of its body and then
+// only reads, and against a goroutine that outlasts such a connection, for which nothing is charged.
+func TestRefusalReachesHalfClosedCaller(t *testing.T) {
+	sized, chunked := fmt.Sprintf("Content-Length: %d\r\n\r\nx", serverBodyLimit), "Transfer-Encoding: chunked\r\n\r\n2\r\nx"
+	for name, c := range map[string]struct{ path, framing, status string }{
+		"sized, refused":      {"/refuse", sized, "401"},
+		"chunked, refused":    {"/refuse", chunked, "401"},
+		"sized, unprepared":   {"/unprepared", sized, "200"},
+		"chunked, unprepared": {"/unprepared", chunked, "200"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address, l := startServer(t, waitTimeout, 0)
+			conn, err := net.Dial("tcp", address)
+			is.NoErr(err)
+			defer conn.Close()
+			_ = conn.SetDeadline(time.Now().Add(waitTimeout))
+			_, err = io.WriteString(conn, "POST "+c.path+" HTTP/1.1\r\nHost: a\r\n"+c.framing)
+			is.NoErr(err)
+			is.NoErr(conn.(*net.TCPConn).CloseWrite())
+			response, err := io.ReadAll(conn)
+			is.NoErr(err)
+			is.True(strings.HasPrefix(string(response), "HTTP/1.1 "+c.status))
+			is.Equal(l.Connections(), 0) // net/http would keep it for a while after it has closed its direction
+		})
+	}
+}
+
 // Guards against connections that a crowd holds with a part of a request each: a new caller is
 // served.
 func TestNewCallerIsServedBesideStalledOnes(t *testing.T) {
--- a/internal/crowd/scripts.go
+++ b/internal/crowd/scripts.go
@@ -131,6 +131,19 @@
 	}
 }
 
+// HalfClosed returns a script that sends a part of a request, ends its direction of the connection and
+// waits until the process closes the other.
+func HalfClosed(part string) Script {
+	return func(c net.Conn, _ <-chan struct{}) {
+		if _, err := io.WriteString(c, part); err != nil {
+			return
+		}
+		if tcp, ok := c.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
+			awaitClose(c)
+		}
+	}
+}
+
 // Whole returns a script that sends a whole request and reads the response.
 func Whole(request string) Script {
 	return func(c net.Conn, _ <-chan struct{}) {
