callerlimit: refused bodies are read at a bounded rate

What callers saw, in a trial at the default limits of entry (1,024 MB, 20,000 descriptors; 8,000 callers whose bodies are chunks of one byte): no ordinary request was answered in 40 s beside the crowd.

Cause: what a refused caller still sends is read for half a second, so that it does not lose its response. Thousands of callers that go on sending took all processors with that.

Evidence: processor profile of entry0 over 8 s: discardBody 45 of 54 s.

Change: all refused bodies of a server together are read at 64 MB a second, counted as they arrive, not as decoded. A caller for which no rate is left is not read further and closed at the same time as before, or when it is evicted.

TestRefusedBodiesAreReadSlowly fails without the change.

--- a/internal/callerlimit/body.go
+++ b/internal/callerlimit/body.go
@@ -1,12 +1,14 @@
 package callerlimit
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/time/rate"
 
 	"github.com/mastictray/mastictray/internal/membudget"
 )
@@ -179,6 +181,9 @@
 	// response would lose that to a reset of the connection.
 	refusedBodyTimeout = 500 * time.Millisecond
 	maxRefusedBytes    = 8 << 20
+	// discardBytesPerSecond bounds what is read of all refused bodies of a server. Callers that go on
+	// sending would otherwise take all processors, most of all with chunks of one byte.
+	discardBytesPerSecond = 64 << 20
 	// shortBodyBytes is the size of a body that has usually arrived with the head of its request,
 	// and shortBodyTimeout bounds the wait for it.
 	shortBodyBytes   = 4 << 10
@@ -212,17 +217,42 @@
 
 // discardBody sends the response and reads what its caller still sends for a while. It returns false
 // if the caller has disconnected.
-func discardBody(w http.ResponseWriter, r *http.Request) bool {
+func (l *Limiter) discardBody(m *Member, w http.ResponseWriter, r *http.Request) bool {
 	control := http.NewResponseController(w)
+	end := time.Now().Add(refusedBodyTimeout)
 	// The deadline comes first: net/http may read the rest of the body before it sends a response.
-	if control.SetReadDeadline(time.Now().Add(refusedBodyTimeout)) != nil || control.Flush() != nil {
+	if control.SetReadDeadline(end) != nil || control.Flush() != nil {
 		return false
 	}
 	if r.Header.Get("Expect") != "" {
 		return true // its caller waits for leave to send the body
 	}
-	_, err := io.CopyN(io.Discard, r.Body, maxRefusedBytes)
+	ctx, cancel := context.WithDeadline(r.Context(), end)
+	defer cancel()
+	m.callOnAbort(cancel)
+	defer m.callOnAbort(nil)
+	_, err := io.CopyN(io.Discard, &pacedReader{r.Body, ctx, l.discarded, m}, maxRefusedBytes)
 	var netErr net.Error
 	disconnected := errors.As(err, &netErr) && !netErr.Timeout()
 	return !disconnected && !(r.ContentLength > 0 && errors.Is(err, io.ErrUnexpectedEOF))
 }
+
+// pacedReader reads a body no faster than a rate that it shares with others. What counts are the bytes
+// that arrive: chunks of one byte are six times as large.
+type pacedReader struct {
+	body   io.Reader
+	ctx    context.Context
+	rate   *rate.Limiter
+	member *Member
+}
+
+// Read implements io.Reader.
+func (p *pacedReader) Read(b []byte) (int, error) {
+	before := p.member.bytesReceived()
+	n, err := p.body.Read(b)
+	if err != nil || p.rate.WaitN(p.ctx, int(p.member.bytesReceived()-before)) == nil {
+		return n, err
+	}
+	<-p.ctx.Done() // what is left stays unread
+	return n, p.ctx.Err()
+}
--- a/internal/callerlimit/limiter.go
+++ b/internal/callerlimit/limiter.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/mastictray/mastictray/internal/httpdrain"
 	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/membudget"
@@ -53,6 +55,8 @@
 	Evicted, Refused atomic.Int64
 
 	ending *ending
+	// discarded paces the reading of refused bodies.
+	discarded *rate.Limiter
 
 	mu sync.Mutex
 	// members are the open connections.
@@ -62,7 +66,10 @@
 // New returns a Limiter.
 func New(o Options) *Limiter {
 	o.HardLimit = max(o.HardLimit, o.MaxConnections)
-	return &Limiter{Options: o, ending: newEnding(maxEnding), members: map[*Member]struct{}{}}
+	return &Limiter{
+		Options: o, ending: newEnding(maxEnding), members: map[*Member]struct{}{},
+		discarded: rate.NewLimiter(discardBytesPerSecond, maxRefusedBytes),
+	}
 }
 
 // Attach makes the Limiter bound the connections of a server that doesn't serve yet.
@@ -251,7 +258,7 @@
 		m := FromContext(r.Context())
 		m.beginRequest(r)
 		next.ServeHTTP(w, r)
-		if m.endRequest() && (!discardBody(w, r) || m.isAborted()) {
+		if m.endRequest() && (!l.discardBody(m, w, r) || m.isAborted()) {
 			// net/http would wait before it ends the goroutine.
 			panic(http.ErrAbortHandler)
 		}
--- a/internal/callerlimit/limiter_test.go
+++ b/internal/callerlimit/limiter_test.go
@@ -203,6 +203,22 @@
 	l.is.True(m == nil)
 }
 
+// Guards against the goroutine of an evicted connection that waits on.
+func TestAbortEndsTheWaitOfAConnection(t *testing.T) {
+	l := newTestLimiter(t, 0, 1)
+	before, _ := l.connect()
+	calls := 0
+	before.callOnAbort(func() { calls++ })
+	after, _ := l.connect()
+	l.is.Equal(calls, 1)
+	before.callOnAbort(func() { calls++ }) // it is aborted already
+	l.is.Equal(calls, 2)
+	after.callOnAbort(func() { calls++ })
+	after.callOnAbort(nil)
+	_, _ = l.connect()
+	l.is.Equal(calls, 2)
+}
+
 // Guards against an eviction whose work grows with the number of connections. All others wait for it.
 func TestEvictionConsidersFewConnections(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/internal/callerlimit/member.go
+++ b/internal/callerlimit/member.go
@@ -32,6 +32,8 @@
 	mu       sync.Mutex
 	stage    stage
 	progress progress
+	// received is the number of bytes read since the connection was accepted.
+	received int64
 	// headCost is what the head of the present request takes, charged what the connection is
 	// charged in all.
 	headCost, charged int64
@@ -44,6 +46,8 @@
 	// interrupted is set once the request was evicted, aborted once the connection was.
 	interrupted, aborted bool
 	ended                bool
+	// onAbort, if set, is called when the connection is aborted.
+	onAbort func()
 }
 
 // FromContext returns the member whose connection a request came on, or nil.
@@ -61,6 +65,7 @@
 		return ErrMemoryFull
 	}
 	m.progress.add(now, len(b))
+	m.received += int64(len(b))
 	if m.stage == stageIdle {
 		m.stage = stageHead
 	}
@@ -132,6 +137,19 @@
 	defer m.mu.Unlock()
 	m.aborted = true
 	m.charged -= connectionBytes
+	if m.onAbort != nil {
+		m.onAbort()
+	}
+}
+
+// callOnAbort has f called once the connection is aborted, or now if it is. A nil f ends that.
+func (m *Member) callOnAbort(f func()) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.onAbort = f
+	if m.aborted && f != nil {
+		f()
+	}
 }
 
 // score is the score of the connection if it held more bytes.
@@ -192,6 +210,12 @@
 	return m.interrupted || m.aborted
 }
 
+func (m *Member) bytesReceived() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.received
+}
+
 func (m *Member) isAborted() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/callerlimit/server_test.go
+++ b/internal/callerlimit/server_test.go
@@ -129,6 +129,25 @@
 	}
 }
 
+// Guards against refused callers that go on sending and take all processors.
+func TestRefusedBodiesAreReadSlowly(t *testing.T) {
+	is := is.New(t)
+	address, l := startServer(t, waitTimeout, 0)
+	const allowed = 64 << 10
+	l.discarded.SetLimit(0)
+	l.discarded.SetBurst(allowed)
+	for range 3 {
+		conn, err := net.Dial("tcp", address)
+		is.NoErr(err)
+		defer conn.Close()
+		_ = conn.SetDeadline(time.Now().Add(waitTimeout))
+		_, err = io.WriteString(conn, fmt.Sprintf("POST /refuse HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", maxRefusedBytes))
+		is.NoErr(err)
+		_, err = conn.Write(make([]byte, maxRefusedBytes))
+		is.True(err != nil) // the connection ends with most of the body unread
+	}
+}
+
 // Guards against connections that a crowd holds with a part of a request each: a new caller is
 // served.
 func TestNewCallerIsServedBesideStalledOnes(t *testing.T) {
