callerlimit: a new connection looks further for one to evict

Found on reading the bound of 256 connections once more: if nearly all wait for their answers, say 1,745 of 1,755, the 10 that are idle are all missed by one new connection of five, which is then reset or refused. It looks at 4,096 now, more than a gateway holds and 0.2 ms of work at most; bodies and heads that wait for room, which look again and again, keep 256.

--- a/internal/callerlimit/limiter.go
+++ b/internal/callerlimit/limiter.go
@@ -123,10 +123,12 @@
 func (l *Limiter) isBelow(limit int) bool { return len(l.members) < limit }
 
 const (
-	// maxConsidered is the number of connections among which the one to evict is chosen, maxSeen that of
-	// connections in which those are looked for. Both bound the work of an eviction.
+	// maxConsidered is the number of connections among which the one to evict is chosen.
 	maxConsidered = 64
+	// maxSeen is the number of connections among which those are looked for, maxSeenForNew the same for a
+	// new connection: if nearly all wait for answers, it is refused unless one is found that does not.
 	maxSeen       = 256
+	maxSeenForNew = 4096
 )
 
 // leastLocked returns the connection to evict first among those that may be and rank below the
@@ -134,13 +136,13 @@
 // be evicted. Of many connections a random part is considered. The caller holds l.mu.
 func (l *Limiter) leastLocked(asker *Member, n int64, may func(*Member, time.Duration) bool) (victim *Member) {
 	now := l.Now()
-	least := math.Inf(1)
+	least, seenLimit := math.Inf(1), maxSeenForNew
 	if asker != nil {
-		least = asker.score(now, n)
+		least, seenLimit = asker.score(now, n), maxSeen
 	}
 	seen, considered := 0, 0
 	for m := range l.members { // in random order
-		if seen++; seen > maxSeen || considered == maxConsidered {
+		if seen++; seen > seenLimit || considered == maxConsidered {
 			break
 		}
 		if m == asker || !may(m, now) {
