crowd: both request paths meet the same crowds

The tables of platform/crowds and internal/wholepath were two copies that had grown apart. internal/crowd holds one now: crowds, sizes and names as in platform/crowds, bounds as before. entry meets five more (half in pieces, whole in chunks, small ones announced, a byte each half second, many headers within the limit) and its admin port the half-closed one.

--- a/internal/wholepath/crowds_test.go
+++ b/internal/wholepath/crowds_test.go
@@ -18,10 +18,7 @@
 	crowdMemoryMB    = 128
 	crowdDescriptors = 1024
 	crowdMaxBody     = 1 << 20
-	crowdFarAbove    = 1 << 30
-	// bodyCallers send bodies, headCallers only heads or a few bytes of a body.
-	bodyCallers, headCallers, endlessCallers = 300, 1324, 100
-	crowdStay                                = 3 * time.Second
+	crowdStay        = 3 * time.Second
 )
 
 // crowdFleet is a fleet whose instance entry0 meets crowds.
@@ -120,42 +117,15 @@
 	}
 }
 
-// crowdCase is a crowd of callers that send requests to a route.
-type crowdCase struct {
-	name    string
-	callers int
-	script  func(crowd.Head) crowd.Script
-}
-
-func sendBody(b crowd.Body) func(crowd.Head) crowd.Script {
-	return func(h crowd.Head) crowd.Script { return crowd.Send(h, b) }
-}
-
-var bodyCrowds = []crowdCase{
-	{"sized/one_byte_short", bodyCallers, sendBody(crowd.Body{Announced: crowdMaxBody, Sent: crowdMaxBody - 1, Piece: 64 << 10})},
-	{"sized/whole", bodyCallers, sendBody(crowd.Body{Announced: crowdMaxBody, Sent: crowdMaxBody, Piece: 64 << 10})},
-	{"sized/in_pieces_one_byte_short", bodyCallers, sendBody(crowd.Body{Announced: crowdMaxBody, Sent: crowdMaxBody - 1, Piece: 32 << 10, Pause: 20 * time.Millisecond})},
-	{"chunked/64_KiB_without_end", bodyCallers, sendBody(crowd.Body{Announced: -1, Sent: crowdMaxBody - 1, Piece: 64 << 10})},
-	{"chunked/bytes_without_end", bodyCallers, func(h crowd.Head) crowd.Script { return crowd.ChunksOfOneByte(h, 256<<10) }},
-	{"far_above_limit/announced", endlessCallers, sendBody(crowd.Body{Announced: crowdFarAbove, Sent: crowdFarAbove, Piece: 64 << 10})},
-	{"far_above_limit/chunked", endlessCallers, sendBody(crowd.Body{Announced: -1, Sent: -1, Piece: 64 << 10})},
-	{"announced_only", bodyCallers, sendBody(crowd.Body{Announced: crowdMaxBody})},
-	{"slow/byte_of_small_body", headCallers, sendBody(crowd.Body{Announced: 1000, Sent: 1, Piece: 1})},
-	{"many_headers", bodyCallers, func(h crowd.Head) crowd.Script {
-		return crowd.Send(func(framing string) string { return h(crowd.ManyHeaders(60<<10) + framing) }, crowd.Body{Announced: 1000, Sent: 999, Piece: 999})
-	}},
-	{"pipelined/responses_unread", bodyCallers, func(h crowd.Head) crowd.Script {
-		return crowd.Unread(h("Content-Length: 4\r\n") + "body")
-	}},
-}
+var bodyCrowds = crowd.WithBodies(crowdMaxBody)
 
 // Guards against callers whose bodies end the process, or keep others out.
 func TestCrowdsWithBodies(t *testing.T) {
 	for _, path := range []string{chatRoute, bookingRoute} {
 		for _, c := range bodyCrowds {
-			t.Run(path[strings.LastIndexByte(path, '/')+1:]+"/"+c.name, func(t *testing.T) {
+			t.Run(path[strings.LastIndexByte(path, '/')+1:]+"/"+c.Name, func(t *testing.T) {
 				f := newCrowdFleet(t)
-				f.withstand(c.callers, f.dial, c.script(f.officeHead(path)))
+				f.withstand(c.Callers, f.dial, c.Script(f.officeHead(path)))
 			})
 		}
 	}
@@ -166,7 +136,7 @@
 	f := newCrowdFleet(t)
 	start, end := `{"model":"m","messages":[`, `{"role":"user","content":"x"}]}`
 	messages := strings.Repeat(`{},`, (crowdMaxBody-len(start)-len(end))/3)
-	f.withstand(bodyCallers, f.dial, crowd.Whole(f.request(chatRoute, start+messages+end)))
+	f.withstand(crowd.BodyCallers, f.dial, crowd.Whole(f.request(chatRoute, start+messages+end)))
 }
 
 // Guards against callers without a valid key whose bodies, which nobody reads, fill the memory or
@@ -174,7 +144,7 @@
 func TestCrowdsThatAreRefused(t *testing.T) {
 	body := crowd.Body{Announced: crowdMaxBody, Sent: crowdMaxBody, Piece: 64 << 10}
 	f := newCrowdFleet(t)
-	f.withstand(bodyCallers, f.dial, crowd.Send(f.head(chatRoute, "key-unknown"), body))
+	f.withstand(crowd.BodyCallers, f.dial, crowd.Send(f.head(chatRoute, "key-unknown"), body))
 }
 
 // Guards against heads that don't end and take memory or places, in few long lines or many short
@@ -189,7 +159,7 @@
 	}
 	t.Run("nothing", func(t *testing.T) {
 		f := newCrowdFleet(t)
-		f.withstand(headCallers, f.dial, crowd.UnendedHead("", 0, 0))
+		f.withstand(crowd.HeadCallers, f.dial, crowd.UnendedHead("", 0, 0))
 	})
 }
 
@@ -203,9 +173,11 @@
 		callers int
 		script  crowd.Script
 	}{
-		"unended_heads":  {headCallers, crowd.UnendedHead("GET /metrics HTTP/1.1\r\nHost: a\r\n", 60<<10, 0)},
-		"unended_bodies": {headCallers, crowd.Send(head, crowd.Body{Announced: crowdMaxBody, Sent: 1, Piece: 1})},
-		"large_bodies":   {endlessCallers, crowd.Send(head, crowd.Body{Announced: -1, Sent: -1, Piece: 64 << 10})},
+		"unended_heads":  {crowd.HeadCallers, crowd.UnendedHead("GET /metrics HTTP/1.1\r\nHost: a\r\n", 60<<10, 0)},
+		"unended_bodies": {crowd.HeadCallers, crowd.Send(head, crowd.Body{Announced: crowdMaxBody, Sent: 1, Piece: 1})},
+		// net/http waits before it closes the connections of these.
+		"half_closed":  {crowd.HeadCallers, crowd.HalfClosed(head(fmt.Sprintf("Content-Length: %d\r\n", crowdMaxBody)))},
+		"large_bodies": {crowd.EndlessCallers, crowd.Send(head, crowd.Body{Announced: -1, Sent: -1, Piece: 64 << 10})},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newCrowdFleet(t)
@@ -233,9 +205,9 @@
 		return f
 	}
 	for _, c := range bodyCrowds[:1] {
-		t.Run(c.name, func(t *testing.T) {
+		t.Run(c.Name, func(t *testing.T) {
 			f := start(t)
-			f.withstand(c.callers, f.dial, c.script(f.officeHead(bookingRoute)))
+			f.withstand(c.Callers, f.dial, c.Script(f.officeHead(bookingRoute)))
 		})
 	}
 	t.Run("unended_heads", func(t *testing.T) {
@@ -244,7 +216,7 @@
 	})
 	t.Run("http2", func(t *testing.T) {
 		f := start(t)
-		f.withstand(bodyCallers/10, f.dial, http2Uploads(f.addressOf("entry0"), f.keys["office"]))
+		f.withstand(crowd.BodyCallers/10, f.dial, http2Uploads(f.addressOf("entry0"), f.keys["office"]))
 	})
 }
 
@@ -290,7 +262,7 @@
 		body   crowd.Body
 		status string
 	}{
-		"announced_far_above_limit": {crowd.Body{Announced: crowdFarAbove, Sent: 1, Piece: 1}, "413"},
+		"announced_far_above_limit": {crowd.Body{Announced: crowd.FarAbove, Sent: 1, Piece: 1}, "413"},
 		"chunked_above_limit":       {crowd.Body{Announced: -1, Sent: 2 * crowdMaxBody, Piece: 64 << 10}, "413"},
 		"stalled":                   {crowd.Body{Announced: 2000, Sent: 1000, Piece: 1000}, "408"},
 		"stalled_chunked":           {crowd.Body{Announced: -1, Sent: 1000, Piece: 1000}, "408"},
