--- a/internal/wholepath/fleet_test.go
+++ b/internal/wholepath/fleet_test.go
@@ -17,6 +17,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mastictray/mastictray/internal/keys"
+	"github.com/mastictray/mastictray/internal/testbinary"
 )
 
 // waitTimeout limits every wait for a condition. It is much longer than any condition
@@ -26,22 +27,7 @@
 var binaryDir string
 
 func TestMain(m *testing.M) {
-	os.Exit(run(m))
-}
-
-func run(m *testing.M) int {
-	dir, err := os.MkdirTemp("", "wholepath")
-	if err != nil {
-		panic(err)
-	}
-	defer os.RemoveAll(dir)
-	binaryDir = dir
-	build := exec.Command("go", "build", "-o", dir, "../../cmd/mastictray", "../../cmd/mastictray-entry", "../../cmd/mastictray-standin")
-	if out, err := build.CombinedOutput(); err != nil {
-		fmt.Fprintln(os.Stderr, string(out))
-		return 1
-	}
-	return m.Run()
+	os.Exit(testbinary.Main(m, func(dir string) { binaryDir = dir }, "../../cmd/mastictray", "../../cmd/mastictray-entry", "../../cmd/mastictray-standin"))
 }
 
 // process is one process of the fleet. It can be restarted.
