entry: the limit of connections is kept in one place

callerServer kept a copy of the limiter's MaxConnections. No change of behaviour. make lint; internal/entry with the race detector; wholepath: pass.

--- a/internal/entry/callerserver.go
+++ b/internal/entry/callerserver.go
@@ -25,13 +25,11 @@
 type callerServer struct {
 	http  *httpdrain.Server
 	limit *callerlimit.Limiter
-	// maxConns is the number of connections above which requests are refused.
-	maxConns int
 }
 
 func newCallerServer(s *settings.Settings, clock clock, memory *callerlimit.Memory, h http.Handler, tlsConfig *tls.Config) *callerServer {
 	descriptors := callerlimit.ConnectionsFor(0)
-	c := &callerServer{maxConns: min(s.MaxConnections, descriptors)}
+	c := &callerServer{}
 	c.http = httpdrain.New(&http.Server{
 		Handler:           h,
 		TLSConfig:         tlsConfig,
@@ -44,7 +42,7 @@
 	})
 	c.http.SendTimeout = callerSendTimeout
 	c.limit = callerlimit.New(callerlimit.Options{
-		Now: clock.now, Memory: memory, MaxConnections: c.maxConns, HardLimit: descriptors, Encrypted: tlsConfig != nil,
+		Now: clock.now, Memory: memory, MaxConnections: min(s.MaxConnections, descriptors), HardLimit: descriptors, Encrypted: tlsConfig != nil,
 	})
 	c.limit.Attach(c.http)
 	return c
@@ -61,7 +59,9 @@
 // connections are open. Excess connections for which no other caller can be evicted are accepted and
 // their requests refused with an error response, so that the caller learns the reason; a reset
 // connection would not show it.
-func (c *callerServer) overConnectionLimit() bool { return c.limit.Connections() > c.maxConns }
+func (c *callerServer) overConnectionLimit() bool {
+	return c.limit.Connections() > c.limit.MaxConnections
+}
 
 func (c *callerServer) serve(l net.Listener) error { return c.http.Serve(l) }
 
