httpdrain: one function resets a connection

conn.Abort and the refusal of a new connection were the same two calls. No change of behaviour. internal/httpdrain and internal/callerlimit with the race detector, platform/crowds: pass.

--- a/internal/httpdrain/conn.go
+++ b/internal/httpdrain/conn.go
@@ -189,12 +189,9 @@
 	}
 }
 
-// Abort closes the connection at once. What its caller has sent is discarded. The HTTP server, whose
-// read fails, closes it once more when its goroutine ends.
-func (c *conn) Abort() {
-	_ = c.TCPConn.SetLinger(0) // on error the connection is closed already
-	_ = c.TCPConn.Close()
-}
+// Abort closes the connection at once. The HTTP server, whose read fails, closes it once more when
+// its goroutine ends.
+func (c *conn) Abort() { reset(c.TCPConn) }
 
 // InterruptRead makes the read of a request that is arriving fail.
 func (c *conn) InterruptRead() { _ = c.SetReadDeadline(interruptDeadline) }
--- a/internal/httpdrain/listener.go
+++ b/internal/httpdrain/listener.go
@@ -26,7 +26,7 @@
 			return accepted, nil
 		}
 		if l.server.Admit != nil && !l.server.Admit() {
-			refuse(tcp)
+			reset(tcp)
 			continue
 		}
 		c, err := newConn(tcp, l.server.remove)
@@ -35,7 +35,7 @@
 			continue
 		}
 		if !l.server.guard(c) {
-			refuse(tcp)
+			reset(tcp)
 			continue
 		}
 		l.server.add(c)
@@ -46,8 +46,9 @@
 	}
 }
 
-// refuse resets a connection, so that its caller connects again at once.
-func refuse(c *net.TCPConn) {
+// reset closes a connection with a reset, so that its caller connects again at once. What the caller
+// has sent is discarded.
+func reset(c *net.TCPConn) {
 	_ = c.SetLinger(0) // the caller may have disconnected
 	_ = c.Close()
 }
