crowd: the checks of a process and its limit of descriptors in one place

platform/crowds and internal/wholepath had each a copy of the command with ulimit, of the connection that only sends, and of the checks after a crowd.

--- a/internal/crowd/scripts.go
+++ b/internal/crowd/scripts.go
@@ -153,5 +153,11 @@
 	}
 }
 
+// SendOnly is a connection whose responses somebody else reads.
+type SendOnly struct{ net.Conn }
+
+// Read implements net.Conn. It never returns.
+func (SendOnly) Read([]byte) (int, error) { select {} }
+
 // awaitClose discards what the process sends until it closes the connection.
 func awaitClose(c net.Conn) { _, _ = io.Copy(io.Discard, c) }
--- a/internal/wholepath/crowds_test.go
+++ b/internal/wholepath/crowds_test.go
@@ -13,12 +13,12 @@
 	"github.com/mastictray/mastictray/internal/crowd"
 )
 
-// The limits of an entry instance in these tests, which hold it to them.
+// crowdLimits are the limits of an entry instance in these tests, which hold it to them.
+var crowdLimits = crowd.Limits{MemoryMB: 128, Descriptors: 1024}
+
 const (
-	crowdMemoryMB    = 128
-	crowdDescriptors = 1024
-	crowdMaxBody     = 1 << 20
-	crowdStay        = 3 * time.Second
+	crowdMaxBody = 1 << 20
+	crowdStay    = 3 * time.Second
 )
 
 // crowdFleet is a fleet whose instance entry0 meets crowds.
@@ -32,8 +32,8 @@
 func newCrowdFleet(t *testing.T, flags ...string) *crowdFleet {
 	t.Helper()
 	f := newFleet(t, fleetSpec{
-		entries: 3, engines: 1, services: 1, alone: true, entryDescriptors: crowdDescriptors, entryFlags: flags,
-		entryEnv: []string{fmt.Sprintf("MASTICTRAY_MEMORY_MB=%d", crowdMemoryMB), fmt.Sprintf("MASTICTRAY_MAX_BODY_BYTES=%d", crowdMaxBody)},
+		entries: 3, engines: 1, services: 1, alone: true, entryLimits: &crowdLimits, entryFlags: flags,
+		entryEnv: []string{fmt.Sprintf("MASTICTRAY_MEMORY_MB=%d", crowdLimits.MemoryMB), fmt.Sprintf("MASTICTRAY_MAX_BODY_BYTES=%d", crowdMaxBody)},
 	})
 	return &crowdFleet{fleet: f, t: t, dial: crowd.Dial(f.addressOf("entry0"))}
 }
@@ -104,17 +104,7 @@
 	c.Stop()
 	f.servesAll("afterwards")
 	f.waitFor("entry0 is ready afterwards", func() bool { return f.isReady("entry0") })
-	memory, descriptors, err := watch.Stop()
-	f.t.Logf("connections=%d resident_kb=%d unread_kb=%d descriptors=%d", c.Connections.Load(), memory.Resident>>10, memory.Unread>>10, descriptors.Descriptors)
-	if err != nil || memory.Resident == 0 {
-		f.t.Errorf("the process has ended: %v", err)
-	}
-	if memory.Memory() > crowdMemoryMB<<20 {
-		f.t.Errorf("memory: %d kB, of these %d kB unread; %d MB allowed", memory.Memory()>>10, memory.Unread>>10, crowdMemoryMB)
-	}
-	if descriptors.Descriptors >= crowdDescriptors {
-		f.t.Errorf("descriptors: all %d in use", descriptors.Descriptors)
-	}
+	crowdLimits.Check(f.t, watch, c)
 }
 
 var bodyCrowds = crowd.WithBodies(crowdMaxBody)
@@ -273,7 +263,7 @@
 			f.must(err)
 			defer conn.Close()
 			_ = conn.SetReadDeadline(time.Now().Add(waitTimeout))
-			go crowd.Send(f.officeHead(bookingRoute), c.body)(silent{conn}, make(chan struct{}))
+			go crowd.Send(f.officeHead(bookingRoute), c.body)(crowd.SendOnly{Conn: conn}, make(chan struct{}))
 			line := make([]byte, len("HTTP/1.1 400"))
 			if _, err := io.ReadFull(conn, line); err != nil || string(line) != "HTTP/1.1 "+c.status {
 				t.Errorf("status line %q, %s wanted: %v", line, c.status, err)
@@ -282,12 +272,6 @@
 	}
 }
 
-// silent is a connection whose responses somebody else reads.
-type silent struct{ net.Conn }
-
-// Read implements net.Conn.
-func (silent) Read([]byte) (int, error) { select {} }
-
 // Guards against a large body inside the limits that is refused in calm.
 func TestLargestBodyIsServedInCalm(t *testing.T) {
 	f := newCrowdFleet(t)
--- a/internal/wholepath/fleet_test.go
+++ b/internal/wholepath/fleet_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastictray/mastictray/internal/crowd"
 	"github.com/mastictray/mastictray/internal/keys"
 	"github.com/mastictray/mastictray/internal/testbinary"
 )
@@ -37,9 +38,9 @@
 	args    []string
 	env     []string
 	logPath string
-	// descriptors limits the file descriptors of the process; 0 for no limit of its own.
-	descriptors int
-	cmd         *exec.Cmd
+	// limits are those of the process; nil for none of its own.
+	limits *crowd.Limits
+	cmd    *exec.Cmd
 }
 
 // fleet is a running deployment: the platform's stand-ins, targets and entry
@@ -68,10 +69,10 @@
 	accounts map[string][2]int
 	// logFlags are passed to the log service, entryFlags to every entry instance.
 	logFlags, entryFlags []string
-	// entryEnv is added to the environment of every entry instance, and entryDescriptors limits
-	// their file descriptors if it is not 0.
-	entryEnv         []string
-	entryDescriptors int
+	// entryEnv is added to the environment of every entry instance, and entryLimits are their limits;
+	// nil for none.
+	entryEnv    []string
+	entryLimits *crowd.Limits
 	// alone is set for tests that run apart from all others, which run in parallel.
 	alone bool
 }
@@ -161,7 +162,7 @@
 		"--peers", strings.Join(peers, ","), "--peer-secret-file", filepath.Join(f.dir, "secret"),
 		"--fleet-domains", strings.Join(f.domains, ","), "--mint-slots", "1", "--balancer-lag", "100ms",
 	}
-	f.run(&process{t: f.t, name: name, args: append(args, s.entryFlags...), env: s.entryEnv, descriptors: s.entryDescriptors})
+	f.run(&process{t: f.t, name: name, args: append(args, s.entryFlags...), env: s.entryEnv, limits: s.entryLimits})
 }
 
 // nextPort allocates ports below the kernel's ephemeral range: an outgoing connection
@@ -216,9 +217,8 @@
 	}
 	defer out.Close()
 	path := filepath.Join(binaryDir, p.args[0])
-	if p.descriptors > 0 {
-		limited := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, p.descriptors)
-		p.cmd = exec.Command("bash", append([]string{"-c", limited, path}, p.args[1:]...)...)
+	if p.limits != nil {
+		p.cmd = p.limits.Command(path, p.args[1:]...)
 	} else {
 		p.cmd = exec.Command(path, p.args[1:]...)
 	}
