crowds: failing tests of callers that read nothing, tests of odd requests

The watch of a process counted what is unread on its callers' ports only. It counts the receive and send buffers of all its connections now, those to targets too: the machine bears them, and what is received and not read counts towards the memory of an instance. All bounds stay as they were, so every crowd is held to more than before.

New crowds: 100 callers that ask for 16 MiB (entry: 8 MiB) and read nothing; half-closed requests, Expect, callers that leave after a whole request, long chunk extensions, trailers without end, large pipelined bodies.

--- a/cmd/mastictray-standin/main.go
+++ b/cmd/mastictray-standin/main.go
@@ -135,11 +135,14 @@
 
 type serviceCmd struct {
 	listen
-	Name string `default:"service" help:"Name of the service in each response."`
+	Name    string `default:"service" help:"Name of the service in each response."`
+	Padding int    `default:"0" help:"Bytes that each response has in addition."`
 }
 
 func (c *serviceCmd) Run() error {
-	return standin.Serve("service", c.Listen, service.New(c.Name).Handler())
+	s := service.New(c.Name)
+	s.Padding = c.Padding
+	return standin.Serve("service", c.Listen, s.Handler())
 }
 
 func millis(n int) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/internal/crowd/cases.go
+++ b/internal/crowd/cases.go
@@ -1,6 +1,10 @@
 package crowd
 
-import "time"
+import (
+	"fmt"
+	"strings"
+	"time"
+)
 
 // Case is a crowd of callers that send requests with the given head.
 type Case struct {
@@ -10,9 +14,9 @@
 }
 
 const (
-	// BodyCallers send bodies, HeadCallers only heads or a few bytes of a body, and EndlessCallers bodies
-	// far above any limit.
-	BodyCallers, HeadCallers, EndlessCallers = 300, 1324, 100
+	// BodyCallers send bodies, HeadCallers only heads or a few bytes of a body, EndlessCallers bodies
+	// far above any limit, and UnreadCallers read nothing.
+	BodyCallers, HeadCallers, EndlessCallers, UnreadCallers = 300, 1324, 100, 100
 	// FarAbove is the size of a body far above any limit, in bytes.
 	FarAbove = 1 << 30
 )
@@ -40,6 +44,27 @@
 	}
 }
 
+// WithOddRequests returns crowds whose requests are framed oddly, or whose callers leave before the
+// response, at a process with the given limit of bodies in bytes.
+func WithOddRequests(maxBody int64) []Case {
+	length := fmt.Sprintf("Content-Length: %d\r\n", maxBody)
+	const chunked = "Transfer-Encoding: chunked\r\n"
+	return []Case{
+		{"half_closed/nothing", HeadCallers, func(h Head) Script { return HalfClosed(h(length)) }},
+		{"half_closed/half", BodyCallers, func(h Head) Script { return HalfClosed(h(length) + strings.Repeat("x", int(maxBody/2))) }},
+		{"expect", HeadCallers, func(h Head) Script { return Whole(h("Expect: 100-continue\r\n" + length)) }},
+		{"left/body_whole", BodyCallers, func(h Head) Script { return Left(h, strings.Repeat("x", int(maxBody))) }},
+		{"left/small_body", HeadCallers, func(h Head) Script { return Left(h, "body") }},
+		{"chunked/long_extensions", BodyCallers, func(h Head) Script {
+			return Whole(h(chunked) + strings.Repeat("1;"+strings.Repeat("e", 3000)+"\r\nx\r\n", int(maxBody/3000)))
+		}},
+		{"chunked/trailers_without_end", BodyCallers, func(h Head) Script {
+			return Whole(h(chunked) + "1\r\nx\r\n0\r\n" + ManyHeaders(64<<10))
+		}},
+		{"pipelined/large_bodies", BodyCallers, func(h Head) Script { return Unread(h(length) + strings.Repeat("x", int(maxBody))) }},
+	}
+}
+
 func send(b Body) func(Head) Script {
 	return func(h Head) Script { return Send(h, b) }
 }
--- a/internal/crowd/process.go
+++ b/internal/crowd/process.go
@@ -22,12 +22,12 @@
 func (l Limits) Check(t testing.TB, w *Watch, c *Crowd) {
 	t.Helper()
 	memory, descriptors, err := w.Stop()
-	t.Logf("connections=%d resident_kb=%d unread_kb=%d descriptors=%d", c.Connections.Load(), memory.Resident>>10, memory.Unread>>10, descriptors.Descriptors)
+	t.Logf("connections=%d resident_kb=%d unread_kb=%d unsent_kb=%d descriptors=%d", c.Connections.Load(), memory.Resident>>10, memory.Unread>>10, memory.Unsent>>10, descriptors.Descriptors)
 	if err != nil || memory.Resident == 0 {
 		t.Errorf("the process has ended: %v", err)
 	}
 	if memory.Memory() > int64(l.MemoryMB)<<20 {
-		t.Errorf("memory: %d kB, of these %d kB unread; %d MB allowed", memory.Memory()>>10, memory.Unread>>10, l.MemoryMB)
+		t.Errorf("memory: %d kB, of these %d kB unread and %d kB unsent; %d MB allowed", memory.Memory()>>10, memory.Unread>>10, memory.Unsent>>10, l.MemoryMB)
 	}
 	if descriptors.Descriptors >= l.Descriptors {
 		t.Errorf("descriptors: all %d in use", descriptors.Descriptors)
--- a/internal/crowd/scripts.go
+++ b/internal/crowd/scripts.go
@@ -131,6 +131,15 @@
 	}
 }
 
+// SendOnce returns a script that sends one request and reads nothing until the crowd stops.
+func SendOnce(request func() string) Script {
+	return func(c net.Conn, stop <-chan struct{}) {
+		if _, err := io.WriteString(c, request()); err == nil {
+			<-stop
+		}
+	}
+}
+
 // HalfClosed returns a script that sends a part of a request, ends its direction of the connection and
 // waits until the process closes the other.
 func HalfClosed(part string) Script {
@@ -144,6 +153,19 @@
 	}
 }
 
+// Left returns a script that sends a whole request with the given body and resets the connection.
+func Left(head Head, body string) Script {
+	framing := fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	return func(c net.Conn, _ <-chan struct{}) {
+		if _, err := io.WriteString(c, head(framing)+body); err != nil {
+			return
+		}
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // the process may have closed the connection already
+		}
+	}
+}
+
 // Whole returns a script that sends a whole request and reads the response.
 func Whole(request string) Script {
 	return func(c net.Conn, _ <-chan struct{}) {
--- a/internal/crowd/usage.go
+++ b/internal/crowd/usage.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -12,14 +13,15 @@
 
 // Usage is what a process takes of its machine.
 type Usage struct {
-	// Resident is the memory of the process in bytes; Unread are the bytes that wait in the
-	// receive buffers of its listening ports.
-	Resident, Unread int64
-	Descriptors      int
+	// Resident is the memory of the process in bytes; Unread are the bytes that wait in the receive
+	// buffers of its connections and of those that wait to be accepted at its ports, Unsent those that
+	// wait in the send buffers.
+	Resident, Unread, Unsent int64
+	Descriptors              int
 }
 
 // Memory returns all memory in bytes that counts towards that of the machine.
-func (u Usage) Memory() int64 { return u.Resident + u.Unread }
+func (u Usage) Memory() int64 { return u.Resident + u.Unread + u.Unsent }
 
 const sampleInterval = 20 * time.Millisecond
 
@@ -88,40 +90,68 @@
 		pages, _ := strconv.ParseInt(fields[1], 10, 64)
 		u.Resident = pages * int64(os.Getpagesize())
 	}
-	open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+	sockets, descriptors, err := openSockets(pid)
 	if err != nil {
 		return u, err
 	}
-	u.Descriptors = len(open)
-	u.Unread, err = unreadBytes(ports)
+	u.Descriptors = descriptors
+	u.Unread, u.Unsent, err = queuedBytes(ports, sockets)
 	return u, err
 }
 
-// stateListen is the state of a listening socket, whose queue is counted in connections.
-const stateListen = "0A"
+// openSockets returns the inodes of the sockets of a process, and the number of its descriptors.
+func openSockets(pid int) (inodes map[string]bool, descriptors int, err error) {
+	dir := fmt.Sprintf("/proc/%d/fd", pid)
+	open, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, 0, err
+	}
+	inodes = make(map[string]bool, len(open))
+	for _, d := range open {
+		target, err := os.Readlink(filepath.Join(dir, d.Name()))
+		if err != nil {
+			continue // it has been closed
+		}
+		if inode, ok := strings.CutPrefix(target, "socket:["); ok {
+			inodes[strings.TrimSuffix(inode, "]")] = true
+		}
+	}
+	return inodes, len(open), nil
+}
 
-// unreadBytes returns the bytes that wait unread on connections accepted at the ports.
-func unreadBytes(ports map[string]bool) (int64, error) {
+// The fields of a line of /proc/net/tcp.
+const (
+	fieldLocal, fieldState, fieldQueues, fieldInode = 1, 3, 4, 9
+	// stateListen is the state of a listening socket, whose queue is counted in connections.
+	stateListen = "0A"
+)
+
+// queuedBytes returns the bytes that wait unread and unsent on the given sockets, and on connections
+// to the ports that are not accepted yet.
+func queuedBytes(ports, sockets map[string]bool) (unread, unsent int64, err error) {
 	f, err := os.Open("/proc/net/tcp")
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
 	defer f.Close()
-	sum := int64(0)
 	for s := bufio.NewScanner(f); s.Scan(); {
 		fields := strings.Fields(s.Text())
-		if len(fields) < 5 || fields[3] == stateListen {
+		if len(fields) <= fieldInode || fields[fieldState] == stateListen {
 			continue
 		}
-		local := fields[1]
-		if i := strings.LastIndexByte(local, ':'); i < 0 || !ports[local[i:]] {
+		local := fields[fieldLocal]
+		if i := strings.LastIndexByte(local, ':'); !sockets[fields[fieldInode]] && (i < 0 || !ports[local[i:]]) {
 			continue
 		}
-		_, received, _ := strings.Cut(fields[4], ":")
-		n, err := strconv.ParseInt(received, 16, 64)
-		if err == nil {
-			sum += n
-		}
+		sent, received, _ := strings.Cut(fields[fieldQueues], ":")
+		unsent += parseHex(sent)
+		unread += parseHex(received)
 	}
-	return sum, nil
+	return unread, unsent, nil
+}
+
+// parseHex returns 0 for what is no number.
+func parseHex(text string) int64 {
+	n, _ := strconv.ParseInt(text, 16, 64)
+	return n
 }
--- a/internal/standin/service/server.go
+++ b/internal/standin/service/server.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 
 	"github.com/mastictray/mastictray/internal/standin"
@@ -40,10 +41,14 @@
 	IdempotencyKey string `json:"idempotency_key"`
 	// BodySHA256 is the hex-encoded SHA-256 hash of the request body.
 	BodySHA256 string `json:"body_sha256"`
+	Padding    string `json:"padding,omitempty"`
 }
 
 // Server executes requests and records them.
 type Server struct {
+	// Padding, if set before use, is the number of bytes that each response has in addition.
+	Padding int
+
 	name   string
 	faults *standin.Faults
 	mu     sync.Mutex
@@ -120,5 +125,6 @@
 		RequestID:      run.RequestID,
 		IdempotencyKey: run.IdempotencyKey,
 		BodySHA256:     hex.EncodeToString(sum[:]),
+		Padding:        strings.Repeat("x", s.Padding),
 	}
 }
--- a/internal/wholepath/crowds_test.go
+++ b/internal/wholepath/crowds_test.go
@@ -27,15 +27,23 @@
 	t *testing.T
 	// dial connects to the callers' port of entry0.
 	dial func() (net.Conn, error)
+	// ordinary is the client account of ordinary requests.
+	ordinary string
 }
 
 func newCrowdFleet(t *testing.T, flags ...string) *crowdFleet {
 	t.Helper()
-	f := newFleet(t, fleetSpec{
-		entries: 3, engines: 1, services: 1, alone: true, entryLimits: &crowdLimits, entryFlags: flags,
-		entryEnv: []string{fmt.Sprintf("MASTICTRAY_MEMORY_MB=%d", crowdLimits.MemoryMB), fmt.Sprintf("MASTICTRAY_MAX_BODY_BYTES=%d", crowdMaxBody)},
-	})
-	return &crowdFleet{fleet: f, t: t, dial: crowd.Dial(f.addressOf("entry0"))}
+	return newCrowdFleetWith(t, fleetSpec{entryFlags: flags})
+}
+
+// newCrowdFleetWith is newCrowdFleet with targets as in a specification.
+func newCrowdFleetWith(t *testing.T, s fleetSpec) *crowdFleet {
+	t.Helper()
+	s.entries, s.engines, s.services, s.alone, s.entryLimits = 3, 1, 1, true, &crowdLimits
+	s.accounts = map[string][2]int{"office": {10_000_000, 10_000_000}, "counter": {10_000_000, 10_000_000}}
+	s.entryEnv = []string{fmt.Sprintf("MASTICTRAY_MEMORY_MB=%d", crowdLimits.MemoryMB), fmt.Sprintf("MASTICTRAY_MAX_BODY_BYTES=%d", crowdMaxBody)}
+	f := newFleet(t, s)
+	return &crowdFleet{fleet: f, t: t, dial: crowd.Dial(f.addressOf("entry0")), ordinary: "office"}
 }
 
 // Paths of the routes: to engines, and to a plain service whose requests run at most once.
@@ -72,7 +80,7 @@
 }
 
 func (f *crowdFleet) request(path, body string) string {
-	return f.head(path, f.keys["office"], "Connection: close\r\n")(fmt.Sprintf("Content-Length: %d\r\n", len(body))) + body
+	return f.head(path, f.keys[f.ordinary], "Connection: close\r\n")(fmt.Sprintf("Content-Length: %d\r\n", len(body))) + body
 }
 
 // servesAll waits until an ordinary request to each route has been answered.
@@ -121,6 +129,18 @@
 	}
 }
 
+// Guards against the same by requests that are framed oddly, or whose callers leave.
+func TestCrowdsWithOddRequests(t *testing.T) {
+	for _, path := range []string{chatRoute, bookingRoute} {
+		for _, c := range crowd.WithOddRequests(crowdMaxBody) {
+			t.Run(path[strings.LastIndexByte(path, '/')+1:]+"/"+c.Name, func(t *testing.T) {
+				f := newCrowdFleet(t)
+				f.withstand(c.Callers, f.dial, c.Script(f.officeHead(path)))
+			})
+		}
+	}
+}
+
 // Guards against a body of a legal size that takes many times its size once it is parsed.
 func TestCrowdWithManySmallMessages(t *testing.T) {
 	f := newCrowdFleet(t)
@@ -137,6 +157,28 @@
 	f.withstand(crowd.BodyCallers, f.dial, crowd.Send(f.head(chatRoute, "key-unknown"), body))
 }
 
+// Guards against callers that read nothing of long responses, which fill the memory and the buffers of
+// the kernel.
+func TestCrowdsThatReadNothing(t *testing.T) {
+	for name, c := range map[string]struct {
+		spec    fleetSpec
+		path    string
+		request string
+	}{
+		"streams":  {fleetSpec{engineFlags: []string{"--max-batch", "400", "--itl-ms", "1", "--decode-tps", "10000000"}}, chatRoute, chatBody("hello", 20000)},
+		"bookings": {fleetSpec{serviceFlags: []string{"--padding", fmt.Sprint(8 << 20)}}, bookingRoute, `{"seat":1}`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newCrowdFleetWith(t, c.spec)
+			f.ordinary = "counter"
+			head := f.officeHead(c.path)
+			f.withstand(crowd.UnreadCallers, f.dial, crowd.SendOnce(func() string {
+				return head(fmt.Sprintf("Content-Length: %d\r\n", len(c.request))) + c.request
+			}))
+		})
+	}
+}
+
 // Guards against heads that don't end and take memory or places, in few long lines or many short
 // ones.
 func TestCrowdsWithUnendedHeads(t *testing.T) {
--- a/internal/wholepath/fleet_test.go
+++ b/internal/wholepath/fleet_test.go
@@ -60,8 +60,8 @@
 // fleetSpec describes the fleet that a test needs.
 type fleetSpec struct {
 	entries, engines, services int
-	// engineFlags are passed to every engine.
-	engineFlags []string
+	// engineFlags are passed to every engine, serviceFlags to every plain service.
+	engineFlags, serviceFlags []string
 	// bookingRouteConfig is appended to the configuration section of the booking
 	// route.
 	bookingRouteConfig string
@@ -116,7 +116,8 @@
 	}
 	for i := range s.services {
 		name := fmt.Sprintf("service%d", i)
-		f.startProcess(name, "mastictray-standin", "service", "--listen", f.addressOf(name), "--name", name)
+		args := []string{"mastictray-standin", "service", "--listen", f.addressOf(name), "--name", name}
+		f.startProcess(name, append(args, s.serviceFlags...)...)
 		f.waitFor(name+" listens", func() bool { return f.isListening(name) })
 	}
 }
