socketbuffer: what targets have sent and nobody reads is bounded

What happened: callers that read nothing of their responses leave the rest unread in the receive buffers of the connections to targets. The kernel lets each grow to several megabytes, and the platform counts such bytes towards the memory of an instance, which ends when it is over.

Only the callers' listeners had a bound.

Change: a package for the bounds of sockets, which both request paths use for callers, targets and the streams of relays. A connection to a target has a receive buffer of 16 KB, set before it connects. callerlimit.BoundReceiveBuffer moves there.

Why it works: the target's window closes after 16 KB, so the bytes stay with the target. At the smallest instance (112 MB, some 1,300 connections of callers by its memory) that is 21 MB in the worst case, which the fifth of the memory above the budget holds.

--- a/internal/callerlimit/body_test.go
+++ b/internal/callerlimit/body_test.go
@@ -14,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/mastictray/mastictray/internal/membudget"
+	"github.com/mastictray/mastictray/internal/socketbuffer"
 )
 
 func request(body io.Reader, announced int64) *http.Request {
@@ -192,5 +193,5 @@
 	m.widen()
 	l.is.Equal(s.readBuffer, bodyBufferBytes)
 	l.is.True(m.finishBody())
-	l.is.Equal(s.readBuffer, ReceiveBufferBytes)
+	l.is.Equal(s.readBuffer, socketbuffer.Callers.Receive)
 }
--- a/internal/callerlimit/limiter.go
+++ b/internal/callerlimit/limiter.go
@@ -15,9 +15,8 @@
 )
 
 const (
-	// ReceiveBufferBytes is the size of the kernel's receive buffer of a connection.
-	ReceiveBufferBytes = 8 << 10
-	// bodyBufferBytes replaces it while a large body arrives for which there is room.
+	// bodyBufferBytes replaces the size of the kernel's receive buffer while a large body arrives for
+	// which there is room.
 	bodyBufferBytes = 64 << 10
 	// connectionBytes is the memory of a connection: the buffers of the HTTP server, the stack of
 	// its goroutine, and one block for a slow caller or what the kernel holds unread.
--- a/internal/callerlimit/member.go
+++ b/internal/callerlimit/member.go
@@ -11,6 +11,7 @@
 
 	"github.com/mastictray/mastictray/internal/httpdrain"
 	"github.com/mastictray/mastictray/internal/membudget"
+	"github.com/mastictray/mastictray/internal/socketbuffer"
 )
 
 // Errors of bodies and heads that are not read to their end.
@@ -276,7 +277,7 @@
 		return
 	}
 	m.widened = large
-	size := ReceiveBufferBytes
+	size := socketbuffer.Callers.Receive
 	if large {
 		size = bodyBufferBytes
 	}
--- a/internal/callerlimit/server_test.go
+++ b/internal/callerlimit/server_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"github.com/mastictray/mastictray/internal/httpdrain"
+	"github.com/mastictray/mastictray/internal/socketbuffer"
 )
 
 const (
@@ -54,7 +55,7 @@
 		w.WriteHeader(status)
 	})})
 	l.Attach(s)
-	config := net.ListenConfig{Control: BoundReceiveBuffer}
+	config := net.ListenConfig{Control: socketbuffer.Callers.Control}
 	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/callerlimit/sockets.go
+++ b/internal/callerlimit/sockets.go
@@ -1,13 +1,6 @@
 package callerlimit
 
-import (
-	"syscall"
-
-	"github.com/cockroachdb/errors"
-	"golang.org/x/sys/unix"
-
-	"github.com/mastictray/mastictray/internal/logline"
-)
+import "golang.org/x/sys/unix"
 
 const (
 	// callerDescriptorShare is the share of the descriptors that connections of callers may use. Each
@@ -28,16 +21,3 @@
 	}
 	return max(minConnections, int(callerDescriptorShare*float64(descriptors-reservedDescriptors)))
 }
-
-// BoundReceiveBuffer is a net.ListenConfig.Control that bounds what the kernel holds unread of each
-// connection. A listener for which that fails works without the bound.
-func BoundReceiveBuffer(_, address string, c syscall.RawConn) error {
-	var setErr error
-	err := c.Control(func(fd uintptr) {
-		setErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, ReceiveBufferBytes)
-	})
-	if err = errors.CombineErrors(err, setErr); err != nil {
-		logline.Error(err, "receive_buffer_unbounded", "address", address)
-	}
-	return nil
-}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -23,6 +23,7 @@
 	"github.com/mastictray/mastictray/internal/readretry"
 	"github.com/mastictray/mastictray/internal/rollout"
 	"github.com/mastictray/mastictray/internal/settings"
+	"github.com/mastictray/mastictray/internal/socketbuffer"
 	"github.com/mastictray/mastictray/internal/targetconn"
 	"github.com/mastictray/mastictray/internal/wire"
 )
@@ -82,7 +83,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Entry{settings: s, memory: memory, clock: newClock(), ctx: ctx, cancel: cancel, metrics: newEntryMetrics(), drainRequested: make(chan struct{})}
-	e.dialDirect = (&net.Dialer{Timeout: targetDialTimeout}).DialContext
+	e.dialDirect = (&net.Dialer{Timeout: targetDialTimeout, Control: socketbuffer.Targets.Control}).DialContext
 	e.polls.conns = map[string][]net.Conn{}
 	self := wire.Identity{Instance: s.InstanceID, Incarnation: uuid.Must(uuid.NewV7()).String(), Address: s.PeerListen, Domain: s.Domain}
 	e.node = peer.NewNode(peer.Options{
@@ -203,7 +204,7 @@
 		{"admin", e.settings.AdminListen, &l.admin},
 		{"callers", e.settings.CallerListen, &l.caller},
 	} {
-		config := net.ListenConfig{Control: callerlimit.BoundReceiveBuffer}
+		config := net.ListenConfig{Control: socketbuffer.Callers.Control}
 		if *spec.dst, err = config.Listen(e.ctx, "tcp", spec.addr); err != nil {
 			return l, errors.Wrapf(err, "listen for %s at %s", spec.name, spec.addr)
 		}
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -12,6 +12,7 @@
 	"github.com/mastictray/mastictray/internal/callerlimit"
 	"github.com/mastictray/mastictray/internal/httpdrain"
 	"github.com/mastictray/mastictray/internal/logline"
+	"github.com/mastictray/mastictray/internal/socketbuffer"
 )
 
 const (
@@ -93,7 +94,7 @@
 		if l.address == "" {
 			continue
 		}
-		config := net.ListenConfig{Control: callerlimit.BoundReceiveBuffer, KeepAliveConfig: net.KeepAliveConfig{
+		config := net.ListenConfig{Control: socketbuffer.Callers.Control, KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: callerKeepAliveInterval, Interval: callerKeepAliveInterval, Count: 3,
 		}}
 		listener, err := config.Listen(context.Background(), "tcp", l.address)
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mastictray/mastictray/internal/logline"
+	"github.com/mastictray/mastictray/internal/socketbuffer"
 	"github.com/mastictray/mastictray/internal/wire"
 )
 
@@ -120,6 +121,7 @@
 // has failed to.
 func (n *Node) accept(raw net.Conn, proved func()) {
 	defer proved()
+	socket := raw
 	if n.opts.TLS != nil {
 		raw = tls.Server(raw, n.opts.TLS)
 	}
@@ -148,6 +150,7 @@
 		return
 	}
 	if h, ok := n.streams[first.Kind]; ok && !first.IsResponse {
+		socketbuffer.Targets.Limit(socket)
 		h(n.ctx, &Stream{raw: raw, r: r, remote: from}, first)
 		return
 	}
@@ -336,7 +339,7 @@
 
 func (n *Node) dialPeer(addr string) (*conn, error) {
 	source := &timedReader{}
-	raw, r, from, err := n.dialAndAuthenticate(n.ctx, addr, source)
+	raw, r, from, err := n.dialAndAuthenticate(n.ctx, addr, source, socketbuffer.Bounds{})
 	if err != nil {
 		return nil, err
 	}
@@ -356,8 +359,8 @@
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}
 
 // dialAndAuthenticate connects to a peer and makes the handshake. Data is read through source.
-func (n *Node) dialAndAuthenticate(ctx context.Context, addr string, source *timedReader) (net.Conn, *bufio.Reader, wire.Identity, error) {
-	dialer := net.Dialer{Timeout: handshakeTimeout, KeepAliveConfig: keepAlive}
+func (n *Node) dialAndAuthenticate(ctx context.Context, addr string, source *timedReader, buffers socketbuffer.Bounds) (net.Conn, *bufio.Reader, wire.Identity, error) {
+	dialer := net.Dialer{Timeout: handshakeTimeout, KeepAliveConfig: keepAlive, Control: buffers.Control}
 	raw, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, nil, wire.Identity{}, errors.Wrapf(err, "dial peer=%s", addr)
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mastictray/mastictray/internal/quietconn"
+	"github.com/mastictray/mastictray/internal/socketbuffer"
 	"github.com/mastictray/mastictray/internal/wire"
 )
 
@@ -154,7 +155,7 @@
 // OpenStream opens a stream to the peer at addr over a connection of its own and decodes the
 // peer's response to the request.
 func (n *Node) OpenStream(ctx context.Context, addr string, kind wire.Kind, request, response any) (*Stream, error) {
-	raw, r, from, err := n.dialAndAuthenticate(ctx, addr, &timedReader{})
+	raw, r, from, err := n.dialAndAuthenticate(ctx, addr, &timedReader{}, socketbuffer.Targets)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/targetconn/pool.go
+++ b/internal/targetconn/pool.go
@@ -12,6 +12,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/mastictray/mastictray/internal/socketbuffer"
 )
 
 // ErrNotSent marks errors of exchanges of which no byte has reached the target.
@@ -81,17 +83,20 @@
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: o.ProbeInterval, Interval: o.ProbeInterval, Count: maxFailedProbes,
 		},
-		Control: userTimeoutControl(maxFailedProbes * o.ProbeInterval),
+		Control: control(maxFailedProbes * o.ProbeInterval),
 	}
 }
 
-// userTimeoutControl returns a net.Dialer.Control function that sets
+// control returns a net.Dialer.Control function that bounds the buffers and sets
 // TCP_USER_TIMEOUT: the kernel closes a connection whose sent bytes are not
 // acknowledged in time. It sends no keep-alive probes while bytes are
 // unacknowledged. The timeout also decides when unanswered probes end a connection,
 // whatever their number.
-func userTimeoutControl(timeout time.Duration) func(string, string, syscall.RawConn) error {
-	return func(_, _ string, raw syscall.RawConn) error {
+func control(timeout time.Duration) func(string, string, syscall.RawConn) error {
+	return func(network, address string, raw syscall.RawConn) error {
+		if err := socketbuffer.Targets.Control(network, address, raw); err != nil {
+			return err
+		}
 		var optErr error
 		err := raw.Control(func(fd uintptr) {
 			optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
