httpdrain: what callers have not taken is bounded in the kernel

What happened: the kernel keeps up to 4 MB of a response for each caller that reads nothing, which no budget counts.

Evidence: TestCrowdsThatReadNothing, 100 callers, gateway with 96 MB: 114 to 383 MB unsent, on all routes. With 300 callers 1,015 MB for prompts, with what is unread from targets bounded already (5 MB).

Change: each accepted connection lets a write wait while 16 KB are unsent (TCP_NOTSENT_LOWAT; a listener doesn't pass it on, a trial shows). What is on its way to a caller that reads does not count, so its rate does not depend on the bound, as it would with a smaller send buffer.

--- a/internal/httpdrain/conn.go
+++ b/internal/httpdrain/conn.go
@@ -11,6 +11,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/mastictray/mastictray/internal/socketbuffer"
 )
 
 // conn is a connection of a caller that can be ended between two requests.
@@ -49,6 +51,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "access accepted connection")
 	}
+	socketbuffer.Callers.LimitUnsent(raw, c.RemoteAddr().String())
 	return &conn{TCPConn: c, raw: raw, onClose: onClose, state: http.StateNew, since: time.Now()}, nil
 }
 
