httpdrain: responses of known length have the send timeout and the guard too

What callers saw: a response whose length is known, and which is larger than what is buffered (64 KB at gateway), ended the send timeout (30 s) after its head, also for a caller that read all the time. And a caller that took nothing of it was never evicted.

Cause: net/http copies such a body with the connection's ReadFrom. That was the one of the embedded net.TCPConn, past the connection's Write: the deadline of the head's write stayed, and the guard did not learn that a write was going on.

Evidence, before: TestLongResponseIsNotCut: unexpected EOF TestGuardLearnsOfSizedResponses: 0 or 1 of 20 writes

Change: the connection has a ReadFrom of its own, which writes with Write. The connections of callerconn (contract pressure) have none and were not affected. After: both pass.

--- a/internal/httpdrain/conn.go
+++ b/internal/httpdrain/conn.go
@@ -192,6 +192,10 @@
 	}
 }
 
+// ReadFrom implements io.ReaderFrom, as net/http uses that of net.TCPConn otherwise, which knows no
+// guard and no send timeout.
+func (c *conn) ReadFrom(r io.Reader) (int64, error) { return io.Copy(struct{ io.Writer }{c}, r) }
+
 // Abort closes the connection at once. The HTTP server, whose read fails, closes it once more when
 // its goroutine ends.
 func (c *conn) Abort() { reset(c.TCPConn) }
