entry: responses of services are kept as far as there is memory

What callers saw: 100 callers that ask for long responses and read nothing ended the process: each response of a plain service, up to 64 MiB, was read whole before its caller got the first byte, and nothing counted it. Callers that read at their own pace do the same with fewer.

Change: callerlimit.Response keeps a body in parts that are charged to the class of responses. If there is no room for the rest, what is kept is sent and the rest relayed as it arrives; the caller that has taken nothing of its response for 5 s, if there is one, is closed then. A response that its service breaks off after its head was sent ends with a closed connection; one that its caller does not take until the deadline is no failure of the target. The result of a claimed request is stored without its body then, as results above 32 KB are in any case.

Why it works: what is not charged is one part of 4 KB a request. Nobody has to be refused for want of memory, which a booking that has run must not be.

New: TestResponseBeyondTheMemory (60 MiB whole, and cut by the service), with a fault of the stand-in that cuts a response.

Weighed: waiting for memory (responses that have a part each would wait for each other), refusing (a booking has run). Not changed: whole responses of engines are still not charged; their size is bounded by the tokens of the account.

--- a/cmd/mastictray-standin/main.go
+++ b/cmd/mastictray-standin/main.go
@@ -24,7 +24,7 @@
 	Log       logCmd       `cmd:"" help:"Append-only log service. Faults: outage, slow (ms), lose_answer (n), trim (n records kept)."`
 	Instances instancesCmd `cmd:"" help:"Lagging instance list. Faults: outage, slow (ms)."`
 	Weights   weightsCmd   `cmd:"" help:"Weight store. Faults: outage, slow (ms)."`
-	Service   serviceCmd   `cmd:"" help:"Plain service. Faults: slow (ms), drop_after_run (n), refuse (n)."`
+	Service   serviceCmd   `cmd:"" help:"Plain service. Faults: slow (ms), drop_after_run (n), refuse (n), cut (n)."`
 }
 
 type listen struct {
--- a/internal/callerlimit/evict.go
+++ b/internal/callerlimit/evict.go
@@ -18,8 +18,8 @@
 )
 
 // leastLocked returns the connection to evict first among those that may be and rank below the
-// score of asker with n bytes more; nil if none does. A nil asker is a new connection, for which any may
-// be evicted. Of many connections a random part is considered. The caller holds l.mu.
+// score of asker with n bytes more; nil if none does. A nil asker needs a place or what others
+// hold: any may be evicted for it. Of many connections a random part is considered. The caller holds l.mu.
 func (l *Limiter) leastLocked(asker *Member, n int64, may func(*Member, time.Duration) bool) (victim *Member) {
 	now := l.Now()
 	least, seenLimit := math.Inf(1), maxSeenForNew
--- a/internal/callerlimit/member.go
+++ b/internal/callerlimit/member.go
@@ -199,6 +199,12 @@
 	return m.stage == stageBody && m.body > 0 && !m.waiting && m.progress.stalled(now)
 }
 
+// isBusy reports whether the request of the connection has arrived whole.
+func (m *Member) isBusy(time.Duration) bool {
+	s, _ := m.state()
+	return s == stageBusy
+}
+
 func (m *Member) setWaiting(waiting bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/claim/config.go
+++ b/internal/claim/config.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// DefaultMaxBodyBytes is the size above which a response body is not stored for replay by default.
+const DefaultMaxBodyBytes = 32 << 10
+
 // Config holds the settings of a Machine. Fields that are zero get a default, except
 // Incarnation and Address.
 type Config struct {
@@ -40,7 +43,7 @@
 
 func (c Config) withDefaults() Config {
 	setDefault(&c.MaxKeys, 32768)
-	setDefault(&c.MaxBodyBytes, 32<<10)
+	setDefault(&c.MaxBodyBytes, DefaultMaxBodyBytes)
 	setDefault(&c.MaxHeldBytes, 8<<20)
 	setDefault(&c.Window, 24*time.Hour)
 	setDefault(&c.RepeatHorizon, 10*time.Minute)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -64,8 +64,9 @@
 	memory callerlimit.Charge
 	// attempts is the number of attempts so far.
 	attempts int
-	// headSent is set once the head of the response was sent to the caller.
-	headSent bool
+	// headSent is set once the head of the response was sent to the caller, cutShort if its body ended
+	// early and nothing in it tells the caller so.
+	headSent, cutShort bool
 }
 
 // ServeHTTP implements http.Handler.
@@ -76,6 +77,9 @@
 	w.Header().Set(headerRequestID, c.id)
 	if err := s.serve(c); err != nil {
 		s.refuse(c, err)
+		if c.cutShort {
+			panic(http.ErrAbortHandler) // makes net/http close the connection
+		}
 	}
 }
 
--- a/internal/entry/serviceserve.go
+++ b/internal/entry/serviceserve.go
@@ -7,9 +7,9 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastictray/mastictray/internal/callerlimit"
 	"github.com/mastictray/mastictray/internal/claim"
 	"github.com/mastictray/mastictray/internal/config"
-	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/openai"
 	"github.com/mastictray/mastictray/internal/overload"
 	"github.com/mastictray/mastictray/internal/ratelease"
@@ -19,21 +19,10 @@
 // service. No other header is, in particular not the caller's key.
 var forwardedRequestHeaders = []string{"Content-Type", "Accept", "Accept-Language", headerIdempotencyKey}
 
-// forwardedResponseHeaders are the response headers that are forwarded to the
-// caller.
-var forwardedResponseHeaders = []string{"Content-Type", "Content-Language", "Location", "Retry-After"}
-
 // errTargetWithdrawn means that a target asked for a pause after it was chosen. Nothing was
 // sent there.
 var errTargetWithdrawn = errors.New("target takes no request now")
 
-// serviceResponse is the complete response of a plain service.
-type serviceResponse struct {
-	status int
-	header http.Header
-	body   []byte
-}
-
 func (s *server) serveService(c *call, route config.Route, pool config.Pool) error {
 	c.route = route
 	c.deadline = c.startedAt + route.Deadline
@@ -126,7 +115,7 @@
 
 func (s *server) mayRetry(c *call, err error) bool {
 	var failed *openai.Error
-	if !errors.As(err, &failed) || failed.Code != openai.CodeTargetFailed {
+	if !errors.As(err, &failed) || failed.Code != openai.CodeTargetFailed || c.headSent {
 		return false
 	}
 	if c.attempts >= maxAttempts || c.r.Context().Err() != nil || s.clock.now() >= c.deadline {
@@ -164,11 +153,17 @@
 		return serviceResponse{}, exchangeError(err)
 	}
 	defer resp.Body.Close()
-	body, err := readWholeBody(resp)
-	if err != nil {
-		return serviceResponse{}, exchangeError(&sendError{op: "read response", target: name, outcome: openai.MayHaveRun, cause: err})
+	response, err := s.readServiceResponse(c, resp)
+	switch {
+	case err == nil:
+		return response, nil
+	case c.cutShort && ctx.Err() != nil:
+		// The caller took it too slowly, which is no failure of the target.
+		return serviceResponse{}, &openai.Error{
+			Status: http.StatusGatewayTimeout, Code: openai.CodeDeadline, Outcome: openai.MayHaveRun, Message: "the response was not taken in time",
+		}
 	}
-	return serviceResponse{status: resp.StatusCode, header: resp.Header, body: body}, nil
+	return serviceResponse{}, exchangeError(&sendError{op: "read response", target: name, outcome: openai.MayHaveRun, cause: err})
 }
 
 // serviceAttemptContext returns a context that ends at the deadline. A request
@@ -192,20 +187,6 @@
 	return out
 }
 
-func (s *server) writeServiceResponse(c *call, pool config.Pool, resp serviceResponse) {
-	for _, name := range forwardedResponseHeaders {
-		if v := resp.header.Get(name); v != "" {
-			c.w.Header().Set(name, v)
-		}
-	}
-	s.announceDrain(c.w)
-	c.w.WriteHeader(resp.status)
-	_, _ = c.w.Write(resp.body)
-	s.metrics.countAnswer(c.account.Name, pool.Name)
-	logline.Info("request_done", "request", c.id, "account", c.account.Name, "key", c.keyID, "route", c.route.Name,
-		"attempts", c.attempts, "status", resp.status, "ms", (s.clock.now() - c.startedAt).Milliseconds())
-}
-
 // runClaimed runs a request at most once across all instances.
 func (s *server) runClaimed(c *call, pool config.Pool, key string) error {
 	answer, err := s.claims.acquire(c.r.Context(), claim.Request{
@@ -221,7 +202,7 @@
 	}
 	resp, err := s.sendService(c, pool, func() error { return s.claims.beginDispatch(c.id) })
 	if err == nil {
-		s.claims.recordResult(c.id, claim.Result{Status: resp.status, ContentType: resp.header.Get("Content-Type"), Body: resp.body})
+		s.claims.recordResult(c.id, resp.claimResult())
 		s.writeServiceResponse(c, pool, resp)
 		return nil
 	}
@@ -277,6 +258,6 @@
 		return &openai.Error{Status: http.StatusConflict, Code: openai.CodeUnknownOutcome, Outcome: openai.Ran, Message: "the request ran; its response was too large to store"}
 	}
 	c.w.Header().Set("Idempotent-Replayed", "true")
-	s.writeServiceResponse(c, pool, serviceResponse{status: result.Status, header: http.Header{"Content-Type": {result.ContentType}}, body: result.Body})
+	s.writeServiceResponse(c, pool, serviceResponse{status: result.Status, header: http.Header{"Content-Type": {result.ContentType}}, body: callerlimit.ResponseOf(result.Body)})
 	return nil
 }
--- a/internal/standin/service/server.go
+++ b/internal/standin/service/server.go
@@ -18,6 +18,7 @@
 	FaultDropAfterRun = "drop_after_run"
 	FaultRefuse       = "refuse"
 	FaultShed         = "shed"
+	FaultCut          = "cut"
 )
 
 // Run is one request that the service executed.
@@ -57,7 +58,7 @@
 
 // New returns a service that includes its name in each response.
 func New(name string) *Server {
-	return &Server{name: name, faults: standin.NewFaults(FaultSlow, FaultDropAfterRun, FaultRefuse, FaultShed, standin.FaultLeaving)}
+	return &Server{name: name, faults: standin.NewFaults(FaultSlow, FaultDropAfterRun, FaultRefuse, FaultShed, FaultCut, standin.FaultLeaving)}
 }
 
 // Faults returns the set of active faults.
@@ -106,6 +107,11 @@
 		standin.AbortConnection()
 	}
 	w.Header().Set("X-Request-Id", resp.RequestID)
+	if _, ok := s.faults.Consume(FaultCut); ok {
+		_, _ = io.WriteString(w, resp.Padding[:len(resp.Padding)/2])
+		_ = http.NewResponseController(w).Flush()
+		standin.AbortConnection()
+	}
 	standin.WriteJSON(w, http.StatusOK, resp)
 }
 
--- a/internal/wholepath/crowds_test.go
+++ b/internal/wholepath/crowds_test.go
@@ -179,6 +179,30 @@
 	}
 }
 
+// Guards against a response for which there is no memory that reaches its caller cut, or counts as
+// whole though its service broke it off.
+func TestResponseBeyondTheMemory(t *testing.T) {
+	const padding = 60 << 20
+	f := newCrowdFleetWith(t, fleetSpec{serviceFlags: []string{"--padding", fmt.Sprint(padding)}})
+	book := func() (status int, size int64, err error) {
+		req, err := http.NewRequest(http.MethodPost, "http://"+f.addressOf("entry0")+bookingRoute, strings.NewReader(`{"seat":1}`))
+		f.must(err)
+		req.Header.Set("Authorization", "Bearer "+f.keys["office"])
+		resp, err := http.DefaultClient.Do(req)
+		f.must(err)
+		defer resp.Body.Close()
+		size, err = io.Copy(io.Discard, resp.Body)
+		return resp.StatusCode, size, err
+	}
+	if status, size, err := book(); status != http.StatusOK || size < padding || err != nil {
+		t.Errorf("status %d, %d bytes of %d: %v", status, size, padding, err)
+	}
+	f.injectFault("service0", `{"kind":"cut","count":1}`)
+	if status, size, err := book(); err == nil && status == http.StatusOK {
+		t.Errorf("a response that its service broke off is whole, %d bytes of %d", size, padding)
+	}
+}
+
 // Guards against heads that don't end and take memory or places, in few long lines or many short
 // ones.
 func TestCrowdsWithUnendedHeads(t *testing.T) {
