httpdrain: a large response that its caller takes slowly counts as taken

What callers saw: under a crowd, a caller that reads a large response at its own pace could be evicted as one that has taken nothing for 5 s. The time counted from the begin of a write, and entry writes whole responses at a time.

Evidence: TestGuardLearnsOfProgress, before: the guard learns of one write of 1 MiB; after: of each 16 KB that the caller has taken.

Change: writes are made in parts of 16 KB (64 KB before, and only with a send timeout), and the guard learns of each. A caller that takes 16 KB in 5 s stays.

--- a/internal/httpdrain/conn.go
+++ b/internal/httpdrain/conn.go
@@ -167,22 +167,24 @@
 	return c.guard.Received(b)
 }
 
-// maxWrite is the size of a write that must make progress within the send timeout.
-const maxWrite = 64 << 10
+// maxWrite is the size of the part of a write that the caller must take within the send timeout, and
+// for which the guard learns that it has been taken.
+const maxWrite = 16 << 10
 
 // Write implements net.Conn.
 func (c *conn) Write(b []byte) (int, error) {
 	if c.guard != nil {
-		c.guard.Sending(true)
 		defer c.guard.Sending(false)
 	}
-	if c.sendTimeout == 0 {
-		return c.TCPConn.Write(b)
-	}
 	written := 0
 	for {
-		if err := c.TCPConn.SetWriteDeadline(time.Now().Add(c.sendTimeout)); err != nil {
-			return written, err
+		if c.guard != nil {
+			c.guard.Sending(true)
+		}
+		if c.sendTimeout > 0 {
+			if err := c.TCPConn.SetWriteDeadline(time.Now().Add(c.sendTimeout)); err != nil {
+				return written, err
+			}
 		}
 		n, err := c.TCPConn.Write(b[written:min(len(b), written+maxWrite)])
 		written += n
--- a/internal/httpdrain/server.go
+++ b/internal/httpdrain/server.go
@@ -72,7 +72,8 @@
 type Guard interface {
 	// Received is called with what was read. An error ends the connection.
 	Received(b []byte) error
-	// Sending is called when a write begins and when it ends.
+	// Sending is called with true when a write begins and each time when the caller has taken a part
+	// of it, and with false when it ends.
 	Sending(active bool)
 	// StateChanged is called with the states that the HTTP server reports.
 	StateChanged(http.ConnState)
--- a/internal/httpdrain/sizedresponse_test.go
+++ b/internal/httpdrain/sizedresponse_test.go
@@ -66,6 +66,22 @@
 	}
 }
 
+// Guards against callers that take a large response slowly and count as such that take nothing of it.
+func TestGuardLearnsOfProgress(t *testing.T) {
+	const size = 1 << 20
+	g := &sendingGuard{}
+	s := startServer(t, plainListener, func(s *testServer) {
+		s.Accepted = func(Socket) (Guard, bool) { return g, true }
+		s.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, size)) })
+	})
+	resp, err := http.Get("http://" + s.address)
+	s.is.NoErr(err)
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	s.is.NoErr(err)
+	s.is.True(g.writes.Load() >= size/maxWrite)
+}
+
 // Guards against callers that take nothing of a response of known length and are never evicted.
 func TestGuardLearnsOfSizedResponses(t *testing.T) {
 	const parts = 20
