gateway: the limits of callers are shown without the contract pressure too

What operators saw: mastictray_caller_connections, mastictray_callers_evicted and the gauges of the memory budget stayed 0 where the contract pressure is not in force, though the limits hold there and docs/OPERATIONS.md leads to them.

Cause: they were set with the gauges of the targets' memory, which need it. TestLimitsOfCallersAreShownWithoutFeatures: 0 evicted of 3 before; passes now.

--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -135,7 +135,6 @@
 	if !g.settings.Features.BoundedMemory {
 		return
 	}
-	g.callers.limit.SetGauges(func(name string, value float64) { g.metrics.gauge(name).Set(value) })
 	held, claimed, claims, fullest := 0, 0, 0, 0.0
 	for _, m := range g.targetMemory() {
 		held += m.Held
--- a/internal/gateway/memorybudget_test.go
+++ b/internal/gateway/memorybudget_test.go
@@ -88,6 +88,17 @@
 	is.True(accepted > 10)
 }
 
+// Guards against limits that are in force and can't be seen: the gauges are set without optional
+// features too.
+func TestLimitsOfCallersAreShownWithoutFeatures(t *testing.T) {
+	is := is.New(t)
+	g := New(Settings{Instance: "a", MemoryBytes: testInstanceMemory}, stubDialect{}, &memoryStore{}, unresponsiveTargets{})
+	g.callers.limit.Evicted.Add(3)
+	g.serveMetrics(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	is.Equal(g.metrics.gauge(`mastictray_callers_evicted`).Get(), 3.0)
+	is.True(g.metrics.gauge(`mastictray_memory_budget_bytes`).Get() > 0)
+}
+
 // An instance without a bound refuses nothing.
 func TestMemoryIsNotBoundedByDefault(t *testing.T) {
 	is := is.New(t)
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -120,6 +120,7 @@
 	g.setCapacityGauges()
 	g.metrics.gauge(`mastictray_blocked_targets`).Set(float64(s.BlockedTargets))
 	g.metrics.gauge(`mastictray_relayed_connections`).Set(float64(s.RelayedConnections))
+	g.callers.limit.SetGauges(func(name string, value float64) { g.metrics.gauge(name).Set(value) })
 	g.updateMemoryGauges()
 	g.metrics.gauge(`mastictray_followers`).Set(float64(len(s.Followers)))
 	for _, role := range []string{"mesh", "hub", "follower"} {
