callerlimit: bodies in tiny chunks are paced

What callers saw: beside 8,000 callers that send bodies in chunks of one byte, no ordinary request was answered in 40 s, on any kind of route.

Cause: a chunk of one byte is six bytes on the wire and costs the work of a large one. 256 KiB of them keep a processor busy for tens of milliseconds, for each caller, and ordinary requests wait behind the goroutines of all.

Change: what is received of all bodies beyond their own bytes has a rate of 8 MB a second and a burst of 8 MB. A body that would have to wait for longer than 0.5 s is refused (503, not run).

Why no ordinary client meets it: chunks of 100 bytes have 6 to 8 bytes of framing, so an instance would have to receive over 100 MB a second of them; a body of 1 MiB in chunks of one byte is still read at once in calm. What arrives with the head (8 KB) doesn't count.

--- a/internal/callerlimit/body.go
+++ b/internal/callerlimit/body.go
@@ -69,7 +69,7 @@
 	if r.ContentLength > limit {
 		return nil, ErrBodyTooLarge
 	}
-	b := bodyReader{charge: c, body: r.Body, announced: r.ContentLength, limit: limit, copies: copies}
+	b := bodyReader{charge: c, body: r.Body, announced: r.ContentLength, limit: limit, copies: copies, framing: newFraming(c.member, r)}
 	body, err := b.readAll()
 	if !c.member.finishBodyUnless(err) {
 		return nil, ErrMemoryFull
@@ -86,6 +86,7 @@
 	// copies is how often the body is charged, charged the number of its bytes that are.
 	copies, charged int64
 	total           int64
+	framing         framing
 }
 
 func (b *bodyReader) readAll() ([]byte, error) {
@@ -113,6 +114,9 @@
 		if chargeErr := b.chargeArrived(); chargeErr != nil {
 			return n, chargeErr
 		}
+		if !b.framing.pace(b.total) {
+			return n, ErrMemoryFull
+		}
 	}
 	return n, err
 }
--- a/internal/callerlimit/limiter.go
+++ b/internal/callerlimit/limiter.go
@@ -53,8 +53,8 @@
 	Evicted, Refused atomic.Int64
 
 	ending *ending
-	// discarded paces the reading of refused bodies.
-	discarded *rate.Limiter
+	// discarded paces the reading of refused bodies, framing that of bodies in small chunks.
+	discarded, framing *rate.Limiter
 
 	mu sync.Mutex
 	// members are the open connections.
@@ -66,7 +66,7 @@
 	o.HardLimit = max(o.HardLimit, o.MaxConnections)
 	return &Limiter{
 		Options: o, ending: newEnding(maxEnding), members: map[*Member]struct{}{},
-		discarded: rate.NewLimiter(discardBytesPerSecond, maxRefusedBytes),
+		discarded: rate.NewLimiter(discardBytesPerSecond, maxRefusedBytes), framing: newFramingRate(),
 	}
 }
 
