--- a/internal/callerlimit/framing.go
+++ b/internal/callerlimit/framing.go
@@ -5,6 +5,8 @@
 	"net/http"
 
 	"golang.org/x/time/rate"
+
+	"github.com/mastictray/mastictray/internal/logline"
 )
 
 const (
@@ -53,5 +55,9 @@
 	f.paid = beyond
 	ctx, cancel := context.WithTimeout(f.ctx, framingTimeout)
 	defer cancel()
-	return f.member.limiter.framing.WaitN(ctx, int(n)) == nil
+	if err := f.member.limiter.framing.WaitN(ctx, int(n)); err != nil {
+		logline.InfoSampled("chunks_refused", "caller", f.member.socket.RemoteAddr(), "body_bytes", body, "framing_bytes", beyond)
+		return false
+	}
+	return true
 }
--- a/internal/wholepath/crowds_test.go
+++ b/internal/wholepath/crowds_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -270,12 +271,30 @@
 		f := start(t)
 		f.withstand(300, f.dial, crowd.UnendedHead("POST /bookings HTTP/1.1\r\nHost: entry\r\n", 60<<10, 0))
 	})
+	t.Run("handshake_unfinished", func(t *testing.T) {
+		f := start(t)
+		f.withstand(crowd.HeadCallers, crowd.Dial(f.addressOf("entry0")), func(c net.Conn, _ <-chan struct{}) {
+			_, _ = io.WriteString(c, unfinishedRecord)
+			_, _ = io.Copy(io.Discard, c)
+		})
+	})
+	t.Run("handshake_only", func(t *testing.T) {
+		f := start(t)
+		f.withstand(crowd.BodyCallers, f.dial, func(c net.Conn, _ <-chan struct{}) {
+			if c.(*tls.Conn).Handshake() == nil {
+				_, _ = io.Copy(io.Discard, c)
+			}
+		})
+	})
 	t.Run("http2", func(t *testing.T) {
 		f := start(t)
 		f.withstand(crowd.BodyCallers/10, f.dial, http2Uploads(f.addressOf("entry0"), f.keys["office"]))
 	})
 }
 
+// unfinishedRecord is the beginning of a TLS handshake record of 16,000 bytes.
+const unfinishedRecord = "\x16\x03\x01\x3e\x80\x01\x00\x3e\x7c\x03\x03"
+
 // http2Uploads returns a script that, on a connection of its own, sends many bodies at once over
 // HTTP/2 which stop before their end.
 func http2Uploads(address, key string) crowd.Script {
@@ -311,6 +330,23 @@
 	}
 }
 
+// Guards against a stop that a crowd holds up for ever.
+func TestStopBesideCrowd(t *testing.T) {
+	f := newCrowdFleet(t, "--read-timeout", "5s") // within which a stalled body ends
+	c := crowd.Start(crowd.BodyCallers, f.dial, bodyCrowds[0].Script(f.officeHead(bookingRoute)))
+	defer c.Stop()
+	time.Sleep(crowdStay)
+	exited := make(chan error, 1)
+	f.procs["entry0"].signal(syscall.SIGTERM)
+	go func() { exited <- f.procs["entry0"].cmd.Wait() }()
+	select {
+	case err := <-exited:
+		f.must(err)
+	case <-time.After(2 * waitTimeout):
+		t.Error("entry0 has not exited")
+	}
+}
+
 // Guards against a refusal that breaks its promise: a large body that is refused, or stalls, gets a
 // whole response with a status that says so.
 func TestRefusedBodiesGetTheirStatus(t *testing.T) {
