--- a/internal/callerlimit/evict.go
+++ b/internal/callerlimit/evict.go
@@ -18,8 +18,9 @@
 )
 
 // leastLocked returns the connection to evict first among those that may be and rank below the
-// score of asker with n bytes more; nil if none does. A nil asker needs a place or what others
-// hold: any may be evicted for it. Of many connections a random part is considered. The caller holds l.mu.
+// score of asker with n bytes more; nil if none does. Any that may be is evicted for a nil asker, which
+// needs a place, or memory that callers hold who take nothing. Of many connections a random part is
+// considered. The caller holds l.mu.
 func (l *Limiter) leastLocked(asker *Member, n int64, may func(*Member, time.Duration) bool) (victim *Member) {
 	now := l.Now()
 	least, seenLimit := math.Inf(1), maxSeenForNew
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -77,6 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
+	// Responses have no share of their own: those without room are relayed as they arrive.
 	memory := callerlimit.NewMemory(int64(s.MemoryMB)<<20, membudget.Responses, membudget.Relays)
 	if !memory.HoldsBody(s.MaxBodyBytes, engineBodyCopies) {
 		return nil, errors.Newf("memory-mb=%d has no room for one request of max-body-bytes=%d", s.MemoryMB, s.MaxBodyBytes)
--- a/internal/socketbuffer/socketbuffer.go
+++ b/internal/socketbuffer/socketbuffer.go
@@ -26,8 +26,8 @@
 var (
 	// Callers are the bounds of callers' connections.
 	Callers = Bounds{Receive: 8 << 10, Unsent: 16 << 10}
-	// Targets are those of connections to targets. A response that its caller doesn't take stays
-	// unread there.
+	// Targets are those of connections to targets, and of streams between peers that relay them. A
+	// response that its caller doesn't take stays unread there.
 	Targets = Bounds{Receive: 16 << 10, Unsent: 64 << 10}
 )
 
--- a/internal/targetconn/pool.go
+++ b/internal/targetconn/pool.go
@@ -83,16 +83,16 @@
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: o.ProbeInterval, Interval: o.ProbeInterval, Count: maxFailedProbes,
 		},
-		Control: control(maxFailedProbes * o.ProbeInterval),
+		Control: socketControl(maxFailedProbes * o.ProbeInterval),
 	}
 }
 
-// control returns a net.Dialer.Control function that bounds the buffers and sets
+// socketControl returns a net.Dialer.Control function that bounds the buffers and sets
 // TCP_USER_TIMEOUT: the kernel closes a connection whose sent bytes are not
 // acknowledged in time. It sends no keep-alive probes while bytes are
 // unacknowledged. The timeout also decides when unanswered probes end a connection,
 // whatever their number.
-func control(timeout time.Duration) func(string, string, syscall.RawConn) error {
+func socketControl(timeout time.Duration) func(string, string, syscall.RawConn) error {
 	return func(network, address string, raw syscall.RawConn) error {
 		if err := socketbuffer.Targets.Control(network, address, raw); err != nil {
 			return err
