callerlimit, socketbuffer: one rule for the size of parts, no text of an address for each connection

A response's parts had their size computed beside nextPartBytes, which the parts of bodies use. Each accepted connection formatted its caller's address for a log line that is written only if an option can't be set; the address itself is passed now. Behaviour is as before.

--- a/internal/callerlimit/response.go
+++ b/internal/callerlimit/response.go
@@ -51,7 +51,7 @@
 // newPart returns room for the next part of a body; nil if there is none. The first one is in the
 // memory of its request.
 func (r *Response) newPart() []byte {
-	size := min(max(firstPartBytes, r.bytes), maxPartBytes)
+	size := nextPartBytes(r.bytes, -1)
 	if r.bytes > 0 {
 		if !r.memory.Take(membudget.Responses, size) {
 			r.member.evictUnread()
--- a/internal/httpdrain/conn.go
+++ b/internal/httpdrain/conn.go
@@ -51,7 +51,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "access accepted connection")
 	}
-	socketbuffer.Callers.LimitUnsent(raw, c.RemoteAddr().String())
+	socketbuffer.Callers.LimitUnsent(raw, c.RemoteAddr())
 	return &conn{TCPConn: c, raw: raw, onClose: onClose, state: http.StateNew, since: time.Now()}, nil
 }
 
--- a/internal/socketbuffer/socketbuffer.go
+++ b/internal/socketbuffer/socketbuffer.go
@@ -45,22 +45,22 @@
 		return
 	}
 	if raw, err := sys.SyscallConn(); err == nil { // else it is closed
-		b.limit(raw, c.RemoteAddr().String())
+		b.limit(raw, c.RemoteAddr())
 	}
 }
 
-func (b Bounds) limit(c syscall.RawConn, address string) {
+func (b Bounds) limit(c syscall.RawConn, address any) {
 	set(c, address, unix.SOL_SOCKET, unix.SO_RCVBUF, b.Receive)
 	b.LimitUnsent(c, address)
 }
 
-// LimitUnsent bounds what is unsent on a connection.
-func (b Bounds) LimitUnsent(c syscall.RawConn, address string) {
+// LimitUnsent bounds what is unsent on a connection; address names it in the log.
+func (b Bounds) LimitUnsent(c syscall.RawConn, address any) {
 	set(c, address, unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, b.Unsent)
 }
 
 // set sets an option of a socket unless its value is 0. A socket for which that fails works without.
-func set(c syscall.RawConn, address string, level, option, value int) {
+func set(c syscall.RawConn, address any, level, option, value int) {
 	if value == 0 {
 		return
 	}
