resetconn: a reset that a pending write takes is no regular end of a response

What callers saw: a target answers a long upload at once with a 200 that has no length, sends a part of its body and resets the connection while the upload is still being written. The caller gets that part as a complete answer. A booking's part is also stored as its result and sent to repeats (entry).

Cause, on both request paths: the kernel reports the error of a connection to one call only. The request is written while its response is read. If the pending write takes ECONNRESET, the read after it returns 0, an end of file, which ends a body without a length or chunks in the regular way.

Change: connections on which responses are read keep the error with which a write failed. At the end of file, Read returns it. As the end can be seen before that write has returned, Read waits for writes in progress, but only if poll tells that the connection is down in both directions: then they return at once. A target that only closes its sending direction leaves them waiting, and its end is regular.

Why this works: a read returns 0 after a reset only if another call has taken the error, and only writes can. EPIPE is no loss: the kernel uses it for a reset after a regular end, so a response that has ended and whose connection is reset later stays whole. It does not matter who closes the connection meanwhile (net/http does, after a failed write): the write's error is kept before that. Tried and dropped: taking a socket that is down at the end of file for reset calls whole responses broken (TestRegularEndDuringWriteIsTheEndOfStream, TestEndBeforeResetIsTheEndOfStream).

Connections are wrapped where their end is interpreted: the pool of gateway, the target client of entry, and the relay for peers.

--- a/internal/connrelay/server.go
+++ b/internal/connrelay/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/peer"
+	"github.com/mastictray/mastictray/internal/resetconn"
 	"github.com/mastictray/mastictray/internal/targetconn"
 	"github.com/mastictray/mastictray/internal/wire"
 )
@@ -44,7 +45,7 @@
 
 // NewServer returns a Server that connects with direct.
 func NewServer(direct targetconn.DialFunc, isTarget func(address string) bool) *Server {
-	return &Server{direct: direct, isTarget: isTarget, idle: make(chan struct{})}
+	return &Server{direct: resetconn.Dialer(direct), isTarget: isTarget, idle: make(chan struct{})}
 }
 
 // Active returns the number of relayed connections.
--- /dev/null
+++ b/internal/entry/brokenresponse_test.go
@@ -0,0 +1,141 @@
+package entry
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/mastictray/mastictray/internal/brokentarget"
+)
+
+// uploadBytes is more than what the sockets of a connection hold.
+const uploadBytes = 8 << 20
+
+// exchange sends a request to a target and reads the response to its end.
+func exchange(t *testing.T, client *targetClient, address, path string, sendOnce bool, upload []byte) (*http.Response, []byte, error) {
+	resp, err := client.send(t.Context(), attemptRequest{
+		attemptID: "a", target: "t", address: address, method: http.MethodPost, path: path, sendOnce: sendOnce, body: upload,
+	})
+	if err != nil {
+		return nil, nil, err
+	}
+	defer resp.Body.Close()
+	body, err := readWholeBody(resp)
+	return resp, body, err
+}
+
+// Guards against a part of a response that counts as a whole one when the target resets the connection
+// while the request is still being sent.
+func TestResponseResetDuringUploadIsNotWhole(t *testing.T) {
+	const exchanges = 40
+	upload := bytes.Repeat([]byte("u"), uploadBytes)
+	client := newTargetClient(new(net.Dialer).DialContext)
+	for name, response := range map[string]string{
+		"body":         "HTTP/1.1 200 OK\r\n\r\npart",
+		"none":         "HTTP/1.1 200 OK\r\n\r\n",
+		"large":        "HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("x", 200<<10),
+		"event stream": "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\n",
+		"close":        "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart",
+	} {
+		for pool, sendOnce := range map[string]bool{"pooled": false, "unpooled": true} {
+			t.Run(name+", "+pool, func(t *testing.T) {
+				target := brokentarget.Start(t, brokentarget.Always(brokentarget.Response{Bytes: response, End: brokentarget.Reset}))
+				var mu sync.Mutex
+				whole := 0
+				var ended sync.WaitGroup
+				for range exchanges {
+					ended.Go(func() {
+						if _, _, err := exchange(t, client, target.Address, "/x", sendOnce, upload); err == nil {
+							mu.Lock()
+							whole++
+							mu.Unlock()
+						}
+					})
+				}
+				ended.Wait()
+				if whole > 0 {
+					t.Errorf("%d of %d responses count as whole", whole, exchanges)
+				}
+			})
+		}
+	}
+}
+
+// brokenService is an entry with one plain service whose responses are broken.
+type brokenService struct {
+	targets []*brokentarget.Target
+	caller  string
+}
+
+// answered returns the number of requests that were responded to.
+func (s *brokenService) answered() (n int) {
+	for _, target := range s.targets {
+		n += target.Answered()
+	}
+	return n
+}
+
+// startBrokenService starts a brokenService with a target for each request.
+func startBrokenService(t *testing.T, r brokentarget.Response, targets int) *brokenService {
+	t.Helper()
+	s := &brokenService{}
+	files := testConfigOf("[pool \"s\"]\nkind = service\nmax-concurrent = 64\n[route \"book\"]\npath = /book\npool = s\nidempotent = no\n")
+	for n := range targets {
+		s.targets = append(s.targets, brokentarget.Start(t, brokentarget.Always(r)))
+		files += fmt.Sprintf("[target \"s%d\"]\naddress = %s\ndomain = d\npool = s\n", n, s.targets[n].Address)
+	}
+	e := newFleetEntryWithBody(t, startTestLog(t, files), "i0", freeAddress(t), nil, 2*uploadBytes)
+	s.caller = e.settings.CallerListen
+	t.Cleanup(runEntry(t, e))
+	return s
+}
+
+// book sends a booking. It reports the status and whether the whole response arrived; the status is 0
+// before the entry serves.
+func (s *brokenService) book(t *testing.T, key string, upload []byte) (status int, whole bool) {
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+s.caller+"/book", bytes.NewReader(upload))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	req.Header.Set(headerIdempotencyKey, key)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, false
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err == nil
+}
+
+// Guards against a part of a response that is stored as the result of a booking and sent to its repeats.
+func TestResponseResetDuringUploadIsNoResultOfABooking(t *testing.T) {
+	const bookings = 8
+	is := is.New(t)
+	s := startBrokenService(t, brokentarget.Response{Bytes: "HTTP/1.1 200 OK\r\n\r\npart", End: brokentarget.Reset}, bookings)
+	upload := bytes.Repeat([]byte("u"), uploadBytes)
+	for n := 0; s.answered() < bookings; n++ {
+		key := fmt.Sprint("key", n)
+		before := s.answered()
+		waitFor(t, "a status", func() bool { // also of a refusal, while the entry does not serve yet
+			status, whole := s.book(t, key, upload)
+			if whole && status == http.StatusOK {
+				t.Errorf("booking %d got a whole 200", n)
+			}
+			return status != 0
+		})
+		if status, whole := s.book(t, key, upload); whole && status == http.StatusOK {
+			t.Errorf("the repeat of booking %d got a whole 200", n)
+		}
+		is.True(s.answered() <= before+1) // a booking runs at most once
+		time.Sleep(10 * time.Millisecond)
+	}
+}
--- a/internal/entry/engineclient.go
+++ b/internal/entry/engineclient.go
@@ -12,6 +12,7 @@
 
 	"github.com/mastictray/mastictray/internal/openai"
 	"github.com/mastictray/mastictray/internal/platform"
+	"github.com/mastictray/mastictray/internal/resetconn"
 	"github.com/mastictray/mastictray/internal/targetconn"
 )
 
@@ -84,6 +85,7 @@
 // those with an Idempotency-Key header, and a target could run them twice. It
 // never does so on a new connection.
 func newTargetClient(dial targetconn.DialFunc) *targetClient {
+	dial = resetconn.Dialer(dial)
 	return &targetClient{
 		pooled: &http.Client{CheckRedirect: keepRedirect, Transport: &http.Transport{
 			DialContext:            dial,
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -99,6 +99,12 @@
 }
 
 func newFleetEntry(t *testing.T, logURL, instance, address string, peers []string) *Entry {
+	t.Helper()
+	return newFleetEntryWithBody(t, logURL, instance, address, peers, 1<<20)
+}
+
+// newFleetEntryWithBody is newFleetEntry with another limit for the bodies of callers.
+func newFleetEntryWithBody(t *testing.T, logURL, instance, address string, peers []string, maxBodyBytes int64) *Entry {
 	t.Helper()
 	is := is.New(t)
 	secret := filepath.Join(t.TempDir(), "secret")
@@ -106,7 +112,7 @@
 	s := &settings.Settings{
 		InstanceID: instance, Domain: "d", CallerListen: freeAddress(t), PeerListen: address, Peers: peers, AdminListen: freeAddress(t),
 		LogURL: logURL, PeerSecretFile: secret, FleetDomains: []string{"d"}, MintSlots: 1,
-		MaxBodyBytes: 1 << 20, MaxHeaderBytes: 1 << 16, MaxConnections: 1000,
+		MaxBodyBytes: maxBodyBytes, MaxHeaderBytes: 1 << 16, MaxConnections: 1000,
 		IdleTimeout: time.Minute, ReadTimeout: time.Minute, DrainTimeout: time.Minute,
 	}
 	e, err := New(s)
--- a/internal/entry/targetpause_test.go
+++ b/internal/entry/targetpause_test.go
@@ -94,13 +94,11 @@
 // newSystem returns a testSystem whose entry is not started.
 func newSystem(t *testing.T, targetsPerPool int) *testSystem {
 	t.Helper()
-	is := is.New(t)
 	s := &testSystem{t: t}
-	files := fmt.Sprintf("[account \"a\"]\ntokens-per-second = 1000000\nburst-tokens = 1000000\n"+
-		"[key \"k\"]\naccount = a\nsha256 = %s\n[model \"m\"]\nversion = 1\n[pool \"p\"]\nkind = engine\nmodel = m\n"+
-		"[pool \"s\"]\nkind = service\nmax-concurrent = 64\n"+
-		"[route \"chat\"]\npath = /v1/chat/completions\npool = p\nidempotent = yes\n"+
-		"[route \"book\"]\npath = /book\npool = s\nidempotent = no\n", keys.Hash(testKey))
+	files := testConfigOf("[model \"m\"]\nversion = 1\n[pool \"p\"]\nkind = engine\nmodel = m\n" +
+		"[pool \"s\"]\nkind = service\nmax-concurrent = 64\n" +
+		"[route \"chat\"]\npath = /v1/chat/completions\npool = p\nidempotent = yes\n" +
+		"[route \"book\"]\npath = /book\npool = s\nidempotent = no\n")
 	for i := range targetsPerPool {
 		h, f := newEngineProcess(t)
 		s.engines = append(s.engines, newRequestTarget(t, h, f))
@@ -109,15 +107,28 @@
 		files += fmt.Sprintf("[target \"e%d\"]\naddress = %s\ndomain = d\npool = p\n", i, s.engines[i].address)
 		files += fmt.Sprintf("[target \"s%d\"]\naddress = %s\ndomain = d\npool = s\n", i, s.services[i].address)
 	}
+	s.logURL = startTestLog(t, files)
+	return s
+}
+
+// testConfigOf returns a configuration with an account, its key and more sections.
+func testConfigOf(sections string) string {
+	return fmt.Sprintf("[account \"a\"]\ntokens-per-second = 1000000\nburst-tokens = 1000000\n"+
+		"[key \"k\"]\naccount = a\nsha256 = %s\n", keys.Hash(testKey)) + sections
+}
+
+// startTestLog starts a log with a configuration and returns its URL.
+func startTestLog(t *testing.T, files string) string {
+	t.Helper()
+	is := is.New(t)
 	log := httptest.NewServer(logsvc.New(logsvc.Config{}).Handler())
 	t.Cleanup(log.Close)
-	s.logURL = log.URL
 	body := config.Change{Op: "1", Rules: config.RulesVersion, Files: []config.FileChange{{Name: "all.ini", Base: config.NoRevision, Contents: []byte(files)}}}
 	record, err := logrec.Encode(config.KindChange, "tester", 0, body)
 	is.NoErr(err)
 	_, err = platform.NewHTTPLog(log.URL, nil).Append(t.Context(), platform.StreamConfig, [][]byte{record})
 	is.NoErr(err)
-	return s
+	return log.URL
 }
 
 func (s *testSystem) targets(kind string) []*requestTarget {
--- a/internal/targetconn/pool.go
+++ b/internal/targetconn/pool.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
+	"github.com/mastictray/mastictray/internal/resetconn"
 	"github.com/mastictray/mastictray/internal/socketbuffer"
 )
 
@@ -155,6 +156,7 @@
 	p.mu.Lock()
 	p.dialCount++
 	p.mu.Unlock()
+	netConn = resetconn.Wrap(netConn) // the end of a connection may be that of a response
 	limited := &limitedReader{r: netConn}
 	return &Conn{addr: addr, netConn: netConn, limited: limited, r: bufio.NewReaderSize(limited, readBufferBytes), idleTimeout: p.options.IdleTimeout}
 }
