responsecheck: a response without a valid status is no response

What callers saw: a target in trouble sends status 000. entry passes it on as an answer with status 0 or 20; gateway takes every status below 200 for an interim one and waits until the request's time is over (504), or relays a second head that stands in the body of the first, with a body that the target never meant as an answer (200). A 101 that nobody asked for is taken for an interim head (gateway) or an answer (entry); 600 and 999 are passed on.

Cause: http.ReadResponse accepts any three characters that parse as a number that is not negative. Neither path looks at it; gateway compares with 200 only.

Change: the head of each response, interim ones included, is checked after it was read: the status is 100 to 599 and not 101, as no request asks for another protocol. gateway checks in targetconn, entry in a transport around that of net/http, which also closes the connection, as it may be idle again already. net/http doesn't limit the size of interim heads that are looked at, so the transport does.

Why this works: a malformed head ends the exchange as a broken connection does, so that retries, budgets and log lines (attempt_failed, target=, status) are those of a target that failed. The caller gets another target's answer or 502.

--- a/internal/entry/brokenresponse_test.go
+++ b/internal/entry/brokenresponse_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -20,8 +21,8 @@
 const uploadBytes = 8 << 20
 
 // exchange sends a request to a target and reads the response to its end.
-func exchange(t *testing.T, client *targetClient, address, path string, sendOnce bool, upload []byte) (*http.Response, []byte, error) {
-	resp, err := client.send(t.Context(), attemptRequest{
+func exchange(ctx context.Context, client *targetClient, address, path string, sendOnce bool, upload []byte) (*http.Response, []byte, error) {
+	resp, err := client.send(ctx, attemptRequest{
 		attemptID: "a", target: "t", address: address, method: http.MethodPost, path: path, sendOnce: sendOnce, body: upload,
 	})
 	if err != nil {
@@ -53,7 +54,7 @@
 				var ended sync.WaitGroup
 				for range exchanges {
 					ended.Go(func() {
-						if _, _, err := exchange(t, client, target.Address, "/x", sendOnce, upload); err == nil {
+						if _, _, err := exchange(t.Context(), client, target.Address, "/x", sendOnce, upload); err == nil {
 							mu.Lock()
 							whole++
 							mu.Unlock()
@@ -69,6 +70,38 @@
 	}
 }
 
+// testMalformedHeads verifies that no response of a group of brokentarget.Heads counts as one, and that
+// none on an open connection is waited for.
+func testMalformedHeads(t *testing.T, group string) {
+	client := newTargetClient(new(net.Dialer).DialContext)
+	for name, response := range brokentarget.Malformed(group, "") {
+		target := brokentarget.Start(t, brokentarget.Always(response))
+		for pool, sendOnce := range map[string]bool{"pooled": false, "unpooled": true} {
+			t.Run(name+", "+pool, func(t *testing.T) {
+				failed := make(chan error, 1)
+				go func() {
+					_, body, err := exchange(t.Context(), client, target.Address, "/x", sendOnce, []byte("body"))
+					if err == nil {
+						t.Errorf("response with body %q", body)
+					}
+					failed <- err
+				}()
+				select {
+				case <-failed:
+				case <-time.After(malformedTimeout):
+					t.Error("no result in time")
+				}
+			})
+		}
+	}
+}
+
+// malformedTimeout is far above the time of an exchange.
+const malformedTimeout = 5 * time.Second
+
+// Guards against responses without a valid status.
+func TestResponseWithInvalidStatusIsNoResponse(t *testing.T) { testMalformedHeads(t, "status") }
+
 // brokenService is an entry with one plain service whose responses are broken.
 type brokenService struct {
 	targets []*brokentarget.Target
--- a/internal/entry/engineclient.go
+++ b/internal/entry/engineclient.go
@@ -12,7 +12,7 @@
 
 	"github.com/mastictray/mastictray/internal/openai"
 	"github.com/mastictray/mastictray/internal/platform"
-	"github.com/mastictray/mastictray/internal/resetconn"
+	"github.com/mastictray/mastictray/internal/responsecheck"
 	"github.com/mastictray/mastictray/internal/targetconn"
 )
 
@@ -85,21 +85,20 @@
 // those with an Idempotency-Key header, and a target could run them twice. It
 // never does so on a new connection.
 func newTargetClient(dial targetconn.DialFunc) *targetClient {
-	dial = resetconn.Dialer(dial)
 	return &targetClient{
-		pooled: &http.Client{CheckRedirect: keepRedirect, Transport: &http.Transport{
+		pooled: &http.Client{CheckRedirect: keepRedirect, Transport: responsecheck.NewTransport(&http.Transport{
 			DialContext:            dial,
 			MaxIdleConnsPerHost:    maxIdleConnsPerTarget,
 			MaxResponseHeaderBytes: maxResponseHeadBytes,
 			IdleConnTimeout:        targetIdleConnTimeout,
 			DisableCompression:     true,
-		}},
-		unpooled: &http.Client{CheckRedirect: keepRedirect, Transport: &http.Transport{
+		})},
+		unpooled: &http.Client{CheckRedirect: keepRedirect, Transport: responsecheck.NewTransport(&http.Transport{
 			DialContext:            dial,
 			DisableKeepAlives:      true,
 			MaxResponseHeaderBytes: maxResponseHeadBytes,
 			DisableCompression:     true,
-		}},
+		})},
 	}
 }
 
--- a/internal/targetconn/conn.go
+++ b/internal/targetconn/conn.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mastictray/mastictray/internal/quietconn"
+	"github.com/mastictray/mastictray/internal/responsecheck"
 )
 
 const (
@@ -39,7 +40,7 @@
 )
 
 // ErrMalformed marks a response that violates the protocol.
-var ErrMalformed = errors.New("target: malformed response")
+var ErrMalformed = responsecheck.ErrMalformed
 
 // Conn is one connection to a target.
 type Conn struct {
@@ -166,6 +167,9 @@
 	defer func() { c.limited.bounded = false }()
 	for {
 		resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
+		if err == nil {
+			err = responsecheck.Head(resp)
+		}
 		if err != nil || resp.StatusCode >= http.StatusOK {
 			return resp, err
 		}
