responsecheck: a response with an invalid field name is no response

What callers saw: a target sends a field whose name holds a blank, in a head, in an interim head or in a trailer. The caller gets the answer, with the line (entry) or without it (gateway). With "Content-Length : 4" or "Transfer-Encoding : chunked" it gets a body that is not the target's: 9 bytes instead of 4, or the framing of the chunks; on a connection that stays open it waits until its time is over.

Cause: textproto accepts blanks in names and keeps them as they are, so that net/http does not recognize a length or an encoding behind such a name.

Why this works: such a head fails the exchange before anything of it is used: no body, no signature, no announcement. RFC 9112 (5.1) has a proxy remove the blank before the colon; refusing is stricter and needs no second parser for the framing, and such a target is in trouble. A trailer is checked before its body counts as whole.

--- a/internal/entry/brokenresponse_test.go
+++ b/internal/entry/brokenresponse_test.go
@@ -102,6 +102,9 @@
 // Guards against responses without a valid status.
 func TestResponseWithInvalidStatusIsNoResponse(t *testing.T) { testMalformedHeads(t, "status") }
 
+// Guards against responses with a field whose name holds a blank or a control byte.
+func TestResponseWithInvalidFieldNameIsNoResponse(t *testing.T) { testMalformedHeads(t, "name") }
+
 // brokenService is an entry with one plain service whose responses are broken.
 type brokenService struct {
 	targets []*brokentarget.Target
--- a/internal/responsecheck/responsecheck.go
+++ b/internal/responsecheck/responsecheck.go
@@ -2,9 +2,11 @@
 package responsecheck
 
 import (
+	"io"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrMalformed marks a response that violates HTTP.
@@ -23,5 +25,40 @@
 	case resp.StatusCode == http.StatusSwitchingProtocols:
 		return errors.Wrap(ErrMalformed, "a switch of protocols that was not asked for")
 	}
+	return checkNames(resp.Header)
+}
+
+// checkNames checks the names of fields. net/http accepts blanks in them, and does not recognize a length
+// or an encoding whose name ends with one.
+func checkNames(fields http.Header) error {
+	for name := range fields {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Wrapf(ErrMalformed, "field name %q", name)
+		}
+	}
 	return nil
 }
+
+// Body returns a body of a response that also checks the fields of its trailer.
+func Body(resp *http.Response) io.ReadCloser {
+	if len(resp.TransferEncoding) == 0 {
+		return resp.Body // only chunked bodies have a trailer
+	}
+	return &chunkedBody{ReadCloser: resp.Body, resp: resp}
+}
+
+type chunkedBody struct {
+	io.ReadCloser
+	resp *http.Response
+}
+
+// Read implements io.Reader.
+func (b *chunkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		if nameErr := checkNames(b.resp.Trailer); nameErr != nil {
+			err = nameErr
+		}
+	}
+	return n, err
+}
--- a/internal/responsecheck/transport.go
+++ b/internal/responsecheck/transport.go
@@ -47,6 +47,7 @@
 		conn.Close() // it may be idle already
 		return nil, errors.Wrapf(err, "peer=%s", req.URL.Host)
 	}
+	resp.Body = Body(resp)
 	return resp, nil
 }
 
--- a/internal/targetconn/conn.go
+++ b/internal/targetconn/conn.go
@@ -170,8 +170,12 @@
 		if err == nil {
 			err = responsecheck.Head(resp)
 		}
-		if err != nil || resp.StatusCode >= http.StatusOK {
-			return resp, err
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK {
+			resp.Body = responsecheck.Body(resp)
+			return resp, nil
 		}
 	}
 }
