responsecheck: a response of another version of HTTP is no response

What callers saw: a target answers with HTTP/2.0 or HTTP/0.9 in its status line, on a connection that speaks HTTP/1.1. The caller gets the answer.

Cause: http.ReadResponse accepts any digit as the major version, and frames the body by it as if it were 1.1 (or 1.0).

Change: the major version is 1, except over TLS, which agrees on one before.

Why this works: how a message of another major version is framed is not known, so its body cannot be told from what follows.

--- a/internal/entry/brokenresponse_test.go
+++ b/internal/entry/brokenresponse_test.go
@@ -105,6 +105,9 @@
 // Guards against responses with a field whose name holds a blank or a control byte.
 func TestResponseWithInvalidFieldNameIsNoResponse(t *testing.T) { testMalformedHeads(t, "name") }
 
+// Guards against responses of another version of HTTP than the connection's.
+func TestResponseOfAnotherVersionIsNoResponse(t *testing.T) { testMalformedHeads(t, "version") }
+
 // brokenService is an entry with one plain service whose responses are broken.
 type brokenService struct {
 	targets []*brokentarget.Target
--- a/internal/responsecheck/responsecheck.go
+++ b/internal/responsecheck/responsecheck.go
@@ -20,6 +20,8 @@
 // Head checks the head of a response, interim or final, to a request that asked for no other protocol.
 func Head(resp *http.Response) error {
 	switch {
+	case resp.ProtoMajor != 1 && resp.TLS == nil: // TLS agrees on the version
+		return errors.Wrapf(ErrMalformed, "version %q", resp.Proto)
 	case resp.StatusCode < minStatus || resp.StatusCode > maxStatus:
 		return errors.Wrapf(ErrMalformed, "status %q", resp.Status)
 	case resp.StatusCode == http.StatusSwitchingProtocols:
--- a/internal/responsecheck/transport.go
+++ b/internal/responsecheck/transport.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+	"strconv"
 
 	"github.com/cockroachdb/errors"
 
@@ -70,5 +71,6 @@
 	if h.size > h.limit {
 		return errors.Wrapf(ErrMalformed, "interim heads exceed %d bytes", h.limit)
 	}
-	return Head(&http.Response{StatusCode: status, Header: http.Header(fields)})
+	// Its version is not told here; the final head has one too.
+	return Head(&http.Response{ProtoMajor: 1, Status: strconv.Itoa(status), StatusCode: status, Header: http.Header(fields)})
 }
