responsecheck: reads beside the request paths refuse malformed responses too

What went wrong: the clients for the store, the platform's log and instance list, for reports, cache events and orders of targets, the load tool and the command line took malformed responses for valid ones, as the request paths did. A malformed response of the store counts as a topic without records, one of a target as its report, one to an append as its offset, and one to a booking as an answer in a report of the load tool.

Cause: they use http.Transport as it is.

Change: all of them use the transport of the request path.

Why this works: one transport holds all rules, so that a reader can't miss one. A failed append stays one of unknown outcome, as its error is no dial error.

--- a/cmd/mastictray/main.go
+++ b/cmd/mastictray/main.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/mastictray/mastictray/internal/cli"
+	"github.com/mastictray/mastictray/internal/responsecheck"
 )
 
 func main() {
@@ -17,7 +18,7 @@
 	defer stop()
 	env := cli.Env{
 		Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr,
-		Client: http.DefaultClient, Now: time.Now, Random: rand.Reader,
+		Client: &http.Client{Transport: responsecheck.NewTransport(http.DefaultTransport.(*http.Transport).Clone())}, Now: time.Now, Random: rand.Reader,
 	}
 	os.Exit(int(cli.Main(ctx, os.Args[1:], env)))
 }
--- a/internal/brokentarget/heads.go
+++ b/internal/brokentarget/heads.go
@@ -1,6 +1,9 @@
 package brokentarget
 
-import "strings"
+import (
+	"strconv"
+	"strings"
+)
 
 // Heads are responses whose heads violate HTTP, by name, in groups of one fault each. "%" stands for
 // further fields of the head that is to look valid.
@@ -50,3 +53,17 @@
 	}
 	return responses
 }
+
+// MalformedWith returns, by name, responses whose heads violate HTTP and whose body has this text.
+func MalformedWith(body string) map[string]Response {
+	responses := map[string]Response{}
+	for name, head := range map[string]string{
+		"status":  "HTTP/1.1 600 X\r\n",
+		"name":    "HTTP/1.1 200 OK\r\nBad Name: x\r\n",
+		"interim": "HTTP/1.1 103 Early Hints\r\nBad Name: x\r\n\r\nHTTP/1.1 200 OK\r\n",
+		"version": "HTTP/2.0 200 OK\r\n",
+	} {
+		responses[name] = Response{Bytes: head + "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body, End: KeepOpen}
+	}
+	return responses
+}
--- a/internal/entry/brokenresponse_test.go
+++ b/internal/entry/brokenresponse_test.go
@@ -15,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"github.com/mastictray/mastictray/internal/brokentarget"
+	"github.com/mastictray/mastictray/internal/platform"
 )
 
 // uploadBytes is more than what the sockets of a connection hold.
@@ -108,6 +109,46 @@
 // Guards against responses of another version of HTTP than the connection's.
 func TestResponseOfAnotherVersionIsNoResponse(t *testing.T) { testMalformedHeads(t, "version") }
 
+// Guards against malformed responses of the platform and of targets to reads that count.
+func TestMalformedResponseToAReadIsAnError(t *testing.T) {
+	for reader, c := range map[string]struct {
+		body string
+		read func(ctx context.Context, e *Entry, address string) error
+	}{
+		"load": {`{"incarnation":"i"}`, func(ctx context.Context, e *Entry, address string) error {
+			_, err := e.pools.poller.fetchLoad(ctx, address)
+			return err
+		}},
+		"cache events": {`{"incarnation":"i"}`, func(ctx context.Context, e *Entry, address string) error {
+			_, err := (&cacheEventReader{client: e.pools.poller.eventsClient, address: address}).fetch(ctx, 0)
+			return err
+		}},
+		"log": {`{"next":7}`, func(ctx context.Context, e *Entry, address string) error {
+			_, err := platform.NewHTTPLog("http://"+address, e.platform).Read(ctx, platform.StreamConfig, 0, 1, 0)
+			return err
+		}},
+		"appended": {`{"first_offset":7}`, func(ctx context.Context, e *Entry, address string) error {
+			_, err := platform.NewHTTPLog("http://"+address, e.platform).Append(ctx, platform.StreamConfig, [][]byte{{1}})
+			return err
+		}},
+		"order": {`{}`, func(_ context.Context, e *Entry, address string) error {
+			resp, err := e.rollouts.httpClient.Get("http://" + address)
+			if err == nil {
+				resp.Body.Close()
+			}
+			return err
+		}},
+	} {
+		e := newTestEntry(t, "http://"+freeAddress(t))
+		for name, response := range brokentarget.MalformedWith(c.body) {
+			target := brokentarget.Start(t, brokentarget.Always(response))
+			if err := c.read(t.Context(), e, target.Address); err == nil {
+				t.Errorf("%s, %s: no error", reader, name)
+			}
+		}
+	}
+}
+
 // brokenService is an entry with one plain service whose responses are broken.
 type brokenService struct {
 	targets []*brokentarget.Target
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/mastictray/mastictray/internal/peer"
 	"github.com/mastictray/mastictray/internal/platform"
 	"github.com/mastictray/mastictray/internal/readretry"
+	"github.com/mastictray/mastictray/internal/responsecheck"
 	"github.com/mastictray/mastictray/internal/rollout"
 	"github.com/mastictray/mastictray/internal/settings"
 	"github.com/mastictray/mastictray/internal/socketbuffer"
@@ -91,7 +92,7 @@
 		Self: self, Secret: secret, TLS: sec.peers, Idempotent: []wire.Kind{wire.KindHeartbeat, wire.KindConfigRequest, wire.KindClaimSnapshot},
 	})
 	e.platform = &http.Client{Transport: &readretry.Transport{
-		Base: &http.Transport{MaxIdleConnsPerHost: maxIdlePlatformConns}, WaitParam: platform.WaitParam,
+		Base: responsecheck.NewTransport(&http.Transport{MaxIdleConnsPerHost: maxIdlePlatformConns}), WaitParam: platform.WaitParam,
 	}}
 	e.log = platform.NewHTTPLog(s.LogURL, e.platform)
 	e.buildComponents(sec)
--- a/internal/entry/loadpoller.go
+++ b/internal/entry/loadpoller.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/mastictray/mastictray/internal/config"
+	"github.com/mastictray/mastictray/internal/responsecheck"
 	"github.com/mastictray/mastictray/internal/targetconn"
 )
 
@@ -42,8 +43,8 @@
 func newLoadPoller(c clock, dial targetconn.DialFunc) *loadPoller {
 	return &loadPoller{
 		clock:        c,
-		loadClient:   &http.Client{Timeout: loadPollTimeout, Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 1}},
-		eventsClient: &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 1}},
+		loadClient:   &http.Client{Timeout: loadPollTimeout, Transport: responsecheck.NewTransport(&http.Transport{DialContext: dial, MaxIdleConnsPerHost: 1})},
+		eventsClient: &http.Client{Transport: responsecheck.NewTransport(&http.Transport{DialContext: dial, MaxIdleConnsPerHost: 1})},
 		running:      make(map[string]polledTarget),
 	}
 }
--- a/internal/entry/rolloutdriver.go
+++ b/internal/entry/rolloutdriver.go
@@ -14,6 +14,7 @@
 	"github.com/mastictray/mastictray/internal/logline"
 	"github.com/mastictray/mastictray/internal/logrec"
 	"github.com/mastictray/mastictray/internal/platform"
+	"github.com/mastictray/mastictray/internal/responsecheck"
 	"github.com/mastictray/mastictray/internal/rollout"
 )
 
@@ -52,7 +53,7 @@
 func newRolloutDriver(c clock, s rollout.Settings, log platform.Log, incarnation string) *rolloutDriver {
 	return &rolloutDriver{
 		clock: c, settings: s, log: log, incarnation: incarnation, orderState: rollout.NewState(),
-		httpClient: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+		httpClient: &http.Client{Transport: responsecheck.NewTransport(&http.Transport{MaxIdleConnsPerHost: 1})},
 	}
 }
 
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mastictray/mastictray/internal/openai"
+	"github.com/mastictray/mastictray/internal/responsecheck"
 )
 
 const maxResponseBytes = 64 << 10
@@ -44,7 +45,7 @@
 // newClient keeps enough idle connections that latencies of an open-loop run don't
 // include connection setup.
 func newClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024, DisableCompression: true}}
+	return &http.Client{Transport: responsecheck.NewTransport(&http.Transport{MaxIdleConnsPerHost: 1024, DisableCompression: true})}
 }
 
 // Run sends each request at its scheduled time until a limit is reached, waits for
--- a/internal/readretry/transport.go
+++ b/internal/readretry/transport.go
@@ -16,9 +16,15 @@
 	"github.com/mastictray/mastictray/internal/silentconn"
 )
 
+// Base sends requests and holds connections, as a http.Transport does.
+type Base interface {
+	http.RoundTripper
+	CloseIdleConnections()
+}
+
 // Transport is a http.RoundTripper for one server. Only GET requests are sent again.
 type Transport struct {
-	Base *http.Transport
+	Base Base
 	// WaitParam is the query parameter with the milliseconds for which the server may wait
 	// before it responds (long polling). A request that is sent again does not wait.
 	WaitParam string
@@ -139,7 +145,7 @@
 	return &attempt{req: req.WithContext(ctx), sentAt: time.Now(), cancel: cancel}
 }
 
-func (a *attempt) run(base *http.Transport, results chan<- result) {
+func (a *attempt) run(base Base, results chan<- result) {
 	resp, err := base.RoundTrip(a.req) //nolint:bodyclose // closed by its reader, or with the context
 	results <- result{attempt: a, resp: resp, err: err}
 }
