responsecheck: JSON responses are read to their end

What went wrong: a response with a JSON value that is cut short right behind the value counts as whole: an answer in a report of the load tool, a load report or cache events of a target, records or the offset of an append of the log, an instance list (entry).

Cause: json.Decoder stops behind the value, so that nobody sees how the body ends.

Evidence, the tests on the code before, with a length of which one byte is missing:

--- FAIL: TestBrokenAnswerIsNotCountedAsAnswer: cut-short: counted as an answer --- FAIL: TestBrokenResponseToAReadIsAnError load, cache events, log, appended, instances: cut-short: no error Handled before, tests kept: the store, and reports of targets at gateway, whose bodies are read whole; a response that is cut short before the end of its value.

Change: DecodeJSON reads what follows the value; more than white space is an error.

Why this works: the end of the body comes from net/http, which knows its length, its chunks or, through resetconn, how its connection ended.

--- a/internal/brokentarget/heads.go
+++ b/internal/brokentarget/heads.go
@@ -54,9 +54,12 @@
 	return responses
 }
 
-// MalformedWith returns, by name, responses whose heads violate HTTP and whose body has this text.
-func MalformedWith(body string) map[string]Response {
-	responses := map[string]Response{}
+// BrokenWith returns, by name, responses whose body has this text: with heads that violate HTTP, and with
+// a length of which a byte is missing.
+func BrokenWith(body string) map[string]Response {
+	responses := map[string]Response{
+		"cut-short": {Bytes: "HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(len(body)+1) + "\r\n\r\n" + body, End: CloseSending},
+	}
 	for name, head := range map[string]string{
 		"status":  "HTTP/1.1 600 X\r\n",
 		"name":    "HTTP/1.1 200 OK\r\nBad Name: x\r\n",
--- a/internal/entry/brokenresponse_test.go
+++ b/internal/entry/brokenresponse_test.go
@@ -109,8 +109,8 @@
 // Guards against responses of another version of HTTP than the connection's.
 func TestResponseOfAnotherVersionIsNoResponse(t *testing.T) { testMalformedHeads(t, "version") }
 
-// Guards against malformed responses of the platform and of targets to reads that count.
-func TestMalformedResponseToAReadIsAnError(t *testing.T) {
+// Guards against broken responses of the platform and of targets to reads that count.
+func TestBrokenResponseToAReadIsAnError(t *testing.T) {
 	for reader, c := range map[string]struct {
 		body string
 		read func(ctx context.Context, e *Entry, address string) error
@@ -127,6 +127,10 @@
 			_, err := platform.NewHTTPLog("http://"+address, e.platform).Read(ctx, platform.StreamConfig, 0, 1, 0)
 			return err
 		}},
+		"instances": {`{"as_of_ms":7,"instances":[]}`, func(ctx context.Context, e *Entry, address string) error {
+			_, err := platform.NewHTTPInstances("http://"+address, e.platform).Instances(ctx)
+			return err
+		}},
 		"appended": {`{"first_offset":7}`, func(ctx context.Context, e *Entry, address string) error {
 			_, err := platform.NewHTTPLog("http://"+address, e.platform).Append(ctx, platform.StreamConfig, [][]byte{{1}})
 			return err
@@ -134,13 +138,14 @@
 		"order": {`{}`, func(_ context.Context, e *Entry, address string) error {
 			resp, err := e.rollouts.httpClient.Get("http://" + address)
 			if err == nil {
+				_, err = readWholeBody(resp)
 				resp.Body.Close()
 			}
 			return err
 		}},
 	} {
 		e := newTestEntry(t, "http://"+freeAddress(t))
-		for name, response := range brokentarget.MalformedWith(c.body) {
+		for name, response := range brokentarget.BrokenWith(c.body) {
 			target := brokentarget.Start(t, brokentarget.Always(response))
 			if err := c.read(t.Context(), e, target.Address); err == nil {
 				t.Errorf("%s, %s: no error", reader, name)
--- a/internal/entry/getjson.go
+++ b/internal/entry/getjson.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/mastictray/mastictray/internal/responsecheck"
 )
 
 // maxJSONBytes bounds how much of a JSON response is read.
@@ -26,6 +27,6 @@
 	if resp.StatusCode != http.StatusOK {
 		return errors.Newf("query peer=%s: status %d", url, resp.StatusCode)
 	}
-	err = json.NewDecoder(io.LimitReader(resp.Body, maxJSONBytes)).Decode(dst)
+	err = responsecheck.DecodeJSON(io.LimitReader(resp.Body, maxJSONBytes), dst)
 	return errors.Wrapf(err, "decode response peer=%s", url)
 }
--- a/internal/load/bookingrunner.go
+++ b/internal/load/bookingrunner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -11,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastictray/mastictray/internal/responsecheck"
 	"github.com/mastictray/mastictray/internal/standin/service"
 )
 
@@ -89,7 +89,7 @@
 		return Attempt{Outcome: outcome, Code: code}, nil
 	}
 	a := Attempt{Outcome: OutcomeOK}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(&a.Answer); err != nil {
+	if err := responsecheck.DecodeJSON(io.LimitReader(resp.Body, maxResponseBytes), &a.Answer); err != nil {
 		return Attempt{}, errors.Wrapf(err, "read answer entry=%s", resp.Request.Host)
 	}
 	return a, nil
@@ -119,5 +119,5 @@
 		return runs, errors.Wrapf(err, "read runs service=%s", base)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	return runs, errors.Wrapf(json.NewDecoder(resp.Body).Decode(&runs), "decode runs service=%s", base)
+	return runs, errors.Wrapf(responsecheck.DecodeJSON(resp.Body, &runs), "decode runs service=%s", base)
 }
--- a/internal/load/brokenanswer_test.go
+++ b/internal/load/brokenanswer_test.go
@@ -7,10 +7,10 @@
 	"github.com/mastictray/mastictray/internal/brokentarget"
 )
 
-// Guards against malformed answers that count in a report.
-func TestMalformedAnswerIsNotCountedAsAnswer(t *testing.T) {
+// Guards against broken answers that count in a report.
+func TestBrokenAnswerIsNotCountedAsAnswer(t *testing.T) {
 	const answer = `{"service":"s","runs":1}`
-	for name, response := range brokentarget.MalformedWith(answer) {
+	for name, response := range brokentarget.BrokenWith(answer) {
 		target := brokentarget.Start(t, brokentarget.Always(response))
 		runner := NewRunner(testProfile(), []string{"http://" + target.Address})
 		booking := Booking{Key: "k", Account: testProfile().Accounts[0], Body: []byte("{}")}
--- a/internal/platform/httplog.go
+++ b/internal/platform/httplog.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/mastictray/mastictray/internal/responsecheck"
 )
 
 // maxResponseBytes limits how much of a response body is read.
@@ -87,7 +89,7 @@
 		return 0, errors.Wrapf(err, "append stream=%s peer=%s", stream, l.base)
 	}
 	var result appendResponse
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(&result); err != nil {
+	if err := responsecheck.DecodeJSON(io.LimitReader(resp.Body, maxResponseBytes), &result); err != nil {
 		return 0, errors.Mark(errors.Wrapf(err, "append stream=%s peer=%s: decode response", stream, l.base), ErrOutcomeUnknown)
 	}
 	return result.FirstOffset, nil
@@ -110,7 +112,7 @@
 		return Batch{}, errors.Wrapf(statusErr, "read stream=%s peer=%s", stream, l.base)
 	}
 	var result readResponse
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(&result); err != nil {
+	if err := responsecheck.DecodeJSON(io.LimitReader(resp.Body, maxResponseBytes), &result); err != nil {
 		return Batch{}, errors.Mark(errors.Wrapf(err, "read stream=%s peer=%s: decode response", stream, l.base), ErrOutage)
 	}
 	if statusErr != nil {
--- a/internal/platform/instancelist.go
+++ b/internal/platform/instancelist.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/mastictray/mastictray/internal/responsecheck"
 )
 
 // listDecoder decodes an instance list token by token: decoding it as one value would fail for all
@@ -50,7 +52,7 @@
 	if !hasInstances {
 		return list, errors.New("no instances")
 	}
-	return list, nil
+	return list, responsecheck.EndOfJSON(d.Decoder)
 }
 
 func (d *listDecoder) time() (time.Time, error) {
