entry: a reason for a refusal that is cut short is not passed on

What callers saw: a model server refuses a prompt with 400 and a reason, and its connection breaks in the middle. The caller gets the part as the whole reason, and with the word that the request did not run.

Cause: the error of the read was dropped.

Evidence, the new test on the code before:

--- FAIL: TestRefusalCutShortIsAFailure invalid_request != target_failed

Change: the error is logged (rejection_unreadable), and a 400 whose reason is not whole counts as a failure of the target. 409, 429 and 503 need no reason and stay as they are.

--- a/internal/entry/brokenresponse_test.go
+++ b/internal/entry/brokenresponse_test.go
@@ -12,9 +12,11 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"github.com/mastictray/mastictray/internal/brokentarget"
+	"github.com/mastictray/mastictray/internal/openai"
 	"github.com/mastictray/mastictray/internal/platform"
 )
 
@@ -154,6 +156,23 @@
 	}
 }
 
+// Guards against a part of a model server's reason for a refusal that a caller gets as the whole one.
+func TestRefusalCutShortIsAFailure(t *testing.T) {
+	is := is.New(t)
+	for text, code := range map[string]openai.Code{
+		"HTTP/1.1 400 Bad Request\r\nContent-Length: 4\r\n\r\npart":   openai.CodeBadRequest,
+		"HTTP/1.1 400 Bad Request\r\nContent-Length: 100\r\n\r\npart": openai.CodeTargetFailed,
+	} {
+		target := brokentarget.Start(t, brokentarget.Always(brokentarget.Response{Bytes: text, End: brokentarget.CloseSending}))
+		resp, err := newTargetClient(nil).send(t.Context(), attemptRequest{attemptID: "a", target: "t", address: target.Address, method: http.MethodPost, path: "/x"})
+		is.NoErr(err)
+		defer resp.Body.Close()
+		var refused *openai.Error
+		is.True(errors.As(rejectionError(resp), &refused))
+		is.Equal(refused.Code, code)
+	}
+}
+
 // brokenService is an entry with one plain service whose responses are broken.
 type brokenService struct {
 	targets []*brokentarget.Target
--- a/internal/entry/engineserve.go
+++ b/internal/entry/engineserve.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -159,15 +160,20 @@
 
 // rejectionError converts a response with a status other than 200 to the error
 // returned to the caller. With 409, 429 and 503 the target refused the request
-// before running it.
+// before running it. The reason that comes with 400 is passed on if it is whole.
 func rejectionError(resp *http.Response) error {
-	body, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBodyBytes))
-	switch resp.StatusCode {
-	case http.StatusConflict, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBodyBytes))
+	if err != nil {
+		logline.Error(err, "rejection_unreadable", "address", resp.Request.URL.Host, "status", resp.StatusCode)
+	}
+	switch {
+	case slices.Contains(refusedStatuses, resp.StatusCode):
 		return refusal(http.StatusServiceUnavailable, openai.CodeOverloaded, "the target refused the request", time.Second)
-	case http.StatusBadRequest:
+	case resp.StatusCode == http.StatusBadRequest && err == nil:
 		return refusal(http.StatusBadRequest, openai.CodeBadRequest, "the target refused the request: "+string(body), 0)
-	default:
-		return &openai.Error{Status: http.StatusBadGateway, Code: openai.CodeTargetFailed, Outcome: openai.MayHaveRun, Message: "the target failed"}
 	}
+	return &openai.Error{Status: http.StatusBadGateway, Code: openai.CodeTargetFailed, Outcome: openai.MayHaveRun, Message: "the target failed"}
 }
+
+// refusedStatuses are those with which a target tells that it did not run a request.
+var refusedStatuses = []int{http.StatusConflict, http.StatusTooManyRequests, http.StatusServiceUnavailable}
