--- a/internal/responsecheck/responsecheck_test.go
+++ b/internal/responsecheck/responsecheck_test.go
@@ -48,6 +48,15 @@
 	}
 }
 
+// Guards against the framing of chunks as the body of a response of HTTP/1.0, which has no chunks.
+func TestOldResponseWithChunksIsAnError(t *testing.T) {
+	const chunked = "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nevil\r\n0\r\n\r\n"
+	target := brokentarget.Start(t, brokentarget.Always(brokentarget.Response{Bytes: chunked, End: brokentarget.CloseSending}))
+	if _, body, err := get(newClient(t), target.Address, nil); err == nil {
+		t.Errorf("whole response %q", body)
+	}
+}
+
 // Guards against valid responses that are refused.
 func TestValidResponsesAreReturned(t *testing.T) {
 	for name, raw := range map[string]string{
