--- a/cmd/mastictray/main.go
+++ b/cmd/mastictray/main.go
@@ -16,9 +16,10 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
+	transport := responsecheck.NewTransport(http.DefaultTransport.(*http.Transport).Clone())
 	env := cli.Env{
 		Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr,
-		Client: &http.Client{Transport: responsecheck.NewTransport(http.DefaultTransport.(*http.Transport).Clone())}, Now: time.Now, Random: rand.Reader,
+		Client: &http.Client{Transport: transport}, Now: time.Now, Random: rand.Reader,
 	}
 	os.Exit(int(cli.Main(ctx, os.Args[1:], env)))
 }
--- a/internal/entry/engineserve.go
+++ b/internal/entry/engineserve.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -166,14 +165,13 @@
 	if err != nil {
 		logline.Error(err, "rejection_unreadable", "address", resp.Request.URL.Host, "status", resp.StatusCode)
 	}
-	switch {
-	case slices.Contains(refusedStatuses, resp.StatusCode):
+	switch resp.StatusCode {
+	case http.StatusConflict, http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return refusal(http.StatusServiceUnavailable, openai.CodeOverloaded, "the target refused the request", time.Second)
-	case resp.StatusCode == http.StatusBadRequest && err == nil:
-		return refusal(http.StatusBadRequest, openai.CodeBadRequest, "the target refused the request: "+string(body), 0)
+	case http.StatusBadRequest:
+		if err == nil {
+			return refusal(http.StatusBadRequest, openai.CodeBadRequest, "the target refused the request: "+string(body), 0)
+		}
 	}
 	return &openai.Error{Status: http.StatusBadGateway, Code: openai.CodeTargetFailed, Outcome: openai.MayHaveRun, Message: "the target failed"}
 }
-
-// refusedStatuses are those with which a target tells that it did not run a request.
-var refusedStatuses = []int{http.StatusConflict, http.StatusTooManyRequests, http.StatusServiceUnavailable}
