testaddress: tests of entry take ports that no connection takes

Its log has the cause: "listen for admin at 127.0.0.1:39589: bind: address already in use". The second instance of the test never ran.

Cause: freeAddress of the tests of entry asked the kernel for a free port and gave it back. Until the instance listens, any connection of the packages that are tested at the same time may get it as its own port; the tests of broken responses open many.

Change: the ports of platformtest, below the range of ephemeral ports and claimed by one process at a time, are a package of their own, which entry uses too. The check, its bound and the test stay as they are.

After: go test -race ./internal/entry and the tests of broken answers of ./platform pass; lint too.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -26,6 +26,7 @@
 	"github.com/mastictray/mastictray/internal/settings"
 	"github.com/mastictray/mastictray/internal/standin/engine"
 	"github.com/mastictray/mastictray/internal/standin/logsvc"
+	"github.com/mastictray/mastictray/internal/testaddress"
 )
 
 const testKey = "mt-test"
@@ -33,12 +34,7 @@
 // freeAddress returns an address on which nothing listens.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
+	return testaddress.Free(t)
 }
 
 // publishConfig appends a configuration with one account and one target.
