gateway: a test of moved runs leaves the other targets free

No load is needed.

Cause: to get an attempt at target "a", movablePlacement acquires placements until one is there, and keeps the others. Their choice is random: in some runs "c", the only target to which the run may move, has no free slot left by then, and no destination is found.

Change: the placements at other targets end once there is one at "a". All checks stay.

--- a/internal/gateway/runmoves_test.go
+++ b/internal/gateway/runmoves_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/mastictray/mastictray/internal/overload"
 	"github.com/mastictray/mastictray/internal/routing"
 	"github.com/mastictray/mastictray/internal/runmove"
 )
@@ -22,6 +23,7 @@
 			pl.generation = &generation{g: p.Gateway, c: c, engine: engine, run: runmove.New(placeOf(&pl.target)), at: pl.target}
 			return pl
 		}
+		defer service.endAttempt(pl, overload.Cancelled) // the other targets are free again then
 	}
 	t.Fatalf("target %s was not chosen", target)
 	return nil
