--- a/internal/connrelay/reset_test.go
+++ b/internal/connrelay/reset_test.go
@@ -28,33 +28,36 @@
 	return string(got), err
 }
 
-// Guards against a reset of a target that an instance gets from its peer as a regular end, as the peer
-// was still sending the request.
-func TestResetDuringUploadIsNoRegularEndBehindAPeer(t *testing.T) {
+// testUploads verifies whether the responses to large requests through a peer are whole, for a way in which
+// the target ends its connection.
+func testUploads(t *testing.T, end brokentarget.End, whole bool) {
 	const exchanges = 200
-	for name, c := range map[string]struct {
-		end   brokentarget.End
-		whole bool
-	}{
-		"reset": {end: brokentarget.Reset},
-		"end":   {end: brokentarget.CloseSending, whole: true},
-	} {
-		t.Run(name, func(t *testing.T) {
-			a, _ := newPair(t)
-			a.setDirect(refuse)
-			target := brokentarget.Start(t, brokentarget.Always(brokentarget.Response{Bytes: "HTTP/1.1 200 OK\r\n\r\npart", End: c.end}))
-			slots := make(chan struct{}, 16)
-			var ended sync.WaitGroup
-			for range exchanges {
-				slots <- struct{}{}
-				ended.Go(func() {
-					defer func() { <-slots }()
-					if got, err := relayExchange(t, a, target.Address); (err == nil) != c.whole {
-						t.Errorf("%q ended with %v", got, err)
-					}
-				})
+	a, _ := newPair(t)
+	a.setDirect(refuse)
+	target := brokentarget.Start(t, brokentarget.Always(brokentarget.Response{Bytes: "HTTP/1.1 200 OK\r\n\r\npart", End: end}))
+	slots := make(chan struct{}, 16)
+	var ended sync.WaitGroup
+	for range exchanges {
+		slots <- struct{}{}
+		ended.Go(func() {
+			defer func() { <-slots }()
+			if got, err := relayExchange(t, a, target.Address); (err == nil) != whole {
+				t.Errorf("%q ended with %v", got, err)
 			}
-			ended.Wait()
 		})
 	}
+	ended.Wait()
+}
+
+// Guards against a reset of a target that an instance gets from its peer as a regular end, as the peer
+// was still sending the request.
+func TestResetDuringUploadIsNoRegularEndBehindAPeer(t *testing.T) {
+	t.Run("reset", func(t *testing.T) { testUploads(t, brokentarget.Reset, false) })
+	t.Run("end", func(t *testing.T) { testUploads(t, brokentarget.CloseSending, true) })
+}
+
+// Guards against a whole response that counts as broken, as its target resets the connection after the
+// regular end.
+func TestEndBeforeResetIsRegularBehindAPeer(t *testing.T) {
+	testUploads(t, brokentarget.CloseThenReset, true)
 }
